--- /dev/null
+++ b/source/furrow/field/field.cpp
@@ -0,0 +1,252 @@
+#include "furrow/field/field.hpp"
+
+#include "loam/constants.hpp"
+#include "loam/json/tree.hpp"
+#include "loam/log/log.hpp"
+#include "orchard/setup/setup.hpp"
+#include "rootstock/ballot/ballot.hpp"
+
+namespace finchlink::furrow {
+
+namespace constants = loam::constants;
+
+Field::Field(boost::asio::io_context& context, schema::Settings const& settings, std::uint64_t identity)
+    : context_(context), settings_(settings), identity_(identity), plan_(std::make_shared<Plan const>()) {}
+
+std::shared_ptr<Plan const> Field::plan() {
+  std::lock_guard<std::mutex> const guard(plan_lock_);
+  return plan_;
+}
+
+void Field::take(schema::NewsAnswer const& answer, loam::Moment asked) {
+  {
+    std::lock_guard<std::mutex> const guard(plan_lock_);
+    std::shared_ptr<Plan> const next = std::make_shared<Plan>(*plan_);
+    for (schema::NamedValue const& news : answer.news) {
+      std::uint64_t& held = next->held[news.name];
+      if (news.revision <= held) {  // never back to an older one (section 6.1)
+        continue;
+      }
+      if (news.name == rootstock::setup_register) {
+        orchard::SetupReading const reading = orchard::read_setup(news.content);
+        next->setup = reading.setup;
+        next->has_setup = true;
+        loam::note(loam::Event::RevisionAdopted, "setup revision " + std::to_string(news.revision));
+      } else if (news.name.rfind("split/", 0) == 0) {
+        absl::StatusOr<loam::Tree> const tree = loam::read_tree(news.content);
+        std::vector<loam::Fault> faults;
+        schema::Split split;
+        if (tree.ok()) {
+          schema::read(tree->get(), "", split, faults);
+          next->splits[news.name.substr(6)] = split;
+        }
+        loam::note(loam::Event::RevisionAdopted, news.name + " revision " + std::to_string(news.revision));
+      }
+      held = news.revision;
+    }
+    if (answer.vouched) {
+      next->members = answer.members;
+      vouched_until_ = std::max(vouched_until_, asked + constants::vouch_bound);
+    }
+    if (answer.list_age >= 0 && asked - answer.list_age > list_as_of_) {
+      list_as_of_ = asked - answer.list_age;
+      next->list = answer.list;
+    }
+    derive(*next, settings_.name, settings_.hall);
+    plan_ = next;
+  }
+  reconcile();
+}
+
+bool Field::vouched(loam::Moment now) {
+  std::lock_guard<std::mutex> const guard(plan_lock_);
+  return now < vouched_until_ && plan_->has_setup;
+}
+
+bool Field::list_fresh(loam::Moment now) {
+  std::lock_guard<std::mutex> const guard(plan_lock_);
+  return list_as_of_ > 0 && (now - list_as_of_ < constants::list_bound || plan_->setup.stale_list == "keep");
+}
+
+bool Field::may_dispatch(std::string const& worker, loam::Moment now) {
+  if (!vouched(now) || !list_fresh(now)) {
+    return false;
+  }
+  std::shared_ptr<Plan const> const current = plan();
+  for (std::pair<std::string const, std::vector<tilth::WorkerWish>> const& pool : current->wishes) {
+    for (tilth::WorkerWish const& wish : pool.second) {
+      if (wish.id == worker) {
+        return wish.usable;
+      }
+    }
+  }
+  return false;
+}
+
+void Field::reconcile() {
+  loam::Moment const now = loam::boot_now();
+  bool const good = vouched(now);
+  bool const fresh = list_fresh(now);
+  if (good != was_vouched_) {
+    was_vouched_ = good;
+    loam::note(good ? loam::Event::VouchRegained : loam::Event::VouchLost, "");
+  }
+  if (fresh != was_fresh_) {
+    was_fresh_ = fresh;
+    if (!fresh) {
+      loam::note(loam::Event::ListStale, "");
+    }
+  }
+  std::shared_ptr<Plan const> const current = plan();
+  for (std::string const pool : {"model", "plain"}) {
+    std::vector<tilth::WorkerWish> wishes;
+    std::map<std::string, std::vector<tilth::WorkerWish>>::const_iterator const found = current->wishes.find(pool);
+    if (found != current->wishes.end()) {
+      wishes = found->second;
+    }
+    for (tilth::WorkerWish& wish : wishes) {
+      wish.usable = wish.usable && good && fresh;
+    }
+    with(pool, [&](tilth::Placement& placement) {
+      std::vector<tilth::PlacementAction> actions =
+          placement.update(wishes, current->setup.workers, current->setup.scaler, current->furrows_here, now);
+      std::vector<tilth::PlacementAction> const more = placement.tick(now);
+      actions.insert(actions.end(), more.begin(), more.end());
+      return actions;
+    });
+  }
+}
+
+Field::Shard& Field::shard(std::string const& pool) { return pool == "model" ? model_ : plain_; }
+
+void Field::with(std::string const& pool, std::function<std::vector<tilth::PlacementAction>(tilth::Placement&)> const& step) {
+  Shard& part = shard(pool);
+  std::vector<tilth::PlacementAction> actions;
+  {
+    std::lock_guard<std::mutex> const guard(part.lock);
+    actions = step(part.placement);
+  }
+  for (tilth::PlacementAction const& action : actions) {
+    std::uint64_t const ticket = std::visit([](auto const& entry) { return entry.ticket; }, action);
+    std::shared_ptr<Seat> waiting;
+    {
+      std::lock_guard<std::mutex> const guard(seats_lock_);
+      std::map<std::uint64_t, std::shared_ptr<Seat>>::const_iterator const found = seats_.find(ticket);
+      if (found != seats_.end()) {
+        waiting = found->second;
+      }
+    }
+    if (waiting != nullptr) {
+      boost::asio::post(waiting->timer.get_executor(), [waiting, action] {
+        waiting->action = action;
+        waiting->timer.cancel();
+      });
+    }
+  }
+}
+
+std::uint64_t Field::seat(std::shared_ptr<Seat> const& seat) {
+  std::lock_guard<std::mutex> const guard(seats_lock_);
+  seats_[next_ticket_] = seat;
+  return next_ticket_++;
+}
+
+void Field::leave(std::uint64_t ticket) {
+  std::lock_guard<std::mutex> const guard(seats_lock_);
+  seats_.erase(ticket);
+}
+
+bool Field::retry(std::string const& rule, loam::Moment now) {
+  std::lock_guard<std::mutex> const guard(services_lock_);
+  return services_[rule].budget.take(now);
+}
+
+void Field::arrived(std::string const& rule, loam::Moment now) {
+  std::lock_guard<std::mutex> const guard(services_lock_);
+  services_[rule].budget.arrived(now);
+}
+
+bool Field::open_query(std::string const& rule, std::uint64_t bound) {
+  std::lock_guard<std::mutex> const guard(services_lock_);
+  Service& service = services_[rule];
+  if (service.open >= bound) {
+    return false;
+  }
+  ++service.open;
+  ++open_;
+  return true;
+}
+
+void Field::close_query(std::string const& rule) {
+  std::lock_guard<std::mutex> const guard(services_lock_);
+  --services_[rule].open;
+  --open_;
+}
+
+double Field::outputs(std::string const& rule) {
+  std::lock_guard<std::mutex> const guard(services_lock_);
+  return services_[rule].outputs;
+}
+
+void Field::learn_outputs(std::string const& rule, double outputs) {
+  std::lock_guard<std::mutex> const guard(services_lock_);
+  Service& service = services_[rule];
+  service.outputs += 0.05 * (outputs - service.outputs);
+}
+
+void Field::add_sample(schema::Sample const& sample) {
+  std::lock_guard<std::mutex> const guard(report_lock_);
+  if (samples_.size() < constants::samples_most) {
+    samples_.push_back(sample);
+  }
+}
+
+void Field::add_figures(schema::WorkerFigures const& more) {
+  std::lock_guard<std::mutex> const guard(report_lock_);
+  schema::WorkerFigures& sum = figures_[more.worker];
+  sum.worker = more.worker;
+  sum.queries += more.queries;
+  sum.uncached += more.uncached;
+  sum.cached += more.cached;
+  sum.pairs += more.pairs;
+  sum.prefill_seconds += more.prefill_seconds;
+  sum.outputs += more.outputs;
+  sum.iterations += more.iterations;
+  sum.decode_seconds += more.decode_seconds;
+  sum.decodes += more.decodes;
+  sum.running_sum += more.running_sum;
+}
+
+schema::FurrowReport Field::take_report(std::uint64_t slice, double span) {
+  std::lock_guard<std::mutex> const guard(report_lock_);
+  schema::FurrowReport report;
+  report.slice = slice;
+  report.span = span;
+  for (std::pair<std::string const, schema::WorkerFigures> const& entry : figures_) {
+    report.figures.push_back(entry.second);
+  }
+  report.samples = std::move(samples_);
+  samples_.clear();
+  figures_.clear();
+  return report;
+}
+
+schema::Member Field::self() {
+  schema::Member member;
+  member.name = settings_.name;
+  member.incarnation = identity_;
+  member.hall = settings_.hall;
+  member.address = settings_.http_address;
+  member.held = plan()->held;
+  for (Shard* const part : {&model_, &plain_}) {
+    std::lock_guard<std::mutex> const guard(part->lock);
+    std::vector<std::string> const warm = part->placement.warm();
+    member.warm.insert(member.warm.end(), warm.begin(), warm.end());
+    if (!draining_ && part->placement.room(loam::boot_now())) {
+      member.rooms.push_back(part == &model_ ? "model" : "plain");
+    }
+  }
+  return member;
+}
+
+}  // namespace finchlink::furrow
--- /dev/null
+++ b/source/furrow/gauge/gauge.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+
+namespace finchlink::furrow {
+
+/// Counters and histograms in the text form that scrapers read.
+class Gauges {
+ public:
+  void count(std::string const& name, std::string const& labels, double amount = 1);
+  void observe(std::string const& name, std::string const& labels, double seconds);
+  [[nodiscard]] std::string print();
+
+ private:
+  static constexpr std::array<double, 14> bounds = {0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 20};
+  struct Histogram {
+    std::array<std::uint64_t, bounds.size()> below{};
+    std::uint64_t count = 0;
+    double sum = 0;
+  };
+  std::mutex lock_;
+  std::map<std::string, std::map<std::string, double>> counters_;
+  std::map<std::string, std::map<std::string, Histogram>> histograms_;
+};
+
+}  // namespace finchlink::furrow
--- /dev/null
+++ b/source/furrow/news/news.hpp
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "furrow/field/field.hpp"
+
+namespace finchlink::furrow {
+
+/// Starts the loops that ask trellises for news (section 6), make reports and
+/// reconcile.
+void begin_news(boost::asio::io_context& context, loam::Caller& caller, Field& field, std::vector<std::string> seeds);
+/// Starts the loops that look at each wished worker's load (section 8.5).
+void begin_watch(boost::asio::io_context& context, Field& field);
+
+}  // namespace finchlink::furrow
--- /dev/null
+++ b/source/furrow/query/query.cpp
@@ -0,0 +1,703 @@
+#include "furrow/query/query.hpp"
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <boost/asio/write.hpp>
+
+#include "furrow/query/reply.hpp"
+#include "furrow/worker/contract.hpp"
+#include "loam/constants.hpp"
+#include "loam/json/tree.hpp"
+#include "loam/log/log.hpp"
+#include "loam/random/random.hpp"
+#include "orchard/label/selector.hpp"
+#include "tilth/chart/chart.hpp"
+
+namespace finchlink::furrow {
+
+namespace asio = boost::asio;
+namespace constants = loam::constants;
+namespace http = loam::http;
+using boost::system::error_code;
+
+namespace {
+
+/// What can end a query from outside: its caller going away, its deadline. It
+/// lives on the query's strand and outlives it as long as a handler needs.
+struct Interrupt {
+  bool over = false;
+  bool gone = false;
+  bool late = false;
+  std::function<void()> wake;
+  [[nodiscard]] bool set() const { return gone || late; }
+};
+
+void watch_caller(std::shared_ptr<Interrupt> const& interrupt, loam::Stream& caller) {
+  caller.socket().async_wait(asio::ip::tcp::socket::wait_read, [interrupt, &caller](error_code const& error) {
+    if (interrupt->over || error) {
+      return;
+    }
+    char byte = 0;
+    ssize_t const count = recv(caller.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (count > 0) {
+      return;  // the next query is there already; the caller is not gone
+    }
+    if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+      watch_caller(interrupt, caller);
+      return;
+    }
+    interrupt->gone = true;
+    if (interrupt->wake) {
+      interrupt->wake();
+    }
+  });
+}
+
+class Query {
+ public:
+  Query(Field& field, std::shared_ptr<Plan const> plan, QueryFacts facts, loam::Stream& caller, loam::Yield yield)
+      : field_(field), plan_(std::move(plan)), facts_(std::move(facts)), caller_(caller), yield_(yield),
+        interrupt_(std::make_shared<Interrupt>()), began_(loam::boot_now()),
+        deadline_(began_ + loam::milliseconds(static_cast<std::int64_t>(facts_.rule.deadline_ms))),
+        chart_(terms(), [this](loam::Moment now) { return field_.retry(facts_.rule_name, now); }) {}
+
+  bool run(bool pipelined) {
+    if (!facts_.passed) {
+      field_.arrived(facts_.rule_name, began_);
+    }
+    std::shared_ptr<asio::steady_timer> const timer = std::make_shared<asio::steady_timer>(yield_.get_executor(), loam::duration(deadline_ - began_));
+    timer->async_wait([interrupt = interrupt_, timer](error_code const& error) {
+      if (!error && !interrupt->over) {
+        interrupt->late = true;
+        if (interrupt->wake) {
+          interrupt->wake();
+        }
+      }
+    });
+    caller_.expires_never();
+    if (!pipelined) {
+      watch_caller(interrupt_, caller_);
+    }
+    schema::WorkerBounds const& bounds = plan_->setup.workers;
+    tokens_ = std::max(1.0, static_cast<double>(facts_.body.size()) / bounds.bytes_per_token);
+    chain_ = tilth::block_chain(facts_.body, static_cast<std::size_t>(static_cast<double>(bounds.block_tokens) * bounds.bytes_per_token));
+    perform(chart_.begin());
+    while (!chart_.settled()) {
+      if (interrupt_->gone) {
+        feed(tilth::CallerGone{});
+      } else if (interrupt_->late) {
+        feed(tilth::DeadlinePassed{});
+      } else if (pass_next_) {
+        pass_next_ = false;
+        pass_on();
+      } else if (place_next_) {
+        place_next_ = false;
+        dispatch();
+      } else {
+        feed(tilth::WorkerDefect{"internal"});  // no state of the chart leads here
+        break;
+      }
+    }
+    interrupt_->over = true;
+    timer->cancel();
+    error_code ignored;
+    caller_.socket().cancel(ignored);
+    std::string const how = std::holds_alternative<tilth::Settled>(chart_.state()) ? std::get<tilth::Settled>(chart_.state()).how : "open";
+    field_.gauges().count("furrow_queries_total", "rule=\"" + facts_.rule_name + "\",outcome=\"" + how + "\"");
+    if (how == "complete") {
+      field_.gauges().observe("furrow_query_seconds", "rule=\"" + facts_.rule_name + "\"", static_cast<double>(loam::boot_now() - began_) / 1e6);
+    }
+    return keep_;
+  }
+
+ private:
+  [[nodiscard]] tilth::QueryTerms terms() const {
+    tilth::QueryTerms terms;
+    terms.repeatable = facts_.rule.repeatable;
+    terms.resumable = facts_.rule.resumable;
+    terms.stream = facts_.rule.stream;
+    terms.may_pass = !facts_.passed;
+    terms.dispatches_most = constants::dispatches_most;
+    return terms;
+  }
+
+  void feed(tilth::QueryMessage const& message) { perform(chart_.advance(message, loam::boot_now())); }
+
+  void perform(std::vector<tilth::QueryAction> const& actions) {
+    for (tilth::QueryAction const& action : actions) {
+      std::visit([this](auto const& entry) { act(entry); }, action);
+    }
+  }
+
+  void act(tilth::Place const& place) {
+    place_next_ = true;
+    if (place.again) {
+      field_.gauges().count("furrow_retries_total", "rule=\"" + facts_.rule_name + "\"");
+    }
+  }
+  void act(tilth::PassOn const&) { pass_next_ = true; }
+  void act(tilth::Forward const&) { write_event(); }
+  void act(tilth::Deliver const&) { write_answer(whole_); }
+  void act(tilth::Refuse const& refuse) {
+    loam::Answer answer = refusal(facts_.id, refuse.reason);
+    write_answer(answer);
+  }
+  void act(tilth::Apologise const& apologise) {
+    loam::Answer answer = apology(facts_.id, apologise.status, apologise.reason, apologise.may_have_run);
+    write_answer(answer);
+  }
+  void act(tilth::EndBroken const& broken) {
+    loam::note(loam::Event::QueryCut, facts_.id + " " + broken.reason);
+    loam::Tree object(cJSON_CreateObject());
+    cJSON_AddStringToObject(object.get(), "error", broken.reason.c_str());
+    cJSON_AddStringToObject(object.get(), "query", facts_.id.c_str());
+    cJSON_AddBoolToObject(object.get(), "may_have_run", 1);
+    // An error event, and no closing chunk: nobody can take this for whole.
+    std::string const text = "event: error\ndata: " + loam::print_tree(object.get()) + "\n\n";
+    (void)write_chunk(text);
+    keep_ = false;
+  }
+  void act(tilth::Abandon const&) { keep_ = false; }
+
+  void write_answer(loam::Answer& answer) {
+    error_code error;
+    answer.set(query_header, facts_.id);
+    answer.keep_alive(facts_.keep);
+    answer.prepare_payload();
+    caller_.expires_after(loam::duration(constants::write_deadline));
+    http::async_write(caller_, answer, yield_[error]);
+    caller_.expires_never();
+    keep_ = facts_.keep && !error;
+  }
+
+  bool write_chunk(std::string const& text) {
+    error_code error;
+    caller_.expires_after(loam::duration(constants::write_deadline));
+    asio::async_write(caller_, http::make_chunk(asio::buffer(text)), yield_[error]);
+    caller_.expires_never();
+    return !error;
+  }
+
+  void write_event() {
+    error_code error;
+    if (!header_sent_) {
+      header_sent_ = true;
+      field_.gauges().observe("furrow_first_event_seconds", "rule=\"" + facts_.rule_name + "\"", static_cast<double>(loam::boot_now() - began_) / 1e6);
+      http::response<http::empty_body> header{http::status::ok, 11};
+      header.set(http::field::content_type, "text/event-stream");
+      header.set(http::field::cache_control, "no-store");
+      header.set(query_header, facts_.id);
+      header.keep_alive(facts_.keep);
+      header.chunked(true);
+      http::response_serializer<http::empty_body> serializer(header);
+      caller_.expires_after(loam::duration(constants::write_deadline));
+      http::async_write_header(caller_, serializer, yield_[error]);
+    }
+    std::string const text = "id: " + std::to_string(event_.number) + "\nevent: " + (event_.last ? "complete" : "token") + "\ndata: " + event_.raw + "\n\n";
+    bool good = !error && write_chunk(text);
+    if (good && event_.last) {
+      caller_.expires_after(loam::duration(constants::write_deadline));
+      asio::async_write(caller_, http::make_chunk_last(), yield_[error]);
+      caller_.expires_never();
+      keep_ = facts_.keep && !error;
+    }
+    if (!good) {
+      interrupt_->gone = true;
+    }
+  }
+
+  /// Waits for a place; nothing when interrupted.
+  std::optional<tilth::PlacementAction> wait_for_place(std::uint64_t& ticket_id) {
+    std::shared_ptr<Seat> const seat = std::make_shared<Seat>(yield_.get_executor());
+    seat->timer.expires_at(std::chrono::steady_clock::time_point::max());
+    ticket_id = field_.seat(seat);
+    tilth::Ticket ticket;
+    ticket.id = ticket_id;
+    ticket.rule = facts_.rule_name;
+    std::shared_ptr<Plan const> const plan = field_.plan();
+    std::map<std::string, std::vector<std::string>>::const_iterator const allowed = plan->allowed.find(facts_.rule_name);
+    if (allowed != plan->allowed.end()) {
+      ticket.allowed = allowed->second;
+    }
+    ticket.chain = chain_;
+    ticket.tokens = tokens_;
+    ticket.outputs = field_.outputs(facts_.rule_name);
+    ticket.phase = wanted_phase(*plan, ticket);
+    ticket.deadline = deadline_;
+    ticket.waitlist_bound = facts_.rule.waitlist;
+    field_.with(pool(), [&ticket](tilth::Placement& placement) { return placement.enqueue(ticket, loam::boot_now()); });
+    interrupt_->wake = [seat] { seat->timer.cancel(); };
+    while (!seat->action.has_value() && !interrupt_->set()) {
+      error_code error;
+      seat->timer.async_wait(yield_[error]);
+    }
+    interrupt_->wake = nullptr;
+    field_.leave(ticket_id);
+    if (!seat->action.has_value()) {
+      cancel_ticket(ticket_id);
+    }
+    return seat->action;
+  }
+
+  [[nodiscard]] std::string pool() const { return pool_of(facts_.rule.kind); }
+
+  /// Section 8.6: paired queries run their legs on the two phases; a whole one
+  /// goes to the phase whose predicted cost weighs most.
+  [[nodiscard]] tilth::Phase wanted_phase(Plan const& plan, tilth::Ticket const& ticket) const {
+    if (facts_.rule.kind != "model") {
+      return tilth::Phase::both;
+    }
+    if (paired()) {
+      return leg_ == Leg::decode ? tilth::Phase::decode : tilth::Phase::prefill;
+    }
+    tilth::WorkerModel const model = plan.splits.count(plan.region) > 0 && !plan.splits.at(plan.region).coefficients.empty()
+                                         ? tilth::WorkerModel(plan.splits.at(plan.region).coefficients.begin()->second)
+                                         : tilth::WorkerModel();
+    schema::ScalerAims const& aims = plan.setup.scaler;
+    double const batch = std::max(1.0, static_cast<double>(plan.setup.workers.limit) / 2);
+    double const prefill = model.prefill_seconds(ticket.tokens, 0);
+    double const decode = ticket.outputs * model.iteration_seconds(aims.experts_share, aims.tokens_forward, batch) / batch;
+    return prefill >= decode ? tilth::Phase::prefill : tilth::Phase::decode;
+  }
+  [[nodiscard]] bool paired() const { return facts_.rule.kind == "model" && plan_->setup.scaler.manner == "paired"; }
+
+  void cancel_ticket(std::uint64_t ticket) {
+    field_.with(pool(), [ticket](tilth::Placement& placement) { return placement.cancel(ticket, loam::boot_now()); });
+  }
+  void finish_ticket(std::uint64_t ticket, tilth::Ending ending) {
+    field_.with(pool(), [ticket, ending](tilth::Placement& placement) { return placement.finished(ticket, ending, loam::boot_now()); });
+  }
+
+  void dispatch() {
+    if (paired() && kv_.empty()) {
+      leg_ = Leg::prefill;
+    } else if (paired()) {
+      leg_ = Leg::decode;
+    }
+    std::uint64_t ticket = 0;
+    std::optional<tilth::PlacementAction> const place = wait_for_place(ticket);
+    if (!place.has_value()) {
+      return;
+    }
+    if (tilth::Denied const* const denied = std::get_if<tilth::Denied>(&*place)) {
+      if (denied->reason == "deadline") {
+        feed(tilth::DeadlinePassed{});
+      } else {
+        feed(tilth::NoRoom{});
+      }
+      return;
+    }
+    go_ = std::get<tilth::Go>(*place);
+    feed(tilth::Placed{go_.worker});
+    // Asked again right before bytes go out: the wait may have been long, or
+    // this machine frozen (section 6.3).
+    if (!field_.may_dispatch(go_.worker, loam::boot_now())) {
+      finish_ticket(ticket, tilth::Ending::abandoned);
+      feed(tilth::ConnectDefect{});
+      return;
+    }
+    absl::StatusOr<std::unique_ptr<loam::Stream>> connection = loam::connect(field_.context(), go_.address, constants::connect_deadline, yield_);
+    if (!connection.ok() || !field_.may_dispatch(go_.worker, loam::boot_now()) || interrupt_->set()) {
+      finish_ticket(ticket, connection.ok() ? tilth::Ending::abandoned : tilth::Ending::defect);
+      if (!interrupt_->set()) {
+        feed(tilth::ConnectDefect{});
+      }
+      return;
+    }
+    loam::Stream& worker = **connection;
+    interrupt_->wake = [&worker] { worker.cancel(); };
+    sent_ = loam::boot_now();
+    running_at_start_ = 0;
+    field_.with(pool(), [this](tilth::Placement& placement) {
+      running_at_start_ = placement.running_on(go_.worker);
+      return std::vector<tilth::PlacementAction>{};
+    });
+    feed(tilth::Connected{});
+    field_.gauges().count("furrow_dispatches_total", "rule=\"" + facts_.rule_name + "\",worker=\"" + go_.worker + "\"");
+    tilth::Ending const ending = talk(worker, ticket);
+    interrupt_->wake = nullptr;
+    finish_ticket(ticket, ending);
+    // What the talk ended with goes to the chart only now, so that a retry
+    // finds this worker's place already freed or at rest.
+    if (after_.has_value()) {
+      tilth::QueryMessage const message = *after_;
+      after_.reset();
+      if (!interrupt_->set()) {
+        if (tilth::WorkerDefect const* const defect = std::get_if<tilth::WorkerDefect>(&message)) {
+          loam::note(loam::Event::WorkerDefect, go_.worker + " " + defect->what + " " + facts_.id);
+        }
+        feed(message);
+      }
+    }
+  }
+
+  /// One dispatch on a connection of its own; what it ended with is left in
+  /// after_.
+  tilth::Ending talk(loam::Stream& worker, std::uint64_t ticket) {
+    LegCall call;
+    call.query = facts_.id;
+    call.rule = facts_.rule_name;
+    call.dispatch = chart_.dispatches();
+    call.leg = leg_;
+    call.kv = leg_ == Leg::decode ? kv_ : "";
+    call.last_event = facts_.rule.stream ? chart_.last_event() : 0;
+    call.method = facts_.method;
+    call.target = facts_.target;
+    call.content_type = facts_.content_type;
+    call.body = &facts_.body;
+    loam::Ask ask = worker_ask(call, go_.address);
+    error_code error;
+    worker.expires_after(loam::duration(constants::write_deadline));
+    http::async_write(worker, ask, yield_[error]);
+    // Even when writing failed the worker may have answered already, with a
+    // refusal for example; so reading is tried all the same.
+    boost::beast::flat_buffer buffer;
+    http::response_parser<http::buffer_body> parser;
+    parser.body_limit(boost::none);
+    parser.header_limit(constants::header_limit);
+    worker.expires_after(loam::duration(std::max<loam::Span>(deadline_ - loam::boot_now(), 1000)));
+    http::async_read_header(worker, buffer, parser, yield_[error]);
+    if (error) {
+      after_ = tilth::WorkerDefect{"no_answer"};
+      return interrupt_->set() ? tilth::Ending::abandoned : tilth::Ending::defect;
+    }
+    if (says_not_run(parser.get().result_int())) {
+      after_ = tilth::WorkerRefused{};
+      return tilth::Ending::refused;
+    }
+    if (parser.get()[query_header] != facts_.id) {
+      after_ = tilth::WorkerDefect{"wrong_query"};
+      return tilth::Ending::defect;
+    }
+    unsigned int const status = parser.get().result_int();
+    bool const events = parser.get()[http::field::content_type].starts_with("text/event-stream");
+    if (status != 200 || !events) {
+      return talk_whole(worker, buffer, parser);
+    }
+    return talk_events(worker, buffer, parser, ticket);
+  }
+
+  /// The next bytes of a worker's answer; empty at its end. False: cut.
+  bool read_some(loam::Stream& worker, boost::beast::flat_buffer& buffer, http::response_parser<http::buffer_body>& parser, std::string& bytes) {
+    char piece[16384];
+    bytes.clear();
+    if (parser.is_done()) {
+      return true;
+    }
+    parser.get().body().data = piece;
+    parser.get().body().size = sizeof(piece);
+    worker.expires_after(loam::duration(std::max<loam::Span>(1000, std::min(constants::stream_silence, deadline_ - loam::boot_now()))));
+    error_code error;
+    http::async_read_some(worker, buffer, parser, yield_[error]);
+    if (error && error != http::error::need_buffer) {
+      return false;
+    }
+    bytes.assign(piece, sizeof(piece) - parser.get().body().size);
+    return true;
+  }
+
+  tilth::Ending talk_whole(loam::Stream& worker, boost::beast::flat_buffer& buffer, http::response_parser<http::buffer_body>& parser) {
+    std::string body;
+    std::string bytes;
+    unsigned int const status = parser.get().result_int();
+    // Without a length or chunks an early end can't be told from the end.
+    bool const delimited = parser.content_length().has_value() || parser.chunked();
+    while (!parser.is_done()) {
+      if (!delimited || !read_some(worker, buffer, parser, bytes) || body.size() + bytes.size() > constants::answer_limit) {
+        after_ = tilth::WorkerDefect{"cut_answer"};
+        return interrupt_->set() ? tilth::Ending::abandoned : tilth::Ending::defect;
+      }
+      body += bytes;
+    }
+    if (status >= 500) {
+      after_ = tilth::WorkerAnswered{502};
+      return tilth::Ending::good;
+    }
+    if (leg_ == Leg::prefill) {
+      kv_ = std::string(parser.get()[kv_header]);
+      if (status != 200 || kv_.empty()) {
+        after_ = tilth::WorkerDefect{"no_kv"};
+        return tilth::Ending::defect;
+      }
+      note_prefill();
+      after_ = tilth::LegDone{};
+      return tilth::Ending::good;
+    }
+    if (facts_.rule.kind == "model" && status == 200) {
+      after_ = tilth::WorkerDefect{"no_stream"};
+      return tilth::Ending::defect;
+    }
+    whole_ = loam::answer_text(static_cast<http::status>(status), std::move(body), std::string(parser.get()[http::field::content_type]));
+    after_ = tilth::Whole{};
+    return tilth::Ending::good;
+  }
+
+  tilth::Ending talk_events(loam::Stream& worker, boost::beast::flat_buffer& buffer, http::response_parser<http::buffer_body>& parser, std::uint64_t ticket) {
+    EventReader reader(plan_->setup.workers.bytes_per_token);
+    std::string bytes;
+    std::string text;
+    std::uint64_t expected = facts_.rule.stream ? chart_.last_event() + 1 : 1;
+    bool first = true;
+    loam::Moment first_at = 0;
+    double outputs = 0;
+    double iterations = 0;
+    double running_sum = 0;
+    while (true) {
+      if (!read_some(worker, buffer, parser, bytes) || (bytes.empty() && parser.is_done())) {
+        after_ = tilth::WorkerDefect{"cut_stream"};
+        return interrupt_->set() ? tilth::Ending::abandoned : tilth::Ending::defect;
+      }
+      std::vector<StreamEvent> events;
+      bool const well = reader.feed(bytes, events);
+      for (StreamEvent const& event : events) {
+        if (event.number != expected || (event.last && event.query != facts_.id)) {
+          after_ = tilth::WorkerDefect{event.number != expected ? "numbering" : "wrong_query"};
+          return tilth::Ending::defect;
+        }
+        ++expected;
+        if (first) {
+          first = false;
+          first_at = loam::boot_now();
+          field_.with(pool(), [ticket](tilth::Placement& placement) {
+            placement.first_token(ticket, loam::boot_now());
+            return std::vector<tilth::PlacementAction>{};
+          });
+          if (leg_ == Leg::whole) {
+            note_prefill();
+          }
+          if (!facts_.rule.stream) {
+            field_.gauges().observe("furrow_first_event_seconds", "rule=\"" + facts_.rule_name + "\"", static_cast<double>(first_at - began_) / 1e6);
+          }
+        } else {
+          iterations += 1;
+        }
+        outputs += event.tokens;
+        if (facts_.rule.stream) {
+          event_ = event;
+          feed(tilth::Event{event.number, event.last});
+        } else {
+          text += event.text;
+        }
+        if (event.last) {
+          field_.with(pool(), [&](tilth::Placement& placement) {
+            running_sum = placement.running_on(go_.worker);
+            return std::vector<tilth::PlacementAction>{};
+          });
+          note_decode(first_at, outputs, iterations, (running_sum + running_at_start_ + 1) / 2);
+          if (!facts_.rule.stream) {
+            finish_text(text, event.number);
+          }
+          return tilth::Ending::good;
+        }
+        if (interrupt_->set() || chart_.settled()) {
+          return tilth::Ending::abandoned;
+        }
+      }
+      if (!well) {
+        after_ = tilth::WorkerDefect{"malformed_stream"};
+        return tilth::Ending::defect;
+      }
+    }
+  }
+
+  void finish_text(std::string const& text, std::uint64_t events) {
+    loam::Tree object(cJSON_CreateObject());
+    cJSON_AddStringToObject(object.get(), "query", facts_.id.c_str());
+    cJSON_AddStringToObject(object.get(), "text", text.c_str());
+    cJSON_AddNumberToObject(object.get(), "events", static_cast<double>(events));
+    cJSON_AddBoolToObject(object.get(), "complete", 1);
+    whole_ = loam::answer_text(http::status::ok, loam::print_tree(object.get()));
+    after_ = tilth::Whole{};
+  }
+
+  /// What the first token shows of the prefill (section 8.2).
+  void note_prefill() {
+    double const took = static_cast<double>(loam::boot_now() - sent_) / 1e6;
+    double const uncached = std::max(1.0, tokens_ - go_.cached);
+    schema::WorkerFigures figures;
+    figures.worker = go_.worker;
+    figures.queries = 1;
+    figures.uncached = uncached;
+    figures.cached = go_.cached;
+    figures.pairs = tilth::pairs(uncached, go_.cached);
+    figures.prefill_seconds = took;
+    field_.add_figures(figures);
+    if (running_at_start_ <= 1) {  // alone, so that the time is its own
+      schema::Sample sample;
+      sample.worker = go_.worker;
+      sample.seconds = took;
+      sample.uncached = uncached;
+      sample.pairs = figures.pairs;
+      field_.add_sample(sample);
+    }
+  }
+
+  void note_decode(loam::Moment first_at, double outputs, double iterations, double running) {
+    field_.learn_outputs(facts_.rule_name, outputs);
+    double const took = static_cast<double>(loam::boot_now() - first_at) / 1e6;
+    schema::WorkerFigures figures;
+    figures.worker = go_.worker;
+    figures.outputs = outputs;
+    figures.iterations = iterations;
+    figures.decode_seconds = took;
+    figures.decodes = 1;
+    figures.running_sum = running * iterations;
+    field_.add_figures(figures);
+    if (iterations >= 4) {
+      schema::Sample sample;
+      sample.worker = go_.worker;
+      sample.decode = true;
+      sample.seconds = took / iterations;
+      sample.iterations = iterations;
+      sample.spread = tilth::spread(plan_->setup.scaler.experts_share, plan_->setup.scaler.tokens_forward, running);
+      sample.running = running;
+      field_.add_sample(sample);
+    }
+  }
+
+  /// Section 9.4: at most one pass, only to a region that reports room.
+  void pass_on() {
+    std::shared_ptr<Plan const> const plan = field_.plan();
+    // First to a furrow of this region that has room, for example the one that
+    // tends a warming worker; then, without a home, to the other region.
+    std::vector<std::string> near;
+    std::vector<std::string> far;
+    for (schema::Member const& member : plan->members) {
+      std::string const region = orchard::region_of(plan->setup, member.hall);
+      bool const room = std::find(member.rooms.begin(), member.rooms.end(), pool()) != member.rooms.end();
+      if (room && !region.empty() && member.name != field_.name()) {
+        (region == plan->region ? near : far).push_back(member.address);
+      }
+    }
+    bool const may_leave = !facts_.bound && plan->setup.workers.spill;
+    std::vector<std::string> const addresses = !near.empty() ? near : (may_leave ? far : std::vector<std::string>{});
+    if (addresses.empty() || !field_.vouched(loam::boot_now())) {
+      feed(tilth::NoRoom{});
+      return;
+    }
+    go_ = tilth::Go{0, "pass", addresses[loam::random_number() % addresses.size()], 0, 0};
+    feed(tilth::Placed{go_.worker});
+    absl::StatusOr<std::unique_ptr<loam::Stream>> const connection = loam::connect(field_.context(), go_.address, constants::connect_deadline, yield_);
+    if (!connection.ok()) {
+      feed(tilth::NoRoom{});
+      return;
+    }
+    field_.gauges().count("furrow_passes_total", "rule=\"" + facts_.rule_name + "\"");
+    loam::Stream& stream = **connection;
+    interrupt_->wake = [&stream] { stream.cancel(); };
+    feed(tilth::Connected{});
+    talk_pass(stream);
+    interrupt_->wake = nullptr;
+    if (after_.has_value()) {
+      tilth::QueryMessage const message = *after_;
+      after_.reset();
+      if (!interrupt_->set()) {
+        feed(message);
+      }
+    }
+  }
+
+  void talk_pass(loam::Stream& stream) {
+    loam::Ask ask{facts_.method, facts_.target, 11};
+    ask.set(http::field::host, go_.address);
+    ask.set(query_header, facts_.id);
+    ask.set(pass_header, "1");
+    ask.set(http::field::content_type, facts_.content_type);
+    ask.body() = facts_.body;
+    ask.keep_alive(false);
+    ask.prepare_payload();
+    error_code error;
+    stream.expires_after(loam::duration(constants::write_deadline));
+    http::async_write(stream, ask, yield_[error]);
+    boost::beast::flat_buffer buffer;
+    http::response_parser<http::buffer_body> parser;
+    parser.body_limit(boost::none);
+    stream.expires_after(loam::duration(std::max<loam::Span>(deadline_ - loam::boot_now(), 1000)));
+    http::async_read_header(stream, buffer, parser, yield_[error]);
+    if (error) {
+      after_ = tilth::WorkerDefect{"pass_cut"};
+      return;
+    }
+    if (parser.get()[ran_header] == "no" || parser.get().result_int() == 307) {
+      after_ = tilth::NoRoom{};
+      return;
+    }
+    if (parser.get()[query_header] != facts_.id) {
+      after_ = tilth::WorkerDefect{"wrong_query"};
+      return;
+    }
+    if (parser.get()[http::field::content_type].starts_with("text/event-stream")) {
+      EventReader reader(plan_->setup.workers.bytes_per_token);
+      std::string bytes;
+      while (true) {
+        std::vector<StreamEvent> events;
+        if (!read_some(stream, buffer, parser, bytes) || (bytes.empty() && parser.is_done()) || !reader.feed(bytes, events)) {
+          after_ = tilth::WorkerDefect{"pass_cut"};
+          return;
+        }
+        for (StreamEvent const& event : events) {
+          event_ = event;
+          feed(tilth::Event{event.number, event.last});
+          if (event.last || interrupt_->set() || chart_.settled()) {
+            return;
+          }
+        }
+      }
+    }
+    (void)talk_whole_pass(stream, buffer, parser);
+  }
+
+  bool talk_whole_pass(loam::Stream& stream, boost::beast::flat_buffer& buffer, http::response_parser<http::buffer_body>& parser) {
+    std::string body;
+    std::string bytes;
+    unsigned int const status = parser.get().result_int();
+    while (!parser.is_done()) {
+      if (!read_some(stream, buffer, parser, bytes) || body.size() + bytes.size() > constants::answer_limit) {
+        after_ = tilth::WorkerDefect{"pass_cut"};
+        return false;
+      }
+      body += bytes;
+    }
+    if (status >= 500) {
+      after_ = tilth::WorkerAnswered{static_cast<int>(status)};
+      return false;
+    }
+    whole_ = loam::answer_text(static_cast<http::status>(status), std::move(body), std::string(parser.get()[http::field::content_type]));
+    after_ = tilth::Whole{};
+    return true;
+  }
+
+  Field& field_;
+  std::shared_ptr<Plan const> plan_;
+  QueryFacts facts_;
+  loam::Stream& caller_;
+  loam::Yield yield_;
+  std::shared_ptr<Interrupt> interrupt_;
+  loam::Moment began_;
+  loam::Moment deadline_;
+  tilth::Chart chart_;
+  double tokens_ = 0;
+  std::vector<std::uint64_t> chain_;
+  bool place_next_ = false;
+  bool pass_next_ = false;
+  bool header_sent_ = false;
+  bool keep_ = false;
+  Leg leg_ = Leg::whole;
+  std::string kv_;
+  tilth::Go go_;
+  loam::Moment sent_ = 0;
+  double running_at_start_ = 0;
+  loam::Answer whole_;
+  StreamEvent event_;
+  std::optional<tilth::QueryMessage> after_;
+};
+
+}  // namespace
+
+bool run_query(Field& field, std::shared_ptr<Plan const> plan, QueryFacts facts, loam::Stream& caller, bool pipelined, loam::Yield yield) {
+  Query query(field, std::move(plan), std::move(facts), caller, yield);
+  return query.run(pipelined);
+}
+
+}  // namespace finchlink::furrow
--- /dev/null
+++ b/source/furrow/query/reply.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <string>
+
+#include "loam/http/http.hpp"
+
+namespace finchlink::furrow {
+
+/// A no that is certain: nothing ran. Always says when to come back (9.3).
+[[nodiscard]] loam::Answer refusal(std::string const& query, std::string const& reason);
+/// A failed query that may have run.
+[[nodiscard]] loam::Answer apology(std::string const& query, int status, std::string const& reason, bool may_have_run);
+[[nodiscard]] loam::Answer elsewhere(std::string const& location);
+
+/// Ends the connection after an answer to a query whose body was not read:
+/// nothing of it is read on, and the caller gets time to take the answer.
+void part_unread(loam::Stream& stream, boost::asio::io_context& context, loam::Yield yield);
+
+}  // namespace finchlink::furrow
--- /dev/null
+++ b/source/furrow/query/session.cpp
@@ -0,0 +1,216 @@
+#include "furrow/query/session.hpp"
+
+#include <sys/socket.h>
+
+#include <boost/asio/write.hpp>
+
+#include "furrow/query/query.hpp"
+#include "furrow/query/reply.hpp"
+#include "furrow/worker/contract.hpp"
+#include "loam/constants.hpp"
+#include "loam/http/http.hpp"
+#include "loam/json/tree.hpp"
+#include "loam/random/random.hpp"
+#include "orchard/label/selector.hpp"
+#include "orchard/rule/rule.hpp"
+
+namespace finchlink::furrow {
+
+namespace constants = loam::constants;
+namespace http = loam::http;
+using boost::system::error_code;
+using Parser = http::request_parser<http::string_body>;
+
+namespace {
+loam::Answer own_answer(Field& field, std::string const& target) {
+  loam::Moment const now = loam::boot_now();
+  if (target == "/-/alive") {
+    return loam::answer_text(http::status::ok, "{\"alive\":true}");
+  }
+  if (target == "/-/metrics") {
+    return loam::answer_text(http::status::ok, field.gauges().print(), "text/plain; version=0.0.4");
+  }
+  std::shared_ptr<Plan const> const plan = field.plan();
+  if (target == "/-/ready") {
+    std::map<std::string, schema::Hall>::const_iterator const hall = plan->setup.halls.find(field.self().hall);
+    bool const evacuated = hall != plan->setup.halls.end() && hall->second.evacuated;
+    bool const ready = field.vouched(now) && field.list_fresh(now) && !field.draining() && !evacuated;
+    return ready ? loam::answer_text(http::status::ok, "{\"ready\":true}") : loam::answer_error(http::status::service_unavailable, "not_ready", evacuated ? "hall evacuated" : "not vouched for, or draining");
+  }
+  if (target == "/-/state") {
+    loam::Tree object(schema::write(field.self()));
+    cJSON_AddStringToObject(object.get(), "region", plan->region.c_str());
+    cJSON_AddBoolToObject(object.get(), "vouched", field.vouched(now) ? 1 : 0);
+    cJSON_AddBoolToObject(object.get(), "list_fresh", field.list_fresh(now) ? 1 : 0);
+    for (std::string const pool : {"model", "plain"}) {
+      field.with(pool, [&](tilth::Placement& placement) {
+        cJSON* const part = cJSON_AddObjectToObject(object.get(), pool.c_str());
+        cJSON_AddNumberToObject(part, "waiting", static_cast<double>(placement.waiting()));
+        cJSON_AddNumberToObject(part, "moved", static_cast<double>(placement.moved()));
+        cJSON_AddNumberToObject(part, "reused_tokens", static_cast<double>(placement.reused_tokens()));
+        cJSON_AddNumberToObject(part, "placed_tokens", static_cast<double>(placement.placed_tokens()));
+        return std::vector<tilth::PlacementAction>{};
+      });
+    }
+    return loam::answer_text(http::status::ok, loam::print_tree(object.get(), true));
+  }
+  return loam::answer_error(http::status::not_found, "unknown_path", "alive, ready, metrics or state");
+}
+
+/// Writes a final answer; false when the connection is of no more use.
+bool send(loam::Stream& stream, loam::Answer& answer, bool keep, loam::Yield yield) {
+  error_code error;
+  answer.keep_alive(keep);
+  stream.expires_after(loam::duration(constants::write_deadline));
+  http::async_write(stream, answer, yield[error]);
+  return !error && keep;
+}
+
+/// What the header alone decides: an answer now, or nothing when the body may
+/// be read (section 9.2).
+struct Verdict {
+  std::optional<loam::Answer> answer;
+  std::string rule;
+  bool bound = false;
+};
+
+Verdict judge_header(Field& field, Plan const& plan, http::request_header<> const& header, std::string const& query) {
+  Verdict verdict;
+  std::string const target(header.target());
+  std::string const path = target.substr(0, target.find('?'));
+  orchard::HeaderLookup const lookup = [&header](std::string const& name) { return std::string(header[name]); };
+  std::optional<std::string> const rule = orchard::find_rule(plan.setup, std::string(header.method_string()), path, lookup);
+  loam::Moment const now = loam::boot_now();
+  if (field.draining() || !field.vouched(now)) {
+    verdict.answer = refusal(query, field.draining() ? "draining" : "not_vouched");
+    return verdict;
+  }
+  if (!rule.has_value()) {
+    verdict.answer = loam::answer_error(http::status::not_found, "no_rule", "no rule matches this query");
+    return verdict;
+  }
+  verdict.rule = *rule;
+  orchard::HomeVerdict const home = orchard::find_home(plan.setup, plan.setup.rules.at(*rule), path, lookup);
+  verdict.bound = home.bound;
+  if (home.bound && !home.known) {
+    verdict.answer = loam::answer_error(http::status::bad_request, "unknown_home", "the query names a home that is no region");
+  } else if (home.bound && home.region != plan.region) {
+    std::vector<std::string> addresses;
+    for (schema::Member const& member : plan.members) {
+      if (orchard::region_of(plan.setup, member.hall) == home.region) {
+        addresses.push_back(member.address);
+      }
+    }
+    verdict.answer = addresses.empty() ? refusal(query, "home_unreachable")
+                                       : elsewhere("http://" + addresses[loam::random_number() % addresses.size()] + target);
+  }
+  return verdict;
+}
+}  // namespace
+
+void serve_caller(Field& field, loam::Stream& stream, loam::Yield yield) {
+  boost::beast::flat_buffer buffer;
+  error_code error;
+  while (true) {
+    if (buffer.size() == 0) {  // an idle connection may wait, a begun header may not
+      stream.expires_after(loam::duration(constants::caller_idle));
+      std::size_t const count = stream.async_read_some(buffer.prepare(4096), yield[error]);
+      if (error) {
+        return;
+      }
+      buffer.commit(count);
+    }
+    Parser parser;
+    parser.header_limit(constants::header_limit);
+    parser.body_limit(boost::none);
+    stream.expires_after(loam::duration(constants::header_deadline));
+    http::async_read_header(stream, buffer, parser, yield[error]);
+    if (error == http::error::end_of_stream || error == boost::beast::error::timeout || error == boost::asio::error::eof || error == boost::asio::error::connection_reset || error == boost::asio::error::operation_aborted) {
+      return;
+    }
+    if (error) {
+      bool const large = error == http::error::header_limit;
+      loam::Answer answer = loam::answer_error(large ? http::status::request_header_fields_too_large : http::status::bad_request,
+                                               large ? "too_large" : "malformed", error.message());
+      (void)send(stream, answer, false, yield);
+      part_unread(stream, field.context(), yield);
+      return;
+    }
+    http::request_header<> const header = parser.get();
+    std::string const target(header.target());
+    bool const keep = parser.get().keep_alive();
+    if (target.rfind("/-/", 0) == 0) {
+      if (parser.content_length().value_or(0) > 0 || parser.chunked()) {
+        return;
+      }
+      loam::Answer answer = own_answer(field, target);
+      if (!send(stream, answer, keep, yield)) {
+        return;
+      }
+      continue;
+    }
+    bool const passed = !header[pass_header].empty();
+    std::string const query = passed ? std::string(header[query_header]) : field.name() + "-" + std::to_string(loam::random_identity());
+    std::shared_ptr<Plan const> const plan = field.plan();
+    Verdict verdict = judge_header(field, *plan, header, query);
+    bool const has_body = parser.content_length().value_or(0) > 0 || parser.chunked();
+    if (!verdict.answer.has_value()) {
+      schema::Rule const& rule = plan->setup.rules.at(verdict.rule);
+      if (parser.content_length().value_or(0) > rule.body_limit) {
+        verdict.answer = loam::answer_error(http::status::payload_too_large, "too_large", "the body is larger than the rule allows");
+      } else if (!field.open_query(verdict.rule, rule.concurrency)) {
+        verdict.answer = refusal(query, "busy");
+      }
+    }
+    if (verdict.answer.has_value()) {
+      field.gauges().count("furrow_queries_total", "rule=\"" + verdict.rule + "\",outcome=\"" + std::to_string(verdict.answer->result_int()) + "\"");
+      bool const again = send(stream, *verdict.answer, keep && !has_body, yield);
+      if (!again) {
+        if (has_body) {
+          part_unread(stream, field.context(), yield);
+        }
+        return;
+      }
+      continue;
+    }
+    schema::Rule const& rule = plan->setup.rules.at(verdict.rule);
+    if (header[http::field::expect] == "100-continue") {
+      std::string const go_on = "HTTP/1.1 100 Continue\r\n\r\n";
+      boost::asio::async_write(stream, boost::asio::buffer(go_on), yield[error]);
+    }
+    parser.body_limit(rule.body_limit);
+    stream.expires_after(loam::duration(constants::body_deadline));
+    http::async_read(stream, buffer, parser, yield[error]);
+    if (error) {
+      field.close_query(verdict.rule);
+      if (error == http::error::body_limit || error == http::error::bad_chunk || error == http::error::bad_chunk_extension) {
+        bool const large = error == http::error::body_limit;
+        loam::Answer answer = loam::answer_error(large ? http::status::payload_too_large : http::status::bad_request, large ? "too_large" : "malformed", error.message());
+        (void)send(stream, answer, false, yield);
+        part_unread(stream, field.context(), yield);
+      } else if (error == boost::beast::error::timeout) {
+        return;  // a slow sender is cut
+      }
+      return;
+    }
+    QueryFacts facts;
+    facts.id = query;
+    facts.rule_name = verdict.rule;
+    facts.rule = rule;
+    facts.bound = verdict.bound;
+    facts.passed = passed;
+    facts.method = parser.get().method();
+    facts.target = target;
+    facts.content_type = std::string(parser.get()[http::field::content_type]);
+    facts.accept_events = true;
+    facts.body = std::move(parser.get().body());
+    facts.keep = keep;
+    bool const again = run_query(field, plan, std::move(facts), stream, buffer.size() > 0, yield);
+    field.close_query(verdict.rule);
+    if (!again) {
+      return;
+    }
+  }
+}
+
+}  // namespace finchlink::furrow
--- /dev/null
+++ b/source/furrow/watch/watch.cpp
@@ -0,0 +1,79 @@
+#include <set>
+
+#include "furrow/news/news.hpp"
+#include "furrow/worker/contract.hpp"
+#include "loam/constants.hpp"
+#include "loam/http/http.hpp"
+
+namespace finchlink::furrow {
+
+namespace constants = loam::constants;
+
+namespace {
+struct Watched {
+  std::mutex lock;
+  std::set<std::string> addresses;
+};
+
+void watch(boost::asio::io_context& context, Field& field, std::string const& pool, std::string const& id, std::string const& address, loam::Yield yield) {
+  std::unique_ptr<loam::Stream> stream;
+  boost::beast::flat_buffer buffer;
+  while (true) {
+    bool wished = false;
+    std::shared_ptr<Plan const> const plan = field.plan();
+    std::map<std::string, std::vector<tilth::WorkerWish>>::const_iterator const wishes = plan->wishes.find(pool);
+    if (wishes != plan->wishes.end()) {
+      for (tilth::WorkerWish const& wish : wishes->second) {
+        wished = wished || (wish.id == id && wish.address == address);
+      }
+    }
+    if (!wished) {
+      return;
+    }
+    std::optional<WorkerLoad> load;
+    if (stream == nullptr) {
+      buffer.clear();
+      absl::StatusOr<std::unique_ptr<loam::Stream>> fresh = loam::connect(context, address, constants::load_pause, yield);
+      if (fresh.ok()) {
+        stream = std::move(*fresh);
+      }
+    }
+    if (stream != nullptr) {
+      load = ask_load(*stream, buffer, address, yield);
+      if (!load.has_value()) {
+        stream.reset();
+      }
+    }
+    loam::Moment const now = loam::boot_now();
+    field.with(pool, [&](tilth::Placement& placement) {
+      return load.has_value() ? placement.load(id, load->running, load->waiting, load->boot, now) : placement.load_missed(id, now);
+    });
+    loam::pause(context, constants::load_pause, yield);
+  }
+}
+}  // namespace
+
+void begin_watch(boost::asio::io_context& context, Field& field) {
+  std::shared_ptr<Watched> const watched = std::make_shared<Watched>();
+  loam::start(context, [&context, &field, watched](loam::Yield yield) {
+    while (true) {
+      std::shared_ptr<Plan const> const plan = field.plan();
+      for (std::pair<std::string const, std::vector<tilth::WorkerWish>> const& pool : plan->wishes) {
+        for (tilth::WorkerWish const& wish : pool.second) {
+          std::string const key = pool.first + " " + wish.id + " " + wish.address;
+          std::lock_guard<std::mutex> const guard(watched->lock);
+          if (watched->addresses.insert(key).second) {
+            loam::start(context, [&context, &field, watched, key, name = pool.first, id = wish.id, address = wish.address](loam::Yield inner) {
+              watch(context, field, name, id, address, inner);
+              std::lock_guard<std::mutex> const done(watched->lock);
+              watched->addresses.erase(key);
+            });
+          }
+        }
+      }
+      loam::pause(context, constants::load_pause, yield);
+    }
+  });
+}
+
+}  // namespace finchlink::furrow
--- /dev/null
+++ b/source/loam/constants.hpp
@@ -0,0 +1,151 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+
+#include "loam/time/moment.hpp"
+
+/// All constants, each with its unit and reason (docs/design.md section 4 has
+/// the sums of the time bounds).
+namespace finchlink::loam::constants {
+
+// --- news and vouching (section 6) ---
+/// A trellis holds a furrow's ask this long when there is no news. Short, so
+/// that several asks fit into one vouch bound.
+inline constexpr Span ask_hold = milliseconds(250);
+/// An ask that no majority confirmed is answered "not vouched" after this, so
+/// that the furrow turns to another trellis in time.
+inline constexpr Span ask_patience = milliseconds(500);
+/// How long the other side may take over an ask before the furrow gives up on it.
+inline constexpr Span ask_deadline = milliseconds(700);
+/// A furrow takes new queries for this long after it *sent* the last ask that
+/// was vouched for. Two failed asks fit in.
+inline constexpr Span vouch_bound = milliseconds(1500);
+/// Wait after a setup is chosen before yes is said: the vouch bound, a tenth
+/// for clocks that run apart, and one step of the furrow's check.
+inline constexpr Span acknowledge_wait = milliseconds(1750);
+/// Pause between two majority reads of a trellis.
+inline constexpr Span confirm_pause = milliseconds(60);
+/// Pause before a furrow asks again after an ask failed.
+inline constexpr Span ask_retry = milliseconds(50);
+
+// --- platform list (section 6) ---
+/// Pause between reads of the platform list.
+inline constexpr Span list_pause = milliseconds(300);
+/// A read of the list that takes longer is given up.
+inline constexpr Span list_deadline = milliseconds(1000);
+/// With a list older than this a furrow sends nothing to workers (4-5 s allowed).
+inline constexpr Span list_bound = milliseconds(3500);
+/// Largest answer of the platform that is read, in bytes.
+inline constexpr std::size_t list_limit = 4u << 20u;
+
+// --- members (section 7) ---
+/// A session ends this long after its last ask; longer than the vouch bound,
+/// so that a furrow whose session ended has stopped by itself.
+inline constexpr Span session_bound = milliseconds(2000);
+/// Pause between two tellings of sessions to a colleague.
+inline constexpr Span tell_pause = milliseconds(250);
+/// A colleague silent this long is no longer listed.
+inline constexpr Span colleague_bound = seconds(10);
+
+// --- register (section 5) ---
+/// One exchange with one holder; a slow disk counts as silence after this.
+inline constexpr Span holder_deadline = milliseconds(800);
+/// A change is tried for this long; then its outcome is "not known".
+inline constexpr Span change_deadline = milliseconds(4000);
+/// Range of the pause after a lost ballot.
+inline constexpr Span ballot_pause_least = milliseconds(5);
+inline constexpr Span ballot_pause_most = milliseconds(60);
+/// Ids of changes kept inside a register. A day of storms at one change a
+/// second between an unknown outcome and its look-up stays within minutes.
+inline constexpr std::size_t marks_kept = 256;
+/// Largest setup document in bytes; three copies and the ring stay small.
+inline constexpr std::size_t setup_limit = 256u << 10u;
+/// Pause between tries to found the register.
+inline constexpr Span founding_pause = milliseconds(200);
+/// A holder that misses this many looks in a row (about four seconds) is
+/// replaced when a candidate stands by.
+inline constexpr int repair_misses = 6;
+/// Pause between the repair duty's looks.
+inline constexpr Span repair_pause = milliseconds(500);
+
+// --- leases (section 7) ---
+/// Span of a lease as the holders count it.
+inline constexpr Span lease_span = milliseconds(3000);
+/// The tenant stops this much earlier, and renews this early.
+inline constexpr Span lease_reserve = milliseconds(600);
+inline constexpr Span lease_renew = milliseconds(1000);
+/// A holder without memory of its grants (restart, new vote) grants nothing
+/// for one span and a tenth.
+inline constexpr Span lease_silence = milliseconds(3300);
+
+// --- disk (section 5) ---
+/// Files of the ring: one in use, one being filled next, one spare.
+inline constexpr std::size_t ring_files = 3;
+/// Bytes of one file: an image of all registers and a few hundred changes.
+inline constexpr std::size_t ring_file_bytes = 4u << 20u;
+/// Records waiting for the disk; beyond it the holder stays silent.
+inline constexpr std::size_t disk_waitlist = 256;
+
+// --- frames (section 3) ---
+inline constexpr std::size_t frame_limit = 8u << 20u;
+inline constexpr std::uint32_t frame_mark = 0x46434c31;  // "FCL1"
+/// Idle frames connections kept per colleague.
+inline constexpr std::size_t idle_connections = 8;
+/// A silent frame connection is closed after this.
+inline constexpr Span frame_idle = seconds(30);
+
+// --- HTTP (section 9) ---
+inline constexpr std::uint32_t header_limit = 16u << 10u;
+/// A caller gets this long to send its header and this long per body chunk.
+inline constexpr Span header_deadline = seconds(10);
+inline constexpr Span body_deadline = seconds(10);
+/// An idle kept-alive connection of a caller is closed after this.
+inline constexpr Span caller_idle = seconds(30);
+/// A caller that takes none of its answer for this long is cut.
+inline constexpr Span write_deadline = seconds(10);
+/// Establishing a connection to a worker.
+inline constexpr Span connect_deadline = milliseconds(800);
+/// Silence of a worker inside a stream that counts as a defect.
+inline constexpr Span stream_silence = seconds(5);
+/// Largest piece of a worker's answer, in bytes.
+inline constexpr std::size_t event_limit = 1u << 20u;
+/// Largest whole answer of a worker, in bytes.
+inline constexpr std::size_t answer_limit = 16u << 20u;
+/// What a refused caller is told to wait, in seconds.
+inline constexpr int retry_after_seconds = 1;
+/// A connection whose body is left unread stays open this long, so that the
+/// answer is not lost to a reset.
+inline constexpr Span parting_span = milliseconds(300);
+/// SIGTERM: what is running may finish within this.
+inline constexpr Span drain_span = seconds(8);
+
+// --- placement and budget (sections 8 and 9) ---
+/// Retries that one arrival pays for. With the life below the worst ten
+/// seconds of steady traffic hold 0.1 * 15 s / 10 s = 0.15 of it, below the
+/// fifth that is allowed.
+inline constexpr double retry_share = 0.1;
+/// How long the right to retry that an arrival earned lasts.
+inline constexpr Span retry_life = seconds(5);
+/// Dispatches of one query at most, the first included.
+inline constexpr int dispatches_most = 4;
+/// After a defect a worker is left alone this long, doubling up to the most.
+inline constexpr Span worker_rest_least = milliseconds(500);
+inline constexpr Span worker_rest_most = seconds(8);
+/// Pause between two looks at a worker's load.
+inline constexpr Span load_pause = milliseconds(250);
+/// A worker that does not tell its load for this long is not used.
+inline constexpr Span load_bound = milliseconds(1500);
+/// Furrows hold waitlists in common: each takes this many times its even part
+/// of a worker's limit, since callers spread unevenly.
+inline constexpr double share_excess = 2.0;
+/// A slice of the scaler's figures as furrows report them.
+inline constexpr Span report_span = milliseconds(500);
+/// Rows a furrow keeps for one report.
+inline constexpr std::size_t samples_most = 128;
+/// Start values before a worker's coefficients are fitted, in seconds: they
+/// only need to be of the right order, since all workers share them.
+inline constexpr double prefill_start[4] = {0.004, 0.00002, 0.0, 0.0};
+inline constexpr double decode_start[3] = {0.004, 0.002, 0.0003};
+
+}  // namespace finchlink::loam::constants
--- /dev/null
+++ b/source/loam/http/http.cpp
@@ -0,0 +1,97 @@
+#include "loam/http/http.hpp"
+
+#include <boost/beast/core/flat_buffer.hpp>
+
+#include "loam/constants.hpp"
+#include "loam/error/error.hpp"
+#include "loam/json/tree.hpp"
+
+namespace finchlink::loam {
+
+using boost::system::error_code;
+
+Answer answer_text(http::status status, std::string body, std::string const& type) {
+  Answer answer{status, 11};
+  answer.set(http::field::content_type, type);
+  answer.body() = std::move(body);
+  answer.prepare_payload();
+  return answer;
+}
+
+Answer answer_error(http::status status, std::string const& code, std::string const& message) {
+  Tree object(cJSON_CreateObject());
+  cJSON_AddStringToObject(object.get(), "error", code.c_str());
+  cJSON_AddStringToObject(object.get(), "message", message.c_str());
+  Answer answer = answer_text(status, print_tree(object.get()));
+  if (status == http::status::service_unavailable || status == http::status::too_many_requests) {
+    answer.set(http::field::retry_after, std::to_string(constants::retry_after_seconds));
+  }
+  return answer;
+}
+
+absl::Status serve_asks(boost::asio::io_context& context, std::string const& address, std::size_t most, std::size_t body_limit,
+                        AskHandler handler) {
+  return listen(context, address, most, [handler, body_limit](Stream& stream, Yield yield) {
+    boost::beast::flat_buffer buffer;
+    bool again = true;
+    while (again) {
+      error_code error;
+      http::request_parser<http::string_body> parser;
+      parser.header_limit(constants::header_limit);
+      parser.body_limit(body_limit);
+      stream.expires_after(duration(constants::caller_idle));
+      http::async_read(stream, buffer, parser, yield[error]);
+      if (error == http::error::end_of_stream || error == boost::beast::error::timeout || (error &&
+          error.category() == boost::asio::error::get_system_category()) || error == boost::asio::error::eof) {
+        return;
+      }
+      Answer answer;
+      again = false;
+      if (error == http::error::body_limit) {
+        answer = answer_error(http::status::payload_too_large, "too_large", "the body is larger than allowed");
+      } else if (error == http::error::header_limit) {
+        answer = answer_error(http::status::request_header_fields_too_large, "too_large", "the header is larger than allowed");
+      } else if (error) {
+        answer = answer_error(http::status::bad_request, "malformed", error.message());
+      } else {
+        Ask const ask = parser.release();
+        again = ask.keep_alive();
+        stream.expires_never();
+        answer = handler(ask, yield);
+      }
+      answer.keep_alive(again);
+      stream.expires_after(duration(constants::write_deadline));
+      http::async_write(stream, answer, yield[error]);
+      if (error) {
+        return;
+      }
+    }
+  });
+}
+
+absl::StatusOr<Answer> ask_once(boost::asio::io_context& context, std::string const& address, Ask ask, Span deadline, std::size_t limit, Yield yield) {
+  Moment const until = boot_now() + deadline;
+  absl::StatusOr<std::unique_ptr<Stream>> const stream = connect(context, address, deadline, yield);
+  if (!stream.ok()) {
+    return stream.status();
+  }
+  error_code error;
+  ask.set(http::field::host, address);
+  ask.keep_alive(false);
+  ask.prepare_payload();
+  (*stream)->expires_after(duration(std::max<Span>(until - boot_now(), 1000)));
+  http::async_write(**stream, ask, yield[error]);
+  if (error) {
+    return defect(absl::StatusCode::kUnavailable, "http", address + ": " + error.message());
+  }
+  boost::beast::flat_buffer buffer;
+  http::response_parser<http::string_body> parser;
+  parser.body_limit(limit);
+  http::async_read(**stream, buffer, parser, yield[error]);
+  if (error) {
+    return defect(absl::StatusCode::kUnavailable, "http", address + ": " + error.message());
+  }
+  return parser.release();
+}
+
+}  // namespace finchlink::loam
--- /dev/null
+++ b/source/loam/net/net.cpp
@@ -0,0 +1,350 @@
+#include "loam/net/net.hpp"
+
+#include <atomic>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <charconv>
+#include <deque>
+
+#include "loam/constants.hpp"
+#include "loam/error/error.hpp"
+#include "loam/log/log.hpp"
+#include "loam/wire/frame.hpp"
+
+namespace finchlink::loam {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+absl::StatusOr<Endpoint> read_endpoint(std::string const& text) {
+  std::size_t const colon = text.rfind(':');
+  if (colon == std::string::npos) {
+    return defect(absl::StatusCode::kInvalidArgument, "net", "'" + text + "' is not IP:PORT");
+  }
+  std::string host = text.substr(0, colon);
+  if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
+    host = host.substr(1, host.size() - 2);
+  }
+  error_code error;
+  asio::ip::address const address = asio::ip::make_address(host, error);
+  unsigned int port = 0;
+  std::from_chars_result const parsed = std::from_chars(text.data() + colon + 1, text.data() + text.size(), port);
+  if (error || parsed.ec != std::errc() || parsed.ptr != text.data() + text.size() || port > 65535) {
+    return defect(absl::StatusCode::kInvalidArgument, "net", "'" + text + "' is not IP:PORT");
+  }
+  return Endpoint(address, static_cast<std::uint16_t>(port));
+}
+
+std::chrono::microseconds duration(Span span) { return std::chrono::microseconds(span); }
+
+void start(asio::io_context& context, std::function<void(Yield)> body) {
+  asio::spawn(asio::make_strand(context), std::move(body), [](std::exception_ptr error) {
+    if (error) {
+      std::rethrow_exception(error);
+    }
+  });
+}
+
+void pause(asio::io_context& context, Span span, Yield yield) {
+  asio::steady_timer timer(context, duration(span));
+  error_code error;
+  timer.async_wait(yield[error]);
+}
+
+absl::Status listen(asio::io_context& context, std::string const& address, std::size_t most,
+                    std::function<void(Stream&, Yield)> session) {
+  absl::StatusOr<Endpoint> const endpoint = read_endpoint(address);
+  if (!endpoint.ok()) {
+    return endpoint.status();
+  }
+  std::shared_ptr<asio::ip::tcp::acceptor> const acceptor = std::make_shared<asio::ip::tcp::acceptor>(asio::make_strand(context));
+  error_code error;
+  acceptor->open(endpoint->protocol(), error);
+  if (!error) {
+    acceptor->set_option(asio::socket_base::reuse_address(true), error);
+  }
+  if (!error) {
+    acceptor->bind(*endpoint, error);
+  }
+  if (!error) {
+    acceptor->listen(1024, error);
+  }
+  if (error) {
+    return defect(absl::StatusCode::kUnavailable, "net", address + ": " + error.message());
+  }
+  std::shared_ptr<std::atomic<std::size_t>> const count = std::make_shared<std::atomic<std::size_t>>(0);
+  asio::spawn(
+      acceptor->get_executor(),
+      [&context, acceptor, count, most, session](Yield yield) {
+        while (true) {
+          error_code defect_code;
+          asio::ip::tcp::socket socket(asio::make_strand(context));
+          acceptor->async_accept(socket, yield[defect_code]);
+          if (defect_code == asio::error::operation_aborted) {
+            return;
+          }
+          if (defect_code) {
+            asio::steady_timer timer(context, std::chrono::milliseconds(20));
+            error_code ignored;
+            timer.async_wait(yield[ignored]);
+            continue;
+          }
+          if (*count >= most) {
+            continue;  // the socket closes: bounds on connections, section 9.6
+          }
+          ++*count;
+          error_code ignored;
+          socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+          std::shared_ptr<Stream> const stream = std::make_shared<Stream>(std::move(socket));
+          asio::spawn(
+              stream->get_executor(),
+              [stream, session, count](Yield inner) {
+                session(*stream, inner);
+                stream->close();
+                --*count;
+              },
+              [](std::exception_ptr thrown) {
+                if (thrown) {
+                  std::rethrow_exception(thrown);
+                }
+              });
+        }
+      },
+      asio::detached);
+  return absl::OkStatus();
+}
+
+absl::StatusOr<std::unique_ptr<Stream>> connect(asio::io_context& context, std::string const& address, Span deadline, Yield yield,
+                                                bool own_strand) {
+  absl::StatusOr<Endpoint> const endpoint = read_endpoint(address);
+  if (!endpoint.ok()) {
+    return endpoint.status();
+  }
+  std::unique_ptr<Stream> stream = std::make_unique<Stream>(own_strand ? boost::asio::any_io_executor(asio::make_strand(context)) : yield.get_executor());
+  error_code error;
+  stream->expires_after(duration(deadline));
+  stream->async_connect(*endpoint, yield[error]);
+  if (error) {
+    return defect(absl::StatusCode::kUnavailable, "net", address + ": " + error.message());
+  }
+  stream->socket().set_option(asio::ip::tcp::no_delay(true), error);
+  return stream;
+}
+
+absl::StatusOr<schema::Message> Caller::exchange(Stream& stream, std::string const& bytes, Span deadline, Yield yield) {
+  error_code error;
+  stream.expires_after(duration(deadline));
+  asio::async_write(stream, asio::buffer(bytes), yield[error]);
+  if (error) {
+    return defect(absl::StatusCode::kUnavailable, "net", error.message());
+  }
+  std::string header(frame_header, '\0');
+  asio::async_read(stream, asio::buffer(header), yield[error]);
+  if (error) {
+    return defect(absl::StatusCode::kUnavailable, "net", error.message());
+  }
+  absl::StatusOr<std::size_t> const length = frame_length(header);
+  if (!length.ok()) {
+    return length.status();
+  }
+  std::string payload(*length, '\0');
+  asio::async_read(stream, asio::buffer(payload), yield[error]);
+  if (error) {
+    return defect(absl::StatusCode::kUnavailable, "net", error.message());
+  }
+  return unframe(header, payload);
+}
+
+absl::StatusOr<schema::Message> Caller::on_own_strand(Stream& stream, std::string const& bytes, Span deadline, Yield yield) {
+  // A kept connection belongs to the strand it was made on, with its timers.
+  struct Result {
+    explicit Result(asio::any_io_executor const& executor) : timer(executor) {}
+    std::atomic<bool> done = false;
+    absl::StatusOr<schema::Message> answer;
+    asio::steady_timer timer;
+  };
+  std::shared_ptr<Result> const result = std::make_shared<Result>(yield.get_executor());
+  result->timer.expires_at(std::chrono::steady_clock::time_point::max());
+  asio::spawn(
+      stream.get_executor(),
+      [this, &stream, &bytes, deadline, result](Yield inner) {
+        result->answer = exchange(stream, bytes, deadline, inner);
+        asio::post(result->timer.get_executor(), [result] {
+          result->done = true;
+          result->timer.cancel();
+        });
+      },
+      asio::detached);
+  while (!result->done) {
+    error_code error;
+    result->timer.async_wait(yield[error]);
+  }
+  return std::move(result->answer);
+}
+
+absl::StatusOr<schema::Message> Caller::call(std::string const& address, schema::Message const& message, Span deadline, Yield yield) {
+  std::string const bytes = frame(message);
+  Moment const until = boot_now() + deadline;
+  std::unique_ptr<Stream> kept;
+  {
+    std::lock_guard<std::mutex> const guard(lock_);
+    std::vector<std::unique_ptr<Stream>>& idle = idle_[address];
+    if (!idle.empty()) {
+      kept = std::move(idle.back());
+      idle.pop_back();
+    }
+  }
+  absl::StatusOr<schema::Message> answer = defect(absl::StatusCode::kUnavailable, "net", "no connection");
+  if (kept != nullptr) {
+    answer = on_own_strand(*kept, bytes, deadline, yield);
+  }
+  // All our messages may be said twice, so a kept connection that turned out
+  // closed is replaced once while time is left.
+  if (!answer.ok() && boot_now() < until) {
+    absl::StatusOr<std::unique_ptr<Stream>> fresh = connect(context_, address, until - boot_now(), yield, true);
+    if (!fresh.ok()) {
+      return fresh.status();
+    }
+    kept = std::move(*fresh);
+    if (boot_now() < until) {
+      answer = on_own_strand(*kept, bytes, until - boot_now(), yield);
+    }
+  }
+  if (answer.ok()) {
+    std::lock_guard<std::mutex> const guard(lock_);
+    std::vector<std::unique_ptr<Stream>>& idle = idle_[address];
+    if (idle.size() < constants::idle_connections) {
+      kept->expires_never();
+      idle.push_back(std::move(kept));
+    }
+  }
+  return answer;
+}
+
+absl::Status serve_frames(asio::io_context& context, std::string const& address, std::size_t most, FrameAnswer answer) {
+  return listen(context, address, most, [answer](Stream& stream, Yield yield) {
+    while (true) {
+      error_code error;
+      std::string header(frame_header, '\0');
+      stream.expires_after(duration(constants::frame_idle));
+      asio::async_read(stream, asio::buffer(header), yield[error]);
+      if (error) {
+        return;
+      }
+      absl::StatusOr<std::size_t> const length = frame_length(header);
+      if (!length.ok()) {
+        note(Event::FrameDefect, std::string(length.status().message()));
+        return;
+      }
+      std::string payload(*length, '\0');
+      asio::async_read(stream, asio::buffer(payload), yield[error]);
+      if (error) {
+        return;
+      }
+      absl::StatusOr<schema::Message> const message = unframe(header, payload);
+      if (!message.ok()) {
+        note(Event::FrameDefect, std::string(message.status().message()));
+        return;
+      }
+      stream.expires_never();
+      std::optional<schema::Message> const reply = answer(*message, yield);
+      if (!reply.has_value()) {
+        return;
+      }
+      std::string const bytes = frame(*reply);
+      stream.expires_after(duration(constants::frame_idle));
+      asio::async_write(stream, asio::buffer(bytes), yield[error]);
+      if (error) {
+        return;
+      }
+    }
+  });
+}
+
+void Bell::ring() {
+  std::vector<std::shared_ptr<asio::steady_timer>> waiting;
+  {
+    std::lock_guard<std::mutex> const guard(lock_);
+    ++count_;
+    waiting.swap(waiting_);
+  }
+  for (std::shared_ptr<asio::steady_timer> const& timer : waiting) {
+    asio::post(timer->get_executor(), [timer] { timer->cancel(); });
+  }
+}
+
+void Bell::wait(std::uint64_t seen, Span span, Yield yield) {
+  std::shared_ptr<asio::steady_timer> const timer = std::make_shared<asio::steady_timer>(yield.get_executor(), duration(span));
+  {
+    std::lock_guard<std::mutex> const guard(lock_);
+    if (count_ != seen) {
+      return;
+    }
+    waiting_.push_back(timer);
+  }
+  error_code error;
+  timer->async_wait(yield[error]);
+  std::lock_guard<std::mutex> const guard(lock_);
+  std::erase(waiting_, timer);
+}
+
+std::uint64_t Bell::count() {
+  std::lock_guard<std::mutex> const guard(lock_);
+  return count_;
+}
+
+namespace {
+/// What the calls of one Gather share; the waiter's timer is woken per answer.
+struct Inbox {
+  explicit Inbox(asio::any_io_executor const& executor) : timer(executor) {}
+  std::mutex lock;
+  std::deque<std::pair<std::size_t, absl::StatusOr<schema::Message>>> answers;
+  asio::steady_timer timer;
+};
+}  // namespace
+
+void Gather::run(asio::io_context& context, Caller& caller, std::vector<std::pair<std::string, schema::Message>> const& calls,
+                 Span deadline, Handler const& handler, Yield yield) {
+  std::shared_ptr<Inbox> const inbox = std::make_shared<Inbox>(yield.get_executor());
+  Moment const until = boot_now() + deadline;
+  asio::any_io_executor const executor = yield.get_executor();
+  for (std::size_t index = 0; index < calls.size(); ++index) {
+    start(context, [&caller, inbox, index, call = calls[index], deadline, executor](Yield inner) {
+      absl::StatusOr<schema::Message> answer = caller.call(call.first, call.second, deadline, inner);
+      {
+        std::lock_guard<std::mutex> const guard(inbox->lock);
+        inbox->answers.emplace_back(index, std::move(answer));
+      }
+      asio::post(executor, [inbox] { inbox->timer.cancel(); });
+    });
+  }
+  std::size_t answered = 0;
+  while (answered < calls.size()) {
+    std::deque<std::pair<std::size_t, absl::StatusOr<schema::Message>>> ready;
+    {
+      std::lock_guard<std::mutex> const guard(inbox->lock);
+      ready.swap(inbox->answers);
+    }
+    for (std::pair<std::size_t, absl::StatusOr<schema::Message>> const& entry : ready) {
+      ++answered;
+      if (handler(entry.first, entry.second)) {
+        return;
+      }
+    }
+    if (!ready.empty()) {
+      continue;
+    }
+    Moment const now = boot_now();
+    if (now >= until) {
+      return;
+    }
+    inbox->timer.expires_after(duration(until - now));
+    // An answer may have come between the look and the setting of the timer;
+    // its cancel then is posted behind us on this strand and wakes the wait.
+    error_code error;
+    inbox->timer.async_wait(yield[error]);
+  }
+}
+
+}  // namespace finchlink::loam
--- /dev/null
+++ b/source/loam/wire/pack.hpp
@@ -0,0 +1,121 @@
+#pragma once
+
+#include <cereal/cereal.hpp>
+#include <cereal/types/map.hpp>
+#include <cereal/types/optional.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/variant.hpp>
+#include <cereal/types/vector.hpp>
+
+#include <cstdint>
+#include <cstring>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <type_traits>
+
+#include <absl/status/statusor.h>
+
+namespace finchlink::loam {
+
+/// cereal archives over a string. cereal has its users derive from its base
+/// classes; these two are the only inheritance here (section 3). Unlike its
+/// own binary archive, the reader checks every announced size against the
+/// bytes that are left, so that a broken frame can't ask for memory.
+class PackWriter : public cereal::OutputArchive<PackWriter, cereal::AllowEmptyClassElision> {
+ public:
+  explicit PackWriter(std::string& target) : cereal::OutputArchive<PackWriter, cereal::AllowEmptyClassElision>(this), target_(target) {}
+  void put(void const* data, std::size_t size) { target_.append(static_cast<char const*>(data), size); }
+
+ private:
+  std::string& target_;
+};
+
+class PackReader : public cereal::InputArchive<PackReader, cereal::AllowEmptyClassElision> {
+ public:
+  explicit PackReader(std::string_view source) : cereal::InputArchive<PackReader, cereal::AllowEmptyClassElision>(this), source_(source) {}
+  void take(void* data, std::size_t size) {
+    if (size > source_.size()) {
+      throw std::out_of_range("the frame ends too early");
+    }
+    std::memcpy(data, source_.data(), size);
+    source_.remove_prefix(size);
+  }
+  [[nodiscard]] std::size_t left() const { return source_.size(); }
+
+ private:
+  std::string_view source_;
+};
+
+template <class Number>
+  requires std::is_arithmetic_v<Number>
+inline void CEREAL_SAVE_FUNCTION_NAME(PackWriter& archive, Number const& number) {
+  archive.put(&number, sizeof(number));
+}
+template <class Number>
+  requires std::is_arithmetic_v<Number>
+inline void CEREAL_LOAD_FUNCTION_NAME(PackReader& archive, Number& number) {
+  if constexpr (std::is_same_v<Number, bool>) {
+    std::uint8_t byte = 0;
+    archive.take(&byte, 1);
+    number = byte != 0;
+  } else {
+    archive.take(&number, sizeof(number));
+  }
+}
+template <class Kind>
+inline void CEREAL_SAVE_FUNCTION_NAME(PackWriter& archive, cereal::BinaryData<Kind> const& data) {
+  archive.put(data.data, static_cast<std::size_t>(data.size));
+}
+template <class Kind>
+inline void CEREAL_LOAD_FUNCTION_NAME(PackReader& archive, cereal::BinaryData<Kind>& data) {
+  archive.take(data.data, static_cast<std::size_t>(data.size));
+}
+template <class Kind>
+inline void CEREAL_SERIALIZE_FUNCTION_NAME(PackWriter& archive, cereal::NameValuePair<Kind>& pair) {
+  archive(pair.value);
+}
+template <class Kind>
+inline void CEREAL_SERIALIZE_FUNCTION_NAME(PackReader& archive, cereal::NameValuePair<Kind>& pair) {
+  archive(pair.value);
+}
+template <class Kind>
+inline void CEREAL_SERIALIZE_FUNCTION_NAME(PackWriter& archive, cereal::SizeTag<Kind>& tag) {
+  archive(tag.size);
+}
+template <class Kind>
+inline void CEREAL_SERIALIZE_FUNCTION_NAME(PackReader& archive, cereal::SizeTag<Kind>& tag) {
+  archive(tag.size);
+  if (tag.size > archive.left()) {
+    throw std::out_of_range("a size is larger than the frame");
+  }
+}
+
+template <class Kind>
+[[nodiscard]] std::string pack(Kind const& entry) {
+  std::string target;
+  PackWriter writer(target);
+  writer(entry);
+  return target;
+}
+
+template <class Kind>
+[[nodiscard]] absl::StatusOr<Kind> unpack(std::string_view source) {
+  try {
+    PackReader reader(source);
+    Kind entry{};
+    reader(entry);
+    if (reader.left() != 0) {
+      return absl::DataLossError("pack: bytes are left over");
+    }
+    return entry;
+  } catch (std::exception const& error) {
+    return absl::DataLossError(std::string("pack: ") + error.what());
+  }
+}
+
+}  // namespace finchlink::loam
+
+
+
+CEREAL_SETUP_ARCHIVE_TRAITS(finchlink::loam::PackReader, finchlink::loam::PackWriter)
--- /dev/null
+++ b/source/rootstock/ballot/ballot.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <tuple>
+#include <vector>
+
+#include "schema/wire.hpp"
+
+namespace finchlink::rootstock {
+
+using schema::Ballot;
+using schema::HolderEntry;
+using schema::HolderSet;
+
+/// Section 5.2: the epoch counts first, so that no ballot of an older holder
+/// set can win over one of a newer.
+[[nodiscard]] inline bool before(Ballot const& left, Ballot const& right) {
+  return std::tie(left.epoch, left.round, left.proposer) < std::tie(right.epoch, right.round, right.proposer);
+}
+[[nodiscard]] inline std::size_t majority(std::size_t count) { return count / 2 + 1; }
+[[nodiscard]] inline bool names(std::vector<HolderEntry> const& holders, std::uint64_t incarnation) {
+  for (HolderEntry const& holder : holders) {
+    if (holder.incarnation == incarnation) {
+      return true;
+    }
+  }
+  return false;
+}
+
+/// Name of the register that holds the holder set itself.
+inline constexpr char const* holders_register = "holders";
+inline constexpr char const* setup_register = "setup";
+[[nodiscard]] inline std::string split_register(std::string const& region) { return "split/" + region; }
+
+/// Rules that tests switch off one at a time to show that each is needed
+/// (docs/proofs.md). Daemons never change them.
+struct Guards {
+  bool sync_before_reply = true;
+  bool blank_has_no_vote = true;
+  bool epoch_checked = true;
+  bool expectation_checked = true;
+  bool promise_kept = true;
+  bool settle_before_reject = true;
+  bool image_before_vote = true;
+  bool lease_silence = true;
+  bool tenant_stops_early = true;
+};
+
+}  // namespace finchlink::rootstock
--- /dev/null
+++ b/source/rootstock/change/change.cpp
@@ -0,0 +1,139 @@
+#include "rootstock/change/change.hpp"
+
+#include <algorithm>
+#include <type_traits>
+
+#include "loam/constants.hpp"
+
+namespace finchlink::rootstock {
+
+void add_mark(schema::Value& value, std::string const& id, std::uint64_t revision) {
+  value.marks.push_back(schema::ChangeMark{id, revision});
+  if (value.marks.size() > loam::constants::marks_kept) {
+    value.marks.erase(value.marks.begin());
+  }
+}
+
+std::optional<schema::ChangeMark> find_mark(schema::Value const& value, std::string const& id) {
+  for (schema::ChangeMark const& mark : value.marks) {
+    if (mark.id == id) {
+      return mark;
+    }
+  }
+  return std::nullopt;
+}
+
+Change::Change(std::string name, std::uint64_t proposer, Wisher wisher, Guards guards)
+    : name_(std::move(name)), proposer_(proposer), wisher_(std::move(wisher)), guards_(guards) {}
+
+void Change::start_above(Ballot const& ballot) {
+  if (before(ballot_, ballot)) {
+    ballot_.epoch = ballot.epoch;
+    ballot_.round = ballot.round;
+  }
+}
+
+std::vector<ChangeAction> Change::begin(HolderSet const& set) {
+  if (set.epoch > ballot_.epoch) {
+    ballot_ = Ballot{set.epoch, 0, proposer_};
+  }
+  set_ = set;
+  ballot_.epoch = set_.epoch;
+  ballot_.proposer = proposer_;
+  ++ballot_.round;
+  state_ = Preparing{};
+  std::vector<ChangeAction> actions;
+  for (HolderEntry const& holder : set_.holders) {
+    actions.emplace_back(Send{holder, schema::Prepare{name_, ballot_}});
+  }
+  return actions;
+}
+
+std::vector<ChangeAction> Change::receive(std::uint64_t from, schema::Message const& message) {
+  return std::visit(
+      [this, from](auto const& entry) -> std::vector<ChangeAction> {
+        using Kind = std::decay_t<decltype(entry)>;
+        if constexpr (std::is_same_v<Kind, schema::Promise> || std::is_same_v<Kind, schema::Accepted> ||
+                      std::is_same_v<Kind, schema::Refused>) {
+          if (!(entry.ballot == ballot_) || !names(set_.holders, from)) {
+            return {};
+          }
+          return on(from, entry);
+        } else {
+          return {};
+        }
+      },
+      message);
+}
+
+std::vector<ChangeAction> Change::on(std::uint64_t from, schema::Promise const& message) {
+  std::vector<ChangeAction> actions;
+  Preparing* const preparing = std::get_if<Preparing>(&state_);
+  if (preparing == nullptr) {
+    return actions;
+  }
+  preparing->promised.insert(from);
+  if (before(preparing->best, message.accepted)) {
+    preparing->best = message.accepted;
+    preparing->value = message.value;
+  }
+  if (preparing->promised.size() < majority(set_.holders.size())) {
+    return actions;
+  }
+  schema::Value const found = preparing->value;
+  Wish const wish = wisher_(found);
+  Reject const* const reject = std::get_if<Reject>(&wish);
+  if (reject != nullptr && !guards_.settle_before_reject) {
+    state_ = Resting{};
+    actions.emplace_back(Rejected{reject->reason, found});
+    return actions;
+  }
+  // A no is final only once what was found is chosen under this ballot: an
+  // earlier try of ours may stand at a minority and would win later (5.2).
+  schema::Value const value = std::holds_alternative<schema::Value>(wish) ? std::get<schema::Value>(wish) : found;
+  state_ = Accepting{{}, value, reject == nullptr ? std::optional<std::string>() : std::optional<std::string>(reject->reason)};
+  for (HolderEntry const& holder : set_.holders) {
+    actions.emplace_back(Send{holder, schema::Accept{name_, ballot_, value}});
+  }
+  return actions;
+}
+
+std::vector<ChangeAction> Change::on(std::uint64_t from, schema::Accepted const& message) {
+  (void)message;
+  std::vector<ChangeAction> actions;
+  Accepting* const accepting = std::get_if<Accepting>(&state_);
+  if (accepting == nullptr) {
+    return actions;
+  }
+  accepting->accepted.insert(from);
+  if (accepting->accepted.size() >= majority(set_.holders.size())) {
+    if (accepting->reject.has_value()) {
+      actions.emplace_back(Rejected{*accepting->reject, accepting->value});
+    } else {
+      actions.emplace_back(Chosen{accepting->value, ballot_});
+    }
+    state_ = Resting{};
+  }
+  return actions;
+}
+
+std::vector<ChangeAction> Change::on(std::uint64_t from, schema::Refused const& message) {
+  (void)from;
+  std::vector<ChangeAction> actions;
+  if (std::holds_alternative<Resting>(state_)) {
+    return actions;
+  }
+  if (message.set.epoch > set_.epoch) {
+    state_ = Resting{};
+    actions.emplace_back(NewerSet{message.set});
+    return actions;
+  }
+  if (before(ballot_, message.promised)) {
+    ballot_.round = std::max(ballot_.round, message.promised.round);
+    state_ = Resting{};
+    actions.emplace_back(Again{});
+  }
+  return actions;
+}
+
+}  // namespace finchlink::rootstock
--- /dev/null
+++ b/source/rootstock/change/change.hpp
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "loam/time/moment.hpp"
+#include "rootstock/ballot/ballot.hpp"
+#include "schema/wire.hpp"
+
+namespace finchlink::rootstock {
+
+/// Makes the next value from the one in the register, or says why not. It is
+/// called anew for each ballot, with what that ballot found.
+struct Keep {};  ///< write the found value again: a read that is sure
+struct Reject {
+  std::string reason;
+};
+using Wish = std::variant<schema::Value, Keep, Reject>;
+using Wisher = std::function<Wish(schema::Value const&)>;
+
+struct Send {
+  HolderEntry to;
+  schema::Message message;
+};
+struct Chosen {
+  schema::Value value;
+  Ballot ballot;
+};
+struct Rejected {
+  std::string reason;
+  schema::Value current;
+};
+/// Lost a ballot: the shell calls begin() again after a pause it draws.
+struct Again {};
+/// A holder named a newer holder set; the shell learns it and begins again.
+struct NewerSet {
+  HolderSet set;
+};
+using ChangeAction = std::variant<Send, Chosen, Rejected, Again, NewerSet>;
+
+/// One compare-and-set in two rounds at a majority (section 5.2).
+class Change {
+ public:
+  Change(std::string name, std::uint64_t proposer, Wisher wisher, Guards guards = {});
+  /// A ballot known to stand: starting above it saves a refusal.
+  void start_above(Ballot const& ballot);
+  [[nodiscard]] std::vector<ChangeAction> begin(HolderSet const& set);
+  [[nodiscard]] std::vector<ChangeAction> receive(std::uint64_t from, schema::Message const& message);
+  [[nodiscard]] std::string const& name() const { return name_; }
+
+ private:
+  struct Preparing {
+    std::set<std::uint64_t> promised;
+    Ballot best;
+    schema::Value value;
+  };
+  struct Accepting {
+    std::set<std::uint64_t> accepted;
+    schema::Value value;
+    std::optional<std::string> reject;
+  };
+  struct Resting {};
+  using State = std::variant<Resting, Preparing, Accepting>;
+
+  [[nodiscard]] std::vector<ChangeAction> on(std::uint64_t from, schema::Promise const& message);
+  [[nodiscard]] std::vector<ChangeAction> on(std::uint64_t from, schema::Accepted const& message);
+  [[nodiscard]] std::vector<ChangeAction> on(std::uint64_t from, schema::Refused const& message);
+
+  std::string name_;
+  std::uint64_t proposer_;
+  Wisher wisher_;
+  Guards guards_;
+  HolderSet set_;
+  Ballot ballot_;
+  State state_ = Resting{};
+};
+
+/// Adds a mark, keeping only the newest (constants::marks_kept).
+void add_mark(schema::Value& value, std::string const& id, std::uint64_t revision);
+[[nodiscard]] std::optional<schema::ChangeMark> find_mark(schema::Value const& value, std::string const& id);
+
+}  // namespace finchlink::rootstock
--- /dev/null
+++ b/source/rootstock/confirm/confirm.cpp
@@ -0,0 +1,90 @@
+#include "rootstock/confirm/confirm.hpp"
+
+namespace finchlink::rootstock {
+
+std::vector<ConfirmAction> Confirm::begin(HolderSet const& set, loam::Moment now) {
+  set_ = set;
+  ++round_;
+  started_ = now;
+  open_ = true;
+  answered_.clear();
+  tallies_.clear();
+  std::vector<ConfirmAction> actions;
+  for (HolderEntry const& holder : set_.holders) {
+    actions.emplace_back(SendRead{holder, schema::Read{set_.epoch, known_, round_}});
+  }
+  return actions;
+}
+
+void Confirm::learn(std::string const& name, Ballot const& ballot, schema::Value const& value) {
+  Ballot& known = known_[name];
+  if (before(known, ballot)) {
+    known = ballot;
+    values_[name] = value;
+  }
+}
+
+Ballot Confirm::known(std::string const& name) const {
+  std::map<std::string, Ballot>::const_iterator const found = known_.find(name);
+  return found == known_.end() ? Ballot{} : found->second;
+}
+
+std::vector<ConfirmAction> Confirm::receive(schema::Message const& message) {
+  std::vector<ConfirmAction> actions;
+  if (schema::Refused const* const refused = std::get_if<schema::Refused>(&message)) {
+    if (refused->set.epoch > set_.epoch) {
+      open_ = false;
+      actions.emplace_back(NewerHolders{refused->set});
+    }
+    return actions;
+  }
+  schema::ReadAnswer const* const answer = std::get_if<schema::ReadAnswer>(&message);
+  if (answer == nullptr || !open_ || answer->round != round_ || answer->epoch != set_.epoch ||
+      !names(set_.holders, answer->incarnation) || !answered_.insert(answer->incarnation).second) {
+    return actions;
+  }
+  for (std::pair<std::string const, schema::Cell> const& entry : answer->cells) {
+    Ballot const& accepted = entry.second.accepted;
+    if (accepted == Ballot{}) {
+      continue;
+    }
+    Tally& tally = tallies_[entry.first];
+    if (tally.votes == 0 || before(tally.best, accepted)) {
+      tally = Tally{accepted, 1, entry.second.value, !(known_[entry.first] == accepted)};
+    } else if (tally.best == accepted) {
+      ++tally.votes;
+    }
+  }
+  if (answered_.size() >= majority(set_.holders.size())) {
+    return judge();
+  }
+  return actions;
+}
+
+std::vector<ConfirmAction> Confirm::judge() {
+  std::vector<ConfirmAction> actions;
+  Unsettled unsettled;
+  for (std::pair<std::string const, Tally> const& entry : tallies_) {
+    if (entry.second.votes < majority(set_.holders.size())) {
+      // Known to be chosen already, then one vote is enough.
+      if (!(known_[entry.first] == entry.second.best)) {
+        unsettled.names.push_back(entry.first);
+      }
+      continue;
+    }
+    if (entry.second.valued) {
+      learn(entry.first, entry.second.best, entry.second.value);
+    }
+  }
+  bool const whole = answered_.size() == set_.holders.size();
+  if (unsettled.names.empty()) {
+    open_ = false;
+    confirmed_from_ = started_;
+    actions.emplace_back(Confirmed{started_});
+  } else if (whole || answered_.size() >= majority(set_.holders.size())) {
+    actions.emplace_back(unsettled);
+  }
+  return actions;
+}
+
+}  // namespace finchlink::rootstock
--- /dev/null
+++ b/source/rootstock/confirm/confirm.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "loam/time/moment.hpp"
+#include "rootstock/ballot/ballot.hpp"
+#include "schema/wire.hpp"
+
+namespace finchlink::rootstock {
+
+struct SendRead {
+  HolderEntry to;
+  schema::Read read;
+};
+/// A majority confirmed all registers; as of a moment not before the start.
+struct Confirmed {
+  loam::Moment started = 0;
+};
+/// A register's newest ballot is not known to be at a majority: a sure read
+/// (Change with Keep) settles it.
+struct Unsettled {
+  std::vector<std::string> names;
+};
+struct NewerHolders {
+  HolderSet set;
+};
+using ConfirmAction = std::variant<SendRead, Confirmed, Unsettled, NewerHolders>;
+
+/// Majority reads in one round (section 5.6), over all registers at once.
+class Confirm {
+ public:
+  [[nodiscard]] std::vector<ConfirmAction> begin(HolderSet const& set, loam::Moment now);
+  [[nodiscard]] std::vector<ConfirmAction> receive(schema::Message const& message);
+  /// What a Change chose counts as known as well.
+  void learn(std::string const& name, Ballot const& ballot, schema::Value const& value);
+  /// Newest confirmed values; they only ever get newer.
+  [[nodiscard]] std::map<std::string, schema::Value> const& values() const { return values_; }
+  [[nodiscard]] Ballot known(std::string const& name) const;
+  /// Everything chosen before this moment is in values().
+  [[nodiscard]] loam::Moment confirmed_from() const { return confirmed_from_; }
+
+ private:
+  [[nodiscard]] std::vector<ConfirmAction> judge();
+
+  HolderSet set_;
+  std::uint64_t round_ = 0;
+  loam::Moment started_ = 0;
+  loam::Moment confirmed_from_ = 0;
+  bool open_ = false;
+  std::set<std::uint64_t> answered_;
+  struct Tally {
+    Ballot best;
+    std::size_t votes = 0;
+    schema::Value value;
+    bool valued = false;
+  };
+  std::map<std::string, Tally> tallies_;
+  std::map<std::string, Ballot> known_;
+  std::map<std::string, schema::Value> values_;
+};
+
+}  // namespace finchlink::rootstock
--- /dev/null
+++ b/source/rootstock/holder/holder.cpp
@@ -0,0 +1,277 @@
+#include "rootstock/holder/holder.hpp"
+
+#include <algorithm>
+#include <type_traits>
+
+namespace finchlink::rootstock {
+
+Holder::Holder(std::uint64_t incarnation, std::string address, std::vector<std::string> founders, loam::Moment now,
+               Guards guards)
+    : guards_(guards), address_(std::move(address)), founders_(std::move(founders)), granter_(now, guards.lease_silence) {
+  founding_.incarnation = incarnation;
+  if (!guards_.blank_has_no_vote) {
+    voting_ = true;
+  }
+}
+
+Holder::Holder(std::vector<schema::Record> const& records, std::string address, std::vector<std::string> founders,
+               loam::Moment now, Guards guards)
+    : guards_(guards), address_(std::move(address)), founders_(std::move(founders)), granter_(now, guards.lease_silence) {
+  for (schema::Record const& record : records) {
+    std::visit(
+        [this](auto const& entry) {
+          using Kind = std::decay_t<decltype(entry)>;
+          if constexpr (std::is_same_v<Kind, schema::FoundingRecord>) {
+            founding_ = entry;
+          } else if constexpr (std::is_same_v<Kind, schema::SetRecord>) {
+            set_ = entry.set;
+            voting_ = entry.voting;
+            complete_ = entry.complete;
+          } else {
+            cells_[entry.name] = entry.cell;
+          }
+        },
+        record);
+  }
+}
+
+std::vector<schema::Record> Holder::image() const {
+  std::vector<schema::Record> records;
+  records.emplace_back(founding_);
+  records.emplace_back(schema::SetRecord{set_, voting_, complete_});
+  for (std::pair<std::string const, schema::Cell> const& cell : cells_) {
+    records.emplace_back(schema::CellRecord{cell.first, cell.second});
+  }
+  return records;
+}
+
+bool Holder::may_vote(std::uint64_t epoch) const {
+  if (!guards_.epoch_checked) {
+    return voting_;
+  }
+  return voting_ && epoch == set_.epoch && (names(set_.holders, founding_.incarnation) || !guards_.blank_has_no_vote);
+}
+
+schema::Refused Holder::refusal(Ballot const& ballot, Ballot const& promised) const {
+  return schema::Refused{ballot, promised, voting_, founding_.incarnation, set_};
+}
+
+Outcome Holder::receive(schema::Message const& message, loam::Moment now) {
+  return std::visit(
+      [this, now](auto const& entry) -> Outcome {
+        using Kind = std::decay_t<decltype(entry)>;
+        if constexpr (std::is_same_v<Kind, schema::Prepare> || std::is_same_v<Kind, schema::Accept> ||
+                      std::is_same_v<Kind, schema::Read> || std::is_same_v<Kind, schema::ImageAsk> ||
+                      std::is_same_v<Kind, schema::FoundingAsk>) {
+          return on(entry);
+        } else if constexpr (std::is_same_v<Kind, schema::Adopt> || std::is_same_v<Kind, schema::LeaseAsk>) {
+          return on(entry, now);
+        } else {
+          return Outcome{{}, schema::Message(schema::Unknown{"not for a holder"})};
+        }
+      },
+      message);
+}
+
+Outcome Holder::on(schema::Prepare const& message) {
+  if (!may_vote(message.ballot.epoch)) {
+    return Outcome{{}, schema::Message(refusal(message.ballot, Ballot{}))};
+  }
+  schema::Cell& cell = cells_[message.name];
+  if (before(message.ballot, cell.promised)) {
+    return Outcome{{}, schema::Message(refusal(message.ballot, cell.promised))};
+  }
+  Outcome outcome;
+  if (!(cell.promised == message.ballot)) {
+    cell.promised = message.ballot;
+    outcome.records.emplace_back(schema::CellRecord{message.name, cell});
+  }
+  outcome.reply = schema::Promise{message.ballot, cell.accepted, cell.value};
+  return outcome;
+}
+
+Outcome Holder::on(schema::Accept const& message) {
+  if (!may_vote(message.ballot.epoch)) {
+    return Outcome{{}, schema::Message(refusal(message.ballot, Ballot{}))};
+  }
+  schema::Cell& cell = cells_[message.name];
+  if (guards_.promise_kept && before(message.ballot, cell.promised)) {
+    return Outcome{{}, schema::Message(refusal(message.ballot, cell.promised))};
+  }
+  cell.promised = message.ballot;
+  cell.accepted = message.ballot;
+  cell.value = message.value;
+  Outcome outcome;
+  outcome.records.emplace_back(schema::CellRecord{message.name, cell});
+  outcome.reply = schema::Accepted{message.ballot};
+  return outcome;
+}
+
+Outcome Holder::on(schema::Read const& message) const {
+  if (!may_vote(message.epoch)) {
+    return Outcome{{}, schema::Message(refusal(Ballot{message.epoch, message.round, 0}, Ballot{}))};
+  }
+  schema::ReadAnswer answer{set_.epoch, message.round, founding_.incarnation, {}};
+  for (std::pair<std::string const, schema::Cell> const& entry : cells_) {
+    schema::Cell cell{entry.second.promised, entry.second.accepted, {}};
+    std::map<std::string, Ballot>::const_iterator const known = message.known.find(entry.first);
+    if (known == message.known.end() || !(known->second == entry.second.accepted)) {
+      cell.value = entry.second.value;
+    }
+    answer.cells[entry.first] = cell;
+  }
+  return Outcome{{}, schema::Message(answer)};
+}
+
+void Holder::take_set(HolderSet const& set, bool voting, bool complete, loam::Moment now, Outcome& outcome) {
+  if (voting && !voting_) {
+    granter_ = stake::Granter(now, guards_.lease_silence);
+  }
+  set_ = set;
+  voting_ = voting;
+  complete_ = complete;
+  outcome.records.emplace_back(schema::SetRecord{set_, voting_, complete_});
+}
+
+Outcome Holder::on(schema::Adopt const& message, loam::Moment now) {
+  Outcome outcome;
+  if (message.set.epoch > set_.epoch) {
+    bool const named = names(message.set.holders, founding_.incarnation);
+    // A vote goes on only from one epoch to the next by way of holders that
+    // had it; a newcomer first takes an image (section 5.5).
+    bool const complete = voting_ && names(message.set.previous, founding_.incarnation) &&
+                          message.set.epoch == set_.epoch + 1;
+    take_set(message.set, named && (complete || !guards_.image_before_vote), complete, now, outcome);
+  }
+  outcome.reply = schema::Adopted{set_.epoch, founding_.incarnation, voting_};
+  return outcome;
+}
+
+Outcome Holder::on(schema::ImageAsk const& message) const {
+  // Only one that has the asked epoch in force may give an image: from then on
+  // it takes part in no older ballot, so what it gives is final; and only one
+  // that voted in the epoch before, since a newcomer may lack what that one
+  // chose (section 5.5).
+  if (set_.epoch != message.epoch || !complete_) {
+    return Outcome{{}, schema::Message(refusal(Ballot{message.epoch, 0, 0}, Ballot{}))};
+  }
+  return Outcome{{}, schema::Message(schema::Image{set_.epoch, founding_.incarnation, cells_})};
+}
+
+bool Holder::wants_image() const {
+  return !blank() && !voting_ && names(set_.holders, founding_.incarnation);
+}
+
+Outcome Holder::enrol(std::vector<schema::Image> const& images, loam::Moment now) {
+  Outcome outcome;
+  if (!wants_image()) {
+    return outcome;
+  }
+  std::map<std::uint64_t, schema::Image const*> given;
+  for (schema::Image const& image : images) {
+    if (image.epoch == set_.epoch && names(set_.previous, image.incarnation)) {
+      given[image.incarnation] = &image;
+    }
+  }
+  if (given.size() < majority(set_.previous.size())) {
+    return outcome;
+  }
+  for (std::pair<std::uint64_t const, schema::Image const*> const& image : given) {
+    for (std::pair<std::string const, schema::Cell> const& theirs : image.second->cells) {
+      schema::Cell& mine = cells_[theirs.first];
+      if (before(mine.promised, theirs.second.promised)) {
+        mine.promised = theirs.second.promised;
+      }
+      if (before(mine.accepted, theirs.second.accepted)) {
+        mine.accepted = theirs.second.accepted;
+        mine.value = theirs.second.value;
+      }
+    }
+  }
+  for (std::pair<std::string const, schema::Cell> const& cell : cells_) {
+    outcome.records.emplace_back(schema::CellRecord{cell.first, cell.second});
+  }
+  take_set(set_, true, true, now, outcome);
+  return outcome;
+}
+
+bool Holder::wants_founding() const {
+  return blank() && std::find(founders_.begin(), founders_.end(), address_) != founders_.end();
+}
+
+schema::FoundingAsk Holder::founding_ask() const { return schema::FoundingAsk{founding_.incarnation, address_}; }
+
+Outcome Holder::on(schema::FoundingAsk const& message) const {
+  (void)message;
+  return Outcome{{}, schema::Message(schema::FoundingAnswer{founding_.incarnation, address_, blank(), founding_.pledge, set_})};
+}
+
+std::vector<HolderEntry> Holder::full_pledge(std::vector<schema::FoundingAnswer> const& answers) const {
+  std::vector<HolderEntry> pledge{HolderEntry{founding_.incarnation, address_}};
+  for (schema::FoundingAnswer const& answer : answers) {
+    if (!answer.blank || std::find(founders_.begin(), founders_.end(), answer.address) == founders_.end()) {
+      return {};
+    }
+    for (HolderEntry const& other : pledge) {
+      if (other.address == answer.address || other.incarnation == answer.incarnation) {
+        return {};
+      }
+    }
+    if (names(founding_.dropped, answer.incarnation)) {
+      return {};
+    }
+    pledge.push_back(HolderEntry{answer.incarnation, answer.address});
+  }
+  if (pledge.size() != founders_.size()) {
+    return {};
+  }
+  std::sort(pledge.begin(), pledge.end(), [](HolderEntry const& left, HolderEntry const& right) { return left.address < right.address; });
+  return pledge;
+}
+
+Outcome Holder::founding(std::vector<schema::FoundingAnswer> const& answers, loam::Moment now) {
+  Outcome outcome;
+  if (!wants_founding()) {
+    return outcome;
+  }
+  // Section 5.4: a founded colleague's set is taken over, whatever was pledged.
+  for (schema::FoundingAnswer const& answer : answers) {
+    if (!answer.blank && answer.set.epoch == 1 && names(answer.set.holders, founding_.incarnation)) {
+      take_set(answer.set, true, true, now, outcome);
+      return outcome;
+    }
+  }
+  std::vector<HolderEntry> const pledge = full_pledge(answers);
+  if (pledge.empty()) {
+    return outcome;
+  }
+  if (founding_.pledge != pledge) {
+    // Incarnations that went are never pledged again: a late word of a lost
+    // disk must not bring an old pledge back.
+    for (HolderEntry const& old : founding_.pledge) {
+      if (!names(pledge, old.incarnation)) {
+        founding_.dropped.push_back(old);
+      }
+    }
+    founding_.pledge = pledge;
+    outcome.records.emplace_back(founding_);
+    return outcome;
+  }
+  for (schema::FoundingAnswer const& answer : answers) {
+    if (answer.pledge != pledge) {
+      return outcome;
+    }
+  }
+  take_set(HolderSet{1, pledge, pledge}, true, true, now, outcome);
+  return outcome;
+}
+
+Outcome Holder::on(schema::LeaseAsk const& message, loam::Moment now) {
+  schema::LeaseAnswer answer{false, founding_.incarnation, message.round, set_};
+  if (may_vote(message.epoch)) {
+    answer.granted = granter_.ask(message, now);
+  }
+  return Outcome{{}, schema::Message(answer)};
+}
+
+}  // namespace finchlink::rootstock
--- /dev/null
+++ b/source/seedbed/ledger/ledger.cpp
@@ -0,0 +1,116 @@
+#include "seedbed/ledger/ledger.hpp"
+
+#include <algorithm>
+
+#include "loam/json/tree.hpp"
+
+namespace finchlink::seedbed {
+
+namespace {
+constexpr loam::Span allowed_drain = loam::seconds(5);       // after the list shows it
+constexpr loam::Span allowed_evacuation = loam::seconds(5);  // after the operator was told yes
+constexpr loam::Span window = loam::seconds(10);             // of the retry share
+
+std::size_t within(std::vector<loam::Moment> const& moments, loam::Moment from, loam::Moment until) {
+  return static_cast<std::size_t>(std::upper_bound(moments.begin(), moments.end(), until) - std::lower_bound(moments.begin(), moments.end(), from));
+}
+}  // namespace
+
+void Ledger::arrived(Arrival const& arrival, bool ran, bool flooded) {
+  std::lock_guard<std::mutex> const guard(lock_);
+  std::map<std::string, loam::Moment>::const_iterator const drain = draining_.find(arrival.worker);
+  if (drain != draining_.end()) {
+    worst_drain_ = std::max(worst_drain_, arrival.now - drain->second);
+    late_drain_ += arrival.now - drain->second > allowed_drain ? 1 : 0;
+  }
+  std::map<std::string, loam::Moment>::const_iterator const empty = evacuated_.find(arrival.zone);
+  if (empty != evacuated_.end()) {
+    worst_evacuation_ = std::max(worst_evacuation_, arrival.now - empty->second);
+    late_evacuation_ += arrival.now - empty->second > allowed_evacuation ? 1 : 0;
+  }
+  outside_home_ += !arrival.home.empty() && arrival.home != arrival.region ? 1 : 0;
+  flooded_ += flooded ? 1 : 0;
+  if (arrival.leg != "decode" && arrival.dispatch <= 1) {
+    firsts_[arrival.rule].push_back(arrival.now);
+  } else if (arrival.dispatch > 1) {
+    retries_[arrival.rule].push_back(arrival.now);
+  }
+  if (!ran) {
+    ++refused_;
+    return;
+  }
+  ++per_worker_[arrival.worker];
+  ++ran_;
+  Run& run = runs_[arrival.nonce];
+  run.repeatable = arrival.repeatable;
+  run.whole += arrival.leg == "prefill" ? 0 : 1;
+}
+
+void Ledger::draining(std::string const& worker, bool on, loam::Moment now) {
+  std::lock_guard<std::mutex> const guard(lock_);
+  if (on) {
+    draining_[worker] = now;
+  } else {
+    draining_.erase(worker);
+  }
+}
+
+void Ledger::evacuated(std::string const& zone, bool on, loam::Moment now) {
+  std::lock_guard<std::mutex> const guard(lock_);
+  if (on) {
+    evacuated_[zone] = now;
+  } else {
+    evacuated_.erase(zone);
+  }
+}
+
+std::string Ledger::print() {
+  std::lock_guard<std::mutex> const guard(lock_);
+  std::uint64_t twice = 0;
+  std::uint64_t repeated = 0;
+  for (std::pair<std::string const, Run> const& run : runs_) {
+    twice += run.second.whole > 1 && !run.second.repeatable ? 1 : 0;
+    repeated += run.second.whole > 1 ? 1 : 0;
+  }
+  loam::Tree object(cJSON_CreateObject());
+  cJSON_AddNumberToObject(object.get(), "ran", static_cast<double>(ran_));
+  cJSON_AddNumberToObject(object.get(), "queries", static_cast<double>(runs_.size()));
+  cJSON_AddNumberToObject(object.get(), "refused_by_workers", static_cast<double>(refused_));
+  cJSON_AddNumberToObject(object.get(), "repeated_where_allowed", static_cast<double>(repeated - twice));
+  cJSON* const faults = cJSON_AddObjectToObject(object.get(), "never");
+  cJSON_AddNumberToObject(faults, "run_twice", static_cast<double>(twice));
+  cJSON_AddNumberToObject(faults, "outside_home", static_cast<double>(outside_home_));
+  cJSON_AddNumberToObject(faults, "flooded_cold_worker", static_cast<double>(flooded_));
+  cJSON_AddNumberToObject(faults, "late_to_draining", static_cast<double>(late_drain_));
+  cJSON_AddNumberToObject(faults, "late_to_evacuated", static_cast<double>(late_evacuation_));
+  cJSON_AddNumberToObject(object.get(), "worst_drain_ms", static_cast<double>(worst_drain_) / 1000);
+  cJSON_AddNumberToObject(object.get(), "worst_evacuation_ms", static_cast<double>(worst_evacuation_) / 1000);
+  double worst_share = 0;
+  for (std::pair<std::string const, std::vector<loam::Moment>>& entry : retries_) {
+    std::sort(entry.second.begin(), entry.second.end());
+    std::vector<loam::Moment>& firsts = firsts_[entry.first];
+    std::sort(firsts.begin(), firsts.end());
+    for (loam::Moment const start : entry.second) {
+      double const queries = static_cast<double>(within(firsts, start, start + window));
+      double const retries = static_cast<double>(within(entry.second, start, start + window));
+      worst_share = std::max(worst_share, queries > 0 ? retries / queries : retries);
+    }
+  }
+  cJSON_AddNumberToObject(object.get(), "worst_retry_share_10s", worst_share);
+  cJSON* const workers = cJSON_AddObjectToObject(object.get(), "per_worker");
+  for (std::pair<std::string const, std::uint64_t> const& worker : per_worker_) {
+    cJSON_AddNumberToObject(workers, worker.first.c_str(), static_cast<double>(worker.second));
+  }
+  return loam::print_tree(object.get(), true);
+}
+
+std::string Ledger::ran_nonces() {
+  std::lock_guard<std::mutex> const guard(lock_);
+  std::string text;
+  for (std::pair<std::string const, Run> const& run : runs_) {
+    text += run.first + "\n";
+  }
+  return text;
+}
+
+}  // namespace finchlink::seedbed
--- /dev/null
+++ b/source/seedbed/ledger/ledger.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "loam/time/moment.hpp"
+
+namespace finchlink::seedbed {
+
+/// What really ran, and what should not have: the judge of a fleet run.
+class Ledger {
+ public:
+  struct Arrival {
+    std::string nonce;
+    std::string rule;
+    std::string worker;
+    std::string region;
+    std::string zone;
+    std::string home;
+    std::string leg;
+    int dispatch = 1;
+    bool repeatable = false;
+    loam::Moment now = 0;
+  };
+  /// A query reached a worker; `ran` unless it was refused.
+  void arrived(Arrival const& arrival, bool ran, bool flooded);
+  void draining(std::string const& worker, bool on, loam::Moment now);
+  void evacuated(std::string const& zone, bool on, loam::Moment now);
+  [[nodiscard]] std::string print();
+  [[nodiscard]] std::string ran_nonces();
+
+ private:
+  struct Run {
+    int whole = 0;
+    bool repeatable = false;
+  };
+  std::mutex lock_;
+  std::map<std::string, Run> runs_;
+  std::map<std::string, loam::Moment> draining_;
+  std::map<std::string, loam::Moment> evacuated_;
+  std::uint64_t outside_home_ = 0;
+  std::uint64_t flooded_ = 0;
+  std::uint64_t refused_ = 0;
+  std::uint64_t ran_ = 0;
+  loam::Span worst_drain_ = 0;
+  loam::Span worst_evacuation_ = 0;
+  std::uint64_t late_drain_ = 0;
+  std::uint64_t late_evacuation_ = 0;
+  std::map<std::string, std::vector<loam::Moment>> firsts_;
+  std::map<std::string, std::vector<loam::Moment>> retries_;
+  std::map<std::string, std::uint64_t> per_worker_;
+};
+
+}  // namespace finchlink::seedbed
--- /dev/null
+++ b/source/seedbed/worker/worker.hpp
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <atomic>
+#include <deque>
+#include <list>
+#include <memory>
+#include <mutex>
+#include <random>
+#include <string>
+
+#include "loam/net/net.hpp"
+#include "schema/standin.hpp"
+#include "seedbed/ledger/ledger.hpp"
+#include "tilth/prefix/prefix.hpp"
+
+namespace finchlink::seedbed {
+
+/// A stand-in model worker: prefills one query at a time, decodes its batch
+/// together, by the design's equations with noise; or a plain service.
+class Worker {
+ public:
+  Worker(boost::asio::io_context& context, schema::Bed const& bed, schema::BedWorker const& self, Ledger& ledger, bool warm, std::uint64_t seed);
+  void begin();
+  void serve(loam::Stream& stream, loam::Yield yield);
+
+  [[nodiscard]] schema::BedWorker const& self() const { return self_; }
+  void set_draining(bool on);
+  [[nodiscard]] bool draining();
+  /// Listed or not by the platform.
+  void set_listed(bool on) { listed_ = on; }
+  [[nodiscard]] bool listed() const { return listed_; }
+  /// Crashed: connections are cut at once. Dark: taken, never answered.
+  void set_crashed(bool on);
+  void set_dark(bool on) { dark_ = on; }
+
+ private:
+  struct Job {
+    explicit Job(boost::asio::any_io_executor const& executor) : timer(executor) {}
+    boost::asio::steady_timer timer;
+    std::deque<std::string> events;
+    bool ended = false;
+    std::atomic<bool> dropped = false;
+    std::string query;
+    std::string nonce;
+    std::string leg;
+    std::vector<std::uint64_t> chain;
+    double tokens = 0;
+    std::uint64_t outputs = 0;
+    std::uint64_t produced = 0;
+    std::uint64_t skip = 0;
+  };
+  using JobPointer = std::shared_ptr<Job>;
+
+  void engine(loam::Yield yield);
+  void emit(JobPointer const& job, std::string const& text, bool last);
+  [[nodiscard]] double noisy(double seconds);
+  [[nodiscard]] bool over_limit(bool& flooded);
+  void answer_plain(loam::Stream& stream, std::string const& query, std::string const& nonce, loam::Yield yield);
+  void answer_stream(loam::Stream& stream, JobPointer const& job, loam::Yield yield);
+
+  boost::asio::io_context& context_;
+  schema::Bed bed_;
+  schema::BedWorker self_;
+  Ledger& ledger_;
+  std::mutex lock_;
+  std::mt19937_64 random_;
+  std::deque<JobPointer> waiting_;
+  std::list<JobPointer> running_;
+  std::size_t plain_open_ = 0;
+  tilth::PrefixRecord cache_;
+  std::string boot_;
+  loam::Moment up_since_ = 0;
+  bool warm_ = true;
+  std::atomic<bool> draining_ = false;
+  std::atomic<bool> listed_ = true;
+  std::atomic<bool> crashed_ = false;
+  std::atomic<bool> dark_ = false;
+  std::atomic<std::uint64_t> life_ = 0;
+  loam::Bell bell_;
+};
+
+}  // namespace finchlink::seedbed
--- /dev/null
+++ b/source/stake/granter.cpp
@@ -0,0 +1,28 @@
+#include "stake/granter.hpp"
+
+#include <algorithm>
+
+#include "loam/constants.hpp"
+
+namespace finchlink::stake {
+
+Granter::Granter(loam::Moment now, bool silence)
+    : silent_until_(silence ? now + loam::constants::lease_silence : now) {}
+
+bool Granter::ask(schema::LeaseAsk const& ask, loam::Moment now) {
+  Grant& grant = grants_[ask.name];
+  if (ask.release) {
+    if (grant.tenant == ask.tenant) {
+      grant.until = now;
+    }
+    return true;
+  }
+  if (now < silent_until_ || (grant.tenant != ask.tenant && now < grant.until)) {
+    return false;
+  }
+  grant.tenant = ask.tenant;
+  grant.until = now + std::min(ask.span, loam::constants::lease_span);
+  return true;
+}
+
+}  // namespace finchlink::stake
--- /dev/null
+++ b/source/tests/orchard/setup_test.cpp
@@ -0,0 +1,92 @@
+#include <gtest/gtest.h>
+
+#include <fstream>
+#include <sstream>
+
+#include "loam/json/tree.hpp"
+#include "orchard/label/selector.hpp"
+#include "orchard/rule/rule.hpp"
+#include "orchard/setup/setup.hpp"
+
+namespace finchlink {
+namespace {
+
+std::string file(std::string const& path) {
+  std::ifstream stream(std::string(FINCHLINK_SOURCE_FOLDER) + "/" + path);
+  std::stringstream text;
+  text << stream.rdbuf();
+  return text.str();
+}
+
+bool has_fault(orchard::SetupReading const& reading, std::string const& path) {
+  for (loam::Fault const& fault : reading.faults) {
+    if (fault.path == path) {
+      return true;
+    }
+  }
+  return false;
+}
+
+TEST(Setup, BothDeploymentsAreGoodAndReadBackTheSame) {
+  for (std::string const name : {"pruebaviva", "corrib"}) {
+    orchard::SetupReading const reading = orchard::read_setup(file("deployments/" + name + "/setup.json"));
+    ASSERT_TRUE(reading.good()) << name << loam::describe(reading.faults);
+    loam::Tree const written(schema::write(reading.setup));
+    orchard::SetupReading const again = orchard::read_setup(loam::print_tree(written.get()));
+    ASSERT_TRUE(again.good()) << loam::describe(again.faults);
+    EXPECT_EQ(again.setup, reading.setup);
+  }
+}
+
+TEST(Setup, NamesEveryFaultWithItsPath) {
+  orchard::SetupReading const reading = orchard::read_setup(R"({"regions":{"a":{"halls":["x","y"]},"b":{"halls":["x"]}},"halls":{"z":{}},
+    "rules":{"r/1":{"match":{"path":"/p","path_prefix":"/q"},"kind":"odd","deadline_ms":3,"colour":1,"home":{"region":"c"},"selector":{"key":"k","op":"in","values":[]}}}})");
+  ASSERT_TRUE(reading.json);
+  for (std::string const path : {"/regions/b/halls/0", "/halls/z", "/rules/r~11/match", "/rules/r~11/kind", "/rules/r~11/deadline_ms",
+                                 "/rules/r~11/colour", "/rules/r~11/home/region", "/rules/r~11/selector/values"}) {
+    EXPECT_TRUE(has_fault(reading, path)) << path << " not in " << loam::describe(reading.faults);
+  }
+  EXPECT_FALSE(orchard::read_setup("{\"regions\":").json);
+  EXPECT_TRUE(has_fault(orchard::read_setup("{\"regions\":{},\"regions\":{},\"rules\":{}}"), "/regions"));
+}
+
+TEST(Setup, MergePatchFollowsItsStandard) {
+  EXPECT_EQ(*orchard::patched(R"({"a":"b","c":{"d":"e","f":"g"}})", R"({"a":"z","c":{"f":null}})"), R"({"a":"z","c":{"d":"e"}})");
+  EXPECT_EQ(*orchard::patched(R"({"a":[1,2]})", R"({"a":[3],"b":{"c":null}})"), R"({"a":[3],"b":{}})");
+  EXPECT_EQ(*orchard::patched("", R"({"x":1})"), R"({"x":1})");
+}
+
+TEST(Selector, JoinsItsTerms) {
+  orchard::Labels const labels{{"kind", "model"}, {"site", "cork"}};
+  std::function<bool(std::string const&)> const says = [&labels](std::string const& text) {
+    schema::Selector selector;
+    std::vector<loam::Fault> faults;
+    schema::read(loam::read_tree(text)->get(), "", selector, faults);
+    EXPECT_TRUE(faults.empty());
+    return orchard::selects(selector, labels);
+  };
+  EXPECT_TRUE(says("{}"));
+  EXPECT_TRUE(says(R"({"key":"kind","op":"equals","values":["model"]})"));
+  EXPECT_FALSE(says(R"({"key":"kind","op":"notin","values":["model","web"]})"));
+  EXPECT_TRUE(says(R"({"key":"absent","op":"notin","values":["x"]})"));
+  EXPECT_FALSE(says(R"({"all":[{"key":"site","op":"exists"},{"none":[{"key":"kind","op":"in","values":["model"]}]}]})"));
+  EXPECT_TRUE(says(R"({"any":[{"key":"absent","op":"exists"},{"key":"site","op":"in","values":["x","cork"]}]})"));
+}
+
+TEST(Rule, HomeComesFromPathAndHeadersAlone) {
+  schema::Setup const setup = orchard::read_setup(file("deployments/pruebaviva/setup.json")).setup;
+  orchard::HeaderLookup const bogota = [](std::string const& name) { return name == "Finchlink-Home" ? std::string("bogota") : std::string(); };
+  orchard::HeaderLookup const none = [](std::string const&) { return std::string(); };
+  EXPECT_EQ(orchard::find_rule(setup, "POST", "/v1/verdict", none), "verdict");
+  EXPECT_EQ(orchard::find_rule(setup, "GET", "/v1/verdict", none), std::nullopt);
+  EXPECT_EQ(orchard::find_rule(setup, "GET", "/v1/badge/x", none), "badge");
+  EXPECT_EQ(orchard::find_home(setup, setup.rules.at("verdict"), "/v1/verdict", bogota).region, "bogota");
+  EXPECT_FALSE(orchard::find_home(setup, setup.rules.at("verdict"), "/v1/verdict", none).bound);
+  schema::Rule by_path = setup.rules.at("verdict");
+  by_path.home = schema::Home{"", "", 2};
+  EXPECT_EQ(orchard::find_home(setup, by_path, "/v1/antioquia/x", none).region, "antioquia");
+  EXPECT_FALSE(orchard::find_home(setup, by_path, "/v1/elsewhere/x", none).known);
+}
+
+}  // namespace
+}  // namespace finchlink
--- /dev/null
+++ b/source/tests/rootstock/disk.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "rootstock/ring/ring.hpp"
+
+namespace finchlink::tests {
+
+/// A disk in memory. Writes last only once synced; a power loss keeps any
+/// part of the others.
+struct MemoryDisk {
+  explicit MemoryDisk(std::size_t files, std::size_t bytes) : lasting(files, std::string(bytes, '\0')), cache(lasting) {}
+  std::vector<std::string> lasting;
+  std::vector<std::string> cache;
+  bool full = false;
+
+  [[nodiscard]] rootstock::Device device() {
+    rootstock::Device device;
+    device.read = [this](std::size_t file) -> absl::StatusOr<std::string> { return cache[file]; };
+    device.write = [this](std::size_t file, std::size_t offset, std::string_view bytes) -> absl::Status {
+      if (full) {
+        return absl::ResourceExhaustedError("no space");
+      }
+      cache[file].replace(offset, bytes.size(), bytes);
+      return absl::OkStatus();
+    };
+    device.sync = [this](std::size_t file) -> absl::Status {
+      lasting[file] = cache[file];
+      return absl::OkStatus();
+    };
+    return device;
+  }
+  /// Of each unsynced file only the first `kept` bytes of the difference last.
+  void lose_power(std::size_t kept) {
+    for (std::size_t file = 0; file < cache.size(); ++file) {
+      std::size_t changed = 0;
+      for (std::size_t place = 0; place < cache[file].size(); ++place) {
+        if (cache[file][place] != lasting[file][place] && changed++ < kept) {
+          lasting[file][place] = cache[file][place];
+        }
+      }
+    }
+    cache = lasting;
+  }
+};
+
+}  // namespace finchlink::tests
--- /dev/null
+++ b/source/tests/rootstock/ring_test.cpp
@@ -0,0 +1,87 @@
+#include <gtest/gtest.h>
+
+#include "tests/rootstock/disk.hpp"
+
+namespace finchlink {
+namespace {
+
+using rootstock::Ring;
+using tests::MemoryDisk;
+
+std::vector<schema::Record> cell(std::string const& name, std::uint64_t revision, std::size_t size = 20) {
+  schema::Cell entry;
+  entry.value = schema::Value{revision, std::string(size, 'x'), {}};
+  return {schema::CellRecord{name, entry}};
+}
+std::uint64_t newest(std::vector<schema::Record> const& records) {
+  return records.empty() ? 0 : std::get<schema::CellRecord>(records.back()).cell.value.revision;
+}
+
+TEST(Ring, KeepsWhatWasSyncedOverManyLaps) {
+  MemoryDisk disk(3, 2000);
+  Ring ring(disk.device(), 3, 2000);
+  ASSERT_TRUE(ring.recover().ok());
+  for (std::uint64_t revision = 1; revision <= 200; ++revision) {
+    std::vector<schema::Record> const records = cell("setup", revision);
+    ASSERT_TRUE(ring.append(records, [&records] { return records; }).ok());
+    disk.lose_power(0);
+    Ring again(disk.device(), 3, 2000);
+    absl::StatusOr<std::vector<schema::Record>> const found = again.recover();
+    ASSERT_TRUE(found.ok()) << found.status();
+    ASSERT_EQ(newest(*found), revision);
+  }
+}
+
+TEST(Ring, TakesATornTailForTornAtEveryByte) {
+  for (std::size_t kept = 0; kept < 120; ++kept) {
+    MemoryDisk disk(3, 4000);
+    Ring ring(disk.device(), 3, 4000);
+    ASSERT_TRUE(ring.recover().ok());
+    for (std::uint64_t revision = 1; revision <= 3; ++revision) {
+      std::vector<schema::Record> const records = cell("setup", revision);
+      ASSERT_TRUE(ring.append(records, [&records] { return records; }).ok());
+    }
+    rootstock::Device unsynced = disk.device();
+    unsynced.sync = [](std::size_t) { return absl::OkStatus(); };
+    Ring torn(unsynced, 3, 4000);
+    ASSERT_TRUE(torn.recover().ok());
+    std::vector<schema::Record> const records = cell("setup", 4);
+    ASSERT_TRUE(torn.append(records, [&records] { return records; }).ok());
+    disk.lose_power(kept);
+    Ring again(disk.device(), 3, 4000);
+    absl::StatusOr<std::vector<schema::Record>> const found = again.recover();
+    ASSERT_TRUE(found.ok()) << kept << " " << found.status();
+    EXPECT_GE(newest(*found), 3u);
+  }
+}
+
+TEST(Ring, TellsABrokenRecordFromATornOne) {
+  MemoryDisk disk(3, 4000);
+  Ring ring(disk.device(), 3, 4000);
+  ASSERT_TRUE(ring.recover().ok());
+  for (std::uint64_t revision = 1; revision <= 5; ++revision) {
+    std::vector<schema::Record> const records = cell("setup", revision);
+    ASSERT_TRUE(ring.append(records, [&records] { return records; }).ok());
+  }
+  // The third record loses a bit; two good ones follow it.
+  std::size_t const place = disk.cache[1].find("xxxx", disk.cache[1].find("xxxx", disk.cache[1].find("xxxx") + 60) + 60);
+  ASSERT_NE(place, std::string::npos);
+  disk.cache[1][place] = 'y';
+  Ring again(disk.device(), 3, 4000);
+  EXPECT_TRUE(absl::IsDataLoss(again.recover().status()));
+}
+
+TEST(Ring, IsUsedNoMoreAfterTheDiskFailed) {
+  MemoryDisk disk(3, 4000);
+  Ring ring(disk.device(), 3, 4000);
+  ASSERT_TRUE(ring.recover().ok());
+  std::vector<schema::Record> const records = cell("setup", 1);
+  ASSERT_TRUE(ring.append(records, [&records] { return records; }).ok());
+  disk.full = true;
+  EXPECT_FALSE(ring.append(records, [&records] { return records; }).ok());
+  disk.full = false;
+  EXPECT_FALSE(ring.append(records, [&records] { return records; }).ok());
+}
+
+}  // namespace
+}  // namespace finchlink
--- /dev/null
+++ b/source/tilth/chart/chart.cpp
@@ -0,0 +1,145 @@
+#include "tilth/chart/chart.hpp"
+
+#include <vector>
+
+namespace finchlink::tilth {
+
+std::vector<QueryAction> Chart::advance(QueryMessage const& message, loam::Moment now) {
+  if (settled()) {
+    return {};
+  }
+  return std::visit([this, now](auto const& entry) { return on(entry, now); }, message);
+}
+
+std::vector<QueryAction> Chart::give_up(std::string const& reason, int status) {
+  if (last_event_ > 0) {
+    settle("broken");
+    return {EndBroken{reason}};
+  }
+  // Once a dispatch may have run, no refusal may be reported (section 9.3).
+  if (may_have_run_) {
+    settle("apology");
+    return {Apologise{status, reason, true}};
+  }
+  settle("refused");
+  return {Refuse{reason}};
+}
+
+std::vector<QueryAction> Chart::try_again(std::string const& reason, int status, loam::Moment now) {
+  if (dispatches_ < terms_.dispatches_most && retry_(now)) {
+    state_ = Waitlisted{};
+    return {Place{true}};
+  }
+  return give_up(reason, status);
+}
+
+std::vector<QueryAction> Chart::on(Placed const& message, loam::Moment) {
+  state_ = Connecting{message.worker};
+  ++dispatches_;
+  return {};
+}
+
+std::vector<QueryAction> Chart::on(NoRoom const&, loam::Moment) {
+  if (terms_.may_pass && !passed_ && dispatches_ == 0) {
+    passed_ = true;
+    return {PassOn{}};
+  }
+  return give_up("no_room", 502);
+}
+
+std::vector<QueryAction> Chart::on(Connected const&, loam::Moment) {
+  if (Connecting const* const connecting = std::get_if<Connecting>(&state_)) {
+    state_ = Exposed{connecting->worker};
+  }
+  return {};
+}
+
+std::vector<QueryAction> Chart::on(ConnectDefect const&, loam::Moment now) {
+  if (!std::holds_alternative<Connecting>(state_)) {
+    return {};
+  }
+  return try_again("unreachable", 502, now);
+}
+
+std::vector<QueryAction> Chart::on(WorkerRefused const&, loam::Moment now) {
+  if (!std::holds_alternative<Exposed>(state_)) {
+    return {};
+  }
+  return try_again("busy", 502, now);
+}
+
+std::vector<QueryAction> Chart::on(WorkerDefect const& message, loam::Moment now) {
+  if (std::holds_alternative<Connecting>(state_) || std::holds_alternative<Waitlisted>(state_)) {
+    return {};
+  }
+  bool const streaming = std::holds_alternative<Streaming>(state_) && terms_.stream;
+  may_have_run_ = true;
+  if (streaming ? (terms_.resumable && terms_.repeatable) : terms_.repeatable) {
+    return try_again(message.what, 502, now);
+  }
+  return give_up(message.what, 502);
+}
+
+std::vector<QueryAction> Chart::on(WorkerAnswered const& message, loam::Moment) {
+  may_have_run_ = true;
+  if (last_event_ > 0) {
+    settle("broken");
+    return {EndBroken{"worker_error"}};
+  }
+  settle("apology");
+  return {Apologise{message.status, "worker_error", true}};
+}
+
+std::vector<QueryAction> Chart::on(Event const& message, loam::Moment now) {
+  std::string worker;
+  if (Exposed const* const exposed = std::get_if<Exposed>(&state_)) {
+    worker = exposed->worker;
+  } else if (Streaming const* const streaming = std::get_if<Streaming>(&state_)) {
+    worker = streaming->worker;
+  } else {
+    return {};
+  }
+  state_ = Streaming{worker};
+  if (message.number != last_event_ + 1) {
+    return on(WorkerDefect{"numbering"}, now);
+  }
+  last_event_ = message.number;
+  if (message.last) {
+    settle("complete");
+  }
+  return {Forward{message.number, message.last}};
+}
+
+std::vector<QueryAction> Chart::on(LegDone const&, loam::Moment) {
+  if (!std::holds_alternative<Exposed>(state_)) {
+    return {};
+  }
+  // The first of two planned legs is done (section 8.6); its successor is no
+  // retry, but from here on nobody can say that nothing ran.
+  may_have_run_ = true;
+  --dispatches_;
+  state_ = Waitlisted{};
+  return {Place{}};
+}
+
+std::vector<QueryAction> Chart::on(Whole const&, loam::Moment) {
+  if (!std::holds_alternative<Exposed>(state_)) {
+    return {};
+  }
+  settle("complete");
+  return {Deliver{}};
+}
+
+std::vector<QueryAction> Chart::on(CallerGone const&, loam::Moment) {
+  settle("abandoned");
+  return {Abandon{}};
+}
+
+std::vector<QueryAction> Chart::on(DeadlinePassed const&, loam::Moment) {
+  if (std::holds_alternative<Exposed>(state_) || std::holds_alternative<Streaming>(state_)) {
+    may_have_run_ = true;
+  }
+  return give_up("deadline", 504);
+}
+
+}  // namespace finchlink::tilth
--- /dev/null
+++ b/source/tilth/chart/chart.hpp
@@ -0,0 +1,126 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+#include <variant>
+
+#include "loam/time/moment.hpp"
+
+namespace finchlink::tilth {
+
+/// The way of one query (section 9.1). Whether bytes may have reached a worker
+/// is part of the state: Connecting has sent none, Exposed may have.
+struct Waitlisted {};
+struct Connecting {
+  std::string worker;
+};
+struct Exposed {
+  std::string worker;
+};
+struct Streaming {
+  std::string worker;
+};
+struct Settled {
+  std::string how;
+};
+using QueryState = std::variant<Waitlisted, Connecting, Exposed, Streaming, Settled>;
+
+// What happens to a query.
+struct Placed {
+  std::string worker;
+};
+struct NoRoom {};               ///< no worker of this region can take it
+struct Connected {};            ///< bytes go out from here on
+struct ConnectDefect {};        ///< no byte has gone out
+struct WorkerRefused {};        ///< 429 or 503: certain that nothing ran
+struct WorkerDefect {           ///< reset, silence, wrong answer, cut
+  std::string what;
+};
+struct WorkerAnswered {         ///< a final answer that is not a success
+  int status = 502;
+};
+struct Event {                  ///< the next numbered event of a stream
+  std::uint64_t number = 0;
+  bool last = false;
+};
+struct Whole {};                ///< a whole answer, checked
+struct LegDone {};             ///< the prefill leg of a paired query
+struct CallerGone {};
+struct DeadlinePassed {};
+using QueryMessage = std::variant<Placed, NoRoom, Connected, ConnectDefect, WorkerRefused, WorkerDefect, WorkerAnswered, Event, Whole, LegDone, CallerGone, DeadlinePassed>;
+
+// What is to be done.
+struct Place {                  ///< find a worker (again)
+  bool again = false;
+};
+struct PassOn {};               ///< offer it to the other region
+struct Forward {                ///< hand this event to the caller
+  std::uint64_t number = 0;
+  bool last = false;
+};
+struct Deliver {};              ///< hand the whole answer to the caller
+struct Refuse {                 ///< final no: nothing ran, Retry-After
+  std::string reason;
+};
+struct Apologise {              ///< final 502 or 504
+  int status = 502;
+  std::string reason;
+  bool may_have_run = false;
+};
+struct EndBroken {              ///< the caller has part of a stream: an error event ends it
+  std::string reason;
+};
+struct Abandon {};              ///< end the dispatch; no one waits for it
+using QueryAction = std::variant<Place, PassOn, Forward, Deliver, Refuse, Apologise, EndBroken, Abandon>;
+
+struct QueryTerms {
+  bool repeatable = false;
+  bool resumable = false;
+  bool stream = false;
+  bool may_pass = false;
+  int dispatches_most = 4;
+};
+
+class Chart {
+ public:
+  /// `retry` spends from the budget; it is asked only when a retry is due.
+  Chart(QueryTerms terms, std::function<bool(loam::Moment)> retry) : terms_(terms), retry_(std::move(retry)) {}
+  [[nodiscard]] std::vector<QueryAction> begin() const { return {Place{}}; }
+  [[nodiscard]] std::vector<QueryAction> advance(QueryMessage const& message, loam::Moment now);
+
+  [[nodiscard]] QueryState const& state() const { return state_; }
+  [[nodiscard]] bool settled() const { return std::holds_alternative<Settled>(state_); }
+  [[nodiscard]] bool may_have_run() const { return may_have_run_; }
+  [[nodiscard]] std::uint64_t last_event() const { return last_event_; }
+  [[nodiscard]] int dispatches() const { return dispatches_; }
+
+ private:
+  [[nodiscard]] std::vector<QueryAction> on(Placed const& message, loam::Moment now);
+  [[nodiscard]] std::vector<QueryAction> on(NoRoom const& message, loam::Moment now);
+  [[nodiscard]] std::vector<QueryAction> on(Connected const& message, loam::Moment now);
+  [[nodiscard]] std::vector<QueryAction> on(ConnectDefect const& message, loam::Moment now);
+  [[nodiscard]] std::vector<QueryAction> on(WorkerRefused const& message, loam::Moment now);
+  [[nodiscard]] std::vector<QueryAction> on(WorkerDefect const& message, loam::Moment now);
+  [[nodiscard]] std::vector<QueryAction> on(WorkerAnswered const& message, loam::Moment now);
+  [[nodiscard]] std::vector<QueryAction> on(Event const& message, loam::Moment now);
+  [[nodiscard]] std::vector<QueryAction> on(Whole const& message, loam::Moment now);
+  [[nodiscard]] std::vector<QueryAction> on(LegDone const& message, loam::Moment now);
+  [[nodiscard]] std::vector<QueryAction> on(CallerGone const& message, loam::Moment now);
+  [[nodiscard]] std::vector<QueryAction> on(DeadlinePassed const& message, loam::Moment now);
+  [[nodiscard]] std::vector<QueryAction> try_again(std::string const& reason, int status, loam::Moment now);
+  [[nodiscard]] std::vector<QueryAction> give_up(std::string const& reason, int status);
+  void settle(std::string const& how) { state_ = Settled{how}; }
+
+  QueryTerms terms_;
+  std::function<bool(loam::Moment)> retry_;
+  QueryState state_ = Waitlisted{};
+  int dispatches_ = 0;
+  bool may_have_run_ = false;
+  bool passed_ = false;
+  std::uint64_t last_event_ = 0;
+};
+
+}  // namespace finchlink::tilth
--- /dev/null
+++ b/source/tilth/fit/fit.cpp
@@ -0,0 +1,103 @@
+#include "tilth/fit/fit.hpp"
+
+#include <cmath>
+#include <limits>
+
+namespace finchlink::tilth {
+
+namespace {
+/// Least squares over the columns that are not held at zero.
+Eigen::VectorXd solve_passive(Eigen::MatrixXd const& matrix, Eigen::VectorXd const& target, std::vector<bool> const& passive) {
+  std::vector<Eigen::Index> columns;
+  for (std::size_t column = 0; column < passive.size(); ++column) {
+    if (passive[column]) {
+      columns.push_back(static_cast<Eigen::Index>(column));
+    }
+  }
+  Eigen::MatrixXd part(matrix.rows(), static_cast<Eigen::Index>(columns.size()));
+  for (std::size_t place = 0; place < columns.size(); ++place) {
+    part.col(static_cast<Eigen::Index>(place)) = matrix.col(columns[place]);
+  }
+  Eigen::VectorXd const solved = part.colPivHouseholderQr().solve(target);
+  Eigen::VectorXd full = Eigen::VectorXd::Zero(matrix.cols());
+  for (std::size_t place = 0; place < columns.size(); ++place) {
+    full(columns[place]) = solved(static_cast<Eigen::Index>(place));
+  }
+  return full;
+}
+}  // namespace
+
+Eigen::VectorXd solve_nonnegative(Eigen::MatrixXd const& matrix, Eigen::VectorXd const& target) {
+  Eigen::Index const count = matrix.cols();
+  std::vector<bool> passive(static_cast<std::size_t>(count), false);
+  Eigen::VectorXd result = Eigen::VectorXd::Zero(count);
+  double const tolerance = 1e-10 * std::max(1.0, (matrix.transpose() * target).cwiseAbs().maxCoeff());
+  for (Eigen::Index round = 0; round < 3 * count + 3; ++round) {
+    Eigen::VectorXd const slope = matrix.transpose() * (target - matrix * result);
+    Eigen::Index chosen = -1;
+    for (Eigen::Index column = 0; column < count; ++column) {
+      if (!passive[static_cast<std::size_t>(column)] && slope(column) > tolerance && (chosen < 0 || slope(column) > slope(chosen))) {
+        chosen = column;
+      }
+    }
+    if (chosen < 0) {
+      break;
+    }
+    passive[static_cast<std::size_t>(chosen)] = true;
+    Eigen::VectorXd wanted = solve_passive(matrix, target, passive);
+    for (Eigen::Index inner = 0; inner < count; ++inner) {
+      double step = std::numeric_limits<double>::infinity();
+      for (Eigen::Index column = 0; column < count; ++column) {
+        if (passive[static_cast<std::size_t>(column)] && wanted(column) <= 0) {
+          step = std::min(step, result(column) / (result(column) - wanted(column)));
+        }
+      }
+      if (!std::isfinite(step)) {
+        break;
+      }
+      result += step * (wanted - result);
+      for (Eigen::Index column = 0; column < count; ++column) {
+        if (passive[static_cast<std::size_t>(column)] && result(column) <= 1e-14) {
+          passive[static_cast<std::size_t>(column)] = false;
+          result(column) = 0;
+        }
+      }
+      wanted = solve_passive(matrix, target, passive);
+    }
+    result = wanted.cwiseMax(0.0);
+  }
+  return result;
+}
+
+Fit fit_rows(std::vector<FitRow> const& rows, std::size_t least_rows) {
+  Fit fit;
+  if (rows.empty() || rows.size() < least_rows) {
+    return fit;
+  }
+  Eigen::Index const count = static_cast<Eigen::Index>(rows.front().terms.size());
+  Eigen::MatrixXd matrix(static_cast<Eigen::Index>(rows.size()), count);
+  Eigen::VectorXd target(static_cast<Eigen::Index>(rows.size()));
+  for (std::size_t row = 0; row < rows.size(); ++row) {
+    double const weight = 1.0 / std::max(rows[row].seconds, 1e-6);
+    for (Eigen::Index column = 0; column < count; ++column) {
+      matrix(static_cast<Eigen::Index>(row), column) = rows[row].terms[static_cast<std::size_t>(column)] * weight;
+    }
+    target(static_cast<Eigen::Index>(row)) = rows[row].seconds * weight;
+  }
+  Eigen::VectorXd scale(count);
+  for (Eigen::Index column = 0; column < count; ++column) {
+    double const size = matrix.col(column).norm();
+    scale(column) = size > 0 ? size : 1.0;
+    matrix.col(column) /= scale(column);
+  }
+  Eigen::VectorXd const solved = solve_nonnegative(matrix, target);
+  Eigen::VectorXd const missed = matrix * solved - target;
+  fit.good = true;
+  fit.error = missed.cwiseAbs().mean();
+  for (Eigen::Index column = 0; column < count; ++column) {
+    fit.coefficients.push_back(solved(column) / scale(column));
+  }
+  return fit;
+}
+
+}  // namespace finchlink::tilth
--- /dev/null
+++ b/source/tilth/fit/fit.hpp
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <Eigen/Dense>
+#include <vector>
+
+namespace finchlink::tilth {
+
+/// Non-negative least squares by the active-set method of Lawson and Hanson:
+/// the x >= 0 that makes |A x - b| least (section 8.3).
+[[nodiscard]] Eigen::VectorXd solve_nonnegative(Eigen::MatrixXd const& matrix, Eigen::VectorXd const& target);
+
+struct FitRow {
+  std::vector<double> terms;
+  double seconds = 0;
+};
+struct Fit {
+  bool good = false;
+  std::vector<double> coefficients;
+  double error = 0;  ///< mean relative error over the rows
+};
+/// Columns are scaled to like size first; rows are weighted by 1/seconds so
+/// that the relative error is what is made small.
+[[nodiscard]] Fit fit_rows(std::vector<FitRow> const& rows, std::size_t least_rows);
+
+}  // namespace finchlink::tilth
--- /dev/null
+++ b/source/tilth/placement/placement.cpp
@@ -0,0 +1,408 @@
+#include "tilth/placement/placement.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+#include "loam/constants.hpp"
+
+namespace finchlink::tilth {
+
+namespace constants = loam::constants;
+
+namespace {
+constexpr int misses_most = 3;           // looks at a worker's load, about a second
+constexpr double service_weight = 0.1;   // of the newest in the mean service time
+double in_seconds(loam::Span span) { return static_cast<double>(span) / 1e6; }
+}  // namespace
+
+Phase phase_of(std::string const& text) {
+  return text == "prefill" ? Phase::prefill : (text == "decode" ? Phase::decode : Phase::both);
+}
+
+std::size_t Placement::full_window() const {
+  double const part = static_cast<double>(bounds_.limit) * constants::share_excess / static_cast<double>(std::max<std::size_t>(furrows_, 1));
+  return std::max<std::size_t>(1, static_cast<std::size_t>(std::ceil(std::min(part, static_cast<double>(bounds_.limit)))));
+}
+
+bool Placement::open(Worker const& worker, loam::Moment now) const {
+  return worker.listed && worker.wish.usable && worker.heard && worker.misses < misses_most && now >= worker.rest_until &&
+         (worker.warm || worker.wish.tended);
+}
+
+std::size_t Placement::window(Worker const& worker, loam::Moment now) const {
+  if (worker.warm) {
+    return full_window();
+  }
+  if (!worker.wish.tended) {
+    return 0;
+  }
+  // Section 8.7: one furrow ramps a cold worker, by what it has shown and by
+  // the time that it has had; the smaller of the two counts.
+  double const doublings = static_cast<double>(worker.good / std::max<std::uint64_t>(1, bounds_.ramp_step));
+  double const shown = static_cast<double>(bounds_.ramp_first) * std::pow(2.0, std::min(doublings, 20.0));
+  double const share = bounds_.ramp_ms == 0 ? 1.0 : in_seconds(now - worker.warming_since) * 1000.0 / static_cast<double>(bounds_.ramp_ms);
+  double const timed = std::max(static_cast<double>(bounds_.ramp_first), static_cast<double>(bounds_.limit) * share);
+  return static_cast<std::size_t>(std::max(1.0, std::min({shown, timed, static_cast<double>(bounds_.limit)})));
+}
+
+void Placement::settle_warmth(Worker& worker, loam::Moment now) {
+  if (worker.warm || !worker.heard) {
+    return;
+  }
+  std::vector<std::string> const& boots = worker.wish.warm_boots;
+  bool const known = std::find(boots.begin(), boots.end(), worker.boot) != boots.end();
+  bool const ramped = worker.wish.tended && window(worker, now) >= bounds_.limit && now - worker.warming_since >= loam::milliseconds(static_cast<std::int64_t>(bounds_.ramp_ms));
+  worker.warm = known || ramped;
+}
+
+double Placement::cached_tokens(Worker const& worker, Ticket const& ticket) const {
+  if (!bounds_.prefix_placement) {
+    return 0;
+  }
+  double const cached = static_cast<double>(worker.record.match(ticket.chain)) * static_cast<double>(bounds_.block_tokens);
+  return std::max(0.0, std::min(cached, ticket.tokens - 1));
+}
+
+double Placement::predict(Worker const& worker, Ticket const& ticket, loam::Moment now) const {
+  double const cached = cached_tokens(worker, ticket);
+  double const own = worker.wish.model.prefill_seconds(std::max(0.0, ticket.tokens - cached), cached);
+  double ahead = 0;
+  for (std::pair<std::uint64_t const, Running> const& running : worker.running) {
+    if (!running.second.first) {
+      ahead += std::max(0.0, running.second.predicted - in_seconds(now - running.second.since));
+    }
+  }
+  for (Waiting const& waiting : worker.waiting) {
+    ahead += waiting.predicted;
+  }
+  // What other furrows have there is known only as a number.
+  double const others = std::max(0.0, worker.told_total - static_cast<double>(worker.running.size()));
+  ahead += others * own;
+  std::size_t const slots = std::max<std::size_t>(1, window(worker, now));
+  if (worker.running.size() >= slots) {
+    ahead += worker.service_seconds * static_cast<double>(worker.waiting.size() + 1) / static_cast<double>(slots);
+  }
+  if (ticket.phase == Phase::decode) {
+    double const batch = static_cast<double>(worker.running.size()) + others + 1;
+    ahead += ticket.outputs * worker.wish.model.iteration_seconds(aims_.experts_share, aims_.tokens_forward, batch);
+  }
+  return ahead + own;
+}
+
+bool Placement::fits(Worker const& worker, Ticket const& ticket) const {
+  bool const phase = ticket.phase == Phase::both || worker.wish.phase == Phase::both || worker.wish.phase == ticket.phase;
+  return phase && std::find(ticket.allowed.begin(), ticket.allowed.end(), worker.wish.id) != ticket.allowed.end();
+}
+
+std::string Placement::choose(Ticket const& ticket, loam::Moment now) const {
+  std::string best;
+  double best_cost = std::numeric_limits<double>::infinity();
+  std::uint64_t best_weight = 0;
+  // First those of the phase; when none of them is open, any: an answer from
+  // the other phase beats none.
+  for (bool const strict : {true, false}) {
+    for (std::pair<std::string const, Worker> const& entry : workers_) {
+      Worker const& worker = entry.second;
+      bool const allowed = strict ? fits(worker, ticket) : std::find(ticket.allowed.begin(), ticket.allowed.end(), entry.first) != ticket.allowed.end();
+      if (!allowed || !open(worker, now)) {
+        continue;
+      }
+      double const cost = predict(worker, ticket, now);
+      // Furrows don't know each other's records: among equals the first block
+      // decides, so that all send one prefix to one worker (section 8.4).
+      std::uint64_t const weight = ticket.chain.empty() ? 0 : mix(ticket.chain.front(), hash_text(entry.first));
+      bool const equal = std::abs(cost - best_cost) <= 0.1 * std::min(cost, best_cost);
+      if (best.empty() || (equal ? weight > best_weight : cost < best_cost)) {
+        best = entry.first;
+        best_cost = cost;
+        best_weight = weight;
+      }
+    }
+    if (!best.empty()) {
+      break;
+    }
+  }
+  return best;
+}
+
+void Placement::launch(Worker& worker, Ticket const& ticket, loam::Moment now, std::vector<PlacementAction>& actions) {
+  double const cached = cached_tokens(worker, ticket);
+  double const predicted = worker.wish.model.prefill_seconds(std::max(0.0, ticket.tokens - cached), cached);
+  worker.running[ticket.id] = Running{ticket, now, predicted, false};
+  worker.record.remember(ticket.chain);
+  where_[ticket.id] = worker.wish.id;
+  reused_tokens_ += cached;
+  placed_tokens_ += ticket.tokens;
+  actions.emplace_back(Go{ticket.id, worker.wish.id, worker.wish.address, cached, predicted});
+}
+
+void Placement::place(Ticket const& ticket, bool bounded, loam::Moment now, std::vector<PlacementAction>& actions) {
+  std::string const chosen = choose(ticket, now);
+  if (chosen.empty()) {
+    actions.emplace_back(Denied{ticket.id, "no_worker"});
+    return;
+  }
+  Worker& worker = workers_.at(chosen);
+  if (worker.running.size() < window(worker, now) && worker.waiting.empty()) {
+    launch(worker, ticket, now, actions);
+    return;
+  }
+  std::uint64_t& count = waiting_by_rule_[ticket.rule];
+  double const predicted = predict(worker, ticket, now);
+  if (bounded && (count >= ticket.waitlist_bound || now + static_cast<loam::Span>(predicted * 1e6) >= ticket.deadline)) {
+    actions.emplace_back(Denied{ticket.id, "busy"});
+    return;
+  }
+  ++count;
+  where_[ticket.id] = chosen;
+  worker.waiting.push_back(Waiting{ticket, worker.wish.model.prefill_seconds(ticket.tokens, 0)});
+}
+
+void Placement::fill(Worker& worker, loam::Moment now, std::vector<PlacementAction>& actions) {
+  while (open(worker, now) && worker.running.size() < window(worker, now)) {
+    if (!worker.waiting.empty()) {
+      Ticket const ticket = worker.waiting.front().ticket;
+      worker.waiting.pop_front();
+      --waiting_by_rule_[ticket.rule];
+      launch(worker, ticket, now, actions);
+      continue;
+    }
+    // Idle: take over from the longest waitlist what fits here.
+    Worker* longest = nullptr;
+    for (std::pair<std::string const, Worker>& entry : workers_) {
+      if (&entry.second != &worker && !entry.second.waiting.empty() && fits(worker, entry.second.waiting.front().ticket) &&
+          (longest == nullptr || entry.second.waiting.size() > longest->waiting.size())) {
+        longest = &entry.second;
+      }
+    }
+    if (longest == nullptr) {
+      return;
+    }
+    Ticket const ticket = longest->waiting.front().ticket;
+    longest->waiting.pop_front();
+    --waiting_by_rule_[ticket.rule];
+    ++moved_;
+    launch(worker, ticket, now, actions);
+  }
+}
+
+void Placement::move_out(Worker& worker, bool all, loam::Moment now, std::vector<PlacementAction>& actions) {
+  std::deque<Waiting> leaving;
+  std::deque<Waiting> staying;
+  for (Waiting const& waiting : worker.waiting) {
+    (all || !fits(worker, waiting.ticket) ? leaving : staying).push_back(waiting);
+  }
+  worker.waiting = staying;
+  for (Waiting const& waiting : leaving) {
+    --waiting_by_rule_[waiting.ticket.rule];
+    where_.erase(waiting.ticket.id);
+    ++moved_;
+    place(waiting.ticket, false, now, actions);
+  }
+}
+
+std::vector<PlacementAction> Placement::update(std::vector<WorkerWish> const& wishes, schema::WorkerBounds const& bounds,
+                                               schema::ScalerAims const& aims, std::size_t furrows, loam::Moment now) {
+  std::vector<PlacementAction> actions;
+  bounds_ = bounds;
+  aims_ = aims;
+  furrows_ = std::max<std::size_t>(1, furrows);
+  for (std::pair<std::string const, Worker>& entry : workers_) {
+    entry.second.listed = false;
+  }
+  for (WorkerWish const& wish : wishes) {
+    std::map<std::string, Worker>::iterator found = workers_.find(wish.id);
+    if (found == workers_.end() || found->second.wish.address != wish.address) {
+      if (found != workers_.end()) {  // the same name at another place is another worker
+        std::deque<Waiting> const waiting = found->second.waiting;
+        found->second.waiting.clear();
+        found->second.wish = wish;
+        found->second.heard = false;
+        found->second.warm = false;
+        found->second.record.clear();
+        for (Waiting const& entry : waiting) {
+          --waiting_by_rule_[entry.ticket.rule];
+          where_.erase(entry.ticket.id);
+          place(entry.ticket, false, now, actions);
+        }
+      } else {
+        found = workers_.try_emplace(wish.id).first;
+        found->second.record = PrefixRecord(bounds.prefix_blocks);
+      }
+    }
+    found->second.wish = wish;
+    found->second.listed = true;
+    settle_warmth(found->second, now);
+  }
+  // All wishes stand before anything moves, so that nothing moves to a worker
+  // that goes as well.
+  for (std::pair<std::string const, Worker>& entry : workers_) {
+    move_out(entry.second, !entry.second.listed || !entry.second.wish.usable, now, actions);
+  }
+  for (std::map<std::string, Worker>::iterator entry = workers_.begin(); entry != workers_.end();) {
+    bool const gone = !entry->second.listed && entry->second.running.empty() && entry->second.waiting.empty();
+    entry = gone ? workers_.erase(entry) : std::next(entry);
+  }
+  for (std::pair<std::string const, Worker>& entry : workers_) {
+    fill(entry.second, now, actions);
+  }
+  return actions;
+}
+
+std::vector<PlacementAction> Placement::load(std::string const& id, double running, double waiting, std::string const& boot, loam::Moment now) {
+  std::vector<PlacementAction> actions;
+  std::map<std::string, Worker>::iterator const found = workers_.find(id);
+  if (found == workers_.end()) {
+    return actions;
+  }
+  Worker& worker = found->second;
+  bool const back = !worker.heard || worker.misses >= misses_most || worker.boot != boot;
+  worker.heard = true;
+  worker.misses = 0;
+  worker.told_total = running + waiting;
+  if (back) {
+    worker.boot = boot;
+    worker.warm = false;
+    worker.warming_since = now;
+    worker.good = 0;
+    worker.rest_until = 0;
+    worker.rest = 0;
+    worker.record.clear();
+  }
+  settle_warmth(worker, now);
+  fill(worker, now, actions);
+  return actions;
+}
+
+std::vector<PlacementAction> Placement::load_missed(std::string const& id, loam::Moment now) {
+  std::vector<PlacementAction> actions;
+  std::map<std::string, Worker>::iterator const found = workers_.find(id);
+  if (found != workers_.end() && ++found->second.misses == misses_most) {
+    move_out(found->second, true, now, actions);
+  }
+  return actions;
+}
+
+std::vector<PlacementAction> Placement::enqueue(Ticket const& ticket, loam::Moment now) {
+  std::vector<PlacementAction> actions;
+  place(ticket, true, now, actions);
+  return actions;
+}
+
+void Placement::first_token(std::uint64_t id, loam::Moment now) {
+  (void)now;
+  std::map<std::uint64_t, std::string>::const_iterator const place = where_.find(id);
+  if (place != where_.end()) {
+    Worker& worker = workers_.at(place->second);
+    std::map<std::uint64_t, Running>::iterator const running = worker.running.find(id);
+    if (running != worker.running.end()) {
+      running->second.first = true;
+    }
+  }
+}
+
+std::vector<PlacementAction> Placement::finished(std::uint64_t id, Ending ending, loam::Moment now) {
+  std::vector<PlacementAction> actions;
+  std::map<std::uint64_t, std::string>::iterator const place = where_.find(id);
+  if (place == where_.end()) {
+    return actions;
+  }
+  Worker& worker = workers_.at(place->second);
+  where_.erase(place);
+  std::map<std::uint64_t, Running>::iterator const running = worker.running.find(id);
+  if (running == worker.running.end()) {
+    return actions;
+  }
+  double const took = in_seconds(now - running->second.since);
+  worker.running.erase(running);
+  if (ending == Ending::good) {
+    worker.service_seconds += service_weight * (took - worker.service_seconds);
+    ++worker.good;
+    worker.rest = 0;
+    settle_warmth(worker, now);
+  } else if (ending == Ending::refused || ending == Ending::defect) {
+    worker.rest = std::min(std::max(worker.rest * 2, constants::worker_rest_least), constants::worker_rest_most);
+    if (ending == Ending::refused) {
+      worker.rest = constants::worker_rest_least / 4;  // full, not broken
+    }
+    worker.rest_until = now + worker.rest;
+    move_out(worker, true, now, actions);
+  }
+  fill(worker, now, actions);
+  return actions;
+}
+
+std::vector<PlacementAction> Placement::cancel(std::uint64_t id, loam::Moment now) {
+  std::map<std::uint64_t, std::string>::iterator const place = where_.find(id);
+  if (place == where_.end()) {
+    return {};
+  }
+  Worker& worker = workers_.at(place->second);
+  for (std::deque<Waiting>::iterator entry = worker.waiting.begin(); entry != worker.waiting.end(); ++entry) {
+    if (entry->ticket.id == id) {
+      --waiting_by_rule_[entry->ticket.rule];
+      worker.waiting.erase(entry);
+      where_.erase(place);
+      return {};
+    }
+  }
+  return finished(id, Ending::abandoned, now);
+}
+
+std::vector<PlacementAction> Placement::tick(loam::Moment now) {
+  std::vector<PlacementAction> actions;
+  for (std::pair<std::string const, Worker>& entry : workers_) {
+    std::deque<Waiting>& waiting = entry.second.waiting;
+    for (std::deque<Waiting>::iterator place = waiting.begin(); place != waiting.end();) {
+      if (place->ticket.deadline <= now) {
+        actions.emplace_back(Denied{place->ticket.id, "deadline"});
+        --waiting_by_rule_[place->ticket.rule];
+        where_.erase(place->ticket.id);
+        place = waiting.erase(place);
+      } else {
+        ++place;
+      }
+    }
+    settle_warmth(entry.second, now);
+  }
+  for (std::pair<std::string const, Worker>& entry : workers_) {
+    fill(entry.second, now, actions);
+  }
+  return actions;
+}
+
+bool Placement::room(loam::Moment now) const {
+  for (std::pair<std::string const, Worker> const& entry : workers_) {
+    Worker const& worker = entry.second;
+    if (open(worker, now) && worker.waiting.empty() && worker.running.size() < window(worker, now)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+std::vector<std::string> Placement::warm() const {
+  std::vector<std::string> names;
+  for (std::pair<std::string const, Worker> const& entry : workers_) {
+    if (entry.second.warm && entry.second.misses < misses_most) {
+      names.push_back(entry.first + "@" + entry.second.boot);
+    }
+  }
+  return names;
+}
+
+std::size_t Placement::waiting() const {
+  std::size_t count = 0;
+  for (std::pair<std::string const, Worker> const& entry : workers_) {
+    count += entry.second.waiting.size();
+  }
+  return count;
+}
+
+double Placement::running_on(std::string const& id) const {
+  std::map<std::string, Worker>::const_iterator const found = workers_.find(id);
+  return found == workers_.end() ? 0 : std::max(found->second.told_total, static_cast<double>(found->second.running.size()));
+}
+
+}  // namespace finchlink::tilth
--- /dev/null
+++ b/source/tilth/placement/placement.hpp
@@ -0,0 +1,139 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "loam/time/moment.hpp"
+#include "schema/setup.hpp"
+#include "tilth/model/model.hpp"
+#include "tilth/prefix/prefix.hpp"
+
+namespace finchlink::tilth {
+
+enum class Phase { prefill, decode, both };
+[[nodiscard]] Phase phase_of(std::string const& text);
+
+/// A worker as it is wanted now (section 8.5): the loop compares this with what is.
+struct WorkerWish {
+  std::string id;
+  std::string address;
+  Phase phase = Phase::both;
+  WorkerModel model;
+  bool usable = true;    ///< listed, not draining, its hall not evacuated
+  bool tended = false;   ///< this furrow is the one that ramps it
+  std::vector<std::string> warm_boots;  ///< boots that some furrow knows to be warm
+};
+
+/// One leg of a query that wants a worker.
+struct Ticket {
+  std::uint64_t id = 0;
+  std::string rule;
+  std::vector<std::string> allowed;  ///< workers that the rule's selector names
+  std::vector<std::uint64_t> chain;
+  double tokens = 0;
+  double outputs = 0;
+  Phase phase = Phase::both;
+  loam::Moment deadline = 0;
+  std::uint64_t waitlist_bound = 64;
+};
+
+struct Go {
+  std::uint64_t ticket = 0;
+  std::string worker;
+  std::string address;
+  double cached = 0;
+  double predicted_seconds = 0;
+};
+struct Denied {
+  std::uint64_t ticket = 0;
+  std::string reason;
+};
+using PlacementAction = std::variant<Go, Denied>;
+
+enum class Ending { good, refused, defect, abandoned };
+
+/// Where each query lands within a region (section 8): plain state, one per
+/// shard, each under its own lock in the shell.
+class Placement {
+ public:
+  [[nodiscard]] std::vector<PlacementAction> update(std::vector<WorkerWish> const& wishes, schema::WorkerBounds const& bounds,
+                                                    schema::ScalerAims const& aims, std::size_t furrows, loam::Moment now);
+  [[nodiscard]] std::vector<PlacementAction> load(std::string const& worker, double running, double waiting, std::string const& boot, loam::Moment now);
+  /// The worker did not tell its load.
+  [[nodiscard]] std::vector<PlacementAction> load_missed(std::string const& worker, loam::Moment now);
+  [[nodiscard]] std::vector<PlacementAction> enqueue(Ticket const& ticket, loam::Moment now);
+  /// The first token came: its prefill is over.
+  void first_token(std::uint64_t ticket, loam::Moment now);
+  [[nodiscard]] std::vector<PlacementAction> finished(std::uint64_t ticket, Ending ending, loam::Moment now);
+  [[nodiscard]] std::vector<PlacementAction> cancel(std::uint64_t ticket, loam::Moment now);
+  [[nodiscard]] std::vector<PlacementAction> tick(loam::Moment now);
+
+  /// Can it take queries that other furrows pass on?
+  [[nodiscard]] bool room(loam::Moment now) const;
+  [[nodiscard]] std::vector<std::string> warm() const;
+  [[nodiscard]] std::size_t waiting() const;
+  [[nodiscard]] std::uint64_t moved() const { return moved_; }
+  [[nodiscard]] std::uint64_t reused_tokens() const { return static_cast<std::uint64_t>(reused_tokens_); }
+  [[nodiscard]] std::uint64_t placed_tokens() const { return static_cast<std::uint64_t>(placed_tokens_); }
+  /// Own running dispatches on a worker; the batch that the decode fit sees.
+  [[nodiscard]] double running_on(std::string const& worker) const;
+
+ private:
+  struct Running {
+    Ticket ticket;
+    loam::Moment since = 0;
+    double predicted = 0;
+    bool first = false;
+  };
+  struct Waiting {
+    Ticket ticket;
+    double predicted = 0;
+  };
+  struct Worker {
+    WorkerWish wish;
+    bool listed = true;
+    PrefixRecord record;
+    std::map<std::uint64_t, Running> running;
+    std::deque<Waiting> waiting;
+    bool heard = false;
+    int misses = 0;
+    double told_total = 0;
+    std::string boot;
+    bool warm = false;
+    loam::Moment warming_since = 0;
+    std::uint64_t good = 0;
+    loam::Moment rest_until = 0;
+    loam::Span rest = 0;
+    double service_seconds = 0.2;
+  };
+
+  [[nodiscard]] bool open(Worker const& worker, loam::Moment now) const;
+  [[nodiscard]] std::size_t window(Worker const& worker, loam::Moment now) const;
+  [[nodiscard]] double cached_tokens(Worker const& worker, Ticket const& ticket) const;
+  [[nodiscard]] double predict(Worker const& worker, Ticket const& ticket, loam::Moment now) const;
+  [[nodiscard]] bool fits(Worker const& worker, Ticket const& ticket) const;
+  [[nodiscard]] std::string choose(Ticket const& ticket, loam::Moment now) const;
+  void place(Ticket const& ticket, bool bounded, loam::Moment now, std::vector<PlacementAction>& actions);
+  void launch(Worker& worker, Ticket const& ticket, loam::Moment now, std::vector<PlacementAction>& actions);
+  void fill(Worker& worker, loam::Moment now, std::vector<PlacementAction>& actions);
+  void move_out(Worker& worker, bool all, loam::Moment now, std::vector<PlacementAction>& actions);
+  void settle_warmth(Worker& worker, loam::Moment now);
+  [[nodiscard]] std::size_t full_window() const;
+
+  schema::WorkerBounds bounds_;
+  schema::ScalerAims aims_;
+  std::size_t furrows_ = 1;
+  std::map<std::string, Worker> workers_;
+  std::map<std::uint64_t, std::string> where_;
+  std::map<std::string, std::uint64_t> waiting_by_rule_;
+  std::uint64_t moved_ = 0;
+  double reused_tokens_ = 0;
+  double placed_tokens_ = 0;
+};
+
+}  // namespace finchlink::tilth
--- /dev/null
+++ b/source/tilth/prefix/prefix.cpp
@@ -0,0 +1,63 @@
+#include "tilth/prefix/prefix.hpp"
+
+#include <cstring>
+
+namespace finchlink::tilth {
+
+std::uint64_t mix(std::uint64_t left, std::uint64_t right) {
+  std::uint64_t value = left ^ (right + 0x9e3779b97f4a7c15u + (left << 6u) + (left >> 2u));
+  value ^= value >> 30u;
+  value *= 0xbf58476d1ce4e5b9u;
+  value ^= value >> 27u;
+  value *= 0x94d049bb133111ebu;
+  return value ^ (value >> 31u);
+}
+
+std::uint64_t hash_text(std::string_view text) {
+  std::uint64_t value = text.size();
+  while (text.size() >= 8) {
+    std::uint64_t word = 0;
+    std::memcpy(&word, text.data(), 8);
+    value = mix(value, word);
+    text.remove_prefix(8);
+  }
+  std::uint64_t last = 0;
+  std::memcpy(&last, text.data(), text.size());
+  return mix(value, last);
+}
+
+std::vector<std::uint64_t> block_chain(std::string_view body, std::size_t block_bytes) {
+  std::vector<std::uint64_t> chain;
+  std::uint64_t value = 0;
+  while (block_bytes > 0 && body.size() >= block_bytes) {
+    value = mix(value, hash_text(body.substr(0, block_bytes)));
+    chain.push_back(value);
+    body.remove_prefix(block_bytes);
+  }
+  return chain;
+}
+
+std::size_t PrefixRecord::match(std::vector<std::uint64_t> const& chain) const {
+  std::size_t count = 0;
+  while (count < chain.size() && (young_.count(chain[count]) > 0 || old_.count(chain[count]) > 0)) {
+    ++count;
+  }
+  return count;
+}
+
+void PrefixRecord::remember(std::vector<std::uint64_t> const& chain) {
+  for (std::uint64_t const block : chain) {
+    young_[block] = true;
+    if (young_.size() >= most_ / 2) {
+      old_ = std::move(young_);
+      young_.clear();
+    }
+  }
+}
+
+void PrefixRecord::clear() {
+  young_.clear();
+  old_.clear();
+}
+
+}  // namespace finchlink::tilth
--- /dev/null
+++ b/source/trellis/command/command.cpp
@@ -0,0 +1,133 @@
+#include "trellis/command/command.hpp"
+
+#include <boost/program_options.hpp>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+#include "loam/constants.hpp"
+#include "loam/http/http.hpp"
+#include "loam/settings/settings.hpp"
+
+namespace finchlink::trellis {
+
+namespace options = boost::program_options;
+namespace http = loam::http;
+
+namespace {
+std::string const words_help =
+    "trellis COMMAND --at IP:PORT[,IP:PORT …]\n"
+    "  setup get                     the setup in force and its revision\n"
+    "  setup put FILE                replace the setup   [--expect REVISION] [--id ID]\n"
+    "  setup patch FILE              merge patch         [--expect REVISION] [--id ID]\n"
+    "  change ID                     what became of a change\n"
+    "  hall drain|restore NAME       empty a hall or take it back\n"
+    "  members | trellises | workers | split | duties | holders | ready\n"
+    "FILE - reads standard input. Exit codes: 0 done, 2 usage, 4 refused, 5 not reached or unknown.\n";
+
+struct Plan {
+  http::verb verb = http::verb::get;
+  std::string target;
+  std::string file;
+};
+
+bool plan_of(std::vector<std::string> const& words, Plan& plan) {
+  std::string const first = words.empty() ? "" : words[0];
+  if (first == "setup" && words.size() == 2 && words[1] == "get") {
+    plan.target = "/setup";
+    return true;
+  }
+  if (first == "setup" && words.size() == 3 && (words[1] == "put" || words[1] == "patch")) {
+    plan = Plan{words[1] == "put" ? http::verb::put : http::verb::patch, "/setup", words[2]};
+    return true;
+  }
+  if (first == "change" && words.size() == 2) {
+    plan.target = "/changes/" + words[1];
+    return true;
+  }
+  if (first == "hall" && words.size() == 3 && (words[1] == "drain" || words[1] == "restore")) {
+    plan = Plan{http::verb::post, "/halls/" + words[2] + "/" + words[1], ""};
+    return true;
+  }
+  if (words.size() == 1 && (first == "members" || first == "trellises" || first == "workers" || first == "split" || first == "duties" ||
+                            first == "holders" || first == "ready")) {
+    plan.target = "/" + first;
+    return true;
+  }
+  return false;
+}
+}  // namespace
+
+bool is_command(int count, char const* const* values) { return count > 1 && values[1][0] != '-'; }
+
+int run_command(int count, char const* const* values) {
+  options::options_description visible("flags");
+  visible.add_options()("help", "this text")("at", options::value<std::string>(), "HTTP addresses of trellises, tried in turn")(
+      "expect", options::value<std::string>(), "revision that the change is meant for")("id", options::value<std::string>(), "id of the change");
+  options::options_description all;
+  all.add(visible).add_options()("words", options::value<std::vector<std::string>>());
+  options::positional_options_description positional;
+  positional.add("words", -1);
+  options::variables_map found;
+  try {
+    options::store(options::command_line_parser(count, values).options(all).positional(positional).run(), found);
+  } catch (options::error const& error) {
+    std::cerr << "trellis: " << error.what() << "\n";
+    return loam::exit_usage;
+  }
+  Plan plan;
+  if (found.count("help") > 0 || !plan_of(found["words"].as<std::vector<std::string>>(), plan) || found.count("at") == 0) {
+    std::cerr << words_help;
+    return found.count("help") > 0 ? 0 : loam::exit_usage;
+  }
+  loam::Ask ask{plan.verb, plan.target, 11};
+  if (!plan.file.empty()) {
+    std::stringstream content;
+    if (plan.file == "-") {
+      content << std::cin.rdbuf();
+    } else {
+      std::ifstream file(plan.file);
+      if (!file) {
+        std::cerr << "trellis: " << plan.file << " can't be read\n";
+        return loam::exit_usage;
+      }
+      content << file.rdbuf();
+    }
+    ask.body() = content.str();
+    ask.set(http::field::content_type, "application/json");
+  }
+  if (found.count("expect") > 0) {
+    ask.set(http::field::if_match, "\"" + found["expect"].as<std::string>() + "\"");
+  }
+  // With an id of our own the same change can safely be sent to the next
+  // trellis when the first one does not answer.
+  if (found.count("id") > 0) {
+    ask.set("Change-Id", found["id"].as<std::string>());
+  } else if (plan.verb == http::verb::put || plan.verb == http::verb::patch) {
+    ask.set("Change-Id", "command-" + std::to_string(loam::boot_now()) + "-" + std::to_string(getpid()));
+  }
+  int code = loam::exit_unreachable;
+  boost::asio::io_context context;
+  loam::start(context, [&](loam::Yield yield) {
+    std::stringstream addresses(found["at"].as<std::string>());
+    std::string address;
+    while (std::getline(addresses, address, ',')) {
+      absl::StatusOr<loam::Answer> const answer = loam::ask_once(context, address, ask, loam::constants::change_deadline * 3, loam::constants::list_limit, yield);
+      if (!answer.ok()) {
+        std::cerr << "trellis: " << answer.status().message() << "\n";
+        continue;
+      }
+      std::cout << answer->body() << "\n";
+      if (!(*answer)[http::field::etag].empty()) {
+        std::cerr << "revision " << (*answer)[http::field::etag] << "\n";
+      }
+      int const status = static_cast<int>(answer->result_int());
+      code = status < 300 ? 0 : (status >= 500 ? loam::exit_unreachable : loam::exit_refused);
+      return;
+    }
+  });
+  context.run();
+  return code;
+}
+
+}  // namespace finchlink::trellis
--- /dev/null
+++ b/source/trellis/command/command.hpp
@@ -0,0 +1,10 @@
+#pragma once
+
+namespace finchlink::trellis {
+
+/// The operators' side: `trellis setup get|put|patch …`, `trellis hall …` and
+/// the reading commands (docs/operating/setup.md).
+[[nodiscard]] bool is_command(int count, char const* const* values);
+[[nodiscard]] int run_command(int count, char const* const* values);
+
+}  // namespace finchlink::trellis
--- /dev/null
+++ b/source/trellis/duty/duties.cpp
@@ -0,0 +1,211 @@
+#include "trellis/duty/duties.hpp"
+
+#include <algorithm>
+
+#include "loam/constants.hpp"
+#include "loam/json/tree.hpp"
+#include "loam/log/log.hpp"
+
+namespace finchlink::trellis {
+
+namespace constants = loam::constants;
+
+Duties::Duties(boost::asio::io_context& context, loam::Caller& caller, Ledger& ledger, News& news, HolderShell* holder, std::uint64_t identity,
+               std::string hall)
+    : context_(context), caller_(caller), ledger_(ledger), news_(news), holder_(holder), identity_(identity), hall_(std::move(hall)) {}
+
+void Duties::begin() {
+  loam::start(context_, [this](loam::Yield yield) {
+    while (true) {
+      spread_set(yield);
+      loam::pause(context_, constants::founding_pause, yield);
+    }
+  });
+  run("repair", [] { return true; }, [this](std::function<bool()> const& held, loam::Yield yield) { repair(held, yield); });
+}
+
+void Duties::run(std::string const& name, std::function<bool()> const& wanted,
+                 std::function<void(std::function<bool()> const&, loam::Yield)> const& step) {
+  std::shared_ptr<stake::Tenant> const tenant = std::make_shared<stake::Tenant>("duty/" + name, identity_);
+  std::shared_ptr<std::mutex> const tenant_lock = std::make_shared<std::mutex>();
+  loam::start(context_, [this, name, tenant, tenant_lock, wanted](loam::Yield yield) {
+    while (true) {
+      std::vector<std::pair<std::string, schema::Message>> calls;
+      if (wanted()) {
+        schema::HolderSet const set = ledger_.set();
+        std::lock_guard<std::mutex> const guard(*tenant_lock);
+        for (stake::TenantAction const& action : tenant->tick(set, loam::boot_now())) {
+          if (stake::SendAsk const* const send = std::get_if<stake::SendAsk>(&action)) {
+            calls.emplace_back(send->to.address, send->ask);
+          } else if (std::holds_alternative<stake::Lost>(action)) {
+            loam::note(loam::Event::LeaseLost, name);
+          }
+        }
+      }
+      if (!calls.empty()) {
+        loam::Gather::run(
+            context_, caller_, calls, constants::holder_deadline,
+            [tenant, tenant_lock, name](std::size_t, absl::StatusOr<schema::Message> const& answer) {
+              schema::LeaseAnswer const* const given = answer.ok() ? std::get_if<schema::LeaseAnswer>(&*answer) : nullptr;
+              if (given != nullptr) {
+                std::lock_guard<std::mutex> const guard(*tenant_lock);
+                for (stake::TenantAction const& action : tenant->receive(*given, loam::boot_now())) {
+                  if (std::holds_alternative<stake::Gained>(action)) {
+                    loam::note(loam::Event::LeaseTaken, name);
+                  }
+                }
+              }
+              return false;
+            },
+            yield);
+      }
+      loam::pause(context_, constants::tell_pause, yield);
+    }
+  });
+  loam::start(context_, [this, name, tenant, tenant_lock, step](loam::Yield yield) {
+    std::function<bool()> const held = [tenant, tenant_lock] {
+      std::lock_guard<std::mutex> const guard(*tenant_lock);
+      return tenant->holds(loam::boot_now());
+    };
+    while (true) {
+      bool const now_held = held();
+      {
+        std::lock_guard<std::mutex> const guard(lock_);
+        held_[name] = now_held;
+      }
+      if (now_held) {
+        step(held, yield);
+      }
+      loam::pause(context_, constants::repair_pause, yield);
+    }
+  });
+}
+
+/// Tells holders that lag, our own first, of a newer holder set.
+void Duties::spread_set(loam::Yield yield) {
+  schema::HolderSet const set = ledger_.set();
+  if (holder_ != nullptr && set.epoch > 0 && holder_->set().epoch < set.epoch && holder_->set().epoch > 0) {
+    (void)holder_->receive(schema::Adopt{set}, yield);
+  } else if (holder_ != nullptr && set.epoch > 1 && holder_->set().epoch == 0) {
+    (void)holder_->receive(schema::Adopt{set}, yield);
+  }
+  // A holders register that was chosen but told to no one yet (section 5.5).
+  schema::Value const value = ledger_.value(rootstock::holders_register);
+  absl::StatusOr<loam::Tree> const tree = loam::read_tree(value.content);
+  if (value.revision == 0 || !tree.ok()) {
+    return;
+  }
+  schema::HolderSet next;
+  std::vector<loam::Fault> faults;
+  schema::read(tree->get(), "", next, faults);
+  if (!faults.empty() || next.epoch <= set.epoch) {
+    return;
+  }
+  std::vector<std::pair<std::string, schema::Message>> calls;
+  for (schema::HolderEntry const& entry : next.previous) {
+    calls.emplace_back(entry.address, schema::Adopt{next});
+  }
+  for (schema::HolderEntry const& entry : next.holders) {
+    calls.emplace_back(entry.address, schema::Adopt{next});
+  }
+  std::size_t adopted = 0;
+  loam::Gather::run(
+      context_, caller_, calls, constants::holder_deadline,
+      [&adopted, &next](std::size_t, absl::StatusOr<schema::Message> const& answer) {
+        schema::Adopted const* const given = answer.ok() ? std::get_if<schema::Adopted>(&*answer) : nullptr;
+        adopted += given != nullptr && given->epoch >= next.epoch ? 1 : 0;
+        return false;
+      },
+      yield);
+  if (adopted > 0) {
+    ledger_.learn(next);
+  }
+}
+
+void Duties::repair(std::function<bool()> const& held, loam::Yield yield) {
+  schema::HolderSet const set = ledger_.set();
+  schema::Value const current = ledger_.value(rootstock::holders_register);
+  // Counted in looks, not in time: after a freeze of this machine all would
+  // seem silent by the clock.
+  std::vector<std::pair<std::string, schema::Message>> calls;
+  for (schema::HolderEntry const& entry : set.holders) {
+    calls.emplace_back(entry.address, schema::Adopt{set});
+    ++misses_[entry.incarnation];
+  }
+  loam::Gather::run(
+      context_, caller_, calls, constants::holder_deadline,
+      [this](std::size_t, absl::StatusOr<schema::Message> const& answer) {
+        schema::Adopted const* const given = answer.ok() ? std::get_if<schema::Adopted>(&*answer) : nullptr;
+        if (given != nullptr && given->voting) {
+          misses_[given->incarnation] = 0;
+        }
+        return false;
+      },
+      yield);
+  std::vector<schema::TrellisEntry> const trellises = news_.trellises();
+  // Only from a full majority that votes: a change that needs a holder still
+  // without its image would leave too few.
+  std::size_t voting = 0;
+  schema::HolderEntry const* lost = nullptr;
+  for (schema::HolderEntry const& entry : set.holders) {
+    voting += misses_[entry.incarnation] == 0 ? 1 : 0;
+    bool replaced_in_place = false;
+    for (schema::TrellisEntry const& trellis : trellises) {
+      replaced_in_place = replaced_in_place || (trellis.address == entry.address && trellis.holder != 0 && trellis.holder != entry.incarnation);
+    }
+    if (misses_[entry.incarnation] >= constants::repair_misses || (replaced_in_place && misses_[entry.incarnation] > 0)) {
+      lost = &entry;
+    }
+  }
+  if (lost == nullptr || voting < rootstock::majority(set.holders.size())) {
+    return;
+  }
+  schema::TrellisEntry const* candidate = nullptr;
+  for (schema::TrellisEntry const& trellis : trellises) {
+    bool const free = trellis.disk && trellis.holder != 0 && !trellis.voting && !rootstock::names(set.holders, trellis.holder);
+    // The one that came back at the lost one's place goes first.
+    if (free && (candidate == nullptr || trellis.address == lost->address)) {
+      candidate = &trellis;
+    }
+  }
+  if (candidate == nullptr) {
+    return;
+  }
+  schema::HolderSet next{set.epoch + 1, {}, set.holders};
+  for (schema::HolderEntry const& entry : set.holders) {
+    next.holders.push_back(entry.incarnation == lost->incarnation ? schema::HolderEntry{candidate->holder, candidate->address} : entry);
+  }
+  if (!held()) {
+    return;
+  }
+  loam::note(loam::Event::RepairProposed, lost->address + " by " + candidate->address + " epoch " + std::to_string(next.epoch));
+  std::uint64_t const expected = current.revision;
+  loam::Tree const tree(schema::write(next));
+  std::string const content = loam::print_tree(tree.get());
+  Ledger::Result const result = ledger_.change(
+      rootstock::holders_register,
+      [expected, content](schema::Value const& found) -> rootstock::Wish {
+        if (found.revision != expected) {
+          return rootstock::Reject{"the holder set was changed meanwhile"};
+        }
+        return schema::Value{found.revision + 1, content, {}};
+      },
+      constants::change_deadline, yield);
+  if (!std::holds_alternative<rootstock::Chosen>(result)) {
+    loam::note(loam::Event::RepairDefect, "not chosen");
+  }
+  spread_set(yield);
+}
+
+std::string Duties::describe() {
+  std::lock_guard<std::mutex> const guard(lock_);
+  loam::Tree object(cJSON_CreateObject());
+  for (std::pair<std::string const, bool> const& duty : held_) {
+    cJSON* const entry = cJSON_AddObjectToObject(object.get(), duty.first.c_str());
+    cJSON_AddBoolToObject(entry, "held_here", duty.second ? 1 : 0);
+    cJSON_AddStringToObject(entry, "reason", reasons_[duty.first].c_str());
+  }
+  return loam::print_tree(object.get(), true);
+}
+
+}  // namespace finchlink::trellis
--- /dev/null
+++ b/source/trellis/duty/duties.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <map>
+#include <mutex>
+#include <string>
+
+#include "stake/tenant.hpp"
+#include "trellis/holder/holder_shell.hpp"
+#include "trellis/ledger/ledger.hpp"
+#include "trellis/news/news.hpp"
+
+namespace finchlink::trellis {
+
+/// Duties that one trellis does at a time, each under a lease (section 7.2):
+/// repair of the holder set, and the scaler of each region.
+class Duties {
+ public:
+  Duties(boost::asio::io_context& context, loam::Caller& caller, Ledger& ledger, News& news, HolderShell* holder, std::uint64_t identity,
+         std::string hall);
+  void begin();
+  [[nodiscard]] std::string describe();
+
+ private:
+  /// Runs the lease of one duty; `step` is called again and again while held.
+  void run(std::string const& name, std::function<bool()> const& wanted, std::function<void(std::function<bool()> const&, loam::Yield)> const& step);
+  void repair(std::function<bool()> const& held, loam::Yield yield);
+  void spread_set(loam::Yield yield);
+
+  boost::asio::io_context& context_;
+  loam::Caller& caller_;
+  Ledger& ledger_;
+  News& news_;
+  HolderShell* holder_;
+  std::uint64_t identity_;
+  std::string hall_;
+  std::mutex lock_;
+  std::map<std::string, bool> held_;
+  std::map<std::string, std::string> reasons_;
+  std::map<std::uint64_t, int> misses_;  ///< looks in a row without an answer, per holder
+};
+
+}  // namespace finchlink::trellis
--- /dev/null
+++ b/source/trellis/holder/holder_shell.cpp
@@ -0,0 +1,239 @@
+#include "trellis/holder/holder_shell.hpp"
+
+#include <cstdio>
+
+#include "loam/constants.hpp"
+#include "loam/log/log.hpp"
+#include "loam/random/random.hpp"
+#include "rootstock/ring/file_device.hpp"
+
+namespace finchlink::trellis {
+
+namespace constants = loam::constants;
+
+HolderShell::HolderShell(boost::asio::io_context& context, loam::Caller& caller, std::string folder, std::string address,
+                         std::vector<std::string> founders)
+    : context_(context), caller_(caller), folder_(std::move(folder)), address_(std::move(address)), founders_(std::move(founders)) {}
+
+HolderShell::~HolderShell() {
+  {
+    std::lock_guard<std::mutex> const guard(lock_);
+    stopping_ = true;
+  }
+  wake_.notify_all();
+  if (worker_.joinable()) {
+    worker_.join();
+  }
+}
+
+bool HolderShell::open_disk() {
+  absl::StatusOr<rootstock::Device> device = rootstock::open_files(folder_, constants::ring_files, constants::ring_file_bytes);
+  if (!device.ok()) {
+    loam::note(loam::Event::HolderSilent, std::string(device.status().message()));
+    return false;
+  }
+  rootstock::Ring ring(*device, constants::ring_files, constants::ring_file_bytes);
+  absl::StatusOr<std::vector<schema::Record>> records = ring.recover();
+  if (!records.ok() && absl::IsDataLoss(records.status())) {
+    // What is left can't be told from what was acknowledged: the disk counts
+    // as lost and this holder as a new one (section 5.5).
+    loam::note(loam::Event::DiskCorrupt, std::string(records.status().message()));
+    std::string const blank(constants::ring_file_bytes, '\0');
+    for (std::size_t index = 0; index < constants::ring_files; ++index) {
+      if (!device->write(index, 0, blank).ok() || !device->sync(index).ok()) {
+        return false;
+      }
+    }
+    ring = rootstock::Ring(*device, constants::ring_files, constants::ring_file_bytes);
+    records = std::vector<schema::Record>();
+  }
+  if (!records.ok()) {
+    loam::note(loam::Event::HolderSilent, std::string(records.status().message()));
+    return false;
+  }
+  loam::Moment const now = loam::boot_now();
+  std::lock_guard<std::mutex> const guard(lock_);
+  ring_ = std::move(ring);
+  if (records->empty()) {
+    holder_.emplace(loam::random_identity(), address_, founders_, now);
+    loam::note(loam::Event::HolderBlank, "incarnation " + std::to_string(holder_->incarnation()));
+    std::vector<schema::Record> const image = holder_->image();
+    if (!ring_->append(image, [&image] { return image; }).ok()) {
+      holder_.reset();
+      loam::note(loam::Event::HolderSilent, "the first record can't be written");
+      return false;
+    }
+  } else {
+    holder_.emplace(*records, address_, founders_, now);
+    loam::note(loam::Event::HolderRecovered, "incarnation " + std::to_string(holder_->incarnation()) + " epoch " +
+                                                 std::to_string(holder_->set().epoch) + (holder_->voting() ? " voting" : " without a vote"));
+  }
+  silent_ = false;
+  return true;
+}
+
+void HolderShell::begin() {
+  worker_ = std::thread([this] {
+    if (open_disk()) {
+      work();
+    }
+  });
+  loam::start(context_, [this](loam::Yield yield) { stand_up(yield); });
+}
+
+void HolderShell::work() {
+  while (true) {
+    std::deque<Job> jobs;
+    {
+      std::unique_lock<std::mutex> guard(lock_);
+      wake_.wait(guard, [this] { return stopping_ || !jobs_.empty(); });
+      if (stopping_) {
+        return;
+      }
+      jobs.swap(jobs_);
+    }
+    std::vector<schema::Record> records;
+    for (Job const& job : jobs) {
+      records.insert(records.end(), job.records.begin(), job.records.end());
+    }
+    absl::Status status = absl::OkStatus();
+    if (!records.empty()) {
+      status = ring_->append(records, [this] {
+        std::lock_guard<std::mutex> const guard(lock_);
+        return holder_->image();
+      });
+    }
+    std::lock_guard<std::mutex> const guard(lock_);
+    open_jobs_ -= jobs.size();
+    if (!status.ok() && !silent_) {
+      silent_ = true;
+      loam::note(loam::Event::HolderSilent, std::string(status.message()));
+    }
+    for (Job const& job : jobs) {
+      boost::asio::post(job.ticket->timer.get_executor(), [ticket = job.ticket, good = status.ok()] {
+        ticket->done = true;
+        ticket->good = good;
+        ticket->timer.cancel();
+      });
+    }
+  }
+}
+
+std::optional<rootstock::Outcome> HolderShell::apply(std::function<rootstock::Outcome(rootstock::Holder&)> const& step, loam::Yield yield) {
+  std::shared_ptr<Ticket> const ticket = std::make_shared<Ticket>(yield.get_executor());
+  ticket->timer.expires_after(loam::duration(constants::holder_deadline));
+  rootstock::Outcome outcome;
+  {
+    // The step and its place among the jobs are one: records must reach the
+    // disk in the order in which the core made them.
+    std::lock_guard<std::mutex> const guard(lock_);
+    if (silent_ || !holder_.has_value() || open_jobs_ >= constants::disk_waitlist) {
+      return std::nullopt;
+    }
+    std::uint64_t const epoch = holder_->set().epoch;
+    outcome = step(*holder_);
+    if (holder_->set().epoch != epoch) {
+      loam::note(loam::Event::HolderAdopted, "epoch " + std::to_string(holder_->set().epoch) + (holder_->voting() ? " voting" : " without a vote"));
+    }
+    // Even a reply without records waits for what is being synced: it may tell
+    // of state that is not lasting yet.
+    if (outcome.records.empty() && open_jobs_ == 0) {
+      return outcome;
+    }
+    jobs_.push_back(Job{outcome.records, ticket});
+    ++open_jobs_;
+  }
+  wake_.notify_one();
+  boost::system::error_code error;
+  if (!ticket->done) {
+    ticket->timer.async_wait(yield[error]);
+  }
+  if (!ticket->done || !ticket->good) {
+    return std::nullopt;
+  }
+  return outcome;
+}
+
+std::optional<schema::Message> HolderShell::receive(schema::Message const& message, loam::Yield yield) {
+  std::optional<rootstock::Outcome> const outcome =
+      apply([&message](rootstock::Holder& holder) { return holder.receive(message, loam::boot_now()); }, yield);
+  return outcome.has_value() ? outcome->reply : std::nullopt;
+}
+
+void HolderShell::stand_up(loam::Yield yield) {
+  while (true) {
+    loam::pause(context_, constants::founding_pause, yield);
+    bool founding = false;
+    bool image = false;
+    std::vector<std::pair<std::string, schema::Message>> calls;
+    {
+      std::lock_guard<std::mutex> const guard(lock_);
+      if (silent_ || !holder_.has_value()) {
+        continue;
+      }
+      founding = holder_->wants_founding();
+      image = holder_->wants_image();
+      if (founding) {
+        for (std::string const& founder : founders_) {
+          if (founder != address_) {
+            calls.emplace_back(founder, holder_->founding_ask());
+          }
+        }
+      } else if (image) {
+        for (schema::HolderEntry const& source : holder_->image_sources()) {
+          calls.emplace_back(source.address, holder_->image_ask());
+        }
+      }
+    }
+    if (calls.empty()) {
+      continue;
+    }
+    std::vector<schema::FoundingAnswer> answers;
+    std::vector<schema::Image> images;
+    loam::Gather::run(
+        context_, caller_, calls, constants::holder_deadline,
+        [&answers, &images](std::size_t, absl::StatusOr<schema::Message> const& answer) {
+          if (answer.ok()) {
+            if (schema::FoundingAnswer const* const given = std::get_if<schema::FoundingAnswer>(&*answer)) {
+              answers.push_back(*given);
+            } else if (schema::Image const* const taken = std::get_if<schema::Image>(&*answer)) {
+              images.push_back(*taken);
+            }
+          }
+          return false;
+        },
+        yield);
+    std::optional<rootstock::Outcome> const outcome = apply(
+        [founding, &answers, &images](rootstock::Holder& holder) {
+          return founding ? holder.founding(answers, loam::boot_now()) : holder.enrol(images, loam::boot_now());
+        },
+        yield);
+    if (outcome.has_value() && !outcome->records.empty()) {
+      if (founding && set().epoch > 0) {
+        loam::note(loam::Event::HolderFounded, "epoch 1");
+      }
+      if (image && voting()) {
+        loam::note(loam::Event::HolderEnrolled, "images of " + std::to_string(images.size()) + " holders taken");
+      }
+    }
+  }
+}
+
+std::uint64_t HolderShell::incarnation() {
+  std::lock_guard<std::mutex> const guard(lock_);
+  return holder_.has_value() ? holder_->incarnation() : 0;
+}
+bool HolderShell::voting() {
+  std::lock_guard<std::mutex> const guard(lock_);
+  return !silent_ && holder_.has_value() && holder_->voting();
+}
+schema::HolderSet HolderShell::set() {
+  std::lock_guard<std::mutex> const guard(lock_);
+  return holder_.has_value() ? holder_->set() : schema::HolderSet{};
+}
+bool HolderShell::silent() {
+  std::lock_guard<std::mutex> const guard(lock_);
+  return silent_;
+}
+
+}  // namespace finchlink::trellis
--- /dev/null
+++ b/source/trellis/holder/holder_shell.hpp
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <condition_variable>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+
+#include <absl/status/status.h>
+
+#include "loam/net/net.hpp"
+#include "rootstock/holder/holder.hpp"
+#include "rootstock/ring/ring.hpp"
+
+namespace finchlink::trellis {
+
+/// Runs a Holder on a disk (section 5.3): records are synced on a thread of
+/// their own before a reply goes out; a disk that fails, stalls or is slow
+/// makes the holder silent and nothing else.
+class HolderShell {
+ public:
+  HolderShell(boost::asio::io_context& context, loam::Caller& caller, std::string folder, std::string address,
+              std::vector<std::string> founders);
+  ~HolderShell();
+  HolderShell(HolderShell const&) = delete;
+  HolderShell& operator=(HolderShell const&) = delete;
+
+  /// Opens the disk and starts the loops of founding and enrolment.
+  void begin();
+  /// Nothing: this holder stays silent.
+  [[nodiscard]] std::optional<schema::Message> receive(schema::Message const& message, loam::Yield yield);
+
+  [[nodiscard]] std::uint64_t incarnation();
+  [[nodiscard]] bool voting();
+  [[nodiscard]] schema::HolderSet set();
+  [[nodiscard]] bool silent();
+
+ private:
+  struct Ticket {
+    explicit Ticket(boost::asio::any_io_executor const& executor) : timer(executor) {}
+    boost::asio::steady_timer timer;
+    bool done = false;
+    bool good = false;
+  };
+  struct Job {
+    std::vector<schema::Record> records;
+    std::shared_ptr<Ticket> ticket;
+  };
+  [[nodiscard]] bool open_disk();
+  void work();
+  void stand_up(loam::Yield yield);
+  /// One step of the core; its outcome once it is lasting, nothing when this
+  /// holder is silent.
+  [[nodiscard]] std::optional<rootstock::Outcome> apply(std::function<rootstock::Outcome(rootstock::Holder&)> const& step, loam::Yield yield);
+
+  boost::asio::io_context& context_;
+  loam::Caller& caller_;
+  std::string folder_;
+  std::string address_;
+  std::vector<std::string> founders_;
+  std::mutex lock_;
+  std::optional<rootstock::Holder> holder_;
+  std::optional<rootstock::Ring> ring_;
+  std::condition_variable wake_;
+  std::deque<Job> jobs_;
+  std::size_t open_jobs_ = 0;
+  bool silent_ = true;
+  bool stopping_ = false;
+  std::thread worker_;
+};
+
+}  // namespace finchlink::trellis
