--- /dev/null
+++ b/source/trellis/ledger/ledger.cpp
@@ -0,0 +1,190 @@
+#include "trellis/ledger/ledger.hpp"
+
+#include <algorithm>
+
+#include "loam/constants.hpp"
+#include "loam/random/random.hpp"
+
+namespace finchlink::trellis {
+
+namespace constants = loam::constants;
+using rootstock::ChangeAction;
+using rootstock::ConfirmAction;
+
+Ledger::Ledger(boost::asio::io_context& context, loam::Caller& caller, std::uint64_t identity, std::vector<std::string> seeds)
+    : context_(context), caller_(caller), identity_(identity), seeds_(std::move(seeds)) {}
+
+void Ledger::begin() {
+  loam::start(context_, [this](loam::Yield yield) {
+    while (true) {
+      if (set().epoch == 0) {
+        discover(yield);
+      } else {
+        confirm_once(yield);
+      }
+      loam::pause(context_, constants::confirm_pause, yield);
+    }
+  });
+}
+
+schema::HolderSet Ledger::set() {
+  std::lock_guard<std::mutex> const guard(lock_);
+  return set_;
+}
+
+void Ledger::learn(schema::HolderSet const& set) {
+  std::lock_guard<std::mutex> const guard(lock_);
+  if (set.epoch > set_.epoch) {
+    set_ = set;
+  }
+}
+
+std::map<std::string, schema::Value> Ledger::values() {
+  std::lock_guard<std::mutex> const guard(lock_);
+  return confirm_.values();
+}
+
+schema::Value Ledger::value(std::string const& name) {
+  std::lock_guard<std::mutex> const guard(lock_);
+  std::map<std::string, schema::Value>::const_iterator const found = confirm_.values().find(name);
+  return found == confirm_.values().end() ? schema::Value{} : found->second;
+}
+
+loam::Moment Ledger::confirmed_from() {
+  std::lock_guard<std::mutex> const guard(lock_);
+  return confirm_.confirmed_from();
+}
+
+void Ledger::discover(loam::Yield yield) {
+  std::vector<std::pair<std::string, schema::Message>> calls;
+  {
+    std::lock_guard<std::mutex> const guard(lock_);
+    for (std::string const& seed : seeds_) {
+      calls.emplace_back(seed, schema::Read{0, {}, 0});
+    }
+  }
+  loam::Gather::run(
+      context_, caller_, calls, constants::holder_deadline,
+      [this](std::size_t, absl::StatusOr<schema::Message> const& answer) {
+        if (answer.ok()) {
+          if (schema::Refused const* const refused = std::get_if<schema::Refused>(&*answer)) {
+            learn(refused->set);
+          }
+        }
+        return set().epoch > 0;
+      },
+      yield);
+}
+
+void Ledger::confirm_once(loam::Yield yield) {
+  std::vector<std::pair<std::string, schema::Message>> calls;
+  {
+    std::lock_guard<std::mutex> const guard(lock_);
+    for (ConfirmAction const& action : confirm_.begin(set_, loam::boot_now())) {
+      rootstock::SendRead const& send = std::get<rootstock::SendRead>(action);
+      calls.emplace_back(send.to.address, send.read);
+    }
+  }
+  std::vector<std::string> unsettled;
+  loam::Gather::run(
+      context_, caller_, calls, constants::holder_deadline,
+      [this, &unsettled](std::size_t, absl::StatusOr<schema::Message> const& answer) {
+        if (!answer.ok()) {
+          return false;
+        }
+        bool done = false;
+        std::lock_guard<std::mutex> const guard(lock_);
+        for (ConfirmAction const& action : confirm_.receive(*answer)) {
+          if (std::holds_alternative<rootstock::Confirmed>(action)) {
+            unsettled.clear();
+            done = true;
+          } else if (rootstock::Unsettled const* const open = std::get_if<rootstock::Unsettled>(&action)) {
+            unsettled = open->names;
+          } else if (rootstock::NewerHolders const* const newer = std::get_if<rootstock::NewerHolders>(&action)) {
+            if (newer->set.epoch > set_.epoch) {
+              set_ = newer->set;
+            }
+            done = true;
+          }
+        }
+        return done;
+      },
+      yield);
+  // Someone's change is half done: a sure read settles it (section 5.6). The
+  // next round then finds it at a majority.
+  for (std::string const& name : unsettled) {
+    (void)change(name, [](schema::Value const&) -> rootstock::Wish { return rootstock::Keep{}; }, constants::holder_deadline, yield);
+  }
+  bell_.ring();
+}
+
+Ledger::Result Ledger::change(std::string const& name, rootstock::Wisher wisher, loam::Span deadline, loam::Yield yield) {
+  loam::Moment const until = loam::boot_now() + deadline;
+  rootstock::Change core(name, loam::random_identity(), std::move(wisher));
+  {
+    std::lock_guard<std::mutex> const guard(lock_);
+    core.start_above(confirm_.known(name));
+  }
+  while (loam::boot_now() < until) {
+    schema::HolderSet const holders = set();
+    if (holders.epoch == 0) {
+      loam::pause(context_, constants::confirm_pause, yield);
+      continue;
+    }
+    std::vector<ChangeAction> actions = core.begin(holders);
+    std::optional<Result> result;
+    bool again = false;
+    while (!result.has_value() && !again && !actions.empty()) {
+      std::vector<std::pair<std::string, schema::Message>> calls;
+      std::vector<std::uint64_t> incarnations;
+      for (ChangeAction const& action : actions) {
+        if (rootstock::Send const* const send = std::get_if<rootstock::Send>(&action)) {
+          calls.emplace_back(send->to.address, send->message);
+          incarnations.push_back(send->to.incarnation);
+        }
+      }
+      actions.clear();
+      loam::Span const patience = std::min(constants::holder_deadline, std::max<loam::Span>(until - loam::boot_now(), 1000));
+      loam::Gather::run(
+          context_, caller_, calls, patience,
+          [&](std::size_t index, absl::StatusOr<schema::Message> const& answer) {
+            if (!answer.ok()) {
+              return false;
+            }
+            bool done = false;
+            for (ChangeAction const& action : core.receive(incarnations[index], *answer)) {
+              if (std::holds_alternative<rootstock::Send>(action)) {
+                actions.push_back(action);
+                done = true;
+              } else if (rootstock::Chosen const* const chosen = std::get_if<rootstock::Chosen>(&action)) {
+                std::lock_guard<std::mutex> const guard(lock_);
+                confirm_.learn(name, chosen->ballot, chosen->value);
+                result = *chosen;
+                done = true;
+              } else if (rootstock::Rejected const* const rejected = std::get_if<rootstock::Rejected>(&action)) {
+                result = *rejected;
+                done = true;
+              } else if (rootstock::NewerSet const* const newer = std::get_if<rootstock::NewerSet>(&action)) {
+                learn(newer->set);
+                again = true;
+                done = true;
+              } else {
+                again = true;
+                done = true;
+              }
+            }
+            return done;
+          },
+          yield);
+    }
+    if (result.has_value()) {
+      bell_.ring();
+      return *result;
+    }
+    loam::Span const range = constants::ballot_pause_most - constants::ballot_pause_least;
+    loam::pause(context_, constants::ballot_pause_least + static_cast<loam::Span>(loam::random_number() % static_cast<std::uint64_t>(range)), yield);
+  }
+  return Unknown{"no majority of holders answered in time"};
+}
+
+}  // namespace finchlink::trellis
--- /dev/null
+++ b/source/trellis/main.cpp
@@ -0,0 +1,75 @@
+#include <memory>
+
+#include "loam/constants.hpp"
+#include "loam/process/process.hpp"
+#include "loam/random/random.hpp"
+#include "trellis/command/command.hpp"
+#include "trellis/duty/duties.hpp"
+#include "trellis/operator/operator.hpp"
+
+namespace {
+using namespace finchlink;
+namespace constants = loam::constants;
+
+/// The control plane of one machine.
+struct Program {
+  std::unique_ptr<loam::Caller> caller;
+  std::unique_ptr<trellis::HolderShell> holder;
+  std::unique_ptr<trellis::Ledger> ledger;
+  std::unique_ptr<trellis::News> news;
+  std::unique_ptr<trellis::Duties> duties;
+  std::unique_ptr<trellis::Operator> operators;
+};
+}  // namespace
+
+int main(int count, char** values) {
+  if (trellis::is_command(count, values)) {
+    return trellis::run_command(count, values);
+  }
+  Program program;
+  loam::Daemon daemon;
+  daemon.program = "trellis";
+  daemon.needed = {"name", "hall", "http_address", "colleague_address", "seeds"};
+  daemon.begin = [&program](boost::asio::io_context& context, schema::Settings const& settings) -> absl::Status {
+    std::uint64_t const identity = loam::random_identity();
+    program.caller = std::make_unique<loam::Caller>(context);
+    if (!settings.data_folder.empty()) {
+      program.holder = std::make_unique<trellis::HolderShell>(context, *program.caller, settings.data_folder, settings.colleague_address, settings.seeds);
+    }
+    program.ledger = std::make_unique<trellis::Ledger>(context, *program.caller, identity, settings.seeds);
+    program.news = std::make_unique<trellis::News>(context, *program.caller, *program.ledger, program.holder.get(), settings, identity);
+    program.duties = std::make_unique<trellis::Duties>(context, *program.caller, *program.ledger, *program.news, program.holder.get(), identity, settings.hall);
+    program.operators = std::make_unique<trellis::Operator>(context, *program.ledger, *program.news, program.holder.get(), [&program] { return program.duties->describe(); });
+    absl::Status status = loam::serve_frames(context, settings.colleague_address, settings.connections,
+                                             [&program](schema::Message const& message, loam::Yield yield) -> std::optional<schema::Message> {
+      if (schema::NewsAsk const* const ask = std::get_if<schema::NewsAsk>(&message)) {
+        return program.news->ask(*ask, yield);
+      }
+      if (schema::Tell const* const tell = std::get_if<schema::Tell>(&message)) {
+        return program.news->tell(*tell);
+      }
+      if (program.holder == nullptr) {
+        return schema::Message(schema::Unknown{"this trellis holds no register"});
+      }
+      return program.holder->receive(message, yield);
+    });
+    if (!status.ok()) {
+      return status;
+    }
+    status = loam::serve_asks(context, settings.http_address, settings.connections, constants::setup_limit,
+                              [&program](loam::Ask const& ask, loam::Yield yield) { return program.operators->answer(ask, yield); });
+    if (!status.ok()) {
+      return status;
+    }
+    if (program.holder != nullptr) {
+      program.holder->begin();
+    }
+    program.ledger->begin();
+    program.news->begin();
+    program.duties->begin();
+    return absl::OkStatus();
+  };
+  daemon.drain = [] {};
+  daemon.busy = [&program] { return program.operators->busy(); };
+  return loam::run_daemon(daemon, count, values);
+}
--- /dev/null
+++ b/source/trellis/operator/operator.cpp
@@ -0,0 +1,333 @@
+#include "trellis/operator/operator.hpp"
+
+#include <charconv>
+
+#include "loam/constants.hpp"
+#include "loam/json/tree.hpp"
+#include "loam/log/log.hpp"
+#include "loam/random/random.hpp"
+#include "orchard/label/selector.hpp"
+#include "orchard/setup/setup.hpp"
+
+namespace finchlink::trellis {
+
+namespace constants = loam::constants;
+namespace http = loam::http;
+
+namespace {
+loam::Answer faults_answer(std::vector<loam::Fault> const& faults) {
+  loam::Tree object(cJSON_CreateObject());
+  cJSON_AddStringToObject(object.get(), "error", "invalid");
+  cJSON_AddStringToObject(object.get(), "outcome", "rejected");
+  cJSON* list = cJSON_AddArrayToObject(object.get(), "faults");
+  for (loam::Fault const& fault : faults) {
+    cJSON* entry = cJSON_CreateObject();
+    cJSON_AddStringToObject(entry, "path", fault.path.c_str());
+    cJSON_AddStringToObject(entry, "reason", fault.reason.c_str());
+    cJSON_AddItemToArray(list, entry);
+  }
+  return loam::answer_text(http::status::unprocessable_entity, loam::print_tree(object.get()));
+}
+
+loam::Answer outcome_answer(http::status status, std::string const& outcome, std::string const& id, std::uint64_t revision, std::string const& message = "") {
+  loam::Tree object(cJSON_CreateObject());
+  cJSON_AddStringToObject(object.get(), "outcome", outcome.c_str());
+  cJSON_AddStringToObject(object.get(), "id", id.c_str());
+  if (revision > 0 || outcome == "rejected") {
+    cJSON_AddNumberToObject(object.get(), "revision", static_cast<double>(revision));
+  }
+  if (!message.empty()) {
+    cJSON_AddStringToObject(object.get(), "message", message.c_str());
+  }
+  loam::Answer answer = loam::answer_text(status, loam::print_tree(object.get()));
+  answer.set("Change-Id", id);
+  if (revision > 0) {
+    answer.set(http::field::etag, "\"" + std::to_string(revision) + "\"");
+  }
+  if (outcome == "unknown") {
+    answer.set(http::field::location, "/changes/" + id);
+    answer.set(http::field::retry_after, std::to_string(constants::retry_after_seconds));
+  }
+  return answer;
+}
+
+bool good_id(std::string const& id) {
+  if (id.empty() || id.size() > 64) {
+    return false;
+  }
+  for (char const letter : id) {
+    bool const good = (letter >= 'a' && letter <= 'z') || (letter >= 'A' && letter <= 'Z') || (letter >= '0' && letter <= '9') || letter == '-' || letter == '_' || letter == '.';
+    if (!good) {
+      return false;
+    }
+  }
+  return true;
+}
+
+/// If-Match: "7", 7 or *; nothing when it can't be read.
+std::optional<std::uint64_t> tag_revision(std::string text) {
+  if (text.size() >= 2 && text.front() == '"' && text.back() == '"') {
+    text = text.substr(1, text.size() - 2);
+  }
+  std::uint64_t revision = 0;
+  std::from_chars_result const parsed = std::from_chars(text.data(), text.data() + text.size(), revision);
+  if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size()) {
+    return std::nullopt;
+  }
+  return revision;
+}
+
+template <class Entry>
+std::string print_list(std::vector<Entry> const& entries) {
+  loam::Tree list(cJSON_CreateArray());
+  for (Entry const& entry : entries) {
+    cJSON_AddItemToArray(list.get(), schema::write(entry));
+  }
+  return loam::print_tree(list.get(), true);
+}
+}  // namespace
+
+loam::Answer Operator::answer(loam::Ask const& ask, loam::Yield yield) {
+  ++open_;
+  std::string const target(ask.target().substr(0, ask.target().find('?')));
+  loam::Answer answer = loam::answer_error(http::status::not_found, "unknown_path", "see docs/operating/setup.md");
+  http::verb const verb = ask.method();
+  if (target == "/setup") {
+    if (verb == http::verb::get) {
+      answer = get_setup(yield);
+    } else if (verb == http::verb::put || verb == http::verb::patch) {
+      answer = change_setup(ask, verb == http::verb::patch, yield);
+    } else {
+      answer = loam::answer_error(http::status::method_not_allowed, "method", "GET, PUT or PATCH");
+    }
+  } else if (target.rfind("/changes/", 0) == 0 && verb == http::verb::get) {
+    answer = outcome(target.substr(9), yield);
+  } else if (target.rfind("/halls/", 0) == 0 && verb == http::verb::post) {
+    answer = hall(target.substr(7), yield);
+  } else if (target == "/members" && verb == http::verb::get) {
+    answer = loam::answer_text(http::status::ok, print_list(news_.members()));
+  } else if (target == "/trellises" && verb == http::verb::get) {
+    answer = loam::answer_text(http::status::ok, print_list(news_.trellises()));
+  } else if (target == "/workers" && verb == http::verb::get) {
+    loam::Tree list(schema::write(news_.list()));
+    cJSON_AddNumberToObject(list.get(), "age_ms", static_cast<double>(news_.list_age()) / 1000);
+    answer = loam::answer_text(http::status::ok, loam::print_tree(list.get(), true));
+  } else if (target == "/holders" && verb == http::verb::get) {
+    loam::Tree set(schema::write(ledger_.set()));
+    answer = loam::answer_text(http::status::ok, loam::print_tree(set.get(), true));
+  } else if (target == "/split" && verb == http::verb::get) {
+    loam::Tree object(cJSON_CreateObject());
+    for (std::pair<std::string const, schema::Value> const& value : ledger_.values()) {
+      if (value.first.rfind("split/", 0) == 0) {
+        absl::StatusOr<loam::Tree> content = loam::read_tree(value.second.content);
+        if (content.ok()) {
+          cJSON_AddNumberToObject(content->get(), "revision", static_cast<double>(value.second.revision));
+          cJSON_AddItemToObject(object.get(), value.first.substr(6).c_str(), content->release());
+        }
+      }
+    }
+    answer = loam::answer_text(http::status::ok, loam::print_tree(object.get(), true));
+  } else if (target == "/duties" && verb == http::verb::get) {
+    answer = loam::answer_text(http::status::ok, duties_());
+  } else if (target == "/alive") {
+    answer = loam::answer_text(http::status::ok, "{\"alive\":true}");
+  } else if (target == "/ready") {
+    bool const ready = loam::boot_now() - ledger_.confirmed_from() < constants::vouch_bound;
+    answer = ready ? loam::answer_text(http::status::ok, "{\"ready\":true}")
+                   : loam::answer_error(http::status::service_unavailable, "no_majority", "no majority of holders answered of late");
+  } else if (target == "/metrics") {
+    answer = metrics();
+  }
+  --open_;
+  return answer;
+}
+
+loam::Answer Operator::get_setup(loam::Yield yield) {
+  // A read that is sure: a majority confirms it after the ask came.
+  loam::Moment const arrival = loam::boot_now();
+  while (ledger_.confirmed_from() < arrival) {
+    if (loam::boot_now() - arrival > constants::change_deadline) {
+      return loam::answer_error(http::status::service_unavailable, "no_majority", "no majority of holders answered");
+    }
+    std::uint64_t const seen = ledger_.bell().count();
+    if (ledger_.confirmed_from() < arrival) {
+      ledger_.bell().wait(seen, constants::confirm_pause * 2, yield);
+    }
+  }
+  schema::Value const value = ledger_.value(rootstock::setup_register);
+  if (value.revision == 0) {
+    return loam::answer_error(http::status::not_found, "no_setup", "no setup was put yet");
+  }
+  loam::Answer answer = loam::answer_text(http::status::ok, value.content);
+  answer.set(http::field::etag, "\"" + std::to_string(value.revision) + "\"");
+  return answer;
+}
+
+loam::Answer Operator::change_setup(loam::Ask const& ask, bool patch, loam::Yield yield) {
+  Wanted wanted;
+  wanted.patch = patch;
+  wanted.id = std::string(ask["Change-Id"]);
+  if (wanted.id.empty()) {
+    wanted.id = "change-" + std::to_string(loam::random_identity());
+  } else if (!good_id(wanted.id)) {
+    return loam::answer_error(http::status::bad_request, "change_id", "Change-Id takes up to 64 letters, digits, '-', '_' and '.'");
+  }
+  std::string const match(ask[http::field::if_match]);
+  if (!match.empty() && match != "*") {
+    wanted.expected = tag_revision(match);
+    if (!wanted.expected.has_value()) {
+      return loam::answer_error(http::status::bad_request, "if_match", "If-Match takes one revision in quotes, or *");
+    }
+  }
+  absl::StatusOr<std::string> const content = orchard::canonical(ask.body());
+  if (!content.ok()) {
+    return loam::answer_error(http::status::bad_request, "malformed", std::string(content.status().message()));
+  }
+  wanted.content = *content;
+  if (!patch) {
+    orchard::SetupReading const reading = orchard::read_setup(wanted.content);
+    if (!reading.good()) {
+      return faults_answer(reading.faults);
+    }
+  }
+  return apply(wanted, yield);
+}
+
+loam::Answer Operator::apply(Wanted const& wanted, loam::Yield yield) {
+  std::shared_ptr<std::vector<loam::Fault>> const faults = std::make_shared<std::vector<loam::Fault>>();
+  std::shared_ptr<std::string> const why = std::make_shared<std::string>();
+  rootstock::Wisher const wisher = [wanted, faults, why](schema::Value const& current) -> rootstock::Wish {
+    faults->clear();
+    std::optional<schema::ChangeMark> const mark = rootstock::find_mark(current, wanted.id);
+    if (mark.has_value()) {
+      *why = "done";
+      return rootstock::Reject{"done"};
+    }
+    if (wanted.expected.has_value() && *wanted.expected != current.revision) {
+      *why = "expectation";
+      return rootstock::Reject{"the revision is another"};
+    }
+    std::string content = wanted.content;
+    if (wanted.patch) {
+      absl::StatusOr<std::string> const merged = orchard::patched(current.content, wanted.content);
+      if (!merged.ok()) {
+        *why = "malformed";
+        return rootstock::Reject{std::string(merged.status().message())};
+      }
+      content = *merged;
+      orchard::SetupReading const reading = orchard::read_setup(content);
+      if (!reading.good()) {
+        *faults = reading.faults;
+        *why = "faults";
+        return rootstock::Reject{loam::describe(reading.faults)};
+      }
+    }
+    if (content.size() > constants::setup_limit) {
+      *why = "size";
+      return rootstock::Reject{"the setup is larger than allowed"};
+    }
+    schema::Value next{current.revision + 1, content, current.marks};
+    rootstock::add_mark(next, wanted.id, next.revision);
+    return next;
+  };
+  Ledger::Result const result = ledger_.change(rootstock::setup_register, wisher, constants::change_deadline, yield);
+  if (rootstock::Chosen const* const done = std::get_if<rootstock::Chosen>(&result)) {
+    return chosen(wanted.id, done->value.revision, yield);
+  }
+  if (rootstock::Rejected const* const rejected = std::get_if<rootstock::Rejected>(&result)) {
+    std::optional<schema::ChangeMark> const mark = rootstock::find_mark(rejected->current, wanted.id);
+    if (mark.has_value() && mark->revision > 0) {
+      return chosen(wanted.id, mark->revision, yield);
+    }
+    ++rejected_;
+    loam::note(loam::Event::SetupRejected, wanted.id + " " + rejected->reason);
+    if (mark.has_value()) {
+      return outcome_answer(http::status::conflict, "rejected", wanted.id, rejected->current.revision, "this id was given up before");
+    }
+    if (*why == "faults") {
+      return faults_answer(*faults);
+    }
+    if (*why == "size") {
+      return outcome_answer(http::status::payload_too_large, "rejected", wanted.id, rejected->current.revision, rejected->reason);
+    }
+    loam::Answer answer = outcome_answer(http::status::precondition_failed, "rejected", wanted.id, rejected->current.revision, rejected->reason);
+    answer.set(http::field::etag, "\"" + std::to_string(rejected->current.revision) + "\"");
+    return answer;
+  }
+  ++unknown_;
+  loam::note(loam::Event::SetupUnknown, wanted.id);
+  return outcome_answer(http::status::gateway_timeout, "unknown", wanted.id, 0, "ask GET /changes/" + wanted.id);
+}
+
+loam::Answer Operator::chosen(std::string const& id, std::uint64_t revision, loam::Yield yield) {
+  ++accepted_;
+  loam::note(loam::Event::SetupChosen, "revision " + std::to_string(revision) + " " + id);
+  // From here every vouch brings this revision; when the bound is over, whoever
+  // lacks it has stopped by itself (section 4.1).
+  loam::pause(context_, constants::acknowledge_wait, yield);
+  return outcome_answer(http::status::ok, "accepted", id, revision);
+}
+
+loam::Answer Operator::outcome(std::string const& id, loam::Yield yield) {
+  if (!good_id(id)) {
+    return loam::answer_error(http::status::bad_request, "change_id", "not an id of a change");
+  }
+  // A change may still be under way; once its own time is over, a veto under
+  // the same id makes "rejected" final (section 5.7).
+  loam::Moment const until = loam::boot_now() + constants::change_deadline;
+  while (loam::boot_now() < until) {
+    std::optional<schema::ChangeMark> const mark = rootstock::find_mark(ledger_.value(rootstock::setup_register), id);
+    if (mark.has_value()) {
+      return outcome_answer(http::status::ok, mark->revision > 0 ? "accepted" : "rejected", id, mark->revision);
+    }
+    loam::pause(context_, constants::confirm_pause, yield);
+  }
+  rootstock::Wisher const veto = [id](schema::Value const& current) -> rootstock::Wish {
+    if (rootstock::find_mark(current, id).has_value()) {
+      return rootstock::Keep{};
+    }
+    schema::Value next = current;
+    rootstock::add_mark(next, id, 0);
+    return next;
+  };
+  Ledger::Result const result = ledger_.change(rootstock::setup_register, veto, constants::change_deadline, yield);
+  if (rootstock::Chosen const* const done = std::get_if<rootstock::Chosen>(&result)) {
+    std::optional<schema::ChangeMark> const mark = rootstock::find_mark(done->value, id);
+    std::uint64_t const revision = mark.has_value() ? mark->revision : 0;
+    return outcome_answer(http::status::ok, revision > 0 ? "accepted" : "rejected", id, revision);
+  }
+  return outcome_answer(http::status::gateway_timeout, "unknown", id, 0, "no majority of holders answered");
+}
+
+loam::Answer Operator::hall(std::string const& target, loam::Yield yield) {
+  std::size_t const slash = target.rfind('/');
+  std::string const name = target.substr(0, slash);
+  std::string const deed = slash == std::string::npos ? "" : target.substr(slash + 1);
+  if (name.empty() || (deed != "drain" && deed != "restore")) {
+    return loam::answer_error(http::status::not_found, "unknown_path", "POST /halls/NAME/drain or /halls/NAME/restore");
+  }
+  loam::Tree patch(cJSON_CreateObject());
+  cJSON* const entry = cJSON_AddObjectToObject(cJSON_AddObjectToObject(patch.get(), "halls"), name.c_str());
+  cJSON_AddBoolToObject(entry, "evacuated", deed == "drain" ? 1 : 0);
+  Wanted wanted;
+  wanted.id = "hall-" + std::to_string(loam::random_identity());
+  wanted.patch = true;
+  wanted.content = loam::print_tree(patch.get());
+  return apply(wanted, yield);
+}
+
+loam::Answer Operator::metrics() {
+  std::string text;
+  text += "# TYPE trellis_changes_total counter\n";
+  text += "trellis_changes_total{outcome=\"accepted\"} " + std::to_string(accepted_) + "\n";
+  text += "trellis_changes_total{outcome=\"rejected\"} " + std::to_string(rejected_) + "\n";
+  text += "trellis_changes_total{outcome=\"unknown\"} " + std::to_string(unknown_) + "\n";
+  text += "# TYPE trellis_setup_revision gauge\ntrellis_setup_revision " + std::to_string(ledger_.value(rootstock::setup_register).revision) + "\n";
+  text += "# TYPE trellis_members gauge\ntrellis_members " + std::to_string(news_.members().size()) + "\n";
+  text += "# TYPE trellis_list_age_seconds gauge\ntrellis_list_age_seconds " + std::to_string(static_cast<double>(news_.list_age()) / 1e6) + "\n";
+  text += "# TYPE trellis_confirmed_age_seconds gauge\ntrellis_confirmed_age_seconds " + std::to_string(static_cast<double>(loam::boot_now() - ledger_.confirmed_from()) / 1e6) + "\n";
+  text += "# TYPE trellis_holder_voting gauge\ntrellis_holder_voting " + std::to_string(holder_ != nullptr && holder_->voting() ? 1 : 0) + "\n";
+  return loam::answer_text(http::status::ok, text, "text/plain; version=0.0.4");
+}
+
+}  // namespace finchlink::trellis
--- /dev/null
+++ b/source/trellis/operator/operator.hpp
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <atomic>
+
+#include "loam/http/http.hpp"
+#include "trellis/ledger/ledger.hpp"
+#include "trellis/news/news.hpp"
+
+namespace finchlink::trellis {
+
+/// What operators ask over HTTP (docs/operating/setup.md).
+class Operator {
+ public:
+  Operator(boost::asio::io_context& context, Ledger& ledger, News& news, HolderShell* holder, std::function<std::string()> duties)
+      : context_(context), ledger_(ledger), news_(news), holder_(holder), duties_(std::move(duties)) {}
+  [[nodiscard]] loam::Answer answer(loam::Ask const& ask, loam::Yield yield);
+  [[nodiscard]] bool busy() const { return open_ > 0; }
+
+ private:
+  struct Wanted {
+    std::string id;
+    std::optional<std::uint64_t> expected;
+    std::string content;
+    bool patch = false;
+  };
+  [[nodiscard]] loam::Answer get_setup(loam::Yield yield);
+  [[nodiscard]] loam::Answer change_setup(loam::Ask const& ask, bool patch, loam::Yield yield);
+  [[nodiscard]] loam::Answer apply(Wanted const& wanted, loam::Yield yield);
+  [[nodiscard]] loam::Answer outcome(std::string const& id, loam::Yield yield);
+  [[nodiscard]] loam::Answer hall(std::string const& target, loam::Yield yield);
+  [[nodiscard]] loam::Answer chosen(std::string const& id, std::uint64_t revision, loam::Yield yield);
+  [[nodiscard]] loam::Answer metrics();
+
+  boost::asio::io_context& context_;
+  Ledger& ledger_;
+  News& news_;
+  HolderShell* holder_;
+  std::function<std::string()> duties_;
+  std::atomic<int> open_ = 0;
+  std::atomic<std::uint64_t> accepted_ = 0;
+  std::atomic<std::uint64_t> rejected_ = 0;
+  std::atomic<std::uint64_t> unknown_ = 0;
+};
+
+}  // namespace finchlink::trellis
