--- a/source/furrow/field/field.cpp
+++ b/source/furrow/field/field.cpp
@@ -203,8 +203,9 @@
 
 void Field::add_figures(schema::WorkerFigures const& more) {
   std::lock_guard<std::mutex> const guard(report_lock_);
-  schema::WorkerFigures& sum = figures_[more.worker];
+  schema::WorkerFigures& sum = figures_[more.worker + " " + more.phase];
   sum.worker = more.worker;
+  sum.phase = more.phase;
   sum.queries += more.queries;
   sum.uncached += more.uncached;
   sum.cached += more.cached;
--- a/source/furrow/query/query.cpp
+++ b/source/furrow/query/query.cpp
@@ -224,6 +224,7 @@
     ticket.tokens = tokens_;
     ticket.outputs = field_.outputs(facts_.rule_name);
     ticket.phase = wanted_phase(*plan, ticket);
+    phase_ = ticket.phase;
     ticket.deadline = deadline_;
     ticket.waitlist_bound = facts_.rule.waitlist;
     field_.with(pool(), [&ticket](tilth::Placement& placement) { return placement.enqueue(ticket, loam::boot_now()); });
@@ -517,6 +518,7 @@
     double const uncached = std::max(1.0, tokens_ - go_.cached);
     schema::WorkerFigures figures;
     figures.worker = go_.worker;
+    figures.phase = phase_ == tilth::Phase::decode ? "decode" : "prefill";
     figures.queries = 1;
     figures.uncached = uncached;
     figures.cached = go_.cached;
@@ -538,6 +540,7 @@
     double const took = static_cast<double>(loam::boot_now() - first_at) / 1e6;
     schema::WorkerFigures figures;
     figures.worker = go_.worker;
+    figures.phase = phase_ == tilth::Phase::decode ? "decode" : "prefill";
     figures.outputs = outputs;
     figures.iterations = iterations;
     figures.decode_seconds = took;
@@ -684,6 +687,7 @@
   bool header_sent_ = false;
   bool keep_ = false;
   Leg leg_ = Leg::whole;
+  tilth::Phase phase_ = tilth::Phase::both;
   std::string kv_;
   tilth::Go go_;
   loam::Moment sent_ = 0;
--- /dev/null
+++ b/source/tilth/scaler/scaler.cpp
@@ -0,0 +1,337 @@
+#include "tilth/scaler/scaler.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace finchlink::tilth {
+
+namespace {
+constexpr std::size_t rows_most = 2000;   // rows kept per worker and phase; a fit needs far fewer
+constexpr std::size_t rows_least = 24;    // rows before a worker's own fit is trusted
+constexpr double outlier = 3.0;           // rows slower than this times the first fit are left out of the second
+
+void add(PhaseWork& sum, schema::WorkerFigures const& figures) {
+  sum.queries += figures.queries;
+  sum.uncached += figures.uncached;
+  sum.pairs += figures.pairs;
+  sum.iterations += figures.iterations;
+  sum.decodes += figures.decodes;
+}
+
+/// A second fit without the rows that waited behind other furrows' queries:
+/// those are slower than the work explains, never faster (section 8.2).
+Fit robust_fit(std::vector<FitRow> const& rows, std::size_t least) {
+  Fit const first = fit_rows(rows, least);
+  if (!first.good) {
+    return first;
+  }
+  std::vector<double> ratios;
+  std::vector<double> predicted;
+  for (FitRow const& row : rows) {
+    double sum = 0;
+    for (std::size_t column = 0; column < row.terms.size(); ++column) {
+      sum += row.terms[column] * first.coefficients[column];
+    }
+    predicted.push_back(sum);
+    ratios.push_back(sum > 0 ? row.seconds / sum : 1.0);
+  }
+  std::vector<double> sorted = ratios;
+  std::nth_element(sorted.begin(), sorted.begin() + static_cast<std::ptrdiff_t>(sorted.size() / 2), sorted.end());
+  double const middle = sorted[sorted.size() / 2];
+  std::vector<FitRow> kept;
+  for (std::size_t row = 0; row < rows.size(); ++row) {
+    if (ratios[row] <= middle * outlier) {
+      kept.push_back(rows[row]);
+    }
+  }
+  Fit const second = fit_rows(kept, least);
+  return second.good ? second : first;
+}
+
+double per_query(double sum, double count) { return count > 0 ? sum / count : 0; }
+
+/// Seconds that one query of this phase keeps a worker busy.
+double busy_seconds(WorkerModel const& model, PhaseWork const& work, bool prefill, bool decode, schema::ScalerAims const& aims, double batch) {
+  double seconds = 0;
+  if (prefill && work.queries > 0) {
+    seconds += model.prefill[0] + model.prefill[1] * per_query(work.uncached, work.queries) + model.prefill[2] * per_query(work.pairs, work.queries);
+  }
+  if (decode && work.decodes > 0) {
+    seconds += per_query(work.iterations, work.decodes) * model.iteration_seconds(aims.experts_share, aims.tokens_forward, batch) / batch;
+  }
+  return seconds;
+}
+}  // namespace
+
+double throughput(std::map<std::string, std::string> const& phases, std::map<std::string, WorkerModel> const& models, SliceWork const& work,
+                  schema::ScalerAims const& aims, double batch) {
+  bool const paired = aims.manner == "paired";
+  double const prefills = work.prefill.queries;
+  double const decodes = paired ? work.decode.decodes : work.decode.queries;
+  double const all = paired ? std::max(prefills, decodes) : prefills + decodes;
+  if (all <= 0) {
+    return 0;
+  }
+  double prefill_rate = 0;
+  double decode_rate = 0;
+  for (std::pair<std::string const, std::string> const& entry : phases) {
+    std::map<std::string, WorkerModel>::const_iterator const model = models.find(entry.first);
+    if (model == models.end()) {
+      continue;
+    }
+    bool const prefill = entry.second == "prefill";
+    double const seconds = prefill ? busy_seconds(model->second, work.prefill, true, !paired, aims, batch)
+                                   : busy_seconds(model->second, work.decode, !paired, true, aims, batch);
+    if (seconds > 0) {
+      (prefill ? prefill_rate : decode_rate) += 1.0 / seconds;
+    }
+  }
+  // Each phase must carry its share of the queries; in the paired manner that
+  // is all of them in both.
+  double const unbounded = std::numeric_limits<double>::infinity();
+  double const of_prefill = prefills > 0 ? prefill_rate * all / prefills : unbounded;
+  double const of_decode = decodes > 0 ? decode_rate * all / decodes : unbounded;
+  double const least = std::min(of_prefill, of_decode);
+  return std::isfinite(least) ? least : 0;
+}
+
+void Scaler::report(schema::FurrowReport const& report, schema::ScalerAims const& aims, loam::Moment now) {
+  if (first_report_ == 0) {
+    first_report_ = now;
+  }
+  loam::Span const span = std::max<loam::Span>(loam::milliseconds(static_cast<std::int64_t>(aims.window_ms / aims.slices)), 1);
+  if (slices_.empty() || now - slices_.back().begins >= span) {
+    slices_.push_back(Slice{now, {}});
+  }
+  while (slices_.size() > aims.slices + 1) {  // the newest is still filling
+    slices_.pop_front();
+  }
+  for (schema::WorkerFigures const& figures : report.figures) {
+    add(figures.phase == "decode" ? slices_.back().work.decode : slices_.back().work.prefill, figures);
+  }
+  for (schema::Sample const& sample : report.samples) {
+    std::vector<FitRow>& rows = sample.decode ? decode_rows_[sample.worker] : prefill_rows_[sample.worker];
+    if (rows.size() < rows_most && sample.seconds > 0) {
+      rows.push_back(sample.decode ? FitRow{{1.0, sample.spread, sample.running}, sample.seconds}
+                                   : FitRow{{1.0, sample.uncached, sample.pairs, sample.restored}, sample.seconds});
+    }
+  }
+}
+
+schema::Split Scaler::fitted(std::vector<std::string> const& workers) const {
+  schema::Split split;
+  std::vector<FitRow> all_prefill;
+  std::vector<FitRow> all_decode;
+  for (std::pair<std::string const, std::vector<FitRow>> const& rows : prefill_rows_) {
+    all_prefill.insert(all_prefill.end(), rows.second.begin(), rows.second.end());
+  }
+  for (std::pair<std::string const, std::vector<FitRow>> const& rows : decode_rows_) {
+    all_decode.insert(all_decode.end(), rows.second.begin(), rows.second.end());
+  }
+  Fit const common_prefill = robust_fit(all_prefill, rows_least);
+  Fit const common_decode = robust_fit(all_decode, rows_least);
+  if (!common_prefill.good || !common_decode.good) {
+    return split;
+  }
+  for (std::string const& worker : workers) {
+    std::map<std::string, std::vector<FitRow>>::const_iterator const prefill = prefill_rows_.find(worker);
+    std::map<std::string, std::vector<FitRow>>::const_iterator const decode = decode_rows_.find(worker);
+    // Few rows of its own: what all workers show together stands in.
+    Fit const own_prefill = prefill == prefill_rows_.end() ? Fit{} : robust_fit(prefill->second, rows_least);
+    Fit const own_decode = decode == decode_rows_.end() ? Fit{} : robust_fit(decode->second, rows_least);
+    schema::Coefficients coefficients;
+    coefficients.prefill = own_prefill.good ? own_prefill.coefficients : common_prefill.coefficients;
+    coefficients.decode = own_decode.good ? own_decode.coefficients : common_decode.coefficients;
+    coefficients.error = own_prefill.good ? own_prefill.error : common_prefill.error;
+    split.coefficients[worker] = coefficients;
+  }
+  return split;
+}
+
+std::map<std::string, WorkerModel> Scaler::models_of(schema::Split const& split, std::vector<std::string> const& workers) const {
+  std::map<std::string, WorkerModel> models;
+  for (std::string const& worker : workers) {
+    std::map<std::string, schema::Coefficients>::const_iterator const found = split.coefficients.find(worker);
+    if (found != split.coefficients.end()) {
+      models.emplace(worker, WorkerModel(found->second));
+    } else if (!split.coefficients.empty()) {
+      models.emplace(worker, WorkerModel(split.coefficients.begin()->second));
+    } else {
+      models.emplace(worker, WorkerModel());
+    }
+  }
+  return models;
+}
+
+std::vector<SliceWork> Scaler::counted(schema::ScalerAims const& aims) const {
+  std::vector<SliceWork> works;
+  for (std::size_t place = 0; place + 1 < slices_.size(); ++place) {
+    SliceWork const& work = slices_[place].work;
+    if (work.prefill.queries + work.decode.queries >= static_cast<double>(aims.slice_least)) {
+      works.push_back(work);
+    }
+  }
+  return works;
+}
+
+std::optional<schema::Split> Scaler::first_split(std::vector<std::string> const& workers, schema::ScalerAims const& aims, double batch) const {
+  schema::Split split = fitted(workers);
+  if (split.coefficients.empty()) {
+    return std::nullopt;
+  }
+  SliceWork sum;
+  for (Slice const& slice : slices_) {
+    for (std::pair<PhaseWork*, PhaseWork const*> const& part : {std::pair<PhaseWork*, PhaseWork const*>{&sum.prefill, &slice.work.prefill}, {&sum.decode, &slice.work.decode}}) {
+      part.first->queries += part.second->queries;
+      part.first->uncached += part.second->uncached;
+      part.first->pairs += part.second->pairs;
+      part.first->iterations += part.second->iterations;
+      part.first->decodes += part.second->decodes;
+    }
+  }
+  std::map<std::string, WorkerModel> const models = models_of(split, workers);
+  double best = -1;
+  for (std::size_t count = 1; count < workers.size(); ++count) {
+    std::map<std::string, std::string> phases;
+    for (std::size_t place = 0; place < workers.size(); ++place) {
+      phases[workers[place]] = place < count ? "prefill" : "decode";
+    }
+    double const carried = throughput(phases, models, sum, aims, batch);
+    if (carried > best) {
+      best = carried;
+      split.phases = phases;
+    }
+  }
+  split.frozen = true;
+  split.manner = aims.manner;
+  split.reason = "first split after warm-up, predicted " + std::to_string(best) + " queries a second";
+  return split;
+}
+
+ScalerAction Scaler::tick(schema::Split const& current, std::uint64_t revision, std::vector<std::string> const& workers,
+                          schema::ScalerAims const& aims, schema::WorkerBounds const& bounds, loam::Moment now) {
+  if (!seen_any_ || revision != seen_revision_) {
+    seen_any_ = true;
+    seen_revision_ = revision;
+    seen_at_ = now;  // the hold counts from here, also for one that just took over
+  }
+  if (workers.size() < 2) {
+    return Rest{"fewer than two workers: each does both phases"};
+  }
+  double const batch = std::max(1.0, static_cast<double>(bounds.limit) / 2);
+  if (aims.fixed_prefill >= 0) {
+    schema::Split split = current;
+    split.phases.clear();
+    for (std::size_t place = 0; place < workers.size(); ++place) {
+      split.phases[workers[place]] = static_cast<std::int64_t>(place) < aims.fixed_prefill ? "prefill" : "decode";
+    }
+    split.frozen = true;
+    split.manner = aims.manner;
+    split.reason = "fixed by the setup";
+    return split.phases == current.phases ? ScalerAction{Rest{split.reason}} : ScalerAction{WriteSplit{split}};
+  }
+  if (!current.frozen || current.manner != aims.manner) {
+    if (first_report_ == 0 || now - first_report_ < loam::milliseconds(static_cast<std::int64_t>(aims.warm_up_ms))) {
+      return Rest{"warm-up: workers do both phases while times are fitted"};
+    }
+    std::optional<schema::Split> const first = first_split(workers, aims, batch);
+    return first.has_value() ? ScalerAction{WriteSplit{*first}} : ScalerAction{Rest{"warm-up: too few observations for a fit"}};
+  }
+  std::vector<SliceWork> const works = counted(aims);
+  std::map<std::string, WorkerModel> const models = models_of(current, workers);
+  std::map<std::string, std::string> phases;
+  std::size_t prefills = 0;
+  std::vector<std::string> unassigned;
+  for (std::string const& worker : workers) {
+    std::map<std::string, std::string>::const_iterator const found = current.phases.find(worker);
+    if (found == current.phases.end() || found->second == "both") {
+      unassigned.push_back(worker);
+    } else {
+      phases[worker] = found->second;
+      prefills += found->second == "prefill" ? 1 : 0;
+    }
+  }
+  std::size_t const decodes = phases.size() - prefills;
+  // Came new, or a phase lost its last worker: nobody switches whose queries
+  // count, so this waits for no hold.
+  if (!unassigned.empty() || prefills == 0 || decodes == 0) {
+    schema::Split split = current;
+    if (unassigned.empty()) {
+      split.phases[workers.front()] = prefills == 0 ? "prefill" : "decode";
+      split.reason = "a phase had no worker left";
+    } else {
+      SliceWork const recent = works.empty() ? SliceWork{} : works.back();
+      std::map<std::string, std::string> with_prefill = phases;
+      std::map<std::string, std::string> with_decode = phases;
+      with_prefill[unassigned.front()] = "prefill";
+      with_decode[unassigned.front()] = "decode";
+      bool const prefill = prefills == 0 || (decodes > 0 && throughput(with_prefill, models, recent, aims, batch) > throughput(with_decode, models, recent, aims, batch));
+      split.phases[unassigned.front()] = prefill ? "prefill" : "decode";
+      split.reason = unassigned.front() + " came new";
+    }
+    if (split.coefficients.count(workers.front()) == 0 && !split.coefficients.empty()) {
+      split.coefficients[workers.front()] = split.coefficients.begin()->second;
+    }
+    return WriteSplit{split};
+  }
+  if (aims.refit_ms > 0 && now - seen_at_ >= loam::milliseconds(static_cast<std::int64_t>(aims.refit_ms))) {
+    schema::Split const again = fitted(workers);
+    if (!again.coefficients.empty()) {
+      schema::Split split = current;
+      split.coefficients = again.coefficients;
+      split.reason = "refitted";
+      return WriteSplit{split};
+    }
+  }
+  if (now - seen_at_ < loam::milliseconds(static_cast<std::int64_t>(aims.hold_ms))) {
+    return Rest{"held after the last switch"};
+  }
+  if (works.size() < std::max<std::size_t>(3, aims.slices / 2)) {
+    return Rest{"too few slices with observations"};
+  }
+  std::optional<schema::Split> best;
+  double best_gain = 0;
+  for (std::int64_t change = -static_cast<std::int64_t>(aims.step); change <= static_cast<std::int64_t>(aims.step); ++change) {
+    std::int64_t const count = static_cast<std::int64_t>(prefills) + change;
+    if (change == 0 || count < 1 || count >= static_cast<std::int64_t>(phases.size())) {
+      continue;
+    }
+    // Who is relatively best at the other phase goes first.
+    std::vector<std::pair<double, std::string>> movable;
+    for (std::pair<std::string const, std::string> const& entry : phases) {
+      if ((entry.second == "prefill") == (change < 0)) {
+        WorkerModel const& model = models.at(entry.first);
+        double const prefill = busy_seconds(model, works.back().prefill, true, aims.manner != "paired", aims, batch);
+        double const decode = busy_seconds(model, works.back().decode, aims.manner != "paired", true, aims, batch);
+        movable.emplace_back(change < 0 ? decode / std::max(prefill, 1e-9) : prefill / std::max(decode, 1e-9), entry.first);
+      }
+    }
+    std::sort(movable.begin(), movable.end());
+    std::map<std::string, std::string> candidate = phases;
+    for (std::size_t place = 0; place < movable.size() && place < static_cast<std::size_t>(std::abs(change)); ++place) {
+      candidate[movable[place].second] = change < 0 ? "decode" : "prefill";
+    }
+    std::vector<double> gains;
+    double mean = 0;
+    for (SliceWork const& work : works) {
+      gains.push_back(throughput(candidate, models, work, aims, batch) - throughput(phases, models, work, aims, batch));
+      mean += gains.back() / static_cast<double>(works.size());
+    }
+    double spread = 0;
+    for (double const gain : gains) {
+      spread += (gain - mean) * (gain - mean);
+    }
+    double const error = std::sqrt(spread / static_cast<double>(gains.size() - 1) / static_cast<double>(gains.size()));
+    if (mean > 1e-9 && mean > aims.errors * error && mean > best_gain) {
+      best_gain = mean;
+      schema::Split split = current;
+      split.phases = candidate;
+      split.reason = "gain " + std::to_string(mean) + " queries a second, standard error " + std::to_string(error) + ", prefill " + std::to_string(prefills) + " to " + std::to_string(count);
+      best = split;
+    }
+  }
+  return best.has_value() ? ScalerAction{WriteSplit{*best}} : ScalerAction{Rest{"no candidate gains more than its error allows"}};
+}
+
+}  // namespace finchlink::tilth
--- /dev/null
+++ b/source/tilth/scaler/scaler.hpp
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "loam/time/moment.hpp"
+#include "schema/setup.hpp"
+#include "schema/wire.hpp"
+#include "tilth/fit/fit.hpp"
+#include "tilth/model/model.hpp"
+
+namespace finchlink::tilth {
+
+/// Mean work of one query of a phase, over a slice.
+struct PhaseWork {
+  double queries = 0;
+  double uncached = 0;
+  double pairs = 0;
+  double iterations = 0;
+  double decodes = 0;
+};
+struct SliceWork {
+  PhaseWork prefill;
+  PhaseWork decode;
+};
+
+/// Queries a second that a split can carry: the lesser of its phases
+/// (section 8.3).
+[[nodiscard]] double throughput(std::map<std::string, std::string> const& phases, std::map<std::string, WorkerModel> const& models, SliceWork const& work,
+                                schema::ScalerAims const& aims, double batch);
+
+struct WriteSplit {
+  schema::Split split;
+};
+struct Rest {
+  std::string reason;
+};
+using ScalerAction = std::variant<WriteSplit, Rest>;
+
+/// The scaler of one region (section 8.3): plain state. Every trellis of the
+/// region feeds one; only the one with the lease writes what it decides.
+class Scaler {
+ public:
+  void report(schema::FurrowReport const& report, schema::ScalerAims const& aims, loam::Moment now);
+  [[nodiscard]] ScalerAction tick(schema::Split const& current, std::uint64_t revision, std::vector<std::string> const& workers,
+                                  schema::ScalerAims const& aims, schema::WorkerBounds const& bounds, loam::Moment now);
+  [[nodiscard]] std::size_t slices() const { return slices_.size(); }
+
+ private:
+  struct Slice {
+    loam::Moment begins = 0;
+    SliceWork work;
+  };
+  [[nodiscard]] schema::Split fitted(std::vector<std::string> const& workers) const;
+  [[nodiscard]] std::optional<schema::Split> first_split(std::vector<std::string> const& workers, schema::ScalerAims const& aims, double batch) const;
+  [[nodiscard]] std::map<std::string, WorkerModel> models_of(schema::Split const& split, std::vector<std::string> const& workers) const;
+  [[nodiscard]] std::vector<SliceWork> counted(schema::ScalerAims const& aims) const;
+
+  loam::Moment first_report_ = 0;
+  std::deque<Slice> slices_;
+  std::map<std::string, std::vector<FitRow>> prefill_rows_;
+  std::map<std::string, std::vector<FitRow>> decode_rows_;
+  std::uint64_t seen_revision_ = 0;
+  loam::Moment seen_at_ = 0;
+  bool seen_any_ = false;
+};
+
+}  // namespace finchlink::tilth
--- a/source/trellis/duty/duties.cpp
+++ b/source/trellis/duty/duties.cpp
@@ -5,6 +5,8 @@
 #include "loam/constants.hpp"
 #include "loam/json/tree.hpp"
 #include "loam/log/log.hpp"
+#include "orchard/label/selector.hpp"
+#include "orchard/setup/setup.hpp"
 
 namespace finchlink::trellis {
 
@@ -21,6 +23,31 @@
       loam::pause(context_, constants::founding_pause, yield);
     }
   });
+  loam::start(context_, [this](loam::Yield yield) {
+    std::map<std::string, bool> started;
+    while (true) {
+      for (std::pair<std::string const, schema::Region> const& region : setup().regions) {
+        if (!started[region.first]) {
+          started[region.first] = true;
+          std::string const name = region.first;
+          // The scaler runs inside its region; from outside only when no
+          // trellis of the region is left to do it.
+          std::function<bool()> const wanted = [this, name] {
+            schema::Setup const known = setup();
+            bool inside = orchard::region_of(known, hall_) == name;
+            bool any = false;
+            for (schema::TrellisEntry const& trellis : news_.trellises()) {
+              any = any || orchard::region_of(known, trellis.hall) == name;
+            }
+            return known.regions.count(name) > 0 && (inside || !any);
+          };
+          run("scaler/" + name, wanted, [this, name](std::function<bool()> const& held, loam::Yield inner) { scale(name, held, inner); });
+        }
+      }
+      feed_scalers();
+      loam::pause(context_, constants::tell_pause, yield);
+    }
+  });
   run("repair", [] { return true; }, [this](std::function<bool()> const& held, loam::Yield yield) { repair(held, yield); });
 }
 
@@ -81,6 +108,77 @@
   });
 }
 
+schema::Setup Duties::setup() {
+  schema::Value const value = ledger_.value(rootstock::setup_register);
+  std::lock_guard<std::mutex> const guard(lock_);
+  if (value.revision != setup_revision_) {
+    setup_revision_ = value.revision;
+    setup_ = orchard::read_setup(value.content).setup;
+  }
+  return setup_;
+}
+
+void Duties::feed_scalers() {
+  schema::Setup const known = setup();
+  std::vector<schema::Session> const sessions = news_.take_reports();
+  std::lock_guard<std::mutex> const guard(lock_);
+  for (schema::Session const& session : sessions) {
+    std::string const region = orchard::region_of(known, session.member.hall);
+    for (schema::FurrowReport const& report : session.reports) {
+      scalers_[region].report(report, known.scaler, loam::boot_now());
+    }
+  }
+}
+
+void Duties::scale(std::string const& region, std::function<bool()> const& held, loam::Yield yield) {
+  schema::Setup const known = setup();
+  std::string const name = rootstock::split_register(region);
+  schema::Value const value = ledger_.value(name);
+  schema::Split current;
+  std::vector<loam::Fault> faults;
+  absl::StatusOr<loam::Tree> const tree = loam::read_tree(value.content);
+  if (value.revision > 0 && tree.ok()) {
+    schema::read(tree->get(), "", current, faults);
+  }
+  std::vector<std::string> workers;
+  for (schema::WorkerEntry const& worker : news_.list().workers) {
+    std::map<std::string, schema::Hall>::const_iterator const hall = known.halls.find(worker.zone);
+    bool const evacuated = hall != known.halls.end() && hall->second.evacuated;
+    if (worker.kind == "model" && !worker.draining && !evacuated && orchard::region_of(known, worker.zone) == region) {
+      workers.push_back(worker.id);
+    }
+  }
+  tilth::ScalerAction action = tilth::Rest{"no workers"};
+  {
+    std::lock_guard<std::mutex> const guard(lock_);
+    action = scalers_[region].tick(current, value.revision, workers, known.scaler, known.workers, loam::boot_now());
+    if (tilth::Rest const* const rest = std::get_if<tilth::Rest>(&action)) {
+      reasons_["scaler/" + region] = rest->reason;
+    }
+  }
+  tilth::WriteSplit const* const write = std::get_if<tilth::WriteSplit>(&action);
+  if (write == nullptr || !held()) {
+    return;
+  }
+  loam::Tree const content(schema::write(write->split));
+  std::string const text = loam::print_tree(content.get());
+  std::uint64_t const expected = value.revision;
+  // The expectation fences: whoever lost the lease meanwhile writes nothing.
+  Ledger::Result const result = ledger_.change(
+      name,
+      [expected, text](schema::Value const& found) -> rootstock::Wish {
+        if (found.revision != expected) {
+          return rootstock::Reject{"the split was changed meanwhile"};
+        }
+        return schema::Value{found.revision + 1, text, {}};
+      },
+      constants::change_deadline, yield);
+  bool const chosen = std::holds_alternative<rootstock::Chosen>(result);
+  loam::note(chosen ? loam::Event::SplitWritten : loam::Event::SplitDefect, region + ": " + write->split.reason);
+  std::lock_guard<std::mutex> const guard(lock_);
+  reasons_["scaler/" + region] = write->split.reason;
+}
+
 /// Tells holders that lag, our own first, of a newer holder set.
 void Duties::spread_set(loam::Yield yield) {
   schema::HolderSet const set = ledger_.set();
--- a/source/trellis/duty/duties.hpp
+++ b/source/trellis/duty/duties.hpp
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "stake/tenant.hpp"
+#include "tilth/scaler/scaler.hpp"
 #include "trellis/holder/holder_shell.hpp"
 #include "trellis/ledger/ledger.hpp"
 #include "trellis/news/news.hpp"
@@ -25,6 +26,9 @@
   void run(std::string const& name, std::function<bool()> const& wanted, std::function<void(std::function<bool()> const&, loam::Yield)> const& step);
   void repair(std::function<bool()> const& held, loam::Yield yield);
   void spread_set(loam::Yield yield);
+  void feed_scalers();
+  void scale(std::string const& region, std::function<bool()> const& held, loam::Yield yield);
+  [[nodiscard]] schema::Setup setup();
 
   boost::asio::io_context& context_;
   loam::Caller& caller_;
@@ -36,6 +40,9 @@
   std::mutex lock_;
   std::map<std::string, bool> held_;
   std::map<std::string, std::string> reasons_;
+  std::map<std::string, tilth::Scaler> scalers_;
+  std::uint64_t setup_revision_ = 0;
+  schema::Setup setup_;
   std::map<std::uint64_t, int> misses_;  ///< looks in a row without an answer, per holder
 };
 
