--- /dev/null
+++ b/source/almanac/control/control.cpp
@@ -0,0 +1,1165 @@
+#include "almanac/control/control.hpp"
+
+#include <algorithm>
+
+#include "hedge/repair/repair.hpp"
+#include "loam/constants.hpp"
+#include "loam/json/tree.hpp"
+#include "orchard/change/wish.hpp"
+
+namespace finchlink::almanac {
+
+namespace constants = loam::constants;
+using loam::Moment;
+using loam::Span;
+
+namespace {
+
+constexpr std::size_t ring_files = 3;
+constexpr std::size_t ring_bytes = 1u << 17u;
+char const* const first_setup = R"({"regions":{"r":{"halls":["h"]}},"rules":{}})";
+
+class World {
+ public:
+  explicit World(ControlOptions const& options) : options_(options), kernel_(options.seed) { kernel_.print_trace(options.print); }
+  ControlReport run();
+
+ private:
+  using Reply = std::function<void(std::optional<schema::Message> const&)>;
+
+  struct Job {
+    std::vector<schema::Record> records;
+    schema::Message reply;
+    Reply send;
+  };
+  /// One machine: a trellis, with a disk a holder as well.
+  struct Machine {
+    std::string address;
+    bool disk = false;
+    bool alive = true;
+    bool frozen = false;
+    std::uint64_t life = 0;
+    Moment offset = 0;
+    double rate = 1.0;
+    std::vector<std::function<void()>> deferred;
+    std::unique_ptr<MemoryDisk> memory;
+    std::unique_ptr<rootstock::Ring> ring;
+    std::optional<rootstock::Holder> holder;
+    bool silent = false;
+    std::deque<Job> jobs;
+    bool working = false;
+    Span disk_delay = loam::milliseconds(2);
+    bool disk_stalled = false;
+    std::uint64_t identity = 0;
+    schema::HolderSet set;
+    rootstock::Confirm confirm;
+    std::map<std::uint64_t, int> misses;
+    std::unique_ptr<stake::Tenant> tenant;
+  };
+  struct Furrow {
+    std::string name;
+    bool alive = true;
+    bool frozen = false;
+    std::uint64_t life = 0;
+    Moment offset = 0;
+    double rate = 1.0;
+    std::vector<std::function<void()>> deferred;
+    hedge::Vouch vouch;
+    std::size_t turn = 0;
+    std::uint64_t shown = 0;  ///< newest revision whose effect this node has shown, over all its lives
+  };
+
+  // --- time and network ---
+  template <class Node>
+  Moment local(Node const& node) const { return node.offset + static_cast<Moment>(static_cast<double>(kernel_.now()) * node.rate); }
+  template <class Node>
+  void later(Node& node, Span span, std::function<void()> event) {
+    std::uint64_t const life = node.life;
+    kernel_.after(span, [this, &node, life, event = std::move(event)] { on(node, life, event); });
+  }
+  template <class Node>
+  void on(Node& node, std::uint64_t life, std::function<void()> const& event) {
+    if (!node.alive || node.life != life) {
+      return;
+    }
+    if (node.frozen) {
+      node.deferred.push_back([this, &node, life, event] { on(node, life, event); });
+      return;
+    }
+    event();
+  }
+  template <class Node>
+  void thaw(Node& node) {
+    node.frozen = false;
+    std::vector<std::function<void()>> events;
+    events.swap(node.deferred);
+    for (std::function<void()> const& event : events) {
+      event();
+    }
+  }
+  bool cut(std::string const& from, std::string const& to) const { return cuts_.count({from, to}) > 0 || (split_.count(from) != split_.count(to)); }
+  Span delay() { return kernel_.chance(0.02) ? kernel_.between(0, options_.faults.delay_most * 20) : kernel_.between(200, options_.faults.delay_most); }
+
+  template <class Node>
+  void call(Node& from, std::string const& from_name, std::string const& to, schema::Message const& message, Span deadline, Reply done) {
+    std::uint64_t const life = from.life;
+    std::shared_ptr<bool> const over = std::make_shared<bool>(false);
+    Reply const finish = [this, &from, life, over, done](std::optional<schema::Message> const& answer) {
+      on(from, life, [over, done, answer] {
+        if (!*over) {
+          *over = true;
+          done(answer);
+        }
+      });
+    };
+    kernel_.after(deadline, [finish] { finish(std::nullopt); });
+    int const copies = kernel_.chance(options_.faults.duplicate) ? 2 : 1;
+    for (int copy = 0; copy < copies; ++copy) {
+      kernel_.after(delay(), [this, from_name, to, message, finish] {
+        Machine* const target = machine_at(to);
+        if (target == nullptr || cut(from_name, to)) {
+          return;
+        }
+        on(*target, target->life, [this, target, from_name, to, message, finish] {
+          receive(*target, message, [this, from_name, to, finish](std::optional<schema::Message> const& answer) {
+            if (answer.has_value()) {
+              kernel_.after(delay(), [this, from_name, to, finish, answer] {
+                if (!cut(to, from_name)) {
+                  finish(answer);
+                }
+              });
+            }
+          });
+        });
+      });
+    }
+  }
+  Machine* machine_at(std::string const& address) {
+    for (std::unique_ptr<Machine> const& machine : machines_) {
+      if (machine->address == address) {
+        return machine.get();
+      }
+    }
+    return nullptr;
+  }
+
+  // --- holder on its disk ---
+  void receive(Machine& machine, schema::Message const& message, Reply const& reply);
+  void submit(Machine& machine, rootstock::Outcome outcome, Reply const& reply);
+  void work(Machine& machine);
+  void boot(Machine& machine);
+  void stand_up(Machine& machine);
+
+  // --- trellis ---
+  void learn(Machine& machine, schema::HolderSet const& set) {
+    if (set.epoch > machine.set.epoch) {
+      machine.set = set;
+    }
+  }
+  void confirm_loop(Machine& machine);
+  void spread(Machine& machine);
+  void repair(Machine& machine);
+  void lease_loop(Machine& machine);
+  struct ChangeRun;
+  void start_change(Machine& machine, std::string const& name, rootstock::Wisher wisher, Span deadline,
+                    std::function<void(std::variant<rootstock::Chosen, rootstock::Rejected, std::monostate>)> done);
+  void try_change(std::shared_ptr<ChangeRun> const& run);
+  void answer_ask(Machine& machine, schema::NewsAsk const& ask, Moment arrival, Reply const& reply);
+
+  // --- furrow and operators ---
+  void begin_furrow(Furrow& furrow);
+  void ask_loop(Furrow& furrow);
+  void query_loop(Furrow& furrow);
+  void operator_loop(std::size_t number);
+  void put(std::size_t number, std::optional<std::uint64_t> expected, std::function<void(bool acknowledged)> done);
+  void acknowledged(std::string const& id, std::uint64_t revision, std::uint64_t floor, Moment began);
+  void outcome_of(std::string const& id);
+  void read(std::function<void(std::uint64_t)> done);
+
+  // --- faults and checks ---
+  void faults();
+  void repeat(double mean, std::function<void()> fault);
+  void kill(Machine& machine);
+  void revive(Machine& machine);
+  void wipe(Machine& machine);
+  bool may_wipe() const;
+  void heal();
+  void violate(std::string const& text);
+  void observe(schema::Value const& value, std::string const& where);
+  void check_leases();
+  void check_recovery(Moment since, std::function<void(Span)> done);
+
+  ControlOptions options_;
+  Kernel kernel_;
+  ControlReport report_;
+  std::vector<std::unique_ptr<Machine>> machines_;
+  std::vector<std::unique_ptr<Furrow>> furrows_;
+  std::vector<std::string> founders_;
+  std::set<std::pair<std::string, std::string>> cuts_;
+  std::set<std::string> split_;
+  bool calm_ = false;
+  std::uint64_t next_id_ = 1;
+  std::uint64_t next_address_ = 100;
+  std::map<std::uint64_t, std::string> contents_;       ///< revision to content: only ever one
+  std::map<std::uint64_t, std::string> owners_;         ///< revision to the change that made it
+  std::map<std::string, std::uint64_t> accepted_;       ///< acknowledged ids
+  std::set<std::string> rejected_;                      ///< ids told "rejected"
+  std::uint64_t floor_ = 0;                             ///< newest revision that a finished ask showed
+  std::uint64_t in_force_ = 0;                          ///< newest acknowledged revision
+  std::uint64_t lease_owner_ = 0;
+};
+
+void World::violate(std::string const& text) {
+  kernel_.trace("VIOLATION " + text);
+  if (report_.violations.size() < 20) {
+    report_.violations.push_back("at " + std::to_string(kernel_.now()) + " us: " + text);
+  }
+}
+
+void World::observe(schema::Value const& value, std::string const& where) {
+  if (value.revision == 0) {
+    return;
+  }
+  std::map<std::uint64_t, std::string>::const_iterator const found = contents_.find(value.revision);
+  if (found == contents_.end()) {
+    contents_[value.revision] = value.content;
+  } else if (found->second != value.content) {
+    violate("revision " + std::to_string(value.revision) + " has two contents, seen at " + where);
+  }
+  for (schema::ChangeMark const& mark : value.marks) {
+    if (mark.revision > 0) {
+      std::string& owner = owners_[mark.revision];
+      if (!owner.empty() && owner != mark.id) {
+        violate("revision " + std::to_string(mark.revision) + " is of two changes, seen at " + where);
+      }
+      owner = mark.id;
+    }
+    if (mark.revision > 0 && rejected_.count(mark.id) > 0) {
+      violate("rejected change " + mark.id + " took effect, seen at " + where);
+    }
+  }
+}
+
+void World::boot(Machine& machine) {
+  ++machine.life;
+  machine.alive = true;
+  machine.frozen = false;
+  machine.deferred.clear();
+  machine.jobs.clear();
+  machine.working = false;
+  machine.silent = false;
+  machine.identity = (kernel_.draw() >> 12u) + 1;
+  machine.set = schema::HolderSet{};
+  machine.confirm = rootstock::Confirm{};
+  machine.misses.clear();
+  machine.tenant = std::make_unique<stake::Tenant>("duty/repair", machine.identity, options_.guards);
+  if (machine.disk) {
+    machine.ring = std::make_unique<rootstock::Ring>(machine.memory->device(), ring_files, ring_bytes);
+    absl::StatusOr<std::vector<schema::Record>> records = machine.ring->recover();
+    if (!records.ok()) {
+      violate("a torn disk was taken for a broken one: " + std::string(records.status().message()));
+      machine.silent = true;
+    } else if (records->empty()) {
+      machine.holder.emplace((kernel_.draw() >> 12u) + 1, machine.address, founders_, local(machine), options_.guards);
+      std::vector<schema::Record> const image = machine.holder->image();
+      machine.silent = !machine.ring->append(image, [&image] { return image; }).ok();
+    } else {
+      machine.holder.emplace(*records, machine.address, founders_, local(machine), options_.guards);
+    }
+    stand_up(machine);
+  }
+  confirm_loop(machine);
+  spread(machine);
+  lease_loop(machine);
+  repair(machine);
+}
+
+void World::submit(Machine& machine, rootstock::Outcome outcome, Reply const& reply) {
+  if (!outcome.reply.has_value()) {
+    outcome.reply = schema::Unknown{};
+  }
+  if (outcome.records.empty() && machine.jobs.empty()) {
+    reply(outcome.reply);
+    return;
+  }
+  if (machine.jobs.size() >= constants::disk_waitlist) {
+    return;
+  }
+  if (!options_.guards.sync_before_reply) {
+    reply(outcome.reply);
+    machine.jobs.push_back(Job{outcome.records, *outcome.reply, nullptr});
+  } else {
+    machine.jobs.push_back(Job{outcome.records, *outcome.reply, reply});
+  }
+  work(machine);
+}
+
+void World::work(Machine& machine) {
+  if (machine.working || machine.jobs.empty() || machine.silent || machine.disk_stalled) {
+    return;
+  }
+  machine.working = true;
+  later(machine, kernel_.between(200, machine.disk_delay * 2), [this, &machine] {
+    machine.working = false;
+    if (machine.jobs.empty() || machine.disk_stalled) {
+      return;
+    }
+    Job const job = machine.jobs.front();
+    machine.jobs.pop_front();
+    absl::Status status = absl::OkStatus();
+    if (!job.records.empty()) {
+      status = machine.ring->append(job.records, [&machine] { return machine.holder->image(); });
+    }
+    if (!status.ok()) {
+      machine.silent = true;
+      return;
+    }
+    if (job.send) {
+      job.send(job.reply);
+    }
+    work(machine);
+  });
+}
+
+void World::receive(Machine& machine, schema::Message const& message, Reply const& reply) {
+  if (schema::NewsAsk const* const ask = std::get_if<schema::NewsAsk>(&message)) {
+    answer_ask(machine, *ask, local(machine), reply);
+    return;
+  }
+  if (!machine.holder.has_value() || machine.silent) {
+    return;
+  }
+  submit(machine, machine.holder->receive(message, local(machine)), reply);
+}
+
+void World::stand_up(Machine& machine) {
+  later(machine, constants::founding_pause, [this, &machine] {
+    stand_up(machine);
+    if (machine.silent || !machine.holder.has_value()) {
+      return;
+    }
+    Reply const ignore = [](std::optional<schema::Message> const&) {};
+    if (machine.holder->wants_founding()) {
+      std::shared_ptr<std::vector<schema::FoundingAnswer>> const answers = std::make_shared<std::vector<schema::FoundingAnswer>>();
+      for (std::string const& founder : founders_) {
+        if (founder != machine.address) {
+          call(machine, machine.address, founder, machine.holder->founding_ask(), constants::holder_deadline,
+               [this, &machine, answers, ignore](std::optional<schema::Message> const& answer) {
+                 if (answer.has_value() && std::holds_alternative<schema::FoundingAnswer>(*answer)) {
+                   answers->push_back(std::get<schema::FoundingAnswer>(*answer));
+                   submit(machine, machine.holder->founding(*answers, local(machine)), ignore);
+                 }
+               });
+        }
+      }
+    } else if (machine.holder->wants_image()) {
+      std::shared_ptr<std::vector<schema::Image>> const images = std::make_shared<std::vector<schema::Image>>();
+      for (schema::HolderEntry const& source : machine.holder->image_sources()) {
+        call(machine, machine.address, source.address, machine.holder->image_ask(), constants::holder_deadline,
+             [this, &machine, images, ignore](std::optional<schema::Message> const& answer) {
+               if (answer.has_value() && std::holds_alternative<schema::Image>(*answer)) {
+                 images->push_back(std::get<schema::Image>(*answer));
+                 submit(machine, machine.holder->enrol(*images, local(machine)), ignore);
+               }
+             });
+      }
+    }
+  });
+}
+
+void World::confirm_loop(Machine& machine) {
+  later(machine, constants::confirm_pause, [this, &machine] {
+    confirm_loop(machine);
+    if (machine.set.epoch == 0) {
+      for (std::string const& founder : founders_) {
+        call(machine, machine.address, founder, schema::Read{0, {}, 0}, constants::holder_deadline, [this, &machine](std::optional<schema::Message> const& answer) {
+          if (answer.has_value() && std::holds_alternative<schema::Refused>(*answer)) {
+            learn(machine, std::get<schema::Refused>(*answer).set);
+          }
+        });
+      }
+      return;
+    }
+    for (rootstock::ConfirmAction const& action : machine.confirm.begin(machine.set, local(machine))) {
+      rootstock::SendRead const& send = std::get<rootstock::SendRead>(action);
+      call(machine, machine.address, send.to.address, send.read, constants::holder_deadline, [this, &machine](std::optional<schema::Message> const& answer) {
+        if (!answer.has_value()) {
+          return;
+        }
+        for (rootstock::ConfirmAction const& result : machine.confirm.receive(*answer)) {
+          if (rootstock::NewerHolders const* const newer = std::get_if<rootstock::NewerHolders>(&result)) {
+            learn(machine, newer->set);
+          } else if (rootstock::Unsettled const* const open = std::get_if<rootstock::Unsettled>(&result)) {
+            for (std::string const& name : open->names) {
+              start_change(machine, name, [](schema::Value const&) -> rootstock::Wish { return rootstock::Keep{}; }, constants::holder_deadline, nullptr);
+            }
+          } else if (std::holds_alternative<rootstock::Confirmed>(result)) {
+            std::map<std::string, schema::Value>::const_iterator const setup = machine.confirm.values().find(rootstock::setup_register);
+            if (setup != machine.confirm.values().end()) {
+              observe(setup->second, machine.address);
+            }
+          }
+        }
+      });
+    }
+  });
+}
+
+struct World::ChangeRun {
+  Machine* machine = nullptr;
+  std::unique_ptr<rootstock::Change> core;
+  Moment until = 0;
+  bool over = false;
+  std::uint64_t tries = 0;
+  std::function<void(std::variant<rootstock::Chosen, rootstock::Rejected, std::monostate>)> done;
+};
+
+void World::start_change(Machine& machine, std::string const& name, rootstock::Wisher wisher, Span deadline,
+                         std::function<void(std::variant<rootstock::Chosen, rootstock::Rejected, std::monostate>)> done) {
+  std::shared_ptr<ChangeRun> const run = std::make_shared<ChangeRun>();
+  run->machine = &machine;
+  run->core = std::make_unique<rootstock::Change>(name, (kernel_.draw() >> 12u) + 1, std::move(wisher), options_.guards);
+  run->core->start_above(machine.confirm.known(name));
+  run->until = local(machine) + deadline;
+  run->done = std::move(done);
+  later(machine, deadline, [run] {
+    if (!run->over) {
+      run->over = true;
+      if (run->done) {
+        run->done(std::monostate{});
+      }
+    }
+  });
+  try_change(run);
+}
+
+void World::try_change(std::shared_ptr<ChangeRun> const& run) {
+  Machine& machine = *run->machine;
+  if (run->over || local(machine) >= run->until) {
+    return;
+  }
+  std::uint64_t const number = ++run->tries;
+  std::function<void()> const again = [this, run, number] {
+    if (!run->over && run->tries == number) {
+      later(*run->machine, kernel_.between(constants::ballot_pause_least, constants::ballot_pause_most), [this, run, number] {
+        if (run->tries == number) {
+          try_change(run);
+        }
+      });
+    }
+  };
+  if (machine.set.epoch == 0) {
+    again();
+    return;
+  }
+  later(machine, constants::holder_deadline, again);
+  std::shared_ptr<std::function<void(std::vector<rootstock::ChangeAction> const&)>> const perform = std::make_shared<std::function<void(std::vector<rootstock::ChangeAction> const&)>>();
+  std::weak_ptr<std::function<void(std::vector<rootstock::ChangeAction> const&)>> const weak = perform;
+  *perform = [this, run, number, again, weak](std::vector<rootstock::ChangeAction> const& actions) {
+    Machine& own = *run->machine;
+    std::shared_ptr<std::function<void(std::vector<rootstock::ChangeAction> const&)>> const self = weak.lock();
+    for (rootstock::ChangeAction const& action : actions) {
+      if (run->over || run->tries != number) {
+        return;
+      }
+      if (rootstock::Send const* const send = std::get_if<rootstock::Send>(&action)) {
+        std::uint64_t const incarnation = send->to.incarnation;
+        call(own, own.address, send->to.address, send->message, constants::holder_deadline, [run, number, incarnation, self](std::optional<schema::Message> const& answer) {
+          if (answer.has_value() && !run->over && run->tries == number) {
+            (*self)(run->core->receive(incarnation, *answer));
+          }
+        });
+      } else if (rootstock::Chosen const* const chosen = std::get_if<rootstock::Chosen>(&action)) {
+        run->over = true;
+        own.confirm.learn(run->core->name(), chosen->ballot, chosen->value);
+        if (run->core->name() == rootstock::setup_register) {
+          observe(chosen->value, own.address);
+        }
+        if (run->done) {
+          run->done(*chosen);
+        }
+      } else if (rootstock::Rejected const* const rejected = std::get_if<rootstock::Rejected>(&action)) {
+        run->over = true;
+        if (run->done) {
+          run->done(*rejected);
+        }
+      } else {
+        if (rootstock::NewerSet const* const newer = std::get_if<rootstock::NewerSet>(&action)) {
+          learn(own, newer->set);
+        }
+        again();
+      }
+    }
+  };
+  (*perform)(run->core->begin(machine.set));
+}
+
+void World::spread(Machine& machine) {
+  later(machine, constants::founding_pause, [this, &machine] {
+    spread(machine);
+    if (machine.holder.has_value() && !machine.silent && machine.set.epoch > machine.holder->set().epoch &&
+        (machine.holder->set().epoch > 0 || machine.set.epoch > 1)) {
+      submit(machine, machine.holder->receive(schema::Adopt{machine.set}, local(machine)), [](std::optional<schema::Message> const&) {});
+    }
+    std::map<std::string, schema::Value>::const_iterator const value = machine.confirm.values().find(rootstock::holders_register);
+    if (value == machine.confirm.values().end()) {
+      return;
+    }
+    schema::HolderSet next;
+    std::vector<loam::Fault> faults;
+    schema::read(loam::read_tree(value->second.content)->get(), "", next, faults);
+    if (next.epoch <= machine.set.epoch) {
+      return;
+    }
+    std::vector<schema::HolderEntry> all = next.previous;
+    all.insert(all.end(), next.holders.begin(), next.holders.end());
+    for (schema::HolderEntry const& entry : all) {
+      call(machine, machine.address, entry.address, schema::Adopt{next}, constants::holder_deadline, [this, &machine, next](std::optional<schema::Message> const& answer) {
+        if (answer.has_value() && std::holds_alternative<schema::Adopted>(*answer) && std::get<schema::Adopted>(*answer).epoch >= next.epoch) {
+          learn(machine, next);
+        }
+      });
+    }
+  });
+}
+
+void World::lease_loop(Machine& machine) {
+  later(machine, constants::tell_pause, [this, &machine] {
+    lease_loop(machine);
+    for (stake::TenantAction const& action : machine.tenant->tick(machine.set, local(machine))) {
+      if (stake::SendAsk const* const send = std::get_if<stake::SendAsk>(&action)) {
+        call(machine, machine.address, send->to.address, send->ask, constants::holder_deadline, [this, &machine](std::optional<schema::Message> const& answer) {
+          if (answer.has_value() && std::holds_alternative<schema::LeaseAnswer>(*answer)) {
+            (void)machine.tenant->receive(std::get<schema::LeaseAnswer>(*answer), local(machine));
+          }
+        });
+      }
+    }
+  });
+}
+
+void World::repair(Machine& machine) {
+  later(machine, constants::repair_pause, [this, &machine] {
+    repair(machine);
+    if (!machine.tenant->holds(local(machine)) || machine.set.epoch == 0) {
+      return;
+    }
+    for (schema::HolderEntry const& entry : machine.set.holders) {
+      ++machine.misses[entry.incarnation];
+      call(machine, machine.address, entry.address, schema::Adopt{machine.set}, constants::holder_deadline, [&machine](std::optional<schema::Message> const& answer) {
+        schema::Adopted const* const given = answer.has_value() ? std::get_if<schema::Adopted>(&*answer) : nullptr;
+        if (given != nullptr && given->voting) {
+          machine.misses[given->incarnation] = 0;
+        }
+      });
+    }
+    later(machine, constants::holder_deadline, [this, &machine] {
+      std::vector<schema::TrellisEntry> trellises;
+      for (std::unique_ptr<Machine> const& other : machines_) {
+        if (other->alive && !other->frozen && other->holder.has_value() && !other->silent && !cut(other->address, machine.address)) {
+          trellises.push_back(schema::TrellisEntry{other->address, other->identity, "", other->address, "", true, other->holder->voting(), other->holder->incarnation()});
+        }
+      }
+      std::optional<schema::HolderSet> const plan = hedge::plan_repair(machine.set, machine.misses, trellises);
+      if (!plan.has_value() || !machine.tenant->holds(local(machine))) {
+        return;
+      }
+      std::uint64_t const expected = machine.set.epoch - 1;  // epoch 1 was founded, each change adds one
+      std::string const content = loam::print_tree(loam::Tree(schema::write(*plan)).get());
+      start_change(
+          machine, rootstock::holders_register,
+          [expected, content](schema::Value const& found) -> rootstock::Wish {
+            return found.revision != expected ? rootstock::Wish{rootstock::Reject{"changed meanwhile"}} : rootstock::Wish{schema::Value{found.revision + 1, content, {}}};
+          },
+          constants::change_deadline, [this](std::variant<rootstock::Chosen, rootstock::Rejected, std::monostate> const& result) {
+            if (std::holds_alternative<rootstock::Chosen>(result)) {
+              ++report_.repairs;
+              kernel_.trace("repair chosen");
+            }
+          });
+    });
+  });
+}
+
+void World::answer_ask(Machine& machine, schema::NewsAsk const& ask, Moment arrival, Reply const& reply) {
+  hedge::DeskVerdict const verdict = hedge::judge_ask(ask, arrival, machine.confirm.confirmed_from(), machine.confirm.values(), false, local(machine), options_.desk_guards);
+  if (verdict.answer.has_value()) {
+    reply(schema::Message(*verdict.answer));
+    return;
+  }
+  later(machine, std::min<Span>(verdict.wait + 1, loam::milliseconds(20)), [this, &machine, ask, arrival, reply] { answer_ask(machine, ask, arrival, reply); });
+}
+
+void World::begin_furrow(Furrow& furrow) {
+  ++furrow.life;
+  furrow.alive = true;
+  furrow.frozen = false;
+  furrow.deferred.clear();
+  furrow.vouch = hedge::Vouch(options_.vouch_guards);
+  ask_loop(furrow);
+  query_loop(furrow);
+}
+
+void World::ask_loop(Furrow& furrow) {
+  schema::NewsAsk ask;
+  ask.member.name = furrow.name;
+  ask.member.held = furrow.vouch.held();
+  Moment const asked = local(furrow);
+  call(furrow, furrow.name, machines_[furrow.turn % machines_.size()]->address, ask, constants::ask_deadline, [this, &furrow, asked](std::optional<schema::Message> const& answer) {
+    schema::NewsAnswer const* const news = answer.has_value() ? std::get_if<schema::NewsAnswer>(&*answer) : nullptr;
+    if (news != nullptr) {
+      for (schema::NamedValue const& value : furrow.vouch.take(*news, asked, local(furrow))) {
+        kernel_.trace(furrow.name + " adopts " + value.name + " " + std::to_string(value.revision));
+      }
+    }
+    if (news == nullptr || !news->vouched) {
+      furrow.turn = kernel_.below(machines_.size());
+      later(furrow, constants::ask_retry, [this, &furrow] { ask_loop(furrow); });
+    } else {
+      ask_loop(furrow);
+    }
+  });
+}
+
+void World::query_loop(Furrow& furrow) {
+  later(furrow, kernel_.between(5000, 40000), [this, &furrow] {
+    query_loop(furrow);
+    if (!furrow.vouch.vouched(local(furrow))) {
+      ++report_.unvouched;
+      return;
+    }
+    std::map<std::string, std::uint64_t>::const_iterator const held = furrow.vouch.held().find(rootstock::setup_register);
+    std::uint64_t const revision = held == furrow.vouch.held().end() ? 0 : held->second;
+    if (revision == 0) {
+      return;
+    }
+    ++report_.queries;
+    if (revision < in_force_) {
+      violate(furrow.name + " serves by revision " + std::to_string(revision) + " though " + std::to_string(in_force_) + " was acknowledged");
+    }
+    if (revision < furrow.shown) {
+      violate(furrow.name + " slipped back from revision " + std::to_string(furrow.shown) + " to " + std::to_string(revision));
+    }
+    furrow.shown = std::max(furrow.shown, revision);
+  });
+}
+
+void World::acknowledged(std::string const& id, std::uint64_t revision, std::uint64_t floor, Moment began) {
+  if (revision <= floor && accepted_.count(id) == 0) {
+    violate("change " + id + " was taken at revision " + std::to_string(revision) + " though " + std::to_string(floor) + " was known before it began");
+  }
+  ++report_.acknowledged;
+  accepted_[id] = revision;
+  floor_ = std::max(floor_, revision);
+  in_force_ = std::max(in_force_, revision);
+  report_.worst_acknowledge = std::max(report_.worst_acknowledge, kernel_.now() - began);
+  kernel_.trace("acknowledged " + id + " revision " + std::to_string(revision));
+}
+
+void World::put(std::size_t number, std::optional<std::uint64_t> expected, std::function<void(bool)> done) {
+  Machine* const machine = machines_[kernel_.below(machines_.size())].get();
+  if (!machine->alive || machine->frozen) {
+    done(false);
+    return;
+  }
+  orchard::WantedChange wanted;
+  wanted.id = "c" + std::to_string(next_id_++);
+  wanted.expected = expected;
+  wanted.patch = contents_.size() > 0;
+  wanted.content = contents_.empty() ? first_setup : R"({"halls":{"h":{"labels":{"mark":")" + wanted.id + "\"}}}}";
+  if (contents_.empty()) {
+    wanted.patch = false;
+  }
+  std::uint64_t const floor = floor_;
+  Moment const began = kernel_.now();
+  std::shared_ptr<bool> const told = std::make_shared<bool>(false);
+  std::shared_ptr<orchard::WishNote> const note = std::make_shared<orchard::WishNote>();
+  kernel_.after(constants::change_deadline + constants::acknowledge_wait + loam::seconds(2), [this, told, id = wanted.id, done] {
+    if (!*told) {  // the trellis died with it; what became of it is asked for
+      *told = true;
+      ++report_.unknown;
+      outcome_of(id);
+      done(false);
+    }
+  });
+  kernel_.trace("operator " + std::to_string(number) + " puts " + wanted.id);
+  start_change(*machine, rootstock::setup_register, orchard::wish_for(wanted, note), constants::change_deadline,
+               [this, machine, told, wanted, floor, began, note, done](std::variant<rootstock::Chosen, rootstock::Rejected, std::monostate> const& result) {
+                 if (*told) {
+                   return;
+                 }
+                 std::uint64_t revision = 0;
+                 kernel_.trace("result of " + wanted.id + " is " + std::to_string(result.index()));
+                 if (rootstock::Chosen const* const chosen = std::get_if<rootstock::Chosen>(&result)) {
+                   revision = chosen->value.revision;
+                 } else if (rootstock::Rejected const* const rejected = std::get_if<rootstock::Rejected>(&result)) {
+                   std::optional<schema::ChangeMark> const mark = rootstock::find_mark(rejected->current, wanted.id);
+                   if (mark.has_value() && mark->revision > 0) {
+                     revision = mark->revision;
+                   } else {
+                     *told = true;
+                     ++report_.rejected;
+                     rejected_.insert(wanted.id);
+                     kernel_.trace("rejected " + wanted.id);
+                     for (std::pair<std::uint64_t const, std::string> const& content : contents_) {
+                       if (content.second.find("\"" + wanted.id + "\"") != std::string::npos) {
+                         violate("rejected change " + wanted.id + " had taken effect");
+                       }
+                     }
+                     done(false);
+                     return;
+                   }
+                 }
+                 if (revision == 0) {
+                   *told = true;
+                   ++report_.unknown;
+                   outcome_of(wanted.id);
+                   done(false);
+                   return;
+                 }
+                 later(*machine, options_.acknowledge_waits ? constants::acknowledge_wait : 0, [this, told, wanted, revision, floor, began, done] {
+                   if (!*told) {
+                     *told = true;
+                     acknowledged(wanted.id, revision, floor, began);
+                     done(true);
+                   }
+                 });
+               });
+}
+
+void World::outcome_of(std::string const& id) {
+  Machine* const machine = machines_[kernel_.below(machines_.size())].get();
+  if (!machine->alive || machine->frozen) {
+    return;
+  }
+  later(*machine, constants::change_deadline, [this, machine, id] {
+    start_change(*machine, rootstock::setup_register, orchard::veto_of(id), constants::change_deadline, [this, id](std::variant<rootstock::Chosen, rootstock::Rejected, std::monostate> const& result) {
+      if (rootstock::Chosen const* const chosen = std::get_if<rootstock::Chosen>(&result)) {
+        std::optional<schema::ChangeMark> const mark = rootstock::find_mark(chosen->value, id);
+        if (!mark.has_value()) {
+          violate("the outcome of " + id + " was settled without a mark");
+        } else if (mark->revision == 0) {
+          rejected_.insert(id);
+          kernel_.trace("vetoed " + id);
+        } else {
+          accepted_[id] = mark->revision;
+          floor_ = std::max(floor_, mark->revision);
+        }
+      }
+    });
+  });
+}
+
+void World::read(std::function<void(std::uint64_t)> done) {
+  // GET /setup: waits until a majority confirmed after the ask came.
+  Machine* const machine = machines_[kernel_.below(machines_.size())].get();
+  if (!machine->alive || machine->frozen) {
+    return;
+  }
+  std::uint64_t const floor = floor_;
+  Moment const arrival = local(*machine);
+  std::shared_ptr<std::function<void(int)>> const look = std::make_shared<std::function<void(int)>>();
+  std::weak_ptr<std::function<void(int)>> const weak = look;
+  *look = [this, machine, floor, arrival, weak, done](int left) {
+    if (machine->confirm.confirmed_from() >= arrival) {
+      std::map<std::string, schema::Value>::const_iterator const setup = machine->confirm.values().find(rootstock::setup_register);
+      std::uint64_t const revision = setup == machine->confirm.values().end() ? 0 : setup->second.revision;
+      ++report_.reads;
+      if (revision < floor) {
+        violate("a read gave revision " + std::to_string(revision) + " though " + std::to_string(floor) + " was known before");
+      }
+      floor_ = std::max(floor_, revision);
+      done(revision);
+    } else if (left > 0) {
+      std::shared_ptr<std::function<void(int)>> const self = weak.lock();
+      later(*machine, loam::milliseconds(20), [self, left] { (*self)(left - 1); });
+    }
+  };
+  (*look)(200);
+}
+
+void World::operator_loop(std::size_t number) {
+  kernel_.after(static_cast<Span>(kernel_.exponential(options_.operators_pause) * 1e6), [this, number] {
+    operator_loop(number);
+    double const kind = kernel_.uniform();
+    if (kind < 0.4) {
+      read([this, number](std::uint64_t revision) {
+        if (revision > 0) {  // a race: others may do the same from the same revision
+          put(number, revision, [](bool) {});
+        }
+      });
+    } else if (kind < 0.8) {
+      put(number, std::nullopt, [](bool) {});
+    } else {
+      read([](std::uint64_t) {});
+    }
+  });
+}
+
+void World::kill(Machine& machine) {
+  if (!machine.alive) {
+    return;
+  }
+  kernel_.trace("kill " + machine.address);
+  if (machine.disk && !machine.silent) {
+    // What was on its way to the disk is torn anywhere.
+    if (!machine.jobs.empty() && kernel_.chance(0.7)) {
+      rootstock::Device torn = machine.memory->device();
+      torn.sync = [](std::size_t) { return absl::OkStatus(); };
+      rootstock::Ring ring(torn, ring_files, ring_bytes);
+      if (ring.recover().ok()) {
+        (void)ring.append(machine.jobs.front().records, [&machine] { return machine.holder->image(); });
+      }
+    }
+    machine.memory->lose_power(kernel_.below(400));
+  }
+  machine.alive = false;
+  ++machine.life;
+  machine.deferred.clear();
+  machine.jobs.clear();
+  machine.holder.reset();
+}
+
+void World::revive(Machine& machine) {
+  if (!machine.alive) {
+    kernel_.trace("start " + machine.address);
+    boot(machine);
+  }
+}
+
+bool World::may_wipe() const {
+  // One lost disk is to be borne, not two at once: all of the newest set must
+  // be up and voting.
+  schema::HolderSet newest;
+  for (std::unique_ptr<Machine> const& machine : machines_) {
+    if (machine->alive && machine->holder.has_value() && machine->holder->set().epoch > newest.epoch) {
+      newest = machine->holder->set();
+    }
+    for (std::pair<std::string const, schema::Value> const& value : machine->confirm.values()) {
+      if (value.first == rootstock::holders_register && value.second.revision + 1 > newest.epoch) {
+        newest.epoch = value.second.revision + 1;
+        newest.holders.clear();
+      }
+    }
+  }
+  std::size_t voting = 0;
+  for (std::unique_ptr<Machine> const& machine : machines_) {
+    voting += machine->alive && !machine->silent && machine->holder.has_value() && machine->holder->voting() && machine->holder->set().epoch == newest.epoch &&
+                      rootstock::names(newest.holders, machine->holder->incarnation())
+                  ? 1
+                  : 0;
+  }
+  return !newest.holders.empty() && voting == newest.holders.size();
+}
+
+void World::wipe(Machine& machine) {
+  if (!machine.disk || !may_wipe()) {
+    return;
+  }
+  kernel_.trace("wipe " + machine.address);
+  machine.alive = false;
+  ++machine.life;
+  machine.jobs.clear();
+  machine.holder.reset();
+  machine.memory = std::make_unique<MemoryDisk>(ring_files, ring_bytes);
+  machine.disk_stalled = false;
+  Machine* const one = &machine;
+  kernel_.after(kernel_.between(loam::milliseconds(100), loam::seconds(8)), [this, one] {
+    if (!one->alive) {
+      if (kernel_.chance(0.4)) {
+        one->address = "core-" + std::to_string(next_address_++);
+      }
+      revive(*one);
+    }
+  });
+}
+
+void World::heal() {
+  cuts_.clear();
+  split_.clear();
+  for (std::unique_ptr<Machine> const& machine : machines_) {
+    machine->disk_delay = loam::milliseconds(2);
+    machine->disk_stalled = false;
+    if (machine->frozen) {
+      thaw(*machine);
+    }
+    if (machine->silent) {
+      kill(*machine);
+    }
+    revive(*machine);
+    work(*machine);
+  }
+  for (std::unique_ptr<Furrow> const& furrow : furrows_) {
+    if (furrow->frozen) {
+      thaw(*furrow);
+    }
+    if (!furrow->alive) {
+      begin_furrow(*furrow);
+    }
+  }
+}
+
+void World::repeat(double mean, std::function<void()> fault) {
+  if (mean <= 0) {
+    return;
+  }
+  kernel_.after(static_cast<Span>(kernel_.exponential(mean) * 1e6), [this, mean, fault] {
+    if (!calm_) {
+      fault();
+    }
+    repeat(mean, fault);
+  });
+}
+
+void World::faults() {
+  ControlFaults const& mix = options_.faults;
+  std::function<Machine&()> const any = [this]() -> Machine& { return *machines_[kernel_.below(machines_.size())]; };
+  repeat(mix.kill, [this, any] {
+    if (kernel_.chance(0.4)) {
+      Furrow& furrow = *furrows_[kernel_.below(furrows_.size())];
+      furrow.alive = false;
+      ++furrow.life;
+      kernel_.after(kernel_.between(loam::milliseconds(10), loam::seconds(3)), [this, &furrow] {
+        if (!furrow.alive) {
+          begin_furrow(furrow);
+        }
+      });
+      return;
+    }
+    Machine& machine = any();
+    kill(machine);
+    kernel_.after(kernel_.between(loam::milliseconds(50), loam::seconds(6)), [this, &machine] { revive(machine); });
+  });
+  repeat(mix.herd, [this] {
+    double const part = kernel_.chance(0.3) ? 1.0 : kernel_.uniform();
+    for (std::unique_ptr<Machine> const& machine : machines_) {
+      if (kernel_.chance(part)) {
+        kill(*machine);
+        Machine* const one = machine.get();
+        kernel_.after(kernel_.between(loam::milliseconds(200), loam::seconds(4)), [this, one] { revive(*one); });
+      }
+    }
+  });
+  repeat(mix.freeze, [this, any] {
+    Span const span = kernel_.between(loam::milliseconds(100), loam::seconds(9));
+    if (kernel_.chance(0.5)) {
+      Furrow& furrow = *furrows_[kernel_.below(furrows_.size())];
+      furrow.frozen = true;
+      kernel_.after(span, [this, &furrow] { thaw(furrow); });
+    } else {
+      Machine& machine = any();
+      machine.frozen = true;
+      kernel_.after(span, [this, &machine] { thaw(machine); });
+    }
+  });
+  repeat(mix.cut, [this, any] {
+    std::string const from = kernel_.chance(0.3) ? furrows_[kernel_.below(furrows_.size())]->name : any().address;
+    std::string const to = any().address;
+    std::pair<std::string, std::string> const one = kernel_.chance(0.5) ? std::make_pair(from, to) : std::make_pair(to, from);
+    cuts_.insert(one);
+    kernel_.after(kernel_.between(loam::milliseconds(200), loam::seconds(6)), [this, one] { cuts_.erase(one); });
+  });
+  repeat(mix.split, [this] {
+    split_.clear();
+    for (std::unique_ptr<Machine> const& machine : machines_) {
+      if (kernel_.chance(0.5)) {
+        split_.insert(machine->address);
+      }
+    }
+    for (std::unique_ptr<Furrow> const& furrow : furrows_) {
+      if (kernel_.chance(0.5)) {
+        split_.insert(furrow->name);
+      }
+    }
+    kernel_.after(kernel_.between(loam::milliseconds(500), loam::seconds(6)), [this] { split_.clear(); });
+  });
+  repeat(mix.wipe, [this] { wipe(*machines_[kernel_.below(options_.disk_machines)]); });
+  repeat(mix.slow_disk, [this] {
+    Machine& machine = *machines_[kernel_.below(options_.disk_machines)];
+    machine.disk_delay = kernel_.between(loam::milliseconds(50), loam::milliseconds(900));
+    kernel_.after(kernel_.between(loam::seconds(1), loam::seconds(6)), [&machine] { machine.disk_delay = loam::milliseconds(2); });
+  });
+  repeat(mix.stall_disk, [this] {
+    Machine& machine = *machines_[kernel_.below(options_.disk_machines)];
+    machine.disk_stalled = true;
+    kernel_.after(kernel_.between(loam::seconds(1), loam::seconds(8)), [this, &machine] {
+      machine.disk_stalled = false;
+      work(machine);
+    });
+  });
+  repeat(mix.full_disk, [this] {
+    Machine& machine = *machines_[kernel_.below(options_.disk_machines)];
+    if (machine.memory == nullptr) {
+      return;
+    }
+    MemoryDisk* const memory = machine.memory.get();
+    memory->full = true;
+    kernel_.after(kernel_.between(loam::seconds(1), loam::seconds(4)), [this, &machine, memory] {
+      if (machine.memory.get() == memory) {
+        memory->full = false;
+        kill(machine);  // an operator makes room and starts it anew
+        revive(machine);
+      }
+    });
+  });
+}
+
+void World::check_leases() {
+  std::uint64_t owner = 0;
+  for (std::unique_ptr<Machine> const& machine : machines_) {
+    if (machine->alive && !machine->frozen && machine->tenant->holds(local(*machine))) {
+      if (owner != 0) {
+        violate("two tenants hold one lease at one instant");
+      }
+      owner = machine->identity;
+    }
+  }
+  if (owner != 0 && owner != lease_owner_) {
+    lease_owner_ = owner;
+    ++report_.lease_changes;
+  }
+}
+
+void World::check_recovery(Moment since, std::function<void(Span)> done) {
+  kernel_.after(loam::milliseconds(50), [this, since, done] {
+    bool all = true;
+    for (std::unique_ptr<Furrow> const& furrow : furrows_) {
+      all = all && furrow->alive && furrow->vouch.vouched(local(*furrow)) && furrow->vouch.held().count(rootstock::setup_register) > 0;
+    }
+    if (all) {
+      done(kernel_.now() - since);
+    } else if (kernel_.now() - since < loam::seconds(30)) {
+      check_recovery(since, done);
+    } else {
+      violate("not all furrows serve 30 s after the machines came back");
+    }
+  });
+}
+
+ControlReport World::run() {
+  std::size_t const count = options_.disk_machines + options_.plain_machines;
+  for (std::size_t number = 0; number < std::min<std::size_t>(3, options_.disk_machines); ++number) {
+    founders_.push_back("core-" + std::to_string(number));
+  }
+  for (std::size_t number = 0; number < count; ++number) {
+    std::unique_ptr<Machine> machine = std::make_unique<Machine>();
+    machine->address = "core-" + std::to_string(number);
+    machine->disk = number < options_.disk_machines;
+    machine->offset = kernel_.between(loam::seconds(10), loam::seconds(100000));
+    machine->rate = 1.0 + options_.faults.clock_rate * (2 * kernel_.uniform() - 1);
+    if (machine->disk) {
+      machine->memory = std::make_unique<MemoryDisk>(ring_files, ring_bytes);
+    }
+    machines_.push_back(std::move(machine));
+  }
+  for (std::unique_ptr<Machine> const& machine : machines_) {
+    boot(*machine);
+  }
+  for (std::size_t number = 0; number < options_.furrows; ++number) {
+    std::unique_ptr<Furrow> furrow = std::make_unique<Furrow>();
+    furrow->name = "furrow-" + std::to_string(number);
+    furrow->offset = kernel_.between(loam::seconds(10), loam::seconds(100000));
+    furrow->rate = 1.0 + options_.faults.clock_rate * (2 * kernel_.uniform() - 1);
+    furrow->turn = number;
+    furrows_.push_back(std::move(furrow));
+    begin_furrow(*furrows_.back());
+  }
+  for (std::size_t number = 0; number < options_.operators; ++number) {
+    operator_loop(number);
+  }
+  kernel_.after(loam::seconds(3), [this] { faults(); });
+  std::function<void()> const each = [this] { check_leases(); };
+  kernel_.run(options_.length, each);
+  // The day ends: faults stop, after one last; what was lost returns.
+  calm_ = true;
+  if (options_.faults.last_fault) {
+    for (std::unique_ptr<Machine> const& machine : machines_) {
+      if (kernel_.chance(0.6)) {
+        kill(*machine);
+      }
+    }
+    kernel_.run(kernel_.now() + loam::milliseconds(700), each);
+  }
+  kernel_.trace("heal");
+  heal();
+  Moment const healed = kernel_.now();
+  bool recovered = false;
+  check_recovery(healed, [this, &recovered](Span took) {
+    recovered = true;
+    report_.worst_recovery = took;
+    kernel_.trace("recovered");
+    if (took > loam::seconds(12)) {
+      violate("service was down " + std::to_string(took / 1000) + " ms after the machines came back");
+    }
+  });
+  kernel_.run(healed + loam::seconds(32), each);
+  std::uint64_t final_revision = 0;
+  bool final_put = false;
+  put(99, std::nullopt, [&final_put](bool good) { final_put = good; });
+  kernel_.run(kernel_.now() + loam::seconds(9), each);
+  read([&final_revision](std::uint64_t revision) { final_revision = revision; });
+  kernel_.run(kernel_.now() + loam::seconds(6), each);
+  if (!final_put || final_revision == 0) {
+    violate("the register does not take a change after all machines came back");
+  }
+  // No acknowledged change is lost: each is in the content of its revision.
+  for (std::pair<std::string const, std::uint64_t> const& change : accepted_) {
+    if (owners_[change.second] != change.first) {
+      violate("acknowledged change " + change.first + " is not what revision " + std::to_string(change.second) + " holds");
+    }
+  }
+  report_.trace_hash = kernel_.trace_hash();
+  report_.events = kernel_.events();
+  return report_;
+}
+
+}  // namespace
+
+ControlReport run_control(ControlOptions const& options) {
+  World world(options);
+  return world.run();
+}
+
+std::vector<std::string> control_scenarios() {
+  return {"calm", "kills", "herds", "freezes", "cuts", "splits", "disks", "wipes", "storm"};
+}
+
+std::optional<ControlFaults> control_scenario(std::string const& name) {
+  ControlFaults faults;
+  if (name == "calm") {
+    faults.last_fault = false;
+    return faults;
+  }
+  bool const all = name == "storm";
+  if (name == "kills" || all) {
+    faults.kill = all ? 5 : 2;
+  }
+  if (name == "herds" || all) {
+    faults.herd = all ? 18 : 7;
+  }
+  if (name == "freezes" || all) {
+    faults.freeze = all ? 6 : 2;
+  }
+  if (name == "cuts" || all) {
+    faults.cut = all ? 3 : 1;
+  }
+  if (name == "splits" || all) {
+    faults.split = all ? 15 : 6;
+  }
+  if (name == "disks" || all) {
+    faults.slow_disk = all ? 12 : 4;
+    faults.stall_disk = all ? 15 : 5;
+    faults.full_disk = all ? 25 : 9;
+  }
+  if (name == "wipes" || all) {
+    faults.wipe = all ? 14 : 5;
+    faults.kill = all ? 5 : 9;
+  }
+  std::vector<std::string> const names = control_scenarios();
+  if (std::find(names.begin(), names.end(), name) == names.end()) {
+    return std::nullopt;
+  }
+  return faults;
+}
+
+}  // namespace finchlink::almanac
--- /dev/null
+++ b/source/almanac/control/control.hpp
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "almanac/disk/memory_disk.hpp"
+#include "almanac/kernel/kernel.hpp"
+#include "hedge/desk/desk.hpp"
+#include "hedge/vouch/vouch.hpp"
+#include "rootstock/change/change.hpp"
+#include "rootstock/confirm/confirm.hpp"
+#include "rootstock/holder/holder.hpp"
+#include "stake/tenant.hpp"
+
+namespace finchlink::almanac {
+
+/// Which faults a run brings about, each as a mean pause between two of a kind
+/// in seconds; 0: never.
+struct ControlFaults {
+  double kill = 0;
+  double herd = 0;        ///< several at once, at times all
+  double freeze = 0;
+  double cut = 0;         ///< one direction between two machines
+  double split = 0;       ///< the machines fall into two parts
+  double wipe = 0;        ///< a disk lost, the machine back empty, at times at a new address
+  double slow_disk = 0;
+  double stall_disk = 0;
+  double full_disk = 0;
+  double duplicate = 0.02;  ///< part of the messages that come twice
+  loam::Span delay_most = loam::milliseconds(8);
+  double clock_rate = 0.01;  ///< clocks run apart by this part at most
+  bool last_fault = true;    ///< one more fault of any kind right before the end
+};
+
+struct ControlReport {
+  std::vector<std::string> violations;
+  std::uint64_t acknowledged = 0;
+  std::uint64_t rejected = 0;
+  std::uint64_t unknown = 0;
+  std::uint64_t reads = 0;
+  std::uint64_t queries = 0;
+  std::uint64_t unvouched = 0;
+  std::uint64_t repairs = 0;
+  std::uint64_t lease_changes = 0;
+  loam::Span worst_acknowledge = 0;
+  loam::Span worst_recovery = 0;
+  std::uint64_t trace_hash = 0;
+  std::uint64_t events = 0;
+};
+
+struct ControlOptions {
+  std::uint64_t seed = 1;
+  loam::Span length = loam::seconds(60);
+  std::size_t disk_machines = 4;   ///< three founders and one that stands by
+  std::size_t plain_machines = 2;  ///< trellises without a disk
+  std::size_t furrows = 6;
+  double operators_pause = 0.7;    ///< seconds between two asks of one operator
+  std::size_t operators = 3;
+  ControlFaults faults;
+  rootstock::Guards guards;
+  hedge::VouchGuards vouch_guards;
+  hedge::DeskGuards desk_guards;
+  bool acknowledge_waits = true;
+  bool print = false;
+};
+
+/// Runs the control plane's cores (register, leases, vouching, repair) under
+/// faults and checks what must never happen.
+[[nodiscard]] ControlReport run_control(ControlOptions const& options);
+
+/// Fault mixes by name; nothing for an unknown one.
+[[nodiscard]] std::optional<ControlFaults> control_scenario(std::string const& name);
+[[nodiscard]] std::vector<std::string> control_scenarios();
+
+}  // namespace finchlink::almanac
--- a/source/tests/rootstock/disk.hpp
+++ b/source/almanac/disk/memory_disk.hpp
@@ -7,7 +7,7 @@
 
 #include "rootstock/ring/ring.hpp"
 
-namespace finchlink::tests {
+namespace finchlink::almanac {
 
 /// A disk in memory. Writes last only once synced; a power loss keeps any
 /// part of the others.
@@ -47,4 +47,4 @@
   }
 };
 
-}  // namespace finchlink::tests
+}  // namespace finchlink::almanac
--- /dev/null
+++ b/source/almanac/kernel/kernel.cpp
@@ -0,0 +1,38 @@
+#include "almanac/kernel/kernel.hpp"
+
+#include <cmath>
+#include <cstdio>
+
+namespace finchlink::almanac {
+
+void Kernel::at(loam::Moment moment, std::function<void()> event) {
+  queue_.push(Entry{std::max(moment, now_), order_++, std::move(event)});
+}
+
+void Kernel::run(loam::Moment until, std::function<void()> const& each) {
+  while (!queue_.empty() && queue_.top().moment <= until) {
+    Entry entry = queue_.top();
+    queue_.pop();
+    now_ = entry.moment;
+    ++events_;
+    entry.event();
+    if (each) {
+      each();
+    }
+  }
+  now_ = until;
+}
+
+double Kernel::exponential(double mean) { return -mean * std::log(1.0 - uniform()); }
+
+void Kernel::trace(std::string const& text) {
+  std::string const line = std::to_string(now_) + " " + text;
+  for (char const letter : line) {
+    hash_ = (hash_ ^ static_cast<unsigned char>(letter)) * 1099511628211u;
+  }
+  if (print_) {
+    std::printf("%s\n", line.c_str());
+  }
+}
+
+}  // namespace finchlink::almanac
--- a/source/furrow/field/field.cpp
+++ b/source/furrow/field/field.cpp
@@ -22,11 +22,7 @@
   {
     std::lock_guard<std::mutex> const guard(plan_lock_);
     std::shared_ptr<Plan> const next = std::make_shared<Plan>(*plan_);
-    for (schema::NamedValue const& news : answer.news) {
-      std::uint64_t& held = next->held[news.name];
-      if (news.revision <= held) {  // never back to an older one (section 6.1)
-        continue;
-      }
+    for (schema::NamedValue const& news : vouch_.take(answer, asked, loam::boot_now())) {
       if (news.name == rootstock::setup_register) {
         orchard::SetupReading const reading = orchard::read_setup(news.content);
         next->setup = reading.setup;
@@ -42,14 +38,12 @@
         }
         loam::note(loam::Event::RevisionAdopted, news.name + " revision " + std::to_string(news.revision));
       }
-      held = news.revision;
     }
+    next->held = vouch_.held();
     if (answer.vouched) {
       next->members = answer.members;
-      vouched_until_ = std::max(vouched_until_, asked + constants::vouch_bound);
     }
-    if (answer.list_age >= 0 && asked - answer.list_age > list_as_of_) {
-      list_as_of_ = asked - answer.list_age;
+    if (vouch_.list_newer()) {
       next->list = answer.list;
     }
     derive(*next, settings_.name, settings_.hall);
@@ -60,12 +54,12 @@
 
 bool Field::vouched(loam::Moment now) {
   std::lock_guard<std::mutex> const guard(plan_lock_);
-  return now < vouched_until_ && plan_->has_setup;
+  return vouch_.vouched(now) && plan_->has_setup;
 }
 
 bool Field::list_fresh(loam::Moment now) {
   std::lock_guard<std::mutex> const guard(plan_lock_);
-  return list_as_of_ > 0 && (now - list_as_of_ < constants::list_bound || plan_->setup.stale_list == "keep");
+  return vouch_.list_fresh(now) || (plan_->has_setup && plan_->setup.stale_list == "keep" && !plan_->list.workers.empty());
 }
 
 bool Field::may_dispatch(std::string const& worker, loam::Moment now) {
--- a/source/furrow/field/field.hpp
+++ b/source/furrow/field/field.hpp
@@ -8,6 +8,7 @@
 
 #include "furrow/field/plan.hpp"
 #include "furrow/gauge/gauge.hpp"
+#include "hedge/vouch/vouch.hpp"
 #include "loam/net/net.hpp"
 #include "loam/settings/settings.hpp"
 #include "tilth/budget/budget.hpp"
@@ -81,8 +82,7 @@
   std::uint64_t identity_;
   std::mutex plan_lock_;
   std::shared_ptr<Plan const> plan_;
-  loam::Moment vouched_until_ = 0;
-  loam::Moment list_as_of_ = 0;
+  hedge::Vouch vouch_;
   bool was_vouched_ = false;
   bool was_fresh_ = false;
   Shard model_;
--- /dev/null
+++ b/source/hedge/desk/desk.cpp
@@ -0,0 +1,31 @@
+#include "hedge/desk/desk.hpp"
+
+#include "loam/constants.hpp"
+
+namespace finchlink::hedge {
+
+namespace constants = loam::constants;
+
+DeskVerdict judge_ask(schema::NewsAsk const& ask, loam::Moment arrival, loam::Moment confirmed_from,
+                      std::map<std::string, schema::Value> const& values, bool other_news, loam::Moment now, DeskGuards guards) {
+  DeskVerdict verdict;
+  bool const vouched = confirmed_from >= arrival || (!guards.confirm_after_arrival && confirmed_from > 0);
+  schema::NewsAnswer answer;
+  answer.vouched = vouched;
+  for (std::pair<std::string const, schema::Value> const& value : values) {
+    std::map<std::string, std::uint64_t>::const_iterator const held = ask.member.held.find(value.first);
+    if (value.second.revision > (held == ask.member.held.end() ? 0 : held->second)) {
+      answer.news.push_back(schema::NamedValue{value.first, value.second.revision, value.second.content});
+    }
+  }
+  loam::Span const waited = now - arrival;
+  bool const news = other_news || !answer.news.empty();
+  if ((vouched && (news || waited >= constants::ask_hold)) || waited >= constants::ask_patience) {
+    verdict.answer = answer;
+  } else {
+    verdict.wait = (vouched ? constants::ask_hold : constants::ask_patience) - waited;
+  }
+  return verdict;
+}
+
+}  // namespace finchlink::hedge
--- /dev/null
+++ b/source/hedge/desk/desk.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+
+#include "loam/time/moment.hpp"
+#include "schema/wire.hpp"
+
+namespace finchlink::hedge {
+
+struct DeskGuards {
+  bool confirm_after_arrival = true;  ///< vouched only by a read begun after the ask came
+};
+
+/// A trellis's answer to a furrow's ask (section 6.2): the news and the vouch,
+/// or nothing yet, and until when to wait for something to change.
+struct DeskVerdict {
+  std::optional<schema::NewsAnswer> answer;
+  loam::Span wait = 0;
+};
+[[nodiscard]] DeskVerdict judge_ask(schema::NewsAsk const& ask, loam::Moment arrival, loam::Moment confirmed_from,
+                                    std::map<std::string, schema::Value> const& values, bool other_news, loam::Moment now,
+                                    DeskGuards guards = {});
+
+}  // namespace finchlink::hedge
--- a/source/hedge/sessions.cpp
+++ b/source/hedge/session/sessions.cpp
@@ -1,4 +1,4 @@
-#include "hedge/sessions.hpp"
+#include "hedge/session/sessions.hpp"
 
 #include "loam/constants.hpp"
 
--- /dev/null
+++ b/source/hedge/vouch/vouch.cpp
@@ -0,0 +1,34 @@
+#include "hedge/vouch/vouch.hpp"
+
+#include <algorithm>
+
+#include "loam/constants.hpp"
+
+namespace finchlink::hedge {
+
+namespace constants = loam::constants;
+
+std::vector<schema::NamedValue> Vouch::take(schema::NewsAnswer const& answer, loam::Moment asked, loam::Moment now) {
+  std::vector<schema::NamedValue> adopted;
+  for (schema::NamedValue const& news : answer.news) {
+    std::uint64_t& held = held_[news.name];
+    if (news.revision > held || (!guards_.never_back && news.revision != held)) {
+      held = news.revision;
+      adopted.push_back(news);
+    }
+  }
+  if (answer.vouched) {
+    vouched_until_ = std::max(vouched_until_, (guards_.count_from_ask ? asked : now) + constants::vouch_bound);
+  }
+  list_newer_ = answer.list_age >= 0 && asked - answer.list_age > list_as_of_;
+  if (list_newer_) {
+    list_as_of_ = asked - answer.list_age;
+  }
+  return adopted;
+}
+
+bool Vouch::vouched(loam::Moment now) const { return now < vouched_until_ || (!guards_.stop_unvouched && vouched_until_ > 0); }
+
+bool Vouch::list_fresh(loam::Moment now) const { return list_as_of_ > 0 && now - list_as_of_ < constants::list_bound; }
+
+}  // namespace finchlink::hedge
--- /dev/null
+++ b/source/hedge/vouch/vouch.hpp
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "loam/time/moment.hpp"
+#include "schema/wire.hpp"
+
+namespace finchlink::hedge {
+
+/// Rules that tests switch off to show that they are needed (docs/proofs.md).
+struct VouchGuards {
+  bool never_back = true;       ///< no older revision is adopted
+  bool count_from_ask = true;   ///< the vouch counts from when the ask was sent
+  bool stop_unvouched = true;   ///< without a vouch no new queries
+};
+
+/// What a furrow knows for sure (section 6.2): revisions in force, how long it
+/// may take queries, how old its platform list is. Plain state.
+class Vouch {
+ public:
+  explicit Vouch(VouchGuards guards = {}) : guards_(guards) {}
+  /// Takes an answer to an ask sent at `asked`; gives what is newly in force.
+  [[nodiscard]] std::vector<schema::NamedValue> take(schema::NewsAnswer const& answer, loam::Moment asked, loam::Moment now);
+  [[nodiscard]] bool vouched(loam::Moment now) const;
+  [[nodiscard]] bool list_fresh(loam::Moment now) const;
+  /// True when the answer's list was asked for later than the one held.
+  [[nodiscard]] bool list_newer() const { return list_newer_; }
+  [[nodiscard]] std::map<std::string, std::uint64_t> const& held() const { return held_; }
+
+ private:
+  VouchGuards guards_;
+  std::map<std::string, std::uint64_t> held_;
+  loam::Moment vouched_until_ = 0;
+  loam::Moment list_as_of_ = 0;
+  bool list_newer_ = false;
+};
+
+}  // namespace finchlink::hedge
--- a/source/tests/rootstock/ring_test.cpp
+++ b/source/tests/rootstock/ring_test.cpp
@@ -1,12 +1,12 @@
 #include <gtest/gtest.h>
 
-#include "tests/rootstock/disk.hpp"
+#include "almanac/disk/memory_disk.hpp"
 
 namespace finchlink {
 namespace {
 
 using rootstock::Ring;
-using tests::MemoryDisk;
+using almanac::MemoryDisk;
 
 std::vector<schema::Record> cell(std::string const& name, std::uint64_t revision, std::size_t size = 20) {
   schema::Cell entry;
--- a/source/trellis/duty/duties.cpp
+++ b/source/trellis/duty/duties.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "hedge/repair/repair.hpp"
 #include "loam/constants.hpp"
 #include "loam/json/tree.hpp"
 #include "loam/log/log.hpp"
@@ -241,42 +242,15 @@
       },
       yield);
   std::vector<schema::TrellisEntry> const trellises = news_.trellises();
-  // Only from a full majority that votes: a change that needs a holder still
-  // without its image would leave too few.
-  std::size_t voting = 0;
-  schema::HolderEntry const* lost = nullptr;
-  for (schema::HolderEntry const& entry : set.holders) {
-    voting += misses_[entry.incarnation] == 0 ? 1 : 0;
-    bool replaced_in_place = false;
-    for (schema::TrellisEntry const& trellis : trellises) {
-      replaced_in_place = replaced_in_place || (trellis.address == entry.address && trellis.holder != 0 && trellis.holder != entry.incarnation);
-    }
-    if (misses_[entry.incarnation] >= constants::repair_misses || (replaced_in_place && misses_[entry.incarnation] > 0)) {
-      lost = &entry;
-    }
-  }
-  if (lost == nullptr || voting < rootstock::majority(set.holders.size())) {
-    return;
-  }
-  schema::TrellisEntry const* candidate = nullptr;
-  for (schema::TrellisEntry const& trellis : trellises) {
-    bool const free = trellis.disk && trellis.holder != 0 && !trellis.voting && !rootstock::names(set.holders, trellis.holder);
-    // The one that came back at the lost one's place goes first.
-    if (free && (candidate == nullptr || trellis.address == lost->address)) {
-      candidate = &trellis;
-    }
-  }
-  if (candidate == nullptr) {
+  std::optional<schema::HolderSet> const plan = hedge::plan_repair(set, misses_, trellises);
+  if (!plan.has_value()) {
     return;
   }
-  schema::HolderSet next{set.epoch + 1, {}, set.holders};
-  for (schema::HolderEntry const& entry : set.holders) {
-    next.holders.push_back(entry.incarnation == lost->incarnation ? schema::HolderEntry{candidate->holder, candidate->address} : entry);
-  }
+  schema::HolderSet const& next = *plan;
   if (!held()) {
     return;
   }
-  loam::note(loam::Event::RepairProposed, lost->address + " by " + candidate->address + " epoch " + std::to_string(next.epoch));
+  loam::note(loam::Event::RepairProposed, "epoch " + std::to_string(next.epoch));
   std::uint64_t const expected = current.revision;
   loam::Tree const tree(schema::write(next));
   std::string const content = loam::print_tree(tree.get());
--- a/source/trellis/news/news.cpp
+++ b/source/trellis/news/news.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "hedge/desk/desk.hpp"
 #include "loam/constants.hpp"
 #include "loam/http/http.hpp"
 #include "loam/json/tree.hpp"
@@ -182,26 +183,13 @@
   schema::PlatformList const before = list();
   while (true) {
     std::uint64_t const seen = ledger_.bell().count();
-    // Vouched only by what a majority confirmed after this ask came (6.2).
-    bool const vouched = ledger_.confirmed_from() >= arrival;
-    answer.news.clear();
-    for (std::pair<std::string const, schema::Value> const& value : ledger_.values()) {
-      std::map<std::string, std::uint64_t>::const_iterator const held = ask.member.held.find(value.first);
-      std::uint64_t const revision = held == ask.member.held.end() ? 0 : held->second;
-      if (value.second.revision > revision) {
-        answer.news.push_back(schema::NamedValue{value.first, value.second.revision, value.second.content});
-      }
-    }
-    loam::Span const waited = loam::boot_now() - arrival;
-    bool const news = !answer.news.empty() || !(list() == before);
-    if (vouched && (news || waited >= constants::ask_hold)) {
-      answer.vouched = true;
-      break;
-    }
-    if (waited >= constants::ask_patience) {
+    hedge::DeskVerdict const verdict =
+        hedge::judge_ask(ask, arrival, ledger_.confirmed_from(), ledger_.values(), !(list() == before), loam::boot_now());
+    if (verdict.answer.has_value()) {
+      answer = *verdict.answer;
       break;
     }
-    ledger_.bell().wait(seen, vouched ? constants::ask_hold - waited : constants::ask_patience - waited, yield);
+    ledger_.bell().wait(seen, verdict.wait, yield);
   }
   std::lock_guard<std::mutex> const guard(lock_);
   answer.members = sessions_.members();
--- a/source/trellis/news/news.hpp
+++ b/source/trellis/news/news.hpp
@@ -3,7 +3,7 @@
 #include <deque>
 #include <mutex>
 
-#include "hedge/sessions.hpp"
+#include "hedge/session/sessions.hpp"
 #include "loam/net/net.hpp"
 #include "loam/settings/settings.hpp"
 #include "trellis/holder/holder_shell.hpp"
--- a/source/trellis/operator/operator.cpp
+++ b/source/trellis/operator/operator.cpp
@@ -164,7 +164,7 @@
 }
 
 loam::Answer Operator::change_setup(loam::Ask const& ask, bool patch, loam::Yield yield) {
-  Wanted wanted;
+  orchard::WantedChange wanted;
   wanted.patch = patch;
   wanted.id = std::string(ask["Change-Id"]);
   if (wanted.id.empty()) {
@@ -193,44 +193,9 @@
   return apply(wanted, yield);
 }
 
-loam::Answer Operator::apply(Wanted const& wanted, loam::Yield yield) {
-  std::shared_ptr<std::vector<loam::Fault>> const faults = std::make_shared<std::vector<loam::Fault>>();
-  std::shared_ptr<std::string> const why = std::make_shared<std::string>();
-  rootstock::Wisher const wisher = [wanted, faults, why](schema::Value const& current) -> rootstock::Wish {
-    faults->clear();
-    std::optional<schema::ChangeMark> const mark = rootstock::find_mark(current, wanted.id);
-    if (mark.has_value()) {
-      *why = "done";
-      return rootstock::Reject{"done"};
-    }
-    if (wanted.expected.has_value() && *wanted.expected != current.revision) {
-      *why = "expectation";
-      return rootstock::Reject{"the revision is another"};
-    }
-    std::string content = wanted.content;
-    if (wanted.patch) {
-      absl::StatusOr<std::string> const merged = orchard::patched(current.content, wanted.content);
-      if (!merged.ok()) {
-        *why = "malformed";
-        return rootstock::Reject{std::string(merged.status().message())};
-      }
-      content = *merged;
-      orchard::SetupReading const reading = orchard::read_setup(content);
-      if (!reading.good()) {
-        *faults = reading.faults;
-        *why = "faults";
-        return rootstock::Reject{loam::describe(reading.faults)};
-      }
-    }
-    if (content.size() > constants::setup_limit) {
-      *why = "size";
-      return rootstock::Reject{"the setup is larger than allowed"};
-    }
-    schema::Value next{current.revision + 1, content, current.marks};
-    rootstock::add_mark(next, wanted.id, next.revision);
-    return next;
-  };
-  Ledger::Result const result = ledger_.change(rootstock::setup_register, wisher, constants::change_deadline, yield);
+loam::Answer Operator::apply(orchard::WantedChange const& wanted, loam::Yield yield) {
+  std::shared_ptr<orchard::WishNote> const note = std::make_shared<orchard::WishNote>();
+  Ledger::Result const result = ledger_.change(rootstock::setup_register, orchard::wish_for(wanted, note), constants::change_deadline, yield);
   if (rootstock::Chosen const* const done = std::get_if<rootstock::Chosen>(&result)) {
     return chosen(wanted.id, done->value.revision, yield);
   }
@@ -244,10 +209,10 @@
     if (mark.has_value()) {
       return outcome_answer(http::status::conflict, "rejected", wanted.id, rejected->current.revision, "this id was given up before");
     }
-    if (*why == "faults") {
-      return faults_answer(*faults);
+    if (note->end == orchard::WishEnd::faults) {
+      return faults_answer(note->faults);
     }
-    if (*why == "size") {
+    if (note->end == orchard::WishEnd::size) {
       return outcome_answer(http::status::payload_too_large, "rejected", wanted.id, rejected->current.revision, rejected->reason);
     }
     loam::Answer answer = outcome_answer(http::status::precondition_failed, "rejected", wanted.id, rejected->current.revision, rejected->reason);
@@ -282,15 +247,7 @@
     }
     loam::pause(context_, constants::confirm_pause, yield);
   }
-  rootstock::Wisher const veto = [id](schema::Value const& current) -> rootstock::Wish {
-    if (rootstock::find_mark(current, id).has_value()) {
-      return rootstock::Keep{};
-    }
-    schema::Value next = current;
-    rootstock::add_mark(next, id, 0);
-    return next;
-  };
-  Ledger::Result const result = ledger_.change(rootstock::setup_register, veto, constants::change_deadline, yield);
+  Ledger::Result const result = ledger_.change(rootstock::setup_register, orchard::veto_of(id), constants::change_deadline, yield);
   if (rootstock::Chosen const* const done = std::get_if<rootstock::Chosen>(&result)) {
     std::optional<schema::ChangeMark> const mark = rootstock::find_mark(done->value, id);
     std::uint64_t const revision = mark.has_value() ? mark->revision : 0;
@@ -309,7 +266,7 @@
   loam::Tree patch(cJSON_CreateObject());
   cJSON* const entry = cJSON_AddObjectToObject(cJSON_AddObjectToObject(patch.get(), "halls"), name.c_str());
   cJSON_AddBoolToObject(entry, "evacuated", deed == "drain" ? 1 : 0);
-  Wanted wanted;
+  orchard::WantedChange wanted;
   wanted.id = "hall-" + std::to_string(loam::random_identity());
   wanted.patch = true;
   wanted.content = loam::print_tree(patch.get());
--- a/source/trellis/operator/operator.hpp
+++ b/source/trellis/operator/operator.hpp
@@ -3,6 +3,7 @@
 #include <atomic>
 
 #include "loam/http/http.hpp"
+#include "orchard/change/wish.hpp"
 #include "trellis/ledger/ledger.hpp"
 #include "trellis/news/news.hpp"
 
@@ -17,15 +18,9 @@
   [[nodiscard]] bool busy() const { return open_ > 0; }
 
  private:
-  struct Wanted {
-    std::string id;
-    std::optional<std::uint64_t> expected;
-    std::string content;
-    bool patch = false;
-  };
   [[nodiscard]] loam::Answer get_setup(loam::Yield yield);
   [[nodiscard]] loam::Answer change_setup(loam::Ask const& ask, bool patch, loam::Yield yield);
-  [[nodiscard]] loam::Answer apply(Wanted const& wanted, loam::Yield yield);
+  [[nodiscard]] loam::Answer apply(orchard::WantedChange const& wanted, loam::Yield yield);
   [[nodiscard]] loam::Answer outcome(std::string const& id, loam::Yield yield);
   [[nodiscard]] loam::Answer hall(std::string const& target, loam::Yield yield);
   [[nodiscard]] loam::Answer chosen(std::string const& id, std::uint64_t revision, loam::Yield yield);
