Settle half-done changes only when they stay open

Cause: each trellis's majority read that met a change under way settled it at once; with six trellises reading every 60 ms the settling ballots took the proposers' ballots away and changes starved (almanac: 'the register does not take a change after all machines came back').

--- a/source/loam/constants.hpp
+++ b/source/loam/constants.hpp
@@ -53,6 +53,9 @@
 inline constexpr Span holder_deadline = milliseconds(800);
 /// A change is tried for this long; then its outcome is "not known".
 inline constexpr Span change_deadline = milliseconds(4000);
+/// A half-done change is settled by a reader after this: several rounds of a
+/// change that is merely under way, and well within the vouch bound.
+inline constexpr Span settle_after = milliseconds(200);
 /// Range of the pause after a lost ballot.
 inline constexpr Span ballot_pause_least = milliseconds(5);
 inline constexpr Span ballot_pause_most = milliseconds(60);
--- a/source/rootstock/confirm/confirm.cpp
+++ b/source/rootstock/confirm/confirm.cpp
@@ -1,5 +1,7 @@
 #include "rootstock/confirm/confirm.hpp"
 
+#include "loam/constants.hpp"
+
 namespace finchlink::rootstock {
 
 std::vector<ConfirmAction> Confirm::begin(HolderSet const& set, loam::Moment now) {
@@ -76,13 +78,27 @@
       learn(entry.first, entry.second.best, entry.second.value);
     }
   }
-  bool const whole = answered_.size() == set_.holders.size();
   if (unsettled.names.empty()) {
     open_ = false;
+    open_ballots_.clear();
     confirmed_from_ = started_;
     actions.emplace_back(Confirmed{started_});
-  } else if (whole || answered_.size() >= majority(set_.holders.size())) {
-    actions.emplace_back(unsettled);
+    return actions;
+  }
+  // Whoever proposed it is most likely still at work, and settling it for him
+  // would only take his ballot away: only what stays open is settled (5.6).
+  Unsettled stale;
+  for (std::string const& name : unsettled.names) {
+    Open& open = open_ballots_[name];
+    if (!(open.ballot == tallies_[name].best)) {
+      open = Open{tallies_[name].best, started_};
+    } else if (started_ - open.since >= loam::constants::settle_after) {
+      stale.names.push_back(name);
+      open.since = started_;
+    }
+  }
+  if (!stale.names.empty()) {
+    actions.emplace_back(stale);
   }
   return actions;
 }
--- a/source/rootstock/confirm/confirm.hpp
+++ b/source/rootstock/confirm/confirm.hpp
@@ -60,6 +60,11 @@
   };
   std::map<std::string, Tally> tallies_;
   std::map<std::string, Ballot> known_;
+  struct Open {
+    Ballot ballot;
+    loam::Moment since = 0;
+  };
+  std::map<std::string, Open> open_ballots_;  ///< ballots seen at no majority, and since when
   std::map<std::string, schema::Value> values_;
 };
 
