--- a/source/almanac/control/control.cpp
+++ b/source/almanac/control/control.cpp
@@ -266,6 +266,9 @@
     } else {
       machine.holder.emplace(*records, machine.address, founders_, local(machine), options_.guards);
     }
+    if (machine.holder.has_value() && options_.learn_beyond_seeds) {
+      learn(machine, machine.holder->set());
+    }
     stand_up(machine);
   }
   confirm_loop(machine);
@@ -371,7 +374,12 @@
   later(machine, constants::confirm_pause, [this, &machine] {
     confirm_loop(machine);
     if (machine.set.epoch == 0) {
-      for (std::string const& founder : founders_) {
+      // The seeds, and one that told us of itself since we are up.
+      std::vector<std::string> asked = founders_;
+      if (options_.learn_beyond_seeds) {
+        asked.push_back(machines_[kernel_.below(machines_.size())]->address);
+      }
+      for (std::string const& founder : asked) {
         call(machine, machine.address, founder, schema::Read{0, {}, 0}, constants::holder_deadline, [this, &machine](std::optional<schema::Message> const& answer) {
           if (answer.has_value() && std::holds_alternative<schema::Refused>(*answer)) {
             learn(machine, std::get<schema::Refused>(*answer).set);
--- a/source/trellis/duty/duties.cpp
+++ b/source/trellis/duty/duties.cpp
@@ -182,6 +182,18 @@
 
 /// Tells holders that lag, our own first, of a newer holder set.
 void Duties::spread_set(loam::Yield yield) {
+  // All seeds may have moved: the own disk and whoever told us of himself
+  // know the holder set as well (section 5.5).
+  if (holder_ != nullptr) {
+    ledger_.learn(holder_->set());
+  }
+  std::vector<std::string> colleagues;
+  for (schema::TrellisEntry const& trellis : news_.trellises()) {
+    if (trellis.disk) {
+      colleagues.push_back(trellis.address);
+    }
+  }
+  ledger_.know_colleagues(colleagues);
   schema::HolderSet const set = ledger_.set();
   if (holder_ != nullptr && set.epoch > 0 && holder_->set().epoch < set.epoch && holder_->set().epoch > 0) {
     (void)holder_->receive(schema::Adopt{set}, yield);
--- a/source/trellis/ledger/ledger.cpp
+++ b/source/trellis/ledger/ledger.cpp
@@ -39,6 +39,11 @@
   }
 }
 
+void Ledger::know_colleagues(std::vector<std::string> const& addresses) {
+  std::lock_guard<std::mutex> const guard(lock_);
+  colleagues_ = addresses;
+}
+
 std::map<std::string, schema::Value> Ledger::values() {
   std::lock_guard<std::mutex> const guard(lock_);
   return confirm_.values();
@@ -62,6 +67,9 @@
     for (std::string const& seed : seeds_) {
       calls.emplace_back(seed, schema::Read{0, {}, 0});
     }
+    for (std::string const& colleague : colleagues_) {
+      calls.emplace_back(colleague, schema::Read{0, {}, 0});
+    }
   }
   loam::Gather::run(
       context_, caller_, calls, constants::holder_deadline,
--- a/source/trellis/ledger/ledger.hpp
+++ b/source/trellis/ledger/ledger.hpp
@@ -29,6 +29,8 @@
 
   [[nodiscard]] schema::HolderSet set();
   void learn(schema::HolderSet const& set);
+  /// Addresses beside the seeds that are asked while no holder set is known.
+  void know_colleagues(std::vector<std::string> const& addresses);
   [[nodiscard]] std::map<std::string, schema::Value> values();
   [[nodiscard]] schema::Value value(std::string const& name);
   /// All that was chosen before this moment is in values().
@@ -44,6 +46,7 @@
   loam::Caller& caller_;
   std::uint64_t identity_;
   std::vector<std::string> seeds_;
+  std::vector<std::string> colleagues_;
   std::mutex lock_;
   schema::HolderSet set_;
   rootstock::Confirm confirm_;
