--- a/source/almanac/control/control.cpp
+++ b/source/almanac/control/control.cpp
@@ -45,6 +45,8 @@
     std::unique_ptr<MemoryDisk> memory;
     std::unique_ptr<rootstock::Ring> ring;
     std::optional<rootstock::Holder> holder;
+    std::uint64_t last_incarnation = 0;
+    schema::HolderSet last_set;
     bool silent = false;
     std::deque<Job> jobs;
     bool working = false;
@@ -259,6 +261,10 @@
     if (!records.ok()) {
       violate("a torn disk was taken for a broken one: " + std::string(records.status().message()));
       machine.silent = true;
+    } else if (records->empty() && !options_.guards.blank_has_no_vote && machine.last_set.epoch > 0) {
+      // The guard off: it takes up its old name and vote with nothing on disk.
+      std::vector<schema::Record> const claimed{schema::FoundingRecord{machine.last_incarnation, {}, {}}, schema::SetRecord{machine.last_set, true, true}};
+      machine.holder.emplace(claimed, machine.address, founders_, local(machine), options_.guards);
     } else if (records->empty()) {
       machine.holder.emplace((kernel_.draw() >> 12u) + 1, machine.address, founders_, local(machine), options_.guards);
       std::vector<schema::Record> const image = machine.holder->image();
@@ -861,10 +867,12 @@
 }
 
 void World::wipe(Machine& machine) {
-  if (!machine.disk || !may_wipe()) {
+  if (!machine.disk || !machine.holder.has_value() || !may_wipe()) {
     return;
   }
   kernel_.trace("wipe " + machine.address);
+  machine.last_incarnation = machine.holder->incarnation();
+  machine.last_set = machine.holder->set();
   machine.alive = false;
   ++machine.life;
   machine.jobs.clear();
@@ -874,7 +882,7 @@
   Machine* const one = &machine;
   kernel_.after(kernel_.between(loam::milliseconds(100), loam::seconds(8)), [this, one] {
     if (!one->alive) {
-      if (kernel_.chance(0.4)) {
+      if (options_.guards.blank_has_no_vote && kernel_.chance(0.4)) {
         one->address = "core-" + std::to_string(next_address_++);
       }
       revive(*one);
--- /dev/null
+++ b/source/tests/almanac/control_test.cpp
@@ -0,0 +1,69 @@
+#include <gtest/gtest.h>
+
+#include "almanac/control/control.hpp"
+
+namespace finchlink {
+namespace {
+
+almanac::ControlReport run(std::string const& scenario, std::uint64_t seed, std::function<void(almanac::ControlOptions&)> const& change = nullptr) {
+  almanac::ControlOptions options;
+  options.seed = seed;
+  options.length = loam::seconds(25);
+  options.faults = *almanac::control_scenario(scenario);
+  if (change) {
+    change(options);
+  }
+  return almanac::run_control(options);
+}
+
+/// With a guard off some seed must break; which checker sees it is in docs/proofs.md.
+std::string first_break(std::string const& scenario, std::uint64_t seeds, std::function<void(almanac::ControlOptions&)> const& off) {
+  for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+    almanac::ControlReport const report = run(scenario, seed, off);
+    if (!report.violations.empty()) {
+      return report.violations.front();
+    }
+  }
+  return "";
+}
+
+TEST(Control, HoldsUnderEveryMixOfFaults) {
+  for (std::string const& scenario : almanac::control_scenarios()) {
+    for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+      almanac::ControlReport const report = run(scenario, seed);
+      EXPECT_TRUE(report.violations.empty()) << scenario << " seed " << seed << ": " << report.violations.front();
+      EXPECT_GT(report.acknowledged, 0u) << scenario;
+      EXPECT_GT(report.queries, 0u) << scenario;
+    }
+  }
+}
+
+TEST(Control, SameSeedSameTrace) {
+  almanac::ControlReport const first = run("storm", 3);
+  almanac::ControlReport const again = run("storm", 3);
+  EXPECT_EQ(first.trace_hash, again.trace_hash);
+  EXPECT_EQ(first.events, again.events);
+  EXPECT_NE(first.trace_hash, run("storm", 4).trace_hash);
+}
+
+TEST(Control, PromisesKeepRevisionsSingle) {
+  EXPECT_NE(first_break("cuts", 3, [](almanac::ControlOptions& options) { options.guards.promise_kept = false; }), "");
+}
+TEST(Control, YesWaitsUntilAllHaveStoppedOrChanged) {
+  EXPECT_NE(first_break("calm", 2, [](almanac::ControlOptions& options) { options.acknowledge_waits = false; }), "");
+}
+TEST(Control, UnvouchedFurrowsTakeNothing) {
+  EXPECT_NE(first_break("freezes", 4, [](almanac::ControlOptions& options) { options.vouch_guards.stop_unvouched = false; }), "");
+}
+TEST(Control, TheVouchCountsFromTheAsk) {
+  EXPECT_NE(first_break("freezes", 6, [](almanac::ControlOptions& options) { options.vouch_guards.count_from_ask = false; }), "");
+}
+TEST(Control, TheTrellisConfirmsAfterTheAsk) {
+  EXPECT_NE(first_break("cuts", 8, [](almanac::ControlOptions& options) { options.desk_guards.confirm_after_arrival = false; }), "");
+}
+TEST(Control, EpochsFenceOldHolders) {
+  EXPECT_NE(first_break("wipes", 4, [](almanac::ControlOptions& options) { options.guards.epoch_checked = false; }), "");
+}
+
+}  // namespace
+}  // namespace finchlink
--- /dev/null
+++ b/source/tests/hedge/vouch_test.cpp
@@ -0,0 +1,158 @@
+#include <gtest/gtest.h>
+
+#include "hedge/desk/desk.hpp"
+#include "hedge/repair/repair.hpp"
+#include "hedge/session/sessions.hpp"
+#include "hedge/vouch/vouch.hpp"
+#include "loam/constants.hpp"
+#include "stake/granter.hpp"
+#include "stake/tenant.hpp"
+
+namespace finchlink {
+namespace {
+
+namespace constants = loam::constants;
+
+schema::NewsAnswer news(std::uint64_t revision, bool vouched) {
+  schema::NewsAnswer answer;
+  answer.vouched = vouched;
+  answer.news.push_back(schema::NamedValue{"setup", revision, ""});
+  answer.list_age = 0;
+  return answer;
+}
+
+TEST(Vouch, NeverAdoptsAnOlderRevision) {
+  for (bool const guard : {true, false}) {
+    hedge::VouchGuards guards;
+    guards.never_back = guard;
+    hedge::Vouch vouch(guards);
+    EXPECT_EQ(vouch.take(news(5, true), 0, 10).size(), 1u);
+    // A late answer of a trellis that lagged.
+    EXPECT_EQ(vouch.take(news(4, true), 5, 20).empty(), guard);
+    EXPECT_EQ(vouch.held().at("setup"), guard ? 5u : 4u);
+  }
+}
+
+TEST(Vouch, CountsFromWhenTheAskWasSent) {
+  hedge::Vouch vouch;
+  // The answer is read 10 s after the ask: a freeze lay between.
+  (void)vouch.take(news(1, true), loam::seconds(1), loam::seconds(11));
+  EXPECT_FALSE(vouch.vouched(loam::seconds(11)));
+  EXPECT_FALSE(vouch.list_fresh(loam::seconds(11)));
+  (void)vouch.take(news(1, true), loam::seconds(12), loam::seconds(12));
+  EXPECT_TRUE(vouch.vouched(loam::seconds(12) + constants::vouch_bound - 1));
+  EXPECT_FALSE(vouch.vouched(loam::seconds(12) + constants::vouch_bound));
+}
+
+TEST(Desk, VouchesOnlyForReadsBegunAfterTheAsk) {
+  std::map<std::string, schema::Value> const values{{"setup", schema::Value{3, "x", {}}}};
+  schema::NewsAsk ask;
+  EXPECT_FALSE(hedge::judge_ask(ask, 1000, 999, values, false, 2000).answer.has_value());
+  hedge::DeskVerdict const now = hedge::judge_ask(ask, 1000, 1000, values, false, 2000);
+  ASSERT_TRUE(now.answer.has_value());
+  EXPECT_TRUE(now.answer->vouched);
+  EXPECT_EQ(now.answer->news.size(), 1u);
+  // No majority within the patience: an answer, but no vouch.
+  hedge::DeskVerdict const late = hedge::judge_ask(ask, 1000, 999, values, false, 1000 + constants::ask_patience);
+  ASSERT_TRUE(late.answer.has_value());
+  EXPECT_FALSE(late.answer->vouched);
+  ask.member.held["setup"] = 3;
+  EXPECT_FALSE(hedge::judge_ask(ask, 1000, 1000, values, false, 2000).answer.has_value());  // held until news
+}
+
+TEST(Bounds, AddUpToWhatIsAllowed) {
+  // design.md section 4: every furrow has stopped or changed before yes is said.
+  EXPECT_GE(constants::acknowledge_wait, constants::vouch_bound + constants::vouch_bound / 10 + constants::ask_retry);
+  EXPECT_LE(constants::acknowledge_wait, loam::milliseconds(2500));
+  // Two failed asks and a good one fit into the vouch bound.
+  EXPECT_LE(constants::ask_deadline + constants::ask_retry + constants::ask_hold + loam::milliseconds(200), constants::vouch_bound);
+  // Draining: last read of the list before it showed, its bound, clocks apart.
+  EXPECT_LE(constants::list_bound + constants::list_bound / 10, loam::milliseconds(4000));
+  EXPECT_GT(constants::session_bound, constants::vouch_bound);
+  EXPECT_GE(constants::lease_reserve, constants::lease_span / 10);
+  EXPECT_GE(constants::lease_silence, constants::lease_span + constants::lease_span / 10);
+  // Retries: 0.1 of the arrivals of fifteen seconds fall into ten.
+  EXPECT_LE(constants::retry_share * static_cast<double>(loam::seconds(10) + constants::retry_life) / static_cast<double>(loam::seconds(10)), 0.2);
+}
+
+TEST(Sessions, EndAfterTheBoundAndTellEachOther) {
+  hedge::Sessions first(schema::TrellisEntry{"t1", 1, "h", "a", "", false, false, 0});
+  hedge::Sessions second(schema::TrellisEntry{"t2", 2, "h", "b", "", false, false, 0});
+  schema::Member member;
+  member.name = "furrow";
+  member.incarnation = 9;
+  EXPECT_TRUE(first.heard(member, 1000));
+  EXPECT_FALSE(first.heard(member, 2000));
+  schema::Tell tell;
+  tell.from = first.self();
+  tell.sessions = first.tellable(3000);
+  second.told(tell, 50000000);  // another clock
+  EXPECT_EQ(second.members().size(), 1u);
+  EXPECT_TRUE(second.tellable(50000000).empty());  // second-hand word is not told on
+  EXPECT_EQ(second.expire(50000000 + constants::session_bound - 2000).size(), 0u);
+  EXPECT_EQ(second.expire(50000000 + constants::session_bound + 2000).size(), 1u);
+}
+
+schema::HolderSet three() {
+  schema::HolderSet set;
+  set.epoch = 1;
+  set.holders = {{1, "a"}, {2, "b"}, {3, "c"}};
+  return set;
+}
+
+TEST(Lease, TenantStopsBeforeItsHoldersGrantAnew) {
+  for (bool const guard : {true, false}) {
+    rootstock::Guards guards;
+    guards.tenant_stops_early = guard;
+    stake::Tenant slow("duty", 10, guards);
+    std::vector<stake::Granter> granters(3, stake::Granter(-loam::seconds(100), true));
+    std::vector<stake::TenantAction> const asks = slow.tick(three(), loam::seconds(1));
+    std::vector<schema::LeaseAnswer> answers;
+    for (std::size_t index = 0; index < 3; ++index) {
+      schema::LeaseAsk const& ask = std::get<stake::SendAsk>(asks[index]).ask;
+      answers.push_back(schema::LeaseAnswer{granters[index].ask(ask, loam::seconds(1)), index + 1, ask.round, {}});
+    }
+    // The answers are slow, or this machine was frozen: read 2.5 s later.
+    for (schema::LeaseAnswer const& answer : answers) {
+      (void)slow.receive(answer, loam::milliseconds(3500));
+    }
+    // Another gets the lease as soon as the first one's span is over.
+    stake::Tenant other("duty", 20);
+    loam::Moment const then = loam::seconds(1) + constants::lease_span;
+    for (stake::TenantAction const& action : other.tick(three(), then)) {
+      stake::SendAsk const& send = std::get<stake::SendAsk>(action);
+      (void)other.receive(schema::LeaseAnswer{granters[send.to.incarnation - 1].ask(send.ask, then), send.to.incarnation, send.ask.round, {}}, then);
+    }
+    EXPECT_TRUE(other.holds(then));
+    EXPECT_EQ(slow.holds(then), !guard) << "two hold one lease with the guard off";
+  }
+}
+
+TEST(Lease, HolderThatForgotGrantsNothingForASpan) {
+  for (bool const guard : {true, false}) {
+    stake::Granter restarted(loam::seconds(5), guard);
+    schema::LeaseAsk const ask{1, "duty", 20, constants::lease_span, false, 1};
+    EXPECT_EQ(restarted.ask(ask, loam::seconds(5)), !guard);
+    EXPECT_TRUE(restarted.ask(ask, loam::seconds(5) + constants::lease_silence));
+  }
+}
+
+TEST(Repair, ReplacesOnlyFromAVotingMajorityAndOnlyByOneThatStandsBy) {
+  schema::TrellisEntry spare{"t", 5, "h", "d", "", true, false, 44};
+  std::map<std::uint64_t, int> misses{{1, 0}, {2, 0}, {3, constants::repair_misses}};
+  std::optional<schema::HolderSet> const plan = hedge::plan_repair(three(), misses, {spare});
+  ASSERT_TRUE(plan.has_value());
+  EXPECT_EQ(plan->epoch, 2u);
+  EXPECT_EQ(plan->holders[2], (schema::HolderEntry{44, "d"}));
+  EXPECT_EQ(plan->previous, three().holders);
+  EXPECT_FALSE(hedge::plan_repair(three(), misses, {}).has_value());
+  misses[2] = 1;  // no majority answers
+  EXPECT_FALSE(hedge::plan_repair(three(), misses, {spare}).has_value());
+  misses = {{1, 0}, {2, 0}, {3, 1}};  // one look missed is no loss,
+  EXPECT_FALSE(hedge::plan_repair(three(), misses, {spare}).has_value());
+  spare.address = "c";                // unless another stands at its place
+  EXPECT_TRUE(hedge::plan_repair(three(), misses, {spare}).has_value());
+}
+
+}  // namespace
+}  // namespace finchlink
--- /dev/null
+++ b/source/tests/rootstock/holder_test.cpp
@@ -0,0 +1,235 @@
+#include <gtest/gtest.h>
+
+#include "loam/constants.hpp"
+#include "rootstock/change/change.hpp"
+#include "rootstock/confirm/confirm.hpp"
+#include "rootstock/holder/holder.hpp"
+
+namespace finchlink {
+namespace {
+
+using namespace rootstock;
+
+/// Holders that a test speaks to directly, with no network between.
+struct Group {
+  std::vector<Holder> holders;
+  explicit Group(std::size_t count, Guards guards = {}) {
+    std::vector<std::string> const founders{"a", "b", "c"};
+    for (std::size_t index = 0; index < count; ++index) {
+      std::string const address(1, static_cast<char>('a' + index));
+      holders.emplace_back(100 + index, address, founders, 0, guards);
+    }
+  }
+  schema::FoundingAnswer word(std::size_t index) {
+    return std::get<schema::FoundingAnswer>(*holders[index].receive(schema::FoundingAsk{}, 0).reply);
+  }
+  void found() {
+    for (int round = 0; round < 3; ++round) {
+      for (std::size_t index = 0; index < 3; ++index) {
+        std::vector<schema::FoundingAnswer> answers;
+        for (std::size_t other = 0; other < 3; ++other) {
+          if (other != index) {
+            answers.push_back(word(other));
+          }
+        }
+        (void)holders[index].founding(answers, 0);
+      }
+    }
+  }
+  /// Runs a change against the named holders only; the revision, 0 for none.
+  std::uint64_t change(std::string const& content, std::vector<std::size_t> const& reach, bool accept = true, std::uint64_t round = 0) {
+    Change core("setup", 7 + round, [&content](schema::Value const& found) -> Wish { return schema::Value{found.revision + 1, content, {}}; });
+    core.start_above(Ballot{1, round, 0});
+    std::vector<ChangeAction> actions = core.begin(holders[reach.front()].set());
+    for (std::size_t place = 0; place < actions.size(); ++place) {
+      Send const* const send = std::get_if<Send>(&actions[place]);
+      if (Chosen const* const chosen = std::get_if<Chosen>(&actions[place])) {
+        return chosen->value.revision;
+      }
+      for (std::size_t const index : reach) {
+        if (send != nullptr && holders[index].incarnation() == send->to.incarnation && (accept || std::holds_alternative<schema::Prepare>(send->message))) {
+          std::vector<ChangeAction> const more = core.receive(holders[index].incarnation(), *holders[index].receive(send->message, 0).reply);
+          actions.insert(actions.end(), more.begin(), more.end());
+        }
+      }
+    }
+    return 0;
+  }
+};
+
+TEST(Holder, FoundsOnlyWhenAllThreeAreBlankAndAgree) {
+  Group group(3);
+  (void)group.holders[0].founding({group.word(1)}, 0);  // one founder does not answer
+  EXPECT_EQ(group.holders[0].set().epoch, 0u);
+  group.found();
+  for (Holder const& holder : group.holders) {
+    EXPECT_EQ(holder.set().epoch, 1u);
+    EXPECT_TRUE(holder.voting());
+  }
+  // One comes back blank: the others are founded, so it is not again.
+  Holder blank(900, "b", {"a", "b", "c"}, 0);
+  (void)blank.founding({group.word(0), group.word(2)}, 0);
+  EXPECT_EQ(blank.set().epoch, 0u);
+  EXPECT_FALSE(blank.voting());
+}
+
+TEST(Holder, NeverPledgesALostIncarnationAgain) {
+  Group group(3);
+  schema::FoundingAnswer const old_word = group.word(1);
+  (void)group.holders[0].founding({old_word, group.word(2)}, 0);
+  schema::FoundingAnswer new_word = old_word;
+  new_word.incarnation = 555;  // b lost its disk
+  EXPECT_FALSE(group.holders[0].founding({new_word, group.word(2)}, 0).records.empty());
+  EXPECT_TRUE(group.holders[0].founding({old_word, group.word(2)}, 0).records.empty());
+}
+
+TEST(Holder, BlankOneHasNoVoteUntilEnrolledWithAnImage) {
+  for (bool const guard : {true, false}) {
+    Guards guards;
+    guards.image_before_vote = guard;
+    Group group(3, guards);
+    group.found();
+    ASSERT_EQ(group.change("first", {0, 1, 2}), 1u);
+    ASSERT_EQ(group.change("second", {1, 2}, true, 5), 2u);  // a never hears of it
+    // c is lost; d takes its place by a chosen change, known to a and b.
+    group.holders.emplace_back(777, "d", std::vector<std::string>{"a", "b", "c"}, 0, guards);
+    schema::HolderSet next = group.holders[0].set();
+    next.previous = next.holders;
+    next.epoch = 2;
+    next.holders[2] = schema::HolderEntry{777, "d"};
+    EXPECT_EQ(group.change("too early", {3}), 0u);
+    for (std::size_t const index : {std::size_t{0}, std::size_t{1}, std::size_t{3}}) {
+      (void)group.holders[index].receive(schema::Adopt{next}, 0);
+    }
+    // Now a and d alone would be a majority of the new set: without an image
+    // they would choose over what b and c had chosen.
+    std::uint64_t const revision = group.change("third", {0, 3}, true, 9);
+    if (guard) {
+      EXPECT_EQ(revision, 0u);
+      EXPECT_TRUE(group.holders[3].wants_image());
+      std::vector<schema::Image> images{std::get<schema::Image>(*group.holders[0].receive(group.holders[3].image_ask(), 0).reply)};
+      EXPECT_TRUE(group.holders[3].enrol(images, 0).records.empty());  // one is no majority of the old set
+      images.push_back(std::get<schema::Image>(*group.holders[1].receive(group.holders[3].image_ask(), 0).reply));
+      EXPECT_FALSE(group.holders[3].enrol(images, 0).records.empty());
+      EXPECT_EQ(group.change("third", {0, 3}, true, 20), 3u);
+    } else {
+      EXPECT_EQ(revision, 2u) << "the guard off loses the second change";
+    }
+  }
+}
+
+TEST(Holder, OneThatMissedAnEpochTakesAnImageFirst) {
+  Group group(3);
+  group.found();
+  schema::HolderSet far = group.holders[0].set();
+  far.previous = far.holders;
+  far.epoch = 3;
+  (void)group.holders[0].receive(schema::Adopt{far}, 0);
+  EXPECT_FALSE(group.holders[0].voting());
+  EXPECT_TRUE(group.holders[0].wants_image());
+  // And gives none itself.
+  EXPECT_TRUE(std::holds_alternative<schema::Refused>(*group.holders[0].receive(schema::ImageAsk{3}, 0).reply));
+}
+
+TEST(Holder, StateComesBackFromItsRecords) {
+  Group group(3);
+  group.found();
+  ASSERT_EQ(group.change("first", {0, 1, 2}), 1u);
+  Holder const again(group.holders[0].image(), "a", {"a", "b", "c"}, 0);
+  EXPECT_EQ(again.image(), group.holders[0].image());
+  EXPECT_TRUE(again.voting());
+}
+
+TEST(Change, NoIsSaidOnlyWhenWhatWasFoundIsChosen) {
+  // An earlier try of ours stands at one holder. A later ballot of the same
+  // change that finds another revision must bury it before it says no.
+  for (bool const guard : {true, false}) {
+    Group group(3);
+    group.found();
+    ASSERT_EQ(group.change("base", {0, 1, 2}), 1u);
+    Guards guards;
+    guards.settle_before_reject = guard;
+    Change core("setup", 50, [](schema::Value const& found) -> Wish {
+      return found.revision == 1 ? Wish{schema::Value{2, "ours", {}}} : Wish{Reject{"the revision is another"}};
+    }, guards);
+    core.start_above(Ballot{1, 10, 0});
+    std::vector<ChangeAction> sends = core.begin(group.holders[0].set());
+    std::vector<ChangeAction> accepts;
+    for (std::size_t index = 0; index < 2; ++index) {
+      std::vector<ChangeAction> const more = core.receive(100 + index, *group.holders[index].receive(std::get<Send>(sends[index]).message, 0).reply);
+      accepts.insert(accepts.end(), more.begin(), more.end());
+    }
+    ASSERT_EQ(accepts.size(), 3u);
+    (void)group.holders[0].receive(std::get<Send>(accepts[0]).message, 0);  // reaches a alone
+    // Another's half-done change of the same revision stands at c, under a
+    // lower ballot than ours.
+    schema::Accept const theirs{"setup", Ballot{1, 5, 9}, schema::Value{2, "theirs", {}}};
+    (void)group.holders[2].receive(theirs, 0);
+    // Our second ballot reaches b and c.
+    sends = core.begin(group.holders[0].set());
+    bool rejected = false;
+    std::vector<ChangeAction> actions;
+    for (std::size_t index = 1; index < 3; ++index) {
+      std::vector<ChangeAction> const more = core.receive(100 + index, *group.holders[index].receive(std::get<Send>(sends[index]).message, 0).reply);
+      actions.insert(actions.end(), more.begin(), more.end());
+    }
+    for (std::size_t place = 0; place < actions.size(); ++place) {
+      rejected = rejected || std::holds_alternative<Rejected>(actions[place]);
+      if (Send const* const send = std::get_if<Send>(&actions[place])) {
+        if (send->to.incarnation != 100) {
+          std::vector<ChangeAction> const more = core.receive(send->to.incarnation, *group.holders[send->to.incarnation - 100].receive(send->message, 0).reply);
+          actions.insert(actions.end(), more.begin(), more.end());
+        }
+      }
+    }
+    ASSERT_TRUE(rejected);
+    // A reader that reaches a and b settles what it finds there.
+    Change reader("setup", 60, [](schema::Value const&) -> Wish { return Keep{}; });
+    reader.start_above(Ballot{1, 40, 0});
+    std::string found;
+    actions = reader.begin(group.holders[0].set());
+    for (std::size_t place = 0; place < actions.size(); ++place) {
+      if (Chosen const* const chosen = std::get_if<Chosen>(&actions[place])) {
+        found = chosen->value.content;
+      } else if (Send const* const send = std::get_if<Send>(&actions[place])) {
+        if (send->to.incarnation != 102) {
+          std::vector<ChangeAction> const more = reader.receive(send->to.incarnation, *group.holders[send->to.incarnation - 100].receive(send->message, 0).reply);
+          actions.insert(actions.end(), more.begin(), more.end());
+        }
+      }
+    }
+    EXPECT_EQ(found, guard ? "theirs" : "ours") << "a change that was told no took effect";
+  }
+}
+
+TEST(Confirm, OneRoundIsEnoughOnlyWhenAMajorityAgrees) {
+  Group group(3);
+  group.found();
+  ASSERT_EQ(group.change("first", {0, 1, 2}), 1u);
+  Confirm confirm;
+  (void)confirm.begin(group.holders[0].set(), loam::seconds(1));
+  std::vector<ConfirmAction> actions;
+  for (std::size_t const index : {std::size_t{0}, std::size_t{1}}) {
+    actions = confirm.receive(*group.holders[index].receive(schema::Read{1, {}, 1}, 0).reply);
+  }
+  ASSERT_EQ(actions.size(), 1u);
+  EXPECT_EQ(std::get<Confirmed>(actions[0]).started, loam::seconds(1));
+  // A half-done change at one holder: not confirmed, and settled only when it
+  // stays open.
+  (void)group.holders[0].receive(schema::Accept{"setup", Ballot{1, 99, 3}, schema::Value{2, "half", {}}}, 0);
+  bool settled = false;
+  for (std::uint64_t round = 2; round < 8; ++round) {
+    (void)confirm.begin(group.holders[0].set(), loam::seconds(1) + loam::milliseconds(100) * static_cast<loam::Span>(round));
+    for (std::size_t const index : {std::size_t{0}, std::size_t{1}}) {
+      actions = confirm.receive(*group.holders[index].receive(schema::Read{1, {}, round}, 0).reply);
+    }
+    EXPECT_TRUE(actions.empty() || std::holds_alternative<Unsettled>(actions[0]));
+    settled = settled || !actions.empty();
+    EXPECT_TRUE(round > 3 || !settled);
+  }
+  EXPECT_TRUE(settled);
+  EXPECT_EQ(confirm.values().at("setup").revision, 1u);
+}
+
+}  // namespace
+}  // namespace finchlink
