--- /dev/null
+++ b/source/almanac/field/field.cpp
@@ -0,0 +1,1029 @@
+#include "almanac/field/field.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <list>
+#include <memory>
+#include <set>
+
+#include "almanac/kernel/kernel.hpp"
+#include "loam/constants.hpp"
+#include "tilth/budget/budget.hpp"
+#include "tilth/chart/chart.hpp"
+#include "tilth/placement/placement.hpp"
+#include "tilth/scaler/scaler.hpp"
+
+namespace finchlink::almanac {
+
+namespace constants = loam::constants;
+using loam::Moment;
+using loam::Span;
+
+namespace {
+
+constexpr double true_prefill[3] = {0.004, 0.000018, 0.000000002};
+constexpr double true_decode[3] = {0.003, 0.006, 0.00025};
+constexpr double noise = 0.05;
+constexpr std::size_t worker_limit = 48;      // beyond it a worker says 429
+constexpr std::size_t cold_bears = 4;         // queries at once on a worker that just came back
+constexpr Span warming = loam::seconds(3);
+constexpr std::size_t cache_blocks = 4096;
+constexpr Span drain_allowed = loam::seconds(5);
+
+class World {
+ public:
+  explicit World(FieldOptions const& options) : options_(options), kernel_(options.seed) { kernel_.print_trace(options.print); }
+  FieldReport run();
+
+ private:
+  struct Query;
+  using QueryPointer = std::shared_ptr<Query>;
+
+  struct Job {
+    QueryPointer query;
+    std::uint64_t dispatch = 0;  ///< of which dispatch of the query this is
+    bool prefill_leg = false;
+    bool decode_leg = false;
+    double tokens = 0;
+    std::vector<std::uint64_t> chain;
+    std::uint64_t outputs = 0;
+    std::uint64_t produced = 0;
+    std::uint64_t skip = 0;
+    bool gone = false;
+  };
+  using JobPointer = std::shared_ptr<Job>;
+
+  struct Worker {
+    std::string id;
+    std::size_t region = 0;
+    double speed = 1;
+    std::deque<JobPointer> waiting;
+    std::list<JobPointer> running;
+    bool busy = false;
+    bool up = true;
+    bool dark = false;
+    bool listed = true;
+    bool draining = false;
+    Moment draining_since = 0;
+    Moment up_since = -loam::seconds(100);
+    std::uint64_t life = 0;
+    tilth::PrefixRecord cache{cache_blocks};
+    [[nodiscard]] std::size_t open() const { return waiting.size() + running.size(); }
+  };
+  struct Furrow {
+    std::string name;
+    std::size_t region = 0;
+    tilth::Placement placement;
+    std::map<std::string, tilth::Budget> budgets;
+    std::map<std::string, double> outputs;
+    std::map<std::string, bool> drained;  ///< as the list told here
+    std::map<std::string, bool> listed;
+    schema::Split split;
+    std::map<std::string, schema::WorkerFigures> figures;
+    std::vector<schema::Sample> samples;
+    std::uint64_t slice = 0;
+  };
+  struct Query {
+    std::uint64_t id = 0;
+    std::size_t mix = 0;
+    std::size_t furrow = 0;
+    bool bound = false;
+    std::unique_ptr<tilth::Chart> chart;
+    std::uint64_t ticket = 0;
+    std::uint64_t dispatch = 0;
+    std::string worker;
+    tilth::Go go;
+    tilth::Phase phase = tilth::Phase::both;
+    bool has_kv = false;
+    bool decode_leg = false;
+    double tokens = 0;
+    std::uint64_t outputs = 0;
+    std::vector<std::uint64_t> chain;
+    Moment began = 0;
+    Moment sent = 0;
+    Moment first = 0;
+    Moment leg_first = 0;
+    double iterations = 0;
+    double running_at_start = 0;
+    std::uint64_t seen = 0;           ///< events that the caller has
+    std::uint64_t expected = 1;       ///< next event of a whole answer
+    Moment deadline = 0;
+    QueryPointer parent;              ///< it was passed on by this one
+    JobPointer job;
+    std::uint64_t runs = 0;           ///< how often its work was begun
+    bool told_refused = false;
+  };
+  struct Region {
+    tilth::Scaler scaler;
+    schema::Split split;
+    std::uint64_t revision = 0;
+  };
+
+  Worker* worker_of(std::string const& id) {
+    for (std::unique_ptr<Worker> const& worker : workers_) {
+      if (worker->id == id) {
+        return worker.get();
+      }
+    }
+    return nullptr;
+  }
+  FieldMix mix_of(std::size_t index) const {
+    FieldMix mix = options_.deployment.mixes[index];
+    if (options_.faults.swing_at > 0 && kernel_.now() >= options_.faults.swing_at) {
+      std::swap(mix.own_tokens, mix.outputs);
+    }
+    return mix;
+  }
+  void violate(std::string const& text) {
+    kernel_.trace("VIOLATION " + text);
+    if (report_.violations.size() < 20) {
+      report_.violations.push_back("at " + std::to_string(kernel_.now()) + " us: " + text);
+    }
+  }
+  Span near() { return kernel_.between(200, 600); }
+
+  void arrivals(std::size_t mix);
+  QueryPointer make_query(std::size_t mix, std::size_t furrow, bool bound, bool passed);
+  void feed(QueryPointer const& query, tilth::QueryMessage const& message);
+  void perform(QueryPointer const& query, std::vector<tilth::QueryAction> const& actions);
+  void place(QueryPointer const& query);
+  void obey(Furrow& furrow, std::vector<tilth::PlacementAction> const& actions);
+  void send(QueryPointer const& query);
+  void pass_on(QueryPointer const& query);
+  void settle_parent(QueryPointer const& query, tilth::QueryMessage const& message);
+  void end_dispatch(QueryPointer const& query, tilth::Ending ending, tilth::QueryMessage const& message);
+  void step(Worker& worker);
+  void deliver(JobPointer const& job, bool last);
+  void refresh(Furrow& furrow);
+  void look(Furrow& furrow);
+  void report_loop(Furrow& furrow);
+  void scale(std::size_t region);
+  void crash(Worker& worker);
+  void revive(Worker& worker);
+  void faults();
+  void repeat(double mean, std::function<void()> fault);
+  void finish();
+  double noisy(double seconds) { return std::max(0.0, seconds * (1.0 + noise * (kernel_.uniform() + kernel_.uniform() + kernel_.uniform() - 1.5) * 2)); }
+
+  FieldOptions options_;
+  mutable Kernel kernel_;
+  FieldReport report_;
+  std::vector<std::unique_ptr<Worker>> workers_;
+  std::vector<std::unique_ptr<Furrow>> furrows_;
+  std::vector<Region> regions_;
+  std::map<std::uint64_t, QueryPointer> tickets_;
+  std::uint64_t next_ = 1;
+  std::uint64_t next_query_ = 1;
+  std::vector<QueryPointer> all_;
+  std::vector<double> firsts_;
+  std::uint64_t good_late_ = 0;
+  double prompt_tokens_ = 0;
+  double cached_tokens_ = 0;
+  std::map<std::string, std::vector<Moment>> first_dispatches_;
+  std::map<std::string, std::vector<Moment>> retries_;
+};
+
+void World::arrivals(std::size_t index) {
+  double rate = options_.deployment.mixes[index].rate * options_.scale;
+  Moment const crowd = options_.faults.crowd_at;
+  if (crowd > 0 && kernel_.now() >= crowd && kernel_.now() < crowd + loam::seconds(10)) {
+    rate *= options_.faults.crowd;
+  }
+  kernel_.after(static_cast<Span>(kernel_.exponential(1.0 / rate) * 1e6), [this, index] {
+    if (kernel_.now() < options_.length) {
+      arrivals(index);
+      FieldMix const& mix = options_.deployment.mixes[index];
+      bool const bound = kernel_.chance(mix.home_part);
+      std::size_t furrow = kernel_.below(furrows_.size());
+      if (bound) {  // sent to its home by 307
+        std::size_t const home = kernel_.below(options_.deployment.furrows.size());
+        while (furrows_[furrow]->region != home) {
+          furrow = kernel_.below(furrows_.size());
+        }
+      }
+      ++report_.sent;
+      QueryPointer const query = make_query(index, furrow, bound, false);
+      furrows_[furrow]->budgets.try_emplace(mix.name, constants::retry_share, constants::retry_life).first->second.arrived(kernel_.now());
+      perform(query, query->chart->begin());
+    }
+  });
+}
+
+World::QueryPointer World::make_query(std::size_t index, std::size_t furrow, bool bound, bool passed) {
+  FieldMix const mix = mix_of(index);
+  QueryPointer const query = std::make_shared<Query>();
+  query->id = next_query_++;
+  query->mix = index;
+  query->furrow = furrow;
+  query->bound = bound;
+  query->began = kernel_.now();
+  query->deadline = kernel_.now() + mix.deadline;
+  query->tokens = mix.prefix_tokens + std::max(1.0, mix.own_tokens * (0.5 + kernel_.uniform()));
+  query->outputs = static_cast<std::uint64_t>(std::max(2.0, mix.outputs * (0.5 + kernel_.uniform())));
+  std::uint64_t const prefix = kernel_.below(std::max<std::uint64_t>(1, mix.prefixes));
+  double const block = static_cast<double>(options_.bounds.block_tokens);
+  std::uint64_t chain = 0;
+  for (double place = block; place <= query->tokens; place += block) {
+    bool const shared = place <= mix.prefix_tokens;
+    chain = tilth::mix(chain, shared ? tilth::mix(index * 1000 + prefix, static_cast<std::uint64_t>(place)) : tilth::mix(query->id, 77));
+    query->chain.push_back(chain);
+  }
+  tilth::QueryTerms terms;
+  terms.repeatable = mix.repeatable || !options_.dispatch_once;
+  terms.resumable = mix.resumable;
+  terms.stream = mix.stream;
+  terms.may_pass = !passed;
+  std::string const name = mix.name;
+  query->chart = std::make_unique<tilth::Chart>(terms, [this, furrow, name](Moment now) {
+    if (!options_.budget) {
+      return true;
+    }
+    return furrows_[furrow]->budgets.try_emplace(name, constants::retry_share, constants::retry_life).first->second.take(now);
+  });
+  if (!passed) {
+    all_.push_back(query);
+    kernel_.after(mix.deadline, [this, query] {
+      if (!query->chart->settled()) {
+        feed(query, tilth::DeadlinePassed{});
+      }
+    });
+  }
+  return query;
+}
+
+void World::feed(QueryPointer const& query, tilth::QueryMessage const& message) { perform(query, query->chart->advance(message, kernel_.now())); }
+
+void World::settle_parent(QueryPointer const& query, tilth::QueryMessage const& message) {
+  QueryPointer const parent = query->parent;
+  kernel_.after(near() + options_.deployment.hop, [this, parent, message] { feed(parent, message); });
+}
+
+void World::perform(QueryPointer const& query, std::vector<tilth::QueryAction> const& actions) {
+  for (tilth::QueryAction const& action : actions) {
+    if (tilth::Place const* const found = std::get_if<tilth::Place>(&action)) {
+      if (found->again) {
+        ++report_.retries;
+      }
+      place(query);
+    } else if (std::holds_alternative<tilth::PassOn>(action)) {
+      pass_on(query);
+    } else if (tilth::Forward const* const forward = std::get_if<tilth::Forward>(&action)) {
+      if (query->parent != nullptr) {
+        settle_parent(query, tilth::Event{forward->number, forward->last});
+        continue;
+      }
+      if (query->first == 0) {
+        query->first = kernel_.now();
+      }
+      if (forward->number != query->seen + 1) {
+        violate("a caller got event " + std::to_string(forward->number) + " after " + std::to_string(query->seen));
+      }
+      query->seen = forward->number;
+      if (forward->last) {
+        ++report_.good;
+        good_late_ += kernel_.now() > options_.length / 2 ? 1 : 0;
+        firsts_.push_back(static_cast<double>(query->first - query->began) / 1e6);
+      }
+    } else if (std::holds_alternative<tilth::Deliver>(action)) {
+      if (query->parent != nullptr) {
+        settle_parent(query, tilth::Whole{});
+        continue;
+      }
+      ++report_.good;
+      good_late_ += kernel_.now() > options_.length / 2 ? 1 : 0;
+      firsts_.push_back(static_cast<double>((query->first == 0 ? kernel_.now() : query->first) - query->began) / 1e6);
+    } else if (std::holds_alternative<tilth::Refuse>(action)) {
+      if (query->parent != nullptr) {
+        settle_parent(query, tilth::NoRoom{});
+        continue;
+      }
+      ++report_.refused;
+      query->told_refused = true;
+    } else if (tilth::Apologise const* const apology = std::get_if<tilth::Apologise>(&action)) {
+      if (query->parent != nullptr) {
+        settle_parent(query, tilth::WorkerAnswered{apology->status});
+        continue;
+      }
+      if (!options_.honest_refusal) {  // the guard off: said as "busy"
+        query->told_refused = true;
+      }
+      ++report_.apologies;
+    } else if (std::holds_alternative<tilth::EndBroken>(action)) {
+      if (query->parent != nullptr) {
+        settle_parent(query, tilth::WorkerDefect{"pass_cut"});
+        continue;
+      }
+      ++report_.broken;
+    }
+  }
+  if (query->chart->settled()) {
+    if (query->job != nullptr) {
+      query->job->gone = true;
+      query->job = nullptr;
+    }
+    if (query->ticket != 0) {
+      std::uint64_t const ticket = query->ticket;
+      query->ticket = 0;
+      tickets_.erase(ticket);
+      obey(*furrows_[query->furrow], furrows_[query->furrow]->placement.cancel(ticket, kernel_.now()));
+    }
+  }
+}
+
+void World::place(QueryPointer const& query) {
+  Furrow& furrow = *furrows_[query->furrow];
+  FieldMix const& mix = options_.deployment.mixes[query->mix];
+  tilth::Ticket ticket;
+  ticket.id = next_++;
+  ticket.rule = mix.name;
+  for (std::unique_ptr<Worker> const& worker : workers_) {
+    if (worker->region == furrow.region) {
+      ticket.allowed.push_back(worker->id);
+    }
+  }
+  ticket.chain = query->chain;
+  ticket.tokens = query->tokens;
+  double& outputs = furrow.outputs.try_emplace(mix.name, 32.0).first->second;
+  ticket.outputs = outputs;
+  bool const paired = options_.aims.manner == "paired";
+  query->decode_leg = paired && query->has_kv;
+  tilth::WorkerModel const model = furrow.split.coefficients.empty() ? tilth::WorkerModel() : tilth::WorkerModel(furrow.split.coefficients.begin()->second);
+  double const batch = std::max(1.0, static_cast<double>(options_.bounds.limit) / 2);
+  bool const heavy = model.prefill_seconds(ticket.tokens, 0) >= outputs * model.iteration_seconds(options_.aims.experts_share, 1, batch) / batch;
+  ticket.phase = paired ? (query->decode_leg ? tilth::Phase::decode : tilth::Phase::prefill) : (heavy ? tilth::Phase::prefill : tilth::Phase::decode);
+  query->phase = ticket.phase;
+  ticket.deadline = query->deadline;
+  ticket.waitlist_bound = mix.waitlist;
+  query->ticket = ticket.id;
+  tickets_[ticket.id] = query;
+  obey(furrow, furrow.placement.enqueue(ticket, kernel_.now()));
+}
+
+void World::obey(Furrow& furrow, std::vector<tilth::PlacementAction> const& actions) {
+  for (tilth::PlacementAction const& action : actions) {
+    if (tilth::Go const* const go = std::get_if<tilth::Go>(&action)) {
+      std::map<std::uint64_t, QueryPointer>::const_iterator const found = tickets_.find(go->ticket);
+      if (found == tickets_.end()) {
+        continue;
+      }
+      found->second->go = *go;
+      found->second->worker = go->worker;
+      send(found->second);
+    } else {
+      tilth::Denied const& denied = std::get<tilth::Denied>(action);
+      std::map<std::uint64_t, QueryPointer>::const_iterator const found = tickets_.find(denied.ticket);
+      if (found == tickets_.end()) {
+        continue;
+      }
+      QueryPointer const query = found->second;
+      tickets_.erase(denied.ticket);
+      query->ticket = 0;
+      kernel_.after(0, [this, query, deadline = denied.reason == "deadline"] {
+        if (!query->chart->settled()) {
+          feed(query, deadline ? tilth::QueryMessage{tilth::DeadlinePassed{}} : tilth::QueryMessage{tilth::NoRoom{}});
+        }
+      });
+    }
+  }
+  (void)furrow;
+}
+
+void World::end_dispatch(QueryPointer const& query, tilth::Ending ending, tilth::QueryMessage const& message) {
+  std::uint64_t const ticket = query->ticket;
+  query->ticket = 0;
+  query->job = nullptr;
+  ++query->dispatch;
+  tickets_.erase(ticket);
+  obey(*furrows_[query->furrow], furrows_[query->furrow]->placement.finished(ticket, ending, kernel_.now()));
+  feed(query, message);
+}
+
+void World::send(QueryPointer const& query) {
+  feed(query, tilth::Placed{query->worker});
+  std::uint64_t const dispatch = query->dispatch;
+  kernel_.after(near(), [this, query, dispatch] {
+    if (query->chart->settled() || query->dispatch != dispatch) {
+      return;
+    }
+    Furrow& furrow = *furrows_[query->furrow];
+    Worker* const worker = worker_of(query->worker);
+    if (worker == nullptr || !worker->up) {
+      end_dispatch(query, tilth::Ending::defect, tilth::ConnectDefect{});
+      return;
+    }
+    if (options_.drop_drained && furrow.drained[worker->id]) {
+      end_dispatch(query, tilth::Ending::abandoned, tilth::ConnectDefect{});
+      return;
+    }
+    feed(query, tilth::Connected{});
+    query->sent = kernel_.now();
+    query->running_at_start = furrow.placement.running_on(worker->id);
+    FieldMix const& mix = options_.deployment.mixes[query->mix];
+    if (!query->decode_leg) {
+      (query->chart->dispatches() <= 1 ? first_dispatches_ : retries_)[mix.name].push_back(kernel_.now());
+    }
+    if (worker->draining) {
+      report_.worst_drain = std::max(report_.worst_drain, kernel_.now() - worker->draining_since);
+      if (kernel_.now() - worker->draining_since > drain_allowed) {
+        violate(worker->id + " got a query " + std::to_string((kernel_.now() - worker->draining_since) / 1000) + " ms after it was shown draining");
+      }
+    }
+    if (query->bound && worker->region != furrow.region) {
+      violate("a query with a home left it");
+    }
+    if (worker->dark) {
+      kernel_.after(constants::stream_silence, [this, query, dispatch] {
+        if (!query->chart->settled() && query->dispatch == dispatch) {
+          end_dispatch(query, tilth::Ending::defect, tilth::WorkerDefect{"silence"});
+        }
+      });
+      return;
+    }
+    Span const up = kernel_.now() - worker->up_since;
+    double const bears = static_cast<double>(cold_bears) + static_cast<double>(worker_limit) * static_cast<double>(up) / static_cast<double>(warming);
+    bool const flooded = up < warming && static_cast<double>(worker->open()) >= bears;
+    if (flooded) {
+      violate(worker->id + " came back " + std::to_string(up / 1000) + " ms ago and was flooded with " + std::to_string(worker->open() + 1) + " queries");
+    }
+    if (flooded || worker->open() >= worker_limit) {
+      end_dispatch(query, tilth::Ending::refused, tilth::WorkerRefused{});
+      return;
+    }
+    QueryPointer root = query;
+    while (root->parent != nullptr) {
+      root = root->parent;
+    }
+    if (!query->decode_leg && ++root->runs > 1 && !mix.repeatable) {
+      violate("query " + std::to_string(root->id) + " of " + mix.name + " ran twice");
+    }
+    JobPointer const job = std::make_shared<Job>();
+    job->query = query;
+    job->dispatch = dispatch;
+    job->prefill_leg = options_.aims.manner == "paired" && !query->decode_leg;
+    job->decode_leg = query->decode_leg;
+    job->tokens = query->tokens;
+    job->chain = query->chain;
+    job->outputs = query->outputs;
+    job->skip = mix.stream ? query->chart->last_event() : 0;
+    query->expected = 1;
+    query->iterations = 0;
+    query->leg_first = 0;
+    query->job = job;
+    worker->waiting.push_back(job);
+    step(*worker);
+    if (options_.faults.cut > 0 && kernel_.chance(options_.faults.cut)) {
+      kernel_.after(kernel_.between(1000, loam::milliseconds(300)), [this, query, dispatch] {
+        if (!query->chart->settled() && query->dispatch == dispatch && query->job != nullptr) {
+          query->job->gone = true;
+          end_dispatch(query, tilth::Ending::defect, tilth::WorkerDefect{"cut"});
+        }
+      });
+    }
+  });
+}
+
+void World::step(Worker& worker) {
+  if (worker.busy || !worker.up || worker.dark) {
+    return;
+  }
+  std::uint64_t const life = worker.life;
+  while (!worker.waiting.empty() && worker.waiting.front()->gone) {
+    worker.waiting.pop_front();
+  }
+  worker.running.remove_if([](JobPointer const& job) { return job->gone; });
+  if (!worker.waiting.empty()) {
+    JobPointer const job = worker.waiting.front();
+    worker.waiting.pop_front();
+    double seconds = 0;
+    if (!job->decode_leg) {
+      double const cached = std::min(static_cast<double>(worker.cache.match(job->chain)) * static_cast<double>(options_.bounds.block_tokens), job->tokens - 1);
+      double const uncached = job->tokens - cached;
+      prompt_tokens_ += job->tokens;
+      cached_tokens_ += cached;
+      worker.cache.remember(job->chain);
+      seconds = noisy(true_prefill[0] + true_prefill[1] * uncached + true_prefill[2] * tilth::pairs(uncached, cached)) / worker.speed;
+    }
+    worker.running.push_back(job);
+    worker.busy = true;
+    kernel_.after(static_cast<Span>(seconds * 1e6), [this, &worker, job, life] {
+      if (worker.life != life) {
+        return;
+      }
+      worker.busy = false;
+      if (job->prefill_leg) {
+        worker.running.remove(job);
+      }
+      deliver(job, false);
+      step(worker);
+    });
+    return;
+  }
+  if (worker.running.empty()) {
+    return;
+  }
+  double const batch = static_cast<double>(worker.running.size());
+  double const seconds = noisy(true_decode[0] + true_decode[1] * tilth::spread(options_.aims.experts_share, 1, batch) + true_decode[2] * batch) / worker.speed;
+  worker.busy = true;
+  kernel_.after(static_cast<Span>(seconds * 1e6), [this, &worker, life] {
+    if (worker.life != life) {
+      return;
+    }
+    worker.busy = false;
+    std::vector<JobPointer> const batch_jobs(worker.running.begin(), worker.running.end());
+    for (JobPointer const& job : batch_jobs) {
+      if (job->gone) {
+        continue;
+      }
+      bool const last = job->produced + 1 >= job->outputs;
+      if (last) {
+        worker.running.remove(job);
+      }
+      deliver(job, last);
+    }
+    step(worker);
+  });
+}
+
+void World::deliver(JobPointer const& job, bool last) {
+  ++job->produced;
+  if (!job->prefill_leg && job->produced <= job->skip) {
+    return;
+  }
+  std::uint64_t const number = job->produced;
+  QueryPointer const query = job->query;
+  kernel_.after(300, [this, query, job, number, last] {
+    if (job->gone || query->chart->settled() || query->dispatch != job->dispatch) {
+      return;
+    }
+    Furrow& furrow = *furrows_[query->furrow];
+    FieldMix const& mix = options_.deployment.mixes[query->mix];
+    Moment const now = kernel_.now();
+    schema::WorkerFigures& figures = furrow.figures[query->worker + (query->phase == tilth::Phase::decode ? " d" : " p")];
+    figures.worker = query->worker;
+    figures.phase = query->phase == tilth::Phase::decode ? "decode" : "prefill";
+    if (query->leg_first == 0) {
+      query->leg_first = now;
+      furrow.placement.first_token(query->ticket, now);
+      if (!query->decode_leg) {
+        double const uncached = std::max(1.0, query->tokens - query->go.cached);
+        figures.queries += 1;
+        figures.uncached += uncached;
+        figures.cached += query->go.cached;
+        figures.pairs += tilth::pairs(uncached, query->go.cached);
+        if (query->running_at_start <= 1 && furrow.samples.size() < constants::samples_most) {
+          schema::Sample sample;
+          sample.worker = query->worker;
+          sample.seconds = static_cast<double>(now - query->sent) / 1e6;
+          sample.uncached = uncached;
+          sample.pairs = tilth::pairs(uncached, query->go.cached);
+          furrow.samples.push_back(sample);
+        }
+      }
+    } else {
+      query->iterations += 1;
+    }
+    if (job->prefill_leg) {
+      query->has_kv = true;
+      end_dispatch(query, tilth::Ending::good, tilth::LegDone{});
+      return;
+    }
+    if (query->first == 0) {
+      query->first = now;
+    }
+    if (last) {
+      double& outputs = furrow.outputs[mix.name];
+      outputs += 0.05 * (static_cast<double>(query->outputs) - outputs);
+      figures.iterations += query->iterations;
+      figures.decodes += 1;
+      figures.decode_seconds += static_cast<double>(now - query->leg_first) / 1e6;
+      if (query->iterations >= 4 && furrow.samples.size() < constants::samples_most) {
+        double const running = std::max(1.0, (query->running_at_start + furrow.placement.running_on(query->worker) + 1) / 2);
+        schema::Sample sample;
+        sample.worker = query->worker;
+        sample.decode = true;
+        sample.seconds = static_cast<double>(now - query->leg_first) / 1e6 / query->iterations;
+        sample.spread = tilth::spread(options_.aims.experts_share, 1, running);
+        sample.running = running;
+        furrow.samples.push_back(sample);
+      }
+    }
+    if (mix.stream) {
+      if (last) {
+        std::uint64_t const ticket = query->ticket;
+        query->ticket = 0;
+        tickets_.erase(ticket);
+        query->job = nullptr;
+        obey(furrow, furrow.placement.finished(ticket, tilth::Ending::good, now));
+      }
+      std::uint64_t shown = number;
+      if (!options_.checked_numbers) {  // the guard off: whatever comes is handed on as the next
+        shown = query->chart->last_event() + 1;
+        if (shown != number) {
+          violate("a stream went on with event " + std::to_string(number) + " as if it were " + std::to_string(shown));
+        }
+      }
+      feed(query, tilth::Event{shown, last});
+    } else if (last) {
+      end_dispatch(query, tilth::Ending::good, tilth::Whole{});
+    }
+  });
+}
+
+void World::pass_on(QueryPointer const& query) {
+  std::vector<std::size_t> near_ones;
+  std::vector<std::size_t> far_ones;
+  for (std::size_t index = 0; index < furrows_.size(); ++index) {
+    if (index != query->furrow && furrows_[index]->placement.room(kernel_.now())) {
+      (furrows_[index]->region == furrows_[query->furrow]->region ? near_ones : far_ones).push_back(index);
+    }
+  }
+  std::vector<std::size_t> const& choice = !near_ones.empty() ? near_ones : far_ones;
+  if (choice.empty() || (near_ones.empty() && (query->bound || !options_.bounds.spill))) {
+    feed(query, tilth::NoRoom{});
+    return;
+  }
+  ++report_.passes;
+  feed(query, tilth::Placed{"pass"});
+  feed(query, tilth::Connected{});
+  std::size_t const target = choice[kernel_.below(choice.size())];
+  QueryPointer const child = make_query(query->mix, target, query->bound, true);
+  child->parent = query;
+  child->tokens = query->tokens;
+  child->chain = query->chain;
+  child->outputs = query->outputs;
+  child->deadline = query->deadline;
+  kernel_.after(near_ones.empty() ? options_.deployment.hop : near(), [this, child] { perform(child, child->chart->begin()); });
+}
+
+void World::refresh(Furrow& furrow) {
+  std::vector<tilth::WorkerWish> wishes;
+  std::vector<std::string> names;
+  for (std::unique_ptr<Furrow> const& other : furrows_) {
+    if (other->region == furrow.region) {
+      names.push_back(other->name);
+    }
+  }
+  for (std::unique_ptr<Worker> const& worker : workers_) {
+    if (worker->region != furrow.region || !furrow.listed[worker->id]) {
+      continue;
+    }
+    tilth::WorkerWish wish;
+    wish.id = worker->id;
+    wish.address = worker->id;
+    std::map<std::string, std::string>::const_iterator const phase = furrow.split.phases.find(worker->id);
+    wish.phase = phase == furrow.split.phases.end() ? tilth::Phase::both : tilth::phase_of(phase->second);
+    std::map<std::string, schema::Coefficients>::const_iterator const fitted = furrow.split.coefficients.find(worker->id);
+    wish.model = fitted == furrow.split.coefficients.end() ? tilth::WorkerModel() : tilth::WorkerModel(fitted->second);
+    wish.usable = !(options_.drop_drained && furrow.drained[worker->id]);
+    std::string tender;
+    std::uint64_t best = 0;
+    for (std::string const& name : names) {
+      std::uint64_t const weight = tilth::mix(tilth::hash_text(name), tilth::hash_text(worker->id));
+      if (tender.empty() || weight > best) {
+        tender = name;
+        best = weight;
+      }
+    }
+    wish.tended = tender == furrow.name;
+    for (std::unique_ptr<Furrow> const& other : furrows_) {
+      if (other.get() != &furrow) {
+        for (std::string const& warm : other->placement.warm()) {
+          if (warm.rfind(worker->id + "@", 0) == 0) {
+            wish.warm_boots.push_back(warm.substr(worker->id.size() + 1));
+          }
+        }
+      }
+    }
+    if (!options_.tend_cold) {
+      wish.warm_boots.push_back("boot-" + std::to_string(worker->life));
+    }
+    wishes.push_back(wish);
+  }
+  obey(furrow, furrow.placement.update(wishes, options_.bounds, options_.aims, names.size(), kernel_.now()));
+  obey(furrow, furrow.placement.tick(kernel_.now()));
+  kernel_.after(loam::milliseconds(250), [this, &furrow] { refresh(furrow); });
+}
+
+void World::look(Furrow& furrow) {
+  for (std::unique_ptr<Worker> const& worker : workers_) {
+    if (worker->region == furrow.region && furrow.listed[worker->id]) {
+      if (worker->up && !worker->dark) {
+        obey(furrow, furrow.placement.load(worker->id, static_cast<double>(worker->running.size()), static_cast<double>(worker->waiting.size()), "boot-" + std::to_string(worker->life), kernel_.now()));
+      } else {
+        obey(furrow, furrow.placement.load_missed(worker->id, kernel_.now()));
+      }
+    }
+  }
+  kernel_.after(constants::load_pause + kernel_.between(0, loam::milliseconds(20)), [this, &furrow] { look(furrow); });
+}
+
+void World::report_loop(Furrow& furrow) {
+  kernel_.after(constants::report_span, [this, &furrow] {
+    schema::FurrowReport report;
+    report.slice = ++furrow.slice;
+    for (std::pair<std::string const, schema::WorkerFigures> const& figures : furrow.figures) {
+      report.figures.push_back(figures.second);
+    }
+    report.samples = std::move(furrow.samples);
+    furrow.samples.clear();
+    furrow.figures.clear();
+    regions_[furrow.region].scaler.report(report, options_.aims, kernel_.now());
+    report_loop(furrow);
+  });
+}
+
+void World::scale(std::size_t index) {
+  kernel_.after(constants::repair_pause, [this, index] {
+    scale(index);
+    Region& region = regions_[index];
+    std::vector<std::string> names;
+    for (std::unique_ptr<Worker> const& worker : workers_) {
+      if (worker->region == index && worker->listed && !worker->draining) {
+        names.push_back(worker->id);
+      }
+    }
+    tilth::ScalerAction const action = region.scaler.tick(region.split, region.revision, names, options_.aims, options_.bounds, kernel_.now());
+    if (tilth::WriteSplit const* const write = std::get_if<tilth::WriteSplit>(&action)) {
+      region.split = write->split;
+      ++region.revision;
+      ++report_.switches;
+      kernel_.trace("split of region " + std::to_string(index) + ": " + write->split.reason);
+      for (std::unique_ptr<Furrow> const& furrow : furrows_) {
+        if (furrow->region == index) {
+          Furrow* const one = furrow.get();
+          kernel_.after(kernel_.between(loam::milliseconds(20), loam::milliseconds(300)), [one, split = region.split] { one->split = split; });
+        }
+      }
+    }
+  });
+}
+
+void World::crash(Worker& worker) {
+  kernel_.trace("crash " + worker.id);
+  worker.up = false;
+  worker.busy = false;
+  ++worker.life;
+  std::vector<JobPointer> jobs(worker.waiting.begin(), worker.waiting.end());
+  jobs.insert(jobs.end(), worker.running.begin(), worker.running.end());
+  worker.waiting.clear();
+  worker.running.clear();
+  for (JobPointer const& job : jobs) {
+    if (!job->gone && !job->query->chart->settled() && job->query->dispatch == job->dispatch) {
+      job->gone = true;
+      end_dispatch(job->query, tilth::Ending::defect, tilth::WorkerDefect{"crash"});
+    }
+  }
+}
+
+void World::revive(Worker& worker) {
+  kernel_.trace("revive " + worker.id);
+  worker.up = true;
+  worker.up_since = kernel_.now();
+  worker.cache.clear();
+}
+
+void World::repeat(double mean, std::function<void()> fault) {
+  if (mean > 0) {
+    kernel_.after(static_cast<Span>(kernel_.exponential(mean) * 1e6), [this, mean, fault] {
+      if (kernel_.now() < options_.length) {
+        fault();
+        repeat(mean, fault);
+      }
+    });
+  }
+}
+
+void World::faults() {
+  FieldFaults const& mix = options_.faults;
+  std::function<Worker&()> const any = [this]() -> Worker& { return *workers_[kernel_.below(workers_.size())]; };
+  repeat(mix.crash, [this, any] {
+    Worker& worker = any();
+    if (worker.up) {
+      crash(worker);
+      kernel_.after(kernel_.between(loam::milliseconds(50), loam::seconds(6)), [this, &worker] { revive(worker); });
+    }
+  });
+  repeat(mix.dark, [this, any] {
+    Worker& worker = any();
+    worker.dark = true;
+    kernel_.after(kernel_.between(loam::seconds(1), loam::seconds(7)), [this, &worker] {
+      worker.dark = false;
+      step(worker);
+    });
+  });
+  std::function<void(Worker&, bool)> const show = [this](Worker& worker, bool on) {
+    worker.draining = on;
+    worker.draining_since = kernel_.now();
+    for (std::unique_ptr<Furrow> const& furrow : furrows_) {  // trellis reads the list, furrow hears
+      Furrow* const one = furrow.get();
+      kernel_.after(kernel_.between(loam::milliseconds(30), loam::milliseconds(1400)), [one, id = worker.id, on] { one->drained[id] = on; });
+    }
+  };
+  repeat(mix.drain, [this, any, show] {
+    Worker& worker = any();
+    if (!worker.draining) {
+      show(worker, true);
+      kernel_.after(kernel_.between(loam::seconds(6), loam::seconds(12)), [&worker, show] { show(worker, false); });
+    }
+  });
+  repeat(mix.replace, [this, any, show] {
+    Worker& worker = any();
+    if (!worker.draining && worker.up) {
+      show(worker, true);
+      kernel_.after(kernel_.between(loam::milliseconds(500), loam::seconds(6)), [this, &worker, show] {  // at short notice or slowly
+        if (worker.up) {
+          crash(worker);
+        }
+        kernel_.after(kernel_.between(loam::seconds(1), loam::seconds(4)), [this, &worker, show] {
+          revive(worker);
+          show(worker, false);
+        });
+      });
+    }
+  });
+}
+
+void World::finish() {
+  for (QueryPointer const& query : all_) {
+    if (!query->chart->settled()) {
+      violate("query " + std::to_string(query->id) + " was never settled");
+    }
+    if (query->told_refused && query->runs > 0) {
+      violate("query " + std::to_string(query->id) + " was told refused though it ran");
+    }
+  }
+  for (std::pair<std::string const, std::vector<Moment>> const& entry : retries_) {
+    std::vector<Moment> const& firsts = first_dispatches_[entry.first];
+    for (std::size_t place = 0; place < entry.second.size(); ++place) {
+      Moment const until = entry.second[place] + loam::seconds(10);
+      double const again = static_cast<double>(std::upper_bound(entry.second.begin(), entry.second.end(), until) - entry.second.begin()) - static_cast<double>(place);
+      double const fresh = static_cast<double>(std::upper_bound(firsts.begin(), firsts.end(), until) - std::lower_bound(firsts.begin(), firsts.end(), entry.second[place]));
+      if (until <= options_.length) {
+        report_.worst_retry_share = std::max(report_.worst_retry_share, again / std::max(1.0, fresh));
+      }
+    }
+  }
+  if (report_.worst_retry_share > 0.2) {
+    violate("retries were " + std::to_string(report_.worst_retry_share) + " of a service's traffic in ten seconds");
+  }
+  std::sort(firsts_.begin(), firsts_.end());
+  if (!firsts_.empty()) {
+    report_.first_p50 = firsts_[firsts_.size() / 2];
+    report_.first_p99 = firsts_[firsts_.size() * 99 / 100];
+  }
+  report_.reuse = prompt_tokens_ > 0 ? cached_tokens_ / prompt_tokens_ : 0;
+  report_.good_rate = static_cast<double>(good_late_) / (static_cast<double>(options_.length) / 2e6);
+  double prefill_error = 0;
+  double decode_error = 0;
+  double count = 0;
+  for (Region const& region : regions_) {
+    std::size_t prefills = 0;
+    for (std::pair<std::string const, std::string> const& phase : region.split.phases) {
+      prefills += phase.second == "prefill" ? 1 : 0;
+    }
+    report_.prefill_workers.push_back(prefills);
+    for (std::pair<std::string const, schema::Coefficients> const& fitted : region.split.coefficients) {
+      tilth::WorkerModel const model(fitted.second);
+      double const shown = model.prefill_seconds(600, 1200);
+      double const truth = true_prefill[0] + true_prefill[1] * 600 + true_prefill[2] * tilth::pairs(600, 1200);
+      prefill_error += std::abs(shown - truth) / truth;
+      double const shown_decode = model.iteration_seconds(options_.aims.experts_share, 1, 8);
+      double const truth_decode = true_decode[0] + true_decode[1] * tilth::spread(options_.aims.experts_share, 1, 8) + true_decode[2] * 8;
+      decode_error += std::abs(shown_decode - truth_decode) / truth_decode;
+      count += 1;
+    }
+  }
+  if (count > 0) {
+    report_.fit_error["prefill"] = prefill_error / count;
+    report_.fit_error["decode"] = decode_error / count;
+  }
+  for (std::unique_ptr<Furrow> const& furrow : furrows_) {
+    report_.moved += furrow->placement.moved();
+  }
+  report_.trace_hash = kernel_.trace_hash();
+  report_.events = kernel_.events();
+}
+
+FieldReport World::run() {
+  regions_.resize(options_.deployment.workers.size());
+  for (std::size_t region = 0; region < options_.deployment.workers.size(); ++region) {
+    for (std::size_t number = 0; number < options_.deployment.workers[region]; ++number) {
+      std::unique_ptr<Worker> worker = std::make_unique<Worker>();
+      worker->id = "worker-" + std::to_string(region) + "-" + std::to_string(number);
+      worker->region = region;
+      workers_.push_back(std::move(worker));
+    }
+    for (std::size_t number = 0; number < options_.deployment.furrows[region]; ++number) {
+      std::unique_ptr<Furrow> furrow = std::make_unique<Furrow>();
+      furrow->name = "furrow-" + std::to_string(region) + "-" + std::to_string(number);
+      furrow->region = region;
+      furrows_.push_back(std::move(furrow));
+    }
+  }
+  for (std::unique_ptr<Furrow> const& furrow : furrows_) {
+    for (std::unique_ptr<Worker> const& worker : workers_) {
+      furrow->listed[worker->id] = true;
+    }
+    refresh(*furrow);
+    look(*furrow);
+    report_loop(*furrow);
+  }
+  for (std::size_t region = 0; region < regions_.size(); ++region) {
+    scale(region);
+  }
+  kernel_.after(loam::milliseconds(300), [this] {
+    for (std::size_t mix = 0; mix < options_.deployment.mixes.size(); ++mix) {
+      arrivals(mix);
+    }
+  });
+  kernel_.after(loam::seconds(6), [this] { faults(); });
+  kernel_.run(options_.length + loam::seconds(40), nullptr);
+  finish();
+  return report_;
+}
+
+}  // namespace
+
+FieldReport run_field(FieldOptions const& options) {
+  World world(options);
+  return world.run();
+}
+
+std::optional<FieldDeployment> field_deployment(std::string const& name) {
+  FieldDeployment deployment;
+  if (name == "pruebaviva") {
+    deployment.furrows = {8, 4};
+    deployment.workers = {10, 8};
+    deployment.hop = loam::milliseconds(8);
+    FieldMix verdict{"verdict", 230, 1536, 384, 40, 5, false, true, false, 0.66, 96, loam::seconds(15)};
+    FieldMix review{"review", 30, 256, 128, 20, 25, true, false, false, 0, 32, loam::seconds(30)};
+    deployment.mixes = {verdict, review};
+    return deployment;
+  }
+  if (name == "corrib") {
+    deployment.furrows = {8, 4};
+    deployment.workers = {6, 5};
+    deployment.hop = loam::milliseconds(25);
+    FieldMix dispute{"dispute", 155, 1024, 256, 60, 5, false, false, false, 1.0, 96, loam::seconds(15)};
+    FieldMix helpdesk{"helpdesk", 20, 512, 128, 10, 25, true, true, true, 0, 32, loam::seconds(30)};
+    deployment.mixes = {dispute, helpdesk};
+    return deployment;
+  }
+  return std::nullopt;
+}
+
+std::vector<std::string> field_scenarios() { return {"field-calm", "field-crashes", "field-dark", "field-drains", "field-replace", "field-cuts", "field-swing", "field-crowd", "field-storm"}; }
+
+std::optional<FieldFaults> field_scenario(std::string const& name) {
+  FieldFaults faults;
+  std::vector<std::string> const names = field_scenarios();
+  if (std::find(names.begin(), names.end(), name) == names.end()) {
+    return std::nullopt;
+  }
+  bool const all = name == "field-storm";
+  if (name == "field-crashes" || all) {
+    faults.crash = all ? 6 : 2;
+  }
+  if (name == "field-dark" || all) {
+    faults.dark = all ? 12 : 4;
+  }
+  if (name == "field-drains" || all) {
+    faults.drain = all ? 9 : 3;
+  }
+  if (name == "field-replace" || all) {
+    faults.replace = all ? 10 : 4;
+  }
+  if (name == "field-cuts" || all) {
+    faults.cut = all ? 0.01 : 0.05;
+  }
+  if (name == "field-swing" || all) {
+    faults.swing_at = loam::seconds(25);
+  }
+  if (name == "field-crowd" || all) {
+    faults.crowd_at = loam::seconds(15);
+    faults.crowd = 3;
+  }
+  return faults;
+}
+
+bool apply_variant(std::string const& name, FieldOptions& options) {
+  if (name == "ours") {
+    return true;
+  }
+  if (name == "static") {
+    options.aims.fixed_prefill = static_cast<std::int64_t>(options.deployment.workers.front() / 2);
+  } else if (name == "no-prefix") {
+    options.bounds.prefix_placement = false;
+  } else if (name == "no-spill") {
+    options.bounds.spill = false;
+  } else if (name == "no-hold") {
+    options.aims.hold_ms = 0;
+    options.aims.errors = 0;
+  } else {
+    return false;
+  }
+  return true;
+}
+
+}  // namespace finchlink::almanac
--- /dev/null
+++ b/source/almanac/field/field.hpp
@@ -0,0 +1,98 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "loam/time/moment.hpp"
+#include "schema/setup.hpp"
+
+namespace finchlink::almanac {
+
+/// One service in a simulated deployment, in tokens.
+struct FieldMix {
+  std::string name;
+  double rate = 10;         ///< queries a second
+  double prefix_tokens = 0;
+  double own_tokens = 100;
+  std::uint64_t prefixes = 20;
+  double outputs = 16;      ///< iterations of decode
+  bool stream = false;
+  bool repeatable = false;
+  bool resumable = false;
+  double home_part = 0;     ///< part of the queries that have a home, half in each region
+  std::uint64_t waitlist = 96;
+  loam::Span deadline = loam::seconds(15);
+};
+
+struct FieldDeployment {
+  std::vector<std::size_t> furrows;   ///< per region
+  std::vector<std::size_t> workers;   ///< per region
+  loam::Span hop = loam::milliseconds(8);  ///< between the regions
+  std::vector<FieldMix> mixes;
+};
+
+struct FieldFaults {
+  double crash = 0;      ///< mean seconds between two; back cold after a while
+  double dark = 0;
+  double drain = 0;
+  double replace = 0;    ///< one by one: drained, gone, a new one comes
+  loam::Moment swing_at = 0;   ///< from then on long prompts become long answers
+  loam::Moment crowd_at = 0;   ///< from then on for ten seconds
+  double crowd = 1;      ///< times the rate
+  double cut = 0;        ///< connections to workers cut at any point
+};
+
+struct FieldOptions {
+  std::uint64_t seed = 1;
+  loam::Span length = loam::seconds(60);
+  FieldDeployment deployment;
+  FieldFaults faults;
+  schema::ScalerAims aims;
+  schema::WorkerBounds bounds;
+  double scale = 1;
+  bool tend_cold = true;         ///< guard: one furrow ramps a cold worker
+  bool budget = true;            ///< guard: retries only by right
+  bool dispatch_once = true;     ///< guard: not repeatable means one dispatch
+  bool honest_refusal = true;    ///< guard: no refusal once it may have run
+  bool checked_numbers = true;   ///< guard: numbering of streams is checked
+  bool drop_drained = true;      ///< guard: a draining worker gets nothing new
+  bool print = false;
+};
+
+struct FieldReport {
+  std::vector<std::string> violations;
+  std::uint64_t sent = 0;
+  std::uint64_t good = 0;
+  std::uint64_t refused = 0;
+  std::uint64_t apologies = 0;
+  std::uint64_t broken = 0;
+  std::uint64_t passes = 0;
+  std::uint64_t retries = 0;
+  std::uint64_t switches = 0;
+  std::uint64_t moved = 0;
+  double reuse = 0;              ///< part of prompt tokens found in the true caches
+  double first_p50 = 0;          ///< seconds
+  double first_p99 = 0;
+  double good_rate = 0;          ///< good answers a second over the second half
+  double worst_retry_share = 0;
+  loam::Span worst_drain = 0;
+  std::map<std::string, double> fit_error;  ///< mean relative error against the true times
+  std::vector<std::size_t> prefill_workers; ///< per region, at the end
+  std::uint64_t trace_hash = 0;
+  std::uint64_t events = 0;
+};
+
+/// Runs placement, charts, budgets and scalers over simulated workers.
+[[nodiscard]] FieldReport run_field(FieldOptions const& options);
+
+[[nodiscard]] std::optional<FieldDeployment> field_deployment(std::string const& name);
+/// Fault mixes by name; nothing for an unknown one.
+[[nodiscard]] std::optional<FieldFaults> field_scenario(std::string const& name);
+[[nodiscard]] std::vector<std::string> field_scenarios();
+/// Own earlier or lesser ways, to compare with: false for an unknown one.
+[[nodiscard]] bool apply_variant(std::string const& name, FieldOptions& options);
+
+}  // namespace finchlink::almanac
--- a/source/almanac/main.cpp
+++ b/source/almanac/main.cpp
@@ -3,6 +3,7 @@
 #include <iostream>
 
 #include "almanac/control/control.hpp"
+#include "almanac/field/field.hpp"
 #include "loam/settings/settings.hpp"
 
 namespace {
@@ -48,13 +49,104 @@
   *found->second = false;
   return true;
 }
+bool switch_off_field(almanac::FieldOptions& run, std::string const& guard) {
+  std::map<std::string, bool*> const guards{{"tend_cold", &run.tend_cold}, {"budget", &run.budget}, {"dispatch_once", &run.dispatch_once}, {"honest_refusal", &run.honest_refusal}, {"checked_numbers", &run.checked_numbers}, {"drop_drained", &run.drop_drained}};
+  std::map<std::string, bool*>::const_iterator const found = guards.find(guard);
+  if (found == guards.end()) {
+    return false;
+  }
+  *found->second = false;
+  return true;
+}
+
+int run_field_scenario(std::string const& name, std::uint64_t first, std::uint64_t last, options::variables_map const& found) {
+  std::optional<almanac::FieldFaults> const faults = almanac::field_scenario(name);
+  std::optional<almanac::FieldDeployment> deployment = almanac::field_deployment(found["deployment"].as<std::string>());
+  if (!faults.has_value()) {
+    return usage("'" + name + "' is not a scenario; see --list");
+  }
+  if (!deployment.has_value()) {
+    return usage("'" + found["deployment"].as<std::string>() + "' is not a deployment");
+  }
+  std::uint64_t const fewer = found["fewer"].as<std::uint64_t>();
+  if (fewer >= deployment->workers.front()) {
+    return usage("--fewer leaves no worker");
+  }
+  deployment->workers.front() -= fewer;
+  std::vector<std::string> const variants = found.count("variant") > 0 ? found["variant"].as<std::vector<std::string>>() : std::vector<std::string>{"ours"};
+  int code = 0;
+  for (std::string const& variant : variants) {
+    double good = 0, sent = 0, refused = 0, apologies = 0, broken = 0, reuse = 0, p50 = 0, p99 = 0, rate = 0, switches = 0, retries = 0, passes = 0, prefill_error = 0, decode_error = 0;
+    double share = 0;
+    loam::Span drain = 0;
+    std::uint64_t failed = 0;
+    std::string splits;
+    for (std::uint64_t seed = first; seed <= last; ++seed) {
+      almanac::FieldOptions run;
+      run.seed = seed;
+      run.length = static_cast<loam::Span>(found["seconds"].as<double>() * 1e6);
+      run.deployment = *deployment;
+      run.faults = *faults;
+      run.scale = found["scale"].as<double>();
+      run.aims.manner = found["manner"].as<std::string>();
+      run.aims.window_ms = static_cast<std::uint64_t>(found["window"].as<double>() * 1000);
+      run.aims.hold_ms = static_cast<std::uint64_t>(found["hold"].as<double>() * 1000);
+      run.aims.warm_up_ms = 6000;
+      run.bounds.limit = 24;
+      run.print = found.count("trace") > 0;
+      std::string off;
+      if (found.count("off") > 0) {
+        for (std::string const& guard : found["off"].as<std::vector<std::string>>()) {
+          if (!switch_off_field(run, guard)) {
+            return usage("'" + guard + "' is not a guard of the field");
+          }
+          off += " --off " + guard;
+        }
+      }
+      if (!almanac::apply_variant(variant, run)) {
+        return usage("'" + variant + "' is not a variant");
+      }
+      almanac::FieldReport const report = almanac::run_field(run);
+      if (first == last) {
+        std::cout << "trace " << std::hex << report.trace_hash << std::dec << "\n";
+      }
+      sent += static_cast<double>(report.sent); good += static_cast<double>(report.good); refused += static_cast<double>(report.refused); apologies += static_cast<double>(report.apologies);
+      broken += static_cast<double>(report.broken); reuse += report.reuse; p50 += report.first_p50; p99 += report.first_p99; rate += report.good_rate; switches += static_cast<double>(report.switches);
+      retries += static_cast<double>(report.retries); passes += static_cast<double>(report.passes);
+      std::map<std::string, double> errors = report.fit_error;
+      prefill_error += errors["prefill"]; decode_error += errors["decode"];
+      share = std::max(share, report.worst_retry_share);
+      drain = std::max(drain, report.worst_drain);
+      splits.clear();
+      for (std::size_t const count : report.prefill_workers) {
+        splits += (splits.empty() ? "" : "/") + std::to_string(count);
+      }
+      if (!report.violations.empty()) {
+        code = 1;
+        if (++failed <= 3) {
+          std::cout << "seed " << seed << ": " << report.violations.front() << " (" << report.violations.size() << " in all)\n  replay: almanac --scenario " << name << " --deployment " << found["deployment"].as<std::string>() << " --seeds " << seed
+                    << " --seconds " << found["seconds"].as<double>() << " --scale " << run.scale << " --manner " << run.aims.manner << off << " --trace\n";
+        }
+      }
+    }
+    double const runs = static_cast<double>(last - first + 1);
+    std::cout << name << " " << found["deployment"].as<std::string>() << " " << found["manner"].as<std::string>() << " x" << found["scale"].as<double>() << " " << variant << ": " << runs << " seeds, " << failed << " failed; sent " << sent / runs << ", good " << good / runs << ", refused "
+              << refused / runs << ", apologies " << apologies / runs << ", broken " << broken / runs << ", good/s " << rate / runs << ", first p50 " << p50 / runs * 1000 << " ms p99 " << p99 / runs * 1000 << " ms, reuse " << reuse / runs
+              << ", passes " << passes / runs << ", retries " << retries / runs << " (worst share " << share << "), worst drain " << drain / 1000 << " ms, switches " << switches / runs << ", prefill workers " << splits
+              << ", fit error prefill " << prefill_error / runs << " decode " << decode_error / runs << "\n";
+  }
+  return code;
+}
 }  // namespace
 
 int main(int count, char** values) {
   options::options_description flags("almanac --scenario NAME --seeds FIRST..LAST");
   flags.add_options()("help", "this text")("version", "the version")("scenario", options::value<std::string>()->default_value("storm"), "a scenario, or all; see --list")(
       "seeds", options::value<std::string>()->default_value("1..20"), "one seed or a range")("seconds", options::value<double>()->default_value(60), "length of a run in its own time")(
-      "off", options::value<std::vector<std::string>>()->composing(), "switch a guard off")("trace", "print the trace of each run")("list", "the scenarios");
+      "off", options::value<std::vector<std::string>>()->composing(), "switch a guard off")("trace", "print the trace of each run")("list", "the scenarios")(
+      "deployment", options::value<std::string>()->default_value("pruebaviva"), "pruebaviva or corrib (field scenarios)")("variant", options::value<std::vector<std::string>>()->composing(), "ours, static, no-prefix, no-spill or no-hold (field scenarios)")(
+      "scale", options::value<double>()->default_value(1.0), "times the deployment's rates")("manner", options::value<std::string>()->default_value("whole"), "whole or paired")(
+      "fewer", options::value<std::uint64_t>()->default_value(0), "workers fewer in the first region")("window", options::value<double>()->default_value(20), "scaler's window in seconds")("hold", options::value<double>()->default_value(5), "scaler's hold in seconds");
   options::variables_map found;
   try {
     options::store(options::command_line_parser(count, values).options(flags).run(), found);
@@ -74,6 +166,9 @@
     for (std::string const& name : almanac::control_scenarios()) {
       std::cout << name << "\n";
     }
+    for (std::string const& name : almanac::field_scenarios()) {
+      std::cout << name << "\n";
+    }
     return 0;
   }
   std::uint64_t first = 0;
@@ -88,6 +183,14 @@
   std::vector<std::string> const names = wanted == "all" ? almanac::control_scenarios() : std::vector<std::string>{wanted};
   int code = 0;
   for (std::string const& name : names) {
+    if (name.rfind("field-", 0) == 0) {
+      int const outcome = run_field_scenario(name, first, last, found);
+      if (outcome == loam::exit_usage) {
+        return outcome;
+      }
+      code = std::max(code, outcome);
+      continue;
+    }
     std::optional<almanac::ControlFaults> const faults = almanac::control_scenario(name);
     if (!faults.has_value()) {
       return usage("'" + name + "' is not a scenario; see --list");
--- /dev/null
+++ b/tools/fleet/proof.py
@@ -0,0 +1,252 @@
+#!/usr/bin/env python3
+"""Real processes under failure, with the ledger as judge.
+
+  proof.py [--deployment D] [--seconds N] [--scale X] [SCENARIO ...]
+
+Each scenario starts a fresh fleet, runs the callers, brings one failure about
+and prints one JSON line: what must never happen (all zero), and what was
+measured. Exit code 1 when anything that must never happen did.
+"""
+import argparse
+import json
+import os
+import shutil
+import signal
+import sys
+import threading
+import time
+
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+from fleet import Fleet  # noqa: E402
+
+
+def control(fleet, deed, name):
+    status, body = fleet.ask(fleet.state["list"], f"/control/{deed}/{name}", "POST", "")
+    if status != 200:
+        raise RuntimeError(f"{deed} {name}: {status} {body}")
+
+
+def trellis(fleet, path, method="GET", body=None, headers=None, skip=()):
+    """Asks trellises in turn until one answers."""
+    for name, process in fleet.state["processes"].items():
+        if process["program"] == "trellis" and name in fleet.state["pids"] and name not in skip:
+            status, text = fleet.ask(process["settings"]["http_address"], path, method, body, headers, timeout=8)
+            if status:
+                return status, text
+    return 0, ""
+
+
+def disks(fleet):
+    return [n for n, p in fleet.state["processes"].items() if "data_folder" in p["settings"]]
+
+
+def halls(fleet):
+    return sorted({p["hall"] for p in fleet.state["processes"].values()})
+
+
+def steady(fleet, notes):
+    time.sleep(1)
+
+
+def hall_lost(fleet, notes):
+    hall = halls(fleet)[-1]
+    for name in fleet.names(hall):
+        fleet.signal(name, signal.SIGKILL)
+    time.sleep(4)
+    began = time.time()
+    for name in fleet.names(hall):
+        fleet.start(name)
+    fleet.wait_ready()
+    notes["ready_again_s"] = round(time.time() - began, 2)
+
+
+def control_lost(fleet, notes):
+    names = [n for n, p in fleet.state["processes"].items() if p["program"] == "trellis"]
+    for name in names:
+        fleet.signal(name, signal.SIGKILL)
+    time.sleep(3)
+    began = time.time()
+    for name in names:
+        fleet.start(name)
+    time.sleep(0.2)
+    fleet.wait_ready()
+    notes["ready_again_s"] = round(time.time() - began, 2)
+    notes["revision_kept"] = json.loads(fleet.ask(fleet.state["processes"][names[0]]["settings"]["http_address"], "/setup")[1]).get("regions") is not None
+
+
+def all_lost(fleet, notes):
+    names = list(fleet.state["processes"])
+    for name in names:
+        fleet.signal(name, signal.SIGKILL)
+    time.sleep(1)
+    began = time.time()
+    for name in names:
+        fleet.start(name)
+    time.sleep(0.2)
+    fleet.wait_ready()
+    notes["ready_again_s"] = round(time.time() - began, 2)
+
+
+def frozen_furrow(fleet, notes):
+    """Frozen over a drain and an evacuation; what it does on waking counts."""
+    name = "furrow-m02"
+    fleet.signal(name, signal.SIGSTOP)
+    control(fleet, "drain", worker_of(fleet, halls(fleet)[0]))
+    time.sleep(6)
+    fleet.signal(name, signal.SIGCONT)
+    time.sleep(2)
+
+
+def worker_of(fleet, hall, kind="model"):
+    with open(os.path.join(fleet.folder, "bed.json"), encoding="utf-8") as stream:
+        return next(w["id"] for w in json.load(stream)["workers"] if w["zone"] == hall and w["kind"] == kind)
+
+
+def drains(fleet, notes):
+    for hall in halls(fleet)[:2]:
+        control(fleet, "drain", worker_of(fleet, hall))
+    time.sleep(7)
+
+
+def evacuation(fleet, notes):
+    hall = halls(fleet)[0]
+    began = time.time()
+    status, body = trellis(fleet, f"/halls/{hall}/drain", "POST", "")
+    control(fleet, "evacuated", hall)
+    notes["yes_after_s"] = round(time.time() - began, 2)
+    notes["answer"] = status
+    time.sleep(7)
+    control(fleet, "retaken", hall)
+    trellis(fleet, f"/halls/{hall}/restore", "POST", "")
+
+
+def evacuation_with_cut_off(fleet, notes):
+    """A furrow and the trellis it asks are frozen while the hall is emptied."""
+    fleet.signal("furrow-m05", signal.SIGSTOP)
+    fleet.signal("trellis-m02", signal.SIGSTOP)
+    evacuation(fleet, notes)
+    fleet.signal("furrow-m05", signal.SIGCONT)
+    fleet.signal("trellis-m02", signal.SIGCONT)
+
+
+def crashes(fleet, notes):
+    names = [worker_of(fleet, hall) for hall in halls(fleet)]
+    for name in names:
+        control(fleet, "crash", name)
+        time.sleep(1)
+    for name in names:
+        control(fleet, "revive", name)
+    time.sleep(6)
+
+
+def dark(fleet, notes):
+    name = worker_of(fleet, halls(fleet)[0])
+    control(fleet, "dark", name)
+    time.sleep(4)
+    control(fleet, "light", name)
+    time.sleep(3)
+
+
+def disk_lost(fleet, notes):
+    name = disks(fleet)[1]
+    fleet.signal(name, signal.SIGKILL)
+    shutil.rmtree(fleet.state["processes"][name]["settings"]["data_folder"], ignore_errors=True)
+    time.sleep(1)
+    began = time.time()
+    fleet.start(name)
+    while time.time() - began < 20:
+        entries = json.loads(trellis(fleet, "/trellises")[1])
+        if sum(1 for e in entries if e["voting"]) == 3:
+            break
+        time.sleep(0.1)
+    notes["three_voters_again_s"] = round(time.time() - began, 2)
+    notes["epoch"] = json.loads(trellis(fleet, "/holders")[1])["epoch"]
+    other = disks(fleet)[0]  # and the next one in a row
+    fleet.signal(other, signal.SIGKILL)
+    time.sleep(1)
+    status, _ = trellis(fleet, "/setup", "PATCH", '{"scaler":{"hold_ms":90000}}')
+    notes["change_with_the_new_one_and_without_an_old"] = status
+    fleet.start(other)
+
+
+def races(fleet, notes):
+    """Operators race from the same revision; one winner each, none lost."""
+    won, lost, other = [], [], []
+    addresses = fleet.state["trellises"]
+
+    def operator(number):
+        for turn in range(4):
+            address = addresses[(number + turn) % len(addresses)]
+            revision = None
+            try:
+                import urllib.request
+                with urllib.request.urlopen(f"http://{address}/setup", timeout=8) as answer:
+                    revision = answer.headers["ETag"]
+            except OSError:
+                continue
+            hall = halls(fleet)[0]
+            status, body = fleet.ask(address, "/setup", "PATCH", json.dumps({"halls": {hall: {"labels": {f"operator{number}": str(turn)}}}}), {"If-Match": revision, "Change-Id": f"race-{number}-{turn}"})
+            (won if status == 200 else lost if status == 412 else other).append((number, turn, json.loads(body).get("revision"), status))
+    threads = [threading.Thread(target=operator, args=(n,)) for n in range(8)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    revisions = [entry[2] for entry in won]
+    notes.update({"won": len(won), "lost": len(lost), "other": len(other), "one_winner_each": len(set(revisions)) == len(revisions)})
+    last = {}
+    for number, turn, revision, _ in sorted(won, key=lambda e: e[2]):
+        last[f"operator{number}"] = str(turn)
+    labels = json.loads(trellis(fleet, "/setup")[1])["halls"][halls(fleet)[0]]["labels"]
+    notes["acknowledged_all_there_losers_not"] = {k: v for k, v in labels.items() if k.startswith("operator")} == last
+
+
+SCENARIOS = {f.__name__: f for f in (steady, hall_lost, control_lost, all_lost, frozen_furrow, drains, evacuation, evacuation_with_cut_off, crashes, dark, disk_lost, races)}
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("scenarios", nargs="*")
+    parser.add_argument("--deployment", default="pruebaviva")
+    parser.add_argument("--seconds", type=float, default=24)
+    parser.add_argument("--scale", type=float, default=0.6)
+    parser.add_argument("--folder", default="/tmp/finchlink-proof")
+    parser.add_argument("--build", default="build")
+    given = parser.parse_args()
+    bad = False
+    for name in given.scenarios or SCENARIOS:
+        if name not in SCENARIOS:
+            parser.error(f"unknown scenario {name}; one of {', '.join(SCENARIOS)}")
+        folder = os.path.join(given.folder, f"{given.deployment}-{name}")
+        shutil.rmtree(folder, ignore_errors=True)
+        fleet = Fleet(folder, given.build)
+        notes = {}
+        try:
+            out = sys.stdout
+            sys.stdout = open(os.devnull, "w")
+            fleet.up(given.deployment)
+            sys.stdout = out
+            time.sleep(5)  # the ramp of cold workers
+            load = fleet.load(given.seconds, given.scale, wait=False)
+            time.sleep(3)
+            SCENARIOS[name](fleet, notes)
+            callers = json.loads(load.communicate()[0])
+            ledger = fleet.judge()
+        finally:
+            fleet.down()
+        never = dict(ledger["never"])
+        never["refused_but_ran"] = callers["refused_but_ran"]
+        for key in ("wrong_owner", "wrong_number", "cut_but_looked_whole", "refused_without_retry_after"):
+            never[key] = sum(v[key] for v in callers.values() if isinstance(v, dict))
+        never["retry_share_above_a_fifth"] = int(ledger["worst_retry_share_10s"] > 0.2)
+        sums = {key: sum(v[key] for v in callers.values() if isinstance(v, dict)) for key in ("sent", "good", "refused", "may_have_run", "broken", "other")}
+        sums["longest_gap_s"] = callers["longest_seconds_without_a_good_answer"]
+        bad = bad or any(never.values())
+        print(json.dumps({"scenario": name, "deployment": given.deployment, "clean": not any(never.values()), "never": {k: v for k, v in never.items() if v}, "callers": sums,
+                          "worst_retry_share_10s": round(ledger["worst_retry_share_10s"], 3), "worst_drain_ms": ledger["worst_drain_ms"], "worst_evacuation_ms": ledger["worst_evacuation_ms"],
+                          "repeated_where_allowed": ledger["repeated_where_allowed"], **notes}), flush=True)
+    sys.exit(1 if bad else 0)
+
+
+if __name__ == "__main__":
+    main()
