--- a/source/almanac/field/field.cpp
+++ b/source/almanac/field/field.cpp
@@ -80,6 +80,8 @@
     std::map<std::string, double> outputs;
     std::map<std::string, bool> drained;  ///< as the list told here
     std::map<std::string, bool> listed;
+    std::vector<tilth::WorkerWish> wishes;
+    std::size_t colleagues = 1;
     std::map<std::string, std::uint64_t> list_seen;
     schema::Split split;
     std::map<std::string, schema::WorkerFigures> figures;
@@ -416,7 +418,13 @@
       return;
     }
     if (options_.drop_drained && furrow.drained[worker->id]) {
-      end_dispatch(query, tilth::Ending::abandoned, tilth::ConnectDefect{});
+      // The real furrow reconciles before it places anew.
+      std::vector<tilth::WorkerWish> wishes = furrow.wishes;
+      for (tilth::WorkerWish& wish : wishes) {
+        wish.usable = !furrow.drained[wish.id];
+      }
+      obey(furrow, furrow.placement.update(wishes, options_.bounds, options_.aims, furrow.colleagues, kernel_.now()));
+      end_dispatch(query, tilth::Ending::abandoned, tilth::Withdrawn{});
       return;
     }
     feed(query, tilth::Connected{});
@@ -703,6 +711,8 @@
     }
     wishes.push_back(wish);
   }
+  furrow.wishes = wishes;
+  furrow.colleagues = names.size();
   obey(furrow, furrow.placement.update(wishes, options_.bounds, options_.aims, names.size(), kernel_.now()));
   obey(furrow, furrow.placement.tick(kernel_.now()));
   kernel_.after(loam::milliseconds(250), [this, &furrow] { refresh(furrow); });
--- a/source/furrow/query/query.cpp
+++ b/source/furrow/query/query.cpp
@@ -270,6 +270,14 @@
     field_.with(pool(), [ticket, ending](tilth::Placement& placement) { return placement.finished(ticket, ending, loam::boot_now()); });
   }
 
+  /// The place may not be used any more: what is wanted is brought in line
+  /// first, so that the next place is another one, or none.
+  void withdraw(std::uint64_t ticket) {
+    finish_ticket(ticket, tilth::Ending::abandoned);
+    field_.reconcile();
+    feed(tilth::Withdrawn{});
+  }
+
   void dispatch() {
     if (paired() && kv_.empty()) {
       leg_ = Leg::prefill;
@@ -294,12 +302,15 @@
     // Asked again right before bytes go out: the wait may have been long, or
     // this machine frozen (section 6.3).
     if (!field_.may_dispatch(go_.worker, loam::boot_now())) {
-      finish_ticket(ticket, tilth::Ending::abandoned);
-      feed(tilth::ConnectDefect{});
+      withdraw(ticket);
       return;
     }
     absl::StatusOr<std::unique_ptr<loam::Stream>> connection = loam::connect(field_.context(), go_.address, constants::connect_deadline, yield_);
-    if (!connection.ok() || !field_.may_dispatch(go_.worker, loam::boot_now()) || interrupt_->set()) {
+    if (connection.ok() && !interrupt_->set() && !field_.may_dispatch(go_.worker, loam::boot_now())) {
+      withdraw(ticket);
+      return;
+    }
+    if (!connection.ok() || interrupt_->set()) {
       finish_ticket(ticket, connection.ok() ? tilth::Ending::abandoned : tilth::Ending::defect);
       if (!interrupt_->set()) {
         feed(tilth::ConnectDefect{});
--- a/source/tests/tilth/chart_test.cpp
+++ b/source/tests/tilth/chart_test.cpp
@@ -96,6 +96,16 @@
   EXPECT_TRUE(only<Refuse>(dispatched.advance(NoRoom{}, 0)));
 }
 
+TEST(Chart, WithdrawnPlaceIsNoRetry) {
+  Chart query = chart(QueryTerms{}, false);  // no right to retry at all
+  (void)query.advance(Placed{"a"}, 0);
+  EXPECT_TRUE(only<Place>(query.advance(Withdrawn{}, 0)));
+  EXPECT_EQ(query.dispatches(), 0);
+  (void)query.advance(Placed{"b"}, 0);
+  (void)query.advance(Connected{}, 0);
+  EXPECT_TRUE(query.advance(Withdrawn{}, 0).empty());  // too late: bytes may have gone
+}
+
 TEST(Chart, IsNotPassedOnOnceItsFirstLegRan) {
   QueryTerms terms;
   terms.may_pass = true;
--- a/source/tilth/chart/chart.cpp
+++ b/source/tilth/chart/chart.cpp
@@ -55,6 +55,16 @@
   return {};
 }
 
+std::vector<QueryAction> Chart::on(Withdrawn const&, loam::Moment) {
+  if (!std::holds_alternative<Connecting>(state_)) {
+    return {};
+  }
+  // Not even a connection was tried: placing it anew is no retry.
+  --dispatches_;
+  state_ = Waitlisted{};
+  return {Place{}};
+}
+
 std::vector<QueryAction> Chart::on(ConnectDefect const&, loam::Moment now) {
   if (!std::holds_alternative<Connecting>(state_)) {
     return {};
--- a/source/tilth/chart/chart.hpp
+++ b/source/tilth/chart/chart.hpp
@@ -34,6 +34,7 @@
 };
 struct NoRoom {};               ///< no worker of this region can take it
 struct Connected {};            ///< bytes go out from here on
+struct Withdrawn {};            ///< the place may not be used after all; nothing was tried
 struct ConnectDefect {};        ///< no byte has gone out
 struct WorkerRefused {};        ///< 429 or 503: certain that nothing ran
 struct WorkerDefect {           ///< reset, silence, wrong answer, cut
@@ -50,7 +51,7 @@
 struct LegDone {};             ///< the prefill leg of a paired query
 struct CallerGone {};
 struct DeadlinePassed {};
-using QueryMessage = std::variant<Placed, NoRoom, Connected, ConnectDefect, WorkerRefused, WorkerDefect, WorkerAnswered, Event, Whole, LegDone, CallerGone, DeadlinePassed>;
+using QueryMessage = std::variant<Placed, NoRoom, Connected, Withdrawn, ConnectDefect, WorkerRefused, WorkerDefect, WorkerAnswered, Event, Whole, LegDone, CallerGone, DeadlinePassed>;
 
 // What is to be done.
 struct Place {                  ///< find a worker (again)
@@ -101,6 +102,7 @@
   [[nodiscard]] std::vector<QueryAction> on(Placed const& message, loam::Moment now);
   [[nodiscard]] std::vector<QueryAction> on(NoRoom const& message, loam::Moment now);
   [[nodiscard]] std::vector<QueryAction> on(Connected const& message, loam::Moment now);
+  [[nodiscard]] std::vector<QueryAction> on(Withdrawn const& message, loam::Moment now);
   [[nodiscard]] std::vector<QueryAction> on(ConnectDefect const& message, loam::Moment now);
   [[nodiscard]] std::vector<QueryAction> on(WorkerRefused const& message, loam::Moment now);
   [[nodiscard]] std::vector<QueryAction> on(WorkerDefect const& message, loam::Moment now);
