Fit prefill times from rows whose cached part is sure

Cause: a furrow's own record misses what other furrows put into a worker's cache, so rows with nothing recorded look faster than their work; the fit's first coefficient came out too small.

--- a/source/almanac/field/field.cpp
+++ b/source/almanac/field/field.cpp
@@ -586,6 +586,7 @@
           schema::Sample sample;
           sample.worker = query->worker;
           sample.seconds = static_cast<double>(now - query->sent) / 1e6;
+          sample.sure = query->go.cached > 0;
           sample.uncached = uncached;
           sample.pairs = tilth::pairs(uncached, query->go.cached);
           furrow.samples.push_back(sample);
--- a/source/furrow/query/query.cpp
+++ b/source/furrow/query/query.cpp
@@ -540,6 +540,7 @@
       schema::Sample sample;
       sample.worker = go_.worker;
       sample.seconds = took;
+      sample.sure = go_.cached > 0;
       sample.uncached = uncached;
       sample.pairs = figures.pairs;
       field_.add_sample(sample);
--- a/source/tilth/scaler/scaler.cpp
+++ b/source/tilth/scaler/scaler.cpp
@@ -9,7 +9,7 @@
 namespace {
 constexpr std::size_t rows_most = 2000;   // rows kept per worker and phase; a fit needs far fewer
 constexpr std::size_t rows_least = 24;    // rows before a worker's own fit is trusted
-constexpr double outlier = 3.0;           // rows slower than this times the first fit are left out of the second
+constexpr double outlier = 1.5;           // rows slower than this times the median row waited behind others; left out
 
 void add(PhaseWork& sum, schema::WorkerFigures const& figures) {
   sum.queries += figures.queries;
@@ -111,7 +111,7 @@
     add(figures.phase == "decode" ? slices_.back().work.decode : slices_.back().work.prefill, figures);
   }
   for (schema::Sample const& sample : report.samples) {
-    std::vector<FitRow>& rows = sample.decode ? decode_rows_[sample.worker] : prefill_rows_[sample.worker];
+    std::vector<FitRow>& rows = sample.decode ? decode_rows_[sample.worker] : (sample.sure ? prefill_rows_ : prefill_unsure_)[sample.worker];
     if (rows.size() < rows_most && sample.seconds > 0) {
       rows.push_back(sample.decode ? FitRow{{1.0, sample.spread, sample.running}, sample.seconds}
                                    : FitRow{{1.0, sample.uncached, sample.pairs, sample.restored}, sample.seconds});
@@ -123,7 +123,13 @@
   schema::Split split;
   std::vector<FitRow> all_prefill;
   std::vector<FitRow> all_decode;
+  // Without shared prefixes there are no sure rows; then all must do.
+  std::size_t sure = 0;
   for (std::pair<std::string const, std::vector<FitRow>> const& rows : prefill_rows_) {
+    sure += rows.second.size();
+  }
+  Rows const& prefills = sure >= rows_least * 2 ? prefill_rows_ : prefill_unsure_;
+  for (std::pair<std::string const, std::vector<FitRow>> const& rows : prefills) {
     all_prefill.insert(all_prefill.end(), rows.second.begin(), rows.second.end());
   }
   for (std::pair<std::string const, std::vector<FitRow>> const& rows : decode_rows_) {
@@ -135,10 +141,10 @@
     return split;
   }
   for (std::string const& worker : workers) {
-    std::map<std::string, std::vector<FitRow>>::const_iterator const prefill = prefill_rows_.find(worker);
+    std::map<std::string, std::vector<FitRow>>::const_iterator const prefill = prefills.find(worker);
     std::map<std::string, std::vector<FitRow>>::const_iterator const decode = decode_rows_.find(worker);
     // Few rows of its own: what all workers show together stands in.
-    Fit const own_prefill = prefill == prefill_rows_.end() ? Fit{} : robust_fit(prefill->second, rows_least);
+    Fit const own_prefill = prefill == prefills.end() ? Fit{} : robust_fit(prefill->second, rows_least);
     Fit const own_decode = decode == decode_rows_.end() ? Fit{} : robust_fit(decode->second, rows_least);
     schema::Coefficients coefficients;
     coefficients.prefill = own_prefill.good ? own_prefill.coefficients : common_prefill.coefficients;
--- a/source/tilth/scaler/scaler.hpp
+++ b/source/tilth/scaler/scaler.hpp
@@ -62,8 +62,10 @@
 
   loam::Moment first_report_ = 0;
   std::deque<Slice> slices_;
-  std::map<std::string, std::vector<FitRow>> prefill_rows_;
-  std::map<std::string, std::vector<FitRow>> decode_rows_;
+  using Rows = std::map<std::string, std::vector<FitRow>>;
+  Rows prefill_rows_;    ///< with the cached part known for sure
+  Rows prefill_unsure_;  ///< others may have put more into the worker's cache than we know
+  Rows decode_rows_;
   std::uint64_t seen_revision_ = 0;
   loam::Moment seen_at_ = 0;
   bool seen_any_ = false;
--- a/tools/fleet/proof.py
+++ b/tools/fleet/proof.py
@@ -156,7 +156,8 @@
     fleet.start(name)
     while time.time() - began < 20:
         entries = json.loads(trellis(fleet, "/trellises")[1])
-        if sum(1 for e in entries if e["voting"]) == 3:
+        epoch = json.loads(trellis(fleet, "/holders")[1])["epoch"]
+        if epoch >= 2 and sum(1 for e in entries if e["voting"]) == 3:
             break
         time.sleep(0.1)
     notes["three_voters_again_s"] = round(time.time() - began, 2)
