--- a/source/almanac/field/field.cpp
+++ b/source/almanac/field/field.cpp
@@ -109,6 +109,8 @@
     Moment first = 0;
     Moment leg_first = 0;
     double iterations = 0;
+    std::vector<double> gaps;
+    Moment last_event = 0;
     double running_at_start = 0;
     std::uint64_t seen = 0;           ///< events that the caller has
     std::uint64_t expected = 1;       ///< next event of a whole answer
@@ -479,6 +481,7 @@
     job->skip = mix.stream ? query->chart->last_event() : 0;
     query->expected = 1;
     query->iterations = 0;
+    query->gaps.clear();
     query->leg_first = 0;
     query->job = job;
     worker->waiting.push_back(job);
@@ -594,7 +597,9 @@
       }
     } else {
       query->iterations += 1;
+      query->gaps.push_back(static_cast<double>(now - query->last_event) / 1e6);
     }
+    query->last_event = now;
     if (job->prefill_leg) {
       query->has_kv = true;
       end_dispatch(query, tilth::Ending::good, tilth::LegDone{});
@@ -614,7 +619,7 @@
         schema::Sample sample;
         sample.worker = query->worker;
         sample.decode = true;
-        sample.seconds = static_cast<double>(now - query->leg_first) / 1e6 / query->iterations;
+        sample.seconds = tilth::middle(query->gaps);
         sample.spread = tilth::spread(options_.aims.experts_share, 1, running);
         sample.running = running;
         furrow.samples.push_back(sample);
--- a/source/furrow/query/query.cpp
+++ b/source/furrow/query/query.cpp
@@ -13,6 +13,7 @@
 #include "loam/random/random.hpp"
 #include "orchard/label/selector.hpp"
 #include "tilth/chart/chart.hpp"
+#include "tilth/fit/fit.hpp"
 
 namespace finchlink::furrow {
 
@@ -454,6 +455,8 @@
     loam::Moment first_at = 0;
     double outputs = 0;
     double iterations = 0;
+    std::vector<double> gaps;
+    loam::Moment last_at = 0;
     double running_sum = 0;
     while (true) {
       if (!read_some(worker, buffer, parser, bytes) || (bytes.empty() && parser.is_done())) {
@@ -483,7 +486,9 @@
           }
         } else {
           iterations += 1;
+          gaps.push_back(static_cast<double>(loam::boot_now() - last_at) / 1e6);
         }
+        last_at = loam::boot_now();
         outputs += event.tokens;
         if (facts_.rule.stream) {
           event_ = event;
@@ -496,7 +501,7 @@
             running_sum = placement.running_on(go_.worker);
             return std::vector<tilth::PlacementAction>{};
           });
-          note_decode(first_at, outputs, iterations, (running_sum + running_at_start_ + 1) / 2);
+          note_decode(first_at, outputs, iterations, (running_sum + running_at_start_ + 1) / 2, gaps);
           if (!facts_.rule.stream) {
             finish_text(text, event.number);
           }
@@ -547,7 +552,7 @@
     }
   }
 
-  void note_decode(loam::Moment first_at, double outputs, double iterations, double running) {
+  void note_decode(loam::Moment first_at, double outputs, double iterations, double running, std::vector<double> const& gaps) {
     field_.learn_outputs(facts_.rule_name, outputs);
     double const took = static_cast<double>(loam::boot_now() - first_at) / 1e6;
     schema::WorkerFigures figures;
@@ -563,7 +568,7 @@
       schema::Sample sample;
       sample.worker = go_.worker;
       sample.decode = true;
-      sample.seconds = took / iterations;
+      sample.seconds = tilth::middle(gaps);
       sample.iterations = iterations;
       sample.spread = tilth::spread(plan_->setup.scaler.experts_share, plan_->setup.scaler.tokens_forward, running);
       sample.running = running;
--- /dev/null
+++ b/source/tests/almanac/field_test.cpp
@@ -0,0 +1,96 @@
+#include <gtest/gtest.h>
+
+#include "almanac/field/field.hpp"
+
+namespace finchlink {
+namespace {
+
+almanac::FieldReport run(std::string const& scenario, std::uint64_t seed, std::function<void(almanac::FieldOptions&)> const& change = nullptr) {
+  almanac::FieldOptions options;
+  options.seed = seed;
+  options.length = loam::seconds(30);
+  options.deployment = *almanac::field_deployment("pruebaviva");
+  options.faults = *almanac::field_scenario(scenario);
+  options.aims.window_ms = 10000;
+  options.aims.hold_ms = 3000;
+  options.aims.warm_up_ms = 5000;
+  options.bounds.limit = 24;
+  if (change) {
+    change(options);
+  }
+  return almanac::run_field(options);
+}
+void corrib(almanac::FieldOptions& options) {
+  options.deployment = *almanac::field_deployment("corrib");
+  options.aims.manner = "paired";
+}
+std::string first_break(std::string const& scenario, std::uint64_t seeds, std::function<void(almanac::FieldOptions&)> const& off) {
+  for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+    almanac::FieldReport const report = run(scenario, seed, off);
+    if (!report.violations.empty()) {
+      return report.violations.front();
+    }
+  }
+  return "";
+}
+
+TEST(Field, HoldsUnderEveryMixOfFaultsInBothDeployments) {
+  for (std::string const& scenario : almanac::field_scenarios()) {
+    for (std::uint64_t seed = 1; seed <= 2; ++seed) {
+      almanac::FieldReport const first = run(scenario, seed);
+      EXPECT_TRUE(first.violations.empty()) << scenario << " seed " << seed << ": " << first.violations.front();
+      EXPECT_GT(first.good, first.sent / 2) << scenario;
+      almanac::FieldReport const second = run(scenario, seed, corrib);
+      EXPECT_TRUE(second.violations.empty()) << scenario << " corrib seed " << seed << ": " << second.violations.front();
+    }
+  }
+}
+
+TEST(Field, SameSeedSameTrace) {
+  almanac::FieldReport const first = run("field-storm", 5);
+  almanac::FieldReport const again = run("field-storm", 5);
+  EXPECT_EQ(first.trace_hash, again.trace_hash);
+  EXPECT_EQ(first.events, again.events);
+}
+
+TEST(Field, ScalerSettlesAndThenHolds) {
+  almanac::FieldReport const report = run("field-calm", 1);
+  ASSERT_EQ(report.prefill_workers.size(), 2u);
+  EXPECT_GE(report.prefill_workers[0], 1u);
+  EXPECT_LE(report.prefill_workers[0], 9u);
+  EXPECT_GE(report.switches, 2u);  // the first split of each region
+  EXPECT_LE(report.switches, 10u);
+  EXPECT_LT(report.fit_error.at("prefill"), 0.1);
+}
+
+TEST(Field, OneDispatchForWhatMayNotBeRepeated) {
+  EXPECT_NE(first_break("field-cuts", 2, [](almanac::FieldOptions& options) {
+              corrib(options);
+              options.dispatch_once = false;
+            }).find("ran twice"), std::string::npos);
+}
+TEST(Field, NoRefusalOnceItMayHaveRun) {
+  EXPECT_NE(first_break("field-cuts", 2, [](almanac::FieldOptions& options) {
+              corrib(options);
+              options.honest_refusal = false;
+            }).find("refused though it ran"), std::string::npos);
+}
+TEST(Field, RetriesNeedARight) {
+  EXPECT_NE(first_break("field-cuts", 3, [](almanac::FieldOptions& options) {
+              options.faults.cut = 1.0;
+              options.scale = 1.8;
+              options.budget = false;
+            }).find("retries were"), std::string::npos);
+}
+TEST(Field, ColdWorkersAreTendedByOne) {
+  EXPECT_NE(first_break("field-crashes", 4, [](almanac::FieldOptions& options) {
+              options.scale = 1.5;
+              options.tend_cold = false;
+            }).find("was flooded"), std::string::npos);
+}
+TEST(Field, DrainingWorkersGetNothingNew) {
+  EXPECT_NE(first_break("field-drains", 2, [](almanac::FieldOptions& options) { options.drop_drained = false; }).find("shown draining"), std::string::npos);
+}
+
+}  // namespace
+}  // namespace finchlink
--- a/source/tilth/fit/fit.cpp
+++ b/source/tilth/fit/fit.cpp
@@ -1,5 +1,6 @@
 #include "tilth/fit/fit.hpp"
 
+#include <algorithm>
 #include <cmath>
 #include <limits>
 
@@ -69,6 +70,14 @@
   return result;
 }
 
+double middle(std::vector<double> values) {
+  if (values.empty()) {
+    return 0;
+  }
+  std::nth_element(values.begin(), values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2), values.end());
+  return values[values.size() / 2];
+}
+
 Fit fit_rows(std::vector<FitRow> const& rows, std::size_t least_rows) {
   Fit fit;
   if (rows.empty() || rows.size() < least_rows) {
--- a/source/tilth/fit/fit.hpp
+++ b/source/tilth/fit/fit.hpp
@@ -9,6 +9,10 @@
 /// the x >= 0 that makes |A x - b| least (section 8.3).
 [[nodiscard]] Eigen::VectorXd solve_nonnegative(Eigen::MatrixXd const& matrix, Eigen::VectorXd const& target);
 
+/// The middle one of some values, 0 for none. Gaps between events that a
+/// prefill fell into are longer than an iteration; the middle one is none of them.
+[[nodiscard]] double middle(std::vector<double> values);
+
 struct FitRow {
   std::vector<double> terms;
   double seconds = 0;
--- a/source/tilth/placement/placement.cpp
+++ b/source/tilth/placement/placement.cpp
@@ -261,6 +261,7 @@
   worker.heard = true;
   worker.misses = 0;
   worker.told_total = running + waiting;
+  worker.told_running = running;
   if (back) {
     worker.boot = boot;
     worker.warm = false;
@@ -402,7 +403,7 @@
 
 double Placement::running_on(std::string const& id) const {
   std::map<std::string, Worker>::const_iterator const found = workers_.find(id);
-  return found == workers_.end() ? 0 : std::max(found->second.told_total, static_cast<double>(found->second.running.size()));
+  return found == workers_.end() ? 0 : std::max(found->second.told_running, static_cast<double>(found->second.running.size()));
 }
 
 }  // namespace finchlink::tilth
--- a/source/tilth/placement/placement.hpp
+++ b/source/tilth/placement/placement.hpp
@@ -80,7 +80,7 @@
   [[nodiscard]] std::uint64_t moved() const { return moved_; }
   [[nodiscard]] std::uint64_t reused_tokens() const { return static_cast<std::uint64_t>(reused_tokens_); }
   [[nodiscard]] std::uint64_t placed_tokens() const { return static_cast<std::uint64_t>(placed_tokens_); }
-  /// Own running dispatches on a worker; the batch that the decode fit sees.
+  /// What runs on a worker, waiting left out: the batch that the decode fit sees.
   [[nodiscard]] double running_on(std::string const& worker) const;
 
  private:
@@ -103,6 +103,7 @@
     bool heard = false;
     int misses = 0;
     double told_total = 0;
+    double told_running = 0;
     std::string boot;
     bool warm = false;
     loam::Moment warming_since = 0;
