A query that would wait for its phase takes a free place in the other

Cause: the split was a wall. After a swing the rule of two errors needs about a third of its slices from the new mix before it switches, as it should; until then one phase's waitlists grew while the other phase's workers stood idle. Tests of placement, fit and scaler added.

--- a/source/almanac/field/field.cpp
+++ b/source/almanac/field/field.cpp
@@ -1042,6 +1042,8 @@
     options.bounds.prefix_placement = false;
   } else if (name == "no-spill") {
     options.bounds.spill = false;
+  } else if (name == "no-overflow") {
+    options.bounds.overflow = false;
   } else if (name == "no-hold") {
     options.aims.hold_ms = 0;
     options.aims.errors = 0;
--- a/source/almanac/main.cpp
+++ b/source/almanac/main.cpp
@@ -144,7 +144,7 @@
   flags.add_options()("help", "this text")("version", "the version")("scenario", options::value<std::string>()->default_value("storm"), "a scenario, or all; see --list")(
       "seeds", options::value<std::string>()->default_value("1..20"), "one seed or a range")("seconds", options::value<double>()->default_value(60), "length of a run in its own time")(
       "off", options::value<std::vector<std::string>>()->composing(), "switch a guard off")("trace", "print the trace of each run")("list", "the scenarios")(
-      "deployment", options::value<std::string>()->default_value("pruebaviva"), "pruebaviva or corrib (field scenarios)")("variant", options::value<std::vector<std::string>>()->composing(), "ours, static, no-prefix, no-spill or no-hold (field scenarios)")(
+      "deployment", options::value<std::string>()->default_value("pruebaviva"), "pruebaviva or corrib (field scenarios)")("variant", options::value<std::vector<std::string>>()->composing(), "ours, static, no-prefix, no-spill, no-overflow or no-hold (field scenarios)")(
       "scale", options::value<double>()->default_value(1.0), "times the deployment's rates")("manner", options::value<std::string>()->default_value("whole"), "whole or paired")(
       "fewer", options::value<std::uint64_t>()->default_value(0), "workers fewer in the first region")("window", options::value<double>()->default_value(20), "scaler's window in seconds")("hold", options::value<double>()->default_value(5), "scaler's hold in seconds");
   options::variables_map found;
--- /dev/null
+++ b/source/tests/tilth/placement_test.cpp
@@ -0,0 +1,247 @@
+#include <gtest/gtest.h>
+
+#include <set>
+
+#include "loam/constants.hpp"
+#include "tilth/fit/fit.hpp"
+#include "tilth/placement/placement.hpp"
+#include "tilth/scaler/scaler.hpp"
+
+namespace finchlink {
+namespace {
+
+using namespace tilth;
+
+struct Bench {
+  Placement placement;
+  schema::WorkerBounds bounds;
+  schema::ScalerAims aims;
+  std::vector<WorkerWish> wishes;
+  std::uint64_t next = 1;
+  Bench(std::size_t workers, std::uint64_t limit) {
+    bounds.limit = limit;
+    bounds.overflow = false;
+    for (std::size_t index = 0; index < workers; ++index) {
+      WorkerWish wish;
+      wish.id = std::string(1, static_cast<char>('a' + index));
+      wish.address = wish.id;
+      wish.warm_boots = {"1"};
+      wishes.push_back(wish);
+    }
+    update(0);
+    for (WorkerWish const& wish : wishes) {
+      (void)placement.load(wish.id, 0, 0, "1", 0);
+    }
+  }
+  std::vector<PlacementAction> update(loam::Moment now) { return placement.update(wishes, bounds, aims, 1, now); }
+  std::vector<PlacementAction> enqueue(Phase phase = Phase::both, std::vector<std::uint64_t> chain = {}, loam::Moment now = 0, loam::Span patience = loam::seconds(60)) {
+    Ticket ticket;
+    ticket.id = next++;
+    ticket.rule = "r";
+    for (WorkerWish const& wish : wishes) {
+      ticket.allowed.push_back(wish.id);
+    }
+    ticket.chain = chain;
+    ticket.tokens = 1000;
+    ticket.outputs = 10;
+    ticket.phase = phase;
+    ticket.deadline = now + patience;
+    return placement.enqueue(ticket, now);
+  }
+};
+std::string went(std::vector<PlacementAction> const& actions) {
+  return actions.size() == 1 && std::holds_alternative<Go>(actions[0]) ? std::get<Go>(actions[0]).worker : "";
+}
+
+TEST(Placement, WaitlistMovesWhenAWorkerSwitchesAndWhatRunsFinishes) {
+  Bench bench(2, 1);
+  bench.wishes[0].phase = Phase::prefill;
+  bench.wishes[1].phase = Phase::decode;
+  (void)bench.update(0);
+  EXPECT_EQ(went(bench.enqueue(Phase::prefill)), "a");
+  EXPECT_TRUE(bench.enqueue(Phase::prefill).empty());  // waits for a
+  EXPECT_EQ(bench.placement.waiting(), 1u);
+  bench.wishes[0].phase = Phase::decode;
+  bench.wishes[1].phase = Phase::prefill;
+  std::vector<PlacementAction> const moved = bench.update(1000);
+  EXPECT_EQ(went(moved), "b");
+  EXPECT_EQ(bench.placement.moved(), 1u);
+  // The running one is still counted on a, and its end frees a.
+  EXPECT_TRUE(bench.enqueue(Phase::decode, {}, 1000).empty());
+  EXPECT_EQ(went(bench.placement.finished(1, Ending::good, 2000)), "a");
+}
+
+TEST(Placement, DrainingWorkerGetsNothingAndItsWaitlistGoes) {
+  Bench bench(2, 1);
+  std::string const first = went(bench.enqueue());
+  std::string const second = went(bench.enqueue());
+  EXPECT_NE(first, second);
+  EXPECT_TRUE(bench.enqueue().empty());
+  for (WorkerWish& wish : bench.wishes) {
+    wish.usable = false;
+  }
+  std::vector<PlacementAction> const actions = bench.update(1000);
+  ASSERT_EQ(actions.size(), 1u);
+  EXPECT_TRUE(std::holds_alternative<Denied>(actions[0]));
+  EXPECT_TRUE(bench.placement.finished(1, Ending::good, 2000).empty());
+}
+
+TEST(Placement, OverflowTakesAFreePlaceOfTheOtherPhase) {
+  for (bool const overflow : {false, true}) {
+    Bench bench(2, 1);
+    bench.bounds.overflow = overflow;
+    bench.wishes[0].phase = Phase::prefill;
+    bench.wishes[1].phase = Phase::decode;
+    (void)bench.update(0);
+    EXPECT_EQ(went(bench.enqueue(Phase::decode)), "b");
+    EXPECT_EQ(went(bench.enqueue(Phase::decode)), overflow ? "a" : "");
+  }
+}
+
+TEST(Placement, PrefixDrawsUntilTheWaitWeighsMore) {
+  Bench bench(2, 64);
+  std::vector<std::uint64_t> const chain{1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12};
+  std::string const home = went(bench.enqueue(Phase::both, chain));
+  (void)bench.placement.finished(1, Ending::good, 1000);
+  EXPECT_EQ(went(bench.enqueue(Phase::both, chain, 1000)), home);
+  std::set<std::string> used;
+  for (int query = 0; query < 12; ++query) {
+    used.insert(went(bench.enqueue(Phase::both, chain, 1000)));
+  }
+  EXPECT_EQ(used.size(), 2u);  // the crowd on one prefix spreads
+}
+
+TEST(Placement, RefusesAtOnceWhatCannotBeInTime) {
+  Bench bench(1, 1);
+  EXPECT_EQ(went(bench.enqueue()), "a");
+  std::vector<PlacementAction> const late = bench.enqueue(Phase::both, {}, 0, loam::milliseconds(10));
+  ASSERT_EQ(late.size(), 1u);
+  EXPECT_EQ(std::get<Denied>(late[0]).reason, "busy");
+  (void)bench.enqueue(Phase::both, {}, 0, loam::seconds(2));
+  std::vector<PlacementAction> const over = bench.placement.tick(loam::seconds(3));
+  ASSERT_EQ(over.size(), 1u);
+  EXPECT_EQ(std::get<Denied>(over[0]).reason, "deadline");
+}
+
+TEST(Placement, ColdWorkerIsRampedByItsTenderOnly) {
+  Bench bench(1, 16);
+  (void)bench.placement.load("a", 0, 0, "2", loam::seconds(1));  // it started anew
+  EXPECT_FALSE(bench.placement.room(loam::seconds(1)));
+  bench.wishes[0].tended = true;
+  (void)bench.update(loam::seconds(1));
+  EXPECT_EQ(went(bench.enqueue(Phase::both, {}, loam::seconds(1))), "a");
+  EXPECT_EQ(went(bench.enqueue(Phase::both, {}, loam::seconds(1))), "");  // one at a time at first
+  loam::Moment now = loam::seconds(1);
+  for (std::uint64_t answered = 0; answered < 40; ++answered) {
+    now += loam::milliseconds(200);
+    (void)bench.placement.finished(answered + 1, Ending::good, now);
+    (void)bench.enqueue(Phase::both, {}, now);
+  }
+  EXPECT_EQ(bench.placement.warm(), std::vector<std::string>{"a@2"});
+}
+
+TEST(Placement, DarkWorkerIsLeftAndComesBackCold) {
+  Bench bench(1, 4);
+  for (int look = 0; look < 3; ++look) {
+    (void)bench.placement.load_missed("a", 1000);
+  }
+  std::vector<PlacementAction> const none = bench.enqueue(Phase::both, {}, 1000);
+  ASSERT_EQ(none.size(), 1u);
+  EXPECT_TRUE(std::holds_alternative<Denied>(none[0]));
+  EXPECT_TRUE(bench.placement.warm().empty());
+}
+
+TEST(Fit, FindsTheTrueTimesAndNeverNegativeOnes) {
+  std::vector<FitRow> rows;
+  std::uint64_t state = 7;
+  for (int row = 0; row < 200; ++row) {
+    state = state * 6364136223846793005u + 1442695040888963407u;
+    double const uncached = 50 + static_cast<double>((state >> 33u) % 2000);
+    double const wobble = 1.0 + (static_cast<double>((state >> 20u) % 100) - 50) / 1000;
+    rows.push_back(FitRow{{1, uncached, pairs(uncached, 500), 0}, (0.004 + 0.00002 * uncached + 3e-9 * pairs(uncached, 500)) * wobble});
+  }
+  Fit const fit = fit_rows(rows, 24);
+  ASSERT_TRUE(fit.good);
+  EXPECT_NEAR(fit.coefficients[0], 0.004, 0.0004);
+  EXPECT_NEAR(fit.coefficients[1], 0.00002, 0.000002);
+  EXPECT_LT(fit.error, 0.07);
+  EXPECT_EQ(fit.coefficients[3], 0);
+  Eigen::MatrixXd matrix(3, 2);
+  matrix << 1, 0, 1, 1, 1, 2;
+  Eigen::VectorXd target(3);
+  target << 3, 2, 1;  // a falling line: the slope is held at zero
+  Eigen::VectorXd const solved = solve_nonnegative(matrix, target);
+  EXPECT_NEAR(solved(0), 2, 1e-9);
+  EXPECT_EQ(solved(1), 0);
+}
+
+/// Feeds a scaler with slices of the same or wobbling work.
+ScalerAction decide(double decode_iterations, double wobble, loam::Span since_switch, schema::Split split) {
+  schema::ScalerAims aims;
+  aims.manner = "paired";
+  aims.window_ms = 10000;
+  aims.hold_ms = 3000;
+  schema::WorkerBounds bounds;
+  Scaler scaler;
+  loam::Moment now = loam::seconds(100);
+  (void)scaler.tick(split, 5, {"a", "b", "c", "d"}, aims, bounds, now + loam::seconds(11) - since_switch);
+  for (int slice = 0; slice < 11; ++slice) {
+    double const sign = slice % 2 == 0 ? 1 : -1;
+    schema::FurrowReport report;
+    schema::WorkerFigures prefill;
+    prefill.phase = "prefill";
+    prefill.queries = 100;
+    prefill.uncached = 100 * 500;
+    schema::WorkerFigures decode;
+    decode.phase = "decode";
+    decode.decodes = 100;
+    decode.iterations = 100 * decode_iterations * (1 + sign * wobble);
+    report.figures = {prefill, decode};
+    scaler.report(report, aims, now);
+    now += loam::seconds(1);
+  }
+  return scaler.tick(split, 5, {"a", "b", "c", "d"}, aims, bounds, now);
+}
+
+TEST(Scaler, SwitchesOnlyAboveTwoErrorsAndNeverInTheHold) {
+  schema::Split split;
+  split.frozen = true;
+  split.manner = "paired";
+  for (std::string const worker : {"a", "b", "c", "d"}) {
+    split.phases[worker] = worker == "d" ? "decode" : "prefill";
+    split.coefficients[worker] = schema::Coefficients{{0.004, 0.00002, 0, 0}, {0.004, 0.002, 0.0003}, 0};
+  }
+  ScalerAction const sure = decide(200, 0, loam::seconds(10), split);
+  ASSERT_TRUE(std::holds_alternative<WriteSplit>(sure));
+  std::size_t prefills = 0;
+  for (std::pair<std::string const, std::string> const& phase : std::get<WriteSplit>(sure).split.phases) {
+    prefills += phase.second == "prefill" ? 1 : 0;
+  }
+  EXPECT_LT(prefills, 3u);
+  EXPECT_TRUE(std::holds_alternative<Rest>(decide(200, 0, loam::seconds(1), split)));  // held
+  EXPECT_TRUE(std::holds_alternative<Rest>(decide(4, 0, loam::seconds(10), split)));  // nothing to gain
+  // A gain in the mean, but from bursts: less than two errors.
+  EXPECT_TRUE(std::holds_alternative<WriteSplit>(decide(9, 0, loam::seconds(10), split)));
+  EXPECT_TRUE(std::holds_alternative<Rest>(decide(9, 0.9, loam::seconds(10), split)));
+}
+
+TEST(Scaler, AssignsAtOnceWhatCameNewOrAPhaseThatIsEmpty) {
+  schema::Split split;
+  split.frozen = true;
+  split.manner = "whole";
+  split.phases = {{"a", "prefill"}, {"b", "decode"}};
+  split.coefficients["a"] = schema::Coefficients{{0.004, 0.00002, 0, 0}, {0.004, 0.002, 0.0003}, 0};
+  schema::ScalerAims aims;
+  Scaler scaler;
+  ScalerAction const newcomer = scaler.tick(split, 1, {"a", "b", "c"}, aims, {}, 0);
+  ASSERT_TRUE(std::holds_alternative<WriteSplit>(newcomer));
+  EXPECT_EQ(std::get<WriteSplit>(newcomer).split.phases.count("c"), 1u);
+  split.phases = {{"a", "prefill"}, {"b", "decode"}, {"c", "prefill"}};
+  ScalerAction const empty = scaler.tick(split, 1, {"a", "c"}, aims, {}, 0);  // b is gone
+  ASSERT_TRUE(std::holds_alternative<WriteSplit>(empty));
+  EXPECT_EQ(std::get<WriteSplit>(empty).split.phases.at("a"), "decode");
+  EXPECT_TRUE(std::holds_alternative<Rest>(scaler.tick(split, 1, {"a"}, aims, {}, 0)));
+}
+
+}  // namespace
+}  // namespace finchlink
--- a/source/tilth/placement/placement.cpp
+++ b/source/tilth/placement/placement.cpp
@@ -95,6 +95,26 @@
   return phase && std::find(ticket.allowed.begin(), ticket.allowed.end(), worker.wish.id) != ticket.allowed.end();
 }
 
+bool Placement::has_place(Worker const& worker, loam::Moment now) const {
+  return worker.waiting.empty() && worker.running.size() < window(worker, now);
+}
+
+std::string Placement::choose_free(Ticket const& ticket, loam::Moment now) const {
+  std::string best;
+  double best_cost = 0;
+  for (std::pair<std::string const, Worker> const& entry : workers_) {
+    bool const allowed = std::find(ticket.allowed.begin(), ticket.allowed.end(), entry.first) != ticket.allowed.end();
+    if (allowed && open(entry.second, now) && has_place(entry.second, now)) {
+      double const cost = predict(entry.second, ticket, now);
+      if (best.empty() || cost < best_cost) {
+        best = entry.first;
+        best_cost = cost;
+      }
+    }
+  }
+  return best;
+}
+
 std::string Placement::choose(Ticket const& ticket, loam::Moment now) const {
   std::string best;
   double best_cost = std::numeric_limits<double>::infinity();
@@ -119,8 +139,14 @@
         best_weight = weight;
       }
     }
+    // The split is a preference, as the own region is: a query that would have
+    // to wait for its phase takes a free place in the other (section 8.5).
     if (!best.empty()) {
-      break;
+      if (!strict || !bounds_.overflow || has_place(workers_.at(best), now)) {
+        break;
+      }
+      std::string const free = choose_free(ticket, now);
+      return free.empty() ? best : free;
     }
   }
   return best;
--- a/source/tilth/placement/placement.hpp
+++ b/source/tilth/placement/placement.hpp
@@ -118,6 +118,8 @@
   [[nodiscard]] double cached_tokens(Worker const& worker, Ticket const& ticket) const;
   [[nodiscard]] double predict(Worker const& worker, Ticket const& ticket, loam::Moment now) const;
   [[nodiscard]] bool fits(Worker const& worker, Ticket const& ticket) const;
+  [[nodiscard]] bool has_place(Worker const& worker, loam::Moment now) const;
+  [[nodiscard]] std::string choose_free(Ticket const& ticket, loam::Moment now) const;
   [[nodiscard]] std::string choose(Ticket const& ticket, loam::Moment now) const;
   void place(Ticket const& ticket, bool bounded, loam::Moment now, std::vector<PlacementAction>& actions);
   void launch(Worker& worker, Ticket const& ticket, loam::Moment now, std::vector<PlacementAction>& actions);
