--- a/tools/test.sh
+++ b/tools/test.sh
@@ -5,4 +5,4 @@
 folder="${FINCHLINK_BUILD:-build}"
 cmake -S . -B "$folder" -G Ninja -DCMAKE_BUILD_TYPE="${FINCHLINK_BUILD_TYPE:-RelWithDebInfo}" >/dev/null
 cmake --build "$folder"
-ctest --test-dir "$folder" --output-on-failure --no-tests=error
+ctest --test-dir "$folder" --output-on-failure --no-tests=error --parallel "$(nproc)"
