A new holder set expects the set that it replaces, not what the register holds

Found by reading: the repair duty planned from the set it had adopted but expected the register's newest revision, read separately. When a chosen set was not adopted yet, a second tenant would have written another set of the same epoch, and two majorities could form. almanac restated the rule and had it right, so no simulated run could see it: a decision that stood twice.

Cure: hedge::repair_wish is the only place; daemon and almanac call it. The split's fence and this one share rootstock::replace_at. Ruled out: that the lease alone prevents it (a second tenant may begin before the first one's choice is spread). Before: the shell's rule writes over the chosen epoch 2 (second half of Repair.NeverWritesASecondSetOfOneEpoch). After: rejected.

--- a/source/almanac/control/control.cpp
+++ b/source/almanac/control/control.cpp
@@ -156,6 +156,10 @@
   void learn(Machine& machine, schema::HolderSet const& set) {
     if (set.epoch > machine.set.epoch) {
       machine.set = set;
+      std::map<std::uint64_t, schema::HolderSet>::const_iterator const known = sets_.try_emplace(set.epoch, set).first;
+      if (!(known->second.holders == set.holders)) {
+        violate("epoch " + std::to_string(set.epoch) + " has two holder sets, seen at " + machine.address);
+      }
     }
   }
   void confirm_loop(Machine& machine);
@@ -202,6 +206,7 @@
   bool calm_ = false;
   std::uint64_t next_id_ = 1;
   std::uint64_t next_address_ = 100;
+  std::map<std::uint64_t, schema::HolderSet> sets_;     ///< epoch to holder set: only ever one
   std::map<std::uint64_t, std::string> contents_;       ///< revision to content: only ever one
   std::map<std::uint64_t, std::string> owners_;         ///< revision to the change that made it
   std::map<std::string, std::uint64_t> accepted_;       ///< acknowledged ids
@@ -578,14 +583,13 @@
       if (!plan.has_value() || !machine.tenant->holds(local(machine))) {
         return;
       }
-      std::uint64_t const expected = machine.set.epoch - 1;  // epoch 1 was founded, each change adds one
-      std::string const content = loam::print_tree(loam::Tree(schema::write(*plan)).get());
+      std::map<std::string, schema::Value>::const_iterator const known = machine.confirm.values().find(rootstock::holders_register);
+      std::uint64_t const newest = known == machine.confirm.values().end() ? 0 : known->second.revision;
+      // The guard off: it expects what the register holds, not what it replaces.
+      rootstock::Wisher const wisher = options_.repair_fenced ? hedge::repair_wish(machine.set, *plan)
+                                                              : rootstock::replace_at(newest, loam::print_tree(loam::Tree(schema::write(*plan)).get()));
       start_change(
-          machine, rootstock::holders_register,
-          [expected, content](schema::Value const& found) -> rootstock::Wish {
-            return found.revision != expected ? rootstock::Wish{rootstock::Reject{"changed meanwhile"}} : rootstock::Wish{schema::Value{found.revision + 1, content, {}}};
-          },
-          constants::change_deadline, [this](std::variant<rootstock::Chosen, rootstock::Rejected, std::monostate> const& result) {
+          machine, rootstock::holders_register, wisher, constants::change_deadline, [this](std::variant<rootstock::Chosen, rootstock::Rejected, std::monostate> const& result) {
             if (std::holds_alternative<rootstock::Chosen>(result)) {
               ++report_.repairs;
               kernel_.trace("repair chosen");
--- a/source/almanac/control/control.hpp
+++ b/source/almanac/control/control.hpp
@@ -66,6 +66,7 @@
   hedge::VouchGuards vouch_guards;
   hedge::DeskGuards desk_guards;
   bool acknowledge_waits = true;
+  bool repair_fenced = true;       ///< a new holder set expects the set that it replaces
   bool learn_beyond_seeds = true;  ///< the holder set is also learnt from the own disk and from colleagues
   bool print = false;
 };
--- a/source/almanac/main.cpp
+++ b/source/almanac/main.cpp
@@ -41,7 +41,7 @@
       {"promise_kept", &run.guards.promise_kept}, {"settle_before_reject", &run.guards.settle_before_reject}, {"image_before_vote", &run.guards.image_before_vote},
       {"lease_silence", &run.guards.lease_silence}, {"tenant_stops_early", &run.guards.tenant_stops_early}, {"never_back", &run.vouch_guards.never_back},
       {"count_from_ask", &run.vouch_guards.count_from_ask}, {"stop_unvouched", &run.vouch_guards.stop_unvouched},
-      {"confirm_after_arrival", &run.desk_guards.confirm_after_arrival}, {"acknowledge_waits", &run.acknowledge_waits}, {"learn_beyond_seeds", &run.learn_beyond_seeds}};
+      {"confirm_after_arrival", &run.desk_guards.confirm_after_arrival}, {"acknowledge_waits", &run.acknowledge_waits}, {"learn_beyond_seeds", &run.learn_beyond_seeds}, {"repair_fenced", &run.repair_fenced}};
   std::map<std::string, bool*>::const_iterator const found = guards.find(guard);
   if (found == guards.end()) {
     return false;
--- a/source/hedge/repair/repair.cpp
+++ b/source/hedge/repair/repair.cpp
@@ -1,6 +1,7 @@
 #include "hedge/repair/repair.hpp"
 
 #include "loam/constants.hpp"
+#include "loam/json/tree.hpp"
 #include "rootstock/ballot/ballot.hpp"
 
 namespace finchlink::hedge {
@@ -44,4 +45,8 @@
   return next;
 }
 
+rootstock::Wisher repair_wish(schema::HolderSet const& set, schema::HolderSet const& next) {
+  return rootstock::replace_at(set.epoch - 1, loam::print_tree(loam::Tree(schema::write(next)).get()));
+}
+
 }  // namespace finchlink::hedge
--- a/source/rootstock/change/change.cpp
+++ b/source/rootstock/change/change.cpp
@@ -23,6 +23,15 @@
   return std::nullopt;
 }
 
+Wisher replace_at(std::uint64_t expected, std::string const& content) {
+  return [expected, content](schema::Value const& found) -> Wish {
+    if (found.revision != expected) {
+      return Reject{"changed meanwhile"};
+    }
+    return schema::Value{found.revision + 1, content, {}};
+  };
+}
+
 Change::Change(std::string name, std::uint64_t proposer, Wisher wisher, Guards guards)
     : name_(std::move(name)), proposer_(proposer), wisher_(std::move(wisher)), guards_(guards) {}
 
--- a/source/rootstock/change/change.hpp
+++ b/source/rootstock/change/change.hpp
@@ -80,6 +80,10 @@
   State state_ = Resting{};
 };
 
+/// Writes the content if the register stands at the expected revision, and
+/// says no otherwise: the fence of whatever a duty writes (section 7.2).
+[[nodiscard]] Wisher replace_at(std::uint64_t expected, std::string const& content);
+
 /// Adds a mark, keeping only the newest (constants::marks_kept).
 void add_mark(schema::Value& value, std::string const& id, std::uint64_t revision);
 [[nodiscard]] std::optional<schema::ChangeMark> find_mark(schema::Value const& value, std::string const& id);
--- a/source/tests/hedge/vouch_test.cpp
+++ b/source/tests/hedge/vouch_test.cpp
@@ -5,6 +5,7 @@
 #include "hedge/session/sessions.hpp"
 #include "hedge/vouch/vouch.hpp"
 #include "loam/constants.hpp"
+#include "loam/json/tree.hpp"
 #include "stake/granter.hpp"
 #include "stake/tenant.hpp"
 
@@ -154,5 +155,20 @@
   EXPECT_TRUE(hedge::plan_repair(three(), misses, {spare}).has_value());
 }
 
+TEST(Repair, NeverWritesASecondSetOfOneEpoch) {
+  // Epoch 2 is chosen at revision 1, nobody has adopted it yet, and a second
+  // tenant still plans from epoch 1.
+  schema::HolderSet first = three();
+  first.epoch = 2;
+  first.holders[2] = {44, "d"};
+  schema::HolderSet second = first;
+  second.holders[2] = {55, "e"};
+  schema::Value const chosen{1, loam::print_tree(loam::Tree(schema::write(first)).get()), {}};
+  EXPECT_TRUE(std::holds_alternative<rootstock::Reject>(hedge::repair_wish(three(), second)(chosen)));
+  EXPECT_TRUE(std::holds_alternative<schema::Value>(hedge::repair_wish(three(), first)(schema::Value{})));
+  // The guard off, as it stood in the shell: expecting what the register holds.
+  EXPECT_TRUE(std::holds_alternative<schema::Value>(rootstock::replace_at(chosen.revision, "another set of epoch 2")(chosen)));
+}
+
 }  // namespace
 }  // namespace finchlink
--- a/source/trellis/duty/duties.cpp
+++ b/source/trellis/duty/duties.cpp
@@ -163,17 +163,8 @@
   }
   loam::Tree const content(schema::write(write->split));
   std::string const text = loam::print_tree(content.get());
-  std::uint64_t const expected = value.revision;
   // The expectation fences: whoever lost the lease meanwhile writes nothing.
-  Ledger::Result const result = ledger_.change(
-      name,
-      [expected, text](schema::Value const& found) -> rootstock::Wish {
-        if (found.revision != expected) {
-          return rootstock::Reject{"the split was changed meanwhile"};
-        }
-        return schema::Value{found.revision + 1, text, {}};
-      },
-      constants::change_deadline, yield);
+  Ledger::Result const result = ledger_.change(name, rootstock::replace_at(value.revision, text), constants::change_deadline, yield);
   bool const chosen = std::holds_alternative<rootstock::Chosen>(result);
   loam::note(chosen ? loam::Event::SplitWritten : loam::Event::SplitDefect, region + ": " + write->split.reason);
   std::lock_guard<std::mutex> const guard(lock_);
@@ -235,7 +226,6 @@
 
 void Duties::repair(std::function<bool()> const& held, loam::Yield yield) {
   schema::HolderSet const set = ledger_.set();
-  schema::Value const current = ledger_.value(rootstock::holders_register);
   // Counted in looks, not in time: after a freeze of this machine all would
   // seem silent by the clock.
   std::vector<std::pair<std::string, schema::Message>> calls;
@@ -263,18 +253,7 @@
     return;
   }
   loam::note(loam::Event::RepairProposed, "epoch " + std::to_string(next.epoch));
-  std::uint64_t const expected = current.revision;
-  loam::Tree const tree(schema::write(next));
-  std::string const content = loam::print_tree(tree.get());
-  Ledger::Result const result = ledger_.change(
-      rootstock::holders_register,
-      [expected, content](schema::Value const& found) -> rootstock::Wish {
-        if (found.revision != expected) {
-          return rootstock::Reject{"the holder set was changed meanwhile"};
-        }
-        return schema::Value{found.revision + 1, content, {}};
-      },
-      constants::change_deadline, yield);
+  Ledger::Result const result = ledger_.change(rootstock::holders_register, hedge::repair_wish(set, next), constants::change_deadline, yield);
   if (!std::holds_alternative<rootstock::Chosen>(result)) {
     loam::note(loam::Event::RepairDefect, "not chosen");
   }
