A query goes by the rule in force when bytes go out, not when its header came

Cause: rule, home, selector and manner were taken with the header; the body may take ten seconds and the waitlist longer, and a ticket kept its workers. Between lay a yes that said "in force everywhere". Cure: orchard::decide is the one place where a query's course is decided, by the header and anew whenever the plan changed: while it waits (the plan's change wakes it; it keeps its place when nothing changed for it), after a connection stands, before it is passed on, before a retry. The chart ends it with 307 while nothing ran, with a refusal that is true, or with an apology. Ruled out: that the vouch covers it (it says that the plan is fresh, not that a waiting query follows it).

--- a/source/furrow/field/field.cpp
+++ b/source/furrow/field/field.cpp
@@ -1,5 +1,7 @@
 #include "furrow/field/field.hpp"
 
+#include <algorithm>
+
 #include "loam/constants.hpp"
 #include "loam/json/tree.hpp"
 #include "loam/log/log.hpp"
@@ -19,6 +21,7 @@
 }
 
 void Field::take(schema::NewsAnswer const& answer, loam::Moment asked) {
+  bool changed = false;
   {
     std::lock_guard<std::mutex> const guard(plan_lock_);
     std::shared_ptr<Plan> const next = std::make_shared<Plan>(*plan_);
@@ -27,6 +30,7 @@
         orchard::SetupReading const reading = orchard::read_setup(news.content);
         next->setup = reading.setup;
         next->has_setup = true;
+        next->decided = news.revision;
         loam::note(loam::Event::RevisionAdopted, "setup revision " + std::to_string(news.revision));
       } else if (news.name.rfind("split/", 0) == 0) {
         absl::StatusOr<loam::Tree> const tree = loam::read_tree(news.content);
@@ -47,9 +51,16 @@
       next->list = answer.list;
     }
     derive(*next, settings_.name, settings_.hall);
+    changed = next->decided != plan_->decided || next->allowed != plan_->allowed;
     plan_ = next;
   }
   reconcile();
+  if (changed) {  // whoever waits decides anew (section 9.7)
+    std::lock_guard<std::mutex> const guard(seats_lock_);
+    for (std::pair<std::uint64_t const, std::shared_ptr<Seat>> const& entry : seats_) {
+      boost::asio::post(entry.second->timer.get_executor(), [seat = entry.second] { seat->timer.cancel(); });
+    }
+  }
 }
 
 bool Field::vouched(loam::Moment now) {
@@ -62,11 +73,15 @@
   return vouch_.list_fresh(now) || (plan_->has_setup && plan_->setup.stale_list == "keep" && !plan_->list.workers.empty());
 }
 
-bool Field::may_dispatch(std::string const& worker, loam::Moment now) {
+bool Field::may_dispatch(std::string const& rule, std::string const& worker, loam::Moment now) {
   if (!vouched(now) || !list_fresh(now)) {
     return false;
   }
   std::shared_ptr<Plan const> const current = plan();
+  std::map<std::string, std::vector<std::string>>::const_iterator const allowed = current->allowed.find(rule);
+  if (allowed == current->allowed.end() || std::find(allowed->second.begin(), allowed->second.end(), worker) == allowed->second.end()) {
+    return false;
+  }
   for (std::pair<std::string const, std::vector<tilth::WorkerWish>> const& pool : current->wishes) {
     for (tilth::WorkerWish const& wish : pool.second) {
       if (wish.id == worker) {
--- a/source/furrow/field/field.hpp
+++ b/source/furrow/field/field.hpp
@@ -36,7 +36,7 @@
   /// before each use (section 6.2, 6.3).
   [[nodiscard]] bool vouched(loam::Moment now);
   [[nodiscard]] bool list_fresh(loam::Moment now);
-  [[nodiscard]] bool may_dispatch(std::string const& worker, loam::Moment now);
+  [[nodiscard]] bool may_dispatch(std::string const& rule, std::string const& worker, loam::Moment now);
   /// Compares wishes with what is; runs now and then and after news.
   void reconcile();
 
--- a/source/furrow/field/plan.hpp
+++ b/source/furrow/field/plan.hpp
@@ -16,6 +16,7 @@
 struct Plan {
   std::map<std::string, std::uint64_t> held;  ///< revisions in force
   bool has_setup = false;
+  std::uint64_t decided = 0;  ///< revision of the setup, by which queries are decided
   schema::Setup setup;
   std::string region;
   std::map<std::string, schema::Split> splits;  ///< per region
--- a/source/furrow/query/query.cpp
+++ b/source/furrow/query/query.cpp
@@ -59,13 +59,13 @@
  public:
   Query(Field& field, std::shared_ptr<Plan const> plan, QueryFacts facts, loam::Stream& caller, loam::Yield yield)
       : field_(field), plan_(std::move(plan)), facts_(std::move(facts)), caller_(caller), yield_(yield),
-        interrupt_(std::make_shared<Interrupt>()), began_(loam::boot_now()),
-        deadline_(began_ + loam::milliseconds(static_cast<std::int64_t>(facts_.rule.deadline_ms))),
-        chart_(terms(), [this](loam::Moment now) { return field_.retry(facts_.rule_name, now); }) {}
+        interrupt_(std::make_shared<Interrupt>()), began_(loam::boot_now()), serve_(facts_.serve), rule_(plan_->setup.rules.at(serve_.rule)),
+        deadline_(began_ + loam::milliseconds(static_cast<std::int64_t>(rule_.deadline_ms))),
+        chart_(terms(), [this](loam::Moment now) { return field_.retry(serve_.rule, now); }) {}
 
   bool run(bool pipelined) {
     if (!facts_.passed) {
-      field_.arrived(facts_.rule_name, began_);
+      field_.arrived(serve_.rule, began_);
     }
     std::shared_ptr<asio::steady_timer> const timer = std::make_shared<asio::steady_timer>(yield_.get_executor(), loam::duration(deadline_ - began_));
     timer->async_wait([interrupt = interrupt_, timer](error_code const& error) {
@@ -105,9 +105,9 @@
     error_code ignored;
     caller_.socket().cancel(ignored);
     std::string const how = std::holds_alternative<tilth::Settled>(chart_.state()) ? std::get<tilth::Settled>(chart_.state()).how : "open";
-    field_.gauges().count("furrow_queries_total", "rule=\"" + facts_.rule_name + "\",outcome=\"" + how + "\"");
+    field_.gauges().count("furrow_queries_total", "rule=\"" + serve_.rule + "\",outcome=\"" + how + "\"");
     if (how == "complete") {
-      field_.gauges().observe("furrow_query_seconds", "rule=\"" + facts_.rule_name + "\"", static_cast<double>(loam::boot_now() - began_) / 1e6);
+      field_.gauges().observe("furrow_query_seconds", "rule=\"" + serve_.rule + "\"", static_cast<double>(loam::boot_now() - began_) / 1e6);
     }
     return keep_;
   }
@@ -115,14 +115,52 @@
  private:
   [[nodiscard]] tilth::QueryTerms terms() const {
     tilth::QueryTerms terms;
-    terms.repeatable = facts_.rule.repeatable;
-    terms.resumable = facts_.rule.resumable;
-    terms.stream = facts_.rule.stream;
+    terms.repeatable = rule_.repeatable;
+    terms.resumable = rule_.resumable;
+    terms.stream = rule_.stream;
     terms.may_pass = !facts_.passed;
     terms.dispatches_most = constants::dispatches_most;
     return terms;
   }
 
+  /// Section 9.7: what was decided by an earlier plan is decided anew by the
+  /// one in force. True: what it may do or where it may go is another now.
+  bool follow_plan() {
+    std::shared_ptr<Plan const> const current = field_.plan();
+    if (current == plan_) {
+      return false;
+    }
+    std::shared_ptr<Plan const> const before = plan_;
+    plan_ = current;
+    if (current->decided == before->decided) {
+      return allowed(*current) != allowed(*before);
+    }
+    orchard::HeaderLookup const lookup = [this](std::string const& name) { return std::string(facts_.header[name]); };
+    std::string const path = facts_.target.substr(0, facts_.target.find('?'));
+    orchard::Course const course = orchard::decide(current->setup, current->region, std::string(facts_.header.method_string()), path, lookup, facts_.body.size());
+    tilth::Decided decided;
+    bool changed = true;
+    if (orchard::Serve const* const serve = std::get_if<orchard::Serve>(&course)) {
+      schema::Rule const rule = current->setup.rules.at(serve->rule);
+      changed = !(*serve == serve_) || !(rule == rule_) || allowed(*current) != allowed(*before) || current->setup.scaler.manner != before->setup.scaler.manner;
+      serve_ = *serve;
+      rule_ = rule;
+    } else {
+      decided.standing = std::holds_alternative<orchard::GoHome>(course) ? tilth::Standing::home : tilth::Standing::none;
+      home_ = decided.standing == tilth::Standing::home ? std::get<orchard::GoHome>(course).region : "";
+    }
+    decided.repeatable = rule_.repeatable;
+    decided.resumable = rule_.resumable;
+    decided.stream = rule_.stream;
+    feed(decided);
+    return changed;
+  }
+
+  [[nodiscard]] std::vector<std::string> allowed(Plan const& plan) const {
+    std::map<std::string, std::vector<std::string>>::const_iterator const found = plan.allowed.find(serve_.rule);
+    return found == plan.allowed.end() ? std::vector<std::string>{} : found->second;
+  }
+
   void feed(tilth::QueryMessage const& message) { perform(chart_.advance(message, loam::boot_now())); }
 
   void perform(std::vector<tilth::QueryAction> const& actions) {
@@ -134,10 +172,14 @@
   void act(tilth::Place const& place) {
     place_next_ = true;
     if (place.again) {
-      field_.gauges().count("furrow_retries_total", "rule=\"" + facts_.rule_name + "\"");
+      field_.gauges().count("furrow_retries_total", "rule=\"" + serve_.rule + "\"");
     }
   }
   void act(tilth::PassOn const&) { pass_next_ = true; }
+  void act(tilth::SendHome const&) {
+    loam::Answer answer = send_home(*plan_, home_, facts_.id, facts_.target);
+    write_answer(answer);
+  }
   void act(tilth::Forward const&) { write_event(); }
   void act(tilth::Deliver const&) { write_answer(whole_); }
   void act(tilth::Refuse const& refuse) {
@@ -184,7 +226,7 @@
     error_code error;
     if (!header_sent_) {
       header_sent_ = true;
-      field_.gauges().observe("furrow_first_event_seconds", "rule=\"" + facts_.rule_name + "\"", static_cast<double>(loam::boot_now() - began_) / 1e6);
+      field_.gauges().observe("furrow_first_event_seconds", "rule=\"" + serve_.rule + "\"", static_cast<double>(loam::boot_now() - began_) / 1e6);
       http::response<http::empty_body> header{http::status::ok, 11};
       header.set(http::field::content_type, "text/event-stream");
       header.set(http::field::cache_control, "no-store");
@@ -215,39 +257,38 @@
     ticket_id = field_.seat(seat);
     tilth::Ticket ticket;
     ticket.id = ticket_id;
-    ticket.rule = facts_.rule_name;
-    std::shared_ptr<Plan const> const plan = field_.plan();
-    std::map<std::string, std::vector<std::string>>::const_iterator const allowed = plan->allowed.find(facts_.rule_name);
-    if (allowed != plan->allowed.end()) {
-      ticket.allowed = allowed->second;
-    }
+    ticket.rule = serve_.rule;
+    ticket.allowed = allowed(*plan_);
     ticket.chain = chain_;
     ticket.tokens = tokens_;
-    ticket.outputs = field_.outputs(facts_.rule_name);
-    ticket.phase = wanted_phase(*plan, ticket);
+    ticket.outputs = field_.outputs(serve_.rule);
+    ticket.phase = wanted_phase(*plan_, ticket);
     phase_ = ticket.phase;
     ticket.deadline = deadline_;
-    ticket.waitlist_bound = facts_.rule.waitlist;
+    ticket.waitlist_bound = rule_.waitlist;
     field_.with(pool(), [&ticket](tilth::Placement& placement) { return placement.enqueue(ticket, loam::boot_now()); });
     interrupt_->wake = [seat] { seat->timer.cancel(); };
-    while (!seat->action.has_value() && !interrupt_->set()) {
+    bool stale = false;
+    while (!seat->action.has_value() && !interrupt_->set() && !stale) {
       error_code error;
       seat->timer.async_wait(yield_[error]);
+      stale = !seat->action.has_value() && !interrupt_->set() && follow_plan();
     }
     interrupt_->wake = nullptr;
     field_.leave(ticket_id);
     if (!seat->action.has_value()) {
       cancel_ticket(ticket_id);
     }
+    place_next_ = place_next_ || (stale && !chart_.settled());
     return seat->action;
   }
 
-  [[nodiscard]] std::string pool() const { return pool_of(facts_.rule.kind); }
+  [[nodiscard]] std::string pool() const { return pool_of(rule_.kind); }
 
   /// Section 8.6: paired queries run their legs on the two phases; a whole one
   /// goes to the phase whose predicted cost weighs most.
   [[nodiscard]] tilth::Phase wanted_phase(Plan const& plan, tilth::Ticket const& ticket) const {
-    if (facts_.rule.kind != "model") {
+    if (rule_.kind != "model") {
       return tilth::Phase::both;
     }
     if (paired()) {
@@ -262,7 +303,8 @@
     double const decode = ticket.outputs * model.iteration_seconds(aims.experts_share, aims.tokens_forward, batch) / batch;
     return prefill >= decode ? tilth::Phase::prefill : tilth::Phase::decode;
   }
-  [[nodiscard]] bool paired() const { return facts_.rule.kind == "model" && plan_->setup.scaler.manner == "paired"; }
+  /// What began in two legs ends so, whatever the manner is by now.
+  [[nodiscard]] bool paired() const { return rule_.kind == "model" && (!kv_.empty() || plan_->setup.scaler.manner == "paired"); }
 
   void cancel_ticket(std::uint64_t ticket) {
     field_.with(pool(), [ticket](tilth::Placement& placement) { return placement.cancel(ticket, loam::boot_now()); });
@@ -273,6 +315,16 @@
 
   /// The place may not be used any more: what is wanted is brought in line
   /// first, so that the next place is another one, or none.
+  bool withdrawn(std::uint64_t ticket) {
+    // Asked again right before bytes go out: the wait may have been long, or
+    // this machine frozen (sections 6.3 and 9.7).
+    bool const changed = follow_plan();
+    if (!changed && field_.may_dispatch(serve_.rule, go_.worker, loam::boot_now())) {
+      return false;
+    }
+    withdraw(ticket);
+    return true;
+  }
   void withdraw(std::uint64_t ticket) {
     finish_ticket(ticket, tilth::Ending::abandoned);
     field_.reconcile();
@@ -280,6 +332,10 @@
   }
 
   void dispatch() {
+    (void)follow_plan();
+    if (chart_.settled()) {
+      return;
+    }
     if (paired() && kv_.empty()) {
       leg_ = Leg::prefill;
     } else if (paired()) {
@@ -300,15 +356,11 @@
     }
     go_ = std::get<tilth::Go>(*place);
     feed(tilth::Placed{go_.worker});
-    // Asked again right before bytes go out: the wait may have been long, or
-    // this machine frozen (section 6.3).
-    if (!field_.may_dispatch(go_.worker, loam::boot_now())) {
-      withdraw(ticket);
+    if (withdrawn(ticket)) {
       return;
     }
     absl::StatusOr<std::unique_ptr<loam::Stream>> connection = loam::connect(field_.context(), go_.address, constants::connect_deadline, yield_);
-    if (connection.ok() && !interrupt_->set() && !field_.may_dispatch(go_.worker, loam::boot_now())) {
-      withdraw(ticket);
+    if (connection.ok() && !interrupt_->set() && withdrawn(ticket)) {
       return;
     }
     if (!connection.ok() || interrupt_->set()) {
@@ -327,7 +379,7 @@
       return std::vector<tilth::PlacementAction>{};
     });
     feed(tilth::Connected{});
-    field_.gauges().count("furrow_dispatches_total", "rule=\"" + facts_.rule_name + "\",worker=\"" + go_.worker + "\"");
+    field_.gauges().count("furrow_dispatches_total", "rule=\"" + serve_.rule + "\",worker=\"" + go_.worker + "\"");
     tilth::Ending const ending = talk(worker, ticket);
     interrupt_->wake = nullptr;
     finish_ticket(ticket, ending);
@@ -340,6 +392,7 @@
         if (tilth::WorkerDefect const* const defect = std::get_if<tilth::WorkerDefect>(&message)) {
           loam::note(loam::Event::WorkerDefect, go_.worker + " " + defect->what + " " + facts_.id);
         }
+        (void)follow_plan();  // whether it may run again is asked of the rule in force
         feed(message);
       }
     }
@@ -350,11 +403,11 @@
   tilth::Ending talk(loam::Stream& worker, std::uint64_t ticket) {
     LegCall call;
     call.query = facts_.id;
-    call.rule = facts_.rule_name;
+    call.rule = serve_.rule;
     call.dispatch = chart_.dispatches();
     call.leg = leg_;
     call.kv = leg_ == Leg::decode ? kv_ : "";
-    call.last_event = facts_.rule.stream ? chart_.last_event() : 0;
+    call.last_event = rule_.stream ? chart_.last_event() : 0;
     call.method = facts_.method;
     call.target = facts_.target;
     call.content_type = facts_.content_type;
@@ -437,7 +490,7 @@
       after_ = tilth::LegDone{};
       return tilth::Ending::good;
     }
-    if (facts_.rule.kind == "model" && status == 200) {
+    if (rule_.kind == "model" && status == 200) {
       after_ = tilth::WorkerDefect{"no_stream"};
       return tilth::Ending::defect;
     }
@@ -450,7 +503,7 @@
     EventReader reader(plan_->setup.workers.bytes_per_token);
     std::string bytes;
     std::string text;
-    std::uint64_t expected = facts_.rule.stream ? chart_.last_event() + 1 : 1;
+    std::uint64_t expected = rule_.stream ? chart_.last_event() + 1 : 1;
     bool first = true;
     loam::Moment first_at = 0;
     double outputs = 0;
@@ -481,8 +534,8 @@
           if (leg_ == Leg::whole) {
             note_prefill();
           }
-          if (!facts_.rule.stream) {
-            field_.gauges().observe("furrow_first_event_seconds", "rule=\"" + facts_.rule_name + "\"", static_cast<double>(first_at - began_) / 1e6);
+          if (!rule_.stream) {
+            field_.gauges().observe("furrow_first_event_seconds", "rule=\"" + serve_.rule + "\"", static_cast<double>(first_at - began_) / 1e6);
           }
         } else {
           iterations += 1;
@@ -490,7 +543,7 @@
         }
         last_at = loam::boot_now();
         outputs += event.tokens;
-        if (facts_.rule.stream) {
+        if (rule_.stream) {
           event_ = event;
           feed(tilth::Event{event.number, event.last});
         } else {
@@ -502,7 +555,7 @@
             return std::vector<tilth::PlacementAction>{};
           });
           note_decode(first_at, outputs, iterations, (running_sum + running_at_start_ + 1) / 2, gaps);
-          if (!facts_.rule.stream) {
+          if (!rule_.stream) {
             finish_text(text, event.number);
           }
           return tilth::Ending::good;
@@ -553,7 +606,7 @@
   }
 
   void note_decode(loam::Moment first_at, double outputs, double iterations, double running, std::vector<double> const& gaps) {
-    field_.learn_outputs(facts_.rule_name, outputs);
+    field_.learn_outputs(serve_.rule, outputs);
     double const took = static_cast<double>(loam::boot_now() - first_at) / 1e6;
     schema::WorkerFigures figures;
     figures.worker = go_.worker;
@@ -578,7 +631,11 @@
 
   /// Section 9.4: at most one pass, only to a region that reports room.
   void pass_on() {
-    std::shared_ptr<Plan const> const plan = field_.plan();
+    (void)follow_plan();
+    if (chart_.settled()) {
+      return;
+    }
+    std::shared_ptr<Plan const> const plan = plan_;
     // First to a furrow of this region that has room, for example the one that
     // tends a warming worker; then, without a home, to the other region.
     std::vector<std::string> near;
@@ -590,7 +647,7 @@
         (region == plan->region ? near : far).push_back(member.address);
       }
     }
-    bool const may_leave = !facts_.bound && plan->setup.workers.spill;
+    bool const may_leave = !serve_.bound && plan->setup.workers.spill;
     std::vector<std::string> const addresses = !near.empty() ? near : (may_leave ? far : std::vector<std::string>{});
     if (addresses.empty() || !field_.vouched(loam::boot_now())) {
       feed(tilth::NoRoom{});
@@ -599,11 +656,13 @@
     go_ = tilth::Go{0, "pass", addresses[loam::random_number() % addresses.size()], 0, 0};
     feed(tilth::Placed{go_.worker});
     absl::StatusOr<std::unique_ptr<loam::Stream>> const connection = loam::connect(field_.context(), go_.address, constants::connect_deadline, yield_);
-    if (!connection.ok()) {
-      feed(tilth::NoRoom{});
+    if (!connection.ok() || interrupt_->set() || follow_plan() || !field_.vouched(loam::boot_now())) {
+      if (!interrupt_->set()) {
+        feed(tilth::NoRoom{});
+      }
       return;
     }
-    field_.gauges().count("furrow_passes_total", "rule=\"" + facts_.rule_name + "\"");
+    field_.gauges().count("furrow_passes_total", "rule=\"" + serve_.rule + "\"");
     loam::Stream& stream = **connection;
     interrupt_->wake = [&stream] { stream.cancel(); };
     feed(tilth::Connected{});
@@ -695,6 +754,9 @@
   loam::Yield yield_;
   std::shared_ptr<Interrupt> interrupt_;
   loam::Moment began_;
+  orchard::Serve serve_;   ///< by the plan that it goes by now
+  schema::Rule rule_;
+  std::string home_;       ///< another region, once it is decided so
   loam::Moment deadline_;
   tilth::Chart chart_;
   double tokens_ = 0;
--- a/source/furrow/query/query.hpp
+++ b/source/furrow/query/query.hpp
@@ -2,17 +2,16 @@
 
 #include "furrow/field/field.hpp"
 #include "loam/http/http.hpp"
+#include "orchard/course/course.hpp"
 
 namespace finchlink::furrow {
 
 struct QueryFacts {
   std::string id;
-  std::string rule_name;
-  schema::Rule rule;
-  bool bound = false;   ///< it has a home, and this is it
+  orchard::Serve serve;          ///< as the header was decided
+  loam::http::request_header<> header;
   bool passed = false;  ///< another region's furrow passed it on
   bool keep = true;
-  bool accept_events = true;
   loam::http::verb method = loam::http::verb::post;
   std::string target;
   std::string content_type;
--- a/source/furrow/query/reply.cpp
+++ b/source/furrow/query/reply.cpp
@@ -3,6 +3,8 @@
 #include "furrow/worker/contract.hpp"
 #include "loam/constants.hpp"
 #include "loam/json/tree.hpp"
+#include "loam/random/random.hpp"
+#include "orchard/label/selector.hpp"
 
 namespace finchlink::furrow {
 
@@ -37,6 +39,16 @@
   return answer;
 }
 
+loam::Answer send_home(Plan const& plan, std::string const& region, std::string const& query, std::string const& target) {
+  std::vector<std::string> addresses;
+  for (schema::Member const& member : plan.members) {
+    if (orchard::region_of(plan.setup, member.hall) == region) {
+      addresses.push_back(member.address);
+    }
+  }
+  return addresses.empty() ? refusal(query, "home_unreachable") : elsewhere("http://" + addresses[loam::random_number() % addresses.size()] + target);
+}
+
 void part_unread(loam::Stream& stream, boost::asio::io_context& context, loam::Yield yield) {
   boost::system::error_code error;
   stream.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, error);
--- a/source/furrow/query/session.cpp
+++ b/source/furrow/query/session.cpp
@@ -11,8 +11,7 @@
 #include "loam/http/http.hpp"
 #include "loam/json/tree.hpp"
 #include "loam/random/random.hpp"
-#include "orchard/label/selector.hpp"
-#include "orchard/rule/rule.hpp"
+#include "orchard/course/course.hpp"
 
 namespace finchlink::furrow {
 
@@ -70,39 +69,27 @@
 /// be read (section 9.2).
 struct Verdict {
   std::optional<loam::Answer> answer;
-  std::string rule;
-  bool bound = false;
+  orchard::Serve serve;
 };
 
-Verdict judge_header(Field& field, Plan const& plan, http::request_header<> const& header, std::string const& query) {
+Verdict judge_header(Field& field, Plan const& plan, http::request_header<> const& header, std::size_t body_bytes, std::string const& query) {
   Verdict verdict;
   std::string const target(header.target());
   std::string const path = target.substr(0, target.find('?'));
-  orchard::HeaderLookup const lookup = [&header](std::string const& name) { return std::string(header[name]); };
-  std::optional<std::string> const rule = orchard::find_rule(plan.setup, std::string(header.method_string()), path, lookup);
   loam::Moment const now = loam::boot_now();
   if (field.draining() || !field.vouched(now)) {
     verdict.answer = refusal(query, field.draining() ? "draining" : "not_vouched");
     return verdict;
   }
-  if (!rule.has_value()) {
-    verdict.answer = loam::answer_error(http::status::not_found, "no_rule", "no rule matches this query");
-    return verdict;
-  }
-  verdict.rule = *rule;
-  orchard::HomeVerdict const home = orchard::find_home(plan.setup, plan.setup.rules.at(*rule), path, lookup);
-  verdict.bound = home.bound;
-  if (home.bound && !home.known) {
-    verdict.answer = loam::answer_error(http::status::bad_request, "unknown_home", "the query names a home that is no region");
-  } else if (home.bound && home.region != plan.region) {
-    std::vector<std::string> addresses;
-    for (schema::Member const& member : plan.members) {
-      if (orchard::region_of(plan.setup, member.hall) == home.region) {
-        addresses.push_back(member.address);
-      }
-    }
-    verdict.answer = addresses.empty() ? refusal(query, "home_unreachable")
-                                       : elsewhere("http://" + addresses[loam::random_number() % addresses.size()] + target);
+  orchard::HeaderLookup const lookup = [&header](std::string const& name) { return std::string(header[name]); };
+  orchard::Course const course = orchard::decide(plan.setup, plan.region, std::string(header.method_string()), path, lookup, body_bytes);
+  if (orchard::Serve const* const serve = std::get_if<orchard::Serve>(&course)) {
+    verdict.serve = *serve;
+  } else if (orchard::GoHome const* const home = std::get_if<orchard::GoHome>(&course)) {
+    verdict.answer = send_home(plan, home->region, query, target);
+  } else {
+    orchard::TurnAway const& away = std::get<orchard::TurnAway>(course);
+    verdict.answer = loam::answer_error(static_cast<http::status>(away.status), away.error, away.message);
   }
   return verdict;
 }
@@ -152,18 +139,15 @@
     bool const passed = !header[pass_header].empty();
     std::string const query = passed ? std::string(header[query_header]) : field.name() + "-" + std::to_string(loam::random_identity());
     std::shared_ptr<Plan const> const plan = field.plan();
-    Verdict verdict = judge_header(field, *plan, header, query);
+    Verdict verdict = judge_header(field, *plan, header, parser.content_length().value_or(0), query);
     bool const has_body = parser.content_length().value_or(0) > 0 || parser.chunked();
     if (!verdict.answer.has_value()) {
-      schema::Rule const& rule = plan->setup.rules.at(verdict.rule);
-      if (parser.content_length().value_or(0) > rule.body_limit) {
-        verdict.answer = loam::answer_error(http::status::payload_too_large, "too_large", "the body is larger than the rule allows");
-      } else if (!field.open_query(verdict.rule, rule.concurrency)) {
+      if (!field.open_query(verdict.serve.rule, plan->setup.rules.at(verdict.serve.rule).concurrency)) {
         verdict.answer = refusal(query, "busy");
       }
     }
     if (verdict.answer.has_value()) {
-      field.gauges().count("furrow_queries_total", "rule=\"" + verdict.rule + "\",outcome=\"" + std::to_string(verdict.answer->result_int()) + "\"");
+      field.gauges().count("furrow_queries_total", "rule=\"" + verdict.serve.rule + "\",outcome=\"" + std::to_string(verdict.answer->result_int()) + "\"");
       bool const again = send(stream, *verdict.answer, keep && !has_body, yield);
       if (!again) {
         if (has_body) {
@@ -173,7 +157,7 @@
       }
       continue;
     }
-    schema::Rule const& rule = plan->setup.rules.at(verdict.rule);
+    schema::Rule const& rule = plan->setup.rules.at(verdict.serve.rule);
     if (header[http::field::expect] == "100-continue") {
       std::string const go_on = "HTTP/1.1 100 Continue\r\n\r\n";
       boost::asio::async_write(stream, boost::asio::buffer(go_on), yield[error]);
@@ -182,7 +166,7 @@
     stream.expires_after(loam::duration(constants::body_deadline));
     http::async_read(stream, buffer, parser, yield[error]);
     if (error) {
-      field.close_query(verdict.rule);
+      field.close_query(verdict.serve.rule);
       if (error == http::error::body_limit || error == http::error::bad_chunk || error == http::error::bad_chunk_extension) {
         bool const large = error == http::error::body_limit;
         loam::Answer answer = loam::answer_error(large ? http::status::payload_too_large : http::status::bad_request, large ? "too_large" : "malformed", error.message());
@@ -195,18 +179,16 @@
     }
     QueryFacts facts;
     facts.id = query;
-    facts.rule_name = verdict.rule;
-    facts.rule = rule;
-    facts.bound = verdict.bound;
+    facts.serve = verdict.serve;
+    facts.header = header;
     facts.passed = passed;
     facts.method = parser.get().method();
     facts.target = target;
     facts.content_type = std::string(parser.get()[http::field::content_type]);
-    facts.accept_events = true;
     facts.body = std::move(parser.get().body());
     facts.keep = keep;
     bool const again = run_query(field, plan, std::move(facts), stream, buffer.size() > 0, yield);
-    field.close_query(verdict.rule);
+    field.close_query(verdict.serve.rule);
     if (!again) {
       return;
     }
--- a/source/seedbed/ledger/ledger.cpp
+++ b/source/seedbed/ledger/ledger.cpp
@@ -30,6 +30,8 @@
   }
   outside_home_ += !arrival.home.empty() && arrival.home != arrival.region ? 1 : 0;
   flooded_ += flooded ? 1 : 0;
+  std::map<std::string, std::string>::const_iterator const only = only_.find(arrival.rule);
+  by_old_rule_ += only != only_.end() && only->second != arrival.region ? 1 : 0;
   if (arrival.leg != "decode" && arrival.dispatch <= 1) {
     firsts_[arrival.rule].push_back(arrival.now);
   } else if (arrival.dispatch > 1) {
@@ -44,6 +46,16 @@
   Run& run = runs_[arrival.nonce];
   run.repeatable = arrival.repeatable;
   run.whole += arrival.leg == "prefill" ? 0 : 1;
+  run.prefill += arrival.leg == "prefill" ? 1 : 0;
+}
+
+void Ledger::only(std::string const& rule, std::string const& region) {
+  std::lock_guard<std::mutex> const guard(lock_);
+  if (region.empty()) {
+    only_.erase(rule);
+  } else {
+    only_[rule] = region;
+  }
 }
 
 void Ledger::draining(std::string const& worker, bool on, loam::Moment now) {
@@ -69,8 +81,9 @@
   std::uint64_t twice = 0;
   std::uint64_t repeated = 0;
   for (std::pair<std::string const, Run> const& run : runs_) {
-    twice += run.second.whole > 1 && !run.second.repeatable ? 1 : 0;
-    repeated += run.second.whole > 1 ? 1 : 0;
+    bool const again = run.second.whole > 1 || run.second.prefill > 1;
+    twice += again && !run.second.repeatable ? 1 : 0;
+    repeated += again ? 1 : 0;
   }
   loam::Tree object(cJSON_CreateObject());
   cJSON_AddNumberToObject(object.get(), "ran", static_cast<double>(ran_));
@@ -81,6 +94,7 @@
   cJSON_AddNumberToObject(faults, "run_twice", static_cast<double>(twice));
   cJSON_AddNumberToObject(faults, "outside_home", static_cast<double>(outside_home_));
   cJSON_AddNumberToObject(faults, "flooded_cold_worker", static_cast<double>(flooded_));
+  cJSON_AddNumberToObject(faults, "by_an_old_rule", static_cast<double>(by_old_rule_));
   cJSON_AddNumberToObject(faults, "late_to_draining", static_cast<double>(late_drain_));
   cJSON_AddNumberToObject(faults, "late_to_evacuated", static_cast<double>(late_evacuation_));
   cJSON_AddNumberToObject(object.get(), "worst_drain_ms", static_cast<double>(worst_drain_) / 1000);
--- a/source/seedbed/ledger/ledger.hpp
+++ b/source/seedbed/ledger/ledger.hpp
@@ -30,18 +30,23 @@
   void arrived(Arrival const& arrival, bool ran, bool flooded);
   void draining(std::string const& worker, bool on, loam::Moment now);
   void evacuated(std::string const& zone, bool on, loam::Moment now);
+  /// From now on queries of the rule may reach workers of this region only; empty: of any.
+  void only(std::string const& rule, std::string const& region);
   [[nodiscard]] std::string print();
   [[nodiscard]] std::string ran_nonces();
 
  private:
   struct Run {
     int whole = 0;
+    int prefill = 0;
     bool repeatable = false;
   };
   std::mutex lock_;
   std::map<std::string, Run> runs_;
   std::map<std::string, loam::Moment> draining_;
   std::map<std::string, loam::Moment> evacuated_;
+  std::map<std::string, std::string> only_;
+  std::uint64_t by_old_rule_ = 0;
   std::uint64_t outside_home_ = 0;
   std::uint64_t flooded_ = 0;
   std::uint64_t refused_ = 0;
--- a/source/seedbed/main.cpp
+++ b/source/seedbed/main.cpp
@@ -32,12 +32,24 @@
 }
 
 /// POST /control/DEED/NAME: drain, restore, crash, revive, dark, light, unlist,
-/// list for a worker or a whole zone; evacuated and retaken for the ledger.
+/// list for a worker or a whole zone; evacuated, retaken and only/RULE@REGION
+/// for the ledger.
 bool control(std::vector<std::unique_ptr<seedbed::Worker>> const& workers, seedbed::Ledger& ledger, std::string const& deed, std::string const& name) {
   if (deed == "evacuated" || deed == "retaken") {
     ledger.evacuated(name, deed == "evacuated", loam::boot_now());
     return true;
   }
+  if (deed == "slow") {
+    for (std::unique_ptr<seedbed::Worker> const& worker : workers) {
+      worker->set_slow(std::max(1.0, std::atof(name.c_str())));
+    }
+    return true;
+  }
+  if (deed == "only") {
+    std::size_t const at = name.find('@');
+    ledger.only(name.substr(0, at), at == std::string::npos ? "" : name.substr(at + 1));
+    return at != std::string::npos;
+  }
   bool found = false;
   for (std::unique_ptr<seedbed::Worker> const& worker : workers) {
     if (worker->self().id != name && worker->self().zone != name) {
--- a/source/seedbed/worker/worker.cpp
+++ b/source/seedbed/worker/worker.cpp
@@ -23,7 +23,7 @@
 
 double Worker::noisy(double seconds) {
   std::normal_distribution<double> spread(1.0, bed_.model.noise);
-  return std::max(0.0, seconds * std::max(0.2, spread(random_)) / self_.speed);
+  return std::max(0.0, seconds * slow_ * std::max(0.2, spread(random_)) / self_.speed);
 }
 
 void Worker::set_draining(bool on) {
--- a/source/seedbed/worker/worker.hpp
+++ b/source/seedbed/worker/worker.hpp
@@ -32,6 +32,8 @@
   /// Crashed: connections are cut at once. Dark: taken, never answered.
   void set_crashed(bool on);
   void set_dark(bool on) { dark_ = on; }
+  /// All its times are this much longer.
+  void set_slow(double times) { slow_ = times; }
 
  private:
   struct Job {
@@ -75,6 +77,7 @@
   std::atomic<bool> listed_ = true;
   std::atomic<bool> crashed_ = false;
   std::atomic<bool> dark_ = false;
+  std::atomic<double> slow_ = 1.0;
   std::atomic<std::uint64_t> life_ = 0;
   loam::Bell bell_;
 };
--- a/source/tests/tilth/chart_test.cpp
+++ b/source/tests/tilth/chart_test.cpp
@@ -106,6 +106,36 @@
   EXPECT_TRUE(query.advance(Withdrawn{}, 0).empty());  // too late: bytes may have gone
 }
 
+TEST(Chart, IsDecidedAnewByTheRuleInForce) {
+  for (Standing const standing : {Standing::home, Standing::none}) {
+    // While it waits, or is about to go, nothing ran: home, or a true refusal.
+    Chart waiting = chart(QueryTerms{});
+    std::vector<QueryAction> const turned = waiting.advance(Decided{false, false, false, standing}, 0);
+    EXPECT_TRUE(standing == Standing::home ? only<SendHome>(turned) : only<Refuse>(turned));
+    Chart about = chart(QueryTerms{});
+    (void)about.advance(Placed{"a"}, 0);
+    EXPECT_TRUE(about.advance(Decided{false, false, false, standing}, 0).empty());
+    EXPECT_FALSE(only<Place>(about.advance(Withdrawn{}, 0)));
+    EXPECT_TRUE(about.settled());
+    // What may have run ends with an apology, never with a refusal or a 307.
+    QueryTerms terms;
+    terms.repeatable = true;
+    Chart ran = chart(terms);
+    (void)ran.advance(Placed{"a"}, 0);
+    (void)ran.advance(Connected{}, 0);
+    EXPECT_TRUE(ran.advance(Decided{true, false, false, standing}, 0).empty());
+    EXPECT_TRUE(only<Apologise>(ran.advance(WorkerDefect{"cut"}, 0)));
+  }
+  // No longer repeatable: what was sent while it was is not sent again.
+  QueryTerms terms;
+  terms.repeatable = true;
+  Chart query = chart(terms);
+  (void)query.advance(Placed{"a"}, 0);
+  (void)query.advance(Connected{}, 0);
+  (void)query.advance(Decided{false, false, false, Standing::serve}, 0);
+  EXPECT_TRUE(only<Apologise>(query.advance(WorkerDefect{"cut"}, 0)));
+}
+
 TEST(Chart, IsNotPassedOnOnceItsFirstLegRan) {
   QueryTerms terms;
   terms.may_pass = true;
--- a/source/tilth/chart/chart.cpp
+++ b/source/tilth/chart/chart.cpp
@@ -25,10 +25,39 @@
   return {Refuse{reason}};
 }
 
+std::vector<QueryAction> Chart::place(bool again) {
+  state_ = Waitlisted{};
+  if (standing_ == Standing::serve) {
+    return {Place{again}};
+  }
+  if (standing_ == Standing::home && last_event_ == 0 && !may_have_run_) {
+    settle("elsewhere");
+    return {SendHome{}};
+  }
+  return give_up("rule_changed", 502);
+}
+
+std::vector<QueryAction> Chart::on(Decided const& message, loam::Moment) {
+  // What is under way keeps the form of its answer; whether it may run again
+  // is asked of the newest rule (section 9.7).
+  terms_.repeatable = message.repeatable;
+  terms_.resumable = message.resumable;
+  standing_ = message.standing;
+  if (!std::holds_alternative<Waitlisted>(state_)) {
+    return {};
+  }
+  if (last_event_ == 0) {
+    terms_.stream = message.stream;
+  }
+  return standing_ == Standing::serve ? std::vector<QueryAction>{} : place(false);
+}
+
 std::vector<QueryAction> Chart::try_again(std::string const& reason, int status, loam::Moment now) {
+  if (standing_ != Standing::serve) {
+    return place(true);  // ends it, and spends no right
+  }
   if (dispatches_ < terms_.dispatches_most && retry_(now)) {
-    state_ = Waitlisted{};
-    return {Place{true}};
+    return place(true);
   }
   return give_up(reason, status);
 }
@@ -40,6 +69,9 @@
 }
 
 std::vector<QueryAction> Chart::on(NoRoom const&, loam::Moment) {
+  if (standing_ != Standing::serve) {
+    return place(false);
+  }
   // After a leg of it ran, passing it on would run it a second time.
   if (terms_.may_pass && !passed_ && dispatches_ == 0 && !may_have_run_) {
     passed_ = true;
@@ -61,8 +93,7 @@
   }
   // Not even a connection was tried: placing it anew is no retry.
   --dispatches_;
-  state_ = Waitlisted{};
-  return {Place{}};
+  return place(false);
 }
 
 std::vector<QueryAction> Chart::on(ConnectDefect const&, loam::Moment now) {
@@ -129,8 +160,7 @@
   // retry, but from here on nobody can say that nothing ran.
   may_have_run_ = true;
   --dispatches_;
-  state_ = Waitlisted{};
-  return {Place{}};
+  return place(false);
 }
 
 std::vector<QueryAction> Chart::on(Whole const&, loam::Moment) {
--- a/source/tilth/chart/chart.hpp
+++ b/source/tilth/chart/chart.hpp
@@ -51,7 +51,15 @@
 struct LegDone {};             ///< the prefill leg of a paired query
 struct CallerGone {};
 struct DeadlinePassed {};
-using QueryMessage = std::variant<Placed, NoRoom, Connected, Withdrawn, ConnectDefect, WorkerRefused, WorkerDefect, WorkerAnswered, Event, Whole, LegDone, CallerGone, DeadlinePassed>;
+/// Decided anew by a later setup (section 9.7).
+enum class Standing { serve, home, none };
+struct Decided {
+  bool repeatable = false;
+  bool resumable = false;
+  bool stream = false;
+  Standing standing = Standing::serve;
+};
+using QueryMessage = std::variant<Decided, Placed, NoRoom, Connected, Withdrawn, ConnectDefect, WorkerRefused, WorkerDefect, WorkerAnswered, Event, Whole, LegDone, CallerGone, DeadlinePassed>;
 
 // What is to be done.
 struct Place {                  ///< find a worker (again)
@@ -75,7 +83,8 @@
   std::string reason;
 };
 struct Abandon {};              ///< end the dispatch; no one waits for it
-using QueryAction = std::variant<Place, PassOn, Forward, Deliver, Refuse, Apologise, EndBroken, Abandon>;
+struct SendHome {};             ///< nothing ran, and its home is another region by now
+using QueryAction = std::variant<SendHome, Place, PassOn, Forward, Deliver, Refuse, Apologise, EndBroken, Abandon>;
 
 struct QueryTerms {
   bool repeatable = false;
@@ -99,6 +108,7 @@
   [[nodiscard]] int dispatches() const { return dispatches_; }
 
  private:
+  [[nodiscard]] std::vector<QueryAction> on(Decided const& message, loam::Moment now);
   [[nodiscard]] std::vector<QueryAction> on(Placed const& message, loam::Moment now);
   [[nodiscard]] std::vector<QueryAction> on(NoRoom const& message, loam::Moment now);
   [[nodiscard]] std::vector<QueryAction> on(Connected const& message, loam::Moment now);
@@ -114,11 +124,13 @@
   [[nodiscard]] std::vector<QueryAction> on(DeadlinePassed const& message, loam::Moment now);
   [[nodiscard]] std::vector<QueryAction> try_again(std::string const& reason, int status, loam::Moment now);
   [[nodiscard]] std::vector<QueryAction> give_up(std::string const& reason, int status);
+  [[nodiscard]] std::vector<QueryAction> place(bool again);
   void settle(std::string const& how) { state_ = Settled{how}; }
 
   QueryTerms terms_;
   std::function<bool(loam::Moment)> retry_;
   QueryState state_ = Waitlisted{};
+  Standing standing_ = Standing::serve;
   int dispatches_ = 0;
   bool may_have_run_ = false;
   bool passed_ = false;
--- a/tools/fleet/fleet.py
+++ b/tools/fleet/fleet.py
@@ -80,6 +80,10 @@
                       "trellises": [p["settings"]["http_address"] for p in processes.values() if p["program"] == "trellis"]}
         self.save()
 
+    def deployment(self):
+        with open(os.path.join(ROOT, "deployments", self.state["deployment"], "fleet.json"), encoding="utf-8") as stream:
+            return json.load(stream)
+
     def start(self, name):
         program = "seedbed" if name == "seedbed" else self.state["processes"][name]["program"]
         binary = os.path.join(ROOT, self.state["build"], program)
--- a/tools/fleet/proof.py
+++ b/tools/fleet/proof.py
@@ -202,7 +202,26 @@
     notes["acknowledged_all_there_losers_not"] = {k: v for k, v in labels.items() if k.startswith("operator")} == last
 
 
-SCENARIOS = {f.__name__: f for f in (steady, hall_lost, control_lost, all_lost, frozen_furrow, drains, evacuation, evacuation_with_cut_off, crashes, dark, disk_lost, races)}
+def rule_changed(fleet, notes):
+    """A crowd waits; the home of its rule changes. After yes nothing that waits goes by the old rule."""
+    regions = sorted({p["region"] for p in fleet.deployment()["halls"].values()})
+    mix = next(m["name"] for m in fleet.deployment()["mixes"] if not m.get("homes") and not m.get("plain"))
+    control(fleet, "slow", "20")
+    time.sleep(1)
+    notes["yes"], notes["waiting_at_the_change"] = [], []
+    for region in (regions[0], regions[1]):
+        control(fleet, "only", f"{mix}@")
+        status, _ = trellis(fleet, "/setup", "PATCH", json.dumps({"rules": {mix: {"home": {"region": region, "header": None, "path_segment": 0}}}}))
+        notes["waiting_at_the_change"].append(sum(json.loads(fleet.ask(p["settings"]["http_address"], "/-/state")[1])["model"]["waiting"]
+                                              for p in fleet.state["processes"].values() if p["program"] == "furrow"))
+        notes["yes"].append(status)
+        control(fleet, "only", f"{mix}@{region}")
+        time.sleep(4)
+    control(fleet, "slow", "1")
+    time.sleep(1)
+
+
+SCENARIOS = {f.__name__: f for f in (steady, hall_lost, control_lost, all_lost, frozen_furrow, drains, evacuation, evacuation_with_cut_off, crashes, dark, disk_lost, races, rule_changed)}
 
 
 def main():
