An old id of a change is called forgotten, never rejected, and never runs twice

Cause: 256 marks are kept, and an id whose mark was pushed out looked like one that had never been. After a storm GET /changes/ID then vetoed and said "rejected" for a change that was accepted, and the same Change-Id sent again took effect a second time. Asking for made-up ids wrote marks as well. "accepted" from /changes/ID came before the bound of section 4.1. Cure: each revision leaves exactly one mark, vetoes write a revision of their own, and ids end in the revision that their maker knew; standing_of then tells open, accepted, rejected, forgotten and unborn apart, for daemon and almanac. Look-ups are bounded per trellis; "accepted" waits as after a PUT. Ruled out: keeping all marks (they travel with every promise), hashes (a false hit is a false yes), an intent written first (doubles each change).

--- a/source/almanac/control/control.cpp
+++ b/source/almanac/control/control.cpp
@@ -204,6 +204,7 @@
   std::set<std::pair<std::string, std::string>> cuts_;
   std::set<std::string> split_;
   bool calm_ = false;
+  bool has_setup_ = false;
   std::uint64_t next_id_ = 1;
   std::uint64_t next_address_ = 100;
   std::map<std::uint64_t, schema::HolderSet> sets_;     ///< epoch to holder set: only ever one
@@ -233,6 +234,7 @@
   } else if (found->second != value.content) {
     violate("revision " + std::to_string(value.revision) + " has two contents, seen at " + where);
   }
+  has_setup_ = has_setup_ || !value.content.empty();
   for (schema::ChangeMark const& mark : value.marks) {
     if (mark.revision > 0) {
       std::string& owner = owners_[mark.revision];
@@ -681,13 +683,11 @@
     return;
   }
   orchard::WantedChange wanted;
-  wanted.id = "c" + std::to_string(next_id_++);
+  std::map<std::string, schema::Value>::const_iterator const seen = machine->confirm.values().find(rootstock::setup_register);
+  wanted.id = "c" + std::to_string(next_id_++) + "." + std::to_string(seen == machine->confirm.values().end() ? 0 : seen->second.revision);
   wanted.expected = expected;
-  wanted.patch = contents_.size() > 0;
-  wanted.content = contents_.empty() ? first_setup : R"({"halls":{"h":{"labels":{"mark":")" + wanted.id + "\"}}}}";
-  if (contents_.empty()) {
-    wanted.patch = false;
-  }
+  wanted.patch = has_setup_;
+  wanted.content = !has_setup_ ? first_setup : R"({"halls":{"h":{"labels":{"mark":")" + wanted.id + "\"}}}}";
   std::uint64_t const floor = floor_;
   Moment const began = kernel_.now();
   std::shared_ptr<bool> const told = std::make_shared<bool>(false);
@@ -711,9 +711,11 @@
                  if (rootstock::Chosen const* const chosen = std::get_if<rootstock::Chosen>(&result)) {
                    revision = chosen->value.revision;
                  } else if (rootstock::Rejected const* const rejected = std::get_if<rootstock::Rejected>(&result)) {
-                   std::optional<schema::ChangeMark> const mark = rootstock::find_mark(rejected->current, wanted.id);
-                   if (mark.has_value() && mark->revision > 0) {
-                     revision = mark->revision;
+                   orchard::IdStanding const known = orchard::standing_of(rejected->current, wanted.id);
+                   if (known.standing == orchard::Standing::accepted) {
+                     revision = known.revision;
+                   } else if (note->end == orchard::WishEnd::forgotten) {
+                     ++report_.forgotten;
                    } else {
                      *told = true;
                      ++report_.rejected;
@@ -753,15 +755,15 @@
   later(*machine, constants::change_deadline, [this, machine, id] {
     start_change(*machine, rootstock::setup_register, orchard::veto_of(id), constants::change_deadline, [this, id](std::variant<rootstock::Chosen, rootstock::Rejected, std::monostate> const& result) {
       if (rootstock::Chosen const* const chosen = std::get_if<rootstock::Chosen>(&result)) {
-        std::optional<schema::ChangeMark> const mark = rootstock::find_mark(chosen->value, id);
-        if (!mark.has_value()) {
-          violate("the outcome of " + id + " was settled without a mark");
-        } else if (mark->revision == 0) {
+        orchard::IdStanding const known = orchard::standing_of(chosen->value, id);
+        if (known.standing == orchard::Standing::rejected) {
           rejected_.insert(id);
           kernel_.trace("vetoed " + id);
-        } else {
-          accepted_[id] = mark->revision;
-          floor_ = std::max(floor_, mark->revision);
+        } else if (known.standing == orchard::Standing::accepted) {
+          accepted_[id] = known.revision;
+          floor_ = std::max(floor_, known.revision);
+        } else if (known.standing != orchard::Standing::forgotten) {
+          violate("the outcome of " + id + " was settled without a mark");
         }
       }
     });
--- a/source/almanac/control/control.hpp
+++ b/source/almanac/control/control.hpp
@@ -42,6 +42,7 @@
   std::uint64_t acknowledged = 0;
   std::uint64_t rejected = 0;
   std::uint64_t unknown = 0;
+  std::uint64_t forgotten = 0;  ///< ids too old to tell
   std::uint64_t reads = 0;
   std::uint64_t queries = 0;
   std::uint64_t unvouched = 0;
--- a/source/furrow/field/field.cpp
+++ b/source/furrow/field/field.cpp
@@ -27,9 +27,8 @@
     std::shared_ptr<Plan> const next = std::make_shared<Plan>(*plan_);
     for (schema::NamedValue const& news : vouch_.take(answer, asked, loam::boot_now())) {
       if (news.name == rootstock::setup_register) {
-        orchard::SetupReading const reading = orchard::read_setup(news.content);
-        next->setup = reading.setup;
-        next->has_setup = true;
+        next->setup = orchard::read_setup(news.content).setup;
+        next->has_setup = !news.content.empty();  // an id given up before the first setup leaves none
         next->decided = news.revision;
         loam::note(loam::Event::RevisionAdopted, "setup revision " + std::to_string(news.revision));
       } else if (news.name.rfind("split/", 0) == 0) {
--- a/source/loam/constants.hpp
+++ b/source/loam/constants.hpp
@@ -59,9 +59,14 @@
 /// Range of the pause after a lost ballot.
 inline constexpr Span ballot_pause_least = milliseconds(5);
 inline constexpr Span ballot_pause_most = milliseconds(60);
-/// Ids of changes kept inside a register. A day of storms at one change a
-/// second between an unknown outcome and its look-up stays within minutes.
+/// Ids of changes kept inside a register, one a revision; what became of an
+/// older one is no longer known (section 5.7). At the pace of a storm, some
+/// twenty changes a second, that is three times a change's own time.
 inline constexpr std::size_t marks_kept = 256;
+/// Outcomes looked up at once in one trellis: each may write a mark. Six
+/// trellises then push out 256 marks in no less than ten seconds, more than
+/// twice the time of a change that is under way.
+inline constexpr int outcomes_most = 16;
 /// Largest setup document in bytes; three copies and the ring stay small.
 inline constexpr std::size_t setup_limit = 256u << 10u;
 /// Pause between tries to found the register.
--- a/source/orchard/change/wish.hpp
+++ b/source/orchard/change/wish.hpp
@@ -18,13 +18,27 @@
   std::string content;
   bool patch = false;
 };
-enum class WishEnd { none, done, given_up, expectation, malformed, faults, size };
+enum class WishEnd { none, done, given_up, forgotten, unborn, expectation, malformed, faults, size };
 /// Why a wish was rejected, for the answer to the operator.
 struct WishNote {
   WishEnd end = WishEnd::none;
   std::vector<loam::Fault> faults;
 };
 
+/// An id ends in the revision that its maker knew: NAME.REVISION. Without one
+/// it counts as born before everything.
+[[nodiscard]] std::uint64_t birth_of(std::string const& id);
+
+/// What a value says of an id (section 5.7). Each revision leaves one mark and
+/// the newest marks are kept, so an id born before the oldest of them whose own
+/// is not found may have had one: that is "forgotten", never "rejected".
+enum class Standing { open, accepted, rejected, forgotten, unborn };
+struct IdStanding {
+  Standing standing = Standing::open;
+  std::uint64_t revision = 0;
+};
+[[nodiscard]] IdStanding standing_of(schema::Value const& value, std::string const& id);
+
 /// The wish behind a PUT or PATCH: the id's earlier outcome counts first, then
 /// the expectation, then the document.
 [[nodiscard]] rootstock::Wisher wish_for(WantedChange const& wanted, std::shared_ptr<WishNote> const& note);
--- a/source/tests/orchard/setup_test.cpp
+++ b/source/tests/orchard/setup_test.cpp
@@ -4,6 +4,8 @@
 #include <sstream>
 
 #include "loam/json/tree.hpp"
+#include "loam/constants.hpp"
+#include "orchard/change/wish.hpp"
 #include "orchard/label/selector.hpp"
 #include "orchard/rule/rule.hpp"
 #include "orchard/setup/setup.hpp"
@@ -88,5 +90,45 @@
   EXPECT_FALSE(orchard::find_home(setup, by_path, "/v1/elsewhere/x", none).known);
 }
 
+schema::Value after(schema::Value value, std::string const& id) {
+  std::shared_ptr<orchard::WishNote> const note = std::make_shared<orchard::WishNote>();
+  orchard::WantedChange wanted;
+  wanted.id = id;
+  wanted.patch = true;
+  wanted.content = R"({"halls":{"h":{"labels":{"mark":"x"}}}})";
+  rootstock::Wish const wish = orchard::wish_for(wanted, note)(value);
+  return std::holds_alternative<schema::Value>(wish) ? std::get<schema::Value>(wish) : value;
+}
+
+TEST(Change, OutcomeAfterAStormIsTrueOrNoLongerKnown) {
+  schema::Value value{1, R"({"regions":{"r":{"halls":["h"]}},"rules":{}})", {{"first.0", 1}}};
+  value = after(value, "mine.1");
+  std::uint64_t const taken = value.revision;
+  ASSERT_EQ(orchard::standing_of(value, "mine.1").revision, taken);
+  for (std::size_t turn = 0; turn < 2 * loam::constants::marks_kept; ++turn) {
+    value = after(value, "storm-" + std::to_string(turn) + "." + std::to_string(value.revision));
+    // Never a false no, never a second effect.
+    orchard::Standing const known = orchard::standing_of(value, "mine.1").standing;
+    ASSERT_TRUE(known == orchard::Standing::accepted || known == orchard::Standing::forgotten) << turn;
+    EXPECT_EQ(after(value, "mine.1").revision, value.revision) << "took effect twice";
+    EXPECT_TRUE(std::holds_alternative<rootstock::Keep>(orchard::veto_of("mine.1")(value)));
+  }
+  EXPECT_EQ(orchard::standing_of(value, "mine.1").standing, orchard::Standing::forgotten);
+  EXPECT_LE(value.marks.size(), loam::constants::marks_kept);
+  // One that was never sent, born of late, is surely open, and its veto lasts.
+  std::string const fresh = "fresh." + std::to_string(value.revision);
+  EXPECT_EQ(orchard::standing_of(value, fresh).standing, orchard::Standing::open);
+  value = std::get<schema::Value>(orchard::veto_of(fresh)(value));
+  EXPECT_EQ(after(value, fresh).revision, value.revision);
+  EXPECT_EQ(orchard::standing_of(value, fresh).standing, orchard::Standing::rejected);
+}
+
+TEST(Change, AskingForMadeUpIdsWritesNothingForTheUnborn) {
+  schema::Value const value{7, "{}", {{"a.6", 7}}};
+  EXPECT_TRUE(std::holds_alternative<rootstock::Keep>(orchard::veto_of("x.8")(value)));
+  EXPECT_TRUE(std::holds_alternative<rootstock::Keep>(orchard::veto_of("x")(value)));  // born before what is remembered
+  EXPECT_EQ(after(value, "x.8").revision, 7u);
+}
+
 }  // namespace
 }  // namespace finchlink
--- a/source/trellis/command/command.cpp
+++ b/source/trellis/command/command.cpp
@@ -103,15 +103,25 @@
   // trellis when the first one does not answer.
   if (found.count("id") > 0) {
     ask.set("Change-Id", found["id"].as<std::string>());
-  } else if (plan.verb == http::verb::put || plan.verb == http::verb::patch) {
-    ask.set("Change-Id", "command-" + std::to_string(loam::boot_now()) + "-" + std::to_string(getpid()));
   }
+  bool const own_id = found.count("id") == 0 && (plan.verb == http::verb::put || plan.verb == http::verb::patch);
   int code = loam::exit_unreachable;
   boost::asio::io_context context;
   loam::start(context, [&](loam::Yield yield) {
     std::stringstream addresses(found["at"].as<std::string>());
     std::string address;
+    std::string revision;
     while (std::getline(addresses, address, ',')) {
+      if (own_id && revision.empty()) {  // an id ends in the revision that its maker knew (section 5.7)
+        absl::StatusOr<loam::Answer> const now = loam::ask_once(context, address, loam::Ask{http::verb::get, "/setup", 11}, loam::constants::change_deadline * 3, loam::constants::list_limit, yield);
+        if (!now.ok() || now->result_int() >= 500) {
+          std::cerr << "trellis: " << address << " does not know the setup\n";
+          continue;
+        }
+        std::string const tag((*now)[http::field::etag]);
+        revision = tag.size() > 2 ? tag.substr(1, tag.size() - 2) : "0";
+        ask.set("Change-Id", "command-" + std::to_string(loam::boot_now()) + "-" + std::to_string(getpid()) + "." + revision);
+      }
       absl::StatusOr<loam::Answer> const answer = loam::ask_once(context, address, ask, loam::constants::change_deadline * 3, loam::constants::list_limit, yield);
       if (!answer.ok()) {
         std::cerr << "trellis: " << answer.status().message() << "\n";
--- a/source/trellis/operator/operator.cpp
+++ b/source/trellis/operator/operator.cpp
@@ -155,7 +155,7 @@
     }
   }
   schema::Value const value = ledger_.value(rootstock::setup_register);
-  if (value.revision == 0) {
+  if (value.content.empty()) {
     return loam::answer_error(http::status::not_found, "no_setup", "no setup was put yet");
   }
   loam::Answer answer = loam::answer_text(http::status::ok, value.content);
@@ -163,12 +163,22 @@
   return answer;
 }
 
+std::string Operator::fresh_id(std::string const& name, loam::Yield yield) {
+  // Right after its start a trellis knows no revision yet; an id born at none
+  // would count as forgotten.
+  loam::Moment const until = loam::boot_now() + constants::change_deadline;
+  while (ledger_.confirmed_from() == 0 && loam::boot_now() < until) {
+    loam::pause(context_, constants::confirm_pause, yield);
+  }
+  return name + "-" + std::to_string(loam::random_identity()) + "." + std::to_string(ledger_.value(rootstock::setup_register).revision);
+}
+
 loam::Answer Operator::change_setup(loam::Ask const& ask, bool patch, loam::Yield yield) {
   orchard::WantedChange wanted;
   wanted.patch = patch;
   wanted.id = std::string(ask["Change-Id"]);
   if (wanted.id.empty()) {
-    wanted.id = "change-" + std::to_string(loam::random_identity());
+    wanted.id = fresh_id("change", yield);
   } else if (!good_id(wanted.id)) {
     return loam::answer_error(http::status::bad_request, "change_id", "Change-Id takes up to 64 letters, digits, '-', '_' and '.'");
   }
@@ -200,15 +210,22 @@
     return chosen(wanted.id, done->value.revision, yield);
   }
   if (rootstock::Rejected const* const rejected = std::get_if<rootstock::Rejected>(&result)) {
-    std::optional<schema::ChangeMark> const mark = rootstock::find_mark(rejected->current, wanted.id);
-    if (mark.has_value() && mark->revision > 0) {
-      return chosen(wanted.id, mark->revision, yield);
+    orchard::IdStanding const known = orchard::standing_of(rejected->current, wanted.id);
+    if (known.standing == orchard::Standing::accepted) {
+      return chosen(wanted.id, known.revision, yield);
+    }
+    if (note->end == orchard::WishEnd::forgotten) {
+      ++unknown_;
+      return outcome_answer(http::status::conflict, "forgotten", wanted.id, 0, "too old to tell whether it was taken before; nothing was done now. End an id in the revision that you know: NAME.REVISION");
     }
     ++rejected_;
     loam::note(loam::Event::SetupRejected, wanted.id + " " + rejected->reason);
-    if (mark.has_value()) {
+    if (known.standing == orchard::Standing::rejected) {
       return outcome_answer(http::status::conflict, "rejected", wanted.id, rejected->current.revision, "this id was given up before");
     }
+    if (note->end == orchard::WishEnd::unborn) {
+      return outcome_answer(http::status::bad_request, "rejected", wanted.id, rejected->current.revision, rejected->reason);
+    }
     if (note->end == orchard::WishEnd::faults) {
       return faults_answer(note->faults);
     }
@@ -241,21 +258,42 @@
   // the same id makes "rejected" final (section 5.7).
   loam::Moment const until = loam::boot_now() + constants::change_deadline;
   while (loam::boot_now() < until) {
-    std::optional<schema::ChangeMark> const mark = rootstock::find_mark(ledger_.value(rootstock::setup_register), id);
-    if (mark.has_value()) {
-      return outcome_answer(http::status::ok, mark->revision > 0 ? "accepted" : "rejected", id, mark->revision);
+    orchard::IdStanding const known = orchard::standing_of(ledger_.value(rootstock::setup_register), id);
+    if (known.standing != orchard::Standing::open && known.standing != orchard::Standing::unborn) {
+      return told(known, id, yield);
     }
     loam::pause(context_, constants::confirm_pause, yield);
   }
+  if (++outcomes_ > constants::outcomes_most) {
+    --outcomes_;
+    loam::Answer answer = loam::answer_error(http::status::service_unavailable, "busy", "too many outcomes are looked up at once");
+    answer.set(http::field::retry_after, std::to_string(constants::retry_after_seconds));
+    return answer;
+  }
   Ledger::Result const result = ledger_.change(rootstock::setup_register, orchard::veto_of(id), constants::change_deadline, yield);
+  --outcomes_;
   if (rootstock::Chosen const* const done = std::get_if<rootstock::Chosen>(&result)) {
-    std::optional<schema::ChangeMark> const mark = rootstock::find_mark(done->value, id);
-    std::uint64_t const revision = mark.has_value() ? mark->revision : 0;
-    return outcome_answer(http::status::ok, revision > 0 ? "accepted" : "rejected", id, revision);
+    return told(orchard::standing_of(done->value, id), id, yield);
   }
   return outcome_answer(http::status::gateway_timeout, "unknown", id, 0, "no majority of holders answered");
 }
 
+loam::Answer Operator::told(orchard::IdStanding const& known, std::string const& id, loam::Yield yield) {
+  switch (known.standing) {
+    case orchard::Standing::accepted:
+      // "Accepted" promises the same here as after a PUT (section 4.1); when
+      // it was chosen is not known, so the whole wait counts from now.
+      loam::pause(context_, constants::acknowledge_wait, yield);
+      return outcome_answer(http::status::ok, "accepted", id, known.revision);
+    case orchard::Standing::rejected:
+      return outcome_answer(http::status::ok, "rejected", id, 0);
+    case orchard::Standing::unborn:
+      return outcome_answer(http::status::not_found, "unborn", id, 0, "this id names a revision that is still to come");
+    default:
+      return outcome_answer(http::status::gone, "forgotten", id, 0, "too old: what became of it is no longer known");
+  }
+}
+
 loam::Answer Operator::hall(std::string const& target, loam::Yield yield) {
   std::size_t const slash = target.rfind('/');
   std::string const name = target.substr(0, slash);
@@ -267,7 +305,7 @@
   cJSON* const entry = cJSON_AddObjectToObject(cJSON_AddObjectToObject(patch.get(), "halls"), name.c_str());
   cJSON_AddBoolToObject(entry, "evacuated", deed == "drain" ? 1 : 0);
   orchard::WantedChange wanted;
-  wanted.id = "hall-" + std::to_string(loam::random_identity());
+  wanted.id = fresh_id("hall", yield);
   wanted.patch = true;
   wanted.content = loam::print_tree(patch.get());
   return apply(wanted, yield);
--- a/source/trellis/operator/operator.hpp
+++ b/source/trellis/operator/operator.hpp
@@ -22,6 +22,8 @@
   [[nodiscard]] loam::Answer change_setup(loam::Ask const& ask, bool patch, loam::Yield yield);
   [[nodiscard]] loam::Answer apply(orchard::WantedChange const& wanted, loam::Yield yield);
   [[nodiscard]] loam::Answer outcome(std::string const& id, loam::Yield yield);
+  [[nodiscard]] loam::Answer told(orchard::IdStanding const& known, std::string const& id, loam::Yield yield);
+  [[nodiscard]] std::string fresh_id(std::string const& name, loam::Yield yield);
   [[nodiscard]] loam::Answer hall(std::string const& target, loam::Yield yield);
   [[nodiscard]] loam::Answer chosen(std::string const& id, std::uint64_t revision, loam::Yield yield);
   [[nodiscard]] loam::Answer metrics();
@@ -32,6 +34,7 @@
   HolderShell* holder_;
   std::function<std::string()> duties_;
   std::atomic<int> open_ = 0;
+  std::atomic<int> outcomes_ = 0;
   std::atomic<std::uint64_t> accepted_ = 0;
   std::atomic<std::uint64_t> rejected_ = 0;
   std::atomic<std::uint64_t> unknown_ = 0;
--- a/tools/fleet/proof.py
+++ b/tools/fleet/proof.py
@@ -186,7 +186,7 @@
             except OSError:
                 continue
             hall = halls(fleet)[0]
-            status, body = fleet.ask(address, "/setup", "PATCH", json.dumps({"halls": {hall: {"labels": {f"operator{number}": str(turn)}}}}), {"If-Match": revision, "Change-Id": f"race-{number}-{turn}"})
+            status, body = fleet.ask(address, "/setup", "PATCH", json.dumps({"halls": {hall: {"labels": {f"operator{number}": str(turn)}}}}), {"If-Match": revision, "Change-Id": f"race-{number}-{turn}.{revision.strip(chr(34))}"})
             (won if status == 200 else lost if status == 412 else other).append((number, turn, json.loads(body).get("revision"), status))
     threads = [threading.Thread(target=operator, args=(n,)) for n in range(8)]
     for thread in threads:
