--- a/source/furrow/field/field.cpp
+++ b/source/furrow/field/field.cpp
@@ -245,6 +245,17 @@
   return report;
 }
 
+std::string Field::pass_word() const { return settings_.name + " " + std::to_string(identity_); }
+
+bool Field::knows_pass(std::string const& word) {
+  for (schema::Member const& member : plan()->members) {
+    if (member.name != settings_.name && word == member.name + " " + std::to_string(member.incarnation)) {
+      return true;
+    }
+  }
+  return false;
+}
+
 schema::Member Field::self() {
   schema::Member member;
   member.name = settings_.name;
--- a/source/furrow/field/field.hpp
+++ b/source/furrow/field/field.hpp
@@ -51,6 +51,10 @@
   [[nodiscard]] bool open_query(std::string const& rule, std::uint64_t bound);
   void close_query(std::string const& rule);
 
+  /// What tells a passed query from a caller's: the sender's name and its
+  /// incarnation, which only members know (section 9.4).
+  [[nodiscard]] std::string pass_word() const;
+  [[nodiscard]] bool knows_pass(std::string const& word);
   [[nodiscard]] schema::Member self();
   [[nodiscard]] std::string const& name() const { return settings_.name; }
   [[nodiscard]] Gauges& gauges() { return gauges_; }
--- a/source/furrow/query/query.cpp
+++ b/source/furrow/query/query.cpp
@@ -183,7 +183,7 @@
   void act(tilth::Forward const&) { write_event(); }
   void act(tilth::Deliver const&) { write_answer(whole_); }
   void act(tilth::Refuse const& refuse) {
-    loam::Answer answer = refusal(facts_.id, refuse.reason);
+    loam::Answer answer = refusal(facts_.id, refuse.reason, expected_seconds_);
     write_answer(answer);
   }
   void act(tilth::Apologise const& apologise) {
@@ -347,6 +347,7 @@
       return;
     }
     if (tilth::Denied const* const denied = std::get_if<tilth::Denied>(&*place)) {
+      expected_seconds_ = denied->expected_seconds;
       if (denied->reason == "deadline") {
         feed(tilth::DeadlinePassed{});
       } else {
@@ -681,7 +682,7 @@
     loam::Ask ask{facts_.method, facts_.target, 11};
     ask.set(http::field::host, go_.address);
     ask.set(query_header, facts_.id);
-    ask.set(pass_header, "1");
+    ask.set(pass_header, field_.pass_word());
     ask.set(http::field::content_type, facts_.content_type);
     ask.body() = facts_.body;
     ask.keep_alive(false);
@@ -771,6 +772,7 @@
   tilth::Go go_;
   loam::Moment sent_ = 0;
   double running_at_start_ = 0;
+  double expected_seconds_ = 0;  ///< the wait that it was denied for
   loam::Answer whole_;
   StreamEvent event_;
   std::optional<tilth::QueryMessage> after_;
--- a/source/furrow/query/reply.cpp
+++ b/source/furrow/query/reply.cpp
@@ -21,16 +21,22 @@
   answer.set(ran_header, may_have_run ? "yes" : "no");
   return answer;
 }
+void tell_when(loam::Answer& answer, double expected_seconds) {
+  double const draw = static_cast<double>(loam::random_number() % 1000000) / 1e6;
+  answer.set(http::field::retry_after, std::to_string(tilth::come_back_after(expected_seconds, draw)));
+}
 }  // namespace
 
-loam::Answer refusal(std::string const& query, std::string const& reason) {
+loam::Answer refusal(std::string const& query, std::string const& reason, double expected_seconds) {
   loam::Answer answer = build(http::status::service_unavailable, query, reason, false);
-  answer.set(http::field::retry_after, std::to_string(loam::constants::retry_after_seconds));
+  tell_when(answer, expected_seconds);
   return answer;
 }
 
 loam::Answer apology(std::string const& query, int status, std::string const& reason, bool may_have_run) {
-  return build(static_cast<http::status>(status), query, reason, may_have_run);
+  loam::Answer answer = build(static_cast<http::status>(status), query, reason, may_have_run);
+  tell_when(answer, 0);
+  return answer;
 }
 
 loam::Answer elsewhere(std::string const& location) {
--- a/source/furrow/query/reply.hpp
+++ b/source/furrow/query/reply.hpp
@@ -8,8 +8,8 @@
 namespace finchlink::furrow {
 
 /// A no that is certain: nothing ran. Always says when to come back (9.3).
-[[nodiscard]] loam::Answer refusal(std::string const& query, std::string const& reason);
-/// A failed query that may have run.
+[[nodiscard]] loam::Answer refusal(std::string const& query, std::string const& reason, double expected_seconds = 0);
+/// A failed query that may have run; it too says when to come back.
 [[nodiscard]] loam::Answer apology(std::string const& query, int status, std::string const& reason, bool may_have_run);
 [[nodiscard]] loam::Answer elsewhere(std::string const& location);
 /// 307 to a furrow of the query's home, or a refusal when none is known.
--- a/source/furrow/query/session.cpp
+++ b/source/furrow/query/session.cpp
@@ -37,7 +37,9 @@
     return ready ? loam::answer_text(http::status::ok, "{\"ready\":true}") : loam::answer_error(http::status::service_unavailable, "not_ready", evacuated ? "hall evacuated" : "not vouched for, or draining");
   }
   if (target == "/-/state") {
-    loam::Tree object(schema::write(field.self()));
+    schema::Member shown = field.self();
+    shown.incarnation = 0;  // it is the word that makes a pass
+    loam::Tree object(schema::write(shown));
     cJSON_AddStringToObject(object.get(), "region", plan->region.c_str());
     cJSON_AddBoolToObject(object.get(), "vouched", field.vouched(now) ? 1 : 0);
     cJSON_AddBoolToObject(object.get(), "list_fresh", field.list_fresh(now) ? 1 : 0);
@@ -136,11 +138,17 @@
       }
       continue;
     }
-    bool const passed = !header[pass_header].empty();
+    // A caller may write our headers as well: only a member's word makes it a
+    // pass, and only a pass names its query.
+    bool const claimed = !header[pass_header].empty();
+    bool const passed = claimed && field.knows_pass(std::string(header[pass_header]));
     std::string const query = passed ? std::string(header[query_header]) : field.name() + "-" + std::to_string(loam::random_identity());
     std::shared_ptr<Plan const> const plan = field.plan();
     Verdict verdict = judge_header(field, *plan, header, parser.content_length().value_or(0), query);
     bool const has_body = parser.content_length().value_or(0) > 0 || parser.chunked();
+    if (claimed && !passed) {
+      verdict.answer = refusal(query, "unknown_pass");
+    }
     if (!verdict.answer.has_value()) {
       if (!field.open_query(verdict.serve.rule, plan->setup.rules.at(verdict.serve.rule).concurrency)) {
         verdict.answer = refusal(query, "busy");
--- a/source/loam/constants.hpp
+++ b/source/loam/constants.hpp
@@ -36,6 +36,10 @@
 inline constexpr Span list_deadline = milliseconds(1000);
 /// With a list older than this a furrow sends nothing to workers (4-5 s allowed).
 inline constexpr Span list_bound = milliseconds(3500);
+/// A list that counts lower than the last one is taken for a lagging replica's
+/// this long, then for a platform that counts anew. Below the bound above less
+/// a read and a word of a colleague, so that service goes on meanwhile.
+inline constexpr Span list_back_span = milliseconds(1500);
 /// Largest answer of the platform that is read, in bytes.
 inline constexpr std::size_t list_limit = 4u << 20u;
 
@@ -120,8 +124,9 @@
 inline constexpr std::size_t event_limit = 1u << 20u;
 /// Largest whole answer of a worker, in bytes.
 inline constexpr std::size_t answer_limit = 16u << 20u;
-/// What a refused caller is told to wait, in seconds.
+/// What a refused caller is told to wait, in seconds: at least, and at most.
 inline constexpr int retry_after_seconds = 1;
+inline constexpr int retry_after_most = 30;
 /// A connection whose body is left unread stays open this long, so that the
 /// answer is not lost to a reset.
 inline constexpr Span parting_span = milliseconds(300);
--- a/source/seedbed/main.cpp
+++ b/source/seedbed/main.cpp
@@ -39,6 +39,9 @@
     ledger.evacuated(name, deed == "evacuated", loam::boot_now());
     return true;
   }
+  if (deed == "recount") {
+    return true;  // the platform was begun anew: its list counts from one again
+  }
   if (deed == "slow") {
     for (std::unique_ptr<seedbed::Worker> const& worker : workers) {
       worker->set_slow(std::max(1.0, std::atof(name.c_str())));
@@ -126,7 +129,7 @@
       std::string const rest = target.substr(9);
       std::size_t const slash = rest.find('/');
       bool const done = slash != std::string::npos && control(workers, ledger, rest.substr(0, slash), rest.substr(slash + 1));
-      ++revision;
+      revision = done && rest == "recount/all" ? 1 : revision + 1;
       return loam::answer_text(done ? http::status::ok : http::status::not_found, done ? "{\"done\":true}" : "{\"done\":false}");
     }
     return loam::answer_error(http::status::not_found, "unknown_path", target);
--- a/source/tests/hedge/vouch_test.cpp
+++ b/source/tests/hedge/vouch_test.cpp
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include "hedge/desk/desk.hpp"
+#include "hedge/listing/listing.hpp"
 #include "hedge/repair/repair.hpp"
 #include "hedge/session/sessions.hpp"
 #include "hedge/vouch/vouch.hpp"
@@ -138,6 +139,29 @@
   }
 }
 
+TEST(Listing, GoesBackOnlyWhenThePlatformCountsAnew) {
+  hedge::Listing listing;
+  schema::PlatformList list;
+  list.revision = 500;
+  EXPECT_TRUE(listing.keep(list, loam::seconds(1), loam::seconds(1)));
+  // A lagging replica for a moment: nothing that was shown draining comes back.
+  list.revision = 499;
+  EXPECT_FALSE(listing.keep(list, loam::seconds(2), loam::seconds(2)));
+  list.revision = 501;
+  EXPECT_TRUE(listing.keep(list, loam::milliseconds(2300), loam::milliseconds(2300)));
+  // It counts anew: taken for good, and before furrows stop for its age.
+  list.revision = 1;
+  loam::Moment const since = loam::seconds(3);
+  loam::Moment now = since;
+  while (!listing.keep(list, now, now)) {
+    ASSERT_LT(listing.age(now), constants::list_bound) << "service stops";
+    now += constants::list_pause;
+  }
+  EXPECT_GE(now - since, constants::list_back_span);
+  EXPECT_EQ(listing.list().revision, 1u);
+  EXPECT_FALSE(listing.keep(list, now - 1, now));  // an older word
+}
+
 TEST(Repair, ReplacesOnlyFromAVotingMajorityAndOnlyByOneThatStandsBy) {
   schema::TrellisEntry spare{"t", 5, "h", "d", "", true, false, 44};
   std::map<std::uint64_t, int> misses{{1, 0}, {2, 0}, {3, constants::repair_misses}};
--- a/source/tests/tilth/placement_test.cpp
+++ b/source/tests/tilth/placement_test.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 using namespace tilth;
+namespace constants = loam::constants;
 
 struct Bench {
   Placement placement;
@@ -109,6 +110,24 @@
   return worst;
 }
 
+TEST(Placement, ComeBackSpreadsACrowdOverTheExpectedWait) {
+  EXPECT_EQ(come_back_after(0, 0), 1);
+  EXPECT_EQ(come_back_after(0, 0.99), 2);
+  EXPECT_EQ(come_back_after(4.2, 0), 5);
+  EXPECT_EQ(come_back_after(4.2, 0.999), 10);
+  EXPECT_LE(come_back_after(1e9, 1), constants::retry_after_most + 1);
+  Bench bench(1, 1);
+  (void)bench.enqueue();
+  double expected = 0;
+  for (int query = 0; query < 80; ++query) {
+    std::vector<PlacementAction> const actions = bench.enqueue();
+    if (!actions.empty()) {
+      expected = std::get<Denied>(actions.front()).expected_seconds;
+    }
+  }
+  EXPECT_GT(expected, 5);  // 64 wait before it, each for some 0.2 s
+}
+
 TEST(Placement, TwoTendersOfAColdWorkerTakeWhatOneMay) {
   EXPECT_LE(two_tenders(true, false), 1);
   EXPECT_GT(two_tenders(false, false), 4);
--- a/source/tilth/placement/placement.cpp
+++ b/source/tilth/placement/placement.cpp
@@ -20,6 +20,11 @@
   return text == "prefill" ? Phase::prefill : (text == "decode" ? Phase::decode : Phase::both);
 }
 
+int come_back_after(double expected_seconds, double draw) {
+  double const least = std::clamp(std::ceil(expected_seconds), static_cast<double>(constants::retry_after_seconds), constants::retry_after_most / 2.0);
+  return static_cast<int>(least + std::floor(std::clamp(draw, 0.0, 0.999999) * (least + 1)));
+}
+
 std::size_t Placement::full_window() const {
   double const part = static_cast<double>(bounds_.limit) * constants::share_excess / static_cast<double>(std::max<std::size_t>(furrows_, 1));
   return std::max<std::size_t>(1, static_cast<std::size_t>(std::ceil(std::min(part, static_cast<double>(bounds_.limit)))));
@@ -183,7 +188,7 @@
 void Placement::place(Ticket const& ticket, bool bounded, loam::Moment now, std::vector<PlacementAction>& actions) {
   std::string const chosen = choose(ticket, now);
   if (chosen.empty()) {
-    actions.emplace_back(Denied{ticket.id, "no_worker"});
+    actions.emplace_back(Denied{ticket.id, "no_worker", 0});
     return;
   }
   Worker& worker = workers_.at(chosen);
@@ -194,7 +199,7 @@
   std::uint64_t& count = waiting_by_rule_[ticket.rule];
   double const predicted = predict(worker, ticket, now);
   if (bounded && (count >= ticket.waitlist_bound || now + static_cast<loam::Span>(predicted * 1e6) >= ticket.deadline)) {
-    actions.emplace_back(Denied{ticket.id, "busy"});
+    actions.emplace_back(Denied{ticket.id, "busy", predicted});
     return;
   }
   ++count;
@@ -411,7 +416,7 @@
     std::deque<Waiting>& waiting = entry.second.waiting;
     for (std::deque<Waiting>::iterator place = waiting.begin(); place != waiting.end();) {
       if (place->ticket.deadline <= now) {
-        actions.emplace_back(Denied{place->ticket.id, "deadline"});
+        actions.emplace_back(Denied{place->ticket.id, "deadline", 0});
         --waiting_by_rule_[place->ticket.rule];
         where_.erase(place->ticket.id);
         place = waiting.erase(place);
--- a/source/tilth/placement/placement.hpp
+++ b/source/tilth/placement/placement.hpp
@@ -52,9 +52,15 @@
 struct Denied {
   std::uint64_t ticket = 0;
   std::string reason;
+  double expected_seconds = 0;  ///< how long it would have waited
 };
 using PlacementAction = std::variant<Go, Denied>;
 
+/// What a refused caller is told (section 9.8): the expected wait, and spread
+/// over as much again, so that a crowd does not come back as one. `draw` is
+/// from 0 to 1.
+[[nodiscard]] int come_back_after(double expected_seconds, double draw);
+
 enum class Ending { good, refused, defect, abandoned };
 
 /// Rules that tests switch off to show that they are needed (docs/proofs.md).
--- a/source/trellis/news/news.cpp
+++ b/source/trellis/news/news.cpp
@@ -44,12 +44,7 @@
 
 void News::keep_list(schema::PlatformList const& list, loam::Moment as_of) {
   std::lock_guard<std::mutex> const guard(lock_);
-  // A counted list never goes back; of uncounted ones the later asked wins.
-  bool const newer = list.revision > 0 && list_.revision > 0 ? list.revision >= list_.revision : true;
-  if (newer && as_of > list_as_of_) {
-    list_ = list;
-    list_as_of_ = as_of;
-  }
+  (void)listing_.keep(list, as_of, loam::boot_now());
 }
 
 void News::read_platform(loam::Yield yield) {
@@ -167,7 +162,7 @@
   for (schema::Session const& session : tell.sessions) {
     keep_reports(session.member, session.reports, now);
   }
-  return schema::Told{sessions_.self(), list_, list_as_of_ == 0 ? -1 : now - list_as_of_};
+  return schema::Told{sessions_.self(), listing_.list(), listing_.age(now)};
 }
 
 schema::Message News::ask(schema::NewsAsk const& ask, loam::Yield yield) {
@@ -193,8 +188,8 @@
   }
   std::lock_guard<std::mutex> const guard(lock_);
   answer.members = sessions_.members();
-  answer.list = list_;
-  answer.list_age = list_as_of_ == 0 ? -1 : loam::boot_now() - list_as_of_;
+  answer.list = listing_.list();
+  answer.list_age = listing_.age(loam::boot_now());
   answer.reports_taken = newest_slice_[ask.member.incarnation];
   for (schema::TrellisEntry const& trellis : sessions_.trellises()) {
     answer.colleagues.push_back(trellis.address);
@@ -214,11 +209,11 @@
 }
 schema::PlatformList News::list() {
   std::lock_guard<std::mutex> const guard(lock_);
-  return list_;
+  return listing_.list();
 }
 loam::Span News::list_age() {
   std::lock_guard<std::mutex> const guard(lock_);
-  return list_as_of_ == 0 ? -1 : loam::boot_now() - list_as_of_;
+  return listing_.age(loam::boot_now());
 }
 
 }  // namespace finchlink::trellis
--- a/source/trellis/news/news.hpp
+++ b/source/trellis/news/news.hpp
@@ -3,6 +3,7 @@
 #include <deque>
 #include <mutex>
 
+#include "hedge/listing/listing.hpp"
 #include "hedge/session/sessions.hpp"
 #include "loam/net/net.hpp"
 #include "loam/settings/settings.hpp"
@@ -43,8 +44,7 @@
   std::uint64_t identity_;
   std::mutex lock_;
   hedge::Sessions sessions_;
-  schema::PlatformList list_;
-  loam::Moment list_as_of_ = 0;
+  hedge::Listing listing_;
   struct Kept {
     schema::Member member;
     schema::FurrowReport report;
--- a/tools/fleet/proof.py
+++ b/tools/fleet/proof.py
@@ -221,7 +221,35 @@
     time.sleep(1)
 
 
-SCENARIOS = {f.__name__: f for f in (steady, hall_lost, control_lost, all_lost, frozen_furrow, drains, evacuation, evacuation_with_cut_off, crashes, dark, disk_lost, races, rule_changed)}
+def list_back(fleet, notes):
+    """The platform is begun anew and counts its list from one again; then a worker drains."""
+    for _ in range(20):  # the list counts on
+        control(fleet, "light", worker_of(fleet, halls(fleet)[0]))
+    time.sleep(1)
+    before = json.loads(trellis(fleet, "/workers")[1])["revision"]
+    control(fleet, "recount", "all")
+    notes["counted_from_to"] = [before, json.loads(fleet.ask(fleet.state["list"], "/workers")[1])["revision"]]
+    time.sleep(6)
+    furrows = [p["settings"]["http_address"] for p in fleet.state["processes"].values() if p["program"] == "furrow"]
+    notes["never_service_stopped"] = sum(1 for a in furrows if fleet.ask(a, "/-/ready", timeout=2)[0] != 200)
+    control(fleet, "drain", worker_of(fleet, halls(fleet)[0]))
+    time.sleep(6)
+
+
+def forged(fleet, notes):
+    """Callers who write the headers that furrows use among themselves."""
+    rules = json.load(open(os.path.join(fleet.folder, "harvest.json"), encoding="utf-8"))["mixes"]
+    path = next(m["path"] for m in rules if not m.get("plain"))
+    address = next(p["settings"]["http_address"] for p in fleet.state["processes"].values() if p["program"] == "furrow")
+    taken = 0
+    for word in ["1", "furrow-m02 1", "furrow-m02 0"] * 5:
+        status, _ = fleet.ask(address, path, "POST", json.dumps({"nonce": f"forged-{taken}-{word}", "outputs": 4}), {"Finchlink-Pass": word, "Finchlink-Query": "another's"})
+        taken += status not in (307, 503)
+    notes["forged_tried"] = 15
+    notes["never_forged_taken"] = taken
+
+
+SCENARIOS = {f.__name__: f for f in (steady, hall_lost, control_lost, all_lost, frozen_furrow, drains, evacuation, evacuation_with_cut_off, crashes, dark, disk_lost, races, rule_changed, list_back, forged)}
 
 
 def main():
@@ -259,6 +287,8 @@
         for key in ("wrong_owner", "wrong_number", "cut_but_looked_whole", "refused_without_retry_after"):
             never[key] = sum(v[key] for v in callers.values() if isinstance(v, dict))
         never["retry_share_above_a_fifth"] = int(ledger["worst_retry_share_10s"] > 0.2)
+        for key in [k for k in notes if k.startswith("never_")]:
+            never[key[6:]] = notes.pop(key)
         sums = {key: sum(v[key] for v in callers.values() if isinstance(v, dict)) for key in ("sent", "good", "refused", "may_have_run", "broken", "other")}
         sums["longest_gap_s"] = callers["longest_seconds_without_a_good_answer"]
         bad = bad or any(never.values())
