Stand-in network between machines: hops, cuts one way or both, held traffic counted

Each machine of a fleet has an IP of its own; stile listens on the address that others know and passes on to where the process listens (own_ip), so a pair of machines can be cut in one direction. What is held goes on when it heals, as a network's repeats would. Not the same as a real cut: a connection stands at once, so what a cut would leave unconnected counts as exposed here.

--- a/source/loam/net/net.cpp
+++ b/source/loam/net/net.cpp
@@ -6,6 +6,8 @@
 #include <boost/asio/write.hpp>
 #include <charconv>
 #include <deque>
+#include <netinet/in.h>
+#include <optional>
 
 #include "loam/constants.hpp"
 #include "loam/error/error.hpp"
@@ -36,6 +38,19 @@
   return Endpoint(address, static_cast<std::uint16_t>(port));
 }
 
+namespace {
+std::optional<asio::ip::address> own_ip;  // set once, before any thread runs
+}
+
+absl::Status use_own_ip(std::string const& text) {
+  error_code error;
+  own_ip = asio::ip::make_address(text, error);
+  if (error) {
+    return defect(absl::StatusCode::kInvalidArgument, "net", "'" + text + "' is not an IP");
+  }
+  return absl::OkStatus();
+}
+
 std::chrono::microseconds duration(Span span) { return std::chrono::microseconds(span); }
 
 void start(asio::io_context& context, std::function<void(Yield)> body) {
@@ -54,10 +69,13 @@
 
 absl::Status listen(asio::io_context& context, std::string const& address, std::size_t most,
                     std::function<void(Stream&, Yield)> session) {
-  absl::StatusOr<Endpoint> const endpoint = read_endpoint(address);
+  absl::StatusOr<Endpoint> endpoint = read_endpoint(address);
   if (!endpoint.ok()) {
     return endpoint.status();
   }
+  if (own_ip.has_value()) {
+    endpoint->address(*own_ip);
+  }
   std::shared_ptr<asio::ip::tcp::acceptor> const acceptor = std::make_shared<asio::ip::tcp::acceptor>(asio::make_strand(context));
   error_code error;
   acceptor->open(endpoint->protocol(), error);
@@ -123,6 +141,15 @@
   }
   std::unique_ptr<Stream> stream = std::make_unique<Stream>(own_strand ? boost::asio::any_io_executor(asio::make_strand(context)) : yield.get_executor());
   error_code error;
+  if (own_ip.has_value()) {
+    stream->socket().open(endpoint->protocol(), error);
+    // The port is chosen when it connects, so that many may share one.
+    stream->socket().set_option(asio::detail::socket_option::boolean<IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT>(true), error);
+    stream->socket().bind(Endpoint(*own_ip, 0), error);
+    if (error) {
+      return defect(absl::StatusCode::kUnavailable, "net", own_ip->to_string() + ": " + error.message());
+    }
+  }
   stream->expires_after(duration(deadline));
   stream->async_connect(*endpoint, yield[error]);
   if (error) {
--- a/source/loam/net/net.hpp
+++ b/source/loam/net/net.hpp
@@ -25,6 +25,8 @@
 using Endpoint = boost::asio::ip::tcp::endpoint;
 
 [[nodiscard]] absl::StatusOr<Endpoint> read_endpoint(std::string const& text);
+/// This machine's own IP, to listen on and to connect from; once, at the start.
+[[nodiscard]] absl::Status use_own_ip(std::string const& text);
 [[nodiscard]] std::chrono::microseconds duration(Span span);
 
 /// Starts a coroutine on a strand of its own.
--- a/source/loam/process/process.cpp
+++ b/source/loam/process/process.cpp
@@ -43,6 +43,13 @@
   std::signal(SIGPIPE, SIG_IGN);
   schema::Settings const& settings = invocation->settings;
   start_log(daemon.program, settings.name, settings.log_level);
+  if (!settings.own_ip.empty()) {
+    absl::Status const own = use_own_ip(settings.own_ip);
+    if (!own.ok()) {
+      std::cerr << daemon.program << ": own_ip: " << own.message() << "\n";
+      return exit_usage;
+    }
+  }
   boost::asio::io_context context(static_cast<int>(settings.threads));
   absl::Status const begun = daemon.begin(context, settings);
   if (!begun.ok()) {
--- a/source/seedbed/main.cpp
+++ b/source/seedbed/main.cpp
@@ -107,7 +107,7 @@
     workers.push_back(std::make_unique<seedbed::Worker>(context, bed, entry, ledger, bed.warm_at_start, ++seed));
     seedbed::Worker* const worker = workers.back().get();
     worker->begin();
-    absl::Status const status = loam::listen(context, entry.address, 4096, [worker](loam::Stream& stream, loam::Yield yield) { worker->serve(stream, yield); });
+    absl::Status const status = loam::listen(context, entry.listen.empty() ? entry.address : entry.listen, 4096, [worker](loam::Stream& stream, loam::Yield yield) { worker->serve(stream, yield); });
     if (!status.ok()) {
       std::cerr << "seedbed: " << status.message() << "\n";
       return loam::exit_listen;
--- a/tools/fleet/fleet.py
+++ b/tools/fleet/fleet.py
@@ -5,6 +5,7 @@
   fleet.py load [SECONDS] [--scale X]               run the callers, print both reports
   fleet.py kill|freeze|thaw|start NAME ...          a process, or all of a machine or hall
   fleet.py wipe NAME                                take a trellis's disk away (when it is killed)
+  fleet.py cut|heal FROM TO                         one way; machines, halls, regions, all (up --network)
   fleet.py judge | status | down
 """
 import argparse
@@ -34,39 +35,60 @@
         with open(self.state_path, "w", encoding="utf-8") as stream:
             json.dump(self.state, stream, indent=1)
 
-    def plan(self, deployment, overrides=None):
+    def plan(self, deployment, overrides=None, network=False):
         """Writes the settings of every process of a deployment."""
         with open(os.path.join(ROOT, "deployments", deployment, "fleet.json"), encoding="utf-8") as stream:
             fleet = json.load(stream)
         fleet.update(overrides or {})
         os.makedirs(self.folder, exist_ok=True)
         port = fleet["base_port"]
+        routes, machines = [], []
+
+        def known(number, at):
+            """The address that others know: behind stile, if there is one."""
+            if not network:
+                return f"127.0.0.1:{at}"
+            routes.append({"listen": f"127.0.1.{number}:{at}", "to": f"127.0.2.{number}:{at}"})
+            return routes[-1]["listen"]
         processes = {}
         workers, seeds, number = [], [], 0
-        for hall in fleet["halls"]:
-            seeds.append(f"127.0.0.1:{port + len(seeds)}")
+        first = 1
+        for hall in fleet["halls"].values():
+            seeds.append(known(first, port + len(seeds)))
+            first += hall["machines"]
         list_address = f"127.0.0.1:{port + 10}"
+        platform = list_address
+        if network:  # the platform stands on a machine of its own, and so do the workers of a hall
+            platform = f"127.0.1.200:{port + 10}"
+            routes.append({"listen": platform, "to": list_address})
         hall_index = 0
         for hall, place in fleet["halls"].items():
             for machine in range(place["machines"]):
                 number += 1
                 name = f"m{number:02d}"
+                own = {"own_ip": f"127.0.2.{number}"} if network else {}
+                machines.append({"ip": f"127.0.2.{number}", "name": name, "hall": hall, "region": place["region"]})
                 processes[f"furrow-{name}"] = {
                     "program": "furrow", "machine": name, "hall": hall,
-                    "settings": {"name": f"furrow-{name}", "hall": hall, "http_address": f"127.0.0.1:{port + 100 + number}", "seeds": seeds, "log_level": "info"}}
+                    "settings": {"name": f"furrow-{name}", "hall": hall, "http_address": known(number, port + 100 + number), "seeds": seeds, "log_level": "info", **own}}
                 if machine < fleet.get("trellises_per_hall", 2):
                     disk = machine == 0
-                    address = seeds[hall_index] if disk else f"127.0.0.1:{port + 20 + number}"
-                    settings = {"name": f"trellis-{name}", "hall": hall, "http_address": f"127.0.0.1:{port + 200 + number}", "colleague_address": address,
-                                "seeds": seeds, "platform_address": list_address, "log_level": "info"}
+                    address = seeds[hall_index] if disk else known(number, port + 20 + number)
+                    settings = {"name": f"trellis-{name}", "hall": hall, "http_address": known(number, port + 200 + number), "colleague_address": address, **own,
+                                "seeds": seeds, "platform_address": platform, "log_level": "info"}
                     if disk:
                         settings["data_folder"] = os.path.join(self.folder, f"data-{name}")
                     processes[f"trellis-{name}"] = {"program": "trellis", "machine": name, "hall": hall, "settings": settings}
             for kind, count in (("model", place["model_workers"]), (fleet["plain_kind"], place["plain_workers"])):
                 for index in range(count):
                     identity = f"{kind}-{hall}-{index + 1}"
-                    workers.append({"id": identity, "address": f"127.0.0.1:{port + 400 + len(workers)}", "zone": hall, "region": place["region"], "kind": kind})
+                    workers.append({"id": identity, "address": known(100 + hall_index, port + 400 + len(workers)), "listen": routes[-1]["to"] if network else "", "zone": hall, "region": place["region"], "kind": kind})
+            machines.append({"ip": f"127.0.2.{100 + hall_index}", "name": f"workers-{hall}", "hall": "", "region": place["region"]})
             hall_index += 1
+        machines.append({"ip": "127.0.0.1", "name": "platform"})
+        if network:
+            with open(os.path.join(self.folder, "stile.json"), "w", encoding="utf-8") as stream:
+                json.dump({"control": f"127.0.0.1:{port + 11}", "routes": routes, "machines": machines, "hop_ms": fleet.get("hop_ms", 0)}, stream, indent=1)
         bed = {"list_address": list_address, "workers": workers, "model": fleet["model"], "seed": 7}
         bed.update(fleet.get("bed", {}))
         harvest = {"targets": [p["settings"]["http_address"] for p in processes.values() if p["program"] == "furrow"], "ledger": list_address, "mixes": fleet["mixes"]}
@@ -76,7 +98,7 @@
         for name, process in processes.items():
             with open(os.path.join(self.folder, name + ".json"), "w", encoding="utf-8") as stream:
                 json.dump(process["settings"], stream, indent=1)
-        self.state = {"deployment": deployment, "processes": processes, "list": list_address, "pids": {}, "build": self.build,
+        self.state = {"deployment": deployment, "processes": processes, "list": list_address, "pids": {}, "build": self.build, "stile": f"127.0.0.1:{port + 11}" if network else "",
                       "trellises": [p["settings"]["http_address"] for p in processes.values() if p["program"] == "trellis"]}
         self.save()
 
@@ -85,17 +107,17 @@
             return json.load(stream)
 
     def start(self, name):
-        program = "seedbed" if name == "seedbed" else self.state["processes"][name]["program"]
+        program = name if name in ("seedbed", "stile") else self.state["processes"][name]["program"]
         binary = os.path.join(ROOT, self.state["build"], program)
         log = open(os.path.join(self.folder, name + ".log"), "ab")
-        arguments = [binary, os.path.join(self.folder, "bed.json")] if name == "seedbed" else [binary, "--settings", os.path.join(self.folder, name + ".json")]
+        arguments = [binary, os.path.join(self.folder, {"seedbed": "bed", "stile": "stile"}[name] + ".json")] if name in ("seedbed", "stile") else [binary, "--settings", os.path.join(self.folder, name + ".json")]
         process = subprocess.Popen(arguments, stdout=log, stderr=log, stdin=subprocess.DEVNULL, start_new_session=True)
         self.state["pids"][name] = process.pid
         self.save()
 
     def names(self, word):
         """A process, or the processes of a machine or hall."""
-        if word == "seedbed" or word in self.state["processes"]:
+        if word in ("seedbed", "stile") or word in self.state["processes"]:
             return [word]
         found = [n for n, p in self.state["processes"].items() if word in (p["machine"], p["hall"], p["program"])]
         if not found:
@@ -157,9 +179,18 @@
             time.sleep(0.2)
         sys.exit(f"the setup was not taken: {status} {body}")
 
-    def up(self, deployment, overrides=None, patch=None):
-        self.plan(deployment, overrides)
+    def cut(self, one, other, heal=False):
+        """Cuts or heals what goes from one to the other: machines, halls, regions, all."""
+        status, body = self.ask(self.state["stile"], f"/{'heal' if heal else 'cut'}/{one}/{other}", "POST", "")
+        if status != 200:
+            raise RuntimeError(f"cut {one} {other}: {status} {body}")
+
+    def up(self, deployment, overrides=None, patch=None, network=False):
+        self.plan(deployment, overrides, network)
         self.start("seedbed")
+        if network:
+            self.start("stile")
+            time.sleep(0.3)
         for name in self.state["processes"]:
             self.start(name)
         print(self.put_setup(patch=patch))
@@ -196,10 +227,11 @@
     parser.add_argument("--folder", default="/tmp/finchlink-fleet")
     parser.add_argument("--build", default="build")
     parser.add_argument("--scale", type=float, default=1.0)
+    parser.add_argument("--network", action="store_true", help="put stile between the machines: hops between regions, and cuts")
     given = parser.parse_args()
     fleet = Fleet(given.folder, given.build)
     if given.command == "up":
-        fleet.up(given.words[0])
+        fleet.up(given.words[0], network=given.network)
     elif given.command == "load":
         print(json.dumps(fleet.load(float(given.words[0]) if given.words else 20, given.scale), indent=1))
         print(json.dumps(fleet.judge(), indent=1))
@@ -214,6 +246,8 @@
             folder = fleet.state["processes"][name]["settings"].get("data_folder")
             if folder:
                 shutil.rmtree(folder, ignore_errors=True)
+    elif given.command in ("cut", "heal"):
+        fleet.cut(given.words[0], given.words[1], given.command == "heal")
     elif given.command == "down":
         fleet.down()
     elif given.command in ("kill", "freeze", "thaw", "start"):
