A disk that failed is opened anew, and nothing read after a failed sync is trusted

Findings: (1) a holder whose disk failed or filled was silent until its process was restarted, so two disks full for a moment left the register without a majority for good, though no machine was lost. (2) After a sync that failed the system counts the pages as clean: a holder that starts anew reads records from memory, tells of them, and a power loss takes them away. Cure: the disk is opened anew once a second, which is to the holder what a restart is, lease silence included; whatever was recovered is first written into a new file of the ring and synced. Ruled out: that fsync at opening covers (2); it says good of clean pages.

--- a/source/almanac/disk/memory_disk.hpp
+++ b/source/almanac/disk/memory_disk.hpp
@@ -12,10 +12,12 @@
 /// A disk in memory. Writes last only once synced; a power loss keeps any
 /// part of the others.
 struct MemoryDisk {
-  explicit MemoryDisk(std::size_t files, std::size_t bytes) : lasting(files, std::string(bytes, '\0')), cache(lasting) {}
+  explicit MemoryDisk(std::size_t files, std::size_t bytes) : lasting(files, std::string(bytes, '\0')), cache(lasting), dirty(files) {}
   std::vector<std::string> lasting;
   std::vector<std::string> cache;
+  std::vector<std::vector<std::pair<std::size_t, std::size_t>>> dirty;  ///< per file, written since the last sync
   bool full = false;
+  bool sync_fails = false;  ///< and what was written counts as clean from then on
 
   [[nodiscard]] rootstock::Device device() {
     rootstock::Device device;
@@ -25,11 +27,17 @@
         return absl::ResourceExhaustedError("no space");
       }
       cache[file].replace(offset, bytes.size(), bytes);
+      dirty[file].emplace_back(offset, bytes.size());
       return absl::OkStatus();
     };
     device.sync = [this](std::size_t file) -> absl::Status {
-      lasting[file] = cache[file];
-      return absl::OkStatus();
+      for (std::pair<std::size_t, std::size_t> const& range : dirty[file]) {
+        if (!sync_fails) {
+          lasting[file].replace(range.first, range.second, cache[file], range.first, range.second);
+        }
+      }
+      dirty[file].clear();
+      return sync_fails ? absl::DataLossError("sync failed") : absl::OkStatus();
     };
     return device;
   }
@@ -44,6 +52,7 @@
       }
     }
     cache = lasting;
+    dirty.assign(cache.size(), {});
   }
 };
 
--- a/source/loam/constants.hpp
+++ b/source/loam/constants.hpp
@@ -96,6 +96,8 @@
 inline constexpr std::size_t ring_files = 3;
 /// Bytes of one file: an image of all registers and a few hundred changes.
 inline constexpr std::size_t ring_file_bytes = 4u << 20u;
+/// Pause before a disk that failed is opened anew.
+inline constexpr Span disk_reopen_pause = seconds(1);
 /// Records waiting for the disk; beyond it the holder stays silent.
 inline constexpr std::size_t disk_waitlist = 256;
 
--- /dev/null
+++ b/source/rootstock/ring/fault_device.hpp
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <string>
+
+#include "rootstock/ring/ring.hpp"
+
+namespace finchlink::rootstock {
+
+/// A disk that fails by order, in builds with FINCHLINK_FAULTS only: before
+/// each write and sync it looks into `path` (docs/operating/standins.md).
+[[nodiscard]] Device with_faults(Device device, std::string const& path);
+
+}  // namespace finchlink::rootstock
--- a/source/rootstock/ring/ring.hpp
+++ b/source/rootstock/ring/ring.hpp
@@ -32,6 +32,10 @@
 
   /// The records on disk; none for a blank one. DataLoss: broken, not torn.
   [[nodiscard]] absl::StatusOr<std::vector<schema::Record>> recover();
+  /// Writes all that was recovered into a new file. What was read may have come
+  /// from the system's memory alone: after a sync that failed the next one says
+  /// good of pages that never reached the disk (section 5.3).
+  [[nodiscard]] absl::Status renew(std::vector<schema::Record> const& image) { return turn(image); }
   /// Lasting once it returns. `image` is all there is after these records; it
   /// is asked for only when a new file begins.
   [[nodiscard]] absl::Status append(std::vector<schema::Record> const& records,
--- a/source/stile/main.cpp
+++ b/source/stile/main.cpp
@@ -46,7 +46,7 @@
     std::map<std::string, schema::StileMachine>::const_iterator const left = machines.find(from);
     std::map<std::string, schema::StileMachine>::const_iterator const right = machines.find(to);
     bool const far = left != machines.end() && right != machines.end() && left->second.region != right->second.region;
-    return far ? static_cast<loam::Span>(stile.hop_ms * 1000) : 0;
+    return far && !left->second.region.empty() && !right->second.region.empty() ? static_cast<loam::Span>(stile.hop_ms * 1000) : 0;
   }
   [[nodiscard]] bool cut(std::string const& from, std::string const& to) {
     std::lock_guard<std::mutex> const guard(lock);
--- a/source/tests/rootstock/ring_test.cpp
+++ b/source/tests/rootstock/ring_test.cpp
@@ -32,6 +32,33 @@
   }
 }
 
+TEST(Ring, TrustsNothingThatAFailedSyncLeftInMemory) {
+  for (bool const renewed : {true, false}) {
+    MemoryDisk disk(3, 4000);
+    Ring ring(disk.device(), 3, 4000);
+    ASSERT_TRUE(ring.recover().ok());
+    std::vector<schema::Record> records = cell("setup", 1);
+    ASSERT_TRUE(ring.append(records, [&records] { return records; }).ok());
+    disk.sync_fails = true;
+    records = cell("setup", 2);
+    EXPECT_FALSE(ring.append(records, [&records] { return records; }).ok());
+    disk.sync_fails = false;
+    // Opened anew: revision 2 is read from memory and would be told of.
+    Ring again(disk.device(), 3, 4000);
+    absl::StatusOr<std::vector<schema::Record>> const found = again.recover();
+    ASSERT_TRUE(found.ok());
+    ASSERT_EQ(newest(*found), 2u);
+    if (renewed) {
+      ASSERT_TRUE(again.renew(records).ok());
+    }
+    disk.lose_power(0);
+    Ring last(disk.device(), 3, 4000);
+    absl::StatusOr<std::vector<schema::Record>> const left = last.recover();
+    ASSERT_TRUE(left.ok());
+    EXPECT_EQ(newest(*left), renewed ? 2u : 1u) << "what was told of was lost";
+  }
+}
+
 TEST(Ring, TakesATornTailForTornAtEveryByte) {
   for (std::size_t kept = 0; kept < 120; ++kept) {
     MemoryDisk disk(3, 4000);
--- a/source/trellis/holder/holder_shell.cpp
+++ b/source/trellis/holder/holder_shell.cpp
@@ -5,6 +5,7 @@
 #include "loam/constants.hpp"
 #include "loam/log/log.hpp"
 #include "loam/random/random.hpp"
+#include "rootstock/ring/fault_device.hpp"
 #include "rootstock/ring/file_device.hpp"
 
 namespace finchlink::trellis {
@@ -27,11 +28,15 @@
 }
 
 bool HolderShell::open_disk() {
+  ring_.reset();  // lets go of the folder before it is taken again
   absl::StatusOr<rootstock::Device> device = rootstock::open_files(folder_, constants::ring_files, constants::ring_file_bytes);
   if (!device.ok()) {
-    loam::note(loam::Event::HolderSilent, std::string(device.status().message()));
+    defect_ = std::string(device.status().message());
     return false;
   }
+#ifdef FINCHLINK_FAULTS
+  *device = rootstock::with_faults(*device, folder_ + ".faults");
+#endif
   rootstock::Ring ring(*device, constants::ring_files, constants::ring_file_bytes);
   absl::StatusOr<std::vector<schema::Record>> records = ring.recover();
   if (!records.ok() && absl::IsDataLoss(records.status())) {
@@ -41,6 +46,7 @@
     std::string const blank(constants::ring_file_bytes, '\0');
     for (std::size_t index = 0; index < constants::ring_files; ++index) {
       if (!device->write(index, 0, blank).ok() || !device->sync(index).ok()) {
+        defect_ = "a broken file can't be blanked";
         return false;
       }
     }
@@ -48,7 +54,7 @@
     records = std::vector<schema::Record>();
   }
   if (!records.ok()) {
-    loam::note(loam::Event::HolderSilent, std::string(records.status().message()));
+    defect_ = std::string(records.status().message());
     return false;
   }
   loam::Moment const now = loam::boot_now();
@@ -60,11 +66,17 @@
     std::vector<schema::Record> const image = holder_->image();
     if (!ring_->append(image, [&image] { return image; }).ok()) {
       holder_.reset();
-      loam::note(loam::Event::HolderSilent, "the first record can't be written");
+      defect_ = "the first record can't be written";
       return false;
     }
   } else {
     holder_.emplace(*records, address_, founders_, now);
+    absl::Status const renewed = ring_->renew(holder_->image());
+    if (!renewed.ok()) {
+      holder_.reset();
+      defect_ = std::string(renewed.message());
+      return false;
+    }
     loam::note(loam::Event::HolderRecovered, "incarnation " + std::to_string(holder_->incarnation()) + " epoch " +
                                                  std::to_string(holder_->set().epoch) + (holder_->voting() ? " voting" : " without a vote"));
   }
@@ -74,8 +86,22 @@
 
 void HolderShell::begin() {
   worker_ = std::thread([this] {
-    if (open_disk()) {
-      work();
+    // A disk that filled or failed may come back: it is opened anew, which is
+    // to this holder what a restart is (section 5.3).
+    std::string told;
+    while (true) {
+      if (open_disk()) {
+        told.clear();
+        work();
+      }
+      std::unique_lock<std::mutex> guard(lock_);
+      if (!stopping_ && told != defect_) {
+        told = defect_;
+        loam::note(loam::Event::HolderSilent, defect_);
+      }
+      if (wake_.wait_for(guard, loam::duration(constants::disk_reopen_pause), [this] { return stopping_; })) {
+        return;
+      }
     }
   });
   loam::start(context_, [this](loam::Yield yield) { stand_up(yield); });
@@ -104,11 +130,13 @@
       });
     }
     std::lock_guard<std::mutex> const guard(lock_);
-    open_jobs_ -= jobs.size();
-    if (!status.ok() && !silent_) {
+    if (!status.ok()) {
       silent_ = true;
-      loam::note(loam::Event::HolderSilent, std::string(status.message()));
+      defect_ = std::string(status.message());
+      jobs.insert(jobs.end(), jobs_.begin(), jobs_.end());
+      jobs_.clear();
     }
+    open_jobs_ -= jobs.size();
     for (Job const& job : jobs) {
       boost::asio::post(job.ticket->timer.get_executor(), [ticket = job.ticket, good = status.ok()] {
         ticket->done = true;
@@ -116,6 +144,9 @@
         ticket->timer.cancel();
       });
     }
+    if (!status.ok()) {
+      return;
+    }
   }
 }
 
--- a/source/trellis/holder/holder_shell.hpp
+++ b/source/trellis/holder/holder_shell.hpp
@@ -68,6 +68,7 @@
   std::deque<Job> jobs_;
   std::size_t open_jobs_ = 0;
   bool silent_ = true;
+  std::string defect_;  ///< why it is silent
   bool stopping_ = false;
   std::thread worker_;
 };
--- a/tools/fleet/proof.py
+++ b/tools/fleet/proof.py
@@ -249,7 +249,143 @@
     notes["never_forged_taken"] = taken
 
 
+# --- with stile between the machines ---
+def cut_both(fleet, one, other, heal=False):
+    fleet.cut(one, other, heal)
+    fleet.cut(other, one, heal)
+
+
+def cut_off(fleet, machine):
+    """From all other machines; callers, operators and the platform still reach it."""
+    cut_both(fleet, machine, "all")
+    cut_both(fleet, machine, "platform", True)
+
+
+def machine_of(fleet, name):
+    return fleet.state["processes"][name]["machine"]
+
+
+def recovered(fleet, notes, key="ready_again_s"):
+    began = time.time()
+    fleet.wait_ready()
+    notes[key] = round(time.time() - began, 2)
+    notes["never_down_12_s"] = max(notes.get("never_down_12_s", 0), int(notes[key] > 12))
+
+
+def net_furrow_cut_off(fleet, notes):
+    """A furrow without any trellis, both ways, while a hall is emptied; it may serve nothing by the old setup."""
+    furrow = machine_of(fleet, "furrow-m03")
+    cut_off(fleet, furrow)
+    evacuation(fleet, notes)
+    cut_both(fleet, furrow, "all", True)
+    recovered(fleet, notes)
+
+
+def net_one_way(fleet, notes):
+    """Answers of the trellises don't reach a hall's furrows, asks do; then the other way round."""
+    hall = halls(fleet)[1]
+    for one, other in (("all", hall), (hall, "all")):
+        for name in {p["machine"] for p in fleet.state["processes"].values() if p["program"] == "trellis"}:
+            if name not in {p["machine"] for p in fleet.state["processes"].values() if p["hall"] == hall}:
+                fleet.cut(name if one == "all" else hall, hall if one == "all" else name)
+        control(fleet, "drain", worker_of(fleet, halls(fleet)[0]))
+        time.sleep(5.5)
+        control(fleet, "restore", worker_of(fleet, halls(fleet)[0]))
+        cut_both(fleet, "all", "all", True)
+        recovered(fleet, notes)
+
+
+def net_core_split(fleet, notes):
+    """One holder away from the two others: changes go on; then two apart from all: none is taken, none is lost."""
+    holders = [machine_of(fleet, n) for n in disks(fleet)]
+    cut_off(fleet, holders[0])
+    notes["without_one"] = trellis(fleet, "/setup", "PATCH", '{"scaler":{"hold_ms":81000}}', skip={n for n, p in fleet.state["processes"].items() if p["machine"] == holders[0]})[0]
+    cut_off(fleet, holders[1])
+    lone = next(n for n in disks(fleet) if machine_of(fleet, n) == holders[0])
+    notes["at_the_lone_one"] = fleet.ask(fleet.state["processes"][lone]["settings"]["http_address"], "/setup", "PATCH", '{"scaler":{"hold_ms":82000}}', {"Change-Id": "lone.1"}, timeout=9)[0]
+    cut_both(fleet, "all", "all", True)
+    recovered(fleet, notes)
+    told = trellis(fleet, "/changes/lone.1")
+    held = json.loads(trellis(fleet, "/setup")[1])["scaler"]["hold_ms"]
+    outcome = json.loads(told[1])["outcome"]
+    notes["told_later"] = outcome
+    notes["never_outcome_wrong"] = int((outcome == "accepted") != (held == 82000))
+    notes["never_taken_by_a_minority"] = int(notes["at_the_lone_one"] == 200)
+
+
+def net_region_cut(fleet, notes):
+    """The regions lose each other; the smaller one has no majority and refuses, both are back after."""
+    regions = sorted({p["region"] for p in fleet.deployment()["halls"].values()})
+    cut_both(fleet, regions[0], regions[1])
+    time.sleep(6)
+    ready = {r: 0 for r in regions}
+    for process in fleet.state["processes"].values():
+        if process["program"] == "furrow":
+            ready[fleet.deployment()["halls"][process["hall"]]["region"]] += fleet.ask(process["settings"]["http_address"], "/-/ready", timeout=2)[0] == 200
+    notes["ready_during_the_cut"] = ready
+    cut_both(fleet, regions[0], regions[1], True)
+    recovered(fleet, notes)
+
+
+def net_workers_cut(fleet, notes):
+    """Furrows of one hall and workers of another lose each other, one way and then the other."""
+    from_hall, to_hall = halls(fleet)[0], f"workers-{halls(fleet)[1]}"
+    for one, other in ((from_hall, to_hall), (to_hall, from_hall)):
+        fleet.cut(one, other)
+        time.sleep(4)
+        fleet.cut(one, other, True)
+        time.sleep(2)
+
+
+# --- with a build of FINCHLINK_FAULTS ---
+def order(fleet, name, words):
+    path = fleet.state["processes"][name]["settings"]["data_folder"] + ".faults"
+    with open(path + ".new", "w", encoding="utf-8") as stream:
+        stream.write(words)
+    os.replace(path + ".new", path)
+
+
+def met(fleet):
+    """What the ordered disks really did."""
+    count = {}
+    for name in disks(fleet):
+        path = fleet.state["processes"][name]["settings"]["data_folder"] + ".faults.met"
+        for line in open(path, encoding="utf-8").read().split() if os.path.exists(path) else []:
+            count[line] = count.get(line, 0) + 1
+    return count
+
+
+def patch_all(fleet, count=3):
+    return [trellis(fleet, "/setup", "PATCH", json.dumps({"scaler": {"hold_ms": 70000 + turn}}))[0] for turn in range(count)]
+
+
+def disk_orders(fleet, notes):
+    """Each disk slow, stalled, full and failing in turn, changes going on; then two full at once and room again."""
+    one, two, _ = disks(fleet)
+    for words in ("slow 400", "stall", "full", "fail"):
+        order(fleet, one, words)
+        notes[words] = patch_all(fleet, 1)
+        order(fleet, one, "")
+        time.sleep(0.5)
+    for name in (one, two):
+        order(fleet, name, "full")
+    notes["two_full"] = patch_all(fleet, 1)
+    began = time.time()
+    for name in (one, two):
+        order(fleet, name, "")
+    status = 0
+    while status != 200 and time.time() - began < 20:
+        status = trellis(fleet, "/setup", "PATCH", '{"scaler":{"hold_ms":60000}}')[0]
+    notes["changes_again_s"] = round(time.time() - began, 2)
+    notes["never_down_12_s"] = int(status != 200 or notes["changes_again_s"] > 12)
+    notes["met"] = met(fleet)
+    notes["never_fault_did_not_occur"] = int(any(notes["met"].get(w, 0) == 0 for w in ("slow", "stall", "full", "fail")))
+
+
 SCENARIOS = {f.__name__: f for f in (steady, hall_lost, control_lost, all_lost, frozen_furrow, drains, evacuation, evacuation_with_cut_off, crashes, dark, disk_lost, races, rule_changed, list_back, forged)}
+NETWORK = {f.__name__: f for f in (net_furrow_cut_off, net_one_way, net_core_split, net_region_cut, net_workers_cut)}
+FAULTS = {f.__name__: f for f in (disk_orders,)}
+ALL = {**SCENARIOS, **NETWORK, **FAULTS}
 
 
 def main():
@@ -262,9 +398,9 @@
     parser.add_argument("--build", default="build")
     given = parser.parse_args()
     bad = False
-    for name in given.scenarios or SCENARIOS:
-        if name not in SCENARIOS:
-            parser.error(f"unknown scenario {name}; one of {', '.join(SCENARIOS)}")
+    for name in given.scenarios or [*SCENARIOS, *NETWORK]:
+        if name not in ALL:
+            parser.error(f"unknown scenario {name}; one of {', '.join(ALL)}")
         folder = os.path.join(given.folder, f"{given.deployment}-{name}")
         shutil.rmtree(folder, ignore_errors=True)
         fleet = Fleet(folder, given.build)
@@ -272,14 +408,17 @@
         try:
             out = sys.stdout
             sys.stdout = open(os.devnull, "w")
-            fleet.up(given.deployment)
+            fleet.up(given.deployment, network=name in NETWORK)
             sys.stdout = out
             time.sleep(5)  # the ramp of cold workers
             load = fleet.load(given.seconds, given.scale, wait=False)
             time.sleep(3)
-            SCENARIOS[name](fleet, notes)
+            ALL[name](fleet, notes)
             callers = json.loads(load.communicate()[0])
             ledger = fleet.judge()
+            if name in NETWORK:
+                notes["held_by_cuts"] = json.loads(fleet.ask(fleet.state["stile"], "/counts")[1])["held"]
+                notes["never_fault_did_not_occur"] = int(notes["held_by_cuts"] == 0)
         finally:
             fleet.down()
         never = dict(ledger["never"])
