What half ran is not refused beyond capacity; overload with callers who come back

Cause: in the paired manner a second leg met a full waitlist like a new query and was refused: its prefill was thrown away, the caller got 502, and goodput fell the more the crowd grew.

--- a/source/almanac/field/field.cpp
+++ b/source/almanac/field/field.cpp
@@ -119,6 +119,9 @@
     JobPointer job;
     std::uint64_t runs = 0;           ///< how often its work was begun
     bool told_refused = false;
+    std::uint64_t tries = 0;          ///< times that its caller was refused before
+    std::size_t home = 0;
+    double wait = 0;                  ///< the wait that it was denied for
   };
   struct Region {
     tilth::Scaler scaler;
@@ -151,6 +154,14 @@
   Span near() { return kernel_.between(200, 600); }
 
   void arrivals(std::size_t mix);
+  void arrive(std::size_t mix, bool bound, std::size_t home, std::uint64_t tries);
+  void ended(Query const& query, bool good);
+  struct Second {
+    double arrived = 0;
+    double good = 0;
+    double bad = 0;
+  };
+  Second& second(std::size_t mix, Moment at = -1) { return seconds_[{mix, (at < 0 ? kernel_.now() : at) / 1000000}]; }
   QueryPointer make_query(std::size_t mix, std::size_t furrow, bool bound, bool passed);
   void feed(QueryPointer const& query, tilth::QueryMessage const& message);
   void perform(QueryPointer const& query, std::vector<tilth::QueryAction> const& actions);
@@ -170,6 +181,7 @@
   void revive(Worker& worker);
   void faults();
   void repeat(double mean, std::function<void()> fault);
+  void weigh_crowd();
   void finish();
   double noisy(double seconds) { return std::max(0.0, seconds * (1.0 + noise * (kernel_.uniform() + kernel_.uniform() + kernel_.uniform() - 1.5) * 2)); }
 
@@ -184,6 +196,7 @@
   std::uint64_t next_ = 1;
   std::uint64_t next_query_ = 1;
   std::vector<QueryPointer> all_;
+  std::map<std::pair<std::size_t, Moment>, Second> seconds_;  ///< per service and second
   std::vector<double> firsts_;
   std::uint64_t good_late_ = 0;
   double prompt_tokens_ = 0;
@@ -195,29 +208,33 @@
 void World::arrivals(std::size_t index) {
   double rate = options_.deployment.mixes[index].rate * options_.scale;
   Moment const crowd = options_.faults.crowd_at;
-  if (crowd > 0 && kernel_.now() >= crowd && kernel_.now() < crowd + loam::seconds(10)) {
+  if (crowd > 0 && kernel_.now() >= crowd && kernel_.now() < crowd + options_.faults.crowd_span && (index == 0 || !options_.faults.crowd_on_first)) {
     rate *= options_.faults.crowd;
   }
   kernel_.after(static_cast<Span>(kernel_.exponential(1.0 / rate) * 1e6), [this, index] {
     if (kernel_.now() < options_.length) {
       arrivals(index);
-      FieldMix const& mix = options_.deployment.mixes[index];
-      bool const bound = kernel_.chance(mix.home_part);
-      std::size_t furrow = kernel_.below(furrows_.size());
-      if (bound) {  // sent to its home by 307
-        std::size_t const home = kernel_.below(options_.deployment.furrows.size());
-        while (furrows_[furrow]->region != home) {
-          furrow = kernel_.below(furrows_.size());
-        }
-      }
-      ++report_.sent;
-      QueryPointer const query = make_query(index, furrow, bound, false);
-      furrows_[furrow]->budgets.try_emplace(mix.name).first->second.arrived(kernel_.now());
-      perform(query, query->chart->begin());
+      bool const bound = kernel_.chance(options_.deployment.mixes[index].home_part);
+      arrive(index, bound, bound ? kernel_.below(options_.deployment.furrows.size()) : 0, 0);
     }
   });
 }
 
+void World::arrive(std::size_t index, bool bound, std::size_t home, std::uint64_t tries) {
+  FieldMix const& mix = options_.deployment.mixes[index];
+  std::size_t furrow = kernel_.below(furrows_.size());
+  while (bound && furrows_[furrow]->region != home) {  // sent to its home by 307
+    furrow = kernel_.below(furrows_.size());
+  }
+  report_.sent += tries == 0 ? 1 : 0;
+  ++second(index).arrived;
+  QueryPointer const query = make_query(index, furrow, bound, false);
+  query->tries = tries;
+  query->home = home;
+  furrows_[furrow]->budgets.try_emplace(mix.name).first->second.arrived(kernel_.now());
+  perform(query, query->chart->begin());
+}
+
 World::QueryPointer World::make_query(std::size_t index, std::size_t furrow, bool bound, bool passed) {
   FieldMix const mix = mix_of(index);
   QueryPointer const query = std::make_shared<Query>();
@@ -289,6 +306,7 @@
       }
       query->seen = forward->number;
       if (forward->last) {
+        ended(*query, true);
         ++report_.good;
         good_late_ += kernel_.now() > options_.length / 2 ? 1 : 0;
         firsts_.push_back(static_cast<double>(query->first - query->began) / 1e6);
@@ -298,6 +316,7 @@
         settle_parent(query, tilth::Whole{});
         continue;
       }
+      ended(*query, true);
       ++report_.good;
       good_late_ += kernel_.now() > options_.length / 2 ? 1 : 0;
       firsts_.push_back(static_cast<double>((query->first == 0 ? kernel_.now() : query->first) - query->began) / 1e6);
@@ -308,6 +327,15 @@
       }
       ++report_.refused;
       query->told_refused = true;
+      ended(*query, false);
+      report_.worst_refusal = std::max(report_.worst_refusal, static_cast<double>(kernel_.now() - query->began) / 1e6);
+      if (query->tries < options_.faults.comes_back) {
+        kernel_.after(loam::seconds(tilth::come_back_after(query->wait, kernel_.uniform())), [this, query] {
+          if (kernel_.now() < options_.length) {
+            arrive(query->mix, query->bound, query->home, query->tries + 1);
+          }
+        });
+      }
     } else if (tilth::Apologise const* const apology = std::get_if<tilth::Apologise>(&action)) {
       if (query->parent != nullptr) {
         settle_parent(query, tilth::WorkerAnswered{apology->status});
@@ -317,12 +345,14 @@
         query->told_refused = true;
       }
       ++report_.apologies;
+      ended(*query, false);
     } else if (std::holds_alternative<tilth::EndBroken>(action)) {
       if (query->parent != nullptr) {
         settle_parent(query, tilth::WorkerDefect{"pass_cut"});
         continue;
       }
       ++report_.broken;
+      ended(*query, false);
     }
   }
   if (query->chart->settled()) {
@@ -362,6 +392,7 @@
   ticket.phase = paired ? (query->decode_leg ? tilth::Phase::decode : tilth::Phase::prefill) : (heavy ? tilth::Phase::prefill : tilth::Phase::decode);
   query->phase = ticket.phase;
   ticket.deadline = query->deadline;
+  ticket.begun = query->has_kv;
   ticket.waitlist_bound = mix.waitlist;
   query->ticket = ticket.id;
   tickets_[ticket.id] = query;
@@ -387,6 +418,7 @@
       QueryPointer const query = found->second;
       tickets_.erase(denied.ticket);
       query->ticket = 0;
+      query->wait = denied.expected_seconds;
       kernel_.after(0, [this, query, deadline = denied.reason == "deadline"] {
         if (!query->chart->settled()) {
           feed(query, deadline ? tilth::QueryMessage{tilth::DeadlinePassed{}} : tilth::QueryMessage{tilth::NoRoom{}});
@@ -903,7 +935,43 @@
   });
 }
 
+void World::ended(Query const& query, bool good) {
+  Second& one = second(query.mix, query.began);
+  (good ? one.good : one.bad) += 1;
+}
+
+/// Near a crowd: what ended well before, in and behind it (section 10).
+void World::weigh_crowd() {
+  Moment const from = options_.faults.crowd_at / 1000000;
+  Moment const until = (options_.faults.crowd_at + options_.faults.crowd_span) / 1000000;
+  double others = 0;
+  double others_good = 0;
+  std::map<Moment, Second> sums;
+  for (std::pair<std::pair<std::size_t, Moment> const, Second> const& entry : seconds_) {
+    Moment const at = entry.first.second;
+    sums[at].good += entry.second.good;
+    sums[at].bad += entry.second.bad;
+    if (entry.first.first > 0 && at >= from && at < until) {
+      others += entry.second.good + entry.second.bad;
+      others_good += entry.second.good;
+    }
+  }
+  for (std::pair<Moment const, Second> const& entry : sums) {
+    if (entry.first >= 5 && entry.first < from) {
+      report_.calm_good += entry.second.good / static_cast<double>(from - 5);
+    } else if (entry.first >= from + 3 && entry.first < until) {
+      report_.crowd_good += entry.second.good / static_cast<double>(until - from - 3);
+    } else if (entry.first >= until && entry.first < options_.length / 1000000 - 1 && entry.second.bad > 0.02 * (entry.second.good + entry.second.bad)) {
+      report_.after_crowd = static_cast<double>(entry.first + 1 - until);
+    }
+  }
+  report_.others_good = others > 0 ? others_good / others : 1;
+}
+
 void World::finish() {
+  if (options_.faults.crowd_at > 0) {
+    weigh_crowd();
+  }
   for (QueryPointer const& query : all_) {
     if (!query->chart->settled()) {
       violate("query " + std::to_string(query->id) + " was never settled");
@@ -1034,7 +1102,7 @@
   return std::nullopt;
 }
 
-std::vector<std::string> field_scenarios() { return {"field-calm", "field-crashes", "field-dark", "field-blinks", "field-drains", "field-replace", "field-cuts", "field-swing", "field-crowd", "field-storm"}; }
+std::vector<std::string> field_scenarios() { return {"field-calm", "field-crashes", "field-dark", "field-blinks", "field-drains", "field-replace", "field-cuts", "field-swing", "field-crowd", "field-overload", "field-storm"}; }
 
 std::optional<FieldFaults> field_scenario(std::string const& name) {
   FieldFaults faults;
@@ -1064,6 +1132,11 @@
   if (name == "field-swing" || all) {
     faults.swing_at = loam::seconds(25);
   }
+  if (name == "field-overload") {
+    faults.crowd_at = loam::seconds(20);
+    faults.crowd_span = loam::seconds(15);
+    faults.comes_back = 4;
+  }
   if (name == "field-crowd" || all) {
     faults.crowd_at = loam::seconds(15);
     faults.crowd = 3;
--- a/source/almanac/field/field.hpp
+++ b/source/almanac/field/field.hpp
@@ -42,8 +42,11 @@
   double drain = 0;
   double replace = 0;    ///< one by one: drained, gone, a new one comes
   loam::Moment swing_at = 0;   ///< from then on long prompts become long answers
-  loam::Moment crowd_at = 0;   ///< from then on for ten seconds
+  loam::Moment crowd_at = 0;   ///< from then on for crowd_span
   double crowd = 1;      ///< times the rate
+  loam::Span crowd_span = loam::seconds(10);
+  bool crowd_on_first = false;  ///< the crowd is on the first service only
+  std::uint64_t comes_back = 0; ///< times that a refused caller tries again, when it was told to
   double cut = 0;        ///< connections to workers cut at any point
 };
 
@@ -82,6 +85,11 @@
   double first_p50 = 0;          ///< seconds
   double first_p99 = 0;
   double good_rate = 0;          ///< good answers a second over the second half
+  double crowd_good = 0;         ///< good answers a second while the crowd is there, its first three seconds left out
+  double calm_good = 0;          ///< before it
+  double others_good = 0;        ///< part of the other services' queries that end well meanwhile
+  double after_crowd = 0;        ///< seconds behind the crowd until fewer than one in fifty is refused or late
+  double worst_refusal = 0;      ///< seconds from arrival to a refusal, at most
   double worst_retry_share = 0;
   loam::Span worst_drain = 0;
   std::map<std::string, double> fit_error;  ///< mean relative error against the true times
--- a/source/almanac/main.cpp
+++ b/source/almanac/main.cpp
@@ -50,7 +50,7 @@
   return true;
 }
 bool switch_off_field(almanac::FieldOptions& run, std::string const& guard) {
-  std::map<std::string, bool*> const guards{{"tend_cold", &run.tend_cold}, {"doubt", &run.placement.doubt}, {"count_others", &run.placement.count_others}, {"hear_closing", &run.hear_closing}, {"budget", &run.budget}, {"dispatch_once", &run.dispatch_once}, {"honest_refusal", &run.honest_refusal}, {"checked_numbers", &run.checked_numbers}, {"drop_drained", &run.drop_drained}};
+  std::map<std::string, bool*> const guards{{"tend_cold", &run.tend_cold}, {"doubt", &run.placement.doubt}, {"finish_begun", &run.placement.finish_begun}, {"count_others", &run.placement.count_others}, {"hear_closing", &run.hear_closing}, {"budget", &run.budget}, {"dispatch_once", &run.dispatch_once}, {"honest_refusal", &run.honest_refusal}, {"checked_numbers", &run.checked_numbers}, {"drop_drained", &run.drop_drained}};
   std::map<std::string, bool*>::const_iterator const found = guards.find(guard);
   if (found == guards.end()) {
     return false;
@@ -77,7 +77,7 @@
   int code = 0;
   for (std::string const& variant : variants) {
     double good = 0, sent = 0, refused = 0, apologies = 0, broken = 0, reuse = 0, p50 = 0, p99 = 0, rate = 0, switches = 0, retries = 0, passes = 0, prefill_error = 0, decode_error = 0;
-    double share = 0;
+    double share = 0, calm_good = 0, crowd_good = 0, others_good = 1, after_crowd = 0, worst_refusal = 0;
     loam::Span drain = 0;
     std::uint64_t failed = 0;
     std::string splits;
@@ -88,6 +88,8 @@
       run.deployment = *deployment;
       run.faults = *faults;
       run.scale = found["scale"].as<double>();
+      run.faults.crowd = found["crowd"].as<double>() > 0 ? found["crowd"].as<double>() : run.faults.crowd;
+      run.faults.crowd_on_first = found.count("crowd-on-first") > 0;
       run.aims.manner = found["manner"].as<std::string>();
       run.aims.window_ms = static_cast<std::uint64_t>(found["window"].as<double>() * 1000);
       run.aims.hold_ms = static_cast<std::uint64_t>(found["hold"].as<double>() * 1000);
@@ -117,6 +119,11 @@
       prefill_error += errors["prefill"]; decode_error += errors["decode"];
       share = std::max(share, report.worst_retry_share);
       drain = std::max(drain, report.worst_drain);
+      calm_good += report.calm_good;
+      crowd_good += report.crowd_good;
+      others_good = std::min(others_good, report.others_good);
+      after_crowd = std::max(after_crowd, report.after_crowd);
+      worst_refusal = std::max(worst_refusal, report.worst_refusal);
       splits.clear();
       for (std::size_t const count : report.prefill_workers) {
         splits += (splits.empty() ? "" : "/") + std::to_string(count);
@@ -133,7 +140,12 @@
     std::cout << name << " " << found["deployment"].as<std::string>() << " " << found["manner"].as<std::string>() << " x" << found["scale"].as<double>() << " " << variant << ": " << runs << " seeds, " << failed << " failed; sent " << sent / runs << ", good " << good / runs << ", refused "
               << refused / runs << ", apologies " << apologies / runs << ", broken " << broken / runs << ", good/s " << rate / runs << ", first p50 " << p50 / runs * 1000 << " ms p99 " << p99 / runs * 1000 << " ms, reuse " << reuse / runs
               << ", passes " << passes / runs << ", retries " << retries / runs << " (worst share " << share << "), worst drain " << drain / 1000 << " ms, switches " << switches / runs << ", prefill workers " << splits
-              << ", fit error prefill " << prefill_error / runs << " decode " << decode_error / runs << "\n";
+              << ", fit error prefill " << prefill_error / runs << " decode " << decode_error / runs;
+    if (crowd_good > 0) {
+      std::cout << ", crowd: good/s before " << calm_good / runs << " in it " << crowd_good / runs << ", worst part of the others good " << others_good << ", at rest after " << after_crowd << " s at worst, slowest refusal "
+                << worst_refusal << " s";
+    }
+    std::cout << "\n";
   }
   return code;
 }
@@ -146,6 +158,7 @@
       "off", options::value<std::vector<std::string>>()->composing(), "switch a guard off")("trace", "print the trace of each run")("list", "the scenarios")(
       "deployment", options::value<std::string>()->default_value("pruebaviva"), "pruebaviva or corrib (field scenarios)")("variant", options::value<std::vector<std::string>>()->composing(), "ours, static, no-prefix, no-spill, no-overflow or no-hold (field scenarios)")(
       "scale", options::value<double>()->default_value(1.0), "times the deployment's rates")("manner", options::value<std::string>()->default_value("whole"), "whole or paired")(
+      "crowd", options::value<double>()->default_value(0), "times the rate in the crowd of field-crowd and field-overload; 0: the scenario's")("crowd-on-first", "the crowd is on the first service only")(
       "fewer", options::value<std::uint64_t>()->default_value(0), "workers fewer in the first region")("window", options::value<double>()->default_value(20), "scaler's window in seconds")("hold", options::value<double>()->default_value(5), "scaler's hold in seconds");
   options::variables_map found;
   try {
--- a/source/furrow/query/query.cpp
+++ b/source/furrow/query/query.cpp
@@ -265,6 +265,7 @@
     ticket.phase = wanted_phase(*plan_, ticket);
     phase_ = ticket.phase;
     ticket.deadline = deadline_;
+    ticket.begun = !kv_.empty();
     ticket.waitlist_bound = rule_.waitlist;
     field_.with(pool(), [&ticket](tilth::Placement& placement) { return placement.enqueue(ticket, loam::boot_now()); });
     interrupt_->wake = [seat] { seat->timer.cancel(); };
--- a/source/tests/almanac/field_test.cpp
+++ b/source/tests/almanac/field_test.cpp
@@ -94,6 +94,39 @@
               options.placement.doubt = false;
             }).find("was flooded"), std::string::npos);
 }
+TEST(Field, BeyondCapacityWorkGoesOnAndRefusalsAreImmediate) {
+  // Fifteen times the rate is about three times what the workers bear; refused
+  // callers come back when they were told to.
+  std::vector<almanac::FieldReport> reports;
+  for (bool const guard : {true, false}) {
+    reports.push_back(run("field-overload", 1, [guard](almanac::FieldOptions& options) {
+      corrib(options);
+      options.faults.crowd = 15;
+      options.faults.crowd_at = loam::seconds(10);
+      options.faults.crowd_span = loam::seconds(10);
+      options.length = loam::seconds(35);
+      options.placement.finish_begun = guard;
+    }));
+  }
+  almanac::FieldReport const& held = reports[0];
+  EXPECT_TRUE(held.violations.empty());
+  EXPECT_GT(held.refused, 10000u);       // the crowd really was too much
+  EXPECT_GT(held.crowd_good, 600);       // of about 1000 a second that they bear
+  EXPECT_LT(held.worst_refusal, 0.5);
+  EXPECT_LE(held.after_crowd, 10);       // no state that feeds itself
+  EXPECT_LT(held.apologies, 50u);
+  EXPECT_GT(reports[1].apologies, 500u); // half-run work thrown away
+}
+TEST(Field, ACrowdOnOneServiceLeavesTheOthersAlone) {
+  almanac::FieldReport const report = run("field-overload", 1, [](almanac::FieldOptions& options) {
+    options.faults.crowd = 15;
+    options.faults.crowd_on_first = true;
+    options.faults.crowd_at = loam::seconds(10);
+    options.faults.crowd_span = loam::seconds(10);
+  });
+  EXPECT_GT(report.refused, 5000u);
+  EXPECT_GT(report.others_good, 0.97);
+}
 TEST(Field, DrainingWorkersGetNothingNew) {
   EXPECT_NE(first_break("field-drains", 2, [](almanac::FieldOptions& options) { options.drop_drained = false; }).find("shown draining"), std::string::npos);
 }
--- a/source/tilth/placement/placement.cpp
+++ b/source/tilth/placement/placement.cpp
@@ -346,7 +346,9 @@
 
 std::vector<PlacementAction> Placement::enqueue(Ticket const& ticket, loam::Moment now) {
   std::vector<PlacementAction> actions;
-  place(ticket, true, now, actions);
+  // Refusing what half ran would waste the half and serve nobody (section 8.6);
+  // since it counts in its rule's waitlist, new queries are refused instead.
+  place(ticket, !(ticket.begun && guards_.finish_begun), now, actions);
   return actions;
 }
 
--- a/source/tilth/placement/placement.hpp
+++ b/source/tilth/placement/placement.hpp
@@ -40,6 +40,7 @@
   Phase phase = Phase::both;
   loam::Moment deadline = 0;
   std::uint64_t waitlist_bound = 64;
+  bool begun = false;  ///< a leg of it ran already: it waits, whatever the bound
 };
 
 struct Go {
@@ -65,6 +66,7 @@
 
 /// Rules that tests switch off to show that they are needed (docs/proofs.md).
 struct PlacementGuards {
+  bool finish_begun = true; ///< the second leg of a query is not refused for a full waitlist
   bool doubt = true;        ///< a worker that missed a look may be back cold already
   bool count_others = true; ///< a ramp counts what others have on the worker
 };
