almanac explains every operator's answers by one order, or says which can't be

Register histories were judged by revision rules only. A history check now takes all that operators were told in a run (writes, compare-and-set refusals, reads, and writes whose end nobody heard) and places each between its begin and end. Each revision is made by one write, so the order is known and the earliest moments decide: exact for writes and reads, no search.

--- a/source/almanac/control/control.cpp
+++ b/source/almanac/control/control.cpp
@@ -1,5 +1,7 @@
 #include "almanac/control/control.hpp"
 
+#include "almanac/history/history.hpp"
+
 #include <algorithm>
 
 #include "hedge/repair/repair.hpp"
@@ -203,6 +205,8 @@
   std::vector<std::string> founders_;
   std::set<std::pair<std::string, std::string>> cuts_;
   std::set<std::string> split_;
+  std::vector<HistoryEntry> history_;           ///< what operators were told of the setup
+  std::map<std::string, HistoryEntry> asked_;   ///< changes by id, told or not
   bool calm_ = false;
   bool has_setup_ = false;
   std::uint64_t next_id_ = 1;
@@ -669,6 +673,8 @@
     violate("change " + id + " was taken at revision " + std::to_string(revision) + " though " + std::to_string(floor) + " was known before it began");
   }
   ++report_.acknowledged;
+  asked_[id].revision = revision;
+  asked_[id].ended = kernel_.now();
   accepted_[id] = revision;
   floor_ = std::max(floor_, revision);
   in_force_ = std::max(in_force_, revision);
@@ -700,6 +706,7 @@
       done(false);
     }
   });
+  asked_[wanted.id] = HistoryEntry{HistoryEntry::Kind::write, 0, began, std::nullopt, expected};
   kernel_.trace("operator " + std::to_string(number) + " puts " + wanted.id);
   start_change(*machine, rootstock::setup_register, orchard::wish_for(wanted, note), constants::change_deadline,
                [this, machine, told, wanted, floor, began, note, done](std::variant<rootstock::Chosen, rootstock::Rejected, std::monostate> const& result) {
@@ -719,6 +726,9 @@
                    } else {
                      *told = true;
                      ++report_.rejected;
+                     if (note->end == orchard::WishEnd::expectation) {
+                       history_.push_back(HistoryEntry{HistoryEntry::Kind::refused, *wanted.expected, began, kernel_.now(), std::nullopt});
+                     }
                      rejected_.insert(wanted.id);
                      kernel_.trace("rejected " + wanted.id);
                      for (std::pair<std::uint64_t const, std::string> const& content : contents_) {
@@ -777,14 +787,16 @@
     return;
   }
   std::uint64_t const floor = floor_;
+  Moment const began = kernel_.now();
   Moment const arrival = local(*machine);
   std::shared_ptr<std::function<void(int)>> const look = std::make_shared<std::function<void(int)>>();
   std::weak_ptr<std::function<void(int)>> const weak = look;
-  *look = [this, machine, floor, arrival, weak, done](int left) {
+  *look = [this, machine, floor, began, arrival, weak, done](int left) {
     if (machine->confirm.confirmed_from() >= arrival) {
       std::map<std::string, schema::Value>::const_iterator const setup = machine->confirm.values().find(rootstock::setup_register);
       std::uint64_t const revision = setup == machine->confirm.values().end() ? 0 : setup->second.revision;
       ++report_.reads;
+      history_.push_back(HistoryEntry{HistoryEntry::Kind::read, revision, began, kernel_.now(), std::nullopt});
       if (revision < floor) {
         violate("a read gave revision " + std::to_string(revision) + " though " + std::to_string(floor) + " was known before");
       }
@@ -1130,6 +1142,16 @@
       violate("acknowledged change " + change.first + " is not what revision " + std::to_string(change.second) + " holds");
     }
   }
+  for (std::pair<std::uint64_t const, std::string> const& owner : owners_) {  // what was told, and what was found to have happened
+    HistoryEntry write = asked_[owner.second];
+    write.revision = owner.first;
+    history_.push_back(write);
+  }
+  std::string const wrong = explain_history(history_);
+  if (!wrong.empty()) {
+    violate("no order explains what was told: " + wrong);
+  }
+  report_.explained = history_.size();
   report_.trace_hash = kernel_.trace_hash();
   report_.events = kernel_.events();
   return report_;
--- a/source/almanac/control/control.hpp
+++ b/source/almanac/control/control.hpp
@@ -43,6 +43,7 @@
   std::uint64_t rejected = 0;
   std::uint64_t unknown = 0;
   std::uint64_t forgotten = 0;  ///< ids too old to tell
+  std::uint64_t explained = 0;  ///< answers that one order explains (history)
   std::uint64_t reads = 0;
   std::uint64_t queries = 0;
   std::uint64_t unvouched = 0;
--- /dev/null
+++ b/source/almanac/history/history.cpp
@@ -0,0 +1,72 @@
+#include "almanac/history/history.hpp"
+
+#include <algorithm>
+#include <map>
+
+namespace finchlink::almanac {
+
+namespace {
+using Kind = HistoryEntry::Kind;
+std::string named(std::string const& what, std::uint64_t revision, loam::Moment at) {
+  return what + " revision " + std::to_string(revision) + " (begun at " + std::to_string(at) + " us)";
+}
+}  // namespace
+
+std::string explain_history(std::vector<HistoryEntry> const& entries) {
+  std::map<std::uint64_t, HistoryEntry const*> writes;
+  std::map<std::uint64_t, std::vector<HistoryEntry const*>> reads;
+  std::uint64_t newest = 0;
+  for (HistoryEntry const& entry : entries) {
+    if (entry.kind == Kind::write) {
+      if (!writes.emplace(entry.revision, &entry).second) {
+        return named("two writes made", entry.revision, entry.began);
+      }
+      if (entry.expected.has_value() && *entry.expected + 1 != entry.revision) {
+        return named("a write that expected " + std::to_string(*entry.expected) + " made", entry.revision, entry.began);
+      }
+      newest = std::max(newest, entry.revision);
+    } else if (entry.kind == Kind::read) {
+      reads[entry.revision].push_back(&entry);
+      newest = std::max(newest, entry.revision);
+    }
+  }
+  // The earliest moment at which each revision can have come, in their order:
+  // not before its write began, nor before whatever was told of the one before.
+  std::map<std::uint64_t, loam::Moment> earliest;
+  loam::Moment moment = 0;
+  for (std::uint64_t revision = 0; revision <= newest; ++revision) {
+    std::map<std::uint64_t, HistoryEntry const*>::const_iterator const write = writes.find(revision);
+    if (write != writes.end()) {
+      moment = std::max(moment, write->second->began);
+      if (write->second->ended.has_value() && moment > *write->second->ended) {
+        return named("told too early: a write of", revision, write->second->began);
+      }
+    }
+    earliest[revision] = moment;
+    for (HistoryEntry const* const read : reads[revision]) {
+      loam::Moment const seen = std::max(earliest[revision], read->began);
+      if (read->ended.has_value() && seen > *read->ended) {
+        return named("a read saw what was not there yet:", revision, read->began);
+      }
+      moment = std::max(moment, seen);
+    }
+  }
+  for (HistoryEntry const& entry : entries) {
+    if (entry.kind != Kind::refused || !entry.ended.has_value()) {
+      continue;
+    }
+    // A no is wrong if the named revision stood all the while: surely there
+    // before it began, and its successor surely not before it ended.
+    bool there = entry.revision == 0;
+    for (HistoryEntry const& other : entries) {
+      there = there || (other.kind != Kind::refused && other.revision == entry.revision && other.ended.has_value() && *other.ended < entry.began);
+    }
+    std::map<std::uint64_t, loam::Moment>::const_iterator const next = earliest.find(entry.revision + 1);
+    if (there && (next == earliest.end() || next->second > *entry.ended)) {
+      return named("refused though the register stood at", entry.revision, entry.began);
+    }
+  }
+  return "";
+}
+
+}  // namespace finchlink::almanac
