--- a/source/tests/rootstock/holder_test.cpp
+++ b/source/tests/rootstock/holder_test.cpp
@@ -42,8 +42,9 @@
     core.start_above(Ballot{1, round, 0});
     std::vector<ChangeAction> actions = core.begin(holders[reach.front()].set());
     for (std::size_t place = 0; place < actions.size(); ++place) {
-      Send const* const send = std::get_if<Send>(&actions[place]);
-      if (Chosen const* const chosen = std::get_if<Chosen>(&actions[place])) {
+      ChangeAction const action = actions[place];  // a copy: more are added below
+      Send const* const send = std::get_if<Send>(&action);
+      if (Chosen const* const chosen = std::get_if<Chosen>(&action)) {
         return chosen->value.revision;
       }
       for (std::size_t const index : reach) {
@@ -189,7 +190,7 @@
     std::string found;
     actions = reader.begin(group.holders[0].set());
     for (std::size_t place = 0; place < actions.size(); ++place) {
-      if (Chosen const* const chosen = std::get_if<Chosen>(&actions[place])) {
+      if (Chosen const* const chosen = std::get_if<Chosen>(&action)) {
         found = chosen->value.content;
       } else if (Send const* const send = std::get_if<Send>(&actions[place])) {
         if (send->to.incarnation != 102) {
