--- a/source/tests/rootstock/holder_test.cpp
+++ b/source/tests/rootstock/holder_test.cpp
@@ -190,7 +190,7 @@
     std::string found;
     actions = reader.begin(group.holders[0].set());
     for (std::size_t place = 0; place < actions.size(); ++place) {
-      if (Chosen const* const chosen = std::get_if<Chosen>(&action)) {
+      if (Chosen const* const chosen = std::get_if<Chosen>(&actions[place])) {
         found = chosen->value.content;
       } else if (Send const* const send = std::get_if<Send>(&actions[place])) {
         if (send->to.incarnation != 102) {
