--- /dev/null
+++ b/source/tests/loam/fuzz_test.cpp
@@ -0,0 +1,140 @@
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+#include <fstream>
+#include <random>
+#include <sstream>
+
+#include "almanac/disk/memory_disk.hpp"
+#include "furrow/worker/contract.hpp"
+#include "loam/json/tree.hpp"
+#include "loam/wire/pack.hpp"
+#include "orchard/setup/setup.hpp"
+#include "schema/wire.hpp"
+
+namespace finchlink {
+namespace {
+
+/// Rounds per test; more by command: FINCHLINK_FUZZ=100000 (docs/proofs.md).
+int rounds() {
+  char const* const wanted = std::getenv("FINCHLINK_FUZZ");
+  return wanted == nullptr ? 2000 : std::atoi(wanted);
+}
+
+/// Flips, cuts, doubles and overwrites parts, at times all over.
+std::string spoiled(std::string text, std::mt19937_64& random) {
+  for (std::uint64_t turn = random() % 6 + 1; turn > 0 && !text.empty(); --turn) {
+    std::size_t const place = random() % text.size();
+    std::size_t const length = std::min<std::size_t>(text.size() - place, random() % 24);
+    switch (random() % 6) {
+      case 0: text[place] = static_cast<char>(text[place] ^ (1 << (random() % 8))); break;
+      case 1: text.erase(place, length); break;
+      case 2: text.insert(place, text.substr(place, length)); break;
+      case 3: text.replace(place, length, std::string(length, static_cast<char>(random()))); break;
+      case 4: text.resize(place); break;
+      default: text.insert(place, std::string(random() % 3 == 0 ? 400 : 2, "[{\"0:\n"[random() % 6])); break;
+    }
+  }
+  return text;
+}
+
+TEST(Fuzz, FramesAreReadOrRefused) {
+  schema::NewsAnswer answer;
+  answer.news.push_back(schema::NamedValue{"setup", 7, std::string(300, 'x')});
+  answer.members.resize(3);
+  answer.list.workers.resize(5);
+  schema::Image image;
+  image.cells["setup"].value = schema::Value{3, "{}", {{"a.1", 2}, {"b.2", 3}}};
+  std::vector<std::string> const good{loam::pack(schema::Message(answer)), loam::pack(schema::Message(image)), loam::pack(schema::Message(schema::Prepare{"setup", {1, 2, 3}}))};
+  std::mt19937_64 random(1);
+  int refused = 0;
+  for (int round = 0; round < rounds(); ++round) {
+    refused += loam::unpack<schema::Message>(spoiled(good[random() % good.size()], random)).ok() ? 0 : 1;
+  }
+  EXPECT_GT(refused, 0);
+}
+
+TEST(Fuzz, SpoiledDisksAreToldFromGoodOnes) {
+  std::mt19937_64 random(2);
+  int lost = 0;
+  int read = 0;
+  for (int round = 0; round < rounds() / 4; ++round) {
+    almanac::MemoryDisk disk(3, 3000);
+    rootstock::Ring ring(disk.device(), 3, 3000);
+    ASSERT_TRUE(ring.recover().ok());
+    std::uint64_t const last = random() % 40 + 1;
+    for (std::uint64_t revision = 1; revision <= last; ++revision) {
+      schema::Cell cell;
+      cell.value = schema::Value{revision, std::string(random() % 60, 'x'), {}};
+      std::vector<schema::Record> const records{schema::CellRecord{"setup", cell}};
+      ASSERT_TRUE(ring.append(records, [&records] { return records; }).ok());
+    }
+    std::size_t const file = random() % 3;
+    std::string bytes = spoiled(disk.cache[file], random);
+    bytes.resize(3000);
+    disk.cache[file] = bytes;
+    rootstock::Ring again(disk.device(), 3, 3000);
+    absl::StatusOr<std::vector<schema::Record>> const found = again.recover();
+    if (!found.ok()) {
+      ++lost;
+      continue;
+    }
+    ++read;
+    // What is read was written: no revision is made up, and their order holds.
+    std::uint64_t before = 0;
+    for (schema::Record const& record : *found) {
+      std::uint64_t const revision = std::get<schema::CellRecord>(record).cell.value.revision;
+      EXPECT_GT(revision, before);
+      EXPECT_LE(revision, last);
+      before = revision;
+    }
+  }
+  EXPECT_GT(lost, 0);
+  EXPECT_GT(read, 0);
+}
+
+TEST(Fuzz, SetupsAreReadOrNamedFaulty) {
+  std::mt19937_64 random(3);
+  int faulty = 0;
+  for (std::string const deployment : {"pruebaviva", "corrib"}) {
+    std::ifstream file(std::string(FINCHLINK_SOURCE_FOLDER) + "/deployments/" + deployment + "/setup.json");
+    std::stringstream text;
+    text << file.rdbuf();
+    for (int round = 0; round < rounds() / 2; ++round) {
+      std::string const document = spoiled(text.str(), random);
+      orchard::SetupReading const reading = orchard::read_setup(document);
+      faulty += reading.good() ? 0 : 1;
+      if (reading.good()) {  // what is taken can be written and read again
+        absl::StatusOr<std::string> const canonical = orchard::canonical(document);
+        ASSERT_TRUE(canonical.ok());
+        EXPECT_TRUE(orchard::read_setup(*canonical).good());
+      }
+      (void)orchard::patched(text.str(), document);
+    }
+  }
+  EXPECT_GT(faulty, 0);
+}
+
+TEST(Fuzz, WorkersStreamsAreReadOrRefused) {
+  std::string good;
+  for (int number = 1; number <= 12; ++number) {
+    good += "id: " + std::to_string(number) + "\nevent: token\ndata: {\"text\":\"abcd\"}\n\n";
+  }
+  std::mt19937_64 random(4);
+  int refused = 0;
+  for (int round = 0; round < rounds(); ++round) {
+    std::string const bytes = spoiled(good, random);
+    furrow::EventReader reader(4);
+    std::vector<furrow::StreamEvent> events;
+    bool well = true;
+    for (std::size_t place = 0; place < bytes.size() && well; place += 37) {  // in pieces, as they come
+      well = reader.feed(std::string_view(bytes).substr(place, 37), events);
+    }
+    refused += well ? 0 : 1;
+    EXPECT_LE(events.size(), bytes.size() / 8);
+  }
+  EXPECT_GT(refused, 0);
+}
+
+}  // namespace
+}  // namespace finchlink
