almanac: control plane, furrows and workers in one world over both deployments

The two worlds met only through delays. whole-SCENARIO runs the register, news, vouches, leases and repair under any control scenario beside the query path, on one clock, in either real deployment: setups of operators reach the furrows by register and news alone, nothing is sent without a vouch, killed furrows cut their callers and passes, and a checker holds every dispatch against the setups acknowledged so far. Not in this world yet: sessions between trellises, the platform list and the scaler's lease are still delays in it.

--- a/source/almanac/control/control.cpp
+++ b/source/almanac/control/control.cpp
@@ -23,8 +23,13 @@
 
 class World {
  public:
-  explicit World(ControlOptions const& options) : options_(options), kernel_(options.seed) { kernel_.print_trace(options.print); }
+  World(ControlOptions const& options, Kernel& kernel) : options_(options), kernel_(kernel) {}
+  void begin();
   ControlReport run();
+  void end_day(Moment at);
+  ControlReport finish();
+  void check_leases();
+  bool vouched(std::size_t furrow) { return furrows_[furrow]->alive && furrows_[furrow]->vouch.vouched(local(*furrows_[furrow])); }
 
  private:
   using Reply = std::function<void(std::optional<schema::Message> const&)>;
@@ -62,6 +67,7 @@
   };
   struct Furrow {
     std::string name;
+    std::size_t number = 0;
     bool alive = true;
     bool frozen = false;
     std::uint64_t life = 0;
@@ -194,11 +200,12 @@
   void heal();
   void violate(std::string const& text);
   void observe(schema::Value const& value, std::string const& where);
-  void check_leases();
   void check_recovery(Moment since, std::function<void(Span)> done);
 
   ControlOptions options_;
-  Kernel kernel_;
+  Kernel& kernel_;
+  std::uint64_t final_revision_ = 0;
+  bool final_put_ = false;
   ControlReport report_;
   std::vector<std::unique_ptr<Machine>> machines_;
   std::vector<std::unique_ptr<Furrow>> furrows_;
@@ -235,6 +242,9 @@
   std::map<std::uint64_t, std::string>::const_iterator const found = contents_.find(value.revision);
   if (found == contents_.end()) {
     contents_[value.revision] = value.content;
+    if (options_.seen) {
+      options_.seen(value.revision, value.content);
+    }
   } else if (found->second != value.content) {
     violate("revision " + std::to_string(value.revision) + " has two contents, seen at " + where);
   }
@@ -620,6 +630,9 @@
   furrow.frozen = false;
   furrow.deferred.clear();
   furrow.vouch = hedge::Vouch(options_.vouch_guards);
+  if (options_.lives) {
+    options_.lives(furrow.number, true);
+  }
   ask_loop(furrow);
   query_loop(furrow);
 }
@@ -634,6 +647,9 @@
     if (news != nullptr) {
       for (schema::NamedValue const& value : furrow.vouch.take(*news, asked, local(furrow))) {
         kernel_.trace(furrow.name + " adopts " + value.name + " " + std::to_string(value.revision));
+        if (options_.adopted && value.name == rootstock::setup_register) {
+          options_.adopted(furrow.number, value.revision);
+        }
       }
     }
     if (news == nullptr || !news->vouched) {
@@ -678,6 +694,9 @@
   accepted_[id] = revision;
   floor_ = std::max(floor_, revision);
   in_force_ = std::max(in_force_, revision);
+  if (options_.acknowledged) {
+    options_.acknowledged(revision);
+  }
   report_.worst_acknowledge = std::max(report_.worst_acknowledge, kernel_.now() - began);
   kernel_.trace("acknowledged " + id + " revision " + std::to_string(revision));
 }
@@ -693,7 +712,8 @@
   wanted.id = "c" + std::to_string(next_id_++) + "." + std::to_string(seen == machine->confirm.values().end() ? 0 : seen->second.revision);
   wanted.expected = expected;
   wanted.patch = has_setup_;
-  wanted.content = !has_setup_ ? first_setup : R"({"halls":{"h":{"labels":{"mark":")" + wanted.id + "\"}}}}";
+  wanted.content = !has_setup_ ? (options_.first_setup.empty() ? first_setup : options_.first_setup)
+                               : (options_.patch ? options_.patch(wanted.id) : R"({"halls":{"h":{"labels":{"mark":")" + wanted.id + "\"}}}}");
   std::uint64_t const floor = floor_;
   Moment const began = kernel_.now();
   std::shared_ptr<bool> const told = std::make_shared<bool>(false);
@@ -953,6 +973,9 @@
       Furrow& furrow = *furrows_[kernel_.below(furrows_.size())];
       furrow.alive = false;
       ++furrow.life;
+      if (options_.lives) {
+        options_.lives(furrow.number, false);
+      }
       kernel_.after(kernel_.between(loam::milliseconds(10), loam::seconds(3)), [this, &furrow] {
         if (!furrow.alive) {
           begin_furrow(furrow);
@@ -1070,7 +1093,7 @@
   });
 }
 
-ControlReport World::run() {
+void World::begin() {
   std::size_t const count = options_.disk_machines + options_.plain_machines;
   for (std::size_t number = 0; number < std::min<std::size_t>(3, options_.disk_machines); ++number) {
     founders_.push_back("core-" + std::to_string(number));
@@ -1091,7 +1114,8 @@
   }
   for (std::size_t number = 0; number < options_.furrows; ++number) {
     std::unique_ptr<Furrow> furrow = std::make_unique<Furrow>();
-    furrow->name = "furrow-" + std::to_string(number);
+    furrow->name = number < options_.furrow_names.size() ? options_.furrow_names[number] : "furrow-" + std::to_string(number);
+    furrow->number = number;
     furrow->offset = kernel_.between(loam::seconds(10), loam::seconds(100000));
     furrow->rate = 1.0 + options_.faults.clock_rate * (2 * kernel_.uniform() - 1);
     furrow->turn = number;
@@ -1102,6 +1126,33 @@
     operator_loop(number);
   }
   kernel_.after(loam::seconds(3), [this] { faults(); });
+}
+
+/// The last fault, and everything back; then a last change, read back.
+void World::end_day(Moment at) {
+  kernel_.at(at, [this] {
+    calm_ = true;
+    for (std::unique_ptr<Machine> const& machine : machines_) {
+      if (options_.faults.last_fault && kernel_.chance(0.6)) {
+        kill(*machine);
+      }
+    }
+  });
+  kernel_.at(at + loam::milliseconds(700), [this] {
+    heal();
+    check_recovery(kernel_.now(), [this](Span took) {
+      report_.worst_recovery = took;
+      if (took > loam::seconds(12)) {
+        violate("service was down " + std::to_string(took / 1000) + " ms after the machines came back");
+      }
+    });
+  });
+  kernel_.at(at + loam::seconds(13), [this] { put(99, std::nullopt, [this](bool good) { final_put_ = good; }); });
+  kernel_.at(at + loam::seconds(23), [this] { read([this](std::uint64_t revision) { final_revision_ = revision; }); });
+}
+
+ControlReport World::run() {
+  begin();
   std::function<void()> const each = [this] { check_leases(); };
   kernel_.run(options_.length, each);
   // The day ends: faults stop, after one last; what was lost returns.
@@ -1127,13 +1178,15 @@
     }
   });
   kernel_.run(healed + loam::seconds(32), each);
-  std::uint64_t final_revision = 0;
-  bool final_put = false;
-  put(99, std::nullopt, [&final_put](bool good) { final_put = good; });
+  put(99, std::nullopt, [this](bool good) { final_put_ = good; });
   kernel_.run(kernel_.now() + loam::seconds(9), each);
-  read([&final_revision](std::uint64_t revision) { final_revision = revision; });
+  read([this](std::uint64_t revision) { final_revision_ = revision; });
   kernel_.run(kernel_.now() + loam::seconds(6), each);
-  if (!final_put || final_revision == 0) {
+  return finish();
+}
+
+ControlReport World::finish() {
+  if (!final_put_ || final_revision_ == 0) {
     violate("the register does not take a change after all machines came back");
   }
   // No acknowledged change is lost: each is in the content of its revision.
@@ -1160,10 +1213,23 @@
 }  // namespace
 
 ControlReport run_control(ControlOptions const& options) {
-  World world(options);
+  Kernel kernel(options.seed);
+  kernel.print_trace(options.print);
+  World world(options, kernel);
   return world.run();
 }
 
+ControlPart control_part(ControlOptions const& options, Kernel& kernel) {
+  std::shared_ptr<World> const world = std::make_shared<World>(options, kernel);
+  ControlPart part;
+  part.begin = [world] { world->begin(); };
+  part.each = [world] { world->check_leases(); };
+  part.end_day = [world](Moment at) { world->end_day(at); };
+  part.finish = [world] { return world->finish(); };
+  part.vouched = [world](std::size_t furrow) { return world->vouched(furrow); };
+  return part;
+}
+
 std::vector<std::string> control_scenarios() {
   return {"calm", "kills", "herds", "freezes", "cuts", "splits", "disks", "wipes", "storm"};
 }
--- a/source/almanac/control/control.hpp
+++ b/source/almanac/control/control.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -71,8 +72,28 @@
   bool repair_fenced = true;       ///< a new holder set expects the set that it replaces
   bool learn_beyond_seeds = true;  ///< the holder set is also learnt from the own disk and from colleagues
   bool print = false;
+  // --- where the query path runs beside it (section 10.1) ---
+  std::vector<std::string> furrow_names;   ///< empty: named by number
+  std::string first_setup;                 ///< empty: a small one
+  /// A change that an operator wants, as a merge patch; `id` marks it.
+  std::function<std::string(std::string const& id)> patch;
+  std::function<void(std::uint64_t revision, std::string const& content)> seen;
+  std::function<void(std::size_t furrow, std::uint64_t revision)> adopted;
+  std::function<void(std::uint64_t revision)> acknowledged;
+  std::function<void(std::size_t furrow, bool alive)> lives;
 };
 
+/// The control plane as a part of a larger world, on that world's kernel.
+struct ControlPart {
+  std::function<void()> begin;
+  std::function<void()> each;                    ///< after every event
+  std::function<void(loam::Moment)> end_day;     ///< faults stop, after a last one; all comes back; a last change
+  std::function<ControlReport()> finish;
+  std::function<bool(std::size_t furrow)> vouched;
+};
+[[nodiscard]] ControlPart control_part(ControlOptions const& options, Kernel& kernel);
+
+
 /// Runs the control plane's cores (register, leases, vouching, repair) under
 /// faults and checks what must never happen.
 [[nodiscard]] ControlReport run_control(ControlOptions const& options);
--- a/source/almanac/field/field.cpp
+++ b/source/almanac/field/field.cpp
@@ -16,6 +16,7 @@
 #include "schema/standin.hpp"
 #include "loam/constants.hpp"
 #include "tilth/budget/budget.hpp"
+#include "tilth/budget/share.hpp"
 #include "tilth/chart/chart.hpp"
 #include "tilth/plan/plan.hpp"
 #include "tilth/placement/placement.hpp"
@@ -84,7 +85,8 @@
     std::string name;
     std::string hall;
     std::size_t region = 0;
-    std::uint64_t revision = 1;  ///< of the setup in force here
+    bool alive = true;
+    std::uint64_t revision = 1;  ///< of the setup in force here; 0: none yet
     std::shared_ptr<tilth::Plan const> plan = std::make_shared<tilth::Plan const>();
     tilth::Placement placement;
     std::map<std::string, tilth::Budget> budgets;
@@ -167,8 +169,13 @@
   void arrive(std::size_t mix, std::string const& home, std::uint64_t tries, std::size_t hops, std::optional<std::string> const& region);
   void renew(Furrow& furrow);
   bool follow(QueryPointer const& query);
-  void change_setup();
+  [[nodiscard]] schema::Setup changed_setup(schema::Setup setup);
   void apply_setup(schema::Setup const& setup);
+  void join_control();
+  void lose(std::size_t furrow);
+  [[nodiscard]] bool vouched(Furrow const& furrow) const {
+    return furrow.alive && furrow.revision > 0 && (!control_.vouched || control_.vouched(static_cast<std::size_t>(std::find(names_.begin(), names_.end(), furrow.name) - names_.begin())));
+  }
   [[nodiscard]] bool lawful(Query const& query, Worker const& worker, bool hall_only) const;
   [[nodiscard]] orchard::Course course(schema::Setup const& setup, std::string const& region, std::size_t mix, std::string const& home) const {
     FieldMix const& service = options_.deployment.mixes[mix];
@@ -210,6 +217,7 @@
   std::vector<std::unique_ptr<Worker>> workers_;
   std::vector<std::unique_ptr<Furrow>> furrows_;
   std::vector<Region> regions_;
+  ControlPart control_;
   std::map<std::uint64_t, schema::Setup> setups_;  ///< by revision
   std::uint64_t newest_ = 1;
   std::uint64_t acknowledged_ = 1;
@@ -248,6 +256,10 @@
   while (region.has_value() && options_.deployment.regions[furrows_[furrow]->region] != *region) {  // sent there by 307
     furrow = kernel_.below(furrows_.size());
   }
+  if (!vouched(*furrows_[furrow])) {  // refused at once, or nobody listens there
+    ++report_.unvouched;
+    return;
+  }
   tilth::Plan const& plan = *furrows_[furrow]->plan;
   orchard::Course const decided = course(plan.setup, plan.region, index, home);
   if (orchard::GoHome const* const there = std::get_if<orchard::GoHome>(&decided)) {
@@ -304,8 +316,8 @@
     }
     return furrows_[furrow]->budgets.try_emplace(name).first->second.take(now, tilth::keeps_right(name, furrows_[furrow]->name, names_));
   });
+  all_.push_back(query);
   if (!passed) {
-    all_.push_back(query);
     kernel_.after(deadline, [this, query] {
       if (!query->chart->settled()) {
         feed(query, tilth::DeadlinePassed{});
@@ -492,6 +504,11 @@
       end_dispatch(query, tilth::Ending::defect, tilth::ConnectDefect{});
       return;
     }
+    if (!vouched(furrow)) {
+      ++report_.unvouched;
+      end_dispatch(query, tilth::Ending::abandoned, tilth::Withdrawn{});
+      return;
+    }
     if (options_.decide_anew && (follow(query) || !tilth::may_go(*furrow.plan, query->footing.serve.rule, worker->id))) {
       end_dispatch(query, tilth::Ending::abandoned, tilth::Withdrawn{});
       return;
@@ -537,8 +554,8 @@
       root = root->parent;
     }
     bool repeatable = false;
-    for (std::uint64_t revision = acknowledged_; revision <= newest_; ++revision) {
-      repeatable = repeatable || setups_.at(revision).rules.at(query->footing.serve.rule).repeatable;
+    for (std::map<std::uint64_t, schema::Setup>::const_iterator entry = setups_.lower_bound(acknowledged_); entry != setups_.end(); ++entry) {
+      repeatable = repeatable || entry->second.rules.at(query->footing.serve.rule).repeatable;
     }
     if (!query->decode_leg && ++root->runs > 1 && !repeatable) {
       violate("query " + std::to_string(root->id) + " of " + mix.name + " ran twice");
@@ -739,7 +756,10 @@
   kernel_.after(far ? options_.deployment.hop : near(), [this, query, target] {
   tilth::Plan const& plan = *furrows_[target]->plan;
   orchard::Course const decided = course(plan.setup, plan.region, query->mix, query->home);
-  if (!std::holds_alternative<orchard::Serve>(decided)) {
+  if (query->chart->settled()) {
+    return;
+  }
+  if (!vouched(*furrows_[target]) || !std::holds_alternative<orchard::Serve>(decided)) {
     feed(query, tilth::NoRoom{});
     return;
   }
@@ -755,6 +775,9 @@
 
 /// The plan anew, by the same rules as a furrow's; whoever waits follows it.
 void World::renew(Furrow& furrow) {
+  if (!furrow.alive || furrow.revision == 0) {
+    return;
+  }
   std::shared_ptr<tilth::Plan> const plan = std::make_shared<tilth::Plan>();
   plan->has_setup = true;
   plan->decided = furrow.revision;
@@ -763,6 +786,9 @@
   plan->setup.workers = options_.bounds;
   plan->splits[options_.deployment.regions[furrow.region]] = furrow.split;
   for (std::unique_ptr<Furrow> const& other : furrows_) {
+    if (!other->alive) {
+      continue;
+    }
     schema::Member member;
     member.name = other->name;
     member.hall = other->hall;
@@ -778,6 +804,11 @@
     }
   }
   tilth::derive(*plan, furrow.name, furrow.hall);
+  if (!vouched(furrow)) {
+    for (tilth::WorkerWish& wish : plan->wishes["model"]) {
+      wish.usable = false;
+    }
+  }
   if (!options_.tend_cold) {
     for (tilth::WorkerWish& wish : plan->wishes["model"]) {
       wish.warm_boots.push_back("boot-" + std::to_string(worker_of(wish.id)->life));
@@ -822,8 +853,8 @@
 }
 
 bool World::lawful(Query const& query, Worker const& worker, bool hall_only) const {
-  for (std::uint64_t revision = acknowledged_; revision <= newest_; ++revision) {
-    schema::Setup const& setup = setups_.at(revision);
+  for (std::map<std::uint64_t, schema::Setup>::const_iterator entry = setups_.lower_bound(acknowledged_); entry != setups_.end(); ++entry) {
+    schema::Setup const& setup = entry->second;
     std::map<std::string, schema::Hall>::const_iterator const hall = setup.halls.find(worker.hall);
     bool const emptied = hall != setup.halls.end() && hall->second.evacuated;
     if (!emptied && (hall_only || std::holds_alternative<orchard::Serve>(course(setup, options_.deployment.regions[worker.region], query.mix, query.home)))) {
@@ -850,8 +881,7 @@
   kernel_.after(constants::acknowledge_wait, [this, revision] { acknowledged_ = std::max(acknowledged_, revision); });
 }
 
-void World::change_setup() {
-  schema::Setup setup = setups_.at(newest_);
+schema::Setup World::changed_setup(schema::Setup setup) {
   std::string const name = options_.deployment.mixes[kernel_.below(options_.deployment.mixes.size())].name;
   schema::Rule& rule = setup.rules.at(name);
   std::uint64_t const kind = kernel_.below(3);
@@ -874,7 +904,75 @@
       setup.halls[options_.deployment.halls[kernel_.below(options_.deployment.halls.size())].name].evacuated = true;
     }
   }
-  apply_setup(setup);
+  return setup;
+}
+
+/// The register and the news of the control plane in place of apply_setup.
+void World::join_control() {
+  ControlOptions control = *options_.control;
+  control.seed = options_.seed;
+  control.length = options_.length;
+  control.furrows = furrows_.size();
+  control.furrow_names = names_;
+  control.first_setup = loam::print_tree(loam::Tree(schema::write(options_.deployment.setup)).get());
+  control.patch = [this](std::string const& id) {
+    // Most changes touch no query; some move homes or empty halls.
+    schema::Setup const from = setups_.empty() ? options_.deployment.setup : setups_.rbegin()->second;
+    schema::Setup to = kernel_.chance(0.15) ? changed_setup(from) : from;
+    to.halls[options_.deployment.halls.front().name].labels["mark"] = id;
+    loam::Tree const whole(schema::write(to));
+    loam::Tree patch(cJSON_CreateObject());
+    for (char const* const part : {"halls", "rules"}) {
+      cJSON_AddItemToObject(patch.get(), part, cJSON_DetachItemFromObjectCaseSensitive(whole.get(), part));
+    }
+    return loam::print_tree(patch.get());
+  };
+  control.seen = [this](std::uint64_t revision, std::string const& content) {
+    setups_[revision] = orchard::read_setup(content).setup;
+    newest_ = std::max(newest_, revision);
+  };
+  control.adopted = [this](std::size_t furrow, std::uint64_t revision) {
+    Furrow& one = *furrows_[furrow];
+    ++report_.faults;
+    one.revision = revision;
+    renew(one);
+  };
+  control.acknowledged = [this](std::uint64_t revision) { acknowledged_ = std::max(acknowledged_, revision); };
+  control.lives = [this](std::size_t furrow, bool alive) {
+    if (!alive) {
+      lose(furrow);
+    } else {
+      furrows_[furrow]->alive = true;
+    }
+  };
+  control_ = control_part(control, kernel_);
+}
+
+/// A furrow is killed: its callers and the furrows that passed to it see their
+/// connections cut, its workers end what it had there; it comes back with nothing.
+void World::lose(std::size_t number) {
+  Furrow& furrow = *furrows_[number];
+  ++report_.furrows_lost;
+  furrow.alive = false;
+  std::vector<QueryPointer> open;
+  for (QueryPointer const& query : all_) {
+    if (query->furrow == number && !query->chart->settled()) {
+      open.push_back(query);
+    }
+  }
+  for (QueryPointer const& query : open) {
+    if (query->parent != nullptr) {
+      settle_parent(query, tilth::WorkerDefect{"pass_cut"});
+    }
+    ended(*query, false);
+    feed(query, tilth::CallerGone{});
+  }
+  furrow.placement = tilth::Placement(options_.placement);
+  furrow.budgets.clear();
+  furrow.outputs.clear();
+  furrow.revision = 0;
+  furrow.plan = std::make_shared<tilth::Plan const>();
+  furrow.split = schema::Split{};
 }
 
 void World::refresh(Furrow& furrow) {
@@ -996,7 +1094,7 @@
       step(worker);
     });
   });
-  repeat(mix.setups, [this] { change_setup(); });
+  repeat(mix.setups, [this] { apply_setup(changed_setup(setups_.at(newest_))); });
   repeat(mix.blink, [this, any] {
     Worker& worker = any();
     if (!worker.up || worker.dark || kernel_.now() - worker.up_since < warming) {
@@ -1101,7 +1199,7 @@
     weigh_crowd();
   }
   for (QueryPointer const& query : all_) {
-    if (!query->chart->settled()) {
+    if (!query->chart->settled() && query->parent == nullptr) {
       violate("query " + std::to_string(query->id) + " was never settled");
     }
     if (query->told_refused && query->runs > 0) {
@@ -1109,15 +1207,7 @@
     }
   }
   for (std::pair<std::string const, std::vector<Moment>> const& entry : retries_) {
-    std::vector<Moment> const& firsts = first_dispatches_[entry.first];
-    for (std::size_t place = 0; place < entry.second.size(); ++place) {
-      Moment const until = entry.second[place] + loam::seconds(10);
-      double const again = static_cast<double>(std::upper_bound(entry.second.begin(), entry.second.end(), until) - entry.second.begin()) - static_cast<double>(place);
-      double const fresh = static_cast<double>(std::upper_bound(firsts.begin(), firsts.end(), until) - std::lower_bound(firsts.begin(), firsts.end(), entry.second[place]));
-      if (until <= options_.length) {
-        report_.worst_retry_share = std::max(report_.worst_retry_share, again / std::max(1.0, fresh));
-      }
-    }
+    report_.worst_retry_share = std::max(report_.worst_retry_share, tilth::worst_retry_share(first_dispatches_[entry.first], entry.second));
   }
   if (report_.worst_retry_share > 0.2) {
     violate("retries were " + std::to_string(report_.worst_retry_share) + " of a service's traffic in ten seconds");
@@ -1162,7 +1252,9 @@
 
 FieldReport World::run() {
   regions_.resize(options_.deployment.regions.size());
-  setups_[1] = options_.deployment.setup;
+  if (!options_.control.has_value()) {
+    setups_[1] = options_.deployment.setup;
+  }
   for (FieldHall const& hall : options_.deployment.halls) {
     for (std::size_t number = 1; number <= hall.workers; ++number) {
       std::unique_ptr<Worker> worker = std::make_unique<Worker>();
@@ -1181,6 +1273,15 @@
       furrows_.push_back(std::move(furrow));
     }
   }
+  if (options_.control.has_value()) {
+    newest_ = acknowledged_ = 0;
+    for (std::unique_ptr<Furrow> const& furrow : furrows_) {
+      furrow->revision = 0;
+    }
+    join_control();
+    control_.begin();
+    control_.end_day(options_.length + loam::seconds(2));
+  }
   for (std::unique_ptr<Furrow> const& furrow : furrows_) {
     for (std::unique_ptr<Worker> const& worker : workers_) {
       furrow->listed[worker->id] = true;
@@ -1198,7 +1299,11 @@
     }
   });
   kernel_.after(loam::seconds(6), [this] { faults(); });
-  kernel_.run(options_.length + loam::seconds(40), nullptr);
+  kernel_.run(options_.length + loam::seconds(40), control_.each);
+  if (control_.finish) {
+    report_.control = control_.finish();
+    report_.violations.insert(report_.violations.end(), report_.control.violations.begin(), report_.control.violations.end());
+  }
   finish();
   return report_;
 }
@@ -1324,6 +1429,25 @@
   return faults;
 }
 
+bool is_whole(std::string const& name) { return name.rfind("whole-", 0) == 0; }
+
+bool apply_whole(std::string const& name, FieldOptions& options) {
+  std::optional<ControlFaults> const faults = control_scenario(name.substr(6));
+  if (!faults.has_value()) {
+    return false;
+  }
+  options.control.emplace();
+  options.control->faults = *faults;
+  options.control->operators_pause = 2;
+  options.faults = *field_scenario(name == "whole-storm" ? "field-storm" : "field-calm");
+  options.faults.setups = 0;  // they come by the register
+  if (name != "whole-calm") {
+    options.faults.crash = 8;
+    options.faults.drain = 8;
+  }
+  return true;
+}
+
 bool apply_variant(std::string const& name, FieldOptions& options) {
   if (name == "ours") {
     return true;
--- a/source/almanac/field/field.hpp
+++ b/source/almanac/field/field.hpp
@@ -9,6 +9,7 @@
 #include <absl/status/statusor.h>
 
 #include "loam/time/moment.hpp"
+#include "almanac/control/control.hpp"
 #include "schema/setup.hpp"
 #include "tilth/placement/placement.hpp"
 
@@ -75,6 +76,9 @@
   tilth::PlacementGuards placement;
   bool hear_closing = true;      ///< guard: a closing connection tells of a crash at once
   bool print = false;
+  /// With it the control plane runs beside, on the same clock: setups come by
+  /// its register and news, and without its vouch nothing is sent (section 10.1).
+  std::optional<ControlOptions> control;
 };
 
 struct FieldReport {
@@ -105,6 +109,9 @@
   std::vector<std::size_t> prefill_workers; ///< per region, at the end
   std::uint64_t trace_hash = 0;
   std::uint64_t events = 0;
+  ControlReport control;
+  std::uint64_t unvouched = 0;   ///< queries refused, or withdrawn, for want of a vouch
+  std::uint64_t furrows_lost = 0;
 };
 
 /// Runs placement, charts, budgets and scalers over simulated workers.
@@ -115,6 +122,10 @@
 /// Fault mixes by name; nothing for an unknown one.
 [[nodiscard]] std::optional<FieldFaults> field_scenario(std::string const& name);
 [[nodiscard]] std::vector<std::string> field_scenarios();
+/// "whole-X": all of it in one world, the control plane under scenario X, the
+/// query path under crashes and drains; false for an unknown one.
+[[nodiscard]] bool is_whole(std::string const& name);
+[[nodiscard]] bool apply_whole(std::string const& name, FieldOptions& options);
 /// Own earlier or lesser ways, to compare with: false for an unknown one.
 [[nodiscard]] bool apply_variant(std::string const& name, FieldOptions& options);
 
--- a/source/almanac/main.cpp
+++ b/source/almanac/main.cpp
@@ -60,7 +60,11 @@
 }
 
 int run_field_scenario(std::string const& name, std::uint64_t first, std::uint64_t last, options::variables_map const& found) {
-  std::optional<almanac::FieldFaults> const faults = almanac::field_scenario(name);
+  std::optional<almanac::FieldFaults> const faults = almanac::field_scenario(almanac::is_whole(name) ? "field-calm" : name);
+  almanac::FieldOptions probe;
+  if (almanac::is_whole(name) && !almanac::apply_whole(name, probe)) {
+    return usage("'" + name + "' is not a scenario; see --list");
+  }
   absl::StatusOr<almanac::FieldDeployment> deployment = almanac::field_deployment(found["deployments"].as<std::string>() + "/" + found["deployment"].as<std::string>());
   if (!faults.has_value()) {
     return usage("'" + name + "' is not a scenario; see --list");
@@ -77,7 +81,7 @@
   int code = 0;
   for (std::string const& variant : variants) {
     double good = 0, sent = 0, refused = 0, apologies = 0, broken = 0, reuse = 0, p50 = 0, p99 = 0, rate = 0, switches = 0, retries = 0, passes = 0, prefill_error = 0, decode_error = 0;
-    double decided_anew = 0, brought = 0, share = 0, calm_good = 0, crowd_good = 0, others_good = 1, after_crowd = 0, worst_refusal = 0;
+    double acknowledged = 0, unknown = 0, explained = 0, furrows_lost = 0, unvouched = 0, recovery = 0, decided_anew = 0, brought = 0, share = 0, calm_good = 0, crowd_good = 0, others_good = 1, after_crowd = 0, worst_refusal = 0;
     loam::Span drain = 0;
     std::uint64_t failed = 0;
     std::string splits;
@@ -87,6 +91,9 @@
       run.length = static_cast<loam::Span>(found["seconds"].as<double>() * 1e6);
       run.deployment = *deployment;
       run.faults = *faults;
+      if (almanac::is_whole(name)) {
+        (void)almanac::apply_whole(name, run);
+      }
       run.scale = found["scale"].as<double>();
       run.faults.crowd = found["crowd"].as<double>() > 0 ? found["crowd"].as<double>() : run.faults.crowd;
       run.faults.crowd_on_first = found.count("crowd-on-first") > 0;
@@ -99,7 +106,7 @@
       std::string off;
       if (found.count("off") > 0) {
         for (std::string const& guard : found["off"].as<std::vector<std::string>>()) {
-          if (!switch_off_field(run, guard)) {
+          if (!switch_off_field(run, guard) && !(run.control.has_value() && switch_off(*run.control, guard))) {
             return usage("'" + guard + "' is not a guard of the field");
           }
           off += " --off " + guard;
@@ -121,6 +128,12 @@
       drain = std::max(drain, report.worst_drain);
       decided_anew += static_cast<double>(report.decided_anew);
       brought += static_cast<double>(report.faults);
+      acknowledged += static_cast<double>(report.control.acknowledged);
+      unknown += static_cast<double>(report.control.unknown);
+      explained += static_cast<double>(report.control.explained);
+      furrows_lost += static_cast<double>(report.furrows_lost);
+      unvouched += static_cast<double>(report.unvouched);
+      recovery = std::max(recovery, static_cast<double>(report.control.worst_recovery) / 1000);
       calm_good += report.calm_good;
       crowd_good += report.crowd_good;
       others_good = std::min(others_good, report.others_good);
@@ -143,6 +156,9 @@
               << refused / runs << ", apologies " << apologies / runs << ", broken " << broken / runs << ", good/s " << rate / runs << ", first p50 " << p50 / runs * 1000 << " ms p99 " << p99 / runs * 1000 << " ms, reuse " << reuse / runs
               << ", passes " << passes / runs << ", decided anew " << decided_anew / runs << ", faults " << brought / runs << ", retries " << retries / runs << " (worst share " << share << "), worst drain " << drain / 1000 << " ms, switches " << switches / runs << ", prefill workers " << splits
               << ", fit error prefill " << prefill_error / runs << " decode " << decode_error / runs;
+    if (almanac::is_whole(name)) {
+      std::cout << ", control: acknowledged " << acknowledged / runs << " unknown " << unknown / runs << " explained " << explained / runs << " furrows lost " << furrows_lost / runs << " unvouched " << unvouched / runs << ", worst recovery " << recovery << " ms";
+    }
     if (crowd_good > 0) {
       std::cout << ", crowd: good/s before " << calm_good / runs << " in it " << crowd_good / runs << ", worst part of the others good " << others_good << ", at rest after " << after_crowd << " s at worst, slowest refusal "
                 << worst_refusal << " s";
@@ -198,7 +214,7 @@
   std::vector<std::string> const names = wanted == "all" ? almanac::control_scenarios() : std::vector<std::string>{wanted};
   int code = 0;
   for (std::string const& name : names) {
-    if (name.rfind("field-", 0) == 0) {
+    if (name.rfind("field-", 0) == 0 || almanac::is_whole(name)) {
       int const outcome = run_field_scenario(name, first, last, found);
       if (outcome == loam::exit_usage) {
         return outcome;
--- a/source/seedbed/ledger/ledger.cpp
+++ b/source/seedbed/ledger/ledger.cpp
@@ -3,17 +3,13 @@
 #include <algorithm>
 
 #include "loam/json/tree.hpp"
+#include "tilth/budget/share.hpp"
 
 namespace finchlink::seedbed {
 
 namespace {
 constexpr loam::Span allowed_drain = loam::seconds(5);       // after the list shows it
 constexpr loam::Span allowed_evacuation = loam::seconds(5);  // after the operator was told yes
-constexpr loam::Span window = loam::seconds(10);             // of the retry share
-
-std::size_t within(std::vector<loam::Moment> const& moments, loam::Moment from, loam::Moment until) {
-  return static_cast<std::size_t>(std::upper_bound(moments.begin(), moments.end(), until) - std::lower_bound(moments.begin(), moments.end(), from));
-}
 }  // namespace
 
 void Ledger::arrived(Arrival const& arrival, bool ran, bool flooded) {
@@ -104,11 +100,7 @@
     std::sort(entry.second.begin(), entry.second.end());
     std::vector<loam::Moment>& firsts = firsts_[entry.first];
     std::sort(firsts.begin(), firsts.end());
-    for (loam::Moment const start : entry.second) {
-      double const queries = static_cast<double>(within(firsts, start, start + window));
-      double const retries = static_cast<double>(within(entry.second, start, start + window));
-      worst_share = std::max(worst_share, queries > 0 ? retries / queries : retries);
-    }
+    worst_share = std::max(worst_share, tilth::worst_retry_share(firsts, entry.second));
   }
   cJSON_AddNumberToObject(object.get(), "worst_retry_share_10s", worst_share);
   cJSON* const workers = cJSON_AddObjectToObject(object.get(), "per_worker");
--- a/source/tests/almanac/field_test.cpp
+++ b/source/tests/almanac/field_test.cpp
@@ -135,6 +135,31 @@
   EXPECT_GT(report.refused, 5000u);
   EXPECT_GT(report.others_good, 0.97);
 }
+TEST(Whole, ControlAndQueriesInOneWorldHoldUnderFaults) {
+  for (std::string const scenario : {"whole-storm", "whole-herds", "whole-kills"}) {
+    almanac::FieldReport const report = run("field-calm", 1, [&scenario](almanac::FieldOptions& options) {
+      ASSERT_TRUE(almanac::apply_whole(scenario, options));
+      if (scenario == "whole-herds") {
+        corrib(options);
+      }
+    });
+    EXPECT_TRUE(report.violations.empty()) << scenario << ": " << report.violations.front();
+    EXPECT_GT(report.good, report.sent / 3) << scenario;
+    EXPECT_GT(report.control.acknowledged, 10u) << scenario;
+    EXPECT_GT(report.unvouched, 0u) << scenario;  // the control plane really was away at times
+  }
+}
+TEST(Whole, QueriesNeedTheControlPlanesGuards) {
+  std::map<std::string, std::function<void(almanac::ControlOptions&)>> const guards{
+      {"stop_unvouched", [](almanac::ControlOptions& control) { control.vouch_guards.stop_unvouched = false; }},
+      {"acknowledge_waits", [](almanac::ControlOptions& control) { control.acknowledge_waits = false; }}};
+  for (std::pair<std::string const, std::function<void(almanac::ControlOptions&)>> const& guard : guards) {
+    EXPECT_NE(first_break("field-calm", 3, [&guard](almanac::FieldOptions& options) {
+                ASSERT_TRUE(almanac::apply_whole("whole-storm", options));
+                guard.second(*options.control);
+              }), "") << guard.first;
+  }
+}
 TEST(Field, DrainingWorkersGetNothingNew) {
   EXPECT_NE(first_break("field-drains", 2, [](almanac::FieldOptions& options) { options.drop_drained = false; }).find("shown draining"), std::string::npos);
 }
--- /dev/null
+++ b/source/tilth/budget/share.cpp
@@ -0,0 +1,27 @@
+#include "tilth/budget/share.hpp"
+
+#include <algorithm>
+
+namespace finchlink::tilth {
+
+namespace {
+constexpr loam::Span window = loam::seconds(10);  // the brief's
+constexpr double full = 20;                       // first dispatches that make a window count by itself
+constexpr double kept = 15;                       // three retries at a fifth
+
+double within(std::vector<loam::Moment> const& moments, loam::Moment from, loam::Moment until) {
+  return static_cast<double>(std::upper_bound(moments.begin(), moments.end(), until) - std::lower_bound(moments.begin(), moments.end(), from));
+}
+}  // namespace
+
+double worst_retry_share(std::vector<loam::Moment> const& firsts, std::vector<loam::Moment> const& retries) {
+  double worst = 0;
+  for (loam::Moment const start : retries) {
+    double const again = within(retries, start, start + window);
+    double const queries = within(firsts, start, start + window);
+    worst = std::max(worst, again / (queries >= full ? queries : within(firsts, start - loam::seconds(1), start + window) + kept));
+  }
+  return worst;
+}
+
+}  // namespace finchlink::tilth
