Begun queries that wait fill the waitlist even where a first leg finds a place

Found by comparing variants near capacity: without overflow, after the mix swung, prefill workers were free while second legs waited without bound; first legs were launched all the same and most ended at their deadline half done.

--- a/source/tilth/placement/placement.cpp
+++ b/source/tilth/placement/placement.cpp
@@ -185,7 +185,18 @@
   actions.emplace_back(Go{ticket.id, worker.wish.id, worker.wish.address, cached, predicted});
 }
 
+void Placement::left_waitlist(Ticket const& ticket) {
+  --waiting_by_rule_[ticket.rule];
+  begun_waiting_[ticket.rule] -= ticket.begun ? 1 : 0;
+}
+
 void Placement::place(Ticket const& ticket, bool bounded, loam::Moment now, std::vector<PlacementAction>& actions) {
+  // Begun queries that wait fill the waitlist for new ones, even where a first
+  // leg finds a free place: more of them could not be finished (section 8.6).
+  if (bounded && begun_waiting_[ticket.rule] > 0 && waiting_by_rule_[ticket.rule] >= ticket.waitlist_bound) {
+    actions.emplace_back(Denied{ticket.id, "busy", 1.0});
+    return;
+  }
   std::string const chosen = choose(ticket, now);
   if (chosen.empty()) {
     actions.emplace_back(Denied{ticket.id, "no_worker", 0});
@@ -203,6 +214,7 @@
     return;
   }
   ++count;
+  begun_waiting_[ticket.rule] += ticket.begun ? 1 : 0;
   where_[ticket.id] = chosen;
   worker.waiting.push_back(Waiting{ticket, worker.wish.model.prefill_seconds(ticket.tokens, 0)});
 }
@@ -212,7 +224,7 @@
     if (!worker.waiting.empty()) {
       Ticket const ticket = worker.waiting.front().ticket;
       worker.waiting.pop_front();
-      --waiting_by_rule_[ticket.rule];
+      left_waitlist(ticket);
       launch(worker, ticket, now, actions);
       continue;
     }
@@ -229,7 +241,7 @@
     }
     Ticket const ticket = longest->waiting.front().ticket;
     longest->waiting.pop_front();
-    --waiting_by_rule_[ticket.rule];
+    left_waitlist(ticket);
     ++moved_;
     launch(worker, ticket, now, actions);
   }
@@ -243,7 +255,7 @@
   }
   worker.waiting = staying;
   for (Waiting const& waiting : leaving) {
-    --waiting_by_rule_[waiting.ticket.rule];
+    left_waitlist(waiting.ticket);
     where_.erase(waiting.ticket.id);
     ++moved_;
     place(waiting.ticket, false, now, actions);
@@ -270,7 +282,7 @@
         found->second.warm = false;
         found->second.record.clear();
         for (Waiting const& entry : waiting) {
-          --waiting_by_rule_[entry.ticket.rule];
+          left_waitlist(entry.ticket);
           where_.erase(entry.ticket.id);
           place(entry.ticket, false, now, actions);
         }
@@ -403,7 +415,7 @@
   Worker& worker = workers_.at(place->second);
   for (std::deque<Waiting>::iterator entry = worker.waiting.begin(); entry != worker.waiting.end(); ++entry) {
     if (entry->ticket.id == id) {
-      --waiting_by_rule_[entry->ticket.rule];
+      left_waitlist(entry->ticket);
       worker.waiting.erase(entry);
       where_.erase(place);
       return {};
@@ -419,7 +431,7 @@
     for (std::deque<Waiting>::iterator place = waiting.begin(); place != waiting.end();) {
       if (place->ticket.deadline <= now) {
         actions.emplace_back(Denied{place->ticket.id, "deadline", 0});
-        --waiting_by_rule_[place->ticket.rule];
+        left_waitlist(place->ticket);
         where_.erase(place->ticket.id);
         place = waiting.erase(place);
       } else {
--- a/source/tilth/placement/placement.hpp
+++ b/source/tilth/placement/placement.hpp
@@ -141,6 +141,7 @@
   [[nodiscard]] std::string choose_free(Ticket const& ticket, loam::Moment now) const;
   [[nodiscard]] std::string choose(Ticket const& ticket, loam::Moment now) const;
   void place(Ticket const& ticket, bool bounded, loam::Moment now, std::vector<PlacementAction>& actions);
+  void left_waitlist(Ticket const& ticket);
   void launch(Worker& worker, Ticket const& ticket, loam::Moment now, std::vector<PlacementAction>& actions);
   void fill(Worker& worker, loam::Moment now, std::vector<PlacementAction>& actions);
   void move_out(Worker& worker, bool all, loam::Moment now, std::vector<PlacementAction>& actions);
@@ -154,6 +155,7 @@
   std::map<std::string, Worker> workers_;
   std::map<std::uint64_t, std::string> where_;
   std::map<std::string, std::uint64_t> waiting_by_rule_;
+  std::map<std::string, std::uint64_t> begun_waiting_;  ///< of them those that have run in part
   std::uint64_t moved_ = 0;
   double reused_tokens_ = 0;
   double placed_tokens_ = 0;
--- a/tools/fleet/proof.py
+++ b/tools/fleet/proof.py
@@ -329,7 +329,9 @@
 
 def net_workers_cut(fleet, notes):
     """Furrows of one hall and workers of another lose each other, one way and then the other."""
-    from_hall, to_hall = halls(fleet)[0], f"workers-{halls(fleet)[1]}"
+    places = fleet.deployment()["halls"]  # two halls of one region: furrows reach no workers outside theirs
+    from_hall, other = next((a, b) for a in places for b in places if a != b and places[a]["region"] == places[b]["region"])
+    to_hall = f"workers-{other}"
     for one, other in ((from_hall, to_hall), (to_hall, from_hall)):
         fleet.cut(one, other)
         time.sleep(4)
