--- /dev/null
+++ b/source/orchard/charter/charter.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include <absl/status/statusor.h>
+
+#include "loam/json/fault.hpp"
+#include "schema/setup.hpp"
+
+namespace finchlink::orchard {
+
+/// A charter as it was read (section 13.1), with every fault by its place.
+struct CharterReading {
+  schema::Charter charter;
+  std::vector<loam::Fault> faults;
+  [[nodiscard]] bool good() const { return faults.empty(); }
+};
+
+/// How operators write a charter down. What they wrote is kept as it came, so
+/// that it is read back number for number; only reading and merging know the form.
+struct Notation {
+  /// A whole charter. Faults of its form and, by `check`, of what it says.
+  std::function<CharterReading(std::string const& text)> read;
+  /// A partial change laid over a whole one; gives a whole text.
+  std::function<absl::StatusOr<std::string>(std::string const& current, std::string const& change)> merge;
+};
+
+/// Our own notation: the JSON of schema::Charter; a change is
+/// {"number", "upsert": {"lanes", "services"}, "remove": {"lanes", "services"}}.
+[[nodiscard]] Notation own_notation();
+
+/// What parts say of each other: unknown services, lanes of one host and
+/// prefix, weights that add up to nothing, names that repeat, no deadline.
+[[nodiscard]] std::vector<loam::Fault> check(schema::Charter const& charter);
+
+}  // namespace finchlink::orchard
--- a/tools/schema/generate.py
+++ b/tools/schema/generate.py
@@ -193,6 +193,8 @@
         head += ["/// One settings field as a command-line flag.", "struct Flag { char const* name; char const* about; bool many; };",
                  "inline std::vector<Flag> const flags{"]
         for field in target["fields"]:
+            if not field.get("flag", True):
+                continue  # structured: settings file only
             head.append(f"    Flag{{{json.dumps(field['name'])}, {json.dumps(field['about'])}, {'true' if field['type'].startswith('list') else 'false'}}},")
         head += ["};", ""]
     head += [f"}}  // namespace {space}", ""]
