--- a/source/hedge/desk/desk.cpp
+++ b/source/hedge/desk/desk.cpp
@@ -1,13 +1,9 @@
 #include "hedge/desk/desk.hpp"
 
-#include "loam/constants.hpp"
-
 namespace finchlink::hedge {
 
-namespace constants = loam::constants;
-
 DeskVerdict judge_ask(schema::NewsAsk const& ask, loam::Moment arrival, loam::Moment confirmed_from,
-                      std::map<std::string, schema::Value> const& values, bool other_news, loam::Moment now, DeskGuards guards) {
+                      std::map<std::string, schema::Value> const& values, bool other_news, loam::Moment now, DeskGuards guards, DeskBounds bounds) {
   DeskVerdict verdict;
   bool const vouched = confirmed_from >= arrival || (!guards.confirm_after_arrival && confirmed_from > 0);
   schema::NewsAnswer answer;
@@ -20,10 +16,10 @@
   }
   loam::Span const waited = now - arrival;
   bool const news = other_news || !answer.news.empty();
-  if ((vouched && (news || waited >= constants::ask_hold)) || waited >= constants::ask_patience) {
+  if ((vouched && (news || waited >= bounds.hold)) || waited >= bounds.patience) {
     verdict.answer = answer;
   } else {
-    verdict.wait = (vouched ? constants::ask_hold : constants::ask_patience) - waited;
+    verdict.wait = (vouched ? bounds.hold : bounds.patience) - waited;
   }
   return verdict;
 }
--- a/source/hedge/desk/desk.hpp
+++ b/source/hedge/desk/desk.hpp
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 
+#include "loam/constants.hpp"
 #include "loam/time/moment.hpp"
 #include "schema/wire.hpp"
 
@@ -13,6 +14,12 @@
   bool confirm_after_arrival = true;  ///< vouched only by a read begun after the ask came
 };
 
+/// How long an ask is held, and how long an unconfirmed one.
+struct DeskBounds {
+  loam::Span hold = loam::constants::ask_hold;
+  loam::Span patience = loam::constants::ask_patience;
+};
+
 /// A trellis's answer to a furrow's ask (section 6.2): the news and the vouch,
 /// or nothing yet, and until when to wait for something to change.
 struct DeskVerdict {
@@ -21,6 +28,6 @@
 };
 [[nodiscard]] DeskVerdict judge_ask(schema::NewsAsk const& ask, loam::Moment arrival, loam::Moment confirmed_from,
                                     std::map<std::string, schema::Value> const& values, bool other_news, loam::Moment now,
-                                    DeskGuards guards = {});
+                                    DeskGuards guards = {}, DeskBounds bounds = {});
 
 }  // namespace finchlink::hedge
--- a/source/hedge/session/sessions.cpp
+++ b/source/hedge/session/sessions.cpp
@@ -1,11 +1,20 @@
 #include "hedge/session/sessions.hpp"
 
 #include "loam/constants.hpp"
+#include "loam/digest/digest.hpp"
 
 namespace finchlink::hedge {
 
 namespace constants = loam::constants;
 
+std::uint64_t digest_of(std::vector<schema::Member> const& members) {
+  loam::Digest digest;
+  for (schema::Member const& member : members) {
+    digest.add(member.name).add(member.incarnation).add(member.hall).add(member.address).add(member.ready ? 1 : 0);
+  }
+  return digest.short_value();
+}
+
 bool Sessions::heard(schema::Member const& member, loam::Moment now) {
   Standing& standing = sessions_[member.name];
   bool const opened = standing.member.incarnation != member.incarnation;
@@ -39,7 +48,7 @@
 std::vector<std::string> Sessions::expire(loam::Moment now) {
   std::vector<std::string> ended;
   for (std::map<std::string, Standing>::iterator entry = sessions_.begin(); entry != sessions_.end();) {
-    if (now - entry->second.heard > constants::session_bound) {
+    if (now - entry->second.heard > bound_) {
       ended.push_back(entry->first);
       entry = sessions_.erase(entry);
     } else {
--- a/source/hedge/session/sessions.hpp
+++ b/source/hedge/session/sessions.hpp
@@ -5,16 +5,23 @@
 #include <string>
 #include <vector>
 
+#include "loam/constants.hpp"
 #include "loam/time/moment.hpp"
 #include "schema/wire.hpp"
 
 namespace finchlink::hedge {
 
+/// Digest of what readiness and addresses need of members; never zero. What
+/// changes all the time (load, revisions held) is left out.
+[[nodiscard]] std::uint64_t digest_of(std::vector<schema::Member> const& members);
+
 /// Who is a member (section 7.1): furrows whose session with some trellis
 /// stands, and the trellises that tell each other of them. Plain state.
 class Sessions {
  public:
-  explicit Sessions(schema::TrellisEntry self) : self_(std::move(self)) {}
+  explicit Sessions(schema::TrellisEntry self, loam::Span bound = loam::constants::session_bound) : self_(std::move(self)), bound_(bound) {}
+  /// How long a session lasts after its last ask.
+  void set_bound(loam::Span bound) { bound_ = bound; }
 
   /// A furrow asked here; true when that opened a session.
   bool heard(schema::Member const& member, loam::Moment now);
@@ -42,6 +49,7 @@
     loam::Moment heard = 0;
   };
   schema::TrellisEntry self_;
+  loam::Span bound_;
   std::map<std::string, Standing> sessions_;
   std::map<std::string, Known> trellises_;
 };
--- a/source/hedge/vouch/vouch.cpp
+++ b/source/hedge/vouch/vouch.cpp
@@ -2,12 +2,8 @@
 
 #include <algorithm>
 
-#include "loam/constants.hpp"
-
 namespace finchlink::hedge {
 
-namespace constants = loam::constants;
-
 std::vector<schema::NamedValue> Vouch::take(schema::NewsAnswer const& answer, loam::Moment asked, loam::Moment now) {
   std::vector<schema::NamedValue> adopted;
   for (schema::NamedValue const& news : answer.news) {
@@ -18,7 +14,7 @@
     }
   }
   if (answer.vouched) {
-    vouched_until_ = std::max(vouched_until_, (guards_.count_from_ask ? asked : now) + constants::vouch_bound);
+    vouched_until_ = std::max(vouched_until_, (guards_.count_from_ask ? asked : now) + bounds_.vouch);
   }
   list_newer_ = answer.list_age >= 0 && asked - answer.list_age > list_as_of_;
   if (list_newer_) {
@@ -29,6 +25,6 @@
 
 bool Vouch::vouched(loam::Moment now) const { return now < vouched_until_ || (!guards_.stop_unvouched && vouched_until_ > 0); }
 
-bool Vouch::list_fresh(loam::Moment now) const { return list_as_of_ > 0 && now - list_as_of_ < constants::list_bound; }
+bool Vouch::list_fresh(loam::Moment now) const { return list_as_of_ > 0 && now - list_as_of_ < bounds_.list; }
 
 }  // namespace finchlink::hedge
--- a/source/hedge/vouch/vouch.hpp
+++ b/source/hedge/vouch/vouch.hpp
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "loam/constants.hpp"
 #include "loam/time/moment.hpp"
 #include "schema/wire.hpp"
 
@@ -16,11 +17,17 @@
   bool stop_unvouched = true;   ///< without a vouch no new queries
 };
 
+/// How long a vouch lasts, and how old a platform list may be.
+struct VouchBounds {
+  loam::Span vouch = loam::constants::vouch_bound;
+  loam::Span list = loam::constants::list_bound;
+};
+
 /// What a furrow knows for sure (section 6.2): revisions in force, how long it
 /// may take queries, how old its platform list is. Plain state.
 class Vouch {
  public:
-  explicit Vouch(VouchGuards guards = {}) : guards_(guards) {}
+  explicit Vouch(VouchGuards guards = {}, VouchBounds bounds = {}) : guards_(guards), bounds_(bounds) {}
   /// Takes an answer to an ask sent at `asked`; gives what is newly in force.
   [[nodiscard]] std::vector<schema::NamedValue> take(schema::NewsAnswer const& answer, loam::Moment asked, loam::Moment now);
   [[nodiscard]] bool vouched(loam::Moment now) const;
@@ -31,6 +38,7 @@
 
  private:
   VouchGuards guards_;
+  VouchBounds bounds_;
   std::map<std::string, std::uint64_t> held_;
   loam::Moment vouched_until_ = 0;
   loam::Moment list_as_of_ = 0;
--- a/source/loam/constants.hpp
+++ b/source/loam/constants.hpp
@@ -43,6 +43,26 @@
 /// Largest answer of the platform that is read, in bytes.
 inline constexpr std::size_t list_limit = 4u << 20u;
 
+// --- bounds where callers serve on without a vouch (section 13.2) ---
+/// A furrow hears of a change by news, not by the end of a vouch, so asks are
+/// held long: fewer of them, at the same delay of what is new.
+inline constexpr Span wide_ask_hold = milliseconds(1000);
+/// Unconfirmed asks are answered sooner than held ones end: the furrow turns
+/// to a trellis that reaches a majority within the bound of a change.
+inline constexpr Span wide_ask_patience = milliseconds(700);
+/// The hold, the longest way between two regions and back, and half a second
+/// for a slowed machine.
+inline constexpr Span wide_ask_deadline = milliseconds(1700);
+/// A change hurries its readers (section 13.3); this is for what was missed.
+inline constexpr Span wide_confirm_pause = milliseconds(400);
+inline constexpr Span wide_tell_pause = milliseconds(600);
+/// Two asks and one that failed.
+inline constexpr Span wide_session_bound = milliseconds(2500);
+/// Calls to the platform are priced; a worker's notice is several seconds.
+inline constexpr Span wide_list_pause = milliseconds(700);
+/// What a round to holders in another region takes, with a slow disk.
+inline constexpr Span wide_round = milliseconds(400);
+
 // --- members (section 7) ---
 /// A session ends this long after its last ask; longer than the vouch bound,
 /// so that a furrow whose session ended has stopped by itself.
@@ -52,6 +72,15 @@
 /// A colleague silent this long is no longer listed.
 inline constexpr Span colleague_bound = seconds(10);
 
+/// Asks are answered for news of members or of the list no sooner than this
+/// after they came, so that many small changes don't become many answers.
+inline constexpr Span bell_pause = milliseconds(100);
+/// Trellises that read the platform list in one another's place wait this much
+/// longer by rank, so that one of them does.
+inline constexpr Span list_stagger = milliseconds(150);
+/// After the platform turned a read of the list away, the pause doubles to this.
+inline constexpr Span list_rest_most = milliseconds(2000);
+
 // --- register (section 5) ---
 /// One exchange with one holder; a slow disk counts as silence after this.
 inline constexpr Span holder_deadline = milliseconds(800);
@@ -63,6 +92,12 @@
 /// Range of the pause after a lost ballot.
 inline constexpr Span ballot_pause_least = milliseconds(5);
 inline constexpr Span ballot_pause_most = milliseconds(60);
+/// The range doubles with each lost ballot up to this: two rounds between
+/// regions of 55 ms one way, with slow disks.
+inline constexpr Span ballot_pause_longest = milliseconds(600);
+/// A large value takes this much longer a byte, in microseconds: windows of
+/// 64 KB between regions let through a megabyte a second.
+inline constexpr Span holder_byte_span = 1;
 /// Ids of changes kept inside a register, one a revision; what became of an
 /// older one is no longer known (section 5.7). At the pace of a storm, some
 /// twenty changes a second, that is three times a change's own time.
@@ -73,6 +108,11 @@
 inline constexpr int outcomes_most = 16;
 /// Largest setup document in bytes; three copies and the ring stay small.
 inline constexpr std::size_t setup_limit = 256u << 10u;
+/// Largest charter in bytes: some five thousand lanes of 350 bytes.
+inline constexpr std::size_t charter_limit = 2u << 20u;
+/// Changes of the charter whose outcome is remembered: an operator repeats a
+/// change for some seconds, in which no more than a few are taken.
+inline constexpr std::size_t charter_marks_kept = 64;
 /// Pause between tries to found the register.
 inline constexpr Span founding_pause = milliseconds(200);
 /// A holder that misses this many looks in a row (about four seconds) is
@@ -94,8 +134,9 @@
 // --- disk (section 5) ---
 /// Files of the ring: one in use, one being filled next, one spare.
 inline constexpr std::size_t ring_files = 3;
-/// Bytes of one file: an image of all registers and a few hundred changes.
-inline constexpr std::size_t ring_file_bytes = 4u << 20u;
+/// Bytes of one file: an image of all registers with the largest charter, one
+/// more of it, and a few hundred small changes.
+inline constexpr std::size_t ring_file_bytes = 5u << 20u;
 /// Pause before a disk that failed is opened anew.
 inline constexpr Span disk_reopen_pause = seconds(1);
 /// Records waiting for the disk; beyond it the holder stays silent.
@@ -134,6 +175,10 @@
 inline constexpr Span parting_span = milliseconds(300);
 /// SIGTERM: what is running may finish within this.
 inline constexpr Span drain_span = seconds(8);
+/// Where the platform tells after what time it kills, we end earlier by this.
+inline constexpr Span drain_reserve = milliseconds(300);
+/// Pause between two looks at the settings file, which may change unannounced.
+inline constexpr Span settings_pause = seconds(2);
 
 // --- placement and budget (sections 8 and 9) ---
 /// Retries that one arrival pays for. With the life below ten seconds after a
--- a/source/loam/process/process.cpp
+++ b/source/loam/process/process.cpp
@@ -2,18 +2,92 @@
 
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
+#include <sys/stat.h>
 #include <iostream>
 #include <thread>
 #include <vector>
 
 #include "loam/constants.hpp"
+#include "loam/error/error.hpp"
 #include "loam/log/log.hpp"
 #include "loam/net/net.hpp"
 
 namespace finchlink::loam {
 
+absl::Status check_bounds(schema::TimeBounds const& bounds) {
+  std::uint64_t const round = static_cast<std::uint64_t>(constants::wide_round / 1000);
+  // A furrow whose trellis went as it asked: the ask fails, the next one is
+  // confirmed by a trellis that has read the change by then.
+  std::uint64_t const news = bounds.ask_deadline_ms + static_cast<std::uint64_t>(constants::ask_retry / 1000) + bounds.confirm_pause_ms + round;
+  std::uint64_t const listed = 2 * bounds.list_pause_ms + bounds.tell_pause_ms + round + bounds.ask_hold_ms;
+  struct Sum {
+    char const* what;
+    std::uint64_t sum;
+    std::uint64_t bound;
+  };
+  Sum const sums[] = {
+      {"news of a change is later than apply_ms", news, bounds.apply_ms},
+      {"news of an evacuation is later than evacuate_ms", news, bounds.evacuate_ms},
+      {"news of a draining worker is later than drain_ms", listed, bounds.drain_ms},
+      {"an ask is held longer than it may take", bounds.ask_hold_ms + round, bounds.ask_deadline_ms},
+      {"an unconfirmed ask is answered later than it may take", bounds.ask_patience_ms + round, bounds.ask_deadline_ms},
+      {"a session ends between two asks", bounds.ask_deadline_ms + round, bounds.session_bound_ms},
+      {"a change waits longer than it may take", bounds.acknowledge_wait_ms + 2 * round, bounds.acknowledge_ms},
+  };
+  for (Sum const& entry : sums) {
+    if (entry.sum > entry.bound) {
+      return defect(absl::StatusCode::kInvalidArgument, "bounds",
+                    std::string(entry.what) + ": " + std::to_string(entry.sum) + " ms of " + std::to_string(entry.bound) + " ms");
+    }
+  }
+  return absl::OkStatus();
+}
+
+namespace {
+/// What tells one state of a file from another without reading it.
+struct FileStamp {
+  std::int64_t second = 0;
+  std::int64_t nanosecond = 0;
+  std::int64_t size = -1;
+  friend bool operator==(FileStamp const&, FileStamp const&) = default;
+};
+FileStamp stamp_of(std::string const& path) {
+  struct stat status {};
+  if (stat(path.c_str(), &status) != 0) {
+    return FileStamp{};
+  }
+  return FileStamp{status.st_mtim.tv_sec, status.st_mtim.tv_nsec, status.st_size};
+}
+
+/// The settings of a file that may change, as they are in force.
+struct Followed {
+  std::string path;
+  FileStamp stamp;
+  schema::Settings settings;
+};
+
+void follow(Followed& followed, Daemon const& daemon) {
+  followed.stamp = stamp_of(followed.path);
+  absl::StatusOr<schema::Settings> const fresh = daemon.read_settings(followed.path);
+  absl::Status const good = fresh.ok() ? check_bounds(fresh->bounds) : fresh.status();
+  if (!good.ok()) {
+    note(Event::SettingsBroken, std::string(good.message()));
+    return;
+  }
+  if (*fresh == followed.settings) {
+    return;
+  }
+  followed.settings = *fresh;
+  note(Event::SettingsRead, followed.path);
+  if (daemon.changed) {
+    daemon.changed(*fresh);
+  }
+}
+}  // namespace
+
 int run_daemon(Daemon const& daemon, int count, char const* const* values) {
-  absl::StatusOr<Invocation> const invocation = read_invocation(count, values, daemon.program, daemon.needed);
+  std::optional<std::string> const path = daemon.settings_path ? daemon.settings_path() : std::nullopt;
+  absl::StatusOr<Invocation> invocation = read_invocation(count, values, daemon.program, path.has_value() ? std::vector<std::string>() : daemon.needed);
   if (!invocation.ok()) {
     std::cerr << daemon.program << ": " << invocation.status().message() << "\n";
     return exit_usage;
@@ -36,6 +110,19 @@
     std::cerr << daemon.program << ": '" << invocation->words.front() << "' is not understood\n";
     return exit_usage;
   }
+  Followed followed;
+  if (path.has_value()) {
+    followed.path = *path;
+    followed.stamp = stamp_of(*path);
+    absl::StatusOr<schema::Settings> const given = daemon.read_settings(*path);
+    absl::Status const good = given.ok() ? check_bounds(given->bounds) : given.status();
+    if (!good.ok()) {
+      std::cerr << daemon.program << ": " << good.message() << "\n";
+      return exit_usage;
+    }
+    invocation->settings = *given;
+    followed.settings = *given;
+  }
   if (invocation->check) {
     std::cout << "settings are good\n";
     return 0;
@@ -58,20 +145,43 @@
   }
   note(Event::ProcessStarted, "http " + settings.http_address + " colleagues " + settings.colleague_address);
   boost::asio::signal_set signals(context, SIGTERM, SIGINT);
-  signals.async_wait([&context, &daemon](boost::system::error_code const& error, int) {
+  Span const drain_span = path.has_value() ? std::max<Span>(milliseconds(static_cast<std::int64_t>(settings.bounds.grace_ms)) - constants::drain_reserve, 0) : constants::drain_span;
+  signals.async_wait([&context, &daemon, drain_span](boost::system::error_code const& error, int) {
     if (error) {
       return;
     }
     note(Event::ProcessDraining, "");
     daemon.drain();
-    start(context, [&context, &daemon](Yield yield) {
-      Moment const until = boot_now() + constants::drain_span;
+    start(context, [&context, &daemon, drain_span](Yield yield) {
+      Moment const until = boot_now() + drain_span;
       while (daemon.busy() && boot_now() < until) {
         pause(context, milliseconds(20), yield);
       }
       context.stop();
     });
   });
+  boost::asio::signal_set hangups(context);
+  if (path.has_value()) {
+    hangups.add(SIGHUP);
+    start(context, [&hangups, &followed, &daemon](Yield yield) {
+      while (true) {
+        boost::system::error_code error;
+        hangups.async_wait(yield[error]);
+        if (error) {
+          return;
+        }
+        follow(followed, daemon);
+      }
+    });
+    start(context, [&context, &followed, &daemon](Yield yield) {
+      while (true) {
+        pause(context, constants::settings_pause, yield);
+        if (!(stamp_of(followed.path) == followed.stamp)) {
+          follow(followed, daemon);
+        }
+      }
+    });
+  }
   std::vector<std::thread> threads;
   for (std::uint64_t index = 1; index < settings.threads; ++index) {
     threads.emplace_back([&context] { context.run(); });
--- /dev/null
+++ b/source/orchard/charter/charter.cpp
@@ -0,0 +1,146 @@
+#include "orchard/charter/charter.hpp"
+
+#include <map>
+#include <set>
+#include <utility>
+
+#include "loam/error/error.hpp"
+#include "loam/json/tree.hpp"
+
+namespace finchlink::orchard {
+
+namespace {
+std::string place(char const* list, std::size_t index, char const* field) { return std::string("/") + list + "/" + std::to_string(index) + field; }
+
+CharterReading read_own(std::string const& text) {
+  CharterReading reading;
+  absl::StatusOr<loam::Tree> const tree = loam::read_tree(text);
+  if (!tree.ok()) {
+    reading.faults.push_back(loam::Fault{"", std::string(tree.status().message())});
+    return reading;
+  }
+  schema::read(tree->get(), "", reading.charter, reading.faults);
+  std::vector<loam::Fault> const more = check(reading.charter);
+  reading.faults.insert(reading.faults.end(), more.begin(), more.end());
+  return reading;
+}
+}  // namespace
+
+absl::StatusOr<std::string> merge_named(std::string const& current, std::string const& change, std::string const& number_field,
+                                        std::vector<std::string> const& lists) {
+  absl::StatusOr<loam::Tree> target = current.empty() ? absl::StatusOr<loam::Tree>(loam::Tree(cJSON_CreateObject())) : loam::read_tree(current);
+  absl::StatusOr<loam::Tree> const delta = loam::read_tree(change);
+  if (!target.ok() || !delta.ok() || cJSON_IsObject(target->get()) == 0 || cJSON_IsObject(delta->get()) == 0) {
+    return loam::defect(absl::StatusCode::kInvalidArgument, "charter", "not a JSON object");
+  }
+  cJSON const* const number = cJSON_GetObjectItemCaseSensitive(delta->get(), number_field.c_str());
+  if (number != nullptr) {
+    cJSON_DeleteItemFromObjectCaseSensitive(target->get(), number_field.c_str());
+    cJSON_AddItemToObject(target->get(), number_field.c_str(), cJSON_Duplicate(number, 1));
+  }
+  cJSON const* const upsert = cJSON_GetObjectItemCaseSensitive(delta->get(), "upsert");
+  cJSON const* const remove = cJSON_GetObjectItemCaseSensitive(delta->get(), "remove");
+  if ((upsert != nullptr && cJSON_IsObject(upsert) == 0) || (remove != nullptr && cJSON_IsObject(remove) == 0)) {
+    return loam::defect(absl::StatusCode::kInvalidArgument, "charter", "upsert and remove must be objects");
+  }
+  for (std::string const& list : lists) {
+    cJSON const* const items = cJSON_GetObjectItemCaseSensitive(upsert, list.c_str());
+    cJSON const* const names = cJSON_GetObjectItemCaseSensitive(remove, list.c_str());
+    if ((items != nullptr && cJSON_IsArray(items) == 0) || (names != nullptr && cJSON_IsArray(names) == 0)) {
+      return loam::defect(absl::StatusCode::kInvalidArgument, "charter", list + " must be a list");
+    }
+    std::set<std::string> gone;
+    for (cJSON const* name = names == nullptr ? nullptr : names->child; name != nullptr; name = name->next) {
+      if (cJSON_IsString(name) == 0) {
+        return loam::defect(absl::StatusCode::kInvalidArgument, "charter", "names to remove must be strings");
+      }
+      gone.insert(name->valuestring);
+    }
+    std::map<std::string, cJSON const*> given;
+    std::vector<std::string> order;
+    for (cJSON const* item = items == nullptr ? nullptr : items->child; item != nullptr; item = item->next) {
+      cJSON const* const name = cJSON_GetObjectItemCaseSensitive(item, "name");
+      if (cJSON_IsString(name) == 0) {
+        return loam::defect(absl::StatusCode::kInvalidArgument, "charter", "an item of " + list + " has no name");
+      }
+      if (given.count(name->valuestring) == 0) {
+        order.emplace_back(name->valuestring);
+      }
+      given[name->valuestring] = item;
+    }
+    if (gone.empty() && given.empty()) {
+      continue;
+    }
+    // Built anew in one pass: a replaced item keeps its place, new ones follow.
+    cJSON* const merged = cJSON_CreateArray();
+    std::set<std::string> placed;
+    cJSON* const before = cJSON_GetObjectItemCaseSensitive(target->get(), list.c_str());
+    while (before != nullptr && before->child != nullptr) {
+      loam::Tree item(cJSON_DetachItemViaPointer(before, before->child));
+      cJSON const* const name = cJSON_GetObjectItemCaseSensitive(item.get(), "name");
+      std::string const key = cJSON_IsString(name) != 0 ? name->valuestring : "";
+      std::map<std::string, cJSON const*>::const_iterator const replacement = given.find(key);
+      if (replacement != given.end()) {
+        if (placed.insert(key).second) {
+          cJSON_AddItemToArray(merged, cJSON_Duplicate(replacement->second, 1));
+        }
+      } else if (gone.count(key) == 0) {
+        cJSON_AddItemToArray(merged, item.release());
+      }
+    }
+    for (std::string const& name : order) {
+      if (placed.count(name) == 0) {
+        cJSON_AddItemToArray(merged, cJSON_Duplicate(given[name], 1));
+      }
+    }
+    cJSON_DeleteItemFromObjectCaseSensitive(target->get(), list.c_str());
+    cJSON_AddItemToObject(target->get(), list.c_str(), merged);
+  }
+  return loam::print_tree(target->get());
+}
+
+Notation own_notation() {
+  return Notation{read_own, [](std::string const& current, std::string const& change) {
+                    return merge_named(current, change, "number", {"lanes", "services"});
+                  }};
+}
+
+std::vector<loam::Fault> check(schema::Charter const& charter) {
+  std::vector<loam::Fault> faults;
+  if (charter.number == 0) {
+    faults.push_back(loam::Fault{"/number", "must be above 0"});
+  }
+  std::set<std::string> services;
+  for (std::size_t index = 0; index < charter.services.size(); ++index) {
+    if (!services.insert(charter.services[index].name).second) {
+      faults.push_back(loam::Fault{place("services", index, "/name"), "is there twice"});
+    }
+  }
+  std::set<std::string> names;
+  std::set<std::pair<std::string, std::string>> places;
+  for (std::size_t index = 0; index < charter.lanes.size(); ++index) {
+    schema::Lane const& lane = charter.lanes[index];
+    if (!names.insert(lane.name).second) {
+      faults.push_back(loam::Fault{place("lanes", index, "/name"), "is there twice"});
+    }
+    if (!places.insert(std::make_pair(lane.host, lane.prefix)).second) {
+      faults.push_back(loam::Fault{place("lanes", index, "/prefix"), "another lane has this host and prefix"});
+    }
+    double weights = 0;
+    for (schema::Share const& share : lane.shares) {
+      weights += share.weight;
+      if (services.count(share.service) == 0) {
+        faults.push_back(loam::Fault{place("lanes", index, "/shares"), "names an unknown service: " + share.service});
+      }
+    }
+    if (!(weights > 0)) {
+      faults.push_back(loam::Fault{place("lanes", index, "/shares"), "weights add up to nothing"});
+    }
+    if (!(lane.deadline_ms > 0)) {
+      faults.push_back(loam::Fault{place("lanes", index, "/deadline_ms"), "must be above 0"});
+    }
+  }
+  return faults;
+}
+
+}  // namespace finchlink::orchard
--- a/source/rootstock/change/change.cpp
+++ b/source/rootstock/change/change.cpp
@@ -42,6 +42,11 @@
   }
 }
 
+void Change::know(Ballot const& ballot, schema::Value const& value) {
+  known_ = ballot;
+  known_value_ = value;
+}
+
 std::vector<ChangeAction> Change::begin(HolderSet const& set) {
   if (set.epoch > ballot_.epoch) {
     ballot_ = Ballot{set.epoch, 0, proposer_};
@@ -53,7 +58,7 @@
   state_ = Preparing{};
   std::vector<ChangeAction> actions;
   for (HolderEntry const& holder : set_.holders) {
-    actions.emplace_back(Send{holder, schema::Prepare{name_, ballot_}});
+    actions.emplace_back(Send{holder, schema::Prepare{name_, ballot_, known_}});
   }
   return actions;
 }
@@ -84,7 +89,7 @@
   preparing->promised.insert(from);
   if (before(preparing->best, message.accepted)) {
     preparing->best = message.accepted;
-    preparing->value = message.value;
+    preparing->value = message.accepted == known_ ? known_value_ : message.value;
   }
   if (preparing->promised.size() < majority(set_.holders.size())) {
     return actions;
--- a/source/rootstock/change/change.hpp
+++ b/source/rootstock/change/change.hpp
@@ -49,6 +49,8 @@
   Change(std::string name, std::uint64_t proposer, Wisher wisher, Guards guards = {});
   /// A ballot known to stand: starting above it saves a refusal.
   void start_above(Ballot const& ballot);
+  /// A value known to stand under a ballot: holders need not send it again.
+  void know(Ballot const& ballot, schema::Value const& value);
   [[nodiscard]] std::vector<ChangeAction> begin(HolderSet const& set);
   [[nodiscard]] std::vector<ChangeAction> receive(std::uint64_t from, schema::Message const& message);
   [[nodiscard]] std::string const& name() const { return name_; }
@@ -78,6 +80,8 @@
   HolderSet set_;
   Ballot ballot_;
   State state_ = Resting{};
+  Ballot known_;
+  schema::Value known_value_;
 };
 
 /// Writes the content if the register stands at the expected revision, and
--- a/source/rootstock/holder/holder.cpp
+++ b/source/rootstock/holder/holder.cpp
@@ -86,7 +86,9 @@
     cell.promised = message.ballot;
     outcome.records.emplace_back(schema::CellRecord{message.name, cell});
   }
-  outcome.reply = schema::Promise{message.ballot, cell.accepted, cell.value};
+  // The asker may hold the value already; a large one is not sent in vain.
+  bool const known = message.known == cell.accepted;
+  outcome.reply = schema::Promise{message.ballot, cell.accepted, known ? schema::Value{} : cell.value};
   return outcome;
 }
 
--- a/source/trellis/ledger/ledger.cpp
+++ b/source/trellis/ledger/ledger.cpp
@@ -11,18 +11,35 @@
 using rootstock::ChangeAction;
 using rootstock::ConfirmAction;
 
-Ledger::Ledger(boost::asio::io_context& context, loam::Caller& caller, std::uint64_t identity, std::vector<std::string> seeds)
-    : context_(context), caller_(caller), identity_(identity), seeds_(std::move(seeds)) {}
+Ledger::Ledger(boost::asio::io_context& context, loam::Caller& caller, std::uint64_t identity, std::vector<std::string> seeds,
+               loam::Span confirm_pause)
+    : context_(context), caller_(caller), identity_(identity), seeds_(std::move(seeds)), confirm_pause_(confirm_pause) {}
+
+void Ledger::follow(std::vector<std::string> const& seeds, loam::Span confirm_pause) {
+  std::lock_guard<std::mutex> const guard(lock_);
+  seeds_ = seeds;
+  confirm_pause_ = confirm_pause;
+}
+
+void Ledger::look(std::function<void(std::map<std::string, schema::Value> const&, loam::Moment)> const& looker) {
+  std::lock_guard<std::mutex> const guard(lock_);
+  looker(confirm_.values(), confirm_.confirmed_from());
+}
 
 void Ledger::begin() {
   loam::start(context_, [this](loam::Yield yield) {
     while (true) {
+      // Counted before the read begins: who hurries it meanwhile wants a newer one.
+      std::uint64_t const seen = hurry_.count();
+      loam::Span rest = constants::confirm_pause;
       if (set().epoch == 0) {
         discover(yield);
       } else {
         confirm_once(yield);
+        std::lock_guard<std::mutex> const guard(lock_);
+        rest = confirm_pause_;
       }
-      loam::pause(context_, constants::confirm_pause, yield);
+      hurry_.wait(seen, rest, yield);
     }
   });
 }
@@ -132,7 +149,12 @@
   {
     std::lock_guard<std::mutex> const guard(lock_);
     core.start_above(confirm_.known(name));
+    std::map<std::string, schema::Value>::const_iterator const found = confirm_.values().find(name);
+    if (found != confirm_.values().end()) {
+      core.know(confirm_.known(name), found->second);
+    }
   }
+  loam::Span range = constants::ballot_pause_most - constants::ballot_pause_least;
   while (loam::boot_now() < until) {
     schema::HolderSet const holders = set();
     if (holders.epoch == 0) {
@@ -145,14 +167,18 @@
     while (!result.has_value() && !again && !actions.empty()) {
       std::vector<std::pair<std::string, schema::Message>> calls;
       std::vector<std::uint64_t> incarnations;
+      std::size_t bytes = 0;
       for (ChangeAction const& action : actions) {
         if (rootstock::Send const* const send = std::get_if<rootstock::Send>(&action)) {
           calls.emplace_back(send->to.address, send->message);
           incarnations.push_back(send->to.incarnation);
+          if (schema::Accept const* const accept = std::get_if<schema::Accept>(&send->message)) {
+            bytes = accept->value.content.size();
+          }
         }
       }
       actions.clear();
-      loam::Span const patience = std::min(constants::holder_deadline, std::max<loam::Span>(until - loam::boot_now(), 1000));
+      loam::Span const patience = std::min(constants::holder_deadline + static_cast<loam::Span>(bytes) * constants::holder_byte_span, std::max<loam::Span>(until - loam::boot_now(), 1000));
       loam::Gather::run(
           context_, caller_, calls, patience,
           [&](std::size_t index, absl::StatusOr<schema::Message> const& answer) {
@@ -189,8 +215,10 @@
       bell_.ring();
       return *result;
     }
-    loam::Span const range = constants::ballot_pause_most - constants::ballot_pause_least;
     loam::pause(context_, constants::ballot_pause_least + static_cast<loam::Span>(loam::random_number() % static_cast<std::uint64_t>(range)), yield);
+    // Two that race over a long way take each other's ballots until one of
+    // them waits for longer than the other's two rounds take.
+    range = std::min(range * 2, constants::ballot_pause_longest);
   }
   return Unknown{"no majority of holders answered in time"};
 }
--- a/source/trellis/ledger/ledger.hpp
+++ b/source/trellis/ledger/ledger.hpp
@@ -6,6 +6,7 @@
 #include <variant>
 #include <vector>
 
+#include "loam/constants.hpp"
 #include "loam/net/net.hpp"
 #include "rootstock/change/change.hpp"
 #include "rootstock/confirm/confirm.hpp"
@@ -21,9 +22,14 @@
   };
   using Result = std::variant<rootstock::Chosen, rootstock::Rejected, Unknown>;
 
-  Ledger(boost::asio::io_context& context, loam::Caller& caller, std::uint64_t identity, std::vector<std::string> seeds);
+  Ledger(boost::asio::io_context& context, loam::Caller& caller, std::uint64_t identity, std::vector<std::string> seeds,
+         loam::Span confirm_pause = loam::constants::confirm_pause);
   /// Starts the loop of majority reads.
   void begin();
+  /// Settings that changed.
+  void follow(std::vector<std::string> const& seeds, loam::Span confirm_pause);
+  /// The next majority read begins at once instead of after its pause.
+  void hurry() { hurry_.ring(); }
 
   [[nodiscard]] Result change(std::string const& name, rootstock::Wisher wisher, loam::Span deadline, loam::Yield yield);
 
@@ -33,6 +39,8 @@
   void know_colleagues(std::vector<std::string> const& addresses);
   [[nodiscard]] std::map<std::string, schema::Value> values();
   [[nodiscard]] schema::Value value(std::string const& name);
+  /// Looks at all values and from when they are confirmed, without a copy.
+  void look(std::function<void(std::map<std::string, schema::Value> const&, loam::Moment)> const& looker);
   /// All that was chosen before this moment is in values().
   [[nodiscard]] loam::Moment confirmed_from();
   /// Rings when something was confirmed or learnt.
@@ -50,7 +58,9 @@
   std::mutex lock_;
   schema::HolderSet set_;
   rootstock::Confirm confirm_;
+  loam::Span confirm_pause_;
   loam::Bell bell_;
+  loam::Bell hurry_;
 };
 
 }  // namespace finchlink::trellis
--- a/source/trellis/main.cpp
+++ b/source/trellis/main.cpp
@@ -3,6 +3,10 @@
 #include "loam/constants.hpp"
 #include "loam/process/process.hpp"
 #include "loam/random/random.hpp"
+#include "platform/listing.hpp"
+#include "platform/notation.hpp"
+#include "platform/operator.hpp"
+#include "platform/settings.hpp"
 #include "trellis/command/command.hpp"
 #include "trellis/duty/duties.hpp"
 #include "trellis/operator/operator.hpp"
@@ -20,6 +24,8 @@
   std::unique_ptr<trellis::Duties> duties;
   std::unique_ptr<trellis::Operator> operators;
 };
+
+loam::Span span(std::uint64_t milliseconds) { return loam::milliseconds(static_cast<std::int64_t>(milliseconds)); }
 }  // namespace
 
 int main(int count, char** values) {
@@ -32,14 +38,19 @@
   daemon.needed = {"name", "hall", "http_address", "colleague_address", "seeds"};
   daemon.begin = [&program](boost::asio::io_context& context, schema::Settings const& settings) -> absl::Status {
     std::uint64_t const identity = loam::random_identity();
+    bool const platform = platform::settings_path().has_value();
+    schema::TimeBounds const& bounds = settings.bounds;
     program.caller = std::make_unique<loam::Caller>(context);
     if (!settings.data_folder.empty()) {
-      program.holder = std::make_unique<trellis::HolderShell>(context, *program.caller, settings.data_folder, settings.colleague_address, settings.seeds);
+      program.holder = std::make_unique<trellis::HolderShell>(context, *program.caller, settings.data_folder, settings.colleague_address,
+                                                              settings.founding ? settings.seeds : std::vector<std::string>());
     }
-    program.ledger = std::make_unique<trellis::Ledger>(context, *program.caller, identity, settings.seeds);
-    program.news = std::make_unique<trellis::News>(context, *program.caller, *program.ledger, program.holder.get(), settings, identity);
+    program.ledger = std::make_unique<trellis::Ledger>(context, *program.caller, identity, settings.seeds, span(bounds.confirm_pause_ms));
+    program.news = std::make_unique<trellis::News>(context, *program.caller, *program.ledger, program.holder.get(), settings, identity, platform ? trellis::ListReader(platform::read_list) : trellis::ListReader());
     program.duties = std::make_unique<trellis::Duties>(context, *program.caller, *program.ledger, *program.news, program.holder.get(), identity, settings.hall);
-    program.operators = std::make_unique<trellis::Operator>(context, *program.ledger, *program.news, program.holder.get(), [&program] { return program.duties->describe(); });
+    program.operators = std::make_unique<trellis::Operator>(context, *program.ledger, *program.news, program.holder.get(), [&program] { return program.duties->describe(); },
+                                                             platform ? platform::notation() : orchard::own_notation(),
+                                                             platform ? platform::operator_paths() : trellis::OperatorPaths(), span(bounds.acknowledge_wait_ms));
     absl::Status status = loam::serve_frames(context, settings.colleague_address, settings.connections,
                                              [&program](schema::Message const& message, loam::Yield yield) -> std::optional<schema::Message> {
       if (schema::NewsAsk const* const ask = std::get_if<schema::NewsAsk>(&message)) {
@@ -56,7 +67,7 @@
     if (!status.ok()) {
       return status;
     }
-    status = loam::serve_asks(context, settings.http_address, settings.connections, constants::setup_limit,
+    status = loam::serve_asks(context, settings.http_address, settings.connections, constants::charter_limit,
                               [&program](loam::Ask const& ask, loam::Yield yield) { return program.operators->answer(ask, yield); });
     if (!status.ok()) {
       return status;
@@ -69,6 +80,13 @@
     program.duties->begin();
     return absl::OkStatus();
   };
+  daemon.settings_path = platform::settings_path;
+  daemon.read_settings = platform::read_settings;
+  daemon.changed = [&program](schema::Settings const& settings) {
+    program.ledger->follow(settings.seeds, span(settings.bounds.confirm_pause_ms));
+    program.news->follow(settings);
+    program.operators->follow(span(settings.bounds.acknowledge_wait_ms));
+  };
   daemon.drain = [] {};
   daemon.busy = [&program] { return program.operators->busy(); };
   return loam::run_daemon(daemon, count, values);
--- a/source/trellis/news/news.cpp
+++ b/source/trellis/news/news.cpp
@@ -4,6 +4,7 @@
 
 #include "hedge/desk/desk.hpp"
 #include "loam/constants.hpp"
+#include "loam/error/error.hpp"
 #include "loam/http/http.hpp"
 #include "loam/json/tree.hpp"
 #include "loam/log/log.hpp"
@@ -13,8 +14,20 @@
 namespace constants = loam::constants;
 
 News::News(boost::asio::io_context& context, loam::Caller& caller, Ledger& ledger, HolderShell* holder, schema::Settings const& settings,
-           std::uint64_t identity)
-    : context_(context), caller_(caller), ledger_(ledger), holder_(holder), settings_(settings), identity_(identity), sessions_(self()) {}
+           std::uint64_t identity, ListReader reader)
+    : context_(context), caller_(caller), ledger_(ledger), holder_(holder), settings_(settings), identity_(identity),
+      sessions_(self(), loam::milliseconds(static_cast<std::int64_t>(settings.bounds.session_bound_ms))), reader_(std::move(reader)) {}
+
+void News::follow(schema::Settings const& settings) {
+  std::lock_guard<std::mutex> const guard(lock_);
+  settings_ = settings;
+  sessions_.set_bound(loam::milliseconds(static_cast<std::int64_t>(settings.bounds.session_bound_ms)));
+}
+
+loam::Span News::bound(std::uint64_t schema::TimeBounds::*field) {
+  std::lock_guard<std::mutex> const guard(lock_);
+  return loam::milliseconds(static_cast<std::int64_t>(settings_.bounds.*field));
+}
 
 schema::TrellisEntry News::self() {
   schema::TrellisEntry entry{settings_.name, identity_, settings_.hall, settings_.colleague_address, settings_.http_address, holder_ != nullptr, false, 0};
@@ -28,53 +41,97 @@
 void News::begin() {
   loam::start(context_, [this](loam::Yield yield) {
     while (true) {
-      tell_colleagues(yield);
-      loam::pause(context_, constants::tell_pause, yield);
+      tell_colleagues(false, "", yield);
+      loam::pause(context_, bound(&schema::TimeBounds::tell_pause_ms), yield);
     }
   });
   if (!settings_.platform_address.empty()) {
     loam::start(context_, [this](loam::Yield yield) {
       while (true) {
-        read_platform(yield);
-        loam::pause(context_, constants::list_pause, yield);
+        loam::Span const rest = list_rest();
+        loam::pause(context_, rest > 0 ? rest : read_platform(yield), yield);
       }
     });
   }
 }
 
+void News::announce(bool confirm) {
+  loam::start(context_, [this, confirm](loam::Yield yield) { tell_colleagues(confirm, "", yield); });
+}
+
 void News::keep_list(schema::PlatformList const& list, loam::Moment as_of) {
+  bool changed = false;
+  {
+    std::lock_guard<std::mutex> const guard(lock_);
+    std::uint64_t const before = listing_.digest();
+    changed = listing_.keep(list, as_of, loam::boot_now()) && listing_.digest() != before;
+  }
+  if (changed) {
+    ledger_.bell().ring();
+  }
+}
+
+loam::Span News::list_rest() {
   std::lock_guard<std::mutex> const guard(lock_);
-  (void)listing_.keep(list, as_of, loam::boot_now());
+  if (!reader_) {
+    return 0;
+  }
+  // Calls to the platform are priced: the first by name reads, and the others
+  // are told; whoever misses that for long enough reads itself (section 13.4).
+  loam::Span rank = 0;
+  for (schema::TrellisEntry const& trellis : sessions_.trellises()) {
+    rank += trellis.name < settings_.name ? 1 : 0;
+  }
+  loam::Span const pause = loam::milliseconds(static_cast<std::int64_t>(settings_.bounds.list_pause_ms));
+  loam::Span const tell = loam::milliseconds(static_cast<std::int64_t>(settings_.bounds.tell_pause_ms));
+  loam::Span const turn = rank == 0 ? pause : pause + tell + rank * constants::list_stagger;
+  loam::Span const age = listing_.age(loam::boot_now());
+  return age < 0 ? 0 : std::max<loam::Span>(turn - age, 0);
 }
 
-void News::read_platform(loam::Yield yield) {
-  loam::Moment const asked = loam::boot_now();
+absl::StatusOr<schema::PlatformList> News::read_own_list(std::string const& address, loam::Yield yield) {
   loam::Ask ask{loam::http::verb::get, "/workers", 11};
-  absl::StatusOr<loam::Answer> const answer =
-      loam::ask_once(context_, settings_.platform_address, ask, constants::list_deadline, constants::list_limit, yield);
-  std::string reason;
+  absl::StatusOr<loam::Answer> const answer = loam::ask_once(context_, address, ask, constants::list_deadline, constants::list_limit, yield);
   if (!answer.ok()) {
-    reason = std::string(answer.status().message());
-  } else if (answer->result() != loam::http::status::ok) {
-    reason = "status " + std::to_string(answer->result_int());
-  } else {
-    absl::StatusOr<loam::Tree> const tree = loam::read_tree(answer->body());
-    std::vector<loam::Fault> faults;
-    schema::PlatformList list;
-    if (tree.ok()) {
-      schema::read(tree->get(), "", list, faults);
-    }
-    if (tree.ok() && faults.empty()) {
-      bool const changed = !(this->list() == list);
-      keep_list(list, asked);
-      if (changed) {
-        ledger_.bell().ring();
-      }
-      return;
+    return answer.status();
+  }
+  if (answer->result() != loam::http::status::ok) {
+    return loam::defect(absl::StatusCode::kUnavailable, "list", "status " + std::to_string(answer->result_int()));
+  }
+  absl::StatusOr<loam::Tree> const tree = loam::read_tree(answer->body());
+  if (!tree.ok()) {
+    return tree.status();
+  }
+  std::vector<loam::Fault> faults;
+  schema::PlatformList list;
+  schema::read(tree->get(), "", list, faults);
+  if (!faults.empty()) {
+    return loam::defect(absl::StatusCode::kDataLoss, "list", loam::describe(faults));
+  }
+  return list;
+}
+
+loam::Span News::read_platform(loam::Yield yield) {
+  loam::Moment const asked = loam::boot_now();
+  std::string address;
+  {
+    std::lock_guard<std::mutex> const guard(lock_);
+    address = settings_.platform_address;
+  }
+  loam::Span const pause = bound(&schema::TimeBounds::list_pause_ms);
+  absl::StatusOr<schema::PlatformList> const list = reader_ ? reader_(context_, address, constants::list_deadline, yield) : read_own_list(address, yield);
+  if (list.ok()) {
+    std::uint64_t const before = list_digest();
+    keep_list(*list, asked);
+    list_pause_after_defect_ = 0;
+    if (reader_ && list_digest() != before) {
+      announce(false);
     }
-    reason = tree.ok() ? loam::describe(faults) : std::string(tree.status().message());
+    return reader_ ? constants::bell_pause : pause;  // with a reader, list_rest() tells the rest
   }
-  loam::note(loam::Event::ListDefect, reason);
+  loam::note(loam::Event::ListDefect, std::string(list.status().message()));
+  list_pause_after_defect_ = absl::IsResourceExhausted(list.status()) ? std::min(std::max(pause, list_pause_after_defect_ * 2), constants::list_rest_most) : pause;
+  return list_pause_after_defect_;
 }
 
 void News::keep_reports(schema::Member const& member, std::vector<schema::FurrowReport> const& reports, loam::Moment now) {
@@ -102,9 +159,18 @@
   return taken;
 }
 
-void News::tell_colleagues(loam::Yield yield) {
+void News::judge_members() {
+  std::uint64_t const digest = hedge::digest_of(sessions_.members());
+  if (digest != members_digest_) {
+    members_digest_ = digest;
+    ledger_.bell().ring();
+  }
+}
+
+void News::tell_colleagues(bool confirm, std::string const& only, loam::Yield yield) {
   schema::Tell tell;
   std::vector<std::pair<std::string, schema::Message>> calls;
+  loam::Span patience = 0;
   {
     std::lock_guard<std::mutex> const guard(lock_);
     loam::Moment const now = loam::boot_now();
@@ -112,9 +178,14 @@
     for (std::string const& ended : sessions_.expire(now)) {
       loam::note(loam::Event::SessionEnded, ended);
     }
+    judge_members();
+    patience = loam::milliseconds(static_cast<std::int64_t>(settings_.bounds.tell_pause_ms)) * 2;
     tell.from = sessions_.self();
     tell.others = sessions_.trellises();
     tell.sessions = sessions_.tellable(now);
+    tell.list_digest = listing_.digest();
+    tell.list_age = listing_.age(now);
+    tell.confirm = confirm;
     for (schema::Session& session : tell.sessions) {
       for (Kept const& kept : reports_) {
         if (kept.member.incarnation == session.member.incarnation) {
@@ -126,6 +197,9 @@
     for (schema::TrellisEntry const& other : tell.others) {
       addresses.push_back(other.address);
     }
+    if (!only.empty()) {
+      addresses = {only};
+    }
     std::sort(addresses.begin(), addresses.end());
     addresses.erase(std::unique(addresses.begin(), addresses.end()), addresses.end());
     for (std::string const& address : addresses) {
@@ -137,13 +211,18 @@
   loam::Moment const sent = loam::boot_now();
   // A silent colleague must not hold up the next telling by more than this.
   loam::Gather::run(
-      context_, caller_, calls, constants::tell_pause * 2,
+      context_, caller_, calls, patience,
       [this, sent](std::size_t, absl::StatusOr<schema::Message> const& answer) {
         if (answer.ok()) {
           if (schema::Told const* const told = std::get_if<schema::Told>(&*answer)) {
             // Counted from when we asked: a frozen machine that wakes must
             // not take an old word for a fresh one (section 6.3).
-            if (told->list_age >= 0) {
+            if (told->list_age >= 0 && told->list_same) {
+              std::lock_guard<std::mutex> const guard(lock_);
+              if (told->list_digest == listing_.digest()) {
+                listing_.renew(sent - told->list_age);
+              }
+            } else if (told->list_age >= 0) {
               keep_list(told->list, sent - told->list_age);
             }
             std::lock_guard<std::mutex> const guard(lock_);
@@ -159,36 +238,76 @@
   loam::Moment const now = loam::boot_now();
   std::lock_guard<std::mutex> const guard(lock_);
   sessions_.told(tell, now);
+  judge_members();
   for (schema::Session const& session : tell.sessions) {
     keep_reports(session.member, session.reports, now);
   }
-  return schema::Told{sessions_.self(), listing_.list(), listing_.age(now)};
+  if (tell.confirm) {
+    ledger_.hurry();
+  }
+  // A colleague that tells of a newer list is asked for it: what it says of
+  // its age counts only from when we asked (section 6.3).
+  loam::Span const age = listing_.age(now);
+  if (tell.list_age >= 0 && tell.list_digest != listing_.digest() && (age < 0 || tell.list_age < age) && !fetching_) {
+    fetching_ = true;
+    loam::start(context_, [this, address = tell.from.address](loam::Yield yield) {
+      tell_colleagues(false, address, yield);
+      std::lock_guard<std::mutex> const done(lock_);
+      fetching_ = false;
+    });
+  }
+  bool const same = tell.list_digest == listing_.digest();
+  return schema::Told{sessions_.self(), same ? schema::PlatformList{} : listing_.list(), age, listing_.digest(), same};
 }
 
 schema::Message News::ask(schema::NewsAsk const& ask, loam::Yield yield) {
   loam::Moment const arrival = loam::boot_now();
+  hedge::DeskBounds const bounds{bound(&schema::TimeBounds::ask_hold_ms), bound(&schema::TimeBounds::ask_patience_ms)};
+  std::uint64_t list_before = 0;
+  std::uint64_t members_before = 0;
   {
     std::lock_guard<std::mutex> const guard(lock_);
     if (sessions_.heard(ask.member, arrival)) {
       loam::note(loam::Event::SessionOpened, ask.member.name + " in " + ask.member.hall);
     }
+    judge_members();
     keep_reports(ask.member, ask.reports, arrival);
+    // An asker that tells what it holds is answered when ours differs from
+    // that; one that doesn't, when ours changes.
+    list_before = ask.list_digest != 0 ? ask.list_digest : listing_.digest();
+    members_before = ask.members_digest != 0 ? ask.members_digest : 0;
   }
   schema::NewsAnswer answer;
-  schema::PlatformList const before = list();
   while (true) {
     std::uint64_t const seen = ledger_.bell().count();
-    hedge::DeskVerdict const verdict =
-        hedge::judge_ask(ask, arrival, ledger_.confirmed_from(), ledger_.values(), !(list() == before), loam::boot_now());
+    loam::Moment const now = loam::boot_now();
+    bool other_news = false;
+    {
+      std::lock_guard<std::mutex> const guard(lock_);
+      other_news = listing_.digest() != list_before || (members_before != 0 && members_digest_ != members_before);
+    }
+    bool const rested = now - arrival >= constants::bell_pause;
+    hedge::DeskVerdict verdict;
+    ledger_.look([&](std::map<std::string, schema::Value> const& values, loam::Moment confirmed_from) {
+      verdict = hedge::judge_ask(ask, arrival, confirmed_from, values, other_news && rested, now, {}, bounds);
+    });
     if (verdict.answer.has_value()) {
       answer = *verdict.answer;
       break;
     }
-    ledger_.bell().wait(seen, verdict.wait, yield);
+    ledger_.bell().wait(seen, other_news && !rested ? std::min(verdict.wait, constants::bell_pause - (now - arrival)) : verdict.wait, yield);
   }
   std::lock_guard<std::mutex> const guard(lock_);
-  answer.members = sessions_.members();
-  answer.list = listing_.list();
+  answer.members_digest = members_digest_;
+  answer.members_same = ask.members_digest != 0 && ask.members_digest == members_digest_;
+  if (!answer.members_same) {
+    answer.members = sessions_.members();
+  }
+  answer.list_digest = listing_.digest();
+  answer.list_same = ask.list_digest != 0 && ask.list_digest == listing_.digest();
+  if (!answer.list_same) {
+    answer.list = listing_.list();
+  }
   answer.list_age = listing_.age(loam::boot_now());
   answer.reports_taken = newest_slice_[ask.member.incarnation];
   for (schema::TrellisEntry const& trellis : sessions_.trellises()) {
@@ -211,6 +330,10 @@
   std::lock_guard<std::mutex> const guard(lock_);
   return listing_.list();
 }
+std::uint64_t News::list_digest() {
+  std::lock_guard<std::mutex> const guard(lock_);
+  return listing_.digest();
+}
 loam::Span News::list_age() {
   std::lock_guard<std::mutex> const guard(lock_);
   return listing_.age(loam::boot_now());
--- a/source/trellis/news/news.hpp
+++ b/source/trellis/news/news.hpp
@@ -12,18 +12,26 @@
 
 namespace finchlink::trellis {
 
+/// How the platform list is read where it is not in our own form (section 13.4).
+using ListReader = std::function<absl::StatusOr<schema::PlatformList>(boost::asio::io_context&, std::string const& address, loam::Span deadline, loam::Yield)>;
+
 /// What a furrow is told (section 6), members and the platform list.
 class News {
  public:
   News(boost::asio::io_context& context, loam::Caller& caller, Ledger& ledger, HolderShell* holder, schema::Settings const& settings,
-       std::uint64_t identity);
+       std::uint64_t identity, ListReader reader = {});
   void begin();
+  /// Settings that changed.
+  void follow(schema::Settings const& settings);
+  /// Tells all colleagues at once; with `confirm` they also read what was chosen.
+  void announce(bool confirm);
   [[nodiscard]] schema::Message ask(schema::NewsAsk const& ask, loam::Yield yield);
   [[nodiscard]] schema::Message tell(schema::Tell const& tell);
 
   [[nodiscard]] std::vector<schema::Member> members();
   [[nodiscard]] std::vector<schema::TrellisEntry> trellises();
   [[nodiscard]] schema::PlatformList list();
+  [[nodiscard]] std::uint64_t list_digest();
   /// Microseconds since the list was asked for; negative when never read.
   [[nodiscard]] loam::Span list_age();
   /// Reports of furrows, each handed out once per taker.
@@ -32,8 +40,15 @@
  private:
   void keep_list(schema::PlatformList const& list, loam::Moment as_of);
   void keep_reports(schema::Member const& member, std::vector<schema::FurrowReport> const& reports, loam::Moment now);
-  void read_platform(loam::Yield yield);
-  void tell_colleagues(loam::Yield yield);
+  /// Reads the platform list; how long to wait then.
+  [[nodiscard]] loam::Span read_platform(loam::Yield yield);
+  [[nodiscard]] absl::StatusOr<schema::PlatformList> read_own_list(std::string const& address, loam::Yield yield);
+  /// How long until it is on this trellis to read the list.
+  [[nodiscard]] loam::Span list_rest();
+  void tell_colleagues(bool confirm, std::string const& only, loam::Yield yield);
+  /// Notes whether members are others than before; rings if so. Under the lock.
+  void judge_members();
+  [[nodiscard]] loam::Span bound(std::uint64_t schema::TimeBounds::*field);
   [[nodiscard]] schema::TrellisEntry self();
 
   boost::asio::io_context& context_;
@@ -53,6 +68,10 @@
   std::deque<Kept> reports_;
   std::deque<schema::Session> fresh_reports_;
   std::map<std::uint64_t, std::uint64_t> newest_slice_;
+  ListReader reader_;
+  std::uint64_t members_digest_ = 0;
+  bool fetching_ = false;  ///< a colleague's newer list is on its way
+  loam::Span list_pause_after_defect_ = 0;
 };
 
 }  // namespace finchlink::trellis
--- a/source/trellis/operator/operator.cpp
+++ b/source/trellis/operator/operator.cpp
@@ -92,7 +92,13 @@
   std::string const target(ask.target().substr(0, ask.target().find('?')));
   loam::Answer answer = loam::answer_error(http::status::not_found, "unknown_path", "see docs/operating/setup.md");
   http::verb const verb = ask.method();
-  if (target == "/setup") {
+  std::string const& tail = paths_.evacuation;
+  if (target == paths_.charter) {
+    answer = answer_charter(ask, yield);
+  } else if (target.size() > paths_.hall.size() + tail.size() && target.rfind(paths_.hall, 0) == 0 && target.ends_with(tail) &&
+             (verb == http::verb::post || verb == http::verb::delete_) && (!tail.empty() || target.find('/', paths_.hall.size()) == std::string::npos)) {
+    answer = evacuate(target.substr(paths_.hall.size(), target.size() - paths_.hall.size() - tail.size()), verb == http::verb::post, yield);
+  } else if (target == "/setup") {
     if (verb == http::verb::get) {
       answer = get_setup(yield);
     } else if (verb == http::verb::put || verb == http::verb::patch) {
@@ -142,18 +148,118 @@
   return answer;
 }
 
-loam::Answer Operator::get_setup(loam::Yield yield) {
+bool Operator::confirmed(loam::Yield yield) {
   // A read that is sure: a majority confirms it after the ask came.
   loam::Moment const arrival = loam::boot_now();
+  ledger_.hurry();
   while (ledger_.confirmed_from() < arrival) {
     if (loam::boot_now() - arrival > constants::change_deadline) {
-      return loam::answer_error(http::status::service_unavailable, "no_majority", "no majority of holders answered");
+      return false;
     }
     std::uint64_t const seen = ledger_.bell().count();
     if (ledger_.confirmed_from() < arrival) {
       ledger_.bell().wait(seen, constants::confirm_pause * 2, yield);
     }
   }
+  return true;
+}
+
+void Operator::spread(loam::Yield yield) {
+  ledger_.hurry();
+  news_.announce(true);
+  // From here every vouch brings this revision; when the bound is over, whoever
+  // lacks it has stopped by itself (section 4.1).
+  loam::pause(context_, acknowledge_wait_, yield);
+}
+
+loam::Answer Operator::answer_charter(loam::Ask const& ask, loam::Yield yield) {
+  http::verb const verb = ask.method();
+  if (verb == http::verb::get) {
+    return get_charter(yield);
+  }
+  if (verb == http::verb::put || verb == http::verb::patch) {
+    return change_charter(ask, verb == http::verb::patch, yield);
+  }
+  return loam::answer_error(http::status::method_not_allowed, "method", "GET, PUT or PATCH");
+}
+
+loam::Answer Operator::get_charter(loam::Yield yield) {
+  if (!confirmed(yield)) {
+    return loam::answer_error(http::status::service_unavailable, "no_majority", "no majority of holders answered");
+  }
+  schema::Value const value = ledger_.value(orchard::charter_register);
+  if (value.revision == 0) {
+    return loam::answer_error(http::status::not_found, "no_charter", "no charter was put yet");
+  }
+  loam::Answer answer = loam::answer_text(http::status::ok, value.content);
+  answer.set(http::field::etag, "\"" + std::to_string(orchard::number_of(value)) + "\"");
+  return answer;
+}
+
+loam::Answer Operator::change_charter(loam::Ask const& ask, bool patch, loam::Yield yield) {
+  orchard::WantedCharter wanted{ask.body(), patch, std::nullopt};
+  std::string const match(ask[http::field::if_match]);
+  if (!match.empty() && match != "*") {
+    wanted.expected = tag_revision(match);
+    if (!wanted.expected.has_value()) {
+      return loam::answer_error(http::status::bad_request, "if_match", "If-Match takes one number, or *");
+    }
+  }
+  std::shared_ptr<orchard::CharterNote> const note = std::make_shared<orchard::CharterNote>();
+  Ledger::Result const result = ledger_.change(orchard::charter_register, orchard::charter_wish(wanted, notation_, note), constants::change_deadline, yield);
+  std::uint64_t number = note->number;
+  if (rootstock::Chosen const* const done = std::get_if<rootstock::Chosen>(&result)) {
+    number = orchard::number_of(done->value);
+    note->end = orchard::CharterEnd::done;
+    ++accepted_;
+    loam::note(loam::Event::CharterChosen, std::to_string(number));
+  } else if (std::holds_alternative<Ledger::Unknown>(result)) {
+    // It may have been chosen or may yet be: no status that promises otherwise.
+    ++unknown_;
+    loam::note(loam::Event::CharterUnknown, orchard::id_of(wanted));
+    return loam::answer_error(http::status::gateway_timeout, "unknown", "no majority of holders answered in time; send the same again");
+  }
+  std::string const tag = "\"" + std::to_string(number) + "\"";
+  if (note->end == orchard::CharterEnd::done) {
+    spread(yield);
+    loam::Answer answer = loam::answer_text(http::status::ok, "{\"number\":" + std::to_string(number) + "}");
+    answer.set(http::field::etag, tag);
+    return answer;
+  }
+  ++rejected_;
+  loam::note(loam::Event::CharterRejected, loam::describe(note->faults));
+  if (note->end == orchard::CharterEnd::faults) {
+    loam::Answer answer = faults_answer(note->faults);
+    answer.result(http::status::bad_request);
+    return answer;
+  }
+  if (note->end == orchard::CharterEnd::number) {
+    return loam::answer_error(http::status::bad_request, "number", "the number must be above the one in place, " + std::to_string(number));
+  }
+  if (note->end == orchard::CharterEnd::size) {
+    return loam::answer_error(http::status::payload_too_large, "too_large", "the charter is larger than allowed");
+  }
+  loam::Answer answer = loam::answer_error(http::status::precondition_failed, "another", "charter " + std::to_string(number) + " is in place");
+  answer.set(http::field::etag, tag);
+  return answer;
+}
+
+loam::Answer Operator::evacuate(std::string const& hall, bool evacuated, loam::Yield yield) {
+  Ledger::Result const result = ledger_.change(orchard::evacuated_register, orchard::evacuation_wish(hall, evacuated), constants::change_deadline, yield);
+  if (std::holds_alternative<Ledger::Unknown>(result)) {
+    ++unknown_;
+    return loam::answer_error(http::status::gateway_timeout, "unknown", "no majority of holders answered in time; send the same again");
+  }
+  ++accepted_;
+  loam::note(loam::Event::EvacuationChosen, hall + (evacuated ? " is emptied" : " is taken back"));
+  spread(yield);
+  return loam::answer_text(http::status::ok, "{}");
+}
+
+loam::Answer Operator::get_setup(loam::Yield yield) {
+  if (!confirmed(yield)) {
+    return loam::answer_error(http::status::service_unavailable, "no_majority", "no majority of holders answered");
+  }
   schema::Value const value = ledger_.value(rootstock::setup_register);
   if (value.content.empty()) {
     return loam::answer_error(http::status::not_found, "no_setup", "no setup was put yet");
@@ -244,9 +350,7 @@
 loam::Answer Operator::chosen(std::string const& id, std::uint64_t revision, loam::Yield yield) {
   ++accepted_;
   loam::note(loam::Event::SetupChosen, "revision " + std::to_string(revision) + " " + id);
-  // From here every vouch brings this revision; when the bound is over, whoever
-  // lacks it has stopped by itself (section 4.1).
-  loam::pause(context_, constants::acknowledge_wait, yield);
+  spread(yield);
   return outcome_answer(http::status::ok, "accepted", id, revision);
 }
 
@@ -283,7 +387,7 @@
     case orchard::Standing::accepted:
       // "Accepted" promises the same here as after a PUT (section 4.1); when
       // it was chosen is not known, so the whole wait counts from now.
-      loam::pause(context_, constants::acknowledge_wait, yield);
+      loam::pause(context_, acknowledge_wait_, yield);
       return outcome_answer(http::status::ok, "accepted", id, known.revision);
     case orchard::Standing::rejected:
       return outcome_answer(http::status::ok, "rejected", id, 0);
--- a/source/trellis/operator/operator.hpp
+++ b/source/trellis/operator/operator.hpp
@@ -2,22 +2,37 @@
 
 #include <atomic>
 
+#include "loam/constants.hpp"
 #include "loam/http/http.hpp"
 #include "orchard/change/wish.hpp"
+#include "orchard/charter/wish.hpp"
 #include "trellis/ledger/ledger.hpp"
 #include "trellis/news/news.hpp"
+#include "trellis/operator/paths.hpp"
 
 namespace finchlink::trellis {
 
 /// What operators ask over HTTP (docs/operating/setup.md).
 class Operator {
  public:
-  Operator(boost::asio::io_context& context, Ledger& ledger, News& news, HolderShell* holder, std::function<std::string()> duties)
-      : context_(context), ledger_(ledger), news_(news), holder_(holder), duties_(std::move(duties)) {}
+  Operator(boost::asio::io_context& context, Ledger& ledger, News& news, HolderShell* holder, std::function<std::string()> duties,
+           orchard::Notation notation = orchard::own_notation(), OperatorPaths paths = {}, loam::Span acknowledge_wait = loam::constants::acknowledge_wait)
+      : context_(context), ledger_(ledger), news_(news), holder_(holder), duties_(std::move(duties)), notation_(std::move(notation)),
+        paths_(std::move(paths)), acknowledge_wait_(acknowledge_wait) {}
+  /// Settings that changed.
+  void follow(loam::Span acknowledge_wait) { acknowledge_wait_ = acknowledge_wait; }
   [[nodiscard]] loam::Answer answer(loam::Ask const& ask, loam::Yield yield);
   [[nodiscard]] bool busy() const { return open_ > 0; }
 
  private:
+  [[nodiscard]] loam::Answer answer_charter(loam::Ask const& ask, loam::Yield yield);
+  [[nodiscard]] loam::Answer get_charter(loam::Yield yield);
+  [[nodiscard]] loam::Answer change_charter(loam::Ask const& ask, bool patch, loam::Yield yield);
+  [[nodiscard]] loam::Answer evacuate(std::string const& hall, bool evacuated, loam::Yield yield);
+  /// Whether a majority confirmed all values after now; waits for it.
+  [[nodiscard]] bool confirmed(loam::Yield yield);
+  /// What was chosen is on its way to all furrows; then the wait before yes.
+  void spread(loam::Yield yield);
   [[nodiscard]] loam::Answer get_setup(loam::Yield yield);
   [[nodiscard]] loam::Answer change_setup(loam::Ask const& ask, bool patch, loam::Yield yield);
   [[nodiscard]] loam::Answer apply(orchard::WantedChange const& wanted, loam::Yield yield);
@@ -33,6 +48,9 @@
   News& news_;
   HolderShell* holder_;
   std::function<std::string()> duties_;
+  orchard::Notation notation_;
+  OperatorPaths paths_;
+  std::atomic<loam::Span> acknowledge_wait_;
   std::atomic<int> open_ = 0;
   std::atomic<int> outcomes_ = 0;
   std::atomic<std::uint64_t> accepted_ = 0;
--- /dev/null
+++ b/source/trellis/operator/paths.hpp
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <string>
+
+namespace finchlink::trellis {
+
+/// Under which paths operators reach the charter and evacuations (section 13.3).
+struct OperatorPaths {
+  std::string charter = "/charter";
+  std::string hall = "/halls/";          ///< before a hall's name
+  std::string evacuation = "/evacuate";  ///< behind it
+};
+
+}  // namespace finchlink::trellis
