Trellises tell each other of newer lists without holding the lock over it

A telling begun under the news lock ran at once and waited for that lock: two of three trellises stood still after the first charter.

--- a/source/trellis/news/news.cpp
+++ b/source/trellis/news/news.cpp
@@ -236,28 +236,34 @@
 
 schema::Message News::tell(schema::Tell const& tell) {
   loam::Moment const now = loam::boot_now();
-  std::lock_guard<std::mutex> const guard(lock_);
-  sessions_.told(tell, now);
-  judge_members();
-  for (schema::Session const& session : tell.sessions) {
-    keep_reports(session.member, session.reports, now);
+  schema::Told told;
+  bool fetch = false;
+  {
+    std::lock_guard<std::mutex> const guard(lock_);
+    sessions_.told(tell, now);
+    judge_members();
+    for (schema::Session const& session : tell.sessions) {
+      keep_reports(session.member, session.reports, now);
+    }
+    // A colleague that tells of a newer list is asked for it: what it says of
+    // its age counts only from when we asked (section 6.3).
+    loam::Span const age = listing_.age(now);
+    bool const same = tell.list_digest == listing_.digest();
+    fetch = tell.list_age >= 0 && !same && (age < 0 || tell.list_age < age) && !fetching_;
+    fetching_ = fetching_ || fetch;
+    told = schema::Told{sessions_.self(), same ? schema::PlatformList{} : listing_.list(), age, listing_.digest(), same};
   }
   if (tell.confirm) {
     ledger_.hurry();
   }
-  // A colleague that tells of a newer list is asked for it: what it says of
-  // its age counts only from when we asked (section 6.3).
-  loam::Span const age = listing_.age(now);
-  if (tell.list_age >= 0 && tell.list_digest != listing_.digest() && (age < 0 || tell.list_age < age) && !fetching_) {
-    fetching_ = true;
+  if (fetch) {  // not under the lock: a coroutine may begin at once
     loam::start(context_, [this, address = tell.from.address](loam::Yield yield) {
       tell_colleagues(false, address, yield);
       std::lock_guard<std::mutex> const done(lock_);
       fetching_ = false;
     });
   }
-  bool const same = tell.list_digest == listing_.digest();
-  return schema::Told{sessions_.self(), same ? schema::PlatformList{} : listing_.list(), age, listing_.digest(), same};
+  return told;
 }
 
 schema::Message News::ask(schema::NewsAsk const& ask, loam::Yield yield) {
