--- /dev/null
+++ b/source/tests/hedge/digest_test.cpp
@@ -0,0 +1,77 @@
+#include <gtest/gtest.h>
+
+#include "hedge/listing/listing.hpp"
+#include "hedge/session/sessions.hpp"
+#include "loam/digest/digest.hpp"
+
+namespace finchlink {
+namespace {
+
+schema::WorkerEntry worker(std::string const& id) {
+  schema::WorkerEntry entry;
+  entry.id = id;
+  entry.address = "10.0.0.1:80";
+  entry.zone = "z";
+  entry.cold_ms = 3000;
+  return entry;
+}
+
+TEST(Digests, PartsDoNotRunIntoEachOther) {
+  EXPECT_NE(loam::Digest().add("ab").add("c").text(), loam::Digest().add("a").add("bc").text());
+  EXPECT_EQ(loam::Digest().add("ab").text().size(), 32u);
+  EXPECT_NE(loam::Digest().short_value(), 0u);
+  EXPECT_LT(loam::Digest().add("x").short_value(), 1ULL << 53u);
+}
+
+TEST(Digests, OfAListLeaveOutWhatCountsDown) {
+  schema::PlatformList const list{0, {worker("a"), worker("b")}};
+  schema::PlatformList later = list;
+  later.workers[0].cold_ms = 20;
+  EXPECT_EQ(hedge::digest_of(list), hedge::digest_of(later));
+  later.workers[0].cold_ms = 0;
+  EXPECT_NE(hedge::digest_of(list), hedge::digest_of(later));
+  later = list;
+  later.workers[1].draining = true;
+  EXPECT_NE(hedge::digest_of(list), hedge::digest_of(later));
+  later = list;
+  later.workers[1].left_ms = 900;
+  EXPECT_NE(hedge::digest_of(list), hedge::digest_of(later));
+  later = list;
+  later.workers[1].address = "10.0.0.2:80";
+  EXPECT_NE(hedge::digest_of(list), hedge::digest_of(later));
+  EXPECT_NE(hedge::digest_of(schema::PlatformList{}), 0u);
+}
+
+TEST(Digests, OfMembersLeaveOutLoadAndRevisions) {
+  std::vector<schema::Member> const members{schema::Member{"f", 1, "h", "a:1", {}, {}, {}, true, 0}};
+  std::vector<schema::Member> other = members;
+  other[0].load = 7;
+  other[0].held["setup"] = 3;
+  EXPECT_EQ(hedge::digest_of(members), hedge::digest_of(other));
+  other[0].ready = false;
+  EXPECT_NE(hedge::digest_of(members), hedge::digest_of(other));
+  other = members;
+  other[0].incarnation = 2;
+  EXPECT_NE(hedge::digest_of(members), hedge::digest_of(other));
+  EXPECT_NE(hedge::digest_of(std::vector<schema::Member>{}), 0u);
+}
+
+TEST(Listing, RenewedCountsDownButNotToNothing) {
+  hedge::Listing listing;
+  schema::PlatformList list{0, {worker("a"), worker("b")}};
+  list.workers[0].left_ms = 500;
+  list.workers[1].cold_ms = 0;
+  ASSERT_TRUE(listing.keep(list, loam::seconds(1), loam::seconds(1)));
+  std::uint64_t const digest = listing.digest();
+  listing.renew(loam::seconds(2));
+  EXPECT_EQ(listing.list().workers[0].cold_ms, 2000u);
+  EXPECT_EQ(listing.list().workers[0].left_ms, 1u);
+  EXPECT_EQ(listing.list().workers[1].cold_ms, 0u);
+  EXPECT_EQ(listing.digest(), digest);
+  EXPECT_EQ(listing.age(loam::seconds(2)), 0);
+  listing.renew(loam::seconds(1));  // older word changes nothing
+  EXPECT_EQ(listing.age(loam::seconds(2)), 0);
+}
+
+}  // namespace
+}  // namespace finchlink
--- /dev/null
+++ b/source/tests/platform/listing_test.cpp
@@ -0,0 +1,80 @@
+#include <gtest/gtest.h>
+
+#include "loam/constants.hpp"
+#include "loam/http/http.hpp"
+#include "platform/listing.hpp"
+
+namespace finchlink {
+namespace {
+
+TEST(PlatformListing, ReadsAPage) {
+  absl::StatusOr<platform::ListPage> const page = platform::parse_page(
+      R"({"instances":[{"plant":"p","address":"10.128.0.9:8080","zone":"z","revision":"v1","capacity":64,"state":"ready","warmup_left_ms":250,"phase":"both","models":[],"id":"i-1"},)"
+      R"({"plant":"q","address":"10.128.0.10:8080","zone":"z","capacity":6,"state":"draining","remaining_ms":1200.5,"id":"i-2"}],"next_token":"p-50"})");
+  ASSERT_TRUE(page.ok()) << page.status();
+  EXPECT_EQ(page->next, "p-50");
+  ASSERT_EQ(page->workers.size(), 2u);
+  EXPECT_EQ(page->workers[0].kind, "model");
+  EXPECT_EQ(page->workers[0].service, "p");
+  EXPECT_EQ(page->workers[0].cold_ms, 250u);
+  EXPECT_FALSE(page->workers[0].draining);
+  EXPECT_EQ(page->workers[1].kind, "plain");
+  EXPECT_TRUE(page->workers[1].draining);
+  EXPECT_GE(page->workers[1].left_ms, 1200u);
+  EXPECT_LE(page->workers[1].left_ms, 1201u);
+}
+
+TEST(PlatformListing, RefusesWhatIsNoList) {
+  for (std::string const text : {"", "{", "[]", R"({"instances":{}})", R"({"instances":[{"id":"x"}]})", R"({"instances":[1]})"}) {
+    EXPECT_FALSE(platform::parse_page(text).ok()) << text;
+  }
+}
+
+/// A platform with two pages, on a port of this machine.
+struct Paged {
+  explicit Paged(std::string served) : address(std::move(served)) {
+    EXPECT_TRUE(loam::serve_asks(context, address, 8, 1024, [this](loam::Ask const& ask, loam::Yield) {
+                  asked.push_back(std::string(ask.target()));
+                  if (status != loam::http::status::ok) {
+                    return loam::answer_error(status, "often", "");
+                  }
+                  bool const second = ask.target().find("page_token=p%2F1") != std::string::npos;
+                  return loam::answer_text(loam::http::status::ok, second ? R"({"instances":[{"id":"b","address":"1.1.1.1:2","plant":"p"}],"next_token":null})"
+                                                                          : R"({"instances":[{"id":"a","address":"1.1.1.1:1","plant":"p"}],"next_token":"p/1"})");
+                }).ok());
+  }
+  absl::StatusOr<schema::PlatformList> read() {
+    absl::StatusOr<schema::PlatformList> result = schema::PlatformList{};
+    loam::start(context, [&](loam::Yield yield) {
+      result = platform::read_list(context, address, loam::seconds(2), yield);
+      context.stop();
+    });
+    context.run();
+    context.restart();
+    return result;
+  }
+  boost::asio::io_context context{1};
+  std::string address;
+  std::vector<std::string> asked;
+  loam::http::status status = loam::http::status::ok;
+};
+
+TEST(PlatformListing, ReadsAllPages) {
+  Paged paged("127.0.0.1:38471");
+  absl::StatusOr<schema::PlatformList> const list = paged.read();
+  ASSERT_TRUE(list.ok()) << list.status();
+  ASSERT_EQ(list->workers.size(), 2u);
+  EXPECT_EQ(list->workers[1].id, "b");
+  EXPECT_EQ(paged.asked, (std::vector<std::string>{"/workers", "/workers?page_token=p%2F1"}));
+}
+
+TEST(PlatformListing, TellsThatItAskedTooOften) {
+  Paged paged("127.0.0.1:38472");
+  paged.status = loam::http::status::too_many_requests;
+  EXPECT_TRUE(absl::IsResourceExhausted(paged.read().status()));
+  paged.status = loam::http::status::internal_server_error;
+  EXPECT_TRUE(absl::IsUnavailable(paged.read().status()));
+}
+
+}  // namespace
+}  // namespace finchlink
