--- a/source/furrow/news/news.cpp
+++ b/source/furrow/news/news.cpp
@@ -26,7 +26,7 @@
           reports.pop_front();  // figures only; what is lost is not made up
         }
       }
-      schema::NewsAsk ask{field.self(), 0, {reports.begin(), reports.end()}};
+      schema::NewsAsk ask{field.self(), 0, 0, 0, {reports.begin(), reports.end()}};
       loam::Moment const asked = loam::boot_now();
       absl::StatusOr<schema::Message> const answer = caller.call(trellises[turn % trellises.size()], ask, constants::ask_deadline, yield);
       schema::NewsAnswer const* const news = answer.ok() ? std::get_if<schema::NewsAnswer>(&*answer) : nullptr;
--- /dev/null
+++ b/source/furrow/relay/relay.cpp
@@ -0,0 +1,828 @@
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <charconv>
+#include <cstdlib>
+
+#include "furrow/relay/station.hpp"
+#include "loam/constants.hpp"
+#include "loam/log/log.hpp"
+#include "loam/random/random.hpp"
+#include "tilth/chart/chart.hpp"
+
+namespace finchlink::furrow {
+
+namespace asio = boost::asio;
+namespace constants = loam::constants;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace {
+
+double draw() { return static_cast<double>(loam::random_number() % 1000000) / 1e6; }
+
+/// Headers that concern one connection only are not passed on.
+bool of_connection(std::string_view name) {
+  static constexpr std::string_view names[] = {"connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade", "expect", "content-length"};
+  for (std::string_view const entry : names) {
+    if (boost::beast::iequals({name.data(), name.size()}, {entry.data(), entry.size()})) {
+      return true;
+    }
+  }
+  return false;
+}
+
+template <class Fields>
+void copy_fields(Fields const& fields, std::string const& connection, std::vector<std::string_view> const& replaced, std::string& text) {
+  for (typename Fields::value_type const& field : fields) {
+    std::string_view const name(field.name_string().data(), field.name_string().size());
+    bool left_out = of_connection(name);
+    for (std::string_view const entry : replaced) {
+      left_out = left_out || boost::beast::iequals({name.data(), name.size()}, {entry.data(), entry.size()});
+    }
+    if (!left_out && !connection.empty()) {
+      left_out = http::token_list(connection).exists(field.name_string());
+    }
+    if (!left_out) {
+      text.append(name).append(": ").append(field.value().data(), field.value().size()).append("\r\n");
+    }
+  }
+}
+
+std::uint64_t natural(std::string_view text, std::uint64_t otherwise) {
+  std::uint64_t value = 0;
+  std::from_chars_result const parsed = std::from_chars(text.data(), text.data() + text.size(), value);
+  return parsed.ec == std::errc() ? value : otherwise;
+}
+
+std::string_view view(boost::beast::string_view text) { return {text.data(), text.size()}; }
+
+/// Events of a stream as they come: whole ones are passed on, the rest waits,
+/// so that a cut never leaves half an event with the caller.
+class EventCutter {
+ public:
+  struct Whole {
+    std::string bytes;
+    std::uint64_t number = 0;  ///< of the last event in it; 0: none numbered
+    std::uint64_t count = 0;
+  };
+  /// Takes bytes; gives all whole events behind `after`.
+  Whole feed(std::string_view bytes, std::uint64_t after) {
+    Whole whole;
+    pending_.append(bytes);
+    std::size_t begin = 0;
+    while (true) {
+      std::size_t const unix_end = pending_.find("\n\n", begin);
+      std::size_t const other_end = pending_.find("\r\n\r\n", begin);
+      std::size_t const end = std::min(unix_end == std::string::npos ? unix_end : unix_end + 2, other_end == std::string::npos ? other_end : other_end + 4);
+      if (end == std::string::npos) {
+        break;
+      }
+      std::string_view const event = std::string_view(pending_).substr(begin, end - begin);
+      std::uint64_t const number = number_of(event);
+      if (number == 0 || number > std::max(after, whole.number)) {
+        whole.bytes.append(event);
+        whole.number = std::max(whole.number, number);
+        whole.count += number > 0 ? 1 : 0;
+      }
+      begin = end;
+    }
+    pending_.erase(0, begin);
+    return whole;
+  }
+  [[nodiscard]] std::string const& rest() const { return pending_; }
+
+ private:
+  static std::uint64_t number_of(std::string_view event) {
+    std::size_t at = event.rfind("id:", 0) == 0 ? 0 : event.find("\nid:");
+    if (at == std::string_view::npos) {
+      return 0;
+    }
+    at = event.find(':', at) + 1;
+    while (at < event.size() && event[at] == ' ') {
+      ++at;
+    }
+    return natural(event.substr(at), 0);
+  }
+  std::string pending_;
+};
+
+struct Query {
+  http::request_header<> header;
+  std::string body;
+  bool had_length = false;
+  bool keep = true;
+  loam::Moment arrived = 0;
+};
+
+/// One query on its way to workers and back (section 13.3).
+class Relay {
+ public:
+  Relay(Station& station, Query& query, schema::Lane const& lane, Socket& caller, std::shared_ptr<tilth::LaneBook const> book, loam::Yield yield)
+      : station_(station), query_(query), book_(std::move(book)), lane_(lane), caller_(caller), yield_(yield),
+        id_(view(query.header[station.dialect().query])), deadline_(query.arrived + loam::milliseconds(static_cast<std::int64_t>(lane.deadline_ms))),
+        chart_(terms(lane), [this](loam::Moment) { return may_spend(true); }) {
+    std::string_view const left = view(query.header[station.dialect().left]);
+    if (!left.empty()) {
+      deadline_ = std::min(deadline_, query.arrived + loam::milliseconds(static_cast<std::int64_t>(std::min<std::uint64_t>(natural(left, 86400000), 86400000))));
+    }
+    last_event_ = natural(view(query.header[station.dialect().last_event]), 0);
+    std::string_view const tokens = view(query.header[station.dialect().tokens]);
+    wanted_.tokens = static_cast<double>(natural(tokens, 0));
+    std::size_t const comma = tokens.find(',');
+    wanted_.outputs = comma == std::string_view::npos ? 0 : static_cast<double>(natural(tokens.substr(comma + 1), 0));
+    wanted_.parts = station.dialect().read_parts(view(query.header[station.dialect().parts]));
+  }
+
+  /// False: the caller's connection is of no more use.
+  bool run() {
+    std::shared_ptr<Guard> const guard = std::make_shared<Guard>();
+    guard->relay = this;
+    alarm_ = std::make_shared<Alarm>(station_.context(), [guard] {
+      if (guard->relay != nullptr) {
+        guard->relay->rang();
+      }
+    });
+    watch_caller(guard);
+    perform(chart_.begin());
+    while (!chart_.settled()) {
+      if (gone_) {
+        feed(tilth::CallerGone{});
+      } else if (loam::boot_now() >= deadline_) {
+        feed(tilth::DeadlinePassed{});
+      } else if (place_next_) {
+        place_next_ = false;
+        dispatch();
+      } else {
+        feed(tilth::WorkerDefect{"internal"});
+        break;
+      }
+    }
+    guard->relay = nullptr;
+    alarm_->stop();
+    error_code ignored;
+    caller_.cancel(ignored);
+    tilth::Settled const* const settled = std::get_if<tilth::Settled>(&chart_.state());
+    ++station_.tally().outcomes[settled == nullptr ? "open" : settled->how];
+    return keep_;
+  }
+
+ private:
+  struct Guard {
+    Relay* relay = nullptr;
+  };
+
+  static tilth::QueryTerms terms(schema::Lane const& lane) {
+    tilth::QueryTerms terms;
+    terms.resumable = lane.stream && lane.resumable;
+    terms.repeatable = lane.repeatable || terms.resumable;
+    terms.stream = lane.stream;
+    terms.dispatches_most = static_cast<int>(lane.dispatches);
+    return terms;
+  }
+  [[nodiscard]] bool repeatable() const { return lane_.repeatable || (lane_.stream && lane_.resumable); }
+
+  bool may_spend(bool spend) {
+    tilth::Rights& rights = station_.rights(service_);
+    if (!spend) {
+      return rights.available();
+    }
+    bool const good = rights.take();
+    station_.tally().retries += good ? 1 : 0;
+    return good;
+  }
+
+  void watch_caller(std::shared_ptr<Guard> const& guard) {
+    caller_.async_wait(Socket::wait_read, [guard](error_code const& error) {
+      if (error || guard->relay == nullptr) {
+        return;
+      }
+      char byte = 0;
+      ssize_t const count = recv(guard->relay->caller_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+      if (count > 0) {
+        return;  // the next query is there already
+      }
+      if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+        guard->relay->watch_caller(guard);
+        return;
+      }
+      guard->relay->gone_ = true;
+      guard->relay->cut();
+    });
+  }
+
+  void cut() {
+    if (worker_ != nullptr) {
+      error_code ignored;
+      worker_->close(ignored);
+    }
+    if (seat_ != nullptr) {
+      seat_->cancel();
+    }
+  }
+
+  void rang() {
+    loam::Moment const now = loam::boot_now();
+    if (now >= deadline_) {
+      cut();
+      if (writing_) {
+        error_code ignored;
+        caller_.close(ignored);
+      }
+      return;
+    }
+    if (writing_) {  // it is the caller who is slow
+      alarm_->set(deadline_);
+      return;
+    }
+    if (connecting_) {
+      cut();
+      return;
+    }
+    // Silence: another worker is asked if the query may be repeated, a right is
+    // there, and another has a place; else this one may take its time.
+    wanted_.avoid.push_back(spot_.worker);
+    bool const other = repeatable() && chart_.dispatches() < static_cast<int>(lane_.dispatches) && may_spend(false) && station_.grove().alternative(wanted_, now);
+    if (other) {
+      cut();
+    } else {
+      wanted_.avoid.pop_back();
+      alarm_->set(deadline_);
+    }
+  }
+
+  void feed(tilth::QueryMessage const& message) { perform(chart_.advance(message, loam::boot_now())); }
+  void perform(std::vector<tilth::QueryAction> const& actions) {
+    for (tilth::QueryAction const& action : actions) {
+      std::visit([this](auto const& entry) { act(entry); }, action);
+    }
+  }
+  void act(tilth::Place const&) { place_next_ = true; }
+  void act(tilth::PassOn const&) { feed(tilth::NoRoom{}); }
+  void act(tilth::SendHome const&) { refuse(); }
+  void act(tilth::Forward const&) {}
+  void act(tilth::Deliver const&) { (void)write_whole(); }
+  void act(tilth::Refuse const& reason) {
+    if (withdrawn_lane_) {
+      answer("404 Not Found", "unknown_rule", false);
+    } else {
+      (void)reason;
+      refuse();
+    }
+  }
+  void act(tilth::Apologise const& apologise) {
+    if (!whole_.empty()) {
+      (void)write_whole();  // the worker's own failure says more than ours
+    } else {
+      answer(apologise.status == 504 ? "504 Gateway Timeout" : "502 Bad Gateway", apologise.reason, false);
+    }
+  }
+  void act(tilth::EndBroken const& broken) {
+    loam::note(loam::Event::QueryCut, id_ + " " + broken.reason);
+    keep_ = false;  // no closing chunk: nobody can take it for whole
+  }
+  void act(tilth::Abandon const&) { keep_ = false; }
+
+  /// Final, at once, with the time to come back at: nothing ran (section 9.8).
+  void refuse() { answer("503 Service Unavailable", "no_place", true); }
+
+  void answer(std::string const& status, std::string const& reason, bool come_back) {
+    std::string const body = "{\"error\":\"" + reason + "\"}";
+    std::string text = "HTTP/1.1 " + status + "\r\n" + station_.dialect().query + ": " + id_ + "\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) + "\r\n";
+    if (come_back) {
+      double const point = lane_.set_point_ms > 0 ? lane_.set_point_ms / 1000 : 1.0;
+      text += "Retry-After: " + std::to_string(point * (0.15 + 0.15 * draw())) + "\r\n";
+    }
+    (void)write(text + closing_line() + "\r\n" + body);
+  }
+
+  [[nodiscard]] std::string closing_line() {
+    keep_ = query_.keep && !station_.draining();
+    return keep_ ? "" : "Connection: close\r\n";
+  }
+
+  bool write(std::string const& text) {
+    if (gone_) {
+      keep_ = false;
+      return false;
+    }
+    error_code error;
+    writing_ = true;
+    asio::async_write(caller_, asio::buffer(text), yield_[error]);
+    writing_ = false;
+    if (error) {
+      keep_ = false;
+      gone_ = true;
+    }
+    return !error;
+  }
+
+  bool write_whole() {
+    bool const good = write(whole_ + closing_line() + "\r\n" + whole_body_);
+    return good;
+  }
+
+  /// Section 9.7: the newest charter decides, up to when bytes go out.
+  void follow() {
+    if (station_.book() == book_ || station_.book() == nullptr) {
+      return;
+    }
+    std::shared_ptr<tilth::LaneBook const> const current = station_.book();
+    std::string_view const target = view(query_.header.target());
+    schema::Lane const* const found = current->find(view(query_.header[http::field::host]), target);
+    book_ = current;
+    tilth::Decided decided;
+    if (found == nullptr) {
+      withdrawn_lane_ = true;
+      decided.standing = tilth::Standing::none;
+    } else {
+      lane_ = *found;
+      tilth::QueryTerms const next = terms(lane_);
+      decided.repeatable = next.repeatable;
+      decided.resumable = next.resumable;
+      decided.stream = next.stream;
+      deadline_ = std::min(deadline_, query_.arrived + loam::milliseconds(static_cast<std::int64_t>(lane_.deadline_ms)));
+    }
+    feed(decided);
+  }
+
+  /// A place, waited for as long as a lane's set point bears.
+  bool find_place() {
+    loam::Span const hold = lane_.set_point_ms > 0 ? loam::milliseconds(static_cast<std::int64_t>(lane_.set_point_ms * constants::hold_part)) : constants::hold_plain;
+    loam::Span const again = began_ ? loam::milliseconds(static_cast<std::int64_t>(lane_.gap_set_point_ms / 2)) : chart_.dispatches() > 0 ? constants::place_pause : 0;
+    loam::Moment const until = std::max(query_.arrived + hold, loam::boot_now() + again);
+    while (true) {
+      follow();
+      if (chart_.settled() || gone_) {
+        return false;
+      }
+      wanted_.shares = lane_.shares;
+      wanted_.homes = lane_.home_regions;
+      wanted_.draw = draw();
+      loam::Moment const now = loam::boot_now();
+      std::variant<tilth::Spot, tilth::NoSpot> const found = station_.grove().choose(wanted_, now);
+      if (tilth::Spot const* const spot = std::get_if<tilth::Spot>(&found)) {
+        spot_ = *spot;
+        return true;
+      }
+      if (now >= until || now >= deadline_) {
+        feed(tilth::NoRoom{});
+        return false;
+      }
+      asio::steady_timer timer(station_.context(), loam::duration(constants::place_pause));
+      seat_ = &timer;
+      error_code ignored;
+      timer.async_wait(yield_[ignored]);
+      seat_ = nullptr;
+    }
+  }
+
+  void dispatch() {
+    if (!find_place()) {
+      return;
+    }
+    if (service_.empty()) {
+      schema::Lane const& lane = lane_;
+      service_ = lane.shares.front().service;
+      station_.rights(service_).arrived();
+    }
+    feed(tilth::Placed{spot_.worker});
+    first_seen_ = false;
+    tilth::Outcome outcome = tilth::Outcome::unreachable;
+    if (!reach()) {
+      // Nothing reached it: another place is no retry, but not without end.
+      station_.grove().ended(spot_, false, gone_ ? tilth::Outcome::abandoned : outcome, loam::boot_now());
+      wanted_.avoid.push_back(spot_.worker);
+      if (!gone_) {
+        ++connects_;
+        if (connects_ < constants::connects_most) {
+          feed(tilth::Withdrawn{});
+        } else {
+          feed(tilth::ConnectDefect{});
+        }
+      }
+      return;
+    }
+    std::shared_ptr<tilth::LaneBook const> const before = book_;
+    follow();
+    if (chart_.settled() || !station_.grove().usable(spot_.worker) || (book_ != before && !still_named())) {
+      station_.grove().ended(spot_, false, tilth::Outcome::abandoned, loam::boot_now());
+      keep_worker(constants::worker_idle);
+      feed(tilth::Withdrawn{});
+      return;
+    }
+    feed(tilth::Connected{});
+    ++station_.tally().dispatches;
+    outcome = talk();
+    worker_.reset();
+    station_.grove().ended(spot_, first_seen_, gone_ ? tilth::Outcome::abandoned : outcome, loam::boot_now());
+    wanted_.avoid.push_back(spot_.worker);
+    if (after_.has_value()) {
+      tilth::QueryMessage const message = *after_;
+      after_.reset();
+      if (tilth::WorkerDefect const* const defect = std::get_if<tilth::WorkerDefect>(&message)) {
+        if (!gone_) {
+          loam::note(loam::Event::WorkerDefect, spot_.worker + " " + defect->what + " " + id_);
+        }
+        if (loam::boot_now() >= deadline_ && whole_.empty()) {
+          feed(tilth::DeadlinePassed{});
+          return;
+        }
+      }
+      if (!gone_) {
+        follow();
+        feed(message);
+      }
+    }
+  }
+
+  [[nodiscard]] bool still_named() const {
+    for (schema::Share const& share : lane_.shares) {
+      if (share.weight > 0 && station_.grove().serves(spot_.worker, share.service)) {
+        return lane_.home_regions.empty() || station_.grove().stands_in(spot_.worker, lane_.home_regions);
+      }
+    }
+    return false;
+  }
+
+  void keep_worker(loam::Span longest) {
+    if (worker_ != nullptr && worker_->is_open()) {
+      station_.keep(spot_.worker, std::move(worker_), longest);
+    }
+    worker_.reset();
+  }
+
+  /// A connection. A kept one may turn out stale just as bytes go out, so what
+  /// may not be repeated always has a fresh one (section 13.4).
+  bool reach() {
+    if (repeatable()) {
+      worker_ = station_.kept(spot_.worker);
+      if (worker_ != nullptr) {
+        return true;
+      }
+    }
+    absl::StatusOr<loam::Endpoint> const endpoint = loam::read_endpoint(spot_.address);
+    if (!endpoint.ok()) {
+      return false;
+    }
+    worker_ = std::make_unique<Socket>(station_.context());
+    ++station_.tally().connects;
+    connecting_ = true;
+    alarm_->set(std::min(deadline_, loam::boot_now() + constants::relay_connect_deadline));
+    error_code error;
+    worker_->async_connect(*endpoint, yield_[error]);
+    connecting_ = false;
+    if (error || !worker_->is_open() || gone_) {
+      worker_.reset();
+      return false;
+    }
+    worker_->set_option(asio::ip::tcp::no_delay(true), error);
+    return true;
+  }
+
+  [[nodiscard]] std::string head() const {
+    Dialect const& dialect = station_.dialect();
+    std::string text;
+    text.reserve(1024);
+    text.append(view(query_.header.method_string())).append(" ").append(view(query_.header.target())).append(" HTTP/1.1\r\n");
+    std::vector<std::string_view> replaced{dialect.left, dialect.target};
+    bool const resuming = chart_.last_event() > 0;
+    if (resuming) {
+      replaced.push_back(dialect.last_event);
+    }
+    copy_fields(query_.header, std::string(view(query_.header[http::field::connection])), replaced, text);
+    text.append(dialect.left).append(": ").append(std::to_string(std::max<loam::Span>(1, (deadline_ - loam::boot_now()) / 1000))).append("\r\n");
+    text.append(dialect.target).append(": ").append(spot_.worker).append("\r\n");
+    if (resuming) {
+      text.append(dialect.last_event).append(": ").append(std::to_string(last_event_)).append("\r\n");
+    }
+    if (!dialect.urgency.empty() && lane_.stream && query_.header[dialect.urgency].empty()) {
+      text.append(dialect.urgency).append(": ").append(std::to_string(std::clamp<std::int64_t>(lane_.priority, 0, 9))).append("\r\n");
+    }
+    if (!query_.body.empty() || query_.had_length) {
+      text.append("Content-Length: ").append(std::to_string(query_.body.size())).append("\r\n");
+    }
+    text.append("\r\n");
+    return text;
+  }
+
+  [[nodiscard]] loam::Moment silence_due(double set_point_ms, loam::Moment now) const {
+    double const point = set_point_ms > 0 ? set_point_ms : 1000;
+    return std::min(deadline_, now + std::max(loam::milliseconds(static_cast<std::int64_t>(point * constants::silence_part)),
+                                              static_cast<loam::Span>(spot_.predicted_seconds * 2e6)));
+  }
+
+  using Parser = http::response_parser<http::buffer_body>;
+
+  /// The next bytes of the answer; false: cut, silent or no answer at all.
+  bool read_some(boost::beast::flat_buffer& buffer, Parser& parser, std::string& bytes) {
+    bytes.resize(constants::piece_bytes);
+    parser.get().body().data = bytes.data();
+    parser.get().body().size = bytes.size();
+    parser.get().body().more = true;
+    error_code error;
+    http::async_read_some(*worker_, buffer, parser, yield_[error]);
+    if (error && error != http::error::need_buffer) {
+      bytes.clear();
+      return false;
+    }
+    bytes.resize(bytes.size() - parser.get().body().size);
+    return true;
+  }
+
+  tilth::Outcome talk() {
+    Dialect const& dialect = station_.dialect();
+    loam::Moment const sent = loam::boot_now();
+    alarm_->set(silence_due(lane_.set_point_ms, sent));
+    std::string const text = head();
+    error_code error;
+    std::array<asio::const_buffer, 2> const pieces{asio::buffer(text), asio::buffer(query_.body)};
+    asio::async_write(*worker_, pieces, yield_[error]);
+    // Even when writing failed the worker may have answered already.
+    boost::beast::flat_buffer buffer;
+    Parser parser;
+    parser.header_limit(constants::answer_header_limit);
+    parser.body_limit(boost::none);
+    if (worker_->is_open()) {
+      http::async_read_header(*worker_, buffer, parser, yield_[error]);
+    }
+    if (error) {
+      after_ = tilth::WorkerDefect{"no_answer"};
+      return tilth::Outcome::defect;
+    }
+    Parser::value_type const& got = parser.get();
+    unsigned int const status = got.result_int();
+    hear_load(view(got[dialect.load]));
+    if (!got[dialect.not_run].empty() || status == 421) {
+      after_ = tilth::WorkerRefused{};
+      if (status == 421) {
+        return tilth::Outcome::misdirected;
+      }
+      finish_reading(buffer, parser);
+      return tilth::Outcome::refused;
+    }
+    if (view(got[dialect.query]) != id_) {
+      after_ = tilth::WorkerDefect{"wrong_query"};
+      return tilth::Outcome::defect;
+    }
+    bool const success = status >= 200 && status < 300;
+    if ((success && got[dialect.seal].empty()) || status < 200 || status == 429 || status == 503 || status == 408) {
+      after_ = tilth::WorkerDefect{"no_answer_of_ours"};
+      return tilth::Outcome::defect;
+    }
+    if (success && got[http::field::content_type].starts_with("text/event-stream")) {
+      return talk_events(buffer, parser, sent);
+    }
+    return talk_whole(buffer, parser, status);
+  }
+
+  void hear_load(std::string_view text) {
+    if (text.empty()) {
+      return;
+    }
+    double figures[3] = {0, 0, 0};
+    for (double& figure : figures) {
+      std::string_view const word = text.substr(0, text.find(','));
+      figure = static_cast<double>(natural(word.substr(std::min(word.size(), word.find_first_not_of(' '))), 0));
+      text.remove_prefix(std::min(text.size(), word.size() + 1));
+    }
+    station_.grove().told(spot_.worker, figures[0], figures[1], figures[2], loam::boot_now());
+  }
+
+  /// Kept only when the answer ended where it said and nothing came behind it.
+  void after_answer(boost::beast::flat_buffer const& buffer, Parser const& parser) {
+    if (!parser.is_done() || buffer.size() > 0 || !parser.get().keep_alive() || worker_ == nullptr || !worker_->is_open()) {
+      return;
+    }
+    loam::Span longest = constants::worker_idle;
+    std::string_view const told = view(parser.get()["Keep-Alive"]);
+    std::size_t const at = told.find("timeout=");
+    if (at != std::string_view::npos) {
+      longest = std::min(longest, loam::seconds(static_cast<std::int64_t>(natural(told.substr(at + 8), 1))) / 2);
+    } else if (!told.empty()) {
+      longest = std::min(longest, loam::seconds(static_cast<std::int64_t>(natural(told, 1))) / 2);
+    }
+    keep_worker(longest);
+  }
+
+  void finish_reading(boost::beast::flat_buffer& buffer, Parser& parser) {
+    std::string bytes;
+    while (!parser.is_done() && (parser.content_length().has_value() || parser.chunked())) {
+      if (!read_some(buffer, parser, bytes)) {
+        return;
+      }
+    }
+    after_answer(buffer, parser);
+  }
+
+  /// The worker's head for the caller, without what concerns its connection.
+  [[nodiscard]] std::string answer_head(Parser const& parser) const {
+    std::string text = "HTTP/1.1 " + std::to_string(parser.get().result_int()) + " " + std::string(view(parser.get().reason())) + "\r\n";
+    copy_fields(parser.get(), std::string(view(parser.get()[http::field::connection])), {}, text);
+    return text;
+  }
+
+  tilth::Outcome talk_whole(boost::beast::flat_buffer& buffer, Parser& parser, unsigned int status) {
+    std::string body;
+    std::string bytes;
+    bool const bare = status == 204 || status == 304;
+    bool const delimited = bare || parser.content_length().has_value() || parser.chunked();
+    while (!parser.is_done()) {
+      if (!delimited || !read_some(buffer, parser, bytes) || body.size() + bytes.size() > constants::answer_limit) {
+        after_ = tilth::WorkerDefect{"cut_answer"};
+        return tilth::Outcome::defect;
+      }
+      body += bytes;
+    }
+    first_seen_ = true;
+    whole_ = answer_head(parser) + (bare ? "" : "Content-Length: " + std::to_string(body.size()) + "\r\n");
+    whole_body_ = std::move(body);
+    after_answer(buffer, parser);
+    if (status >= 500 && repeatable()) {
+      after_ = tilth::WorkerDefect{"worker_error"};
+      return tilth::Outcome::defect;
+    }
+    after_ = tilth::Whole{};
+    return status >= 500 ? tilth::Outcome::defect : tilth::Outcome::good;
+  }
+
+  tilth::Outcome talk_events(boost::beast::flat_buffer& buffer, Parser& parser, loam::Moment sent) {
+    EventCutter cutter;
+    std::string bytes;
+    bool const resumed = chart_.last_event() > 0;
+    station_.tally().resumed += resumed ? 1 : 0;
+    bool first = true;
+    bool ended = false;
+    while (!parser.is_done()) {
+      if (!read_some(buffer, parser, bytes)) {
+        after_ = tilth::WorkerDefect{"cut_stream"};
+        return tilth::Outcome::defect;
+      }
+      EventCutter::Whole whole = cutter.feed(bytes, last_event_);
+      if (parser.is_done() && !cutter.rest().empty()) {
+        after_ = tilth::WorkerDefect{"cut_event"};
+        return tilth::Outcome::defect;
+      }
+      if (whole.count == 0 && whole.bytes.empty()) {
+        continue;
+      }
+      loam::Moment const now = loam::boot_now();
+      if (first) {
+        first = false;
+        first_seen_ = true;
+        station_.grove().first_token(spot_, wanted_.parts, static_cast<double>(now - sent) / 1e6);
+      }
+      alarm_->set(silence_due(lane_.gap_set_point_ms > 0 ? lane_.gap_set_point_ms : 2 * lane_.set_point_ms, now));
+      std::string text;
+      if (!began_) {
+        began_ = true;
+        text = answer_head(parser) + "Transfer-Encoding: chunked\r\n" + closing_line() + "\r\n";
+      }
+      char size[24];
+      std::snprintf(size, sizeof(size), "%zx\r\n", whole.bytes.size());
+      text.append(size).append(whole.bytes).append("\r\n");
+      last_event_ = std::max(last_event_, whole.number);
+      // The chart counts what was passed on, whatever the worker's numbers are.
+      feed(tilth::Event{chart_.last_event() + 1, false});
+      if (parser.is_done()) {
+        ended = true;
+        text.append("0\r\n\r\n");
+      }
+      if (!write(text)) {
+        after_ = tilth::CallerGone{};
+        return tilth::Outcome::abandoned;
+      }
+    }
+    if (!began_) {
+      after_ = tilth::WorkerDefect{"no_event"};
+      return tilth::Outcome::defect;
+    }
+    if (!ended) {  // the end came by itself, behind the last event
+      (void)write("0\r\n\r\n");
+    }
+    feed(tilth::Whole{});
+    after_answer(buffer, parser);
+    return tilth::Outcome::good;
+  }
+
+  Station& station_;
+  Query& query_;
+  std::shared_ptr<tilth::LaneBook const> book_;
+  schema::Lane lane_;
+  Socket& caller_;
+  loam::Yield yield_;
+  std::string id_;
+  loam::Moment deadline_;
+  tilth::Chart chart_;
+  tilth::Wanted wanted_;
+  tilth::Spot spot_;
+  std::string service_;
+  std::shared_ptr<Alarm> alarm_;
+  std::unique_ptr<Socket> worker_;
+  asio::steady_timer* seat_ = nullptr;
+  std::optional<tilth::QueryMessage> after_;
+  std::string whole_;
+  std::string whole_body_;
+  std::uint64_t last_event_ = 0;
+  int connects_ = 0;
+  bool connecting_ = false;
+  bool first_seen_ = false;
+  bool began_ = false;      ///< the head went to the caller
+  bool writing_ = false;
+  bool gone_ = false;
+  bool keep_ = false;
+  bool place_next_ = false;
+  bool withdrawn_lane_ = false;
+};
+
+/// A final answer of our own before a body is read.
+bool write_small(Socket& socket, std::string const& status, std::string const& extra, std::string const& reason, bool keep, loam::Yield yield) {
+  std::string const body = "{\"error\":\"" + reason + "\"}";
+  std::string const text = "HTTP/1.1 " + status + "\r\n" + extra + "Content-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) +
+                           (keep ? "\r\n\r\n" : "\r\nConnection: close\r\n\r\n") + body;
+  error_code error;
+  asio::async_write(socket, asio::buffer(text), yield[error]);
+  return keep && !error;
+}
+
+}  // namespace
+
+void serve_caller(Station& station, std::shared_ptr<Socket> const& socket, loam::Yield yield) {
+  boost::beast::flat_buffer buffer;
+  std::shared_ptr<Alarm> const alarm = std::make_shared<Alarm>(station.context(), [socket] {
+    error_code ignored;
+    socket->close(ignored);
+  });
+  schema::CallerLimits limits;
+  bool again = true;
+  while (again) {
+    if (station.book() != nullptr) {
+      limits = station.book()->charter().limits;
+    }
+    error_code error;
+    if (buffer.size() == 0) {  // an idle connection may wait, a begun header may not
+      alarm->set(loam::boot_now() + loam::milliseconds(static_cast<std::int64_t>(limits.idle_ms)));
+      std::size_t const count = socket->async_read_some(buffer.prepare(4096), yield[error]);
+      if (error) {
+        break;
+      }
+      buffer.commit(count);
+    }
+    alarm->set(loam::boot_now() + loam::milliseconds(static_cast<std::int64_t>(limits.header_wait_ms)));
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
+    parser.body_limit(limits.body_bytes);
+    http::async_read_header(*socket, buffer, parser, yield[error]);
+    if (error == http::error::header_limit) {
+      (void)write_small(*socket, "431 Request Header Fields Too Large", "", "too_large", false, yield);
+      break;
+    }
+    if (error && error.category() == http::make_error_code(http::error::bad_value).category() && error != http::error::end_of_stream && error != http::error::partial_message) {
+      (void)write_small(*socket, "400 Bad Request", "", "malformed", false, yield);
+      break;
+    }
+    if (error) {
+      break;
+    }
+    Query query;
+    query.arrived = loam::boot_now();
+    station.opened();
+    if (parser.get()[http::field::expect] == "100-continue") {
+      asio::async_write(*socket, asio::buffer(std::string("HTTP/1.1 100 Continue\r\n\r\n")), yield[error]);
+    }
+    http::async_read(*socket, buffer, parser, yield[error]);
+    if (error) {
+      if (error == http::error::body_limit) {
+        (void)write_small(*socket, "413 Payload Too Large", "", "too_large", false, yield);
+      }
+      station.closed();
+      break;
+    }
+    query.had_length = parser.content_length().has_value() || parser.chunked();
+    query.keep = parser.get().keep_alive();
+    query.body = std::move(parser.get().body());
+    query.header = std::move(parser.get().base());
+    alarm->set(loam::boot_now() + loam::seconds(3600));
+    std::string const named = station.dialect().query + ": " + std::string(view(query.header[station.dialect().query])) + "\r\n";
+    std::shared_ptr<tilth::LaneBook const> const book = station.book();
+    bool const keep = query.keep && !station.draining();
+    if (book == nullptr) {
+      again = write_small(*socket, "503 Service Unavailable", named + "Retry-After: 0.5\r\n", "no_setup", keep, yield);
+    } else {
+      schema::Lane const* const lane = book->find(view(query.header[http::field::host]), view(query.header.target()));
+      if (lane == nullptr) {
+        again = write_small(*socket, "404 Not Found", named, "unknown_rule", keep, yield);
+      } else {
+        std::unique_ptr<Relay> const relay = std::make_unique<Relay>(station, query, *lane, *socket, book, yield);
+        again = relay->run();
+      }
+    }
+    station.closed();
+  }
+  alarm->stop();
+}
+
+}  // namespace finchlink::furrow
--- /dev/null
+++ b/source/furrow/relay/station.cpp
@@ -0,0 +1,448 @@
+#include "furrow/relay/station.hpp"
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/context/fixedsize_stack.hpp>
+#include <sstream>
+
+#include "loam/constants.hpp"
+#include "loam/json/tree.hpp"
+#include "loam/log/log.hpp"
+#include "loam/random/random.hpp"
+
+namespace finchlink::furrow {
+
+namespace asio = boost::asio;
+namespace constants = loam::constants;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+void start_small(asio::io_context& context, std::function<void(loam::Yield)> body) {
+  asio::spawn(context, std::allocator_arg, boost::context::fixedsize_stack(constants::relay_stack),
+              [body = std::move(body)](loam::Yield yield) { body(yield); },
+              [](std::exception_ptr error) {
+                if (error) {
+                  std::rethrow_exception(error);
+                }
+              });
+}
+
+void Alarm::set(loam::Moment due) {
+  due_ = due;
+  if (armed_for_ == 0 || due_ < armed_for_) {
+    arm();
+  }
+}
+
+void Alarm::stop() {
+  over_ = true;
+  timer_.cancel();
+}
+
+void Alarm::arm() {
+  armed_for_ = due_;
+  timer_.expires_after(loam::duration(std::max<loam::Span>(due_ - loam::boot_now(), 0)));
+  timer_.async_wait([self = shared_from_this()](error_code const& error) {
+    if (error || self->over_) {
+      return;
+    }
+    self->armed_for_ = 0;
+    if (loam::boot_now() < self->due_) {
+      self->arm();
+    } else {
+      self->ring_();
+    }
+  });
+}
+
+std::string Tally::print() const {
+  std::stringstream text;
+  text << "# TYPE relay_queries_total counter\n";
+  for (std::pair<std::string const, std::uint64_t> const& entry : outcomes) {
+    text << "relay_queries_total{outcome=\"" << entry.first << "\"} " << entry.second << "\n";
+  }
+  text << "relay_retries_total " << retries << "\nrelay_resumed_total " << resumed << "\nrelay_connects_total " << connects << "\nrelay_dispatches_total " << dispatches << "\n";
+  return text.str();
+}
+
+Station::Station(asio::io_context& context, schema::Settings const& settings, Dialect dialect, orchard::Notation notation, ListReader list_reader,
+                 std::uint64_t identity)
+    : context_(context), settings_(settings), dialect_(std::move(dialect)), notation_(std::move(notation)), list_reader_(std::move(list_reader)),
+      identity_(identity), caller_(context), trellises_(settings.seeds) {}
+
+absl::Status Station::begin() {
+  absl::Status status = listen(settings_.http_address, [this](std::shared_ptr<Socket> const& socket, loam::Yield yield) { serve_caller(*this, socket, yield); });
+  for (std::string const& address : {settings_.ready_address, settings_.directory_address}) {
+    if (status.ok() && !address.empty()) {
+      status = listen(address, [this](std::shared_ptr<Socket> const& socket, loam::Yield yield) { serve_small(socket, yield); });
+    }
+  }
+  if (!status.ok()) {
+    return status;
+  }
+  start_small(context_, [this](loam::Yield yield) { ask_news(yield); });
+  start_small(context_, [this](loam::Yield yield) { read_own_list(yield); });
+  return absl::OkStatus();
+}
+
+absl::Status Station::listen(std::string const& address, std::function<void(std::shared_ptr<Socket>, loam::Yield)> session) {
+  absl::StatusOr<loam::Endpoint> const endpoint = loam::read_endpoint(address);
+  if (!endpoint.ok()) {
+    return endpoint.status();
+  }
+  std::shared_ptr<Acceptor> const held = std::make_shared<Acceptor>(Acceptor{asio::ip::tcp::acceptor(context_)});
+  error_code error;
+  held->acceptor.open(endpoint->protocol(), error);
+  if (!error) {
+    held->acceptor.set_option(asio::socket_base::reuse_address(true), error);
+  }
+  if (!error) {
+    held->acceptor.bind(*endpoint, error);
+  }
+  if (!error) {
+    held->acceptor.listen(1024, error);
+  }
+  if (error) {
+    return absl::UnavailableError("relay: " + address + ": " + error.message());
+  }
+  acceptors_.push_back(held);
+  start_small(context_, [this, held, session](loam::Yield yield) {
+    while (held->acceptor.is_open()) {
+      std::shared_ptr<Socket> const socket = std::make_shared<Socket>(context_);
+      error_code defect;
+      held->acceptor.async_accept(*socket, yield[defect]);
+      if (defect) {
+        if (!held->acceptor.is_open() || defect == asio::error::operation_aborted) {
+          return;
+        }
+        loam::pause(context_, loam::milliseconds(20), yield);
+        continue;
+      }
+      error_code ignored;
+      socket->set_option(asio::ip::tcp::no_delay(true), ignored);
+      start_small(context_, [socket, session](loam::Yield inner) {
+        session(socket, inner);
+        error_code closing;
+        socket->close(closing);
+      });
+    }
+  });
+  return absl::OkStatus();
+}
+
+tilth::Rights& Station::rights(std::string const& service) {
+  tilth::Rights& rights = rights_[service];
+  rights.bound(settings_.bounds.retry_ratio, settings_.bounds.retry_slack, static_cast<double>(std::max<std::size_t>(1, members_.size())));
+  return rights;
+}
+
+std::unique_ptr<Socket> Station::kept(std::string const& worker) {
+  std::map<std::string, std::deque<Kept>>::iterator const found = kept_.find(worker);
+  if (found == kept_.end()) {
+    return nullptr;
+  }
+  loam::Moment const now = loam::boot_now();
+  while (!found->second.empty()) {
+    Kept entry = std::move(found->second.back());
+    found->second.pop_back();
+    if (now >= entry.until) {
+      continue;
+    }
+    char byte = 0;
+    ssize_t const count = recv(entry.socket->native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+      return std::move(entry.socket);  // neither closed nor bytes that nobody asked for
+    }
+  }
+  return nullptr;
+}
+
+void Station::keep(std::string const& worker, std::unique_ptr<Socket> socket, loam::Span longest) {
+  std::deque<Kept>& idle = kept_[worker];
+  loam::Moment const now = loam::boot_now();
+  while (!idle.empty() && (idle.size() >= constants::worker_idle_most || now >= idle.front().until)) {
+    idle.pop_front();
+  }
+  idle.push_back(Kept{std::move(socket), now + std::min(longest, constants::worker_idle)});
+}
+
+void Station::drain() {
+  draining_ = true;
+  leaving_since_ = loam::boot_now();
+  start_small(context_, [this](loam::Yield yield) {
+    schema::NewsAsk ask{self(), 0, list_digest_, members_digest_, {}};
+    for (std::size_t index = 0; index < std::min<std::size_t>(2, trellises_.size()); ++index) {
+      if (caller_.call(trellises_[index], ask, loam::milliseconds(static_cast<std::int64_t>(settings_.bounds.ask_deadline_ms)), yield).ok()) {
+        break;
+      }
+    }
+  });
+}
+
+bool Station::busy() const {
+  loam::Moment const now = loam::boot_now();
+  loam::Span const grace = loam::milliseconds(static_cast<std::int64_t>(settings_.bounds.grace_ms));
+  if (now - leaving_since_ < std::min(constants::leave_linger, grace / 2)) {
+    return true;
+  }
+  for (std::shared_ptr<Acceptor> const& held : acceptors_) {
+    error_code ignored;
+    held->acceptor.close(ignored);
+  }
+  return open_ > 0 && now - leaving_since_ < grace - constants::leave_reserve;
+}
+
+schema::Member Station::self() const {
+  schema::Member member;
+  member.name = settings_.name;
+  member.incarnation = identity_;
+  member.hall = settings_.hall;
+  member.address = settings_.http_address;
+  member.held = vouch_.held();
+  member.ready = ready();
+  return member;
+}
+
+void Station::ask_news(loam::Yield yield) {
+  std::size_t turn = loam::random_number() % std::max<std::size_t>(1, trellises_.size());
+  // A trellis of the own region first: its answers come sooner and cost less.
+  while (true) {
+    std::string const address = trellises_[turn % trellises_.size()];
+    bool const was_ready = ready();
+    loam::Moment const asked = loam::boot_now();
+    schema::NewsAsk ask{self(), 0, list_digest_, members_digest_, {}};
+    absl::StatusOr<schema::Message> const answer =
+        caller_.call(address, ask, loam::milliseconds(static_cast<std::int64_t>(settings_.bounds.ask_deadline_ms)), yield);
+    schema::NewsAnswer const* const news = answer.ok() ? std::get_if<schema::NewsAnswer>(&*answer) : nullptr;
+    if (news != nullptr) {
+      take(*news, asked);
+    }
+    if (news == nullptr || !news->vouched) {
+      ++turn;
+      if (loam::boot_now() - asked < constants::ask_retry * 4) {
+        loam::pause(context_, constants::ask_retry * 4, yield);
+      }
+      continue;
+    }
+    heard_ = true;
+    heard_at_ = loam::boot_now();
+    trellises_ = settings_.seeds;
+    for (std::string const& colleague : news->colleagues) {
+      if (!colleague.empty() && std::find(trellises_.begin(), trellises_.end(), colleague) == trellises_.end()) {
+        trellises_.push_back(colleague);
+      }
+    }
+    turn = static_cast<std::size_t>(std::find(trellises_.begin(), trellises_.end(), address) - trellises_.begin());
+    if (ready() == was_ready && loam::boot_now() - asked < constants::ask_least) {
+      loam::pause(context_, constants::ask_least - (loam::boot_now() - asked), yield);
+    }
+  }
+}
+
+void Station::read_own_list(loam::Yield yield) {
+  while (true) {
+    loam::pause(context_, constants::own_list_after / 4, yield);
+    loam::Moment const now = loam::boot_now();
+    if (list_reader_ == nullptr || book_ == nullptr || now - std::max(list_as_of_, heard_at_) < constants::own_list_after) {
+      continue;
+    }
+    // No trellis tells of workers: one look of its own, spread over the furrows.
+    loam::pause(context_, static_cast<loam::Span>(loam::random_number() % static_cast<std::uint64_t>(constants::own_list_after)), yield);
+    loam::Moment const asked = loam::boot_now();
+    if (asked - std::max(list_as_of_, heard_at_) < constants::own_list_after) {
+      continue;
+    }
+    absl::StatusOr<schema::PlatformList> const list = list_reader_(yield);
+    if (list.ok()) {
+      list_digest_ = 0;
+      take_list(*list, asked);
+      settle();
+    }
+  }
+}
+
+void Station::take(schema::NewsAnswer const& answer, loam::Moment asked) {
+  bool changed = false;
+  for (schema::NamedValue const& news : vouch_.take(answer, asked, loam::boot_now())) {
+    changed = true;
+    if (news.name == orchard::charter_register) {
+      orchard::CharterReading reading = notation_.read(news.content);
+      if (reading.good()) {
+        book_ = std::make_shared<tilth::LaneBook const>(std::move(reading.charter));
+      }
+      loam::note(loam::Event::RevisionAdopted, "charter revision " + std::to_string(news.revision));
+    } else if (news.name == orchard::evacuated_register) {
+      evacuated_.clear();
+      absl::StatusOr<loam::Tree> const tree = loam::read_tree(news.content);
+      cJSON const* entry = nullptr;
+      if (tree.ok()) {
+        cJSON_ArrayForEach(entry, tree->get()) {
+          if (cJSON_IsString(entry) != 0) {
+            evacuated_.insert(entry->valuestring);
+          }
+        }
+      }
+      loam::note(loam::Event::RevisionAdopted, "evacuated " + news.content);
+    }
+  }
+  if (answer.vouched && !answer.members_same) {
+    members_ = answer.members;
+    members_digest_ = answer.members_digest;
+    changed = true;
+  }
+  if (answer.list_age >= 0) {
+    loam::Moment const as_of = asked - answer.list_age;
+    if (!answer.list_same && as_of > list_as_of_) {
+      take_list(answer.list, as_of);
+      list_digest_ = answer.list_digest;
+      changed = true;
+    } else if (answer.list_same) {
+      list_as_of_ = std::max(list_as_of_, as_of);
+    }
+  }
+  if (changed) {
+    settle();
+  }
+}
+
+void Station::take_list(schema::PlatformList const& list, loam::Moment as_of) {
+  list_ = list;
+  list_as_of_ = as_of;
+  std::map<std::string, loam::Moment> cold;
+  for (schema::WorkerEntry const& entry : list_.workers) {
+    if (entry.cold_ms > 0) {
+      cold[entry.id] = loam::boot_now() + loam::milliseconds(static_cast<std::int64_t>(entry.cold_ms));
+    }
+  }
+  cold_until_.swap(cold);
+}
+
+void Station::settle() {
+  if (book_ == nullptr) {
+    return;
+  }
+  std::vector<tilth::Stand> stands;
+  std::set<std::string> listed;
+  for (schema::WorkerEntry const& entry : list_.workers) {
+    schema::Service const* const service = book_->service(entry.service);
+    if (service == nullptr) {
+      continue;
+    }
+    listed.insert(entry.id);
+    tilth::Stand stand;
+    stand.id = entry.id;
+    stand.address = entry.address;
+    stand.service = entry.service;
+    stand.hall = entry.zone;
+    std::map<std::string, std::string>::const_iterator const region = settings_.regions.find(entry.zone);
+    stand.region = region == settings_.regions.end() ? "" : region->second;
+    stand.model = service->model;
+    stand.draining = entry.draining;
+    stand.evacuated = evacuated_.count(entry.zone) > 0;
+    stand.capacity = std::max<std::uint64_t>(1, entry.capacity);
+    stand.connections = service->connections;
+    stand.cold_rate = service->cold_rate;
+    stand.kept_tokens = static_cast<double>(service->kept_tokens);
+    std::map<std::string, loam::Moment>::const_iterator const cold = cold_until_.find(entry.id);
+    stand.cold_until = cold == cold_until_.end() ? 0 : cold->second;
+    stands.push_back(std::move(stand));
+  }
+  tilth::GroveTerms terms;
+  terms.hall = settings_.hall;
+  terms.region = settings_.region;
+  terms.self = settings_.name;
+  terms.cold_overshoot = settings_.bounds.cold_overshoot;
+  terms.cold_slack = settings_.bounds.cold_slack;
+  for (schema::Member const& member : members_) {
+    terms.furrows.push_back(member.name);
+  }
+  if (terms.furrows.empty()) {
+    terms.furrows.push_back(settings_.name);
+  }
+  grove_.update(stands, terms, loam::boot_now());
+  std::erase_if(kept_, [&listed](std::pair<std::string const, std::deque<Kept>> const& entry) { return listed.count(entry.first) == 0; });
+}
+
+std::string Station::directory(std::string const& hall, std::string const& region) {
+  std::vector<std::string> same_hall;
+  std::vector<std::string> same_region;
+  std::vector<std::string> others;
+  bool self_there = false;
+  for (schema::Member const& member : members_) {
+    bool const own = member.name == settings_.name;
+    self_there = self_there || own;
+    if ((own && !ready()) || (!own && !member.ready)) {
+      continue;
+    }
+    std::map<std::string, std::string>::const_iterator const found = settings_.regions.find(member.hall);
+    bool const here = found != settings_.regions.end() && found->second == region;
+    (member.hall == hall ? same_hall : here ? same_region : others).push_back(member.address);
+  }
+  if (!self_there && ready()) {
+    (settings_.hall == hall ? same_hall : settings_.region == region ? same_region : others).push_back(settings_.http_address);
+  }
+  std::vector<std::string> addresses = same_hall;
+  if (addresses.size() < constants::directory_least) {
+    addresses.insert(addresses.end(), same_region.begin(), same_region.end());
+  }
+  if (addresses.empty()) {
+    addresses = others;
+  }
+  if (addresses.size() > constants::directory_most) {
+    addresses.resize(constants::directory_most);
+  }
+  return dialect_.print_directory(addresses, static_cast<double>(settings_.bounds.directory_ttl_ms) / 1000);
+}
+
+void Station::serve_small(std::shared_ptr<Socket> const& socket, loam::Yield yield) {
+  boost::beast::flat_buffer buffer;
+  std::shared_ptr<Alarm> const alarm = std::make_shared<Alarm>(context_, [socket] {
+    error_code ignored;
+    socket->close(ignored);
+  });
+  while (true) {
+    alarm->set(loam::boot_now() + constants::caller_idle);
+    error_code error;
+    http::request_parser<http::empty_body> parser;
+    parser.header_limit(constants::header_limit);
+    http::async_read(*socket, buffer, parser, yield[error]);
+    if (error) {
+      break;
+    }
+    std::string const target(parser.get().target());
+    std::string const path = target.substr(0, target.find('?'));
+    std::string status = "404 Not Found";
+    std::string body = "{\"error\":\"unknown_path\"}";
+    if (path == dialect_.ready_path) {
+      status = ready() ? "200 OK" : "503 Service Unavailable";
+      body = ready() ? "{\"ready\":true}" : "{\"ready\":false}";
+    } else if (path == dialect_.directory_path) {
+      std::map<std::string, std::string> query;
+      std::stringstream words(target.size() > path.size() ? target.substr(path.size() + 1) : "");
+      std::string word;
+      while (std::getline(words, word, '&')) {
+        std::size_t const equals = word.find('=');
+        query[word.substr(0, equals)] = equals == std::string::npos ? "" : word.substr(equals + 1);
+      }
+      status = "200 OK";
+      body = directory(query["zone"], query["region"]);
+    } else if (path == "/-/metrics") {
+      status = "200 OK";
+      body = tally_.print();
+    }
+    bool const again = parser.get().keep_alive() && !draining_;
+    std::string const text = "HTTP/1.1 " + status + "\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) +
+                             (again ? "\r\n\r\n" : "\r\nConnection: close\r\n\r\n") + body;
+    asio::async_write(*socket, asio::buffer(text), yield[error]);
+    if (error || !again) {
+      break;
+    }
+  }
+  alarm->stop();
+}
+
+}  // namespace finchlink::furrow
--- /dev/null
+++ b/source/furrow/relay/station.hpp
@@ -0,0 +1,143 @@
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/spawn.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <deque>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <absl/status/statusor.h>
+
+#include "furrow/relay/dialect.hpp"
+#include "hedge/vouch/vouch.hpp"
+#include "loam/net/net.hpp"
+#include "orchard/charter/charter.hpp"
+#include "schema/settings.hpp"
+#include "tilth/grove/grove.hpp"
+#include "tilth/lanes/lanes.hpp"
+#include "tilth/rights/rights.hpp"
+
+namespace finchlink::furrow {
+
+using Socket = boost::asio::ip::tcp::socket;
+using ListReader = std::function<absl::StatusOr<schema::PlatformList>(loam::Yield)>;
+
+/// Starts a coroutine on the relay's one thread, with a small stack: machines
+/// that relay have a fraction of a core and pay for memory (section 13.2).
+void start_small(boost::asio::io_context& context, std::function<void(loam::Yield)> body);
+
+/// One timer for many waits that seldom run out: it is armed anew only when it
+/// rings early (section 13.2).
+class Alarm : public std::enable_shared_from_this<Alarm> {
+ public:
+  Alarm(boost::asio::io_context& context, std::function<void()> ring) : timer_(context), ring_(std::move(ring)) {}
+  void set(loam::Moment due);
+  void stop();
+
+ private:
+  void arm();
+  boost::asio::steady_timer timer_;
+  std::function<void()> ring_;
+  loam::Moment due_ = 0;
+  loam::Moment armed_for_ = 0;
+  bool over_ = false;
+};
+
+/// What a relay counts; printed in the text form that scrapers read.
+struct Tally {
+  std::map<std::string, std::uint64_t> outcomes;
+  std::uint64_t retries = 0;
+  std::uint64_t resumed = 0;
+  std::uint64_t connects = 0;
+  std::uint64_t dispatches = 0;
+  [[nodiscard]] std::string print() const;
+};
+
+/// The state of one relaying furrow, on one thread: the newest charter that it
+/// knows, its workers, colleagues and kept connections.
+class Station {
+ public:
+  Station(boost::asio::io_context& context, schema::Settings const& settings, Dialect dialect, orchard::Notation notation, ListReader list_reader,
+          std::uint64_t identity);
+
+  [[nodiscard]] absl::Status begin();
+  void drain();
+  [[nodiscard]] bool busy() const;
+  /// New bounds and seeds, taken while it runs.
+  void renew(schema::Settings const& settings) { settings_ = settings; }
+
+  [[nodiscard]] boost::asio::io_context& context() { return context_; }
+  [[nodiscard]] schema::Settings const& settings() const { return settings_; }
+  [[nodiscard]] Dialect const& dialect() const { return dialect_; }
+  [[nodiscard]] std::shared_ptr<tilth::LaneBook const> const& book() const { return book_; }
+  [[nodiscard]] tilth::Grove& grove() { return grove_; }
+  [[nodiscard]] tilth::Rights& rights(std::string const& service);
+  [[nodiscard]] Tally& tally() { return tally_; }
+  [[nodiscard]] bool draining() const { return draining_; }
+  [[nodiscard]] bool ready() const { return book_ != nullptr && heard_ && !draining_ && grove_.size() > 0; }
+
+  /// A kept connection to the worker that seems whole, or none.
+  [[nodiscard]] std::unique_ptr<Socket> kept(std::string const& worker);
+  void keep(std::string const& worker, std::unique_ptr<Socket> socket, loam::Span longest);
+
+  void opened() { ++open_; }
+  void closed() { --open_; }
+  [[nodiscard]] std::string directory(std::string const& hall, std::string const& region);
+
+ private:
+  struct Kept {
+    std::unique_ptr<Socket> socket;
+    loam::Moment until = 0;
+  };
+  struct Acceptor {
+    boost::asio::ip::tcp::acceptor acceptor;
+  };
+  [[nodiscard]] absl::Status listen(std::string const& address, std::function<void(std::shared_ptr<Socket>, loam::Yield)> session);
+  void serve_small(std::shared_ptr<Socket> const& socket, loam::Yield yield);
+  void ask_news(loam::Yield yield);
+  void read_own_list(loam::Yield yield);
+  void take(schema::NewsAnswer const& answer, loam::Moment asked);
+  void take_list(schema::PlatformList const& list, loam::Moment as_of);
+  void settle();
+  [[nodiscard]] schema::Member self() const;
+  void tell_leaving();
+
+  boost::asio::io_context& context_;
+  schema::Settings settings_;
+  Dialect dialect_;
+  orchard::Notation notation_;
+  ListReader list_reader_;
+  std::uint64_t identity_;
+  loam::Caller caller_;
+  hedge::Vouch vouch_;
+  std::shared_ptr<tilth::LaneBook const> book_;
+  std::set<std::string> evacuated_;
+  schema::PlatformList list_;
+  std::uint64_t list_digest_ = 0;
+  loam::Moment list_as_of_ = 0;
+  std::uint64_t members_digest_ = 0;
+  std::vector<schema::Member> members_;
+  std::map<std::string, loam::Moment> cold_until_;
+  std::vector<std::string> trellises_;
+  loam::Moment heard_at_ = 0;
+  bool heard_ = false;
+  tilth::Grove grove_;
+  std::map<std::string, tilth::Rights> rights_;
+  std::map<std::string, std::deque<Kept>> kept_;
+  std::vector<std::shared_ptr<Acceptor>> acceptors_;
+  std::uint64_t open_ = 0;
+  bool draining_ = false;
+  loam::Moment leaving_since_ = 0;
+  Tally tally_;
+};
+
+/// Serves one caller's connection (relay.cpp).
+void serve_caller(Station& station, std::shared_ptr<Socket> const& socket, loam::Yield yield);
+
+}  // namespace finchlink::furrow
--- a/source/orchard/charter/charter.hpp
+++ b/source/orchard/charter/charter.hpp
@@ -11,6 +11,10 @@
 
 namespace finchlink::orchard {
 
+/// The registers in which the charter and the evacuated halls (a JSON list) live.
+inline constexpr char const* charter_register = "charter";
+inline constexpr char const* evacuated_register = "evacuated";
+
 /// A charter as it was read (section 13.1), with every fault by its place.
 struct CharterReading {
   schema::Charter charter;
--- /dev/null
+++ b/source/platform/dialect.cpp
@@ -0,0 +1,34 @@
+#include "platform/dialect.hpp"
+
+#include "loam/json/tree.hpp"
+
+namespace finchlink::platform {
+
+furrow::Dialect dialect() {
+  furrow::Dialect dialect;
+  dialect.query = "Attempt-Id";
+  dialect.seal = "Answer-Seal";
+  dialect.left = "Time-Left";
+  dialect.target = "Target-Instance";
+  dialect.not_run = "Not-Run";
+  dialect.load = "Load-Level";
+  dialect.tokens = "Token-Count";
+  dialect.parts = "Prompt-Prefix";
+  dialect.last_event = "Last-Event-Id";
+  dialect.urgency = "Request-Urgency";
+  dialect.ready_path = "/v1/readiness";
+  dialect.directory_path = "/v1/resolve";
+  dialect.read_parts = furrow::read_parts;
+  dialect.print_directory = [](std::vector<std::string> const& addresses, double seconds) {
+    loam::Tree object(cJSON_CreateObject());
+    cJSON* const list = cJSON_AddArrayToObject(object.get(), "addresses");
+    for (std::string const& address : addresses) {
+      cJSON_AddItemToArray(list, cJSON_CreateString(address.c_str()));
+    }
+    cJSON_AddNumberToObject(object.get(), "ttl_s", seconds);
+    return loam::print_tree(object.get());
+  };
+  return dialect;
+}
+
+}  // namespace finchlink::platform
--- a/source/tilth/chart/chart.cpp
+++ b/source/tilth/chart/chart.cpp
@@ -166,6 +166,10 @@
 }
 
 std::vector<QueryAction> Chart::on(Whole const&, loam::Moment) {
+  if (std::holds_alternative<Streaming>(state_)) {
+    settle("complete");  // a relayed stream ends where its worker ended it (section 13.3)
+    return {};
+  }
   if (!std::holds_alternative<Exposed>(state_)) {
     return {};
   }
--- /dev/null
+++ b/source/tilth/grove/grove.cpp
@@ -0,0 +1,315 @@
+#include "tilth/grove/grove.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+#include "loam/constants.hpp"
+#include "tilth/prefix/prefix.hpp"
+
+namespace finchlink::tilth {
+
+namespace constants = loam::constants;
+
+namespace {
+double seconds_of(loam::Span span) { return static_cast<double>(span) / 1e6; }
+bool holds(std::vector<std::string> const& list, std::string const& entry) { return std::find(list.begin(), list.end(), entry) != list.end(); }
+}  // namespace
+
+void Grove::update(std::vector<Stand> const& stands, GroveTerms const& terms, loam::Moment now) {
+  terms_ = terms;
+  by_service_.clear();
+  std::map<std::string, Worker> next;
+  for (Stand const& stand : stands) {
+    std::map<std::string, Worker>::iterator const found = workers_.find(stand.id);
+    Worker worker;
+    if (found != workers_.end()) {
+      worker = std::move(found->second);
+      loam::Moment cold_until = std::max(stand.cold_until, worker.stand.cold_until);
+      if (guards_.suspect_returned && worker.stand.evacuated && !stand.evacuated) {
+        // What became of it meanwhile shows in the list a little later.
+        cold_until = std::max(cold_until, now + constants::cold_suspect);
+      }
+      if (stand.cold_until > worker.stand.cold_until && worker.stand.cold_until <= now) {
+        worker.reuse.clear();
+      }
+      worker.stand = stand;
+      worker.stand.cold_until = cold_until;
+    } else {
+      worker.stand = stand;
+      worker.slots = static_cast<double>(std::max<std::uint64_t>(1, stand.capacity));
+    }
+    worker.reuse.bound(stand.kept_tokens * constants::reuse_part);
+    by_service_[stand.service].push_back(stand.id);
+    next.emplace(stand.id, std::move(worker));
+  }
+  // One that left the list is kept while queries of ours run there.
+  for (std::pair<std::string const, Worker>& entry : workers_) {
+    if (entry.second.own > 0 && next.count(entry.first) == 0) {
+      entry.second.stand.draining = true;
+      next.emplace(entry.first, std::move(entry.second));
+    }
+  }
+  workers_.swap(next);
+}
+
+double Grove::cold_part(Worker const& worker) const {
+  if (worker.stand.cold_rate <= 0 || !guards_.cold_bound) {
+    return 1e9;
+  }
+  double const most = (worker.stand.cold_rate * terms_.cold_overshoot + terms_.cold_slack) * constants::cold_part;
+  double const furrows = std::max<double>(1.0, static_cast<double>(terms_.furrows.size()));
+  double const even = most / furrows;
+  if (even >= 1) {
+    return std::floor(even);
+  }
+  // Fewer queries than furrows: those that a hash picks tend it, one each.
+  std::size_t const tenders = static_cast<std::size_t>(std::max(1.0, most));
+  std::uint64_t const own = mix(hash_text(worker.stand.id), hash_text(terms_.self));
+  std::size_t ahead = 0;
+  for (std::string const& furrow : terms_.furrows) {
+    ahead += mix(hash_text(worker.stand.id), hash_text(furrow)) < own ? 1 : 0;
+  }
+  return ahead < tenders ? 1 : 0;
+}
+
+double Grove::load(Worker const& worker, loam::Moment now) const {
+  double const age = worker.told_at == 0 ? 1e9 : seconds_of(now - worker.told_at);
+  double const told = age > constants::load_memory ? 0 : (worker.told_total + static_cast<double>(worker.sent_since)) * (1 - age / constants::load_memory);
+  return std::max(told, static_cast<double>(worker.own));
+}
+
+bool Grove::open(Worker const& worker, Wanted const& wanted, loam::Moment now) const {
+  Stand const& stand = worker.stand;
+  if (stand.draining || stand.evacuated || (guards_.rest && now < worker.rest_until)) {
+    return false;
+  }
+  if (holds(wanted.avoid, stand.id) || (!wanted.homes.empty() && !holds(wanted.homes, stand.region))) {
+    return false;
+  }
+  if (cold(worker, now) && stand.cold_rate > 0) {
+    std::size_t recent = 0;
+    for (loam::Moment const sent : worker.sends) {
+      recent += now - sent < constants::cold_window ? 1 : 0;
+    }
+    if (static_cast<double>(recent) >= cold_part(worker)) {
+      return false;
+    }
+  }
+  double const furrows = std::max<double>(1.0, static_cast<double>(terms_.furrows.size()));
+  double const connections = stand.connections == 0 ? 1e9 : std::max(2.0, static_cast<double>(stand.connections) * constants::connection_part / furrows);
+  return static_cast<double>(worker.own) < connections && load(worker, now) < worker.slots * constants::queue_factor;
+}
+
+double Grove::cost(Worker const& worker, Wanted const& wanted, std::string const& owner, loam::Moment now, double& uncached) const {
+  Stand const& stand = worker.stand;
+  double seconds = stand.hall == terms_.hall ? 0 : stand.region == terms_.region ? constants::other_hall_cost : constants::other_region_cost;
+  double const running = load(worker, now);
+  double const over = running - worker.slots;
+  uncached = wanted.tokens;
+  if (stand.model) {
+    double cached = worker.reuse.match(wanted.parts);
+    if (stand.id == owner && !wanted.parts.empty()) {
+      // Colleagues send the same beginning there, too (section 13.5).
+      cached = std::max(cached, wanted.parts.front().tokens);
+    }
+    uncached = std::max(0.0, wanted.tokens - cached);
+    seconds += (uncached + worker.own_prefill) * constants::prefill_start[1] * worker.pace + running * constants::running_cost;
+  } else {
+    seconds += running / worker.slots * constants::plain_seconds;
+  }
+  if (over >= 0) {
+    seconds += (over + 1) / worker.slots * constants::plain_seconds * 2;
+  }
+  if (cold(worker, now)) {
+    seconds += constants::cold_cost;
+  }
+  return seconds;
+}
+
+std::string Grove::owner_of(std::vector<std::string const*> const& pool, Wanted const& wanted) const {
+  std::string best;
+  std::uint64_t most = 0;
+  for (std::string const* const id : pool) {
+    std::uint64_t const weight = mix(hash_text(*id), wanted.parts.front().key);
+    if (best.empty() || weight > most) {
+      most = weight;
+      best = *id;
+    }
+  }
+  return best;
+}
+
+Grove::Worker const* Grove::best(std::string const& service, Wanted const& wanted, loam::Moment now, double& cost_found, double& uncached) const {
+  std::map<std::string, std::vector<std::string>>::const_iterator const ids = by_service_.find(service);
+  Worker const* found = nullptr;
+  if (ids == by_service_.end()) {
+    return found;
+  }
+  // The owner of a prompt's beginning among the nearest workers, whether they
+  // are open now or not, so that all furrows of a hall name the same one.
+  std::string owner;
+  if (!wanted.parts.empty() && wanted.parts.front().tokens >= constants::owned_tokens) {
+    std::vector<std::string const*> here;
+    std::vector<std::string const*> region;
+    for (std::string const& id : ids->second) {
+      Stand const& stand = workers_.at(id).stand;
+      if (stand.draining || stand.evacuated || (!wanted.homes.empty() && !holds(wanted.homes, stand.region))) {
+        continue;
+      }
+      if (stand.hall == terms_.hall) {
+        here.push_back(&id);
+      } else if (stand.region == terms_.region) {
+        region.push_back(&id);
+      }
+    }
+    owner = owner_of(here.empty() ? region : here, wanted);
+  }
+  for (std::string const& id : ids->second) {
+    Worker const& worker = workers_.at(id);
+    if (!open(worker, wanted, now)) {
+      continue;
+    }
+    double rest = 0;
+    double const price = cost(worker, wanted, owner, now, rest);
+    if (found == nullptr || price < cost_found) {
+      found = &worker;
+      cost_found = price;
+      uncached = rest;
+    }
+  }
+  return found;
+}
+
+std::variant<Spot, NoSpot> Grove::choose(Wanted const& wanted, loam::Moment now) {
+  double whole = 0;
+  for (schema::Share const& share : wanted.shares) {
+    whole += share.weight;
+  }
+  double point = wanted.draw * whole;
+  std::size_t first = 0;
+  for (std::size_t index = 0; index < wanted.shares.size(); ++index) {
+    if (wanted.shares[index].weight > 0) {
+      first = index;
+      if (point < wanted.shares[index].weight) {
+        break;
+      }
+      point -= wanted.shares[index].weight;
+    }
+  }
+  // The drawn share first; another one of the lane only where it has no place.
+  for (std::size_t step = 0; step < wanted.shares.size(); ++step) {
+    schema::Share const& share = wanted.shares[(first + step) % wanted.shares.size()];
+    if (share.weight <= 0) {
+      continue;
+    }
+    double price = 0;
+    double uncached = 0;
+    Worker const* const found = best(share.service, wanted, now, price, uncached);
+    if (found != nullptr) {
+      Worker& worker = workers_.at(found->stand.id);
+      ++worker.own;
+      ++worker.sent_since;
+      worker.own_prefill += uncached;
+      if (worker.stand.cold_rate > 0) {
+        while (!worker.sends.empty() && (now - worker.sends.front() >= constants::cold_window || worker.sends.size() > 256)) {
+          worker.sends.pop_front();
+        }
+        worker.sends.push_back(now);
+      }
+      return Spot{worker.stand.id, worker.stand.address, uncached, price};
+    }
+  }
+  return NoSpot{!workers_.empty(), constants::plain_seconds};
+}
+
+bool Grove::alternative(Wanted const& wanted, loam::Moment now) const {
+  for (schema::Share const& share : wanted.shares) {
+    double price = 0;
+    double uncached = 0;
+    if (share.weight > 0 && best(share.service, wanted, now, price, uncached) != nullptr) {
+      return true;
+    }
+  }
+  return false;
+}
+
+bool Grove::usable(std::string const& worker) const {
+  std::map<std::string, Worker>::const_iterator const found = workers_.find(worker);
+  return found != workers_.end() && !found->second.stand.draining && !found->second.stand.evacuated;
+}
+
+bool Grove::serves(std::string const& worker, std::string const& service) const {
+  std::map<std::string, Worker>::const_iterator const found = workers_.find(worker);
+  return found != workers_.end() && found->second.stand.service == service;
+}
+
+bool Grove::stands_in(std::string const& worker, std::vector<std::string> const& regions) const {
+  std::map<std::string, Worker>::const_iterator const found = workers_.find(worker);
+  return found != workers_.end() && holds(regions, found->second.stand.region);
+}
+
+void Grove::first_token(Spot const& spot, std::vector<Part> const& parts, double seconds) {
+  std::map<std::string, Worker>::iterator const found = workers_.find(spot.worker);
+  if (found == workers_.end()) {
+    return;
+  }
+  Worker& worker = found->second;
+  worker.own_prefill = std::max(0.0, worker.own_prefill - spot.uncached);
+  worker.reuse.remember(parts);
+  if (spot.uncached >= constants::owned_tokens) {
+    double const seen = seconds / (spot.uncached * constants::prefill_start[1]);
+    worker.pace += 0.1 * (std::clamp(seen, 0.5, 4.0) - worker.pace);
+  }
+}
+
+void Grove::ended(Spot const& spot, bool first_seen, Outcome outcome, loam::Moment now) {
+  std::map<std::string, Worker>::iterator const found = workers_.find(spot.worker);
+  if (found == workers_.end()) {
+    return;
+  }
+  Worker& worker = found->second;
+  worker.own -= worker.own > 0 ? 1 : 0;
+  if (!first_seen) {
+    worker.own_prefill = std::max(0.0, worker.own_prefill - spot.uncached);
+  }
+  switch (outcome) {
+    case Outcome::good:
+      worker.rest = 0;
+      break;
+    case Outcome::abandoned:
+      break;
+    case Outcome::refused:
+      worker.rest_until = std::max(worker.rest_until, now + constants::refused_rest);
+      break;
+    case Outcome::misdirected:
+      // Another worker has its address: it won't come back under this id.
+      worker.rest_until = now + constants::worker_rest_most;
+      break;
+    case Outcome::unreachable:
+    case Outcome::defect:
+      worker.rest = std::clamp<loam::Span>(worker.rest * 2, constants::worker_rest_least, constants::worker_rest_most / 2);
+      worker.rest_until = std::max(worker.rest_until, now + worker.rest);
+      break;
+  }
+  if (worker.stand.draining && worker.own == 0) {
+    std::map<std::string, std::vector<std::string>>::const_iterator const ids = by_service_.find(worker.stand.service);
+    if (ids == by_service_.end() || !holds(ids->second, spot.worker)) {
+      workers_.erase(found);  // it had left the list
+    }
+  }
+}
+
+void Grove::told(std::string const& id, double running, double waiting, double slots, loam::Moment now) {
+  std::map<std::string, Worker>::iterator const found = workers_.find(id);
+  if (found == workers_.end()) {
+    return;
+  }
+  found->second.told_total = running + waiting;
+  found->second.told_at = now;
+  found->second.sent_since = 0;
+  if (slots >= 1) {
+    found->second.slots = slots;
+  }
+}
+
+}  // namespace finchlink::tilth
--- /dev/null
+++ b/source/tilth/grove/grove.hpp
@@ -0,0 +1,123 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "loam/time/moment.hpp"
+#include "schema/setup.hpp"
+#include "tilth/reuse/reuse.hpp"
+
+namespace finchlink::tilth {
+
+/// A worker as it is wanted now; the grove compares this with what it has.
+struct Stand {
+  std::string id;
+  std::string address;
+  std::string service;
+  std::string hall;
+  std::string region;
+  bool model = false;
+  bool draining = false;
+  bool evacuated = false;
+  std::uint64_t capacity = 1;
+  std::uint64_t connections = 0;  ///< from all callers; 0: not told
+  loam::Moment cold_until = 0;
+  double cold_rate = 0;           ///< queries a second while cold; 0: no bound
+  double kept_tokens = 0;
+};
+
+/// A query that wants a worker.
+struct Wanted {
+  std::vector<schema::Share> shares;
+  std::vector<std::string> homes;  ///< regions; empty: any
+  std::vector<Part> parts;
+  double tokens = 0;               ///< of the prompt
+  double outputs = 0;
+  std::vector<std::string> avoid;  ///< workers that had it already
+  double draw = 0;                 ///< from 0 to 1: which share
+};
+struct Spot {
+  std::string worker;
+  std::string address;
+  double uncached = 0;
+  double predicted_seconds = 0;    ///< to the first token
+};
+struct NoSpot {
+  bool any = false;                ///< workers there are, but none takes it now
+  double expected_seconds = 0;
+};
+
+enum class Outcome { good, refused, unreachable, defect, abandoned, misdirected };
+
+/// How a furrow may divide what all furrows share.
+struct GroveTerms {
+  std::string hall;
+  std::string region;
+  std::string self;
+  std::vector<std::string> furrows;  ///< members, this one included
+  double cold_overshoot = 1;
+  double cold_slack = 0;
+};
+
+/// Rules that tests switch off to show that they are needed.
+struct GroveGuards {
+  bool cold_bound = true;
+  bool rest = true;
+  bool suspect_returned = true;  ///< a hall taken back may have turned cold unseen
+};
+
+/// Where each query lands among the workers of several services (section
+/// 13.3): plain state; every message carries its moment.
+class Grove {
+ public:
+  explicit Grove(GroveGuards guards = {}) : guards_(guards) {}
+  void update(std::vector<Stand> const& stands, GroveTerms const& terms, loam::Moment now);
+  /// Takes the place, too; ended() gives it back.
+  [[nodiscard]] std::variant<Spot, NoSpot> choose(Wanted const& wanted, loam::Moment now);
+  /// May bytes go there still? Asked right before they do.
+  [[nodiscard]] bool usable(std::string const& worker) const;
+  [[nodiscard]] bool serves(std::string const& worker, std::string const& service) const;
+  [[nodiscard]] bool stands_in(std::string const& worker, std::vector<std::string> const& regions) const;
+  void first_token(Spot const& spot, std::vector<Part> const& parts, double seconds);
+  void ended(Spot const& spot, bool first_seen, Outcome outcome, loam::Moment now);
+  /// What a worker said of its load, all callers counted.
+  void told(std::string const& worker, double running, double waiting, double slots, loam::Moment now);
+  /// Has another worker a place for it? (Before a silent one is given up.)
+  [[nodiscard]] bool alternative(Wanted const& wanted, loam::Moment now) const;
+  [[nodiscard]] std::size_t size() const { return workers_.size(); }
+
+ private:
+  struct Worker {
+    Stand stand;
+    std::uint64_t own = 0;
+    double own_prefill = 0;     ///< tokens sent whose first answer is not here yet
+    double told_total = 0;
+    loam::Moment told_at = 0;
+    std::uint64_t sent_since = 0;
+    double slots = 0;
+    loam::Moment rest_until = 0;
+    loam::Span rest = 0;
+    double pace = 1;            ///< seen over predicted, smoothed
+    std::deque<loam::Moment> sends;  ///< within the last second, while cold
+    Reuse reuse;
+  };
+  [[nodiscard]] bool cold(Worker const& worker, loam::Moment now) const { return now < worker.stand.cold_until; }
+  /// Queries that this furrow may send it within one second while it is cold.
+  [[nodiscard]] double cold_part(Worker const& worker) const;
+  [[nodiscard]] double load(Worker const& worker, loam::Moment now) const;
+  [[nodiscard]] bool open(Worker const& worker, Wanted const& wanted, loam::Moment now) const;
+  [[nodiscard]] double cost(Worker const& worker, Wanted const& wanted, std::string const& owner, loam::Moment now, double& uncached) const;
+  [[nodiscard]] std::string owner_of(std::vector<std::string const*> const& pool, Wanted const& wanted) const;
+  [[nodiscard]] Worker const* best(std::string const& service, Wanted const& wanted, loam::Moment now, double& cost_found, double& uncached) const;
+
+  GroveGuards guards_;
+  GroveTerms terms_;
+  std::map<std::string, Worker> workers_;
+  std::map<std::string, std::vector<std::string>> by_service_;
+};
+
+}  // namespace finchlink::tilth
--- /dev/null
+++ b/source/tilth/lanes/lanes.cpp
@@ -0,0 +1,50 @@
+#include "tilth/lanes/lanes.hpp"
+
+namespace finchlink::tilth {
+
+namespace {
+std::string lowered(std::string_view host) {
+  std::string text(host.substr(0, host.find(':')));
+  for (char& letter : text) {
+    letter = static_cast<char>(letter >= 'A' && letter <= 'Z' ? letter - 'A' + 'a' : letter);
+  }
+  return text;
+}
+}  // namespace
+
+LaneBook::LaneBook(schema::Charter charter) : charter_(std::move(charter)) {
+  for (std::size_t index = 0; index < charter_.lanes.size(); ++index) {
+    schema::Lane const& lane = charter_.lanes[index];
+    by_place_[lowered(lane.host) + " " + lane.prefix] = index;
+  }
+  for (std::size_t index = 0; index < charter_.services.size(); ++index) {
+    by_service_[charter_.services[index].name] = index;
+  }
+}
+
+schema::Lane const* LaneBook::find(std::string_view host, std::string_view path) const {
+  std::string key = lowered(host) + " ";
+  std::size_t const lead = key.size();
+  key += path.substr(0, path.find('?'));
+  // Prefixes end in a slash: only the cuts behind slashes can be one.
+  while (key.size() > lead) {
+    std::size_t const slash = key.rfind('/');
+    if (slash == std::string::npos || slash < lead) {
+      return nullptr;
+    }
+    key.resize(slash + 1);
+    tsl::robin_map<std::string, std::size_t>::const_iterator const found = by_place_.find(key);
+    if (found != by_place_.end()) {
+      return &charter_.lanes[found->second];
+    }
+    key.resize(slash);
+  }
+  return nullptr;
+}
+
+schema::Service const* LaneBook::service(std::string_view name) const {
+  tsl::robin_map<std::string, std::size_t>::const_iterator const found = by_service_.find(std::string(name));
+  return found == by_service_.end() ? nullptr : &charter_.services[found->second];
+}
+
+}  // namespace finchlink::tilth
--- /dev/null
+++ b/source/tilth/rights/rights.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "loam/time/moment.hpp"
+
+namespace finchlink::tilth {
+
+/// Rights to send queries of one service to a further worker, in one furrow
+/// (section 13.4). The bound holds for the sum over all furrows in any window:
+/// ratio x arrivals + slack. Each arrival earns its part; what is not spent is
+/// kept up to this furrow's even part of the slack, so in any window no more
+/// goes out than that part and what the window's own arrivals earned.
+class Rights {
+ public:
+  void bound(double ratio, double slack, double furrows);
+  void arrived();
+  [[nodiscard]] bool take();
+  [[nodiscard]] bool available() const { return rights_ >= 1; }
+
+ private:
+  double earned_ = 0;
+  double most_ = 0;
+  double rights_ = 0;
+  bool begun_ = false;
+};
+
+}  // namespace finchlink::tilth
