--- a/source/furrow/relay/station.cpp
+++ b/source/furrow/relay/station.cpp
@@ -13,6 +13,7 @@
 #include "loam/json/tree.hpp"
 #include "loam/log/log.hpp"
 #include "loam/random/random.hpp"
+#include "orchard/charter/wish.hpp"
 
 namespace finchlink::furrow {
 
