--- a/source/furrow/main.cpp
+++ b/source/furrow/main.cpp
@@ -3,18 +3,34 @@
 #include "furrow/field/field.hpp"
 #include "furrow/news/news.hpp"
 #include "furrow/query/session.hpp"
+#include "furrow/relay/station.hpp"
 #include "loam/constants.hpp"
 #include "loam/process/process.hpp"
 #include "loam/random/random.hpp"
+#include "platform/dialect.hpp"
+#include "platform/listing.hpp"
+#include "platform/notation.hpp"
+#include "platform/settings.hpp"
 
 int main(int count, char** values) {
   using namespace finchlink;
   std::unique_ptr<loam::Caller> caller;
   std::unique_ptr<furrow::Field> field;
+  std::unique_ptr<furrow::Station> station;
   loam::Daemon daemon;
   daemon.program = "furrow";
   daemon.needed = {"name", "hall", "http_address", "seeds"};
-  daemon.begin = [&caller, &field](boost::asio::io_context& context, schema::Settings const& settings) -> absl::Status {
+  daemon.settings_path = platform::settings_path;
+  daemon.read_settings = platform::read_settings;
+  daemon.begin = [&](boost::asio::io_context& context, schema::Settings const& settings) -> absl::Status {
+    if (platform::settings_path().has_value()) {
+      std::string const address = settings.platform_address;
+      furrow::ListReader const reader = [&context, address](loam::Yield yield) {
+        return platform::read_list(context, address, loam::constants::list_deadline, yield);
+      };
+      station = std::make_unique<furrow::Station>(context, settings, platform::dialect(), platform::notation(), reader, loam::random_identity());
+      return station->begin();
+    }
     caller = std::make_unique<loam::Caller>(context);
     field = std::make_unique<furrow::Field>(context, settings, loam::random_identity());
     absl::Status const status = loam::listen(context, settings.http_address, settings.connections, [&field](loam::Stream& stream, loam::Yield yield) {
@@ -27,7 +43,18 @@
     furrow::begin_watch(context, *field);
     return absl::OkStatus();
   };
-  daemon.drain = [&field] { field->drain(); };
-  daemon.busy = [&field] { return field->busy(); };
+  daemon.drain = [&] {
+    if (station != nullptr) {
+      station->drain();
+    } else {
+      field->drain();
+    }
+  };
+  daemon.busy = [&] { return station != nullptr ? station->busy() : field->busy(); };
+  daemon.changed = [&](schema::Settings const& settings) {
+    if (station != nullptr) {
+      station->renew(settings);
+    }
+  };
   return loam::run_daemon(daemon, count, values);
 }
