--- a/source/furrow/relay/relay.cpp
+++ b/source/furrow/relay/relay.cpp
@@ -242,6 +242,10 @@
       cut();
       return;
     }
+    if (now - station_.grove().heard_at(spot_.worker) < constants::alive_span && now - silent_since_ < 2 * allowed_) {
+      alarm_->set(std::min(deadline_, now + constants::alive_step));
+      return;
+    }
     // Silence: another worker is asked if the query may be repeated, a right is
     // there, and another has a place; else this one may take its time.
     wanted_.avoid.push_back(spot_.worker);
@@ -509,10 +513,11 @@
     return text;
   }
 
-  [[nodiscard]] loam::Moment silence_due(double set_point_ms, loam::Moment now) const {
+  [[nodiscard]] loam::Moment silence_due(double set_point_ms, loam::Moment now) {
     double const point = set_point_ms > 0 ? set_point_ms : 1000;
-    return std::min(deadline_, now + std::max(loam::milliseconds(static_cast<std::int64_t>(point * constants::silence_part)),
-                                              static_cast<loam::Span>(spot_.predicted_seconds * 2e6)));
+    silent_since_ = now;
+    allowed_ = std::max(loam::milliseconds(static_cast<std::int64_t>(point * constants::silence_part)), static_cast<loam::Span>(spot_.predicted_seconds * 2e6));
+    return std::min(deadline_, now + allowed_);
   }
 
   using Parser = http::response_parser<http::buffer_body>;
@@ -670,6 +675,7 @@
         continue;
       }
       loam::Moment const now = loam::boot_now();
+      station_.grove().heard(spot_.worker, now);
       if (first) {
         first = false;
         first_seen_ = true;
@@ -727,6 +733,8 @@
   std::string whole_;
   std::string whole_body_;
   std::uint64_t last_event_ = 0;
+  loam::Moment silent_since_ = 0;
+  loam::Span allowed_ = 0;
   int connects_ = 0;
   bool connecting_ = false;
   bool first_seen_ = false;
--- a/source/loam/constants.hpp
+++ b/source/loam/constants.hpp
@@ -233,6 +233,15 @@
 inline constexpr double reuse_part = 0.8;
 /// Beginnings of at least this many tokens have an owner and teach the pace.
 inline constexpr double owned_tokens = 1000;
+/// Demand is remembered for about this many seconds; bounds of the share of a
+/// region's workers that long prompts are fed to while there are others too;
+/// worker seconds that a query costs beside its prefill; costs of going astray.
+inline constexpr double demand_memory = 10;
+inline constexpr double long_share_least = 0.25;
+inline constexpr double long_share_most = 0.6;
+inline constexpr double short_work = 0.01;
+inline constexpr double long_astray_cost = 0.3;
+inline constexpr double short_astray_cost = 0.15;
 /// A told load is forgotten over this many seconds.
 inline constexpr double load_memory = 3;
 /// Queries on a worker, as a multiple of its places, up to which it is sent more.
@@ -263,7 +272,11 @@
 inline constexpr Span hold_plain = milliseconds(200);
 /// Part of a set point after which a silent worker is given up, if the query
 /// may be repeated and another worker has a place.
-inline constexpr double silence_part = 0.5;
+inline constexpr double silence_part = 0.6;
+/// A worker that gave bytes to any query within this is busy, not dark: it is
+/// asked again after the step, at most up to twice the silence allowed.
+inline constexpr Span alive_span = milliseconds(250);
+inline constexpr Span alive_step = milliseconds(100);
 /// Stack of a relay's coroutine, in bytes; only what is touched counts.
 inline constexpr std::size_t relay_stack = 96u << 10u;
 /// Two asks for news are at least this far apart.
--- a/source/tilth/grove/grove.cpp
+++ b/source/tilth/grove/grove.cpp
@@ -42,6 +42,21 @@
     by_service_[stand.service].push_back(stand.id);
     next.emplace(stand.id, std::move(worker));
   }
+  // Ranks by hash are the same in every furrow, so all of them name the same
+  // workers for long prompts (section 13.6).
+  std::map<std::pair<std::string, std::string>, std::vector<std::pair<std::uint64_t, Worker*>>> places;
+  for (std::pair<std::string const, Worker>& entry : next) {
+    if (entry.second.stand.model && !entry.second.stand.draining && !entry.second.stand.evacuated) {
+      places[{entry.second.stand.service, entry.second.stand.region}].emplace_back(mix(hash_text(entry.first), 1), &entry.second);
+    }
+  }
+  for (std::pair<std::pair<std::string, std::string> const, std::vector<std::pair<std::uint64_t, Worker*>>>& place : places) {
+    std::sort(place.second.begin(), place.second.end());
+    for (std::size_t index = 0; index < place.second.size(); ++index) {
+      place.second[index].second->rank = index;
+      place.second[index].second->ranks = place.second.size();
+    }
+  }
   // One that left the list is kept while queries of ours run there.
   for (std::pair<std::string const, Worker>& entry : workers_) {
     if (entry.second.own > 0 && next.count(entry.first) == 0) {
@@ -52,6 +67,25 @@
   workers_.swap(next);
 }
 
+void Grove::Demand::fade(loam::Moment now) {
+  double const keep = std::exp(-seconds_of(now - at) / constants::demand_memory);
+  prefill *= keep;
+  decode *= keep;
+  at = now;
+}
+
+bool Grove::fed_long(Worker const& worker, loam::Moment) const {
+  std::map<std::pair<std::string, std::string>, Demand>::const_iterator const found = demand_.find({worker.stand.service, worker.stand.region});
+  if (worker.ranks < 3 || found == demand_.end() || found->second.decode <= 0) {
+    return true;  // nothing to keep apart
+  }
+  Demand const& demand = found->second;
+  double share = demand.prefill / (demand.prefill + demand.decode);
+  share = std::clamp(share, constants::long_share_least, constants::long_share_most);
+  double const count = std::round(share * static_cast<double>(worker.ranks));
+  return static_cast<double>(worker.rank) < std::clamp(count, 1.0, static_cast<double>(worker.ranks - 1));
+}
+
 double Grove::cold_part(Worker const& worker) const {
   if (worker.stand.cold_rate <= 0 || !guards_.cold_bound) {
     return 1e9;
@@ -117,6 +151,13 @@
   } else {
     seconds += running / worker.slots * constants::plain_seconds;
   }
+  if (stand.model) {
+    // Long prompts and the rest are kept apart: reading one holds up every
+    // stream on its worker.
+    bool const long_prompt = wanted.tokens >= constants::owned_tokens;
+    bool const apart = fed_long(worker, now);
+    seconds += long_prompt == apart ? 0 : long_prompt ? constants::long_astray_cost : worker.ranks < 3 ? 0 : constants::short_astray_cost;
+  }
   if (over >= 0) {
     seconds += (over + 1) / worker.slots * constants::plain_seconds * 2;
   }
@@ -146,23 +187,20 @@
     return found;
   }
   // The owner of a prompt's beginning among the nearest workers, whether they
-  // are open now or not, so that all furrows of a hall name the same one.
+  // are open now or not, so that all furrows of a region name the same one.
   std::string owner;
   if (!wanted.parts.empty() && wanted.parts.front().tokens >= constants::owned_tokens) {
     std::vector<std::string const*> here;
-    std::vector<std::string const*> region;
+    std::vector<std::string const*> others;
     for (std::string const& id : ids->second) {
-      Stand const& stand = workers_.at(id).stand;
-      if (stand.draining || stand.evacuated || (!wanted.homes.empty() && !holds(wanted.homes, stand.region))) {
+      Worker const& worker = workers_.at(id);
+      Stand const& stand = worker.stand;
+      if (stand.draining || stand.evacuated || !fed_long(worker, now) || (!wanted.homes.empty() && !holds(wanted.homes, stand.region))) {
         continue;
       }
-      if (stand.hall == terms_.hall) {
-        here.push_back(&id);
-      } else if (stand.region == terms_.region) {
-        region.push_back(&id);
-      }
+      (stand.region == terms_.region ? here : others).push_back(&id);
     }
-    owner = owner_of(here.empty() ? region : here, wanted);
+    owner = owner_of(here.empty() ? others : here, wanted);
   }
   for (std::string const& id : ids->second) {
     Worker const& worker = workers_.at(id);
@@ -210,6 +248,11 @@
       ++worker.own;
       ++worker.sent_since;
       worker.own_prefill += uncached;
+      if (worker.stand.model) {
+        Demand& demand = demand_[{worker.stand.service, worker.stand.region}];
+        demand.fade(now);
+        (wanted.tokens >= constants::owned_tokens ? demand.prefill : demand.decode) += uncached * constants::prefill_start[1] + constants::short_work;
+      }
       if (worker.stand.cold_rate > 0) {
         while (!worker.sends.empty() && (now - worker.sends.front() >= constants::cold_window || worker.sends.size() > 256)) {
           worker.sends.pop_front();
@@ -299,6 +342,18 @@
   }
 }
 
+void Grove::heard(std::string const& id, loam::Moment now) {
+  std::map<std::string, Worker>::iterator const found = workers_.find(id);
+  if (found != workers_.end()) {
+    found->second.heard_at = now;
+  }
+}
+
+loam::Moment Grove::heard_at(std::string const& id) const {
+  std::map<std::string, Worker>::const_iterator const found = workers_.find(id);
+  return found == workers_.end() ? 0 : found->second.heard_at;
+}
+
 void Grove::told(std::string const& id, double running, double waiting, double slots, loam::Moment now) {
   std::map<std::string, Worker>::iterator const found = workers_.find(id);
   if (found == workers_.end()) {
--- a/source/tilth/grove/grove.hpp
+++ b/source/tilth/grove/grove.hpp
@@ -86,13 +86,27 @@
   void ended(Spot const& spot, bool first_seen, Outcome outcome, loam::Moment now);
   /// What a worker said of its load, all callers counted.
   void told(std::string const& worker, double running, double waiting, double slots, loam::Moment now);
+  /// Bytes of an answer came from it; it is not dark.
+  void heard(std::string const& worker, loam::Moment now);
+  [[nodiscard]] loam::Moment heard_at(std::string const& worker) const;
   /// Has another worker a place for it? (Before a silent one is given up.)
   [[nodiscard]] bool alternative(Wanted const& wanted, loam::Moment now) const;
   [[nodiscard]] std::size_t size() const { return workers_.size(); }
 
  private:
+  /// Work that a region's workers of one service were given by this furrow,
+  /// in worker seconds, fading; long prompts and the rest (section 13.6).
+  struct Demand {
+    double prefill = 0;
+    double decode = 0;
+    loam::Moment at = 0;
+    void fade(loam::Moment now);
+  };
   struct Worker {
     Stand stand;
+    std::size_t rank = 0;       ///< by hash among its service's workers of its region
+    std::size_t ranks = 1;
+    loam::Moment heard_at = 0;  ///< last bytes of any answer
     std::uint64_t own = 0;
     double own_prefill = 0;     ///< tokens sent whose first answer is not here yet
     double told_total = 0;
@@ -111,6 +125,7 @@
   [[nodiscard]] double load(Worker const& worker, loam::Moment now) const;
   [[nodiscard]] bool open(Worker const& worker, Wanted const& wanted, loam::Moment now) const;
   [[nodiscard]] double cost(Worker const& worker, Wanted const& wanted, std::string const& owner, loam::Moment now, double& uncached) const;
+  [[nodiscard]] bool fed_long(Worker const& worker, loam::Moment now) const;
   [[nodiscard]] std::string owner_of(std::vector<std::string const*> const& pool, Wanted const& wanted) const;
   [[nodiscard]] Worker const* best(std::string const& service, Wanted const& wanted, loam::Moment now, double& cost_found, double& uncached) const;
 
@@ -118,6 +133,7 @@
   GroveTerms terms_;
   std::map<std::string, Worker> workers_;
   std::map<std::string, std::vector<std::string>> by_service_;
+  std::map<std::pair<std::string, std::string>, Demand> demand_;  ///< service, region
 };
 
 }  // namespace finchlink::tilth
