--- a/source/loam/constants.hpp
+++ b/source/loam/constants.hpp
@@ -237,8 +237,8 @@
 /// region's workers that long prompts are fed to while there are others too;
 /// worker seconds that a query costs beside its prefill; costs of going astray.
 inline constexpr double demand_memory = 10;
-inline constexpr double long_share_least = 0.25;
-inline constexpr double long_share_most = 0.6;
+inline constexpr double long_share_least = 0.5;
+inline constexpr double long_share_most = 0.8;
 inline constexpr double short_work = 0.01;
 inline constexpr double long_astray_cost = 0.3;
 inline constexpr double short_astray_cost = 0.15;
@@ -251,6 +251,7 @@
 inline constexpr double other_hall_cost = 0.03;
 inline constexpr double other_region_cost = 0.25;
 inline constexpr double running_cost = 0.002;
+inline constexpr double running_cost_long = 0.02;
 inline constexpr double cold_cost = 0.5;
 /// Service time taken for a worker that generates no text, in seconds.
 inline constexpr double plain_seconds = 0.08;
--- a/source/tilth/grove/grove.cpp
+++ b/source/tilth/grove/grove.cpp
@@ -147,7 +147,7 @@
       cached = std::max(cached, wanted.parts.front().tokens);
     }
     uncached = std::max(0.0, wanted.tokens - cached);
-    seconds += (uncached + worker.own_prefill) * constants::prefill_start[1] * worker.pace + running * constants::running_cost;
+    seconds += (uncached + worker.own_prefill) * constants::prefill_start[1] * worker.pace + running * (wanted.tokens >= constants::owned_tokens ? constants::running_cost_long : constants::running_cost);
   } else {
     seconds += running / worker.slots * constants::plain_seconds;
   }
