--- a/source/furrow/relay/relay.cpp
+++ b/source/furrow/relay/relay.cpp
@@ -190,7 +190,8 @@
     if (!spend) {
       return rights.available();
     }
-    bool const good = rights.take();
+    bool const good = reserved_ || rights.take();
+    reserved_ = false;
     station_.tally().retries += good ? 1 : 0;
     return good;
   }
@@ -251,6 +252,9 @@
     wanted_.avoid.push_back(spot_.worker);
     bool const other = repeatable() && chart_.dispatches() < static_cast<int>(lane_.dispatches) && may_spend(false) && station_.grove().alternative(wanted_, now);
     if (other) {
+      // The right is taken now: others whose worker fell silent at the same
+      // moment must not count on the same one.
+      reserved_ = station_.rights(service_).take();
       cut();
     } else {
       wanted_.avoid.pop_back();
@@ -736,6 +740,7 @@
   loam::Moment silent_since_ = 0;
   loam::Span allowed_ = 0;
   int connects_ = 0;
+  bool reserved_ = false;   ///< the right to its next dispatch is taken already
   bool connecting_ = false;
   bool first_seen_ = false;
   bool began_ = false;      ///< the head went to the caller
