--- a/source/furrow/relay/relay.cpp
+++ b/source/furrow/relay/relay.cpp
@@ -8,7 +8,7 @@
 #include <cstdlib>
 
 #include "furrow/relay/station.hpp"
-#include "loam/constants.hpp"
+#include "loam/relay_constants.hpp"
 #include "loam/log/log.hpp"
 #include "loam/random/random.hpp"
 #include "tilth/chart/chart.hpp"
@@ -369,6 +369,7 @@
       }
       wanted_.shares = lane_.shares;
       wanted_.homes = lane_.home_regions;
+      wanted_.once = !repeatable();
       wanted_.draw = draw();
       loam::Moment const now = loam::boot_now();
       std::variant<tilth::Spot, tilth::NoSpot> const found = station_.grove().choose(wanted_, now);
@@ -479,7 +480,7 @@
     worker_ = std::make_unique<Socket>(station_.context());
     ++station_.tally().connects;
     connecting_ = true;
-    alarm_->set(std::min(deadline_, loam::boot_now() + constants::relay_connect_deadline));
+    alarm_->set(std::min(deadline_, loam::boot_now() + (spot_.near ? constants::relay_connect_near : constants::relay_connect_deadline)));
     error_code error;
     worker_->async_connect(*endpoint, yield_[error]);
     connecting_ = false;
--- a/source/furrow/relay/station.cpp
+++ b/source/furrow/relay/station.cpp
@@ -9,7 +9,7 @@
 #include <boost/context/fixedsize_stack.hpp>
 #include <sstream>
 
-#include "loam/constants.hpp"
+#include "loam/relay_constants.hpp"
 #include "loam/json/tree.hpp"
 #include "loam/log/log.hpp"
 #include "loam/random/random.hpp"
--- /dev/null
+++ b/source/loam/relay_constants.hpp
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "loam/constants.hpp"
+
+/// The constants of the relay, each with its unit and reason; kept beside the
+/// others so that a change of one doesn't build everything anew.
+namespace finchlink::loam::constants {
+
+// --- relay (section 13) ---
+/// Parts of the bounds shared by all furrows that are used: the rest covers
+/// furrows that have just come, gone or restarted, and lists that differ.
+inline constexpr double rights_ratio_part = 0.75;
+inline constexpr double rights_slack_part = 0.6;
+inline constexpr double cold_part = 0.6;
+inline constexpr double connection_part = 0.8;
+/// Window over which queries to a cold worker are counted, a little over the
+/// second that the bound names, since they arrive later than they are sent.
+inline constexpr Span cold_window = milliseconds(1300);
+/// A hall taken back counts as cold until the list would have told.
+inline constexpr Span cold_suspect = milliseconds(3000);
+/// Part of a worker's memory that the record counts on: running queries take the rest.
+inline constexpr double reuse_part = 0.8;
+/// Beginnings of at least this many tokens have an owner and teach the pace.
+inline constexpr double owned_tokens = 1000;
+/// Demand is remembered for about this many seconds; bounds of the share of a
+/// region's workers that long prompts are fed to while there are others too;
+/// worker seconds that a query costs beside its prefill; costs of going astray.
+inline constexpr double demand_memory = 10;
+inline constexpr double long_share_least = 0.5;
+inline constexpr double long_share_most = 0.8;
+inline constexpr double short_work = 0.01;
+inline constexpr double long_astray_cost = 0.3;
+inline constexpr double short_astray_cost = 0.15;
+/// A told load is forgotten over this many seconds.
+inline constexpr double load_memory = 3;
+/// Queries on a worker, as a multiple of its places, up to which it is sent more.
+inline constexpr double queue_factor = 1.25;
+/// Costs in seconds that placement adds: the way to another hall (its bytes are
+/// paid for), to another region, one more running query, a cold worker.
+inline constexpr double other_hall_cost = 0.03;
+inline constexpr double other_region_cost = 0.25;
+inline constexpr double running_cost = 0.002;
+inline constexpr double running_cost_long = 0.02;
+inline constexpr double cold_cost = 0.5;
+/// Costs in seconds of a worker that failed and was not heard since, the more
+/// for a query that has one chance only, and of one in a hall where others are
+/// out of reach; how long that is remembered.
+inline constexpr double trial_cost = 0.1;
+inline constexpr double trial_once_cost = 0.6;
+inline constexpr double dark_cost = 1.0;
+inline constexpr Span dark_memory = seconds(3);
+/// Service time taken for a worker that generates no text, in seconds.
+inline constexpr double plain_seconds = 0.08;
+/// A worker that refused is left alone this long.
+inline constexpr Span refused_rest = milliseconds(100);
+/// Establishing a connection to a worker; the way between regions twice, and more.
+inline constexpr Span relay_connect_deadline = milliseconds(350);
+/// The same within a region, where the way takes a few milliseconds.
+inline constexpr Span relay_connect_near = milliseconds(120);
+/// Tries to connect that one query may make; none of them reached a worker.
+inline constexpr int connects_most = 4;
+/// An idle connection to a worker is used again within this.
+inline constexpr Span worker_idle = milliseconds(4000);
+/// Idle connections kept per worker.
+inline constexpr std::size_t worker_idle_most = 8;
+/// Pause between two looks for a place.
+inline constexpr Span place_pause = milliseconds(20);
+/// Part of a lane's set point up to which a query is held without a place, and
+/// the bound where a lane tells none.
+inline constexpr double hold_part = 0.2;
+inline constexpr Span hold_plain = milliseconds(200);
+/// Part of a set point after which a silent worker is given up, if the query
+/// may be repeated and another worker has a place.
+inline constexpr double silence_part = 0.6;
+/// A worker that gave bytes to any query within this is busy, not dark: it is
+/// asked again after the step, at most up to twice the silence allowed.
+inline constexpr Span alive_span = milliseconds(250);
+inline constexpr Span alive_step = milliseconds(100);
+/// Stack of a relay's coroutine, in bytes; only what is touched counts.
+inline constexpr std::size_t relay_stack = 96u << 10u;
+/// Two asks for news are at least this far apart.
+inline constexpr Span ask_least = milliseconds(150);
+/// A hall with fewer ready furrows is helped out by its region; most told.
+inline constexpr std::size_t directory_least = 2;
+inline constexpr std::size_t directory_most = 64;
+/// Largest header of a worker's answer, in bytes.
+inline constexpr std::uint32_t answer_header_limit = 64u << 10u;
+/// Size of the pieces in which a worker's answer is read.
+inline constexpr std::size_t piece_bytes = 8192;
+/// News older than this: the furrow reads the platform list itself.
+inline constexpr Span own_list_after = milliseconds(4000);
+/// SIGTERM: callers who know this furrow may still come for this long.
+inline constexpr Span leave_linger = milliseconds(4500);
+/// The end of the grace that is kept free for closing.
+inline constexpr Span leave_reserve = milliseconds(700);
+
+}  // namespace finchlink::loam::constants
--- a/source/tilth/grove/grove.cpp
+++ b/source/tilth/grove/grove.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
-#include "loam/constants.hpp"
+#include "loam/relay_constants.hpp"
 #include "tilth/prefix/prefix.hpp"
 
 namespace finchlink::tilth {
@@ -114,7 +114,7 @@
 
 bool Grove::open(Worker const& worker, Wanted const& wanted, loam::Moment now) const {
   Stand const& stand = worker.stand;
-  if (stand.draining || stand.evacuated || (guards_.rest && now < worker.rest_until)) {
+  if (stand.draining || stand.evacuated || (guards_.rest && (now < worker.rest_until || (worker.trial && worker.own > 0)))) {
     return false;
   }
   if (holds(wanted.avoid, stand.id) || (!wanted.homes.empty() && !holds(wanted.homes, stand.region))) {
@@ -164,9 +164,32 @@
   if (cold(worker, now)) {
     seconds += constants::cold_cost;
   }
+  if (worker.trial) {
+    seconds += wanted.once ? constants::trial_once_cost : constants::trial_cost;
+  }
+  if (hall_dark(worker, now)) {
+    seconds += constants::dark_cost;
+  }
   return seconds;
 }
 
+bool Grove::hall_dark(Worker const& worker, loam::Moment now) const {
+  if (!guards_.hall_suspicion) {
+    return false;
+  }
+  std::map<std::string, std::map<std::string, loam::Moment>>::const_iterator const found = dark_.find(worker.stand.hall);
+  if (found == dark_.end()) {
+    return false;
+  }
+  std::size_t recent = 0;
+  loam::Moment last = 0;
+  for (std::pair<std::string const, loam::Moment> const& entry : found->second) {
+    recent += now - entry.second < constants::dark_memory ? 1 : 0;
+    last = std::max(last, entry.second);
+  }
+  return recent >= 2 && worker.heard_at < last - constants::alive_span;
+}
+
 std::string Grove::owner_of(std::vector<std::string const*> const& pool, Wanted const& wanted) const {
   std::string best;
   std::uint64_t most = 0;
@@ -259,7 +282,7 @@
         }
         worker.sends.push_back(now);
       }
-      return Spot{worker.stand.id, worker.stand.address, uncached, price};
+      return Spot{worker.stand.id, worker.stand.address, uncached, price, worker.stand.region == terms_.region};
     }
   }
   return NoSpot{!workers_.empty(), constants::plain_seconds};
@@ -318,6 +341,8 @@
   switch (outcome) {
     case Outcome::good:
       worker.rest = 0;
+      worker.trial = false;
+      dark_.erase(worker.stand.hall);
       break;
     case Outcome::abandoned:
       break;
@@ -332,6 +357,10 @@
     case Outcome::defect:
       worker.rest = std::clamp<loam::Span>(worker.rest * 2, constants::worker_rest_least, constants::worker_rest_most / 2);
       worker.rest_until = std::max(worker.rest_until, now + worker.rest);
+      worker.trial = true;
+      if (outcome == Outcome::unreachable) {
+        dark_[worker.stand.hall][spot.worker] = now;
+      }
       break;
   }
   if (worker.stand.draining && worker.own == 0) {
@@ -346,6 +375,7 @@
   std::map<std::string, Worker>::iterator const found = workers_.find(id);
   if (found != workers_.end()) {
     found->second.heard_at = now;
+    found->second.trial = false;
   }
 }
 
--- a/source/tilth/grove/grove.hpp
+++ b/source/tilth/grove/grove.hpp
@@ -38,6 +38,7 @@
   double tokens = 0;               ///< of the prompt
   double outputs = 0;
   std::vector<std::string> avoid;  ///< workers that had it already
+  bool once = false;               ///< it may be sent to one worker only
   double draw = 0;                 ///< from 0 to 1: which share
 };
 struct Spot {
@@ -45,6 +46,7 @@
   std::string address;
   double uncached = 0;
   double predicted_seconds = 0;    ///< to the first token
+  bool near = true;                ///< in the own region
 };
 struct NoSpot {
   bool any = false;                ///< workers there are, but none takes it now
@@ -67,6 +69,7 @@
 struct GroveGuards {
   bool cold_bound = true;
   bool rest = true;
+  bool hall_suspicion = true;    ///< two workers of a hall out of reach: the others come last
   bool suspect_returned = true;  ///< a hall taken back may have turned cold unseen
 };
 
@@ -115,6 +118,8 @@
     double slots = 0;
     loam::Moment rest_until = 0;
     loam::Span rest = 0;
+    bool trial = false;         ///< came out of a rest: one query at a time until a good answer
+    loam::Moment dark_at = 0;   ///< last time that it could not be reached
     double pace = 1;            ///< seen over predicted, smoothed
     std::deque<loam::Moment> sends;  ///< within the last second, while cold
     Reuse reuse;
@@ -125,6 +130,7 @@
   [[nodiscard]] double load(Worker const& worker, loam::Moment now) const;
   [[nodiscard]] bool open(Worker const& worker, Wanted const& wanted, loam::Moment now) const;
   [[nodiscard]] double cost(Worker const& worker, Wanted const& wanted, std::string const& owner, loam::Moment now, double& uncached) const;
+  [[nodiscard]] bool hall_dark(Worker const& worker, loam::Moment now) const;
   [[nodiscard]] bool fed_long(Worker const& worker, loam::Moment now) const;
   [[nodiscard]] std::string owner_of(std::vector<std::string const*> const& pool, Wanted const& wanted) const;
   [[nodiscard]] Worker const* best(std::string const& service, Wanted const& wanted, loam::Moment now, double& cost_found, double& uncached) const;
@@ -133,6 +139,8 @@
   GroveTerms terms_;
   std::map<std::string, Worker> workers_;
   std::map<std::string, std::vector<std::string>> by_service_;
+  /// Workers of a hall that could not be reached lately, none heard since.
+  std::map<std::string, std::map<std::string, loam::Moment>> dark_;
   std::map<std::pair<std::string, std::string>, Demand> demand_;  ///< service, region
 };
 
--- a/source/tilth/rights/rights.cpp
+++ b/source/tilth/rights/rights.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "loam/constants.hpp"
+#include "loam/relay_constants.hpp"
 
 namespace finchlink::tilth {
 
