--- /dev/null
+++ b/source/gourd/hollow.cpp
@@ -0,0 +1,133 @@
+#include "gourd/hollow.hpp"
+
+#include <algorithm>
+#include <deque>
+#include <iterator>
+
+#include "loam/constants.hpp"
+#include "loam/random/random.hpp"
+#include "rootstock/ballot/ballot.hpp"
+
+namespace finchlink::gourd {
+
+namespace constants = loam::constants;
+
+Hollow::Hollow(boost::asio::io_context& context, schema::Gourd const& gourd, std::uint64_t number, Tally& tally)
+    : context_(context), gourd_(gourd), tally_(tally), caller_(context), number_(number) {
+  std::map<std::string, std::string>::const_iterator const hall =
+      std::next(gourd.halls.begin(), static_cast<std::ptrdiff_t>(number % gourd.halls.size()));
+  region_ = hall->second;
+  member_.name = "hollow-" + std::to_string(number);
+  member_.incarnation = loam::random_identity();
+  member_.hall = hall->first;
+  member_.address = "10.200." + std::to_string(number / 250) + "." + std::to_string(number % 250 + 1) + ":8161";
+  member_.rooms = {"model", "plain"};
+}
+
+void Hollow::begin(loam::Span delay) {
+  loam::start(context_, [this, delay](loam::Yield yield) {
+    loam::pause(context_, delay, yield);
+    converse(yield);
+  });
+}
+
+schema::FurrowReport Hollow::report(std::uint64_t slice) const {
+  schema::FurrowReport report;
+  report.slice = slice;
+  report.span = static_cast<double>(constants::report_span) / 1e6;
+  for (std::uint64_t index = 0; index < gourd_.figures && !list_.workers.empty(); ++index) {
+    schema::WorkerFigures figures;
+    figures.worker = list_.workers[(number_ * gourd_.figures + index) % list_.workers.size()].id;
+    figures.phase = "prefill";
+    figures.queries = 1;
+    report.figures.push_back(figures);
+  }
+  for (std::uint64_t index = 0; index < gourd_.samples && !list_.workers.empty(); ++index) {
+    schema::Sample sample;
+    sample.worker = list_.workers[(number_ * gourd_.samples + index) % list_.workers.size()].id;
+    sample.seconds = 0.1;
+    report.samples.push_back(sample);
+  }
+  return report;
+}
+
+void Hollow::stir(loam::Moment now) {
+  if (gourd_.stir_ms > 0 && now - stirred_ >= loam::milliseconds(static_cast<std::int64_t>(gourd_.stir_ms))) {
+    // The first time at a place of its own, so that furrows don't stir as one.
+    bool const first = stirred_ == 0;
+    stirred_ = first ? now - loam::milliseconds(static_cast<std::int64_t>(loam::random_number() % gourd_.stir_ms)) : now;
+    member_.load = first ? member_.load : static_cast<double>((static_cast<std::uint64_t>(member_.load) + 1) % 10);
+  }
+}
+
+void Hollow::take(schema::NewsAnswer const& answer, loam::Moment asked) {
+  loam::Moment const now = loam::boot_now();
+  bool const lapsed = was_vouched_ && !vouch_.vouched(now);
+  tally_.lapses += lapsed ? 1 : 0;
+  for (schema::NamedValue const& news : vouch_.take(answer, asked, now)) {
+    if (news.name == rootstock::setup_register) {
+      setup_ = news.content;
+      tally_.adopted[news.revision].push_back(now);
+    }
+  }
+  was_vouched_ = vouch_.vouched(now);
+  member_.held = vouch_.held();
+  if (answer.vouched && !answer.members_same) {
+    members_ = answer.members;
+    members_digest_ = answer.members_digest;
+  }
+  if (vouch_.list_newer() && !answer.list_same) {
+    list_ = answer.list;
+    list_digest_ = answer.list_digest;
+    member_.warm.clear();
+    for (schema::WorkerEntry const& worker : list_.workers) {
+      std::map<std::string, std::string>::const_iterator const hall = gourd_.halls.find(worker.zone);
+      if (gourd_.warm && hall != gourd_.halls.end() && hall->second == region_) {
+        member_.warm.push_back(worker.id + "@1");
+      }
+    }
+  }
+}
+
+void Hollow::converse(loam::Yield yield) {
+  std::vector<std::string> const& trellises = gourd_.seeds;
+  std::size_t turn = number_ % trellises.size();
+  std::deque<schema::FurrowReport> reports;
+  std::uint64_t slice = 0;
+  loam::Moment reported = loam::boot_now();
+  while (true) {
+    loam::Moment const asked = loam::boot_now();
+    if (asked - reported >= constants::report_span) {
+      reports.push_back(report(++slice));
+      reported = asked;
+      if (reports.size() > 8) {
+        reports.pop_front();
+      }
+    }
+    stir(asked);
+    schema::NewsAsk ask;
+    ask.member = member_;
+    ask.list_revision = list_.revision;
+    ask.list_digest = list_digest_;
+    ask.members_digest = members_digest_;
+    ask.reports.assign(reports.begin(), reports.end());
+    ++tally_.asks;
+    absl::StatusOr<schema::Message> const answer = caller_.call(trellises[turn], ask, loam::milliseconds(static_cast<std::int64_t>(gourd_.ask_deadline_ms)), yield);
+    schema::NewsAnswer const* const news = answer.ok() ? std::get_if<schema::NewsAnswer>(&*answer) : nullptr;
+    if (news != nullptr) {
+      while (!reports.empty() && reports.front().slice <= news->reports_taken) {
+        reports.pop_front();
+      }
+      take(*news, asked);
+    }
+    if (news == nullptr || !news->vouched) {
+      ++(news == nullptr ? tally_.unanswered : tally_.unvouched);
+      turn = (turn + 1) % trellises.size();
+      if (loam::boot_now() - asked < constants::ask_retry) {
+        loam::pause(context_, constants::ask_retry, yield);
+      }
+    }
+  }
+}
+
+}  // namespace finchlink::gourd
--- /dev/null
+++ b/source/gourd/hollow.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "hedge/vouch/vouch.hpp"
+#include "loam/net/net.hpp"
+#include "schema/standin.hpp"
+#include "schema/wire.hpp"
+
+namespace finchlink::gourd {
+
+/// What all hollow furrows of this process saw.
+struct Tally {
+  std::uint64_t asks = 0;
+  std::uint64_t unanswered = 0;
+  std::uint64_t unvouched = 0;
+  std::uint64_t lapses = 0;                                    ///< vouches that ended before the next one came
+  std::map<std::uint64_t, std::vector<loam::Moment>> adopted;  ///< setup revision to when each furrow held it
+};
+
+/// The session of one furrow (section 6.1) without its queries: it asks,
+/// counts its vouch and keeps setup, members and list as a furrow does.
+class Hollow {
+ public:
+  Hollow(boost::asio::io_context& context, schema::Gourd const& gourd, std::uint64_t number, Tally& tally);
+  void begin(loam::Span delay);
+
+ private:
+  void converse(loam::Yield yield);
+  void take(schema::NewsAnswer const& answer, loam::Moment asked);
+  void stir(loam::Moment now);
+  [[nodiscard]] schema::FurrowReport report(std::uint64_t slice) const;
+
+  boost::asio::io_context& context_;
+  schema::Gourd const& gourd_;
+  Tally& tally_;
+  loam::Caller caller_;  ///< its own, as every furrow has its own connections
+  std::uint64_t number_;
+  std::string region_;
+  schema::Member member_;
+  hedge::Vouch vouch_;
+  bool was_vouched_ = false;
+  std::string setup_;
+  std::vector<schema::Member> members_;
+  std::uint64_t members_digest_ = 0;
+  schema::PlatformList list_;
+  std::uint64_t list_digest_ = 0;
+  loam::Moment stirred_ = 0;
+};
+
+}  // namespace finchlink::gourd
--- /dev/null
+++ b/source/loam/delta/delta.cpp
@@ -0,0 +1,113 @@
+#include "loam/delta/delta.hpp"
+
+namespace finchlink::loam {
+
+namespace {
+/// What one entry adds to the digest; the length keeps name and bytes apart.
+std::uint64_t part_of(std::string const& name, std::string const& bytes) { return fingerprint(std::to_string(name.size()) + " " + name + bytes); }
+/// Sums wrap around, so a digest may be 0 by chance, which stands for nothing.
+std::uint64_t never_zero(std::uint64_t sum) { return sum == 0 ? 1 : sum; }
+}  // namespace
+
+std::uint64_t fingerprint(std::string_view bytes) {
+  std::uint64_t value = 14695981039346656037u;
+  for (char const letter : bytes) {
+    value = (value ^ static_cast<unsigned char>(letter)) * 1099511628211u;
+  }
+  value = (value ^ (value >> 33u)) * 0xff51afd7ed558ccdu;
+  value = (value ^ (value >> 33u)) * 0xc4ceb9fe1a85ec53u;
+  return value ^ (value >> 33u);
+}
+
+bool DeltaSource::take(std::map<std::string, std::string> const& state) {
+  std::uint64_t const next = count_ + 1;
+  bool changed = false;
+  for (std::map<std::string, Entry>::iterator entry = entries_.begin(); entry != entries_.end();) {
+    if (state.count(entry->first) == 0) {
+      removed_[entry->first] = next;
+      entry = entries_.erase(entry);
+      changed = true;
+    } else {
+      ++entry;
+    }
+  }
+  for (std::pair<std::string const, std::string> const& given : state) {
+    Entry& entry = entries_[given.first];
+    if (entry.changed == 0 || entry.bytes != given.second) {
+      entry = Entry{given.second, next};
+      removed_.erase(given.first);
+      changed = true;
+    }
+  }
+  if (!changed) {
+    return false;
+  }
+  count_ = next;
+  std::uint64_t sum = 1;
+  for (std::pair<std::string const, Entry> const& entry : entries_) {
+    sum += part_of(entry.first, entry.second.bytes);
+  }
+  digest_ = never_zero(sum);
+  states_.emplace_back(count_, digest_);
+  while (states_.size() > states_most_) {
+    states_.pop_front();
+  }
+  // Nobody can ask from before the oldest state that is known.
+  std::erase_if(removed_, [this](std::pair<std::string const, std::uint64_t> const& entry) { return entry.second <= states_.front().first; });
+  return true;
+}
+
+std::optional<Delta> DeltaSource::since(std::uint64_t digest) const {
+  if (digest == digest_) {
+    return std::nullopt;
+  }
+  Delta delta;
+  delta.digest = digest_;
+  delta.whole = true;
+  std::uint64_t from = 0;
+  // The newest state of that digest: from there the least has changed.
+  for (std::deque<std::pair<std::uint64_t, std::uint64_t>>::const_reverse_iterator state = states_.rbegin(); state != states_.rend(); ++state) {
+    if (state->second == digest) {
+      delta.whole = false;
+      from = state->first;
+      break;
+    }
+  }
+  for (std::pair<std::string const, Entry> const& entry : entries_) {
+    if (delta.whole || entry.second.changed > from) {
+      delta.put.emplace_back(entry.first, entry.second.bytes);
+    }
+  }
+  if (!delta.whole) {
+    for (std::pair<std::string const, std::uint64_t> const& entry : removed_) {
+      if (entry.second > from) {
+        delta.removed.push_back(entry.first);
+      }
+    }
+  }
+  return delta;
+}
+
+bool DeltaCopy::apply(Delta const& delta) {
+  if (delta.whole) {
+    entries_.clear();
+  }
+  for (std::string const& name : delta.removed) {
+    entries_.erase(name);
+  }
+  for (std::pair<std::string, std::string> const& entry : delta.put) {
+    entries_[entry.first] = entry.second;
+  }
+  std::uint64_t sum = 1;
+  for (std::pair<std::string const, std::string> const& entry : entries_) {
+    sum += part_of(entry.first, entry.second);
+  }
+  bool const good = never_zero(sum) == delta.digest;
+  if (!good) {
+    entries_.clear();
+  }
+  digest_ = good ? delta.digest : 0;
+  return good;
+}
+
+}  // namespace finchlink::loam
--- a/source/loam/net/net.cpp
+++ b/source/loam/net/net.cpp
@@ -12,6 +12,7 @@
 #include "loam/constants.hpp"
 #include "loam/error/error.hpp"
 #include "loam/log/log.hpp"
+#include "loam/net/traffic.hpp"
 #include "loam/wire/frame.hpp"
 
 namespace finchlink::loam {
@@ -180,7 +181,11 @@
   if (error) {
     return defect(absl::StatusCode::kUnavailable, "net", error.message());
   }
-  return unframe(header, payload);
+  absl::StatusOr<schema::Message> answer = unframe(header, payload);
+  if (answer.ok()) {
+    count_received(answer->index(), header.size() + payload.size());
+  }
+  return answer;
 }
 
 absl::StatusOr<schema::Message> Caller::on_own_strand(Stream& stream, std::string const& bytes, Span deadline, Yield yield) {
@@ -213,6 +218,7 @@
 absl::StatusOr<schema::Message> Caller::call(std::string const& address, schema::Message const& message, Span deadline, Yield yield) {
   std::string const bytes = frame(message);
   Moment const until = boot_now() + deadline;
+  count_sent(message.index(), bytes.size());
   std::unique_ptr<Stream> kept;
   {
     std::lock_guard<std::mutex> const guard(lock_);
@@ -274,12 +280,14 @@
         note(Event::FrameDefect, std::string(message.status().message()));
         return;
       }
+      count_received(message->index(), header.size() + payload.size());
       stream.expires_never();
       std::optional<schema::Message> const reply = answer(*message, yield);
       if (!reply.has_value()) {
         return;
       }
       std::string const bytes = frame(*reply);
+      count_sent(reply->index(), bytes.size());
       stream.expires_after(duration(constants::frame_idle));
       asio::async_write(stream, asio::buffer(bytes), yield[error]);
       if (error) {
--- a/source/loam/process/process.cpp
+++ b/source/loam/process/process.cpp
@@ -11,6 +11,7 @@
 #include "loam/error/error.hpp"
 #include "loam/log/log.hpp"
 #include "loam/net/net.hpp"
+#include "loam/net/traffic.hpp"
 
 namespace finchlink::loam {
 
@@ -144,6 +145,7 @@
     return exit_listen;
   }
   note(Event::ProcessStarted, "http " + settings.http_address + " colleagues " + settings.colleague_address);
+  note_traffic_on_signal(context);
   boost::asio::signal_set signals(context, SIGTERM, SIGINT);
   Span const drain_span = path.has_value() ? std::max<Span>(milliseconds(static_cast<std::int64_t>(settings.bounds.grace_ms)) - constants::drain_reserve, 0) : constants::drain_span;
   signals.async_wait([&context, &daemon, drain_span](boost::system::error_code const& error, int) {
--- a/tools/schema/generate.py
+++ b/tools/schema/generate.py
@@ -187,7 +187,8 @@
             code += ["  return object;", "}", ""]
         head.append("")
     for choice in schema.get("variants", []):
-        head += [f"/// {choice.get('about', choice['name'])}", f"using {choice['name']} = std::variant<{', '.join(choice['of'])}>;", ""]
+        head += [f"/// {choice.get('about', choice['name'])}", f"using {choice['name']} = std::variant<{', '.join(choice['of'])}>;",
+                 "/// Names of the above in the order of its index().", f"inline constexpr char const* {choice['name'].lower()}_kinds[] = {{{', '.join(json.dumps(name) for name in choice['of'])}}};", ""]
     if schema.get("flags"):
         target = next(s for s in schema["structures"] if s["name"] == schema["flags"])
         head += ["/// One settings field as a command-line flag.", "struct Flag { char const* name; char const* about; bool many; };",
