--- a/source/gourd/hollow.cpp
+++ b/source/gourd/hollow.cpp
@@ -126,6 +126,11 @@
       if (loam::boot_now() - asked < constants::ask_retry) {
         loam::pause(context_, constants::ask_retry, yield);
       }
+    } else {
+      loam::Span const left = loam::milliseconds(static_cast<std::int64_t>(gourd_.ask_least_ms)) - (loam::boot_now() - asked);
+      if (left > 0) {
+        loam::pause(context_, left, yield);
+      }
     }
   }
 }
