--- a/source/gourd/hollow.cpp
+++ b/source/gourd/hollow.cpp
@@ -108,8 +108,8 @@
     schema::NewsAsk ask;
     ask.member = member_;
     ask.list_revision = list_.revision;
-    ask.list_digest = list_digest_;
-    ask.members_digest = members_digest_;
+    ask.list_digest = gourd_.whole ? 0 : list_digest_;
+    ask.members_digest = gourd_.whole ? 0 : members_digest_;
     ask.reports.assign(reports.begin(), reports.end());
     ++tally_.asks;
     absl::StatusOr<schema::Message> const answer = caller_.call(trellises[turn], ask, loam::milliseconds(static_cast<std::int64_t>(gourd_.ask_deadline_ms)), yield);
--- a/tools/scale/scale.py
+++ b/tools/scale/scale.py
@@ -147,7 +147,9 @@
         self.until(lambda: ask(self.operators[0], "/setup", "PUT", json.dumps(setup))[0] == 200, 20, "the setup was not taken")
         self.start("gourd", "gourd",
                    {"seeds": seeds, "furrows": self.furrows, "halls": HALLS, "warm": self.given.warm, "stir_ms": self.given.stir, "figures": self.given.figures,
-                    "samples": self.given.samples, "ask_deadline_ms": bounds.get("ask_deadline_ms", 700), "ask_hold_ms": bounds.get("ask_hold_ms", 250)}, [])
+                    "samples": self.given.samples, "ask_deadline_ms": bounds.get("ask_deadline_ms", 700), "ask_hold_ms": bounds.get("ask_hold_ms", 250),
+                    # Relays tell digests and rest between asks; furrows of our own manner do neither.
+                    "whole": self.given.manner == "own", "ask_least_ms": 0 if self.given.manner == "own" else 150}, [])
         self.until(lambda: len(json.loads(ask(self.operators[0], "/members")[1] or "[]")) == self.furrows, 20, "not all furrows are members", fatal=False)
         time.sleep(3)
 
@@ -272,7 +274,7 @@
         out, back = news.get("NewsAsk", [0] * 4), news.get("NewsAnswer", [0] * 4)
         lines.append(f"  {window:8} trellis {100 * sum(t['processor'] for t in trellises) / len(trellises):6.2f}% of a core, {max(t['peak_mb'] for t in trellises):6.1f} MB; "
                      f"furrow {100 * gourd['processor'] / entry['furrows']:6.3f}%, {gourd['memory_mb']:6.1f} MB all, {out[0] / entry['furrows']:5.2f} asks/s, {out[1] / entry['furrows'] / 1000:7.2f} KB/s out, {back[3] / entry['furrows'] / 1000:8.2f} KB/s in")
-    lines.append(f"  spread {entry['spread']}; unanswered {entry['unanswered']} unvouched {entry['unvouched']} lapses {entry['lapses']} of {entry['asks']} asks")
+    lines.append(f"  spread {entry['spread']}; unanswered {entry['unanswered']} unvouched {entry['unvouched']} of {entry['asks']} asks")
     return "\n".join(lines)
 
 
