--- a/tools/scale/page.py
+++ b/tools/scale/page.py
@@ -105,7 +105,7 @@
 
 
 def key_of(entry):
-    return entry["manner"], entry["warm"], entry["stir_ms"], entry["rules"], entry["figures"], entry["samples"]
+    return entry["manner"], entry["warm"], entry["stir_ms"], entry["rules"], entry["figures"], entry["samples"], entry.get("churn", 0)
 
 
 def number(value):
@@ -193,6 +193,33 @@
     return lines
 
 
+def repeated(base):
+    """Processor time of trellises in runs of one size: what the machine's load does to it."""
+    sizes = {}
+    for entry in base:
+        sizes.setdefault((entry["furrows"], entry["workers"]), []).append(entry)
+    return [f"Runs of {size[0]} furrows and {size[1]} workers gave " + " and ".join(f"{100 * role(entry, 'quiet', 'trellis')['processor']:.2f}% of a core (load average {entry['load_average']:.1f})" for entry in entries) +
+            " per trellis: so far do processor figures scatter here." for size, entries in sizes.items() if len(entries) > 1]
+
+
+def churn_lines(runs, base):
+    """What one change of the platform list costs, against the run of that size without."""
+    lines = []
+    for entry in runs:
+        like = [other for other in base if (other["furrows"], other["workers"]) == (entry["furrows"], entry["workers"])]
+        done = entry["quiet"].get("list_changes", 0)
+        if not entry.get("churn") or not like or done == 0:
+            continue
+        seconds = entry["quiet"]["seconds"]
+        costs = {name: {quantity: (role(entry, "quiet", name)[quantity] - role(like[0], "quiet", name)[quantity]) * seconds / done for quantity in ("bytes", "processor")} for name in ("furrow", "trellis")}
+        spent = {name: f"{1000 * cost['processor']:.2g} ms" if cost["processor"] > 0 else "no processor time above the noise" for name, cost in costs.items()}
+        left = TARGET["bytes_per_s"] - role(like[0], "quiet", "furrow")["bytes"]
+        lines.append(f"At {entry['furrows']} furrows and {entry['workers']} workers, {done} changes of one worker in {seconds:.1f} s (list of {entry['list_bytes']} bytes as JSON): each costs a furrow {number(costs['furrow']['bytes'])} bytes "
+                     f"and {spent['furrow']}, a trellis {number(costs['trellis']['bytes'])} bytes and {spent['trellis']}. "
+                     f"{number(TARGET['bytes_per_s'])} bytes/s bear {max(0.0, left) / costs['furrow']['bytes']:.2g} such changes a second.")
+    return lines
+
+
 def write_page(runs, path, texts):
     with open(texts, encoding="utf-8") as stream:
         page = stream.read()
@@ -213,15 +240,15 @@
             groups.setdefault(key_of(entry), []).append(entry)
     others = []
     for key, entries in groups.items():
-        manner, warm, stir, rules, figures, samples = key
+        manner, warm, stir, rules, figures, samples, churn = key
         others += ["", f"Manner {manner}; rules {rules} (setup of {entries[0]['setup_bytes']} bytes); {'warm workers told; ' if warm else ''}"
-                   f"{f'every furrow tells another load each {stir} ms; ' if stir else ''}{figures} workers and {samples} rows in each report:", "", *run_table(entries)]
+                   f"{f'every furrow tells another load each {stir} ms; ' if stir else ''}{f'one worker of the platform list changes {churn:g} times a second; ' if churn else ''}{figures} workers and {samples} rows in each report:", "", *run_table(entries)]
     largest = max(fitted + check, key=lambda entry: (entry["furrows"], entry["workers"]))
     loads = [entry["load_average"] for entry in runs]
     fields = {"RUNS": "\n".join(run_table(base)), "SLOPES": "\n".join(slope_table(table)), "TARGET": "\n".join(target), "OTHERS": "\n".join(others).strip() or "none",
               "CHECK": "\n".join(["| furrows | workers | role | quantity | from the slopes | measured |", "| --- | --- | --- | --- | --- | --- |", *checks]) if checks else "No run of this size.",
               "KINDS": f"At {largest['furrows']} furrows and {largest['workers']} workers, each furrow and each trellis (mean):\n\n" + "\n".join(kind_table(largest)),
-              "LOAD": f"{min(loads):.1f} to {max(loads):.1f}", "MANNER": base[0]["manner"], "SETUP": str(base[0]["setup_bytes"]), "COUNT": str(len(runs))}
+              "LOAD": f"{min(loads):.1f} to {max(loads):.1f}", "MANNER": base[0]["manner"], "SETUP": str(base[0]["setup_bytes"]), "COUNT": str(len(runs)), "REPEATED": "\n".join(repeated(base)), "CHURN": "\n\n".join(churn_lines(runs, base)) or "Not run."}
     for name, text in fields.items():
         page = page.replace("{{" + name + "}}", text)
     with open(path, "w", encoding="utf-8") as stream:
--- a/tools/scale/scale.py
+++ b/tools/scale/scale.py
@@ -43,19 +43,22 @@
 class PlatformList:
     """The product's own /workers with a given number of workers; counts what it answers."""
 
-    def __init__(self, port, workers):
+    def __init__(self, port, workers, churn):
         names = list(HALLS)
-        entries = [{"id": f"worker-{index:04d}", "address": f"10.{128 + index // 250}.0.{index % 250 + 1}:8080", "zone": names[index % len(names)], "kind": "model", "draining": False,
+        self.entries = [{"id": f"worker-{index:04d}", "address": f"10.{128 + index // 250}.0.{index % 250 + 1}:8080", "zone": names[index % len(names)], "kind": "model", "draining": False,
                     "labels": {}, "service": "chat", "capacity": 8, "cold_ms": 0, "left_ms": 0} for index in range(workers)]
-        body = json.dumps({"revision": 1, "workers": entries}).encode()
+        self.body = json.dumps({"revision": 1, "workers": self.entries}).encode()
         outer = self
         self.calls = 0
+        self.changes = 0
+        self.ended = threading.Event()
 
         class Handler(http.server.BaseHTTPRequestHandler):
             protocol_version = "HTTP/1.1"
 
             def do_GET(self):
                 outer.calls += 1
+                body = outer.body
                 self.send_response(200)
                 self.send_header("Content-Type", "application/json")
                 self.send_header("Content-Length", str(len(body)))
@@ -67,12 +70,23 @@
             def log_message(self, *_):
                 pass
 
-        self.size = len(body)
+        self.size = len(self.body)
         self.server = http.server.ThreadingHTTPServer(("127.0.0.1", port), Handler)
         self.server.daemon_threads = True
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
+        if churn > 0:
+            threading.Thread(target=self.churn, args=(churn,), daemon=True).start()
+
+    def churn(self, rate):
+        """One worker after the other begins or ends draining."""
+        while not self.ended.wait(1 / rate):
+            entry = self.entries[self.changes % len(self.entries)]
+            entry["draining"] = not entry["draining"]
+            self.changes += 1
+            self.body = json.dumps({"revision": 1 + self.changes, "workers": self.entries}).encode()
 
     def close(self):
+        self.ended.set()
         self.server.shutdown()
         self.server.server_close()
 
@@ -129,7 +143,7 @@
 
     def up(self):
         port = self.given.port
-        self.list = PlatformList(port, self.workers)
+        self.list = PlatformList(port, self.workers, self.given.churn)
         seeds = [f"127.0.0.1:{port + 1 + index}" for index in range(TRELLISES)]
         bounds = MANNERS[self.given.manner]
         halls = list(HALLS)
@@ -184,7 +198,7 @@
             if len(lines) <= seen:
                 raise RuntimeError(f"{name} told no traffic")
             marks[name] = {"at": at, "spent": spent, "frames": json.loads(lines[-1][lines[-1].index("{"):]), **memory(process.pid)}
-        marks["list"] = {"at": boot_now(), "calls": self.list.calls}
+        marks["list"] = {"at": boot_now(), "calls": self.list.calls, "changes": self.list.changes}
         return marks
 
     def window(self, seconds, rate):
@@ -207,7 +221,8 @@
         for worker in workers:
             worker.join()
         after = self.mark()
-        result = {"seconds": after["gourd"]["at"] - before["gourd"]["at"], "changes": changes, "list_calls": after["list"]["calls"] - before["list"]["calls"], "processes": {}}
+        result = {"seconds": after["gourd"]["at"] - before["gourd"]["at"], "changes": changes, "list_calls": after["list"]["calls"] - before["list"]["calls"],
+                  "list_changes": after["list"]["changes"] - before["list"]["changes"], "processes": {}}
         for name, end in after.items():
             if name == "list":
                 continue
@@ -240,7 +255,7 @@
 
 def run_once(given, furrows, workers):
     fleet = Fleet(given, furrows, workers)
-    entry = {"furrows": furrows, "workers": workers, "manner": given.manner, "warm": given.warm, "stir_ms": given.stir, "figures": given.figures, "samples": given.samples, "rules": given.rules}
+    entry = {"furrows": furrows, "workers": workers, "manner": given.manner, "warm": given.warm, "stir_ms": given.stir, "figures": given.figures, "samples": given.samples, "rules": given.rules, "churn": given.churn}
     try:
         fleet.up()
         entry["setup_bytes"], entry["list_bytes"] = fleet.setup_bytes, fleet.list.size
@@ -310,6 +325,7 @@
     parser.add_argument("--threads", type=int, default=1, help="of each trellis")
     parser.add_argument("--warm", action="store_true", help="furrows tell the workers of their region as warm")
     parser.add_argument("--stir", type=int, default=0, help="ms after which a furrow tells another load; 0: never")
+    parser.add_argument("--churn", type=float, default=0, help="changes a second of the platform list, one worker each")
     parser.add_argument("--figures", type=int, default=0)
     parser.add_argument("--samples", type=int, default=0)
     given = parser.parse_args()
