--- /dev/null
+++ b/source/tests/relay/fleet.hpp
@@ -0,0 +1,411 @@
+#pragma once
+
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "furrow/relay/dialect.hpp"
+#include "furrow/relay/station.hpp"
+#include "loam/json/tree.hpp"
+#include "loam/net/net.hpp"
+#include "orchard/charter/charter.hpp"
+#include "orchard/charter/wish.hpp"
+#include "schema/setup.hpp"
+
+namespace finchlink::relay_test {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using Socket = asio::ip::tcp::socket;
+using boost::system::error_code;
+
+/// An address of this process alone, so that tests run beside each other.
+inline std::string own_ip() {
+  unsigned int const number = static_cast<unsigned int>(getpid());
+  return "127." + std::to_string(100 + (number >> 16u & 0x3fu)) + "." + std::to_string(number >> 8u & 0xffu) + "." + std::to_string(std::max(1u, std::min(254u, number & 0xffu)));
+}
+
+/// A socket whose other end is scripted by the test: all bytes that came, and
+/// whether the end came, orderly or by a reset.
+class Line : public std::enable_shared_from_this<Line> {
+ public:
+  explicit Line(Socket socket) : socket_(std::move(socket)) {}
+  void begin() {
+    socket_.set_option(asio::ip::tcp::no_delay(true), ignored_);
+    read();
+  }
+  void send(std::string const& text) {
+    asio::write(socket_, asio::buffer(text), ignored_);
+  }
+  void close() {
+    socket_.close(ignored_);
+    ended = true;
+  }
+  void reset() {
+    socket_.set_option(asio::socket_base::linger(true, 0), ignored_);
+    close();
+  }
+  std::string got;
+  bool ended = false;
+  bool was_reset = false;
+
+ private:
+  void read() {
+    socket_.async_read_some(asio::buffer(piece_), [self = shared_from_this()](error_code const& error, std::size_t count) {
+      self->got.append(self->piece_.data(), count);
+      if (error) {
+        self->was_reset = error == asio::error::connection_reset;
+        self->ended = true;
+        return;
+      }
+      self->read();
+    });
+  }
+  Socket socket_;
+  std::array<char, 16384> piece_{};
+  error_code ignored_;
+};
+
+/// The first whole message in a text.
+template <bool request>
+struct Read {
+  http::message<request, http::string_body> message;
+  std::size_t length = 0;
+};
+template <bool request>
+std::optional<Read<request>> read_first(std::string const& text, bool ended = false) {
+  http::parser<request, http::string_body> parser;
+  parser.eager(true);
+  parser.body_limit(boost::none);
+  error_code error;
+  std::size_t used = 0;
+  while (!parser.is_done() && used < text.size()) {
+    std::size_t const count = parser.put(asio::buffer(text.data() + used, text.size() - used), error);
+    used += count;
+    if (error || count == 0) {
+      break;
+    }
+  }
+  if (ended && !parser.is_done()) {
+    parser.put_eof(error);
+  }
+  if (!parser.is_done()) {
+    return std::nullopt;
+  }
+  return Read<request>{parser.release(), used};
+}
+using Request = http::request<http::string_body>;
+using Response = http::response<http::string_body>;
+
+class Fleet;
+
+/// A query as it reached a scripted worker.
+struct Arrival {
+  std::shared_ptr<Line> line;
+  Request request;
+  [[nodiscard]] std::string header(std::string const& name) const { return std::string(request[name]); }
+};
+
+class Worker {
+ public:
+  Worker(asio::io_context& context, std::string const& ip) : context_(context), acceptor_(context, asio::ip::tcp::endpoint(asio::ip::make_address(ip), 0)) { accept(); }
+  [[nodiscard]] std::string address() const { return acceptor_.local_endpoint().address().to_string() + ":" + std::to_string(acceptor_.local_endpoint().port()); }
+  /// Takes whole queries off the lines; how many there were.
+  std::size_t look() {
+    std::size_t const before = arrivals.size();
+    for (std::shared_ptr<Line> const& line : lines) {
+      while (std::optional<Read<true>> found = read_first<true>(line->got)) {
+        line->got.erase(0, found->length);
+        arrivals.push_back(Arrival{line, std::move(found->message)});
+      }
+    }
+    return arrivals.size() - before;
+  }
+  void stop() { acceptor_.close(); }
+  std::vector<std::shared_ptr<Line>> lines;
+  std::vector<Arrival> arrivals;
+
+ private:
+  void accept() {
+    acceptor_.async_accept([this](error_code const& error, Socket socket) {
+      if (error) {
+        return;
+      }
+      lines.push_back(std::make_shared<Line>(std::move(socket)));
+      lines.back()->begin();
+      accept();
+    });
+  }
+  asio::io_context& context_;
+  asio::ip::tcp::acceptor acceptor_;
+};
+
+/// What workers and callers say.
+inline std::string with_id(std::string const& id) { return "Finchlink-Query: " + id + "\r\n"; }
+inline std::string success(std::string const& id, std::string const& body, std::string const& more = "") {
+  return "HTTP/1.1 200 OK\r\n" + with_id(id) + "Finchlink-Seal: seal-" + id + "\r\n" + more + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+inline std::string stream_head(std::string const& id, std::string const& more = "") {
+  return "HTTP/1.1 200 OK\r\n" + with_id(id) + "Finchlink-Seal: seal-" + id + "\r\n" + more + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+}
+inline std::string chunk(std::string const& text) {
+  char size[24];
+  std::snprintf(size, sizeof(size), "%zx\r\n", text.size());
+  return size + text + "\r\n";
+}
+inline std::string event(std::uint64_t number) { return "id: " + std::to_string(number) + "\ndata: piece " + std::to_string(number) + "\n\n"; }
+inline std::string not_run(std::string const& id, std::string const& status) { return "HTTP/1.1 " + status + "\r\n" + with_id(id) + "Finchlink-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"; }
+inline std::string query(std::string const& path, std::string const& id, std::string const& body = "", std::string const& more = "") {
+  return "POST " + path + " HTTP/1.1\r\nHost: h.example\r\n" + with_id(id) + more + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+/// A stream as far as a caller has it.
+struct Passed {
+  std::string head;
+  std::string events;
+  bool whole = false;  ///< the last chunk came
+  std::string behind;  ///< anything after it, or that is no chunk
+};
+inline Passed passed(std::string const& text) {
+  Passed result;
+  std::size_t at = text.find("\r\n\r\n");
+  if (at == std::string::npos) {
+    return result;
+  }
+  result.head = text.substr(0, at + 2);
+  at += 4;
+  while (at < text.size() && !result.whole) {
+    std::size_t const line = text.find("\r\n", at);
+    if (line == std::string::npos || text.find_first_not_of("0123456789abcdef", at) != line) {
+      break;
+    }
+    std::size_t const size = std::stoul(text.substr(at, line - at), nullptr, 16);
+    if (text.size() < line + 2 + size + 2) {
+      break;
+    }
+    result.whole = size == 0;
+    result.events += text.substr(line + 2, size);
+    at = line + 2 + size + 2;
+  }
+  result.behind = text.substr(at);
+  return result;
+}
+
+/// A relay in this process between scripted peers: a trellis that answers asks
+/// for news, workers, callers. One thread, nothing is waited for but events.
+class Fleet {
+ public:
+  Fleet() : context(std::make_unique<asio::io_context>(1)), ip(own_ip()) {
+    trellis_address = next_address();
+    settings.name = "furrow-self";
+    settings.hall = "north";
+    settings.region = "dublin";
+    settings.regions = {{"north", "dublin"}, {"south", "dublin"}, {"far", "cork"}};
+    settings.http_address = next_address();
+    settings.ready_address = next_address();
+    settings.directory_address = next_address();
+    settings.seeds = {trellis_address};
+    settings.bounds.retry_slack = 64;
+    settings.bounds.stop_unvouched = false;
+    settings.bounds.directory_ttl_ms = 2000;
+    charter.number = 1;
+    charter.services = {service("web", false), service("pool", true)};
+    charter.lanes = {lane("plain", true, false, false, "web"), lane("once", false, false, false, "web"), lane("talk", false, true, false, "pool"), lane("tale", false, true, true, "pool")};
+  }
+  ~Fleet() {
+    context->stop();
+    workers.clear();
+    callers.clear();
+    station.reset();
+    context.reset();
+  }
+
+  static schema::Service service(std::string const& name, bool model) {
+    schema::Service entry;
+    entry.name = name;
+    entry.model = model;
+    entry.capacity = 8;
+    entry.kept_tokens = 100000;
+    return entry;
+  }
+  static schema::Lane lane(std::string const& name, bool repeatable, bool stream, bool resumable, std::string const& service_name) {
+    schema::Lane entry;
+    entry.name = name;
+    entry.host = "h.example";
+    entry.prefix = "/" + name + "/";
+    entry.shares = {schema::Share{service_name, 1}};
+    entry.repeatable = repeatable;
+    entry.stream = stream;
+    entry.resumable = resumable;
+    entry.dispatches = 3;
+    entry.deadline_ms = 3000;
+    entry.set_point_ms = 300;
+    entry.gap_set_point_ms = stream ? 300 : 0;
+    return entry;
+  }
+
+  std::string next_address() {
+    static int port = 20000;
+    return ip + ":" + std::to_string(++port);
+  }
+
+  Worker& worker(std::string const& id, std::string const& service_name = "web", std::string const& hall = "north") {
+    workers[id] = std::make_unique<Worker>(*context, ip);
+    list_worker(id, workers[id]->address(), service_name, hall);
+    return *workers[id];
+  }
+  void list_worker(std::string const& id, std::string const& address, std::string const& service_name, std::string const& hall = "north") {
+    schema::WorkerEntry entry;
+    entry.id = id;
+    entry.address = address;
+    entry.zone = hall;
+    entry.service = service_name;
+    entry.capacity = 8;
+    list.workers.push_back(entry);
+    ++list_digest;
+  }
+
+  /// The news as they are from now on; revision 0: none.
+  void publish(std::string const& name, std::uint64_t revision, std::string const& content) { news[name] = schema::NamedValue{name, revision, content}; }
+  void publish_charter(std::uint64_t revision) {
+    loam::Tree const tree(schema::write(charter));
+    publish(orchard::charter_register, revision, loam::print_tree(tree.get()));
+  }
+
+  /// Starts the relay and waits until it has heard the news.
+  void begin(bool with_charter = true) {
+    if (with_charter) {
+      publish_charter(1);
+    }
+    EXPECT_TRUE(loam::serve_frames(*context, trellis_address, 64, [this](schema::Message const& message, loam::Yield yield) { return answer(message, yield); }).ok());
+    station = std::make_unique<furrow::Station>(*context, settings, furrow::own_dialect(), orchard::own_notation(), nullptr, 7);
+    EXPECT_TRUE(station->begin().ok());
+    if (with_charter) {
+      EXPECT_TRUE(until([this] { return station->book() != nullptr && station->grove().size() == list.workers.size(); }));
+    }
+  }
+  /// Waits until the relay has asked and been answered once more.
+  void hear() {
+    std::uint64_t const before = asks;
+    EXPECT_TRUE(until([this, before] { return asks >= before + 2; }));
+  }
+
+  /// Runs the world until it is so; false: not within the bound.
+  bool until(std::function<bool()> const& so, int bound_ms = 5000) {
+    loam::Moment const end = loam::boot_now() + loam::milliseconds(bound_ms);
+    while (true) {
+      for (std::pair<std::string const, std::unique_ptr<Worker>>& entry : workers) {
+        for (std::size_t count = entry.second->look(); count > 0; --count) {
+          order.push_back(entry.second.get());
+        }
+      }
+      if (so()) {
+        return true;
+      }
+      if (loam::boot_now() >= end) {
+        return false;
+      }
+      context->run_one_for(std::chrono::milliseconds(20));
+    }
+  }
+  /// Runs the world for a short time in which something must not happen.
+  void rest(int span_ms) {
+    (void)until([] { return false; }, span_ms);
+  }
+
+  std::shared_ptr<Line> call(std::string const& text, std::string const& address = "") {
+    Socket socket(*context);
+    error_code error;
+    socket.connect(*loam::read_endpoint(address.empty() ? settings.http_address : address), error);
+    EXPECT_FALSE(error) << error.message();
+    callers.push_back(std::make_shared<Line>(std::move(socket)));
+    callers.back()->begin();
+    callers.back()->send(text);
+    return callers.back();
+  }
+  /// The first whole answer on a line, taken off it.
+  std::optional<Response> answer_on(std::shared_ptr<Line> const& line, int bound_ms = 5000) {
+    std::optional<Read<false>> found;
+    (void)until([&] {
+      found = read_first<false>(line->got, false);
+      return found.has_value() || line->ended;
+    }, bound_ms);
+    if (!found.has_value()) {
+      return std::nullopt;
+    }
+    line->got.erase(0, found->length);
+    return std::move(found->message);
+  }
+  bool arrived(Worker& at, std::size_t count, int bound_ms = 5000) {
+    return until([&] { return at.arrivals.size() >= count; }, bound_ms);
+  }
+  /// The worker that the count-th query of all reached, waited for.
+  Worker* holder(std::size_t count = 1, int bound_ms = 5000) { return until([&] { return order.size() >= count; }, bound_ms) ? order[count - 1] : nullptr; }
+  [[nodiscard]] std::string name_of(Worker const* worker) const {
+    for (std::pair<std::string const, std::unique_ptr<Worker>> const& entry : workers) {
+      if (entry.second.get() == worker) {
+        return entry.first;
+      }
+    }
+    return "";
+  }
+
+  std::unique_ptr<asio::io_context> context;
+  std::string ip;
+  std::string trellis_address;
+  schema::Settings settings;
+  schema::Charter charter;
+  schema::PlatformList list;
+  std::uint64_t list_digest = 1;
+  std::vector<schema::Member> members;
+  std::uint64_t members_digest = 1;
+  std::map<std::string, schema::NamedValue> news;
+  bool silent = false;        ///< the trellis says nothing
+  bool vouched = true;
+  std::uint64_t asks = 0;
+  std::vector<schema::Member> told;  ///< what the relay said of itself
+  std::unique_ptr<furrow::Station> station;
+  std::map<std::string, std::unique_ptr<Worker>> workers;
+  std::vector<Worker*> order;  ///< whom each query reached, one after the other
+  std::vector<std::shared_ptr<Line>> callers;
+
+ private:
+  std::optional<schema::Message> answer(schema::Message const& message, loam::Yield) {
+    schema::NewsAsk const* const ask = std::get_if<schema::NewsAsk>(&message);
+    if (ask == nullptr || silent) {
+      return std::nullopt;
+    }
+    ++asks;
+    told.push_back(ask->member);
+    schema::NewsAnswer reply;
+    reply.vouched = vouched;
+    for (std::pair<std::string const, schema::NamedValue> const& entry : news) {
+      reply.news.push_back(entry.second);
+    }
+    reply.list_age = 0;
+    reply.list_digest = list_digest;
+    reply.list_same = ask->list_digest == list_digest;
+    if (!reply.list_same) {
+      reply.list = list;
+    }
+    reply.members_digest = members_digest;
+    reply.members_same = ask->members_digest == members_digest;
+    reply.members = members;
+    return reply;
+  }
+};
+
+}  // namespace finchlink::relay_test
--- /dev/null
+++ b/source/tests/relay/station_test.cpp
@@ -0,0 +1,231 @@
+#include <gtest/gtest.h>
+
+#include "loam/constants.hpp"
+#include "tests/relay/fleet.hpp"
+
+namespace finchlink::relay_test {
+namespace {
+
+Arrival& last(Worker* worker) { return worker->arrivals.back(); }
+unsigned int status_of(std::optional<Response> const& answer) { return answer.has_value() ? answer->result_int() : 0; }
+std::string text_of(std::optional<Response> const& answer, std::string const& name) { return answer.has_value() ? std::string((*answer)[name]) : "no answer"; }
+std::string get(std::string const& target) { return "GET " + target + " HTTP/1.1\r\nHost: any\r\n\r\n"; }
+
+unsigned int readiness(Fleet& fleet) { return status_of(fleet.answer_on(fleet.call(get("/-/ready"), fleet.settings.ready_address))); }
+std::string directory(Fleet& fleet, std::string const& hall, std::string const& region) {
+  std::optional<Response> const answer = fleet.answer_on(fleet.call(get("/-/directory?zone=" + hall + "&region=" + region), fleet.settings.directory_address));
+  return answer.has_value() ? answer->body() : "no answer";
+}
+schema::Member member(std::string const& name, std::string const& hall, std::string const& address, bool ready = true) {
+  schema::Member entry;
+  entry.name = name;
+  entry.hall = hall;
+  entry.address = address;
+  entry.ready = ready;
+  return entry;
+}
+
+TEST(Station, WithoutACharterNothingIsPromisedButToComeBack) {
+  Fleet fleet;
+  fleet.worker("w1");
+  fleet.begin(false);
+  EXPECT_EQ(readiness(fleet), 503u);
+  std::optional<Response> const answer = fleet.answer_on(fleet.call(query("/plain/a", "q1", "body")));
+  EXPECT_EQ(status_of(answer), 503u);
+  EXPECT_GT(std::stod(text_of(answer, "Retry-After")), 0);
+  EXPECT_EQ(text_of(answer, "Finchlink-Query"), "q1");
+  fleet.publish_charter(1);
+  ASSERT_TRUE(fleet.until([&] { return fleet.station->ready(); }));
+  EXPECT_EQ(readiness(fleet), 200u);
+}
+
+TEST(Station, AnOlderCharterIsNeverAdopted) {
+  Fleet fleet;
+  Worker& worker = fleet.worker("w1");
+  fleet.begin();
+  schema::Charter const older = fleet.charter;
+  fleet.charter.number = 2;
+  fleet.charter.lanes.erase(fleet.charter.lanes.begin());
+  fleet.publish_charter(2);
+  ASSERT_TRUE(fleet.until([&] { return fleet.station->book()->charter().number == 2; }));
+  fleet.charter = older;  // a trellis that was out of touch
+  fleet.publish_charter(1);
+  fleet.hear();
+  EXPECT_EQ(fleet.station->book()->charter().number, 2u);
+  EXPECT_EQ(status_of(fleet.answer_on(fleet.call(query("/plain/a", "q1")))), 404u);
+  EXPECT_TRUE(worker.arrivals.empty());
+  EXPECT_EQ(fleet.told.back().held.at("charter"), 2u);
+}
+
+TEST(Station, OutOfTouchItServesOnWithTheNewestItKnows) {
+  Fleet fleet;
+  Worker& worker = fleet.worker("w1");
+  fleet.begin();
+  fleet.silent = true;
+  fleet.rest(400);
+  std::shared_ptr<Line> const caller = fleet.call(query("/plain/a", "q1"));
+  ASSERT_TRUE(fleet.arrived(worker, 1));
+  last(&worker).line->send(success("q1", "good"));
+  EXPECT_EQ(status_of(fleet.answer_on(caller)), 200u);
+}
+
+TEST(Station, ALaneRemovedWhileAQueryWaitsIsNotServed) {
+  for (bool const moved : {false, true}) {
+    Fleet fleet;
+    fleet.charter.lanes[1].set_point_ms = 20000;  // it may wait for a place
+    fleet.charter.lanes[1].deadline_ms = 10000;
+    fleet.begin();
+    std::shared_ptr<Line> const caller = fleet.call(query("/once/a", "q1", "x"));
+    fleet.rest(50);
+    EXPECT_TRUE(caller->got.empty());
+    if (moved) {  // to another service, which has a worker
+      fleet.charter.lanes[1].shares = {schema::Share{"pool", 1}};
+    } else {
+      fleet.charter.lanes.erase(fleet.charter.lanes.begin() + 1);
+    }
+    fleet.charter.number = 2;
+    fleet.publish_charter(2);
+    ASSERT_TRUE(fleet.until([&] { return fleet.station->book()->charter().number == 2; }));
+    Worker& web = fleet.worker("w1", "web");
+    Worker& pool = fleet.worker("m1", "pool");
+    if (moved) {
+      ASSERT_TRUE(fleet.arrived(pool, 1));
+      last(&pool).line->send(success("q1", "good"));
+      EXPECT_EQ(status_of(fleet.answer_on(caller)), 200u);
+    } else {
+      EXPECT_EQ(status_of(fleet.answer_on(caller)), 404u);
+    }
+    EXPECT_TRUE(web.arrivals.empty());
+  }
+}
+
+TEST(Station, AnEvacuatedHallAndADrainingWorkerGetNothing) {
+  Fleet fleet;
+  Worker& north = fleet.worker("w1", "web", "north");
+  Worker& south = fleet.worker("w2", "web", "south");
+  Worker& leaving = fleet.worker("w3", "web", "north");
+  fleet.begin();
+  fleet.publish("evacuated", 1, "[\"north\"]");
+  fleet.list.workers[2].draining = true;
+  ++fleet.list_digest;
+  ASSERT_TRUE(fleet.until([&] { return !fleet.station->grove().usable("w1") && !fleet.station->grove().usable("w3"); }));
+  for (std::size_t count = 1; count <= 3; ++count) {
+    std::string const id = "q" + std::to_string(count);
+    std::shared_ptr<Line> const caller = fleet.call(query("/once/a", id));
+    ASSERT_TRUE(fleet.arrived(south, count));
+    last(&south).line->send(success(id, "good"));
+    EXPECT_EQ(status_of(fleet.answer_on(caller)), 200u);
+  }
+  fleet.publish("evacuated", 2, "[]");
+  ASSERT_TRUE(fleet.until([&] { return fleet.station->grove().usable("w1"); }));
+  EXPECT_TRUE(north.arrivals.empty());
+  EXPECT_TRUE(leaving.arrivals.empty());
+}
+
+TEST(Station, AWorkerThatLeftTheListIsNotAskedOnAKeptConnection) {
+  Fleet fleet;
+  Worker& worker = fleet.worker("w1");
+  fleet.begin();
+  std::shared_ptr<Line> const caller = fleet.call(query("/plain/a", "q1"));
+  ASSERT_TRUE(fleet.arrived(worker, 1));
+  last(&worker).line->send(success("q1", "good"));
+  EXPECT_EQ(status_of(fleet.answer_on(caller)), 200u);
+  fleet.list.workers[0].id = "w1-again";  // the same address, another life
+  fleet.list.workers[0].service = "pool";
+  ++fleet.list_digest;
+  ASSERT_TRUE(fleet.until([&] { return fleet.station->grove().serves("w1-again", "pool"); }));
+  EXPECT_TRUE(fleet.until([&] { return worker.lines[0]->ended; }, 1000));
+  caller->send(query("/plain/b", "q2"));
+  EXPECT_EQ(status_of(fleet.answer_on(caller)), 503u);
+  EXPECT_EQ(worker.arrivals.size(), 1u);
+}
+
+TEST(Station, DrainingItServesOnAndSaysSo) {
+  Fleet fleet;
+  Worker& worker = fleet.worker("w1");
+  fleet.members = {member("furrow-self", "north", fleet.settings.http_address), member("other", "north", "10.0.0.1:1")};
+  ++fleet.members_digest;
+  fleet.begin();
+  std::shared_ptr<Line> const under_way = fleet.call(query("/once/a", "q1"));
+  ASSERT_TRUE(fleet.arrived(worker, 1));
+  EXPECT_TRUE(fleet.until([&] { return directory(fleet, "north", "dublin").find("10.0.0.1:1") != std::string::npos; }));
+  EXPECT_NE(directory(fleet, "north", "dublin").find(fleet.settings.http_address), std::string::npos);
+  fleet.station->drain();
+  EXPECT_EQ(readiness(fleet), 503u);
+  EXPECT_EQ(directory(fleet, "north", "dublin").find(fleet.settings.http_address), std::string::npos);
+  EXPECT_TRUE(fleet.until([&] { return !fleet.told.back().ready; }));
+  last(&worker).line->send(success("q1", "good"));
+  std::optional<Response> const answer = fleet.answer_on(under_way);
+  EXPECT_EQ(status_of(answer), 200u);
+  EXPECT_FALSE(answer->keep_alive());
+  EXPECT_TRUE(fleet.until([&] { return under_way->ended; }, 1000));
+  // Those who still know its address are served for a while.
+  std::shared_ptr<Line> const late = fleet.call(query("/once/a", "q2"));
+  ASSERT_TRUE(fleet.arrived(worker, 2));
+  last(&worker).line->send(success("q2", "good"));
+  std::optional<Response> const second = fleet.answer_on(late);
+  EXPECT_EQ(status_of(second), 200u);
+  EXPECT_FALSE(second->keep_alive());
+  EXPECT_TRUE(fleet.station->busy());
+}
+
+TEST(Station, TheDirectoryNamesReadyFurrowsNearOnesFirst) {
+  Fleet fleet;
+  fleet.worker("w1");
+  fleet.begin();
+  fleet.members = {member("furrow-self", "north", fleet.settings.http_address), member("beside", "north", "10.0.0.1:1"), member("tired", "north", "10.0.0.2:1", false),
+                   member("near", "south", "10.0.0.3:1"), member("away", "far", "10.0.0.4:1")};
+  ++fleet.members_digest;
+  ASSERT_TRUE(fleet.until([&] { return directory(fleet, "south", "dublin").find("10.0.0.3:1") != std::string::npos; }));
+  std::string const own = directory(fleet, "north", "dublin");
+  EXPECT_NE(own.find(fleet.settings.http_address), std::string::npos);
+  EXPECT_NE(own.find("10.0.0.1:1"), std::string::npos);
+  EXPECT_EQ(own.find("10.0.0.2:1"), std::string::npos);
+  EXPECT_EQ(own.find("10.0.0.4:1"), std::string::npos);
+  EXPECT_NE(own.find("\"seconds\":2"), std::string::npos) << own;
+  // One alone in its hall is helped out by its region; a hall unknown here by all.
+  EXPECT_NE(directory(fleet, "south", "dublin").find("10.0.0.1:1"), std::string::npos);
+  EXPECT_NE(directory(fleet, "far", "cork").find("10.0.0.4:1"), std::string::npos);
+  EXPECT_NE(directory(fleet, "none", "none").find("10.0.0.4:1"), std::string::npos);
+  EXPECT_EQ(status_of(fleet.answer_on(fleet.call(get("/other"), fleet.settings.directory_address))), 404u);
+}
+
+TEST(Limits, AQueryWithoutALaneIsToldSo) {
+  Fleet fleet;
+  Worker& worker = fleet.worker("w1");
+  fleet.begin();
+  std::shared_ptr<Line> const caller = fleet.call(query("/none/a", "q1", "body"));
+  std::optional<Response> const answer = fleet.answer_on(caller);
+  EXPECT_EQ(status_of(answer), 404u);
+  EXPECT_TRUE(answer->keep_alive());
+  caller->send(query("/plain/a", "q2"));  // the connection is as good as before
+  EXPECT_TRUE(fleet.arrived(worker, 1));
+}
+
+TEST(Limits, TooLargeHeadersAndWhatIsNoHeader) {
+  Fleet fleet;
+  fleet.charter.limits.header_bytes = 4096;
+  Worker& worker = fleet.worker("w1");
+  fleet.begin();
+  EXPECT_EQ(status_of(fleet.answer_on(fleet.call(query("/plain/a", "q1", "", "X-Long: " + std::string(5000, 'x') + "\r\n")))), 431u);
+  EXPECT_EQ(status_of(fleet.answer_on(fleet.call("what is this\r\n\r\n"))), 400u);
+  // Two lengths: nothing may hide behind.
+  EXPECT_EQ(status_of(fleet.answer_on(fleet.call("POST /plain/a HTTP/1.1\r\nHost: h.example\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"))), 400u);
+  fleet.rest(20);
+  EXPECT_TRUE(worker.arrivals.empty());
+}
+
+TEST(Limits, HeadersThatDontComeAndIdleConnectionsEnd) {
+  Fleet fleet;
+  fleet.charter.limits.header_wait_ms = 150;
+  fleet.charter.limits.idle_ms = 300;
+  fleet.begin();
+  std::shared_ptr<Line> const slow = fleet.call("POST /plain/a HTTP/1.1\r\nHo");
+  std::shared_ptr<Line> const idle = fleet.call("");
+  EXPECT_TRUE(fleet.until([&] { return slow->ended; }, 1500));
+  EXPECT_FALSE(idle->ended);
+  EXPECT_TRUE(fleet.until([&] { return idle->ended; }, 1500));
+}
+
+}  // namespace
+}  // namespace finchlink::relay_test
