No whole answer follows part of a stream

Cause: a worker that took a cut stream up and answered with a whole answer (400, or a success that is no stream) had it written into the open answer, head and all, where the caller takes it for bytes of the stream. What: the chart counts it as that worker's defect: on elsewhere, or ended visibly.

--- a/source/tests/tilth/chart_test.cpp
+++ b/source/tests/tilth/chart_test.cpp
@@ -111,6 +111,81 @@
   EXPECT_TRUE(query.advance(Withdrawn{}, 0).empty());  // too late: bytes may have gone
 }
 
+TEST(Chart, ARelayedStreamEndsWhereItsWorkerEndedItOrVisiblyBroken) {
+  QueryTerms terms;
+  terms.stream = true;
+  for (bool const resumable : {false, true}) {
+    for (bool const right : {false, true}) {
+      terms.resumable = resumable;
+      terms.repeatable = resumable;
+      Chart query = chart(terms, right);
+      (void)query.advance(Placed{"a"}, 0);
+      (void)query.advance(Connected{}, 0);
+      EXPECT_TRUE(only<Forward>(query.advance(Event{1, false}, 0)));
+      std::vector<QueryAction> const actions = query.advance(WorkerDefect{"cut_stream"}, 0);
+      if (!resumable || !right) {
+        EXPECT_TRUE(only<EndBroken>(actions));  // never an apology, never a refusal: the head is out
+        EXPECT_TRUE(query.settled());
+        continue;
+      }
+      ASSERT_TRUE(only<Place>(actions));
+      (void)query.advance(Placed{"b"}, 0);
+      (void)query.advance(Connected{}, 0);
+      EXPECT_TRUE(only<Forward>(query.advance(Event{2, false}, 0)));
+      EXPECT_TRUE(query.advance(Whole{}, 0).empty());  // all of it was passed on already
+      EXPECT_TRUE(query.settled());
+      EXPECT_EQ(std::get<Settled>(query.state()).how, "complete");
+    }
+  }
+}
+
+TEST(Chart, AStreamThatBeganIsNeitherRefusedNorSentHome) {
+  QueryTerms terms;
+  terms.stream = true;
+  terms.resumable = true;
+  terms.repeatable = true;
+  std::vector<QueryMessage> const ends{DeadlinePassed{}, NoRoom{}, WorkerRefused{}, Decided{true, true, true, Standing::none}};
+  for (std::size_t index = 0; index < ends.size(); ++index) {
+    Chart query = chart(terms);
+    (void)query.advance(Placed{"a"}, 0);
+    (void)query.advance(Connected{}, 0);
+    (void)query.advance(Event{1, false}, 0);
+    if (index > 0) {
+      ASSERT_TRUE(only<Place>(query.advance(WorkerDefect{"cut_stream"}, 0)));
+    }
+    std::vector<QueryAction> actions;
+    if (index == 2) {  // the one it is taken up at says no, and no dispatch is left
+      for (int dispatch = 1; dispatch < terms.dispatches_most; ++dispatch) {
+        (void)query.advance(Placed{"b"}, 0);
+        (void)query.advance(Connected{}, 0);
+        actions = query.advance(ends[index], 0);
+      }
+    } else {
+      actions = query.advance(ends[index], 0);
+    }
+    EXPECT_TRUE(only<EndBroken>(actions)) << index;
+  }
+}
+
+TEST(Chart, NoWholeAnswerFollowsPartOfAStream) {
+  QueryTerms terms;
+  terms.stream = true;
+  terms.resumable = true;
+  terms.repeatable = true;
+  for (bool const right : {true, false}) {
+    int asked = 0;
+    Chart query(terms, [&asked, right](loam::Moment) { return ++asked == 1 || right; });
+    (void)query.advance(Placed{"a"}, 0);
+    (void)query.advance(Connected{}, 0);
+    (void)query.advance(Event{1, false}, 0);
+    (void)query.advance(WorkerDefect{"cut_stream"}, 0);
+    (void)query.advance(Placed{"b"}, 0);
+    (void)query.advance(Connected{}, 0);
+    std::vector<QueryAction> const actions = query.advance(Whole{}, 0);
+    EXPECT_TRUE(right ? only<Place>(actions) : only<EndBroken>(actions));
+  }
+}
+
 TEST(Chart, IsDecidedAnewByTheRuleInForce) {
   for (Standing const standing : {Standing::home, Standing::none}) {
     // While it waits, or is about to go, nothing ran: home, or a true refusal.
--- a/source/tilth/chart/chart.cpp
+++ b/source/tilth/chart/chart.cpp
@@ -165,7 +165,7 @@
   return place(false);
 }
 
-std::vector<QueryAction> Chart::on(Whole const&, loam::Moment) {
+std::vector<QueryAction> Chart::on(Whole const&, loam::Moment now) {
   if (std::holds_alternative<Streaming>(state_)) {
     settle("complete");  // a relayed stream ends where its worker ended it (section 13.3)
     return {};
@@ -173,6 +173,10 @@
   if (!std::holds_alternative<Exposed>(state_)) {
     return {};
   }
+  if (last_event_ > 0) {
+    // Part of a stream is with the caller: no other answer may follow it.
+    return on(WorkerDefect{"another_answer"}, now);
+  }
   settle("complete");
   return {Deliver{}};
 }
