--- a/source/furrow/relay/event_cutter.hpp
+++ b/source/furrow/relay/event_cutter.hpp
@@ -15,7 +15,7 @@
   return parsed.ec == std::errc() ? value : otherwise;
 }
 
-/// Events of a stream as they come (section 13.6): whole ones are passed on, the rest waits,
+/// Events of a stream as they come (section 13.8): whole ones are passed on, the rest waits,
 /// so that a cut never leaves half an event with the caller.
 class EventCutter {
  public:
--- a/source/furrow/relay/relay.cpp
+++ b/source/furrow/relay/relay.cpp
@@ -62,7 +62,7 @@
   loam::Moment arrived = 0;
 };
 
-/// One query on its way to workers and back (section 13.3).
+/// One query on its way to workers and back (section 13.8).
 class Relay {
  public:
   Relay(Station& station, Query& query, schema::Lane const& lane, Socket& caller, std::shared_ptr<tilth::LaneBook const> book, loam::Yield yield)
@@ -408,7 +408,7 @@
   }
 
   /// A connection. A kept one may turn out stale just as bytes go out, so what
-  /// may not be repeated always has a fresh one (section 13.4).
+  /// may not be repeated always has a fresh one (section 13.8).
   bool reach() {
     if (repeatable()) {
       worker_ = station_.kept(spot_.worker);
--- a/source/tests/relay/fleet.hpp
+++ b/source/tests/relay/fleet.hpp
@@ -110,8 +110,6 @@
 using Request = http::request<http::string_body>;
 using Response = http::response<http::string_body>;
 
-class Fleet;
-
 /// A query as it reached a scripted worker.
 struct Arrival {
   std::shared_ptr<Line> line;
--- a/source/tilth/chart/chart.cpp
+++ b/source/tilth/chart/chart.cpp
@@ -167,7 +167,7 @@
 
 std::vector<QueryAction> Chart::on(Whole const&, loam::Moment now) {
   if (std::holds_alternative<Streaming>(state_)) {
-    settle("complete");  // a relayed stream ends where its worker ended it (section 13.3)
+    settle("complete");  // a relayed stream ends where its worker ended it (section 13.8)
     return {};
   }
   if (!std::holds_alternative<Exposed>(state_)) {
--- a/source/tilth/grove/grove.hpp
+++ b/source/tilth/grove/grove.hpp
@@ -71,7 +71,7 @@
 };
 
 /// Where each query lands among the workers of several services (section
-/// 13.3): plain state; every message carries its moment.
+/// 13.7): plain state; every message carries its moment.
 class Grove {
  public:
   explicit Grove(GroveGuards guards = {}) : guards_(guards) {}
--- a/source/tilth/rights/rights.hpp
+++ b/source/tilth/rights/rights.hpp
@@ -5,7 +5,7 @@
 namespace finchlink::tilth {
 
 /// Rights to send queries of one service to a further worker, in one furrow
-/// (section 13.4). The bound holds for the sum over all furrows in any window:
+/// (section 13.8). The bound holds for the sum over all furrows in any window:
 /// ratio x arrivals + slack. Each arrival earns its part; what is not spent is
 /// kept up to this furrow's even part of the slack, so in any window no more
 /// goes out than that part and what the window's own arrivals earned.
