--- a/source/furrow/relay/relay.cpp
+++ b/source/furrow/relay/relay.cpp
@@ -110,6 +110,7 @@
     error_code ignored;
     caller_.cancel(ignored);
     tilth::Settled const* const settled = std::get_if<tilth::Settled>(&chart_.state());
+    tell_late(settled == nullptr ? "open" : settled->how);
     ++station_.tally().outcomes[settled == nullptr ? "open" : settled->how];
     return keep_;
   }
@@ -140,6 +141,16 @@
     return good;
   }
 
+  /// Section 13.3: which stage took how long, where an answer missed its set point.
+  void tell_late(std::string const& how) const {
+    loam::Span const first = (first_at_ == 0 ? loam::boot_now() : first_at_) - query_.arrived;
+    if (lane_.set_point_ms <= 0 || static_cast<double>(first) / 1000 < lane_.set_point_ms) {
+      return;
+    }
+    loam::note(loam::Event::QueryLate, id_ + " " + lane_.name + " " + how + " first " + std::to_string(first / 1000) + " ms of " + std::to_string((loam::boot_now() - query_.arrived) / 1000) +
+                                           " tokens " + std::to_string(static_cast<std::uint64_t>(wanted_.tokens)) + trail_);
+  }
+
   void watch_caller(std::shared_ptr<Guard> const& guard) {
     caller_.async_wait(Socket::wait_read, [guard](error_code const& error) {
       if (error || guard->relay == nullptr) {
@@ -319,6 +330,7 @@
       std::variant<tilth::Spot, tilth::NoSpot> const found = station_.grove().choose(wanted_, now);
       if (tilth::Spot const* const spot = std::get_if<tilth::Spot>(&found)) {
         spot_ = *spot;
+        trail_ += "; at " + std::to_string((now - query_.arrived) / 1000) + " ms " + spot->worker + " predicted " + std::to_string(static_cast<int>(spot->predicted_seconds * 1000)) + " uncached " + std::to_string(static_cast<int>(spot->uncached));
         return true;
       }
       if (now >= until || now >= deadline_) {
@@ -592,6 +604,7 @@
       body += bytes;
     }
     first_seen_ = true;
+    first_at_ = loam::boot_now();
     whole_ = answer_head(parser) + (bare ? "" : "Content-Length: " + std::to_string(body.size()) + "\r\n");
     whole_body_ = std::move(body);
     after_answer(buffer, parser);
@@ -625,6 +638,9 @@
       }
       loam::Moment const now = loam::boot_now();
       station_.grove().heard(spot_.worker, now);
+      if (first_at_ == 0) {
+        first_at_ = now;
+      }
       if (first) {
         first = false;
         first_seen_ = true;
@@ -685,6 +701,8 @@
   loam::Moment silent_since_ = 0;
   loam::Span allowed_ = 0;
   int connects_ = 0;
+  loam::Moment first_at_ = 0;
+  std::string trail_;       ///< workers it was placed on: when, predicted
   bool reserved_ = false;   ///< the right to its next dispatch is taken already
   bool connecting_ = false;
   bool first_seen_ = false;
--- a/source/furrow/relay/station.cpp
+++ b/source/furrow/relay/station.cpp
@@ -210,36 +210,69 @@
 
 void Station::ask_news(loam::Yield yield) {
   std::size_t turn = loam::random_number() % std::max<std::size_t>(1, trellises_.size());
-  // A trellis of the own region first: its answers come sooner and cost less.
+  bool lost = true;  // no trellis answered the last ask
   while (true) {
-    std::string const address = trellises_[turn % trellises_.size()];
-    bool const was_ready = ready();
     loam::Moment const asked = loam::boot_now();
-    schema::NewsAsk ask{self(), 0, list_digest_, members_digest_, {}};
-    absl::StatusOr<schema::Message> const answer =
-        caller_.call(address, ask, loam::milliseconds(static_cast<std::int64_t>(settings_.bounds.ask_deadline_ms)), yield);
-    schema::NewsAnswer const* const news = answer.ok() ? std::get_if<schema::NewsAnswer>(&*answer) : nullptr;
-    if (news != nullptr) {
-      take(*news, asked);
+    bool const was_ready = ready();
+    schema::NewsAsk const ask{self(), 0, list_digest_, members_digest_, {}};
+    std::string from;
+    loam::Span const patience = loam::milliseconds(static_cast<std::int64_t>(settings_.bounds.ask_deadline_ms));
+    if (lost) {
+      // Some may be down, and say nothing: all are asked, the first who is sure counts.
+      std::vector<std::pair<std::string, schema::Message>> calls;
+      for (std::string const& address : trellises_) {
+        calls.emplace_back(address, ask);
+      }
+      loam::Gather::run(
+          context_, caller_, calls, std::min(patience, constants::lost_patience),
+          [&](std::size_t index, absl::StatusOr<schema::Message> const& answer) {
+            schema::NewsAnswer const* const news = answer.ok() ? std::get_if<schema::NewsAnswer>(&*answer) : nullptr;
+            if (news == nullptr) {
+              return false;
+            }
+            take(*news, asked);
+            if (!news->vouched) {
+              return false;
+            }
+            from = calls[index].first;
+            heard_from(*news);
+            return true;
+          },
+          yield);
+    } else {
+      std::string const address = trellises_[turn % trellises_.size()];
+      absl::StatusOr<schema::Message> const answer = caller_.call(address, ask, patience, yield);
+      schema::NewsAnswer const* const news = answer.ok() ? std::get_if<schema::NewsAnswer>(&*answer) : nullptr;
+      if (news != nullptr) {
+        take(*news, asked);
+      }
+      if (news != nullptr && news->vouched) {
+        from = address;
+        heard_from(*news);
+      }
     }
-    if (news == nullptr || !news->vouched) {
-      ++turn;
-      if (loam::boot_now() - asked < constants::ask_retry * 4) {
-        loam::pause(context_, constants::ask_retry * 4, yield);
+    lost = from.empty();
+    loam::Span const spent = loam::boot_now() - asked;
+    if (lost) {
+      if (spent < constants::ask_retry) {
+        loam::pause(context_, constants::ask_retry, yield);
       }
       continue;
     }
-    heard_ = true;
-    heard_at_ = loam::boot_now();
-    trellises_ = settings_.seeds;
-    for (std::string const& colleague : news->colleagues) {
-      if (!colleague.empty() && std::find(trellises_.begin(), trellises_.end(), colleague) == trellises_.end()) {
-        trellises_.push_back(colleague);
-      }
+    turn = static_cast<std::size_t>(std::find(trellises_.begin(), trellises_.end(), from) - trellises_.begin());
+    if (ready() == was_ready && spent < constants::ask_least) {
+      loam::pause(context_, constants::ask_least - spent, yield);
     }
-    turn = static_cast<std::size_t>(std::find(trellises_.begin(), trellises_.end(), address) - trellises_.begin());
-    if (ready() == was_ready && loam::boot_now() - asked < constants::ask_least) {
-      loam::pause(context_, constants::ask_least - (loam::boot_now() - asked), yield);
+  }
+}
+
+void Station::heard_from(schema::NewsAnswer const& news) {
+  heard_ = true;
+  heard_at_ = loam::boot_now();
+  trellises_ = settings_.seeds;
+  for (std::string const& colleague : news.colleagues) {
+    if (!colleague.empty() && std::find(trellises_.begin(), trellises_.end(), colleague) == trellises_.end()) {
+      trellises_.push_back(colleague);
     }
   }
 }
--- a/source/furrow/relay/station.hpp
+++ b/source/furrow/relay/station.hpp
@@ -101,6 +101,7 @@
   [[nodiscard]] absl::Status listen(std::string const& address, std::function<void(std::shared_ptr<Socket>, loam::Yield)> session);
   void serve_small(std::shared_ptr<Socket> const& socket, loam::Yield yield);
   void ask_news(loam::Yield yield);
+  void heard_from(schema::NewsAnswer const& news);
   void read_own_list(loam::Yield yield);
   void take(schema::NewsAnswer const& answer, loam::Moment asked);
   void take_list(schema::PlatformList const& list, loam::Moment as_of);
--- a/source/loam/relay_constants.hpp
+++ b/source/loam/relay_constants.hpp
@@ -22,6 +22,7 @@
 inline constexpr double reuse_part = 0.8;
 /// Beginnings of at least this many tokens have an owner and teach the pace.
 inline constexpr double owned_tokens = 1000;
+inline constexpr bool keep_long_apart = false;
 /// Demand is remembered for about this many seconds; bounds of the share of a
 /// region's workers that long prompts are fed to while there are others too;
 /// worker seconds that a query costs beside its prefill; costs of going astray.
@@ -78,6 +79,8 @@
 inline constexpr Span alive_step = milliseconds(100);
 /// Stack of a relay's coroutine, in bytes; only what is touched counts.
 inline constexpr std::size_t relay_stack = 96u << 10u;
+/// While no trellis answers all are asked at once, this long each time.
+inline constexpr Span lost_patience = milliseconds(900);
 /// Two asks for news are at least this far apart.
 inline constexpr Span ask_least = milliseconds(150);
 /// A hall with fewer ready furrows is helped out by its region; most told.
--- a/source/tilth/grove/grove.cpp
+++ b/source/tilth/grove/grove.cpp
@@ -76,7 +76,7 @@
 
 bool Grove::fed_long(Worker const& worker, loam::Moment) const {
   std::map<std::pair<std::string, std::string>, Demand>::const_iterator const found = demand_.find({worker.stand.service, worker.stand.region});
-  if (worker.ranks < 3 || found == demand_.end() || found->second.decode <= 0) {
+  if (!constants::keep_long_apart || worker.ranks < 3 || found == demand_.end() || found->second.decode <= 0) {
     return true;  // nothing to keep apart
   }
   Demand const& demand = found->second;
