Held-up workers show by overdue first tokens; a vouched ask is held its whole time

Cause: silence was allowed twice the price, which holds costs of the way and of going astray, so a query to another region waited 820 ms; others' long prompts on a worker can't be seen. Also: desk answered vouched asks at the shorter patience.

--- a/source/furrow/relay/relay.cpp
+++ b/source/furrow/relay/relay.cpp
@@ -330,7 +330,7 @@
       std::variant<tilth::Spot, tilth::NoSpot> const found = station_.grove().choose(wanted_, now);
       if (tilth::Spot const* const spot = std::get_if<tilth::Spot>(&found)) {
         spot_ = *spot;
-        trail_ += "; at " + std::to_string((now - query_.arrived) / 1000) + " ms " + spot->worker + " predicted " + std::to_string(static_cast<int>(spot->predicted_seconds * 1000)) + " uncached " + std::to_string(static_cast<int>(spot->uncached));
+        trail_ += "; at " + std::to_string((now - query_.arrived) / 1000) + " ms " + spot->worker + " predicted " + std::to_string(static_cast<int>(spot->predicted_seconds * 1000)) + "/" + std::to_string(static_cast<int>(spot->price * 1000)) + " uncached " + std::to_string(static_cast<int>(spot->uncached));
         return true;
       }
       if (now >= until || now >= deadline_) {
--- a/source/hedge/desk/desk.cpp
+++ b/source/hedge/desk/desk.cpp
@@ -16,7 +16,7 @@
   }
   loam::Span const waited = now - arrival;
   bool const news = other_news || !answer.news.empty();
-  if ((vouched && (news || waited >= bounds.hold)) || waited >= bounds.patience) {
+  if ((vouched && (news || waited >= bounds.hold)) || (!vouched && waited >= bounds.patience)) {
     verdict.answer = answer;
   } else {
     verdict.wait = (vouched ? bounds.hold : bounds.patience) - waited;
--- a/source/loam/relay_constants.hpp
+++ b/source/loam/relay_constants.hpp
@@ -22,7 +22,7 @@
 inline constexpr double reuse_part = 0.8;
 /// Beginnings of at least this many tokens have an owner and teach the pace.
 inline constexpr double owned_tokens = 1000;
-inline constexpr bool keep_long_apart = false;
+inline constexpr bool keep_long_apart = true;
 /// Demand is remembered for about this many seconds; bounds of the share of a
 /// region's workers that long prompts are fed to while there are others too;
 /// worker seconds that a query costs beside its prefill; costs of going astray.
@@ -30,8 +30,8 @@
 inline constexpr double long_share_least = 0.5;
 inline constexpr double long_share_most = 0.8;
 inline constexpr double short_work = 0.01;
-inline constexpr double long_astray_cost = 0.3;
-inline constexpr double short_astray_cost = 0.15;
+inline constexpr double long_astray_cost = 0.12;
+inline constexpr double short_astray_cost = 0.06;
 /// A told load is forgotten over this many seconds.
 inline constexpr double load_memory = 3;
 /// Queries on a worker, as a multiple of its places, up to which it is sent more.
@@ -50,6 +50,10 @@
 inline constexpr double trial_once_cost = 0.6;
 inline constexpr double dark_cost = 1.0;
 inline constexpr Span dark_memory = seconds(3);
+/// The way to another region and back, in seconds, and what a first token may
+/// be later than predicted before its worker counts as held up.
+inline constexpr double other_region_seconds = 0.12;
+inline constexpr Span overdue_slack = milliseconds(100);
 /// Service time taken for a worker that generates no text, in seconds.
 inline constexpr double plain_seconds = 0.08;
 /// A worker that refused is left alone this long.
--- a/source/tilth/grove/grove.cpp
+++ b/source/tilth/grove/grove.cpp
@@ -134,43 +134,60 @@
   return static_cast<double>(worker.own) < connections && load(worker, now) < worker.slots * constants::queue_factor;
 }
 
-double Grove::cost(Worker const& worker, Wanted const& wanted, std::string const& owner, loam::Moment now, double& uncached) const {
+double Grove::overdue(Worker const& worker, loam::Moment now) const {
+  double late = 0;
+  for (Pending const& pending : worker.pending) {
+    late = std::max(late, seconds_of(now - pending.due));
+  }
+  return late;
+}
+
+void Grove::settle_pending(Worker& worker, std::uint64_t ticket) {
+  std::erase_if(worker.pending, [ticket](Pending const& pending) { return pending.ticket == ticket; });
+}
+
+Grove::Price Grove::price(Worker const& worker, Wanted const& wanted, std::string const& owner, loam::Moment now) const {
   Stand const& stand = worker.stand;
-  double seconds = stand.hall == terms_.hall ? 0 : stand.region == terms_.region ? constants::other_hall_cost : constants::other_region_cost;
+  bool const near = stand.region == terms_.region;
   double const running = load(worker, now);
   double const over = running - worker.slots;
-  uncached = wanted.tokens;
+  bool const long_prompt = wanted.tokens >= constants::owned_tokens;
+  Price price;
+  price.uncached = wanted.tokens;
+  price.seconds = near ? 0 : constants::other_region_seconds;
+  price.cost = stand.hall == terms_.hall ? 0 : near ? constants::other_hall_cost : constants::other_region_cost;
   if (stand.model) {
     double cached = worker.reuse.match(wanted.parts);
     if (stand.id == owner && !wanted.parts.empty()) {
       // Colleagues send the same beginning there, too (section 13.5).
       cached = std::max(cached, wanted.parts.front().tokens);
     }
-    uncached = std::max(0.0, wanted.tokens - cached);
-    seconds += (uncached + worker.own_prefill) * constants::prefill_start[1] * worker.pace + running * (wanted.tokens >= constants::owned_tokens ? constants::running_cost_long : constants::running_cost);
-  } else {
-    seconds += running / worker.slots * constants::plain_seconds;
-  }
-  if (stand.model) {
+    price.uncached = std::max(0.0, wanted.tokens - cached);
+    price.seconds += (price.uncached + worker.own_prefill) * constants::prefill_start[1] * worker.pace;
+    price.cost += running * (long_prompt ? constants::running_cost_long : constants::running_cost);
     // Long prompts and the rest are kept apart: reading one holds up every
-    // stream on its worker.
-    bool const long_prompt = wanted.tokens >= constants::owned_tokens;
-    bool const apart = fed_long(worker, now);
-    seconds += long_prompt == apart ? 0 : long_prompt ? constants::long_astray_cost : worker.ranks < 3 ? 0 : constants::short_astray_cost;
+    // stream on its worker (section 13.6).
+    if (worker.ranks >= 3 && long_prompt != fed_long(worker, now)) {
+      price.cost += long_prompt ? constants::long_astray_cost : constants::short_astray_cost;
+    }
+  } else {
+    price.seconds += running / worker.slots * constants::plain_seconds;
   }
+  price.seconds += overdue(worker, now);
   if (over >= 0) {
-    seconds += (over + 1) / worker.slots * constants::plain_seconds * 2;
+    price.seconds += (over + 1) / worker.slots * constants::plain_seconds * 2;
   }
   if (cold(worker, now)) {
-    seconds += constants::cold_cost;
+    price.cost += constants::cold_cost;
   }
   if (worker.trial) {
-    seconds += wanted.once ? constants::trial_once_cost : constants::trial_cost;
+    price.cost += wanted.once ? constants::trial_once_cost : constants::trial_cost;
   }
   if (hall_dark(worker, now)) {
-    seconds += constants::dark_cost;
+    price.cost += constants::dark_cost;
   }
-  return seconds;
+  price.cost += price.seconds;
+  return price;
 }
 
 bool Grove::hall_dark(Worker const& worker, loam::Moment now) const {
@@ -203,7 +220,7 @@
   return best;
 }
 
-Grove::Worker const* Grove::best(std::string const& service, Wanted const& wanted, loam::Moment now, double& cost_found, double& uncached) const {
+Grove::Worker const* Grove::best(std::string const& service, Wanted const& wanted, loam::Moment now, Price& price_found) const {
   std::map<std::string, std::vector<std::string>>::const_iterator const ids = by_service_.find(service);
   Worker const* found = nullptr;
   if (ids == by_service_.end()) {
@@ -230,12 +247,10 @@
     if (!open(worker, wanted, now)) {
       continue;
     }
-    double rest = 0;
-    double const price = cost(worker, wanted, owner, now, rest);
-    if (found == nullptr || price < cost_found) {
+    Price const offer = price(worker, wanted, owner, now);
+    if (found == nullptr || offer.cost < price_found.cost) {
       found = &worker;
-      cost_found = price;
-      uncached = rest;
+      price_found = offer;
     }
   }
   return found;
@@ -263,18 +278,18 @@
     if (share.weight <= 0) {
       continue;
     }
-    double price = 0;
-    double uncached = 0;
-    Worker const* const found = best(share.service, wanted, now, price, uncached);
+    Price offer;
+    Worker const* const found = best(share.service, wanted, now, offer);
     if (found != nullptr) {
       Worker& worker = workers_.at(found->stand.id);
       ++worker.own;
       ++worker.sent_since;
-      worker.own_prefill += uncached;
+      worker.own_prefill += offer.uncached;
+      worker.pending.push_back(Pending{next_ticket_, now + static_cast<loam::Span>(offer.seconds * 1e6) + constants::overdue_slack});
       if (worker.stand.model) {
         Demand& demand = demand_[{worker.stand.service, worker.stand.region}];
         demand.fade(now);
-        (wanted.tokens >= constants::owned_tokens ? demand.prefill : demand.decode) += uncached * constants::prefill_start[1] + constants::short_work;
+        (wanted.tokens >= constants::owned_tokens ? demand.prefill : demand.decode) += offer.uncached * constants::prefill_start[1] + constants::short_work;
       }
       if (worker.stand.cold_rate > 0) {
         while (!worker.sends.empty() && (now - worker.sends.front() >= constants::cold_window || worker.sends.size() > 256)) {
@@ -282,7 +297,7 @@
         }
         worker.sends.push_back(now);
       }
-      return Spot{worker.stand.id, worker.stand.address, uncached, price, worker.stand.region == terms_.region};
+      return Spot{worker.stand.id, worker.stand.address, offer.uncached, offer.seconds, offer.cost, worker.stand.region == terms_.region, next_ticket_++};
     }
   }
   return NoSpot{!workers_.empty(), constants::plain_seconds};
@@ -290,9 +305,8 @@
 
 bool Grove::alternative(Wanted const& wanted, loam::Moment now) const {
   for (schema::Share const& share : wanted.shares) {
-    double price = 0;
-    double uncached = 0;
-    if (share.weight > 0 && best(share.service, wanted, now, price, uncached) != nullptr) {
+    Price offer;
+    if (share.weight > 0 && best(share.service, wanted, now, offer) != nullptr) {
       return true;
     }
   }
@@ -320,6 +334,7 @@
     return;
   }
   Worker& worker = found->second;
+  settle_pending(worker, spot.ticket);
   worker.own_prefill = std::max(0.0, worker.own_prefill - spot.uncached);
   worker.reuse.remember(parts);
   if (spot.uncached >= constants::owned_tokens) {
@@ -335,6 +350,7 @@
   }
   Worker& worker = found->second;
   worker.own -= worker.own > 0 ? 1 : 0;
+  settle_pending(worker, spot.ticket);
   if (!first_seen) {
     worker.own_prefill = std::max(0.0, worker.own_prefill - spot.uncached);
   }
--- a/source/tilth/grove/grove.hpp
+++ b/source/tilth/grove/grove.hpp
@@ -45,8 +45,10 @@
   std::string worker;
   std::string address;
   double uncached = 0;
-  double predicted_seconds = 0;    ///< to the first token
+  double predicted_seconds = 0;    ///< to the first token, the way included
+  double price = 0;                ///< what it was chosen by
   bool near = true;                ///< in the own region
+  std::uint64_t ticket = 0;
 };
 struct NoSpot {
   bool any = false;                ///< workers there are, but none takes it now
@@ -105,8 +107,14 @@
     loam::Moment at = 0;
     void fade(loam::Moment now);
   };
+  /// A query of this furrow that has had no first token yet.
+  struct Pending {
+    std::uint64_t ticket = 0;
+    loam::Moment due = 0;  ///< by when it was predicted
+  };
   struct Worker {
     Stand stand;
+    std::vector<Pending> pending;
     std::size_t rank = 0;       ///< by hash among its service's workers of its region
     std::size_t ranks = 1;
     loam::Moment heard_at = 0;  ///< last bytes of any answer
@@ -129,13 +137,23 @@
   [[nodiscard]] double cold_part(Worker const& worker) const;
   [[nodiscard]] double load(Worker const& worker, loam::Moment now) const;
   [[nodiscard]] bool open(Worker const& worker, Wanted const& wanted, loam::Moment now) const;
-  [[nodiscard]] double cost(Worker const& worker, Wanted const& wanted, std::string const& owner, loam::Moment now, double& uncached) const;
+  /// Seconds by which its oldest own query is later than predicted: what others
+  /// have it read can't be seen, but it shows here.
+  [[nodiscard]] double overdue(Worker const& worker, loam::Moment now) const;
+  struct Price {
+    double seconds = 0;    ///< to the first token, as predicted
+    double cost = 0;       ///< the same and what else speaks against it
+    double uncached = 0;
+  };
+  [[nodiscard]] Price price(Worker const& worker, Wanted const& wanted, std::string const& owner, loam::Moment now) const;
   [[nodiscard]] bool hall_dark(Worker const& worker, loam::Moment now) const;
   [[nodiscard]] bool fed_long(Worker const& worker, loam::Moment now) const;
   [[nodiscard]] std::string owner_of(std::vector<std::string const*> const& pool, Wanted const& wanted) const;
-  [[nodiscard]] Worker const* best(std::string const& service, Wanted const& wanted, loam::Moment now, double& cost_found, double& uncached) const;
+  [[nodiscard]] Worker const* best(std::string const& service, Wanted const& wanted, loam::Moment now, Price& price_found) const;
+  static void settle_pending(Worker& worker, std::uint64_t ticket);
 
   GroveGuards guards_;
+  std::uint64_t next_ticket_ = 1;
   GroveTerms terms_;
   std::map<std::string, Worker> workers_;
   std::map<std::string, std::vector<std::string>> by_service_;
