Holders: whoever has a disk and no place takes one; sets grow to what is tolerated

Cause: the set stayed at the founding three, so that with two machines tolerated two disks lost at once left no majority; and a lost holder was replaced by a duty under a lease whose tenant may be the lost one, counting misses anew. What: a trellis with a disk and no place proposes itself: at its own address at once, for one that missed three looks, or as one more while all vote and there are fewer than twice the tolerated and one. The register's expectation fences it, so no lease is needed. almanac runs the same core.

--- a/source/almanac/control/control.cpp
+++ b/source/almanac/control/control.cpp
@@ -172,7 +172,7 @@
   }
   void confirm_loop(Machine& machine);
   void spread(Machine& machine);
-  void repair(Machine& machine);
+  void join(Machine& machine);
   void lease_loop(Machine& machine);
   struct ChangeRun;
   void start_change(Machine& machine, std::string const& name, rootstock::Wisher wisher, Span deadline,
@@ -301,7 +301,7 @@
   confirm_loop(machine);
   spread(machine);
   lease_loop(machine);
-  repair(machine);
+  join(machine);
 }
 
 void World::submit(Machine& machine, rootstock::Outcome outcome, Reply const& reply) {
@@ -573,30 +573,30 @@
   });
 }
 
-void World::repair(Machine& machine) {
-  later(machine, constants::repair_pause, [this, &machine] {
-    repair(machine);
-    if (!machine.tenant->holds(local(machine)) || machine.set.epoch == 0) {
+void World::join(Machine& machine) {
+  later(machine, constants::join_pause, [this, &machine] {
+    if (machine.set.epoch == 0 || machine.silent || !machine.holder.has_value() || rootstock::names(machine.set.holders, machine.holder->incarnation())) {
+      machine.misses.clear();
+      join(machine);
       return;
     }
     for (schema::HolderEntry const& entry : machine.set.holders) {
       ++machine.misses[entry.incarnation];
-      call(machine, machine.address, entry.address, schema::Adopt{machine.set}, constants::holder_deadline, [&machine](std::optional<schema::Message> const& answer) {
+      call(machine, machine.address, entry.address, schema::Adopt{machine.set}, constants::join_look, [&machine](std::optional<schema::Message> const& answer) {
         schema::Adopted const* const given = answer.has_value() ? std::get_if<schema::Adopted>(&*answer) : nullptr;
         if (given != nullptr && given->voting) {
           machine.misses[given->incarnation] = 0;
         }
       });
     }
-    later(machine, constants::holder_deadline, [this, &machine] {
-      std::vector<schema::TrellisEntry> trellises;
-      for (std::unique_ptr<Machine> const& other : machines_) {
-        if (other->alive && !other->frozen && other->holder.has_value() && !other->silent && !cut(other->address, machine.address)) {
-          trellises.push_back(schema::TrellisEntry{other->address, other->identity, "", other->address, "", true, other->holder->voting(), other->holder->incarnation()});
-        }
+    later(machine, constants::join_look, [this, &machine] {
+      join(machine);
+      if (machine.silent || !machine.holder.has_value()) {
+        return;
       }
-      std::optional<schema::HolderSet> const plan = hedge::plan_repair(machine.set, machine.misses, trellises);
-      if (!plan.has_value() || !machine.tenant->holds(local(machine))) {
+      std::optional<schema::HolderSet> const plan =
+          hedge::plan_joining(machine.set, machine.misses, schema::HolderEntry{machine.holder->incarnation(), machine.address}, options_.wanted_holders);
+      if (!plan.has_value()) {
         return;
       }
       std::map<std::string, schema::Value>::const_iterator const known = machine.confirm.values().find(rootstock::holders_register);
--- a/source/almanac/control/control.hpp
+++ b/source/almanac/control/control.hpp
@@ -70,6 +70,7 @@
   hedge::DeskGuards desk_guards;
   bool acknowledge_waits = true;
   bool repair_fenced = true;       ///< a new holder set expects the set that it replaces
+  std::size_t wanted_holders = 3;  ///< how far the holder set grows (section 5.5)
   bool learn_beyond_seeds = true;  ///< the holder set is also learnt from the own disk and from colleagues
   bool print = false;
   // --- where the query path runs beside it (section 10.1) ---
--- a/source/almanac/field/field.cpp
+++ b/source/almanac/field/field.cpp
@@ -1010,7 +1010,7 @@
 }
 
 void World::scale(std::size_t index) {
-  kernel_.after(constants::repair_pause, [this, index] {
+  kernel_.after(constants::duty_pause, [this, index] {
     scale(index);
     Region& region = regions_[index];
     std::vector<std::string> names;
--- a/source/hedge/repair/repair.hpp
+++ b/source/hedge/repair/repair.hpp
@@ -9,10 +9,17 @@
 
 namespace finchlink::hedge {
 
-/// The next holder set, when one is lost and another stands by (section 5.5).
-/// `misses` counts looks in a row that a holder left unanswered.
-[[nodiscard]] std::optional<schema::HolderSet> plan_repair(schema::HolderSet const& set, std::map<std::uint64_t, int> const& misses,
-                                                           std::vector<schema::TrellisEntry> const& trellises);
+/// The next holder set as one wants it who has a disk and no place in the set:
+/// it takes over the place at its own address (its disk was lost), else that of
+/// a lost holder, else it is added while there are fewer than `wanted` (section
+/// 5.5). One step at a time, and only from a majority that answers and votes;
+/// growing waits until all do. `misses` counts looks in a row that a holder left
+/// unanswered.
+[[nodiscard]] std::optional<schema::HolderSet> plan_joining(schema::HolderSet const& set, std::map<std::uint64_t, int> const& misses,
+                                                            schema::HolderEntry const& self, std::size_t wanted);
+
+/// Holders that bear the loss of `tolerated` of them at once.
+[[nodiscard]] std::size_t wanted_holders(std::size_t tolerated);
 
 /// How a planned set is written. What it expects follows from the set that it
 /// replaces and from nothing else: epoch 1 was founded, each change adds one. A
--- a/source/loam/constants.hpp
+++ b/source/loam/constants.hpp
@@ -115,11 +115,15 @@
 inline constexpr std::size_t charter_marks_kept = 64;
 /// Pause between tries to found the register.
 inline constexpr Span founding_pause = milliseconds(200);
-/// A holder that misses this many looks in a row (about four seconds) is
-/// replaced when a candidate stands by.
-inline constexpr int repair_misses = 6;
-/// Pause between the repair duty's looks.
-inline constexpr Span repair_pause = milliseconds(500);
+/// A holder that misses this many looks in a row (two to three seconds) is
+/// replaced by one that has a disk and no place.
+inline constexpr int join_misses = 3;
+/// How long a look at the holders may take, and the pause between two: a round
+/// between regions with a slow disk takes a third of it.
+inline constexpr Span join_look = milliseconds(500);
+inline constexpr Span join_pause = milliseconds(500);
+/// Pause between two looks of a duty at whether its lease is held.
+inline constexpr Span duty_pause = milliseconds(500);
 
 // --- leases (section 7) ---
 /// Span of a lease as the holders count it.
--- a/source/trellis/duty/duties.cpp
+++ b/source/trellis/duty/duties.cpp
@@ -1,6 +1,7 @@
 #include "trellis/duty/duties.hpp"
 
 #include <algorithm>
+#include <set>
 
 #include "hedge/repair/repair.hpp"
 #include "loam/constants.hpp"
@@ -14,8 +15,9 @@
 namespace constants = loam::constants;
 
 Duties::Duties(boost::asio::io_context& context, loam::Caller& caller, Ledger& ledger, News& news, HolderShell* holder, std::uint64_t identity,
-               std::string hall)
-    : context_(context), caller_(caller), ledger_(ledger), news_(news), holder_(holder), identity_(identity), hall_(std::move(hall)) {}
+               schema::Settings const& settings)
+    : context_(context), caller_(caller), ledger_(ledger), news_(news), holder_(holder), identity_(identity), hall_(settings.hall),
+      address_(settings.colleague_address), wanted_holders_(hedge::wanted_holders(settings.tolerated_machines)) {}
 
 void Duties::begin() {
   loam::start(context_, [this](loam::Yield yield) {
@@ -49,7 +51,21 @@
       loam::pause(context_, constants::tell_pause, yield);
     }
   });
-  run("repair", [] { return true; }, [this](std::function<bool()> const& held, loam::Yield yield) { repair(held, yield); });
+  if (holder_ != nullptr) {
+    loam::start(context_, [this](loam::Yield yield) {
+      while (true) {
+        join(yield);
+        // What surely is missing, a place of one's own or one more, is not
+        // waited for as long as what only seems lost.
+        schema::HolderSet const set = ledger_.set();
+        bool sure = set.holders.size() < wanted_holders_;
+        for (schema::HolderEntry const& entry : set.holders) {
+          sure = sure || entry.address == address_;
+        }
+        loam::pause(context_, sure ? constants::founding_pause : constants::join_pause, yield);
+      }
+    });
+  }
 }
 
 void Duties::run(std::string const& name, std::function<bool()> const& wanted,
@@ -104,7 +120,7 @@
       if (now_held) {
         step(held, yield);
       }
-      loam::pause(context_, constants::repair_pause, yield);
+      loam::pause(context_, constants::duty_pause, yield);
     }
   });
 }
@@ -224,36 +240,43 @@
   }
 }
 
-void Duties::repair(std::function<bool()> const& held, loam::Yield yield) {
+void Duties::join(loam::Yield yield) {
   schema::HolderSet const set = ledger_.set();
+  schema::HolderEntry const self{holder_->silent() ? 0 : holder_->incarnation(), address_};
+  if (set.epoch == 0 || self.incarnation == 0 || rootstock::names(set.holders, self.incarnation)) {
+    misses_.clear();
+    return;
+  }
   // Counted in looks, not in time: after a freeze of this machine all would
   // seem silent by the clock.
   std::vector<std::pair<std::string, schema::Message>> calls;
+  std::set<std::uint64_t> missing;
   for (schema::HolderEntry const& entry : set.holders) {
-    calls.emplace_back(entry.address, schema::Adopt{set});
     ++misses_[entry.incarnation];
+    missing.insert(entry.incarnation);
+    if (entry.address != address_) {  // this very process stands there
+      calls.emplace_back(entry.address, schema::Adopt{set});
+    }
   }
   loam::Gather::run(
-      context_, caller_, calls, constants::holder_deadline,
-      [this](std::size_t, absl::StatusOr<schema::Message> const& answer) {
+      context_, caller_, calls, constants::join_look,
+      [this, &missing](std::size_t, absl::StatusOr<schema::Message> const& answer) {
         schema::Adopted const* const given = answer.ok() ? std::get_if<schema::Adopted>(&*answer) : nullptr;
         if (given != nullptr && given->voting) {
           misses_[given->incarnation] = 0;
+          missing.erase(given->incarnation);
         }
-        return false;
+        return missing.empty();
       },
       yield);
-  std::vector<schema::TrellisEntry> const trellises = news_.trellises();
-  std::optional<schema::HolderSet> const plan = hedge::plan_repair(set, misses_, trellises);
-  if (!plan.has_value()) {
-    return;
-  }
-  schema::HolderSet const& next = *plan;
-  if (!held()) {
+  std::optional<schema::HolderSet> const next = hedge::plan_joining(set, misses_, self, wanted_holders_);
+  if (!next.has_value()) {
     return;
   }
-  loam::note(loam::Event::RepairProposed, "epoch " + std::to_string(next.epoch));
-  Ledger::Result const result = ledger_.change(rootstock::holders_register, hedge::repair_wish(set, next), constants::change_deadline, yield);
+  loam::note(loam::Event::RepairProposed, "epoch " + std::to_string(next->epoch));
+  // No lease is needed: of all who want a place, what they expect of the
+  // register lets one of them have it (section 5.5).
+  Ledger::Result const result = ledger_.change(rootstock::holders_register, hedge::repair_wish(set, *next), constants::change_deadline, yield);
   if (!std::holds_alternative<rootstock::Chosen>(result)) {
     loam::note(loam::Event::RepairDefect, "not chosen");
   }
--- a/source/trellis/duty/duties.hpp
+++ b/source/trellis/duty/duties.hpp
@@ -12,19 +12,20 @@
 
 namespace finchlink::trellis {
 
-/// Duties that one trellis does at a time, each under a lease (section 7.2):
-/// repair of the holder set, and the scaler of each region.
+/// Duties that one trellis does at a time, each under a lease (section 7.2): the
+/// scaler of each region. And what each trellis with a disk does for itself: it
+/// takes a place in the holder set when one is free or lost (section 5.5).
 class Duties {
  public:
   Duties(boost::asio::io_context& context, loam::Caller& caller, Ledger& ledger, News& news, HolderShell* holder, std::uint64_t identity,
-         std::string hall);
+         schema::Settings const& settings);
   void begin();
   [[nodiscard]] std::string describe();
 
  private:
   /// Runs the lease of one duty; `step` is called again and again while held.
   void run(std::string const& name, std::function<bool()> const& wanted, std::function<void(std::function<bool()> const&, loam::Yield)> const& step);
-  void repair(std::function<bool()> const& held, loam::Yield yield);
+  void join(loam::Yield yield);
   void spread_set(loam::Yield yield);
   void feed_scalers();
   void scale(std::string const& region, std::function<bool()> const& held, loam::Yield yield);
@@ -37,6 +38,8 @@
   HolderShell* holder_;
   std::uint64_t identity_;
   std::string hall_;
+  std::string address_;
+  std::size_t wanted_holders_;
   std::mutex lock_;
   std::map<std::string, bool> held_;
   std::map<std::string, std::string> reasons_;
--- a/source/trellis/main.cpp
+++ b/source/trellis/main.cpp
@@ -47,7 +47,7 @@
     }
     program.ledger = std::make_unique<trellis::Ledger>(context, *program.caller, identity, settings.seeds, span(bounds.confirm_pause_ms));
     program.news = std::make_unique<trellis::News>(context, *program.caller, *program.ledger, program.holder.get(), settings, identity, platform ? trellis::ListReader(platform::read_list) : trellis::ListReader());
-    program.duties = std::make_unique<trellis::Duties>(context, *program.caller, *program.ledger, *program.news, program.holder.get(), identity, settings.hall);
+    program.duties = std::make_unique<trellis::Duties>(context, *program.caller, *program.ledger, *program.news, program.holder.get(), identity, settings);
     program.operators = std::make_unique<trellis::Operator>(context, *program.ledger, *program.news, program.holder.get(), [&program] { return program.duties->describe(); },
                                                              platform ? platform::notation() : orchard::own_notation(),
                                                              platform ? platform::operator_paths() : trellis::OperatorPaths(), span(bounds.acknowledge_wait_ms));
