--- a/source/furrow/relay/relay.cpp
+++ b/source/furrow/relay/relay.cpp
@@ -210,6 +210,8 @@
       // The right is taken now: others whose worker fell silent at the same
       // moment must not count on the same one.
       reserved_ = station_.rights(service_).take();
+      // Slow, not dark, if anything came from it since: no reason for it to rest.
+      slow_ = station_.grove().heard_at(spot_.worker) >= silent_since_;
       cut();
     } else {
       wanted_.avoid.pop_back();
@@ -383,7 +385,8 @@
     ++station_.tally().dispatches;
     outcome = talk();
     worker_.reset();
-    station_.grove().ended(spot_, first_seen_, gone_ ? tilth::Outcome::abandoned : outcome, loam::boot_now());
+    station_.grove().ended(spot_, first_seen_, gone_ || slow_ ? tilth::Outcome::abandoned : outcome, loam::boot_now());
+    slow_ = false;
     wanted_.avoid.push_back(spot_.worker);
     if (after_.has_value()) {
       tilth::QueryMessage const message = *after_;
@@ -703,6 +706,7 @@
   int connects_ = 0;
   loam::Moment first_at_ = 0;
   std::string trail_;       ///< workers it was placed on: when, predicted
+  bool slow_ = false;       ///< given up for its slowness
   bool reserved_ = false;   ///< the right to its next dispatch is taken already
   bool connecting_ = false;
   bool first_seen_ = false;
--- a/source/tilth/grove/grove.cpp
+++ b/source/tilth/grove/grove.cpp
@@ -12,6 +12,17 @@
 
 namespace {
 double seconds_of(loam::Span span) { return static_cast<double>(span) / 1e6; }
+/// What a prompt shares with others: all parts but the last, which is its own;
+/// a prompt of one part shares that with its session.
+Part shared_of(std::vector<Part> const& parts) {
+  Part shared;
+  std::size_t const count = parts.size() > 1 ? parts.size() - 1 : parts.size();
+  for (std::size_t index = 0; index < count; ++index) {
+    shared.key = mix(shared.key, parts[index].key);
+    shared.tokens += parts[index].tokens;
+  }
+  return shared;
+}
 bool holds(std::vector<std::string> const& list, std::string const& entry) { return std::find(list.begin(), list.end(), entry) != list.end(); }
 }  // namespace
 
@@ -36,6 +47,7 @@
       worker.stand.cold_until = cold_until;
     } else {
       worker.stand = stand;
+      worker.hash = hash_text(stand.id);
       worker.slots = static_cast<double>(std::max<std::uint64_t>(1, stand.capacity));
     }
     worker.reuse.bound(stand.kept_tokens * constants::reuse_part);
@@ -146,7 +158,7 @@
   std::erase_if(worker.pending, [ticket](Pending const& pending) { return pending.ticket == ticket; });
 }
 
-Grove::Price Grove::price(Worker const& worker, Wanted const& wanted, std::string const& owner, loam::Moment now) const {
+Grove::Price Grove::price(Worker const& worker, Wanted const& wanted, bool owner, loam::Moment now) const {
   Stand const& stand = worker.stand;
   bool const near = stand.region == terms_.region;
   double const running = load(worker, now);
@@ -158,10 +170,11 @@
   price.cost = stand.hall == terms_.hall ? 0 : near ? constants::other_hall_cost : constants::other_region_cost;
   if (stand.model) {
     double cached = worker.reuse.match(wanted.parts);
-    if (stand.id == owner && !wanted.parts.empty()) {
-      // Colleagues send the same beginning there, too (section 13.5).
-      cached = std::max(cached, wanted.parts.front().tokens);
+    double const shared = shared_of(wanted.parts).tokens;
+    if (owner) {
+      cached = std::max(cached, shared);  // colleagues send the same there, too
     }
+    price.cost += std::max(0.0, shared - cached) * constants::reread_cost;
     price.uncached = std::max(0.0, wanted.tokens - cached);
     price.seconds += (price.uncached + worker.own_prefill) * constants::prefill_start[1] * worker.pace;
     price.cost += running * (long_prompt ? constants::running_cost_long : constants::running_cost);
@@ -207,47 +220,36 @@
   return recent >= 2 && worker.heard_at < last - constants::alive_span;
 }
 
-std::string Grove::owner_of(std::vector<std::string const*> const& pool, Wanted const& wanted) const {
-  std::string best;
-  std::uint64_t most = 0;
-  for (std::string const* const id : pool) {
-    std::uint64_t const weight = mix(hash_text(*id), wanted.parts.front().key);
-    if (best.empty() || weight > most) {
-      most = weight;
-      best = *id;
-    }
-  }
-  return best;
-}
-
 Grove::Worker const* Grove::best(std::string const& service, Wanted const& wanted, loam::Moment now, Price& price_found) const {
   std::map<std::string, std::vector<std::string>>::const_iterator const ids = by_service_.find(service);
   Worker const* found = nullptr;
   if (ids == by_service_.end()) {
     return found;
   }
-  // The owner of a prompt's beginning among the nearest workers, whether they
-  // are open now or not, so that all furrows of a region name the same one.
-  std::string owner;
-  if (!wanted.parts.empty() && wanted.parts.front().tokens >= constants::owned_tokens) {
-    std::vector<std::string const*> here;
-    std::vector<std::string const*> others;
+  // The owner of what a prompt shares: in each region the same worker for all
+  // furrows, whether it is open now or not (section 13.5).
+  std::map<std::string_view, std::pair<std::uint64_t, Worker const*>> owners;
+  std::uint64_t const key = shared_of(wanted.parts).key;
+  if (key != 0) {
     for (std::string const& id : ids->second) {
       Worker const& worker = workers_.at(id);
-      Stand const& stand = worker.stand;
-      if (stand.draining || stand.evacuated || !fed_long(worker, now) || (!wanted.homes.empty() && !holds(wanted.homes, stand.region))) {
+      if (!worker.stand.model || worker.stand.draining || worker.stand.evacuated) {
         continue;
       }
-      (stand.region == terms_.region ? here : others).push_back(&id);
+      std::pair<std::uint64_t, Worker const*>& owner = owners[worker.stand.region];
+      std::uint64_t const weight = mix(worker.hash, key);
+      if (owner.second == nullptr || weight > owner.first) {
+        owner = {weight, &worker};
+      }
     }
-    owner = owner_of(here.empty() ? others : here, wanted);
   }
   for (std::string const& id : ids->second) {
     Worker const& worker = workers_.at(id);
     if (!open(worker, wanted, now)) {
       continue;
     }
-    Price const offer = price(worker, wanted, owner, now);
+    std::map<std::string_view, std::pair<std::uint64_t, Worker const*>>::const_iterator const owner = owners.find(worker.stand.region);
+    Price const offer = price(worker, wanted, owner != owners.end() && owner->second.second == &worker, now);
     if (found == nullptr || offer.cost < price_found.cost) {
       found = &worker;
       price_found = offer;
--- a/source/tilth/grove/grove.hpp
+++ b/source/tilth/grove/grove.hpp
@@ -114,6 +114,7 @@
   };
   struct Worker {
     Stand stand;
+    std::uint64_t hash = 0;     ///< of its id
     std::vector<Pending> pending;
     std::size_t rank = 0;       ///< by hash among its service's workers of its region
     std::size_t ranks = 1;
@@ -145,10 +146,9 @@
     double cost = 0;       ///< the same and what else speaks against it
     double uncached = 0;
   };
-  [[nodiscard]] Price price(Worker const& worker, Wanted const& wanted, std::string const& owner, loam::Moment now) const;
+  [[nodiscard]] Price price(Worker const& worker, Wanted const& wanted, bool owner, loam::Moment now) const;
   [[nodiscard]] bool hall_dark(Worker const& worker, loam::Moment now) const;
   [[nodiscard]] bool fed_long(Worker const& worker, loam::Moment now) const;
-  [[nodiscard]] std::string owner_of(std::vector<std::string const*> const& pool, Wanted const& wanted) const;
   [[nodiscard]] Worker const* best(std::string const& service, Wanted const& wanted, loam::Moment now, Price& price_found) const;
   static void settle_pending(Worker& worker, std::uint64_t ticket);
 
