--- a/source/tests/relay/station_test.cpp
+++ b/source/tests/relay/station_test.cpp
@@ -1,6 +1,5 @@
 #include <gtest/gtest.h>
 
-#include "loam/constants.hpp"
 #include "tests/relay/fleet.hpp"
 
 namespace finchlink::relay_test {
--- a/source/tests/tilth/grove_test.cpp
+++ b/source/tests/tilth/grove_test.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <set>
 
-#include "loam/constants.hpp"
+#include "loam/relay_constants.hpp"
 #include "tilth/grove/grove.hpp"
 
 namespace finchlink {
@@ -191,7 +191,7 @@
       EXPECT_GE(most, 1u) << rate << " " << furrows;  // it is not left to starve either
     }
   }
-  EXPECT_GT(static_cast<double>(sent_in_a_second(12, 45, GroveGuards{false, true, true})), 45 * 1.5 + 5);  // the guard is needed
+  EXPECT_GT(static_cast<double>(sent_in_a_second(12, 45, GroveGuards{.cold_bound = false})), 45 * 1.5 + 5);  // the guard is needed
 }
 
 TEST(Grove, FewerQueriesThanFurrowsAreTendedByThoseAHashPicks) {
@@ -203,7 +203,7 @@
 
 TEST(Grove, AWorkerOfAHallTakenBackIsColdUntilTheListWouldHaveTold) {
   for (bool const guarded : {true, false}) {
-    Grove grove(GroveGuards{true, true, guarded});
+    Grove grove(GroveGuards{.suspect_returned = guarded});
     std::vector<Stand> stands = several(1, "web");
     stands[0].cold_rate = 4;
     stands[0].capacity = 1000;
@@ -240,7 +240,7 @@
 
 TEST(Grove, DefectsMakeAWorkerRestLongerEachTime) {
   for (bool const guarded : {true, false}) {
-    Grove grove(GroveGuards{true, guarded, true});
+    Grove grove(GroveGuards{.rest = guarded});
     grove.update(several(1, "web"), terms(), start);
     loam::Moment now = start;
     loam::Span before = 0;
@@ -272,6 +272,56 @@
   }
 }
 
+TEST(Grove, AWorkerOutOfARestIsTriedWithOneQueryAtATime) {
+  for (bool const heard : {false, true}) {
+    Grove grove;
+    grove.update(several(1, "web"), terms(), start);
+    std::variant<Spot, NoSpot> const first = grove.choose(wanted(), start);
+    ASSERT_TRUE(std::holds_alternative<Spot>(first));
+    grove.ended(std::get<Spot>(first), false, Outcome::defect, start);
+    loam::Moment const now = start + constants::worker_rest_most;
+    std::variant<Spot, NoSpot> const trial = grove.choose(wanted(), now);
+    ASSERT_TRUE(std::holds_alternative<Spot>(trial));
+    EXPECT_TRUE(place(grove, wanted(), now).empty());  // the first is not back yet
+    if (heard) {
+      grove.heard("north-0", now);
+    } else {
+      grove.ended(std::get<Spot>(trial), true, Outcome::good, now);
+    }
+    EXPECT_FALSE(place(grove, wanted(), now).empty());
+    EXPECT_FALSE(place(grove, wanted(), now).empty());
+  }
+}
+
+TEST(Grove, TwoOutOfReachMakeTheirHallTheLastChoiceAndNoMore) {
+  for (bool const guarded : {true, false}) {
+    Grove grove(GroveGuards{.hall_suspicion = guarded});
+    std::vector<Stand> stands = several(4, "web", "north");
+    stands.push_back(stand("far-0", "web", "far"));
+    grove.update(stands, terms(), start);
+    std::vector<Spot> lost;
+    for (int step = 0; step < 2; ++step) {
+      std::variant<Spot, NoSpot> const found = grove.choose(wanted(), start);
+      ASSERT_TRUE(std::holds_alternative<Spot>(found));
+      lost.push_back(std::get<Spot>(found));
+      EXPECT_EQ(lost.back().worker.rfind("north-", 0), 0u);
+    }
+    for (Spot const& spot : lost) {
+      grove.ended(spot, false, Outcome::unreachable, start);
+    }
+    EXPECT_EQ(place(grove, wanted(), start + 1) == "far-0", guarded);
+    // It is a preference: what is left of the hall still serves.
+    Wanted here = wanted();
+    here.avoid = {"far-0"};
+    EXPECT_FALSE(place(grove, here, start + 1).empty());
+    // One that is heard is not meant, and a good answer from there ends it.
+    std::variant<Spot, NoSpot> const found = grove.choose(here, start + 1);
+    ASSERT_TRUE(std::holds_alternative<Spot>(found));
+    grove.ended(std::get<Spot>(found), true, Outcome::good, start + 2);
+    EXPECT_EQ(place(grove, wanted(), start + 3).rfind("north-", 0), 0u);
+  }
+}
+
 TEST(Grove, RefusedAndMisdirectedRestToo) {
   Grove grove;
   grove.update(several(1, "web"), terms(), start);
