A body announced too large is answered 413, not 400

Cause: the parser tells of it while the header is read, where every defect of HTTP was answered 400. Figures: Limits.BodiesTooLargeAnnouncedOrNot gave 400 before, 413 after.

--- a/source/furrow/relay/relay.cpp
+++ b/source/furrow/relay/relay.cpp
@@ -756,6 +756,10 @@
       (void)write_small(*socket, "431 Request Header Fields Too Large", "", "too_large", false, yield);
       break;
     }
+    if (error == http::error::body_limit) {  // announced too large: no byte of it is read
+      (void)write_small(*socket, "413 Payload Too Large", "", "too_large", false, yield);
+      break;
+    }
     if (error && error.category() == http::make_error_code(http::error::bad_value).category() && error != http::error::end_of_stream && error != http::error::partial_message) {
       (void)write_small(*socket, "400 Bad Request", "", "malformed", false, yield);
       break;
--- a/source/tests/relay/station_test.cpp
+++ b/source/tests/relay/station_test.cpp
@@ -214,6 +214,19 @@
   EXPECT_TRUE(worker.arrivals.empty());
 }
 
+TEST(Limits, BodiesTooLargeAnnouncedOrNot) {
+  Fleet fleet;
+  fleet.charter.limits.body_bytes = 1000;
+  Worker& worker = fleet.worker("w1");
+  fleet.begin();
+  EXPECT_EQ(status_of(fleet.answer_on(fleet.call(query("/plain/a", "q1", std::string(1001, 'x'))))), 413u);
+  EXPECT_EQ(status_of(fleet.answer_on(fleet.call("POST /plain/a HTTP/1.1\r\nHost: h.example\r\n" + with_id("q1") + "Transfer-Encoding: chunked\r\n\r\n" + chunk(std::string(1001, 'x')) + "0\r\n\r\n"))), 413u);
+  fleet.rest(20);
+  EXPECT_TRUE(worker.arrivals.empty());
+  std::shared_ptr<Line> const largest = fleet.call(query("/plain/a", "q2", std::string(1000, 'x')));
+  EXPECT_TRUE(fleet.arrived(worker, 1));
+}
+
 TEST(Limits, HeadersThatDontComeAndIdleConnectionsEnd) {
   Fleet fleet;
   fleet.charter.limits.header_wait_ms = 150;
