--- a/source/furrow/relay/station.cpp
+++ b/source/furrow/relay/station.cpp
@@ -176,7 +176,7 @@
   leaving_since_ = loam::boot_now();
   start_small(context_, [this](loam::Yield yield) {
     schema::NewsAsk ask{self(), 0, list_digest_, members_digest_, {}};
-    for (std::size_t index = 0; index < std::min<std::size_t>(2, trellises_.size()); ++index) {
+    for (std::size_t index = 0; index < std::min(constants::lost_asks, trellises_.size()); ++index) {
       if (caller_.call(trellises_[index], ask, loam::milliseconds(static_cast<std::int64_t>(settings_.bounds.ask_deadline_ms)), yield).ok()) {
         break;
       }
@@ -218,11 +218,13 @@
     std::string from;
     loam::Span const patience = loam::milliseconds(static_cast<std::int64_t>(settings_.bounds.ask_deadline_ms));
     if (lost) {
-      // Some may be down, and say nothing: all are asked, the first who is sure counts.
+      // Some may be down, and say nothing: a few are asked, the first who is sure
+      // counts. More would each send the whole charter to a furrow without one.
       std::vector<std::pair<std::string, schema::Message>> calls;
-      for (std::string const& address : trellises_) {
-        calls.emplace_back(address, ask);
+      for (std::size_t index = 0; index < std::min(constants::lost_asks, trellises_.size()); ++index) {
+        calls.emplace_back(trellises_[(turn + index) % trellises_.size()], ask);
       }
+      turn += 1;
       loam::Gather::run(
           context_, caller_, calls, std::min(patience, constants::lost_patience),
           [&](std::size_t index, absl::StatusOr<schema::Message> const& answer) {
@@ -254,6 +256,7 @@
     lost = from.empty();
     loam::Span const spent = loam::boot_now() - asked;
     if (lost) {
+      turn += 1;
       if (spent < constants::ask_retry) {
         loam::pause(context_, constants::ask_retry, yield);
       }
--- a/source/loam/constants.hpp
+++ b/source/loam/constants.hpp
@@ -149,6 +149,11 @@
 // --- frames (section 3) ---
 inline constexpr std::size_t frame_limit = 8u << 20u;
 inline constexpr std::uint32_t frame_mark = 0x46434c31;  // "FCL1"
+inline constexpr std::uint32_t pressed_mark = 0x5a434c31;  // "ZCL1"
+/// Messages of at least this many bytes are pressed; level: the fastest, which
+/// makes a tenth of a large charter.
+inline constexpr std::size_t press_least = 1024;
+inline constexpr int press_level = 1;
 /// Idle frames connections kept per colleague.
 inline constexpr std::size_t idle_connections = 8;
 /// A silent frame connection is closed after this.
--- a/source/loam/relay_constants.hpp
+++ b/source/loam/relay_constants.hpp
@@ -86,7 +86,8 @@
 inline constexpr Span alive_step = milliseconds(100);
 /// Stack of a relay's coroutine, in bytes; only what is touched counts.
 inline constexpr std::size_t relay_stack = 96u << 10u;
-/// While no trellis answers all are asked at once, this long each time.
+/// While no trellis answers this many are asked at once, this long each time.
+inline constexpr std::size_t lost_asks = 3;
 inline constexpr Span lost_patience = milliseconds(900);
 /// Two asks for news are at least this far apart.
 inline constexpr Span ask_least = milliseconds(150);
