After a return reads are repeated soon; empty parts of the ring take no memory

Cause: a change half done at a loss of power stays open for the 0.4 s pause of reads, and an ask meanwhile is answered without it; recovery read 5 MB files whole, which is half of a trellis's peak memory.

--- a/source/loam/constants.hpp
+++ b/source/loam/constants.hpp
@@ -141,6 +141,8 @@
 /// Bytes of one file: an image of all registers with the largest charter, one
 /// more of it, and a few hundred small changes.
 inline constexpr std::size_t ring_file_bytes = 5u << 20u;
+/// Files are read in pieces of this many bytes; what is empty is not kept.
+inline constexpr std::size_t ring_piece_bytes = 64u << 10u;
 /// Pause before a disk that failed is opened anew.
 inline constexpr Span disk_reopen_pause = seconds(1);
 /// Records waiting for the disk; beyond it the holder stays silent.
--- a/source/rootstock/ring/file_device.cpp
+++ b/source/rootstock/ring/file_device.cpp
@@ -5,11 +5,13 @@
 #include <sys/stat.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <cstring>
 #include <memory>
 #include <vector>
 
+#include "loam/constants.hpp"
 #include "loam/error/error.hpp"
 
 namespace finchlink::rootstock {
@@ -69,11 +71,14 @@
     close(directory);
   }
   Device device;
+  // Files are preallocated and mostly empty: the zeros at the end are left out
+  // piece by piece, so that reading takes no more memory than was written.
   device.read = [descriptors, file_bytes](std::size_t file) -> absl::StatusOr<std::string> {
-    std::string bytes(file_bytes, '\0');
+    std::string bytes;
+    std::string piece(std::min(file_bytes, loam::constants::ring_piece_bytes), '\0');
     std::size_t done = 0;
-    while (done < bytes.size()) {
-      ssize_t const count = pread(descriptors->files[file], bytes.data() + done, bytes.size() - done, static_cast<off_t>(done));
+    while (done < file_bytes) {
+      ssize_t const count = pread(descriptors->files[file], piece.data(), std::min(piece.size(), file_bytes - done), static_cast<off_t>(done));
       if (count < 0 && errno == EINTR) {
         continue;
       }
@@ -83,6 +88,11 @@
       if (count == 0) {
         break;
       }
+      std::string_view const taken(piece.data(), static_cast<std::size_t>(count));
+      if (taken.find_first_not_of('\0') != std::string_view::npos) {
+        bytes.resize(done, '\0');
+        bytes.append(taken);
+      }
       done += static_cast<std::size_t>(count);
     }
     return bytes;
--- a/source/rootstock/ring/ring.cpp
+++ b/source/rootstock/ring/ring.cpp
@@ -47,25 +47,37 @@
   return bytes + checked;
 }
 
-bool Ring::parse(std::string_view file, std::size_t offset, Found& found) {
-  if (offset + header_bytes > file.size() || take<std::uint32_t>(file, offset) != record_mark) {
+bool Ring::parse(std::string_view file, std::size_t offset, Found& found) const {
+  std::string_view record = file.substr(std::min(offset, file.size()));
+  if (offset + header_bytes > file_bytes_ || record.size() < sizeof(record_mark) || take<std::uint32_t>(record, 0) != record_mark) {
     return false;
   }
-  std::uint32_t const length = take<std::uint32_t>(file, offset + 8);
-  if (length > file.size() - offset - header_bytes) {
+  std::string padded;  // zeros that the device left out are part of the record
+  if (record.size() < header_bytes) {
+    padded = std::string(record);
+    padded.resize(header_bytes, '\0');
+    record = padded;
+  }
+  std::uint32_t const length = take<std::uint32_t>(record, 8);
+  if (length > file_bytes_ - offset - header_bytes) {
     return false;
   }
-  if (check_of(file.substr(offset + 8, header_bytes - 8 + length)) != take<std::uint32_t>(file, offset + 4)) {
+  if (record.size() < header_bytes + length) {
+    padded = std::string(record);
+    padded.resize(header_bytes + length, '\0');
+    record = padded;
+  }
+  if (check_of(record.substr(8, header_bytes - 8 + length)) != take<std::uint32_t>(record, 4)) {
     return false;
   }
-  found.generation = take<std::uint64_t>(file, offset + 12);
-  found.sequence = take<std::uint64_t>(file, offset + 20);
+  found.generation = take<std::uint64_t>(record, 12);
+  found.sequence = take<std::uint64_t>(record, 20);
   found.end = offset + header_bytes + length;
-  found.payload = std::string(file.substr(offset + header_bytes, length));
+  found.payload = std::string(record.substr(header_bytes, length));
   return true;
 }
 
-bool Ring::later_record(std::string_view file, std::size_t offset, std::uint64_t generation, std::uint64_t sequence) {
+bool Ring::later_record(std::string_view file, std::size_t offset, std::uint64_t generation, std::uint64_t sequence) const {
   char mark[4];
   std::memcpy(mark, &record_mark, 4);
   std::string_view const needle(mark, 4);
@@ -94,7 +106,7 @@
       if (parse(*file, image.end, seal) && seal.generation == image.generation && seal.sequence == seal_sequence) {
         if (image.generation > newest_generation) {
           newest_generation = image.generation;
-          newest = *file;
+          newest = std::move(*file);
         }
       } else if (later_record(*file, 1, image.generation, 0)) {
         return loam::defect(absl::StatusCode::kDataLoss, "ring", "the seal of a file is broken");
--- a/source/rootstock/ring/ring.hpp
+++ b/source/rootstock/ring/ring.hpp
@@ -17,7 +17,7 @@
 /// What the ring needs of a disk; the daemon's is file_device.hpp, tests and
 /// almanac have one in memory. Plain functions, so that no one inherits.
 struct Device {
-  std::function<absl::StatusOr<std::string>(std::size_t file)> read;
+  std::function<absl::StatusOr<std::string>(std::size_t file)> read;  ///< zeros at the end may be left out
   std::function<absl::Status(std::size_t file, std::size_t offset, std::string_view bytes)> write;
   std::function<absl::Status(std::size_t file)> sync;
 };
@@ -48,8 +48,8 @@
     std::size_t end = 0;
     std::string payload;
   };
-  [[nodiscard]] static bool parse(std::string_view file, std::size_t offset, Found& found);
-  [[nodiscard]] static bool later_record(std::string_view file, std::size_t offset, std::uint64_t generation, std::uint64_t sequence);
+  [[nodiscard]] bool parse(std::string_view file, std::size_t offset, Found& found) const;
+  [[nodiscard]] bool later_record(std::string_view file, std::size_t offset, std::uint64_t generation, std::uint64_t sequence) const;
   [[nodiscard]] std::string encode(std::vector<schema::Record> const& records, std::uint64_t generation, std::uint64_t sequence) const;
   [[nodiscard]] absl::Status turn(std::vector<schema::Record> const& image);
 
--- a/source/tests/rootstock/ring_test.cpp
+++ b/source/tests/rootstock/ring_test.cpp
@@ -1,6 +1,10 @@
 #include <gtest/gtest.h>
 
+#include <cstdlib>
+#include <filesystem>
+
 #include "almanac/disk/memory_disk.hpp"
+#include "rootstock/ring/file_device.hpp"
 
 namespace finchlink {
 namespace {
@@ -98,6 +102,55 @@
   EXPECT_TRUE(absl::IsDataLoss(again.recover().status()));
 }
 
+TEST(Ring, TakesZerosThatTheDeviceLeavesOutForPartsOfRecords) {
+  for (std::size_t size = 0; size < 60; ++size) {
+    MemoryDisk disk(3, 4000);
+    Ring ring(disk.device(), 3, 4000);
+    ASSERT_TRUE(ring.recover().ok());
+    rootstock::Device sparing = disk.device();
+    sparing.read = [&disk](std::size_t file) -> absl::StatusOr<std::string> {
+      std::string const& whole = disk.cache[file];
+      std::size_t const last = whole.find_last_not_of('\0');
+      return whole.substr(0, last == std::string::npos ? 0 : last + 1);
+    };
+    for (std::uint64_t revision = 1; revision <= 3; ++revision) {
+      schema::Cell entry;
+      entry.value = schema::Value{revision, std::string(size, '\0'), {}};  // a record that ends in zeros
+      std::vector<schema::Record> const records{schema::CellRecord{"setup", entry}};
+      ASSERT_TRUE(ring.append(records, [&records] { return records; }).ok());
+      Ring again(sparing, 3, 4000);
+      absl::StatusOr<std::vector<schema::Record>> const found = again.recover();
+      ASSERT_TRUE(found.ok()) << found.status();
+      ASSERT_EQ(newest(*found), revision);
+    }
+  }
+}
+
+TEST(Ring, KeepsWhatWasWrittenInFilesThatAreMostlyEmpty) {
+  std::string folder = testing::TempDir() + "ring-XXXXXX";
+  ASSERT_NE(mkdtemp(folder.data()), nullptr);
+  std::size_t const bytes = 400000;
+  std::vector<schema::Record> const large = cell("setup", 1, 150000);
+  {
+    absl::StatusOr<rootstock::Device> const device = rootstock::open_files(folder, 3, bytes);
+    ASSERT_TRUE(device.ok()) << device.status();
+    EXPECT_EQ(device->read(0)->size(), 0u);
+    Ring ring(*device, 3, bytes);
+    ASSERT_TRUE(ring.recover().ok());
+    ASSERT_TRUE(ring.append(large, [&large] { return large; }).ok());
+    std::vector<schema::Record> const small = cell("setup", 2);
+    ASSERT_TRUE(ring.append(small, [&small] { return small; }).ok());
+  }
+  absl::StatusOr<rootstock::Device> const device = rootstock::open_files(folder, 3, bytes);
+  ASSERT_TRUE(device.ok()) << device.status();
+  Ring again(*device, 3, bytes);
+  absl::StatusOr<std::vector<schema::Record>> const found = again.recover();
+  ASSERT_TRUE(found.ok()) << found.status();
+  EXPECT_EQ(newest(*found), 2u);
+  EXPECT_EQ(found->front(), large.front());
+  std::filesystem::remove_all(folder);
+}
+
 TEST(Ring, IsUsedNoMoreAfterTheDiskFailed) {
   MemoryDisk disk(3, 4000);
   Ring ring(disk.device(), 3, 4000);
--- a/source/trellis/ledger/ledger.cpp
+++ b/source/trellis/ledger/ledger.cpp
@@ -35,9 +35,11 @@
       if (set().epoch == 0) {
         discover(yield);
       } else {
-        confirm_once(yield);
-        std::lock_guard<std::mutex> const guard(lock_);
-        rest = confirm_pause_;
+        // What stays open is soon looked at again: asks wait for it.
+        if (confirm_once(yield)) {
+          std::lock_guard<std::mutex> const guard(lock_);
+          rest = confirm_pause_;
+        }
       }
       hurry_.wait(seen, rest, yield);
     }
@@ -101,7 +103,7 @@
       yield);
 }
 
-void Ledger::confirm_once(loam::Yield yield) {
+bool Ledger::confirm_once(loam::Yield yield) {
   std::vector<std::pair<std::string, schema::Message>> calls;
   {
     std::lock_guard<std::mutex> const guard(lock_);
@@ -111,9 +113,10 @@
     }
   }
   std::vector<std::string> unsettled;
+  bool confirmed = false;
   loam::Gather::run(
       context_, caller_, calls, constants::holder_deadline,
-      [this, &unsettled](std::size_t, absl::StatusOr<schema::Message> const& answer) {
+      [this, &unsettled, &confirmed](std::size_t, absl::StatusOr<schema::Message> const& answer) {
         if (!answer.ok()) {
           return false;
         }
@@ -122,6 +125,7 @@
         for (ConfirmAction const& action : confirm_.receive(*answer)) {
           if (std::holds_alternative<rootstock::Confirmed>(action)) {
             unsettled.clear();
+            confirmed = true;
             done = true;
           } else if (rootstock::Unsettled const* const open = std::get_if<rootstock::Unsettled>(&action)) {
             unsettled = open->names;
@@ -141,6 +145,7 @@
     (void)change(name, [](schema::Value const&) -> rootstock::Wish { return rootstock::Keep{}; }, constants::holder_deadline, yield);
   }
   bell_.ring();
+  return confirmed;
 }
 
 Ledger::Result Ledger::change(std::string const& name, rootstock::Wisher wisher, loam::Span deadline, loam::Yield yield) {
--- a/source/trellis/ledger/ledger.hpp
+++ b/source/trellis/ledger/ledger.hpp
@@ -47,7 +47,8 @@
   [[nodiscard]] loam::Bell& bell() { return bell_; }
 
  private:
-  void confirm_once(loam::Yield yield);
+  /// One majority read; whether it confirmed all registers.
+  [[nodiscard]] bool confirm_once(loam::Yield yield);
   void discover(loam::Yield yield);
 
   boost::asio::io_context& context_;
--- a/source/trellis/news/news.cpp
+++ b/source/trellis/news/news.cpp
@@ -316,7 +316,17 @@
   }
   answer.list_age = listing_.age(loam::boot_now());
   answer.reports_taken = newest_slice_[ask.member.incarnation];
-  for (schema::TrellisEntry const& trellis : sessions_.trellises()) {
+  // Near ones first: bytes between regions and halls are paid for.
+  std::vector<schema::TrellisEntry> colleagues = sessions_.trellises();
+  std::function<int(schema::TrellisEntry const&)> const far = [this, &ask](schema::TrellisEntry const& trellis) {
+    std::map<std::string, std::string>::const_iterator const theirs = settings_.regions.find(trellis.hall);
+    std::map<std::string, std::string>::const_iterator const own = settings_.regions.find(ask.member.hall);
+    bool const known = theirs != settings_.regions.end() && own != settings_.regions.end();
+    return trellis.hall == ask.member.hall ? 0 : (known && theirs->second == own->second ? 1 : 2);
+  };
+  std::stable_sort(colleagues.begin(), colleagues.end(),
+                   [&far](schema::TrellisEntry const& left, schema::TrellisEntry const& right) { return far(left) < far(right); });
+  for (schema::TrellisEntry const& trellis : colleagues) {
     answer.colleagues.push_back(trellis.address);
   }
   return answer;
