--- a/source/furrow/relay/relay.cpp
+++ b/source/furrow/relay/relay.cpp
@@ -4,11 +4,11 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
-#include <charconv>
 #include <cstdlib>
 
+#include "furrow/relay/event_cutter.hpp"
 #include "furrow/relay/station.hpp"
-#include "loam/constants.hpp"
+#include "loam/relay_constants.hpp"
 #include "loam/log/log.hpp"
 #include "loam/random/random.hpp"
 #include "tilth/chart/chart.hpp"
@@ -52,64 +52,8 @@
   }
 }
 
-std::uint64_t natural(std::string_view text, std::uint64_t otherwise) {
-  std::uint64_t value = 0;
-  std::from_chars_result const parsed = std::from_chars(text.data(), text.data() + text.size(), value);
-  return parsed.ec == std::errc() ? value : otherwise;
-}
-
 std::string_view view(boost::beast::string_view text) { return {text.data(), text.size()}; }
 
-/// Events of a stream as they come: whole ones are passed on, the rest waits,
-/// so that a cut never leaves half an event with the caller.
-class EventCutter {
- public:
-  struct Whole {
-    std::string bytes;
-    std::uint64_t number = 0;  ///< of the last event in it; 0: none numbered
-    std::uint64_t count = 0;
-  };
-  /// Takes bytes; gives all whole events behind `after`.
-  Whole feed(std::string_view bytes, std::uint64_t after) {
-    Whole whole;
-    pending_.append(bytes);
-    std::size_t begin = 0;
-    while (true) {
-      std::size_t const unix_end = pending_.find("\n\n", begin);
-      std::size_t const other_end = pending_.find("\r\n\r\n", begin);
-      std::size_t const end = std::min(unix_end == std::string::npos ? unix_end : unix_end + 2, other_end == std::string::npos ? other_end : other_end + 4);
-      if (end == std::string::npos) {
-        break;
-      }
-      std::string_view const event = std::string_view(pending_).substr(begin, end - begin);
-      std::uint64_t const number = number_of(event);
-      if (number == 0 || number > std::max(after, whole.number)) {
-        whole.bytes.append(event);
-        whole.number = std::max(whole.number, number);
-        whole.count += number > 0 ? 1 : 0;
-      }
-      begin = end;
-    }
-    pending_.erase(0, begin);
-    return whole;
-  }
-  [[nodiscard]] std::string const& rest() const { return pending_; }
-
- private:
-  static std::uint64_t number_of(std::string_view event) {
-    std::size_t at = event.rfind("id:", 0) == 0 ? 0 : event.find("\nid:");
-    if (at == std::string_view::npos) {
-      return 0;
-    }
-    at = event.find(':', at) + 1;
-    while (at < event.size() && event[at] == ' ') {
-      ++at;
-    }
-    return natural(event.substr(at), 0);
-  }
-  std::string pending_;
-};
-
 struct Query {
   http::request_header<> header;
   std::string body;
@@ -118,7 +62,7 @@
   loam::Moment arrived = 0;
 };
 
-/// One query on its way to workers and back (section 13.3).
+/// One query on its way to workers and back (section 13.8).
 class Relay {
  public:
   Relay(Station& station, Query& query, schema::Lane const& lane, Socket& caller, std::shared_ptr<tilth::LaneBook const> book, loam::Yield yield)
@@ -166,6 +110,7 @@
     error_code ignored;
     caller_.cancel(ignored);
     tilth::Settled const* const settled = std::get_if<tilth::Settled>(&chart_.state());
+    tell_late(settled == nullptr ? "open" : settled->how);
     ++station_.tally().outcomes[settled == nullptr ? "open" : settled->how];
     return keep_;
   }
@@ -196,6 +141,16 @@
     return good;
   }
 
+  /// Section 13.3: which stage took how long, where an answer missed its set point.
+  void tell_late(std::string const& how) const {
+    loam::Span const first = (first_at_ == 0 ? loam::boot_now() : first_at_) - query_.arrived;
+    if (lane_.set_point_ms <= 0 || static_cast<double>(first) / 1000 < lane_.set_point_ms) {
+      return;
+    }
+    loam::note(loam::Event::QueryLate, id_ + " " + lane_.name + " " + how + " first " + std::to_string(first / 1000) + " ms of " + std::to_string((loam::boot_now() - query_.arrived) / 1000) +
+                                           " tokens " + std::to_string(static_cast<std::uint64_t>(wanted_.tokens)) + trail_);
+  }
+
   void watch_caller(std::shared_ptr<Guard> const& guard) {
     caller_.async_wait(Socket::wait_read, [guard](error_code const& error) {
       if (error || guard->relay == nullptr) {
@@ -255,6 +210,8 @@
       // The right is taken now: others whose worker fell silent at the same
       // moment must not count on the same one.
       reserved_ = station_.rights(service_).take();
+      // Slow, not dark, if anything came from it since: no reason for it to rest.
+      slow_ = station_.grove().heard_at(spot_.worker) >= silent_since_;
       cut();
     } else {
       wanted_.avoid.pop_back();
@@ -369,11 +326,13 @@
       }
       wanted_.shares = lane_.shares;
       wanted_.homes = lane_.home_regions;
+      wanted_.once = !repeatable();
       wanted_.draw = draw();
       loam::Moment const now = loam::boot_now();
       std::variant<tilth::Spot, tilth::NoSpot> const found = station_.grove().choose(wanted_, now);
       if (tilth::Spot const* const spot = std::get_if<tilth::Spot>(&found)) {
         spot_ = *spot;
+        trail_ += "; at " + std::to_string((now - query_.arrived) / 1000) + " ms " + spot->worker + " predicted " + std::to_string(static_cast<int>(spot->predicted_seconds * 1000)) + "/" + std::to_string(static_cast<int>(spot->price * 1000)) + " uncached " + std::to_string(static_cast<int>(spot->uncached));
         return true;
       }
       if (now >= until || now >= deadline_) {
@@ -426,7 +385,8 @@
     ++station_.tally().dispatches;
     outcome = talk();
     worker_.reset();
-    station_.grove().ended(spot_, first_seen_, gone_ ? tilth::Outcome::abandoned : outcome, loam::boot_now());
+    station_.grove().ended(spot_, first_seen_, gone_ || slow_ ? tilth::Outcome::abandoned : outcome, loam::boot_now());
+    slow_ = false;
     wanted_.avoid.push_back(spot_.worker);
     if (after_.has_value()) {
       tilth::QueryMessage const message = *after_;
@@ -464,7 +424,7 @@
   }
 
   /// A connection. A kept one may turn out stale just as bytes go out, so what
-  /// may not be repeated always has a fresh one (section 13.4).
+  /// may not be repeated always has a fresh one (section 13.8).
   bool reach() {
     if (repeatable()) {
       worker_ = station_.kept(spot_.worker);
@@ -479,7 +439,7 @@
     worker_ = std::make_unique<Socket>(station_.context());
     ++station_.tally().connects;
     connecting_ = true;
-    alarm_->set(std::min(deadline_, loam::boot_now() + constants::relay_connect_deadline));
+    alarm_->set(std::min(deadline_, loam::boot_now() + (spot_.near ? constants::relay_connect_near : constants::relay_connect_deadline)));
     error_code error;
     worker_->async_connect(*endpoint, yield_[error]);
     connecting_ = false;
@@ -647,6 +607,7 @@
       body += bytes;
     }
     first_seen_ = true;
+    first_at_ = loam::boot_now();
     whole_ = answer_head(parser) + (bare ? "" : "Content-Length: " + std::to_string(body.size()) + "\r\n");
     whole_body_ = std::move(body);
     after_answer(buffer, parser);
@@ -680,6 +641,9 @@
       }
       loam::Moment const now = loam::boot_now();
       station_.grove().heard(spot_.worker, now);
+      if (first_at_ == 0) {
+        first_at_ = now;
+      }
       if (first) {
         first = false;
         first_seen_ = true;
@@ -740,6 +704,9 @@
   loam::Moment silent_since_ = 0;
   loam::Span allowed_ = 0;
   int connects_ = 0;
+  loam::Moment first_at_ = 0;
+  std::string trail_;       ///< workers it was placed on: when, predicted
+  bool slow_ = false;       ///< given up for its slowness
   bool reserved_ = false;   ///< the right to its next dispatch is taken already
   bool connecting_ = false;
   bool first_seen_ = false;
--- a/source/tilth/grove/grove.cpp
+++ b/source/tilth/grove/grove.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
-#include "loam/constants.hpp"
+#include "loam/relay_constants.hpp"
 #include "tilth/prefix/prefix.hpp"
 
 namespace finchlink::tilth {
@@ -12,6 +12,17 @@
 
 namespace {
 double seconds_of(loam::Span span) { return static_cast<double>(span) / 1e6; }
+/// What a prompt shares with others: all parts but the last, which is its own;
+/// a prompt of one part shares that with its session.
+Part shared_of(std::vector<Part> const& parts) {
+  Part shared;
+  std::size_t const count = parts.size() > 1 ? parts.size() - 1 : parts.size();
+  for (std::size_t index = 0; index < count; ++index) {
+    shared.key = mix(shared.key, parts[index].key);
+    shared.tokens += parts[index].tokens;
+  }
+  return shared;
+}
 bool holds(std::vector<std::string> const& list, std::string const& entry) { return std::find(list.begin(), list.end(), entry) != list.end(); }
 }  // namespace
 
@@ -36,6 +47,7 @@
       worker.stand.cold_until = cold_until;
     } else {
       worker.stand = stand;
+      worker.hash = hash_text(stand.id);
       worker.slots = static_cast<double>(std::max<std::uint64_t>(1, stand.capacity));
     }
     worker.reuse.bound(stand.kept_tokens * constants::reuse_part);
@@ -76,7 +88,7 @@
 
 bool Grove::fed_long(Worker const& worker, loam::Moment) const {
   std::map<std::pair<std::string, std::string>, Demand>::const_iterator const found = demand_.find({worker.stand.service, worker.stand.region});
-  if (worker.ranks < 3 || found == demand_.end() || found->second.decode <= 0) {
+  if (!constants::keep_long_apart || worker.ranks < 3 || found == demand_.end() || found->second.decode <= 0) {
     return true;  // nothing to keep apart
   }
   Demand const& demand = found->second;
@@ -114,7 +126,7 @@
 
 bool Grove::open(Worker const& worker, Wanted const& wanted, loam::Moment now) const {
   Stand const& stand = worker.stand;
-  if (stand.draining || stand.evacuated || (guards_.rest && now < worker.rest_until)) {
+  if (stand.draining || stand.evacuated || (guards_.rest && (now < worker.rest_until || (worker.trial && worker.own > 0)))) {
     return false;
   }
   if (holds(wanted.avoid, stand.id) || (!wanted.homes.empty() && !holds(wanted.homes, stand.region))) {
@@ -134,85 +146,113 @@
   return static_cast<double>(worker.own) < connections && load(worker, now) < worker.slots * constants::queue_factor;
 }
 
-double Grove::cost(Worker const& worker, Wanted const& wanted, std::string const& owner, loam::Moment now, double& uncached) const {
+double Grove::overdue(Worker const& worker, loam::Moment now) const {
+  double late = 0;
+  for (Pending const& pending : worker.pending) {
+    late = std::max(late, seconds_of(now - pending.due));
+  }
+  return late;
+}
+
+void Grove::settle_pending(Worker& worker, std::uint64_t ticket) {
+  std::erase_if(worker.pending, [ticket](Pending const& pending) { return pending.ticket == ticket; });
+}
+
+Grove::Price Grove::price(Worker const& worker, Wanted const& wanted, bool owner, loam::Moment now) const {
   Stand const& stand = worker.stand;
-  double seconds = stand.hall == terms_.hall ? 0 : stand.region == terms_.region ? constants::other_hall_cost : constants::other_region_cost;
+  bool const near = stand.region == terms_.region;
   double const running = load(worker, now);
   double const over = running - worker.slots;
-  uncached = wanted.tokens;
+  bool const long_prompt = wanted.tokens >= constants::owned_tokens;
+  Price price;
+  price.uncached = wanted.tokens;
+  price.seconds = near ? 0 : constants::other_region_seconds;
+  price.cost = stand.hall == terms_.hall ? 0 : near ? constants::other_hall_cost : constants::other_region_cost;
   if (stand.model) {
     double cached = worker.reuse.match(wanted.parts);
-    if (stand.id == owner && !wanted.parts.empty()) {
-      // Colleagues send the same beginning there, too (section 13.5).
-      cached = std::max(cached, wanted.parts.front().tokens);
+    double const shared = shared_of(wanted.parts).tokens;
+    if (owner) {
+      cached = std::max(cached, shared);  // colleagues send the same there, too
     }
-    uncached = std::max(0.0, wanted.tokens - cached);
-    seconds += (uncached + worker.own_prefill) * constants::prefill_start[1] * worker.pace + running * (wanted.tokens >= constants::owned_tokens ? constants::running_cost_long : constants::running_cost);
-  } else {
-    seconds += running / worker.slots * constants::plain_seconds;
-  }
-  if (stand.model) {
+    price.cost += std::max(0.0, shared - cached) * constants::reread_cost;
+    price.uncached = std::max(0.0, wanted.tokens - cached);
+    price.seconds += (price.uncached + worker.own_prefill) * constants::prefill_start[1] * worker.pace;
+    price.cost += running * (long_prompt ? constants::running_cost_long : constants::running_cost);
     // Long prompts and the rest are kept apart: reading one holds up every
-    // stream on its worker.
-    bool const long_prompt = wanted.tokens >= constants::owned_tokens;
-    bool const apart = fed_long(worker, now);
-    seconds += long_prompt == apart ? 0 : long_prompt ? constants::long_astray_cost : worker.ranks < 3 ? 0 : constants::short_astray_cost;
+    // stream on its worker (section 13.6).
+    if (worker.ranks >= 3 && long_prompt != fed_long(worker, now)) {
+      price.cost += long_prompt ? constants::long_astray_cost : constants::short_astray_cost;
+    }
+  } else {
+    price.seconds += running / worker.slots * constants::plain_seconds;
   }
+  price.seconds += overdue(worker, now);
   if (over >= 0) {
-    seconds += (over + 1) / worker.slots * constants::plain_seconds * 2;
+    price.seconds += (over + 1) / worker.slots * constants::plain_seconds * 2;
   }
   if (cold(worker, now)) {
-    seconds += constants::cold_cost;
+    price.cost += constants::cold_cost;
+  }
+  if (worker.trial) {
+    price.cost += wanted.once ? constants::trial_once_cost : constants::trial_cost;
+  }
+  if (hall_dark(worker, now)) {
+    price.cost += constants::dark_cost;
   }
-  return seconds;
+  price.cost += price.seconds;
+  return price;
 }
 
-std::string Grove::owner_of(std::vector<std::string const*> const& pool, Wanted const& wanted) const {
-  std::string best;
-  std::uint64_t most = 0;
-  for (std::string const* const id : pool) {
-    std::uint64_t const weight = mix(hash_text(*id), wanted.parts.front().key);
-    if (best.empty() || weight > most) {
-      most = weight;
-      best = *id;
-    }
+bool Grove::hall_dark(Worker const& worker, loam::Moment now) const {
+  if (!guards_.hall_suspicion) {
+    return false;
   }
-  return best;
+  std::map<std::string, std::map<std::string, loam::Moment>>::const_iterator const found = dark_.find(worker.stand.hall);
+  if (found == dark_.end()) {
+    return false;
+  }
+  std::size_t recent = 0;
+  loam::Moment last = 0;
+  for (std::pair<std::string const, loam::Moment> const& entry : found->second) {
+    recent += now - entry.second < constants::dark_memory ? 1 : 0;
+    last = std::max(last, entry.second);
+  }
+  return recent >= 2 && worker.heard_at < last - constants::alive_span;
 }
 
-Grove::Worker const* Grove::best(std::string const& service, Wanted const& wanted, loam::Moment now, double& cost_found, double& uncached) const {
+Grove::Worker const* Grove::best(std::string const& service, Wanted const& wanted, loam::Moment now, Price& price_found) const {
   std::map<std::string, std::vector<std::string>>::const_iterator const ids = by_service_.find(service);
   Worker const* found = nullptr;
   if (ids == by_service_.end()) {
     return found;
   }
-  // The owner of a prompt's beginning among the nearest workers, whether they
-  // are open now or not, so that all furrows of a region name the same one.
-  std::string owner;
-  if (!wanted.parts.empty() && wanted.parts.front().tokens >= constants::owned_tokens) {
-    std::vector<std::string const*> here;
-    std::vector<std::string const*> others;
+  // The owner of what a prompt shares: in each region the same worker for all
+  // furrows, whether it is open now or not (section 13.5).
+  std::map<std::string_view, std::pair<std::uint64_t, Worker const*>> owners;
+  std::uint64_t const key = shared_of(wanted.parts).key;
+  if (key != 0) {
     for (std::string const& id : ids->second) {
       Worker const& worker = workers_.at(id);
-      Stand const& stand = worker.stand;
-      if (stand.draining || stand.evacuated || !fed_long(worker, now) || (!wanted.homes.empty() && !holds(wanted.homes, stand.region))) {
+      if (!worker.stand.model || worker.stand.draining || worker.stand.evacuated) {
         continue;
       }
-      (stand.region == terms_.region ? here : others).push_back(&id);
+      std::pair<std::uint64_t, Worker const*>& owner = owners[worker.stand.region];
+      std::uint64_t const weight = mix(worker.hash, key);
+      if (owner.second == nullptr || weight > owner.first) {
+        owner = {weight, &worker};
+      }
     }
-    owner = owner_of(here.empty() ? others : here, wanted);
   }
   for (std::string const& id : ids->second) {
     Worker const& worker = workers_.at(id);
     if (!open(worker, wanted, now)) {
       continue;
     }
-    double rest = 0;
-    double const price = cost(worker, wanted, owner, now, rest);
-    if (found == nullptr || price < cost_found) {
+    std::map<std::string_view, std::pair<std::uint64_t, Worker const*>>::const_iterator const owner = owners.find(worker.stand.region);
+    Price const offer = price(worker, wanted, owner != owners.end() && owner->second.second == &worker, now);
+    if (found == nullptr || offer.cost < price_found.cost) {
       found = &worker;
-      cost_found = price;
-      uncached = rest;
+      price_found = offer;
     }
   }
   return found;
@@ -240,18 +280,18 @@
     if (share.weight <= 0) {
       continue;
     }
-    double price = 0;
-    double uncached = 0;
-    Worker const* const found = best(share.service, wanted, now, price, uncached);
+    Price offer;
+    Worker const* const found = best(share.service, wanted, now, offer);
     if (found != nullptr) {
       Worker& worker = workers_.at(found->stand.id);
       ++worker.own;
       ++worker.sent_since;
-      worker.own_prefill += uncached;
+      worker.own_prefill += offer.uncached;
+      worker.pending.push_back(Pending{next_ticket_, now + static_cast<loam::Span>(offer.seconds * 1e6) + constants::overdue_slack});
       if (worker.stand.model) {
         Demand& demand = demand_[{worker.stand.service, worker.stand.region}];
         demand.fade(now);
-        (wanted.tokens >= constants::owned_tokens ? demand.prefill : demand.decode) += uncached * constants::prefill_start[1] + constants::short_work;
+        (wanted.tokens >= constants::owned_tokens ? demand.prefill : demand.decode) += offer.uncached * constants::prefill_start[1] + constants::short_work;
       }
       if (worker.stand.cold_rate > 0) {
         while (!worker.sends.empty() && (now - worker.sends.front() >= constants::cold_window || worker.sends.size() > 256)) {
@@ -259,7 +299,7 @@
         }
         worker.sends.push_back(now);
       }
-      return Spot{worker.stand.id, worker.stand.address, uncached, price};
+      return Spot{worker.stand.id, worker.stand.address, offer.uncached, offer.seconds, offer.cost, worker.stand.region == terms_.region, next_ticket_++};
     }
   }
   return NoSpot{!workers_.empty(), constants::plain_seconds};
@@ -267,9 +307,8 @@
 
 bool Grove::alternative(Wanted const& wanted, loam::Moment now) const {
   for (schema::Share const& share : wanted.shares) {
-    double price = 0;
-    double uncached = 0;
-    if (share.weight > 0 && best(share.service, wanted, now, price, uncached) != nullptr) {
+    Price offer;
+    if (share.weight > 0 && best(share.service, wanted, now, offer) != nullptr) {
       return true;
     }
   }
@@ -297,6 +336,7 @@
     return;
   }
   Worker& worker = found->second;
+  settle_pending(worker, spot.ticket);
   worker.own_prefill = std::max(0.0, worker.own_prefill - spot.uncached);
   worker.reuse.remember(parts);
   if (spot.uncached >= constants::owned_tokens) {
@@ -312,12 +352,15 @@
   }
   Worker& worker = found->second;
   worker.own -= worker.own > 0 ? 1 : 0;
+  settle_pending(worker, spot.ticket);
   if (!first_seen) {
     worker.own_prefill = std::max(0.0, worker.own_prefill - spot.uncached);
   }
   switch (outcome) {
     case Outcome::good:
       worker.rest = 0;
+      worker.trial = false;
+      dark_.erase(worker.stand.hall);
       break;
     case Outcome::abandoned:
       break;
@@ -332,6 +375,10 @@
     case Outcome::defect:
       worker.rest = std::clamp<loam::Span>(worker.rest * 2, constants::worker_rest_least, constants::worker_rest_most / 2);
       worker.rest_until = std::max(worker.rest_until, now + worker.rest);
+      worker.trial = true;
+      if (outcome == Outcome::unreachable) {
+        dark_[worker.stand.hall][spot.worker] = now;
+      }
       break;
   }
   if (worker.stand.draining && worker.own == 0) {
@@ -346,6 +393,7 @@
   std::map<std::string, Worker>::iterator const found = workers_.find(id);
   if (found != workers_.end()) {
     found->second.heard_at = now;
+    found->second.trial = false;
   }
 }
 
