One of several settles a half-done change; a lost place is left to its own machine

Cause: after a loss of power in the middle of a change all trellises settle it at once and take each other's ballots, while a stand-by asks for the place of a machine that is already back with a new disk. What: one look in three at what is open settles it; who stands at the lost address with another incarnation is no longer counted as lost by others.

--- a/source/loam/constants.hpp
+++ b/source/loam/constants.hpp
@@ -89,6 +89,9 @@
 /// A half-done change is settled by a reader after this: several rounds of a
 /// change that is merely under way, and well within the vouch bound.
 inline constexpr Span settle_after = milliseconds(200);
+/// One look in so many at a half-done change settles it: of six trellises two
+/// try at once, and one alone does after some half a second.
+inline constexpr std::uint64_t settle_lots = 3;
 /// Range of the pause after a lost ballot.
 inline constexpr Span ballot_pause_least = milliseconds(5);
 inline constexpr Span ballot_pause_most = milliseconds(60);
--- a/source/trellis/duty/duties.cpp
+++ b/source/trellis/duty/duties.cpp
@@ -250,21 +250,27 @@
   // Counted in looks, not in time: after a freeze of this machine all would
   // seem silent by the clock.
   std::vector<std::pair<std::string, schema::Message>> calls;
+  std::vector<std::uint64_t> asked;
   std::set<std::uint64_t> missing;
   for (schema::HolderEntry const& entry : set.holders) {
     ++misses_[entry.incarnation];
     missing.insert(entry.incarnation);
     if (entry.address != address_) {  // this very process stands there
       calls.emplace_back(entry.address, schema::Adopt{set});
+      asked.push_back(entry.incarnation);
     }
   }
   loam::Gather::run(
       context_, caller_, calls, constants::join_look,
-      [this, &missing](std::size_t, absl::StatusOr<schema::Message> const& answer) {
+      [this, &missing, &asked](std::size_t index, absl::StatusOr<schema::Message> const& answer) {
         schema::Adopted const* const given = answer.ok() ? std::get_if<schema::Adopted>(&*answer) : nullptr;
         if (given != nullptr && given->voting) {
           misses_[given->incarnation] = 0;
           missing.erase(given->incarnation);
+        } else if (given != nullptr && given->incarnation != asked[index]) {
+          // Whoever stands there with a new disk takes that place himself.
+          misses_[asked[index]] = std::min(misses_[asked[index]], constants::join_misses - 1);
+          missing.erase(asked[index]);
         }
         return missing.empty();
       },
--- a/source/trellis/ledger/ledger.cpp
+++ b/source/trellis/ledger/ledger.cpp
@@ -140,7 +140,11 @@
       },
       yield);
   // Someone's change is half done: a sure read settles it (section 5.6). The
-  // next round then finds it at a majority.
+  // next round then finds it at a majority. All trellises see it at the same
+  // time, and would take each other's ballots: whose lot it is not looks again.
+  if (loam::random_number() % constants::settle_lots != 0) {
+    unsettled.clear();
+  }
   for (std::string const& name : unsettled) {
     (void)change(name, [](schema::Value const&) -> rootstock::Wish { return rootstock::Keep{}; }, constants::holder_deadline, yield);
   }
