--- a/source/furrow/main.cpp
+++ b/source/furrow/main.cpp
@@ -31,6 +31,13 @@
       station = std::make_unique<furrow::Station>(context, settings, platform::dialect(), platform::notation(), reader, loam::random_identity());
       return station->begin();
     }
+    if (settings.relay) {
+      if (settings.threads != 1) {
+        return absl::InvalidArgumentError("/threads must be 1 for a relay");
+      }
+      station = std::make_unique<furrow::Station>(context, settings, furrow::own_dialect(), orchard::own_notation(), furrow::ListReader(), loam::random_identity());
+      return station->begin();
+    }
     caller = std::make_unique<loam::Caller>(context);
     field = std::make_unique<furrow::Field>(context, settings, loam::random_identity());
     absl::Status const status = loam::listen(context, settings.http_address, settings.connections, [&field](loam::Stream& stream, loam::Yield yield) {
--- a/source/furrow/relay/dialect.cpp
+++ b/source/furrow/relay/dialect.cpp
@@ -39,6 +39,10 @@
   dialect.load = "Finchlink-Load";
   dialect.tokens = "Finchlink-Tokens";
   dialect.parts = "Finchlink-Parts";
+  dialect.model = "Finchlink-Model";
+  dialect.weights = "Finchlink-Weights";
+  dialect.expected = "Finchlink-Expect-Weights";
+  dialect.reused = "Finchlink-Reused";
   dialect.last_event = "Last-Event-ID";
   dialect.ready_path = "/-/ready";
   dialect.directory_path = "/-/directory";
--- a/source/furrow/relay/dialect.hpp
+++ b/source/furrow/relay/dialect.hpp
@@ -23,6 +23,10 @@
   std::string parts;         ///< header: the prompt's parts
   std::string last_event;    ///< header: take a stream up behind this event
   std::string urgency;       ///< header: 0 first; empty: none
+  std::string model;         ///< header: the model that is meant (section 14)
+  std::string weights;       ///< header of answers: version of the model's weights; empty: none tell
+  std::string expected;      ///< header: another version answers 421
+  std::string reused;        ///< header of answers: tokens of the prompt that were not read again
   std::string ready_path;
   std::string directory_path;
   std::function<std::vector<tilth::Part>(std::string_view)> read_parts;
--- a/source/furrow/relay/relay.cpp
+++ b/source/furrow/relay/relay.cpp
@@ -8,10 +8,12 @@
 #include <cstdlib>
 
 #include "furrow/relay/station.hpp"
+#include "furrow/relay/walls.hpp"
 #include "loam/constants.hpp"
 #include "loam/log/log.hpp"
 #include "loam/random/random.hpp"
 #include "tilth/chart/chart.hpp"
+#include "tilth/wall/tenant.hpp"
 
 namespace finchlink::furrow {
 
@@ -134,7 +136,7 @@
     wanted_.tokens = static_cast<double>(natural(tokens, 0));
     std::size_t const comma = tokens.find(',');
     wanted_.outputs = comma == std::string_view::npos ? 0 : static_cast<double>(natural(tokens.substr(comma + 1), 0));
-    wanted_.parts = station.dialect().read_parts(view(query.header[station.dialect().parts]));
+    enter_wall();
   }
 
   /// False: the caller's connection is of no more use.
@@ -185,6 +187,54 @@
   }
   [[nodiscard]] bool repeatable() const { return lane_.repeatable || (lane_.stream && lane_.resumable); }
 
+  /// Whose prompt it is, by the newest word on its lane (section 14.1).
+  void enter_wall() {
+    Dialect const& dialect = station_.dialect();
+    prompt_.reset();
+    homes_ = lane_.home_regions;
+    if (!lane_.tenancy.has_value()) {
+      wanted_.parts = dialect.read_parts(view(query_.header[dialect.parts]));
+      return;
+    }
+    tilth::TenantReading const reading = tenant_of(*lane_.tenancy, query_.header);
+    schema::Tenant const* const tenant = book_->tenant(reading.name);
+    tenant_fault_ = reading.end == tilth::TenantEnd::refused ? reading.fault : "";
+    if (tenant != nullptr && !tilth::join_homes(lane_.home_regions, tenant->home_regions, homes_)) {
+      tenant_fault_ = "no_home";
+    }
+    prompt_ = tilth::Prompt{reading.name, std::string(view(query_.header[dialect.model])), tilth::named_parts(view(query_.header[dialect.parts])), lane_.tenancy->public_parts};
+    wanted_.parts = station_.walls().place(*prompt_);
+  }
+
+  /// What the worker tells of versions and reuse (section 14.3).
+  template <class Fields>
+  void hear_wall(Fields const& got, bool ran) {
+    if (!prompt_.has_value()) {
+      return;
+    }
+    Dialect const& dialect = station_.dialect();
+    tilth::WallAnswer answer{spot_.worker, std::string(view(got[dialect.weights])), std::nullopt};
+    if (ran && !got[dialect.reused].empty()) {
+      answer.reused = static_cast<double>(natural(view(got[dialect.reused]), 0));
+    }
+    for (tilth::WallAction const& action : station_.walls().heard(answer, walled_, wanted_.tokens - spot_.uncached)) {
+      if (tilth::ForgetWorker const* const forget = std::get_if<tilth::ForgetWorker>(&action)) {
+        station_.grove().forget_walled(forget->worker);
+      } else if (tilth::GaveUp const* const gave_up = std::get_if<tilth::GaveUp>(&action)) {
+        station_.grove().gave_up(gave_up->worker, wanted_.parts, gave_up->tokens);
+      } else if (tilth::Crossed const* const crossed = std::get_if<tilth::Crossed>(&action)) {
+        loam::note(loam::Event::WallCrossed, crossed->worker + " " + std::to_string(static_cast<std::uint64_t>(crossed->tokens)) + " " + id_);
+      }
+    }
+    if (ran) {
+      station_.walls().count(*prompt_, walled_, answer.reused);
+    }
+  }
+  /// What the worker keeps of the prompt from now on; ids used once it won't need.
+  [[nodiscard]] std::vector<tilth::Part> kept_parts() const {
+    return prompt_.has_value() && walled_.version.empty() ? std::vector<tilth::Part>() : wanted_.parts;
+  }
+
   bool may_spend(bool spend) {
     tilth::Rights& rights = station_.rights(service_);
     if (!spend) {
@@ -274,7 +324,9 @@
   void act(tilth::Forward const&) {}
   void act(tilth::Deliver const&) { (void)write_whole(); }
   void act(tilth::Refuse const& reason) {
-    if (withdrawn_lane_) {
+    if (!tenant_fault_.empty()) {
+      answer("400 Bad Request", tenant_fault_, false);
+    } else if (withdrawn_lane_) {
       answer("404 Not Found", "unknown_rule", false);
     } else {
       (void)reason;
@@ -348,6 +400,10 @@
       decided.standing = tilth::Standing::none;
     } else {
       lane_ = *found;
+      enter_wall();
+      if (!tenant_fault_.empty()) {
+        decided.standing = tilth::Standing::none;
+      }
       tilth::QueryTerms const next = terms(lane_);
       decided.repeatable = next.repeatable;
       decided.resumable = next.resumable;
@@ -368,7 +424,7 @@
         return false;
       }
       wanted_.shares = lane_.shares;
-      wanted_.homes = lane_.home_regions;
+      wanted_.homes = homes_;
       wanted_.draw = draw();
       loam::Moment const now = loam::boot_now();
       std::variant<tilth::Spot, tilth::NoSpot> const found = station_.grove().choose(wanted_, now);
@@ -450,7 +506,7 @@
   [[nodiscard]] bool still_named() const {
     for (schema::Share const& share : lane_.shares) {
       if (share.weight > 0 && station_.grove().serves(spot_.worker, share.service)) {
-        return lane_.home_regions.empty() || station_.grove().stands_in(spot_.worker, lane_.home_regions);
+        return homes_.empty() || station_.grove().stands_in(spot_.worker, homes_);
       }
     }
     return false;
@@ -501,12 +557,21 @@
     if (resuming) {
       replaced.push_back(dialect.last_event);
     }
+    if (prompt_.has_value()) {
+      replaced.insert(replaced.end(), {dialect.parts, dialect.expected});
+    }
     copy_fields(query_.header, std::string(view(query_.header[http::field::connection])), replaced, text);
     text.append(dialect.left).append(": ").append(std::to_string(std::max<loam::Span>(1, (deadline_ - loam::boot_now()) / 1000))).append("\r\n");
     text.append(dialect.target).append(": ").append(spot_.worker).append("\r\n");
     if (resuming) {
       text.append(dialect.last_event).append(": ").append(std::to_string(last_event_)).append("\r\n");
     }
+    if (prompt_.has_value() && !walled_.header.empty()) {
+      text.append(dialect.parts).append(": ").append(walled_.header).append("\r\n");
+    }
+    if (prompt_.has_value() && !walled_.version.empty()) {
+      text.append(dialect.expected).append(": ").append(walled_.version).append("\r\n");
+    }
     if (!dialect.urgency.empty() && lane_.stream && query_.header[dialect.urgency].empty()) {
       text.append(dialect.urgency).append(": ").append(std::to_string(std::clamp<std::int64_t>(lane_.priority, 0, 9))).append("\r\n");
     }
@@ -546,6 +611,9 @@
     Dialect const& dialect = station_.dialect();
     loam::Moment const sent = loam::boot_now();
     alarm_->set(silence_due(lane_.set_point_ms, sent));
+    if (prompt_.has_value()) {
+      walled_ = station_.walls().send(*prompt_, spot_.worker, draw_once());
+    }
     std::string const text = head();
     error_code error;
     std::array<asio::const_buffer, 2> const pieces{asio::buffer(text), asio::buffer(query_.body)};
@@ -567,7 +635,10 @@
     hear_load(view(got[dialect.load]));
     if (!got[dialect.not_run].empty() || status == 421) {
       after_ = tilth::WorkerRefused{};
-      if (status == 421) {
+      std::string const expected = walled_.version;
+      hear_wall(got, false);
+      bool const other_weights = prompt_.has_value() && !got[dialect.weights].empty() && view(got[dialect.weights]) != expected;
+      if (status == 421 && !other_weights) {
         return tilth::Outcome::misdirected;
       }
       finish_reading(buffer, parser);
@@ -582,6 +653,7 @@
       after_ = tilth::WorkerDefect{"no_answer_of_ours"};
       return tilth::Outcome::defect;
     }
+    hear_wall(got, success);
     if (success && got[http::field::content_type].starts_with("text/event-stream")) {
       return talk_events(buffer, parser, sent);
     }
@@ -647,6 +719,9 @@
       body += bytes;
     }
     first_seen_ = true;
+    if (prompt_.has_value()) {
+      station_.grove().first_token(spot_, status < 300 ? kept_parts() : std::vector<tilth::Part>(), 0);
+    }
     whole_ = answer_head(parser) + (bare ? "" : "Content-Length: " + std::to_string(body.size()) + "\r\n");
     whole_body_ = std::move(body);
     after_answer(buffer, parser);
@@ -683,7 +758,7 @@
       if (first) {
         first = false;
         first_seen_ = true;
-        station_.grove().first_token(spot_, wanted_.parts, static_cast<double>(now - sent) / 1e6);
+        station_.grove().first_token(spot_, kept_parts(), static_cast<double>(now - sent) / 1e6);
       }
       alarm_->set(silence_due(lane_.gap_set_point_ms > 0 ? lane_.gap_set_point_ms : 2 * lane_.set_point_ms, now));
       std::string text;
@@ -729,6 +804,10 @@
   tilth::Chart chart_;
   tilth::Wanted wanted_;
   tilth::Spot spot_;
+  std::optional<tilth::Prompt> prompt_;  ///< where its lane has tenants
+  tilth::Walled walled_;                 ///< as it went to the last worker
+  std::string tenant_fault_;
+  std::vector<std::string> homes_;
   std::string service_;
   std::shared_ptr<Alarm> alarm_;
   std::unique_ptr<Socket> worker_;
@@ -761,6 +840,18 @@
   return keep && !error;
 }
 
+/// Closing with unread bytes would reset the connection, and the answer might
+/// never be read: what comes is thrown away for a moment.
+void let_read(Socket& socket, std::shared_ptr<Alarm> const& alarm, loam::Yield yield) {
+  error_code error;
+  socket.shutdown(Socket::shutdown_send, error);
+  alarm->set(loam::boot_now() + constants::refused_linger);
+  std::array<char, 4096> thrown_away;
+  while (!error) {
+    (void)socket.async_read_some(asio::buffer(thrown_away), yield[error]);
+  }
+}
+
 }  // namespace
 
 void serve_caller(Station& station, std::shared_ptr<Socket> const& socket, loam::Yield yield) {
@@ -803,6 +894,19 @@
     Query query;
     query.arrived = loam::boot_now();
     station.opened();
+    if (station.book() != nullptr && station.book()->walled()) {
+      // Refused before a body byte is read (section 14.1).
+      schema::Lane const* const lane = station.book()->find(view(parser.get()[http::field::host]), view(parser.get().target()));
+      if (lane != nullptr && lane->tenancy.has_value()) {
+        tilth::TenantReading const reading = tenant_of(*lane->tenancy, parser.get());
+        if (reading.end == tilth::TenantEnd::refused) {
+          (void)write_small(*socket, "400 Bad Request", station.dialect().query + ": " + std::string(view(parser.get()[station.dialect().query])) + "\r\n", reading.fault, false, yield);
+          let_read(*socket, alarm, yield);
+          station.closed();
+          break;
+        }
+      }
+    }
     if (parser.get()[http::field::expect] == "100-continue") {
       asio::async_write(*socket, asio::buffer(std::string("HTTP/1.1 100 Continue\r\n\r\n")), yield[error]);
     }
--- a/source/furrow/relay/station.cpp
+++ b/source/furrow/relay/station.cpp
@@ -9,6 +9,7 @@
 #include <boost/context/fixedsize_stack.hpp>
 #include <sstream>
 
+#include "furrow/relay/walls.hpp"
 #include "loam/constants.hpp"
 #include "loam/json/tree.hpp"
 #include "loam/log/log.hpp"
@@ -87,6 +88,9 @@
   }
   start_small(context_, [this](loam::Yield yield) { ask_news(yield); });
   start_small(context_, [this](loam::Yield yield) { read_own_list(yield); });
+  if (!settings_.secrets_file.empty()) {
+    start_small(context_, [this](loam::Yield yield) { follow_secrets(yield); });
+  }
   return absl::OkStatus();
 }
 
@@ -365,6 +369,7 @@
     terms.furrows.push_back(settings_.name);
   }
   grove_.update(stands, terms, loam::boot_now());
+  walls_.keep_only([&listed](std::string const& worker) { return listed.count(worker) > 0; });
   std::erase_if(kept_, [&listed](std::pair<std::string const, std::deque<Kept>> const& entry) { return listed.count(entry.first) == 0; });
 }
 
@@ -433,7 +438,10 @@
       body = directory(query["zone"], query["region"]);
     } else if (path == "/-/metrics") {
       status = "200 OK";
-      body = tally_.print();
+      body = tally_.print() + print_wall_metrics(walls_);
+    } else if (path == "/-/tenants") {
+      status = "200 OK";
+      body = print_tenants(walls_);
     }
     bool const again = parser.get().keep_alive() && !draining_;
     std::string const text = "HTTP/1.1 " + status + "\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) +
--- a/source/furrow/relay/station.hpp
+++ b/source/furrow/relay/station.hpp
@@ -22,6 +22,7 @@
 #include "tilth/grove/grove.hpp"
 #include "tilth/lanes/lanes.hpp"
 #include "tilth/rights/rights.hpp"
+#include "tilth/wall/walls.hpp"
 
 namespace finchlink::furrow {
 
@@ -79,6 +80,7 @@
   [[nodiscard]] tilth::Grove& grove() { return grove_; }
   [[nodiscard]] tilth::Rights& rights(std::string const& service);
   [[nodiscard]] Tally& tally() { return tally_; }
+  [[nodiscard]] tilth::Walls& walls() { return walls_; }
   [[nodiscard]] bool draining() const { return draining_; }
   [[nodiscard]] bool ready() const { return book_ != nullptr && heard_ && !draining_ && grove_.size() > 0; }
 
@@ -102,6 +104,7 @@
   void serve_small(std::shared_ptr<Socket> const& socket, loam::Yield yield);
   void ask_news(loam::Yield yield);
   void read_own_list(loam::Yield yield);
+  void follow_secrets(loam::Yield yield);
   void take(schema::NewsAnswer const& answer, loam::Moment asked);
   void take_list(schema::PlatformList const& list, loam::Moment as_of);
   void settle();
@@ -128,6 +131,7 @@
   loam::Moment heard_at_ = 0;
   bool heard_ = false;
   tilth::Grove grove_;
+  tilth::Walls walls_;
   std::map<std::string, tilth::Rights> rights_;
   std::map<std::string, std::deque<Kept>> kept_;
   std::vector<std::shared_ptr<Acceptor>> acceptors_;
--- /dev/null
+++ b/source/furrow/relay/walls.cpp
@@ -0,0 +1,116 @@
+#include "furrow/relay/walls.hpp"
+
+#include <filesystem>
+#include <fstream>
+#include <random>
+#include <sstream>
+
+#include "furrow/relay/station.hpp"
+#include "loam/constants.hpp"
+#include "loam/error/error.hpp"
+#include "loam/json/tree.hpp"
+#include "loam/log/log.hpp"
+
+namespace finchlink::furrow {
+
+namespace http = boost::beast::http;
+
+tilth::TenantReading tenant_of(schema::Tenancy const& tenancy, http::fields const& header, std::string_view target) {
+  std::vector<std::string_view> values;
+  if (!tenancy.header.empty()) {
+    std::pair<http::fields::const_iterator, http::fields::const_iterator> const range = header.equal_range(tenancy.header);
+    for (http::fields::const_iterator entry = range.first; entry != range.second; ++entry) {
+      values.emplace_back(entry->value().data(), entry->value().size());
+    }
+  }
+  return tilth::read_tenant(tenancy, values, target);
+}
+
+std::array<std::uint64_t, 2> draw_once() {
+  // From the system each time: a generator's next numbers could be worked out.
+  std::random_device device;
+  std::array<std::uint64_t, 2> numbers{};
+  for (std::uint64_t& number : numbers) {
+    number = (static_cast<std::uint64_t>(device()) << 32u) | device();
+  }
+  return numbers;
+}
+
+absl::StatusOr<tilth::Secrets> load_secrets(std::string const& path) {
+  std::ifstream file(path);
+  std::stringstream content;
+  content << file.rdbuf();
+  if (!file) {
+    return loam::defect(absl::StatusCode::kInvalidArgument, "secrets", path + " can't be read");
+  }
+  return tilth::read_secrets(content.str());
+}
+
+void Station::follow_secrets(loam::Yield yield) {
+  std::pair<std::filesystem::file_time_type, std::uintmax_t> seen;
+  bool first = true;
+  while (true) {
+    std::error_code error;
+    std::pair<std::filesystem::file_time_type, std::uintmax_t> stamp;
+    stamp.first = std::filesystem::last_write_time(settings_.secrets_file, error);
+    stamp.second = error ? 0 : std::filesystem::file_size(settings_.secrets_file, error);
+    if (first || stamp != seen) {
+      first = false;
+      seen = stamp;
+      absl::StatusOr<tilth::Secrets> secrets = load_secrets(settings_.secrets_file);
+      if (secrets.ok()) {
+        loam::note(loam::Event::SecretsRead, std::to_string(secrets->moved) + " of 100");
+        walls_.take(std::move(*secrets));
+      } else {
+        loam::note(loam::Event::SecretsBroken, std::string(secrets.status().message()));
+      }
+    }
+    loam::pause(context_, loam::constants::secrets_pause, yield);
+  }
+}
+
+namespace {
+tilth::TenantTally sum_of(tilth::Walls const& walls) {
+  tilth::TenantTally sum = walls.others();
+  for (std::pair<std::string, tilth::TenantTally> const& entry : walls.tallies()) {
+    sum.queries += entry.second.queries;
+    sum.cold += entry.second.cold;
+    sum.tokens += entry.second.tokens;
+    sum.reused += entry.second.reused;
+  }
+  return sum;
+}
+
+void add(cJSON* list, std::string const& name, tilth::TenantTally const& tally) {
+  cJSON* const entry = cJSON_CreateObject();
+  cJSON_AddStringToObject(entry, "name", name.c_str());
+  cJSON_AddNumberToObject(entry, "queries", static_cast<double>(tally.queries));
+  cJSON_AddNumberToObject(entry, "cold", static_cast<double>(tally.cold));
+  cJSON_AddNumberToObject(entry, "tokens", tally.tokens);
+  cJSON_AddNumberToObject(entry, "reused", tally.reused);
+  cJSON_AddItemToArray(list, entry);
+}
+}  // namespace
+
+std::string print_wall_metrics(tilth::Walls const& walls) {
+  tilth::TenantTally const sum = sum_of(walls);
+  std::stringstream text;
+  text << "# TYPE relay_wall_crossings_total counter\nrelay_wall_crossings_total " << walls.crossings() << "\nrelay_wall_queries_total " << sum.queries
+       << "\nrelay_wall_cold_total " << sum.cold << "\nrelay_wall_tokens_total " << static_cast<std::uint64_t>(sum.tokens) << "\nrelay_wall_reused_tokens_total "
+       << static_cast<std::uint64_t>(sum.reused) << "\nrelay_wall_keyed " << (walls.keyed() ? 1 : 0) << "\n";
+  return text.str();
+}
+
+std::string print_tenants(tilth::Walls const& walls) {
+  loam::Tree object(cJSON_CreateObject());
+  cJSON* const list = cJSON_AddArrayToObject(object.get(), "tenants");
+  for (std::pair<std::string, tilth::TenantTally> const& entry : walls.tallies()) {
+    add(list, entry.first, entry.second);
+  }
+  cJSON* const others = cJSON_AddArrayToObject(object.get(), "others");
+  add(others, "", walls.others());
+  cJSON_AddNumberToObject(object.get(), "crossings", static_cast<double>(walls.crossings()));
+  return loam::print_tree(object.get());
+}
+
+}  // namespace finchlink::furrow
--- /dev/null
+++ b/source/furrow/relay/walls.hpp
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <string>
+
+#include <absl/status/statusor.h>
+#include <boost/beast/http.hpp>
+
+#include "tilth/wall/tenant.hpp"
+#include "tilth/wall/walls.hpp"
+
+namespace finchlink::furrow {
+
+/// What a query's header says of its tenant (section 14.1).
+[[nodiscard]] tilth::TenantReading tenant_of(schema::Tenancy const& tenancy, boost::beast::http::fields const& header, std::string_view target);
+template <class Header>
+[[nodiscard]] tilth::TenantReading tenant_of(schema::Tenancy const& tenancy, Header const& header) {
+  return tenant_of(tenancy, header, std::string_view(header.target().data(), header.target().size()));
+}
+/// Numbers that nobody can foretell and that were never drawn before.
+[[nodiscard]] std::array<std::uint64_t, 2> draw_once();
+[[nodiscard]] absl::StatusOr<tilth::Secrets> load_secrets(std::string const& path);
+[[nodiscard]] std::string print_wall_metrics(tilth::Walls const& walls);
+/// Each tenant's reuse, in JSON.
+[[nodiscard]] std::string print_tenants(tilth::Walls const& walls);
+
+}  // namespace finchlink::furrow
--- a/source/loam/constants.hpp
+++ b/source/loam/constants.hpp
@@ -296,4 +296,23 @@
 /// The end of the grace that is kept free for closing.
 inline constexpr Span leave_reserve = milliseconds(700);
 
+// --- tenants' walls (section 14) ---
+/// Longest name of a tenant, in bytes: it is part of every key and of reports.
+inline constexpr std::size_t tenant_bytes = 128;
+/// Shortest secret, in bytes: 32 hex digits hold 128 bits.
+inline constexpr std::size_t secret_bytes_least = 32;
+/// Bytes of a part's walled id: 128 bits, so that two parts of any tenants
+/// never share one by chance.
+inline constexpr std::size_t wall_id_bytes = 16;
+/// A record's entry counts as at least this many tokens, which bounds entries
+/// by the worker's memory also when parts are tiny.
+inline constexpr double wall_entry_tokens = 16;
+/// Tenants whose reuse is told one by one; what others do is summed up.
+inline constexpr std::size_t wall_tenants_told = 16384;
+/// A refused caller's body is thrown away for this long before the connection
+/// is closed, so that the answer is read.
+inline constexpr Span refused_linger = milliseconds(500);
+/// Pause between two looks at the secrets file's stamp.
+inline constexpr Span secrets_pause = seconds(1);
+
 }  // namespace finchlink::loam::constants
--- a/source/orchard/charter/charter.cpp
+++ b/source/orchard/charter/charter.cpp
@@ -6,6 +6,7 @@
 
 #include "loam/error/error.hpp"
 #include "loam/json/tree.hpp"
+#include "orchard/charter/tenancy.hpp"
 
 namespace finchlink::orchard {
 
@@ -101,7 +102,7 @@
 
 Notation own_notation() {
   return Notation{read_own, [](std::string const& current, std::string const& change) {
-                    return merge_named(current, change, "number", {"lanes", "services"});
+                    return merge_named(current, change, "number", {"lanes", "services", "tenants"});
                   }};
 }
 
@@ -140,6 +141,7 @@
       faults.push_back(loam::Fault{place("lanes", index, "/deadline_ms"), "must be above 0"});
     }
   }
+  check_tenancies(charter, faults);
   return faults;
 }
 
--- a/source/orchard/charter/charter.hpp
+++ b/source/orchard/charter/charter.hpp
@@ -28,7 +28,7 @@
 };
 
 /// Our own notation: the JSON of schema::Charter; a change is
-/// {"number", "upsert": {"lanes", "services"}, "remove": {"lanes", "services"}}.
+/// {"number", "upsert": {"lanes", "services", "tenants"}, "remove": {the same}}.
 [[nodiscard]] Notation own_notation();
 
 /// {"upsert": {LIST: items}, "remove": {LIST: names}} laid over a whole text:
--- /dev/null
+++ b/source/orchard/charter/tenancy.hpp
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <vector>
+
+#include "loam/json/fault.hpp"
+#include "schema/setup.hpp"
+
+namespace finchlink::orchard {
+
+/// What a charter says of tenants (section 14.1): each lane with tenancy has
+/// exactly one place where the tenant is named, that place can name more than
+/// one, public parts are named once, tenants too, and no tenant's homes leave a
+/// lane without any.
+void check_tenancies(schema::Charter const& charter, std::vector<loam::Fault>& faults);
+
+}  // namespace finchlink::orchard
--- /dev/null
+++ b/source/tests/orchard/tenancy_test.cpp
@@ -0,0 +1,94 @@
+#include <gtest/gtest.h>
+
+#include "orchard/charter/charter.hpp"
+#include "tilth/lanes/lanes.hpp"
+#include "tilth/wall/tenant.hpp"
+
+namespace finchlink {
+namespace {
+
+std::string faults_of(std::string const& tenancy, std::string const& tenants = "[]") {
+  orchard::CharterReading const reading = orchard::own_notation().read(
+      R"({"number":1,"services":[{"name":"s"}],"lanes":[{"name":"l","prefix":"/a/b/","home_regions":["east"],"shares":[{"service":"s"}],"tenancy":)" + tenancy + "}],\"tenants\":" + tenants + "}");
+  return loam::describe(reading.faults);
+}
+
+TEST(Tenancy, GoodOnesHaveNoFault) {
+  EXPECT_EQ(faults_of(R"({"header":"Customer"})"), "");
+  EXPECT_EQ(faults_of(R"({"path_segment":3,"required":false,"public_parts":["aa","bb"]})"), "");
+  EXPECT_EQ(faults_of(R"({"header":"Customer"})", R"([{"name":"t","home_regions":["west","east"]}])"), "");
+}
+
+TEST(Tenancy, FaultsAreNamedByTheirPlace) {
+  EXPECT_NE(faults_of("{}").find("/lanes/0/tenancy"), std::string::npos);
+  EXPECT_NE(faults_of(R"({"header":"A","path_segment":3})").find("not both"), std::string::npos);
+  EXPECT_NE(faults_of(R"({"header":"A b"})").find("is no header's name"), std::string::npos);
+  EXPECT_NE(faults_of(R"({"header":"Connection"})").find("/lanes/0/tenancy/header"), std::string::npos);
+  EXPECT_NE(faults_of(R"({"path_segment":2})").find("stands in the lane's prefix"), std::string::npos);
+  EXPECT_NE(faults_of(R"({"header":"A","public_parts":["x","x"]})").find("/public_parts/1"), std::string::npos);
+  EXPECT_NE(faults_of(R"({"header":"A","public_parts":["x:1"]})").find("is no part's id"), std::string::npos);
+  EXPECT_NE(faults_of(R"({"header":"A"})", R"([{"name":"t","home_regions":["west"]}])").find("leaves no region on lane l"), std::string::npos);
+  EXPECT_NE(faults_of(R"({"header":"A"})", R"([{"name":"t"},{"name":"t"}])").find("/tenants/1/name"), std::string::npos);
+  EXPECT_NE(faults_of(R"({"header":"A","unknown":1})").find("unknown"), std::string::npos);
+}
+
+TEST(Tenancy, TenantsWithoutALaneAreAFault) {
+  orchard::CharterReading const reading = orchard::own_notation().read(
+      R"({"number":1,"services":[{"name":"s"}],"lanes":[{"name":"l","shares":[{"service":"s"}]}],"tenants":[{"name":"t"}]})");
+  EXPECT_NE(loam::describe(reading.faults).find("/tenants"), std::string::npos);
+}
+
+TEST(Tenancy, PatchesChangeTenants) {
+  std::string const whole = R"({"number":1,"services":[{"name":"s"}],"lanes":[{"name":"l","shares":[{"service":"s"}],"tenancy":{"header":"A"}}],"tenants":[{"name":"t"}]})";
+  absl::StatusOr<std::string> const merged = orchard::own_notation().merge(whole, R"({"number":2,"upsert":{"tenants":[{"name":"u","home_regions":["east"]}]},"remove":{"tenants":["t"]}})");
+  ASSERT_TRUE(merged.ok());
+  orchard::CharterReading const reading = orchard::own_notation().read(*merged);
+  ASSERT_TRUE(reading.good()) << loam::describe(reading.faults);
+  tilth::LaneBook const book(reading.charter);
+  EXPECT_EQ(book.tenant("t"), nullptr);
+  ASSERT_NE(book.tenant("u"), nullptr);
+  EXPECT_EQ(book.tenant("u")->home_regions, std::vector<std::string>{"east"});
+}
+
+schema::Tenancy by_header(bool required) {
+  schema::Tenancy tenancy;
+  tenancy.header = "Customer";
+  tenancy.required = required;
+  return tenancy;
+}
+
+TEST(Tenant, IsReadFromItsHeader) {
+  EXPECT_EQ(tilth::read_tenant(by_header(true), {"acme"}, "/").name, "acme");
+  EXPECT_EQ(tilth::read_tenant(by_header(true), {}, "/").end, tilth::TenantEnd::refused);
+  EXPECT_EQ(tilth::read_tenant(by_header(true), {""}, "/").end, tilth::TenantEnd::refused);
+  EXPECT_EQ(tilth::read_tenant(by_header(false), {}, "/").end, tilth::TenantEnd::absent);
+  // Which of two a worker or a log would take is not known.
+  EXPECT_EQ(tilth::read_tenant(by_header(false), {"acme", "acme"}, "/").end, tilth::TenantEnd::refused);
+  EXPECT_EQ(tilth::read_tenant(by_header(false), {"a b"}, "/").end, tilth::TenantEnd::refused);
+  EXPECT_EQ(tilth::read_tenant(by_header(false), {std::string(129, 'x')}, "/").end, tilth::TenantEnd::refused);
+}
+
+TEST(Tenant, IsReadFromThePath) {
+  schema::Tenancy tenancy;
+  tenancy.path_segment = 2;
+  EXPECT_EQ(tilth::read_tenant(tenancy, {}, "/v/acme/x?y=/z").name, "acme");
+  EXPECT_EQ(tilth::read_tenant(tenancy, {}, "/v/%61cme/x").name, "acme");
+  EXPECT_EQ(tilth::read_tenant(tenancy, {}, "/v/%6/x").end, tilth::TenantEnd::refused);
+  EXPECT_EQ(tilth::read_tenant(tenancy, {}, "/v/%00/x").end, tilth::TenantEnd::refused);
+  EXPECT_EQ(tilth::read_tenant(tenancy, {}, "/v").end, tilth::TenantEnd::refused);
+  EXPECT_EQ(tilth::read_tenant(tenancy, {}, "/v?/acme").end, tilth::TenantEnd::refused);
+}
+
+TEST(Tenant, HomesOfLaneAndTenantBothBind) {
+  std::vector<std::string> joined;
+  EXPECT_TRUE(tilth::join_homes({"a", "b"}, {"b", "c"}, joined));
+  EXPECT_EQ(joined, std::vector<std::string>{"b"});
+  EXPECT_TRUE(tilth::join_homes({}, {"b"}, joined));
+  EXPECT_EQ(joined, std::vector<std::string>{"b"});
+  EXPECT_TRUE(tilth::join_homes({"a"}, {}, joined));
+  EXPECT_EQ(joined, std::vector<std::string>{"a"});
+  EXPECT_FALSE(tilth::join_homes({"a"}, {"b"}, joined));
+}
+
+}  // namespace
+}  // namespace finchlink
--- /dev/null
+++ b/source/tests/tilth/wall_test.cpp
@@ -0,0 +1,333 @@
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <map>
+#include <random>
+#include <set>
+
+#include "tilth/wall/walls.hpp"
+
+namespace finchlink {
+namespace {
+
+std::string const first_secret(32, 'a');
+std::string const second_secret(32, 'b');
+
+TEST(WallKey, IsTheStandardsKeyedHash) {
+  // RFC 4231, test case 2.
+  EXPECT_EQ(tilth::hex(tilth::keyed_hash("Jefe", "what do ya want for nothing?")), "5bdcc146bf60754e6a042426089575c75a003f089d2739839dec58b964ec3843");
+}
+
+TEST(WallKey, EveryFieldCounts) {
+  std::set<std::string> keys;
+  keys.insert(tilth::wall_key(first_secret, {false, "t", "m", "1"}));
+  keys.insert(tilth::wall_key(second_secret, {false, "t", "m", "1"}));
+  keys.insert(tilth::wall_key(first_secret, {true, "", "m", "1"}));
+  keys.insert(tilth::wall_key(first_secret, {false, "", "m", "1"}));
+  keys.insert(tilth::wall_key(first_secret, {false, "tm", "", "1"}));
+  keys.insert(tilth::wall_key(first_secret, {false, "t", "m1", ""}));
+  keys.insert(tilth::wall_key(first_secret, {false, "t", "m", "2"}));
+  EXPECT_EQ(keys.size(), 7u);
+}
+
+TEST(WallSecrets, AreReadAndNeverQuoted) {
+  absl::StatusOr<tilth::Secrets> const good = tilth::read_secrets("{\"current\":\"" + first_secret + "\",\"previous\":\"" + second_secret + "\",\"moved\":30}");
+  ASSERT_TRUE(good.ok());
+  EXPECT_EQ(good->moved, 30u);
+  std::vector<std::string> const bad{"", "{}", "{\"current\":\"short\"}", "{\"current\":\"" + first_secret + "\",\"previous\":\"" + first_secret + "\"}",
+                                     "{\"current\":\"" + first_secret + "\",\"moved\":50}", "{\"current\":\"" + first_secret + "\",\"moved\":101}", "{\"current\":\"" + first_secret + "\",\"other\":1}", "{\"current\":\"" + first_secret};
+  for (std::string const& text : bad) {
+    absl::StatusOr<tilth::Secrets> const read = tilth::read_secrets(text);
+    EXPECT_FALSE(read.ok()) << text;
+    EXPECT_EQ(read.status().message().find("aaaa"), std::string::npos);
+    EXPECT_EQ(read.status().message().find("short"), std::string::npos);
+  }
+}
+
+TEST(WallSecrets, ATenantIsOnOneOfBoth) {
+  tilth::Secrets secrets{first_secret, second_secret, 0};
+  EXPECT_EQ(tilth::secret_of(secrets, "t"), second_secret);
+  int moved = 0;
+  std::set<std::string> before;
+  for (std::uint64_t share : {25u, 50u, 100u}) {
+    secrets.moved = share;
+    moved = 0;
+    for (int index = 0; index < 1000; ++index) {
+      std::string const tenant = "tenant-" + std::to_string(index);
+      bool const current = tilth::secret_of(secrets, tenant) == first_secret;
+      moved += current ? 1 : 0;
+      EXPECT_TRUE(current || before.count(tenant) == 0) << "moved back";
+      if (current) {
+        before.insert(tenant);
+      }
+    }
+    EXPECT_NEAR(moved, static_cast<double>(share) * 10, 60);
+  }
+  EXPECT_EQ(moved, 1000);
+}
+
+tilth::Prompt prompt_of(std::string const& tenant, std::string const& parts, std::vector<std::string> shared = {}) {
+  return tilth::Prompt{tenant, "m", tilth::named_parts(parts), std::move(shared)};
+}
+
+tilth::Walls walls_with_secret(tilth::WallGuards guards = {}) {
+  tilth::Walls walls(guards);
+  walls.take(tilth::Secrets{first_secret, "", 100});
+  return walls;
+}
+
+std::vector<std::string> ids_of(tilth::Walled const& walled) {
+  std::vector<std::string> ids;
+  for (tilth::NamedPart const& part : tilth::named_parts(walled.header)) {
+    ids.push_back(part.id);
+  }
+  return ids;
+}
+
+TEST(Walls, ColdUntilVersionAndSecretAreKnown) {
+  tilth::Walls walls = walls_with_secret();
+  tilth::Prompt const prompt = prompt_of("t", "a:100,b:50");
+  tilth::Walled const first = walls.send(prompt, "w", {1, 2});
+  EXPECT_TRUE(first.cold);
+  EXPECT_EQ(first.most_reused, 0);
+  EXPECT_NE(walls.send(prompt, "w", {3, 4}).header, first.header);
+  std::vector<tilth::WallAction> const actions = walls.heard({"w", "v1", 0.0}, first, 0);
+  ASSERT_EQ(actions.size(), 1u);
+  EXPECT_TRUE(std::holds_alternative<tilth::ForgetWorker>(actions[0]));
+  tilth::Walled const second = walls.send(prompt, "w", {5, 6});
+  EXPECT_FALSE(second.cold);
+  EXPECT_EQ(second.version, "v1");
+  EXPECT_EQ(walls.send(prompt, "w", {7, 8}).header, second.header);
+  EXPECT_EQ(second.header.find("a:"), std::string::npos) << "the caller's own ids never go out";
+  tilth::Walls bare;
+  (void)bare.heard({"w", "v1", {}}, first, 0);
+  EXPECT_TRUE(bare.send(prompt, "w", {1, 2}).cold);
+  EXPECT_TRUE(bare.place(prompt).empty());
+}
+
+TEST(Walls, VersionsAndModelsAreWallsToo) {
+  tilth::Walls walls = walls_with_secret();
+  (void)walls.heard({"w", "v1", {}}, {}, 0);
+  tilth::Prompt prompt = prompt_of("t", "a:100");
+  std::string const before = walls.send(prompt, "w", {1, 2}).header;
+  (void)walls.heard({"w", "v2", {}}, {}, 0);
+  EXPECT_NE(walls.send(prompt, "w", {1, 2}).header, before);
+  (void)walls.heard({"w", "v1", {}}, {}, 0);
+  EXPECT_EQ(walls.send(prompt, "w", {1, 2}).header, before);
+  prompt.model = "n";
+  EXPECT_NE(walls.send(prompt, "w", {1, 2}).header, before);
+  walls.forget("w");
+  EXPECT_TRUE(walls.send(prompt, "w", {1, 2}).cold);
+}
+
+TEST(Walls, PublicPartsAreSharedOnlyAtTheBeginning) {
+  tilth::Walls walls = walls_with_secret();
+  (void)walls.heard({"w", "v1", {}}, {}, 0);
+  std::vector<std::string> const one = ids_of(walls.send(prompt_of("t", "p:10,a:20,p:30", {"p"}), "w", {1, 2}));
+  std::vector<std::string> const other = ids_of(walls.send(prompt_of("u", "p:10,a:20,p:30", {"p"}), "w", {1, 2}));
+  EXPECT_EQ(one[0], other[0]);
+  EXPECT_NE(one[1], other[1]);
+  EXPECT_NE(one[2], other[2]);
+  EXPECT_NE(one[2], one[0]) << "what a worker computed depends on all in front of it";
+  // Who names no tenant shares the public beginning and nothing else.
+  tilth::Walled const nobody = walls.send(prompt_of("", "p:10,a:20", {"p"}), "w", {1, 2});
+  EXPECT_EQ(ids_of(nobody)[0], one[0]);
+  EXPECT_TRUE(nobody.cold);
+  EXPECT_EQ(nobody.most_reused, 10);
+  EXPECT_EQ(walls.place(prompt_of("", "p:10,a:20", {"p"})).size(), 1u);
+}
+
+TEST(Walls, NameWhatCrossesAndWhatWasGivenUp) {
+  tilth::Walls walls = walls_with_secret();
+  tilth::Walled const cold = walls.send(prompt_of("t", "a:100"), "w", {1, 2});
+  std::vector<tilth::WallAction> actions = walls.heard({"w", "v1", 60.0}, cold, 0);
+  ASSERT_FALSE(actions.empty());
+  ASSERT_TRUE(std::holds_alternative<tilth::Crossed>(actions[0]));
+  EXPECT_EQ(std::get<tilth::Crossed>(actions[0]).tokens, 60);
+  EXPECT_EQ(walls.crossings(), 1u);
+  actions = walls.heard({"w", "v1", 40.0}, walls.send(prompt_of("t", "a:100"), "w", {1, 2}), 100);
+  ASSERT_EQ(actions.size(), 1u);
+  EXPECT_TRUE(std::holds_alternative<tilth::GaveUp>(actions[0]));
+}
+
+TEST(WallRecord, AFloodTakesNothingFromTheOthers) {
+  tilth::Reuse reuse(100000);
+  std::function<std::vector<tilth::Part>(std::uint64_t, std::uint64_t)> const parts = [](std::uint64_t holder, std::uint64_t key) { return std::vector<tilth::Part>{{holder * 1000003, 50, holder}, {key, 50, holder}}; };
+  for (std::uint64_t tenant = 100; tenant < 200; ++tenant) {
+    reuse.remember(parts(tenant, tenant));
+  }
+  for (std::uint64_t key = 0; key < 100000; ++key) {
+    reuse.remember(parts(7, 1000000 + key));
+  }
+  for (std::uint64_t tenant = 100; tenant < 200; ++tenant) {
+    EXPECT_EQ(reuse.match(parts(tenant, tenant)), 100) << tenant;
+  }
+  ASSERT_NE(reuse.walled(), nullptr);
+  EXPECT_LE(reuse.walled()->tokens(), 100000);
+  EXPECT_EQ(reuse.walled()->holders(), 101u);
+  EXPECT_EQ(reuse.match(parts(7, 1000000 + 99999)), 100) << "the flood still reuses its newest";
+}
+
+TEST(WallRecord, ManyTenantsShareWithinTheBound) {
+  tilth::Reuse reuse(40000);
+  for (std::uint64_t tenant = 2; tenant < 8602; ++tenant) {
+    reuse.remember({{tenant, 100, tenant}});
+  }
+  ASSERT_NE(reuse.walled(), nullptr);
+  EXPECT_LE(reuse.walled()->tokens(), 40000);
+  EXPECT_LE(reuse.walled()->size(), 400u);
+  reuse.remember({{99, 0, 99}});
+  EXPECT_EQ(reuse.match({{99, 0, 99}}), 0);
+  reuse.clear_walled();
+  EXPECT_EQ(reuse.walled(), nullptr);
+}
+
+TEST(WallRecord, ForgetsWhatWasGivenUpAndWhatIsOlder) {
+  tilth::Reuse reuse(100000);
+  reuse.remember({{1, 100, 5}});
+  reuse.remember({{2, 100, 6}});
+  reuse.remember({{3, 100, 7}});
+  reuse.gave_up({{2, 100, 6}}, 0);
+  EXPECT_EQ(reuse.match({{1, 100, 5}}), 0);
+  EXPECT_EQ(reuse.match({{2, 100, 6}}), 0);
+  EXPECT_EQ(reuse.match({{3, 100, 7}}), 100);
+}
+
+/// A worker's memory by the platform's rule: a part is not read again when it
+/// and all parts before it are kept; unused longest gives way.
+class Memory {
+ public:
+  struct Hit {
+    std::string writer;
+    std::string id;
+    double tokens;
+  };
+  std::vector<Hit> read(std::string const& reader, std::vector<tilth::NamedPart> const& parts, double most, std::size_t& own) {
+    std::vector<Hit> crossed;
+    bool kept = true;
+    for (tilth::NamedPart const& part : parts) {
+      std::map<std::string, std::pair<std::string, std::uint64_t>>::iterator const found = kept_.find(part.id);
+      kept = kept && found != kept_.end();
+      if (kept) {
+        reused_ += part.tokens;
+        if (found->second.first == reader) {
+          ++own;
+        } else {
+          crossed.push_back(Hit{found->second.first, part.id, part.tokens});
+        }
+        found->second.second = ++use_;
+      } else {
+        kept_[part.id] = {reader, ++use_};
+      }
+    }
+    while (static_cast<double>(kept_.size()) > most) {
+      std::map<std::string, std::pair<std::string, std::uint64_t>>::iterator oldest = kept_.begin();
+      for (std::map<std::string, std::pair<std::string, std::uint64_t>>::iterator entry = kept_.begin(); entry != kept_.end(); ++entry) {
+        oldest = entry->second.second < oldest->second.second ? entry : oldest;
+      }
+      kept_.erase(oldest);
+    }
+    return crossed;
+  }
+  double reused() {
+    double const value = reused_;
+    reused_ = 0;
+    return value;
+  }
+  void lose() { kept_.clear(); }
+
+ private:
+  std::map<std::string, std::pair<std::string, std::uint64_t>> kept_;
+  std::uint64_t use_ = 0;
+  double reused_ = 0;
+};
+
+struct Played {
+  std::size_t crossed = 0;  ///< hits on what another tenant, or other weights, wrote
+  std::size_t own = 0;
+  std::uint64_t named = 0;  ///< crossings that the walls saw themselves
+  std::size_t queries = 0;
+};
+
+/// Furrows, workers and tenants that all send the same prompts, with moves,
+/// restarts, new weights, lost memory and rotating secrets, by seed.
+Played play(std::uint64_t seed, tilth::WallGuards guards) {
+  std::mt19937_64 random(seed);
+  std::vector<tilth::Walls> furrows(3, tilth::Walls(guards));
+  std::vector<Memory> memories(4);
+  std::vector<std::string> versions(4, "v1");
+  tilth::Secrets secrets{first_secret, "", 100};
+  std::uint64_t nonce = 0;
+  Played played;
+  for (int step = 0; step < 4000; ++step) {
+    if (step % 500 == 250) {  // a rotation, which furrows learn of one by one
+      secrets = secrets.previous.empty() ? tilth::Secrets{std::string(32, static_cast<char>('c' + step / 500)), secrets.current, 40} : tilth::Secrets{secrets.current, "", 100};
+    }
+    std::size_t const at = random() % furrows.size();
+    std::size_t const worker = random() % memories.size();
+    if (random() % 40 == 0 || step < 3) {
+      furrows[at].take(secrets);
+    }
+    if (random() % 200 == 0) {
+      furrows[at] = tilth::Walls(guards);  // restarted, for a while without secrets
+    }
+    if (random() % 150 == 0) {
+      memories[worker].lose();
+    }
+    if (random() % 300 == 0) {
+      versions[worker] = "v" + std::to_string(1 + random() % 3);  // and it keeps what the old weights computed
+    }
+    std::string const tenant = random() % 20 == 0 ? "" : "t" + std::to_string(random() % 12);
+    std::string const reader = tenant.empty() ? "nobody-" + std::to_string(step) : tenant;
+    tilth::Prompt const prompt = prompt_of(tenant, "a:400,b" + std::to_string(random() % 3) + ":200,c" + std::to_string(random() % 5) + ":100");
+    std::string const name = "w" + std::to_string(worker);
+    ++nonce;
+    tilth::Walled const walled = furrows[at].send(prompt, name, {nonce, seed << 20u});
+    bool const expected = walled.version.empty() || walled.version == versions[worker];
+    double reused = 0;
+    if (expected) {  // other weights: 421, nothing ran
+      ++played.queries;
+      std::size_t own = 0;
+      played.crossed += memories[worker].read(reader + "@" + versions[worker], tilth::named_parts(walled.header), 60, own).size();
+      played.own += own;
+      reused = memories[worker].reused();
+    }
+    (void)furrows[at].heard({name, versions[worker], expected ? std::optional<double>(reused) : std::nullopt}, walled, 0);
+  }
+  for (tilth::Walls const& walls : furrows) {
+    played.named += walls.crossings();
+  }
+  return played;
+}
+
+TEST(Walls, NoHitCrossesAndEachReusesItsOwn) {
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    Played const played = play(seed, {});
+    EXPECT_EQ(played.crossed, 0u) << "seed " << seed;
+    EXPECT_EQ(played.named, 0u) << "seed " << seed;
+    EXPECT_GT(played.own, played.queries / 10) << "seed " << seed;
+  }
+}
+
+TEST(Walls, WithoutTheTenantInTheKeyHitsCross) {
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    tilth::WallGuards guards;
+    guards.tenant_in_key = false;
+    Played const played = play(seed, guards);
+    EXPECT_GT(played.crossed, 1000u) << "seed " << seed;
+    EXPECT_GT(played.named, 0u) << "cold queries that reuse are named, seed " << seed;
+  }
+}
+
+TEST(Walls, WithoutTheVersionWhatOtherWeightsComputedIsReused) {
+  std::size_t crossed = 0;
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    tilth::WallGuards guards;
+    guards.version_in_key = false;
+    crossed += play(seed, guards).crossed;
+  }
+  EXPECT_GT(crossed, 0u);
+}
+
+}  // namespace
+}  // namespace finchlink
--- a/source/tilth/grove/grove.cpp
+++ b/source/tilth/grove/grove.cpp
@@ -32,6 +32,9 @@
       if (stand.cold_until > worker.stand.cold_until && worker.stand.cold_until <= now) {
         worker.reuse.clear();
       }
+      if (worker.stand.evacuated && !stand.evacuated) {
+        worker.reuse.clear_walled();
+      }
       worker.stand = stand;
       worker.stand.cold_until = cold_until;
     } else {
@@ -327,9 +330,11 @@
     case Outcome::misdirected:
       // Another worker has its address: it won't come back under this id.
       worker.rest_until = now + constants::worker_rest_most;
+      worker.reuse.clear_walled();
       break;
     case Outcome::unreachable:
     case Outcome::defect:
+      worker.reuse.clear_walled();  // it may come back without what it kept
       worker.rest = std::clamp<loam::Span>(worker.rest * 2, constants::worker_rest_least, constants::worker_rest_most / 2);
       worker.rest_until = std::max(worker.rest_until, now + worker.rest);
       break;
@@ -342,6 +347,20 @@
   }
 }
 
+void Grove::forget_walled(std::string const& id) {
+  std::map<std::string, Worker>::iterator const found = workers_.find(id);
+  if (found != workers_.end()) {
+    found->second.reuse.clear_walled();
+  }
+}
+
+void Grove::gave_up(std::string const& id, std::vector<Part> const& parts, double tokens) {
+  std::map<std::string, Worker>::iterator const found = workers_.find(id);
+  if (found != workers_.end()) {
+    found->second.reuse.gave_up(parts, tokens);
+  }
+}
+
 void Grove::heard(std::string const& id, loam::Moment now) {
   std::map<std::string, Worker>::iterator const found = workers_.find(id);
   if (found != workers_.end()) {
--- a/source/tilth/grove/grove.hpp
+++ b/source/tilth/grove/grove.hpp
@@ -91,6 +91,9 @@
   [[nodiscard]] loam::Moment heard_at(std::string const& worker) const;
   /// Has another worker a place for it? (Before a silent one is given up.)
   [[nodiscard]] bool alternative(Wanted const& wanted, loam::Moment now) const;
+  /// Its walled parts count for nothing any more (section 14.3).
+  void forget_walled(std::string const& worker);
+  void gave_up(std::string const& worker, std::vector<Part> const& parts, double tokens);
   [[nodiscard]] std::size_t size() const { return workers_.size(); }
 
  private:
--- a/source/tilth/lanes/lanes.cpp
+++ b/source/tilth/lanes/lanes.cpp
@@ -16,10 +16,14 @@
   for (std::size_t index = 0; index < charter_.lanes.size(); ++index) {
     schema::Lane const& lane = charter_.lanes[index];
     by_place_[lowered(lane.host) + " " + lane.prefix] = index;
+    walled_ = walled_ || lane.tenancy.has_value();
   }
   for (std::size_t index = 0; index < charter_.services.size(); ++index) {
     by_service_[charter_.services[index].name] = index;
   }
+  for (std::size_t index = 0; index < charter_.tenants.size(); ++index) {
+    by_tenant_[charter_.tenants[index].name] = index;
+  }
 }
 
 schema::Lane const* LaneBook::find(std::string_view host, std::string_view path) const {
@@ -47,4 +51,12 @@
   return found == by_service_.end() ? nullptr : &charter_.services[found->second];
 }
 
+schema::Tenant const* LaneBook::tenant(std::string_view name) const {
+  if (by_tenant_.empty()) {
+    return nullptr;
+  }
+  tsl::robin_map<std::string, std::size_t>::const_iterator const found = by_tenant_.find(std::string(name));
+  return found == by_tenant_.end() ? nullptr : &charter_.tenants[found->second];
+}
+
 }  // namespace finchlink::tilth
--- a/source/tilth/lanes/lanes.hpp
+++ b/source/tilth/lanes/lanes.hpp
@@ -20,12 +20,18 @@
   /// The lane of that host with the longest prefix that begins the path; none: nullptr.
   [[nodiscard]] schema::Lane const* find(std::string_view host, std::string_view path) const;
   [[nodiscard]] schema::Service const* service(std::string_view name) const;
+  /// What the charter says of a tenant; nothing: nullptr.
+  [[nodiscard]] schema::Tenant const* tenant(std::string_view name) const;
+  /// Does any lane have tenants? Where none has, nothing is paid for walls.
+  [[nodiscard]] bool walled() const { return walled_; }
   [[nodiscard]] schema::Charter const& charter() const { return charter_; }
 
  private:
   schema::Charter charter_;
   tsl::robin_map<std::string, std::size_t> by_place_;  ///< host, blank, prefix
   tsl::robin_map<std::string, std::size_t> by_service_;
+  tsl::robin_map<std::string, std::size_t> by_tenant_;
+  bool walled_ = false;
 };
 
 }  // namespace finchlink::tilth
--- a/source/tilth/reuse/reuse.hpp
+++ b/source/tilth/reuse/reuse.hpp
@@ -1,17 +1,21 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <string_view>
 #include <vector>
 
 #include <tsl/robin_map.h>
 
+#include "tilth/wall/record.hpp"
+
 namespace finchlink::tilth {
 
 /// A part of a prompt as its caller told it: who it is and how many tokens.
 struct Part {
   std::uint64_t key = 0;
   double tokens = 0;
+  std::uint64_t holder = 0;  ///< who keeps it, where there are walls (section 14.3); 0: no walls
 };
 
 /// Which parts one worker should still keep, as far as this furrow saw
@@ -25,12 +29,19 @@
   [[nodiscard]] double match(std::vector<Part> const& parts) const;
   void remember(std::vector<Part> const& parts);
   void clear();
+  /// The worker kept only this many tokens of a walled prompt: what it had not
+  /// used since is given up, too.
+  void gave_up(std::vector<Part> const& parts, double tokens);
+  /// Forgets what was kept behind walls.
+  void clear_walled() { walled_.reset(); }
+  [[nodiscard]] WallRecord const* walled() const { return walled_.get(); }
 
  private:
   double most_;
   double young_tokens_ = 0;
   tsl::robin_map<std::uint64_t, float> young_;
   tsl::robin_map<std::uint64_t, float> old_;
+  std::unique_ptr<WallRecord> walled_;  ///< made by the first walled part
 };
 
 }  // namespace finchlink::tilth
--- /dev/null
+++ b/source/tilth/wall/key.cpp
@@ -0,0 +1,94 @@
+#include "tilth/wall/key.hpp"
+
+#include <nettle/hmac.h>
+
+#include <cstring>
+
+#include "loam/constants.hpp"
+#include "loam/error/error.hpp"
+#include "loam/json/tree.hpp"
+
+namespace finchlink::tilth {
+
+namespace {
+/// A field with its length, so that "ab" + "c" differs from "a" + "bc".
+void frame(std::string& text, std::string_view field) {
+  std::uint64_t const size = field.size();
+  for (int shift = 0; shift < 64; shift += 8) {
+    text += static_cast<char>(size >> shift);
+  }
+  text += field;
+}
+}  // namespace
+
+absl::StatusOr<Secrets> read_secrets(std::string const& text) {
+  absl::StatusOr<loam::Tree> const tree = loam::read_tree(text);
+  if (!tree.ok() || cJSON_IsObject(tree->get()) == 0) {
+    return loam::defect(absl::StatusCode::kInvalidArgument, "secrets", "the file is no JSON object");
+  }
+  Secrets secrets;
+  for (cJSON const* item = (*tree)->child; item != nullptr; item = item->next) {
+    std::string const name = item->string;
+    if (name == "moved" && cJSON_IsNumber(item) != 0 && item->valuedouble >= 0 && item->valuedouble <= 100) {
+      secrets.moved = static_cast<std::uint64_t>(item->valuedouble);
+    } else if ((name == "current" || name == "previous") && cJSON_IsString(item) != 0 && std::strlen(item->valuestring) >= loam::constants::secret_bytes_least) {
+      (name == "current" ? secrets.current : secrets.previous) = item->valuestring;
+    } else {
+      return loam::defect(absl::StatusCode::kInvalidArgument, "secrets", "current and previous are texts of 32 bytes or more, moved is 0 to 100; nothing else stands there");
+    }
+  }
+  if (secrets.current.empty()) {
+    return loam::defect(absl::StatusCode::kInvalidArgument, "secrets", "current is missing");
+  }
+  if (secrets.current == secrets.previous) {
+    return loam::defect(absl::StatusCode::kInvalidArgument, "secrets", "current and previous are the same");
+  }
+  if (secrets.previous.empty() && secrets.moved != 100) {
+    return loam::defect(absl::StatusCode::kInvalidArgument, "secrets", "moved below 100 wants a previous secret");
+  }
+  return secrets;
+}
+
+std::string const& secret_of(Secrets const& secrets, std::string_view tenant) {
+  if (secrets.moved >= 100 || secrets.previous.empty()) {
+    return secrets.current;
+  }
+  // By the current secret, so that no tenant can choose when it moves.
+  std::string const drawn = keyed_hash(secrets.current, tenant);
+  std::uint64_t place = 0;
+  std::memcpy(&place, drawn.data(), sizeof(place));
+  return place % 100 < secrets.moved ? secrets.current : secrets.previous;
+}
+
+std::string wall_key(std::string const& secret, Wall const& wall) {
+  std::string text;
+  frame(text, wall.shared ? "public" : "tenant");
+  frame(text, wall.shared ? "" : wall.tenant);
+  frame(text, wall.model);
+  frame(text, wall.version);
+  return keyed_hash(secret, text);
+}
+
+std::string part_hash(std::string const& key, std::string const& before, std::string_view part) { return keyed_hash(key, before + std::string(part)); }
+
+std::string walled_id(std::string const& hash) { return hex(std::string_view(hash).substr(0, loam::constants::wall_id_bytes)); }
+
+std::string keyed_hash(std::string_view key, std::string_view text) {
+  hmac_sha256_ctx context;
+  hmac_sha256_set_key(&context, key.size(), reinterpret_cast<std::uint8_t const*>(key.data()));
+  hmac_sha256_update(&context, text.size(), reinterpret_cast<std::uint8_t const*>(text.data()));
+  std::string hash(SHA256_DIGEST_SIZE, '\0');
+  hmac_sha256_digest(&context, hash.size(), reinterpret_cast<std::uint8_t*>(hash.data()));
+  return hash;
+}
+
+std::string hex(std::string_view bytes) {
+  std::string text;
+  for (char const byte : bytes) {
+    text += "0123456789abcdef"[static_cast<unsigned char>(byte) >> 4u];
+    text += "0123456789abcdef"[static_cast<unsigned char>(byte) & 15u];
+  }
+  return text;
+}
+
+}  // namespace finchlink::tilth
--- /dev/null
+++ b/source/tilth/wall/record.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include <tsl/robin_map.h>
+
+namespace finchlink::tilth {
+
+/// A part of a prompt as a record knows it: a key that covers all parts before
+/// it, who keeps it, and its tokens.
+struct WallEntry {
+  std::uint64_t key = 0;
+  std::uint64_t holder = 0;
+  double tokens = 0;
+};
+
+/// Which parts one worker should still keep for its tenants (section 14.3).
+/// The record is as large as the worker's memory. When it is full, the holder
+/// of most gives up what it has not used for longest: nobody who holds less
+/// than an even part loses anything to a tenant that floods.
+class WallRecord {
+ public:
+  /// Tokens at the prompt's beginning that need not be read again.
+  [[nodiscard]] double match(std::vector<WallEntry> const& entries) const;
+  void remember(std::vector<WallEntry> const& entries, double most);
+  /// The worker had only `tokens` of these: what it has not used since the
+  /// first one that is missing is forgotten with it.
+  void gave_up(std::vector<WallEntry> const& entries, double tokens);
+  [[nodiscard]] double tokens() const { return tokens_; }
+  [[nodiscard]] std::size_t size() const { return places_.size(); }
+  [[nodiscard]] std::size_t holders() const { return holders_.size(); }
+
+ private:
+  struct Place {
+    std::uint64_t holder = 0;
+    std::uint64_t used = 0;
+    double weight = 0;
+  };
+  struct Holder {
+    double weight = 0;
+    std::map<std::uint64_t, std::uint64_t> by_use;  ///< use, key
+  };
+  void drop(std::uint64_t key);
+  void weigh(std::uint64_t holder, double change);
+
+  tsl::robin_map<std::uint64_t, Place> places_;
+  std::map<std::uint64_t, Holder> holders_;
+  std::set<std::pair<double, std::uint64_t>> by_weight_;
+  double tokens_ = 0;
+  std::uint64_t uses_ = 0;
+};
+
+}  // namespace finchlink::tilth
--- /dev/null
+++ b/source/tilth/wall/tenant.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "schema/setup.hpp"
+
+namespace finchlink::tilth {
+
+enum class TenantEnd { named, absent, refused };
+/// Which tenant a query names, or why it is refused (section 14.1).
+struct TenantReading {
+  TenantEnd end = TenantEnd::absent;
+  std::string name;
+  char const* fault = "";  ///< for the answer, when refused
+};
+/// `values`: all that stand under the tenancy's header, in order; one more
+/// than one is refused, since a worker might take the other.
+[[nodiscard]] TenantReading read_tenant(schema::Tenancy const& tenancy, std::vector<std::string_view> const& values, std::string_view target);
+
+/// Regions that both allow; the lane's own when the tenant names none.
+/// False: none is left, and the query has no place.
+[[nodiscard]] bool join_homes(std::vector<std::string> const& lane, std::vector<std::string> const& tenant, std::vector<std::string>& joined);
+
+}  // namespace finchlink::tilth
--- /dev/null
+++ b/source/tilth/wall/walls.cpp
@@ -0,0 +1,146 @@
+#include "tilth/wall/walls.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <cstring>
+
+#include "loam/constants.hpp"
+#include "tilth/prefix/prefix.hpp"
+
+namespace finchlink::tilth {
+
+namespace {
+/// The holder of public parts in records; tenants' are hashes.
+constexpr std::uint64_t everybody = 1;
+/// Stands for the version in keys of a furrow's own record, which is cleared
+/// whenever a worker's version changes.
+constexpr char const* record_version = "\x01record";
+
+std::uint64_t number_of(std::string_view bytes) {
+  std::uint64_t value = 0;
+  std::memcpy(&value, bytes.data(), std::min(bytes.size(), sizeof(value)));
+  return value;
+}
+
+std::string once_id(std::array<std::uint64_t, 2> const& once, std::size_t index) {
+  std::string bytes(loam::constants::wall_id_bytes, '\0');
+  std::uint64_t const second = once[1] + index;
+  std::memcpy(bytes.data(), &once[0], 8);
+  std::memcpy(bytes.data() + 8, &second, 8);
+  return hex(bytes);
+}
+
+void append(std::string& header, std::string_view id, double tokens) {
+  header.append(header.empty() ? "" : ",").append(id).append(":").append(std::to_string(static_cast<std::uint64_t>(tokens)));
+}
+}  // namespace
+
+std::vector<NamedPart> named_parts(std::string_view text) {
+  std::vector<NamedPart> parts;
+  while (!text.empty()) {
+    std::string_view entry = text.substr(0, text.find(','));
+    text.remove_prefix(std::min(text.size(), entry.size() + 1));
+    std::size_t const colon = entry.rfind(':');
+    std::uint64_t tokens = 0;
+    if (colon == std::string_view::npos || std::from_chars(entry.data() + colon + 1, entry.data() + entry.size(), tokens).ec != std::errc()) {
+      continue;
+    }
+    entry = entry.substr(0, colon);
+    entry.remove_prefix(std::min(entry.size(), entry.find_first_not_of(' ')));
+    if (!entry.empty()) {
+      parts.push_back(NamedPart{std::string(entry), static_cast<double>(tokens)});
+    }
+  }
+  return parts;
+}
+
+std::size_t Walls::public_count(Prompt const& prompt) const {
+  std::size_t count = 0;
+  while (count < prompt.parts.size() && std::find(prompt.shared.begin(), prompt.shared.end(), prompt.parts[count].id) != prompt.shared.end()) {
+    ++count;
+  }
+  return count;
+}
+
+std::optional<std::string> Walls::version_of(std::string const& worker) const {
+  if (!guards_.version_in_key) {
+    return "";
+  }
+  std::map<std::string, std::string>::const_iterator const found = versions_.find(worker);
+  return found == versions_.end() ? std::nullopt : std::optional<std::string>(found->second);
+}
+
+std::vector<Part> Walls::place(Prompt const& prompt) const {
+  std::vector<Part> parts;
+  if (!secrets_.has_value()) {
+    return parts;
+  }
+  std::size_t const shared = public_count(prompt);
+  std::size_t const count = prompt.tenant.empty() ? shared : prompt.parts.size();
+  std::string const common = wall_key(secret_of(*secrets_, ""), Wall{true, "", prompt.model, record_version});
+  std::string const own = wall_key(secret_of(*secrets_, prompt.tenant), Wall{false, prompt.tenant, prompt.model, record_version});
+  std::uint64_t const holder = number_of(own) | 2u;  // neither nobody nor everybody
+  std::string before = nothing_before;
+  for (std::size_t index = 0; index < count; ++index) {
+    before = part_hash(index < shared ? common : own, before, prompt.parts[index].id);
+    parts.push_back(Part{number_of(before), prompt.parts[index].tokens, index < shared ? everybody : holder});
+  }
+  return parts;
+}
+
+Walled Walls::send(Prompt const& prompt, std::string const& worker, std::array<std::uint64_t, 2> const& once) const {
+  Walled walled;
+  std::optional<std::string> const version = version_of(worker);
+  bool const keyed = secrets_.has_value() && version.has_value();
+  walled.version = version.value_or("");
+  walled.cold = !keyed || prompt.tenant.empty();
+  std::size_t const shared = keyed ? public_count(prompt) : 0;
+  std::string const common = keyed ? wall_key(secret_of(*secrets_, ""), Wall{true, "", prompt.model, *version}) : "";
+  std::string const own = walled.cold ? "" : wall_key(secret_of(*secrets_, prompt.tenant), Wall{false, prompt.tenant, prompt.model, *version});
+  std::string before = nothing_before;
+  for (std::size_t index = 0; index < prompt.parts.size(); ++index) {
+    NamedPart const& part = prompt.parts[index];
+    bool const public_part = index < shared;
+    std::string id;
+    if (!guards_.tenant_in_key) {
+      id = part.id;
+    } else if (walled.cold && !public_part) {
+      id = once_id(once, index);
+    } else {
+      before = part_hash(public_part ? common : own, before, part.id);
+      id = walled_id(before);
+    }
+    walled.most_reused += public_part || !walled.cold ? part.tokens : 0;
+    append(walled.header, id, part.tokens);
+  }
+  return walled;
+}
+
+std::vector<WallAction> Walls::heard(WallAnswer const& answer, Walled const& sent, double predicted) {
+  std::vector<WallAction> actions;
+  if (answer.reused.has_value() && *answer.reused > sent.most_reused) {
+    ++crossings_;
+    actions.push_back(Crossed{answer.worker, *answer.reused - sent.most_reused});
+  }
+  std::map<std::string, std::string>::iterator const known = versions_.find(answer.worker);
+  if (!answer.version.empty() && (known == versions_.end() || known->second != answer.version)) {
+    versions_[answer.worker] = answer.version;
+    actions.push_back(ForgetWorker{answer.worker});
+  } else if (answer.reused.has_value() && *answer.reused < predicted) {
+    actions.push_back(GaveUp{answer.worker, *answer.reused});
+  }
+  return actions;
+}
+
+void Walls::count(Prompt const& prompt, Walled const& sent, std::optional<double> reused) {
+  bool const told = tallies_.size() < loam::constants::wall_tenants_told || tallies_.count(prompt.tenant) > 0;
+  TenantTally& tally = told ? tallies_[prompt.tenant] : others_;
+  ++tally.queries;
+  tally.cold += sent.cold ? 1 : 0;
+  for (NamedPart const& part : prompt.parts) {
+    tally.tokens += part.tokens;
+  }
+  tally.reused += reused.value_or(0);
+}
+
+}  // namespace finchlink::tilth
--- /dev/null
+++ b/source/tilth/wall/walls.hpp
@@ -0,0 +1,102 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include <tsl/robin_map.h>
+
+#include "tilth/reuse/reuse.hpp"
+#include "tilth/wall/key.hpp"
+
+namespace finchlink::tilth {
+
+/// A part as its caller named it.
+struct NamedPart {
+  std::string id;
+  double tokens = 0;
+};
+/// ID:TOKENS by commas; what is no part is left out.
+[[nodiscard]] std::vector<NamedPart> named_parts(std::string_view text);
+
+/// Rules that tests switch off to show that they are needed.
+struct WallGuards {
+  bool tenant_in_key = true;   ///< off: ids go out as callers sent them
+  bool version_in_key = true;  ///< off: new weights find what old ones computed
+};
+
+/// Whose prompt it is, and of what.
+struct Prompt {
+  std::string tenant;               ///< empty: it names none and goes cold
+  std::string model;
+  std::vector<NamedPart> parts;
+  std::vector<std::string> shared;  ///< ids that are public in its lane
+};
+/// What goes to one worker.
+struct Walled {
+  std::string header;        ///< the parts under the ids that the worker keeps them by
+  bool cold = false;         ///< tenant's parts have ids that are used once
+  double most_reused = 0;    ///< tokens that can be kept there by right
+  std::string version;       ///< of the weights that it was keyed for; empty: unknown
+};
+/// What a worker said of a walled query.
+struct WallAnswer {
+  std::string worker;
+  std::string version;           ///< empty: not told
+  std::optional<double> reused;  ///< tokens that it did not read again
+};
+struct ForgetWorker { std::string worker; };
+/// It kept only this much of the query's prompt.
+struct GaveUp { std::string worker; double tokens = 0; };
+/// It reused what nobody may have kept there for this tenant.
+struct Crossed { std::string worker; double tokens = 0; };
+using WallAction = std::variant<ForgetWorker, GaveUp, Crossed>;
+
+struct TenantTally {
+  std::uint64_t queries = 0;
+  std::uint64_t cold = 0;    ///< sent under ids that are used once
+  double tokens = 0;         ///< of parts sent
+  double reused = 0;         ///< of these, not read again, as workers told
+};
+
+/// The walls of one furrow (section 14): secrets, versions of weights as
+/// workers told them, and what each tenant reused. Plain state.
+class Walls {
+ public:
+  explicit Walls(WallGuards guards = {}) : guards_(guards) {}
+  void take(Secrets secrets) { secrets_ = std::move(secrets); }
+  [[nodiscard]] bool keyed() const { return secrets_.has_value(); }
+  /// Parts for placement and record; none where nothing can be reused.
+  [[nodiscard]] std::vector<Part> place(Prompt const& prompt) const;
+  /// `once`: never handed in before; from it come ids that are used once.
+  [[nodiscard]] Walled send(Prompt const& prompt, std::string const& worker, std::array<std::uint64_t, 2> const& once) const;
+  [[nodiscard]] std::vector<WallAction> heard(WallAnswer const& answer, Walled const& sent, double predicted);
+  /// A worker that left, or came back: its version is unknown again.
+  void forget(std::string const& worker) { versions_.erase(worker); }
+  template <class Keep>
+  void keep_only(Keep const& keep) {
+    std::erase_if(versions_, [&keep](std::pair<std::string const, std::string> const& entry) { return !keep(entry.first); });
+  }
+  void count(Prompt const& prompt, Walled const& sent, std::optional<double> reused);
+  [[nodiscard]] tsl::robin_map<std::string, TenantTally> const& tallies() const { return tallies_; }
+  [[nodiscard]] TenantTally const& others() const { return others_; }
+  [[nodiscard]] std::uint64_t crossings() const { return crossings_; }
+
+ private:
+  [[nodiscard]] std::optional<std::string> version_of(std::string const& worker) const;
+  [[nodiscard]] std::size_t public_count(Prompt const& prompt) const;
+
+  WallGuards guards_;
+  std::optional<Secrets> secrets_;
+  std::map<std::string, std::string> versions_;
+  tsl::robin_map<std::string, TenantTally> tallies_;
+  TenantTally others_;  ///< of tenants beyond those told one by one
+  std::uint64_t crossings_ = 0;
+};
+
+}  // namespace finchlink::tilth
