--- a/source/furrow/relay/station.cpp
+++ b/source/furrow/relay/station.cpp
@@ -10,7 +10,8 @@
 #include <sstream>
 
 #include "furrow/relay/walls.hpp"
-#include "loam/constants.hpp"
+#include "loam/relay_constants.hpp"
+#include "loam/wall_constants.hpp"
 #include "loam/json/tree.hpp"
 #include "loam/log/log.hpp"
 #include "loam/random/random.hpp"
--- a/source/furrow/relay/walls.cpp
+++ b/source/furrow/relay/walls.cpp
@@ -6,7 +6,7 @@
 #include <sstream>
 
 #include "furrow/relay/station.hpp"
-#include "loam/constants.hpp"
+#include "loam/wall_constants.hpp"
 #include "loam/error/error.hpp"
 #include "loam/json/tree.hpp"
 #include "loam/log/log.hpp"
--- a/source/tilth/wall/key.cpp
+++ b/source/tilth/wall/key.cpp
@@ -4,7 +4,7 @@
 
 #include <cstring>
 
-#include "loam/constants.hpp"
+#include "loam/wall_constants.hpp"
 #include "loam/error/error.hpp"
 #include "loam/json/tree.hpp"
 
--- a/source/tilth/wall/tenant.cpp
+++ b/source/tilth/wall/tenant.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "loam/constants.hpp"
+#include "loam/wall_constants.hpp"
 
 namespace finchlink::tilth {
 
--- a/source/tilth/wall/walls.cpp
+++ b/source/tilth/wall/walls.cpp
@@ -4,7 +4,7 @@
 #include <charconv>
 #include <cstring>
 
-#include "loam/constants.hpp"
+#include "loam/wall_constants.hpp"
 #include "tilth/prefix/prefix.hpp"
 
 namespace finchlink::tilth {
