--- a/source/seedbed/ledger/ledger.cpp
+++ b/source/seedbed/ledger/ledger.cpp
@@ -110,6 +110,45 @@
   return loam::print_tree(object.get(), true);
 }
 
+void Ledger::walls(std::string const& tenant, CacheReading const& reading) {
+  std::lock_guard<std::mutex> const guard(lock_);
+  TenantReuse& entry = by_tenant_[tenant];
+  ++entry.prompts;
+  entry.sum.tokens += reading.tokens;
+  entry.sum.reused += reading.reused;
+  entry.sum.own_hits += reading.own_hits;
+  entry.sum.open_hits += reading.open_hits;
+  entry.sum.crossed_hits += reading.crossed_hits;
+  entry.sum.old_hits += reading.old_hits;
+  for (std::string const& crossing : reading.crossings) {
+    if (crossings_.size() < 100) {
+      crossings_.push_back(crossing);
+    }
+  }
+}
+
+std::string Ledger::print_walls() {
+  std::lock_guard<std::mutex> const guard(lock_);
+  loam::Tree object(cJSON_CreateObject());
+  cJSON* const tenants = cJSON_AddObjectToObject(object.get(), "tenants");
+  for (std::pair<std::string const, TenantReuse> const& entry : by_tenant_) {
+    cJSON* const part = cJSON_AddObjectToObject(tenants, entry.first.c_str());
+    CacheReading const& sum = entry.second.sum;
+    cJSON_AddNumberToObject(part, "prompts", static_cast<double>(entry.second.prompts));
+    cJSON_AddNumberToObject(part, "tokens", sum.tokens);
+    cJSON_AddNumberToObject(part, "reused", sum.reused);
+    cJSON_AddNumberToObject(part, "own_hits", static_cast<double>(sum.own_hits));
+    cJSON_AddNumberToObject(part, "public_hits", static_cast<double>(sum.open_hits));
+    cJSON_AddNumberToObject(part, "crossed_hits", static_cast<double>(sum.crossed_hits));
+    cJSON_AddNumberToObject(part, "old_weights_hits", static_cast<double>(sum.old_hits));
+  }
+  cJSON* const list = cJSON_AddArrayToObject(object.get(), "crossings");
+  for (std::string const& crossing : crossings_) {
+    cJSON_AddItemToArray(list, cJSON_CreateString(crossing.c_str()));
+  }
+  return loam::print_tree(object.get());
+}
+
 std::string Ledger::ran_nonces() {
   std::lock_guard<std::mutex> const guard(lock_);
   std::string text;
--- a/source/seedbed/ledger/ledger.hpp
+++ b/source/seedbed/ledger/ledger.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "loam/time/moment.hpp"
+#include "seedbed/worker/part_cache.hpp"
 
 namespace finchlink::seedbed {
 
@@ -32,6 +33,9 @@
   void evacuated(std::string const& zone, bool on, loam::Moment now);
   /// From now on queries of the rule may reach workers of this region only; empty: of any.
   void only(std::string const& rule, std::string const& region);
+  /// What a relayed prompt found at a worker, by its true tenant.
+  void walls(std::string const& tenant, CacheReading const& reading);
+  [[nodiscard]] std::string print_walls();
   [[nodiscard]] std::string print();
   [[nodiscard]] std::string ran_nonces();
 
@@ -58,6 +62,12 @@
   std::map<std::string, std::vector<loam::Moment>> firsts_;
   std::map<std::string, std::vector<loam::Moment>> retries_;
   std::map<std::string, std::uint64_t> per_worker_;
+  struct TenantReuse {
+    std::uint64_t prompts = 0;
+    CacheReading sum;
+  };
+  std::map<std::string, TenantReuse> by_tenant_;
+  std::vector<std::string> crossings_;  ///< the first hundred
 };
 
 }  // namespace finchlink::seedbed
--- a/source/seedbed/main.cpp
+++ b/source/seedbed/main.cpp
@@ -24,7 +24,7 @@
   for (std::unique_ptr<seedbed::Worker> const& worker : workers) {
     if (worker->listed()) {
       schema::BedWorker const& self = worker->self();
-      list.workers.push_back(schema::WorkerEntry{self.id, self.address, self.zone, self.kind, worker->draining(), self.labels});
+      list.workers.push_back(schema::WorkerEntry{self.id, self.address, self.zone, self.kind, worker->draining(), self.labels, self.kind, worker->limit()});
     }
   }
   loam::Tree const tree(schema::write(list));
@@ -32,7 +32,7 @@
 }
 
 /// POST /control/DEED/NAME: drain, restore, crash, revive, dark, light, unlist,
-/// list for a worker or a whole zone; evacuated, retaken and only/RULE@REGION
+/// list, weights (of another version) for a worker or a whole zone; evacuated, retaken and only/RULE@REGION
 /// for the ledger.
 bool control(std::vector<std::unique_ptr<seedbed::Worker>> const& workers, seedbed::Ledger& ledger, std::string const& deed, std::string const& name) {
   if (deed == "evacuated" || deed == "retaken") {
@@ -65,6 +65,8 @@
       worker->set_crashed(deed == "crash");
     } else if (deed == "dark" || deed == "light") {
       worker->set_dark(deed == "dark");
+    } else if (deed == "weights") {
+      worker->change_weights();
     } else if (deed == "unlist" || deed == "list") {
       worker->set_listed(deed == "list");
     } else {
@@ -122,6 +124,9 @@
     if (target == "/ledger") {
       return loam::answer_text(http::status::ok, ledger.print());
     }
+    if (target == "/ledger/walls") {
+      return loam::answer_text(http::status::ok, ledger.print_walls());
+    }
     if (target == "/ledger/ran") {
       return loam::answer_text(http::status::ok, ledger.ran_nonces(), "text/plain");
     }
--- a/source/seedbed/worker/worker.cpp
+++ b/source/seedbed/worker/worker.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <sstream>
 
 #include "loam/http/http.hpp"
 #include "loam/json/tree.hpp"
@@ -14,7 +15,7 @@
 using boost::system::error_code;
 
 Worker::Worker(boost::asio::io_context& context, schema::Bed const& bed, schema::BedWorker const& self, Ledger& ledger, bool warm, std::uint64_t seed)
-    : context_(context), bed_(bed), self_(self), ledger_(ledger), random_(seed), cache_(bed.cache_blocks), boot_("boot-" + std::to_string(seed) + "-0"),
+    : context_(context), bed_(bed), self_(self), ledger_(ledger), random_(seed), cache_(bed.cache_blocks), part_cache_(static_cast<double>(bed.kept_tokens)), boot_("boot-" + std::to_string(seed) + "-0"),
       up_since_(loam::boot_now()), warm_(warm) {}
 
 void Worker::begin() {
@@ -53,6 +54,55 @@
     up_since_ = loam::boot_now();
     warm_ = false;
     cache_.clear();
+    part_cache_.clear();
+  }
+}
+
+void Worker::change_weights() {
+  std::lock_guard<std::mutex> const guard(lock_);
+  ++weights_;
+}
+
+/// A relay names the worker and the weights that it means: another one says
+/// so, and nothing runs.
+bool Worker::turned_away(loam::Stream& stream, loam::Ask const& ask, loam::Yield yield) {
+  std::string weights;
+  {
+    std::lock_guard<std::mutex> const guard(lock_);
+    weights = "w" + std::to_string(weights_);
+  }
+  bool const other_worker = ask["Finchlink-Worker"] != self_.id;
+  bool const other_weights = !ask["Finchlink-Expect-Weights"].empty() && ask["Finchlink-Expect-Weights"] != weights;
+  if (!other_worker && !other_weights) {
+    return false;
+  }
+  loam::Answer answer = loam::answer_error(http::status::misdirected_request, other_worker ? "other_worker" : "other_weights", "nothing ran");
+  answer.set("Finchlink-Query", ask["Finchlink-Query"]);
+  answer.set("Finchlink-Not-Run", "1");
+  if (!other_worker) {
+    answer.set("Finchlink-Weights", weights);
+  }
+  answer.keep_alive(false);
+  error_code error;
+  http::async_write(stream, answer, yield[error]);
+  return true;
+}
+
+/// Under `lock_`.
+void Worker::take_parts(loam::Ask const& ask, Job& job) {
+  job.relayed = true;
+  job.tokens = std::max(1.0, std::atof(std::string(ask["Finchlink-Tokens"]).c_str()));
+  job.tenant = std::string(ask["Finchlink-Standin-Tenant"]);
+  job.weights = "w" + std::to_string(weights_);
+  job.load = std::to_string(running_.size()) + "," + std::to_string(waiting_.size()) + "," + std::to_string(bed_.limit);
+  std::size_t const open = static_cast<std::size_t>(std::atoll(std::string(ask["Finchlink-Standin-Public"]).c_str()));
+  std::stringstream words{std::string(ask["Finchlink-Parts"])};
+  std::string word;
+  while (std::getline(words, word, ',')) {
+    std::size_t const colon = word.rfind(':');
+    if (colon != std::string::npos) {
+      job.parts.push_back(CachePart{word.substr(0, colon), std::atof(word.c_str() + colon + 1), job.parts.size() < open});
+    }
   }
 }
 
@@ -101,7 +151,14 @@
         prefill = waiting_.front();
         waiting_.pop_front();
         running_.push_back(prefill);
-        double const cached = std::min(static_cast<double>(cache_.match(prefill->chain)) * static_cast<double>(bed_.block_tokens), prefill->tokens - 1);
+        CacheReading reading;
+        if (prefill->relayed) {
+          reading = part_cache_.read(prefill->tenant, prefill->weights, prefill->parts);
+          ledger_.walls(prefill->tenant, reading);
+          prefill->reused = reading.reused;
+          prefill->read = true;
+        }
+        double const cached = prefill->relayed ? std::min(reading.reused, prefill->tokens - 1) : std::min(static_cast<double>(cache_.match(prefill->chain)) * static_cast<double>(bed_.block_tokens), prefill->tokens - 1);
         double const uncached = prefill->tokens - cached;
         cache_.remember(prefill->chain);
         std::vector<double> const& terms = bed_.model.prefill;
@@ -202,6 +259,12 @@
       http::response<http::empty_body> head{http::status::ok, 11};
       head.set(http::field::content_type, "text/event-stream");
       head.set("Finchlink-Query", job->query);
+      if (job->relayed) {
+        head.set("Finchlink-Seal", self_.id + "." + job->query);
+        head.set("Finchlink-Weights", job->weights);
+        head.set("Finchlink-Reused", std::to_string(static_cast<std::uint64_t>(job->reused)));
+        head.set("Finchlink-Load", job->load);
+      }
       head.keep_alive(false);
       head.chunked(true);
       http::response_serializer<http::empty_body> serializer(head);
@@ -258,6 +321,10 @@
       }
       continue;
     }
+    bool const relayed = !ask["Finchlink-Worker"].empty();
+    if (relayed && turned_away(stream, ask, yield)) {
+      return;
+    }
     std::string const query(ask["Finchlink-Query"]);
     Ledger::Arrival arrival;
     arrival.rule = std::string(ask["Finchlink-Rule"]);
@@ -297,6 +364,9 @@
         job->leg = arrival.leg;
         job->tokens = std::max(1.0, static_cast<double>(ask.body().size()) / bed_.bytes_per_token);
         job->chain = tilth::block_chain(ask.body(), static_cast<std::size_t>(static_cast<double>(bed_.block_tokens) * bed_.bytes_per_token));
+        if (relayed) {
+          take_parts(ask, *job);
+        }
         job->outputs = outputs;
         job->skip = static_cast<std::uint64_t>(std::atoll(std::string(ask["Last-Event-ID"]).c_str()));
         waiting_.push_back(job);
@@ -305,6 +375,9 @@
     ledger_.arrived(arrival, !refused, flooded);
     if (refused) {
       loam::Answer answer = loam::answer_error(http::status::too_many_requests, "full", "nothing ran");
+      if (relayed) {
+        answer.set("Finchlink-Not-Run", "1");
+      }
       answer.set("Finchlink-Query", query);
       answer.keep_alive(false);
       http::async_write(stream, answer, yield[error]);
--- a/source/seedbed/worker/worker.hpp
+++ b/source/seedbed/worker/worker.hpp
@@ -8,9 +8,11 @@
 #include <random>
 #include <string>
 
+#include "loam/http/http.hpp"
 #include "loam/net/net.hpp"
 #include "schema/standin.hpp"
 #include "seedbed/ledger/ledger.hpp"
+#include "seedbed/worker/part_cache.hpp"
 #include "tilth/prefix/prefix.hpp"
 
 namespace finchlink::seedbed {
@@ -34,6 +36,9 @@
   void set_dark(bool on) { dark_ = on; }
   /// All its times are this much longer.
   void set_slow(double times) { slow_ = times; }
+  /// Weights of another version from now on.
+  void change_weights();
+  [[nodiscard]] std::uint64_t limit() const { return bed_.limit; }
 
  private:
   struct Job {
@@ -47,6 +52,13 @@
     std::string leg;
     std::vector<std::uint64_t> chain;
     double tokens = 0;
+    bool relayed = false;  ///< by a relay, with parts (docs/operating/walls.md)
+    std::vector<CachePart> parts;
+    std::string tenant;
+    std::string weights;
+    std::string load;
+    bool read = false;
+    double reused = 0;
     std::uint64_t outputs = 0;
     std::uint64_t produced = 0;
     std::uint64_t skip = 0;
@@ -55,6 +67,8 @@
 
   void engine(loam::Yield yield);
   void emit(JobPointer const& job, std::string const& text, bool last);
+  [[nodiscard]] bool turned_away(loam::Stream& stream, loam::Ask const& ask, loam::Yield yield);
+  void take_parts(loam::Ask const& ask, Job& job);
   [[nodiscard]] double noisy(double seconds);
   [[nodiscard]] bool over_limit(bool& flooded);
   void answer_plain(loam::Stream& stream, std::string const& query, std::string const& nonce, loam::Yield yield);
@@ -70,6 +84,8 @@
   std::list<JobPointer> running_;
   std::size_t plain_open_ = 0;
   tilth::PrefixRecord cache_;
+  PartCache part_cache_;
+  std::uint64_t weights_ = 1;
   std::string boot_;
   loam::Moment up_since_ = 0;
   bool warm_ = true;
