--- a/tools/walls/walls.py
+++ b/tools/walls/walls.py
@@ -221,7 +221,7 @@
         for name in self.fleet.state["processes"]:
             with open(os.path.join(self.fleet.folder, name + ".log"), encoding="utf-8", errors="replace") as stream:
                 log = stream.read()
-            alarms += log.count("6004")
+            alarms += log.count("E6011")
             secrets_in_logs += log.count("a" * 32) + log.count("b" * 32)
         never = self.fleet.judge()["never"]
         return {"deployment": self.given.deployment, "walls": not self.given.without, "quiet": self.given.quiet, "seed": self.given.seed, "seconds": self.given.seconds, "tenants": len(tenants),
