--- /dev/null
+++ b/source/tests/relay/walls_test.cpp
@@ -0,0 +1,214 @@
+#include <gtest/gtest.h>
+
+#include <fstream>
+
+#include "furrow/relay/walls.hpp"
+#include "tests/relay/fleet.hpp"
+
+namespace finchlink::relay_test {
+namespace {
+
+std::string tenant(std::string const& name) { return "Customer: " + name + "\r\n"; }
+std::string parts(std::string const& text) { return "Finchlink-Tokens: 300,4\r\nFinchlink-Model: m\r\nFinchlink-Parts: " + text + "\r\n"; }
+
+/// A relay whose lane "plain" has tenants, with a secrets file.
+struct Walled {
+  Fleet fleet;
+  std::string path;
+  Worker* worker = nullptr;
+  std::size_t asked = 0;
+  explicit Walled(bool with_secrets = true) {
+    path = testing::TempDir() + "finchlink-secrets-" + std::to_string(getpid());
+    write(std::string(32, 'a'));
+    fleet.settings.secrets_file = with_secrets ? path : "";
+    schema::Tenancy tenancy;
+    tenancy.header = "Customer";
+    tenancy.public_parts = {"p"};
+    fleet.charter.lanes[0].tenancy = tenancy;
+    fleet.charter.lanes[0].shares = {schema::Share{"pool", 1}};
+    worker = &fleet.worker("w1", "pool");
+    fleet.begin();
+    EXPECT_TRUE(fleet.until([&] { return fleet.station->walls().keyed() == with_secrets; }));
+  }
+  ~Walled() { std::remove(path.c_str()); }
+  void write(std::string const& secret) const { std::ofstream(path) << "{\"current\":\"" << secret << "\"}"; }
+  /// Sends a query, answers it, and gives what reached the worker.
+  Arrival ask(std::string const& more, std::string const& said = "Finchlink-Weights: v1\r\n", std::string const& path_asked = "/plain/a") {
+    std::string const id = "q" + std::to_string(++asked);
+    std::shared_ptr<Line> const caller = fleet.call(query(path_asked, id, "body", more));
+    EXPECT_TRUE(fleet.arrived(*worker, asked));
+    if (worker->arrivals.size() < asked) {
+      return Arrival{};
+    }
+    Arrival const arrival = worker->arrivals.back();
+    arrival.line->send(success(id, "good", said));
+    std::optional<Response> const answer = fleet.answer_on(caller);
+    EXPECT_TRUE(answer.has_value() && answer->result_int() == 200u);
+    return arrival;
+  }
+};
+
+TEST(RelayWalls, WithoutATenantItIsRefusedBeforeItsBodyIsRead) {
+  Walled walled;
+  for (std::string const& more : {std::string(), tenant("a") + tenant("b"), tenant(""), tenant("a b")}) {
+    std::shared_ptr<Line> const caller = walled.fleet.call("POST /plain/a HTTP/1.1\r\nHost: h.example\r\nFinchlink-Query: q\r\n" + more + "Content-Length: 100000\r\n\r\n");
+    std::optional<Response> const answer = walled.fleet.answer_on(caller, 2000);
+    ASSERT_TRUE(answer.has_value()) << more;
+    EXPECT_EQ(answer->result_int(), 400u) << more;
+    EXPECT_EQ((*answer)["Finchlink-Query"], "q");
+    EXPECT_TRUE(walled.fleet.until([&] { return caller->ended; }, 2000)) << "nothing more is read from it";
+  }
+  walled.fleet.rest(50);
+  EXPECT_TRUE(walled.worker->arrivals.empty());
+}
+
+TEST(RelayWalls, ABodyThatComesAnywayDoesNotCostTheAnswer) {
+  Walled walled;
+  std::shared_ptr<Line> const caller = walled.fleet.call(query("/plain/a", "q", std::string(30000, 'x')));
+  walled.fleet.rest(100);
+  std::optional<Response> const answer = walled.fleet.answer_on(caller, 2000);
+  ASSERT_TRUE(answer.has_value());
+  EXPECT_EQ(answer->result_int(), 400u);
+}
+
+TEST(RelayWalls, IdsOfCallersNeverReachWorkers) {
+  Walled walled;
+  std::string const prompt = parts("p:100,x:100,y:100") + "Finchlink-Parts: z:5\r\nFinchlink-Expect-Weights: v9\r\n";
+  Arrival const cold = walled.ask(tenant("a") + prompt);
+  EXPECT_EQ(cold.header("Finchlink-Expect-Weights"), "");
+  EXPECT_EQ(cold.request.count("Finchlink-Parts"), 1u);
+  Arrival const first = walled.ask(tenant("a") + prompt);
+  Arrival const again = walled.ask(tenant("a") + prompt);
+  Arrival const other = walled.ask(tenant("b") + prompt);
+  EXPECT_EQ(first.header("Finchlink-Expect-Weights"), "v1");
+  EXPECT_EQ(first.header("Finchlink-Parts"), again.header("Finchlink-Parts"));
+  std::vector<tilth::NamedPart> const of_cold = tilth::named_parts(cold.header("Finchlink-Parts"));
+  std::vector<tilth::NamedPart> const of_a = tilth::named_parts(first.header("Finchlink-Parts"));
+  std::vector<tilth::NamedPart> const of_b = tilth::named_parts(other.header("Finchlink-Parts"));
+  ASSERT_EQ(of_a.size(), 3u);
+  ASSERT_EQ(of_b.size(), 3u);
+  ASSERT_EQ(of_cold.size(), 3u);
+  EXPECT_EQ(of_a[0].id, of_b[0].id) << "public";
+  for (std::size_t index = 1; index < 3; ++index) {
+    EXPECT_NE(of_a[index].id, of_b[index].id);
+    EXPECT_NE(of_a[index].id, of_cold[index].id);
+    EXPECT_EQ(of_a[index].id.size(), 32u);
+  }
+  for (Arrival const& arrival : walled.worker->arrivals) {
+    for (tilth::NamedPart const& part : tilth::named_parts(arrival.header("Finchlink-Parts"))) {
+      EXPECT_GT(part.id.size(), 16u) << part.id;
+    }
+  }
+}
+
+TEST(RelayWalls, AnotherSecretIsAnotherWall) {
+  Walled walled;
+  std::string const prompt = tenant("a") + parts("x:100");
+  (void)walled.ask(prompt);
+  std::string const before = walled.ask(prompt).header("Finchlink-Parts");
+  walled.write(std::string(40, 'b'));
+  std::string after = before;
+  for (int round = 0; round < 40 && after == before; ++round) {
+    walled.fleet.rest(100);
+    after = walled.ask(prompt).header("Finchlink-Parts");
+  }
+  EXPECT_NE(after, before);
+  walled.write("short");  // changes nothing
+  walled.fleet.rest(1500);
+  EXPECT_EQ(walled.ask(prompt).header("Finchlink-Parts"), after);
+}
+
+TEST(RelayWalls, WithoutASecretAllIsCold) {
+  Walled walled(false);
+  std::string const prompt = tenant("a") + parts("p:50,x:100");
+  (void)walled.ask(prompt);
+  Arrival const one = walled.ask(prompt);
+  Arrival const two = walled.ask(prompt);
+  EXPECT_NE(one.header("Finchlink-Parts"), two.header("Finchlink-Parts"));
+  EXPECT_EQ(one.header("Finchlink-Parts").find("p:"), std::string::npos);
+}
+
+TEST(RelayWalls, OtherWeightsAreHeardOf) {
+  Walled walled;
+  std::string const prompt = tenant("a") + parts("x:100");
+  (void)walled.ask(prompt);
+  std::string const before = walled.ask(prompt).header("Finchlink-Parts");
+  std::shared_ptr<Line> const caller = walled.fleet.call(query("/plain/a", "other", "body", prompt));
+  ASSERT_TRUE(walled.fleet.arrived(*walled.worker, ++walled.asked));
+  EXPECT_EQ(walled.worker->arrivals.back().header("Finchlink-Expect-Weights"), "v1");
+  walled.worker->arrivals.back().line->send("HTTP/1.1 421 Misdirected Request\r\n" + with_id("other") + "Finchlink-Not-Run: 1\r\nFinchlink-Weights: v2\r\nContent-Length: 0\r\n\r\n");
+  std::optional<Response> const answer = walled.fleet.answer_on(caller);
+  ASSERT_TRUE(answer.has_value());
+  EXPECT_EQ(answer->result_int(), 503u) << "no other worker was there, and nothing ran";
+  walled.fleet.rest(250);
+  Arrival const after = walled.ask(prompt, "Finchlink-Weights: v2\r\n");
+  EXPECT_EQ(after.header("Finchlink-Expect-Weights"), "v2");
+  EXPECT_NE(after.header("Finchlink-Parts"), before);
+}
+
+TEST(RelayWalls, ACrossingIsCountedAndTold) {
+  Walled walled;
+  (void)walled.ask(tenant("a") + parts("x:100,y:100"), "Finchlink-Weights: v1\r\nFinchlink-Reused: 100\r\n");
+  EXPECT_EQ(walled.fleet.station->walls().crossings(), 1u);
+  EXPECT_NE(furrow::print_wall_metrics(walled.fleet.station->walls()).find("relay_wall_crossings_total 1\n"), std::string::npos);
+  (void)walled.ask(tenant("a") + parts("x:100,y:100"), "Finchlink-Weights: v1\r\nFinchlink-Reused: 0\r\n");
+  (void)walled.ask(tenant("a") + parts("x:100,y:100"), "Finchlink-Weights: v1\r\nFinchlink-Reused: 200\r\n");
+  EXPECT_EQ(walled.fleet.station->walls().crossings(), 1u) << "its own is no crossing";
+  tilth::TenantTally const tally = walled.fleet.station->walls().tallies().at("a");
+  EXPECT_EQ(tally.queries, 3u);
+  EXPECT_EQ(tally.cold, 1u);
+  EXPECT_EQ(tally.reused, 300);
+}
+
+TEST(RelayWalls, LanesWithoutTenantsAreAsBefore) {
+  Walled walled;
+  walled.fleet.charter.lanes[0].tenancy.reset();
+  walled.fleet.charter.number = 2;
+  walled.fleet.publish_charter(2);
+  ASSERT_TRUE(walled.fleet.until([&] { return walled.fleet.station->book()->charter().number == 2; }));
+  Arrival const arrival = walled.ask(parts("x:100,y:100"));
+  EXPECT_EQ(arrival.header("Finchlink-Parts"), "x:100,y:100");
+  EXPECT_EQ(arrival.header("Finchlink-Expect-Weights"), "");
+  EXPECT_TRUE(walled.fleet.station->walls().tallies().empty());
+}
+
+TEST(RelayWalls, ACharterThatWantsATenantMeanwhileDecides) {
+  Fleet fleet;
+  fleet.charter.lanes[0].set_point_ms = 20000;  // it may wait for a place
+  fleet.charter.lanes[0].deadline_ms = 10000;
+  fleet.begin();
+  std::shared_ptr<Line> const caller = fleet.call(query("/plain/a", "q1", "x"));
+  fleet.rest(50);
+  schema::Tenancy tenancy;
+  tenancy.header = "Customer";
+  fleet.charter.lanes[0].tenancy = tenancy;
+  fleet.charter.number = 2;
+  fleet.publish_charter(2);
+  std::optional<Response> const answer = fleet.answer_on(caller);
+  ASSERT_TRUE(answer.has_value());
+  EXPECT_EQ(answer->result_int(), 400u);
+}
+
+TEST(RelayWalls, ATenantsHomesBind) {
+  Fleet fleet;
+  schema::Tenancy tenancy;
+  tenancy.header = "Customer";
+  fleet.charter.lanes[0].tenancy = tenancy;
+  fleet.charter.tenants = {schema::Tenant{"corkonian", {"cork"}}};
+  Worker& near = fleet.worker("w1", "web", "north");
+  Worker& away = fleet.worker("w2", "web", "far");
+  fleet.begin();
+  for (std::size_t count = 1; count <= 4; ++count) {
+    std::string const id = "q" + std::to_string(count);
+    std::shared_ptr<Line> const caller = fleet.call(query("/plain/a", id, "", tenant("corkonian")));
+    ASSERT_TRUE(fleet.arrived(away, count));
+    away.arrivals.back().line->send(success(id, "good"));
+    std::optional<Response> const answer = fleet.answer_on(caller);
+    ASSERT_TRUE(answer.has_value());
+    EXPECT_EQ(answer->result_int(), 200u);
+  }
+  EXPECT_TRUE(near.arrivals.empty());
+}
+
+}  // namespace
+}  // namespace finchlink::relay_test
--- a/tools/walls/walls.py
+++ b/tools/walls/walls.py
@@ -19,6 +19,7 @@
 import random
 import signal
 import sys
+import tempfile
 import time
 
 HERE = os.path.dirname(os.path.abspath(__file__))
@@ -36,7 +37,7 @@
         if walls:
             lane["tenancy"] = tenancy
         lanes.append(lane)
-    return {"number": 1, "lanes": lanes, "services": [{"name": "model", "model": True, "capacity": 48, "kept_tokens": 24000}]}
+    return {"number": 1, "lanes": lanes, "services": [{"name": "model", "model": True, "capacity": 48, "kept_tokens": 40000}]}
 
 
 class Run:
@@ -51,7 +52,7 @@
         fleet, given = self.fleet, self.given
         os.makedirs(fleet.folder, exist_ok=True)
         self.rotate({"current": f"first-{given.seed}-" + "a" * 32})
-        fleet.plan(given.deployment, {"base_port": given.port, "bed": {"kept_tokens": 24000, "limit": 48}})
+        fleet.plan(given.deployment, {"base_port": given.port, "bed": {"kept_tokens": 40000, "limit": 48}})
         with open(os.path.join(fleet.folder, "bed.json"), encoding="utf-8") as stream:
             self.bed = json.load(stream)
         regions = {worker["zone"]: worker["region"] for worker in self.bed["workers"]}
@@ -121,7 +122,7 @@
         lane = self.random.choice(("logs", "journeys"))
         # Every tenant sends the same prompts; only the last part is a query's own.
         parts = [(PUBLIC, 120)] if lane == "logs" else []
-        parts += [(f"a{self.random.randrange(2)}", 400), (f"b{self.random.randrange(3)}", 200), (f"f{self.given.seed:x}{self.sent:08x}", 40)]
+        parts += [(f"a{self.random.randrange(2)}", 1200), (f"b{self.random.randrange(3)}", 200), (f"f{self.given.seed:x}{self.sent:08x}", 40)]
         tokens = sum(count for _, count in parts)
         body = json.dumps({"nonce": f"{self.given.seed}-{self.sent}", "repeatable": True, "outputs": 12})
         path = f"/v1/{lane}/{tenant}/ask" if lane == "journeys" else f"/v1/{lane}/ask"
@@ -267,7 +268,7 @@
     parser.add_argument("--rate", type=float, default=60)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--port", type=int, default=27000)
-    parser.add_argument("--folder", default="/tmp/finchlink-walls")
+    parser.add_argument("--folder", help="of its files and logs, empty at first; a new one by default")
     parser.add_argument("--build", default="build")
     parser.add_argument("--without", action="store_true")
     parser.add_argument("--quiet", action="store_true", help="nothing befalls the fleet")
@@ -275,6 +276,7 @@
     given = parser.parse_args()
     if given.deployment == "plot":
         return plot(given.words)
+    given.folder = given.folder or tempfile.mkdtemp(prefix="finchlink-walls-")
     run = Run(given)
     try:
         run.start()
