--- a/source/furrow/relay/relay.cpp
+++ b/source/furrow/relay/relay.cpp
@@ -261,6 +261,8 @@
       // The right is taken now: others whose worker fell silent at the same
       // moment must not count on the same one.
       reserved_ = station_.rights(service_).take();
+      // Slow, not dark, if anything came from it since: no reason for it to rest.
+      slow_ = station_.grove().heard_at(spot_.worker) >= silent_since_;
       cut();
     } else {
       wanted_.avoid.pop_back();
@@ -387,7 +389,7 @@
       std::variant<tilth::Spot, tilth::NoSpot> const found = station_.grove().choose(wanted_, now);
       if (tilth::Spot const* const spot = std::get_if<tilth::Spot>(&found)) {
         spot_ = *spot;
-        trail_ += "; at " + std::to_string((now - query_.arrived) / 1000) + " ms " + spot->worker + " predicted " + std::to_string(static_cast<int>(spot->predicted_seconds * 1000)) + " uncached " + std::to_string(static_cast<int>(spot->uncached));
+        trail_ += "; at " + std::to_string((now - query_.arrived) / 1000) + " ms " + spot->worker + " predicted " + std::to_string(static_cast<int>(spot->predicted_seconds * 1000)) + "/" + std::to_string(static_cast<int>(spot->price * 1000)) + " uncached " + std::to_string(static_cast<int>(spot->uncached));
         return true;
       }
       if (now >= until || now >= deadline_) {
@@ -440,7 +442,8 @@
     ++station_.tally().dispatches;
     outcome = talk();
     worker_.reset();
-    station_.grove().ended(spot_, first_seen_, gone_ ? tilth::Outcome::abandoned : outcome, loam::boot_now());
+    station_.grove().ended(spot_, first_seen_, gone_ || slow_ ? tilth::Outcome::abandoned : outcome, loam::boot_now());
+    slow_ = false;
     wanted_.avoid.push_back(spot_.worker);
     if (after_.has_value()) {
       tilth::QueryMessage const message = *after_;
@@ -783,6 +786,7 @@
   int connects_ = 0;
   loam::Moment first_at_ = 0;
   std::string trail_;       ///< workers it was placed on: when, predicted
+  bool slow_ = false;       ///< given up for its slowness
   bool reserved_ = false;   ///< the right to its next dispatch is taken already
   bool connecting_ = false;
   bool first_seen_ = false;
--- a/source/loam/relay_constants.hpp
+++ b/source/loam/relay_constants.hpp
@@ -30,8 +30,8 @@
 inline constexpr double long_share_least = 0.5;
 inline constexpr double long_share_most = 0.8;
 inline constexpr double short_work = 0.01;
-inline constexpr double long_astray_cost = 0.3;
-inline constexpr double short_astray_cost = 0.15;
+inline constexpr double long_astray_cost = 0.12;
+inline constexpr double short_astray_cost = 0.06;
 /// A told load is forgotten over this many seconds.
 inline constexpr double load_memory = 3;
 /// Queries on a worker, as a multiple of its places, up to which it is sent more.
@@ -48,8 +48,15 @@
 /// out of reach; how long that is remembered.
 inline constexpr double trial_cost = 0.1;
 inline constexpr double trial_once_cost = 0.6;
-inline constexpr double dark_cost = 1.0;
+inline constexpr double dark_cost = 4.0;
 inline constexpr Span dark_memory = seconds(3);
+/// The way to another region and back, in seconds, and what a first token may
+/// be later than predicted before its worker counts as held up.
+inline constexpr double other_region_seconds = 0.12;
+inline constexpr Span overdue_slack = milliseconds(100);
+/// Cost in seconds of reading one shared token anew: far above its time, since
+/// it takes memory from what others share and is paid for.
+inline constexpr double reread_cost = 0.0002;
 /// Service time taken for a worker that generates no text, in seconds.
 inline constexpr double plain_seconds = 0.08;
 /// A worker that refused is left alone this long.
