--- a/source/tests/tilth/grove_test.cpp
+++ b/source/tests/tilth/grove_test.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <set>
 
-#include "loam/constants.hpp"
+#include "loam/relay_constants.hpp"
 #include "tilth/grove/grove.hpp"
 
 namespace finchlink {
