--- a/source/furrow/relay/relay.cpp
+++ b/source/furrow/relay/relay.cpp
@@ -86,6 +86,10 @@
 
   /// False: the caller's connection is of no more use.
   bool run() {
+    if (!tenant_fault_.empty()) {  // a trailer, or a charter since the header was read, says otherwise
+      answer("400 Bad Request", tenant_fault_, false);
+      return keep_;
+    }
     std::shared_ptr<Guard> const guard = std::make_shared<Guard>();
     guard->relay = this;
     alarm_ = std::make_shared<Alarm>(station_.context(), [guard] {
--- a/source/tests/relay/walls_test.cpp
+++ b/source/tests/relay/walls_test.cpp
@@ -71,6 +71,22 @@
   EXPECT_EQ(answer->result_int(), 400u);
 }
 
+TEST(RelayWalls, ATrailerNamesNoSecondTenant) {
+  Walled walled;
+  std::shared_ptr<Line> const caller = walled.fleet.call("POST /plain/a HTTP/1.1\r\nHost: h.example\r\nFinchlink-Query: q\r\n" + tenant("a") + parts("x:100") +
+                                                         "Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n" + tenant("b") + "Finchlink-Parts: y:100\r\n\r\n");
+  (void)walled.fleet.until([&] { return !caller->got.empty() || !walled.worker->arrivals.empty(); });
+  if (walled.worker->arrivals.empty()) {
+    std::optional<Response> const answer = walled.fleet.answer_on(caller);
+    ASSERT_TRUE(answer.has_value());
+    EXPECT_EQ(answer->result_int(), 400u);
+  } else {  // the trailer was left out
+    Arrival const& arrival = walled.worker->arrivals.back();
+    EXPECT_EQ(arrival.request.count("Customer"), 1u);
+    EXPECT_EQ(arrival.request.count("Finchlink-Parts"), 1u);
+  }
+}
+
 TEST(RelayWalls, IdsOfCallersNeverReachWorkers) {
   Walled walled;
   std::string const prompt = parts("p:100,x:100,y:100") + "Finchlink-Parts: z:5\r\nFinchlink-Expect-Weights: v9\r\n";
