Long prompts apart is a term of the grove; near trellises first; whole answers end their reading

Cause: the constant switched the core off for tests, too; furrows asked trellises of other regions; own_prefill never shrank for model answers that are no stream (found by reading).

--- a/source/furrow/relay/station.cpp
+++ b/source/furrow/relay/station.cpp
@@ -277,10 +277,13 @@
 void Station::heard_from(schema::NewsAnswer const& news) {
   heard_ = true;
   heard_at_ = loam::boot_now();
-  trellises_ = settings_.seeds;
-  for (std::string const& colleague : news.colleagues) {
-    if (!colleague.empty() && std::find(trellises_.begin(), trellises_.end(), colleague) == trellises_.end()) {
-      trellises_.push_back(colleague);
+  // Near ones first, as told; seeds stay in for the day that all others are gone.
+  trellises_.clear();
+  for (std::vector<std::string> const* const addresses : std::initializer_list<std::vector<std::string> const*>{&news.colleagues, &settings_.seeds}) {
+    for (std::string const& address : *addresses) {
+      if (!address.empty() && std::find(trellises_.begin(), trellises_.end(), address) == trellises_.end()) {
+        trellises_.push_back(address);
+      }
     }
   }
 }
@@ -399,6 +402,7 @@
   terms.self = settings_.name;
   terms.cold_overshoot = settings_.bounds.cold_overshoot;
   terms.cold_slack = settings_.bounds.cold_slack;
+  terms.keep_long_apart = constants::keep_long_apart;
   for (schema::Member const& member : members_) {
     terms.furrows.push_back(member.name);
   }
--- a/source/loam/relay_constants.hpp
+++ b/source/loam/relay_constants.hpp
@@ -22,6 +22,8 @@
 inline constexpr double reuse_part = 0.8;
 /// Beginnings of at least this many tokens have an owner and teach the pace.
 inline constexpr double owned_tokens = 1000;
+/// Kept apart by each furrow's own estimate: off, since owners that change with
+/// it read shared parts anew (measured); a written split keeps them apart.
 inline constexpr bool keep_long_apart = false;
 /// Demand is remembered for about this many seconds; bounds of the share of a
 /// region's workers that long prompts are fed to while there are others too;
--- a/source/tilth/grove/grove.cpp
+++ b/source/tilth/grove/grove.cpp
@@ -91,7 +91,7 @@
 
 bool Grove::fed_long(Worker const& worker, loam::Moment) const {
   std::map<std::pair<std::string, std::string>, Demand>::const_iterator const found = demand_.find({worker.stand.service, worker.stand.region});
-  if (!constants::keep_long_apart || worker.ranks < 3 || found == demand_.end() || found->second.decode <= 0) {
+  if (worker.ranks < 3 || found == demand_.end() || found->second.decode <= 0) {
     return true;  // nothing to keep apart
   }
   Demand const& demand = found->second;
@@ -183,7 +183,7 @@
     price.cost += running * (long_prompt ? constants::running_cost_long : constants::running_cost);
     // Long prompts and the rest are kept apart: reading one holds up every
     // stream on its worker (section 13.6).
-    if (worker.ranks >= 3 && long_prompt != fed_long(worker, now)) {
+    if (terms_.keep_long_apart && worker.ranks >= 3 && long_prompt != fed_long(worker, now)) {
       price.cost += long_prompt ? constants::long_astray_cost : constants::short_astray_cost;
     }
   } else {
@@ -355,8 +355,10 @@
   }
   Worker& worker = found->second;
   worker.own -= worker.own > 0 ? 1 : 0;
+  // A whole answer has no first token of its own: what it had read ends here.
+  bool const pending = std::any_of(worker.pending.begin(), worker.pending.end(), [&spot](Pending const& entry) { return entry.ticket == spot.ticket; });
   settle_pending(worker, spot.ticket);
-  if (!first_seen) {
+  if (!first_seen || pending) {
     worker.own_prefill = std::max(0.0, worker.own_prefill - spot.uncached);
   }
   switch (outcome) {
--- a/source/tilth/grove/grove.hpp
+++ b/source/tilth/grove/grove.hpp
@@ -65,6 +65,7 @@
   std::vector<std::string> furrows;  ///< members, this one included
   double cold_overshoot = 1;
   double cold_slack = 0;
+  bool keep_long_apart = true;       ///< long prompts and the rest go to different workers (section 13.6)
 };
 
 /// Rules that tests switch off to show that they are needed.
