--- a/source/loam/constants.hpp
+++ b/source/loam/constants.hpp
@@ -89,6 +89,9 @@
 /// A half-done change is settled by a reader after this: several rounds of a
 /// change that is merely under way, and well within the vouch bound.
 inline constexpr Span settle_after = milliseconds(200);
+/// One look in so many at a half-done change settles it: of six trellises two
+/// try at once, and one alone does after some half a second.
+inline constexpr std::uint64_t settle_lots = 3;
 /// Range of the pause after a lost ballot.
 inline constexpr Span ballot_pause_least = milliseconds(5);
 inline constexpr Span ballot_pause_most = milliseconds(60);
@@ -141,6 +144,8 @@
 /// Bytes of one file: an image of all registers with the largest charter, one
 /// more of it, and a few hundred small changes.
 inline constexpr std::size_t ring_file_bytes = 5u << 20u;
+/// Files are read in pieces of this many bytes; what is empty is not kept.
+inline constexpr std::size_t ring_piece_bytes = 64u << 10u;
 /// Pause before a disk that failed is opened anew.
 inline constexpr Span disk_reopen_pause = seconds(1);
 /// Records waiting for the disk; beyond it the holder stays silent.
@@ -149,6 +154,10 @@
 // --- frames (section 3) ---
 inline constexpr std::size_t frame_limit = 8u << 20u;
 inline constexpr std::uint32_t frame_mark = 0x46434c31;  // "FCL1"
+inline constexpr std::uint32_t frame_mark_compressed = 0x46434c32;  // "FCL2"
+/// Frames of at least this many bytes are compressed: charters and lists travel
+/// to every furrow, over links of 10 Mbit/s, and shrink to a fifth and less.
+inline constexpr std::size_t frame_compress_least = 1024;
 /// Idle frames connections kept per colleague.
 inline constexpr std::size_t idle_connections = 8;
 /// A silent frame connection is closed after this.
