With long prompts kept apart their owners are workers that are fed them

Cause: owners by all shared parts stood outside the split (Grove.LongPromptsAndTheRestAreKeptApart failed since owners span the region).

--- a/source/tilth/grove/grove.cpp
+++ b/source/tilth/grove/grove.cpp
@@ -239,6 +239,9 @@
       if (!worker.stand.model || worker.stand.draining || worker.stand.evacuated) {
         continue;
       }
+      if (terms_.keep_long_apart && worker.ranks >= 3 && (wanted.tokens >= constants::owned_tokens) != fed_long(worker, now)) {
+        continue;  // an owner is one that is fed such prompts
+      }
       std::pair<std::uint64_t, Worker const*>& owner = owners[worker.stand.region];
       std::uint64_t const weight = mix(worker.hash, key);
       if (owner.second == nullptr || weight > owner.first) {
