Scaler works under a charter: reports of relays, pools, splits in placement

The scaler knew the older setup only. Relays now infer work from events and told loads (tilth/observe) and report it by pool, a service in a region; the duty makes a split per pool; placement follows it in place of its own estimate.

--- a/source/furrow/relay/relay.cpp
+++ b/source/furrow/relay/relay.cpp
@@ -661,6 +661,8 @@
   tilth::Outcome talk_events(boost::beast::flat_buffer& buffer, Parser& parser, loam::Moment sent) {
     EventCutter cutter;
     std::string bytes;
+    tilth::Sighting sighting;
+    sighting.sent = sent;
     bool const resumed = chart_.last_event() > 0;
     station_.tally().resumed += resumed ? 1 : 0;
     bool first = true;
@@ -680,6 +682,7 @@
       }
       loam::Moment const now = loam::boot_now();
       station_.grove().heard(spot_.worker, now);
+      sighting.event(whole.count, now);
       if (first) {
         first = false;
         first_seen_ = true;
@@ -715,6 +718,9 @@
     }
     feed(tilth::Whole{});
     after_answer(buffer, parser);
+    if (!resumed) {
+      station_.saw(std::move(sighting), spot_, wanted_);
+    }
     return tilth::Outcome::good;
   }
 
--- a/source/furrow/relay/station.cpp
+++ b/source/furrow/relay/station.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <boost/context/fixedsize_stack.hpp>
+#include <cstring>
 #include <sstream>
 
 #include "loam/constants.hpp"
@@ -14,6 +15,8 @@
 #include "loam/log/log.hpp"
 #include "loam/random/random.hpp"
 #include "orchard/charter/wish.hpp"
+#include "rootstock/ballot/ballot.hpp"
+#include "tilth/scaler/pools.hpp"
 
 namespace finchlink::furrow {
 
@@ -215,12 +218,16 @@
     std::string const address = trellises_[turn % trellises_.size()];
     bool const was_ready = ready();
     loam::Moment const asked = loam::boot_now();
-    schema::NewsAsk ask{self(), 0, list_digest_, members_digest_, {}};
+    schema::NewsAsk ask{self(), 0, list_digest_, members_digest_, reports(asked)};
     absl::StatusOr<schema::Message> const answer =
         caller_.call(address, ask, loam::milliseconds(static_cast<std::int64_t>(settings_.bounds.ask_deadline_ms)), yield);
     schema::NewsAnswer const* const news = answer.ok() ? std::get_if<schema::NewsAnswer>(&*answer) : nullptr;
     if (news != nullptr) {
       take(*news, asked);
+      report_ms_ = news->report_ms;
+      while (!reports_.empty() && reports_.front().slice <= news->reports_taken) {
+        reports_.pop_front();
+      }
     }
     if (news == nullptr || !news->vouched) {
       ++turn;
@@ -288,6 +295,8 @@
         }
       }
       loam::note(loam::Event::RevisionAdopted, "evacuated " + news.content);
+    } else if (news.name.rfind(rootstock::split_prefix, 0) == 0) {
+      take_split(news);
     }
   }
   if (answer.vouched && !answer.members_same) {
@@ -310,6 +319,69 @@
   }
 }
 
+void Station::take_split(schema::NamedValue const& news) {
+  absl::StatusOr<schema::Split> split = tilth::read_split(news.content);
+  if (!split.ok()) {
+    return;  // the one before stays: it is whole
+  }
+  splits_[news.name.substr(std::strlen(rootstock::split_prefix))] = std::move(*split);
+  std::set<std::string> frozen;
+  for (std::pair<std::string const, schema::Split> const& entry : splits_) {
+    if (entry.second.frozen) {
+      frozen.insert(entry.first);
+    }
+  }
+  observer_.freeze(std::move(frozen));
+  loam::note(loam::Event::RevisionAdopted, news.name + " revision " + std::to_string(news.revision));
+}
+
+std::string Station::phase_of(schema::WorkerEntry const& entry, std::string const& region) const {
+  if (!entry.phase.empty()) {
+    return entry.phase;
+  }
+  std::map<std::string, schema::Split>::const_iterator const split = splits_.find(tilth::pool_name(region, entry.service));
+  if (split == splits_.end() || split->second.phases.empty()) {
+    return "";
+  }
+  std::map<std::string, std::string>::const_iterator const phase = split->second.phases.find(entry.id);
+  return phase == split->second.phases.end() ? "both" : phase->second;
+}
+
+std::vector<schema::FurrowReport> Station::reports(loam::Moment now) {
+  if (report_ms_ == 0) {
+    reports_.clear();
+    return {};
+  }
+  schema::FurrowReport report;
+  if (now - reported_at_ >= loam::milliseconds(static_cast<std::int64_t>(report_ms_)) && observer_.take(report_slice_ + 1, now - reported_at_, report)) {
+    ++report_slice_;
+    reported_at_ = now;
+    reports_.push_back(std::move(report));
+    if (reports_.size() > constants::reports_most) {
+      reports_.pop_front();  // figures only; what is lost is not made up
+    }
+  }
+  return {reports_.begin(), reports_.end()};
+}
+
+void Station::saw(tilth::Sighting sighting, tilth::Spot const& spot, tilth::Wanted const& wanted) {
+  if (report_ms_ == 0) {
+    return;
+  }
+  loam::Moment const now = loam::boot_now();
+  sighting.worker = spot.worker;
+  sighting.pool = grove_.pool_of(spot.worker);
+  sighting.long_prompt = wanted.tokens >= constants::owned_tokens;
+  sighting.alone = spot.alone;
+  sighting.sure = spot.sure;
+  sighting.uncached = spot.uncached;
+  sighting.cached = std::max(0.0, wanted.tokens - spot.uncached);
+  sighting.running = (spot.running + 1 + grove_.running_on(spot.worker, now)) / 2;
+  std::size_t const slash = sighting.pool.find('/');
+  schema::Service const* const service = book_ == nullptr || slash == std::string::npos ? nullptr : book_->service(sighting.pool.substr(slash + 1));
+  observer_.saw(sighting, service == nullptr ? 1 : static_cast<double>(service->stride), schema::ScalerAims().experts_share);
+}
+
 void Station::take_list(schema::PlatformList const& list, loam::Moment as_of) {
   list_ = list;
   list_as_of_ = as_of;
@@ -342,6 +414,7 @@
     std::map<std::string, std::string>::const_iterator const region = settings_.regions.find(entry.zone);
     stand.region = region == settings_.regions.end() ? "" : region->second;
     stand.model = service->model;
+    stand.phase = stand.model ? phase_of(entry, stand.region) : "";
     stand.draining = entry.draining;
     stand.evacuated = evacuated_.count(entry.zone) > 0;
     stand.capacity = std::max<std::uint64_t>(1, entry.capacity);
--- a/source/furrow/relay/station.hpp
+++ b/source/furrow/relay/station.hpp
@@ -21,6 +21,7 @@
 #include "schema/settings.hpp"
 #include "tilth/grove/grove.hpp"
 #include "tilth/lanes/lanes.hpp"
+#include "tilth/observe/observer.hpp"
 #include "tilth/rights/rights.hpp"
 
 namespace finchlink::furrow {
@@ -86,6 +87,9 @@
   [[nodiscard]] std::unique_ptr<Socket> kept(std::string const& worker);
   void keep(std::string const& worker, std::unique_ptr<Socket> socket, loam::Span longest);
 
+  /// A stream ended whole; what it shows goes into the next report.
+  void saw(tilth::Sighting sighting, tilth::Spot const& spot, tilth::Wanted const& wanted);
+
   void opened() { ++open_; }
   void closed() { --open_; }
   [[nodiscard]] std::string directory(std::string const& hall, std::string const& region);
@@ -106,6 +110,10 @@
   void take_list(schema::PlatformList const& list, loam::Moment as_of);
   void settle();
   [[nodiscard]] schema::Member self() const;
+  void take_split(schema::NamedValue const& news);
+  [[nodiscard]] std::string phase_of(schema::WorkerEntry const& entry, std::string const& region) const;
+  /// The reports that go with an ask now.
+  [[nodiscard]] std::vector<schema::FurrowReport> reports(loam::Moment now);
   void tell_leaving();
 
   boost::asio::io_context& context_;
@@ -128,6 +136,12 @@
   loam::Moment heard_at_ = 0;
   bool heard_ = false;
   tilth::Grove grove_;
+  tilth::Observer observer_;
+  std::map<std::string, schema::Split> splits_;  ///< by pool
+  std::deque<schema::FurrowReport> reports_;     ///< not taken by a trellis yet
+  std::uint64_t report_ms_ = 0;                  ///< how often they are wanted; 0: not
+  std::uint64_t report_slice_ = 0;
+  loam::Moment reported_at_ = 0;
   std::map<std::string, tilth::Rights> rights_;
   std::map<std::string, std::deque<Kept>> kept_;
   std::vector<std::shared_ptr<Acceptor>> acceptors_;
--- a/source/loam/constants.hpp
+++ b/source/loam/constants.hpp
@@ -242,6 +242,16 @@
 inline constexpr double short_work = 0.01;
 inline constexpr double long_astray_cost = 0.3;
 inline constexpr double short_astray_cost = 0.15;
+/// Reports of work to the scaler (section 13.7): their bytes are priced between
+/// regions, so they are seldom; a slice should still hold two of each furrow.
+inline constexpr Span relay_report_span = milliseconds(2000);
+inline constexpr Span relay_report_least = milliseconds(500);
+/// Rows for the fit in one report, and reports that wait for a trellis.
+inline constexpr std::size_t samples_told = 8;
+inline constexpr std::size_t reports_most = 4;
+/// Gaps between events that are looked at: at least, and at most of one stream.
+inline constexpr std::size_t gaps_least = 3;
+inline constexpr std::size_t gaps_most = 32;
 /// A told load is forgotten over this many seconds.
 inline constexpr double load_memory = 3;
 /// Queries on a worker, as a multiple of its places, up to which it is sent more.
--- a/source/loam/process/process.cpp
+++ b/source/loam/process/process.cpp
@@ -68,12 +68,13 @@
 
 void follow(Followed& followed, Daemon const& daemon) {
   followed.stamp = stamp_of(followed.path);
-  absl::StatusOr<schema::Settings> const fresh = daemon.read_settings(followed.path);
+  absl::StatusOr<schema::Settings> fresh = daemon.read_settings(followed.path);
   absl::Status const good = fresh.ok() ? check_bounds(fresh->bounds) : fresh.status();
   if (!good.ok()) {
     note(Event::SettingsBroken, std::string(good.message()));
     return;
   }
+  keep_options(followed.settings, *fresh);
   if (*fresh == followed.settings) {
     return;
   }
@@ -114,12 +115,13 @@
   if (path.has_value()) {
     followed.path = *path;
     followed.stamp = stamp_of(*path);
-    absl::StatusOr<schema::Settings> const given = daemon.read_settings(*path);
+    absl::StatusOr<schema::Settings> given = daemon.read_settings(*path);
     absl::Status const good = given.ok() ? check_bounds(given->bounds) : given.status();
     if (!good.ok()) {
       std::cerr << daemon.program << ": " << good.message() << "\n";
       return exit_usage;
     }
+    keep_options(invocation->settings, *given);
     invocation->settings = *given;
     followed.settings = *given;
   }
--- a/source/loam/settings/settings.cpp
+++ b/source/loam/settings/settings.cpp
@@ -39,10 +39,9 @@
     return;
   }
   std::string const& text = texts.back();
-  bool const number = std::string(flag.name) == "threads" || std::string(flag.name) == "connections";
   char* end = nullptr;
   double const value = std::strtod(text.c_str(), &end);
-  if (number && end != text.c_str() && *end == '\0') {
+  if (flag.number && end != text.c_str() && *end == '\0') {
     cJSON_AddNumberToObject(object, flag.name, value);
   } else {
     cJSON_AddStringToObject(object, flag.name, text.c_str());
@@ -66,6 +65,16 @@
 }
 }  // namespace
 
+void keep_options(schema::Settings const& given, schema::Settings& read) {
+  read.scaler = given.scaler;
+  read.scaler_window_ms = given.scaler_window_ms;
+  read.scaler_slices = given.scaler_slices;
+  read.scaler_hold_ms = given.scaler_hold_ms;
+  read.scaler_warm_up_ms = given.scaler_warm_up_ms;
+  read.scaler_refit_ms = given.scaler_refit_ms;
+  read.scaler_step = given.scaler_step;
+}
+
 absl::StatusOr<Invocation> read_invocation(int count, char const* const* values, std::string const& program,
                                            std::vector<std::string> const& needed) {
   Invocation invocation;
--- a/source/loam/settings/settings.hpp
+++ b/source/loam/settings/settings.hpp
@@ -33,4 +33,8 @@
 [[nodiscard]] absl::StatusOr<Invocation> read_invocation(int count, char const* const* values, std::string const& program,
                                                          std::vector<std::string> const& needed);
 
+/// Options of the command line that another's settings file doesn't tell of
+/// (section 13.2) stay as they were given.
+void keep_options(schema::Settings const& given, schema::Settings& read);
+
 }  // namespace finchlink::loam
--- a/source/platform/listing.cpp
+++ b/source/platform/listing.cpp
@@ -52,6 +52,8 @@
     worker.capacity = natural_of(entry, "capacity");
     worker.cold_ms = natural_of(entry, "warmup_left_ms");
     worker.left_ms = natural_of(entry, "remaining_ms");
+    std::string const phase = text_of(entry, "phase");
+    worker.phase = phase == "both" ? "" : phase;
     page.workers.push_back(worker);
   }
   return page;
--- a/source/rootstock/ballot/ballot.hpp
+++ b/source/rootstock/ballot/ballot.hpp
@@ -29,7 +29,9 @@
 /// Name of the register that holds the holder set itself.
 inline constexpr char const* holders_register = "holders";
 inline constexpr char const* setup_register = "setup";
-[[nodiscard]] inline std::string split_register(std::string const& region) { return "split/" + region; }
+/// Of a region or, under a charter, of a pool of one.
+inline constexpr char const* split_prefix = "split/";
+[[nodiscard]] inline std::string split_register(std::string const& of) { return split_prefix + of; }
 
 /// Rules that tests switch off one at a time to show that each is needed
 /// (docs/proofs.md). Daemons never change them.
--- a/source/tilth/grove/grove.cpp
+++ b/source/tilth/grove/grove.cpp
@@ -5,6 +5,7 @@
 
 #include "loam/constants.hpp"
 #include "tilth/prefix/prefix.hpp"
+#include "tilth/scaler/pools.hpp"
 
 namespace finchlink::tilth {
 
@@ -57,6 +58,23 @@
       place.second[index].second->ranks = place.second.size();
     }
   }
+  // A split names who is fed what, as long as each phase has a worker that
+  // takes queries (section 13.7).
+  std::map<std::pair<std::string, std::string>, std::pair<bool, bool>> phases;
+  for (std::pair<std::string const, Worker> const& entry : next) {
+    Stand const& stand = entry.second.stand;
+    if (!stand.draining && !stand.evacuated) {
+      std::pair<bool, bool>& there = phases[{stand.service, stand.region}];
+      there.first = there.first || stand.phase == "prefill" || stand.phase == "both";
+      there.second = there.second || stand.phase == "decode" || stand.phase == "both";
+    }
+  }
+  for (std::pair<std::string const, Worker>& entry : next) {
+    std::pair<bool, bool> const there = phases[{entry.second.stand.service, entry.second.stand.region}];
+    if (!there.first || !there.second) {
+      entry.second.stand.phase.clear();
+    }
+  }
   // One that left the list is kept while queries of ours run there.
   for (std::pair<std::string const, Worker>& entry : workers_) {
     if (entry.second.own > 0 && next.count(entry.first) == 0) {
@@ -75,6 +93,9 @@
 }
 
 bool Grove::fed_long(Worker const& worker, loam::Moment) const {
+  if (!worker.stand.phase.empty()) {
+    return worker.stand.phase != "decode";
+  }
   std::map<std::pair<std::string, std::string>, Demand>::const_iterator const found = demand_.find({worker.stand.service, worker.stand.region});
   if (worker.ranks < 3 || found == demand_.end() || found->second.decode <= 0) {
     return true;  // nothing to keep apart
@@ -156,7 +177,8 @@
     // stream on its worker.
     bool const long_prompt = wanted.tokens >= constants::owned_tokens;
     bool const apart = fed_long(worker, now);
-    seconds += long_prompt == apart ? 0 : long_prompt ? constants::long_astray_cost : worker.ranks < 3 ? 0 : constants::short_astray_cost;
+    bool const split = !stand.phase.empty();
+    seconds += long_prompt == apart || stand.phase == "both" ? 0 : long_prompt ? constants::long_astray_cost : worker.ranks < 3 && !split ? 0 : constants::short_astray_cost;
   }
   if (over >= 0) {
     seconds += (over + 1) / worker.slots * constants::plain_seconds * 2;
@@ -245,6 +267,9 @@
     Worker const* const found = best(share.service, wanted, now, price, uncached);
     if (found != nullptr) {
       Worker& worker = workers_.at(found->stand.id);
+      bool const alone = worker.own_prefill <= 0 && worker.told_waiting <= 0 && !cold(worker, now);
+      bool const sure = worker.reuse.match(wanted.parts) > 0;
+      double const running = load(worker, now);
       ++worker.own;
       ++worker.sent_since;
       worker.own_prefill += uncached;
@@ -259,7 +284,7 @@
         }
         worker.sends.push_back(now);
       }
-      return Spot{worker.stand.id, worker.stand.address, uncached, price};
+      return Spot{worker.stand.id, worker.stand.address, uncached, price, alone, sure, running};
     }
   }
   return NoSpot{!workers_.empty(), constants::plain_seconds};
@@ -349,6 +374,16 @@
   }
 }
 
+double Grove::running_on(std::string const& id, loam::Moment now) const {
+  std::map<std::string, Worker>::const_iterator const found = workers_.find(id);
+  return found == workers_.end() ? 0 : load(found->second, now);
+}
+
+std::string Grove::pool_of(std::string const& id) const {
+  std::map<std::string, Worker>::const_iterator const found = workers_.find(id);
+  return found == workers_.end() ? "" : pool_name(found->second.stand.region, found->second.stand.service);
+}
+
 loam::Moment Grove::heard_at(std::string const& id) const {
   std::map<std::string, Worker>::const_iterator const found = workers_.find(id);
   return found == workers_.end() ? 0 : found->second.heard_at;
@@ -360,6 +395,7 @@
     return;
   }
   found->second.told_total = running + waiting;
+  found->second.told_waiting = waiting;
   found->second.told_at = now;
   found->second.sent_since = 0;
   if (slots >= 1) {
--- a/source/tilth/grove/grove.hpp
+++ b/source/tilth/grove/grove.hpp
@@ -28,6 +28,7 @@
   loam::Moment cold_until = 0;
   double cold_rate = 0;           ///< queries a second while cold; 0: no bound
   double kept_tokens = 0;
+  std::string phase;              ///< by the split: prefill, decode or both; empty: no split here
 };
 
 /// A query that wants a worker.
@@ -45,6 +46,9 @@
   std::string address;
   double uncached = 0;
   double predicted_seconds = 0;    ///< to the first token
+  bool alone = false;              ///< no prompt that we know of waits before it
+  bool sure = false;               ///< its cached part is known from own dispatches
+  double running = 0;              ///< queries there before it
 };
 struct NoSpot {
   bool any = false;                ///< workers there are, but none takes it now
@@ -91,6 +95,10 @@
   [[nodiscard]] loam::Moment heard_at(std::string const& worker) const;
   /// Has another worker a place for it? (Before a silent one is given up.)
   [[nodiscard]] bool alternative(Wanted const& wanted, loam::Moment now) const;
+  /// Queries that run or wait there, as told and sent.
+  [[nodiscard]] double running_on(std::string const& worker, loam::Moment now) const;
+  /// The pool that a split is made for (section 13.7).
+  [[nodiscard]] std::string pool_of(std::string const& worker) const;
   [[nodiscard]] std::size_t size() const { return workers_.size(); }
 
  private:
@@ -110,6 +118,7 @@
     std::uint64_t own = 0;
     double own_prefill = 0;     ///< tokens sent whose first answer is not here yet
     double told_total = 0;
+    double told_waiting = 0;
     loam::Moment told_at = 0;
     std::uint64_t sent_since = 0;
     double slots = 0;
--- a/source/tilth/scaler/scaler.cpp
+++ b/source/tilth/scaler/scaler.cpp
@@ -55,7 +55,7 @@
 double busy_seconds(WorkerModel const& model, PhaseWork const& work, bool prefill, bool decode, schema::ScalerAims const& aims, double batch) {
   double seconds = 0;
   if (prefill && work.queries > 0) {
-    seconds += model.prefill[0] + model.prefill[1] * per_query(work.uncached, work.queries) + model.prefill[2] * per_query(work.pairs, work.queries);
+    seconds += model.prefill[0] / aims.prefill_batch + model.prefill[1] * per_query(work.uncached, work.queries) + model.prefill[2] * per_query(work.pairs, work.queries);
   }
   if (decode && work.decodes > 0) {
     seconds += per_query(work.iterations, work.decodes) * model.iteration_seconds(aims.experts_share, aims.tokens_forward, batch) / batch;
@@ -181,7 +181,8 @@
   return works;
 }
 
-std::optional<schema::Split> Scaler::first_split(std::vector<std::string> const& workers, schema::ScalerAims const& aims, double batch) const {
+std::optional<schema::Split> Scaler::first_split(std::vector<std::string> const& workers, schema::ScalerAims const& aims, double batch,
+                                                 std::map<std::string, std::string> const& fixed) const {
   schema::Split split = fitted(workers);
   if (split.coefficients.empty()) {
     return std::nullopt;
@@ -201,7 +202,8 @@
   for (std::size_t count = 1; count < workers.size(); ++count) {
     std::map<std::string, std::string> phases;
     for (std::size_t place = 0; place < workers.size(); ++place) {
-      phases[workers[place]] = place < count ? "prefill" : "decode";
+      std::map<std::string, std::string>::const_iterator const told = fixed.find(workers[place]);
+      phases[workers[place]] = told != fixed.end() ? told->second : place < count ? "prefill" : "decode";
     }
     double const carried = throughput(phases, models, sum, aims, batch);
     if (carried > best) {
@@ -216,7 +218,8 @@
 }
 
 ScalerAction Scaler::tick(schema::Split const& current, std::uint64_t revision, std::vector<std::string> const& workers,
-                          schema::ScalerAims const& aims, schema::WorkerBounds const& bounds, loam::Moment now) {
+                          schema::ScalerAims const& aims, schema::WorkerBounds const& bounds, loam::Moment now,
+                          std::map<std::string, std::string> const& fixed) {
   if (!seen_any_ || revision != seen_revision_) {
     seen_any_ = true;
     seen_revision_ = revision;
@@ -241,7 +244,7 @@
     if (first_report_ == 0 || now - first_report_ < loam::milliseconds(static_cast<std::int64_t>(aims.warm_up_ms))) {
       return Rest{"warm-up: workers do both phases while times are fitted"};
     }
-    std::optional<schema::Split> const first = first_split(workers, aims, batch);
+    std::optional<schema::Split> const first = first_split(workers, aims, batch, fixed);
     return first.has_value() ? ScalerAction{WriteSplit{*first}} : ScalerAction{Rest{"warm-up: too few observations for a fit"}};
   }
   std::vector<SliceWork> const works = counted(aims);
@@ -250,7 +253,8 @@
   std::size_t prefills = 0;
   std::vector<std::string> unassigned;
   for (std::string const& worker : workers) {
-    std::map<std::string, std::string>::const_iterator const found = current.phases.find(worker);
+    std::map<std::string, std::string>::const_iterator const told = fixed.find(worker);
+    std::map<std::string, std::string>::const_iterator const found = told != fixed.end() ? told : current.phases.find(worker);
     if (found == current.phases.end() || found->second == "both") {
       unassigned.push_back(worker);
     } else {
@@ -264,7 +268,12 @@
   if (!unassigned.empty() || prefills == 0 || decodes == 0) {
     schema::Split split = current;
     if (unassigned.empty()) {
-      split.phases[workers.front()] = prefills == 0 ? "prefill" : "decode";
+      std::vector<std::string>::const_iterator const free =
+          std::find_if(workers.begin(), workers.end(), [&fixed](std::string const& worker) { return fixed.count(worker) == 0; });
+      if (free == workers.end()) {
+        return Rest{"all workers can do one phase only"};
+      }
+      split.phases[*free] = prefills == 0 ? "prefill" : "decode";
       split.reason = "a phase had no worker left";
     } else {
       SliceWork const recent = works.empty() ? SliceWork{} : works.back();
@@ -306,7 +315,7 @@
     // Who is relatively best at the other phase goes first.
     std::vector<std::pair<double, std::string>> movable;
     for (std::pair<std::string const, std::string> const& entry : phases) {
-      if ((entry.second == "prefill") == (change < 0)) {
+      if ((entry.second == "prefill") == (change < 0) && fixed.count(entry.first) == 0) {
         WorkerModel const& model = models.at(entry.first);
         double const prefill = busy_seconds(model, works.back().prefill, true, aims.manner != "paired", aims, batch);
         double const decode = busy_seconds(model, works.back().decode, aims.manner != "paired", true, aims, batch);
--- a/source/tilth/scaler/scaler.hpp
+++ b/source/tilth/scaler/scaler.hpp
@@ -46,8 +46,10 @@
 class Scaler {
  public:
   void report(schema::FurrowReport const& report, schema::ScalerAims const& aims, loam::Moment now);
+  /// `fixed`: workers that can do one phase only; they never switch.
   [[nodiscard]] ScalerAction tick(schema::Split const& current, std::uint64_t revision, std::vector<std::string> const& workers,
-                                  schema::ScalerAims const& aims, schema::WorkerBounds const& bounds, loam::Moment now);
+                                  schema::ScalerAims const& aims, schema::WorkerBounds const& bounds, loam::Moment now,
+                                  std::map<std::string, std::string> const& fixed = {});
   [[nodiscard]] std::size_t slices() const { return slices_.size(); }
 
  private:
@@ -56,7 +58,8 @@
     SliceWork work;
   };
   [[nodiscard]] schema::Split fitted(std::vector<std::string> const& workers) const;
-  [[nodiscard]] std::optional<schema::Split> first_split(std::vector<std::string> const& workers, schema::ScalerAims const& aims, double batch) const;
+  [[nodiscard]] std::optional<schema::Split> first_split(std::vector<std::string> const& workers, schema::ScalerAims const& aims, double batch,
+                                                         std::map<std::string, std::string> const& fixed) const;
   [[nodiscard]] std::map<std::string, WorkerModel> models_of(schema::Split const& split, std::vector<std::string> const& workers) const;
   [[nodiscard]] std::vector<SliceWork> counted(schema::ScalerAims const& aims) const;
 
--- a/source/trellis/duty/duties.cpp
+++ b/source/trellis/duty/duties.cpp
@@ -6,6 +6,7 @@
 #include "loam/constants.hpp"
 #include "loam/json/tree.hpp"
 #include "loam/log/log.hpp"
+#include "orchard/charter/wish.hpp"
 #include "orchard/label/selector.hpp"
 #include "orchard/setup/setup.hpp"
 
@@ -14,8 +15,8 @@
 namespace constants = loam::constants;
 
 Duties::Duties(boost::asio::io_context& context, loam::Caller& caller, Ledger& ledger, News& news, HolderShell* holder, std::uint64_t identity,
-               std::string hall)
-    : context_(context), caller_(caller), ledger_(ledger), news_(news), holder_(holder), identity_(identity), hall_(std::move(hall)) {}
+               schema::Settings settings, orchard::Notation notation)
+    : context_(context), caller_(caller), ledger_(ledger), news_(news), holder_(holder), identity_(identity), settings_(std::move(settings)), notation_(std::move(notation)) {}
 
 void Duties::begin() {
   loam::start(context_, [this](loam::Yield yield) {
@@ -35,16 +36,31 @@
           // trellis of the region is left to do it.
           std::function<bool()> const wanted = [this, name] {
             schema::Setup const known = setup();
-            bool inside = orchard::region_of(known, hall_) == name;
-            bool any = false;
-            for (schema::TrellisEntry const& trellis : news_.trellises()) {
-              any = any || orchard::region_of(known, trellis.hall) == name;
-            }
-            return known.regions.count(name) > 0 && (inside || !any);
+            return known.regions.count(name) > 0 && on_duty(name, [&known](std::string const& hall) { return orchard::region_of(known, hall); });
           };
           run("scaler/" + name, wanted, [this, name](std::function<bool()> const& held, loam::Yield inner) { scale(name, held, inner); });
         }
       }
+      for (std::pair<std::string const, tilth::Pool> const& pool : pools()) {
+        std::string const region = pool.second.region;
+        if (!started[region]) {
+          started[region] = true;
+          std::function<bool()> const wanted = [this, region] {
+            schema::Settings const known = settings();
+            return known.scaler == "on" && on_duty(region, [&known](std::string const& hall) {
+              std::map<std::string, std::string>::const_iterator const found = known.regions.find(hall);
+              return found == known.regions.end() ? std::string() : found->second;
+            });
+          };
+          run("scaler/" + region, wanted, [this, region](std::function<bool()> const& held, loam::Yield inner) {
+            for (std::pair<std::string const, tilth::Pool> const& entry : pools()) {
+              if (entry.second.region == region) {
+                scale_pool(entry.first, entry.second, held, inner);
+              }
+            }
+          });
+        }
+      }
       feed_scalers();
       loam::pause(context_, constants::tell_pause, yield);
     }
@@ -119,7 +135,69 @@
   return setup_;
 }
 
+schema::Settings Duties::settings() {
+  std::lock_guard<std::mutex> const guard(lock_);
+  return settings_;
+}
+
+void Duties::follow(schema::Settings const& settings) {
+  std::lock_guard<std::mutex> const guard(lock_);
+  settings_ = settings;
+}
+
+bool Duties::on_duty(std::string const& region, std::function<std::string(std::string const&)> const& region_of) {
+  bool any = false;
+  for (schema::TrellisEntry const& trellis : news_.trellises()) {
+    any = any || region_of(trellis.hall) == region;
+  }
+  return !any || region_of(settings().hall) == region;
+}
+
+std::map<std::string, tilth::Pool> Duties::pools() {
+  schema::Settings const known = settings();
+  if (known.scaler != "on") {
+    return {};
+  }
+  schema::Value charter;
+  schema::Value evacuated;
+  ledger_.look([&charter, &evacuated, this](std::map<std::string, schema::Value> const& values, loam::Moment) {
+    std::map<std::string, schema::Value>::const_iterator const found = values.find(orchard::charter_register);
+    if (found != values.end() && found->second.revision != charter_revision_) {
+      charter = found->second;
+    }
+    std::map<std::string, schema::Value>::const_iterator const halls = values.find(orchard::evacuated_register);
+    if (halls != values.end()) {
+      evacuated = halls->second;
+    }
+  });
+  if (charter.revision > 0) {
+    orchard::CharterReading reading = notation_.read(charter.content);
+    std::lock_guard<std::mutex> const guard(lock_);
+    charter_revision_ = charter.revision;
+    charter_ = std::move(reading.charter);
+    charter_.lanes.clear();  // only its services are asked for here
+  }
+  std::vector<std::string> const halls = orchard::evacuated_halls(evacuated.content);
+  schema::PlatformList const list = news_.list();
+  std::lock_guard<std::mutex> const guard(lock_);
+  return tilth::pools_of(list, charter_, known.regions, std::set<std::string>(halls.begin(), halls.end()));
+}
+
 void Duties::feed_scalers() {
+  std::map<std::string, tilth::Pool> const there = pools();
+  if (!there.empty()) {
+    schema::Settings const known = settings();
+    std::vector<schema::Session> const told = news_.take_reports();
+    std::lock_guard<std::mutex> const guard(lock_);
+    for (schema::Session const& session : told) {
+      for (schema::FurrowReport const& report : session.reports) {
+        for (std::pair<std::string const, schema::FurrowReport> const& part : tilth::apart(report, there)) {
+          scalers_[part.first].report(part.second, tilth::aims_of(known, there.at(part.first)), loam::boot_now());
+        }
+      }
+    }
+    return;
+  }
   schema::Setup const known = setup();
   std::vector<schema::Session> const sessions = news_.take_reports();
   std::lock_guard<std::mutex> const guard(lock_);
@@ -157,18 +235,42 @@
       reasons_["scaler/" + region] = rest->reason;
     }
   }
-  tilth::WriteSplit const* const write = std::get_if<tilth::WriteSplit>(&action);
-  if (write == nullptr || !held()) {
+  if (tilth::WriteSplit const* const write = std::get_if<tilth::WriteSplit>(&action)) {
+    write_split(region, value.revision, write->split, held, yield);
+  }
+}
+
+void Duties::scale_pool(std::string const& name, tilth::Pool const& pool, std::function<bool()> const& held, loam::Yield yield) {
+  schema::Value const value = ledger_.value(rootstock::split_register(name));
+  absl::StatusOr<schema::Split> const read = tilth::read_split(value.content);
+  schema::Split const current = value.revision > 0 && read.ok() ? *read : schema::Split();
+  schema::ScalerAims const aims = tilth::aims_of(settings(), pool);
+  schema::WorkerBounds bounds;
+  bounds.limit = std::max<std::uint64_t>(1, pool.capacity);
+  tilth::ScalerAction action = tilth::Rest{""};
+  {
+    std::lock_guard<std::mutex> const guard(lock_);
+    action = scalers_[name].tick(current, value.revision, pool.workers, aims, bounds, loam::boot_now(), pool.fixed);
+    if (tilth::Rest const* const rest = std::get_if<tilth::Rest>(&action)) {
+      reasons_["scaler/" + pool.region] = pool.service + ": " + rest->reason;
+    }
+  }
+  if (tilth::WriteSplit const* const write = std::get_if<tilth::WriteSplit>(&action)) {
+    write_split(name, value.revision, tilth::pruned(write->split, pool.listed), held, yield);
+  }
+}
+
+void Duties::write_split(std::string const& name, std::uint64_t revision, schema::Split const& split, std::function<bool()> const& held, loam::Yield yield) {
+  if (!held()) {
     return;
   }
-  loam::Tree const content(schema::write(write->split));
-  std::string const text = loam::print_tree(content.get());
+  std::string const text = tilth::print_split(split);
   // The expectation fences: whoever lost the lease meanwhile writes nothing.
-  Ledger::Result const result = ledger_.change(name, rootstock::replace_at(value.revision, text), constants::change_deadline, yield);
+  Ledger::Result const result = ledger_.change(rootstock::split_register(name), rootstock::replace_at(revision, text), constants::change_deadline, yield);
   bool const chosen = std::holds_alternative<rootstock::Chosen>(result);
-  loam::note(chosen ? loam::Event::SplitWritten : loam::Event::SplitDefect, region + ": " + write->split.reason);
+  loam::note(chosen ? loam::Event::SplitWritten : loam::Event::SplitDefect, name + ": " + split.reason);
   std::lock_guard<std::mutex> const guard(lock_);
-  reasons_["scaler/" + region] = write->split.reason;
+  reasons_["scaler/" + name.substr(0, name.find('/'))] = split.reason;
 }
 
 /// Tells holders that lag, our own first, of a newer holder set.
--- a/source/trellis/duty/duties.hpp
+++ b/source/trellis/duty/duties.hpp
@@ -4,7 +4,9 @@
 #include <mutex>
 #include <string>
 
+#include "orchard/charter/charter.hpp"
 #include "stake/tenant.hpp"
+#include "tilth/scaler/pools.hpp"
 #include "tilth/scaler/scaler.hpp"
 #include "trellis/holder/holder_shell.hpp"
 #include "trellis/ledger/ledger.hpp"
@@ -17,8 +19,10 @@
 class Duties {
  public:
   Duties(boost::asio::io_context& context, loam::Caller& caller, Ledger& ledger, News& news, HolderShell* holder, std::uint64_t identity,
-         std::string hall);
+         schema::Settings settings, orchard::Notation notation);
   void begin();
+  /// Settings that changed.
+  void follow(schema::Settings const& settings);
   [[nodiscard]] std::string describe();
 
  private:
@@ -29,6 +33,14 @@
   void feed_scalers();
   void scale(std::string const& region, std::function<bool()> const& held, loam::Yield yield);
   [[nodiscard]] schema::Setup setup();
+  /// Whose a region's scaler is: of the trellises inside it, and from outside
+  /// only when none of them is left to do it.
+  [[nodiscard]] bool on_duty(std::string const& region, std::function<std::string(std::string const&)> const& region_of);
+  /// The pools of the charter in force; none while the scaler is off (section 13.7).
+  [[nodiscard]] std::map<std::string, tilth::Pool> pools();
+  void scale_pool(std::string const& name, tilth::Pool const& pool, std::function<bool()> const& held, loam::Yield yield);
+  void write_split(std::string const& name, std::uint64_t revision, schema::Split const& split, std::function<bool()> const& held, loam::Yield yield);
+  [[nodiscard]] schema::Settings settings();
 
   boost::asio::io_context& context_;
   loam::Caller& caller_;
@@ -36,13 +48,16 @@
   News& news_;
   HolderShell* holder_;
   std::uint64_t identity_;
-  std::string hall_;
+  schema::Settings settings_;
+  orchard::Notation notation_;
   std::mutex lock_;
   std::map<std::string, bool> held_;
   std::map<std::string, std::string> reasons_;
   std::map<std::string, tilth::Scaler> scalers_;
   std::uint64_t setup_revision_ = 0;
   schema::Setup setup_;
+  std::uint64_t charter_revision_ = 0;
+  schema::Charter charter_;
   std::map<std::uint64_t, int> misses_;  ///< looks in a row without an answer, per holder
 };
 
--- a/source/trellis/main.cpp
+++ b/source/trellis/main.cpp
@@ -47,7 +47,8 @@
     }
     program.ledger = std::make_unique<trellis::Ledger>(context, *program.caller, identity, settings.seeds, span(bounds.confirm_pause_ms));
     program.news = std::make_unique<trellis::News>(context, *program.caller, *program.ledger, program.holder.get(), settings, identity, platform ? trellis::ListReader(platform::read_list) : trellis::ListReader());
-    program.duties = std::make_unique<trellis::Duties>(context, *program.caller, *program.ledger, *program.news, program.holder.get(), identity, settings.hall);
+    program.duties = std::make_unique<trellis::Duties>(context, *program.caller, *program.ledger, *program.news, program.holder.get(), identity, settings,
+                                                         platform ? platform::notation() : orchard::own_notation());
     program.operators = std::make_unique<trellis::Operator>(context, *program.ledger, *program.news, program.holder.get(), [&program] { return program.duties->describe(); },
                                                              platform ? platform::notation() : orchard::own_notation(),
                                                              platform ? platform::operator_paths() : trellis::OperatorPaths(), span(bounds.acknowledge_wait_ms));
@@ -85,6 +86,7 @@
   daemon.changed = [&program](schema::Settings const& settings) {
     program.ledger->follow(settings.seeds, span(settings.bounds.confirm_pause_ms));
     program.news->follow(settings);
+    program.duties->follow(settings);
     program.operators->follow(span(settings.bounds.acknowledge_wait_ms));
   };
   daemon.drain = [] {};
--- a/source/trellis/news/news.cpp
+++ b/source/trellis/news/news.cpp
@@ -8,6 +8,7 @@
 #include "loam/http/http.hpp"
 #include "loam/json/tree.hpp"
 #include "loam/log/log.hpp"
+#include "tilth/scaler/pools.hpp"
 
 namespace finchlink::trellis {
 
@@ -315,6 +316,7 @@
     answer.list = listing_.list();
   }
   answer.list_age = listing_.age(loam::boot_now());
+  answer.report_ms = tilth::report_ms_of(settings_);
   answer.reports_taken = newest_slice_[ask.member.incarnation];
   for (schema::TrellisEntry const& trellis : sessions_.trellises()) {
     answer.colleagues.push_back(trellis.address);
--- a/tools/schema/generate.py
+++ b/tools/schema/generate.py
@@ -190,12 +190,12 @@
         head += [f"/// {choice.get('about', choice['name'])}", f"using {choice['name']} = std::variant<{', '.join(choice['of'])}>;", ""]
     if schema.get("flags"):
         target = next(s for s in schema["structures"] if s["name"] == schema["flags"])
-        head += ["/// One settings field as a command-line flag.", "struct Flag { char const* name; char const* about; bool many; };",
+        head += ["/// One settings field as a command-line flag.", "struct Flag { char const* name; char const* about; bool many; bool number; };",
                  "inline std::vector<Flag> const flags{"]
         for field in target["fields"]:
             if not field.get("flag", True):
                 continue  # structured: settings file only
-            head.append(f"    Flag{{{json.dumps(field['name'])}, {json.dumps(field['about'])}, {'true' if field['type'].startswith('list') else 'false'}}},")
+            head.append(f"    Flag{{{json.dumps(field['name'])}, {json.dumps(field['about'])}, {'true' if field['type'].startswith('list') else 'false'}, {'true' if field['type'] in ('natural', 'integer', 'number') else 'false'}}},")
         head += ["};", ""]
     head += [f"}}  // namespace {space}", ""]
     code += [f"}}  // namespace {space}", ""]
