--- a/source/furrow/relay/station.cpp
+++ b/source/furrow/relay/station.cpp
@@ -10,7 +10,7 @@
 #include <cstring>
 #include <sstream>
 
-#include "loam/constants.hpp"
+#include "loam/relay_constants.hpp"
 #include "loam/json/tree.hpp"
 #include "loam/log/log.hpp"
 #include "loam/random/random.hpp"
--- a/source/tilth/grove/grove.hpp
+++ b/source/tilth/grove/grove.hpp
@@ -39,6 +39,7 @@
   double tokens = 0;               ///< of the prompt
   double outputs = 0;
   std::vector<std::string> avoid;  ///< workers that had it already
+  bool once = false;               ///< it may be sent to one worker only
   double draw = 0;                 ///< from 0 to 1: which share
 };
 struct Spot {
@@ -46,6 +47,7 @@
   std::string address;
   double uncached = 0;
   double predicted_seconds = 0;    ///< to the first token
+  bool near = true;                ///< in the own region
   bool alone = false;              ///< no prompt that we know of waits before it
   bool sure = false;               ///< its cached part is known from own dispatches
   double running = 0;              ///< queries there before it
@@ -71,11 +73,12 @@
 struct GroveGuards {
   bool cold_bound = true;
   bool rest = true;
+  bool hall_suspicion = true;    ///< two workers of a hall out of reach: the others come last
   bool suspect_returned = true;  ///< a hall taken back may have turned cold unseen
 };
 
 /// Where each query lands among the workers of several services (section
-/// 13.3): plain state; every message carries its moment.
+/// 13.7): plain state; every message carries its moment.
 class Grove {
  public:
   explicit Grove(GroveGuards guards = {}) : guards_(guards) {}
@@ -124,6 +127,8 @@
     double slots = 0;
     loam::Moment rest_until = 0;
     loam::Span rest = 0;
+    bool trial = false;         ///< came out of a rest: one query at a time until a good answer
+    loam::Moment dark_at = 0;   ///< last time that it could not be reached
     double pace = 1;            ///< seen over predicted, smoothed
     std::deque<loam::Moment> sends;  ///< within the last second, while cold
     Reuse reuse;
@@ -134,6 +139,7 @@
   [[nodiscard]] double load(Worker const& worker, loam::Moment now) const;
   [[nodiscard]] bool open(Worker const& worker, Wanted const& wanted, loam::Moment now) const;
   [[nodiscard]] double cost(Worker const& worker, Wanted const& wanted, std::string const& owner, loam::Moment now, double& uncached) const;
+  [[nodiscard]] bool hall_dark(Worker const& worker, loam::Moment now) const;
   [[nodiscard]] bool fed_long(Worker const& worker, loam::Moment now) const;
   [[nodiscard]] std::string owner_of(std::vector<std::string const*> const& pool, Wanted const& wanted) const;
   [[nodiscard]] Worker const* best(std::string const& service, Wanted const& wanted, loam::Moment now, double& cost_found, double& uncached) const;
@@ -142,6 +148,8 @@
   GroveTerms terms_;
   std::map<std::string, Worker> workers_;
   std::map<std::string, std::vector<std::string>> by_service_;
+  /// Workers of a hall that could not be reached lately, none heard since.
+  std::map<std::string, std::map<std::string, loam::Moment>> dark_;
   std::map<std::pair<std::string, std::string>, Demand> demand_;  ///< service, region
 };
 
--- a/source/tilth/observe/observer.cpp
+++ b/source/tilth/observe/observer.cpp
@@ -1,6 +1,6 @@
 #include "tilth/observe/observer.hpp"
 
-#include "loam/constants.hpp"
+#include "loam/relay_constants.hpp"
 #include "tilth/fit/fit.hpp"
 #include "tilth/model/model.hpp"
 
--- a/source/tilth/scaler/pools.cpp
+++ b/source/tilth/scaler/pools.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
-#include "loam/constants.hpp"
+#include "loam/relay_constants.hpp"
 #include "loam/error/error.hpp"
 #include "loam/json/tree.hpp"
 #include "tilth/prefix/prefix.hpp"
