--- a/source/loam/relay_constants.hpp
+++ b/source/loam/relay_constants.hpp
@@ -38,6 +38,14 @@
 /// Rows for the fit in one report, and reports that wait for a trellis.
 inline constexpr std::size_t samples_told = 8;
 inline constexpr std::size_t reports_most = 4;
+/// Part of a set point that first answers are rated by: the rest is the way and
+/// what the furrow holds; how unevenly prompts are long, (1 + variation) / 2 for
+/// sizes spread as sessions' are; the least load that a worker counts for.
+inline constexpr double set_point_part = 0.6;
+inline constexpr double reading_spread = 1.5;
+inline constexpr double load_least = 0.05;
+/// A phase with less work than this part of one worker's gets none of its own.
+inline constexpr double apart_least = 0.5;
 /// Gaps between events that are looked at: at least, and at most of one stream.
 inline constexpr std::size_t gaps_least = 3;
 inline constexpr std::size_t gaps_most = 32;
--- a/source/tests/tilth/grove_test.cpp
+++ b/source/tests/tilth/grove_test.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <set>
 
-#include "loam/constants.hpp"
+#include "loam/relay_constants.hpp"
 #include "tilth/grove/grove.hpp"
 
 namespace finchlink {
@@ -203,7 +203,7 @@
 
 TEST(Grove, AWorkerOfAHallTakenBackIsColdUntilTheListWouldHaveTold) {
   for (bool const guarded : {true, false}) {
-    Grove grove(GroveGuards{true, true, guarded});
+    Grove grove(GroveGuards{true, true, true, guarded});
     std::vector<Stand> stands = several(1, "web");
     stands[0].cold_rate = 4;
     stands[0].capacity = 1000;
--- /dev/null
+++ b/source/tests/tilth/split_test.cpp
@@ -0,0 +1,432 @@
+#include <gtest/gtest.h>
+
+#include "loam/relay_constants.hpp"
+#include "rootstock/change/change.hpp"
+#include "tilth/grove/grove.hpp"
+#include "tilth/observe/observer.hpp"
+#include "tilth/scaler/pools.hpp"
+#include "tilth/scaler/scaler.hpp"
+
+// The split on the relay's ordinary path (docs/design.md section 13.7).
+namespace finchlink {
+namespace {
+
+using tilth::Grove;
+
+schema::WorkerEntry worker(std::string const& id, std::string const& zone, std::string const& service = "text") {
+  schema::WorkerEntry entry;
+  entry.id = id;
+  entry.address = "10.0.0.1:80";
+  entry.zone = zone;
+  entry.service = service;
+  entry.capacity = 48;
+  return entry;
+}
+
+schema::Charter charter() {
+  schema::Charter made;
+  schema::Service text;
+  text.name = "text";
+  text.model = true;
+  text.capacity = 48;
+  text.stride = 5;
+  schema::Service plain;
+  plain.name = "plain";
+  made.services = {text, plain};
+  return made;
+}
+
+std::map<std::string, std::string> const regions{{"north", "r1"}, {"south", "r1"}, {"west", "r2"}};
+
+tilth::Sighting stream(std::string const& on, bool long_prompt, loam::Span to_first, loam::Span gap, std::uint64_t events) {
+  tilth::Sighting sighting;
+  sighting.worker = on;
+  sighting.pool = "r1/text";
+  sighting.long_prompt = long_prompt;
+  sighting.alone = true;
+  sighting.uncached = long_prompt ? 4000 : 300;
+  sighting.cached = long_prompt ? 13000 : 60;
+  sighting.running = 4;
+  sighting.sent = loam::seconds(10);
+  loam::Moment now = sighting.sent + to_first;
+  for (std::uint64_t index = 0; index < events; ++index) {
+    sighting.event(1, now);
+    now += gap;
+  }
+  return sighting;
+}
+
+TEST(Pools, AreTheModelServicesOfEachRegionThatTakeQueries) {
+  schema::PlatformList list;
+  list.workers = {worker("a", "north"), worker("b", "south"), worker("c", "west"), worker("d", "north", "plain"), worker("e", "nowhere"), worker("f", "north"), worker("g", "south")};
+  list.workers[5].draining = true;
+  list.workers[6].phase = "decode";
+  std::map<std::string, tilth::Pool> const pools = tilth::pools_of(list, charter(), regions, {});
+  ASSERT_EQ(pools.size(), 2u);
+  tilth::Pool const& one = pools.at("r1/text");
+  EXPECT_EQ(std::set<std::string>(one.workers.begin(), one.workers.end()), (std::set<std::string>{"a", "b", "g"}));
+  EXPECT_EQ(one.listed, (std::set<std::string>{"a", "b", "f", "g"}));
+  EXPECT_EQ(one.fixed, (std::map<std::string, std::string>{{"g", "decode"}}));
+  EXPECT_EQ(one.capacity, 48u);
+  EXPECT_EQ(pools.at("r2/text").workers, std::vector<std::string>{"c"});
+  // An evacuated hall's workers take none, and stay in the split meanwhile.
+  std::map<std::string, tilth::Pool> const evacuated = tilth::pools_of(list, charter(), regions, {"north"});
+  EXPECT_EQ(evacuated.at("r1/text").listed.count("a"), 1u);
+  for (std::string const& id : evacuated.at("r1/text").workers) {
+    EXPECT_NE(id, "a");
+  }
+}
+
+TEST(Observer, SumsByPoolAndPhaseAndGivesRowsUntilFrozen) {
+  tilth::Observer observer;
+  schema::FurrowReport report;
+  EXPECT_FALSE(observer.take(1, loam::seconds(2), report));
+  observer.saw(stream("a", true, loam::milliseconds(200), loam::milliseconds(30), 10), 5, 0.03);
+  observer.saw(stream("a", false, loam::milliseconds(60), loam::milliseconds(30), 5), 5, 0.03);
+  observer.saw(stream("b", false, loam::milliseconds(60), loam::milliseconds(30), 5), 5, 0.03);
+  ASSERT_TRUE(observer.take(1, loam::seconds(2), report));
+  ASSERT_EQ(report.figures.size(), 2u);
+  schema::WorkerFigures const& rest = report.figures[0];
+  EXPECT_EQ(rest.worker, "r1/text");
+  EXPECT_EQ(rest.phase, "decode");
+  EXPECT_EQ(rest.queries, 2);
+  EXPECT_EQ(rest.uncached, 600);
+  EXPECT_EQ(rest.iterations, 2 * 4 * 5);  // events hold five tokens; the first one's came with the prefill
+  schema::WorkerFigures const& longs = report.figures[1];
+  EXPECT_EQ(longs.phase, "prefill");
+  EXPECT_EQ(longs.cached, 13000);
+  EXPECT_NEAR(longs.prefill_seconds, 0.2, 1e-9);
+  ASSERT_EQ(report.samples.size(), 4u);
+  for (schema::Sample const& sample : report.samples) {
+    EXPECT_NEAR(sample.seconds, sample.decode ? 0.006 : sample.worker == "b" ? 0.06 : 0.06, 1e-9);
+  }
+  // Frozen: figures go on, rows do not.
+  observer.freeze({"r1/text"});
+  observer.saw(stream("a", true, loam::milliseconds(200), loam::milliseconds(30), 10), 5, 0.03);
+  ASSERT_TRUE(observer.take(2, loam::seconds(2), report));
+  EXPECT_EQ(report.figures.size(), 1u);
+  EXPECT_TRUE(report.samples.empty());
+}
+
+TEST(Observer, TakesNoPrefillTimeOfWhatWaitedAndBoundsItsRows) {
+  tilth::Observer observer;
+  tilth::Sighting waited = stream("a", true, loam::milliseconds(900), loam::milliseconds(30), 2);
+  waited.alone = false;
+  observer.saw(waited, 5, 0.03);
+  schema::FurrowReport report;
+  ASSERT_TRUE(observer.take(1, loam::seconds(2), report));
+  EXPECT_TRUE(report.samples.empty());
+  for (int index = 0; index < 40; ++index) {
+    observer.saw(stream("w" + std::to_string(index), false, loam::milliseconds(60), loam::milliseconds(30), 5), 5, 0.03);
+  }
+  ASSERT_TRUE(observer.take(2, loam::seconds(2), report));
+  EXPECT_LE(report.samples.size(), loam::constants::samples_told);
+  EXPECT_EQ(report.figures.size(), 1u);
+}
+
+TEST(Observer, EventsReadAtOnceShareTheirGap) {
+  tilth::Sighting sighting;
+  sighting.event(1, loam::milliseconds(100));
+  sighting.event(2, loam::milliseconds(160));
+  EXPECT_EQ(sighting.events, 3u);
+  ASSERT_EQ(sighting.gaps.size(), 1u);
+  EXPECT_NEAR(sighting.gaps[0], 0.03, 1e-9);
+}
+
+/// A scaler that two kinds of queries come to, as furrows report them.
+struct Fed {
+  std::vector<std::string> const workers{"a", "b", "c", "d", "e", "f"};
+  schema::ScalerAims aims;
+  schema::WorkerBounds bounds;
+  tilth::Scaler scaler;
+  loam::Moment now = loam::seconds(100);
+
+  Fed() {
+    aims.window_ms = 10000;
+    aims.hold_ms = 3000;
+    aims.warm_up_ms = 4000;
+    aims.prefill_batch = 24;
+    bounds.limit = 48;
+  }
+  /// One slice; times follow the source's equations without noise.
+  void slice(double longs, double shorts) {
+    tilth::Observer observer;
+    for (int index = 0; index < 200; ++index) {
+      bool const long_prompt = index < longs;
+      if (index >= longs + shorts) {
+        break;
+      }
+      tilth::Sighting sighting = stream(workers[static_cast<std::size_t>(index) % workers.size()], long_prompt,
+                                        loam::milliseconds(long_prompt ? 50 + 80 : 50 + 6), loam::milliseconds(27 + index % 3), long_prompt ? 24 : 9);
+      sighting.running = 1 + index % 12;
+      observer.saw(sighting, 5, 0.03125);
+    }
+    schema::FurrowReport report;
+    ASSERT_TRUE(observer.take(1, loam::seconds(1), report));
+    scaler.report(report, aims, now);
+    now += loam::seconds(1);
+  }
+  tilth::ScalerAction tick(schema::Split const& split, std::uint64_t revision) { return scaler.tick(split, revision, workers, aims, bounds, now); }
+};
+
+std::size_t prefills(schema::Split const& split) {
+  std::size_t count = 0;
+  for (std::pair<std::string const, std::string> const& phase : split.phases) {
+    count += phase.second == "prefill" ? 1 : 0;
+  }
+  return count;
+}
+
+TEST(Split, WarmUpThenFrozenThenFollowsTheTraffic) {
+  Fed fed;
+  schema::Split split;
+  fed.slice(10, 100);
+  EXPECT_TRUE(std::holds_alternative<tilth::Rest>(fed.tick(split, 0)));  // warm-up: nobody is set apart
+  for (int index = 0; index < 10; ++index) {
+    fed.slice(10, 100);
+  }
+  tilth::ScalerAction const first = fed.tick(split, 0);
+  ASSERT_TRUE(std::holds_alternative<tilth::WriteSplit>(first));
+  split = std::get<tilth::WriteSplit>(first).split;
+  EXPECT_TRUE(split.frozen);
+  EXPECT_EQ(split.phases.size(), 6u);
+  std::size_t const before = prefills(split);
+  EXPECT_TRUE(std::holds_alternative<tilth::Rest>(fed.tick(split, 1)));  // held
+  // Traffic turns to long prompts: more workers are fed them, and none switch in the hold.
+  for (int index = 0; index < 12; ++index) {
+    fed.slice(80, 40);
+  }
+  tilth::ScalerAction const next = fed.tick(split, 1);
+  ASSERT_TRUE(std::holds_alternative<tilth::WriteSplit>(next));
+  EXPECT_GT(prefills(std::get<tilth::WriteSplit>(next).split), before);
+  split = std::get<tilth::WriteSplit>(next).split;
+  EXPECT_TRUE(std::holds_alternative<tilth::Rest>(fed.tick(split, 2)));
+}
+
+TEST(Split, WorkersWithOnePhaseNeverSwitch) {
+  Fed fed;
+  for (int index = 0; index < 12; ++index) {
+    fed.slice(10, 100);
+  }
+  std::map<std::string, std::string> const fixed{{"a", "decode"}, {"b", "decode"}};
+  tilth::ScalerAction const action = fed.scaler.tick(schema::Split(), 0, fed.workers, fed.aims, fed.bounds, fed.now, fixed);
+  ASSERT_TRUE(std::holds_alternative<tilth::WriteSplit>(action));
+  schema::Split split = std::get<tilth::WriteSplit>(action).split;
+  EXPECT_EQ(split.phases.at("a"), "decode");
+  EXPECT_EQ(split.phases.at("b"), "decode");
+  EXPECT_GE(prefills(split), 1u);
+  // All of them with one phase: nothing to decide, and nothing written again and again.
+  std::map<std::string, std::string> all;
+  for (std::string const& id : fed.workers) {
+    all[id] = "decode";
+  }
+  EXPECT_TRUE(std::holds_alternative<tilth::Rest>(fed.scaler.tick(split, 1, fed.workers, fed.aims, fed.bounds, fed.now, all)));
+}
+
+TEST(Split, ALostScalerLeavesAWholeOneAndItsSuccessorHolds) {
+  Fed fed;
+  for (int index = 0; index < 12; ++index) {
+    fed.slice(10, 100);
+  }
+  tilth::ScalerAction const first = fed.tick(schema::Split(), 0);
+  ASSERT_TRUE(std::holds_alternative<tilth::WriteSplit>(first));
+  schema::Value kept;
+  rootstock::Wish const wish = rootstock::replace_at(0, tilth::print_split(std::get<tilth::WriteSplit>(first).split))(kept);
+  ASSERT_TRUE(std::holds_alternative<schema::Value>(wish));
+  kept = std::get<schema::Value>(wish);
+  // Whoever lost the lease meanwhile builds on what is no longer there.
+  EXPECT_FALSE(std::holds_alternative<schema::Value>(rootstock::replace_at(kept.revision + 7, "other")(kept)));
+  // The successor reads it back whole; it has seen no report and decides nothing.
+  absl::StatusOr<schema::Split> const read = tilth::read_split(kept.content);
+  ASSERT_TRUE(read.ok());
+  EXPECT_EQ(read->phases, std::get<tilth::WriteSplit>(first).split.phases);
+  EXPECT_TRUE(read->frozen);
+  EXPECT_EQ(read->coefficients.size(), 6u);
+  tilth::Scaler successor;
+  EXPECT_TRUE(std::holds_alternative<tilth::Rest>(successor.tick(*read, kept.revision, fed.workers, fed.aims, fed.bounds, fed.now)));
+  // Workers that the platform lists no longer leave it.
+  EXPECT_EQ(tilth::pruned(*read, {"a", "b"}).phases.size(), 2u);
+  EXPECT_FALSE(tilth::read_split("{\"phases\":").ok());
+}
+
+tilth::Stand stand(std::string const& id, std::string const& phase) {
+  tilth::Stand made;
+  made.id = id;
+  made.address = "10.0.0.1:80";
+  made.service = "text";
+  made.hall = "north";
+  made.region = "r1";
+  made.model = true;
+  made.capacity = 48;
+  made.kept_tokens = 300000;
+  made.phase = phase;
+  return made;
+}
+
+std::set<std::string> fed(Grove& grove, double tokens, int count, loam::Moment now) {
+  std::set<std::string> used;
+  for (int index = 0; index < count; ++index) {
+    tilth::Wanted wanted;
+    wanted.shares = {schema::Share{"text", 1}};
+    wanted.tokens = tokens;
+    wanted.parts = {tilth::Part{static_cast<std::uint64_t>(index) * 7919u + 1u, tokens * 0.8}, tilth::Part{static_cast<std::uint64_t>(index) * 104729u + 3u, tokens * 0.2}};
+    std::variant<tilth::Spot, tilth::NoSpot> const found = grove.choose(wanted, now);
+    if (tilth::Spot const* const spot = std::get_if<tilth::Spot>(&found)) {
+      used.insert(spot->worker);
+      grove.first_token(*spot, wanted.parts, 0.1);
+      grove.ended(*spot, true, tilth::Outcome::good, now);
+    }
+  }
+  return used;
+}
+
+tilth::GroveTerms terms() {
+  tilth::GroveTerms made;
+  made.hall = "north";
+  made.region = "r1";
+  made.self = "f1";
+  made.furrows = {"f1"};
+  return made;
+}
+
+TEST(Split, PlacementFeedsLongPromptsAndTheRestByIt) {
+  Grove grove;
+  grove.update({stand("a", "prefill"), stand("b", "prefill"), stand("c", "decode"), stand("d", "decode"), stand("e", "both")}, terms(), 0);
+  std::set<std::string> const longs = fed(grove, 16000, 60, loam::seconds(1));
+  EXPECT_EQ(longs.count("c") + longs.count("d"), 0u);
+  EXPECT_EQ(longs.count("a") + longs.count("b"), 2u);
+  std::set<std::string> const rest = fed(grove, 300, 60, loam::seconds(1));
+  EXPECT_EQ(rest.count("a") + rest.count("b"), 0u);
+  EXPECT_FALSE(rest.empty());
+}
+
+TEST(Split, APhaseWithoutAWorkerThatTakesQueriesLeavesItToTheEstimate) {
+  Grove grove;
+  std::vector<tilth::Stand> stands{stand("a", "prefill"), stand("b", "decode"), stand("c", "decode")};
+  stands[0].draining = true;
+  grove.update(stands, terms(), 0);
+  EXPECT_FALSE(fed(grove, 16000, 10, loam::seconds(1)).empty());
+  EXPECT_FALSE(fed(grove, 300, 10, loam::seconds(1)).empty());
+}
+
+TEST(Split, FurrowsWithDifferentViewsBothPlaceAll) {
+  Grove older;
+  Grove newer;
+  older.update({stand("a", "prefill"), stand("b", "decode"), stand("c", "decode")}, terms(), 0);
+  newer.update({stand("a", "prefill"), stand("b", "prefill"), stand("c", "decode")}, terms(), 0);
+  EXPECT_EQ(fed(older, 16000, 40, loam::seconds(1)), std::set<std::string>{"a"});
+  EXPECT_EQ(fed(newer, 16000, 40, loam::seconds(1)), (std::set<std::string>{"a", "b"}));
+  EXPECT_EQ(fed(newer, 300, 40, loam::seconds(1)), std::set<std::string>{"c"});
+  // What runs on a worker that switches stays there; only what comes goes elsewhere.
+  tilth::Wanted wanted;
+  wanted.shares = {schema::Share{"text", 1}};
+  wanted.tokens = 300;
+  std::variant<tilth::Spot, tilth::NoSpot> const before = older.choose(wanted, loam::seconds(1));
+  ASSERT_TRUE(std::holds_alternative<tilth::Spot>(before));
+  tilth::Spot const spot = std::get<tilth::Spot>(before);
+  std::vector<tilth::Stand> switched{stand("a", "decode"), stand("b", "prefill"), stand("c", "prefill")};
+  older.update(switched, terms(), loam::seconds(2));
+  EXPECT_TRUE(older.usable(spot.worker));
+  EXPECT_EQ(older.running_on(spot.worker, loam::seconds(2)), 1);
+  EXPECT_EQ(fed(older, 300, 10, loam::seconds(2)), std::set<std::string>{"a"});
+}
+
+TEST(Split, AllMixedTrafficOfOneKindIsNotSetApart) {
+  Fed fed;
+  for (int index = 0; index < 12; ++index) {
+    fed.slice(40, 0);
+  }
+  EXPECT_TRUE(std::holds_alternative<tilth::Rest>(fed.tick(schema::Split(), 0)));
+}
+
+TEST(Split, CandidatesStayWithinTheShares) {
+  for (double const least : {0.0, 0.5}) {
+    Fed fed;
+    fed.scaler.aim_at(0.8, least, 0.8);
+    for (int index = 0; index < 12; ++index) {
+      fed.slice(6, 140);
+    }
+    tilth::ScalerAction const first = fed.tick(schema::Split(), 0);
+    ASSERT_TRUE(std::holds_alternative<tilth::WriteSplit>(first));
+    EXPECT_EQ(prefills(std::get<tilth::WriteSplit>(first).split) >= 3, least > 0);  // the bound is what keeps it up
+  }
+}
+
+TEST(Split, ASetPointCountsWhatAWorkerBearsWithinIt) {
+  schema::ScalerAims aims;
+  aims.prefill_batch = 24;
+  std::map<std::string, tilth::WorkerModel> models;
+  schema::Coefficients const fitted{{0.06, 0.00002, 0, 0}, {0.006, 0, 0}, 0};
+  models.emplace("a", tilth::WorkerModel(fitted));
+  models.emplace("b", tilth::WorkerModel(fitted));
+  std::map<std::string, std::string> const phases{{"a", "prefill"}, {"b", "decode"}};
+  tilth::SliceWork work;
+  work.prefill = tilth::PhaseWork{100, 100 * 5000.0, 0, 0, 100 * 100.0, 100};
+  work.decode = tilth::PhaseWork{100, 100 * 300.0, 0, 0, 100 * 100.0, 100};
+  double const plain = tilth::throughput(phases, models, work, aims, 24);
+  double const within = tilth::throughput(phases, models, work, aims, 24, 0.8);
+  double const tight = tilth::throughput(phases, models, work, aims, 24, 0.4);
+  EXPECT_LT(within, plain);
+  EXPECT_LT(tight, within);
+  // What was seen to take longer than the work explains counts as it was seen.
+  work.prefill.prefill_seconds = 100 * 0.5;
+  EXPECT_LT(tilth::throughput(phases, models, work, aims, 24, 0.8), within);
+  EXPECT_EQ(tilth::throughput(phases, models, work, aims, 24), plain);
+}
+
+TEST(Split, OneSizeOfPromptsDoesNotTellTheCostOfAToken) {
+  // Worker "s" saw short prompts only and is a third slower than the others.
+  tilth::Scaler scaler;
+  scaler.aim_at(0.8, 0, 1);
+  schema::ScalerAims aims;
+  aims.warm_up_ms = 1000;
+  schema::FurrowReport report;
+  for (int index = 0; index < 60; ++index) {
+    for (std::string const id : {"a", "b", "s"}) {
+      schema::Sample prefill;
+      prefill.worker = id;
+      prefill.uncached = id == "s" || index % 2 == 0 ? 300 + index % 7 : 8000 + 10 * index;
+      prefill.seconds = (0.06 + prefill.uncached * 0.00002) * (id == "s" ? 1.3 : 1.0);
+      schema::Sample decode;
+      decode.worker = id;
+      decode.decode = true;
+      decode.running = 1 + index % 9;
+      decode.spread = tilth::spread(aims.experts_share, 1, decode.running);
+      decode.seconds = 0.006 + 0.00005 * decode.running;
+      report.samples.push_back(prefill);
+      report.samples.push_back(decode);
+    }
+  }
+  schema::WorkerFigures longs;
+  longs.phase = "prefill";
+  longs.queries = longs.decodes = 50;
+  longs.uncached = 50 * 8000;
+  longs.iterations = 50 * 100;
+  schema::WorkerFigures rest = longs;
+  rest.phase = "decode";
+  rest.uncached = 50 * 300;
+  report.figures = {longs, rest};
+  scaler.report(report, aims, loam::seconds(10));
+  tilth::ScalerAction const action = scaler.tick(schema::Split(), 0, {"a", "b", "s"}, aims, schema::WorkerBounds(), loam::seconds(12));
+  ASSERT_TRUE(std::holds_alternative<tilth::WriteSplit>(action));
+  schema::Split const split = std::get<tilth::WriteSplit>(action).split;
+  EXPECT_NEAR(split.coefficients.at("a").prefill[1], 0.00002, 0.000002);
+  EXPECT_NEAR(split.coefficients.at("s").prefill[1], 0.000026, 0.000004);
+}
+
+TEST(Split, OptionsKeepTheSourcesDefaults) {
+  schema::Settings settings;
+  EXPECT_EQ(tilth::report_ms_of(settings), 0u);  // off: nobody reports
+  schema::ScalerAims const aims = tilth::aims_of(settings, tilth::Pool());
+  EXPECT_EQ(aims.window_ms, 600000u);
+  EXPECT_EQ(aims.slices, 10u);
+  EXPECT_EQ(aims.hold_ms, 120000u);
+  EXPECT_EQ(aims.refit_ms, 0u);
+  settings.scaler = "on";
+  EXPECT_EQ(tilth::report_ms_of(settings), 2000u);
+  settings.scaler_window_ms = 10000;
+  EXPECT_EQ(tilth::report_ms_of(settings), 500u);
+}
+
+}  // namespace
+}  // namespace finchlink
--- a/source/tilth/scaler/pools.cpp
+++ b/source/tilth/scaler/pools.cpp
@@ -38,6 +38,15 @@
   for (schema::Service const& service : charter.services) {
     services[service.name] = &service;
   }
+  std::map<std::string, double> points;
+  for (schema::Lane const& lane : charter.lanes) {
+    for (schema::Share const& share : lane.shares) {
+      double& point = points[share.service];
+      if (lane.set_point_ms > 0 && share.weight > 0 && (point <= 0 || lane.set_point_ms / 1000 < point)) {
+        point = lane.set_point_ms / 1000;
+      }
+    }
+  }
   for (schema::WorkerEntry const& entry : list.workers) {
     std::map<std::string, schema::Service const*>::const_iterator const service = services.find(entry.service);
     std::map<std::string, std::string>::const_iterator const region = regions.find(entry.zone);
@@ -48,6 +57,7 @@
     pool.region = region->second;
     pool.service = entry.service;
     pool.capacity = std::max<std::uint64_t>(pool.capacity, std::max(service->second->capacity, entry.capacity));
+    pool.set_point = points[entry.service];
     pool.listed.insert(entry.id);
     if (entry.draining || evacuated.count(entry.zone) > 0) {
       continue;
--- a/source/tilth/scaler/pools.hpp
+++ b/source/tilth/scaler/pools.hpp
@@ -22,6 +22,7 @@
   std::map<std::string, std::string> fixed;  ///< whose phase the platform tells
   std::set<std::string> listed;              ///< all, also those that take none now
   std::uint64_t capacity = 0;
+  double set_point = 0;                      ///< seconds; the least of its lanes; 0: none told
 };
 
 [[nodiscard]] std::string pool_name(std::string const& region, std::string const& service);
--- a/source/tilth/scaler/scaler.cpp
+++ b/source/tilth/scaler/scaler.cpp
@@ -4,17 +4,24 @@
 #include <cmath>
 #include <limits>
 
+#include "loam/relay_constants.hpp"
+
 namespace finchlink::tilth {
 
+namespace constants = loam::constants;
+
 namespace {
 constexpr std::size_t rows_most = 2000;   // rows kept per worker and phase; a fit needs far fewer
 constexpr std::size_t rows_least = 24;    // rows before a worker's own fit is trusted
+constexpr std::size_t rows_each_size = 4; // rows of small and of large prompts without which one cost can't be told from the other
+constexpr double size_part = 0.125;       // of the largest prompt seen: from here on a prompt is large
 constexpr double outlier = 1.5;           // rows slower than this times the median row waited behind others; left out
 
 void add(PhaseWork& sum, schema::WorkerFigures const& figures) {
   sum.queries += figures.queries;
   sum.uncached += figures.uncached;
   sum.pairs += figures.pairs;
+  sum.prefill_seconds += figures.prefill_seconds;
   sum.iterations += figures.iterations;
   sum.decodes += figures.decodes;
 }
@@ -49,23 +56,84 @@
   return second.good ? second : first;
 }
 
+/// Do rows tell the cost of a token from the fixed one? Those of a worker that
+/// was sent prompts of one size only do not.
+bool tells_sizes(std::vector<FitRow> const& rows, double largest) {
+  std::size_t small = 0;
+  std::size_t large = 0;
+  for (FitRow const& row : rows) {
+    (row.terms[1] >= largest * size_part ? large : small) += 1;
+  }
+  return std::min(small, large) >= rows_each_size;
+}
+
+/// What all workers show together, by how much slower or faster this one is.
+std::vector<double> scaled(Fit const& common, std::vector<FitRow> const& rows) {
+  std::vector<double> ratios;
+  for (FitRow const& row : rows) {
+    double sum = 0;
+    for (std::size_t column = 0; column < row.terms.size(); ++column) {
+      sum += row.terms[column] * common.coefficients[column];
+    }
+    if (sum > 0) {
+      ratios.push_back(row.seconds / sum);
+    }
+  }
+  std::vector<double> coefficients = common.coefficients;
+  if (ratios.size() >= rows_each_size) {
+    double const pace = std::clamp(middle(ratios), 0.5, 2.0);
+    for (double& coefficient : coefficients) {
+      coefficient *= pace;
+    }
+  }
+  return coefficients;
+}
+
 double per_query(double sum, double count) { return count > 0 ? sum / count : 0; }
 
+/// Seconds that reading a prompt takes. Under a set point what was seen counts
+/// where it was longer than the work explains: parts that a worker lost unseen,
+/// and prompts of others that were read first (section 13.7).
+double reading_seconds(WorkerModel const& model, PhaseWork const& work, double set_point) {
+  double const explained = model.prefill[1] * per_query(work.uncached, work.queries) + model.prefill[2] * per_query(work.pairs, work.queries);
+  return set_point > 0 ? std::max(explained, per_query(work.prefill_seconds, work.queries) - model.prefill[0]) : explained;
+}
+
 /// Seconds that one query of this phase keeps a worker busy.
-double busy_seconds(WorkerModel const& model, PhaseWork const& work, bool prefill, bool decode, schema::ScalerAims const& aims, double batch) {
+double busy_seconds(WorkerModel const& model, PhaseWork const& work, bool prefill, bool decode, schema::ScalerAims const& aims, double batch, double set_point) {
   double seconds = 0;
   if (prefill && work.queries > 0) {
-    seconds += model.prefill[0] / aims.prefill_batch + model.prefill[1] * per_query(work.uncached, work.queries) + model.prefill[2] * per_query(work.pairs, work.queries);
+    seconds += model.prefill[0] / aims.prefill_batch + reading_seconds(model, work, set_point);
   }
   if (decode && work.decodes > 0) {
     seconds += per_query(work.iterations, work.decodes) * model.iteration_seconds(aims.experts_share, aims.tokens_forward, batch) / batch;
   }
   return seconds;
 }
+
+/// Share of its time that a worker may be busy for first answers to come within
+/// part of the set point: prompts are read one after the other, so the wait is
+/// that of one server, s * spread * load / (1 - load).
+double bearable_load(WorkerModel const& model, PhaseWork const& work, double set_point) {
+  if (set_point <= 0 || work.queries <= 0) {
+    return 1;
+  }
+  double const reading = reading_seconds(model, work, 0);
+  double const left = set_point * constants::set_point_part - model.prefill[0] - reading;
+  double const wait = std::max(1e-6, reading * constants::reading_spread);
+  return std::max(constants::load_least, std::max(left, 0.0) / (std::max(left, 0.0) + wait));
+}
+
+/// Is a phase's part of all work enough for a worker of its own?
+bool worth_apart(WorkerModel const& model, SliceWork const& work, schema::ScalerAims const& aims, double batch, std::size_t workers) {
+  double const prefill = work.prefill.queries * busy_seconds(model, work.prefill, true, true, aims, batch, 0);
+  double const decode = work.decode.queries * busy_seconds(model, work.decode, true, true, aims, batch, 0);
+  return std::min(prefill, decode) * static_cast<double>(workers) >= (prefill + decode) * constants::apart_least;
+}
 }  // namespace
 
 double throughput(std::map<std::string, std::string> const& phases, std::map<std::string, WorkerModel> const& models, SliceWork const& work,
-                  schema::ScalerAims const& aims, double batch) {
+                  schema::ScalerAims const& aims, double batch, double set_point) {
   bool const paired = aims.manner == "paired";
   double const prefills = work.prefill.queries;
   double const decodes = paired ? work.decode.decodes : work.decode.queries;
@@ -81,10 +149,10 @@
       continue;
     }
     bool const prefill = entry.second == "prefill";
-    double const seconds = prefill ? busy_seconds(model->second, work.prefill, true, !paired, aims, batch)
-                                   : busy_seconds(model->second, work.decode, !paired, true, aims, batch);
+    double const seconds = prefill ? busy_seconds(model->second, work.prefill, true, !paired, aims, batch, set_point)
+                                   : busy_seconds(model->second, work.decode, !paired, true, aims, batch, set_point);
     if (seconds > 0) {
-      (prefill ? prefill_rate : decode_rate) += 1.0 / seconds;
+      (prefill ? prefill_rate : decode_rate) += bearable_load(model->second, prefill ? work.prefill : work.decode, set_point) / seconds;
     }
   }
   // Each phase must carry its share of the queries; in the paired manner that
@@ -140,15 +208,19 @@
   if (!common_prefill.good || !common_decode.good) {
     return split;
   }
+  double largest = 0;
+  for (FitRow const& row : all_prefill) {
+    largest = std::max(largest, row.terms[1]);
+  }
   for (std::string const& worker : workers) {
     std::map<std::string, std::vector<FitRow>>::const_iterator const prefill = prefills.find(worker);
     std::map<std::string, std::vector<FitRow>>::const_iterator const decode = decode_rows_.find(worker);
     // Few rows of its own: what all workers show together stands in.
-    Fit const own_prefill = prefill == prefills.end() ? Fit{} : robust_fit(prefill->second, rows_least);
+    Fit const own_prefill = prefill == prefills.end() || (set_point_ > 0 && !tells_sizes(prefill->second, largest)) ? Fit{} : robust_fit(prefill->second, rows_least);
     Fit const own_decode = decode == decode_rows_.end() ? Fit{} : robust_fit(decode->second, rows_least);
     schema::Coefficients coefficients;
-    coefficients.prefill = own_prefill.good ? own_prefill.coefficients : common_prefill.coefficients;
-    coefficients.decode = own_decode.good ? own_decode.coefficients : common_decode.coefficients;
+    coefficients.prefill = own_prefill.good ? own_prefill.coefficients : set_point_ > 0 && prefill != prefills.end() ? scaled(common_prefill, prefill->second) : common_prefill.coefficients;
+    coefficients.decode = own_decode.good ? own_decode.coefficients : set_point_ > 0 && decode != decode_rows_.end() ? scaled(common_decode, decode->second) : common_decode.coefficients;
     coefficients.error = own_prefill.good ? own_prefill.error : common_prefill.error;
     split.coefficients[worker] = coefficients;
   }
@@ -181,6 +253,13 @@
   return works;
 }
 
+bool Scaler::candidate(std::size_t prefills, std::size_t workers) const {
+  double const all = static_cast<double>(workers);
+  double const least = std::clamp(std::round(share_least_ * all), 1.0, all - 1);
+  double const most = std::clamp(std::round(share_most_ * all), least, all - 1);
+  return static_cast<double>(prefills) >= least && static_cast<double>(prefills) <= most;
+}
+
 std::optional<schema::Split> Scaler::first_split(std::vector<std::string> const& workers, schema::ScalerAims const& aims, double batch,
                                                  std::map<std::string, std::string> const& fixed) const {
   schema::Split split = fitted(workers);
@@ -193,19 +272,26 @@
       part.first->queries += part.second->queries;
       part.first->uncached += part.second->uncached;
       part.first->pairs += part.second->pairs;
+      part.first->prefill_seconds += part.second->prefill_seconds;
       part.first->iterations += part.second->iterations;
       part.first->decodes += part.second->decodes;
     }
   }
   std::map<std::string, WorkerModel> const models = models_of(split, workers);
+  if (aims.manner == "whole" && !worth_apart(models.begin()->second, sum, aims, batch, workers.size())) {
+    return std::nullopt;
+  }
   double best = -1;
   for (std::size_t count = 1; count < workers.size(); ++count) {
+    if (!candidate(count, workers.size())) {
+      continue;
+    }
     std::map<std::string, std::string> phases;
     for (std::size_t place = 0; place < workers.size(); ++place) {
       std::map<std::string, std::string>::const_iterator const told = fixed.find(workers[place]);
       phases[workers[place]] = told != fixed.end() ? told->second : place < count ? "prefill" : "decode";
     }
-    double const carried = throughput(phases, models, sum, aims, batch);
+    double const carried = throughput(phases, models, sum, aims, batch, set_point_);
     if (carried > best) {
       best = carried;
       split.phases = phases;
@@ -213,7 +299,11 @@
   }
   split.frozen = true;
   split.manner = aims.manner;
-  split.reason = "first split after warm-up, predicted " + std::to_string(best) + " queries a second";
+  std::size_t feeding = 0;
+  for (std::pair<std::string const, std::string> const& phase : split.phases) {
+    feeding += phase.second == "prefill" ? 1 : 0;
+  }
+  split.reason = "first split after warm-up, prefill " + std::to_string(feeding) + " of " + std::to_string(workers.size()) + ", predicted " + std::to_string(best) + " queries a second";
   return split;
 }
 
@@ -245,7 +335,7 @@
       return Rest{"warm-up: workers do both phases while times are fitted"};
     }
     std::optional<schema::Split> const first = first_split(workers, aims, batch, fixed);
-    return first.has_value() ? ScalerAction{WriteSplit{*first}} : ScalerAction{Rest{"warm-up: too few observations for a fit"}};
+    return first.has_value() ? ScalerAction{WriteSplit{*first}} : ScalerAction{Rest{"too few observations for a fit, or too little work of one phase to set workers apart"}};
   }
   std::vector<SliceWork> const works = counted(aims);
   std::map<std::string, WorkerModel> const models = models_of(current, workers);
@@ -281,7 +371,7 @@
       std::map<std::string, std::string> with_decode = phases;
       with_prefill[unassigned.front()] = "prefill";
       with_decode[unassigned.front()] = "decode";
-      bool const prefill = prefills == 0 || (decodes > 0 && throughput(with_prefill, models, recent, aims, batch) > throughput(with_decode, models, recent, aims, batch));
+      bool const prefill = prefills == 0 || (decodes > 0 && throughput(with_prefill, models, recent, aims, batch, set_point_) > throughput(with_decode, models, recent, aims, batch, set_point_));
       split.phases[unassigned.front()] = prefill ? "prefill" : "decode";
       split.reason = unassigned.front() + " came new";
     }
@@ -309,7 +399,7 @@
   double best_gain = 0;
   for (std::int64_t change = -static_cast<std::int64_t>(aims.step); change <= static_cast<std::int64_t>(aims.step); ++change) {
     std::int64_t const count = static_cast<std::int64_t>(prefills) + change;
-    if (change == 0 || count < 1 || count >= static_cast<std::int64_t>(phases.size())) {
+    if (change == 0 || count < 1 || count >= static_cast<std::int64_t>(phases.size()) || !candidate(static_cast<std::size_t>(count), phases.size())) {
       continue;
     }
     // Who is relatively best at the other phase goes first.
@@ -317,8 +407,8 @@
     for (std::pair<std::string const, std::string> const& entry : phases) {
       if ((entry.second == "prefill") == (change < 0) && fixed.count(entry.first) == 0) {
         WorkerModel const& model = models.at(entry.first);
-        double const prefill = busy_seconds(model, works.back().prefill, true, aims.manner != "paired", aims, batch);
-        double const decode = busy_seconds(model, works.back().decode, aims.manner != "paired", true, aims, batch);
+        double const prefill = busy_seconds(model, works.back().prefill, true, aims.manner != "paired", aims, batch, set_point_);
+        double const decode = busy_seconds(model, works.back().decode, aims.manner != "paired", true, aims, batch, set_point_);
         movable.emplace_back(change < 0 ? decode / std::max(prefill, 1e-9) : prefill / std::max(decode, 1e-9), entry.first);
       }
     }
@@ -330,7 +420,7 @@
     std::vector<double> gains;
     double mean = 0;
     for (SliceWork const& work : works) {
-      gains.push_back(throughput(candidate, models, work, aims, batch) - throughput(phases, models, work, aims, batch));
+      gains.push_back(throughput(candidate, models, work, aims, batch, set_point_) - throughput(phases, models, work, aims, batch, set_point_));
       mean += gains.back() / static_cast<double>(works.size());
     }
     double spread = 0;
--- a/source/tilth/scaler/scaler.hpp
+++ b/source/tilth/scaler/scaler.hpp
@@ -20,6 +20,7 @@
   double queries = 0;
   double uncached = 0;
   double pairs = 0;
+  double prefill_seconds = 0;  ///< seen up to first answers, waits included
   double iterations = 0;
   double decodes = 0;
 };
@@ -29,9 +30,10 @@
 };
 
 /// Queries a second that a split can carry: the lesser of its phases
-/// (section 8.3).
+/// (section 8.3). With a set point, in seconds, a worker counts for what it
+/// carries while first answers keep within it (section 13.7).
 [[nodiscard]] double throughput(std::map<std::string, std::string> const& phases, std::map<std::string, WorkerModel> const& models, SliceWork const& work,
-                                schema::ScalerAims const& aims, double batch);
+                                schema::ScalerAims const& aims, double batch, double set_point = 0);
 
 struct WriteSplit {
   schema::Split split;
@@ -45,6 +47,13 @@
 /// region feeds one; only the one with the lease writes what it decides.
 class Scaler {
  public:
+  /// Seconds within which a first answer should come, 0: none told; and the
+  /// shares of workers that may be fed long prompts: all splits by default.
+  void aim_at(double set_point, double share_least, double share_most) {
+    set_point_ = set_point;
+    share_least_ = share_least;
+    share_most_ = share_most;
+  }
   void report(schema::FurrowReport const& report, schema::ScalerAims const& aims, loam::Moment now);
   /// `fixed`: workers that can do one phase only; they never switch.
   [[nodiscard]] ScalerAction tick(schema::Split const& current, std::uint64_t revision, std::vector<std::string> const& workers,
@@ -63,6 +72,10 @@
   [[nodiscard]] std::map<std::string, WorkerModel> models_of(schema::Split const& split, std::vector<std::string> const& workers) const;
   [[nodiscard]] std::vector<SliceWork> counted(schema::ScalerAims const& aims) const;
 
+  [[nodiscard]] bool candidate(std::size_t prefills, std::size_t workers) const;
+  double set_point_ = 0;
+  double share_least_ = 0;
+  double share_most_ = 1;
   loam::Moment first_report_ = 0;
   std::deque<Slice> slices_;
   using Rows = std::map<std::string, std::vector<FitRow>>;
--- a/source/trellis/duty/duties.cpp
+++ b/source/trellis/duty/duties.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 
 #include "hedge/repair/repair.hpp"
-#include "loam/constants.hpp"
+#include "loam/relay_constants.hpp"
 #include "loam/json/tree.hpp"
 #include "loam/log/log.hpp"
 #include "orchard/charter/wish.hpp"
@@ -175,7 +175,10 @@
     std::lock_guard<std::mutex> const guard(lock_);
     charter_revision_ = charter.revision;
     charter_ = std::move(reading.charter);
-    charter_.lanes.clear();  // only its services are asked for here
+    // Only services and the set points of lanes are asked for here.
+    for (schema::Lane& lane : charter_.lanes) {
+      lane = schema::Lane{.shares = std::move(lane.shares), .set_point_ms = lane.set_point_ms};
+    }
   }
   std::vector<std::string> const halls = orchard::evacuated_halls(evacuated.content);
   schema::PlatformList const list = news_.list();
@@ -250,6 +253,7 @@
   tilth::ScalerAction action = tilth::Rest{""};
   {
     std::lock_guard<std::mutex> const guard(lock_);
+    scalers_[name].aim_at(pool.set_point, constants::long_share_least, constants::long_share_most);
     action = scalers_[name].tick(current, value.revision, pool.workers, aims, bounds, loam::boot_now(), pool.fixed);
     if (tilth::Rest const* const rest = std::get_if<tilth::Rest>(&action)) {
       reasons_["scaler/" + pool.region] = pool.service + ": " + rest->reason;
