--- a/source/tests/tilth/split_test.cpp
+++ b/source/tests/tilth/split_test.cpp
@@ -414,6 +414,24 @@
   EXPECT_NEAR(split.coefficients.at("s").prefill[1], 0.000026, 0.000004);
 }
 
+TEST(Split, NewcomersAreAssignedInOneWrite) {
+  Fed fed;
+  for (int index = 0; index < 12; ++index) {
+    fed.slice(10, 100);
+  }
+  schema::Split split = std::get<tilth::WriteSplit>(fed.tick(schema::Split(), 0)).split;
+  std::vector<std::string> const workers{"a", "b", "c", "x", "y", "z"};
+  tilth::ScalerAction const action = fed.scaler.tick(split, 1, workers, fed.aims, fed.bounds, fed.now);
+  ASSERT_TRUE(std::holds_alternative<tilth::WriteSplit>(action));
+  schema::Split const next = std::get<tilth::WriteSplit>(action).split;
+  for (std::string const id : {"x", "y", "z"}) {
+    EXPECT_EQ(next.phases.count(id), 1u) << id;
+  }
+  for (std::string const id : {"a", "b", "c"}) {
+    EXPECT_EQ(next.phases.at(id), split.phases.at(id));  // nobody at work switches by it
+  }
+}
+
 TEST(Split, OptionsKeepTheSourcesDefaults) {
   schema::Settings settings;
   EXPECT_EQ(tilth::report_ms_of(settings), 0u);  // off: nobody reports
--- a/source/tilth/scaler/scaler.cpp
+++ b/source/tilth/scaler/scaler.cpp
@@ -366,14 +366,22 @@
       split.phases[*free] = prefills == 0 ? "prefill" : "decode";
       split.reason = "a phase had no worker left";
     } else {
+      // All in one write: workers that were replaced come by the half dozen.
       SliceWork const recent = works.empty() ? SliceWork{} : works.back();
-      std::map<std::string, std::string> with_prefill = phases;
-      std::map<std::string, std::string> with_decode = phases;
-      with_prefill[unassigned.front()] = "prefill";
-      with_decode[unassigned.front()] = "decode";
-      bool const prefill = prefills == 0 || (decodes > 0 && throughput(with_prefill, models, recent, aims, batch, set_point_) > throughput(with_decode, models, recent, aims, batch, set_point_));
-      split.phases[unassigned.front()] = prefill ? "prefill" : "decode";
-      split.reason = unassigned.front() + " came new";
+      std::map<std::string, std::string> assigned = phases;
+      std::size_t feeding = prefills;
+      for (std::string const& newcomer : unassigned) {
+        std::map<std::string, std::string> with_prefill = assigned;
+        std::map<std::string, std::string> with_decode = assigned;
+        with_prefill[newcomer] = "prefill";
+        with_decode[newcomer] = "decode";
+        bool const prefill = feeding == 0 || (assigned.size() > feeding && throughput(with_prefill, models, recent, aims, batch, set_point_) >
+                                                                               throughput(with_decode, models, recent, aims, batch, set_point_));
+        assigned[newcomer] = prefill ? "prefill" : "decode";
+        feeding += prefill ? 1 : 0;
+        split.phases[newcomer] = assigned[newcomer];
+      }
+      split.reason = unassigned.front() + (unassigned.size() > 1 ? " and " + std::to_string(unassigned.size() - 1) + " more" : "") + " came new";
     }
     if (split.coefficients.count(workers.front()) == 0 && !split.coefficients.empty()) {
       split.coefficients[workers.front()] = split.coefficients.begin()->second;
