--- a/source/tilth/scaler/scaler.cpp
+++ b/source/tilth/scaler/scaler.cpp
@@ -272,11 +272,12 @@
       part.first->queries += part.second->queries;
       part.first->uncached += part.second->uncached;
       part.first->pairs += part.second->pairs;
-      part.first->prefill_seconds += part.second->prefill_seconds;
       part.first->iterations += part.second->iterations;
       part.first->decodes += part.second->decodes;
     }
   }
+  // What was seen to take longer is left out here: a warm-up's waits are those of
+  // memories that are still empty.
   std::map<std::string, WorkerModel> const models = models_of(split, workers);
   if (aims.manner == "whole" && !worth_apart(models.begin()->second, sum, aims, batch, workers.size())) {
     return std::nullopt;
