--- a/source/furrow/relay/station.cpp
+++ b/source/furrow/relay/station.cpp
@@ -10,7 +10,9 @@
 #include <cstring>
 #include <sstream>
 
+#include "furrow/relay/walls.hpp"
 #include "loam/relay_constants.hpp"
+#include "loam/wall_constants.hpp"
 #include "loam/json/tree.hpp"
 #include "loam/log/log.hpp"
 #include "loam/random/random.hpp"
@@ -90,6 +92,9 @@
   }
   start_small(context_, [this](loam::Yield yield) { ask_news(yield); });
   start_small(context_, [this](loam::Yield yield) { read_own_list(yield); });
+  if (!settings_.secrets_file.empty()) {
+    start_small(context_, [this](loam::Yield yield) { follow_secrets(yield); });
+  }
   return absl::OkStatus();
 }
 
@@ -179,7 +184,7 @@
   leaving_since_ = loam::boot_now();
   start_small(context_, [this](loam::Yield yield) {
     schema::NewsAsk ask{self(), 0, list_digest_, members_digest_, {}};
-    for (std::size_t index = 0; index < std::min<std::size_t>(2, trellises_.size()); ++index) {
+    for (std::size_t index = 0; index < std::min(constants::lost_asks, trellises_.size()); ++index) {
       if (caller_.call(trellises_[index], ask, loam::milliseconds(static_cast<std::int64_t>(settings_.bounds.ask_deadline_ms)), yield).ok()) {
         break;
       }
@@ -213,40 +218,72 @@
 
 void Station::ask_news(loam::Yield yield) {
   std::size_t turn = loam::random_number() % std::max<std::size_t>(1, trellises_.size());
-  // A trellis of the own region first: its answers come sooner and cost less.
+  bool lost = true;  // no trellis answered the last ask
   while (true) {
-    std::string const address = trellises_[turn % trellises_.size()];
-    bool const was_ready = ready();
     loam::Moment const asked = loam::boot_now();
-    schema::NewsAsk ask{self(), 0, list_digest_, members_digest_, reports(asked)};
-    absl::StatusOr<schema::Message> const answer =
-        caller_.call(address, ask, loam::milliseconds(static_cast<std::int64_t>(settings_.bounds.ask_deadline_ms)), yield);
-    schema::NewsAnswer const* const news = answer.ok() ? std::get_if<schema::NewsAnswer>(&*answer) : nullptr;
-    if (news != nullptr) {
-      take(*news, asked);
-      report_ms_ = news->report_ms;
-      while (!reports_.empty() && reports_.front().slice <= news->reports_taken) {
-        reports_.pop_front();
+    bool const was_ready = ready();
+    schema::NewsAsk const ask{self(), 0, list_digest_, members_digest_, reports(asked)};
+    std::string from;
+    loam::Span const patience = loam::milliseconds(static_cast<std::int64_t>(settings_.bounds.ask_deadline_ms));
+    if (lost) {
+      // Some may be down, and say nothing: a few are asked, the first who is sure
+      // counts. More would each send the whole charter to a furrow without one.
+      std::vector<std::pair<std::string, schema::Message>> calls;
+      for (std::size_t index = 0; index < std::min(constants::lost_asks, trellises_.size()); ++index) {
+        calls.emplace_back(trellises_[(turn + index) % trellises_.size()], ask);
+      }
+      turn += 1;
+      loam::Gather::run(
+          context_, caller_, calls, std::min(patience, constants::lost_patience),
+          [&](std::size_t index, absl::StatusOr<schema::Message> const& answer) {
+            schema::NewsAnswer const* const news = answer.ok() ? std::get_if<schema::NewsAnswer>(&*answer) : nullptr;
+            if (news == nullptr) {
+              return false;
+            }
+            take(*news, asked);
+            if (!news->vouched) {
+              return false;
+            }
+            from = calls[index].first;
+            heard_from(*news);
+            return true;
+          },
+          yield);
+    } else {
+      std::string const address = trellises_[turn % trellises_.size()];
+      absl::StatusOr<schema::Message> const answer = caller_.call(address, ask, patience, yield);
+      schema::NewsAnswer const* const news = answer.ok() ? std::get_if<schema::NewsAnswer>(&*answer) : nullptr;
+      if (news != nullptr) {
+        take(*news, asked);
+      }
+      if (news != nullptr && news->vouched) {
+        from = address;
+        heard_from(*news);
       }
     }
-    if (news == nullptr || !news->vouched) {
-      ++turn;
-      if (loam::boot_now() - asked < constants::ask_retry * 4) {
-        loam::pause(context_, constants::ask_retry * 4, yield);
+    lost = from.empty();
+    loam::Span const spent = loam::boot_now() - asked;
+    if (lost) {
+      turn += 1;
+      if (spent < constants::ask_retry) {
+        loam::pause(context_, constants::ask_retry, yield);
       }
       continue;
     }
-    heard_ = true;
-    heard_at_ = loam::boot_now();
-    trellises_ = settings_.seeds;
-    for (std::string const& colleague : news->colleagues) {
-      if (!colleague.empty() && std::find(trellises_.begin(), trellises_.end(), colleague) == trellises_.end()) {
-        trellises_.push_back(colleague);
-      }
+    turn = static_cast<std::size_t>(std::find(trellises_.begin(), trellises_.end(), from) - trellises_.begin());
+    if (ready() == was_ready && spent < constants::ask_least) {
+      loam::pause(context_, constants::ask_least - spent, yield);
     }
-    turn = static_cast<std::size_t>(std::find(trellises_.begin(), trellises_.end(), address) - trellises_.begin());
-    if (ready() == was_ready && loam::boot_now() - asked < constants::ask_least) {
-      loam::pause(context_, constants::ask_least - (loam::boot_now() - asked), yield);
+  }
+}
+
+void Station::heard_from(schema::NewsAnswer const& news) {
+  heard_ = true;
+  heard_at_ = loam::boot_now();
+  trellises_ = settings_.seeds;
+  for (std::string const& colleague : news.colleagues) {
+    if (!colleague.empty() && std::find(trellises_.begin(), trellises_.end(), colleague) == trellises_.end()) {
+      trellises_.push_back(colleague);
     }
   }
 }
@@ -274,6 +311,10 @@
 }
 
 void Station::take(schema::NewsAnswer const& answer, loam::Moment asked) {
+  report_ms_ = answer.report_ms;
+  while (!reports_.empty() && reports_.front().slice <= answer.reports_taken) {
+    reports_.pop_front();
+  }
   bool changed = false;
   for (schema::NamedValue const& news : vouch_.take(answer, asked, loam::boot_now())) {
     changed = true;
@@ -438,6 +479,7 @@
     terms.furrows.push_back(settings_.name);
   }
   grove_.update(stands, terms, loam::boot_now());
+  walls_.keep_only([&listed](std::string const& worker) { return listed.count(worker) > 0; });
   std::erase_if(kept_, [&listed](std::pair<std::string const, std::deque<Kept>> const& entry) { return listed.count(entry.first) == 0; });
 }
 
@@ -506,7 +548,10 @@
       body = directory(query["zone"], query["region"]);
     } else if (path == "/-/metrics") {
       status = "200 OK";
-      body = tally_.print();
+      body = tally_.print() + print_wall_metrics(walls_);
+    } else if (path == "/-/tenants") {
+      status = "200 OK";
+      body = print_tenants(walls_);
     }
     bool const again = parser.get().keep_alive() && !draining_;
     std::string const text = "HTTP/1.1 " + status + "\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) +
--- a/source/furrow/relay/station.hpp
+++ b/source/furrow/relay/station.hpp
@@ -23,6 +23,7 @@
 #include "tilth/lanes/lanes.hpp"
 #include "tilth/observe/observer.hpp"
 #include "tilth/rights/rights.hpp"
+#include "tilth/wall/walls.hpp"
 
 namespace finchlink::furrow {
 
@@ -80,6 +81,7 @@
   [[nodiscard]] tilth::Grove& grove() { return grove_; }
   [[nodiscard]] tilth::Rights& rights(std::string const& service);
   [[nodiscard]] Tally& tally() { return tally_; }
+  [[nodiscard]] tilth::Walls& walls() { return walls_; }
   [[nodiscard]] bool draining() const { return draining_; }
   [[nodiscard]] bool ready() const { return book_ != nullptr && heard_ && !draining_ && grove_.size() > 0; }
 
@@ -105,7 +107,9 @@
   [[nodiscard]] absl::Status listen(std::string const& address, std::function<void(std::shared_ptr<Socket>, loam::Yield)> session);
   void serve_small(std::shared_ptr<Socket> const& socket, loam::Yield yield);
   void ask_news(loam::Yield yield);
+  void heard_from(schema::NewsAnswer const& news);
   void read_own_list(loam::Yield yield);
+  void follow_secrets(loam::Yield yield);
   void take(schema::NewsAnswer const& answer, loam::Moment asked);
   void take_list(schema::PlatformList const& list, loam::Moment as_of);
   void settle();
@@ -142,6 +146,7 @@
   std::uint64_t report_ms_ = 0;                  ///< how often they are wanted; 0: not
   std::uint64_t report_slice_ = 0;
   loam::Moment reported_at_ = 0;
+  tilth::Walls walls_;
   std::map<std::string, tilth::Rights> rights_;
   std::map<std::string, std::deque<Kept>> kept_;
   std::vector<std::shared_ptr<Acceptor>> acceptors_;
--- a/source/loam/constants.hpp
+++ b/source/loam/constants.hpp
@@ -89,6 +89,9 @@
 /// A half-done change is settled by a reader after this: several rounds of a
 /// change that is merely under way, and well within the vouch bound.
 inline constexpr Span settle_after = milliseconds(200);
+/// One look in so many at a half-done change settles it: of six trellises two
+/// try at once, and one alone does after some half a second.
+inline constexpr std::uint64_t settle_lots = 3;
 /// Range of the pause after a lost ballot.
 inline constexpr Span ballot_pause_least = milliseconds(5);
 inline constexpr Span ballot_pause_most = milliseconds(60);
@@ -115,11 +118,15 @@
 inline constexpr std::size_t charter_marks_kept = 64;
 /// Pause between tries to found the register.
 inline constexpr Span founding_pause = milliseconds(200);
-/// A holder that misses this many looks in a row (about four seconds) is
-/// replaced when a candidate stands by.
-inline constexpr int repair_misses = 6;
-/// Pause between the repair duty's looks.
-inline constexpr Span repair_pause = milliseconds(500);
+/// A holder that misses this many looks in a row (two to three seconds) is
+/// replaced by one that has a disk and no place.
+inline constexpr int join_misses = 3;
+/// How long a look at the holders may take, and the pause between two: a round
+/// between regions with a slow disk takes a third of it.
+inline constexpr Span join_look = milliseconds(500);
+inline constexpr Span join_pause = milliseconds(500);
+/// Pause between two looks of a duty at whether its lease is held.
+inline constexpr Span duty_pause = milliseconds(500);
 
 // --- leases (section 7) ---
 /// Span of a lease as the holders count it.
@@ -137,6 +144,8 @@
 /// Bytes of one file: an image of all registers with the largest charter, one
 /// more of it, and a few hundred small changes.
 inline constexpr std::size_t ring_file_bytes = 5u << 20u;
+/// Files are read in pieces of this many bytes; what is empty is not kept.
+inline constexpr std::size_t ring_piece_bytes = 64u << 10u;
 /// Pause before a disk that failed is opened anew.
 inline constexpr Span disk_reopen_pause = seconds(1);
 /// Records waiting for the disk; beyond it the holder stays silent.
@@ -145,6 +154,10 @@
 // --- frames (section 3) ---
 inline constexpr std::size_t frame_limit = 8u << 20u;
 inline constexpr std::uint32_t frame_mark = 0x46434c31;  // "FCL1"
+inline constexpr std::uint32_t frame_mark_compressed = 0x46434c32;  // "FCL2"
+/// Frames of at least this many bytes are compressed: charters and lists travel
+/// to every furrow, over links of 10 Mbit/s, and shrink to a fifth and less.
+inline constexpr std::size_t frame_compress_least = 1024;
 /// Idle frames connections kept per colleague.
 inline constexpr std::size_t idle_connections = 8;
 /// A silent frame connection is closed after this.
--- a/source/loam/relay_constants.hpp
+++ b/source/loam/relay_constants.hpp
@@ -22,6 +22,7 @@
 inline constexpr double reuse_part = 0.8;
 /// Beginnings of at least this many tokens have an owner and teach the pace.
 inline constexpr double owned_tokens = 1000;
+inline constexpr bool keep_long_apart = false;
 /// Demand is remembered for about this many seconds; bounds of the share of a
 /// region's workers that long prompts are fed to while there are others too;
 /// worker seconds that a query costs beside its prefill; costs of going astray.
@@ -29,9 +30,9 @@
 inline constexpr double long_share_least = 0.5;
 inline constexpr double long_share_most = 0.8;
 inline constexpr double short_work = 0.01;
-inline constexpr double long_astray_cost = 0.3;
-inline constexpr double short_astray_cost = 0.15;
-/// Reports of work to the scaler (section 13.7): their bytes are priced between
+inline constexpr double long_astray_cost = 0.12;
+inline constexpr double short_astray_cost = 0.06;
+/// Reports of work to the scaler (section 13.11): their bytes are priced between
 /// regions, so they are seldom; a slice should still hold two of each furrow.
 inline constexpr Span relay_report_span = milliseconds(2000);
 inline constexpr Span relay_report_least = milliseconds(500);
@@ -65,8 +66,15 @@
 /// out of reach; how long that is remembered.
 inline constexpr double trial_cost = 0.1;
 inline constexpr double trial_once_cost = 0.6;
-inline constexpr double dark_cost = 1.0;
+inline constexpr double dark_cost = 4.0;
 inline constexpr Span dark_memory = seconds(3);
+/// The way to another region and back, in seconds, and what a first token may
+/// be later than predicted before its worker counts as held up.
+inline constexpr double other_region_seconds = 0.12;
+inline constexpr Span overdue_slack = milliseconds(100);
+/// Cost in seconds of reading one shared token anew: far above its time, since
+/// it takes memory from what others share and is paid for.
+inline constexpr double reread_cost = 0.0002;
 /// Service time taken for a worker that generates no text, in seconds.
 inline constexpr double plain_seconds = 0.08;
 /// A worker that refused is left alone this long.
@@ -96,6 +104,9 @@
 inline constexpr Span alive_step = milliseconds(100);
 /// Stack of a relay's coroutine, in bytes; only what is touched counts.
 inline constexpr std::size_t relay_stack = 96u << 10u;
+/// While no trellis answers this many are asked at once, this long each time.
+inline constexpr std::size_t lost_asks = 3;
+inline constexpr Span lost_patience = milliseconds(900);
 /// Two asks for news are at least this far apart.
 inline constexpr Span ask_least = milliseconds(150);
 /// A hall with fewer ready furrows is helped out by its region; most told.
--- a/source/tests/tilth/split_test.cpp
+++ b/source/tests/tilth/split_test.cpp
@@ -7,7 +7,7 @@
 #include "tilth/scaler/pools.hpp"
 #include "tilth/scaler/scaler.hpp"
 
-// The split on the relay's ordinary path (docs/design.md section 13.7).
+// The split on the relay's ordinary path (docs/design.md section 13.11).
 namespace finchlink {
 namespace {
 
@@ -368,6 +368,8 @@
   double const tight = tilth::throughput(phases, models, work, aims, 24, 0.4);
   EXPECT_LT(within, plain);
   EXPECT_LT(tight, within);
+  // One that no load keeps tells nothing: the plain rating counts.
+  EXPECT_EQ(tilth::throughput(phases, models, work, aims, 24, 0.09), plain);
   // What was seen to take longer than the work explains counts as it was seen.
   work.prefill.prefill_seconds = 100 * 0.5;
   EXPECT_LT(tilth::throughput(phases, models, work, aims, 24, 0.8), within);
--- a/source/tilth/observe/observer.hpp
+++ b/source/tilth/observe/observer.hpp
@@ -12,7 +12,7 @@
 
 namespace finchlink::tilth {
 
-/// What one stream showed of its worker (section 13.7).
+/// What one stream showed of its worker (section 13.11).
 struct Sighting {
   std::string worker;
   std::string pool;            ///< region and service of the worker
@@ -33,7 +33,7 @@
 };
 
 /// What a furrow infers of its workers, summed up for the scaler (section
-/// 13.7): plain state; figures by pool and phase, few rows for the fit.
+/// 13.11): plain state; figures by pool and phase, few rows for the fit.
 class Observer {
  public:
   /// A stream that ended whole; `stride` tokens to an event.
--- a/source/tilth/scaler/pools.hpp
+++ b/source/tilth/scaler/pools.hpp
@@ -14,7 +14,7 @@
 namespace finchlink::tilth {
 
 /// Workers among which a split is made under a charter: those of one service
-/// that generates text, in one region (section 13.7).
+/// that generates text, in one region (section 13.11).
 struct Pool {
   std::string region;
   std::string service;
--- a/source/tilth/scaler/scaler.cpp
+++ b/source/tilth/scaler/scaler.cpp
@@ -93,7 +93,7 @@
 
 /// Seconds that reading a prompt takes. Under a set point what was seen counts
 /// where it was longer than the work explains: parts that a worker lost unseen,
-/// and prompts of others that were read first (section 13.7).
+/// and prompts of others that were read first (section 13.11).
 double reading_seconds(WorkerModel const& model, PhaseWork const& work, double set_point) {
   double const explained = model.prefill[1] * per_query(work.uncached, work.queries) + model.prefill[2] * per_query(work.pairs, work.queries);
   return set_point > 0 ? std::max(explained, per_query(work.prefill_seconds, work.queries) - model.prefill[0]) : explained;
@@ -120,8 +120,10 @@
   }
   double const reading = reading_seconds(model, work, 0);
   double const left = set_point * constants::set_point_part - model.prefill[0] - reading;
-  double const wait = std::max(1e-6, reading * constants::reading_spread);
-  return std::max(constants::load_least, std::max(left, 0.0) / (std::max(left, 0.0) + wait));
+  if (left <= 0) {
+    return 1;  // by this fit no load keeps it: then it tells nothing of who should read
+  }
+  return std::max(constants::load_least, left / (left + std::max(1e-6, reading * constants::reading_spread)));
 }
 
 /// Is a phase's part of all work enough for a worker of its own?
--- a/source/tilth/scaler/scaler.hpp
+++ b/source/tilth/scaler/scaler.hpp
@@ -31,7 +31,7 @@
 
 /// Queries a second that a split can carry: the lesser of its phases
 /// (section 8.3). With a set point, in seconds, a worker counts for what it
-/// carries while first answers keep within it (section 13.7).
+/// carries while first answers keep within it (section 13.11).
 [[nodiscard]] double throughput(std::map<std::string, std::string> const& phases, std::map<std::string, WorkerModel> const& models, SliceWork const& work,
                                 schema::ScalerAims const& aims, double batch, double set_point = 0);
 
--- a/source/trellis/duty/duties.hpp
+++ b/source/trellis/duty/duties.hpp
@@ -14,12 +14,13 @@
 
 namespace finchlink::trellis {
 
-/// Duties that one trellis does at a time, each under a lease (section 7.2):
-/// repair of the holder set, and the scaler of each region.
+/// Duties that one trellis does at a time, each under a lease (section 7.2): the
+/// scaler of each region. And what each trellis with a disk does for itself: it
+/// takes a place in the holder set when one is free or lost (section 5.5).
 class Duties {
  public:
   Duties(boost::asio::io_context& context, loam::Caller& caller, Ledger& ledger, News& news, HolderShell* holder, std::uint64_t identity,
-         schema::Settings settings, orchard::Notation notation);
+         schema::Settings const& settings, orchard::Notation notation);
   void begin();
   /// Settings that changed.
   void follow(schema::Settings const& settings);
@@ -28,7 +29,7 @@
  private:
   /// Runs the lease of one duty; `step` is called again and again while held.
   void run(std::string const& name, std::function<bool()> const& wanted, std::function<void(std::function<bool()> const&, loam::Yield)> const& step);
-  void repair(std::function<bool()> const& held, loam::Yield yield);
+  void join(loam::Yield yield);
   void spread_set(loam::Yield yield);
   void feed_scalers();
   void scale(std::string const& region, std::function<bool()> const& held, loam::Yield yield);
@@ -36,7 +37,7 @@
   /// Whose a region's scaler is: of the trellises inside it, and from outside
   /// only when none of them is left to do it.
   [[nodiscard]] bool on_duty(std::string const& region, std::function<std::string(std::string const&)> const& region_of);
-  /// The pools of the charter in force; none while the scaler is off (section 13.7).
+  /// The pools of the charter in force; none while the scaler is off (section 13.11).
   [[nodiscard]] std::map<std::string, tilth::Pool> pools();
   void scale_pool(std::string const& name, tilth::Pool const& pool, std::function<bool()> const& held, loam::Yield yield);
   void write_split(std::string const& name, std::uint64_t revision, schema::Split const& split, std::function<bool()> const& held, loam::Yield yield);
@@ -50,6 +51,8 @@
   std::uint64_t identity_;
   schema::Settings settings_;
   orchard::Notation notation_;
+  std::string address_;
+  std::size_t wanted_holders_;
   std::mutex lock_;
   std::map<std::string, bool> held_;
   std::map<std::string, std::string> reasons_;
