--- a/source/tilth/grove/grove.cpp
+++ b/source/tilth/grove/grove.cpp
@@ -112,7 +112,7 @@
     return worker.stand.phase != "decode";
   }
   std::map<std::pair<std::string, std::string>, Demand>::const_iterator const found = demand_.find({worker.stand.service, worker.stand.region});
-  if (!constants::keep_long_apart || worker.ranks < 3 || found == demand_.end() || found->second.decode <= 0) {
+  if (worker.ranks < 3 || found == demand_.end() || found->second.decode <= 0) {
     return true;  // nothing to keep apart
   }
   Demand const& demand = found->second;
@@ -193,18 +193,18 @@
   price.seconds = near ? 0 : constants::other_region_seconds;
   price.cost = stand.hall == terms_.hall ? 0 : near ? constants::other_hall_cost : constants::other_region_cost;
   if (stand.model) {
-    double cached = worker.reuse.match(wanted.parts);
+    double const kept = worker.reuse.match(wanted.parts);
     double const shared = shared_of(wanted.parts).tokens;
-    if (owner) {
-      cached = std::max(cached, shared);  // colleagues send the same there, too
-    }
+    double const cached = owner ? std::max(kept, shared) : kept;  // colleagues send the same there, too
     price.cost += std::max(0.0, shared - cached) * constants::reread_cost;
-    price.uncached = std::max(0.0, wanted.tokens - cached);
+    // Behind walls an owner is preferred, but nothing is foretold that was not seen (section 14.3).
+    bool const walled = !wanted.parts.empty() && wanted.parts.front().holder != 0;
+    price.uncached = std::max(0.0, wanted.tokens - (walled ? kept : cached));
     price.seconds += (price.uncached + worker.own_prefill) * constants::prefill_start[1] * worker.pace;
     price.cost += running * (long_prompt ? constants::running_cost_long : constants::running_cost);
     // Long prompts and the rest are kept apart: reading one holds up every
     // stream on its worker (section 13.6).
-    if (worker.ranks >= 3 && long_prompt != fed_long(worker, now)) {
+    if (terms_.keep_long_apart && worker.ranks >= 3 && long_prompt != fed_long(worker, now)) {
       price.cost += long_prompt ? constants::long_astray_cost : constants::short_astray_cost;
     }
   } else {
@@ -260,6 +260,9 @@
       if (!worker.stand.model || worker.stand.draining || worker.stand.evacuated) {
         continue;
       }
+      if (terms_.keep_long_apart && worker.ranks >= 3 && (wanted.tokens >= constants::owned_tokens) != fed_long(worker, now)) {
+        continue;  // an owner is one that is fed such prompts
+      }
       std::pair<std::uint64_t, Worker const*>& owner = owners[worker.stand.region];
       std::uint64_t const weight = mix(worker.hash, key);
       if (owner.second == nullptr || weight > owner.first) {
@@ -379,8 +382,10 @@
   }
   Worker& worker = found->second;
   worker.own -= worker.own > 0 ? 1 : 0;
+  // A whole answer has no first token of its own: what it had read ends here.
+  bool const pending = std::any_of(worker.pending.begin(), worker.pending.end(), [&spot](Pending const& entry) { return entry.ticket == spot.ticket; });
   settle_pending(worker, spot.ticket);
-  if (!first_seen) {
+  if (!first_seen || pending) {
     worker.own_prefill = std::max(0.0, worker.own_prefill - spot.uncached);
   }
   switch (outcome) {
