--- a/source/tilth/grove/grove.cpp
+++ b/source/tilth/grove/grove.cpp
@@ -5,6 +5,7 @@
 
 #include "loam/relay_constants.hpp"
 #include "tilth/prefix/prefix.hpp"
+#include "tilth/scaler/pools.hpp"
 
 namespace finchlink::tilth {
 
@@ -72,6 +73,23 @@
       place.second[index].second->ranks = place.second.size();
     }
   }
+  // A split names who is fed what, as long as each phase has a worker that
+  // takes queries (section 13.11).
+  std::map<std::pair<std::string, std::string>, std::pair<bool, bool>> phases;
+  for (std::pair<std::string const, Worker> const& entry : next) {
+    Stand const& stand = entry.second.stand;
+    if (!stand.draining && !stand.evacuated) {
+      std::pair<bool, bool>& there = phases[{stand.service, stand.region}];
+      there.first = there.first || stand.phase == "prefill" || stand.phase == "both";
+      there.second = there.second || stand.phase == "decode" || stand.phase == "both";
+    }
+  }
+  for (std::pair<std::string const, Worker>& entry : next) {
+    std::pair<bool, bool> const there = phases[{entry.second.stand.service, entry.second.stand.region}];
+    if (!there.first || !there.second) {
+      entry.second.stand.phase.clear();
+    }
+  }
   // One that left the list is kept while queries of ours run there.
   for (std::pair<std::string const, Worker>& entry : workers_) {
     if (entry.second.own > 0 && next.count(entry.first) == 0) {
@@ -90,6 +108,9 @@
 }
 
 bool Grove::fed_long(Worker const& worker, loam::Moment) const {
+  if (!worker.stand.phase.empty()) {
+    return worker.stand.phase != "decode";
+  }
   std::map<std::pair<std::string, std::string>, Demand>::const_iterator const found = demand_.find({worker.stand.service, worker.stand.region});
   if (worker.ranks < 3 || found == demand_.end() || found->second.decode <= 0) {
     return true;  // nothing to keep apart
@@ -290,6 +311,9 @@
     Worker const* const found = best(share.service, wanted, now, offer);
     if (found != nullptr) {
       Worker& worker = workers_.at(found->stand.id);
+      bool const alone = worker.own_prefill <= 0 && worker.told_waiting <= 0 && !cold(worker, now);
+      bool const sure = worker.reuse.match(wanted.parts) > 0;
+      double const running = load(worker, now);
       ++worker.own;
       ++worker.sent_since;
       worker.own_prefill += offer.uncached;
@@ -305,7 +329,7 @@
         }
         worker.sends.push_back(now);
       }
-      return Spot{worker.stand.id, worker.stand.address, offer.uncached, offer.seconds, offer.cost, worker.stand.region == terms_.region, next_ticket_++};
+      return Spot{worker.stand.id, worker.stand.address, offer.uncached, offer.seconds, offer.cost, worker.stand.region == terms_.region, next_ticket_++, alone, sure, running};
     }
   }
   return NoSpot{!workers_.empty(), constants::plain_seconds};
@@ -421,6 +445,16 @@
   }
 }
 
+double Grove::running_on(std::string const& id, loam::Moment now) const {
+  std::map<std::string, Worker>::const_iterator const found = workers_.find(id);
+  return found == workers_.end() ? 0 : load(found->second, now);
+}
+
+std::string Grove::pool_of(std::string const& id) const {
+  std::map<std::string, Worker>::const_iterator const found = workers_.find(id);
+  return found == workers_.end() ? "" : pool_name(found->second.stand.region, found->second.stand.service);
+}
+
 loam::Moment Grove::heard_at(std::string const& id) const {
   std::map<std::string, Worker>::const_iterator const found = workers_.find(id);
   return found == workers_.end() ? 0 : found->second.heard_at;
@@ -432,6 +466,7 @@
     return;
   }
   found->second.told_total = running + waiting;
+  found->second.told_waiting = waiting;
   found->second.told_at = now;
   found->second.sent_since = 0;
   if (slots >= 1) {
