--- a/source/tilth/grove/grove.cpp
+++ b/source/tilth/grove/grove.cpp
@@ -170,6 +170,11 @@
   return static_cast<double>(worker.own) < connections && load(worker, now) < worker.slots * constants::queue_factor;
 }
 
+/// By a written split, or else by this furrow's own estimate where that is on.
+bool Grove::kept_apart(Worker const& worker) const {
+  return worker.stand.phase.empty() ? terms_.keep_long_apart && worker.ranks >= 3 : worker.stand.phase != "both";
+}
+
 double Grove::overdue(Worker const& worker, loam::Moment now) const {
   double late = 0;
   for (Pending const& pending : worker.pending) {
@@ -204,7 +209,7 @@
     price.cost += running * (long_prompt ? constants::running_cost_long : constants::running_cost);
     // Long prompts and the rest are kept apart: reading one holds up every
     // stream on its worker (section 13.6).
-    if (terms_.keep_long_apart && worker.ranks >= 3 && long_prompt != fed_long(worker, now)) {
+    if (kept_apart(worker) && long_prompt != fed_long(worker, now)) {
       price.cost += long_prompt ? constants::long_astray_cost : constants::short_astray_cost;
     }
   } else {
@@ -260,7 +265,7 @@
       if (!worker.stand.model || worker.stand.draining || worker.stand.evacuated) {
         continue;
       }
-      if (terms_.keep_long_apart && worker.ranks >= 3 && (wanted.tokens >= constants::owned_tokens) != fed_long(worker, now)) {
+      if (kept_apart(worker) && (wanted.tokens >= constants::owned_tokens) != fed_long(worker, now) && worker.stand.phase != "both") {
         continue;  // an owner is one that is fed such prompts
       }
       std::pair<std::uint64_t, Worker const*>& owner = owners[worker.stand.region];
--- a/source/tilth/grove/grove.hpp
+++ b/source/tilth/grove/grove.hpp
@@ -161,6 +161,7 @@
   };
   [[nodiscard]] Price price(Worker const& worker, Wanted const& wanted, bool owner, loam::Moment now) const;
   [[nodiscard]] bool hall_dark(Worker const& worker, loam::Moment now) const;
+  [[nodiscard]] bool kept_apart(Worker const& worker) const;
   [[nodiscard]] bool fed_long(Worker const& worker, loam::Moment now) const;
   [[nodiscard]] Worker const* best(std::string const& service, Wanted const& wanted, loam::Moment now, Price& price_found) const;
   static void settle_pending(Worker& worker, std::uint64_t ticket);
