Our own word for a refused query is no longer one of the platform's

Cause: Finchlink-Not-Run held a word that only source/platform may know. A rename in the own dialect, the stand-in workers and the tests; nothing changes on the platform.

--- a/source/furrow/relay/dialect.cpp
+++ b/source/furrow/relay/dialect.cpp
@@ -35,7 +35,7 @@
   dialect.seal = "Finchlink-Seal";
   dialect.left = "Finchlink-Left";
   dialect.target = "Finchlink-Worker";
-  dialect.not_run = "Finchlink-Not-Run";
+  dialect.not_run = "Finchlink-Refused";
   dialect.load = "Finchlink-Load";
   dialect.tokens = "Finchlink-Tokens";
   dialect.parts = "Finchlink-Parts";
--- a/source/seedbed/worker/worker.cpp
+++ b/source/seedbed/worker/worker.cpp
@@ -78,7 +78,7 @@
   }
   loam::Answer answer = loam::answer_error(http::status::misdirected_request, other_worker ? "other_worker" : "other_weights", "nothing ran");
   answer.set("Finchlink-Query", ask["Finchlink-Query"]);
-  answer.set("Finchlink-Not-Run", "1");
+  answer.set("Finchlink-Refused", "1");
   if (!other_worker) {
     answer.set("Finchlink-Weights", weights);
   }
@@ -376,7 +376,7 @@
     if (refused) {
       loam::Answer answer = loam::answer_error(http::status::too_many_requests, "full", "nothing ran");
       if (relayed) {
-        answer.set("Finchlink-Not-Run", "1");
+        answer.set("Finchlink-Refused", "1");
       }
       answer.set("Finchlink-Query", query);
       answer.keep_alive(false);
--- a/source/tests/relay/fleet.hpp
+++ b/source/tests/relay/fleet.hpp
@@ -165,7 +165,7 @@
   return size + text + "\r\n";
 }
 inline std::string event(std::uint64_t number) { return "id: " + std::to_string(number) + "\ndata: piece " + std::to_string(number) + "\n\n"; }
-inline std::string not_run(std::string const& id, std::string const& status) { return "HTTP/1.1 " + status + "\r\n" + with_id(id) + "Finchlink-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"; }
+inline std::string not_run(std::string const& id, std::string const& status) { return "HTTP/1.1 " + status + "\r\n" + with_id(id) + "Finchlink-Refused: 1\r\nContent-Length: 0\r\n\r\n"; }
 inline std::string query(std::string const& path, std::string const& id, std::string const& body = "", std::string const& more = "") {
   return "POST " + path + " HTTP/1.1\r\nHost: h.example\r\n" + with_id(id) + more + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
--- a/source/tests/relay/walls_test.cpp
+++ b/source/tests/relay/walls_test.cpp
@@ -152,7 +152,7 @@
   std::shared_ptr<Line> const caller = walled.fleet.call(query("/plain/a", "other", "body", prompt));
   ASSERT_TRUE(walled.fleet.arrived(*walled.worker, ++walled.asked));
   EXPECT_EQ(walled.worker->arrivals.back().header("Finchlink-Expect-Weights"), "v1");
-  walled.worker->arrivals.back().line->send("HTTP/1.1 421 Misdirected Request\r\n" + with_id("other") + "Finchlink-Not-Run: 1\r\nFinchlink-Weights: v2\r\nContent-Length: 0\r\n\r\n");
+  walled.worker->arrivals.back().line->send("HTTP/1.1 421 Misdirected Request\r\n" + with_id("other") + "Finchlink-Refused: 1\r\nFinchlink-Weights: v2\r\nContent-Length: 0\r\n\r\n");
   std::optional<Response> const answer = walled.fleet.answer_on(caller);
   ASSERT_TRUE(answer.has_value());
   EXPECT_EQ(answer->result_int(), 503u) << "no other worker was there, and nothing ran";
