Tests beside each other never share a loopback address or an outgoing port

Cause: a test process listens at an address made of its process number, whose last part was clamped to 1..254: numbers that end in 254 and 255, or in 0 and 1 (mod 256), had the same address, and the ports are fixed. Two tests started one after the other met there. Two tests of the platform's list listened at fixed ports of 127.0.0.1 out of the range that the system gives to outgoing connections, which has the same end now and then. Ruled out: a test that hangs on timing (it failed at listening), a port kept by an earlier process (addresses are reused with SO_REUSEADDR).

--- a/source/tests/platform/listing_test.cpp
+++ b/source/tests/platform/listing_test.cpp
@@ -3,6 +3,7 @@
 #include "loam/constants.hpp"
 #include "loam/http/http.hpp"
 #include "platform/listing.hpp"
+#include "tests/own_address.hpp"
 
 namespace finchlink {
 namespace {
@@ -60,7 +61,7 @@
 };
 
 TEST(PlatformListing, ReadsAllPages) {
-  Paged paged("127.0.0.1:38471");
+  Paged paged(own_ip() + ":21001");
   absl::StatusOr<schema::PlatformList> const list = paged.read();
   ASSERT_TRUE(list.ok()) << list.status();
   ASSERT_EQ(list->workers.size(), 2u);
@@ -69,7 +70,7 @@
 }
 
 TEST(PlatformListing, TellsThatItAskedTooOften) {
-  Paged paged("127.0.0.1:38472");
+  Paged paged(own_ip() + ":21002");
   paged.status = loam::http::status::too_many_requests;
   EXPECT_TRUE(absl::IsResourceExhausted(paged.read().status()));
   paged.status = loam::http::status::internal_server_error;
--- a/source/tests/relay/fleet.hpp
+++ b/source/tests/relay/fleet.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <gtest/gtest.h>
-#include <unistd.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -24,6 +23,7 @@
 #include "orchard/charter/charter.hpp"
 #include "orchard/charter/wish.hpp"
 #include "schema/setup.hpp"
+#include "tests/own_address.hpp"
 
 namespace finchlink::relay_test {
 
@@ -32,12 +32,6 @@
 using Socket = asio::ip::tcp::socket;
 using boost::system::error_code;
 
-/// An address of this process alone, so that tests run beside each other.
-inline std::string own_ip() {
-  unsigned int const number = static_cast<unsigned int>(getpid());
-  return "127." + std::to_string(100 + (number >> 16u & 0x3fu)) + "." + std::to_string(number >> 8u & 0xffu) + "." + std::to_string(std::max(1u, std::min(254u, number & 0xffu)));
-}
-
 /// A socket whose other end is scripted by the test: all bytes that came, and
 /// whether the end came, orderly or by a reset.
 class Line : public std::enable_shared_from_this<Line> {
