A stream taken up with an event left out is refused, where its own ids tell

Cause: at a worker that takes a cut stream up, any event with a higher id was passed on. A worker that goes on one event too far gave a stream with a piece missing, whole to look at. The stream's own ids tell: alike so far, a larger rise at the joint is a gap, and nothing of that run is passed on; uneven ones tell nothing. An id of 0 counts as one now, and no Last-Event-ID goes out where no event had an id. Before: RelayStream.ATakeUpThatLeavesAnEventOutIsRefused failed (the caller got 1 2 4 5, complete). After: it passes, another worker gives 3 4 5, or the stream ends visibly.

--- a/source/furrow/relay/relay.cpp
+++ b/source/furrow/relay/relay.cpp
@@ -5,6 +5,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <cstdlib>
+#include <limits>
 
 #include "furrow/relay/event_cutter.hpp"
 #include "furrow/relay/station.hpp"
@@ -55,6 +56,8 @@
   }
 }
 
+constexpr std::uint64_t not_natural = std::numeric_limits<std::uint64_t>::max();
+
 std::string_view view(boost::beast::string_view text) { return {text.data(), text.size()}; }
 
 struct Query {
@@ -76,7 +79,8 @@
     if (!left.empty()) {
       deadline_ = std::min(deadline_, query.arrived + loam::milliseconds(static_cast<std::int64_t>(std::min<std::uint64_t>(natural(left, 86400000), 86400000))));
     }
-    last_event_ = natural(view(query.header[station.dialect().last_event]), 0);
+    std::uint64_t const behind = natural(view(query.header[station.dialect().last_event]), not_natural);
+    numbering_ = Numbering(behind == not_natural ? std::nullopt : std::optional<std::uint64_t>(behind));
     std::string_view const tokens = view(query.header[station.dialect().tokens]);
     wanted_.tokens = static_cast<double>(natural(tokens, 0));
     std::size_t const comma = tokens.find(',');
@@ -518,7 +522,7 @@
     text.reserve(1024);
     text.append(view(query_.header.method_string())).append(" ").append(view(query_.header.target())).append(" HTTP/1.1\r\n");
     std::vector<std::string_view> replaced{dialect.left, dialect.target};
-    bool const resuming = chart_.last_event() > 0;
+    bool const resuming = chart_.last_event() > 0 && numbering_.last().has_value();
     if (resuming) {
       replaced.push_back(dialect.last_event);
     }
@@ -529,7 +533,7 @@
     text.append(dialect.left).append(": ").append(std::to_string(std::max<loam::Span>(1, (deadline_ - loam::boot_now()) / 1000))).append("\r\n");
     text.append(dialect.target).append(": ").append(spot_.worker).append("\r\n");
     if (resuming) {
-      text.append(dialect.last_event).append(": ").append(std::to_string(last_event_)).append("\r\n");
+      text.append(dialect.last_event).append(": ").append(std::to_string(*numbering_.last())).append("\r\n");
     }
     if (prompt_.has_value() && !walled_.header.empty()) {
       text.append(dialect.parts).append(": ").append(walled_.header).append("\r\n");
@@ -708,12 +712,17 @@
     station_.tally().resumed += resumed ? 1 : 0;
     bool first = true;
     bool ended = false;
+    numbering_.begin_run();
     while (!parser.is_done()) {
       if (!read_some(buffer, parser, bytes)) {
         after_ = tilth::WorkerDefect{"cut_stream"};
         return tilth::Outcome::defect;
       }
-      EventCutter::Whole whole = cutter.feed(bytes, last_event_);
+      EventCutter::Whole const whole = cutter.feed(bytes, numbering_);
+      if (whole.gap) {  // nothing of it was passed on: another may do better
+        after_ = tilth::WorkerDefect{"gap"};
+        return tilth::Outcome::defect;
+      }
       if (parser.is_done() && !cutter.rest().empty()) {
         after_ = tilth::WorkerDefect{"cut_event"};
         return tilth::Outcome::defect;
@@ -741,7 +750,6 @@
       char size[24];
       std::snprintf(size, sizeof(size), "%zx\r\n", whole.bytes.size());
       text.append(size).append(whole.bytes).append("\r\n");
-      last_event_ = std::max(last_event_, whole.number);
       // The chart counts what was passed on, whatever the worker's numbers are.
       feed(tilth::Event{chart_.last_event() + 1, false});
       if (parser.is_done()) {
@@ -790,7 +798,7 @@
   std::optional<tilth::QueryMessage> after_;
   std::string whole_;
   std::string whole_body_;
-  std::uint64_t last_event_ = 0;
+  Numbering numbering_;  ///< of the events that the caller has
   loam::Moment silent_since_ = 0;
   loam::Span allowed_ = 0;
   int connects_ = 0;
--- a/source/tests/relay/stream_test.cpp
+++ b/source/tests/relay/stream_test.cpp
@@ -192,6 +192,31 @@
   EXPECT_EQ(under.now().events, events(1, 4));
 }
 
+TEST(RelayStream, ATakeUpThatLeavesAnEventOutIsRefused) {
+  for (bool const another : {true, false}) {
+    Under under("tale", another ? 3 : 2);
+    ASSERT_TRUE(under.good);
+    last(under.first).line->reset();
+    Worker* const second = under.fleet.holder(2);
+    ASSERT_NE(second, nullptr);
+    EXPECT_EQ(last(second).header("Last-Event-ID"), "2");
+    last(second).line->send(stream_head("q1") + chunk(events(4, 6)) + last_chunk);
+    if (another) {
+      Worker* const third = under.fleet.holder(3);
+      ASSERT_NE(third, nullptr);
+      EXPECT_EQ(last(third).header("Last-Event-ID"), "2");
+      last(third).line->send(stream_head("q1") + chunk(events(3, 6)) + last_chunk);
+      ASSERT_TRUE(under.fleet.until([&] { return under.now().whole; }));
+      EXPECT_EQ(under.now().events, events(1, 6));
+    } else {  // nobody is left: it ends visibly, with what is whole
+      ASSERT_TRUE(under.fleet.until([&] { return under.caller->ended; }));
+      EXPECT_FALSE(under.now().whole);
+      EXPECT_EQ(under.now().events, events(1, 3));
+      EXPECT_EQ(under.now().behind, "");
+    }
+  }
+}
+
 TEST(RelayStream, ASilentOneIsTakenUpElsewhereIfItMayBe) {
   for (std::string const lane : {"tale", "talk"}) {
     Under under(lane, 2);
