No answer to HEAD has a body, neither a worker's nor ours

Cause: the relay waited for the body that a worker's answer to HEAD announces and never sends, until the deadline; and our own refusals, readiness and directory sent a body behind the head, which the caller takes for the beginning of the next answer.

--- a/source/furrow/relay/relay.cpp
+++ b/source/furrow/relay/relay.cpp
@@ -73,7 +73,7 @@
  public:
   Relay(Station& station, Query& query, schema::Lane const& lane, Socket& caller, std::shared_ptr<tilth::LaneBook const> book, loam::Yield yield)
       : station_(station), query_(query), book_(std::move(book)), lane_(lane), caller_(caller), yield_(yield),
-        id_(view(query.header[station.dialect().query])), deadline_(query.arrived + loam::milliseconds(static_cast<std::int64_t>(lane.deadline_ms))),
+        bare_(query.header.method() == http::verb::head), id_(view(query.header[station.dialect().query])), deadline_(query.arrived + loam::milliseconds(static_cast<std::int64_t>(lane.deadline_ms))),
         chart_(terms(lane), [this](loam::Moment) { return may_spend(true); }) {
     std::string_view const left = view(query.header[station.dialect().left]);
     if (!left.empty()) {
@@ -322,7 +322,7 @@
       double const point = lane_.set_point_ms > 0 ? lane_.set_point_ms / 1000 : 1.0;
       text += "Retry-After: " + std::to_string(point * (0.15 + 0.15 * draw())) + "\r\n";
     }
-    (void)write(text + closing_line() + "\r\n" + body);
+    (void)write(text + closing_line() + "\r\n" + (bare_ ? "" : body));
   }
 
   [[nodiscard]] std::string closing_line() {
@@ -592,6 +592,7 @@
     Parser parser;
     parser.header_limit(constants::answer_header_limit);
     parser.body_limit(boost::none);
+    parser.skip(bare_);
     if (worker_->is_open()) {
       http::async_read_header(*worker_, buffer, parser, yield_[error]);
     }
@@ -623,7 +624,7 @@
       return tilth::Outcome::defect;
     }
     hear_wall(got, success);
-    if (success && got[http::field::content_type].starts_with("text/event-stream")) {
+    if (success && !bare_ && got[http::field::content_type].starts_with("text/event-stream")) {
       return talk_events(buffer, parser, sent);
     }
     return talk_whole(buffer, parser, status);
@@ -678,7 +679,7 @@
   tilth::Outcome talk_whole(boost::beast::flat_buffer& buffer, Parser& parser, unsigned int status) {
     std::string body;
     std::string bytes;
-    bool const bare = status == 204 || status == 304;
+    bool const bare = bare_ || status == 204 || status == 304;
     bool const delimited = bare || parser.content_length().has_value() || parser.chunked();
     while (!parser.is_done()) {
       if (!delimited || !read_some(buffer, parser, bytes) || body.size() + bytes.size() > constants::answer_limit) {
@@ -692,7 +693,9 @@
       station_.grove().first_token(spot_, status < 300 ? kept_parts() : std::vector<tilth::Part>(), 0);
     }
     first_at_ = loam::boot_now();
-    whole_ = answer_head(parser) + (bare ? "" : "Content-Length: " + std::to_string(body.size()) + "\r\n");
+    // An answer to HEAD tells the length that the body would have.
+    std::string const length = bare_ ? std::string(view(parser.get()[http::field::content_length])) : bare ? "" : std::to_string(body.size());
+    whole_ = answer_head(parser) + (length.empty() ? "" : "Content-Length: " + length + "\r\n");
     whole_body_ = std::move(body);
     after_answer(buffer, parser);
     if (status >= 500 && repeatable()) {
@@ -782,6 +785,7 @@
   schema::Lane lane_;
   Socket& caller_;
   loam::Yield yield_;
+  bool const bare_;  ///< it is a HEAD: no answer to it has a body
   std::string id_;
   loam::Moment deadline_;
   tilth::Chart chart_;
@@ -816,11 +820,11 @@
   bool withdrawn_lane_ = false;
 };
 
-/// A final answer of our own before a body is read.
-bool write_small(Socket& socket, std::string const& status, std::string const& extra, std::string const& reason, bool keep, loam::Yield yield) {
+/// A final answer of our own without a dispatch; `bare`: to a HEAD.
+bool write_small(Socket& socket, std::string const& status, std::string const& extra, std::string const& reason, bool keep, bool bare, loam::Yield yield) {
   std::string const body = "{\"error\":\"" + reason + "\"}";
   std::string const text = "HTTP/1.1 " + status + "\r\n" + extra + "Content-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) +
-                           (keep ? "\r\n\r\n" : "\r\nConnection: close\r\n\r\n") + body;
+                           (keep ? "\r\n\r\n" : "\r\nConnection: close\r\n\r\n") + (bare ? "" : body);
   error_code error;
   asio::async_write(socket, asio::buffer(text), yield[error]);
   return keep && !error;
@@ -867,15 +871,15 @@
     parser.body_limit(limits.body_bytes);
     http::async_read_header(*socket, buffer, parser, yield[error]);
     if (error == http::error::header_limit) {
-      (void)write_small(*socket, "431 Request Header Fields Too Large", "", "too_large", false, yield);
+      (void)write_small(*socket, "431 Request Header Fields Too Large", "", "too_large", false, false, yield);
       break;
     }
     if (error == http::error::body_limit) {  // announced too large: no byte of it is read
-      (void)write_small(*socket, "413 Payload Too Large", "", "too_large", false, yield);
+      (void)write_small(*socket, "413 Payload Too Large", "", "too_large", false, false, yield);
       break;
     }
     if (error && error.category() == http::make_error_code(http::error::bad_value).category() && error != http::error::end_of_stream && error != http::error::partial_message) {
-      (void)write_small(*socket, "400 Bad Request", "", "malformed", false, yield);
+      (void)write_small(*socket, "400 Bad Request", "", "malformed", false, false, yield);
       break;
     }
     if (error) {
@@ -890,7 +894,7 @@
       if (lane != nullptr && lane->tenancy.has_value()) {
         tilth::TenantReading const reading = tenant_of(*lane->tenancy, parser.get());
         if (reading.end == tilth::TenantEnd::refused) {
-          (void)write_small(*socket, "400 Bad Request", station.dialect().query + ": " + std::string(view(parser.get()[station.dialect().query])) + "\r\n", reading.fault, false, yield);
+          (void)write_small(*socket, "400 Bad Request", station.dialect().query + ": " + std::string(view(parser.get()[station.dialect().query])) + "\r\n", reading.fault, false, false, yield);
           let_read(*socket, alarm, yield);
           station.closed();
           break;
@@ -903,7 +907,7 @@
     http::async_read(*socket, buffer, parser, yield[error]);
     if (error) {
       if (error == http::error::body_limit) {
-        (void)write_small(*socket, "413 Payload Too Large", "", "too_large", false, yield);
+        (void)write_small(*socket, "413 Payload Too Large", "", "too_large", false, false, yield);
       }
       station.closed();
       break;
@@ -922,11 +926,11 @@
     std::shared_ptr<tilth::LaneBook const> const book = station.book();
     bool const keep = query.keep && !station.draining();
     if (book == nullptr) {
-      again = write_small(*socket, "503 Service Unavailable", named + "Retry-After: 0.5\r\n", "no_setup", keep, yield);
+      again = write_small(*socket, "503 Service Unavailable", named + "Retry-After: 0.5\r\n", "no_setup", keep, query.header.method() == http::verb::head, yield);
     } else {
       schema::Lane const* const lane = book->find(view(query.header[http::field::host]), view(query.header.target()));
       if (lane == nullptr) {
-        again = write_small(*socket, "404 Not Found", named, "unknown_rule", keep, yield);
+        again = write_small(*socket, "404 Not Found", named, "unknown_rule", keep, query.header.method() == http::verb::head, yield);
       } else {
         std::unique_ptr<Relay> const relay = std::make_unique<Relay>(station, query, *lane, *socket, book, yield);
         again = relay->run();
--- a/source/furrow/relay/station.cpp
+++ b/source/furrow/relay/station.cpp
@@ -559,7 +559,7 @@
     }
     bool const again = parser.get().keep_alive() && !draining_;
     std::string const text = "HTTP/1.1 " + status + "\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) +
-                             (again ? "\r\n\r\n" : "\r\nConnection: close\r\n\r\n") + body;
+                             (again ? "\r\n\r\n" : "\r\nConnection: close\r\n\r\n") + (parser.get().method() == http::verb::head ? "" : body);
     asio::async_write(*socket, asio::buffer(text), yield[error]);
     if (error || !again) {
       break;
--- a/source/tests/relay/station_test.cpp
+++ b/source/tests/relay/station_test.cpp
@@ -213,6 +213,23 @@
   EXPECT_TRUE(fleet.arrived(worker, 1));
 }
 
+TEST(Station, AHeadOfOursHasNoBody) {
+  Fleet fleet;
+  Worker& worker = fleet.worker("w1");
+  fleet.begin();
+  for (std::string const address : {fleet.settings.http_address, fleet.settings.ready_address, fleet.settings.directory_address}) {
+    std::shared_ptr<Line> const caller = fleet.call("HEAD /none/a HTTP/1.1\r\nHost: h.example\r\n\r\n", address);
+    ASSERT_TRUE(fleet.until([&] { return caller->got.find("\r\n\r\n") != std::string::npos; }));
+    EXPECT_EQ(caller->got.rfind("HTTP/1.1 404 ", 0), 0u);
+    EXPECT_NE(caller->got.find("\r\nContent-Length: "), std::string::npos);
+    EXPECT_EQ(caller->got.find("\r\n\r\n") + 4, caller->got.size()) << caller->got;
+    caller->got.clear();
+    caller->send(get("/none/b"));  // whose answer is whole
+    EXPECT_EQ(status_of(fleet.answer_on(caller)), 404u);
+  }
+  EXPECT_TRUE(worker.arrivals.empty());
+}
+
 TEST(Limits, TooLargeHeadersAndWhatIsNoHeader) {
   Fleet fleet;
   fleet.charter.limits.header_bytes = 4096;
