An answer given before all of a query was read arrives: what still comes is thrown away

Cause: after 413, 431 and 400 the connection was closed with unread bytes, which resets it; the caller may never read the answer and sends the same again. A header or body that came too slowly was cut without a word; it is told 408 now, which promises that it has not run, and a broken chunk 400.

--- a/source/loam/relay_constants.hpp
+++ b/source/loam/relay_constants.hpp
@@ -94,6 +94,9 @@
 /// How long a query waits for the first charter of a furrow that has just
 /// started: most have it within 0.4 s; short beside any set point.
 inline constexpr Span charter_hold = milliseconds(250);
+/// Bytes of a query refused unread that are thrown away at most, so that the
+/// answer arrives: as large a body as charters usually allow.
+inline constexpr std::size_t refused_bytes = 4u << 20u;
 /// Pause between two looks for a place.
 inline constexpr Span place_pause = milliseconds(20);
 /// Part of a lane's set point up to which a query is held without a place, and
--- a/source/tests/relay/station_test.cpp
+++ b/source/tests/relay/station_test.cpp
@@ -256,6 +256,47 @@
   EXPECT_TRUE(fleet.arrived(worker, 1));
 }
 
+TEST(Limits, AnswersArriveThoughBytesAreUnread) {
+  // What was not read when the connection is closed would reset it.
+  std::string const rest(30000, 'x');
+  struct Case {
+    std::string text;
+    unsigned int status;
+  };
+  for (Case const& entry : {Case{query("/plain/a", "q1", rest), 413}, Case{"POST /plain/a HTTP/1.1\r\nHost: h.example\r\n" + with_id("q1") + "Transfer-Encoding: chunked\r\n\r\n" + chunk(rest), 413},
+                            Case{query("/plain/a", "q1", rest, "X-Long: " + std::string(5000, 'x') + "\r\n"), 431}, Case{"what is this\r\n\r\n" + rest, 400},
+                            Case{"POST /plain/a HTTP/1.1\r\nHost: h.example\r\n" + with_id("q1") + "Transfer-Encoding: chunked\r\n\r\nzz\r\n" + rest, 400}}) {
+    Fleet fleet;
+    fleet.charter.limits.header_bytes = 4096;
+    fleet.charter.limits.body_bytes = 1000;
+    fleet.worker("w1");
+    fleet.begin();
+    std::shared_ptr<Line> const caller = fleet.call(entry.text);
+    ASSERT_TRUE(fleet.until([&] { return caller->ended; }));
+    EXPECT_FALSE(caller->was_reset) << entry.status;
+    std::optional<Response> const answer = fleet.answer_on(caller);
+    EXPECT_EQ(status_of(answer), entry.status);
+    EXPECT_FALSE(answer.has_value() && answer->keep_alive());
+    EXPECT_TRUE(caller->got.empty());
+  }
+}
+
+TEST(Limits, WhatComesTooSlowlyIsToldSo) {
+  Fleet fleet;
+  fleet.charter.limits.header_wait_ms = 150;
+  Worker& worker = fleet.worker("w1");
+  fleet.begin();
+  std::optional<Response> const header = fleet.answer_on(fleet.call("POST /plain/a HTTP/1.1\r\nHo"));
+  EXPECT_EQ(status_of(header), 408u);
+  std::optional<Response> const body = fleet.answer_on(fleet.call("POST /plain/a HTTP/1.1\r\nHost: h.example\r\n" + with_id("q1") + "Content-Length: 9\r\n\r\nhalf"));
+  EXPECT_EQ(status_of(body), 408u);
+  EXPECT_EQ(text_of(body, "Finchlink-Query"), "q1");
+  std::shared_ptr<Line> const waiting = fleet.call("POST /plain/a HTTP/1.1\r\nHost: h.example\r\n" + with_id("q2") + "Expect: 100-continue\r\nContent-Length: 9\r\n\r\n");
+  EXPECT_EQ(status_of(fleet.answer_on(waiting)), 100u);
+  EXPECT_EQ(status_of(fleet.answer_on(waiting)), 408u);
+  EXPECT_TRUE(worker.arrivals.empty());  // the promise that it has not run and never will
+}
+
 TEST(Limits, HeadersThatDontComeAndIdleConnectionsEnd) {
   Fleet fleet;
   fleet.charter.limits.header_wait_ms = 150;
