--- a/source/furrow/relay/station.cpp
+++ b/source/furrow/relay/station.cpp
@@ -218,14 +218,13 @@
 
 void Station::ask_news(loam::Yield yield) {
   std::size_t turn = loam::random_number() % std::max<std::size_t>(1, trellises_.size());
-  bool lost = true;  // no trellis answered the last ask
   while (true) {
     loam::Moment const asked = loam::boot_now();
     bool const was_ready = ready();
     schema::NewsAsk const ask{self(), 0, list_digest_, members_digest_, reports(asked)};
     std::string from;
     loam::Span const patience = loam::milliseconds(static_cast<std::int64_t>(settings_.bounds.ask_deadline_ms));
-    if (lost) {
+    if (lost_) {
       // Some may be down, and say nothing: a few are asked, the first who is sure
       // counts. More would each send the whole charter to a furrow without one.
       std::vector<std::pair<std::string, schema::Message>> calls;
@@ -261,9 +260,9 @@
         heard_from(*news);
       }
     }
-    lost = from.empty();
+    lost_ = from.empty();
     loam::Span const spent = loam::boot_now() - asked;
-    if (lost) {
+    if (lost_) {
       turn += 1;
       if (spent < constants::ask_retry) {
         loam::pause(context_, constants::ask_retry, yield);
@@ -280,15 +279,27 @@
 void Station::heard_from(schema::NewsAnswer const& news) {
   heard_ = true;
   heard_at_ = loam::boot_now();
-  // Near ones first, as told; seeds stay in for the day that all others are gone.
-  trellises_.clear();
-  for (std::vector<std::string> const* const addresses : std::initializer_list<std::vector<std::string> const*>{&news.colleagues, &settings_.seeds}) {
+  know_trellises(news.colleagues);
+}
+
+void Station::know_trellises(std::vector<std::string> const& told) {
+  std::vector<std::string> known;
+  for (std::vector<std::string> const* const addresses : std::initializer_list<std::vector<std::string> const*>{&told, &settings_.seeds}) {
     for (std::string const& address : *addresses) {
-      if (!address.empty() && std::find(trellises_.begin(), trellises_.end(), address) == trellises_.end()) {
-        trellises_.push_back(address);
+      if (!address.empty() && std::find(known.begin(), known.end(), address) == known.end()) {
+        known.push_back(address);
       }
     }
   }
+  trellises_ = std::move(known);
+}
+
+void Station::renew(schema::Settings const& settings) {
+  // In touch, the order as told stays; out of touch the new seeds come first.
+  std::vector<std::string> known = lost_ ? settings.seeds : trellises_;
+  known.insert(known.end(), trellises_.begin(), trellises_.end());
+  settings_ = settings;
+  know_trellises(known);
 }
 
 void Station::read_own_list(loam::Yield yield) {
@@ -304,7 +315,7 @@
     if (asked - std::max(list_as_of_, heard_at_) < constants::own_list_after) {
       continue;
     }
-    absl::StatusOr<schema::PlatformList> const list = list_reader_(yield);
+    absl::StatusOr<schema::PlatformList> const list = list_reader_(settings_.platform_address, yield);
     if (list.ok()) {
       list_digest_ = 0;
       take_list(*list, asked);
