The wait for the first charter has tests: its bound, its end, and whom a furrow asks

A query at a furrow without a charter is refused after the hold, finally, and not sent when the charter comes a moment later; the first asks go to several trellises at once, so that silent ones cost nothing.

--- a/source/tests/relay/station_test.cpp
+++ b/source/tests/relay/station_test.cpp
@@ -50,6 +50,50 @@
   EXPECT_EQ(status_of(fleet.answer_on(caller)), 200u);
 }
 
+TEST(Station, WithoutACharterItWaitsNoLongerThanItsHold) {
+  Fleet fleet;
+  Worker& worker = fleet.worker("w1");
+  fleet.begin(false);
+  ASSERT_EQ(fleet.station->charter_hold, loam::constants::charter_hold);
+  ASSERT_TRUE(fleet.until([&] { return fleet.asks > 0; }));  // a trellis answers, and has none
+  loam::Moment const sent = loam::boot_now();
+  std::shared_ptr<Line> const caller = fleet.call(query("/plain/a", "q1", "body"));
+  std::optional<Response> const answer = fleet.answer_on(caller);
+  EXPECT_GE(loam::boot_now() - sent, loam::constants::charter_hold);  // it was waited for
+  EXPECT_EQ(status_of(answer), 503u);
+  EXPECT_EQ(text_of(answer, "Finchlink-Query"), "q1");
+  // Final: the charter that comes a moment later doesn't bring it to a worker.
+  fleet.publish_charter(1);
+  ASSERT_TRUE(fleet.until([&] { return fleet.station->ready(); }));
+  fleet.hear();
+  EXPECT_TRUE(worker.arrivals.empty());
+  caller->send(query("/plain/a", "q2"));  // and the connection is as good as before
+  EXPECT_TRUE(fleet.arrived(worker, 1));
+}
+
+TEST(Station, TheFirstCharterDoesNotWaitForASilentTrellis) {
+  // Two of three seeds are there and say nothing, the third tells: all are asked at once.
+  Fleet fleet;
+  fleet.worker("w1");
+  asio::ip::tcp::acceptor one(*fleet.context, asio::ip::tcp::endpoint(asio::ip::make_address(fleet.ip), 0));
+  asio::ip::tcp::acceptor two(*fleet.context, asio::ip::tcp::endpoint(asio::ip::make_address(fleet.ip), 0));
+  for (asio::ip::tcp::acceptor const* const silent : {&one, &two}) {
+    fleet.settings.seeds.insert(fleet.settings.seeds.begin(), fleet.ip + ":" + std::to_string(silent->local_endpoint().port()));
+  }
+  fleet.settings.bounds.ask_deadline_ms = 60000;
+  fleet.publish_charter(1);
+  fleet.begin(false);
+  ASSERT_TRUE(fleet.until([&] { return fleet.asks > 0; }));
+  for (asio::ip::tcp::acceptor* const silent : {&one, &two}) {
+    error_code error;
+    silent->non_blocking(true);
+    (void)silent->accept(error);
+    EXPECT_FALSE(error) << error.message();  // asked as well, and not waited for
+  }
+  ASSERT_TRUE(fleet.until([&] { return fleet.station->ready(); }));
+  EXPECT_EQ(fleet.told.front().held.count("charter"), 0u);
+}
+
 TEST(Station, AnOlderCharterIsNeverAdopted) {
   Fleet fleet;
   Worker& worker = fleet.worker("w1");
