A SIGHUP during the start no longer ends the process

Cause: until the settings file is followed, SIGHUP had its default effect. Found by the fleet test on a machine with a load of 70: a furrow that was told of its changed file while it started was gone. It is ignored from before the file's first reading on; what changed meanwhile shows in the stamp. Before: Followed.ASignalDuringTheStartDoesNotEndTheProcess ended with 129 (hangup). After: it passes.

--- a/source/loam/process/process.cpp
+++ b/source/loam/process/process.cpp
@@ -71,6 +71,9 @@
   }
   Followed followed(path.value_or(""), daemon.read_settings, daemon.changed);
   if (path.has_value()) {
+    // A signal that comes before it is waited for must not end the process; the
+    // file's stamp tells of the change as well.
+    std::signal(SIGHUP, SIG_IGN);
     absl::Status const good = followed.begin(invocation->settings);
     if (!good.ok()) {
       std::cerr << daemon.program << ": " << good.message() << "\n";
--- a/source/tests/loam/followed_test.cpp
+++ b/source/tests/loam/followed_test.cpp
@@ -9,6 +9,7 @@
 
 #include "loam/json/tree.hpp"
 #include "loam/process/followed.hpp"
+#include "loam/process/process.hpp"
 #include "tests/relay/fleet.hpp"
 
 namespace finchlink::relay_test {
@@ -139,6 +140,22 @@
   EXPECT_NE(status.message().find("apply_ms"), std::string::npos) << status;
 }
 
+TEST(Followed, ASignalDuringTheStartDoesNotEndTheProcess) {
+  File file;
+  file.write(wide());
+  loam::Daemon daemon;
+  daemon.program = "one";
+  daemon.settings_path = [&file] { return file.path(); };
+  daemon.read_settings = read_own;
+  daemon.begin = [](asio::io_context&, schema::Settings const&) -> absl::Status {
+    (void)raise(SIGHUP);  // nobody waits for it yet
+    return absl::UnavailableError("no address");
+  };
+  char const* const values[] = {"one"};
+  EXPECT_EQ(loam::run_daemon(daemon, 1, values), loam::exit_listen);
+  std::signal(SIGHUP, SIG_DFL);
+}
+
 TEST(Followed, ARelayTakesSeedsAndBoundsOnASignal) {
   for (bool const in_touch : {true, false}) {
     Fleet fleet;
