Workers are judged in a core of their own; the grove asks it (no other behaviour)

Cause: what a worker did to queries (rests, trials, late first tokens, halls out of reach) was decided inside placement, so it could not be run or tested by itself and new evidence had no place. Moved: tilth/judge holds the record of each worker; the grove gives it evidence and asks its verdict.

--- a/source/tilth/grove/grove.cpp
+++ b/source/tilth/grove/grove.cpp
@@ -54,6 +54,7 @@
       worker.hash = hash_text(stand.id);
       worker.slots = static_cast<double>(std::max<std::uint64_t>(1, stand.capacity));
     }
+    worker.judged = judge_.admit(stand.id, stand.hall);
     worker.reuse.bound(stand.kept_tokens * constants::reuse_part);
     by_service_[stand.service].push_back(stand.id);
     next.emplace(stand.id, std::move(worker));
@@ -98,6 +99,11 @@
     }
   }
   workers_.swap(next);
+  for (std::pair<std::string const, Worker> const& entry : next) {
+    if (workers_.count(entry.first) == 0) {
+      judge_.dismiss(entry.first);
+    }
+  }
 }
 
 void Grove::Demand::fade(loam::Moment now) {
@@ -150,7 +156,11 @@
 
 bool Grove::open(Worker const& worker, Wanted const& wanted, loam::Moment now) const {
   Stand const& stand = worker.stand;
-  if (stand.draining || stand.evacuated || (guards_.rest && (now < worker.rest_until || (worker.trial && worker.own > 0)))) {
+  if (stand.draining || stand.evacuated) {
+    return false;
+  }
+  Verdict const verdict = judge_.verdict(worker.judged, now);
+  if (std::holds_alternative<Resting>(verdict) || (std::holds_alternative<OnTrial>(verdict) && worker.own > 0)) {
     return false;
   }
   if (holds(wanted.avoid, stand.id) || (!wanted.homes.empty() && !holds(wanted.homes, stand.region))) {
@@ -175,18 +185,6 @@
   return worker.stand.phase.empty() ? terms_.keep_long_apart && worker.ranks >= 3 : worker.stand.phase != "both";
 }
 
-double Grove::overdue(Worker const& worker, loam::Moment now) const {
-  double late = 0;
-  for (Pending const& pending : worker.pending) {
-    late = std::max(late, seconds_of(now - pending.due));
-  }
-  return late;
-}
-
-void Grove::settle_pending(Worker& worker, std::uint64_t ticket) {
-  std::erase_if(worker.pending, [ticket](Pending const& pending) { return pending.ticket == ticket; });
-}
-
 Grove::Price Grove::price(Worker const& worker, Wanted const& wanted, bool owner, loam::Moment now) const {
   Stand const& stand = worker.stand;
   bool const near = stand.region == terms_.region;
@@ -215,40 +213,23 @@
   } else {
     price.seconds += running / worker.slots * constants::plain_seconds;
   }
-  price.seconds += overdue(worker, now);
+  price.seconds += judge_.overdue(worker.judged, now);
   if (over >= 0) {
     price.seconds += (over + 1) / worker.slots * constants::plain_seconds * 2;
   }
   if (cold(worker, now)) {
     price.cost += constants::cold_cost;
   }
-  if (worker.trial) {
+  if (std::holds_alternative<OnTrial>(judge_.verdict(worker.judged, now))) {
     price.cost += wanted.once ? constants::trial_once_cost : constants::trial_cost;
   }
-  if (hall_dark(worker, now)) {
+  if (judge_.hall_dark(worker.judged, now)) {
     price.cost += constants::dark_cost;
   }
   price.cost += price.seconds;
   return price;
 }
 
-bool Grove::hall_dark(Worker const& worker, loam::Moment now) const {
-  if (!guards_.hall_suspicion) {
-    return false;
-  }
-  std::map<std::string, std::map<std::string, loam::Moment>>::const_iterator const found = dark_.find(worker.stand.hall);
-  if (found == dark_.end()) {
-    return false;
-  }
-  std::size_t recent = 0;
-  loam::Moment last = 0;
-  for (std::pair<std::string const, loam::Moment> const& entry : found->second) {
-    recent += now - entry.second < constants::dark_memory ? 1 : 0;
-    last = std::max(last, entry.second);
-  }
-  return recent >= 2 && worker.heard_at < last - constants::alive_span;
-}
-
 Grove::Worker const* Grove::best(std::string const& service, Wanted const& wanted, loam::Moment now, Price& price_found) const {
   std::map<std::string, std::vector<std::string>>::const_iterator const ids = by_service_.find(service);
   Worker const* found = nullptr;
@@ -322,7 +303,7 @@
       ++worker.own;
       ++worker.sent_since;
       worker.own_prefill += offer.uncached;
-      worker.pending.push_back(Pending{next_ticket_, now + static_cast<loam::Span>(offer.seconds * 1e6) + constants::overdue_slack});
+      witness(worker, Sent{next_ticket_, now + static_cast<loam::Span>(offer.seconds * 1e6)}, now);
       if (worker.stand.model) {
         Demand& demand = demand_[{worker.stand.service, worker.stand.region}];
         demand.fade(now);
@@ -371,7 +352,7 @@
     return;
   }
   Worker& worker = found->second;
-  settle_pending(worker, spot.ticket);
+  witness(worker, FirstToken{spot.ticket}, 0);
   worker.own_prefill = std::max(0.0, worker.own_prefill - spot.uncached);
   worker.reuse.remember(parts);
   if (spot.uncached >= constants::owned_tokens) {
@@ -388,46 +369,27 @@
   Worker& worker = found->second;
   worker.own -= worker.own > 0 ? 1 : 0;
   // A whole answer has no first token of its own: what it had read ends here.
-  bool const pending = std::any_of(worker.pending.begin(), worker.pending.end(), [&spot](Pending const& entry) { return entry.ticket == spot.ticket; });
-  settle_pending(worker, spot.ticket);
-  if (!first_seen || pending) {
+  if (!first_seen || judge_.awaits(worker.judged, spot.ticket)) {
     worker.own_prefill = std::max(0.0, worker.own_prefill - spot.uncached);
   }
-  switch (outcome) {
-    case Outcome::good:
-      worker.rest = 0;
-      worker.trial = false;
-      dark_.erase(worker.stand.hall);
-      break;
-    case Outcome::abandoned:
-      break;
-    case Outcome::refused:
-      worker.rest_until = std::max(worker.rest_until, now + constants::refused_rest);
-      break;
-    case Outcome::misdirected:
-      // Another worker has its address: it won't come back under this id.
-      worker.rest_until = now + constants::worker_rest_most;
-      worker.reuse.clear_walled();
-      break;
-    case Outcome::unreachable:
-    case Outcome::defect:
-      worker.reuse.clear_walled();  // it may come back without what it kept
-      worker.rest = std::clamp<loam::Span>(worker.rest * 2, constants::worker_rest_least, constants::worker_rest_most / 2);
-      worker.rest_until = std::max(worker.rest_until, now + worker.rest);
-      worker.trial = true;
-      if (outcome == Outcome::unreachable) {
-        dark_[worker.stand.hall][spot.worker] = now;
-      }
-      break;
-  }
+  witness(worker, Ended{spot.ticket, outcome}, now);
   if (worker.stand.draining && worker.own == 0) {
     std::map<std::string, std::vector<std::string>>::const_iterator const ids = by_service_.find(worker.stand.service);
     if (ids == by_service_.end() || !holds(ids->second, spot.worker)) {
+      judge_.dismiss(spot.worker);
       workers_.erase(found);  // it had left the list
     }
   }
 }
 
+void Grove::witness(Worker& worker, Evidence const& evidence, loam::Moment now) {
+  for (JudgeAction const& action : judge_.take(worker.judged, evidence, now)) {
+    if (std::holds_alternative<MayHaveForgotten>(action)) {
+      worker.reuse.clear_walled();
+    }
+  }
+}
+
 void Grove::forget_walled(std::string const& id) {
   std::map<std::string, Worker>::iterator const found = workers_.find(id);
   if (found != workers_.end()) {
@@ -445,8 +407,7 @@
 void Grove::heard(std::string const& id, loam::Moment now) {
   std::map<std::string, Worker>::iterator const found = workers_.find(id);
   if (found != workers_.end()) {
-    found->second.heard_at = now;
-    found->second.trial = false;
+    witness(found->second, Heard{}, now);
   }
 }
 
@@ -462,7 +423,7 @@
 
 loam::Moment Grove::heard_at(std::string const& id) const {
   std::map<std::string, Worker>::const_iterator const found = workers_.find(id);
-  return found == workers_.end() ? 0 : found->second.heard_at;
+  return found == workers_.end() ? 0 : judge_.heard_at(found->second.judged);
 }
 
 void Grove::told(std::string const& id, double running, double waiting, double slots, loam::Moment now) {
--- a/source/tilth/grove/grove.hpp
+++ b/source/tilth/grove/grove.hpp
@@ -9,6 +9,7 @@
 
 #include "loam/time/moment.hpp"
 #include "schema/setup.hpp"
+#include "tilth/judge/judge.hpp"
 #include "tilth/reuse/reuse.hpp"
 
 namespace finchlink::tilth {
@@ -59,8 +60,6 @@
   double expected_seconds = 0;
 };
 
-enum class Outcome { good, refused, unreachable, defect, abandoned, misdirected };
-
 /// How a furrow may divide what all furrows share.
 struct GroveTerms {
   std::string hall;
@@ -84,7 +83,7 @@
 /// 13.7): plain state; every message carries its moment.
 class Grove {
  public:
-  explicit Grove(GroveGuards guards = {}) : guards_(guards) {}
+  explicit Grove(GroveGuards guards = {}) : guards_(guards), judge_(JudgeGuards{guards.rest, guards.hall_suspicion}) {}
   void update(std::vector<Stand> const& stands, GroveTerms const& terms, loam::Moment now);
   /// Takes the place, too; ended() gives it back.
   [[nodiscard]] std::variant<Spot, NoSpot> choose(Wanted const& wanted, loam::Moment now);
@@ -119,18 +118,12 @@
     loam::Moment at = 0;
     void fade(loam::Moment now);
   };
-  /// A query of this furrow that has had no first token yet.
-  struct Pending {
-    std::uint64_t ticket = 0;
-    loam::Moment due = 0;  ///< by when it was predicted
-  };
   struct Worker {
     Stand stand;
     std::uint64_t hash = 0;     ///< of its id
-    std::vector<Pending> pending;
+    Judge::Handle judged = 0;
     std::size_t rank = 0;       ///< by hash among its service's workers of its region
     std::size_t ranks = 1;
-    loam::Moment heard_at = 0;  ///< last bytes of any answer
     std::uint64_t own = 0;
     double own_prefill = 0;     ///< tokens sent whose first answer is not here yet
     double told_total = 0;
@@ -138,10 +131,6 @@
     loam::Moment told_at = 0;
     std::uint64_t sent_since = 0;
     double slots = 0;
-    loam::Moment rest_until = 0;
-    loam::Span rest = 0;
-    bool trial = false;         ///< came out of a rest: one query at a time until a good answer
-    loam::Moment dark_at = 0;   ///< last time that it could not be reached
     double pace = 1;            ///< seen over predicted, smoothed
     std::deque<loam::Moment> sends;  ///< within the last second, while cold
     Reuse reuse;
@@ -151,28 +140,24 @@
   [[nodiscard]] double cold_part(Worker const& worker) const;
   [[nodiscard]] double load(Worker const& worker, loam::Moment now) const;
   [[nodiscard]] bool open(Worker const& worker, Wanted const& wanted, loam::Moment now) const;
-  /// Seconds by which its oldest own query is later than predicted: what others
-  /// have it read can't be seen, but it shows here.
-  [[nodiscard]] double overdue(Worker const& worker, loam::Moment now) const;
   struct Price {
     double seconds = 0;    ///< to the first token, as predicted
     double cost = 0;       ///< the same and what else speaks against it
     double uncached = 0;
   };
   [[nodiscard]] Price price(Worker const& worker, Wanted const& wanted, bool owner, loam::Moment now) const;
-  [[nodiscard]] bool hall_dark(Worker const& worker, loam::Moment now) const;
   [[nodiscard]] bool kept_apart(Worker const& worker) const;
   [[nodiscard]] bool fed_long(Worker const& worker, loam::Moment now) const;
   [[nodiscard]] Worker const* best(std::string const& service, Wanted const& wanted, loam::Moment now, Price& price_found) const;
-  static void settle_pending(Worker& worker, std::uint64_t ticket);
+  /// What this furrow saw of the worker, for the judge, and what follows from it.
+  void witness(Worker& worker, Evidence const& evidence, loam::Moment now);
 
   GroveGuards guards_;
+  Judge judge_;
   std::uint64_t next_ticket_ = 1;
   GroveTerms terms_;
   std::map<std::string, Worker> workers_;
   std::map<std::string, std::vector<std::string>> by_service_;
-  /// Workers of a hall that could not be reached lately, none heard since.
-  std::map<std::string, std::map<std::string, loam::Moment>> dark_;
   std::map<std::pair<std::string, std::string>, Demand> demand_;  ///< service, region
 };
 
--- /dev/null
+++ b/source/tilth/judge/judge.cpp
@@ -0,0 +1,127 @@
+#include "tilth/judge/judge.hpp"
+
+#include <algorithm>
+
+#include "loam/relay_constants.hpp"
+
+namespace finchlink::tilth {
+
+namespace constants = loam::constants;
+
+Judge::Handle Judge::admit(std::string const& worker, std::string const& hall) {
+  std::map<std::string, Handle>::const_iterator const found = handles_.find(worker);
+  Handle handle = 0;
+  if (found != handles_.end()) {
+    handle = found->second;
+  } else if (!vacant_.empty()) {
+    handle = vacant_.back();
+    vacant_.pop_back();
+    records_[handle] = Record{};
+  } else {
+    handle = records_.size();
+    records_.emplace_back();
+  }
+  handles_[worker] = handle;
+  records_[handle].worker = worker;
+  records_[handle].hall = hall;
+  return handle;
+}
+
+void Judge::dismiss(std::string const& worker) {
+  std::map<std::string, Handle>::const_iterator const found = handles_.find(worker);
+  if (found != handles_.end()) {
+    vacant_.push_back(found->second);
+    handles_.erase(found);
+  }
+}
+
+std::vector<JudgeAction> Judge::take(Handle worker, Evidence const& evidence, loam::Moment now) {
+  std::vector<JudgeAction> actions;
+  std::visit([this, worker, now, &actions](auto const& entry) { act(records_[worker], entry, now, actions); }, evidence);
+  return actions;
+}
+
+void Judge::act(Record& record, Sent const& sent, loam::Moment, std::vector<JudgeAction>&) {
+  record.pending.push_back(Pending{sent.ticket, sent.due + constants::overdue_slack});
+}
+
+void Judge::act(Record& record, FirstToken const& first, loam::Moment, std::vector<JudgeAction>&) {
+  std::erase_if(record.pending, [&first](Pending const& pending) { return pending.ticket == first.ticket; });
+}
+
+void Judge::act(Record& record, Heard const&, loam::Moment now, std::vector<JudgeAction>&) {
+  record.heard_at = now;
+  record.trial = false;
+}
+
+void Judge::act(Record& record, Ended const& ended, loam::Moment now, std::vector<JudgeAction>& actions) {
+  std::erase_if(record.pending, [&ended](Pending const& pending) { return pending.ticket == ended.ticket; });
+  switch (ended.outcome) {
+    case Outcome::good:
+      record.rest = 0;
+      record.trial = false;
+      dark_.erase(record.hall);
+      break;
+    case Outcome::abandoned:
+      break;
+    case Outcome::refused:
+      record.rest_until = std::max(record.rest_until, now + constants::refused_rest);
+      break;
+    case Outcome::misdirected:
+      // Another worker has its address: it won't come back under this id.
+      record.rest_until = now + constants::worker_rest_most;
+      actions.push_back(MayHaveForgotten{});
+      break;
+    case Outcome::unreachable:
+    case Outcome::defect:
+      actions.push_back(MayHaveForgotten{});  // it may come back without what it kept
+      record.rest = std::clamp<loam::Span>(record.rest * 2, constants::worker_rest_least, constants::worker_rest_most / 2);
+      record.rest_until = std::max(record.rest_until, now + record.rest);
+      record.trial = true;
+      if (ended.outcome == Outcome::unreachable) {
+        dark_[record.hall][record.worker] = now;
+      }
+      break;
+  }
+}
+
+Verdict Judge::verdict(Handle worker, loam::Moment now) const {
+  Record const& record = records_[worker];
+  if (!guards_.rest) {
+    return Open{};
+  }
+  if (now < record.rest_until) {
+    return Resting{record.rest_until};
+  }
+  return record.trial ? Verdict(OnTrial{}) : Verdict(Open{});
+}
+
+bool Judge::awaits(Handle worker, std::uint64_t ticket) const {
+  std::vector<Pending> const& pending = records_[worker].pending;
+  return std::any_of(pending.begin(), pending.end(), [ticket](Pending const& entry) { return entry.ticket == ticket; });
+}
+
+double Judge::overdue(Handle worker, loam::Moment now) const {
+  double late = 0;
+  for (Pending const& pending : records_[worker].pending) {
+    late = std::max(late, static_cast<double>(now - pending.due) / 1e6);
+  }
+  return late;
+}
+
+bool Judge::hall_dark(Handle worker, loam::Moment now) const {
+  Record const& record = records_[worker];
+  std::map<std::string, std::map<std::string, loam::Moment>>::const_iterator const found = dark_.find(record.hall);
+  if (!guards_.hall_suspicion || found == dark_.end()) {
+    return false;
+  }
+  std::size_t recent = 0;
+  loam::Moment last = 0;
+  for (std::pair<std::string const, loam::Moment> const& entry : found->second) {
+    recent += now - entry.second < constants::dark_memory ? 1 : 0;
+    last = std::max(last, entry.second);
+  }
+  return recent >= 2 && record.heard_at < last - constants::alive_span;
+}
+
+}  // namespace finchlink::tilth
--- /dev/null
+++ b/source/tilth/judge/judge.hpp
@@ -0,0 +1,101 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "loam/time/moment.hpp"
+
+namespace finchlink::tilth {
+
+/// How a dispatch ended, seen from this furrow.
+enum class Outcome { good, refused, unreachable, defect, abandoned, misdirected };
+
+/// Evidence of one worker: what this furrow saw, nothing that others say.
+struct Sent {
+  std::uint64_t ticket = 0;
+  loam::Moment due = 0;  ///< by when a first token is predicted
+};
+struct FirstToken {
+  std::uint64_t ticket = 0;
+};
+/// Bytes of any answer.
+struct Heard {};
+struct Ended {
+  std::uint64_t ticket = 0;
+  Outcome outcome = Outcome::good;
+};
+using Evidence = std::variant<Sent, FirstToken, Heard, Ended>;
+
+/// The worker may have lost what it kept.
+struct MayHaveForgotten {};
+using JudgeAction = std::variant<MayHaveForgotten>;
+
+struct Open {};
+/// Out of a rest: one query at a time until it is heard.
+struct OnTrial {};
+struct Resting {
+  loam::Moment until = 0;
+};
+using Verdict = std::variant<Open, OnTrial, Resting>;
+
+/// Rules that tests switch off to show that they are needed.
+struct JudgeGuards {
+  bool rest = true;
+  bool hall_suspicion = true;  ///< two workers of a hall out of reach: the others come last
+};
+
+/// Workers judged by what they do (section 13.7): plain state; every message
+/// carries its moment.
+class Judge {
+ public:
+  /// Names an admitted worker; looking it up by text for each query costs too much.
+  using Handle = std::size_t;
+
+  explicit Judge(JudgeGuards guards = {}) : guards_(guards) {}
+  /// The same worker keeps its handle until it is dismissed.
+  [[nodiscard]] Handle admit(std::string const& worker, std::string const& hall);
+  void dismiss(std::string const& worker);
+  std::vector<JudgeAction> take(Handle worker, Evidence const& evidence, loam::Moment now);
+
+  [[nodiscard]] Verdict verdict(Handle worker, loam::Moment now) const;
+  /// Is a first token of this dispatch still waited for?
+  [[nodiscard]] bool awaits(Handle worker, std::uint64_t ticket) const;
+  /// Seconds by which its oldest own query is later than predicted: what others
+  /// have it read can't be seen, but it shows here.
+  [[nodiscard]] double overdue(Handle worker, loam::Moment now) const;
+  /// Two workers of its hall could not be reached of late, and it was not heard since.
+  [[nodiscard]] bool hall_dark(Handle worker, loam::Moment now) const;
+  [[nodiscard]] loam::Moment heard_at(Handle worker) const { return records_[worker].heard_at; }
+
+ private:
+  /// A query of this furrow that has had no first token yet.
+  struct Pending {
+    std::uint64_t ticket = 0;
+    loam::Moment due = 0;
+  };
+  struct Record {
+    std::string worker;
+    std::string hall;
+    std::vector<Pending> pending;
+    loam::Moment heard_at = 0;
+    loam::Moment rest_until = 0;
+    loam::Span rest = 0;
+    bool trial = false;
+  };
+  void act(Record& record, Sent const& sent, loam::Moment now, std::vector<JudgeAction>& actions);
+  void act(Record& record, FirstToken const& first, loam::Moment now, std::vector<JudgeAction>& actions);
+  void act(Record& record, Heard const& heard, loam::Moment now, std::vector<JudgeAction>& actions);
+  void act(Record& record, Ended const& ended, loam::Moment now, std::vector<JudgeAction>& actions);
+
+  JudgeGuards guards_;
+  std::vector<Record> records_;
+  std::vector<Handle> vacant_;
+  std::map<std::string, Handle> handles_;
+  /// Workers of a hall that could not be reached lately, none heard since.
+  std::map<std::string, std::map<std::string, loam::Moment>> dark_;
+};
+
+}  // namespace finchlink::tilth
