--- a/source/furrow/relay/relay.cpp
+++ b/source/furrow/relay/relay.cpp
@@ -1,10 +1,12 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <cstdlib>
+#include <limits>
 
 #include "furrow/relay/event_cutter.hpp"
 #include "furrow/relay/station.hpp"
@@ -55,6 +57,8 @@
   }
 }
 
+constexpr std::uint64_t not_natural = std::numeric_limits<std::uint64_t>::max();
+
 std::string_view view(boost::beast::string_view text) { return {text.data(), text.size()}; }
 
 struct Query {
@@ -70,13 +74,14 @@
  public:
   Relay(Station& station, Query& query, schema::Lane const& lane, Socket& caller, std::shared_ptr<tilth::LaneBook const> book, loam::Yield yield)
       : station_(station), query_(query), book_(std::move(book)), lane_(lane), caller_(caller), yield_(yield),
-        id_(view(query.header[station.dialect().query])), deadline_(query.arrived + loam::milliseconds(static_cast<std::int64_t>(lane.deadline_ms))),
+        bare_(query.header.method() == http::verb::head), id_(view(query.header[station.dialect().query])), deadline_(query.arrived + loam::milliseconds(static_cast<std::int64_t>(lane.deadline_ms))),
         chart_(terms(lane), [this](loam::Moment) { return may_spend(true); }) {
     std::string_view const left = view(query.header[station.dialect().left]);
     if (!left.empty()) {
       deadline_ = std::min(deadline_, query.arrived + loam::milliseconds(static_cast<std::int64_t>(std::min<std::uint64_t>(natural(left, 86400000), 86400000))));
     }
-    last_event_ = natural(view(query.header[station.dialect().last_event]), 0);
+    std::uint64_t const behind = natural(view(query.header[station.dialect().last_event]), not_natural);
+    numbering_ = Numbering(behind == not_natural ? std::nullopt : std::optional<std::uint64_t>(behind));
     std::string_view const tokens = view(query.header[station.dialect().tokens]);
     wanted_.tokens = static_cast<double>(natural(tokens, 0));
     std::size_t const comma = tokens.find(',');
@@ -318,7 +323,7 @@
       double const point = lane_.set_point_ms > 0 ? lane_.set_point_ms / 1000 : 1.0;
       text += "Retry-After: " + std::to_string(point * (0.15 + 0.15 * draw())) + "\r\n";
     }
-    (void)write(text + closing_line() + "\r\n" + body);
+    (void)write(text + closing_line() + "\r\n" + (bare_ ? "" : body));
   }
 
   [[nodiscard]] std::string closing_line() {
@@ -518,7 +523,7 @@
     text.reserve(1024);
     text.append(view(query_.header.method_string())).append(" ").append(view(query_.header.target())).append(" HTTP/1.1\r\n");
     std::vector<std::string_view> replaced{dialect.left, dialect.target};
-    bool const resuming = chart_.last_event() > 0;
+    bool const resuming = chart_.last_event() > 0 && numbering_.last().has_value();
     if (resuming) {
       replaced.push_back(dialect.last_event);
     }
@@ -529,7 +534,7 @@
     text.append(dialect.left).append(": ").append(std::to_string(std::max<loam::Span>(1, (deadline_ - loam::boot_now()) / 1000))).append("\r\n");
     text.append(dialect.target).append(": ").append(spot_.worker).append("\r\n");
     if (resuming) {
-      text.append(dialect.last_event).append(": ").append(std::to_string(last_event_)).append("\r\n");
+      text.append(dialect.last_event).append(": ").append(std::to_string(*numbering_.last())).append("\r\n");
     }
     if (prompt_.has_value() && !walled_.header.empty()) {
       text.append(dialect.parts).append(": ").append(walled_.header).append("\r\n");
@@ -588,6 +593,7 @@
     Parser parser;
     parser.header_limit(constants::answer_header_limit);
     parser.body_limit(boost::none);
+    parser.skip(bare_);
     if (worker_->is_open()) {
       http::async_read_header(*worker_, buffer, parser, yield_[error]);
     }
@@ -619,7 +625,7 @@
       return tilth::Outcome::defect;
     }
     hear_wall(got, success);
-    if (success && got[http::field::content_type].starts_with("text/event-stream")) {
+    if (success && !bare_ && got[http::field::content_type].starts_with("text/event-stream")) {
       return talk_events(buffer, parser, sent);
     }
     return talk_whole(buffer, parser, status);
@@ -674,7 +680,7 @@
   tilth::Outcome talk_whole(boost::beast::flat_buffer& buffer, Parser& parser, unsigned int status) {
     std::string body;
     std::string bytes;
-    bool const bare = status == 204 || status == 304;
+    bool const bare = bare_ || status == 204 || status == 304;
     bool const delimited = bare || parser.content_length().has_value() || parser.chunked();
     while (!parser.is_done()) {
       if (!delimited || !read_some(buffer, parser, bytes) || body.size() + bytes.size() > constants::answer_limit) {
@@ -688,7 +694,9 @@
       station_.grove().first_token(spot_, status < 300 ? kept_parts() : std::vector<tilth::Part>(), 0);
     }
     first_at_ = loam::boot_now();
-    whole_ = answer_head(parser) + (bare ? "" : "Content-Length: " + std::to_string(body.size()) + "\r\n");
+    // An answer to HEAD tells the length that the body would have.
+    std::string const length = bare_ ? std::string(view(parser.get()[http::field::content_length])) : bare ? "" : std::to_string(body.size());
+    whole_ = answer_head(parser) + (length.empty() ? "" : "Content-Length: " + length + "\r\n");
     whole_body_ = std::move(body);
     after_answer(buffer, parser);
     if (status >= 500 && repeatable()) {
@@ -708,12 +716,17 @@
     station_.tally().resumed += resumed ? 1 : 0;
     bool first = true;
     bool ended = false;
+    numbering_.begin_run();
     while (!parser.is_done()) {
       if (!read_some(buffer, parser, bytes)) {
         after_ = tilth::WorkerDefect{"cut_stream"};
         return tilth::Outcome::defect;
       }
-      EventCutter::Whole whole = cutter.feed(bytes, last_event_);
+      EventCutter::Whole const whole = cutter.feed(bytes, numbering_);
+      if (whole.gap) {  // nothing of it was passed on: another may do better
+        after_ = tilth::WorkerDefect{"gap"};
+        return tilth::Outcome::defect;
+      }
       if (parser.is_done() && !cutter.rest().empty()) {
         after_ = tilth::WorkerDefect{"cut_event"};
         return tilth::Outcome::defect;
@@ -741,7 +754,6 @@
       char size[24];
       std::snprintf(size, sizeof(size), "%zx\r\n", whole.bytes.size());
       text.append(size).append(whole.bytes).append("\r\n");
-      last_event_ = std::max(last_event_, whole.number);
       // The chart counts what was passed on, whatever the worker's numbers are.
       feed(tilth::Event{chart_.last_event() + 1, false});
       if (parser.is_done()) {
@@ -774,6 +786,7 @@
   schema::Lane lane_;
   Socket& caller_;
   loam::Yield yield_;
+  bool const bare_;  ///< it is a HEAD: no answer to it has a body
   std::string id_;
   loam::Moment deadline_;
   tilth::Chart chart_;
@@ -790,7 +803,7 @@
   std::optional<tilth::QueryMessage> after_;
   std::string whole_;
   std::string whole_body_;
-  std::uint64_t last_event_ = 0;
+  Numbering numbering_;  ///< of the events that the caller has
   loam::Moment silent_since_ = 0;
   loam::Span allowed_ = 0;
   int connects_ = 0;
@@ -808,25 +821,36 @@
   bool withdrawn_lane_ = false;
 };
 
-/// A final answer of our own before a body is read.
-bool write_small(Socket& socket, std::string const& status, std::string const& extra, std::string const& reason, bool keep, loam::Yield yield) {
+/// A final answer of our own without a dispatch; `bare`: to a HEAD.
+bool write_small(Socket& socket, std::string const& status, std::string const& extra, std::string const& reason, bool keep, bool bare, loam::Yield yield) {
   std::string const body = "{\"error\":\"" + reason + "\"}";
   std::string const text = "HTTP/1.1 " + status + "\r\n" + extra + "Content-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) +
-                           (keep ? "\r\n\r\n" : "\r\nConnection: close\r\n\r\n") + body;
+                           (keep ? "\r\n\r\n" : "\r\nConnection: close\r\n\r\n") + (bare ? "" : body);
   error_code error;
   asio::async_write(socket, asio::buffer(text), yield[error]);
   return keep && !error;
 }
 
-/// Closing with unread bytes would reset the connection, and the answer might
-/// never be read: what comes is thrown away for a moment.
-void let_read(Socket& socket, std::shared_ptr<Alarm> const& alarm, loam::Yield yield) {
+/// What ends a caller's connection when time is up: between queries and once an
+/// answer was given it is closed, a query that doesn't come whole is answered first.
+struct Patience {
+  bool close = true;
+  bool out = false;
+};
+
+/// A final answer before all of the query is read. Closing with unread bytes
+/// would reset the connection, and the answer might never be read: what comes
+/// is thrown away, for a moment and up to a size (section 13.8).
+void refuse_unread(Socket& socket, Alarm& alarm, Patience& patience, std::string const& status, std::string const& extra, std::string const& reason, bool bare, loam::Yield yield) {
+  patience.close = true;
+  alarm.set(loam::boot_now() + constants::refused_linger);
+  (void)write_small(socket, status, extra, reason, false, bare, yield);
   error_code error;
   socket.shutdown(Socket::shutdown_send, error);
-  alarm->set(loam::boot_now() + constants::refused_linger);
-  std::array<char, 4096> thrown_away;
-  while (!error) {
-    (void)socket.async_read_some(asio::buffer(thrown_away), yield[error]);
+  std::array<char, constants::piece_bytes> thrown_away;
+  std::size_t total = 0;
+  while (!error && total < constants::refused_bytes) {
+    total += socket.async_read_some(asio::buffer(thrown_away), yield[error]);
   }
 }
 
@@ -834,9 +858,11 @@
 
 void serve_caller(Station& station, std::shared_ptr<Socket> const& socket, loam::Yield yield) {
   boost::beast::flat_buffer buffer;
-  std::shared_ptr<Alarm> const alarm = std::make_shared<Alarm>(station.context(), [socket] {
+  std::shared_ptr<Patience> const patience = std::make_shared<Patience>();
+  std::shared_ptr<Alarm> const alarm = std::make_shared<Alarm>(station.context(), [socket, patience] {
     error_code ignored;
-    socket->close(ignored);
+    patience->out = true;
+    patience->close ? socket->close(ignored) : socket->cancel(ignored);
   });
   schema::CallerLimits limits;
   bool again = true;
@@ -846,6 +872,7 @@
     }
     error_code error;
     if (buffer.size() == 0) {  // an idle connection may wait, a begun header may not
+      patience->close = true;
       alarm->set(loam::boot_now() + loam::milliseconds(static_cast<std::int64_t>(limits.idle_ms)));
       std::size_t const count = socket->async_read_some(buffer.prepare(4096), yield[error]);
       if (error) {
@@ -853,21 +880,27 @@
       }
       buffer.commit(count);
     }
+    patience->close = false;
+    patience->out = false;
     alarm->set(loam::boot_now() + loam::milliseconds(static_cast<std::int64_t>(limits.header_wait_ms)));
     http::request_parser<http::string_body> parser;
     parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
     parser.body_limit(limits.body_bytes);
     http::async_read_header(*socket, buffer, parser, yield[error]);
+    if (patience->out) {
+      refuse_unread(*socket, *alarm, *patience, "408 Request Timeout", "", "too_slow", false, yield);
+      break;
+    }
     if (error == http::error::header_limit) {
-      (void)write_small(*socket, "431 Request Header Fields Too Large", "", "too_large", false, yield);
+      refuse_unread(*socket, *alarm, *patience, "431 Request Header Fields Too Large", "", "too_large", false, yield);
       break;
     }
     if (error == http::error::body_limit) {  // announced too large: no byte of it is read
-      (void)write_small(*socket, "413 Payload Too Large", "", "too_large", false, yield);
+      refuse_unread(*socket, *alarm, *patience, "413 Payload Too Large", "", "too_large", parser.get().method() == http::verb::head, yield);
       break;
     }
     if (error && error.category() == http::make_error_code(http::error::bad_value).category() && error != http::error::end_of_stream && error != http::error::partial_message) {
-      (void)write_small(*socket, "400 Bad Request", "", "malformed", false, yield);
+      refuse_unread(*socket, *alarm, *patience, "400 Bad Request", "", "malformed", false, yield);
       break;
     }
     if (error) {
@@ -876,14 +909,15 @@
     Query query;
     query.arrived = loam::boot_now();
     station.opened();
+    std::string const named = station.dialect().query + ": " + std::string(view(parser.get()[station.dialect().query])) + "\r\n";
+    bool const bare = parser.get().method() == http::verb::head;
     if (station.book() != nullptr && station.book()->walled()) {
       // Refused before a body byte is read (section 14.1).
       schema::Lane const* const lane = station.book()->find(view(parser.get()[http::field::host]), view(parser.get().target()));
       if (lane != nullptr && lane->tenancy.has_value()) {
         tilth::TenantReading const reading = tenant_of(*lane->tenancy, parser.get());
         if (reading.end == tilth::TenantEnd::refused) {
-          (void)write_small(*socket, "400 Bad Request", station.dialect().query + ": " + std::string(view(parser.get()[station.dialect().query])) + "\r\n", reading.fault, false, yield);
-          let_read(*socket, alarm, yield);
+          refuse_unread(*socket, *alarm, *patience, "400 Bad Request", named, reading.fault, bare, yield);
           station.closed();
           break;
         }
@@ -892,10 +926,16 @@
     if (parser.get()[http::field::expect] == "100-continue") {
       asio::async_write(*socket, asio::buffer(std::string("HTTP/1.1 100 Continue\r\n\r\n")), yield[error]);
     }
-    http::async_read(*socket, buffer, parser, yield[error]);
-    if (error) {
-      if (error == http::error::body_limit) {
-        (void)write_small(*socket, "413 Payload Too Large", "", "too_large", false, yield);
+    if (!patience->out) {
+      http::async_read(*socket, buffer, parser, yield[error]);
+    }
+    if (error || patience->out) {
+      if (patience->out) {
+        refuse_unread(*socket, *alarm, *patience, "408 Request Timeout", named, "too_slow", bare, yield);
+      } else if (error == http::error::body_limit) {
+        refuse_unread(*socket, *alarm, *patience, "413 Payload Too Large", named, "too_large", bare, yield);
+      } else if (error == http::error::bad_chunk || error == http::error::bad_chunk_extension) {
+        refuse_unread(*socket, *alarm, *patience, "400 Bad Request", named, "malformed", bare, yield);
       }
       station.closed();
       break;
@@ -904,8 +944,8 @@
     query.keep = parser.get().keep_alive();
     query.body = std::move(parser.get().body());
     query.header = std::move(parser.get().base());
+    patience->close = true;
     alarm->set(loam::boot_now() + loam::seconds(3600));
-    std::string const named = station.dialect().query + ": " + std::string(view(query.header[station.dialect().query])) + "\r\n";
     // Right after a start the charter comes within a moment (section 13.8): the
     // query waits for it as it would for a place, then is refused.
     while (station.book() == nullptr && loam::boot_now() - query.arrived < station.charter_hold) {
@@ -914,11 +954,11 @@
     std::shared_ptr<tilth::LaneBook const> const book = station.book();
     bool const keep = query.keep && !station.draining();
     if (book == nullptr) {
-      again = write_small(*socket, "503 Service Unavailable", named + "Retry-After: 0.5\r\n", "no_setup", keep, yield);
+      again = write_small(*socket, "503 Service Unavailable", named + "Retry-After: 0.5\r\n", "no_setup", keep, bare, yield);
     } else {
       schema::Lane const* const lane = book->find(view(query.header[http::field::host]), view(query.header.target()));
       if (lane == nullptr) {
-        again = write_small(*socket, "404 Not Found", named, "unknown_rule", keep, yield);
+        again = write_small(*socket, "404 Not Found", named, "unknown_rule", keep, bare, yield);
       } else {
         std::unique_ptr<Relay> const relay = std::make_unique<Relay>(station, query, *lane, *socket, book, yield);
         again = relay->run();
