--- a/source/furrow/relay/station.cpp
+++ b/source/furrow/relay/station.cpp
@@ -99,10 +99,11 @@
 }
 
 absl::Status Station::listen(std::string const& address, std::function<void(std::shared_ptr<Socket>, loam::Yield)> session) {
-  absl::StatusOr<loam::Endpoint> const endpoint = loam::read_endpoint(address);
+  absl::StatusOr<loam::Endpoint> endpoint = loam::read_endpoint(address);
   if (!endpoint.ok()) {
     return endpoint.status();
   }
+  *endpoint = loam::own_endpoint(*endpoint);
   std::shared_ptr<Acceptor> const held = std::make_shared<Acceptor>(Acceptor{asio::ip::tcp::acceptor(context_)});
   error_code error;
   held->acceptor.open(endpoint->protocol(), error);
