--- a/source/furrow/relay/relay.cpp
+++ b/source/furrow/relay/relay.cpp
@@ -27,6 +27,12 @@
 
 double draw() { return static_cast<double>(loam::random_number() % 1000000) / 1e6; }
 
+/// Some servers take "_" in a field's name for "-".
+char folded(char letter) { return letter == '_' ? '-' : static_cast<char>(letter >= 'A' && letter <= 'Z' ? letter - 'A' + 'a' : letter); }
+bool same_name(std::string_view one, std::string_view other) {
+  return std::equal(one.begin(), one.end(), other.begin(), other.end(), [](char left, char right) { return folded(left) == folded(right); });
+}
+
 /// Headers that concern one connection only are not passed on.
 bool of_connection(std::string_view name) {
   static constexpr std::string_view names[] = {"connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade", "expect", "content-length"};
@@ -44,7 +50,7 @@
     std::string_view const name(field.name_string().data(), field.name_string().size());
     bool left_out = of_connection(name);
     for (std::string_view const entry : replaced) {
-      left_out = left_out || boost::beast::iequals({name.data(), name.size()}, {entry.data(), entry.size()});
+      left_out = left_out || same_name(name, entry);
     }
     if (!left_out && !connection.empty()) {
       left_out = http::token_list(connection).exists(field.name_string());
@@ -86,7 +92,7 @@
 
   /// False: the caller's connection is of no more use.
   bool run() {
-    if (!tenant_fault_.empty()) {  // a trailer, or a charter since the header was read, says otherwise
+    if (!tenant_fault_.empty()) {  // a charter since the header was read says otherwise
       answer("400 Bad Request", tenant_fault_, false);
       return keep_;
     }
@@ -152,7 +158,7 @@
     if (tenant != nullptr && !tilth::join_homes(lane_.home_regions, tenant->home_regions, homes_)) {
       tenant_fault_ = "no_home";
     }
-    prompt_ = tilth::Prompt{reading.name, std::string(view(query_.header[dialect.model])), tilth::named_parts(view(query_.header[dialect.parts])), lane_.tenancy->public_parts};
+    prompt_ = tilth::Prompt{reading.name, model_of(query_.header, dialect.model), tilth::named_parts(view(query_.header[dialect.parts])), lane_.tenancy->public_parts, tilth::realm_of(*lane_.tenancy, lane_.name)};
     wanted_.parts = station_.walls().place(*prompt_);
   }
 
@@ -163,7 +169,7 @@
       return;
     }
     Dialect const& dialect = station_.dialect();
-    tilth::WallAnswer answer{spot_.worker, std::string(view(got[dialect.weights])), std::nullopt};
+    tilth::WallAnswer answer{spot_.worker, std::string(view(got[dialect.weights])), std::nullopt, ran};
     if (ran && !got[dialect.reused].empty()) {
       answer.reused = static_cast<double>(natural(view(got[dialect.reused]), 0));
     }
@@ -174,6 +180,9 @@
         station_.grove().gave_up(gave_up->worker, wanted_.parts, gave_up->tokens);
       } else if (tilth::Crossed const* const crossed = std::get_if<tilth::Crossed>(&action)) {
         loam::note(loam::Event::WallCrossed, crossed->worker + " " + std::to_string(static_cast<std::uint64_t>(crossed->tokens)) + " " + id_);
+      } else if (tilth::RanOtherWeights const* const other = std::get_if<tilth::RanOtherWeights>(&action)) {
+        loam::note(loam::Event::OtherWeightsRan, other->worker + " for " + other->expected + " " + id_);
+        station_.grove().forget_walled(other->worker);
       }
     }
     if (ran) {
@@ -501,8 +510,10 @@
     ++station_.tally().connects;
     connecting_ = true;
     alarm_->set(std::min(deadline_, loam::boot_now() + (spot_.near ? constants::relay_connect_near : constants::relay_connect_deadline)));
-    error_code error;
-    worker_->async_connect(*endpoint, yield_[error]);
+    error_code error = loam::open_own(*worker_, *endpoint);
+    if (!error) {
+      worker_->async_connect(*endpoint, yield_[error]);
+    }
     connecting_ = false;
     if (error || !worker_->is_open() || gone_) {
       worker_.reset();
@@ -667,7 +678,9 @@
   /// The worker's head for the caller, without what concerns its connection.
   [[nodiscard]] std::string answer_head(Parser const& parser) const {
     std::string text = "HTTP/1.1 " + std::to_string(parser.get().result_int()) + " " + std::string(view(parser.get().reason())) + "\r\n";
-    copy_fields(parser.get(), std::string(view(parser.get()[http::field::connection])), {}, text);
+    // The ids that parts went out under stay between us and the workers.
+    std::vector<std::string_view> const left_out = prompt_.has_value() ? std::vector<std::string_view>{station_.dialect().parts, station_.dialect().expected} : std::vector<std::string_view>();
+    copy_fields(parser.get(), std::string(view(parser.get()[http::field::connection])), left_out, text);
     return text;
   }
 
@@ -892,6 +905,11 @@
     if (parser.get()[http::field::expect] == "100-continue") {
       asio::async_write(*socket, asio::buffer(std::string("HTTP/1.1 100 Continue\r\n\r\n")), yield[error]);
     }
+    // What comes behind a body names no tenant and no prompt.
+    std::optional<http::request_header<>> before_body;
+    if (parser.chunked()) {
+      before_body = parser.get().base();
+    }
     http::async_read(*socket, buffer, parser, yield[error]);
     if (error) {
       if (error == http::error::body_limit) {
@@ -903,7 +921,7 @@
     query.had_length = parser.content_length().has_value() || parser.chunked();
     query.keep = parser.get().keep_alive();
     query.body = std::move(parser.get().body());
-    query.header = std::move(parser.get().base());
+    query.header = before_body.has_value() ? std::move(*before_body) : std::move(parser.get().base());
     alarm->set(loam::boot_now() + loam::seconds(3600));
     std::string const named = station.dialect().query + ": " + std::string(view(query.header[station.dialect().query])) + "\r\n";
     // Right after a start the charter comes within a moment (section 13.8): the
