Never too many of a pool rest for one furrow; beyond that the least bad serve

Cause: each worker rested for itself, so with most of a region's workers ill nobody there served at all. Of fewer none is an outlier, their rests stay.

--- a/source/loam/relay_constants.hpp
+++ b/source/loam/relay_constants.hpp
@@ -79,6 +79,11 @@
 inline constexpr double reread_cost = 0.0002;
 /// Service time taken for a worker that generates no text, in seconds.
 inline constexpr double plain_seconds = 0.08;
+/// Of a region's workers of one service at most this part rests for what they did
+/// to queries: two of three, so that one always serves; with fewer than the least
+/// nobody is an outlier among others.
+inline constexpr double ejection_share = 0.7;
+inline constexpr std::size_t ejection_pool_least = 3;
 /// A worker that refused is left alone this long.
 inline constexpr Span refused_rest = milliseconds(100);
 /// Establishing a connection to a worker; the way between regions twice, and more.
