almanac knows the relay: its cores against ill, cold, full and leaving workers

Checked: nothing not repeatable runs twice, a refusal never ran nor runs, retries over any window, cold bound, drains, evacuations, homes, services, ejections. Found while it was made: nothing in the cores; each of ten guards switched off breaks its rule.

--- a/source/almanac/main.cpp
+++ b/source/almanac/main.cpp
@@ -4,6 +4,7 @@
 
 #include "almanac/control/control.hpp"
 #include "almanac/field/field.hpp"
+#include "almanac/relay/relay.hpp"
 #include "loam/settings/settings.hpp"
 
 namespace {
@@ -167,6 +168,62 @@
   }
   return code;
 }
+int run_relay_scenario(std::string const& name, std::uint64_t first, std::uint64_t last, options::variables_map const& found) {
+  std::optional<almanac::RelayFaults> const faults = almanac::relay_scenario(name);
+  if (!faults.has_value()) {
+    return usage("'" + name + "' is not a scenario; see --list");
+  }
+  int code = 0;
+  std::uint64_t failed = 0;
+  almanac::RelayReport sum;
+  for (std::uint64_t seed = first; seed <= last; ++seed) {
+    almanac::RelayOptions run;
+    run.seed = seed;
+    run.length = static_cast<loam::Span>(found["seconds"].as<double>() * 1e6);
+    run.rate *= found["scale"].as<double>();
+    run.faults = *faults;
+    run.print = found.count("trace") > 0;
+    std::string off;
+    if (found.count("off") > 0) {
+      for (std::string const& guard : found["off"].as<std::vector<std::string>>()) {
+        if (!almanac::switch_off_relay(run, guard)) {
+          return usage("'" + guard + "' is not a guard of the relay");
+        }
+        off += " --off " + guard;
+      }
+    }
+    almanac::RelayReport const report = almanac::run_relay(run);
+    if (first == last) {
+      std::cout << "trace " << std::hex << report.trace_hash << std::dec << "\n";
+    }
+    sum.sent += report.sent;
+    sum.good += report.good;
+    sum.refused += report.refused;
+    sum.apologies += report.apologies;
+    sum.broken += report.broken;
+    sum.retries += report.retries;
+    sum.resumed += report.resumed;
+    sum.misdirected += report.misdirected;
+    sum.turned_away += report.turned_away;
+    sum.met_ill += report.met_ill;
+    sum.troubles += report.troubles;
+    sum.worst_retries = std::max(sum.worst_retries, report.worst_retries);
+    sum.worst_cold = std::max(sum.worst_cold, report.worst_cold);
+    sum.worst_drain = std::max(sum.worst_drain, report.worst_drain);
+    sum.worst_resting = std::max(sum.worst_resting, report.worst_resting);
+    if (!report.violations.empty()) {
+      code = 1;
+      if (++failed <= 3) {
+        std::cout << "seed " << seed << ": " << report.violations.front() << " (" << report.violations.size() << " in all)\n  replay: almanac --scenario " << name << " --seeds " << seed << " --seconds "
+                  << found["seconds"].as<double>() << " --scale " << found["scale"].as<double>() << off << " --trace\n";
+      }
+    }
+  }
+  std::cout << name << " x" << found["scale"].as<double>() << ": " << last - first + 1 << " seeds, " << failed << " failed; sent " << sum.sent << ", good " << sum.good << ", refused " << sum.refused << ", apologies " << sum.apologies << ", broken "
+            << sum.broken << ", retries " << sum.retries << ", taken up " << sum.resumed << ", misdirected " << sum.misdirected << ", turned away " << sum.turned_away << ", met an ill worker " << sum.met_ill << ", troubles " << sum.troubles
+            << "; at worst of their bounds: retries " << sum.worst_retries << ", cold " << sum.worst_cold << ", drain " << sum.worst_drain / 1000 << " ms, part of a pool at rest " << sum.worst_resting << "\n";
+  return code;
+}
 }  // namespace
 
 int main(int count, char** values) {
@@ -200,6 +257,9 @@
     for (std::string const& name : almanac::field_scenarios()) {
       std::cout << name << "\n";
     }
+    for (std::string const& name : almanac::relay_scenarios()) {
+      std::cout << name << "\n";
+    }
     return 0;
   }
   std::uint64_t first = 0;
@@ -214,6 +274,14 @@
   std::vector<std::string> const names = wanted == "all" ? almanac::control_scenarios() : std::vector<std::string>{wanted};
   int code = 0;
   for (std::string const& name : names) {
+    if (name.rfind("relay-", 0) == 0) {
+      int const outcome = run_relay_scenario(name, first, last, found);
+      if (outcome == loam::exit_usage) {
+        return outcome;
+      }
+      code = std::max(code, outcome);
+      continue;
+    }
     if (name.rfind("field-", 0) == 0 || almanac::is_whole(name)) {
       int const outcome = run_field_scenario(name, first, last, found);
       if (outcome == loam::exit_usage) {
