--- a/source/furrow/relay/relay.cpp
+++ b/source/furrow/relay/relay.cpp
@@ -29,6 +29,12 @@
 
 double draw() { return static_cast<double>(loam::random_number() % 1000000) / 1e6; }
 
+/// Some servers take "_" in a field's name for "-".
+char folded(char letter) { return letter == '_' ? '-' : static_cast<char>(letter >= 'A' && letter <= 'Z' ? letter - 'A' + 'a' : letter); }
+bool same_name(std::string_view one, std::string_view other) {
+  return std::equal(one.begin(), one.end(), other.begin(), other.end(), [](char left, char right) { return folded(left) == folded(right); });
+}
+
 /// Headers that concern one connection only are not passed on.
 bool of_connection(std::string_view name) {
   static constexpr std::string_view names[] = {"connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade", "expect", "content-length"};
@@ -46,7 +52,7 @@
     std::string_view const name(field.name_string().data(), field.name_string().size());
     bool left_out = of_connection(name);
     for (std::string_view const entry : replaced) {
-      left_out = left_out || boost::beast::iequals({name.data(), name.size()}, {entry.data(), entry.size()});
+      left_out = left_out || same_name(name, entry);
     }
     if (!left_out && !connection.empty()) {
       left_out = http::token_list(connection).exists(field.name_string());
@@ -91,7 +97,7 @@
 
   /// False: the caller's connection is of no more use.
   bool run() {
-    if (!tenant_fault_.empty()) {  // a trailer, or a charter since the header was read, says otherwise
+    if (!tenant_fault_.empty()) {  // a charter since the header was read says otherwise
       answer("400 Bad Request", tenant_fault_, false);
       return keep_;
     }
@@ -109,6 +115,9 @@
         feed(tilth::CallerGone{});
       } else if (loam::boot_now() >= deadline_) {
         feed(tilth::DeadlinePassed{});
+      } else if (back_) {
+        back_ = false;
+        go_back();
       } else if (place_next_) {
         place_next_ = false;
         dispatch();
@@ -157,7 +166,7 @@
     if (tenant != nullptr && !tilth::join_homes(lane_.home_regions, tenant->home_regions, homes_)) {
       tenant_fault_ = "no_home";
     }
-    prompt_ = tilth::Prompt{reading.name, std::string(view(query_.header[dialect.model])), tilth::named_parts(view(query_.header[dialect.parts])), lane_.tenancy->public_parts};
+    prompt_ = tilth::Prompt{reading.name, model_of(query_.header, dialect.model), tilth::named_parts(view(query_.header[dialect.parts])), lane_.tenancy->public_parts, tilth::realm_of(*lane_.tenancy, lane_.name)};
     wanted_.parts = station_.walls().place(*prompt_);
   }
 
@@ -168,7 +177,7 @@
       return;
     }
     Dialect const& dialect = station_.dialect();
-    tilth::WallAnswer answer{spot_.worker, std::string(view(got[dialect.weights])), std::nullopt};
+    tilth::WallAnswer answer{spot_.worker, std::string(view(got[dialect.weights])), std::nullopt, ran};
     if (ran && !got[dialect.reused].empty()) {
       answer.reused = static_cast<double>(natural(view(got[dialect.reused]), 0));
     }
@@ -179,6 +188,9 @@
         station_.grove().gave_up(gave_up->worker, wanted_.parts, gave_up->tokens);
       } else if (tilth::Crossed const* const crossed = std::get_if<tilth::Crossed>(&action)) {
         loam::note(loam::Event::WallCrossed, crossed->worker + " " + std::to_string(static_cast<std::uint64_t>(crossed->tokens)) + " " + id_);
+      } else if (tilth::RanOtherWeights const* const other = std::get_if<tilth::RanOtherWeights>(&action)) {
+        loam::note(loam::Event::OtherWeightsRan, other->worker + " for " + other->expected + " " + id_);
+        station_.grove().forget_walled(other->worker);
       }
     }
     if (ran) {
@@ -272,7 +284,15 @@
       reserved_ = station_.rights(service_).take();
       // Slow, not dark, if anything came from it since: no reason for it to rest.
       slow_ = station_.grove().heard_at(spot_.worker) >= silent_since_;
-      cut();
+      if (worker_ != nullptr && std::holds_alternative<tilth::Streaming>(chart_.state())) {
+        // Part of its stream is with the caller: it is only set aside until
+        // another one goes on, since that one may refuse.
+        setting_aside_ = true;
+        error_code ignored;
+        worker_->cancel(ignored);
+      } else {
+        cut();
+      }
     } else {
       wanted_.avoid.pop_back();
       alarm_->set(deadline_);
@@ -377,6 +397,11 @@
       decided.stream = next.stream;
       deadline_ = std::min(deadline_, query_.arrived + loam::milliseconds(static_cast<std::int64_t>(lane_.deadline_ms)));
     }
+    if (aside_ != nullptr && (decided.standing != tilth::Standing::serve || !decided.repeatable || !decided.resumable)) {
+      later_ = decided;  // it may run nowhere else any more, but finish where it runs
+      back_ = true;
+      return;
+    }
     feed(decided);
   }
 
@@ -387,7 +412,7 @@
     loam::Moment const until = std::max(query_.arrived + hold, loam::boot_now() + again);
     while (true) {
       follow();
-      if (chart_.settled() || gone_) {
+      if (chart_.settled() || gone_ || back_) {
         return false;
       }
       wanted_.shares = lane_.shares;
@@ -402,7 +427,7 @@
         return true;
       }
       if (now >= until || now >= deadline_) {
-        feed(tilth::NoRoom{});
+        feed_or_return(tilth::NoRoom{});
         return false;
       }
       asio::steady_timer timer(station_.context(), loam::duration(constants::place_pause));
@@ -434,24 +459,41 @@
         if (connects_ < constants::connects_most) {
           feed(tilth::Withdrawn{});
         } else {
-          feed(tilth::ConnectDefect{});
+          feed_or_return(tilth::ConnectDefect{});
         }
       }
       return;
     }
     std::shared_ptr<tilth::LaneBook const> const before = book_;
     follow();
-    if (chart_.settled() || !station_.grove().usable(spot_.worker) || (book_ != before && !still_named())) {
+    if (chart_.settled() || back_ || !station_.grove().usable(spot_.worker) || (book_ != before && !still_named())) {
       station_.grove().ended(spot_, false, tilth::Outcome::abandoned, loam::boot_now());
       keep_worker(constants::worker_idle);
-      feed(tilth::Withdrawn{});
+      if (!back_) {
+        feed(tilth::Withdrawn{});
+      }
       return;
     }
     feed(tilth::Connected{});
     ++station_.tally().dispatches;
+    reading_ = std::make_shared<Reading>();
     outcome = talk();
-    worker_.reset();
     station_.grove().ended(spot_, first_seen_, gone_ || slow_ ? tilth::Outcome::abandoned : outcome, loam::boot_now());
+    after_talk();
+  }
+
+  /// A dispatch is over, or was set aside: the chart hears how.
+  void after_talk() {
+    bool const set_aside = setting_aside_ && after_.has_value() && worker_ != nullptr && worker_->is_open();
+    setting_aside_ = false;
+    if (set_aside) {
+      aside_ = reading_;
+      aside_->spot = spot_;
+      aside_->walled = walled_;
+      aside_->socket = std::move(worker_);
+    }
+    reading_.reset();
+    worker_.reset();
     slow_ = false;
     wanted_.avoid.push_back(spot_.worker);
     if (after_.has_value()) {
@@ -468,11 +510,45 @@
       }
       if (!gone_) {
         follow();
-        feed(message);
+        if (set_aside && !back_) {
+          feed(message);
+        } else if (!back_) {
+          feed_or_return(message);
+        }
       }
     }
   }
 
+  /// While a worker is set aside, what would end the query leads back to it.
+  void feed_or_return(tilth::QueryMessage const& message) {
+    if (aside_ != nullptr) {
+      back_ = true;
+    } else {
+      feed(message);
+    }
+  }
+
+  /// No other one goes on with the stream: the silent one may take its time.
+  void go_back() {
+    reading_ = std::move(aside_);
+    aside_.reset();
+    worker_ = std::move(reading_->socket);
+    spot_ = reading_->spot;
+    walled_ = reading_->walled;
+    whole_.clear();
+    whole_body_.clear();
+    place_next_ = false;
+    reserved_ = false;
+    feed(tilth::Returned{spot_.worker});
+    if (later_.has_value()) {
+      feed(*later_);
+      later_.reset();
+    }
+    alarm_->set(silence_due(lane_.gap_set_point_ms > 0 ? lane_.gap_set_point_ms : 2 * lane_.set_point_ms, loam::boot_now()));
+    (void)read_events(*reading_);  // the grove has counted its end already
+    after_talk();
+  }
+
   [[nodiscard]] bool still_named() const {
     for (schema::Share const& share : lane_.shares) {
       if (share.weight > 0 && station_.grove().serves(spot_.worker, share.service)) {
@@ -506,8 +582,10 @@
     ++station_.tally().connects;
     connecting_ = true;
     alarm_->set(std::min(deadline_, loam::boot_now() + (spot_.near ? constants::relay_connect_near : constants::relay_connect_deadline)));
-    error_code error;
-    worker_->async_connect(*endpoint, yield_[error]);
+    error_code error = loam::open_own(*worker_, *endpoint);
+    if (!error) {
+      worker_->async_connect(*endpoint, yield_[error]);
+    }
     connecting_ = false;
     if (error || !worker_->is_open() || gone_) {
       worker_.reset();
@@ -561,6 +639,20 @@
 
   using Parser = http::response_parser<http::buffer_body>;
 
+  /// A worker's answer as far as it was read; of one set aside, its connection, too.
+  struct Reading {
+    boost::beast::flat_buffer buffer;
+    Parser parser;
+    EventCutter cutter;
+    tilth::Sighting sighting;
+    loam::Moment sent = 0;
+    bool first = true;
+    bool resumed = false;
+    tilth::Spot spot;
+    tilth::Walled walled;
+    std::unique_ptr<Socket> socket;
+  };
+
   /// The next bytes of the answer; false: cut, silent or no answer at all.
   bool read_some(boost::beast::flat_buffer& buffer, Parser& parser, std::string& bytes) {
     bytes.resize(constants::piece_bytes);
@@ -589,8 +681,8 @@
     std::array<asio::const_buffer, 2> const pieces{asio::buffer(text), asio::buffer(query_.body)};
     asio::async_write(*worker_, pieces, yield_[error]);
     // Even when writing failed the worker may have answered already.
-    boost::beast::flat_buffer buffer;
-    Parser parser;
+    boost::beast::flat_buffer& buffer = reading_->buffer;
+    Parser& parser = reading_->parser;
     parser.header_limit(constants::answer_header_limit);
     parser.body_limit(boost::none);
     parser.skip(bare_);
@@ -626,7 +718,8 @@
     }
     hear_wall(got, success);
     if (success && !bare_ && got[http::field::content_type].starts_with("text/event-stream")) {
-      return talk_events(buffer, parser, sent);
+      reading_->sent = sent;
+      return talk_events(*reading_);
     }
     return talk_whole(buffer, parser, status);
   }
@@ -673,7 +766,9 @@
   /// The worker's head for the caller, without what concerns its connection.
   [[nodiscard]] std::string answer_head(Parser const& parser) const {
     std::string text = "HTTP/1.1 " + std::to_string(parser.get().result_int()) + " " + std::string(view(parser.get().reason())) + "\r\n";
-    copy_fields(parser.get(), std::string(view(parser.get()[http::field::connection])), {}, text);
+    // The ids that parts went out under stay between us and the workers.
+    std::vector<std::string_view> const left_out = prompt_.has_value() ? std::vector<std::string_view>{station_.dialect().parts, station_.dialect().expected} : std::vector<std::string_view>();
+    copy_fields(parser.get(), std::string(view(parser.get()[http::field::connection])), left_out, text);
     return text;
   }
 
@@ -707,27 +802,32 @@
     return status >= 500 ? tilth::Outcome::defect : tilth::Outcome::good;
   }
 
-  tilth::Outcome talk_events(boost::beast::flat_buffer& buffer, Parser& parser, loam::Moment sent) {
-    EventCutter cutter;
+  tilth::Outcome talk_events(Reading& reading) {
+    reading.sighting.sent = reading.sent;
+    reading.resumed = chart_.last_event() > 0;
+    station_.tally().resumed += reading.resumed ? 1 : 0;
+    numbering_.begin_run();
+    return read_events(reading);
+  }
+
+  tilth::Outcome read_events(Reading& reading) {
+    Parser& parser = reading.parser;
+    tilth::Sighting& sighting = reading.sighting;
+    loam::Moment const sent = reading.sent;
     std::string bytes;
-    tilth::Sighting sighting;
-    sighting.sent = sent;
-    bool const resumed = chart_.last_event() > 0;
-    station_.tally().resumed += resumed ? 1 : 0;
-    bool first = true;
     bool ended = false;
-    numbering_.begin_run();
     while (!parser.is_done()) {
-      if (!read_some(buffer, parser, bytes)) {
+      if (!read_some(reading.buffer, parser, bytes)) {
         after_ = tilth::WorkerDefect{"cut_stream"};
         return tilth::Outcome::defect;
       }
-      EventCutter::Whole const whole = cutter.feed(bytes, numbering_);
+      setting_aside_ = false;  // bytes were there first
+      EventCutter::Whole const whole = reading.cutter.feed(bytes, numbering_);
       if (whole.gap) {  // nothing of it was passed on: another may do better
         after_ = tilth::WorkerDefect{"gap"};
         return tilth::Outcome::defect;
       }
-      if (parser.is_done() && !cutter.rest().empty()) {
+      if (parser.is_done() && !reading.cutter.rest().empty()) {
         after_ = tilth::WorkerDefect{"cut_event"};
         return tilth::Outcome::defect;
       }
@@ -740,9 +840,10 @@
       if (first_at_ == 0) {
         first_at_ = now;
       }
-      if (first) {
-        first = false;
+      if (reading.first) {
+        reading.first = false;
         first_seen_ = true;
+        aside_.reset();  // this one goes on
         station_.grove().first_token(spot_, kept_parts(), static_cast<double>(now - sent) / 1e6);
       }
       alarm_->set(silence_due(lane_.gap_set_point_ms > 0 ? lane_.gap_set_point_ms : 2 * lane_.set_point_ms, now));
@@ -773,8 +874,8 @@
       (void)write("0\r\n\r\n");
     }
     feed(tilth::Whole{});
-    after_answer(buffer, parser);
-    if (!resumed) {
+    after_answer(reading.buffer, parser);
+    if (!reading.resumed) {
       station_.saw(std::move(sighting), spot_, wanted_);
     }
     return tilth::Outcome::good;
@@ -799,6 +900,9 @@
   std::string service_;
   std::shared_ptr<Alarm> alarm_;
   std::unique_ptr<Socket> worker_;
+  std::shared_ptr<Reading> reading_;       ///< of the dispatch under way
+  std::shared_ptr<Reading> aside_;         ///< given up for its silence; goes on if no other does
+  std::optional<tilth::Decided> later_;    ///< told to the chart once it is back there
   asio::steady_timer* seat_ = nullptr;
   std::optional<tilth::QueryMessage> after_;
   std::string whole_;
@@ -809,6 +913,8 @@
   int connects_ = 0;
   loam::Moment first_at_ = 0;
   std::string trail_;       ///< workers it was placed on: when, predicted
+  bool setting_aside_ = false;
+  bool back_ = false;       ///< to the one set aside
   bool slow_ = false;       ///< given up for its slowness
   bool reserved_ = false;   ///< the right to its next dispatch is taken already
   bool connecting_ = false;
@@ -926,6 +1032,11 @@
     if (parser.get()[http::field::expect] == "100-continue") {
       asio::async_write(*socket, asio::buffer(std::string("HTTP/1.1 100 Continue\r\n\r\n")), yield[error]);
     }
+    // What comes behind a body names no tenant and no prompt.
+    std::optional<http::request_header<>> before_body;
+    if (parser.chunked()) {
+      before_body = parser.get().base();
+    }
     if (!patience->out) {
       http::async_read(*socket, buffer, parser, yield[error]);
     }
@@ -943,7 +1054,7 @@
     query.had_length = parser.content_length().has_value() || parser.chunked();
     query.keep = parser.get().keep_alive();
     query.body = std::move(parser.get().body());
-    query.header = std::move(parser.get().base());
+    query.header = before_body.has_value() ? std::move(*before_body) : std::move(parser.get().base());
     patience->close = true;
     alarm->set(loam::boot_now() + loam::seconds(3600));
     // Right after a start the charter comes within a moment (section 13.8): the
