Furrows that are cut off still count among those that share a bound

Cause: the cold bound and the rights to retry are divided by the members that trellises tell. A furrow cut off from them goes on serving with its old part while the rest divide by fewer, so that the sum is above the bound. Ruled out: late sends (each furrow kept its own part).

--- a/source/furrow/relay/station.cpp
+++ b/source/furrow/relay/station.cpp
@@ -145,7 +145,7 @@
 
 tilth::Rights& Station::rights(std::string const& service) {
   tilth::Rights& rights = rights_[service];
-  rights.bound(settings_.bounds.retry_ratio, settings_.bounds.retry_slack, static_cast<double>(std::max<std::size_t>(1, members_.size())));
+  rights.bound(settings_.bounds.retry_ratio, settings_.bounds.retry_slack, static_cast<double>(std::max<std::size_t>(1, census_.furrows(loam::boot_now()).size())));
   return rights;
 }
 
@@ -346,6 +346,11 @@
   if (answer.vouched && !answer.members_same) {
     members_ = answer.members;
     members_digest_ = answer.members_digest;
+    std::vector<std::string> names;
+    for (schema::Member const& member : members_) {
+      names.push_back(member.name);
+    }
+    census_.told(names, loam::boot_now());
     changed = true;
   }
   if (answer.list_age >= 0) {
@@ -476,9 +481,7 @@
   terms.cold_overshoot = settings_.bounds.cold_overshoot;
   terms.cold_slack = settings_.bounds.cold_slack;
   terms.keep_long_apart = constants::keep_long_apart;
-  for (schema::Member const& member : members_) {
-    terms.furrows.push_back(member.name);
-  }
+  terms.furrows = census_.furrows(loam::boot_now());
   if (terms.furrows.empty()) {
     terms.furrows.push_back(settings_.name);
   }
--- a/source/furrow/relay/station.hpp
+++ b/source/furrow/relay/station.hpp
@@ -20,6 +20,7 @@
 #include "loam/relay_constants.hpp"
 #include "orchard/charter/charter.hpp"
 #include "schema/settings.hpp"
+#include "tilth/census/census.hpp"
 #include "tilth/grove/grove.hpp"
 #include "tilth/lanes/lanes.hpp"
 #include "tilth/observe/observer.hpp"
@@ -138,6 +139,7 @@
   loam::Moment list_as_of_ = 0;
   std::uint64_t members_digest_ = 0;
   std::vector<schema::Member> members_;
+  tilth::Census census_;
   std::map<std::string, loam::Moment> cold_until_;
   std::vector<std::string> trellises_;
   loam::Moment heard_at_ = 0;
--- a/source/loam/relay_constants.hpp
+++ b/source/loam/relay_constants.hpp
@@ -13,6 +13,9 @@
 inline constexpr double rights_slack_part = 0.6;
 inline constexpr double cold_part = 0.6;
 inline constexpr double connection_part = 0.8;
+/// A furrow that is no member any more counts among those that share a bound
+/// this long: it may be cut off only, and cuts last up to some ten seconds.
+inline constexpr Span census_memory = seconds(20);
 /// Window over which queries to a cold worker are counted, a little over the
 /// second that the bound names, since they arrive later than they are sent.
 inline constexpr Span cold_window = milliseconds(1300);
