A colleague that failed is asked again while another holds its answer

Cause, one of three: the one trellis that is up first is not sure yet and holds the ask for 0.7 s; the two others, which failed, were not asked again till then. Gather makes a failed call again after a pause while another is under way, and ends when all have failed, so that the asker turns to others.

Tests: Gather.*, Station.ATrellisThatComesUpIsAskedWhileAnotherHoldsItsAnswer.

--- a/source/furrow/relay/station.cpp
+++ b/source/furrow/relay/station.cpp
@@ -234,7 +234,7 @@
       }
       turn += 1;
       loam::Gather::run(
-          context_, caller_, calls, std::min(patience, constants::lost_patience),
+          context_, caller_, calls, std::min(patience, lost_patience),
           [&](std::size_t index, absl::StatusOr<schema::Message> const& answer) {
             schema::NewsAnswer const* const news = answer.ok() ? std::get_if<schema::NewsAnswer>(&*answer) : nullptr;
             if (news == nullptr) {
@@ -248,7 +248,7 @@
             heard_from(*news);
             return true;
           },
-          yield);
+          yield, constants::ask_retry);
     } else {
       std::string const address = trellises_[turn % trellises_.size()];
       absl::StatusOr<schema::Message> const answer = caller_.call(address, ask, patience, yield);
--- a/source/furrow/relay/station.hpp
+++ b/source/furrow/relay/station.hpp
@@ -95,6 +95,7 @@
 
   /// How long a query waits for the first charter.
   loam::Span charter_hold = loam::constants::charter_hold;
+  loam::Span lost_patience = loam::constants::lost_patience;
   void opened() { ++open_; }
   void closed() { --open_; }
   [[nodiscard]] std::string directory(std::string const& hall, std::string const& region);
--- a/source/loam/net/net.cpp
+++ b/source/loam/net/net.cpp
@@ -340,20 +340,25 @@
 }  // namespace
 
 void Gather::run(asio::io_context& context, Caller& caller, std::vector<std::pair<std::string, schema::Message>> const& calls,
-                 Span deadline, Handler const& handler, Yield yield) {
+                 Span deadline, Handler const& handler, Yield yield, Span again) {
   std::shared_ptr<Inbox> const inbox = std::make_shared<Inbox>(yield.get_executor());
   Moment const until = boot_now() + deadline;
   asio::any_io_executor const executor = yield.get_executor();
-  for (std::size_t index = 0; index < calls.size(); ++index) {
-    start(context, [&caller, inbox, index, call = calls[index], deadline, executor](Yield inner) {
-      absl::StatusOr<schema::Message> answer = caller.call(call.first, call.second, deadline, inner);
+  std::function<void(std::size_t, Span)> const make = [&context, &caller, &calls, inbox, executor](std::size_t index, Span patience) {
+    start(context, [&caller, inbox, index, call = calls[index], patience, executor](Yield inner) {
+      absl::StatusOr<schema::Message> answer = caller.call(call.first, call.second, patience, inner);
       {
         std::lock_guard<std::mutex> const guard(inbox->lock);
         inbox->answers.emplace_back(index, std::move(answer));
       }
       asio::post(executor, [inbox] { inbox->timer.cancel(); });
     });
+  };
+  for (std::size_t index = 0; index < calls.size(); ++index) {
+    make(index, deadline);
   }
+  std::size_t in_flight = calls.size();
+  std::deque<std::pair<Moment, std::size_t>> repeats;
   std::size_t answered = 0;
   while (answered < calls.size()) {
     std::deque<std::pair<std::size_t, absl::StatusOr<schema::Message>>> ready;
@@ -362,6 +367,12 @@
       ready.swap(inbox->answers);
     }
     for (std::pair<std::size_t, absl::StatusOr<schema::Message>> const& entry : ready) {
+      --in_flight;
+      Moment const repeat = boot_now() + again;
+      if (!entry.second.ok() && again > 0 && in_flight > 0 && repeat < until) {
+        repeats.emplace_back(repeat, entry.first);
+        continue;
+      }
       ++answered;
       if (handler(entry.first, entry.second)) {
         return;
@@ -374,7 +385,12 @@
     if (now >= until) {
       return;
     }
-    inbox->timer.expires_after(duration(until - now));
+    while (!repeats.empty() && repeats.front().first <= now) {
+      make(repeats.front().second, until - now);
+      ++in_flight;
+      repeats.pop_front();
+    }
+    inbox->timer.expires_after(duration((repeats.empty() ? until : repeats.front().first) - now));
     // An answer may have come between the look and the setting of the timer;
     // its cancel then is posted behind us on this strand and wakes the wait.
     error_code error;
--- a/source/loam/net/net.hpp
+++ b/source/loam/net/net.hpp
@@ -77,11 +77,14 @@
 
 /// Runs calls to many at once and hands each answer over, in the caller's
 /// strand, as it comes; returns when `done` says so, all answered or time is up.
+/// With a pause in `again`, a call that failed is made again after it while
+/// another is under way: who was down may be up before who is silent answers.
 class Gather {
  public:
   using Handler = std::function<bool(std::size_t index, absl::StatusOr<schema::Message> const& answer)>;
   static void run(boost::asio::io_context& context, Caller& caller,
-                  std::vector<std::pair<std::string, schema::Message>> const& calls, Span deadline, Handler const& handler, Yield yield);
+                  std::vector<std::pair<std::string, schema::Message>> const& calls, Span deadline, Handler const& handler, Yield yield,
+                  Span again = 0);
 };
 
 }  // namespace finchlink::loam
--- a/source/tests/relay/fleet.hpp
+++ b/source/tests/relay/fleet.hpp
@@ -366,6 +366,7 @@
   std::uint64_t members_digest = 1;
   std::map<std::string, schema::NamedValue> news;
   bool silent = false;        ///< the trellis says nothing
+  std::size_t unanswered = 0;  // asks that the trellis ends unanswered first
   bool vouched = true;
   std::uint64_t asks = 0;
   std::vector<schema::Member> told;  ///< what the relay said of itself
@@ -377,7 +378,7 @@
  private:
   std::optional<schema::Message> answer(schema::Message const& message, loam::Yield) {
     schema::NewsAsk const* const ask = std::get_if<schema::NewsAsk>(&message);
-    if (ask == nullptr || silent) {
+    if (ask == nullptr || silent || (unanswered > 0 && unanswered-- > 0)) {
       return std::nullopt;
     }
     ++asks;
--- a/source/tests/relay/station_test.cpp
+++ b/source/tests/relay/station_test.cpp
@@ -50,6 +50,27 @@
   EXPECT_EQ(status_of(fleet.answer_on(caller)), 200u);
 }
 
+TEST(Station, ATrellisThatComesUpIsAskedWhileAnotherHoldsItsAnswer) {
+  loam::Bell never;
+  std::size_t held = 0;
+  Fleet fleet;
+  fleet.worker("w1");
+  fleet.publish_charter(1);
+  std::string const holding = fleet.next_address();
+  fleet.settings.seeds = {holding, fleet.trellis_address};
+  fleet.settings.bounds.ask_deadline_ms = 600000;
+  ASSERT_TRUE(loam::serve_frames(*fleet.context, holding, 8, [&](schema::Message const&, loam::Yield yield) -> std::optional<schema::Message> {
+                ++held;
+                never.wait(never.count(), loam::seconds(600), yield);
+                return std::nullopt;
+              }).ok());
+  fleet.unanswered = 4;
+  fleet.begin(false);
+  fleet.station->lost_patience = loam::seconds(600);
+  EXPECT_TRUE(fleet.until([&] { return fleet.station->ready(); }, 30000));
+  EXPECT_EQ(held, 1u);
+}
+
 TEST(Station, AnOlderCharterIsNeverAdopted) {
   Fleet fleet;
   Worker& worker = fleet.worker("w1");
