A furrow that holds nothing has the next read begun at once

Cause, the second of three: a trellis that is sure reads again only after 0.4 s on the platform, and a vouch needs a read begun after the ask. A furrow that has just started serves nobody until then. The desk says so (DeskVerdict::hurry: holds nothing, there is news, no sure read yet).

Ruled out: shorter pauses for all (bytes between regions on every quiet second).

Tests: Desk.*.

--- a/source/hedge/desk/desk.cpp
+++ b/source/hedge/desk/desk.cpp
@@ -16,6 +16,7 @@
   }
   loam::Span const waited = now - arrival;
   bool const news = other_news || !answer.news.empty();
+  verdict.hurry = !vouched && ask.member.held.empty() && !answer.news.empty();
   if ((vouched && (news || waited >= bounds.hold)) || (!vouched && waited >= bounds.patience)) {
     verdict.answer = answer;
   } else {
--- a/source/hedge/desk/desk.hpp
+++ b/source/hedge/desk/desk.hpp
@@ -25,6 +25,9 @@
 struct DeskVerdict {
   std::optional<schema::NewsAnswer> answer;
   loam::Span wait = 0;
+  /// The asker holds nothing, so it can serve nobody, and there is news for it:
+  /// only a read begun now is missing, and it isn't left for the next turn.
+  bool hurry = false;
 };
 [[nodiscard]] DeskVerdict judge_ask(schema::NewsAsk const& ask, loam::Moment arrival, loam::Moment confirmed_from,
                                     std::map<std::string, schema::Value> const& values, bool other_news, loam::Moment now,
