--- a/source/loam/net/net.cpp
+++ b/source/loam/net/net.cpp
@@ -13,6 +13,7 @@
 #include "loam/error/error.hpp"
 #include "loam/log/log.hpp"
 #include "loam/net/traffic.hpp"
+#include "loam/relay_constants.hpp"
 #include "loam/wire/frame.hpp"
 
 namespace finchlink::loam {
@@ -235,7 +236,10 @@
   // All our messages may be said twice, so a kept connection that turned out
   // closed is replaced once while time is left.
   if (!answer.ok() && boot_now() < until) {
-    absl::StatusOr<std::unique_ptr<Stream>> fresh = connect(context_, address, until - boot_now(), yield, true);
+    // An opening packet that found nobody is sent again only after a second:
+    // whoever may ask again must hear of it before.
+    Span const patience = std::min(until - boot_now(), constants::relay_connect_deadline);
+    absl::StatusOr<std::unique_ptr<Stream>> fresh = connect(context_, address, patience, yield, true);
     if (!fresh.ok()) {
       return fresh.status();
     }
--- a/source/tests/loam/gather_test.cpp
+++ b/source/tests/loam/gather_test.cpp
@@ -77,6 +77,28 @@
   EXPECT_EQ(pair.asked_rising, 1u);
 }
 
+TEST(Caller, AConnectionThatNobodyTakesIsGivenUp) {
+  boost::asio::io_context context;
+  Caller caller(context);
+  std::string const address = own_ip() + ":20003";
+  boost::asio::ip::tcp::endpoint const endpoint(boost::asio::ip::make_address(own_ip()), 20003);
+  boost::asio::ip::tcp::acceptor acceptor(context);
+  acceptor.open(endpoint.protocol());
+  acceptor.set_option(boost::asio::socket_base::reuse_address(true));
+  acceptor.bind(endpoint);
+  acceptor.listen(0);  // holds one connection; opening packets beyond are dropped
+  boost::asio::ip::tcp::socket first(context);
+  first.connect(endpoint);
+  std::optional<bool> answered;
+  start(context, [&](Yield yield) {
+    // Without a bound of its own the call would last as long as it may.
+    answered = caller.call(address, schema::Read{}, seconds(600), yield).ok();
+    context.stop();
+  });
+  context.run();
+  EXPECT_EQ(answered, std::optional<bool>(false));
+}
+
 TEST(Gather, WhenAllFailItEnds) {
   boost::asio::io_context context;
   Caller caller(context);
