What goes anywhere is owned once, in regions that no lane calls home

Cause: long prompts without a home were owned once in every region. In the region that other lanes call home their reading held up those lanes' streams, and each shared part was read twice; owners that furrows together had crowded kept their queries for seconds, since a second reading was priced at ten times its time. Owners without levelling leave crowded ones (design 13.12).

--- a/source/furrow/relay/station.cpp
+++ b/source/furrow/relay/station.cpp
@@ -481,6 +481,7 @@
   }
   if (terms.furrows.empty()) {
     terms.furrows.push_back(settings_.name);
+  terms.claims = book_->claims();
   }
   grove_.update(stands, terms, loam::boot_now());
   walls_.keep_only([&listed](std::string const& worker) { return listed.count(worker) > 0; });
--- a/source/loam/relay_constants.hpp
+++ b/source/loam/relay_constants.hpp
@@ -20,6 +20,12 @@
 inline constexpr Span cold_suspect = milliseconds(3000);
 /// Part of a worker's memory that the record counts on: running queries take the rest.
 inline constexpr double reuse_part = 0.8;
+/// Part of a service's workers that stand in regions which no lane calls home,
+/// from which on they own what may be served anywhere: fewer would be crowded.
+inline constexpr double free_least = 0.3;
+/// Only beginnings whose second reading costs this many times the way there: the
+/// way is paid each time, the reading once.
+inline constexpr double roaming_worth = 2;
 /// Beginnings of at least this many tokens have an owner and teach the pace.
 inline constexpr double owned_tokens = 1000;
 /// Kept apart by each furrow's own estimate: off, since owners that change with
@@ -76,7 +82,7 @@
 inline constexpr Span overdue_slack = milliseconds(100);
 /// Cost in seconds of reading one shared token anew: far above its time, since
 /// it takes memory from what others share and is paid for.
-inline constexpr double reread_cost = 0.0002;
+inline constexpr double reread_cost = 0.0001;
 /// Service time taken for a worker that generates no text, in seconds.
 inline constexpr double plain_seconds = 0.08;
 /// A worker that refused is left alone this long.
--- a/source/tests/tilth/grove_test.cpp
+++ b/source/tests/tilth/grove_test.cpp
@@ -407,6 +407,70 @@
   EXPECT_GE(owners.size(), 4u);
 }
 
+// Section 13.12: a lane has its home in "dublin", so what may be served
+// anywhere is owned in "cork".
+std::vector<Stand> two_regions(std::size_t far_workers) {
+  std::vector<Stand> stands = several(6, "pool");
+  for (Stand& entry : several(far_workers, "pool", "far")) {
+    stands.push_back(entry);
+  }
+  return stands;
+}
+
+GroveTerms claimed_terms(std::string const& region) {
+  GroveTerms own = terms();
+  own.claims["pool"] = {"dublin"};
+  own.region = region;
+  own.hall = region == "cork" ? "far" : "north";
+  return own;
+}
+
+TEST(Grove, WhatMayBeServedAnywhereIsOwnedWhereNoLaneHasItsHome) {
+  std::set<std::string> owners;
+  for (std::uint64_t beginning = 1; beginning <= 20; ++beginning) {
+    std::set<std::string> named;
+    for (std::string const region : {"dublin", "cork"}) {
+      Grove grove;
+      grove.update(two_regions(4), claimed_terms(region), start);
+      named.insert(place(grove, long_prompt(beginning), start));
+    }
+    EXPECT_EQ(named.size(), 1u) << beginning;  // one owner for both regions
+    EXPECT_EQ(named.begin()->rfind("far-", 0), 0u);
+    owners.insert(*named.begin());
+  }
+  EXPECT_GE(owners.size(), 3u);
+}
+
+TEST(Grove, AQueryWithAHomeAndAShortBeginningStayInTheirRegion) {
+  Grove grove;
+  grove.update(two_regions(4), claimed_terms("dublin"), start);
+  Wanted at_home = long_prompt(3);
+  at_home.homes = {"dublin"};
+  EXPECT_EQ(place(grove, at_home, start).rfind("north-", 0), 0u);
+  Wanted brief = wanted("pool", 2500);
+  brief.parts = {Part{5, 1500}, Part{5001, 1000}};  // a second reading is cheaper than the way
+  EXPECT_EQ(place(grove, brief, start).rfind("north-", 0), 0u);
+}
+
+TEST(Grove, TooFewWorkersToSpareOrClaimsOnEveryRegionLeaveOwnersInEach) {
+  Grove few;
+  few.update(two_regions(2), claimed_terms("dublin"), start);  // 2 of 8
+  EXPECT_EQ(place(few, long_prompt(3), start).rfind("north-", 0), 0u);
+  Grove everywhere;
+  GroveTerms own = claimed_terms("dublin");
+  own.claims["pool"].insert("cork");
+  everywhere.update(two_regions(4), own, start);
+  EXPECT_EQ(place(everywhere, long_prompt(3), start).rfind("north-", 0), 0u);
+  // Evacuated workers are none to spare.
+  std::vector<Stand> stands = two_regions(4);
+  for (Stand& entry : stands) {
+    entry.evacuated = entry.hall == "far";
+  }
+  Grove evacuated;
+  evacuated.update(stands, claimed_terms("dublin"), start);
+  EXPECT_EQ(place(evacuated, long_prompt(3), start).rfind("north-", 0), 0u);
+}
+
 TEST(Grove, AnOwnersLossMovesOnlyItsOwnBeginnings) {
   std::vector<Stand> stands = several(6, "pool");
   std::map<std::uint64_t, std::string> before;
--- a/source/tests/tilth/lanes_test.cpp
+++ b/source/tests/tilth/lanes_test.cpp
@@ -51,6 +51,17 @@
   EXPECT_EQ(found(book, "host.example", "*"), "");
 }
 
+TEST(Lanes, RegionsThatAreSomeLanesHomeAreClaimedForItsServices) {
+  schema::Charter charter;
+  schema::Lane at_home = lane("at home", "a.example", "/x/");
+  at_home.home_regions = {"dublin"};
+  at_home.shares = {schema::Share{"pool", 1}, schema::Share{"old", 0}};
+  charter.lanes = {at_home, lane("anywhere", "b.example", "/")};
+  LaneBook const book(charter);
+  ASSERT_EQ(book.claims().size(), 1u);
+  EXPECT_EQ(book.claims().at("pool"), std::set<std::string>{"dublin"});
+}
+
 TEST(Lanes, ServicesAreFoundByName) {
   schema::Charter charter;
   schema::Service service;
--- a/source/tilth/grove/grove.cpp
+++ b/source/tilth/grove/grove.cpp
@@ -73,6 +73,26 @@
       place.second[index].second->ranks = place.second.size();
     }
   }
+  // Regions that no lane calls home have workers to spare for what may be
+  // served anywhere, if there are enough of them (section 13.12).
+  free_.clear();
+  std::map<std::string, std::pair<double, double>> spare;
+  for (std::pair<std::pair<std::string, std::string> const, std::vector<std::pair<std::uint64_t, Worker*>>> const& place : places) {
+    std::map<std::string, std::set<std::string>>::const_iterator const claimed = terms_.claims.find(place.first.first);
+    if (claimed == terms_.claims.end()) {
+      continue;
+    }
+    double const count = static_cast<double>(place.second.size());
+    spare[place.first.first].second += count;
+    if (claimed->second.count(place.first.second) == 0) {
+      spare[place.first.first].first += count;
+      free_[place.first.first].insert(place.first.second);
+    }
+  }
+  std::erase_if(free_, [&spare](std::pair<std::string const, std::set<std::string>> const& entry) {
+    std::pair<double, double> const& count = spare[entry.first];
+    return count.first < count.second * constants::free_least;
+  });
   // A split names who is fed what, as long as each phase has a worker that
   // takes queries (section 13.11).
   std::map<std::pair<std::string, std::string>, std::pair<bool, bool>> phases;
@@ -249,6 +269,13 @@
   return recent >= 2 && worker.heard_at < last - constants::alive_span;
 }
 
+std::set<std::string> const* Grove::free_regions(std::string const& service, Wanted const& wanted) const {
+  std::map<std::string, std::set<std::string>>::const_iterator const found = free_.find(service);
+  double const way = constants::other_region_cost + constants::other_region_seconds;
+  bool const roams = wanted.homes.empty() && shared_of(wanted.parts).tokens * constants::reread_cost >= constants::roaming_worth * way;
+  return roams && found != free_.end() ? &found->second : nullptr;
+}
+
 Grove::Worker const* Grove::best(std::string const& service, Wanted const& wanted, loam::Moment now, Price& price_found) const {
   std::map<std::string, std::vector<std::string>>::const_iterator const ids = by_service_.find(service);
   Worker const* found = nullptr;
@@ -259,6 +286,7 @@
   // furrows, whether it is open now or not (section 13.5).
   std::map<std::string_view, std::pair<std::uint64_t, Worker const*>> owners;
   std::uint64_t const key = shared_of(wanted.parts).key;
+  std::set<std::string> const* const free = free_regions(service, wanted);
   if (key != 0) {
     for (std::string const& id : ids->second) {
       Worker const& worker = workers_.at(id);
@@ -268,7 +296,10 @@
       if (kept_apart(worker) && (wanted.tokens >= constants::owned_tokens) != fed_long(worker, now) && worker.stand.phase != "both") {
         continue;  // an owner is one that is fed such prompts
       }
-      std::pair<std::uint64_t, Worker const*>& owner = owners[worker.stand.region];
+      if (free != nullptr && free->count(worker.stand.region) == 0) {
+        continue;
+      }
+      std::pair<std::uint64_t, Worker const*>& owner = owners[free == nullptr ? std::string_view(worker.stand.region) : std::string_view()];
       std::uint64_t const weight = mix(worker.hash, key);
       if (owner.second == nullptr || weight > owner.first) {
         owner = {weight, &worker};
@@ -280,7 +311,7 @@
     if (!open(worker, wanted, now)) {
       continue;
     }
-    std::map<std::string_view, std::pair<std::uint64_t, Worker const*>>::const_iterator const owner = owners.find(worker.stand.region);
+    std::map<std::string_view, std::pair<std::uint64_t, Worker const*>>::const_iterator const owner = owners.find(free == nullptr ? std::string_view(worker.stand.region) : std::string_view());
     Price const offer = price(worker, wanted, owner != owners.end() && owner->second.second == &worker, now);
     if (found == nullptr || offer.cost < price_found.cost) {
       found = &worker;
--- a/source/tilth/grove/grove.hpp
+++ b/source/tilth/grove/grove.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -69,6 +70,7 @@
   std::vector<std::string> furrows;  ///< members, this one included
   double cold_overshoot = 1;
   double cold_slack = 0;
+  std::map<std::string, std::set<std::string>> claims;  ///< by service: regions that some lane calls home (section 13.12)
   bool keep_long_apart = true;       ///< long prompts and the rest go to different workers (section 13.6)
 };
 
@@ -162,6 +164,8 @@
   [[nodiscard]] Price price(Worker const& worker, Wanted const& wanted, bool owner, loam::Moment now) const;
   [[nodiscard]] bool hall_dark(Worker const& worker, loam::Moment now) const;
   [[nodiscard]] bool kept_apart(Worker const& worker) const;
+  /// Regions of a service whose workers own what queries without a home share.
+  [[nodiscard]] std::set<std::string> const* free_regions(std::string const& service, Wanted const& wanted) const;
   [[nodiscard]] bool fed_long(Worker const& worker, loam::Moment now) const;
   [[nodiscard]] Worker const* best(std::string const& service, Wanted const& wanted, loam::Moment now, Price& price_found) const;
   static void settle_pending(Worker& worker, std::uint64_t ticket);
@@ -171,6 +175,7 @@
   GroveTerms terms_;
   std::map<std::string, Worker> workers_;
   std::map<std::string, std::vector<std::string>> by_service_;
+  std::map<std::string, std::set<std::string>> free_;  ///< by service: regions that no lane calls home
   /// Workers of a hall that could not be reached lately, none heard since.
   std::map<std::string, std::map<std::string, loam::Moment>> dark_;
   std::map<std::pair<std::string, std::string>, Demand> demand_;  ///< service, region
--- a/source/tilth/lanes/lanes.cpp
+++ b/source/tilth/lanes/lanes.cpp
@@ -17,6 +17,11 @@
     schema::Lane const& lane = charter_.lanes[index];
     by_place_[lowered(lane.host) + " " + lane.prefix] = index;
     walled_ = walled_ || lane.tenancy.has_value();
+    for (schema::Share const& share : lane.shares) {
+      if (share.weight > 0 && !lane.home_regions.empty()) {
+        claims_[share.service].insert(lane.home_regions.begin(), lane.home_regions.end());
+      }
+    }
   }
   for (std::size_t index = 0; index < charter_.services.size(); ++index) {
     by_service_[charter_.services[index].name] = index;
--- a/source/tilth/lanes/lanes.hpp
+++ b/source/tilth/lanes/lanes.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -10,6 +12,8 @@
 
 namespace finchlink::tilth {
 
+using Claims = std::map<std::string, std::set<std::string>>;
+
 /// A charter made ready for looking up lanes by host and longest prefix
 /// (section 13.1); never changed once made. Idle lanes cost memory only.
 class LaneBook {
@@ -25,6 +29,8 @@
   /// Does any lane have tenants? Where none has, nothing is paid for walls.
   [[nodiscard]] bool walled() const { return walled_; }
   [[nodiscard]] schema::Charter const& charter() const { return charter_; }
+  /// By service: regions that some lane calls home (section 13.12).
+  [[nodiscard]] Claims const& claims() const { return claims_; }
 
  private:
   schema::Charter charter_;
@@ -32,6 +38,7 @@
   tsl::robin_map<std::string, std::size_t> by_service_;
   tsl::robin_map<std::string, std::size_t> by_tenant_;
   bool walled_ = false;
+  Claims claims_;
 };
 
 }  // namespace finchlink::tilth
