A furrow that starts has its charter sooner, and its queries wait for charter and list

Cause: after all processes were killed, furrows without a trellis in their region had the charter 0.45 to 0.51 s after their start: the ask waited for the next majority read, 0.4 s off. Asks to a trellis without power waited 0.9 s.

--- a/source/furrow/relay/relay.cpp
+++ b/source/furrow/relay/relay.cpp
@@ -906,9 +906,9 @@
     query.header = std::move(parser.get().base());
     alarm->set(loam::boot_now() + loam::seconds(3600));
     std::string const named = station.dialect().query + ": " + std::string(view(query.header[station.dialect().query])) + "\r\n";
-    // Right after a start the charter comes within a moment (section 13.8): the
-    // query waits for it as it would for a place, then is refused.
-    while (station.book() == nullptr && loam::boot_now() - query.arrived < station.charter_hold) {
+    // Right after a start charter and list come within a moment (section 13.8):
+    // the query waits for them as it would for a place, then is refused.
+    while (!station.begun() && loam::boot_now() - query.arrived < station.charter_hold) {
       loam::pause(station.context(), constants::place_pause, yield);
     }
     std::shared_ptr<tilth::LaneBook const> const book = station.book();
--- a/source/furrow/relay/station.cpp
+++ b/source/furrow/relay/station.cpp
@@ -219,6 +219,7 @@
 void Station::ask_news(loam::Yield yield) {
   std::size_t turn = loam::random_number() % std::max<std::size_t>(1, trellises_.size());
   bool lost = true;  // no trellis answered the last ask
+  loam::Span blank_patience = constants::blank_patience;
   while (true) {
     loam::Moment const asked = loam::boot_now();
     bool const was_ready = ready();
@@ -233,8 +234,13 @@
         calls.emplace_back(trellises_[(turn + index) % trellises_.size()], ask);
       }
       turn += 1;
+      loam::Span bearable = std::min(patience, constants::lost_patience);
+      if (book_ == nullptr) {
+        bearable = std::min(bearable, blank_patience);
+        blank_patience *= 2;
+      }
       loam::Gather::run(
-          context_, caller_, calls, std::min(patience, constants::lost_patience),
+          context_, caller_, calls, bearable,
           [&](std::size_t index, absl::StatusOr<schema::Message> const& answer) {
             schema::NewsAnswer const* const news = answer.ok() ? std::get_if<schema::NewsAnswer>(&*answer) : nullptr;
             if (news == nullptr) {
@@ -475,13 +481,13 @@
   terms.self = settings_.name;
   terms.cold_overshoot = settings_.bounds.cold_overshoot;
   terms.cold_slack = settings_.bounds.cold_slack;
+  terms.claims = book_->claims();
   terms.keep_long_apart = constants::keep_long_apart;
   for (schema::Member const& member : members_) {
     terms.furrows.push_back(member.name);
   }
   if (terms.furrows.empty()) {
     terms.furrows.push_back(settings_.name);
-  terms.claims = book_->claims();
   }
   grove_.update(stands, terms, loam::boot_now());
   walls_.keep_only([&listed](std::string const& worker) { return listed.count(worker) > 0; });
--- a/source/furrow/relay/station.hpp
+++ b/source/furrow/relay/station.hpp
@@ -84,6 +84,8 @@
   [[nodiscard]] Tally& tally() { return tally_; }
   [[nodiscard]] tilth::Walls& walls() { return walls_; }
   [[nodiscard]] bool draining() const { return draining_; }
+  /// It has had a charter and a list of workers, even an empty one, since it started.
+  [[nodiscard]] bool begun() const { return book_ != nullptr && list_as_of_ > 0; }
   [[nodiscard]] bool ready() const { return book_ != nullptr && heard_ && !draining_ && grove_.size() > 0; }
 
   /// A kept connection to the worker that seems whole, or none.
--- a/source/hedge/desk/desk.cpp
+++ b/source/hedge/desk/desk.cpp
@@ -20,6 +20,7 @@
     verdict.answer = answer;
   } else {
     verdict.wait = (vouched ? bounds.hold : bounds.patience) - waited;
+    verdict.hurry = !vouched && ask.member.held.empty();
   }
   return verdict;
 }
--- a/source/hedge/desk/desk.hpp
+++ b/source/hedge/desk/desk.hpp
@@ -25,6 +25,7 @@
 struct DeskVerdict {
   std::optional<schema::NewsAnswer> answer;
   loam::Span wait = 0;
+  bool hurry = false;  ///< the asker holds nothing: it serves nobody until a majority was read
 };
 [[nodiscard]] DeskVerdict judge_ask(schema::NewsAsk const& ask, loam::Moment arrival, loam::Moment confirmed_from,
                                     std::map<std::string, schema::Value> const& values, bool other_news, loam::Moment now,
--- a/source/loam/relay_constants.hpp
+++ b/source/loam/relay_constants.hpp
@@ -97,9 +97,11 @@
 inline constexpr Span worker_idle = milliseconds(4000);
 /// Idle connections kept per worker.
 inline constexpr std::size_t worker_idle_most = 8;
-/// How long a query waits for the first charter of a furrow that has just
-/// started: most have it within 0.4 s; short beside any set point.
-inline constexpr Span charter_hold = milliseconds(250);
+/// How long a query waits for the first charter and list of workers of a furrow that has just
+/// started: a caller refused meanwhile may have no try left (its first met the
+/// process that ended), and one that waits is served, if late. A trellis that
+/// starts at the same moment has read a majority by then.
+inline constexpr Span charter_hold = milliseconds(1000);
 /// Pause between two looks for a place.
 inline constexpr Span place_pause = milliseconds(20);
 /// Part of a lane's set point up to which a query is held without a place, and
@@ -118,6 +120,9 @@
 /// While no trellis answers this many are asked at once, this long each time.
 inline constexpr std::size_t lost_asks = 3;
 inline constexpr Span lost_patience = milliseconds(900);
+/// Without a charter the first asks wait for less, twice as long each time: a
+/// machine without power says nothing, and may be back a moment later.
+inline constexpr Span blank_patience = milliseconds(300);
 /// Two asks for news are at least this far apart.
 inline constexpr Span ask_least = milliseconds(150);
 /// A hall with fewer ready furrows is helped out by its region; most told.
--- a/source/tests/hedge/vouch_test.cpp
+++ b/source/tests/hedge/vouch_test.cpp
@@ -62,6 +62,15 @@
   EXPECT_FALSE(hedge::judge_ask(ask, 1000, 1000, values, false, 2000).answer.has_value());  // held until news
 }
 
+TEST(Desk, HurriesTheReadForAnAskerThatHoldsNothing) {
+  std::map<std::string, schema::Value> const values{{"setup", schema::Value{3, "x", {}}}};
+  schema::NewsAsk ask;
+  EXPECT_TRUE(hedge::judge_ask(ask, 1000, 999, values, false, 2000).hurry);
+  EXPECT_FALSE(hedge::judge_ask(ask, 1000, 1000, values, false, 2000).hurry);  // answered
+  ask.member.held["setup"] = 2;  // it serves meanwhile: the next read is soon enough
+  EXPECT_FALSE(hedge::judge_ask(ask, 1000, 999, values, false, 2000).hurry);
+}
+
 TEST(Bounds, AddUpToWhatIsAllowed) {
   // design.md section 4: every furrow has stopped or changed before yes is said.
   EXPECT_GE(constants::acknowledge_wait, constants::vouch_bound + constants::vouch_bound / 10 + constants::ask_retry);
--- a/source/tests/relay/fleet.hpp
+++ b/source/tests/relay/fleet.hpp
@@ -362,6 +362,7 @@
   schema::Charter charter;
   schema::PlatformList list;
   std::uint64_t list_digest = 1;
+  loam::Span list_age = 0;  ///< below 0: no trellis has read the list yet
   std::vector<schema::Member> members;
   std::uint64_t members_digest = 1;
   std::map<std::string, schema::NamedValue> news;
@@ -387,7 +388,7 @@
     for (std::pair<std::string const, schema::NamedValue> const& entry : news) {
       reply.news.push_back(entry.second);
     }
-    reply.list_age = 0;
+    reply.list_age = list_age;
     reply.list_digest = list_digest;
     reply.list_same = ask->list_digest == list_digest;
     if (!reply.list_same) {
--- a/source/tests/relay/station_test.cpp
+++ b/source/tests/relay/station_test.cpp
@@ -50,6 +50,27 @@
   EXPECT_EQ(status_of(fleet.answer_on(caller)), 200u);
 }
 
+TEST(Station, AQueryWaitsAMomentForTheFirstListAndOnlyForThis) {
+  Fleet fleet;
+  Worker& worker = fleet.worker("w1");
+  fleet.list_age = -1;
+  fleet.begin(false);
+  fleet.station->charter_hold = loam::seconds(60);
+  std::shared_ptr<Line> const caller = fleet.call(query("/plain/a", "q1", "body"));
+  fleet.publish_charter(1);
+  ASSERT_TRUE(fleet.until([&] { return fleet.station->book() != nullptr; }));
+  EXPECT_FALSE(fleet.station->begun());
+  fleet.list_age = 0;
+  ++fleet.list_digest;
+  ASSERT_TRUE(fleet.arrived(worker, 1));
+  worker.arrivals.back().line->send(success("q1", "in time"));
+  EXPECT_EQ(status_of(fleet.answer_on(caller)), 200u);
+  fleet.list.workers.clear();  // all gone later: refused as ever
+  ++fleet.list_digest;
+  ASSERT_TRUE(fleet.until([&] { return !fleet.station->ready(); }));
+  EXPECT_EQ(status_of(fleet.answer_on(fleet.call(query("/plain/b", "q2")))), 503u);
+}
+
 TEST(Station, AnOlderCharterIsNeverAdopted) {
   Fleet fleet;
   Worker& worker = fleet.worker("w1");
--- a/source/trellis/news/news.cpp
+++ b/source/trellis/news/news.cpp
@@ -285,6 +285,7 @@
     members_before = ask.members_digest != 0 ? ask.members_digest : 0;
   }
   schema::NewsAnswer answer;
+  bool hurried = false;
   while (true) {
     std::uint64_t const seen = ledger_.bell().count();
     loam::Moment const now = loam::boot_now();
@@ -302,6 +303,10 @@
       answer = *verdict.answer;
       break;
     }
+    if (verdict.hurry && !hurried) {
+      hurried = true;
+      ledger_.hurry();
+    }
     ledger_.bell().wait(seen, other_news && !rested ? std::min(verdict.wait, constants::bell_pause - (now - arrival)) : verdict.wait, yield);
   }
   std::lock_guard<std::mutex> const guard(lock_);
