--- a/source/furrow/relay/station.cpp
+++ b/source/furrow/relay/station.cpp
@@ -492,6 +492,7 @@
   terms.self = settings_.name;
   terms.cold_overshoot = settings_.bounds.cold_overshoot;
   terms.cold_slack = settings_.bounds.cold_slack;
+  terms.claims = book_->claims();
   terms.keep_long_apart = constants::keep_long_apart;
   terms.furrows = census_.furrows(loam::boot_now());
   if (terms.furrows.empty()) {
--- a/source/tilth/grove/grove.hpp
+++ b/source/tilth/grove/grove.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -68,6 +69,7 @@
   std::vector<std::string> furrows;  ///< members, this one included
   double cold_overshoot = 1;
   double cold_slack = 0;
+  std::map<std::string, std::set<std::string>> claims;  ///< by service: regions that some lane calls home (section 13.14)
   bool keep_long_apart = true;       ///< long prompts and the rest go to different workers (section 13.6)
 };
 
@@ -150,6 +152,8 @@
   };
   [[nodiscard]] Price price(Worker const& worker, Wanted const& wanted, bool owner, loam::Moment now) const;
   [[nodiscard]] bool kept_apart(Worker const& worker) const;
+  /// Regions of a service whose workers own what queries without a home share.
+  [[nodiscard]] std::set<std::string> const* free_regions(std::string const& service, Wanted const& wanted) const;
   [[nodiscard]] bool fed_long(Worker const& worker, loam::Moment now) const;
   [[nodiscard]] Worker const* best(std::string const& service, Wanted const& wanted, loam::Moment now, Price& price_found) const;
   /// What this furrow saw of the worker, for the judge, and what follows from it.
@@ -161,6 +165,7 @@
   GroveTerms terms_;
   std::map<std::string, Worker> workers_;
   std::map<std::string, std::vector<std::string>> by_service_;
+  std::map<std::string, std::set<std::string>> free_;  ///< by service: regions that no lane calls home
   std::map<std::pair<std::string, std::string>, Demand> demand_;  ///< service, region
 };
 
