A query waits for a first charter at most a fifth of the time its caller has

Cause: a second's wait is 0.4 of what a caller with 2.5 s has left, and a furrow whose trellises are all lost would have held every query that long, for hours. Now a fifth of the time left, 0.25 to 1 s, and only in a furrow's first 10 s; afterwards the refusal with its time to come back goes out at once.

--- a/source/furrow/relay/relay.cpp
+++ b/source/furrow/relay/relay.cpp
@@ -16,6 +16,7 @@
 #include "loam/log/log.hpp"
 #include "loam/random/random.hpp"
 #include "tilth/chart/chart.hpp"
+#include "tilth/chart/first_hold.hpp"
 #include "tilth/wall/tenant.hpp"
 
 namespace finchlink::furrow {
@@ -1059,7 +1060,10 @@
     alarm->set(loam::boot_now() + loam::seconds(3600));
     // Right after a start charter and list come within a moment (section 13.8):
     // the query waits for them as it would for a place, then is refused.
-    while (!station.begun() && loam::boot_now() - query.arrived < station.charter_hold) {
+    std::string_view const left = view(query.header[station.dialect().left]);
+    std::optional<loam::Span> const bearable = left.empty() ? std::nullopt : std::optional<loam::Span>(loam::milliseconds(static_cast<std::int64_t>(std::min<std::uint64_t>(natural(left, 86400000), 86400000))));
+    loam::Span const hold = tilth::first_hold(station.charter_hold, query.arrived - station.begun_at(), bearable);
+    while (!station.begun() && loam::boot_now() - query.arrived < hold) {
       loam::pause(station.context(), constants::place_pause, yield);
     }
     std::shared_ptr<tilth::LaneBook const> const book = station.book();
--- a/source/furrow/relay/station.cpp
+++ b/source/furrow/relay/station.cpp
@@ -81,6 +81,7 @@
       identity_(identity), caller_(context), trellises_(settings.seeds) {}
 
 absl::Status Station::begin() {
+  begun_at_ = loam::boot_now();
   absl::Status status = listen(settings_.http_address, [this](std::shared_ptr<Socket> const& socket, loam::Yield yield) { serve_caller(*this, socket, yield); });
   for (std::string const& address : {settings_.ready_address, settings_.directory_address}) {
     if (status.ok() && !address.empty()) {
--- a/source/furrow/relay/station.hpp
+++ b/source/furrow/relay/station.hpp
@@ -85,6 +85,7 @@
   [[nodiscard]] Tally& tally() { return tally_; }
   [[nodiscard]] tilth::Walls& walls() { return walls_; }
   [[nodiscard]] bool draining() const { return draining_; }
+  [[nodiscard]] loam::Moment begun_at() const { return begun_at_; }
   /// It has had a charter and a list of workers, even an empty one, since it started.
   [[nodiscard]] bool begun() const { return book_ != nullptr && list_as_of_ > 0; }
   [[nodiscard]] bool ready() const { return book_ != nullptr && heard_ && !draining_ && grove_.size() > 0; }
@@ -143,6 +144,7 @@
   schema::PlatformList list_;
   std::uint64_t list_digest_ = 0;
   loam::Moment list_as_of_ = 0;
+  loam::Moment begun_at_ = 0;
   std::uint64_t members_digest_ = 0;
   std::vector<schema::Member> members_;
   tilth::Census census_;
--- a/source/loam/relay_constants.hpp
+++ b/source/loam/relay_constants.hpp
@@ -110,6 +110,13 @@
 /// process that ended), and one that waits is served, if late. A trellis that
 /// starts at the same moment has read a majority by then.
 inline constexpr Span charter_hold = milliseconds(1000);
+/// Part of the time its caller has left that it waits at most, so that one refused
+/// can still come back; most furrows have both within the least.
+inline constexpr double charter_hold_part = 0.2;
+inline constexpr Span charter_hold_least = milliseconds(250);
+/// Up to when a furrow counts as just started: what has not come by then is lost
+/// for longer, and queries are refused at once.
+inline constexpr Span first_span = seconds(10);
 /// Bytes of a query refused unread that are thrown away at most, so that the
 /// answer arrives: as large a body as charters usually allow.
 inline constexpr std::size_t refused_bytes = 4u << 20u;
