A leaving furrow walks a copy of its trellises: news replaced the list under it

Cause: Station::drain held a reference into trellises_ over a call; since the list is made anew and moved its memory is freed meanwhile: bad_alloc 0.3 to 0.8 s after SIGTERM, the process ends, LOST. Ruled out: grace, linger (no E1003 was written).

--- a/source/furrow/relay/station.cpp
+++ b/source/furrow/relay/station.cpp
@@ -185,8 +185,10 @@
   leaving_since_ = loam::boot_now();
   start_small(context_, [this](loam::Yield yield) {
     schema::NewsAsk ask{self(), 0, list_digest_, members_digest_, {}};
-    for (std::size_t index = 0; index < std::min(constants::lost_asks, trellises_.size()); ++index) {
-      if (caller_.call(trellises_[index], ask, loam::milliseconds(static_cast<std::int64_t>(settings_.bounds.ask_deadline_ms)), yield).ok()) {
+    // A copy: news that come meanwhile replace the list that is walked here.
+    std::vector<std::string> const told = trellises_;
+    for (std::size_t index = 0; index < std::min(constants::lost_asks, told.size()); ++index) {
+      if (caller_.call(told[index], ask, loam::milliseconds(static_cast<std::int64_t>(settings_.bounds.ask_deadline_ms)), yield).ok()) {
         break;
       }
     }
