--- a/source/furrow/relay/station.cpp
+++ b/source/furrow/relay/station.cpp
@@ -236,7 +236,7 @@
       }
       turn += 1;
       loam::Gather::run(
-          context_, caller_, calls, std::min(patience, constants::lost_patience),
+          context_, caller_, calls, std::min(patience, lost_patience),
           [&](std::size_t index, absl::StatusOr<schema::Message> const& answer) {
             schema::NewsAnswer const* const news = answer.ok() ? std::get_if<schema::NewsAnswer>(&*answer) : nullptr;
             if (news == nullptr) {
@@ -250,7 +250,7 @@
             heard_from(*news);
             return true;
           },
-          yield);
+          yield, constants::ask_retry);
     } else {
       std::string const address = trellises_[turn % trellises_.size()];
       absl::StatusOr<schema::Message> const answer = caller_.call(address, ask, patience, yield);
@@ -494,6 +494,7 @@
   terms.self = settings_.name;
   terms.cold_overshoot = settings_.bounds.cold_overshoot;
   terms.cold_slack = settings_.bounds.cold_slack;
+  terms.claims = book_->claims();
   terms.keep_long_apart = constants::keep_long_apart;
   terms.furrows = census_.furrows(loam::boot_now());
   if (terms.furrows.empty()) {
