--- a/source/tests/relay/station_test.cpp
+++ b/source/tests/relay/station_test.cpp
@@ -237,6 +237,43 @@
   EXPECT_EQ(worker.arrivals.size(), 1u);
 }
 
+TEST(Station, LeavingIsToldThoughNewsReplaceItsTrellisesMeanwhile) {
+  // The first trellis holds that word while news from the last make the list of
+  // trellises anew; the second then still hears it (incident 0012).
+  Fleet fleet;
+  fleet.worker("w1");
+  bool leaving = false;
+  bool released = false;
+  std::size_t held = 0;
+  std::size_t heard = 0;
+  loam::Bell release;
+  std::string const holding = fleet.next_address();
+  std::string const second = fleet.next_address();
+  fleet.settings.seeds = {holding, second, fleet.trellis_address};
+  ASSERT_TRUE(loam::serve_frames(*fleet.context, holding, 8, [&](schema::Message const&, loam::Yield yield) -> std::optional<schema::Message> {
+                held += leaving ? 1 : 0;
+                while (leaving && !released) {
+                  release.wait(release.count(), loam::seconds(600), yield);
+                }
+                return std::nullopt;
+              }).ok());
+  ASSERT_TRUE(loam::serve_frames(*fleet.context, second, 8, [&](schema::Message const&, loam::Yield) -> std::optional<schema::Message> {
+                heard += leaving ? 1 : 0;
+                return std::nullopt;
+              }).ok());
+  fleet.settings.bounds.ask_deadline_ms = 600000;
+  fleet.begin();
+  fleet.hear();  // in touch with the last one, and asks it alone
+  leaving = true;
+  fleet.station->drain();
+  ASSERT_TRUE(fleet.until([&] { return held > 0; }));
+  fleet.hear();
+  EXPECT_EQ(heard, 0u);
+  released = true;
+  release.ring();
+  EXPECT_TRUE(fleet.until([&] { return heard > 0; }));
+}
+
 TEST(Station, DrainingItServesOnAndSaysSo) {
   Fleet fleet;
   Worker& worker = fleet.worker("w1");
