--- a/source/furrow/relay/station.cpp
+++ b/source/furrow/relay/station.cpp
@@ -145,7 +145,7 @@
 
 tilth::Rights& Station::rights(std::string const& service) {
   tilth::Rights& rights = rights_[service];
-  rights.bound(settings_.bounds.retry_ratio, settings_.bounds.retry_slack, static_cast<double>(std::max<std::size_t>(1, members_.size())));
+  rights.bound(settings_.bounds.retry_ratio, settings_.bounds.retry_slack, static_cast<double>(std::max<std::size_t>(1, members_.members().size())));
   return rights;
 }
 
@@ -183,9 +183,9 @@
   draining_ = true;
   leaving_since_ = loam::boot_now();
   start_small(context_, [this](loam::Yield yield) {
-    schema::NewsAsk ask{self(), 0, list_digest_, members_digest_, {}};
+    schema::NewsAsk const asked = ask({});
     for (std::size_t index = 0; index < std::min(constants::lost_asks, trellises_.size()); ++index) {
-      if (caller_.call(trellises_[index], ask, loam::milliseconds(static_cast<std::int64_t>(settings_.bounds.ask_deadline_ms)), yield).ok()) {
+      if (caller_.call(trellises_[index], asked, loam::milliseconds(static_cast<std::int64_t>(settings_.bounds.ask_deadline_ms)), yield).ok()) {
         break;
       }
     }
@@ -216,13 +216,17 @@
   return member;
 }
 
+schema::NewsAsk Station::ask(std::vector<schema::FurrowReport> reports) const {
+  return schema::NewsAsk{self(), 0, list_.digest(), members_.digest(), std::move(reports)};
+}
+
 void Station::ask_news(loam::Yield yield) {
   std::size_t turn = loam::random_number() % std::max<std::size_t>(1, trellises_.size());
   bool lost = true;  // no trellis answered the last ask
   while (true) {
     loam::Moment const asked = loam::boot_now();
     bool const was_ready = ready();
-    schema::NewsAsk const ask{self(), 0, list_digest_, members_digest_, reports(asked)};
+    schema::NewsAsk const query = ask(reports(asked));
     std::string from;
     loam::Span const patience = loam::milliseconds(static_cast<std::int64_t>(settings_.bounds.ask_deadline_ms));
     if (lost) {
@@ -230,7 +234,7 @@
       // counts. More would each send the whole charter to a furrow without one.
       std::vector<std::pair<std::string, schema::Message>> calls;
       for (std::size_t index = 0; index < std::min(constants::lost_asks, trellises_.size()); ++index) {
-        calls.emplace_back(trellises_[(turn + index) % trellises_.size()], ask);
+        calls.emplace_back(trellises_[(turn + index) % trellises_.size()], query);
       }
       turn += 1;
       loam::Gather::run(
@@ -251,7 +255,7 @@
           yield);
     } else {
       std::string const address = trellises_[turn % trellises_.size()];
-      absl::StatusOr<schema::Message> const answer = caller_.call(address, ask, patience, yield);
+      absl::StatusOr<schema::Message> const answer = caller_.call(address, query, patience, yield);
       schema::NewsAnswer const* const news = answer.ok() ? std::get_if<schema::NewsAnswer>(&*answer) : nullptr;
       if (news != nullptr) {
         take(*news, asked);
@@ -295,19 +299,19 @@
   while (true) {
     loam::pause(context_, constants::own_list_after / 4, yield);
     loam::Moment const now = loam::boot_now();
-    if (list_reader_ == nullptr || book_ == nullptr || now - std::max(list_as_of_, heard_at_) < constants::own_list_after) {
+    if (list_reader_ == nullptr || book_ == nullptr || now - std::max(list_.as_of(), heard_at_) < constants::own_list_after) {
       continue;
     }
     // No trellis tells of workers: one look of its own, spread over the furrows.
     loam::pause(context_, static_cast<loam::Span>(loam::random_number() % static_cast<std::uint64_t>(constants::own_list_after)), yield);
     loam::Moment const asked = loam::boot_now();
-    if (asked - std::max(list_as_of_, heard_at_) < constants::own_list_after) {
+    if (asked - std::max(list_.as_of(), heard_at_) < constants::own_list_after) {
       continue;
     }
     absl::StatusOr<schema::PlatformList> const list = list_reader_(yield);
     if (list.ok()) {
-      list_digest_ = 0;
-      take_list(*list, asked);
+      list_.put(*list, asked);
+      take_list();
       settle();
     }
   }
@@ -343,21 +347,11 @@
       take_split(news);
     }
   }
-  if (answer.vouched && !answer.members_same) {
-    members_ = answer.members;
-    members_digest_ = answer.members_digest;
+  changed = members_.take(answer) || changed;
+  if (list_.take(hedge::list_news(answer), answer.list_age, asked)) {
+    take_list();
     changed = true;
   }
-  if (answer.list_age >= 0) {
-    loam::Moment const as_of = asked - answer.list_age;
-    if (!answer.list_same && as_of > list_as_of_) {
-      take_list(answer.list, as_of);
-      list_digest_ = answer.list_digest;
-      changed = true;
-    } else if (answer.list_same) {
-      list_as_of_ = std::max(list_as_of_, as_of);
-    }
-  }
   if (changed) {
     settle();
   }
@@ -426,11 +420,9 @@
   observer_.saw(sighting, service == nullptr ? 1 : static_cast<double>(service->stride), schema::ScalerAims().experts_share);
 }
 
-void Station::take_list(schema::PlatformList const& list, loam::Moment as_of) {
-  list_ = list;
-  list_as_of_ = as_of;
+void Station::take_list() {
   std::map<std::string, loam::Moment> cold;
-  for (schema::WorkerEntry const& entry : list_.workers) {
+  for (schema::WorkerEntry const& entry : list_.list().workers) {
     if (entry.cold_ms > 0) {
       cold[entry.id] = loam::boot_now() + loam::milliseconds(static_cast<std::int64_t>(entry.cold_ms));
     }
@@ -444,7 +436,7 @@
   }
   std::vector<tilth::Stand> stands;
   std::set<std::string> listed;
-  for (schema::WorkerEntry const& entry : list_.workers) {
+  for (schema::WorkerEntry const& entry : list_.list().workers) {
     schema::Service const* const service = book_->service(entry.service);
     if (service == nullptr) {
       continue;
@@ -476,7 +468,7 @@
   terms.cold_overshoot = settings_.bounds.cold_overshoot;
   terms.cold_slack = settings_.bounds.cold_slack;
   terms.keep_long_apart = constants::keep_long_apart;
-  for (schema::Member const& member : members_) {
+  for (schema::Member const& member : members_.members()) {
     terms.furrows.push_back(member.name);
   }
   if (terms.furrows.empty()) {
@@ -492,7 +484,7 @@
   std::vector<std::string> same_region;
   std::vector<std::string> others;
   bool self_there = false;
-  for (schema::Member const& member : members_) {
+  for (schema::Member const& member : members_.members()) {
     bool const own = member.name == settings_.name;
     self_there = self_there || own;
     if ((own && !ready()) || (!own && !member.ready)) {
--- a/source/furrow/relay/station.hpp
+++ b/source/furrow/relay/station.hpp
@@ -15,6 +15,7 @@
 #include <absl/status/statusor.h>
 
 #include "furrow/relay/dialect.hpp"
+#include "hedge/copy/copy.hpp"
 #include "hedge/vouch/vouch.hpp"
 #include "loam/net/net.hpp"
 #include "loam/relay_constants.hpp"
@@ -114,7 +115,9 @@
   void read_own_list(loam::Yield yield);
   void follow_secrets(loam::Yield yield);
   void take(schema::NewsAnswer const& answer, loam::Moment asked);
-  void take_list(schema::PlatformList const& list, loam::Moment as_of);
+  /// Another list is held.
+  void take_list();
+  [[nodiscard]] schema::NewsAsk ask(std::vector<schema::FurrowReport> reports) const;
   void settle();
   [[nodiscard]] schema::Member self() const;
   void take_split(schema::NamedValue const& news);
@@ -133,11 +136,8 @@
   hedge::Vouch vouch_;
   std::shared_ptr<tilth::LaneBook const> book_;
   std::set<std::string> evacuated_;
-  schema::PlatformList list_;
-  std::uint64_t list_digest_ = 0;
-  loam::Moment list_as_of_ = 0;
-  std::uint64_t members_digest_ = 0;
-  std::vector<schema::Member> members_;
+  hedge::ListCopy list_;
+  hedge::MemberCopy members_;
   std::map<std::string, loam::Moment> cold_until_;
   std::vector<std::string> trellises_;
   loam::Moment heard_at_ = 0;
--- a/source/gourd/hollow.cpp
+++ b/source/gourd/hollow.cpp
@@ -35,16 +35,16 @@
   schema::FurrowReport report;
   report.slice = slice;
   report.span = static_cast<double>(constants::report_span) / 1e6;
-  for (std::uint64_t index = 0; index < gourd_.figures && !list_.workers.empty(); ++index) {
+  for (std::uint64_t index = 0; index < gourd_.figures && !list_.list().workers.empty(); ++index) {
     schema::WorkerFigures figures;
-    figures.worker = list_.workers[(number_ * gourd_.figures + index) % list_.workers.size()].id;
+    figures.worker = list_.list().workers[(number_ * gourd_.figures + index) % list_.list().workers.size()].id;
     figures.phase = "prefill";
     figures.queries = 1;
     report.figures.push_back(figures);
   }
-  for (std::uint64_t index = 0; index < gourd_.samples && !list_.workers.empty(); ++index) {
+  for (std::uint64_t index = 0; index < gourd_.samples && !list_.list().workers.empty(); ++index) {
     schema::Sample sample;
-    sample.worker = list_.workers[(number_ * gourd_.samples + index) % list_.workers.size()].id;
+    sample.worker = list_.list().workers[(number_ * gourd_.samples + index) % list_.list().workers.size()].id;
     sample.seconds = 0.1;
     report.samples.push_back(sample);
   }
@@ -72,15 +72,10 @@
   }
   was_vouched_ = vouch_.vouched(now);
   member_.held = vouch_.held();
-  if (answer.vouched && !answer.members_same) {
-    members_ = answer.members;
-    members_digest_ = answer.members_digest;
-  }
-  if (vouch_.list_newer() && !answer.list_same) {
-    list_ = answer.list;
-    list_digest_ = answer.list_digest;
+  (void)members_.take(answer);
+  if (list_.take(hedge::list_news(answer), answer.list_age, asked)) {
     member_.warm.clear();
-    for (schema::WorkerEntry const& worker : list_.workers) {
+    for (schema::WorkerEntry const& worker : list_.list().workers) {
       std::map<std::string, std::string>::const_iterator const hall = gourd_.halls.find(worker.zone);
       if (gourd_.warm && hall != gourd_.halls.end() && hall->second == region_) {
         member_.warm.push_back(worker.id + "@1");
@@ -107,9 +102,9 @@
     stir(asked);
     schema::NewsAsk ask;
     ask.member = member_;
-    ask.list_revision = list_.revision;
-    ask.list_digest = gourd_.whole ? 0 : list_digest_;
-    ask.members_digest = gourd_.whole ? 0 : members_digest_;
+    ask.list_revision = list_.list().revision;
+    ask.list_digest = gourd_.whole ? 0 : list_.digest();
+    ask.members_digest = gourd_.whole ? 0 : members_.digest();
     ask.reports.assign(reports.begin(), reports.end());
     ++tally_.asks;
     absl::StatusOr<schema::Message> const answer = caller_.call(trellises[turn], ask, loam::milliseconds(static_cast<std::int64_t>(gourd_.ask_deadline_ms)), yield);
--- a/source/gourd/hollow.hpp
+++ b/source/gourd/hollow.hpp
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "hedge/copy/copy.hpp"
 #include "hedge/vouch/vouch.hpp"
 #include "loam/net/net.hpp"
 #include "schema/standin.hpp"
@@ -43,10 +44,8 @@
   hedge::Vouch vouch_;
   bool was_vouched_ = false;
   std::string setup_;
-  std::vector<schema::Member> members_;
-  std::uint64_t members_digest_ = 0;
-  schema::PlatformList list_;
-  std::uint64_t list_digest_ = 0;
+  hedge::MemberCopy members_;
+  hedge::ListCopy list_;
   loam::Moment stirred_ = 0;
 };
 
--- /dev/null
+++ b/source/hedge/copy/copy.cpp
@@ -0,0 +1,62 @@
+#include "hedge/copy/copy.hpp"
+
+#include "hedge/copy/lead_on.hpp"
+
+namespace finchlink::hedge {
+
+ListNews list_news(schema::NewsAnswer const& answer) { return ListNews{answer.list_same, answer.list_from, answer.list, answer.list_gone, answer.list_digest}; }
+ListNews list_news(schema::Told const& told) { return ListNews{told.list_same, told.list_from, told.list, told.list_gone, told.list_digest}; }
+
+bool ListCopy::take(ListNews const& news, loam::Span age, loam::Moment asked) {
+  loam::Moment const as_of = asked - age;
+  if (age < 0 || as_of <= as_of_) {
+    return false;
+  }
+  if (news.same) {
+    as_of_ = news.digest == digest_ ? as_of : as_of_;
+    return false;
+  }
+  if (news.from == 0) {
+    list_ = news.list;
+  } else if (news.from != digest_) {
+    return false;  // another answer came before: the next ask names what is held now
+  } else {
+    std::optional<schema::PlatformList> next = led_on(list_, as_of - as_of_, news);
+    if (!next.has_value()) {
+      digest_ = 0;
+      return false;
+    }
+    list_ = std::move(*next);
+  }
+  digest_ = news.digest;
+  as_of_ = as_of;
+  return true;
+}
+
+void ListCopy::put(schema::PlatformList const& list, loam::Moment as_of) {
+  list_ = list;
+  digest_ = 0;
+  as_of_ = as_of;
+}
+
+bool MemberCopy::take(schema::NewsAnswer const& answer) {
+  if (!answer.vouched || answer.members_same) {
+    return false;
+  }
+  if (answer.members_from == 0) {
+    members_ = answer.members;
+  } else if (answer.members_from != digest_) {
+    return false;
+  } else {
+    std::vector<schema::Member> next = lead_on(members_, answer.members, answer.members_gone, &schema::Member::name);
+    if (digest_of(next) != answer.members_digest) {
+      digest_ = 0;
+      return false;
+    }
+    members_ = std::move(next);
+  }
+  digest_ = answer.members_digest;
+  return true;
+}
+
+}  // namespace finchlink::hedge
--- /dev/null
+++ b/source/hedge/copy/copy.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "hedge/listing/listing.hpp"
+#include "hedge/session/sessions.hpp"
+#include "loam/time/moment.hpp"
+#include "schema/wire.hpp"
+
+namespace finchlink::hedge {
+
+/// The platform list as an asker holds it (section 6.4). What leads on from
+/// another list than the one held is left; what does not lead to the list it
+/// names makes it ask for all, and the list held stays in use meanwhile.
+class ListCopy {
+ public:
+  /// Takes what an answer to an ask sent at `asked` tells; true when the list is another.
+  bool take(ListNews const& news, loam::Span age, loam::Moment asked);
+  /// A list that was read elsewhere at `as_of`; no teller knows it.
+  void put(schema::PlatformList const& list, loam::Moment as_of);
+  [[nodiscard]] schema::PlatformList const& list() const { return list_; }
+  /// To be sent with the next ask; 0 asks for all.
+  [[nodiscard]] std::uint64_t digest() const { return digest_; }
+  [[nodiscard]] loam::Moment as_of() const { return as_of_; }
+
+ private:
+  schema::PlatformList list_;
+  std::uint64_t digest_ = 0;
+  loam::Moment as_of_ = 0;
+};
+/// What an answer tells of the list.
+[[nodiscard]] ListNews list_news(schema::NewsAnswer const& answer);
+[[nodiscard]] ListNews list_news(schema::Told const& told);
+
+/// The members as an asker holds them, in the same way.
+class MemberCopy {
+ public:
+  bool take(schema::NewsAnswer const& answer);
+  [[nodiscard]] std::vector<schema::Member> const& members() const { return members_; }
+  [[nodiscard]] std::uint64_t digest() const { return digest_; }
+
+ private:
+  std::vector<schema::Member> members_;
+  std::uint64_t digest_ = 0;
+};
+
+}  // namespace finchlink::hedge
--- a/source/hedge/listing/listing.cpp
+++ b/source/hedge/listing/listing.cpp
@@ -1,24 +1,35 @@
 #include "hedge/listing/listing.hpp"
 
 #include <algorithm>
+#include <set>
 
+#include "hedge/copy/lead_on.hpp"
 #include "loam/constants.hpp"
 #include "loam/digest/digest.hpp"
 
 namespace finchlink::hedge {
 
-std::uint64_t digest_of(schema::PlatformList const& list) {
-  loam::Digest digest;
-  digest.add(list.revision);
+namespace {
+/// What is counted of each worker, by id; under no id the list's own revision.
+std::map<std::string, std::string> counted(schema::PlatformList const& list) {
+  std::map<std::string, std::string> entries;
+  if (list.revision > 0) {
+    entries[""] = std::to_string(list.revision);
+  }
   for (schema::WorkerEntry const& worker : list.workers) {
-    digest.add(worker.id).add(worker.address).add(worker.zone).add(worker.kind).add(worker.service).add(worker.capacity);
+    loam::Digest digest;
+    digest.add(worker.address).add(worker.zone).add(worker.kind).add(worker.service).add(worker.capacity).add(worker.phase);
     digest.add((worker.draining ? 1u : 0u) + (worker.cold_ms > 0 ? 2u : 0u) + (worker.left_ms > 0 ? 4u : 0u));
     for (std::pair<std::string const, std::string> const& label : worker.labels) {
       digest.add(label.first).add(label.second);
     }
+    entries[worker.id] = digest.text();
   }
-  return digest.short_value();
+  return entries;
 }
+}  // namespace
+
+std::uint64_t digest_of(schema::PlatformList const& list) { return loam::digest_of(counted(list)); }
 
 bool Listing::keep(schema::PlatformList const& list, loam::Moment as_of, loam::Moment now) {
   if (as_of <= as_of_) {
@@ -31,23 +42,87 @@
     }
   }
   back_since_ = 0;
+  astray_ = false;
   list_ = list;
-  digest_ = digest_of(list_);
+  // In one order everywhere, however the list was learnt.
+  std::stable_sort(list_.workers.begin(), list_.workers.end(), [](schema::WorkerEntry const& left, schema::WorkerEntry const& right) { return left.id < right.id; });
+  (void)source_.take(counted(list_));
   as_of_ = as_of;
   return true;
 }
 
 void Listing::renew(loam::Moment as_of) {
-  if (as_of <= as_of_) {
-    return;
+  if (as_of > as_of_) {
+    count_down(list_, as_of - as_of_);
+    as_of_ = as_of;
+  }
+}
+
+std::optional<schema::PlatformList> led_on(schema::PlatformList const& held, loam::Span passed, ListNews const& news) {
+  schema::PlatformList list = held;
+  count_down(list, passed);
+  list.revision = news.list.revision;
+  list.workers = lead_on(list.workers, news.list.workers, news.gone, &schema::WorkerEntry::id);
+  if (digest_of(list) != news.digest) {
+    return std::nullopt;
+  }
+  return list;
+}
+
+bool Listing::take(ListNews const& news, loam::Moment as_of, loam::Moment now) {
+  std::uint64_t const before = digest();
+  if (news.same) {
+    if (news.digest == before) {
+      renew(as_of);
+    }
+  } else if (news.from == 0) {
+    (void)keep(news.list, as_of, now);
+  } else if (news.from == before && as_of > as_of_) {
+    std::optional<schema::PlatformList> const next = led_on(list_, as_of - as_of_, news);
+    astray_ = !next.has_value();
+    if (next.has_value()) {
+      (void)keep(*next, as_of, now);
+    }
   }
+  return digest() != before;
+}
+
+ListNews Listing::since(std::uint64_t digest) const {
+  ListNews news;
+  news.digest = source_.digest();
+  std::optional<loam::Delta> const delta = source_.since(digest);
+  news.same = !delta.has_value();
+  if (news.same) {
+    return news;
+  }
+  if (delta->whole) {
+    news.list = list_;
+    return news;
+  }
+  news.from = digest;
+  news.gone = delta->removed;
+  news.list.revision = list_.revision;
+  std::set<std::string> put;
+  for (std::pair<std::string, std::string> const& entry : delta->put) {
+    put.insert(entry.first);
+  }
+  for (schema::WorkerEntry const& worker : list_.workers) {
+    // What counts down is no part of the digest: a spell that began anew
+    // between two lists is told along, as it would be in the whole list.
+    if (put.count(worker.id) > 0 || worker.cold_ms > 0 || worker.left_ms > 0) {
+      news.list.workers.push_back(worker);
+    }
+  }
+  return news;
+}
+
+void count_down(schema::PlatformList& list, loam::Span passed) {
   // At least one is left: that it reached zero is for the list itself to say.
-  std::uint64_t const passed = static_cast<std::uint64_t>(as_of - as_of_) / 1000;
-  for (schema::WorkerEntry& worker : list_.workers) {
-    worker.cold_ms = worker.cold_ms > 0 ? worker.cold_ms - std::min(worker.cold_ms - 1, passed) : 0;
-    worker.left_ms = worker.left_ms > 0 ? worker.left_ms - std::min(worker.left_ms - 1, passed) : 0;
+  std::uint64_t const gone = static_cast<std::uint64_t>(std::max<loam::Span>(passed, 0)) / 1000;
+  for (schema::WorkerEntry& worker : list.workers) {
+    worker.cold_ms = worker.cold_ms > 0 ? worker.cold_ms - std::min(worker.cold_ms - 1, gone) : 0;
+    worker.left_ms = worker.left_ms > 0 ? worker.left_ms - std::min(worker.left_ms - 1, gone) : 0;
   }
-  as_of_ = as_of;
 }
 
 }  // namespace finchlink::hedge
--- a/source/hedge/listing/listing.hpp
+++ b/source/hedge/listing/listing.hpp
@@ -1,5 +1,12 @@
 #pragma once
 
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "loam/constants.hpp"
+#include "loam/delta/delta.hpp"
 #include "loam/time/moment.hpp"
 #include "schema/wire.hpp"
 
@@ -9,6 +16,23 @@
 /// still cold or has left counts down by itself and is left out, but whether is not.
 [[nodiscard]] std::uint64_t digest_of(schema::PlatformList const& list);
 
+/// Makes what counts down less by what passed, but not nothing.
+void count_down(schema::PlatformList& list, loam::Span passed);
+
+/// What an asker is told of a list (section 6.4): that it holds it, or what
+/// leads on from the list that it holds, or all.
+struct ListNews {
+  bool same = false;
+  std::uint64_t from = 0;  ///< digest of the list that this leads on from; 0: it is whole
+  schema::PlatformList list;
+  std::vector<std::string> gone;
+  std::uint64_t digest = 0;  ///< of the list it leads to
+};
+
+/// The list that news lead to from one held that is older by what passed;
+/// nothing when they don't lead to the one they name.
+[[nodiscard]] std::optional<schema::PlatformList> led_on(schema::PlatformList const& held, loam::Span passed, ListNews const& news);
+
 /// The platform list as a trellis keeps it (section 6.3): later asked wins, a
 /// counted list does not go back for a moment (a lagging replica), but does
 /// when nothing newer came for a while (the platform counts anew).
@@ -16,18 +40,27 @@
  public:
   /// Takes a list that was asked for at `as_of`; true when it is kept.
   bool keep(schema::PlatformList const& list, loam::Moment as_of, loam::Moment now);
+  /// Takes what a colleague that was asked tells, of a list asked for at
+  /// `as_of`; true when the list is another. What does not lead to the list it
+  /// names is left, and wanted() asks for all.
+  bool take(ListNews const& news, loam::Moment as_of, loam::Moment now);
+  /// Digest of what a colleague may lead on from; 0: all is wanted.
+  [[nodiscard]] std::uint64_t wanted() const { return astray_ ? 0 : digest(); }
   /// The list held was found the same at `as_of`: what counts down is less by then.
   void renew(loam::Moment as_of);
   [[nodiscard]] schema::PlatformList const& list() const { return list_; }
-  [[nodiscard]] std::uint64_t digest() const { return digest_; }
+  [[nodiscard]] std::uint64_t digest() const { return source_.digest(); }
+  /// For an asker that holds the list of this digest; 0: none.
+  [[nodiscard]] ListNews since(std::uint64_t digest) const;
   /// Negative: never read.
   [[nodiscard]] loam::Span age(loam::Moment now) const { return as_of_ == 0 ? -1 : now - as_of_; }
 
  private:
   schema::PlatformList list_;
-  std::uint64_t digest_ = digest_of(list_);
+  loam::DeltaSource source_{loam::constants::delta_states};
   loam::Moment as_of_ = 0;
   loam::Moment back_since_ = 0;
+  bool astray_ = false;  ///< news did not lead where they said
 };
 
 }  // namespace finchlink::hedge
--- a/source/hedge/session/sessions.cpp
+++ b/source/hedge/session/sessions.cpp
@@ -1,24 +1,43 @@
 #include "hedge/session/sessions.hpp"
 
+#include <algorithm>
+
 #include "loam/constants.hpp"
 #include "loam/digest/digest.hpp"
+#include "loam/wire/pack.hpp"
 
 namespace finchlink::hedge {
 
 namespace constants = loam::constants;
 
+namespace {
+std::string counted(schema::Member const& member) {
+  return loam::Digest().add(member.name).add(member.incarnation).add(member.hall).add(member.address).add(member.ready ? 1 : 0).text();
+}
+}  // namespace
+
 std::uint64_t digest_of(std::vector<schema::Member> const& members) {
-  loam::Digest digest;
+  std::map<std::string, std::string> entries;
   for (schema::Member const& member : members) {
-    digest.add(member.name).add(member.incarnation).add(member.hall).add(member.address).add(member.ready ? 1 : 0);
+    entries[member.name] = counted(member);
   }
-  return digest.short_value();
+  return loam::digest_of(entries);
+}
+
+void Sessions::stand(std::string const& name, Standing standing) {
+  (void)members_.put(name, counted(standing.member));
+  if (standing.direct) {
+    (void)own_.put(name, loam::pack(standing.member));
+  } else {
+    (void)own_.remove(name);
+  }
+  sessions_[name] = std::move(standing);
 }
 
 bool Sessions::heard(schema::Member const& member, loam::Moment now) {
-  Standing& standing = sessions_[member.name];
-  bool const opened = standing.member.incarnation != member.incarnation;
-  standing = Standing{member, now, true};
+  std::map<std::string, Standing>::const_iterator const before = sessions_.find(member.name);
+  bool const opened = before == sessions_.end() || before->second.member.incarnation != member.incarnation;
+  stand(member.name, Standing{member, now, true});
   return opened;
 }
 
@@ -28,7 +47,59 @@
   }
 }
 
-void Sessions::told(schema::Tell const& tell, loam::Moment now) {
+void Sessions::adopt(schema::Member const& member, loam::Moment heard) {
+  std::map<std::string, Standing>::iterator const standing = sessions_.find(member.name);
+  if (standing != sessions_.end() && heard <= standing->second.heard) {
+    return;
+  }
+  if (standing != sessions_.end() && !standing->second.direct && standing->second.member == member) {
+    standing->second.heard = heard;
+  } else {
+    stand(member.name, Standing{member, heard, false});
+  }
+}
+
+std::uint64_t Sessions::lead_on(schema::Tell const& tell, loam::Moment now) {
+  Told& told = told_[tell.from.address];
+  if (tell.sessions_from == told.copy.digest() || tell.sessions_from == 0) {
+    loam::Delta delta{tell.sessions_from == 0, {}, tell.sessions_gone, tell.sessions_digest};
+    for (schema::Session const& session : tell.sessions) {
+      delta.put.emplace_back(session.member.name, loam::pack(session.member));
+    }
+    bool const news = delta.whole || !delta.put.empty() || !delta.removed.empty() || delta.digest != told.copy.digest();
+    if (news && told.copy.apply(delta)) {
+      if (delta.whole) {
+        told.members.clear();
+      }
+      for (std::string const& name : tell.sessions_gone) {
+        told.members.erase(name);
+      }
+      for (schema::Session const& session : tell.sessions) {
+        told.members[session.member.name] = session.member;
+      }
+    }
+    if (told.copy.digest() == 0) {
+      told.members.clear();
+    }
+  }
+  // Another telling came before, or this one leads elsewhere: what it says of
+  // sessions that did not change can't be put to their names.
+  if (told.copy.digest() != tell.sessions_digest || tell.sessions_from == 0) {
+    return told.copy.digest();
+  }
+  if (tell.heard_ago_ms.size() != told.members.size()) {
+    told = Told{};
+    return 0;
+  }
+  std::size_t index = 0;
+  for (std::pair<std::string const, schema::Member> const& entry : told.members) {
+    loam::Span const ago = static_cast<loam::Span>(std::min<std::uint64_t>(tell.heard_ago_ms[index++], 1u << 30u));
+    adopt(entry.second, now - loam::milliseconds(ago));
+  }
+  return told.copy.digest();
+}
+
+std::uint64_t Sessions::told(schema::Tell const& tell, loam::Moment now) {
   met(tell.from, now);
   for (schema::TrellisEntry const& other : tell.others) {
     // Second-hand word makes a trellis known, but does not keep it listed.
@@ -37,12 +108,9 @@
     }
   }
   for (schema::Session const& session : tell.sessions) {
-    loam::Moment const heard = now - session.heard_ago;
-    Standing& standing = sessions_[session.member.name];
-    if (heard > standing.heard) {
-      standing = Standing{session.member, heard, false};
-    }
+    adopt(session.member, now - session.heard_ago);
   }
+  return lead_on(tell, now);
 }
 
 std::vector<std::string> Sessions::expire(loam::Moment now) {
@@ -50,6 +118,8 @@
   for (std::map<std::string, Standing>::iterator entry = sessions_.begin(); entry != sessions_.end();) {
     if (now - entry->second.heard > bound_) {
       ended.push_back(entry->first);
+      (void)members_.remove(entry->first);
+      (void)own_.remove(entry->first);
       entry = sessions_.erase(entry);
     } else {
       ++entry;
@@ -58,6 +128,7 @@
   for (std::map<std::string, Known>::iterator entry = trellises_.begin(); entry != trellises_.end();) {
     entry = now - entry->second.heard > constants::colleague_bound ? trellises_.erase(entry) : std::next(entry);
   }
+  std::erase_if(told_, [this](std::pair<std::string const, Told> const& entry) { return trellises_.count(entry.first) == 0; });
   return ended;
 }
 
@@ -79,6 +150,49 @@
   return sessions;
 }
 
+MemberNews Sessions::since(std::uint64_t digest) const {
+  MemberNews news;
+  news.digest = members_.digest();
+  std::optional<loam::Delta> const delta = members_.since(digest);
+  news.same = !delta.has_value();
+  if (news.same) {
+    return news;
+  }
+  if (delta->whole) {
+    news.members = members();
+    return news;
+  }
+  news.from = digest;
+  news.gone = delta->removed;
+  for (std::pair<std::string, std::string> const& entry : delta->put) {
+    news.members.push_back(sessions_.at(entry.first).member);
+  }
+  return news;
+}
+
+void Sessions::tell(std::uint64_t known, loam::Moment now, schema::Tell& tell) const {
+  tell.sessions_digest = own_.digest();
+  std::optional<loam::Delta> const delta = own_.since(known);
+  if (delta.has_value() && delta->whole) {
+    tell.sessions = tellable(now);
+    return;
+  }
+  tell.sessions_from = known;
+  if (delta.has_value()) {
+    tell.sessions_gone = delta->removed;
+    for (std::pair<std::string, std::string> const& entry : delta->put) {
+      Standing const& standing = sessions_.at(entry.first);
+      tell.sessions.push_back(schema::Session{standing.member, now - standing.heard, {}});
+    }
+  }
+  for (std::pair<std::string const, Standing> const& entry : sessions_) {
+    if (entry.second.direct) {
+      // Rounded to the older side.
+      tell.heard_ago_ms.push_back(static_cast<std::uint64_t>(std::max<loam::Span>(now - entry.second.heard, 0) + 999) / 1000);
+    }
+  }
+}
+
 std::vector<schema::TrellisEntry> Sessions::trellises() const {
   std::vector<schema::TrellisEntry> entries{self_};
   for (std::pair<std::string const, Known> const& entry : trellises_) {
--- a/source/hedge/session/sessions.hpp
+++ b/source/hedge/session/sessions.hpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "loam/constants.hpp"
+#include "loam/delta/delta.hpp"
 #include "loam/time/moment.hpp"
 #include "schema/wire.hpp"
 
@@ -15,6 +16,15 @@
 /// changes all the time (load, revisions held) is left out.
 [[nodiscard]] std::uint64_t digest_of(std::vector<schema::Member> const& members);
 
+/// What an asker is told of the members (section 6.4), as of a list (listing.hpp).
+struct MemberNews {
+  bool same = false;
+  std::uint64_t from = 0;
+  std::vector<schema::Member> members;
+  std::vector<std::string> gone;
+  std::uint64_t digest = 0;
+};
+
 /// Who is a member (section 7.1): furrows whose session with some trellis
 /// stands, and the trellises that tell each other of them. Plain state.
 class Sessions {
@@ -25,15 +35,24 @@
 
   /// A furrow asked here; true when that opened a session.
   bool heard(schema::Member const& member, loam::Moment now);
-  /// A colleague told of itself, its sessions and others.
-  void told(schema::Tell const& tell, loam::Moment now);
+  /// A colleague told of itself, its sessions and others; gives the digest of
+  /// its sessions as they are known here then, which it is to be told: 0 when
+  /// what it told did not lead to what it says (section 6.4).
+  std::uint64_t told(schema::Tell const& tell, loam::Moment now);
   void met(schema::TrellisEntry const& trellis, loam::Moment now);
   /// Ends what is over; the names that ended.
   [[nodiscard]] std::vector<std::string> expire(loam::Moment now);
 
   [[nodiscard]] std::vector<schema::Member> members() const;
+  /// Digest of what readiness and addresses need of the members.
+  [[nodiscard]] std::uint64_t digest() const { return members_.digest(); }
+  /// For an asker that holds the members of this digest; 0: none.
+  [[nodiscard]] MemberNews since(std::uint64_t digest) const;
   /// Sessions as told to colleagues, each with how long ago it was heard of.
   [[nodiscard]] std::vector<schema::Session> tellable(loam::Moment now) const;
+  /// The sessions of a telling to a colleague that knows those of this digest:
+  /// whole ones where they changed, and of all how long ago they were heard of.
+  void tell(std::uint64_t known, loam::Moment now, schema::Tell& tell) const;
   [[nodiscard]] std::vector<schema::TrellisEntry> trellises() const;
   void set_self(schema::TrellisEntry const& self) { self_ = self; }
   [[nodiscard]] schema::TrellisEntry const& self() const { return self_; }
@@ -48,10 +67,22 @@
     schema::TrellisEntry entry;
     loam::Moment heard = 0;
   };
+  /// What a colleague told of its sessions so far.
+  struct Told {
+    loam::DeltaCopy copy;
+    std::map<std::string, schema::Member> members;
+  };
+  void stand(std::string const& name, Standing standing);
+  void adopt(schema::Member const& member, loam::Moment heard);
+  [[nodiscard]] std::uint64_t lead_on(schema::Tell const& tell, loam::Moment now);
+
   schema::TrellisEntry self_;
   loam::Span bound_;
   std::map<std::string, Standing> sessions_;
   std::map<std::string, Known> trellises_;
+  std::map<std::string, Told> told_;  ///< by the colleague's address
+  loam::DeltaSource members_{loam::constants::delta_states};
+  loam::DeltaSource own_{loam::constants::delta_states};  ///< sessions held here, as they are told
 };
 
 }  // namespace finchlink::hedge
--- a/source/loam/constants.hpp
+++ b/source/loam/constants.hpp
@@ -151,6 +151,11 @@
 /// Records waiting for the disk; beyond it the holder stays silent.
 inline constexpr std::size_t disk_waitlist = 256;
 
+// --- deltas (section 6.4) ---
+/// States that a teller can lead on from: several seconds of changes on all
+/// sides, at 16 bytes each and a name where one went.
+inline constexpr std::size_t delta_states = 1024;
+
 // --- frames (section 3) ---
 inline constexpr std::size_t frame_limit = 8u << 20u;
 inline constexpr std::uint32_t frame_mark = 0x46434c31;  // "FCL1"
--- a/source/loam/delta/delta.cpp
+++ b/source/loam/delta/delta.cpp
@@ -19,42 +19,82 @@
   return value ^ (value >> 33u);
 }
 
-bool DeltaSource::take(std::map<std::string, std::string> const& state) {
-  std::uint64_t const next = count_ + 1;
-  bool changed = false;
-  for (std::map<std::string, Entry>::iterator entry = entries_.begin(); entry != entries_.end();) {
-    if (state.count(entry->first) == 0) {
-      removed_[entry->first] = next;
-      entry = entries_.erase(entry);
-      changed = true;
-    } else {
-      ++entry;
-    }
-  }
-  for (std::pair<std::string const, std::string> const& given : state) {
-    Entry& entry = entries_[given.first];
-    if (entry.changed == 0 || entry.bytes != given.second) {
-      entry = Entry{given.second, next};
-      removed_.erase(given.first);
-      changed = true;
-    }
+std::uint64_t digest_of(std::map<std::string, std::string> const& entries) {
+  std::uint64_t sum = 1;
+  for (std::pair<std::string const, std::string> const& entry : entries) {
+    sum += part_of(entry.first, entry.second);
   }
-  if (!changed) {
+  return never_zero(sum);
+}
+
+bool DeltaSource::enter(std::string const& name, std::string const& bytes, std::uint64_t count) {
+  Entry& entry = entries_[name];
+  if (entry.changed != 0 && entry.bytes == bytes) {
     return false;
   }
-  count_ = next;
-  std::uint64_t sum = 1;
-  for (std::pair<std::string const, Entry> const& entry : entries_) {
-    sum += part_of(entry.first, entry.second.bytes);
+  sum_ += part_of(name, bytes) - (entry.changed == 0 ? 0 : part_of(name, entry.bytes));
+  entry = Entry{bytes, count};
+  removed_.erase(name);
+  return true;
+}
+
+bool DeltaSource::leave(std::string const& name, std::uint64_t count) {
+  std::map<std::string, Entry>::const_iterator const entry = entries_.find(name);
+  if (entry == entries_.end()) {
+    return false;
   }
-  digest_ = never_zero(sum);
+  sum_ -= part_of(name, entry->second.bytes);
+  entries_.erase(entry);
+  removed_[name] = count;
+  return true;
+}
+
+void DeltaSource::settle(std::uint64_t count) {
+  count_ = count;
+  digest_ = never_zero(sum_);
   states_.emplace_back(count_, digest_);
   while (states_.size() > states_most_) {
     states_.pop_front();
   }
   // Nobody can ask from before the oldest state that is known.
   std::erase_if(removed_, [this](std::pair<std::string const, std::uint64_t> const& entry) { return entry.second <= states_.front().first; });
-  return true;
+}
+
+bool DeltaSource::take(std::map<std::string, std::string> const& state) {
+  std::uint64_t const next = count_ + 1;
+  std::vector<std::string> gone;
+  for (std::pair<std::string const, Entry> const& entry : entries_) {
+    if (state.count(entry.first) == 0) {
+      gone.push_back(entry.first);
+    }
+  }
+  bool changed = !gone.empty();
+  for (std::string const& name : gone) {
+    (void)leave(name, next);
+  }
+  for (std::pair<std::string const, std::string> const& given : state) {
+    changed = enter(given.first, given.second, next) || changed;
+  }
+  if (changed) {
+    settle(next);
+  }
+  return changed;
+}
+
+bool DeltaSource::put(std::string const& name, std::string const& bytes) {
+  bool const changed = enter(name, bytes, count_ + 1);
+  if (changed) {
+    settle(count_ + 1);
+  }
+  return changed;
+}
+
+bool DeltaSource::remove(std::string const& name) {
+  bool const changed = leave(name, count_ + 1);
+  if (changed) {
+    settle(count_ + 1);
+  }
+  return changed;
 }
 
 std::optional<Delta> DeltaSource::since(std::uint64_t digest) const {
@@ -98,11 +138,7 @@
   for (std::pair<std::string, std::string> const& entry : delta.put) {
     entries_[entry.first] = entry.second;
   }
-  std::uint64_t sum = 1;
-  for (std::pair<std::string const, std::string> const& entry : entries_) {
-    sum += part_of(entry.first, entry.second);
-  }
-  bool const good = never_zero(sum) == delta.digest;
+  bool const good = digest_of(entries_) == delta.digest;
   if (!good) {
     entries_.clear();
   }
--- a/source/loam/delta/delta.hpp
+++ b/source/loam/delta/delta.hpp
@@ -13,6 +13,8 @@
 
 /// FNV-1a of an entry's bytes, stirred so that sums of them spread well.
 [[nodiscard]] std::uint64_t fingerprint(std::string_view bytes);
+/// The digest of a state of named entries; never zero.
+[[nodiscard]] std::uint64_t digest_of(std::map<std::string, std::string> const& entries);
 
 /// One change of a set of named entries: what is new or different, and what is
 /// gone; or all that there is, when the asker's state is not known any more.
@@ -34,6 +36,9 @@
   explicit DeltaSource(std::size_t states_most) : states_most_(states_most) { states_.emplace_back(0, digest_); }
   /// Takes the state as it is now, in any order; true when it differs.
   bool take(std::map<std::string, std::string> const& state);
+  /// One entry as it is now, or one that is gone; true when that is a change.
+  bool put(std::string const& name, std::string const& bytes);
+  bool remove(std::string const& name);
   /// What leads from the state of this digest to the one now; nothing when the
   /// asker holds it already. Digest 0 stands for an asker that holds nothing.
   [[nodiscard]] std::optional<Delta> since(std::uint64_t digest) const;
@@ -47,10 +52,17 @@
     std::string bytes;
     std::uint64_t changed = 0;  ///< the state's count at which it became so
   };
+  /// Changes one entry of the state that is being made.
+  bool enter(std::string const& name, std::string const& bytes, std::uint64_t count);
+  bool leave(std::string const& name, std::uint64_t count);
+  /// The state is made: it has a digest, and asks may name it.
+  void settle(std::uint64_t count);
+
   std::size_t states_most_;
   std::map<std::string, Entry> entries_;
   std::map<std::string, std::uint64_t> removed_;  ///< name to the count at which it went
   std::uint64_t count_ = 0;
+  std::uint64_t sum_ = 1;
   std::uint64_t digest_ = 1;  ///< of no entries; never zero
   std::deque<std::pair<std::uint64_t, std::uint64_t>> states_;  ///< count and digest, oldest first
 };
--- a/source/tests/loam/fuzz_test.cpp
+++ b/source/tests/loam/fuzz_test.cpp
@@ -8,6 +8,7 @@
 
 #include "almanac/disk/memory_disk.hpp"
 #include "furrow/worker/contract.hpp"
+#include "hedge/copy/copy.hpp"
 #include "loam/json/tree.hpp"
 #include "loam/constants.hpp"
 #include "loam/wire/frame.hpp"
@@ -57,6 +58,102 @@
   EXPECT_GT(refused, 0);
 }
 
+TEST(Fuzz, NewsThatLeadOnIsTakenOrLeft) {
+  schema::PlatformList list;
+  for (int index = 0; index < 12; ++index) {
+    schema::WorkerEntry entry;
+    entry.id = "w" + std::to_string(index);
+    entry.address = "10.0.0.1:80";
+    list.workers.push_back(entry);
+  }
+  hedge::Listing teller;
+  ASSERT_TRUE(teller.keep(list, 1000, 1000));
+  hedge::Sessions sessions(schema::TrellisEntry{"t", 1, "h", "a", "", false, false, 0});
+  hedge::Sessions other(schema::TrellisEntry{"u", 2, "h", "b", "", false, false, 0});
+  schema::Member member;
+  member.incarnation = 1;
+  for (std::string const name : {"f", "g", "h"}) {
+    member.name = name;
+    (void)sessions.heard(member, 1000);
+  }
+  schema::Tell telling;
+  telling.from = sessions.self();
+  sessions.tell(0, 1000, telling);
+  std::uint64_t const known = other.told(telling, 1000);
+  ASSERT_NE(known, 0u);
+  std::uint64_t const list_digest = teller.digest();
+  std::uint64_t const members_digest = sessions.digest();
+  hedge::ListCopy const list_before = [&] {
+    hedge::ListCopy copy;
+    (void)copy.take(teller.since(0), 0, 1000);
+    return copy;
+  }();
+  hedge::MemberCopy const members_before = [&] {
+    hedge::MemberCopy copy;
+    schema::NewsAnswer answer;
+    answer.vouched = true;
+    answer.members = sessions.members();
+    answer.members_digest = members_digest;
+    (void)copy.take(answer);
+    return copy;
+  }();
+  // What leads on from there: a worker drains, another is gone, a furrow came.
+  list.workers[3].draining = true;
+  list.workers.pop_back();
+  ASSERT_TRUE(teller.keep(list, 2000, 2000));
+  member.name = "i";
+  (void)sessions.heard(member, 2000);
+  schema::NewsAnswer good;
+  good.vouched = true;
+  hedge::ListNews const news = teller.since(list_digest);
+  good.list_from = news.from;
+  good.list = news.list;
+  good.list_gone = news.gone;
+  good.list_digest = news.digest;
+  hedge::MemberNews const joined = sessions.since(members_digest);
+  good.members_from = joined.from;
+  good.members = joined.members;
+  good.members_digest = joined.digest;
+  ASSERT_NE(good.list_from, 0u);
+  ASSERT_NE(good.members_from, 0u);
+  schema::Tell told;
+  told.from = sessions.self();
+  sessions.tell(known, 2000, told);
+  ASSERT_NE(told.sessions_from, 0u);
+  std::string const answer_bytes = loam::pack(schema::Message(good));
+  std::string const tell_bytes = loam::pack(schema::Message(told));
+  std::mt19937_64 random(6);
+  int taken = 0;
+  int left = 0;
+  for (int round = 0; round < rounds(); ++round) {
+    absl::StatusOr<schema::Message> const read = loam::unpack<schema::Message>(round == 0 ? answer_bytes : spoiled(answer_bytes, random));
+    schema::NewsAnswer const* const answer = read.ok() ? std::get_if<schema::NewsAnswer>(&*read) : nullptr;
+    if (answer != nullptr) {
+      hedge::ListCopy lists = list_before;
+      bool const changed = lists.take(hedge::list_news(*answer), answer->list_age, 2000);
+      (changed ? taken : left) += 1;
+      // One that was led on is the one that was named.
+      if (changed && answer->list_from != 0) {
+        EXPECT_EQ(hedge::digest_of(lists.list()), answer->list_digest);
+      }
+      EXPECT_TRUE(changed || lists.list() == list_before.list());
+      hedge::MemberCopy members = members_before;
+      if (members.take(*answer) && answer->members_from != 0) {
+        EXPECT_EQ(hedge::digest_of(members.members()), answer->members_digest);
+      }
+    }
+    absl::StatusOr<schema::Message> const heard = loam::unpack<schema::Message>(spoiled(tell_bytes, random));
+    schema::Tell const* const tell = heard.ok() ? std::get_if<schema::Tell>(&*heard) : nullptr;
+    if (tell != nullptr) {
+      hedge::Sessions receiver = other;
+      std::uint64_t const digest = receiver.told(*tell, 2000);
+      EXPECT_TRUE(digest == 0 || digest == tell->sessions_digest || digest == known);
+    }
+  }
+  EXPECT_GT(taken, 0);
+  EXPECT_GT(left, 0);
+}
+
 TEST(Frame, LargeOnesAreCompressedAndReadBackWhole) {
   std::mt19937_64 random(3);
   std::string content;
--- a/source/tests/relay/fleet.hpp
+++ b/source/tests/relay/fleet.hpp
@@ -367,6 +367,7 @@
   std::map<std::string, schema::NamedValue> news;
   bool silent = false;        ///< the trellis says nothing
   bool vouched = true;
+  std::function<void(schema::NewsAsk const&, schema::NewsAnswer&)> script;  ///< changes what the trellis answers
   std::uint64_t asks = 0;
   std::vector<schema::Member> told;  ///< what the relay said of itself
   std::unique_ptr<furrow::Station> station;
@@ -396,6 +397,9 @@
     reply.members_digest = members_digest;
     reply.members_same = ask->members_digest == members_digest;
     reply.members = members;
+    if (script) {
+      script(*ask, reply);
+    }
     return reply;
   }
 };
--- a/source/tests/relay/station_test.cpp
+++ b/source/tests/relay/station_test.cpp
@@ -1,5 +1,8 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
+#include "hedge/listing/listing.hpp"
 #include "tests/relay/fleet.hpp"
 
 namespace finchlink::relay_test {
@@ -151,6 +154,40 @@
   EXPECT_EQ(worker.arrivals.size(), 1u);
 }
 
+TEST(Station, WhatLeadsOnFromItsListIsTakenAndWhatLeadsElsewhereIsAskedForWhole) {
+  Fleet fleet;
+  (void)fleet.worker("w1", "web", "north");
+  (void)fleet.worker("w2", "web", "south");
+  std::vector<std::uint64_t> asked;
+  std::string gone;
+  bool wrong = false;
+  fleet.script = [&](schema::NewsAsk const& ask, schema::NewsAnswer& answer) {
+    asked.push_back(ask.list_digest);
+    answer.list_digest = hedge::digest_of(fleet.list);
+    answer.list_same = ask.list_digest == answer.list_digest;
+    answer.list = answer.list_same ? schema::PlatformList{} : fleet.list;
+    if (!answer.list_same && ask.list_digest != 0) {  // only what changed
+      answer.list_from = ask.list_digest;
+      answer.list = schema::PlatformList{};
+      answer.list_gone = {wrong ? "w1" : gone};
+    }
+  };
+  fleet.begin();
+  ASSERT_TRUE(fleet.until([&] { return fleet.station->grove().usable("w1") && fleet.station->grove().usable("w2"); }));
+  std::size_t const whole = asked.size();
+  fleet.list.workers.erase(fleet.list.workers.begin());
+  gone = "w1";
+  ASSERT_TRUE(fleet.until([&] { return !fleet.station->grove().serves("w1", "web"); }));
+  EXPECT_TRUE(fleet.station->grove().usable("w2"));
+  EXPECT_EQ(std::count(asked.begin() + static_cast<std::ptrdiff_t>(whole), asked.end(), 0u), 0);
+  // Another teller's word that does not lead where it says.
+  fleet.list.workers.clear();
+  wrong = true;
+  std::size_t const before = asked.size();
+  ASSERT_TRUE(fleet.until([&] { return !fleet.station->grove().serves("w2", "web"); }));
+  EXPECT_GE(std::count(asked.begin() + static_cast<std::ptrdiff_t>(before), asked.end(), 0u), 1);
+}
+
 TEST(Station, DrainingItServesOnAndSaysSo) {
   Fleet fleet;
   Worker& worker = fleet.worker("w1");
--- a/source/trellis/news/news.cpp
+++ b/source/trellis/news/news.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "hedge/copy/copy.hpp"
 #include "hedge/desk/desk.hpp"
 #include "loam/constants.hpp"
 #include "loam/error/error.hpp"
@@ -161,13 +162,34 @@
 }
 
 void News::judge_members() {
-  std::uint64_t const digest = hedge::digest_of(sessions_.members());
-  if (digest != members_digest_) {
-    members_digest_ = digest;
+  if (sessions_.digest() != members_digest_) {
+    members_digest_ = sessions_.digest();
     ledger_.bell().ring();
   }
 }
 
+void News::add_reports(schema::Tell& tell, loam::Moment now) {
+  std::map<std::uint64_t, std::size_t> places;
+  for (std::size_t place = 0; place < tell.sessions.size(); ++place) {
+    places[tell.sessions[place].member.incarnation] = place;
+  }
+  std::vector<schema::Session> const direct = reports_.empty() ? std::vector<schema::Session>{} : sessions_.tellable(now);
+  for (schema::Session const& session : direct) {
+    for (Kept const& kept : reports_) {
+      if (kept.member.incarnation != session.member.incarnation) {
+        continue;
+      }
+      // A session that has reports is told whole, also if it did not change.
+      std::map<std::uint64_t, std::size_t>::iterator place = places.find(session.member.incarnation);
+      if (place == places.end()) {
+        place = places.emplace(session.member.incarnation, tell.sessions.size()).first;
+        tell.sessions.push_back(session);
+      }
+      tell.sessions[place->second].reports.push_back(kept.report);
+    }
+  }
+}
+
 void News::tell_colleagues(bool confirm, std::string const& only, loam::Yield yield) {
   schema::Tell tell;
   std::vector<std::pair<std::string, schema::Message>> calls;
@@ -183,17 +205,9 @@
     patience = loam::milliseconds(static_cast<std::int64_t>(settings_.bounds.tell_pause_ms)) * 2;
     tell.from = sessions_.self();
     tell.others = sessions_.trellises();
-    tell.sessions = sessions_.tellable(now);
-    tell.list_digest = listing_.digest();
+    tell.list_digest = listing_.wanted();
     tell.list_age = listing_.age(now);
     tell.confirm = confirm;
-    for (schema::Session& session : tell.sessions) {
-      for (Kept const& kept : reports_) {
-        if (kept.member.incarnation == session.member.incarnation) {
-          session.reports.push_back(kept.report);
-        }
-      }
-    }
     std::vector<std::string> addresses = settings_.seeds;
     for (schema::TrellisEntry const& other : tell.others) {
       addresses.push_back(other.address);
@@ -205,7 +219,10 @@
     addresses.erase(std::unique(addresses.begin(), addresses.end()), addresses.end());
     for (std::string const& address : addresses) {
       if (address != settings_.colleague_address) {
-        calls.emplace_back(address, tell);
+        schema::Tell told = tell;
+        sessions_.tell(known_there_[address], now, told);
+        add_reports(told, now);
+        calls.emplace_back(address, std::move(told));
       }
     }
   }
@@ -213,21 +230,21 @@
   // A silent colleague must not hold up the next telling by more than this.
   loam::Gather::run(
       context_, caller_, calls, patience,
-      [this, sent](std::size_t, absl::StatusOr<schema::Message> const& answer) {
+      [this, sent, &calls](std::size_t index, absl::StatusOr<schema::Message> const& answer) {
         if (answer.ok()) {
           if (schema::Told const* const told = std::get_if<schema::Told>(&*answer)) {
             // Counted from when we asked: a frozen machine that wakes must
             // not take an old word for a fresh one (section 6.3).
-            if (told->list_age >= 0 && told->list_same) {
+            bool changed = false;
+            {
               std::lock_guard<std::mutex> const guard(lock_);
-              if (told->list_digest == listing_.digest()) {
-                listing_.renew(sent - told->list_age);
-              }
-            } else if (told->list_age >= 0) {
-              keep_list(told->list, sent - told->list_age);
+              changed = told->list_age >= 0 && listing_.take(hedge::list_news(*told), sent - told->list_age, loam::boot_now());
+              sessions_.met(told->from, loam::boot_now());
+              known_there_[calls[index].first] = told->sessions_digest;
+            }
+            if (changed) {
+              ledger_.bell().ring();
             }
-            std::lock_guard<std::mutex> const guard(lock_);
-            sessions_.met(told->from, loam::boot_now());
           }
         }
         return false;
@@ -241,7 +258,7 @@
   bool fetch = false;
   {
     std::lock_guard<std::mutex> const guard(lock_);
-    sessions_.told(tell, now);
+    told.sessions_digest = sessions_.told(tell, now);
     judge_members();
     for (schema::Session const& session : tell.sessions) {
       keep_reports(session.member, session.reports, now);
@@ -249,10 +266,16 @@
     // A colleague that tells of a newer list is asked for it: what it says of
     // its age counts only from when we asked (section 6.3).
     loam::Span const age = listing_.age(now);
-    bool const same = tell.list_digest == listing_.digest();
-    fetch = tell.list_age >= 0 && !same && (age < 0 || tell.list_age < age) && !fetching_;
+    hedge::ListNews news = listing_.since(tell.list_digest);
+    fetch = tell.list_age >= 0 && !news.same && (age < 0 || tell.list_age < age) && !fetching_;
     fetching_ = fetching_ || fetch;
-    told = schema::Told{sessions_.self(), same ? schema::PlatformList{} : listing_.list(), age, listing_.digest(), same};
+    told.from = sessions_.self();
+    told.list_age = age;
+    told.list_digest = news.digest;
+    told.list_same = news.same;
+    told.list_from = news.from;
+    told.list = std::move(news.list);
+    told.list_gone = std::move(news.gone);
   }
   if (tell.confirm) {
     ledger_.hurry();
@@ -305,16 +328,18 @@
     ledger_.bell().wait(seen, other_news && !rested ? std::min(verdict.wait, constants::bell_pause - (now - arrival)) : verdict.wait, yield);
   }
   std::lock_guard<std::mutex> const guard(lock_);
-  answer.members_digest = members_digest_;
-  answer.members_same = ask.members_digest != 0 && ask.members_digest == members_digest_;
-  if (!answer.members_same) {
-    answer.members = sessions_.members();
-  }
-  answer.list_digest = listing_.digest();
-  answer.list_same = ask.list_digest != 0 && ask.list_digest == listing_.digest();
-  if (!answer.list_same) {
-    answer.list = listing_.list();
-  }
+  hedge::MemberNews members = sessions_.since(ask.members_digest);
+  answer.members_digest = members.digest;
+  answer.members_same = members.same;
+  answer.members_from = members.from;
+  answer.members = std::move(members.members);
+  answer.members_gone = std::move(members.gone);
+  hedge::ListNews list = listing_.since(ask.list_digest);
+  answer.list_digest = list.digest;
+  answer.list_same = list.same;
+  answer.list_from = list.from;
+  answer.list = std::move(list.list);
+  answer.list_gone = std::move(list.gone);
   answer.list_age = listing_.age(loam::boot_now());
   answer.report_ms = tilth::report_ms_of(settings_);
   answer.reports_taken = newest_slice_[ask.member.incarnation];
--- a/source/trellis/news/news.hpp
+++ b/source/trellis/news/news.hpp
@@ -48,6 +48,8 @@
   void tell_colleagues(bool confirm, std::string const& only, loam::Yield yield);
   /// Notes whether members are others than before; rings if so. Under the lock.
   void judge_members();
+  /// Puts newly taken reports to the sessions they are of. Under the lock.
+  void add_reports(schema::Tell& tell, loam::Moment now);
   [[nodiscard]] loam::Span bound(std::uint64_t schema::TimeBounds::*field);
   [[nodiscard]] schema::TrellisEntry self();
 
@@ -70,6 +72,7 @@
   std::map<std::uint64_t, std::uint64_t> newest_slice_;
   ListReader reader_;
   std::uint64_t members_digest_ = 0;
+  std::map<std::string, std::uint64_t> known_there_;  ///< digest of our sessions as a colleague knows them, by its address
   bool fetching_ = false;  ///< a colleague's newer list is on its way
   loam::Span list_pause_after_defect_ = 0;
 };
