--- a/source/almanac/main.cpp
+++ b/source/almanac/main.cpp
@@ -4,6 +4,8 @@
 
 #include "almanac/control/control.hpp"
 #include "almanac/field/field.hpp"
+#include "almanac/relay/relay.hpp"
+#include "almanac/walls/walls.hpp"
 #include "loam/settings/settings.hpp"
 
 namespace {
@@ -59,6 +61,54 @@
   return true;
 }
 
+int run_walls_scenario(std::uint64_t first, std::uint64_t last, options::variables_map const& found) {
+  almanac::WallsReport sum;
+  std::uint64_t failed = 0;
+  for (std::uint64_t seed = first; seed <= last; ++seed) {
+    almanac::WallsOptions run;
+    run.seed = seed;
+    run.length = static_cast<loam::Span>(found["seconds"].as<double>() * 1e6);
+    run.rate *= found["scale"].as<double>();
+    run.print = found.count("trace") > 0;
+    std::map<std::string, bool*> const guards{{"tenant_in_key", &run.guards.tenant_in_key}, {"version_in_key", &run.guards.version_in_key}};
+    std::string off;
+    for (std::string const& guard : found.count("off") > 0 ? found["off"].as<std::vector<std::string>>() : std::vector<std::string>()) {
+      if (guards.count(guard) == 0) {
+        return usage("'" + guard + "' is not a guard of the walls");
+      }
+      *guards.at(guard) = false;
+      off += " --off " + guard;
+    }
+    almanac::WallsReport const report = almanac::run_walls(run);
+    sum.sent += report.sent;
+    sum.ran += report.ran;
+    sum.unplaced += report.unplaced;
+    sum.own_hits += report.own_hits;
+    sum.public_hits += report.public_hits;
+    sum.crossed_hits += report.crossed_hits;
+    sum.old_hits += report.old_hits;
+    sum.cold += report.cold;
+    sum.evicted += report.evicted;
+    sum.moved += report.moved;
+    sum.misdirected += report.misdirected;
+    sum.rotations += report.rotations;
+    sum.faults += report.faults;
+    sum.named += report.named;
+    sum.least_own = std::min(sum.least_own, report.least_own);
+    if (first == last) {
+      std::cout << "trace " << std::hex << report.trace_hash << std::dec << "\n";
+    }
+    if (!report.violations.empty() && ++failed <= 5) {
+      std::cout << "seed " << seed << ": " << report.violations.front() << " (" << report.violations.size() << " in all)\n  replay: almanac --scenario walls --seeds " << seed << " --seconds "
+                << found["seconds"].as<double>() << " --scale " << found["scale"].as<double>() << off << " --trace\n";
+    }
+  }
+  std::cout << "walls: " << (last - first + 1) << " seeds, " << failed << " failed; sent " << sum.sent << ", ran " << sum.ran << ", given up " << sum.unplaced << ", hits crossed " << sum.crossed_hits << ", of other weights "
+            << sum.old_hits << ", own " << sum.own_hits << ", public " << sum.public_hits << ", cold " << sum.cold << ", less kept than recorded " << sum.evicted << ", moved " << sum.moved << ", misdirected " << sum.misdirected
+            << ", rotations " << sum.rotations << ", faults " << sum.faults << ", crossings named " << sum.named << ", least share of a steady tenant's prompts with own hits " << sum.least_own << "\n";
+  return failed == 0 ? 0 : 1;
+}
+
 int run_field_scenario(std::string const& name, std::uint64_t first, std::uint64_t last, options::variables_map const& found) {
   std::optional<almanac::FieldFaults> const faults = almanac::field_scenario(almanac::is_whole(name) ? "field-calm" : name);
   almanac::FieldOptions probe;
@@ -167,6 +217,62 @@
   }
   return code;
 }
+int run_relay_scenario(std::string const& name, std::uint64_t first, std::uint64_t last, options::variables_map const& found) {
+  std::optional<almanac::RelayFaults> const faults = almanac::relay_scenario(name);
+  if (!faults.has_value()) {
+    return usage("'" + name + "' is not a scenario; see --list");
+  }
+  int code = 0;
+  std::uint64_t failed = 0;
+  almanac::RelayReport sum;
+  for (std::uint64_t seed = first; seed <= last; ++seed) {
+    almanac::RelayOptions run;
+    run.seed = seed;
+    run.length = static_cast<loam::Span>(found["seconds"].as<double>() * 1e6);
+    run.rate *= found["scale"].as<double>();
+    run.faults = *faults;
+    run.print = found.count("trace") > 0;
+    std::string off;
+    if (found.count("off") > 0) {
+      for (std::string const& guard : found["off"].as<std::vector<std::string>>()) {
+        if (!almanac::switch_off_relay(run, guard)) {
+          return usage("'" + guard + "' is not a guard of the relay");
+        }
+        off += " --off " + guard;
+      }
+    }
+    almanac::RelayReport const report = almanac::run_relay(run);
+    if (first == last) {
+      std::cout << "trace " << std::hex << report.trace_hash << std::dec << "\n";
+    }
+    sum.sent += report.sent;
+    sum.good += report.good;
+    sum.refused += report.refused;
+    sum.apologies += report.apologies;
+    sum.broken += report.broken;
+    sum.retries += report.retries;
+    sum.resumed += report.resumed;
+    sum.misdirected += report.misdirected;
+    sum.turned_away += report.turned_away;
+    sum.met_ill += report.met_ill;
+    sum.troubles += report.troubles;
+    sum.worst_retries = std::max(sum.worst_retries, report.worst_retries);
+    sum.worst_cold = std::max(sum.worst_cold, report.worst_cold);
+    sum.worst_drain = std::max(sum.worst_drain, report.worst_drain);
+    sum.worst_resting = std::max(sum.worst_resting, report.worst_resting);
+    if (!report.violations.empty()) {
+      code = 1;
+      if (++failed <= 3) {
+        std::cout << "seed " << seed << ": " << report.violations.front() << " (" << report.violations.size() << " in all)\n  replay: almanac --scenario " << name << " --seeds " << seed << " --seconds "
+                  << found["seconds"].as<double>() << " --scale " << found["scale"].as<double>() << off << " --trace\n";
+      }
+    }
+  }
+  std::cout << name << " x" << found["scale"].as<double>() << ": " << last - first + 1 << " seeds, " << failed << " failed; sent " << sum.sent << ", good " << sum.good << ", refused " << sum.refused << ", apologies " << sum.apologies << ", broken "
+            << sum.broken << ", retries " << sum.retries << ", taken up " << sum.resumed << ", misdirected " << sum.misdirected << ", turned away " << sum.turned_away << ", met an ill worker " << sum.met_ill << ", troubles " << sum.troubles
+            << "; at worst of their bounds: retries " << sum.worst_retries << ", cold " << sum.worst_cold << ", drain " << sum.worst_drain / 1000 << " ms, part of a pool at rest " << sum.worst_resting << "\n";
+  return code;
+}
 }  // namespace
 
 int main(int count, char** values) {
@@ -200,6 +306,10 @@
     for (std::string const& name : almanac::field_scenarios()) {
       std::cout << name << "\n";
     }
+    std::cout << "walls\n";
+    for (std::string const& name : almanac::relay_scenarios()) {
+      std::cout << name << "\n";
+    }
     return 0;
   }
   std::uint64_t first = 0;
@@ -214,6 +324,14 @@
   std::vector<std::string> const names = wanted == "all" ? almanac::control_scenarios() : std::vector<std::string>{wanted};
   int code = 0;
   for (std::string const& name : names) {
+    if (name == "walls" || name.rfind("relay-", 0) == 0) {
+      int const outcome = name == "walls" ? run_walls_scenario(first, last, found) : run_relay_scenario(name, first, last, found);
+      if (outcome == loam::exit_usage) {
+        return outcome;
+      }
+      code = std::max(code, outcome);
+      continue;
+    }
     if (name.rfind("field-", 0) == 0 || almanac::is_whole(name)) {
       int const outcome = run_field_scenario(name, first, last, found);
       if (outcome == loam::exit_usage) {
--- /dev/null
+++ b/source/almanac/relay/relay.cpp
@@ -0,0 +1,954 @@
+#include "almanac/relay/relay.hpp"
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <set>
+
+#include "almanac/kernel/kernel.hpp"
+#include "loam/constants.hpp"
+#include "loam/relay_constants.hpp"
+#include "tilth/chart/chart.hpp"
+#include "tilth/lanes/lanes.hpp"
+#include "tilth/rights/rights.hpp"
+
+namespace finchlink::almanac {
+
+namespace constants = loam::constants;
+
+namespace {
+
+/// The bounds that the runs are checked against; none is a site's own.
+constexpr double retry_ratio = 0.2;
+constexpr loam::Span retry_window = loam::seconds(10);
+constexpr double cold_overshoot = 1.5;
+constexpr double cold_slack = 5;
+constexpr loam::Span drain_bound = loam::milliseconds(4000);
+constexpr loam::Span evacuate_bound = loam::milliseconds(5000);
+constexpr loam::Span warm_up = loam::milliseconds(3000);
+constexpr loam::Span list_lag = loam::milliseconds(800);
+constexpr std::size_t halls = 6;
+
+enum class Illness { none, errors, reset, mute, slow, shed };
+struct Sickness {
+  Illness kind = Illness::none;
+  double part = 0;               ///< of its queries
+  std::string callers_hall;      ///< only for these; empty: for all
+};
+
+/// A worker as it truly is.
+struct Life {
+  std::string id;
+  std::string address;
+  std::string service;
+  std::size_t hall = 0;
+  bool model = false;
+  bool up = true;
+  bool dark = false;
+  bool full = false;
+  std::uint64_t run = 0;         ///< grows when what runs there is lost
+  loam::Moment cold_until = 0;
+  loam::Moment drains_at = 0;    ///< 0: not; shown on the list from then on
+  Sickness sick;
+  double garble = 0;
+  std::size_t running = 0;
+  std::vector<loam::Moment> cold_arrivals;
+};
+
+/// What the platform's list showed at a moment.
+struct Image {
+  loam::Moment at = 0;
+  std::vector<tilth::Stand> stands;
+};
+
+struct Furrow {
+  std::string name;
+  std::size_t hall = 0;
+  std::uint64_t life = 1;
+  tilth::Grove grove;
+  std::map<std::string, tilth::Rights> rights;
+  std::set<std::string> evacuated;
+};
+
+struct Flight {
+  std::string id;
+  std::size_t furrow = 0;
+  std::uint64_t life = 0;            ///< of its furrow
+  schema::Lane lane;
+  std::optional<tilth::Chart> chart;
+  tilth::Wanted wanted;
+  tilth::Spot spot;
+  std::string service;
+  loam::Moment arrived = 0;
+  loam::Moment deadline = 0;
+  std::uint64_t dispatch = 0;        ///< grows: what belongs to an earlier one is not heard
+  std::uint64_t watch = 0;           ///< the same for its silence alarm
+  loam::Moment silent_since = 0;
+  loam::Span allowed = 0;
+  int connects = 0;
+  std::uint64_t runs = 0;            ///< that workers began, in truth
+  std::uint64_t arrivals = 0;
+  std::uint64_t passed_on = 0;       ///< events that the caller has
+  bool first_seen = false;
+  bool occupied = false;             ///< a place is taken in the grove
+  bool reserved = false;
+  bool slow = false;
+  bool refused = false;
+};
+using FlightPointer = std::shared_ptr<Flight>;
+
+/// An arrival at a service: the first of its query or a further one.
+struct Arrival {
+  loam::Moment at = 0;
+  bool further = false;
+};
+
+class World {
+ public:
+  explicit World(RelayOptions const& options) : options_(options), kernel_(options.seed), book_(charter()) { kernel_.print_trace(options.print); }
+
+  RelayReport run() {
+    begin();
+    kernel_.run(options_.length, nullptr);
+    check_retries();
+    report_.trace_hash = kernel_.trace_hash();
+    report_.events = kernel_.events();
+    return report_;
+  }
+
+ private:
+  static schema::Charter charter() {
+    schema::Charter charter;
+    charter.number = 1;
+    for (std::string const& name : {"pool", "web"}) {
+      schema::Service service;
+      service.name = name;
+      service.model = name == std::string("pool");
+      service.connections = 400;
+      service.capacity = service.model ? 48 : 6;
+      service.kept_tokens = 300000;
+      charter.services.push_back(service);
+    }
+    struct Kind {
+      char const* name;
+      char const* service;
+      bool repeatable;
+      bool stream;
+      bool resumable;
+      std::uint64_t dispatches;
+      double set_point;
+      double deadline;
+    };
+    for (Kind const& kind : {Kind{"once", "pool", false, true, false, 1, 1000, 8000}, Kind{"taken-up", "pool", true, true, true, 2, 800, 4000}, Kind{"whole", "web", true, false, false, 2, 400, 2500},
+                             Kind{"paid", "web", false, false, false, 2, 500, 4000}, Kind{"at-home", "pool", true, true, true, 2, 800, 4000}}) {
+      schema::Lane lane;
+      lane.name = kind.name;
+      lane.host = "relay.example";
+      lane.prefix = "/" + lane.name + "/";
+      lane.shares = {schema::Share{kind.service, 1}};
+      lane.repeatable = kind.repeatable;
+      lane.stream = kind.stream;
+      lane.resumable = kind.resumable;
+      lane.dispatches = kind.dispatches;
+      lane.set_point_ms = kind.set_point;
+      lane.gap_set_point_ms = kind.stream ? 500 : 0;
+      lane.deadline_ms = kind.deadline;
+      if (lane.name == "at-home") {
+        lane.home_regions = {"east"};
+      }
+      charter.lanes.push_back(lane);
+    }
+    return charter;
+  }
+  static std::string hall_name(std::size_t hall) { return "hall-" + std::to_string(hall); }
+  static std::string region_of(std::size_t hall) { return hall % 2 == 0 ? "east" : "west"; }
+
+  void violation(std::string const& text) {
+    kernel_.trace("violation " + text);
+    report_.violations.push_back(std::to_string(kernel_.now() / 1000) + " ms: " + text);
+  }
+
+  // --- workers and the list ---
+
+  Life& start(std::string const& service, std::size_t hall, std::string const& address, bool cold) {
+    std::unique_ptr<Life> life = std::make_unique<Life>();
+    life->id = service + "-" + std::to_string(++last_id_);
+    life->address = address.empty() ? "10.0." + std::to_string(hall) + "." + std::to_string(last_id_) : address;
+    life->service = service;
+    life->hall = hall;
+    life->model = service == "pool";
+    life->cold_until = cold ? kernel_.now() + warm_up : 0;
+    Life& entry = *life;
+    by_address_[entry.address] = &entry;
+    lives_.push_back(std::move(life));
+    return entry;
+  }
+
+  std::vector<tilth::Stand> listed() const {
+    std::vector<tilth::Stand> stands;
+    for (std::unique_ptr<Life> const& life : lives_) {
+      if (!life->up && gone_.count(life->id) > 0) {
+        continue;
+      }
+      tilth::Stand stand;
+      stand.id = life->id;
+      stand.address = life->address;
+      stand.service = life->service;
+      stand.hall = hall_name(life->hall);
+      stand.region = region_of(life->hall);
+      stand.model = life->model;
+      stand.draining = life->drains_at > 0;
+      stand.capacity = life->model ? 48 : 6;
+      stand.connections = 400;
+      stand.cold_until = life->cold_until;
+      stand.cold_rate = options_.cold_rate;
+      stand.kept_tokens = 300000;
+      stands.push_back(stand);
+    }
+    return stands;
+  }
+
+  void publish() {
+    images_.push_back(Image{kernel_.now(), listed()});
+    while (images_.size() > 60) {
+      images_.erase(images_.begin());
+    }
+    kernel_.after(loam::milliseconds(100), [this] { publish(); });
+  }
+
+  /// A furrow hears of workers and evacuations; news are up to some 1.5 s old.
+  void hear(std::size_t index) {
+    Furrow& furrow = *furrows_[index];
+    loam::Moment const shown = kernel_.now() - list_lag;
+    Image const* image = &images_.front();
+    for (Image const& entry : images_) {
+      image = entry.at <= shown ? &entry : image;
+    }
+    furrow.evacuated = evacuated_;
+    std::vector<tilth::Stand> stands = image->stands;
+    for (tilth::Stand& stand : stands) {
+      stand.draining = stand.draining && options_.drop_drained;
+      stand.evacuated = options_.drop_evacuated && furrow.evacuated.count(stand.hall) > 0;
+      stand.cold_until = stand.cold_until <= kernel_.now() ? 0 : stand.cold_until;
+    }
+    tilth::GroveTerms terms;
+    terms.hall = hall_name(furrow.hall);
+    terms.region = region_of(furrow.hall);
+    terms.self = furrow.name;
+    terms.cold_overshoot = cold_overshoot;
+    terms.cold_slack = cold_slack;
+    terms.keep_long_apart = constants::keep_long_apart;
+    for (std::unique_ptr<Furrow> const& entry : furrows_) {
+      terms.furrows.push_back(entry->name);
+    }
+    furrow.grove.update(stands, terms, kernel_.now());
+    check_resting(furrow, stands);
+    kernel_.after(kernel_.between(loam::milliseconds(250), loam::milliseconds(700)), [this, index, life = furrow.life] {
+      if (furrows_[index]->life == life) {
+        hear(index);
+      }
+    });
+  }
+
+  /// Never all of a pool rest, and no more than a part.
+  void check_resting(Furrow const& furrow, std::vector<tilth::Stand> const& stands) {
+    std::map<std::string, std::pair<std::size_t, std::size_t>> pools;
+    for (tilth::Stand const& stand : stands) {
+      if (stand.draining || stand.evacuated) {
+        continue;
+      }
+      std::pair<std::size_t, std::size_t>& pool = pools[stand.region + "/" + stand.service];
+      ++pool.first;
+      pool.second += furrow.grove.ejected(stand.id, kernel_.now()) ? 1 : 0;
+    }
+    for (std::pair<std::string const, std::pair<std::size_t, std::size_t>> const& pool : pools) {
+      if (pool.second.first < constants::ejection_pool_least) {
+        continue;
+      }
+      double const part = static_cast<double>(pool.second.second) / static_cast<double>(pool.second.first);
+      report_.worst_resting = std::max(report_.worst_resting, part);
+      if (part > constants::ejection_share + 1e-9) {
+        violation("for " + furrow.name + " " + std::to_string(pool.second.second) + " of " + std::to_string(pool.second.first) + " of " + pool.first + " rest");
+      }
+    }
+  }
+
+  void begin() {
+    for (std::size_t hall = 0; hall < halls; ++hall) {
+      for (int count = 0; count < 4; ++count) {
+        (void)start("pool", hall, "", false);
+      }
+      for (int count = 0; count < 2; ++count) {
+        (void)start("web", hall, "", false);
+      }
+    }
+    publish();
+    for (std::size_t index = 0; index < options_.furrows; ++index) {
+      furrows_.push_back(std::make_unique<Furrow>());
+      furrows_.back()->name = "furrow-" + std::to_string(index);
+      furrows_.back()->hall = index % halls;
+      furrows_.back()->grove = tilth::Grove(options_.grove);
+    }
+    for (std::size_t index = 0; index < options_.furrows; ++index) {
+      hear(index);
+      kernel_.after(static_cast<loam::Span>(kernel_.exponential(1e6)), [this, index] { arrive(index); });
+    }
+    RelayFaults const& faults = options_.faults;
+    repeat(faults.grey, [this] { grow_ill(); });
+    repeat(faults.lying, [this] { fail_all(); });
+    repeat(faults.flap, [this] { begin_flapping(); });
+    repeat(faults.garble, [this] { garble(); });
+    repeat(faults.crash, [this] { crash(); });
+    repeat(faults.dark, [this] { go_dark(); });
+    repeat(faults.full, [this] { fill(); });
+    repeat(faults.drain, [this] { drain(); });
+    repeat(faults.evacuate, [this] { evacuate(); });
+    repeat(faults.restart, [this] { restart(); });
+  }
+
+  // --- troubles ---
+
+  void repeat(double mean, std::function<void()> const& event) {
+    if (mean <= 0) {
+      return;
+    }
+    kernel_.after(static_cast<loam::Span>(kernel_.exponential(mean * 1e6)), [this, mean, event] {
+      ++report_.troubles;
+      event();
+      repeat(mean, event);
+    });
+  }
+  /// One that is up and not leaving; none: nullptr.
+  Life* draw_life() {
+    std::vector<Life*> well;
+    for (std::unique_ptr<Life> const& life : lives_) {
+      if (life->up && life->drains_at == 0) {
+        well.push_back(life.get());
+      }
+    }
+    return well.empty() ? nullptr : well[kernel_.below(well.size())];
+  }
+  void for_a_while(Life& life, loam::Span span, std::function<void(Life&)> const& change, std::function<void(Life&)> const& end) {
+    change(life);
+    kernel_.after(span, [&life, end] { end(life); });
+  }
+  void grow_ill() {
+    Life* const life = draw_life();
+    if (life != nullptr) {
+      static constexpr Illness kinds[] = {Illness::errors, Illness::reset, Illness::mute, Illness::slow, Illness::shed};
+      Sickness sick{kinds[kernel_.below(5)], 0.3 + 0.4 * kernel_.uniform(), kernel_.chance(0.4) ? hall_name(kernel_.below(halls)) : ""};
+      kernel_.trace("ill " + life->id);
+      for_a_while(*life, loam::seconds(6), [sick](Life& entry) { entry.sick = sick; }, [](Life& entry) { entry.sick = Sickness{}; });
+    }
+  }
+  void fail_all() {
+    Life* const life = draw_life();
+    if (life != nullptr) {
+      Illness const kind = kernel_.chance(0.5) ? Illness::errors : Illness::reset;
+      kernel_.trace("lies " + life->id);
+      for_a_while(*life, loam::seconds(6), [kind](Life& entry) { entry.sick = Sickness{kind, 1, ""}; }, [](Life& entry) { entry.sick = Sickness{}; });
+    }
+  }
+  void begin_flapping() {
+    Life* const life = draw_life();
+    if (life != nullptr) {
+      kernel_.trace("flaps " + life->id);
+      flap(*life, 8);
+    }
+  }
+  /// It keeps its id: only its process hangs and returns, as behind a bad link.
+  void flap(Life& life, int turns) {
+    life.dark = turns % 2 == 0 && turns > 0;
+    ++life.run;
+    life.running = 0;
+    if (turns > 0) {
+      kernel_.after(loam::milliseconds(700), [this, &life, turns] { flap(life, turns - 1); });
+    }
+  }
+  void garble() {
+    Life* const life = draw_life();
+    if (life != nullptr) {
+      double const part = 0.03 + 0.2 * kernel_.uniform();
+      for_a_while(*life, loam::seconds(5), [part](Life& entry) { entry.garble = part; }, [](Life& entry) { entry.garble = 0; });
+    }
+  }
+  void end(Life& life) {
+    life.up = false;
+    ++life.run;
+    life.running = 0;
+    if (by_address_[life.address] == &life) {
+      by_address_.erase(life.address);
+    }
+    // What crashed stays on the list for some seconds.
+    kernel_.after(loam::seconds(3), [this, &life] { gone_.insert(life.id); });
+  }
+  void crash() {
+    Life* const life = draw_life();
+    if (life != nullptr) {
+      kernel_.trace("crashes " + life->id);
+      end(*life);
+      std::string const address = life->address;
+      // Its address goes to the next of its kind, or to another service's worker.
+      bool const other = kernel_.chance(0.5);
+      kernel_.after(kernel_.between(loam::milliseconds(500), loam::seconds(4)), [this, life, address, other] {
+        if (other && by_address_.count(address) == 0) {
+          (void)start(life->service == "pool" ? "web" : "pool", life->hall, address, true);
+        }
+        (void)start(life->service, life->hall, by_address_.count(address) == 0 ? address : "", true);
+      });
+    }
+  }
+  void go_dark() {
+    Life* const life = draw_life();
+    if (life != nullptr) {
+      kernel_.trace("dark " + life->id);
+      for_a_while(*life, loam::seconds(4), [](Life& entry) { entry.dark = true; ++entry.run; entry.running = 0; }, [](Life& entry) { entry.dark = false; });
+    }
+  }
+  void fill() {
+    Life* const life = draw_life();
+    if (life != nullptr) {
+      for_a_while(*life, loam::seconds(3), [](Life& entry) { entry.full = true; }, [](Life& entry) { entry.full = false; });
+    }
+  }
+  void drain() {
+    Life* const life = draw_life();
+    if (life == nullptr) {
+      return;
+    }
+    kernel_.trace("drains " + life->id);
+    (void)start(life->service, life->hall, "", true);
+    life->drains_at = kernel_.now();
+    kernel_.after(drain_bound + loam::seconds(2), [this, life] {
+      std::string const address = life->address;
+      end(*life);
+      gone_.insert(life->id);
+      // Another service's worker may take its address.
+      kernel_.after(loam::seconds(2), [this, life, address] {
+        if (by_address_.count(address) == 0) {
+          (void)start(life->service == "pool" ? "web" : "pool", life->hall, address, true);
+        }
+      });
+    });
+  }
+  void evacuate() {
+    if (!evacuated_.empty()) {
+      return;
+    }
+    std::size_t const hall = kernel_.below(halls);
+    kernel_.trace("evacuates " + hall_name(hall));
+    evacuated_.insert(hall_name(hall));
+    evacuated_at_[hall] = kernel_.now();
+    kernel_.after(kernel_.between(loam::seconds(6), loam::seconds(9)), [this, hall] {
+      evacuated_.erase(hall_name(hall));
+      evacuated_at_.erase(hall);
+      for (std::unique_ptr<Life> const& life : lives_) {
+        if (life->hall == hall && life->up) {  // the list tells a little later
+          life->cold_until = kernel_.now() + warm_up;
+        }
+      }
+    });
+  }
+  void restart() {
+    std::size_t const index = kernel_.below(furrows_.size());
+    Furrow& furrow = *furrows_[index];
+    kernel_.trace("restarts " + furrow.name);
+    ++furrow.life;
+    furrow.grove = tilth::Grove(options_.grove);
+    furrow.rights.clear();
+    furrow.evacuated.clear();
+    kernel_.after(loam::milliseconds(500), [this, index, life = furrow.life] {
+      if (furrows_[index]->life == life) {
+        hear(index);
+        arrive(index);
+      }
+    });
+  }
+
+  // --- queries, as furrow/relay has them ---
+
+  void arrive(std::size_t index) {
+    Furrow& furrow = *furrows_[index];
+    kernel_.after(static_cast<loam::Span>(kernel_.exponential(1e6 * static_cast<double>(options_.furrows) / options_.rate)), [this, index, life = furrow.life] {
+      if (furrows_[index]->life == life) {
+        arrive(index);
+      }
+    });
+    double const which = kernel_.uniform();
+    std::string const name = which < 0.1 ? "once" : which < 0.55 ? "taken-up" : which < 0.75 ? "whole" : which < 0.9 ? "paid" : "at-home";
+    schema::Lane const* const lane = book_.find("relay.example", "/" + name + "/x");
+    FlightPointer const flight = std::make_shared<Flight>();
+    flight->id = "q" + std::to_string(++last_query_);
+    flight->furrow = index;
+    flight->life = furrow.life;
+    flight->lane = *lane;
+    flight->arrived = kernel_.now();
+    flight->deadline = kernel_.now() + loam::milliseconds(static_cast<std::int64_t>(lane->deadline_ms));
+    if (lane->stream) {
+      bool const long_prompt = name == "once";
+      flight->wanted.tokens = long_prompt ? 6000 : 300;
+      flight->wanted.outputs = 40;
+      flight->wanted.parts = {tilth::Part{1 + kernel_.below(long_prompt ? 20 : 200), long_prompt ? 4000.0 : 100.0}, tilth::Part{1000000 + last_query_, long_prompt ? 2000.0 : 200.0}};
+    }
+    tilth::QueryTerms terms;
+    terms.resumable = lane->stream && lane->resumable;
+    terms.repeatable = lane->repeatable || terms.resumable || !options_.dispatch_once;
+    terms.stream = lane->stream;
+    terms.dispatches_most = options_.dispatch_once ? static_cast<int>(lane->dispatches) : 2;
+    flight->chart.emplace(terms, [this, flight = flight.get()](loam::Moment) { return spend(*flight); });
+    ++report_.sent;
+    perform(flight, flight->chart->begin());
+    kernel_.at(flight->deadline, [this, flight] {
+      if (live(*flight)) {
+        leave(*flight, tilth::Outcome::defect);
+        feed(flight, tilth::DeadlinePassed{});
+      }
+    });
+  }
+
+  [[nodiscard]] bool repeatable(Flight const& flight) const { return flight.lane.repeatable || (flight.lane.stream && flight.lane.resumable); }
+  [[nodiscard]] bool live(Flight const& flight) const { return furrows_[flight.furrow]->life == flight.life && !flight.chart->settled(); }
+  [[nodiscard]] Furrow& furrow_of(Flight const& flight) { return *furrows_[flight.furrow]; }
+  tilth::Rights& rights(Flight const& flight) {
+    tilth::Rights& rights = furrow_of(flight).rights[flight.service];
+    rights.bound(retry_ratio, options_.retry_slack, static_cast<double>(furrows_.size()));
+    return rights;
+  }
+  bool spend(Flight& flight) {
+    bool const good = flight.reserved || !options_.rights || rights(flight).take();
+    flight.reserved = false;
+    report_.retries += good ? 1 : 0;
+    return good;
+  }
+
+  void feed(FlightPointer const& flight, tilth::QueryMessage const& message) { perform(flight, flight->chart->advance(message, kernel_.now())); }
+  void perform(FlightPointer const& flight, std::vector<tilth::QueryAction> const& actions) {
+    for (tilth::QueryAction const& action : actions) {
+      std::visit([this, &flight](auto const& entry) { act(flight, entry); }, action);
+    }
+  }
+  void act(FlightPointer const& flight, tilth::Place const&) { seek(flight, 0); }
+  void act(FlightPointer const& flight, tilth::PassOn const&) { feed(flight, tilth::NoRoom{}); }
+  void act(FlightPointer const& flight, tilth::SendHome const&) { refuse(*flight); }
+  void act(FlightPointer const&, tilth::Forward const&) {}
+  void act(FlightPointer const&, tilth::Deliver const&) { ++report_.good; }
+  void act(FlightPointer const& flight, tilth::Refuse const&) { refuse(*flight); }
+  void act(FlightPointer const& flight, tilth::Apologise const&) {
+    if (options_.honest_refusal) {
+      ++report_.apologies;
+    } else {
+      refuse(*flight);
+    }
+  }
+  void act(FlightPointer const&, tilth::EndBroken const&) { ++report_.broken; }
+  void act(FlightPointer const&, tilth::Abandon const&) {}
+  void refuse(Flight& flight) {
+    ++report_.refused;
+    flight.refused = true;
+    if (flight.runs > 0) {
+      violation(flight.id + " (" + flight.lane.name + ") was refused though it ran");
+    }
+  }
+
+  /// The place in the grove is given back, with what was seen.
+  void leave(Flight& flight, tilth::Outcome outcome) {
+    ++flight.dispatch;
+    ++flight.watch;
+    if (flight.occupied) {
+      flight.occupied = false;
+      furrow_of(flight).grove.ended(flight.spot, flight.first_seen, outcome, kernel_.now());
+      flight.wanted.avoid.push_back(flight.spot.worker);
+    }
+  }
+
+  void seek(FlightPointer const& flight, loam::Moment until) {
+    if (!live(*flight)) {
+      return;
+    }
+    if (until == 0) {
+      loam::Span const hold = loam::milliseconds(static_cast<std::int64_t>(flight->lane.set_point_ms * constants::hold_part));
+      loam::Span const again = flight->passed_on > 0 ? loam::milliseconds(static_cast<std::int64_t>(flight->lane.gap_set_point_ms / 2)) : flight->chart->dispatches() > 0 ? constants::place_pause : 0;
+      until = std::max(flight->arrived + hold, kernel_.now() + again);
+    }
+    Furrow& furrow = furrow_of(*flight);
+    flight->wanted.shares = flight->lane.shares;
+    flight->wanted.homes = options_.keep_homes ? flight->lane.home_regions : std::vector<std::string>{};
+    flight->wanted.once = !repeatable(*flight);
+    flight->wanted.draw = kernel_.uniform();
+    std::variant<tilth::Spot, tilth::NoSpot> const found = furrow.grove.choose(flight->wanted, kernel_.now());
+    tilth::Spot const* const spot = std::get_if<tilth::Spot>(&found);
+    if (spot == nullptr) {
+      if (kernel_.now() >= until) {
+        feed(flight, tilth::NoRoom{});
+      } else {
+        kernel_.after(constants::place_pause, [this, flight, until] { seek(flight, until); });
+      }
+      return;
+    }
+    flight->spot = *spot;
+    flight->occupied = true;
+    flight->first_seen = false;
+    if (flight->service.empty()) {
+      flight->service = flight->lane.shares.front().service;
+      rights(*flight).arrived();
+      firsts_[flight->service].push_back(kernel_.now());
+    }
+    feed(flight, tilth::Placed{spot->worker});
+    reach(flight);
+  }
+
+  [[nodiscard]] loam::Span hop(Flight const& flight) const { return flight.spot.near ? loam::milliseconds(1) : loam::milliseconds(40); }
+  [[nodiscard]] Life* at_address(std::string const& address) const {
+    std::map<std::string, Life*>::const_iterator const found = by_address_.find(address);
+    return found == by_address_.end() ? nullptr : found->second;
+  }
+
+  void reach(FlightPointer const& flight) {
+    std::uint64_t const dispatch = flight->dispatch;
+    Life const* const life = at_address(flight->spot.address);
+    bool const dark = life != nullptr && life->dark;
+    loam::Span const takes = dark ? (flight->spot.near ? constants::relay_connect_near : constants::relay_connect_deadline) : 2 * hop(*flight);
+    bool const reached = life != nullptr && !dark;
+    kernel_.after(takes, [this, flight, dispatch, reached] {
+      if (!live(*flight) || flight->dispatch != dispatch) {
+        return;
+      }
+      if (!reached) {
+        leave(*flight, tilth::Outcome::unreachable);
+        ++flight->connects;
+        if (flight->connects < constants::connects_most) {
+          feed(flight, tilth::Withdrawn{});
+        } else {
+          feed(flight, tilth::ConnectDefect{});
+        }
+        return;
+      }
+      if (!furrow_of(*flight).grove.usable(flight->spot.worker)) {
+        leave(*flight, tilth::Outcome::abandoned);
+        feed(flight, tilth::Withdrawn{});
+        return;
+      }
+      feed(flight, tilth::Connected{});
+      watch(flight, flight->lane.set_point_ms);
+      kernel_.after(hop(*flight), [this, flight, dispatch] { come(flight, dispatch); });
+    });
+  }
+
+  void watch(FlightPointer const& flight, double set_point_ms) {
+    flight->silent_since = kernel_.now();
+    flight->allowed = std::max(loam::milliseconds(static_cast<std::int64_t>(set_point_ms * constants::silence_part)), static_cast<loam::Span>(flight->spot.predicted_seconds * 2e6));
+    std::uint64_t const serial = ++flight->watch;
+    kernel_.after(flight->allowed, [this, flight, serial] { silent(flight, serial); });
+  }
+  void silent(FlightPointer const& flight, std::uint64_t serial) {
+    if (!live(*flight) || flight->watch != serial) {
+      return;
+    }
+    Furrow& furrow = furrow_of(*flight);
+    loam::Moment const now = kernel_.now();
+    if (now - furrow.grove.heard_at(flight->spot.worker) < constants::alive_span && now - flight->silent_since < 2 * flight->allowed) {
+      kernel_.after(constants::alive_step, [this, flight, serial] { silent(flight, serial); });
+      return;
+    }
+    tilth::Wanted elsewhere = flight->wanted;
+    elsewhere.avoid.push_back(flight->spot.worker);
+    bool const other = repeatable(*flight) && flight->chart->dispatches() < static_cast<int>(flight->lane.dispatches) && (!options_.rights || rights(*flight).available()) && furrow.grove.alternative(elsewhere, now);
+    if (other) {
+      flight->reserved = options_.rights && rights(*flight).take();
+      bool const slow = furrow.grove.heard_at(flight->spot.worker) >= flight->silent_since;
+      leave(*flight, slow ? tilth::Outcome::abandoned : tilth::Outcome::defect);
+      feed(flight, tilth::WorkerDefect{"silent"});
+    }
+  }
+
+  // --- at the worker ---
+
+  void answer(FlightPointer const& flight, std::uint64_t dispatch, loam::Span after, std::function<void()> const& what) {
+    kernel_.after(after + hop(*flight), [this, flight, dispatch, what] {
+      if (live(*flight) && flight->dispatch == dispatch) {
+        what();
+      }
+    });
+  }
+  void defect(FlightPointer const& flight, std::uint64_t dispatch, loam::Span after) {
+    ++report_.met_ill;
+    answer(flight, dispatch, after, [this, flight] {
+      leave(*flight, tilth::Outcome::defect);
+      feed(flight, tilth::WorkerDefect{"cut"});
+    });
+  }
+  void turn_away(FlightPointer const& flight, std::uint64_t dispatch, tilth::Outcome outcome) {
+    answer(flight, dispatch, 0, [this, flight, outcome] {
+      leave(*flight, outcome);
+      feed(flight, tilth::WorkerRefused{});
+    });
+  }
+
+  void come(FlightPointer const& flight, std::uint64_t dispatch) {
+    Life* const life = at_address(flight->spot.address);
+    // Bytes are on their way even when the furrow has given up meanwhile.
+    if (life == nullptr || life->dark) {
+      if (life == nullptr) {
+        defect(flight, dispatch, 0);
+      }
+      return;
+    }
+    ++flight->arrivals;
+    arrivals_[flight->service].push_back(Arrival{kernel_.now(), flight->arrivals > 1});
+    if (life->id != flight->spot.worker && options_.name_worker) {
+      ++report_.misdirected;
+      turn_away(flight, dispatch, tilth::Outcome::misdirected);
+      return;
+    }
+    check_arrival(*flight, *life);
+    if (life->full || (life->sick.kind == Illness::shed && ill_for(*life, *flight)) || life->running >= (life->model ? 96u : 30u)) {
+      ++report_.turned_away;
+      turn_away(flight, dispatch, tilth::Outcome::refused);
+      return;
+    }
+    ++flight->runs;
+    if (flight->runs > 1 && !repeatable(*flight)) {
+      violation(flight->id + " (" + flight->lane.name + ") ran twice");
+    }
+    if (flight->refused) {
+      violation(flight->id + " (" + flight->lane.name + ") ran though it was refused");
+    }
+    double pace = 1 + static_cast<double>(life->running) / (life->model ? 48.0 : 6.0);
+    if (ill_for(*life, *flight)) {
+      if (life->sick.kind == Illness::errors || life->sick.kind == Illness::reset) {
+        defect(flight, dispatch, life->sick.kind == Illness::errors ? loam::milliseconds(5) : 0);
+        return;
+      }
+      if (life->sick.kind == Illness::mute) {
+        ++report_.met_ill;
+        return;
+      }
+      pace *= life->sick.kind == Illness::slow ? 8 : 1;
+    }
+    bool const spoilt = kernel_.chance(life->garble);
+    ++life->running;
+    std::uint64_t const run = life->run;
+    if (!flight->lane.stream) {
+      loam::Span const work = static_cast<loam::Span>(pace * (20e3 + kernel_.exponential(40e3)));
+      kernel_.after(work, [this, flight, dispatch, life, run, spoilt] { finish_whole(flight, dispatch, *life, run, spoilt); });
+      return;
+    }
+    loam::Span const work = static_cast<loam::Span>(pace * (20e3 + flight->spot.uncached * 20));
+    std::uint64_t const cut_at = spoilt ? 1 + kernel_.below(5) : 0;
+    kernel_.after(work, [this, flight, dispatch, life, run, cut_at, pace] { next_event(flight, dispatch, *life, run, 6, cut_at, pace); });
+  }
+
+  [[nodiscard]] bool ill_for(Life& life, Flight const& flight) {
+    if (life.sick.kind == Illness::none || (!life.sick.callers_hall.empty() && hall_name(furrows_[flight.furrow]->hall) != life.sick.callers_hall)) {
+      return false;
+    }
+    return kernel_.chance(life.sick.part);
+  }
+
+  /// What ran there was lost with the worker, or goes dark with it.
+  bool lost(FlightPointer const& flight, std::uint64_t dispatch, Life& life, std::uint64_t run) {
+    if (life.run == run) {
+      return false;
+    }
+    if (!life.dark) {
+      defect(flight, dispatch, 0);
+    }
+    return true;
+  }
+
+  void tell(Flight& flight, Life const& life) {
+    double const slots = life.model ? 48 : 6;
+    double const running = static_cast<double>(life.running);
+    furrow_of(flight).grove.told(flight.spot.worker, std::min(running, slots), std::max(0.0, running - slots), slots, kernel_.now());
+  }
+
+  void finish_whole(FlightPointer const& flight, std::uint64_t dispatch, Life& life, std::uint64_t run, bool spoilt) {
+    if (lost(flight, dispatch, life, run)) {
+      return;
+    }
+    --life.running;
+    if (spoilt) {
+      defect(flight, dispatch, 0);
+      return;
+    }
+    answer(flight, dispatch, 0, [this, flight, &life] {
+      tell(*flight, life);
+      flight->first_seen = true;
+      leave(*flight, tilth::Outcome::good);
+      feed(flight, tilth::Whole{});
+    });
+  }
+
+  void next_event(FlightPointer const& flight, std::uint64_t dispatch, Life& life, std::uint64_t run, std::uint64_t left, std::uint64_t cut_at, double pace) {
+    if (lost(flight, dispatch, life, run)) {
+      return;
+    }
+    if (left == 0 || flight->dispatch != dispatch || !live(*flight)) {  // most drop what nobody waits for
+      --life.running;
+      return;
+    }
+    if (cut_at == left) {
+      --life.running;
+      defect(flight, dispatch, 0);
+      return;
+    }
+    bool const last = left == 1;
+    answer(flight, dispatch, 0, [this, flight, &life, last] {
+      Furrow& furrow = furrow_of(*flight);
+      furrow.grove.heard(flight->spot.worker, kernel_.now());
+      if (!flight->first_seen) {
+        flight->first_seen = true;
+        report_.resumed += flight->passed_on > 0 ? 1 : 0;
+        tell(*flight, life);
+        furrow.grove.first_token(flight->spot, flight->wanted.parts, static_cast<double>(kernel_.now() - flight->silent_since) / 1e6);
+      }
+      ++flight->passed_on;
+      watch(flight, flight->lane.gap_set_point_ms);
+      feed(flight, tilth::Event{flight->chart->last_event() + 1, false});
+      if (last) {
+        leave(*flight, tilth::Outcome::good);
+        feed(flight, tilth::Whole{});
+        ++report_.good;
+      }
+    });
+    kernel_.after(static_cast<loam::Span>(pace * 20e3), [this, flight, dispatch, &life, run, left, cut_at, pace] { next_event(flight, dispatch, life, run, left - 1, cut_at, pace); });
+  }
+
+  // --- what must never happen ---
+
+  void check_arrival(Flight const& flight, Life& life) {
+    loam::Moment const now = kernel_.now();
+    if (life.service != flight.service) {
+      violation(flight.id + " came to a worker of another service");
+    }
+    if (life.drains_at > 0) {
+      report_.worst_drain = std::max(report_.worst_drain, now - life.drains_at);
+      if (now - life.drains_at > drain_bound) {
+        violation(life.id + " got a query " + std::to_string((now - life.drains_at) / 1000) + " ms after it was draining");
+      }
+    }
+    std::map<std::size_t, loam::Moment>::const_iterator const evacuated = evacuated_at_.find(life.hall);
+    if (evacuated != evacuated_at_.end() && now - evacuated->second > evacuate_bound) {
+      violation(life.id + " got a query in an evacuated hall");
+    }
+    if (!flight.lane.home_regions.empty() && flight.lane.home_regions.front() != region_of(life.hall)) {
+      violation(flight.id + " came to a worker outside its homes");
+    }
+    if (now < life.cold_until) {
+      std::vector<loam::Moment>& arrivals = life.cold_arrivals;
+      arrivals.push_back(now);
+      std::erase_if(arrivals, [now](loam::Moment moment) { return now - moment >= loam::seconds(1); });
+      double const most = options_.cold_rate * cold_overshoot + cold_slack;
+      report_.worst_cold = std::max(report_.worst_cold, static_cast<double>(arrivals.size()) / most);
+      if (static_cast<double>(arrivals.size()) > most) {
+        violation(life.id + " was flooded while cold: " + std::to_string(arrivals.size()) + " queries in a second");
+      }
+    }
+  }
+
+  /// Over any window, summed over all furrows.
+  void check_retries() {
+    for (std::pair<std::string const, std::vector<Arrival>> const& service : arrivals_) {
+      std::vector<loam::Moment> const& firsts = firsts_[service.first];
+      std::vector<loam::Moment> further;
+      for (Arrival const& arrival : service.second) {
+        if (arrival.further) {
+          further.push_back(arrival.at);
+        }
+      }
+      for (std::size_t index = 0; index < further.size(); ++index) {
+        loam::Moment const begin = further[index];
+        std::size_t const end = static_cast<std::size_t>(std::lower_bound(further.begin(), further.end(), begin + retry_window) - further.begin());
+        double queries = 0;
+        for (loam::Moment const from : {begin, begin - retry_window, begin - retry_window / 2}) {
+          queries = std::max(queries, static_cast<double>(std::lower_bound(firsts.begin(), firsts.end(), from + retry_window) - std::lower_bound(firsts.begin(), firsts.end(), from)));
+        }
+        double const most = retry_ratio * queries + options_.retry_slack;
+        double const found = static_cast<double>(end - index);
+        report_.worst_retries = std::max(report_.worst_retries, found / most);
+        if (found > most) {
+          violation("retries of " + service.first + " were " + std::to_string(end - index) + " in a window from " + std::to_string(begin / 1000) + " ms, " + std::to_string(static_cast<int>(most)) + " may be");
+          break;
+        }
+      }
+    }
+  }
+
+  RelayOptions options_;
+  Kernel kernel_;
+  tilth::LaneBook book_;
+  RelayReport report_;
+  std::vector<std::unique_ptr<Life>> lives_;
+  std::map<std::string, Life*> by_address_;
+  std::set<std::string> gone_;       ///< off the list
+  std::vector<Image> images_;
+  std::vector<std::unique_ptr<Furrow>> furrows_;
+  std::set<std::string> evacuated_;
+  std::map<std::size_t, loam::Moment> evacuated_at_;
+  std::map<std::string, std::vector<loam::Moment>> firsts_;
+  std::map<std::string, std::vector<Arrival>> arrivals_;
+  std::uint64_t last_id_ = 0;
+  std::uint64_t last_query_ = 0;
+};
+
+std::map<std::string, RelayFaults> scenarios() {
+  std::map<std::string, RelayFaults> all;
+  all["relay-calm"] = RelayFaults{};
+  all["relay-grey"].grey = 1.5;
+  all["relay-lying"].lying = 1.5;
+  all["relay-flap"].flap = 2;
+  all["relay-garble"].garble = 0.5;
+  all["relay-crash"].crash = 1;
+  all["relay-crash"].dark = 2;
+  all["relay-full"].full = 0.15;
+  all["relay-planned"].drain = 1.5;
+  all["relay-planned"].evacuate = 5;
+  RelayFaults& storm = all["relay-storm"];
+  storm.grey = 3;
+  storm.lying = 4;
+  storm.flap = 5;
+  storm.garble = 2;
+  storm.crash = 2;
+  storm.dark = 4;
+  storm.full = 2;
+  storm.drain = 3;
+  storm.evacuate = 8;
+  storm.restart = 5;
+  // Most of the workers are ill at once: the least bad serve.
+  all["relay-plague"].lying = 0.15;
+  all["relay-plague"].grey = 0.2;
+  return all;
+}
+
+}  // namespace
+
+RelayReport run_relay(RelayOptions const& options) { return World(options).run(); }
+
+std::optional<RelayFaults> relay_scenario(std::string const& name) {
+  std::map<std::string, RelayFaults> const all = scenarios();
+  std::map<std::string, RelayFaults>::const_iterator const found = all.find(name);
+  return found == all.end() ? std::nullopt : std::optional<RelayFaults>(found->second);
+}
+
+std::vector<std::string> relay_scenarios() {
+  std::vector<std::string> names;
+  for (std::pair<std::string const, RelayFaults> const& entry : scenarios()) {
+    names.push_back(entry.first);
+  }
+  return names;
+}
+
+bool switch_off_relay(RelayOptions& options, std::string const& guard) {
+  std::map<std::string, bool*> const guards{
+      {"dispatch_once", &options.dispatch_once}, {"honest_refusal", &options.honest_refusal}, {"rights", &options.rights}, {"drop_drained", &options.drop_drained}, {"drop_evacuated", &options.drop_evacuated},
+      {"keep_homes", &options.keep_homes}, {"name_worker", &options.name_worker}, {"cold_bound", &options.grove.cold_bound}, {"suspect_returned", &options.grove.suspect_returned},
+      {"rest", &options.grove.rest}, {"hall_suspicion", &options.grove.hall_suspicion}, {"ejection_bound", &options.grove.ejection_bound}};
+  std::map<std::string, bool*>::const_iterator const found = guards.find(guard);
+  if (found == guards.end()) {
+    return false;
+  }
+  *found->second = false;
+  return true;
+}
+
+}  // namespace finchlink::almanac
--- a/source/furrow/main.cpp
+++ b/source/furrow/main.cpp
@@ -24,8 +24,7 @@
   daemon.read_settings = platform::read_settings;
   daemon.begin = [&](boost::asio::io_context& context, schema::Settings const& settings) -> absl::Status {
     if (platform::settings_path().has_value()) {
-      std::string const address = settings.platform_address;
-      furrow::ListReader const reader = [&context, address](loam::Yield yield) {
+      furrow::ListReader const reader = [&context](std::string const& address, loam::Yield yield) {
         return platform::read_list(context, address, loam::constants::list_deadline, yield);
       };
       station = std::make_unique<furrow::Station>(context, settings, platform::dialect(), platform::notation(), reader, loam::random_identity());
--- a/source/furrow/relay/event_cutter.hpp
+++ b/source/furrow/relay/event_cutter.hpp
@@ -3,9 +3,12 @@
 #include <algorithm>
 #include <charconv>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
+#include "furrow/relay/numbering.hpp"
+
 namespace finchlink::furrow {
 
 /// The number that a text begins with; none: the other.
@@ -21,11 +24,11 @@
  public:
   struct Whole {
     std::string bytes;
-    std::uint64_t number = 0;  ///< of the last event in it; 0: none numbered
-    std::uint64_t count = 0;
+    std::uint64_t count = 0;  ///< of numbered events in it
+    bool gap = false;         ///< the next event leaves one out; nothing behind it counts
   };
-  /// Takes bytes; gives all whole events behind `after`.
-  Whole feed(std::string_view bytes, std::uint64_t after) {
+  /// Takes bytes; gives all whole events that the caller doesn't have.
+  Whole feed(std::string_view bytes, Numbering& numbering) {
     Whole whole;
     pending_.append(bytes);
     std::size_t begin = 0;
@@ -37,11 +40,15 @@
         break;
       }
       std::string_view const event = std::string_view(pending_).substr(begin, end - begin);
-      std::uint64_t const number = number_of(event);
-      if (number == 0 || number > std::max(after, whole.number)) {
+      std::optional<std::uint64_t> const number = number_of(event);
+      Numbering::Verdict const verdict = number.has_value() ? numbering.judge(*number) : Numbering::Verdict::pass;
+      if (verdict == Numbering::Verdict::gap) {
+        whole.gap = true;
+        break;
+      }
+      if (verdict == Numbering::Verdict::pass) {
         whole.bytes.append(event);
-        whole.number = std::max(whole.number, number);
-        whole.count += number > 0 ? 1 : 0;
+        whole.count += number.has_value() ? 1 : 0;
       }
       begin = end;
     }
@@ -51,16 +58,18 @@
   [[nodiscard]] std::string const& rest() const { return pending_; }
 
  private:
-  static std::uint64_t number_of(std::string_view event) {
+  static std::optional<std::uint64_t> number_of(std::string_view event) {
     std::size_t at = event.rfind("id:", 0) == 0 ? 0 : event.find("\nid:");
     if (at == std::string_view::npos) {
-      return 0;
+      return std::nullopt;
     }
     at = event.find(':', at) + 1;
     while (at < event.size() && event[at] == ' ') {
       ++at;
     }
-    return natural(event.substr(at), 0);
+    std::uint64_t value = 0;
+    std::from_chars_result const parsed = std::from_chars(event.data() + at, event.data() + event.size(), value);
+    return parsed.ec == std::errc() ? std::optional<std::uint64_t>(value) : std::nullopt;
   }
   std::string pending_;
 };
--- /dev/null
+++ b/source/furrow/relay/numbering.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+
+namespace finchlink::furrow {
+
+/// Which events of a stream the caller has, and how their numbers rise, so that a
+/// gap at a worker that takes the stream up can be told (section 13.8). Where
+/// numbers rise unevenly nothing can be told, and any that rise are taken.
+class Numbering {
+ public:
+  enum class Verdict { pass, known, gap };
+
+  Numbering() = default;
+  explicit Numbering(std::optional<std::uint64_t> last) : last_(last) {}
+
+  /// A worker begins to answer, the first one or one that takes the stream up.
+  void begin_run() { joint_ = true; }
+  /// The number of an event that is whole; `pass` counts it as passed on.
+  Verdict judge(std::uint64_t number) {
+    if (last_.has_value() && number <= *last_) {
+      return Verdict::known;
+    }
+    std::uint64_t const rise = last_.has_value() ? number - *last_ : 0;
+    if (joint_ && began_ && even_ && step_ > 0 && rise > step_) {
+      return Verdict::gap;
+    }
+    if (!began_) {
+      // One event alone tells only where it is the very next one.
+      step_ = last_.has_value() ? (rise == 1 ? 1 : 0) : (number <= 1 ? 1 : 0);
+    } else if (!joint_) {
+      even_ = even_ && (!risen_ || rise == step_);
+      step_ = rise;
+      risen_ = true;
+    }
+    began_ = true;
+    joint_ = false;
+    last_ = number;
+    return Verdict::pass;
+  }
+  /// The last event that the caller has; nothing: none that has a number.
+  [[nodiscard]] std::optional<std::uint64_t> last() const { return last_; }
+
+ private:
+  std::optional<std::uint64_t> last_;
+  std::uint64_t step_ = 0;  ///< by which numbers rise; 0: not known yet
+  bool even_ = true;        ///< all rises seen were alike
+  bool risen_ = false;      ///< two events of one run were seen
+  bool began_ = false;      ///< an event was passed on
+  bool joint_ = true;       ///< the next event is the first that this worker adds
+};
+
+}  // namespace finchlink::furrow
--- a/source/furrow/relay/relay.cpp
+++ b/source/furrow/relay/relay.cpp
@@ -1,10 +1,12 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <cstdlib>
+#include <limits>
 
 #include "furrow/relay/event_cutter.hpp"
 #include "furrow/relay/station.hpp"
@@ -27,6 +29,12 @@
 
 double draw() { return static_cast<double>(loam::random_number() % 1000000) / 1e6; }
 
+/// Some servers take "_" in a field's name for "-".
+char folded(char letter) { return letter == '_' ? '-' : static_cast<char>(letter >= 'A' && letter <= 'Z' ? letter - 'A' + 'a' : letter); }
+bool same_name(std::string_view one, std::string_view other) {
+  return std::equal(one.begin(), one.end(), other.begin(), other.end(), [](char left, char right) { return folded(left) == folded(right); });
+}
+
 /// Headers that concern one connection only are not passed on.
 bool of_connection(std::string_view name) {
   static constexpr std::string_view names[] = {"connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade", "expect", "content-length"};
@@ -44,7 +52,7 @@
     std::string_view const name(field.name_string().data(), field.name_string().size());
     bool left_out = of_connection(name);
     for (std::string_view const entry : replaced) {
-      left_out = left_out || boost::beast::iequals({name.data(), name.size()}, {entry.data(), entry.size()});
+      left_out = left_out || same_name(name, entry);
     }
     if (!left_out && !connection.empty()) {
       left_out = http::token_list(connection).exists(field.name_string());
@@ -55,6 +63,8 @@
   }
 }
 
+constexpr std::uint64_t not_natural = std::numeric_limits<std::uint64_t>::max();
+
 std::string_view view(boost::beast::string_view text) { return {text.data(), text.size()}; }
 
 struct Query {
@@ -70,13 +80,14 @@
  public:
   Relay(Station& station, Query& query, schema::Lane const& lane, Socket& caller, std::shared_ptr<tilth::LaneBook const> book, loam::Yield yield)
       : station_(station), query_(query), book_(std::move(book)), lane_(lane), caller_(caller), yield_(yield),
-        id_(view(query.header[station.dialect().query])), deadline_(query.arrived + loam::milliseconds(static_cast<std::int64_t>(lane.deadline_ms))),
+        bare_(query.header.method() == http::verb::head), id_(view(query.header[station.dialect().query])), deadline_(query.arrived + loam::milliseconds(static_cast<std::int64_t>(lane.deadline_ms))),
         chart_(terms(lane), [this](loam::Moment) { return may_spend(true); }) {
     std::string_view const left = view(query.header[station.dialect().left]);
     if (!left.empty()) {
       deadline_ = std::min(deadline_, query.arrived + loam::milliseconds(static_cast<std::int64_t>(std::min<std::uint64_t>(natural(left, 86400000), 86400000))));
     }
-    last_event_ = natural(view(query.header[station.dialect().last_event]), 0);
+    std::uint64_t const behind = natural(view(query.header[station.dialect().last_event]), not_natural);
+    numbering_ = Numbering(behind == not_natural ? std::nullopt : std::optional<std::uint64_t>(behind));
     std::string_view const tokens = view(query.header[station.dialect().tokens]);
     wanted_.tokens = static_cast<double>(natural(tokens, 0));
     std::size_t const comma = tokens.find(',');
@@ -86,7 +97,7 @@
 
   /// False: the caller's connection is of no more use.
   bool run() {
-    if (!tenant_fault_.empty()) {  // a trailer, or a charter since the header was read, says otherwise
+    if (!tenant_fault_.empty()) {  // a charter since the header was read says otherwise
       answer("400 Bad Request", tenant_fault_, false);
       return keep_;
     }
@@ -104,6 +115,9 @@
         feed(tilth::CallerGone{});
       } else if (loam::boot_now() >= deadline_) {
         feed(tilth::DeadlinePassed{});
+      } else if (back_) {
+        back_ = false;
+        go_back();
       } else if (place_next_) {
         place_next_ = false;
         dispatch();
@@ -152,7 +166,7 @@
     if (tenant != nullptr && !tilth::join_homes(lane_.home_regions, tenant->home_regions, homes_)) {
       tenant_fault_ = "no_home";
     }
-    prompt_ = tilth::Prompt{reading.name, std::string(view(query_.header[dialect.model])), tilth::named_parts(view(query_.header[dialect.parts])), lane_.tenancy->public_parts};
+    prompt_ = tilth::Prompt{reading.name, model_of(query_.header, dialect.model), tilth::named_parts(view(query_.header[dialect.parts])), lane_.tenancy->public_parts, tilth::realm_of(*lane_.tenancy, lane_.name)};
     wanted_.parts = station_.walls().place(*prompt_);
   }
 
@@ -163,7 +177,7 @@
       return;
     }
     Dialect const& dialect = station_.dialect();
-    tilth::WallAnswer answer{spot_.worker, std::string(view(got[dialect.weights])), std::nullopt};
+    tilth::WallAnswer answer{spot_.worker, std::string(view(got[dialect.weights])), std::nullopt, ran};
     if (ran && !got[dialect.reused].empty()) {
       answer.reused = static_cast<double>(natural(view(got[dialect.reused]), 0));
     }
@@ -174,6 +188,9 @@
         station_.grove().gave_up(gave_up->worker, wanted_.parts, gave_up->tokens);
       } else if (tilth::Crossed const* const crossed = std::get_if<tilth::Crossed>(&action)) {
         loam::note(loam::Event::WallCrossed, crossed->worker + " " + std::to_string(static_cast<std::uint64_t>(crossed->tokens)) + " " + id_);
+      } else if (tilth::RanOtherWeights const* const other = std::get_if<tilth::RanOtherWeights>(&action)) {
+        loam::note(loam::Event::OtherWeightsRan, other->worker + " for " + other->expected + " " + id_);
+        station_.grove().forget_walled(other->worker);
       }
     }
     if (ran) {
@@ -267,7 +284,15 @@
       reserved_ = station_.rights(service_).take();
       // Slow, not dark, if anything came from it since: no reason for it to rest.
       slow_ = station_.grove().heard_at(spot_.worker) >= silent_since_;
-      cut();
+      if (worker_ != nullptr && std::holds_alternative<tilth::Streaming>(chart_.state())) {
+        // Part of its stream is with the caller: it is only set aside until
+        // another one goes on, since that one may refuse.
+        setting_aside_ = true;
+        error_code ignored;
+        worker_->cancel(ignored);
+      } else {
+        cut();
+      }
     } else {
       wanted_.avoid.pop_back();
       alarm_->set(deadline_);
@@ -318,7 +343,7 @@
       double const point = lane_.set_point_ms > 0 ? lane_.set_point_ms / 1000 : 1.0;
       text += "Retry-After: " + std::to_string(point * (0.15 + 0.15 * draw())) + "\r\n";
     }
-    (void)write(text + closing_line() + "\r\n" + body);
+    (void)write(text + closing_line() + "\r\n" + (bare_ ? "" : body));
   }
 
   [[nodiscard]] std::string closing_line() {
@@ -372,6 +397,11 @@
       decided.stream = next.stream;
       deadline_ = std::min(deadline_, query_.arrived + loam::milliseconds(static_cast<std::int64_t>(lane_.deadline_ms)));
     }
+    if (aside_ != nullptr && (decided.standing != tilth::Standing::serve || !decided.repeatable || !decided.resumable)) {
+      later_ = decided;  // it may run nowhere else any more, but finish where it runs
+      back_ = true;
+      return;
+    }
     feed(decided);
   }
 
@@ -382,7 +412,7 @@
     loam::Moment const until = std::max(query_.arrived + hold, loam::boot_now() + again);
     while (true) {
       follow();
-      if (chart_.settled() || gone_) {
+      if (chart_.settled() || gone_ || back_) {
         return false;
       }
       wanted_.shares = lane_.shares;
@@ -397,7 +427,7 @@
         return true;
       }
       if (now >= until || now >= deadline_) {
-        feed(tilth::NoRoom{});
+        feed_or_return(tilth::NoRoom{});
         return false;
       }
       asio::steady_timer timer(station_.context(), loam::duration(constants::place_pause));
@@ -429,24 +459,41 @@
         if (connects_ < constants::connects_most) {
           feed(tilth::Withdrawn{});
         } else {
-          feed(tilth::ConnectDefect{});
+          feed_or_return(tilth::ConnectDefect{});
         }
       }
       return;
     }
     std::shared_ptr<tilth::LaneBook const> const before = book_;
     follow();
-    if (chart_.settled() || !station_.grove().usable(spot_.worker) || (book_ != before && !still_named())) {
+    if (chart_.settled() || back_ || !station_.grove().usable(spot_.worker) || (book_ != before && !still_named())) {
       station_.grove().ended(spot_, false, tilth::Outcome::abandoned, loam::boot_now());
       keep_worker(constants::worker_idle);
-      feed(tilth::Withdrawn{});
+      if (!back_) {
+        feed(tilth::Withdrawn{});
+      }
       return;
     }
     feed(tilth::Connected{});
     ++station_.tally().dispatches;
+    reading_ = std::make_shared<Reading>();
     outcome = talk();
-    worker_.reset();
     station_.grove().ended(spot_, first_seen_, gone_ || slow_ ? tilth::Outcome::abandoned : outcome, loam::boot_now());
+    after_talk();
+  }
+
+  /// A dispatch is over, or was set aside: the chart hears how.
+  void after_talk() {
+    bool const set_aside = setting_aside_ && after_.has_value() && worker_ != nullptr && worker_->is_open();
+    setting_aside_ = false;
+    if (set_aside) {
+      aside_ = reading_;
+      aside_->spot = spot_;
+      aside_->walled = walled_;
+      aside_->socket = std::move(worker_);
+    }
+    reading_.reset();
+    worker_.reset();
     slow_ = false;
     wanted_.avoid.push_back(spot_.worker);
     if (after_.has_value()) {
@@ -463,11 +510,45 @@
       }
       if (!gone_) {
         follow();
-        feed(message);
+        if (set_aside && !back_) {
+          feed(message);
+        } else if (!back_) {
+          feed_or_return(message);
+        }
       }
     }
   }
 
+  /// While a worker is set aside, what would end the query leads back to it.
+  void feed_or_return(tilth::QueryMessage const& message) {
+    if (aside_ != nullptr) {
+      back_ = true;
+    } else {
+      feed(message);
+    }
+  }
+
+  /// No other one goes on with the stream: the silent one may take its time.
+  void go_back() {
+    reading_ = std::move(aside_);
+    aside_.reset();
+    worker_ = std::move(reading_->socket);
+    spot_ = reading_->spot;
+    walled_ = reading_->walled;
+    whole_.clear();
+    whole_body_.clear();
+    place_next_ = false;
+    reserved_ = false;
+    feed(tilth::Returned{spot_.worker});
+    if (later_.has_value()) {
+      feed(*later_);
+      later_.reset();
+    }
+    alarm_->set(silence_due(lane_.gap_set_point_ms > 0 ? lane_.gap_set_point_ms : 2 * lane_.set_point_ms, loam::boot_now()));
+    (void)read_events(*reading_);  // the grove has counted its end already
+    after_talk();
+  }
+
   [[nodiscard]] bool still_named() const {
     for (schema::Share const& share : lane_.shares) {
       if (share.weight > 0 && station_.grove().serves(spot_.worker, share.service)) {
@@ -501,8 +582,10 @@
     ++station_.tally().connects;
     connecting_ = true;
     alarm_->set(std::min(deadline_, loam::boot_now() + (spot_.near ? constants::relay_connect_near : constants::relay_connect_deadline)));
-    error_code error;
-    worker_->async_connect(*endpoint, yield_[error]);
+    error_code error = loam::open_own(*worker_, *endpoint);
+    if (!error) {
+      worker_->async_connect(*endpoint, yield_[error]);
+    }
     connecting_ = false;
     if (error || !worker_->is_open() || gone_) {
       worker_.reset();
@@ -518,7 +601,7 @@
     text.reserve(1024);
     text.append(view(query_.header.method_string())).append(" ").append(view(query_.header.target())).append(" HTTP/1.1\r\n");
     std::vector<std::string_view> replaced{dialect.left, dialect.target};
-    bool const resuming = chart_.last_event() > 0;
+    bool const resuming = chart_.last_event() > 0 && numbering_.last().has_value();
     if (resuming) {
       replaced.push_back(dialect.last_event);
     }
@@ -529,7 +612,7 @@
     text.append(dialect.left).append(": ").append(std::to_string(std::max<loam::Span>(1, (deadline_ - loam::boot_now()) / 1000))).append("\r\n");
     text.append(dialect.target).append(": ").append(spot_.worker).append("\r\n");
     if (resuming) {
-      text.append(dialect.last_event).append(": ").append(std::to_string(last_event_)).append("\r\n");
+      text.append(dialect.last_event).append(": ").append(std::to_string(*numbering_.last())).append("\r\n");
     }
     if (prompt_.has_value() && !walled_.header.empty()) {
       text.append(dialect.parts).append(": ").append(walled_.header).append("\r\n");
@@ -556,6 +639,20 @@
 
   using Parser = http::response_parser<http::buffer_body>;
 
+  /// A worker's answer as far as it was read; of one set aside, its connection, too.
+  struct Reading {
+    boost::beast::flat_buffer buffer;
+    Parser parser;
+    EventCutter cutter;
+    tilth::Sighting sighting;
+    loam::Moment sent = 0;
+    bool first = true;
+    bool resumed = false;
+    tilth::Spot spot;
+    tilth::Walled walled;
+    std::unique_ptr<Socket> socket;
+  };
+
   /// The next bytes of the answer; false: cut, silent or no answer at all.
   bool read_some(boost::beast::flat_buffer& buffer, Parser& parser, std::string& bytes) {
     bytes.resize(constants::piece_bytes);
@@ -584,10 +681,11 @@
     std::array<asio::const_buffer, 2> const pieces{asio::buffer(text), asio::buffer(query_.body)};
     asio::async_write(*worker_, pieces, yield_[error]);
     // Even when writing failed the worker may have answered already.
-    boost::beast::flat_buffer buffer;
-    Parser parser;
+    boost::beast::flat_buffer& buffer = reading_->buffer;
+    Parser& parser = reading_->parser;
     parser.header_limit(constants::answer_header_limit);
     parser.body_limit(boost::none);
+    parser.skip(bare_);
     if (worker_->is_open()) {
       http::async_read_header(*worker_, buffer, parser, yield_[error]);
     }
@@ -619,8 +717,9 @@
       return tilth::Outcome::defect;
     }
     hear_wall(got, success);
-    if (success && got[http::field::content_type].starts_with("text/event-stream")) {
-      return talk_events(buffer, parser, sent);
+    if (success && !bare_ && got[http::field::content_type].starts_with("text/event-stream")) {
+      reading_->sent = sent;
+      return talk_events(*reading_);
     }
     return talk_whole(buffer, parser, status);
   }
@@ -667,14 +766,16 @@
   /// The worker's head for the caller, without what concerns its connection.
   [[nodiscard]] std::string answer_head(Parser const& parser) const {
     std::string text = "HTTP/1.1 " + std::to_string(parser.get().result_int()) + " " + std::string(view(parser.get().reason())) + "\r\n";
-    copy_fields(parser.get(), std::string(view(parser.get()[http::field::connection])), {}, text);
+    // The ids that parts went out under stay between us and the workers.
+    std::vector<std::string_view> const left_out = prompt_.has_value() ? std::vector<std::string_view>{station_.dialect().parts, station_.dialect().expected} : std::vector<std::string_view>();
+    copy_fields(parser.get(), std::string(view(parser.get()[http::field::connection])), left_out, text);
     return text;
   }
 
   tilth::Outcome talk_whole(boost::beast::flat_buffer& buffer, Parser& parser, unsigned int status) {
     std::string body;
     std::string bytes;
-    bool const bare = status == 204 || status == 304;
+    bool const bare = bare_ || status == 204 || status == 304;
     bool const delimited = bare || parser.content_length().has_value() || parser.chunked();
     while (!parser.is_done()) {
       if (!delimited || !read_some(buffer, parser, bytes) || body.size() + bytes.size() > constants::answer_limit) {
@@ -688,7 +789,9 @@
       station_.grove().first_token(spot_, status < 300 ? kept_parts() : std::vector<tilth::Part>(), 0);
     }
     first_at_ = loam::boot_now();
-    whole_ = answer_head(parser) + (bare ? "" : "Content-Length: " + std::to_string(body.size()) + "\r\n");
+    // An answer to HEAD tells the length that the body would have.
+    std::string const length = bare_ ? std::string(view(parser.get()[http::field::content_length])) : bare ? "" : std::to_string(body.size());
+    whole_ = answer_head(parser) + (length.empty() ? "" : "Content-Length: " + length + "\r\n");
     whole_body_ = std::move(body);
     after_answer(buffer, parser);
     if (status >= 500 && repeatable()) {
@@ -699,22 +802,32 @@
     return status >= 500 ? tilth::Outcome::defect : tilth::Outcome::good;
   }
 
-  tilth::Outcome talk_events(boost::beast::flat_buffer& buffer, Parser& parser, loam::Moment sent) {
-    EventCutter cutter;
+  tilth::Outcome talk_events(Reading& reading) {
+    reading.sighting.sent = reading.sent;
+    reading.resumed = chart_.last_event() > 0;
+    station_.tally().resumed += reading.resumed ? 1 : 0;
+    numbering_.begin_run();
+    return read_events(reading);
+  }
+
+  tilth::Outcome read_events(Reading& reading) {
+    Parser& parser = reading.parser;
+    tilth::Sighting& sighting = reading.sighting;
+    loam::Moment const sent = reading.sent;
     std::string bytes;
-    tilth::Sighting sighting;
-    sighting.sent = sent;
-    bool const resumed = chart_.last_event() > 0;
-    station_.tally().resumed += resumed ? 1 : 0;
-    bool first = true;
     bool ended = false;
     while (!parser.is_done()) {
-      if (!read_some(buffer, parser, bytes)) {
+      if (!read_some(reading.buffer, parser, bytes)) {
         after_ = tilth::WorkerDefect{"cut_stream"};
         return tilth::Outcome::defect;
       }
-      EventCutter::Whole whole = cutter.feed(bytes, last_event_);
-      if (parser.is_done() && !cutter.rest().empty()) {
+      setting_aside_ = false;  // bytes were there first
+      EventCutter::Whole const whole = reading.cutter.feed(bytes, numbering_);
+      if (whole.gap) {  // nothing of it was passed on: another may do better
+        after_ = tilth::WorkerDefect{"gap"};
+        return tilth::Outcome::defect;
+      }
+      if (parser.is_done() && !reading.cutter.rest().empty()) {
         after_ = tilth::WorkerDefect{"cut_event"};
         return tilth::Outcome::defect;
       }
@@ -727,9 +840,10 @@
       if (first_at_ == 0) {
         first_at_ = now;
       }
-      if (first) {
-        first = false;
+      if (reading.first) {
+        reading.first = false;
         first_seen_ = true;
+        aside_.reset();  // this one goes on
         station_.grove().first_token(spot_, kept_parts(), static_cast<double>(now - sent) / 1e6);
       }
       alarm_->set(silence_due(lane_.gap_set_point_ms > 0 ? lane_.gap_set_point_ms : 2 * lane_.set_point_ms, now));
@@ -741,7 +855,6 @@
       char size[24];
       std::snprintf(size, sizeof(size), "%zx\r\n", whole.bytes.size());
       text.append(size).append(whole.bytes).append("\r\n");
-      last_event_ = std::max(last_event_, whole.number);
       // The chart counts what was passed on, whatever the worker's numbers are.
       feed(tilth::Event{chart_.last_event() + 1, false});
       if (parser.is_done()) {
@@ -761,8 +874,8 @@
       (void)write("0\r\n\r\n");
     }
     feed(tilth::Whole{});
-    after_answer(buffer, parser);
-    if (!resumed) {
+    after_answer(reading.buffer, parser);
+    if (!reading.resumed) {
       station_.saw(std::move(sighting), spot_, wanted_);
     }
     return tilth::Outcome::good;
@@ -774,6 +887,7 @@
   schema::Lane lane_;
   Socket& caller_;
   loam::Yield yield_;
+  bool const bare_;  ///< it is a HEAD: no answer to it has a body
   std::string id_;
   loam::Moment deadline_;
   tilth::Chart chart_;
@@ -786,16 +900,21 @@
   std::string service_;
   std::shared_ptr<Alarm> alarm_;
   std::unique_ptr<Socket> worker_;
+  std::shared_ptr<Reading> reading_;       ///< of the dispatch under way
+  std::shared_ptr<Reading> aside_;         ///< given up for its silence; goes on if no other does
+  std::optional<tilth::Decided> later_;    ///< told to the chart once it is back there
   asio::steady_timer* seat_ = nullptr;
   std::optional<tilth::QueryMessage> after_;
   std::string whole_;
   std::string whole_body_;
-  std::uint64_t last_event_ = 0;
+  Numbering numbering_;  ///< of the events that the caller has
   loam::Moment silent_since_ = 0;
   loam::Span allowed_ = 0;
   int connects_ = 0;
   loam::Moment first_at_ = 0;
   std::string trail_;       ///< workers it was placed on: when, predicted
+  bool setting_aside_ = false;
+  bool back_ = false;       ///< to the one set aside
   bool slow_ = false;       ///< given up for its slowness
   bool reserved_ = false;   ///< the right to its next dispatch is taken already
   bool connecting_ = false;
@@ -808,25 +927,36 @@
   bool withdrawn_lane_ = false;
 };
 
-/// A final answer of our own before a body is read.
-bool write_small(Socket& socket, std::string const& status, std::string const& extra, std::string const& reason, bool keep, loam::Yield yield) {
+/// A final answer of our own without a dispatch; `bare`: to a HEAD.
+bool write_small(Socket& socket, std::string const& status, std::string const& extra, std::string const& reason, bool keep, bool bare, loam::Yield yield) {
   std::string const body = "{\"error\":\"" + reason + "\"}";
   std::string const text = "HTTP/1.1 " + status + "\r\n" + extra + "Content-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) +
-                           (keep ? "\r\n\r\n" : "\r\nConnection: close\r\n\r\n") + body;
+                           (keep ? "\r\n\r\n" : "\r\nConnection: close\r\n\r\n") + (bare ? "" : body);
   error_code error;
   asio::async_write(socket, asio::buffer(text), yield[error]);
   return keep && !error;
 }
 
-/// Closing with unread bytes would reset the connection, and the answer might
-/// never be read: what comes is thrown away for a moment.
-void let_read(Socket& socket, std::shared_ptr<Alarm> const& alarm, loam::Yield yield) {
+/// What ends a caller's connection when time is up: between queries and once an
+/// answer was given it is closed, a query that doesn't come whole is answered first.
+struct Patience {
+  bool close = true;
+  bool out = false;
+};
+
+/// A final answer before all of the query is read. Closing with unread bytes
+/// would reset the connection, and the answer might never be read: what comes
+/// is thrown away, for a moment and up to a size (section 13.8).
+void refuse_unread(Socket& socket, Alarm& alarm, Patience& patience, std::string const& status, std::string const& extra, std::string const& reason, bool bare, loam::Yield yield) {
+  patience.close = true;
+  alarm.set(loam::boot_now() + constants::refused_linger);
+  (void)write_small(socket, status, extra, reason, false, bare, yield);
   error_code error;
   socket.shutdown(Socket::shutdown_send, error);
-  alarm->set(loam::boot_now() + constants::refused_linger);
-  std::array<char, 4096> thrown_away;
-  while (!error) {
-    (void)socket.async_read_some(asio::buffer(thrown_away), yield[error]);
+  std::array<char, constants::piece_bytes> thrown_away;
+  std::size_t total = 0;
+  while (!error && total < constants::refused_bytes) {
+    total += socket.async_read_some(asio::buffer(thrown_away), yield[error]);
   }
 }
 
@@ -834,9 +964,11 @@
 
 void serve_caller(Station& station, std::shared_ptr<Socket> const& socket, loam::Yield yield) {
   boost::beast::flat_buffer buffer;
-  std::shared_ptr<Alarm> const alarm = std::make_shared<Alarm>(station.context(), [socket] {
+  std::shared_ptr<Patience> const patience = std::make_shared<Patience>();
+  std::shared_ptr<Alarm> const alarm = std::make_shared<Alarm>(station.context(), [socket, patience] {
     error_code ignored;
-    socket->close(ignored);
+    patience->out = true;
+    patience->close ? socket->close(ignored) : socket->cancel(ignored);
   });
   schema::CallerLimits limits;
   bool again = true;
@@ -846,6 +978,7 @@
     }
     error_code error;
     if (buffer.size() == 0) {  // an idle connection may wait, a begun header may not
+      patience->close = true;
       alarm->set(loam::boot_now() + loam::milliseconds(static_cast<std::int64_t>(limits.idle_ms)));
       std::size_t const count = socket->async_read_some(buffer.prepare(4096), yield[error]);
       if (error) {
@@ -853,21 +986,27 @@
       }
       buffer.commit(count);
     }
+    patience->close = false;
+    patience->out = false;
     alarm->set(loam::boot_now() + loam::milliseconds(static_cast<std::int64_t>(limits.header_wait_ms)));
     http::request_parser<http::string_body> parser;
     parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
     parser.body_limit(limits.body_bytes);
     http::async_read_header(*socket, buffer, parser, yield[error]);
+    if (patience->out) {
+      refuse_unread(*socket, *alarm, *patience, "408 Request Timeout", "", "too_slow", false, yield);
+      break;
+    }
     if (error == http::error::header_limit) {
-      (void)write_small(*socket, "431 Request Header Fields Too Large", "", "too_large", false, yield);
+      refuse_unread(*socket, *alarm, *patience, "431 Request Header Fields Too Large", "", "too_large", false, yield);
       break;
     }
     if (error == http::error::body_limit) {  // announced too large: no byte of it is read
-      (void)write_small(*socket, "413 Payload Too Large", "", "too_large", false, yield);
+      refuse_unread(*socket, *alarm, *patience, "413 Payload Too Large", "", "too_large", parser.get().method() == http::verb::head, yield);
       break;
     }
     if (error && error.category() == http::make_error_code(http::error::bad_value).category() && error != http::error::end_of_stream && error != http::error::partial_message) {
-      (void)write_small(*socket, "400 Bad Request", "", "malformed", false, yield);
+      refuse_unread(*socket, *alarm, *patience, "400 Bad Request", "", "malformed", false, yield);
       break;
     }
     if (error) {
@@ -876,14 +1015,15 @@
     Query query;
     query.arrived = loam::boot_now();
     station.opened();
+    std::string const named = station.dialect().query + ": " + std::string(view(parser.get()[station.dialect().query])) + "\r\n";
+    bool const bare = parser.get().method() == http::verb::head;
     if (station.book() != nullptr && station.book()->walled()) {
       // Refused before a body byte is read (section 14.1).
       schema::Lane const* const lane = station.book()->find(view(parser.get()[http::field::host]), view(parser.get().target()));
       if (lane != nullptr && lane->tenancy.has_value()) {
         tilth::TenantReading const reading = tenant_of(*lane->tenancy, parser.get());
         if (reading.end == tilth::TenantEnd::refused) {
-          (void)write_small(*socket, "400 Bad Request", station.dialect().query + ": " + std::string(view(parser.get()[station.dialect().query])) + "\r\n", reading.fault, false, yield);
-          let_read(*socket, alarm, yield);
+          refuse_unread(*socket, *alarm, *patience, "400 Bad Request", named, reading.fault, bare, yield);
           station.closed();
           break;
         }
@@ -892,10 +1032,21 @@
     if (parser.get()[http::field::expect] == "100-continue") {
       asio::async_write(*socket, asio::buffer(std::string("HTTP/1.1 100 Continue\r\n\r\n")), yield[error]);
     }
-    http::async_read(*socket, buffer, parser, yield[error]);
-    if (error) {
-      if (error == http::error::body_limit) {
-        (void)write_small(*socket, "413 Payload Too Large", "", "too_large", false, yield);
+    // What comes behind a body names no tenant and no prompt.
+    std::optional<http::request_header<>> before_body;
+    if (parser.chunked()) {
+      before_body = parser.get().base();
+    }
+    if (!patience->out) {
+      http::async_read(*socket, buffer, parser, yield[error]);
+    }
+    if (error || patience->out) {
+      if (patience->out) {
+        refuse_unread(*socket, *alarm, *patience, "408 Request Timeout", named, "too_slow", bare, yield);
+      } else if (error == http::error::body_limit) {
+        refuse_unread(*socket, *alarm, *patience, "413 Payload Too Large", named, "too_large", bare, yield);
+      } else if (error == http::error::bad_chunk || error == http::error::bad_chunk_extension) {
+        refuse_unread(*socket, *alarm, *patience, "400 Bad Request", named, "malformed", bare, yield);
       }
       station.closed();
       break;
@@ -903,9 +1054,9 @@
     query.had_length = parser.content_length().has_value() || parser.chunked();
     query.keep = parser.get().keep_alive();
     query.body = std::move(parser.get().body());
-    query.header = std::move(parser.get().base());
+    query.header = before_body.has_value() ? std::move(*before_body) : std::move(parser.get().base());
+    patience->close = true;
     alarm->set(loam::boot_now() + loam::seconds(3600));
-    std::string const named = station.dialect().query + ": " + std::string(view(query.header[station.dialect().query])) + "\r\n";
     // Right after a start the charter comes within a moment (section 13.8): the
     // query waits for it as it would for a place, then is refused.
     while (station.book() == nullptr && loam::boot_now() - query.arrived < station.charter_hold) {
@@ -914,11 +1065,11 @@
     std::shared_ptr<tilth::LaneBook const> const book = station.book();
     bool const keep = query.keep && !station.draining();
     if (book == nullptr) {
-      again = write_small(*socket, "503 Service Unavailable", named + "Retry-After: 0.5\r\n", "no_setup", keep, yield);
+      again = write_small(*socket, "503 Service Unavailable", named + "Retry-After: 0.5\r\n", "no_setup", keep, bare, yield);
     } else {
       schema::Lane const* const lane = book->find(view(query.header[http::field::host]), view(query.header.target()));
       if (lane == nullptr) {
-        again = write_small(*socket, "404 Not Found", named, "unknown_rule", keep, yield);
+        again = write_small(*socket, "404 Not Found", named, "unknown_rule", keep, bare, yield);
       } else {
         std::unique_ptr<Relay> const relay = std::make_unique<Relay>(station, query, *lane, *socket, book, yield);
         again = relay->run();
--- a/source/furrow/relay/station.cpp
+++ b/source/furrow/relay/station.cpp
@@ -99,10 +99,11 @@
 }
 
 absl::Status Station::listen(std::string const& address, std::function<void(std::shared_ptr<Socket>, loam::Yield)> session) {
-  absl::StatusOr<loam::Endpoint> const endpoint = loam::read_endpoint(address);
+  absl::StatusOr<loam::Endpoint> endpoint = loam::read_endpoint(address);
   if (!endpoint.ok()) {
     return endpoint.status();
   }
+  *endpoint = loam::own_endpoint(*endpoint);
   std::shared_ptr<Acceptor> const held = std::make_shared<Acceptor>(Acceptor{asio::ip::tcp::acceptor(context_)});
   error_code error;
   held->acceptor.open(endpoint->protocol(), error);
@@ -145,7 +146,7 @@
 
 tilth::Rights& Station::rights(std::string const& service) {
   tilth::Rights& rights = rights_[service];
-  rights.bound(settings_.bounds.retry_ratio, settings_.bounds.retry_slack, static_cast<double>(std::max<std::size_t>(1, members_.members().size())));
+  rights.bound(settings_.bounds.retry_ratio, settings_.bounds.retry_slack, static_cast<double>(std::max<std::size_t>(1, census_.furrows(loam::boot_now()).size())));
   return rights;
 }
 
@@ -222,14 +223,13 @@
 
 void Station::ask_news(loam::Yield yield) {
   std::size_t turn = loam::random_number() % std::max<std::size_t>(1, trellises_.size());
-  bool lost = true;  // no trellis answered the last ask
   while (true) {
     loam::Moment const asked = loam::boot_now();
     bool const was_ready = ready();
     schema::NewsAsk const query = ask(reports(asked));
     std::string from;
     loam::Span const patience = loam::milliseconds(static_cast<std::int64_t>(settings_.bounds.ask_deadline_ms));
-    if (lost) {
+    if (lost_) {
       // Some may be down, and say nothing: a few are asked, the first who is sure
       // counts. More would each send the whole charter to a furrow without one.
       std::vector<std::pair<std::string, schema::Message>> calls;
@@ -265,9 +265,9 @@
         heard_from(*news);
       }
     }
-    lost = from.empty();
+    lost_ = from.empty();
     loam::Span const spent = loam::boot_now() - asked;
-    if (lost) {
+    if (lost_) {
       turn += 1;
       if (spent < constants::ask_retry) {
         loam::pause(context_, constants::ask_retry, yield);
@@ -284,15 +284,27 @@
 void Station::heard_from(schema::NewsAnswer const& news) {
   heard_ = true;
   heard_at_ = loam::boot_now();
-  // Near ones first, as told; seeds stay in for the day that all others are gone.
-  trellises_.clear();
-  for (std::vector<std::string> const* const addresses : std::initializer_list<std::vector<std::string> const*>{&news.colleagues, &settings_.seeds}) {
+  know_trellises(news.colleagues);
+}
+
+void Station::know_trellises(std::vector<std::string> const& told) {
+  std::vector<std::string> known;
+  for (std::vector<std::string> const* const addresses : std::initializer_list<std::vector<std::string> const*>{&told, &settings_.seeds}) {
     for (std::string const& address : *addresses) {
-      if (!address.empty() && std::find(trellises_.begin(), trellises_.end(), address) == trellises_.end()) {
-        trellises_.push_back(address);
+      if (!address.empty() && std::find(known.begin(), known.end(), address) == known.end()) {
+        known.push_back(address);
       }
     }
   }
+  trellises_ = std::move(known);
+}
+
+void Station::renew(schema::Settings const& settings) {
+  // In touch, the order as told stays; out of touch the new seeds come first.
+  std::vector<std::string> known = lost_ ? settings.seeds : trellises_;
+  known.insert(known.end(), trellises_.begin(), trellises_.end());
+  settings_ = settings;
+  know_trellises(known);
 }
 
 void Station::read_own_list(loam::Yield yield) {
@@ -308,7 +320,7 @@
     if (asked - std::max(list_.as_of(), heard_at_) < constants::own_list_after) {
       continue;
     }
-    absl::StatusOr<schema::PlatformList> const list = list_reader_(yield);
+    absl::StatusOr<schema::PlatformList> const list = list_reader_(settings_.platform_address, yield);
     if (list.ok()) {
       list_.put(*list, asked);
       take_list();
@@ -347,7 +359,14 @@
       take_split(news);
     }
   }
-  changed = members_.take(answer) || changed;
+  if (members_.take(answer)) {
+    std::vector<std::string> names;
+    for (schema::Member const& member : members_.members()) {
+      names.push_back(member.name);
+    }
+    census_.told(names, loam::boot_now());
+    changed = true;
+  }
   if (list_.take(hedge::list_news(answer), answer.list_age, asked)) {
     take_list();
     changed = true;
@@ -468,9 +487,7 @@
   terms.cold_overshoot = settings_.bounds.cold_overshoot;
   terms.cold_slack = settings_.bounds.cold_slack;
   terms.keep_long_apart = constants::keep_long_apart;
-  for (schema::Member const& member : members_.members()) {
-    terms.furrows.push_back(member.name);
-  }
+  terms.furrows = census_.furrows(loam::boot_now());
   if (terms.furrows.empty()) {
     terms.furrows.push_back(settings_.name);
   }
@@ -551,7 +568,7 @@
     }
     bool const again = parser.get().keep_alive() && !draining_;
     std::string const text = "HTTP/1.1 " + status + "\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) +
-                             (again ? "\r\n\r\n" : "\r\nConnection: close\r\n\r\n") + body;
+                             (again ? "\r\n\r\n" : "\r\nConnection: close\r\n\r\n") + (parser.get().method() == http::verb::head ? "" : body);
     asio::async_write(*socket, asio::buffer(text), yield[error]);
     if (error || !again) {
       break;
--- a/source/furrow/relay/station.hpp
+++ b/source/furrow/relay/station.hpp
@@ -21,6 +21,7 @@
 #include "loam/relay_constants.hpp"
 #include "orchard/charter/charter.hpp"
 #include "schema/settings.hpp"
+#include "tilth/census/census.hpp"
 #include "tilth/grove/grove.hpp"
 #include "tilth/lanes/lanes.hpp"
 #include "tilth/observe/observer.hpp"
@@ -30,7 +31,7 @@
 namespace finchlink::furrow {
 
 using Socket = boost::asio::ip::tcp::socket;
-using ListReader = std::function<absl::StatusOr<schema::PlatformList>(loam::Yield)>;
+using ListReader = std::function<absl::StatusOr<schema::PlatformList>(std::string const& address, loam::Yield)>;
 
 /// Starts a coroutine on the relay's one thread, with a small stack: machines
 /// that relay have a fraction of a core and pay for memory (section 13.2).
@@ -74,7 +75,7 @@
   void drain();
   [[nodiscard]] bool busy() const;
   /// New bounds and seeds, taken while it runs.
-  void renew(schema::Settings const& settings) { settings_ = settings; }
+  void renew(schema::Settings const& settings);
 
   [[nodiscard]] boost::asio::io_context& context() { return context_; }
   [[nodiscard]] schema::Settings const& settings() const { return settings_; }
@@ -112,6 +113,9 @@
   void serve_small(std::shared_ptr<Socket> const& socket, loam::Yield yield);
   void ask_news(loam::Yield yield);
   void heard_from(schema::NewsAnswer const& news);
+  /// Trellises to ask, near ones first as told; seeds stay in for the day that
+  /// all others are gone.
+  void know_trellises(std::vector<std::string> const& told);
   void read_own_list(loam::Yield yield);
   void follow_secrets(loam::Yield yield);
   void take(schema::NewsAnswer const& answer, loam::Moment asked);
@@ -138,10 +142,12 @@
   std::set<std::string> evacuated_;
   hedge::ListCopy list_;
   hedge::MemberCopy members_;
+  tilth::Census census_;
   std::map<std::string, loam::Moment> cold_until_;
   std::vector<std::string> trellises_;
   loam::Moment heard_at_ = 0;
   bool heard_ = false;
+  bool lost_ = true;  ///< no trellis answered the last ask
   tilth::Grove grove_;
   tilth::Observer observer_;
   std::map<std::string, schema::Split> splits_;  ///< by pool
--- a/source/furrow/relay/walls.cpp
+++ b/source/furrow/relay/walls.cpp
@@ -26,6 +26,15 @@
   return tilth::read_tenant(tenancy, values, target);
 }
 
+std::string model_of(http::fields const& header, std::string const& name) {
+  std::string model;
+  std::pair<http::fields::const_iterator, http::fields::const_iterator> const range = header.equal_range(name);
+  for (http::fields::const_iterator entry = range.first; entry != range.second; ++entry) {
+    model.append(entry == range.first ? "" : "\n").append(entry->value().data(), entry->value().size());
+  }
+  return model;
+}
+
 std::array<std::uint64_t, 2> draw_once() {
   // From the system each time: a generator's next numbers could be worked out.
   std::random_device device;
@@ -97,7 +106,7 @@
   std::stringstream text;
   text << "# TYPE relay_wall_crossings_total counter\nrelay_wall_crossings_total " << walls.crossings() << "\nrelay_wall_queries_total " << sum.queries
        << "\nrelay_wall_cold_total " << sum.cold << "\nrelay_wall_tokens_total " << static_cast<std::uint64_t>(sum.tokens) << "\nrelay_wall_reused_tokens_total "
-       << static_cast<std::uint64_t>(sum.reused) << "\nrelay_wall_keyed " << (walls.keyed() ? 1 : 0) << "\n";
+       << static_cast<std::uint64_t>(sum.reused) << "\nrelay_wall_other_weights_total " << walls.other_weights() << "\nrelay_wall_keyed " << (walls.keyed() ? 1 : 0) << "\n";
   return text.str();
 }
 
--- a/source/furrow/relay/walls.hpp
+++ b/source/furrow/relay/walls.hpp
@@ -18,6 +18,8 @@
 [[nodiscard]] tilth::TenantReading tenant_of(schema::Tenancy const& tenancy, Header const& header) {
   return tenant_of(tenancy, header, std::string_view(header.target().data(), header.target().size()));
 }
+/// The model that is meant: every field that names one, since a worker might take any.
+[[nodiscard]] std::string model_of(boost::beast::http::fields const& header, std::string const& name);
 /// Numbers that nobody can foretell and that were never drawn before.
 [[nodiscard]] std::array<std::uint64_t, 2> draw_once();
 [[nodiscard]] absl::StatusOr<tilth::Secrets> load_secrets(std::string const& path);
--- a/source/gleaner/main.cpp
+++ b/source/gleaner/main.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <csignal>
 #include <fstream>
+#include <functional>
 #include <iostream>
 #include <mutex>
 #include <random>
@@ -33,6 +34,7 @@
   std::uint64_t without_hint = 0;  ///< of these, without Retry-After
   std::uint64_t may_have_run = 0;
   std::uint64_t broken = 0;        ///< streams that ended with an error event or were cut
+  std::uint64_t unreached = 0;     ///< no answer in any try
   std::uint64_t other = 0;
   std::uint64_t wrong_owner = 0;
   std::uint64_t wrong_number = 0;
@@ -66,6 +68,7 @@
   std::string nonce;
   std::string home;
   std::string body;
+  std::vector<std::pair<std::string, std::string>> fields;  ///< more of its header
 };
 
 struct Seen {
@@ -90,11 +93,14 @@
   }
   loam::Stream& stream = **connection;
   loam::Ask ask{http::string_to_verb(call.mix.method), call.mix.path, 11};
-  ask.set(http::field::host, address);
+  ask.set(http::field::host, call.mix.host.empty() ? address : call.mix.host);
   ask.set(http::field::content_type, "application/json");
   if (!call.home.empty()) {
     ask.set("Finchlink-Home", call.home);
   }
+  for (std::pair<std::string, std::string> const& field : call.fields) {
+    ask.set(field.first, field.second);
+  }
   ask.body() = call.body;
   ask.keep_alive(false);
   ask.prepare_payload();
@@ -175,6 +181,8 @@
     book.refused.insert(call.nonce);
   } else if (seen.status == 502 || seen.status == 504) {
     ++tally.may_have_run;
+  } else if (seen.status == 0) {
+    ++tally.unreached;
   } else {
     ++tally.other;
   }
@@ -182,11 +190,55 @@
   (good ? second.first : second.second) += 1;
 }
 
-void run_call(boost::asio::io_context& context, Book& book, Call const& call, std::string address, loam::Span deadline, loam::Yield yield) {
+/// Whose query it is, and its prompt in parts. All tenants send the same parts;
+/// only the last is a query's own. Stand-in workers are told the true tenant,
+/// and how many parts are truly nobody's, beside what the relay makes of it.
+void name_tenant(Call& call, std::string const& run, std::uint64_t number, std::mt19937_64& random) {
+  schema::Mix const& mix = call.mix;
+  std::uint64_t const drawn = mix.in_turn ? number % mix.tenants : random() % mix.tenants;
+  std::string const digits = std::to_string(mix.first_tenant + drawn);
+  std::string const tenant = "tenant-" + std::string(6 - std::min<std::size_t>(6, digits.size()), '0') + digits;
+  std::uint64_t tokens = 0;
+  std::string parts;
+  std::function<void(std::string const&, std::uint64_t)> const add = [&](std::string const& id, std::uint64_t count) {
+    parts += (parts.empty() ? "" : ",") + id + ":" + std::to_string(count);
+    tokens += count;
+  };
+  if (!mix.public_part.empty()) {
+    add(mix.public_part, mix.public_tokens);
+  }
+  add("a" + std::to_string(random() % std::max<std::uint64_t>(1, mix.prefixes)), mix.prefix_bytes / 4);
+  if (mix.endings > 0) {
+    add("b" + std::to_string(random() % mix.endings), mix.ending_tokens);
+  }
+  std::stringstream own;
+  own << "f" << std::hex << std::hash<std::string>()(run + mix.name) << number;
+  add(own.str(), mix.own_tokens);
+  call.fields = {{"Finchlink-Query", call.nonce}, {"Finchlink-Model", "m"}, {"Finchlink-Tokens", std::to_string(tokens) + "," + std::to_string(mix.outputs)}, {"Finchlink-Parts", parts},
+                 {"Finchlink-Standin-Tenant", tenant}, {"Finchlink-Standin-Public", mix.public_part.empty() ? "0" : "1"}};
+  if (!mix.tenant_header.empty()) {
+    call.fields.emplace_back(mix.tenant_header, tenant);
+  }
+  std::size_t const place = call.mix.path.find("{tenant}");
+  if (place != std::string::npos) {
+    call.mix.path.replace(place, std::string("{tenant}").size(), tenant);
+  }
+}
+
+void run_call(boost::asio::io_context& context, Book& book, Call const& call, std::string address, std::vector<std::string> const& others, loam::Span deadline, loam::Yield yield) {
   loam::Moment const began = loam::boot_now();
   Seen seen;
   int redirects = 0;
-  for (; redirects < 3; ++redirects) {
+  // A tenant's caller knows all furrows and asks another when one is gone or full.
+  for (int tries = 1; call.mix.tenants > 0 && tries <= 3; ++tries) {
+    seen = talk(context, call, address, began + deadline, yield);
+    if ((seen.status != 0 && seen.status != 503) || tries == 3) {
+      break;
+    }
+    loam::pause(context, seen.status == 503 ? loam::milliseconds(300) : loam::milliseconds(20), yield);
+    address = others[loam::random_number() % others.size()];
+  }
+  for (; call.mix.tenants == 0 && redirects < 3; ++redirects) {
     seen = talk(context, call, address, began + deadline, yield);
     if (seen.status != 307 || seen.location.rfind("http://", 0) != 0) {
       break;
@@ -226,7 +278,7 @@
   for (std::pair<std::string const, Tally>& entry : book.tallies) {
     Tally& tally = entry.second;
     cJSON* const part = cJSON_AddObjectToObject(object.get(), entry.first.c_str());
-    std::vector<std::pair<char const*, std::uint64_t>> const numbers{{"sent", tally.sent}, {"good", tally.good}, {"refused", tally.refused}, {"refused_without_retry_after", tally.without_hint}, {"may_have_run", tally.may_have_run}, {"broken", tally.broken}, {"other", tally.other}, {"wrong_owner", tally.wrong_owner}, {"wrong_number", tally.wrong_number}, {"cut_but_looked_whole", tally.looked_whole}, {"redirects", tally.redirects}};
+    std::vector<std::pair<char const*, std::uint64_t>> const numbers{{"sent", tally.sent}, {"good", tally.good}, {"refused", tally.refused}, {"refused_without_retry_after", tally.without_hint}, {"may_have_run", tally.may_have_run}, {"unreached", tally.unreached}, {"broken", tally.broken}, {"other", tally.other}, {"wrong_owner", tally.wrong_owner}, {"wrong_number", tally.wrong_number}, {"cut_but_looked_whole", tally.looked_whole}, {"redirects", tally.redirects}};
     for (std::pair<char const*, std::uint64_t> const& number : numbers) {
       cJSON_AddNumberToObject(part, number.first, static_cast<double>(number.second));
     }
@@ -290,7 +342,10 @@
         call.nonce = run + "-" + mix.name + "-" + std::to_string(++number);
         call.home = mix.homes.empty() ? "" : mix.homes[random() % mix.homes.size()];
         std::uint64_t const prefix = mix.prefixes == 0 ? 0 : random() % mix.prefixes;
-        if (mix.method == "GET") {
+        if (mix.tenants > 0) {
+          call.body = "{\"nonce\":\"" + call.nonce + "\",\"repeatable\":true,\"outputs\":" + std::to_string(mix.outputs) + "}";
+          name_tenant(call, run, number - 1, random);
+        } else if (mix.method == "GET") {
           call.mix.path += "?nonce=" + call.nonce;
         } else {
           call.body = "{\"prompt\":\"" + filler(mix_seed * 1000003 + prefix, mix.prefix_bytes) + filler(random(), call.mix.own_bytes) + "\",\"nonce\":\"" + call.nonce +
@@ -306,7 +361,7 @@
         }
         ++book.open;
         loam::start(context, [&context, &book, &harvest, call, address](loam::Yield inner) {
-          run_call(context, book, call, address, loam::milliseconds(static_cast<std::int64_t>(harvest.deadline_ms)), inner);
+          run_call(context, book, call, address, harvest.targets, loam::milliseconds(static_cast<std::int64_t>(harvest.deadline_ms)), inner);
         });
       }
       --mixes_left;
--- a/source/loam/constants.hpp
+++ b/source/loam/constants.hpp
@@ -191,6 +191,8 @@
 /// A connection whose body is left unread stays open this long, so that the
 /// answer is not lost to a reset.
 inline constexpr Span parting_span = milliseconds(300);
+/// Bytes thrown away at most in that time: as large an ask as is taken anywhere.
+inline constexpr std::size_t parting_bytes = 16u << 20u;
 /// SIGTERM: what is running may finish within this.
 inline constexpr Span drain_span = seconds(8);
 /// Where the platform tells after what time it kills, we end earlier by this.
--- a/source/loam/http/http.cpp
+++ b/source/loam/http/http.cpp
@@ -1,5 +1,6 @@
 #include "loam/http/http.hpp"
 
+#include <array>
 #include <boost/beast/core/flat_buffer.hpp>
 
 #include "loam/constants.hpp"
@@ -29,6 +30,21 @@
   return answer;
 }
 
+namespace {
+/// Closing with unread bytes would reset the connection, and the answer might
+/// never be read: what comes is thrown away, for a moment and up to a size.
+void let_read(Stream& stream, Yield yield) {
+  error_code error;
+  stream.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, error);
+  stream.expires_after(duration(constants::parting_span));
+  std::array<char, 8192> thrown_away;
+  std::size_t total = 0;
+  while (!error && total < constants::parting_bytes) {
+    total += stream.async_read_some(boost::asio::buffer(thrown_away), yield[error]);
+  }
+}
+}  // namespace
+
 absl::Status serve_asks(boost::asio::io_context& context, std::string const& address, std::size_t most, std::size_t body_limit,
                         AskHandler handler) {
   return listen(context, address, most, [handler, body_limit](Stream& stream, Yield yield) {
@@ -47,6 +63,7 @@
       }
       Answer answer;
       again = false;
+      bool const whole = !error;
       if (error == http::error::body_limit) {
         answer = answer_error(http::status::payload_too_large, "too_large", "the body is larger than allowed");
       } else if (error == http::error::header_limit) {
@@ -58,6 +75,9 @@
         again = ask.keep_alive();
         stream.expires_never();
         answer = handler(ask, yield);
+        if (ask.method() == http::verb::head) {  // tells the length that the body would have
+          answer.body().clear();
+        }
       }
       answer.keep_alive(again);
       stream.expires_after(duration(constants::write_deadline));
@@ -65,6 +85,9 @@
       if (error) {
         return;
       }
+      if (!whole) {
+        let_read(stream, yield);
+      }
     }
   });
 }
--- a/source/loam/net/net.cpp
+++ b/source/loam/net/net.cpp
@@ -52,6 +52,25 @@
   return absl::OkStatus();
 }
 
+Endpoint own_endpoint(Endpoint endpoint) {
+  if (own_ip.has_value()) {
+    endpoint.address(*own_ip);
+  }
+  return endpoint;
+}
+
+error_code open_own(asio::ip::tcp::socket& socket, Endpoint const& target) {
+  error_code error;
+  if (!own_ip.has_value()) {
+    return error;
+  }
+  socket.open(target.protocol(), error);
+  // The port is chosen when it connects, so that many may share one.
+  socket.set_option(asio::detail::socket_option::boolean<IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT>(true), error);
+  socket.bind(Endpoint(*own_ip, 0), error);
+  return error;
+}
+
 std::chrono::microseconds duration(Span span) { return std::chrono::microseconds(span); }
 
 void start(asio::io_context& context, std::function<void(Yield)> body) {
@@ -74,9 +93,7 @@
   if (!endpoint.ok()) {
     return endpoint.status();
   }
-  if (own_ip.has_value()) {
-    endpoint->address(*own_ip);
-  }
+  *endpoint = own_endpoint(*endpoint);
   std::shared_ptr<asio::ip::tcp::acceptor> const acceptor = std::make_shared<asio::ip::tcp::acceptor>(asio::make_strand(context));
   error_code error;
   acceptor->open(endpoint->protocol(), error);
@@ -141,15 +158,9 @@
     return endpoint.status();
   }
   std::unique_ptr<Stream> stream = std::make_unique<Stream>(own_strand ? boost::asio::any_io_executor(asio::make_strand(context)) : yield.get_executor());
-  error_code error;
-  if (own_ip.has_value()) {
-    stream->socket().open(endpoint->protocol(), error);
-    // The port is chosen when it connects, so that many may share one.
-    stream->socket().set_option(asio::detail::socket_option::boolean<IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT>(true), error);
-    stream->socket().bind(Endpoint(*own_ip, 0), error);
-    if (error) {
-      return defect(absl::StatusCode::kUnavailable, "net", own_ip->to_string() + ": " + error.message());
-    }
+  error_code error = open_own(stream->socket(), *endpoint);
+  if (error) {
+    return defect(absl::StatusCode::kUnavailable, "net", own_ip->to_string() + ": " + error.message());
   }
   stream->expires_after(duration(deadline));
   stream->async_connect(*endpoint, yield[error]);
--- a/source/loam/net/net.hpp
+++ b/source/loam/net/net.hpp
@@ -27,6 +27,10 @@
 [[nodiscard]] absl::StatusOr<Endpoint> read_endpoint(std::string const& text);
 /// This machine's own IP, to listen on and to connect from; once, at the start.
 [[nodiscard]] absl::Status use_own_ip(std::string const& text);
+/// Where an address of this machine is really listened at: its own IP, if one was set.
+[[nodiscard]] Endpoint own_endpoint(Endpoint endpoint);
+/// Makes a socket that will connect begin at the own IP, if one was set.
+[[nodiscard]] boost::system::error_code open_own(boost::asio::ip::tcp::socket& socket, Endpoint const& target);
 [[nodiscard]] std::chrono::microseconds duration(Span span);
 
 /// Starts a coroutine on a strand of its own.
--- /dev/null
+++ b/source/loam/process/followed.cpp
@@ -0,0 +1,83 @@
+#include "loam/process/followed.hpp"
+
+#include <sys/stat.h>
+
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <memory>
+
+#include "loam/log/log.hpp"
+#include "loam/net/net.hpp"
+#include "loam/process/process.hpp"
+
+namespace finchlink::loam {
+
+Followed::Stamp Followed::stamp() const {
+  struct stat status {};
+  if (stat(path_.c_str(), &status) != 0) {
+    return Stamp{};
+  }
+  return Stamp{status.st_mtim.tv_sec, status.st_mtim.tv_nsec, status.st_size};
+}
+
+absl::StatusOr<schema::Settings> Followed::checked() const {
+  absl::StatusOr<schema::Settings> read = reader_(path_);
+  absl::Status const good = read.ok() ? check_bounds(read->bounds) : read.status();
+  return good.ok() ? std::move(read) : absl::StatusOr<schema::Settings>(good);
+}
+
+absl::Status Followed::begin(schema::Settings const& given) {
+  read_at_ = stamp();
+  absl::StatusOr<schema::Settings> fresh = checked();
+  if (fresh.ok()) {
+    keep_options(given, *fresh);
+    settings_ = std::move(*fresh);
+  }
+  return fresh.status();
+}
+
+void Followed::read() {
+  read_at_ = stamp();
+  absl::StatusOr<schema::Settings> fresh = checked();
+  if (!fresh.ok()) {
+    note(Event::SettingsBroken, std::string(fresh.status().message()));
+    return;
+  }
+  keep_options(settings_, *fresh);
+  if (*fresh == settings_) {
+    return;
+  }
+  settings_ = std::move(*fresh);
+  note(Event::SettingsRead, path_);
+  if (changed_) {
+    changed_(settings_);
+  }
+}
+
+void Followed::look() {
+  if (!(stamp() == read_at_)) {
+    read();
+  }
+}
+
+void Followed::run(boost::asio::io_context& context, Span span) {
+  std::shared_ptr<boost::asio::signal_set> const hangups = std::make_shared<boost::asio::signal_set>(context, SIGHUP);
+  start(context, [this, hangups](Yield yield) {
+    while (true) {
+      boost::system::error_code error;
+      hangups->async_wait(yield[error]);
+      if (error) {
+        return;
+      }
+      read();
+    }
+  });
+  start(context, [this, &context, span](Yield yield) {
+    while (true) {
+      pause(context, span, yield);
+      look();
+    }
+  });
+}
+
+}  // namespace finchlink::loam
--- a/source/loam/process/process.cpp
+++ b/source/loam/process/process.cpp
@@ -2,7 +2,6 @@
 
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
-#include <sys/stat.h>
 #include <iostream>
 #include <thread>
 #include <vector>
@@ -12,6 +11,7 @@
 #include "loam/log/log.hpp"
 #include "loam/net/net.hpp"
 #include "loam/net/traffic.hpp"
+#include "loam/process/followed.hpp"
 
 namespace finchlink::loam {
 
@@ -44,49 +44,6 @@
   return absl::OkStatus();
 }
 
-namespace {
-/// What tells one state of a file from another without reading it.
-struct FileStamp {
-  std::int64_t second = 0;
-  std::int64_t nanosecond = 0;
-  std::int64_t size = -1;
-  friend bool operator==(FileStamp const&, FileStamp const&) = default;
-};
-FileStamp stamp_of(std::string const& path) {
-  struct stat status {};
-  if (stat(path.c_str(), &status) != 0) {
-    return FileStamp{};
-  }
-  return FileStamp{status.st_mtim.tv_sec, status.st_mtim.tv_nsec, status.st_size};
-}
-
-/// The settings of a file that may change, as they are in force.
-struct Followed {
-  std::string path;
-  FileStamp stamp;
-  schema::Settings settings;
-};
-
-void follow(Followed& followed, Daemon const& daemon) {
-  followed.stamp = stamp_of(followed.path);
-  absl::StatusOr<schema::Settings> fresh = daemon.read_settings(followed.path);
-  absl::Status const good = fresh.ok() ? check_bounds(fresh->bounds) : fresh.status();
-  if (!good.ok()) {
-    note(Event::SettingsBroken, std::string(good.message()));
-    return;
-  }
-  keep_options(followed.settings, *fresh);
-  if (*fresh == followed.settings) {
-    return;
-  }
-  followed.settings = *fresh;
-  note(Event::SettingsRead, followed.path);
-  if (daemon.changed) {
-    daemon.changed(*fresh);
-  }
-}
-}  // namespace
-
 int run_daemon(Daemon const& daemon, int count, char const* const* values) {
   std::optional<std::string> const path = daemon.settings_path ? daemon.settings_path() : std::nullopt;
   absl::StatusOr<Invocation> invocation = read_invocation(count, values, daemon.program, path.has_value() ? std::vector<std::string>() : daemon.needed);
@@ -112,19 +69,17 @@
     std::cerr << daemon.program << ": '" << invocation->words.front() << "' is not understood\n";
     return exit_usage;
   }
-  Followed followed;
+  Followed followed(path.value_or(""), daemon.read_settings, daemon.changed);
   if (path.has_value()) {
-    followed.path = *path;
-    followed.stamp = stamp_of(*path);
-    absl::StatusOr<schema::Settings> given = daemon.read_settings(*path);
-    absl::Status const good = given.ok() ? check_bounds(given->bounds) : given.status();
+    // A signal that comes before it is waited for must not end the process; the
+    // file's stamp tells of the change as well.
+    std::signal(SIGHUP, SIG_IGN);
+    absl::Status const good = followed.begin(invocation->settings);
     if (!good.ok()) {
       std::cerr << daemon.program << ": " << good.message() << "\n";
       return exit_usage;
     }
-    keep_options(invocation->settings, *given);
-    invocation->settings = *given;
-    followed.settings = *given;
+    invocation->settings = followed.settings();
   }
   if (invocation->check) {
     std::cout << "settings are good\n";
@@ -164,27 +119,8 @@
       context.stop();
     });
   });
-  boost::asio::signal_set hangups(context);
   if (path.has_value()) {
-    hangups.add(SIGHUP);
-    start(context, [&hangups, &followed, &daemon](Yield yield) {
-      while (true) {
-        boost::system::error_code error;
-        hangups.async_wait(yield[error]);
-        if (error) {
-          return;
-        }
-        follow(followed, daemon);
-      }
-    });
-    start(context, [&context, &followed, &daemon](Yield yield) {
-      while (true) {
-        pause(context, constants::settings_pause, yield);
-        if (!(stamp_of(followed.path) == followed.stamp)) {
-          follow(followed, daemon);
-        }
-      }
-    });
+    followed.run(context, constants::settings_pause);
   }
   std::vector<std::thread> threads;
   for (std::uint64_t index = 1; index < settings.threads; ++index) {
--- a/source/loam/relay_constants.hpp
+++ b/source/loam/relay_constants.hpp
@@ -13,6 +13,9 @@
 inline constexpr double rights_slack_part = 0.6;
 inline constexpr double cold_part = 0.6;
 inline constexpr double connection_part = 0.8;
+/// A furrow that is no member any more counts among those that share a bound
+/// this long: it may be cut off only, and cuts last up to some ten seconds.
+inline constexpr Span census_memory = seconds(20);
 /// Window over which queries to a cold worker are counted, a little over the
 /// second that the bound names, since they arrive later than they are sent.
 inline constexpr Span cold_window = milliseconds(1300);
@@ -79,6 +82,11 @@
 inline constexpr double reread_cost = 0.0002;
 /// Service time taken for a worker that generates no text, in seconds.
 inline constexpr double plain_seconds = 0.08;
+/// Of a region's workers of one service at most this part rests for what they did
+/// to queries: two of three, so that one always serves; with fewer than the least
+/// nobody is an outlier among others.
+inline constexpr double ejection_share = 0.7;
+inline constexpr std::size_t ejection_pool_least = 3;
 /// A worker that refused is left alone this long.
 inline constexpr Span refused_rest = milliseconds(100);
 /// Establishing a connection to a worker; the way between regions twice, and more.
@@ -94,6 +102,9 @@
 /// How long a query waits for the first charter of a furrow that has just
 /// started: most have it within 0.4 s; short beside any set point.
 inline constexpr Span charter_hold = milliseconds(250);
+/// Bytes of a query refused unread that are thrown away at most, so that the
+/// answer arrives: as large a body as charters usually allow.
+inline constexpr std::size_t refused_bytes = 4u << 20u;
 /// Pause between two looks for a place.
 inline constexpr Span place_pause = milliseconds(20);
 /// Part of a lane's set point up to which a query is held without a place, and
--- /dev/null
+++ b/source/tests/almanac/relay_test.cpp
@@ -0,0 +1,73 @@
+#include <gtest/gtest.h>
+
+#include "almanac/relay/relay.hpp"
+
+namespace finchlink {
+namespace {
+
+almanac::RelayOptions options(std::string const& scenario, std::uint64_t seed, std::string const& off = "") {
+  almanac::RelayOptions entry;
+  entry.seed = seed;
+  entry.length = loam::seconds(12);
+  entry.faults = *almanac::relay_scenario(scenario);
+  if (!off.empty()) {
+    EXPECT_TRUE(almanac::switch_off_relay(entry, off)) << off;
+  }
+  return entry;
+}
+
+TEST(AlmanacRelay, HoldsUnderEveryMixOfTroubles) {
+  for (std::string const& scenario : almanac::relay_scenarios()) {
+    for (std::uint64_t seed = 1; seed <= 2; ++seed) {
+      almanac::RelayReport const report = almanac::run_relay(options(scenario, seed));
+      EXPECT_TRUE(report.violations.empty()) << scenario << " seed " << seed << ": " << report.violations.front();
+      EXPECT_GT(report.good, report.sent / 3) << scenario << " seed " << seed;
+      EXPECT_EQ(report.troubles == 0, scenario == "relay-calm") << scenario << " seed " << seed;
+    }
+  }
+}
+
+TEST(AlmanacRelay, SameSeedSameTrace) {
+  almanac::RelayReport const first = almanac::run_relay(options("relay-storm", 7));
+  almanac::RelayReport const again = almanac::run_relay(options("relay-storm", 7));
+  EXPECT_EQ(first.trace_hash, again.trace_hash);
+  EXPECT_EQ(first.events, again.events);
+}
+
+struct Needed {
+  std::string guard;
+  std::string scenario;
+  std::string violation;
+  double rate = 120;
+  double cold_rate = 45;
+  double retry_slack = 64;
+};
+
+TEST(AlmanacRelay, EachGuardIsNeeded) {
+  for (Needed const& needed : {Needed{"dispatch_once", "relay-grey", "ran twice"}, Needed{"honest_refusal", "relay-grey", "refused though it ran"}, Needed{"rights", "relay-full", "retries of", 120, 45, 8},
+                               Needed{"drop_drained", "relay-planned", "after it was draining"}, Needed{"drop_evacuated", "relay-planned", "in an evacuated hall"}, Needed{"keep_homes", "relay-storm", "outside its homes"},
+                               Needed{"name_worker", "relay-crash", "worker of another service"}, Needed{"cold_bound", "relay-crash", "was flooded", 1000, 1}, Needed{"suspect_returned", "relay-planned", "was flooded", 600, 4},
+                               Needed{"ejection_bound", "relay-plague", " rest"}}) {
+    bool broken = false;
+    for (std::uint64_t seed = 1; seed <= 8 && !broken; ++seed) {
+      almanac::RelayOptions run = options(needed.scenario, seed, needed.guard);
+      run.rate = needed.rate;
+      run.cold_rate = needed.cold_rate;
+      run.retry_slack = needed.retry_slack;
+      almanac::RelayReport const report = almanac::run_relay(run);
+      for (std::string const& violation : report.violations) {
+        broken = broken || violation.find(needed.violation) != std::string::npos;
+      }
+    }
+    EXPECT_TRUE(broken) << needed.guard;
+    almanac::RelayOptions run = options(needed.scenario, 1);
+    run.rate = needed.rate;
+    run.cold_rate = needed.cold_rate;
+    run.retry_slack = needed.retry_slack;
+    almanac::RelayReport const report = almanac::run_relay(run);
+    EXPECT_TRUE(report.violations.empty()) << needed.guard << " on: " << report.violations.front();
+  }
+}
+
+}  // namespace
+}  // namespace finchlink
--- /dev/null
+++ b/source/tests/almanac/walls_test.cpp
@@ -0,0 +1,71 @@
+#include <gtest/gtest.h>
+
+#include "almanac/walls/walls.hpp"
+
+namespace finchlink {
+namespace {
+
+almanac::WallsOptions run_of(std::uint64_t seed) {
+  almanac::WallsOptions run;
+  run.seed = seed;
+  run.length = loam::seconds(40);
+  return run;
+}
+
+TEST(AlmanacWalls, NoHitCrossesAndSteadyTenantsReuseTheirOwn) {
+  std::uint64_t own = 0;
+  std::uint64_t evicted = 0;
+  std::uint64_t moved = 0;
+  std::uint64_t misdirected = 0;
+  std::uint64_t rotations = 0;
+  std::uint64_t faults = 0;
+  for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+    almanac::WallsReport const report = almanac::run_walls(run_of(seed));
+    EXPECT_TRUE(report.violations.empty()) << "seed " << seed << ": " << report.violations.front();
+    EXPECT_EQ(report.crossed_hits, 0u) << "seed " << seed;
+    EXPECT_EQ(report.old_hits, 0u) << "seed " << seed;
+    EXPECT_GT(report.ran, report.sent / 2) << "seed " << seed;
+    own += report.own_hits;
+    evicted += report.evicted;
+    moved += report.moved;
+    misdirected += report.misdirected;
+    rotations += report.rotations;
+    faults += report.faults;
+  }
+  // What the walls are to stand really came about.
+  EXPECT_GT(own, 1000u);
+  EXPECT_GT(evicted, 100u);
+  EXPECT_GT(moved, 1000u);
+  EXPECT_GT(misdirected, 10u);
+  EXPECT_GT(rotations, 30u);
+  EXPECT_GT(faults, 300u);
+}
+
+TEST(AlmanacWalls, WithoutTheTenantInTheKeyHitsCross) {
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    almanac::WallsOptions run = run_of(seed);
+    run.guards.tenant_in_key = false;
+    almanac::WallsReport const report = almanac::run_walls(run);
+    EXPECT_GT(report.crossed_hits, 1000u) << "seed " << seed;
+    EXPECT_GT(report.named, 0u) << "seed " << seed;
+    EXPECT_FALSE(report.violations.empty());
+  }
+}
+
+TEST(AlmanacWalls, WithoutTheVersionWhatOtherWeightsComputedIsRead) {
+  std::uint64_t old_hits = 0;
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    almanac::WallsOptions run = run_of(seed);
+    run.guards.version_in_key = false;
+    old_hits += almanac::run_walls(run).old_hits;
+  }
+  EXPECT_GT(old_hits, 50u);
+}
+
+TEST(AlmanacWalls, TheSameSeedGivesTheSameTrace) {
+  EXPECT_EQ(almanac::run_walls(run_of(7)).trace_hash, almanac::run_walls(run_of(7)).trace_hash);
+  EXPECT_NE(almanac::run_walls(run_of(7)).trace_hash, almanac::run_walls(run_of(8)).trace_hash);
+}
+
+}  // namespace
+}  // namespace finchlink
--- /dev/null
+++ b/source/tests/loam/asks_test.cpp
@@ -0,0 +1,47 @@
+#include <gtest/gtest.h>
+
+#include "loam/http/http.hpp"
+#include "tests/relay/fleet.hpp"
+
+namespace finchlink::relay_test {
+namespace {
+
+/// Serves asks of up to a thousand bytes; scripted callers turn to it.
+struct Served {
+  Served() {
+    address = fleet.next_address();
+    EXPECT_TRUE(loam::serve_asks(*fleet.context, address, 16, 1000, [](loam::Ask const& ask, loam::Yield) {
+                  return loam::answer_text(http::status::ok, "got " + std::to_string(ask.body().size()));
+                }).ok());
+  }
+  Fleet fleet;
+  std::string address;
+};
+
+TEST(Asks, AnAnswerArrivesThoughBytesAreUnread) {
+  // An operator whose charter is too large must hear it, or sends it again.
+  std::string const body(30000, 'x');
+  Served served;
+  std::shared_ptr<Line> const caller = served.fleet.call("PUT /charter HTTP/1.1\r\nHost: any\r\nContent-Length: 30000\r\n\r\n" + body, served.address);
+  ASSERT_TRUE(served.fleet.until([&] { return caller->ended; }));
+  EXPECT_FALSE(caller->was_reset);
+  std::optional<Response> const answer = served.fleet.answer_on(caller);
+  ASSERT_TRUE(answer.has_value());
+  EXPECT_EQ(answer->result_int(), 413u);
+}
+
+TEST(Asks, AHeadIsAnsweredWithoutABody) {
+  Served served;
+  std::shared_ptr<Line> const caller = served.fleet.call("HEAD /any HTTP/1.1\r\nHost: any\r\n\r\n", served.address);
+  ASSERT_TRUE(served.fleet.until([&] { return caller->got.find("\r\n\r\n") != std::string::npos; }));
+  EXPECT_NE(caller->got.find("\r\nContent-Length: 5\r\n"), std::string::npos) << caller->got;
+  EXPECT_EQ(caller->got.find("\r\n\r\n") + 4, caller->got.size());
+  caller->got.clear();
+  caller->send("GET /any HTTP/1.1\r\nHost: any\r\n\r\n");
+  std::optional<Response> const answer = served.fleet.answer_on(caller);
+  ASSERT_TRUE(answer.has_value());
+  EXPECT_EQ(answer->body(), "got 0");
+}
+
+}  // namespace
+}  // namespace finchlink::relay_test
--- a/source/tests/orchard/tenancy_test.cpp
+++ b/source/tests/orchard/tenancy_test.cpp
@@ -65,6 +65,8 @@
   // Which of two a worker or a log would take is not known.
   EXPECT_EQ(tilth::read_tenant(by_header(false), {"acme", "acme"}, "/").end, tilth::TenantEnd::refused);
   EXPECT_EQ(tilth::read_tenant(by_header(false), {"a b"}, "/").end, tilth::TenantEnd::refused);
+  // Two fields that somebody on the way has joined are still two.
+  EXPECT_STREQ(tilth::read_tenant(by_header(false), {"acme,other"}, "/").fault, "ambiguous_tenant");
   EXPECT_EQ(tilth::read_tenant(by_header(false), {std::string(129, 'x')}, "/").end, tilth::TenantEnd::refused);
 }
 
@@ -77,6 +79,34 @@
   EXPECT_EQ(tilth::read_tenant(tenancy, {}, "/v/%00/x").end, tilth::TenantEnd::refused);
   EXPECT_EQ(tilth::read_tenant(tenancy, {}, "/v").end, tilth::TenantEnd::refused);
   EXPECT_EQ(tilth::read_tenant(tenancy, {}, "/v?/acme").end, tilth::TenantEnd::refused);
+  EXPECT_EQ(tilth::read_tenant(tenancy, {}, "/v/acme/x?y=/../z").name, "acme");
+  EXPECT_EQ(tilth::read_tenant(tenancy, {}, "/v/acme//x").name, "acme");
+  EXPECT_EQ(tilth::read_tenant(tenancy, {}, "/v/..acme/x").name, "..acme");
+}
+
+TEST(Tenant, APathThatAFrontMayReadInAnotherWayIsRefused) {
+  // Who stands before us may check the tenant of the path as RFC 3986 removes
+  // dots, or with slashes merged: it would let one tenant through as another.
+  schema::Tenancy tenancy;
+  for (bool const required : {true, false}) {
+    tenancy.required = required;
+    tenancy.path_segment = 2;
+    for (char const* const path : {"/v/acme/../other/x", "/v/acme/./x", "/v/../v/acme/x", "/v/acme/%2e%2e/other", "/v/acme/.%2E/other", "/v/..", "/v/acme/..", "/v/%2e/x"}) {
+      EXPECT_STREQ(tilth::read_tenant(tenancy, {}, path).fault, "malformed_tenant") << path;
+    }
+    tenancy.path_segment = 3;
+    EXPECT_STREQ(tilth::read_tenant(tenancy, {}, "/v//acme/other").fault, "malformed_tenant");
+  }
+}
+
+TEST(Tenant, OneNameInTwoRealmsIsTwoTenants) {
+  schema::Tenancy lower = by_header(true);
+  lower.header = "customer";
+  EXPECT_EQ(tilth::realm_of(by_header(true), "logs"), tilth::realm_of(lower, "diffs"));
+  schema::Tenancy path;
+  path.path_segment = 3;
+  EXPECT_NE(tilth::realm_of(path, "rides"), tilth::realm_of(path, "tickets"));
+  EXPECT_NE(tilth::realm_of(path, "logs"), tilth::realm_of(by_header(true), "logs"));
 }
 
 TEST(Tenant, HomesOfLaneAndTenantBothBind) {
--- a/source/tests/relay/event_cutter_test.cpp
+++ b/source/tests/relay/event_cutter_test.cpp
@@ -15,18 +15,17 @@
   std::string const text = event(1) + event(2, "two\ndata: lines") + event(3);
   for (std::size_t piece = 1; piece <= text.size(); ++piece) {
     EventCutter cutter;
+    furrow::Numbering numbering;
     std::string passed;
-    std::uint64_t last = 0;
     std::uint64_t count = 0;
     for (std::size_t at = 0; at < text.size(); at += piece) {
-      EventCutter::Whole const whole = cutter.feed(std::string_view(text).substr(at, piece), last);
+      EventCutter::Whole const whole = cutter.feed(std::string_view(text).substr(at, piece), numbering);
       EXPECT_TRUE(whole.bytes.empty() || whole.bytes.substr(whole.bytes.size() - 2) == "\n\n");
       passed += whole.bytes;
-      last = std::max(last, whole.number);
       count += whole.count;
     }
     EXPECT_EQ(passed, text) << piece;
-    EXPECT_EQ(last, 3u);
+    EXPECT_EQ(numbering.last(), 3u);
     EXPECT_EQ(count, 3u);
     EXPECT_TRUE(cutter.rest().empty());
   }
@@ -34,30 +33,75 @@
 
 TEST(EventCutter, KeepsAHalfEventBack) {
   EventCutter cutter;
-  EventCutter::Whole const whole = cutter.feed(event(1) + "id: 2\ndata: ha", 0);
+  furrow::Numbering numbering;
+  EventCutter::Whole const whole = cutter.feed(event(1) + "id: 2\ndata: ha", numbering);
   EXPECT_EQ(whole.bytes, event(1));
-  EXPECT_EQ(whole.number, 1u);
+  EXPECT_EQ(numbering.last(), 1u);
   EXPECT_EQ(cutter.rest(), "id: 2\ndata: ha");
 }
 
 TEST(EventCutter, LeavesOutWhatTheCallerHasAlready) {
   EventCutter cutter;
-  EventCutter::Whole const whole = cutter.feed(event(4) + event(5) + event(5) + event(6), 4);
+  furrow::Numbering numbering(4);
+  EventCutter::Whole const whole = cutter.feed(event(4) + event(5) + event(5) + event(6), numbering);
   EXPECT_EQ(whole.bytes, event(5) + event(6));
   EXPECT_EQ(whole.count, 2u);
-  EXPECT_EQ(whole.number, 6u);
+  EXPECT_EQ(numbering.last(), 6u);
 }
 
 TEST(EventCutter, ReadsBothLineEndsAndNumbersBehindOtherLines) {
   EventCutter cutter;
   std::string const first = "revision: 3\r\nid:7\r\ndata: x\r\n\r\n";
   std::string const second = ": only a comment\n\n";
-  EventCutter::Whole const whole = cutter.feed(first + second, 6);
+  furrow::Numbering numbering(6);
+  EventCutter::Whole const whole = cutter.feed(first + second, numbering);
   EXPECT_EQ(whole.bytes, first + second);
-  EXPECT_EQ(whole.number, 7u);
+  EXPECT_EQ(numbering.last(), 7u);
   EXPECT_EQ(whole.count, 1u);  // the comment is passed on and counts as none
 }
 
+/// What is passed on of a run that goes on behind events of another one.
+struct Joined {
+  std::string bytes;
+  bool gap = false;
+};
+Joined join(std::string const& before, std::string const& behind, std::optional<std::uint64_t> had = std::nullopt) {
+  furrow::Numbering numbering(had);
+  numbering.begin_run();
+  EventCutter first;
+  (void)first.feed(before, numbering);
+  numbering.begin_run();
+  EventCutter second;
+  EventCutter::Whole const whole = second.feed(behind, numbering);
+  return Joined{whole.bytes, whole.gap};
+}
+
+TEST(Numbering, AGapWhereARunGoesOnIsToldWhereNumbersRiseEvenly) {
+  struct Case {
+    std::string before;
+    std::string behind;
+    std::string passed;
+    bool gap;
+    std::optional<std::uint64_t> had = std::nullopt;
+  };
+  for (Case const& entry : {
+           Case{event(1) + event(2), event(3) + event(4), event(3) + event(4), false}, Case{event(1) + event(2), event(4), "", true},
+           Case{event(1) + event(2), event(1) + event(2) + event(3), event(3), false},  // all of it again
+           Case{event(1) + event(2), event(2) + event(4), "", true}, Case{event(1), event(2), event(2), false}, Case{event(1), event(3), "", true},
+           Case{event(0), event(0) + event(1), event(1), false}, Case{event(0), event(2), "", true},
+           Case{event(8), event(9), event(9), false, 7}, Case{event(8), event(10), "", true, 7},  // the caller had seven
+           Case{event(5) + event(10), event(15) + event(17), event(15) + event(17), false}, Case{event(5) + event(10), event(20), "", true},
+           Case{event(5) + event(10), event(12), event(12), false},  // the last may be shorter
+           Case{event(1) + event(4) + event(5), event(9), event(9), false},  // uneven: nothing can be told
+           Case{event(5), event(9), event(9), false}, Case{"", event(9), event(9), false, 7},
+           Case{event(1) + event(2), event(3) + event(7), event(3) + event(7), false},  // its own run: as the worker has it
+       }) {
+    Joined const joined = join(entry.before, entry.behind, entry.had);
+    EXPECT_EQ(joined.bytes, entry.passed) << entry.before << entry.behind;
+    EXPECT_EQ(joined.gap, entry.gap) << entry.before << entry.behind;
+  }
+}
+
 TEST(Parts, AreReadFromTextAndNeverFail) {
   std::vector<tilth::Part> const parts = furrow::read_parts("5c1e07a2:800, 91bd3f06:410,e4402b7d:250");
   ASSERT_EQ(parts.size(), 3u);
--- a/source/tests/relay/station_test.cpp
+++ b/source/tests/relay/station_test.cpp
@@ -53,6 +53,50 @@
   EXPECT_EQ(status_of(fleet.answer_on(caller)), 200u);
 }
 
+TEST(Station, WithoutACharterItWaitsNoLongerThanItsHold) {
+  Fleet fleet;
+  Worker& worker = fleet.worker("w1");
+  fleet.begin(false);
+  ASSERT_EQ(fleet.station->charter_hold, loam::constants::charter_hold);
+  ASSERT_TRUE(fleet.until([&] { return fleet.asks > 0; }));  // a trellis answers, and has none
+  loam::Moment const sent = loam::boot_now();
+  std::shared_ptr<Line> const caller = fleet.call(query("/plain/a", "q1", "body"));
+  std::optional<Response> const answer = fleet.answer_on(caller);
+  EXPECT_GE(loam::boot_now() - sent, loam::constants::charter_hold);  // it was waited for
+  EXPECT_EQ(status_of(answer), 503u);
+  EXPECT_EQ(text_of(answer, "Finchlink-Query"), "q1");
+  // Final: the charter that comes a moment later doesn't bring it to a worker.
+  fleet.publish_charter(1);
+  ASSERT_TRUE(fleet.until([&] { return fleet.station->ready(); }));
+  fleet.hear();
+  EXPECT_TRUE(worker.arrivals.empty());
+  caller->send(query("/plain/a", "q2"));  // and the connection is as good as before
+  EXPECT_TRUE(fleet.arrived(worker, 1));
+}
+
+TEST(Station, TheFirstCharterDoesNotWaitForASilentTrellis) {
+  // Two of three seeds are there and say nothing, the third tells: all are asked at once.
+  Fleet fleet;
+  fleet.worker("w1");
+  asio::ip::tcp::acceptor one(*fleet.context, asio::ip::tcp::endpoint(asio::ip::make_address(fleet.ip), 0));
+  asio::ip::tcp::acceptor two(*fleet.context, asio::ip::tcp::endpoint(asio::ip::make_address(fleet.ip), 0));
+  for (asio::ip::tcp::acceptor const* const silent : {&one, &two}) {
+    fleet.settings.seeds.insert(fleet.settings.seeds.begin(), fleet.ip + ":" + std::to_string(silent->local_endpoint().port()));
+  }
+  fleet.settings.bounds.ask_deadline_ms = 60000;
+  fleet.publish_charter(1);
+  fleet.begin(false);
+  ASSERT_TRUE(fleet.until([&] { return fleet.asks > 0; }));
+  for (asio::ip::tcp::acceptor* const silent : {&one, &two}) {
+    error_code error;
+    silent->non_blocking(true);
+    (void)silent->accept(error);
+    EXPECT_FALSE(error) << error.message();  // asked as well, and not waited for
+  }
+  ASSERT_TRUE(fleet.until([&] { return fleet.station->ready(); }));
+  EXPECT_EQ(fleet.told.front().held.count("charter"), 0u);
+}
+
 TEST(Station, AnOlderCharterIsNeverAdopted) {
   Fleet fleet;
   Worker& worker = fleet.worker("w1");
@@ -250,6 +294,23 @@
   EXPECT_TRUE(fleet.arrived(worker, 1));
 }
 
+TEST(Station, AHeadOfOursHasNoBody) {
+  Fleet fleet;
+  Worker& worker = fleet.worker("w1");
+  fleet.begin();
+  for (std::string const address : {fleet.settings.http_address, fleet.settings.ready_address, fleet.settings.directory_address}) {
+    std::shared_ptr<Line> const caller = fleet.call("HEAD /none/a HTTP/1.1\r\nHost: h.example\r\n\r\n", address);
+    ASSERT_TRUE(fleet.until([&] { return caller->got.find("\r\n\r\n") != std::string::npos; }));
+    EXPECT_EQ(caller->got.rfind("HTTP/1.1 404 ", 0), 0u);
+    EXPECT_NE(caller->got.find("\r\nContent-Length: "), std::string::npos);
+    EXPECT_EQ(caller->got.find("\r\n\r\n") + 4, caller->got.size()) << caller->got;
+    caller->got.clear();
+    caller->send(get("/none/b"));  // whose answer is whole
+    EXPECT_EQ(status_of(fleet.answer_on(caller)), 404u);
+  }
+  EXPECT_TRUE(worker.arrivals.empty());
+}
+
 TEST(Limits, TooLargeHeadersAndWhatIsNoHeader) {
   Fleet fleet;
   fleet.charter.limits.header_bytes = 4096;
@@ -276,6 +337,47 @@
   EXPECT_TRUE(fleet.arrived(worker, 1));
 }
 
+TEST(Limits, AnswersArriveThoughBytesAreUnread) {
+  // What was not read when the connection is closed would reset it.
+  std::string const rest(30000, 'x');
+  struct Case {
+    std::string text;
+    unsigned int status;
+  };
+  for (Case const& entry : {Case{query("/plain/a", "q1", rest), 413}, Case{"POST /plain/a HTTP/1.1\r\nHost: h.example\r\n" + with_id("q1") + "Transfer-Encoding: chunked\r\n\r\n" + chunk(rest), 413},
+                            Case{query("/plain/a", "q1", rest, "X-Long: " + std::string(5000, 'x') + "\r\n"), 431}, Case{"what is this\r\n\r\n" + rest, 400},
+                            Case{"POST /plain/a HTTP/1.1\r\nHost: h.example\r\n" + with_id("q1") + "Transfer-Encoding: chunked\r\n\r\nzz\r\n" + rest, 400}}) {
+    Fleet fleet;
+    fleet.charter.limits.header_bytes = 4096;
+    fleet.charter.limits.body_bytes = 1000;
+    fleet.worker("w1");
+    fleet.begin();
+    std::shared_ptr<Line> const caller = fleet.call(entry.text);
+    ASSERT_TRUE(fleet.until([&] { return caller->ended; }));
+    EXPECT_FALSE(caller->was_reset) << entry.status;
+    std::optional<Response> const answer = fleet.answer_on(caller);
+    EXPECT_EQ(status_of(answer), entry.status);
+    EXPECT_FALSE(answer.has_value() && answer->keep_alive());
+    EXPECT_TRUE(caller->got.empty());
+  }
+}
+
+TEST(Limits, WhatComesTooSlowlyIsToldSo) {
+  Fleet fleet;
+  fleet.charter.limits.header_wait_ms = 150;
+  Worker& worker = fleet.worker("w1");
+  fleet.begin();
+  std::optional<Response> const header = fleet.answer_on(fleet.call("POST /plain/a HTTP/1.1\r\nHo"));
+  EXPECT_EQ(status_of(header), 408u);
+  std::optional<Response> const body = fleet.answer_on(fleet.call("POST /plain/a HTTP/1.1\r\nHost: h.example\r\n" + with_id("q1") + "Content-Length: 9\r\n\r\nhalf"));
+  EXPECT_EQ(status_of(body), 408u);
+  EXPECT_EQ(text_of(body, "Finchlink-Query"), "q1");
+  std::shared_ptr<Line> const waiting = fleet.call("POST /plain/a HTTP/1.1\r\nHost: h.example\r\n" + with_id("q2") + "Expect: 100-continue\r\nContent-Length: 9\r\n\r\n");
+  EXPECT_EQ(status_of(fleet.answer_on(waiting)), 100u);
+  EXPECT_EQ(status_of(fleet.answer_on(waiting)), 408u);
+  EXPECT_TRUE(worker.arrivals.empty());  // the promise that it has not run and never will
+}
+
 TEST(Limits, HeadersThatDontComeAndIdleConnectionsEnd) {
   Fleet fleet;
   fleet.charter.limits.header_wait_ms = 150;
--- a/source/tests/relay/stream_test.cpp
+++ b/source/tests/relay/stream_test.cpp
@@ -192,6 +192,31 @@
   EXPECT_EQ(under.now().events, events(1, 4));
 }
 
+TEST(RelayStream, ATakeUpThatLeavesAnEventOutIsRefused) {
+  for (bool const another : {true, false}) {
+    Under under("tale", another ? 3 : 2);
+    ASSERT_TRUE(under.good);
+    last(under.first).line->reset();
+    Worker* const second = under.fleet.holder(2);
+    ASSERT_NE(second, nullptr);
+    EXPECT_EQ(last(second).header("Last-Event-ID"), "2");
+    last(second).line->send(stream_head("q1") + chunk(events(4, 6)) + last_chunk);
+    if (another) {
+      Worker* const third = under.fleet.holder(3);
+      ASSERT_NE(third, nullptr);
+      EXPECT_EQ(last(third).header("Last-Event-ID"), "2");
+      last(third).line->send(stream_head("q1") + chunk(events(3, 6)) + last_chunk);
+      ASSERT_TRUE(under.fleet.until([&] { return under.now().whole; }));
+      EXPECT_EQ(under.now().events, events(1, 6));
+    } else {  // nobody is left: it ends visibly, with what is whole
+      ASSERT_TRUE(under.fleet.until([&] { return under.caller->ended; }));
+      EXPECT_FALSE(under.now().whole);
+      EXPECT_EQ(under.now().events, events(1, 3));
+      EXPECT_EQ(under.now().behind, "");
+    }
+  }
+}
+
 TEST(RelayStream, ASilentOneIsTakenUpElsewhereIfItMayBe) {
   for (std::string const lane : {"tale", "talk"}) {
     Under under(lane, 2);
@@ -212,6 +237,84 @@
   }
 }
 
+TEST(RelayStream, ASilentOneGoesOnWhenTheOtherHasNothingForIt) {
+  for (std::string const& bad : {not_run("q1", "503 Busy"), success("q1", "not a stream"), success("other", "x"), std::string("HTTP/1.1 500 Internal\r\nContent-Length: 0\r\n\r\n")}) {
+    Under under("tale", 2);
+    ASSERT_TRUE(under.good);
+    Worker* const second = under.fleet.holder(2);
+    ASSERT_NE(second, nullptr);
+    EXPECT_FALSE(last(under.first).line->ended) << bad;  // set aside only
+    last(second).line->send(bad);
+    under.fleet.rest(20);
+    EXPECT_FALSE(under.caller->ended) << bad;
+    last(under.first).line->send(chunk(events(3, 5)) + last_chunk);
+    ASSERT_TRUE(under.fleet.until([&] { return under.now().whole; })) << bad;
+    EXPECT_EQ(under.now().events, events(1, 5)) << bad;
+    EXPECT_EQ(under.now().behind, "") << bad;
+    EXPECT_EQ(under.fleet.order.size(), 2u) << bad;
+  }
+}
+
+TEST(RelayStream, WhatCameWhileItWasSetAsideIsNotLost) {
+  Under under("tale", 2);
+  ASSERT_TRUE(under.good);
+  last(under.first).line->send(chunk(event(3).substr(0, 9)));  // half an event before the silence
+  Worker* const second = under.fleet.holder(2);
+  ASSERT_NE(second, nullptr);
+  EXPECT_EQ(last(second).header("Last-Event-ID"), "2");
+  last(under.first).line->send(chunk(event(3).substr(9)) + chunk(event(4)) + last_chunk);
+  last(second).line->reset();
+  ASSERT_TRUE(under.fleet.until([&] { return under.now().whole; }));
+  EXPECT_EQ(under.now().events, events(1, 5));
+}
+
+TEST(RelayStream, OnceTheOtherGoesOnTheSilentOneIsLeft) {
+  Under under("tale", 2);
+  ASSERT_TRUE(under.good);
+  Worker* const second = under.fleet.holder(2);
+  ASSERT_NE(second, nullptr);
+  last(second).line->send(stream_head("q1") + chunk(event(3)));
+  ASSERT_TRUE(under.fleet.until([&] { return last(under.first).line->ended; }));
+  last(second).line->send(chunk(event(4)) + last_chunk);
+  ASSERT_TRUE(under.fleet.until([&] { return under.now().whole; }));
+  EXPECT_EQ(under.now().events, events(1, 5));
+}
+
+TEST(RelayStream, ARuleThatChangesMeanwhileLetsTheSilentOneFinish) {
+  for (bool const removed : {true, false}) {
+    Under under("tale", 2);
+    ASSERT_TRUE(under.good);
+    Worker* const second = under.fleet.holder(2);
+    ASSERT_NE(second, nullptr);
+    if (removed) {
+      std::erase_if(under.fleet.charter.lanes, [](schema::Lane const& lane) { return lane.name == "tale"; });
+    } else {
+      under.fleet.charter.lanes.back().resumable = false;
+    }
+    under.fleet.publish_charter(2);
+    ASSERT_TRUE(under.fleet.until([&] { return under.fleet.station->book()->find("h.example", "/tale/a") == nullptr || !under.fleet.station->book()->find("h.example", "/tale/a")->resumable; }));
+    last(second).line->send(not_run("q1", "503 Busy"));
+    under.fleet.rest(20);
+    EXPECT_FALSE(under.caller->ended) << removed;
+    last(under.first).line->send(chunk(event(3)) + last_chunk);
+    ASSERT_TRUE(under.fleet.until([&] { return under.now().whole; })) << removed;
+    EXPECT_EQ(under.now().events, events(1, 4));
+  }
+}
+
+TEST(RelayStream, OneThatBrokeWhileSetAsideEndsVisibly) {
+  Under under("tale", 2);
+  ASSERT_TRUE(under.good);
+  Worker* const second = under.fleet.holder(2);
+  ASSERT_NE(second, nullptr);
+  last(under.first).line->reset();
+  last(second).line->send(not_run("q1", "503 Busy"));
+  ASSERT_TRUE(under.fleet.until([&] { return under.caller->ended; }));
+  EXPECT_EQ(under.now().events, events(1, 3));
+  EXPECT_FALSE(under.now().whole);
+  EXPECT_EQ(under.now().behind, "");
+}
+
 TEST(RelayStream, BeforeItsFirstEventItIsAWholeAnswersMatter) {
   for (std::string const lane : {"talk", "tale"}) {
     for (bool const with_head : {false, true}) {
--- a/source/tests/relay/walls_test.cpp
+++ b/source/tests/relay/walls_test.cpp
@@ -71,20 +71,35 @@
   EXPECT_EQ(answer->result_int(), 400u);
 }
 
+/// A query whose trailer names a tenant and other parts.
+std::string with_trailer(std::string const& header) {
+  return "POST /plain/a HTTP/1.1\r\nHost: h.example\r\nFinchlink-Query: q\r\n" + header + parts("x:100") + "Transfer-Encoding: chunked\r\nTrailer: Customer\r\n\r\n2\r\nhi\r\n0\r\n" + tenant("b") +
+         "Finchlink-Parts: y:100\r\nFinchlink-Model: n\r\n\r\n";
+}
+
 TEST(RelayWalls, ATrailerNamesNoSecondTenant) {
   Walled walled;
-  std::shared_ptr<Line> const caller = walled.fleet.call("POST /plain/a HTTP/1.1\r\nHost: h.example\r\nFinchlink-Query: q\r\n" + tenant("a") + parts("x:100") +
-                                                         "Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n" + tenant("b") + "Finchlink-Parts: y:100\r\n\r\n");
-  (void)walled.fleet.until([&] { return !caller->got.empty() || !walled.worker->arrivals.empty(); });
-  if (walled.worker->arrivals.empty()) {
-    std::optional<Response> const answer = walled.fleet.answer_on(caller);
-    ASSERT_TRUE(answer.has_value());
-    EXPECT_EQ(answer->result_int(), 400u);
-  } else {  // the trailer was left out
-    Arrival const& arrival = walled.worker->arrivals.back();
-    EXPECT_EQ(arrival.request.count("Customer"), 1u);
-    EXPECT_EQ(arrival.request.count("Finchlink-Parts"), 1u);
-  }
+  std::string const keyed = (walled.ask(tenant("a") + parts("x:100")), walled.ask(tenant("a") + parts("x:100")).header("Finchlink-Parts"));
+  std::shared_ptr<Line> const caller = walled.fleet.call(with_trailer(tenant("a")));
+  ASSERT_TRUE(walled.fleet.arrived(*walled.worker, ++walled.asked));
+  Arrival const& arrival = walled.worker->arrivals.back();
+  EXPECT_EQ(arrival.request.count("Customer"), 1u);
+  EXPECT_EQ(arrival.request.count("Finchlink-Model"), 1u);
+  EXPECT_EQ(arrival.header("Finchlink-Parts"), keyed);
+}
+
+TEST(RelayWalls, ATrailerNamesNoTenantWhereNoneIsNeeded) {
+  // Whoever stands before us sets the header, not what comes behind a body.
+  Walled walled;
+  walled.fleet.charter.lanes[0].tenancy->required = false;
+  walled.fleet.charter.number = 2;
+  walled.fleet.publish_charter(2);
+  ASSERT_TRUE(walled.fleet.until([&] { return walled.fleet.station->book()->charter().number == 2; }));
+  std::string const of_b = (walled.ask(tenant("b") + parts("x:100")), walled.ask(tenant("b") + parts("x:100")).header("Finchlink-Parts"));
+  std::shared_ptr<Line> const caller = walled.fleet.call(with_trailer(""));
+  ASSERT_TRUE(walled.fleet.arrived(*walled.worker, ++walled.asked));
+  EXPECT_NE(walled.worker->arrivals.back().header("Finchlink-Parts"), of_b);
+  EXPECT_EQ(walled.fleet.station->walls().tallies().at("b").queries, 2u);
 }
 
 TEST(RelayWalls, IdsOfCallersNeverReachWorkers) {
@@ -162,6 +177,137 @@
   EXPECT_NE(after.header("Finchlink-Parts"), before);
 }
 
+TEST(RelayWalls, OtherSpellingsOfOurNamesDoNotReachWorkers) {
+  // Some servers take "_" for "-" in a field's name.
+  Walled walled;
+  Arrival const arrival = walled.ask("CUSTOMER:   a  \r\n" + parts("x:100") + "Finchlink_Parts: y:100\r\nfinchlink_expect-weights: v9\r\nFINCHLINK-PARTS: z:5\r\n");
+  EXPECT_EQ(arrival.request.count("Finchlink_Parts"), 0u);
+  EXPECT_EQ(arrival.request.count("finchlink_expect-weights"), 0u);
+  EXPECT_EQ(arrival.request.count("Finchlink-Parts"), 1u);
+  EXPECT_EQ(walled.fleet.station->walls().tallies().at("a").queries, 1u);
+}
+
+TEST(RelayWalls, IdsDoNotComeBackToCallers) {
+  Walled walled;
+  (void)walled.ask(tenant("a") + parts("x:100"));
+  std::shared_ptr<Line> const caller = walled.fleet.call(query("/plain/a", "echo", "", tenant("a") + parts("x:100")));
+  ASSERT_TRUE(walled.fleet.arrived(*walled.worker, ++walled.asked));
+  std::string const ids = walled.worker->arrivals.back().header("Finchlink-Parts");
+  walled.worker->arrivals.back().line->send(success("echo", "good", "Finchlink-Weights: v1\r\nFinchlink-Parts: " + ids + "\r\n"));
+  std::optional<Response> const answer = walled.fleet.answer_on(caller);
+  ASSERT_TRUE(answer.has_value());
+  EXPECT_EQ(answer->result_int(), 200u);
+  EXPECT_EQ(answer->count("Finchlink-Parts"), 0u);
+}
+
+TEST(RelayWalls, TwoModelsAreAModelOfTheirOwn) {
+  Walled walled;
+  (void)walled.ask(tenant("a") + parts("x:100"));
+  std::string const one = walled.ask(tenant("a") + parts("x:100")).header("Finchlink-Parts");
+  EXPECT_NE(walled.ask(tenant("a") + parts("x:100") + "Finchlink-Model: n\r\n").header("Finchlink-Parts"), one);
+}
+
+TEST(RelayWalls, AWorkerThatRanForOtherWeightsIsTold) {
+  Walled walled;
+  std::string const prompt = tenant("a") + parts("x:100");
+  (void)walled.ask(prompt);
+  std::string const before = walled.ask(prompt).header("Finchlink-Parts");
+  (void)walled.ask(prompt, "Finchlink-Weights: v2\r\n");
+  EXPECT_EQ(walled.fleet.station->walls().other_weights(), 1u);
+  EXPECT_NE(furrow::print_wall_metrics(walled.fleet.station->walls()).find("relay_wall_other_weights_total 1\n"), std::string::npos);
+  (void)walled.ask(prompt, "Finchlink-Weights: v1\r\n");  // it goes back, and is alarmed of again
+  Arrival const cold = walled.ask(prompt, "Finchlink-Weights: v1\r\n");
+  EXPECT_NE(cold.header("Finchlink-Parts"), before) << "what is kept under v1's ids is not known";
+  EXPECT_EQ(cold.header("Finchlink-Expect-Weights"), "");
+}
+
+TEST(RelayWalls, CustomerSevenAndRiderSevenAreTwo) {
+  Walled walled;
+  schema::Tenancy by_path;
+  by_path.path_segment = 2;
+  walled.fleet.charter.lanes[1].tenancy = by_path;
+  walled.fleet.charter.lanes[1].shares = {schema::Share{"pool", 1}};
+  walled.fleet.charter.number = 2;
+  walled.fleet.publish_charter(2);
+  ASSERT_TRUE(walled.fleet.until([&] { return walled.fleet.station->book()->charter().number == 2; }));
+  (void)walled.ask(tenant("7") + parts("x:100"));
+  std::string const of_customer = walled.ask(tenant("7") + parts("x:100")).header("Finchlink-Parts");
+  Arrival const of_rider = walled.ask(parts("x:100"), "Finchlink-Weights: v1\r\n", "/once/7");
+  EXPECT_EQ(of_rider.header("Finchlink-Expect-Weights"), "v1") << "keyed";
+  EXPECT_NE(of_rider.header("Finchlink-Parts"), of_customer);
+}
+
+TEST(RelayWalls, ALaneWithoutTenantsSendsWhatItsCallersSay) {
+  // Its ids are its callers' own; 128 bits of a keyed hash they can't make.
+  Walled walled;
+  walled.fleet.charter.lanes[1].shares = {schema::Share{"pool", 1}};
+  walled.fleet.charter.number = 2;
+  walled.fleet.publish_charter(2);
+  ASSERT_TRUE(walled.fleet.until([&] { return walled.fleet.station->book()->charter().number == 2; }));
+  (void)walled.ask(tenant("a") + parts("p:50,x:100"));
+  std::string const of_a = walled.ask(tenant("a") + parts("p:50,x:100")).header("Finchlink-Parts");
+  EXPECT_EQ(walled.ask(parts("p:50,x:100"), "Finchlink-Weights: v1\r\n", "/once/a").header("Finchlink-Parts"), "p:50,x:100") << "not even public parts are shared with it";
+  for (tilth::NamedPart const& part : tilth::named_parts(of_a)) {
+    EXPECT_TRUE(part.id != "p" && part.id != "x");
+  }
+}
+
+TEST(RelayWalls, ACutStreamIsTakenUpBehindTheSameWall) {
+  Fleet fleet;
+  std::string const path = testing::TempDir() + "finchlink-secrets-resumed-" + std::to_string(getpid());
+  std::ofstream(path) << "{\"current\":\"" << std::string(32, 'a') << "\"}";
+  fleet.settings.secrets_file = path;
+  schema::Tenancy tenancy;
+  tenancy.header = "Customer";
+  fleet.charter.lanes[3].tenancy = tenancy;
+  fleet.worker("w1", "pool");
+  fleet.worker("w2", "pool");
+  fleet.begin();
+  ASSERT_TRUE(fleet.until([&] { return fleet.station->walls().keyed(); }));
+  std::size_t seen = 0;
+  std::function<std::string(std::string const&, std::string const&, Worker*)> const whole = [&](std::string const& name, std::string const& version, Worker* wanted) {
+    // Until the wanted worker had one: placement is free to choose.
+    for (int round = 0; round < 20; ++round) {
+      std::string const id = "warm" + std::to_string(++seen);
+      std::shared_ptr<Line> const caller = fleet.call(query("/tale/a", id, "", tenant(name) + parts("x" + id + ":100")));
+      Worker* const at = fleet.holder(seen);
+      if (at == nullptr) {
+        return std::string();
+      }
+      Arrival const& arrival = at->arrivals.back();
+      arrival.line->send(stream_head(id, "Finchlink-Weights: " + version + "\r\n") + chunk(event(1)) + "0\r\n\r\n");
+      (void)fleet.until([&] { return passed(caller->got).whole; });
+      if (at == wanted) {
+        return arrival.header("Finchlink-Parts");
+      }
+    }
+    return std::string();
+  };
+  ASSERT_NE(whole("warm", "v1", fleet.workers["w1"].get()), "");
+  ASSERT_NE(whole("warm", "v1", fleet.workers["w2"].get()), "");
+  std::shared_ptr<Line> const caller = fleet.call(query("/tale/a", "cut", "", tenant("a") + parts("x:100,y:50")));
+  Worker* const first = fleet.holder(++seen);
+  ASSERT_NE(first, nullptr);
+  std::string const ids = first->arrivals.back().header("Finchlink-Parts");
+  first->arrivals.back().line->send(stream_head("cut", "Finchlink-Weights: v1\r\n") + chunk(event(1)));
+  ASSERT_TRUE(fleet.until([&] { return !passed(caller->got).events.empty(); }));
+  first->arrivals.back().line->reset();
+  Worker* const second = fleet.holder(++seen);
+  ASSERT_NE(second, nullptr);
+  ASSERT_NE(second, first);
+  EXPECT_EQ(second->arrivals.back().header("Finchlink-Parts"), ids) << "its own, and nobody else's";
+  EXPECT_EQ(second->arrivals.back().header("Finchlink-Expect-Weights"), "v1");
+  // That one has other weights by now: nothing ran, and no third may be asked under v1's ids.
+  second->arrivals.back().line->send("HTTP/1.1 421 Misdirected Request\r\n" + with_id("cut") + "Finchlink-Refused: 1\r\nFinchlink-Weights: v2\r\nContent-Length: 0\r\n\r\n");
+  (void)fleet.until([&] { return caller->ended; }, 3000);
+  for (std::pair<std::string const, std::unique_ptr<Worker>>& entry : fleet.workers) {
+    for (Arrival const& arrival : entry.second->arrivals) {
+      EXPECT_EQ(arrival.header("Finchlink-Parts").find("x:"), std::string::npos);
+    }
+  }
+  std::remove(path.c_str());
+}
+
 TEST(RelayWalls, ACrossingIsCountedAndTold) {
   Walled walled;
   (void)walled.ask(tenant("a") + parts("x:100,y:100"), "Finchlink-Weights: v1\r\nFinchlink-Reused: 100\r\n");
--- a/source/tests/relay/whole_test.cpp
+++ b/source/tests/relay/whole_test.cpp
@@ -60,6 +60,41 @@
   EXPECT_EQ(body_of(fleet.answer_on(caller)), "one two");
 }
 
+TEST(RelayWhole, AHeadIsAnsweredWithoutABody) {
+  for (std::string const& more : {std::string("Content-Length: 10\r\n"), std::string("Transfer-Encoding: chunked\r\n"), std::string(), std::string("Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n")}) {
+    Fleet fleet;
+    Worker& worker = fleet.worker("w1");
+    fleet.begin();
+    std::shared_ptr<Line> const caller = fleet.call("HEAD /plain/a HTTP/1.1\r\nHost: h.example\r\n" + with_id("q1") + "\r\n");
+    ASSERT_TRUE(fleet.arrived(worker, 1));
+    EXPECT_EQ(last(&worker).request.method_string(), "HEAD");
+    // The worker's connection stays open: only the method tells that no body comes.
+    last(&worker).line->send("HTTP/1.1 200 OK\r\n" + with_id("q1") + "Finchlink-Seal: seal-q1\r\n" + more + "\r\n");
+    ASSERT_TRUE(fleet.until([&] { return caller->got.find("\r\n\r\n") != std::string::npos; })) << more;
+    EXPECT_EQ(caller->got.rfind("HTTP/1.1 200 ", 0), 0u);
+    EXPECT_NE(caller->got.find("Finchlink-Seal: seal-q1\r\n"), std::string::npos);
+    EXPECT_EQ(caller->got.find("\r\nContent-Length: 10\r\n") != std::string::npos, more == "Content-Length: 10\r\n");
+    EXPECT_EQ(caller->got.find("\r\n\r\n") + 4, caller->got.size());
+    // Both connections are as good as before.
+    caller->got.clear();
+    caller->send(query("/plain/b", "q2"));
+    ASSERT_TRUE(fleet.arrived(worker, 2));
+    EXPECT_EQ(worker.lines.size(), 1u);
+    last(&worker).line->send(success("q2", "next"));
+    EXPECT_EQ(body_of(fleet.answer_on(caller)), "next");
+  }
+}
+
+TEST(RelayWhole, AHeadThatFindsNoPlaceIsRefusedWithoutABody) {
+  Fleet fleet;
+  fleet.begin();
+  std::shared_ptr<Line> const caller = fleet.call("HEAD /plain/a HTTP/1.1\r\nHost: h.example\r\n" + with_id("q1") + "\r\n");
+  ASSERT_TRUE(fleet.until([&] { return caller->got.find("\r\n\r\n") != std::string::npos; }));
+  EXPECT_EQ(caller->got.rfind("HTTP/1.1 503 ", 0), 0u);
+  EXPECT_NE(caller->got.find("\r\nRetry-After: "), std::string::npos);
+  EXPECT_EQ(caller->got.find("\r\n\r\n") + 4, caller->got.size());
+}
+
 TEST(RelayWhole, ARefusalGoesToAnotherWorkerOrBackWithATime) {
   for (std::string const lane : {"/plain/", "/once/"}) {
     for (std::string const status : {"503 Service Unavailable", "429 Too Many Requests", "421 Misdirected Request"}) {
--- a/source/tests/tilth/chart_test.cpp
+++ b/source/tests/tilth/chart_test.cpp
@@ -222,6 +222,32 @@
   EXPECT_TRUE(only<Apologise>(waits.advance(Decided{false, false, false, Standing::serve}, 0)));
 }
 
+TEST(Chart, GoesBackToTheOneSetAsideFromWhereverItIs) {
+  for (int const stage : {0, 1, 2}) {
+    QueryTerms terms;
+    terms.stream = terms.resumable = terms.repeatable = true;
+    Chart query = chart(terms);
+    (void)query.advance(Placed{"a"}, 0);
+    (void)query.advance(Connected{}, 0);
+    (void)query.advance(Event{1, false}, 0);
+    EXPECT_TRUE(only<Place>(query.advance(WorkerDefect{"silent"}, 0)));
+    if (stage > 0) {
+      (void)query.advance(Placed{"b"}, 0);
+    }
+    if (stage > 1) {
+      (void)query.advance(Connected{}, 0);
+    }
+    EXPECT_TRUE(query.advance(Returned{"a"}, 0).empty());
+    // What runs there finishes, although the rule says otherwise by now.
+    EXPECT_TRUE(query.advance(Decided{false, false, true, Standing::none}, 0).empty());
+    EXPECT_TRUE(only<Forward>(query.advance(Event{2, false}, 0)));
+    Chart ends = query;
+    (void)ends.advance(Whole{}, 0);
+    EXPECT_TRUE(ends.settled());
+    EXPECT_TRUE(only<EndBroken>(query.advance(WorkerDefect{"cut"}, 0)));
+  }
+}
+
 TEST(Chart, IsNotPassedOnOnceItsFirstLegRan) {
   QueryTerms terms;
   terms.may_pass = true;
--- a/source/tests/tilth/grove_test.cpp
+++ b/source/tests/tilth/grove_test.cpp
@@ -4,6 +4,7 @@
 #include <set>
 
 #include "loam/relay_constants.hpp"
+#include "tilth/census/census.hpp"
 #include "tilth/grove/grove.hpp"
 
 namespace finchlink {
@@ -102,6 +103,57 @@
   EXPECT_EQ(place(grove, query, start), "b");
 }
 
+TEST(Census, OneThatIsNoMemberAnyMoreCountsForAWhile) {
+  Census census;
+  EXPECT_TRUE(census.furrows(start).empty());
+  census.told({"b", "a", "c"}, start);
+  EXPECT_EQ(census.furrows(start), (std::vector<std::string>{"a", "b", "c"}));
+  census.told({"a"}, start + 10);
+  loam::Moment const over = start + 10 + constants::census_memory;
+  EXPECT_EQ(census.furrows(over - 1), (std::vector<std::string>{"a", "b", "c"}));
+  EXPECT_EQ(census.furrows(over), (std::vector<std::string>{"a"}));
+  // It counts once when it is back, and anew from when it left again.
+  census.told({"a", "b"}, over - 5);
+  EXPECT_EQ(census.furrows(over - 1), (std::vector<std::string>{"a", "b", "c"}));
+  census.told({"a"}, over - 4);
+  EXPECT_EQ(census.furrows(over), (std::vector<std::string>{"a", "b"}));
+  census.told({"a"}, over - 4 + constants::census_memory);
+  EXPECT_EQ(census.furrows(over - 4), (std::vector<std::string>{"a"}));  // forgotten, not only hidden
+}
+
+/// Most of the furrows are cut off from the trellises and go on serving; the
+/// rest are told of themselves only. A cold worker gets no more than its bound.
+TEST(Census, CutOffFurrowsAndTheRestStayBelowTheColdBoundTogether) {
+  for (std::size_t const cut : {0, 1, 6, 10}) {
+    constexpr std::size_t furrows = 12;
+    std::vector<Grove> groves(furrows);
+    std::vector<Stand> stands{stand("a", "web")};
+    stands[0].capacity = 1000;
+    stands[0].cold_rate = 8;
+    stands[0].cold_until = start + loam::seconds(60);
+    std::vector<std::string> all;
+    for (std::size_t index = 0; index < furrows; ++index) {
+      all.push_back("furrow-" + std::to_string(index));
+    }
+    std::size_t taken = 0;
+    for (std::size_t index = 0; index < furrows; ++index) {
+      Census census;
+      census.told(all, start);
+      if (index >= cut) {
+        census.told({all.begin() + static_cast<std::ptrdiff_t>(cut), all.end()}, start + loam::seconds(2));
+      }
+      GroveTerms entry = terms(1, index);
+      entry.furrows = census.furrows(start + loam::seconds(3));
+      groves[index].update(stands, entry, start + loam::seconds(3));
+      while (place(groves[index], wanted(), start + loam::seconds(3)) != "") {
+        ++taken;
+      }
+    }
+    EXPECT_LE(static_cast<double>(taken), 8 * 1.5 + 5) << cut;
+    EXPECT_GE(taken, 6u) << cut;
+  }
+}
+
 TEST(Grove, HomesAreNeverLeft) {
   Grove grove;
   grove.update({stand("here", "web", "north"), stand("there", "web", "far")}, terms(), start);
--- a/source/tests/tilth/judge_test.cpp
+++ b/source/tests/tilth/judge_test.cpp
@@ -11,6 +11,7 @@
 
 constexpr loam::Moment start = loam::seconds(1000);
 
+Subject subject(std::string const& worker) { return Subject{worker, "east/web", "north"}; }
 bool open(Judge const& judge, Judge::Handle worker, loam::Moment now) { return std::holds_alternative<Open>(judge.verdict(worker, now)); }
 bool on_trial(Judge const& judge, Judge::Handle worker, loam::Moment now) { return std::holds_alternative<OnTrial>(judge.verdict(worker, now)); }
 bool resting(Judge const& judge, Judge::Handle worker, loam::Moment now) { return std::holds_alternative<Resting>(judge.verdict(worker, now)); }
@@ -25,7 +26,7 @@
 TEST(Judge, ADefectMakesARestThenATrialThatBytesEnd) {
   for (Outcome const outcome : {Outcome::defect, Outcome::unreachable}) {
     Judge judge;
-    Judge::Handle const worker = judge.admit("a", "north");
+    Judge::Handle const worker = judge.admit(subject("a"));
     EXPECT_TRUE(open(judge, worker, start));
     EXPECT_TRUE(forgets(judge.take(worker, Ended{1, outcome}, start)));
     EXPECT_EQ(rested(judge, worker, start), start + constants::worker_rest_least);
@@ -40,7 +41,7 @@
 
 TEST(Judge, RefusalsAndAnotherAtItsAddressRestWithoutATrial) {
   Judge judge;
-  Judge::Handle const worker = judge.admit("a", "north");
+  Judge::Handle const worker = judge.admit(subject("a"));
   EXPECT_TRUE(judge.take(worker, Ended{1, Outcome::refused}, start).empty());
   EXPECT_EQ(rested(judge, worker, start), start + constants::refused_rest);
   EXPECT_TRUE(open(judge, worker, start + constants::refused_rest));
@@ -51,7 +52,7 @@
 
 TEST(Judge, OverdueIsTheOldestDispatchWithoutAFirstToken) {
   Judge judge;
-  Judge::Handle const worker = judge.admit("a", "north");
+  Judge::Handle const worker = judge.admit(subject("a"));
   loam::Moment const due = start + loam::seconds(1);
   EXPECT_TRUE(judge.take(worker, Sent{1, due}, start).empty());
   EXPECT_TRUE(judge.take(worker, Sent{2, due + loam::seconds(1)}, start).empty());
@@ -71,9 +72,9 @@
     Judge judge(JudgeGuards{.hall_suspicion = guarded});
     std::vector<Judge::Handle> workers;
     for (char const* const name : {"a", "b", "c", "d"}) {
-      workers.push_back(judge.admit(name, "north"));
+      workers.push_back(judge.admit(subject(name)));
     }
-    Judge::Handle const other = judge.admit("e", "south");
+    Judge::Handle const other = judge.admit(Subject{"e", "east/web", "south"});
     (void)judge.take(workers[0], Ended{1, Outcome::unreachable}, start);
     EXPECT_FALSE(judge.hall_dark(workers[2], start));
     (void)judge.take(workers[1], Ended{2, Outcome::unreachable}, start);
@@ -89,15 +90,48 @@
 
 TEST(Judge, AHandleIsAWorkersUntilItIsDismissed) {
   Judge judge;
-  Judge::Handle const worker = judge.admit("a", "north");
+  Judge::Handle const worker = judge.admit(subject("a"));
   (void)judge.take(worker, Ended{1, Outcome::defect}, start);
-  EXPECT_EQ(judge.admit("a", "north"), worker);
+  EXPECT_EQ(judge.admit(subject("a")), worker);
   EXPECT_TRUE(resting(judge, worker, start));
   judge.dismiss("a");
   judge.dismiss("nobody");
-  EXPECT_EQ(judge.admit("b", "north"), worker);
+  EXPECT_EQ(judge.admit(subject("b")), worker);
   EXPECT_TRUE(open(judge, worker, start));  // nothing of the one before is left
-  EXPECT_TRUE(open(judge, judge.admit("a", "north"), start));
+  EXPECT_TRUE(open(judge, judge.admit(subject("a")), start));
+}
+
+TEST(Judge, NeverTooManyOfAPoolRestAndThenTheLeastBadServe) {
+  for (bool const guarded : {true, false}) {
+    for (std::size_t const size : {3u, 6u, 10u, 51u}) {
+      Judge judge(JudgeGuards{.ejection_bound = guarded});
+      std::vector<Judge::Handle> workers;
+      for (std::size_t index = 0; index < size; ++index) {
+        workers.push_back(judge.admit(subject("w" + std::to_string(index))));
+      }
+      Judge::Handle const elsewhere = judge.admit(Subject{"other", "west/web", "far"});
+      // The first worker was bad first, so its pause ends first: it is the least bad.
+      for (std::size_t index = 0; index < size; ++index) {
+        (void)judge.take(workers[index], Ended{index, Outcome::defect}, start + static_cast<loam::Moment>(index));
+      }
+      loam::Moment const now = start + static_cast<loam::Moment>(size);
+      std::size_t rest = 0;
+      for (Judge::Handle const worker : workers) {
+        rest += resting(judge, worker, now) ? 1 : 0;
+        EXPECT_EQ(judge.ejected(worker, now), resting(judge, worker, now));
+      }
+      EXPECT_EQ(rest, guarded ? static_cast<std::size_t>(constants::ejection_share * static_cast<double>(size)) : size) << size;
+      EXPECT_EQ(on_trial(judge, workers.front(), now), guarded);
+      EXPECT_TRUE(resting(judge, workers.back(), now));
+      // Another pool's worker is judged by its own pool alone.
+      EXPECT_TRUE(open(judge, elsewhere, now));
+      // One that leaves makes the pool smaller, not the others worse.
+      for (std::size_t index = 1; index < size; ++index) {
+        (void)judge.admit(Subject{"w" + std::to_string(index), "east/web", "north", false});
+      }
+      EXPECT_TRUE(resting(judge, workers.front(), now));  // alone it rests for its own sake
+    }
+  }
 }
 
 }  // namespace
--- a/source/tests/tilth/wall_flood_test.cpp
+++ b/source/tests/tilth/wall_flood_test.cpp
@@ -60,7 +60,7 @@
   result.give_up_us = std::chrono::duration<double, std::micro>(std::chrono::steady_clock::now() - began).count() / 20;
   double const between = bytes_in_use();
   tilth::Walls walls;
-  tilth::Prompt prompt{"", "m", {tilth::NamedPart{"a", 100}}, {}};
+  tilth::Prompt prompt{"", "m", {tilth::NamedPart{"a", 100}}, {}, ""};
   for (std::size_t index = 0; index < tenants; ++index) {
     prompt.tenant = "customer-number-" + std::to_string(index);
     walls.count(prompt, {}, 0.0);
--- a/source/tests/tilth/wall_test.cpp
+++ b/source/tests/tilth/wall_test.cpp
@@ -23,14 +23,16 @@
 
 TEST(WallKey, EveryFieldCounts) {
   std::set<std::string> keys;
-  keys.insert(tilth::wall_key(first_secret, {false, "t", "m", "1"}));
-  keys.insert(tilth::wall_key(second_secret, {false, "t", "m", "1"}));
-  keys.insert(tilth::wall_key(first_secret, {true, "", "m", "1"}));
-  keys.insert(tilth::wall_key(first_secret, {false, "", "m", "1"}));
-  keys.insert(tilth::wall_key(first_secret, {false, "tm", "", "1"}));
-  keys.insert(tilth::wall_key(first_secret, {false, "t", "m1", ""}));
-  keys.insert(tilth::wall_key(first_secret, {false, "t", "m", "2"}));
-  EXPECT_EQ(keys.size(), 7u);
+  keys.insert(tilth::wall_key(first_secret, {false, "t", "m", "1", ""}));
+  keys.insert(tilth::wall_key(second_secret, {false, "t", "m", "1", ""}));
+  keys.insert(tilth::wall_key(first_secret, {true, "", "m", "1", ""}));
+  keys.insert(tilth::wall_key(first_secret, {false, "", "m", "1", ""}));
+  keys.insert(tilth::wall_key(first_secret, {false, "tm", "", "1", ""}));
+  keys.insert(tilth::wall_key(first_secret, {false, "t", "m1", "", ""}));
+  keys.insert(tilth::wall_key(first_secret, {false, "t", "m", "2", ""}));
+  keys.insert(tilth::wall_key(first_secret, {false, "t", "m", "1", "header customer"}));
+  keys.insert(tilth::wall_key(first_secret, {false, "t", "m", "1", "path rides"}));
+  EXPECT_EQ(keys.size(), 9u);
 }
 
 TEST(WallSecrets, AreReadAndNeverQuoted) {
@@ -70,7 +72,7 @@
 }
 
 tilth::Prompt prompt_of(std::string const& tenant, std::string const& parts, std::vector<std::string> shared = {}) {
-  return tilth::Prompt{tenant, "m", tilth::named_parts(parts), std::move(shared)};
+  return tilth::Prompt{tenant, "m", tilth::named_parts(parts), std::move(shared), ""};
 }
 
 tilth::Walls walls_with_secret(tilth::WallGuards guards = {}) {
@@ -153,6 +155,60 @@
   EXPECT_TRUE(std::holds_alternative<tilth::GaveUp>(actions[0]));
 }
 
+TEST(Walls, AWorkerThatRanForOtherWeightsIsColdForThatVersion) {
+  tilth::Walls walls = walls_with_secret();
+  tilth::Prompt const prompt = prompt_of("t", "a:100");
+  (void)walls.heard({"w", "v1", {}}, {}, 0);
+  tilth::Walled const keyed = walls.send(prompt, "w", {1, 2});
+  ASSERT_EQ(keyed.version, "v1");
+  // It ran although it has v2: what it keeps under v1's ids, v2 computed.
+  std::vector<tilth::WallAction> const actions = walls.heard({"w", "v2", 0.0, true}, keyed, 0);
+  ASSERT_EQ(actions.size(), 2u);
+  ASSERT_TRUE(std::holds_alternative<tilth::RanOtherWeights>(actions[0]));
+  EXPECT_EQ(std::get<tilth::RanOtherWeights>(actions[0]).expected, "v1");
+  EXPECT_EQ(walls.other_weights(), 1u);
+  EXPECT_FALSE(walls.send(prompt, "w", {1, 2}).cold) << "v2's ids are whole";
+  (void)walls.heard({"w", "v1", {}}, {}, 0);
+  EXPECT_TRUE(walls.send(prompt, "w", {1, 2}).cold) << "v1's are not";
+  EXPECT_TRUE(walls.send(prompt, "other", {1, 2}).cold);
+  (void)walls.heard({"other", "v1", {}}, {}, 0);
+  EXPECT_FALSE(walls.send(prompt, "other", {1, 2}).cold);
+  // Turned away, it ran nothing: no alarm.
+  (void)walls.heard({"other", "v2", {}, false}, walls.send(prompt, "other", {1, 2}), 0);
+  EXPECT_EQ(walls.other_weights(), 1u);
+}
+
+TEST(Walls, AWorkerThatTellsNoVersionAnyMoreIsCold) {
+  tilth::Walls walls = walls_with_secret();
+  tilth::Prompt const prompt = prompt_of("t", "a:100");
+  (void)walls.heard({"w", "v1", {}}, {}, 0);
+  tilth::Walled const keyed = walls.send(prompt, "w", {1, 2});
+  (void)walls.heard({"w", "", 0.0, true}, keyed, 0);
+  EXPECT_TRUE(walls.send(prompt, "w", {1, 2}).cold);
+  EXPECT_EQ(walls.other_weights(), 1u);
+  // It told none of a prompt that was keyed for none: nothing to alarm of.
+  (void)walls.heard({"w", "", 0.0, true}, walls.send(prompt, "w", {1, 2}), 0);
+  EXPECT_EQ(walls.other_weights(), 1u);
+}
+
+TEST(Walls, VeryManyPartsAreTakenTogether) {
+  std::string text;
+  for (int index = 0; index < 4000; ++index) {
+    text += "a" + std::to_string(index) + ":1,";
+  }
+  std::vector<tilth::NamedPart> const parts = tilth::named_parts(text);
+  ASSERT_EQ(parts.size(), 64u);
+  double tokens = 0;
+  for (tilth::NamedPart const& part : parts) {
+    tokens += part.tokens;
+  }
+  EXPECT_EQ(tokens, 4000);
+  // Prompts that differ in the last part only differ there still.
+  EXPECT_NE(tilth::named_parts(text + "x:1").back().id, tilth::named_parts(text + "y:1").back().id);
+  EXPECT_LT(walls_with_secret().send(prompt_of("t", text), "w", {1, 2}).header.size(), 4000u);
+  EXPECT_LE(tilth::named_parts("a:18446744073709551615").front().tokens, 1e9);
+}
+
 TEST(WallRecord, AFloodTakesNothingFromTheOthers) {
   tilth::Reuse reuse(100000);
   std::function<std::vector<tilth::Part>(std::uint64_t, std::uint64_t)> const parts = [](std::uint64_t holder, std::uint64_t key) { return std::vector<tilth::Part>{{holder * 1000003, 50, holder}, {key, 50, holder}}; };
@@ -327,7 +383,7 @@
       played.own += own;
       reused = memories[worker].reused();
     }
-    (void)furrows[at].heard({name, versions[worker], expected ? std::optional<double>(reused) : std::nullopt}, walled, 0);
+    (void)furrows[at].heard({name, versions[worker], expected ? std::optional<double>(reused) : std::nullopt, expected}, walled, 0);
   }
   for (tilth::Walls const& walls : furrows) {
     played.named += walls.crossings();
--- /dev/null
+++ b/source/tilth/census/census.hpp
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "loam/time/moment.hpp"
+
+namespace finchlink::tilth {
+
+/// Among how many furrows a bound is divided that all of them share (section
+/// 13.7). One that is cut off from the trellises is no member any more and yet
+/// goes on serving with its part (13.9), so it is counted for a while longer.
+class Census {
+ public:
+  /// The members by the newest news, this furrow included.
+  void told(std::vector<std::string> const& members, loam::Moment now);
+  [[nodiscard]] std::vector<std::string> furrows(loam::Moment now) const;
+
+ private:
+  std::map<std::string, loam::Moment> gone_;  ///< by name, since when
+  std::vector<std::string> members_;          ///< sorted
+};
+
+}  // namespace finchlink::tilth
--- a/source/tilth/chart/chart.cpp
+++ b/source/tilth/chart/chart.cpp
@@ -181,6 +181,11 @@
   return {Deliver{}};
 }
 
+std::vector<QueryAction> Chart::on(Returned const& message, loam::Moment) {
+  state_ = Streaming{message.worker};  // what runs there finishes, whatever the rule says by now (section 9.7)
+  return {};
+}
+
 std::vector<QueryAction> Chart::on(CallerGone const&, loam::Moment) {
   settle("abandoned");
   return {Abandon{}};
--- a/source/tilth/chart/chart.hpp
+++ b/source/tilth/chart/chart.hpp
@@ -49,6 +49,9 @@
 };
 struct Whole {};                ///< a whole answer, checked
 struct LegDone {};             ///< the prefill leg of a paired query
+struct Returned {               ///< a worker given up for its silence goes on after all
+  std::string worker;
+};
 struct CallerGone {};
 struct DeadlinePassed {};
 /// Decided anew by a later setup (section 9.7).
@@ -59,7 +62,7 @@
   bool stream = false;
   Standing standing = Standing::serve;
 };
-using QueryMessage = std::variant<Decided, Placed, NoRoom, Connected, Withdrawn, ConnectDefect, WorkerRefused, WorkerDefect, WorkerAnswered, Event, Whole, LegDone, CallerGone, DeadlinePassed>;
+using QueryMessage = std::variant<Decided, Placed, NoRoom, Connected, Withdrawn, ConnectDefect, WorkerRefused, WorkerDefect, WorkerAnswered, Event, Whole, LegDone, Returned, CallerGone, DeadlinePassed>;
 
 // What is to be done.
 struct Place {                  ///< find a worker (again)
@@ -120,6 +123,7 @@
   [[nodiscard]] std::vector<QueryAction> on(Event const& message, loam::Moment now);
   [[nodiscard]] std::vector<QueryAction> on(Whole const& message, loam::Moment now);
   [[nodiscard]] std::vector<QueryAction> on(LegDone const& message, loam::Moment now);
+  [[nodiscard]] std::vector<QueryAction> on(Returned const& message, loam::Moment now);
   [[nodiscard]] std::vector<QueryAction> on(CallerGone const& message, loam::Moment now);
   [[nodiscard]] std::vector<QueryAction> on(DeadlinePassed const& message, loam::Moment now);
   [[nodiscard]] std::vector<QueryAction> try_again(std::string const& reason, int status, loam::Moment now);
--- a/source/tilth/grove/grove.cpp
+++ b/source/tilth/grove/grove.cpp
@@ -54,7 +54,7 @@
       worker.hash = hash_text(stand.id);
       worker.slots = static_cast<double>(std::max<std::uint64_t>(1, stand.capacity));
     }
-    worker.judged = judge_.admit(stand.id, stand.hall);
+    worker.judged = judge_.admit(Subject{stand.id, pool_name(stand.region, stand.service), stand.hall, !stand.draining && !stand.evacuated});
     worker.reuse.bound(stand.kept_tokens * constants::reuse_part);
     by_service_[stand.service].push_back(stand.id);
     next.emplace(stand.id, std::move(worker));
@@ -95,6 +95,7 @@
   for (std::pair<std::string const, Worker>& entry : workers_) {
     if (entry.second.own > 0 && next.count(entry.first) == 0) {
       entry.second.stand.draining = true;
+      judge_.admit(Subject{entry.first, pool_name(entry.second.stand.region, entry.second.stand.service), entry.second.stand.hall, false});
       next.emplace(entry.first, std::move(entry.second));
     }
   }
@@ -421,6 +422,11 @@
   return found == workers_.end() ? "" : pool_name(found->second.stand.region, found->second.stand.service);
 }
 
+bool Grove::ejected(std::string const& id, loam::Moment now) const {
+  std::map<std::string, Worker>::const_iterator const found = workers_.find(id);
+  return found != workers_.end() && judge_.ejected(found->second.judged, now);
+}
+
 loam::Moment Grove::heard_at(std::string const& id) const {
   std::map<std::string, Worker>::const_iterator const found = workers_.find(id);
   return found == workers_.end() ? 0 : judge_.heard_at(found->second.judged);
--- a/source/tilth/grove/grove.hpp
+++ b/source/tilth/grove/grove.hpp
@@ -75,6 +75,7 @@
 struct GroveGuards {
   bool cold_bound = true;
   bool rest = true;
+  bool ejection_bound = true;    ///< too many of a pool ill: the least bad serve
   bool hall_suspicion = true;    ///< two workers of a hall out of reach: the others come last
   bool suspect_returned = true;  ///< a hall taken back may have turned cold unseen
 };
@@ -83,7 +84,7 @@
 /// 13.7): plain state; every message carries its moment.
 class Grove {
  public:
-  explicit Grove(GroveGuards guards = {}) : guards_(guards), judge_(JudgeGuards{guards.rest, guards.hall_suspicion}) {}
+  explicit Grove(GroveGuards guards = {}) : guards_(guards), judge_(JudgeGuards{guards.rest, guards.ejection_bound, guards.hall_suspicion}) {}
   void update(std::vector<Stand> const& stands, GroveTerms const& terms, loam::Moment now);
   /// Takes the place, too; ended() gives it back.
   [[nodiscard]] std::variant<Spot, NoSpot> choose(Wanted const& wanted, loam::Moment now);
@@ -98,6 +99,8 @@
   /// Bytes of an answer came from it; it is not dark.
   void heard(std::string const& worker, loam::Moment now);
   [[nodiscard]] loam::Moment heard_at(std::string const& worker) const;
+  /// Does it rest for what it did to queries?
+  [[nodiscard]] bool ejected(std::string const& worker, loam::Moment now) const;
   /// Has another worker a place for it? (Before a silent one is given up.)
   [[nodiscard]] bool alternative(Wanted const& wanted, loam::Moment now) const;
   /// Queries that run or wait there, as told and sent.
--- a/source/tilth/judge/judge.cpp
+++ b/source/tilth/judge/judge.cpp
@@ -8,28 +8,46 @@
 
 namespace constants = loam::constants;
 
-Judge::Handle Judge::admit(std::string const& worker, std::string const& hall) {
-  std::map<std::string, Handle>::const_iterator const found = handles_.find(worker);
+Judge::Handle Judge::admit(Subject const& subject) {
+  std::map<std::string, Handle>::const_iterator const found = handles_.find(subject.worker);
   Handle handle = 0;
   if (found != handles_.end()) {
     handle = found->second;
   } else if (!vacant_.empty()) {
     handle = vacant_.back();
     vacant_.pop_back();
-    records_[handle] = Record{};
   } else {
     handle = records_.size();
     records_.emplace_back();
   }
-  handles_[worker] = handle;
-  records_[handle].worker = worker;
-  records_[handle].hall = hall;
+  handles_[subject.worker] = handle;
+  Subject& known = records_[handle].subject;
+  if (known.pool != subject.pool || known.serving != subject.serving || known.worker != subject.worker) {
+    enter(handle, false);
+    known = subject;
+    enter(handle, true);
+  }
+  known.hall = subject.hall;
   return handle;
 }
 
+void Judge::enter(Handle worker, bool in) {
+  Subject const& subject = records_[worker].subject;
+  std::vector<Handle>& pool = pools_[subject.pool];
+  std::erase(pool, worker);
+  if (in && subject.serving) {
+    pool.push_back(worker);
+  }
+  if (pool.empty()) {
+    pools_.erase(subject.pool);
+  }
+}
+
 void Judge::dismiss(std::string const& worker) {
   std::map<std::string, Handle>::const_iterator const found = handles_.find(worker);
   if (found != handles_.end()) {
+    enter(found->second, false);
+    records_[found->second] = Record{};
     vacant_.push_back(found->second);
     handles_.erase(found);
   }
@@ -60,7 +78,7 @@
     case Outcome::good:
       record.rest = 0;
       record.trial = false;
-      dark_.erase(record.hall);
+      dark_.erase(record.subject.hall);
       break;
     case Outcome::abandoned:
       break;
@@ -76,10 +94,10 @@
     case Outcome::defect:
       actions.push_back(MayHaveForgotten{});  // it may come back without what it kept
       record.rest = std::clamp<loam::Span>(record.rest * 2, constants::worker_rest_least, constants::worker_rest_most / 2);
-      record.rest_until = std::max(record.rest_until, now + record.rest);
+      record.ill_until = std::max(record.ill_until, now + record.rest);
       record.trial = true;
       if (ended.outcome == Outcome::unreachable) {
-        dark_[record.hall][record.worker] = now;
+        dark_[record.subject.hall][record.subject.worker] = now;
       }
       break;
   }
@@ -93,9 +111,30 @@
   if (now < record.rest_until) {
     return Resting{record.rest_until};
   }
+  if (ejected(worker, now)) {
+    return Resting{record.ill_until};
+  }
   return record.trial ? Verdict(OnTrial{}) : Verdict(Open{});
 }
 
+bool Judge::ejected(Handle worker, loam::Moment now) const {
+  Record const& record = records_[worker];
+  if (!guards_.rest || now >= record.ill_until) {
+    return false;
+  }
+  std::map<std::string, std::vector<Handle>>::const_iterator const pool = pools_.find(record.subject.pool);
+  if (!guards_.ejection_bound || pool == pools_.end() || pool->second.size() < constants::ejection_pool_least) {
+    return true;  // among so few nobody is an outlier: it rests for its own sake
+  }
+  // The worst rest, as many as the share allows; the others serve, on trial.
+  std::size_t worse = 0;
+  for (Handle const other : pool->second) {
+    loam::Moment const until = records_[other].ill_until;
+    worse += until > record.ill_until || (until == record.ill_until && other < worker) ? 1 : 0;
+  }
+  return static_cast<double>(worse + 1) <= constants::ejection_share * static_cast<double>(pool->second.size());
+}
+
 bool Judge::awaits(Handle worker, std::uint64_t ticket) const {
   std::vector<Pending> const& pending = records_[worker].pending;
   return std::any_of(pending.begin(), pending.end(), [ticket](Pending const& entry) { return entry.ticket == ticket; });
@@ -111,7 +150,7 @@
 
 bool Judge::hall_dark(Handle worker, loam::Moment now) const {
   Record const& record = records_[worker];
-  std::map<std::string, std::map<std::string, loam::Moment>>::const_iterator const found = dark_.find(record.hall);
+  std::map<std::string, std::map<std::string, loam::Moment>>::const_iterator const found = dark_.find(record.subject.hall);
   if (!guards_.hall_suspicion || found == dark_.end()) {
     return false;
   }
--- a/source/tilth/judge/judge.hpp
+++ b/source/tilth/judge/judge.hpp
@@ -41,9 +41,18 @@
 };
 using Verdict = std::variant<Open, OnTrial, Resting>;
 
+/// What the judge needs to know of a worker, from the list.
+struct Subject {
+  std::string worker;
+  std::string pool;     ///< workers that can stand in for each other: a region's of one service
+  std::string hall;
+  bool serving = true;  ///< neither draining nor in an evacuated hall
+};
+
 /// Rules that tests switch off to show that they are needed.
 struct JudgeGuards {
   bool rest = true;
+  bool ejection_bound = true;  ///< the least bad serve when too many of a pool are ill
   bool hall_suspicion = true;  ///< two workers of a hall out of reach: the others come last
 };
 
@@ -56,11 +65,13 @@
 
   explicit Judge(JudgeGuards guards = {}) : guards_(guards) {}
   /// The same worker keeps its handle until it is dismissed.
-  [[nodiscard]] Handle admit(std::string const& worker, std::string const& hall);
+  Handle admit(Subject const& subject);
   void dismiss(std::string const& worker);
   std::vector<JudgeAction> take(Handle worker, Evidence const& evidence, loam::Moment now);
 
   [[nodiscard]] Verdict verdict(Handle worker, loam::Moment now) const;
+  /// Does it rest for what it did to queries, not for being full or gone?
+  [[nodiscard]] bool ejected(Handle worker, loam::Moment now) const;
   /// Is a first token of this dispatch still waited for?
   [[nodiscard]] bool awaits(Handle worker, std::uint64_t ticket) const;
   /// Seconds by which its oldest own query is later than predicted: what others
@@ -77,12 +88,12 @@
     loam::Moment due = 0;
   };
   struct Record {
-    std::string worker;
-    std::string hall;
+    Subject subject;
     std::vector<Pending> pending;
     loam::Moment heard_at = 0;
-    loam::Moment rest_until = 0;
-    loam::Span rest = 0;
+    loam::Moment rest_until = 0;  ///< it refused, or another has its address
+    loam::Moment ill_until = 0;   ///< it failed queries
+    loam::Span rest = 0;          ///< the last pause for that
     bool trial = false;
   };
   void act(Record& record, Sent const& sent, loam::Moment now, std::vector<JudgeAction>& actions);
@@ -90,10 +101,13 @@
   void act(Record& record, Heard const& heard, loam::Moment now, std::vector<JudgeAction>& actions);
   void act(Record& record, Ended const& ended, loam::Moment now, std::vector<JudgeAction>& actions);
 
+  void enter(Handle worker, bool in);
+
   JudgeGuards guards_;
   std::vector<Record> records_;
   std::vector<Handle> vacant_;
   std::map<std::string, Handle> handles_;
+  std::map<std::string, std::vector<Handle>> pools_;  ///< those that serve
   /// Workers of a hall that could not be reached lately, none heard since.
   std::map<std::string, std::map<std::string, loam::Moment>> dark_;
 };
--- a/source/tilth/wall/key.cpp
+++ b/source/tilth/wall/key.cpp
@@ -63,6 +63,7 @@
 std::string wall_key(std::string const& secret, Wall const& wall) {
   std::string text;
   frame(text, wall.shared ? "public" : "tenant");
+  frame(text, wall.shared ? "" : wall.realm);
   frame(text, wall.shared ? "" : wall.tenant);
   frame(text, wall.model);
   frame(text, wall.version);
--- a/source/tilth/wall/key.hpp
+++ b/source/tilth/wall/key.hpp
@@ -27,6 +27,7 @@
   std::string tenant;
   std::string model;
   std::string version;  ///< of the model's weights
+  std::string realm;    ///< in which the tenant's name stands
 };
 
 /// The secret that a tenant is on; empty: there is none.
--- a/source/tilth/wall/tenant.cpp
+++ b/source/tilth/wall/tenant.cpp
@@ -28,16 +28,26 @@
   return true;
 }
 
-std::string_view segment(std::string_view target, std::uint64_t wanted) {
-  std::string_view path = target.substr(0, target.find('?'));
+/// The wanted segment of a path. False: others may read the path in another
+/// way, since it has a dot segment (RFC 3986, 5.2.4) or an empty one before.
+bool read_segment(std::string_view target, std::uint64_t wanted, std::string& name) {
+  std::string_view path = target.substr(0, target.find_first_of("?#"));
   for (std::uint64_t index = 0; !path.empty(); ++index) {
     std::string_view const part = path.substr(0, path.find('/'));
+    std::string decoded;
+    bool const whole = decode(part, decoded);
+    if (decoded == "." || decoded == ".." || (index > 0 && index < wanted && decoded.empty())) {
+      return false;
+    }
     if (index == wanted) {  // what stands before the first slash is empty
-      return part;
+      if (!whole) {
+        return false;
+      }
+      name = std::move(decoded);
     }
     path.remove_prefix(std::min(path.size(), part.size() + 1));
   }
-  return {};
+  return true;
 }
 }  // namespace
 
@@ -48,7 +58,10 @@
       return TenantReading{TenantEnd::refused, "", "ambiguous_tenant"};
     }
     reading.name = values.empty() ? "" : std::string(values.front());
-  } else if (!decode(segment(target, tenancy.path_segment), reading.name)) {
+    if (reading.name.find(',') != std::string::npos) {  // what two fields are once they are joined (RFC 9110, 5.3)
+      return TenantReading{TenantEnd::refused, "", "ambiguous_tenant"};
+    }
+  } else if (!read_segment(target, tenancy.path_segment, reading.name)) {
     return TenantReading{TenantEnd::refused, "", "malformed_tenant"};
   }
   if (reading.name.empty()) {
@@ -62,6 +75,17 @@
   return reading;
 }
 
+std::string realm_of(schema::Tenancy const& tenancy, std::string_view lane) {
+  if (tenancy.header.empty()) {
+    return "path " + std::string(lane);
+  }
+  std::string realm = "header ";
+  for (char const letter : tenancy.header) {
+    realm += static_cast<char>(letter >= 'A' && letter <= 'Z' ? letter - 'A' + 'a' : letter);
+  }
+  return realm;
+}
+
 bool join_homes(std::vector<std::string> const& lane, std::vector<std::string> const& tenant, std::vector<std::string>& joined) {
   if (tenant.empty() || lane.empty()) {
     joined = tenant.empty() ? lane : tenant;
--- a/source/tilth/wall/walls.cpp
+++ b/source/tilth/wall/walls.cpp
@@ -47,8 +47,15 @@
     }
     entry = entry.substr(0, colon);
     entry.remove_prefix(std::min(entry.size(), entry.find_first_not_of(' ')));
-    if (!entry.empty()) {
-      parts.push_back(NamedPart{std::string(entry), static_cast<double>(tokens)});
+    double const told = std::min(static_cast<double>(tokens), loam::constants::wall_part_tokens_most);
+    if (entry.empty()) {
+      continue;
+    }
+    if (parts.size() < loam::constants::wall_parts_most) {
+      parts.push_back(NamedPart{std::string(entry), told});
+    } else {  // a comma stands in no part's own id
+      parts.back().id.append(",").append(entry);
+      parts.back().tokens = std::min(parts.back().tokens + told, loam::constants::wall_part_tokens_most);
     }
   }
   return parts;
@@ -67,7 +74,12 @@
     return "";
   }
   std::map<std::string, std::string>::const_iterator const found = versions_.find(worker);
-  return found == versions_.end() ? std::nullopt : std::optional<std::string>(found->second);
+  if (found == versions_.end()) {
+    return std::nullopt;
+  }
+  std::map<std::string, std::set<std::string>>::const_iterator const spoiled = spoiled_.find(worker);
+  bool const good = spoiled == spoiled_.end() || spoiled->second.count(found->second) == 0;
+  return good ? std::optional<std::string>(found->second) : std::nullopt;
 }
 
 std::vector<Part> Walls::place(Prompt const& prompt) const {
@@ -77,8 +89,8 @@
   }
   std::size_t const shared = public_count(prompt);
   std::size_t const count = prompt.tenant.empty() ? shared : prompt.parts.size();
-  std::string const common = wall_key(secret_of(*secrets_, ""), Wall{true, "", prompt.model, record_version});
-  std::string const own = wall_key(secret_of(*secrets_, prompt.tenant), Wall{false, prompt.tenant, prompt.model, record_version});
+  std::string const common = wall_key(secret_of(*secrets_, ""), Wall{true, "", prompt.model, record_version, ""});
+  std::string const own = wall_key(secret_of(*secrets_, prompt.tenant), Wall{false, prompt.tenant, prompt.model, record_version, prompt.realm});
   std::uint64_t const holder = number_of(own) | 2u;  // neither nobody nor everybody
   std::string before = nothing_before;
   for (std::size_t index = 0; index < count; ++index) {
@@ -95,8 +107,8 @@
   walled.version = version.value_or("");
   walled.cold = !keyed || prompt.tenant.empty();
   std::size_t const shared = keyed ? public_count(prompt) : 0;
-  std::string const common = keyed ? wall_key(secret_of(*secrets_, ""), Wall{true, "", prompt.model, *version}) : "";
-  std::string const own = walled.cold ? "" : wall_key(secret_of(*secrets_, prompt.tenant), Wall{false, prompt.tenant, prompt.model, *version});
+  std::string const common = keyed ? wall_key(secret_of(*secrets_, ""), Wall{true, "", prompt.model, *version, ""}) : "";
+  std::string const own = walled.cold ? "" : wall_key(secret_of(*secrets_, prompt.tenant), Wall{false, prompt.tenant, prompt.model, *version, prompt.realm});
   std::string before = nothing_before;
   for (std::size_t index = 0; index < prompt.parts.size(); ++index) {
     NamedPart const& part = prompt.parts[index];
@@ -122,6 +134,16 @@
     ++crossings_;
     actions.push_back(Crossed{answer.worker, *answer.reused - sent.most_reused});
   }
+  if (answer.ran && guards_.version_in_key && !sent.version.empty() && answer.version != sent.version) {
+    // What it keeps under these ids was computed by other weights, or nobody
+    // knows by which: no id of that version goes there again.
+    ++other_weights_;
+    spoiled_[answer.worker].insert(sent.version);
+    actions.push_back(RanOtherWeights{answer.worker, sent.version});
+  }
+  if (answer.ran && answer.version.empty()) {
+    versions_.erase(answer.worker);
+  }
   std::map<std::string, std::string>::iterator const known = versions_.find(answer.worker);
   if (!answer.version.empty() && (known == versions_.end() || known->second != answer.version)) {
     versions_[answer.worker] = answer.version;
--- a/source/tilth/wall/walls.hpp
+++ b/source/tilth/wall/walls.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -21,7 +22,8 @@
   std::string id;
   double tokens = 0;
 };
-/// ID:TOKENS by commas; what is no part is left out.
+/// ID:TOKENS by commas; what is no part is left out. Where there are very many,
+/// the last ones are taken for one part.
 [[nodiscard]] std::vector<NamedPart> named_parts(std::string_view text);
 
 /// Rules that tests switch off to show that they are needed.
@@ -36,6 +38,7 @@
   std::string model;
   std::vector<NamedPart> parts;
   std::vector<std::string> shared;  ///< ids that are public in its lane
+  std::string realm = {};           ///< in which the tenant's name stands
 };
 /// What goes to one worker.
 struct Walled {
@@ -49,13 +52,16 @@
   std::string worker;
   std::string version;           ///< empty: not told
   std::optional<double> reused;  ///< tokens that it did not read again
+  bool ran = false;              ///< else it was turned away
 };
 struct ForgetWorker { std::string worker; };
 /// It kept only this much of the query's prompt.
 struct GaveUp { std::string worker; double tokens = 0; };
 /// It reused what nobody may have kept there for this tenant.
 struct Crossed { std::string worker; double tokens = 0; };
-using WallAction = std::variant<ForgetWorker, GaveUp, Crossed>;
+/// It ran a prompt that was keyed for another version than it has.
+struct RanOtherWeights { std::string worker; std::string expected; };
+using WallAction = std::variant<ForgetWorker, GaveUp, Crossed, RanOtherWeights>;
 
 struct TenantTally {
   std::uint64_t queries = 0;
@@ -77,15 +83,20 @@
   [[nodiscard]] Walled send(Prompt const& prompt, std::string const& worker, std::array<std::uint64_t, 2> const& once) const;
   [[nodiscard]] std::vector<WallAction> heard(WallAnswer const& answer, Walled const& sent, double predicted);
   /// A worker that left, or came back: its version is unknown again.
-  void forget(std::string const& worker) { versions_.erase(worker); }
+  void forget(std::string const& worker) {
+    versions_.erase(worker);
+    spoiled_.erase(worker);
+  }
   template <class Keep>
   void keep_only(Keep const& keep) {
     std::erase_if(versions_, [&keep](std::pair<std::string const, std::string> const& entry) { return !keep(entry.first); });
+    std::erase_if(spoiled_, [&keep](std::pair<std::string const, std::set<std::string>> const& entry) { return !keep(entry.first); });
   }
   void count(Prompt const& prompt, Walled const& sent, std::optional<double> reused);
   [[nodiscard]] tsl::robin_map<std::string, TenantTally> const& tallies() const { return tallies_; }
   [[nodiscard]] TenantTally const& others() const { return others_; }
   [[nodiscard]] std::uint64_t crossings() const { return crossings_; }
+  [[nodiscard]] std::uint64_t other_weights() const { return other_weights_; }
 
  private:
   [[nodiscard]] std::optional<std::string> version_of(std::string const& worker) const;
@@ -94,9 +105,12 @@
   WallGuards guards_;
   std::optional<Secrets> secrets_;
   std::map<std::string, std::string> versions_;
+  /// Versions whose ids a worker may have filled by other weights: cold there.
+  std::map<std::string, std::set<std::string>> spoiled_;
   tsl::robin_map<std::string, TenantTally> tallies_;
   TenantTally others_;  ///< of tenants beyond those told one by one
   std::uint64_t crossings_ = 0;
+  std::uint64_t other_weights_ = 0;
 };
 
 }  // namespace finchlink::tilth
--- a/source/trellis/command/command.cpp
+++ b/source/trellis/command/command.cpp
@@ -11,6 +11,7 @@
 #include "loam/http/http.hpp"
 #include "loam/json/tree.hpp"
 #include "loam/settings/settings.hpp"
+#include "trellis/operator/paths.hpp"
 
 namespace finchlink::trellis {
 
@@ -24,7 +25,12 @@
     "  setup put FILE                replace the setup   [--expect REVISION] [--id ID]\n"
     "  setup patch FILE              merge patch         [--expect REVISION] [--id ID]\n"
     "  change ID                     what became of a change\n"
-    "  hall drain|restore NAME       empty a hall or take it back\n"
+    "  hall drain|restore NAME       empty a hall or take it back (setup)\n"
+    "  charter get                   the charter in force, as it was sent, and its number\n"
+    "  charter put FILE              replace the charter [--expect NUMBER]\n"
+    "  charter patch FILE            change named items  [--expect NUMBER]\n"
+    "  evacuate|retake NAME          empty a hall or take it back (charter)\n"
+    "  evacuated                     halls that are emptied (charter)\n"
     "  tenants                       reuse of each tenant, summed over the relays at --at (their ready addresses)\n"
     "  members | trellises | workers | split | duties | holders | ready\n"
     "FILE - reads standard input. Exit codes: 0 done, 2 usage, 4 refused, 5 not reached or unknown.\n";
@@ -72,6 +78,7 @@
 }
 
 bool plan_of(std::vector<std::string> const& words, Plan& plan) {
+  static OperatorPaths const paths;
   std::string const first = words.empty() ? "" : words[0];
   if (first == "setup" && words.size() == 2 && words[1] == "get") {
     plan.target = "/setup";
@@ -81,6 +88,18 @@
     plan = Plan{words[1] == "put" ? http::verb::put : http::verb::patch, "/setup", words[2]};
     return true;
   }
+  if (first == "charter" && words.size() == 2 && words[1] == "get") {
+    plan.target = paths.charter;
+    return true;
+  }
+  if (first == "charter" && words.size() == 3 && (words[1] == "put" || words[1] == "patch")) {
+    plan = Plan{words[1] == "put" ? http::verb::put : http::verb::patch, paths.charter, words[2]};
+    return true;
+  }
+  if ((first == "evacuate" || first == "retake") && words.size() == 2) {
+    plan = Plan{first == "evacuate" ? http::verb::post : http::verb::delete_, paths.hall + words[1] + paths.evacuation, ""};
+    return true;
+  }
   if (first == "change" && words.size() == 2) {
     plan.target = "/changes/" + words[1];
     return true;
@@ -94,7 +113,7 @@
     return true;
   }
   if (words.size() == 1 && (first == "members" || first == "trellises" || first == "workers" || first == "split" || first == "duties" ||
-                            first == "holders" || first == "ready")) {
+                            first == "holders" || first == "ready" || first == "evacuated")) {
     plan.target = "/" + first;
     return true;
   }
@@ -148,7 +167,7 @@
   if (found.count("id") > 0) {
     ask.set("Change-Id", found["id"].as<std::string>());
   }
-  bool const own_id = found.count("id") == 0 && (plan.verb == http::verb::put || plan.verb == http::verb::patch);
+  bool const own_id = plan.target == "/setup" && found.count("id") == 0 && (plan.verb == http::verb::put || plan.verb == http::verb::patch);
   int code = loam::exit_unreachable;
   boost::asio::io_context context;
   loam::start(context, [&](loam::Yield yield) {
--- a/source/trellis/operator/operator.cpp
+++ b/source/trellis/operator/operator.cpp
@@ -87,17 +87,34 @@
 }
 }  // namespace
 
+namespace {
+/// The hall that a path of evacuations names.
+std::optional<std::string> hall_in(OperatorPaths const& paths, std::string const& target) {
+  if (target.rfind(paths.hall, 0) != 0 || !target.ends_with(paths.evacuation) || target.size() <= paths.hall.size() + paths.evacuation.size()) {
+    return std::nullopt;
+  }
+  std::string const hall = target.substr(paths.hall.size(), target.size() - paths.hall.size() - paths.evacuation.size());
+  return hall.find('/') == std::string::npos ? std::optional<std::string>(hall) : std::nullopt;
+}
+}  // namespace
+
 loam::Answer Operator::answer(loam::Ask const& ask, loam::Yield yield) {
   ++open_;
   std::string const target(ask.target().substr(0, ask.target().find('?')));
   loam::Answer answer = loam::answer_error(http::status::not_found, "unknown_path", "see docs/operating/setup.md");
   http::verb const verb = ask.method();
-  std::string const& tail = paths_.evacuation;
-  if (target == paths_.charter) {
+  // Where the platform has paths of its own, ours work as well: the commands use them.
+  static OperatorPaths const own;
+  std::optional<std::string> named;
+  for (OperatorPaths const* const paths : {static_cast<OperatorPaths const*>(&paths_), &own}) {
+    named = named.has_value() ? named : hall_in(*paths, target);
+  }
+  if (target == paths_.charter || target == own.charter) {
     answer = answer_charter(ask, yield);
-  } else if (target.size() > paths_.hall.size() + tail.size() && target.rfind(paths_.hall, 0) == 0 && target.ends_with(tail) &&
-             (verb == http::verb::post || verb == http::verb::delete_) && (!tail.empty() || target.find('/', paths_.hall.size()) == std::string::npos)) {
-    answer = evacuate(target.substr(paths_.hall.size(), target.size() - paths_.hall.size() - tail.size()), verb == http::verb::post, yield);
+  } else if (named.has_value() && (verb == http::verb::post || verb == http::verb::delete_)) {
+    answer = evacuate(*named, verb == http::verb::post, yield);
+  } else if (target == "/evacuated" && verb == http::verb::get) {
+    answer = get_evacuated(yield);
   } else if (target == "/setup") {
     if (verb == http::verb::get) {
       answer = get_setup(yield);
@@ -256,6 +273,14 @@
   return loam::answer_text(http::status::ok, "{}");
 }
 
+loam::Answer Operator::get_evacuated(loam::Yield yield) {
+  if (!confirmed(yield)) {
+    return loam::answer_error(http::status::service_unavailable, "no_majority", "no majority of holders answered");
+  }
+  std::string const content = ledger_.value(orchard::evacuated_register).content;
+  return loam::answer_text(http::status::ok, content.empty() ? "[]" : content);
+}
+
 loam::Answer Operator::get_setup(loam::Yield yield) {
   if (!confirmed(yield)) {
     return loam::answer_error(http::status::service_unavailable, "no_majority", "no majority of holders answered");
--- a/source/trellis/operator/operator.hpp
+++ b/source/trellis/operator/operator.hpp
@@ -28,6 +28,7 @@
   [[nodiscard]] loam::Answer answer_charter(loam::Ask const& ask, loam::Yield yield);
   [[nodiscard]] loam::Answer get_charter(loam::Yield yield);
   [[nodiscard]] loam::Answer change_charter(loam::Ask const& ask, bool patch, loam::Yield yield);
+  [[nodiscard]] loam::Answer get_evacuated(loam::Yield yield);
   [[nodiscard]] loam::Answer evacuate(std::string const& hall, bool evacuated, loam::Yield yield);
   /// Whether a majority confirmed all values after now; waits for it.
   [[nodiscard]] bool confirmed(loam::Yield yield);
