--- a/source/furrow/relay/station.cpp
+++ b/source/furrow/relay/station.cpp
@@ -81,6 +81,7 @@
       identity_(identity), caller_(context), trellises_(settings.seeds) {}
 
 absl::Status Station::begin() {
+  begun_at_ = loam::boot_now();
   absl::Status status = listen(settings_.http_address, [this](std::shared_ptr<Socket> const& socket, loam::Yield yield) { serve_caller(*this, socket, yield); });
   for (std::string const& address : {settings_.ready_address, settings_.directory_address}) {
     if (status.ok() && !address.empty()) {
@@ -238,7 +239,7 @@
       }
       turn += 1;
       loam::Gather::run(
-          context_, caller_, calls, std::min(patience, constants::lost_patience),
+          context_, caller_, calls, std::min(patience, lost_patience),
           [&](std::size_t index, absl::StatusOr<schema::Message> const& answer) {
             schema::NewsAnswer const* const news = answer.ok() ? std::get_if<schema::NewsAnswer>(&*answer) : nullptr;
             if (news == nullptr) {
@@ -252,7 +253,7 @@
             heard_from(*news);
             return true;
           },
-          yield);
+          yield, constants::ask_retry);
     } else {
       std::string const address = trellises_[turn % trellises_.size()];
       absl::StatusOr<schema::Message> const answer = caller_.call(address, query, patience, yield);
@@ -486,6 +487,7 @@
   terms.self = settings_.name;
   terms.cold_overshoot = settings_.bounds.cold_overshoot;
   terms.cold_slack = settings_.bounds.cold_slack;
+  terms.claims = book_->claims();
   terms.keep_long_apart = constants::keep_long_apart;
   terms.furrows = census_.furrows(loam::boot_now());
   if (terms.furrows.empty()) {
--- a/source/furrow/relay/station.hpp
+++ b/source/furrow/relay/station.hpp
@@ -86,6 +86,9 @@
   [[nodiscard]] Tally& tally() { return tally_; }
   [[nodiscard]] tilth::Walls& walls() { return walls_; }
   [[nodiscard]] bool draining() const { return draining_; }
+  [[nodiscard]] loam::Moment begun_at() const { return begun_at_; }
+  /// It has had a charter and a list of workers, even an empty one, since it started.
+  [[nodiscard]] bool begun() const { return book_ != nullptr && list_.as_of() > 0; }
   [[nodiscard]] bool ready() const { return book_ != nullptr && heard_ && !draining_ && grove_.size() > 0; }
 
   /// A kept connection to the worker that seems whole, or none.
@@ -97,6 +100,7 @@
 
   /// How long a query waits for the first charter.
   loam::Span charter_hold = loam::constants::charter_hold;
+  loam::Span lost_patience = loam::constants::lost_patience;
   void opened() { ++open_; }
   void closed() { --open_; }
   [[nodiscard]] std::string directory(std::string const& hall, std::string const& region);
@@ -142,6 +146,7 @@
   std::set<std::string> evacuated_;
   hedge::ListCopy list_;
   hedge::MemberCopy members_;
+  loam::Moment begun_at_ = 0;
   tilth::Census census_;
   std::map<std::string, loam::Moment> cold_until_;
   std::vector<std::string> trellises_;
--- a/source/loam/relay_constants.hpp
+++ b/source/loam/relay_constants.hpp
@@ -23,6 +23,12 @@
 inline constexpr Span cold_suspect = milliseconds(3000);
 /// Part of a worker's memory that the record counts on: running queries take the rest.
 inline constexpr double reuse_part = 0.8;
+/// Part of a service's workers that stand in regions which no lane calls home,
+/// from which on they own what may be served anywhere: fewer would be crowded.
+inline constexpr double free_least = 0.3;
+/// Only beginnings whose second reading costs this many times the way there: the
+/// way is paid each time, the reading once.
+inline constexpr double roaming_worth = 2;
 /// Beginnings of at least this many tokens have an owner and teach the pace.
 inline constexpr double owned_tokens = 1000;
 /// Kept apart by each furrow's own estimate: off, since owners that change with
@@ -79,7 +85,7 @@
 inline constexpr Span overdue_slack = milliseconds(100);
 /// Cost in seconds of reading one shared token anew: far above its time, since
 /// it takes memory from what others share and is paid for.
-inline constexpr double reread_cost = 0.0002;
+inline constexpr double reread_cost = 0.0001;
 /// Service time taken for a worker that generates no text, in seconds.
 inline constexpr double plain_seconds = 0.08;
 /// Of a region's workers of one service at most this part rests for what they did
@@ -99,9 +105,18 @@
 inline constexpr Span worker_idle = milliseconds(4000);
 /// Idle connections kept per worker.
 inline constexpr std::size_t worker_idle_most = 8;
-/// How long a query waits for the first charter of a furrow that has just
-/// started: most have it within 0.4 s; short beside any set point.
-inline constexpr Span charter_hold = milliseconds(250);
+/// How long a query waits for the first charter and list of workers of a furrow that has just
+/// started: a caller refused meanwhile may have no try left (its first met the
+/// process that ended), and one that waits is served, if late. A trellis that
+/// starts at the same moment has read a majority by then.
+inline constexpr Span charter_hold = milliseconds(1000);
+/// Part of the time its caller has left that it waits at most, so that one refused
+/// can still come back; most furrows have both within the least.
+inline constexpr double charter_hold_part = 0.2;
+inline constexpr Span charter_hold_least = milliseconds(250);
+/// Up to when a furrow counts as just started: what has not come by then is lost
+/// for longer, and queries are refused at once.
+inline constexpr Span first_span = seconds(10);
 /// Bytes of a query refused unread that are thrown away at most, so that the
 /// answer arrives: as large a body as charters usually allow.
 inline constexpr std::size_t refused_bytes = 4u << 20u;
--- a/source/tests/relay/fleet.hpp
+++ b/source/tests/relay/fleet.hpp
@@ -362,10 +362,12 @@
   schema::Charter charter;
   schema::PlatformList list;
   std::uint64_t list_digest = 1;
+  loam::Span list_age = 0;  ///< below 0: no trellis has read the list yet
   std::vector<schema::Member> members;
   std::uint64_t members_digest = 1;
   std::map<std::string, schema::NamedValue> news;
   bool silent = false;        ///< the trellis says nothing
+  std::size_t unanswered = 0;  // asks that the trellis ends unanswered first
   bool vouched = true;
   std::function<void(schema::NewsAsk const&, schema::NewsAnswer&)> script;  ///< changes what the trellis answers
   std::uint64_t asks = 0;
@@ -378,7 +380,7 @@
  private:
   std::optional<schema::Message> answer(schema::Message const& message, loam::Yield) {
     schema::NewsAsk const* const ask = std::get_if<schema::NewsAsk>(&message);
-    if (ask == nullptr || silent) {
+    if (ask == nullptr || silent || (unanswered > 0 && unanswered-- > 0)) {
       return std::nullopt;
     }
     ++asks;
@@ -388,7 +390,7 @@
     for (std::pair<std::string const, schema::NamedValue> const& entry : news) {
       reply.news.push_back(entry.second);
     }
-    reply.list_age = 0;
+    reply.list_age = list_age;
     reply.list_digest = list_digest;
     reply.list_same = ask->list_digest == list_digest;
     if (!reply.list_same) {
--- a/source/tests/relay/station_test.cpp
+++ b/source/tests/relay/station_test.cpp
@@ -97,6 +97,48 @@
   EXPECT_EQ(fleet.told.front().held.count("charter"), 0u);
 }
 
+TEST(Station, ATrellisThatComesUpIsAskedWhileAnotherHoldsItsAnswer) {
+  loam::Bell never;
+  std::size_t held = 0;
+  Fleet fleet;
+  fleet.worker("w1");
+  fleet.publish_charter(1);
+  std::string const holding = fleet.next_address();
+  fleet.settings.seeds = {holding, fleet.trellis_address};
+  fleet.settings.bounds.ask_deadline_ms = 600000;
+  ASSERT_TRUE(loam::serve_frames(*fleet.context, holding, 8, [&](schema::Message const&, loam::Yield yield) -> std::optional<schema::Message> {
+                ++held;
+                never.wait(never.count(), loam::seconds(600), yield);
+                return std::nullopt;
+              }).ok());
+  fleet.unanswered = 4;
+  fleet.begin(false);
+  fleet.station->lost_patience = loam::seconds(600);
+  EXPECT_TRUE(fleet.until([&] { return fleet.station->ready(); }, 30000));
+  EXPECT_EQ(held, 1u);
+}
+
+TEST(Station, AQueryWaitsAMomentForTheFirstListAndOnlyForThis) {
+  Fleet fleet;
+  Worker& worker = fleet.worker("w1");
+  fleet.list_age = -1;
+  fleet.begin(false);
+  fleet.station->charter_hold = loam::seconds(60);
+  std::shared_ptr<Line> const caller = fleet.call(query("/plain/a", "q1", "body"));
+  fleet.publish_charter(1);
+  ASSERT_TRUE(fleet.until([&] { return fleet.station->book() != nullptr; }));
+  EXPECT_FALSE(fleet.station->begun());
+  fleet.list_age = 0;
+  ++fleet.list_digest;
+  ASSERT_TRUE(fleet.arrived(worker, 1));
+  worker.arrivals.back().line->send(success("q1", "in time"));
+  EXPECT_EQ(status_of(fleet.answer_on(caller)), 200u);
+  fleet.list.workers.clear();  // all gone later: refused as ever
+  ++fleet.list_digest;
+  ASSERT_TRUE(fleet.until([&] { return !fleet.station->ready(); }));
+  EXPECT_EQ(status_of(fleet.answer_on(fleet.call(query("/plain/b", "q2")))), 503u);
+}
+
 TEST(Station, AnOlderCharterIsNeverAdopted) {
   Fleet fleet;
   Worker& worker = fleet.worker("w1");
