--- a/source/furrow/relay/station.hpp
+++ b/source/furrow/relay/station.hpp
@@ -15,6 +15,7 @@
 #include <absl/status/statusor.h>
 
 #include "furrow/relay/dialect.hpp"
+#include "hedge/copy/copy.hpp"
 #include "hedge/vouch/vouch.hpp"
 #include "loam/net/net.hpp"
 #include "loam/relay_constants.hpp"
@@ -87,7 +88,7 @@
   [[nodiscard]] bool draining() const { return draining_; }
   [[nodiscard]] loam::Moment begun_at() const { return begun_at_; }
   /// It has had a charter and a list of workers, even an empty one, since it started.
-  [[nodiscard]] bool begun() const { return book_ != nullptr && list_as_of_ > 0; }
+  [[nodiscard]] bool begun() const { return book_ != nullptr && list_.as_of() > 0; }
   [[nodiscard]] bool ready() const { return book_ != nullptr && heard_ && !draining_ && grove_.size() > 0; }
 
   /// A kept connection to the worker that seems whole, or none.
@@ -122,7 +123,9 @@
   void read_own_list(loam::Yield yield);
   void follow_secrets(loam::Yield yield);
   void take(schema::NewsAnswer const& answer, loam::Moment asked);
-  void take_list(schema::PlatformList const& list, loam::Moment as_of);
+  /// Another list is held.
+  void take_list();
+  [[nodiscard]] schema::NewsAsk ask(std::vector<schema::FurrowReport> reports) const;
   void settle();
   [[nodiscard]] schema::Member self() const;
   void take_split(schema::NamedValue const& news);
@@ -141,12 +144,9 @@
   hedge::Vouch vouch_;
   std::shared_ptr<tilth::LaneBook const> book_;
   std::set<std::string> evacuated_;
-  schema::PlatformList list_;
-  std::uint64_t list_digest_ = 0;
-  loam::Moment list_as_of_ = 0;
+  hedge::ListCopy list_;
+  hedge::MemberCopy members_;
   loam::Moment begun_at_ = 0;
-  std::uint64_t members_digest_ = 0;
-  std::vector<schema::Member> members_;
   tilth::Census census_;
   std::map<std::string, loam::Moment> cold_until_;
   std::vector<std::string> trellises_;
--- a/source/tests/relay/fleet.hpp
+++ b/source/tests/relay/fleet.hpp
@@ -369,6 +369,7 @@
   bool silent = false;        ///< the trellis says nothing
   std::size_t unanswered = 0;  // asks that the trellis ends unanswered first
   bool vouched = true;
+  std::function<void(schema::NewsAsk const&, schema::NewsAnswer&)> script;  ///< changes what the trellis answers
   std::uint64_t asks = 0;
   std::vector<schema::Member> told;  ///< what the relay said of itself
   std::unique_ptr<furrow::Station> station;
@@ -398,6 +399,9 @@
     reply.members_digest = members_digest;
     reply.members_same = ask->members_digest == members_digest;
     reply.members = members;
+    if (script) {
+      script(*ask, reply);
+    }
     return reply;
   }
 };
