--- a/examples/graft/main.cpp
+++ b/examples/graft/main.cpp
@@ -5,15 +5,15 @@
 #include <string>
 #include <vector>
 
-#include "rootstock/change/change.hpp"
-#include "rootstock/holder/holder.hpp"
+#include "consensus/proposer/proposer.hpp"
+#include "consensus/acceptor/acceptor.hpp"
 
 namespace {
 
 using namespace finchlink;
 
 struct Group {
-  std::vector<rootstock::Holder> holders;
+  std::vector<consensus::Acceptor> holders;
   std::vector<bool> up{true, true, true};
 
   Group() {
@@ -40,20 +40,20 @@
 
   /// One compare-and-set; what became of it in words.
   std::string write(std::uint64_t proposer, std::uint64_t expected, std::string const& content) {
-    rootstock::Change change("wishes", proposer, rootstock::replace_at(expected, content));
-    std::vector<rootstock::ChangeAction> actions = change.begin(holders.front().set());
+    consensus::Proposer change("wishes", proposer, consensus::replace_at(expected, content));
+    std::vector<consensus::ProposerAction> actions = change.begin(holders.front().set());
     for (std::size_t place = 0; place < actions.size(); ++place) {
-      rootstock::ChangeAction const action = actions[place];  // a copy: more are added below
-      if (rootstock::Chosen const* const chosen = std::get_if<rootstock::Chosen>(&action)) {
+      consensus::ProposerAction const action = actions[place];  // a copy: more are added below
+      if (consensus::Chosen const* const chosen = std::get_if<consensus::Chosen>(&action)) {
         return "revision " + std::to_string(chosen->value.revision) + ": " + chosen->value.content;
       }
-      if (rootstock::Rejected const* const rejected = std::get_if<rootstock::Rejected>(&action)) {
+      if (consensus::Rejected const* const rejected = std::get_if<consensus::Rejected>(&action)) {
         return "refused at revision " + std::to_string(rejected->current.revision);
       }
-      rootstock::Send const* const send = std::get_if<rootstock::Send>(&action);
+      consensus::Send const* const send = std::get_if<consensus::Send>(&action);
       for (std::size_t index = 0; send != nullptr && index < holders.size(); ++index) {
         if (up[index] && holders[index].incarnation() == send->to.incarnation) {
-          std::vector<rootstock::ChangeAction> const more = change.receive(send->to.incarnation, *holders[index].receive(send->message, 0).reply);
+          std::vector<consensus::ProposerAction> const more = change.receive(send->to.incarnation, *holders[index].receive(send->message, 0).reply);
           actions.insert(actions.end(), more.begin(), more.end());
         }
       }
--- a/source/almanac/control/control.cpp
+++ b/source/almanac/control/control.cpp
@@ -4,10 +4,10 @@
 
 #include <algorithm>
 
-#include "hedge/repair/repair.hpp"
+#include "membership/reconfiguration/reconfiguration.hpp"
 #include "loam/constants.hpp"
 #include "loam/json/tree.hpp"
-#include "orchard/change/wish.hpp"
+#include "config/change/proposal.hpp"
 
 namespace finchlink::almanac {
 
@@ -50,20 +50,20 @@
     double rate = 1.0;
     std::vector<std::function<void()>> deferred;
     std::unique_ptr<MemoryDisk> memory;
-    std::unique_ptr<rootstock::Ring> ring;
-    std::optional<rootstock::Holder> holder;
+    std::unique_ptr<consensus::WriteAheadLog> ring;
+    std::optional<consensus::Acceptor> holder;
     std::uint64_t last_incarnation = 0;
-    schema::HolderSet last_set;
+    schema::VoterSet last_set;
     bool silent = false;
     std::deque<Job> jobs;
     bool working = false;
     Span disk_delay = loam::milliseconds(2);
     bool disk_stalled = false;
     std::uint64_t identity = 0;
-    schema::HolderSet set;
-    rootstock::Confirm confirm;
+    schema::VoterSet set;
+    consensus::MajorityReader confirm;
     std::map<std::uint64_t, int> misses;
-    std::unique_ptr<stake::Tenant> tenant;
+    std::unique_ptr<lease::LeaseHolder> tenant;
   };
   struct Furrow {
     std::string name;
@@ -74,7 +74,7 @@
     Moment offset = 0;
     double rate = 1.0;
     std::vector<std::function<void()>> deferred;
-    hedge::Vouch vouch;
+    membership::FreshnessLease vouch;
     std::size_t turn = 0;
     std::uint64_t shown = 0;  ///< newest revision whose effect this node has shown, over all its lives
   };
@@ -155,16 +155,16 @@
 
   // --- holder on its disk ---
   void receive(Machine& machine, schema::Message const& message, Reply const& reply);
-  void submit(Machine& machine, rootstock::Outcome outcome, Reply const& reply);
+  void submit(Machine& machine, consensus::Outcome outcome, Reply const& reply);
   void work(Machine& machine);
   void boot(Machine& machine);
   void stand_up(Machine& machine);
 
   // --- trellis ---
-  void learn(Machine& machine, schema::HolderSet const& set) {
+  void learn(Machine& machine, schema::VoterSet const& set) {
     if (set.epoch > machine.set.epoch) {
       machine.set = set;
-      std::map<std::uint64_t, schema::HolderSet>::const_iterator const known = sets_.try_emplace(set.epoch, set).first;
+      std::map<std::uint64_t, schema::VoterSet>::const_iterator const known = sets_.try_emplace(set.epoch, set).first;
       if (!(known->second.holders == set.holders)) {
         violate("epoch " + std::to_string(set.epoch) + " has two holder sets, seen at " + machine.address);
       }
@@ -175,8 +175,8 @@
   void join(Machine& machine);
   void lease_loop(Machine& machine);
   struct ChangeRun;
-  void start_change(Machine& machine, std::string const& name, rootstock::Wisher wisher, Span deadline,
-                    std::function<void(std::variant<rootstock::Chosen, rootstock::Rejected, std::monostate>)> done);
+  void start_change(Machine& machine, std::string const& name, consensus::ProposalFunction propose, Span deadline,
+                    std::function<void(std::variant<consensus::Chosen, consensus::Rejected, std::monostate>)> done);
   void try_change(std::shared_ptr<ChangeRun> const& run);
   void answer_ask(Machine& machine, schema::NewsAsk const& ask, Moment arrival, Reply const& reply);
 
@@ -218,7 +218,7 @@
   bool has_setup_ = false;
   std::uint64_t next_id_ = 1;
   std::uint64_t next_address_ = 100;
-  std::map<std::uint64_t, schema::HolderSet> sets_;     ///< epoch to holder set: only ever one
+  std::map<std::uint64_t, schema::VoterSet> sets_;     ///< epoch to holder set: only ever one
   std::map<std::uint64_t, std::string> contents_;       ///< revision to content: only ever one
   std::map<std::uint64_t, std::string> owners_;         ///< revision to the change that made it
   std::map<std::string, std::uint64_t> accepted_;       ///< acknowledged ids
@@ -272,12 +272,12 @@
   machine.working = false;
   machine.silent = false;
   machine.identity = (kernel_.draw() >> 12u) + 1;
-  machine.set = schema::HolderSet{};
-  machine.confirm = rootstock::Confirm{};
+  machine.set = schema::VoterSet{};
+  machine.confirm = consensus::MajorityReader{};
   machine.misses.clear();
-  machine.tenant = std::make_unique<stake::Tenant>("duty/repair", machine.identity, options_.guards);
+  machine.tenant = std::make_unique<lease::LeaseHolder>("duty/repair", machine.identity, options_.guards);
   if (machine.disk) {
-    machine.ring = std::make_unique<rootstock::Ring>(machine.memory->device(), ring_files, ring_bytes);
+    machine.ring = std::make_unique<consensus::WriteAheadLog>(machine.memory->device(), ring_files, ring_bytes);
     absl::StatusOr<std::vector<schema::Record>> records = machine.ring->recover();
     if (!records.ok()) {
       violate("a torn disk was taken for a broken one: " + std::string(records.status().message()));
@@ -304,7 +304,7 @@
   join(machine);
 }
 
-void World::submit(Machine& machine, rootstock::Outcome outcome, Reply const& reply) {
+void World::submit(Machine& machine, consensus::Outcome outcome, Reply const& reply) {
   if (!outcome.reply.has_value()) {
     outcome.reply = schema::Unknown{};
   }
@@ -384,7 +384,7 @@
       }
     } else if (machine.holder->wants_image()) {
       std::shared_ptr<std::vector<schema::Image>> const images = std::make_shared<std::vector<schema::Image>>();
-      for (schema::HolderEntry const& source : machine.holder->image_sources()) {
+      for (schema::Voter const& source : machine.holder->image_sources()) {
         call(machine, machine.address, source.address, machine.holder->image_ask(), constants::holder_deadline,
              [this, &machine, images, ignore](std::optional<schema::Message> const& answer) {
                if (answer.has_value() && std::holds_alternative<schema::Image>(*answer)) {
@@ -415,21 +415,21 @@
       }
       return;
     }
-    for (rootstock::ConfirmAction const& action : machine.confirm.begin(machine.set, local(machine))) {
-      rootstock::SendRead const& send = std::get<rootstock::SendRead>(action);
+    for (consensus::MajorityReaderAction const& action : machine.confirm.begin(machine.set, local(machine))) {
+      consensus::SendRead const& send = std::get<consensus::SendRead>(action);
       call(machine, machine.address, send.to.address, send.read, constants::holder_deadline, [this, &machine](std::optional<schema::Message> const& answer) {
         if (!answer.has_value()) {
           return;
         }
-        for (rootstock::ConfirmAction const& result : machine.confirm.receive(*answer)) {
-          if (rootstock::NewerHolders const* const newer = std::get_if<rootstock::NewerHolders>(&result)) {
+        for (consensus::MajorityReaderAction const& result : machine.confirm.receive(*answer)) {
+          if (consensus::NewerVoters const* const newer = std::get_if<consensus::NewerVoters>(&result)) {
             learn(machine, newer->set);
-          } else if (rootstock::Unsettled const* const open = std::get_if<rootstock::Unsettled>(&result)) {
+          } else if (consensus::Unsettled const* const open = std::get_if<consensus::Unsettled>(&result)) {
             for (std::string const& name : open->names) {
-              start_change(machine, name, [](schema::Value const&) -> rootstock::Wish { return rootstock::Keep{}; }, constants::holder_deadline, nullptr);
+              start_change(machine, name, [](schema::Value const&) -> consensus::Proposal { return consensus::Keep{}; }, constants::holder_deadline, nullptr);
             }
-          } else if (std::holds_alternative<rootstock::Confirmed>(result)) {
-            std::map<std::string, schema::Value>::const_iterator const setup = machine.confirm.values().find(rootstock::setup_register);
+          } else if (std::holds_alternative<consensus::Confirmed>(result)) {
+            std::map<std::string, schema::Value>::const_iterator const setup = machine.confirm.values().find(consensus::setup_register);
             if (setup != machine.confirm.values().end()) {
               observe(setup->second, machine.address);
             }
@@ -442,18 +442,18 @@
 
 struct World::ChangeRun {
   Machine* machine = nullptr;
-  std::unique_ptr<rootstock::Change> core;
+  std::unique_ptr<consensus::Proposer> core;
   Moment until = 0;
   bool over = false;
   std::uint64_t tries = 0;
-  std::function<void(std::variant<rootstock::Chosen, rootstock::Rejected, std::monostate>)> done;
+  std::function<void(std::variant<consensus::Chosen, consensus::Rejected, std::monostate>)> done;
 };
 
-void World::start_change(Machine& machine, std::string const& name, rootstock::Wisher wisher, Span deadline,
-                         std::function<void(std::variant<rootstock::Chosen, rootstock::Rejected, std::monostate>)> done) {
+void World::start_change(Machine& machine, std::string const& name, consensus::ProposalFunction propose, Span deadline,
+                         std::function<void(std::variant<consensus::Chosen, consensus::Rejected, std::monostate>)> done) {
   std::shared_ptr<ChangeRun> const run = std::make_shared<ChangeRun>();
   run->machine = &machine;
-  run->core = std::make_unique<rootstock::Change>(name, (kernel_.draw() >> 12u) + 1, std::move(wisher), options_.guards);
+  run->core = std::make_unique<consensus::Proposer>(name, (kernel_.draw() >> 12u) + 1, std::move(propose), options_.guards);
   run->core->start_above(machine.confirm.known(name));
   run->until = local(machine) + deadline;
   run->done = std::move(done);
@@ -488,38 +488,38 @@
     return;
   }
   later(machine, constants::holder_deadline, again);
-  std::shared_ptr<std::function<void(std::vector<rootstock::ChangeAction> const&)>> const perform = std::make_shared<std::function<void(std::vector<rootstock::ChangeAction> const&)>>();
-  std::weak_ptr<std::function<void(std::vector<rootstock::ChangeAction> const&)>> const weak = perform;
-  *perform = [this, run, number, again, weak](std::vector<rootstock::ChangeAction> const& actions) {
+  std::shared_ptr<std::function<void(std::vector<consensus::ProposerAction> const&)>> const perform = std::make_shared<std::function<void(std::vector<consensus::ProposerAction> const&)>>();
+  std::weak_ptr<std::function<void(std::vector<consensus::ProposerAction> const&)>> const weak = perform;
+  *perform = [this, run, number, again, weak](std::vector<consensus::ProposerAction> const& actions) {
     Machine& own = *run->machine;
-    std::shared_ptr<std::function<void(std::vector<rootstock::ChangeAction> const&)>> const self = weak.lock();
-    for (rootstock::ChangeAction const& action : actions) {
+    std::shared_ptr<std::function<void(std::vector<consensus::ProposerAction> const&)>> const self = weak.lock();
+    for (consensus::ProposerAction const& action : actions) {
       if (run->over || run->tries != number) {
         return;
       }
-      if (rootstock::Send const* const send = std::get_if<rootstock::Send>(&action)) {
+      if (consensus::Send const* const send = std::get_if<consensus::Send>(&action)) {
         std::uint64_t const incarnation = send->to.incarnation;
         call(own, own.address, send->to.address, send->message, constants::holder_deadline, [run, number, incarnation, self](std::optional<schema::Message> const& answer) {
           if (answer.has_value() && !run->over && run->tries == number) {
             (*self)(run->core->receive(incarnation, *answer));
           }
         });
-      } else if (rootstock::Chosen const* const chosen = std::get_if<rootstock::Chosen>(&action)) {
+      } else if (consensus::Chosen const* const chosen = std::get_if<consensus::Chosen>(&action)) {
         run->over = true;
         own.confirm.learn(run->core->name(), chosen->ballot, chosen->value);
-        if (run->core->name() == rootstock::setup_register) {
+        if (run->core->name() == consensus::setup_register) {
           observe(chosen->value, own.address);
         }
         if (run->done) {
           run->done(*chosen);
         }
-      } else if (rootstock::Rejected const* const rejected = std::get_if<rootstock::Rejected>(&action)) {
+      } else if (consensus::Rejected const* const rejected = std::get_if<consensus::Rejected>(&action)) {
         run->over = true;
         if (run->done) {
           run->done(*rejected);
         }
       } else {
-        if (rootstock::NewerSet const* const newer = std::get_if<rootstock::NewerSet>(&action)) {
+        if (consensus::NewerVoterSet const* const newer = std::get_if<consensus::NewerVoterSet>(&action)) {
           learn(own, newer->set);
         }
         again();
@@ -536,19 +536,19 @@
         (machine.holder->set().epoch > 0 || machine.set.epoch > 1)) {
       submit(machine, machine.holder->receive(schema::Adopt{machine.set}, local(machine)), [](std::optional<schema::Message> const&) {});
     }
-    std::map<std::string, schema::Value>::const_iterator const value = machine.confirm.values().find(rootstock::holders_register);
+    std::map<std::string, schema::Value>::const_iterator const value = machine.confirm.values().find(consensus::holders_register);
     if (value == machine.confirm.values().end()) {
       return;
     }
-    schema::HolderSet next;
+    schema::VoterSet next;
     std::vector<loam::Fault> faults;
     schema::read(loam::read_tree(value->second.content)->get(), "", next, faults);
     if (next.epoch <= machine.set.epoch) {
       return;
     }
-    std::vector<schema::HolderEntry> all = next.previous;
+    std::vector<schema::Voter> all = next.previous;
     all.insert(all.end(), next.holders.begin(), next.holders.end());
-    for (schema::HolderEntry const& entry : all) {
+    for (schema::Voter const& entry : all) {
       call(machine, machine.address, entry.address, schema::Adopt{next}, constants::holder_deadline, [this, &machine, next](std::optional<schema::Message> const& answer) {
         if (answer.has_value() && std::holds_alternative<schema::Adopted>(*answer) && std::get<schema::Adopted>(*answer).epoch >= next.epoch) {
           learn(machine, next);
@@ -561,8 +561,8 @@
 void World::lease_loop(Machine& machine) {
   later(machine, constants::tell_pause, [this, &machine] {
     lease_loop(machine);
-    for (stake::TenantAction const& action : machine.tenant->tick(machine.set, local(machine))) {
-      if (stake::SendAsk const* const send = std::get_if<stake::SendAsk>(&action)) {
+    for (lease::LeaseHolderAction const& action : machine.tenant->tick(machine.set, local(machine))) {
+      if (lease::SendAsk const* const send = std::get_if<lease::SendAsk>(&action)) {
         call(machine, machine.address, send->to.address, send->ask, constants::holder_deadline, [this, &machine](std::optional<schema::Message> const& answer) {
           if (answer.has_value() && std::holds_alternative<schema::LeaseAnswer>(*answer)) {
             (void)machine.tenant->receive(std::get<schema::LeaseAnswer>(*answer), local(machine));
@@ -575,12 +575,12 @@
 
 void World::join(Machine& machine) {
   later(machine, constants::join_pause, [this, &machine] {
-    if (machine.set.epoch == 0 || machine.silent || !machine.holder.has_value() || rootstock::names(machine.set.holders, machine.holder->incarnation())) {
+    if (machine.set.epoch == 0 || machine.silent || !machine.holder.has_value() || consensus::names(machine.set.holders, machine.holder->incarnation())) {
       machine.misses.clear();
       join(machine);
       return;
     }
-    for (schema::HolderEntry const& entry : machine.set.holders) {
+    for (schema::Voter const& entry : machine.set.holders) {
       ++machine.misses[entry.incarnation];
       call(machine, machine.address, entry.address, schema::Adopt{machine.set}, constants::join_look, [&machine](std::optional<schema::Message> const& answer) {
         schema::Adopted const* const given = answer.has_value() ? std::get_if<schema::Adopted>(&*answer) : nullptr;
@@ -594,19 +594,19 @@
       if (machine.silent || !machine.holder.has_value()) {
         return;
       }
-      std::optional<schema::HolderSet> const plan =
-          hedge::plan_joining(machine.set, machine.misses, schema::HolderEntry{machine.holder->incarnation(), machine.address}, options_.wanted_holders);
+      std::optional<schema::VoterSet> const plan =
+          membership::plan_joining(machine.set, machine.misses, schema::Voter{machine.holder->incarnation(), machine.address}, options_.wanted_holders);
       if (!plan.has_value()) {
         return;
       }
-      std::map<std::string, schema::Value>::const_iterator const known = machine.confirm.values().find(rootstock::holders_register);
+      std::map<std::string, schema::Value>::const_iterator const known = machine.confirm.values().find(consensus::holders_register);
       std::uint64_t const newest = known == machine.confirm.values().end() ? 0 : known->second.revision;
       // The guard off: it expects what the register holds, not what it replaces.
-      rootstock::Wisher const wisher = options_.repair_fenced ? hedge::repair_wish(machine.set, *plan)
-                                                              : rootstock::replace_at(newest, loam::print_tree(loam::Tree(schema::write(*plan)).get()));
+      consensus::ProposalFunction const propose = options_.repair_fenced ? membership::reconfiguration_proposal(machine.set, *plan)
+                                                              : consensus::replace_at(newest, loam::print_tree(loam::Tree(schema::write(*plan)).get()));
       start_change(
-          machine, rootstock::holders_register, wisher, constants::change_deadline, [this](std::variant<rootstock::Chosen, rootstock::Rejected, std::monostate> const& result) {
-            if (std::holds_alternative<rootstock::Chosen>(result)) {
+          machine, consensus::holders_register, propose, constants::change_deadline, [this](std::variant<consensus::Chosen, consensus::Rejected, std::monostate> const& result) {
+            if (std::holds_alternative<consensus::Chosen>(result)) {
               ++report_.repairs;
               kernel_.trace("repair chosen");
             }
@@ -616,7 +616,7 @@
 }
 
 void World::answer_ask(Machine& machine, schema::NewsAsk const& ask, Moment arrival, Reply const& reply) {
-  hedge::DeskVerdict const verdict = hedge::judge_ask(ask, arrival, machine.confirm.confirmed_from(), machine.confirm.values(), false, local(machine), options_.desk_guards);
+  membership::NewsDecision const verdict = membership::decide_answer(ask, arrival, machine.confirm.confirmed_from(), machine.confirm.values(), false, local(machine), options_.desk_guards);
   if (verdict.answer.has_value()) {
     reply(schema::Message(*verdict.answer));
     return;
@@ -629,7 +629,7 @@
   furrow.alive = true;
   furrow.frozen = false;
   furrow.deferred.clear();
-  furrow.vouch = hedge::Vouch(options_.vouch_guards);
+  furrow.vouch = membership::FreshnessLease(options_.vouch_guards);
   if (options_.lives) {
     options_.lives(furrow.number, true);
   }
@@ -647,7 +647,7 @@
     if (news != nullptr) {
       for (schema::NamedValue const& value : furrow.vouch.take(*news, asked, local(furrow))) {
         kernel_.trace(furrow.name + " adopts " + value.name + " " + std::to_string(value.revision));
-        if (options_.adopted && value.name == rootstock::setup_register) {
+        if (options_.adopted && value.name == consensus::setup_register) {
           options_.adopted(furrow.number, value.revision);
         }
       }
@@ -668,7 +668,7 @@
       ++report_.unvouched;
       return;
     }
-    std::map<std::string, std::uint64_t>::const_iterator const held = furrow.vouch.held().find(rootstock::setup_register);
+    std::map<std::string, std::uint64_t>::const_iterator const held = furrow.vouch.held().find(consensus::setup_register);
     std::uint64_t const revision = held == furrow.vouch.held().end() ? 0 : held->second;
     if (revision == 0) {
       return;
@@ -707,8 +707,8 @@
     done(false);
     return;
   }
-  orchard::WantedChange wanted;
-  std::map<std::string, schema::Value>::const_iterator const seen = machine->confirm.values().find(rootstock::setup_register);
+  config::WantedChange wanted;
+  std::map<std::string, schema::Value>::const_iterator const seen = machine->confirm.values().find(consensus::setup_register);
   wanted.id = "c" + std::to_string(next_id_++) + "." + std::to_string(seen == machine->confirm.values().end() ? 0 : seen->second.revision);
   wanted.expected = expected;
   wanted.patch = has_setup_;
@@ -717,7 +717,7 @@
   std::uint64_t const floor = floor_;
   Moment const began = kernel_.now();
   std::shared_ptr<bool> const told = std::make_shared<bool>(false);
-  std::shared_ptr<orchard::WishNote> const note = std::make_shared<orchard::WishNote>();
+  std::shared_ptr<config::SetupProposalReport> const note = std::make_shared<config::SetupProposalReport>();
   kernel_.after(constants::change_deadline + constants::acknowledge_wait + loam::seconds(2), [this, told, id = wanted.id, done] {
     if (!*told) {  // the trellis died with it; what became of it is asked for
       *told = true;
@@ -728,25 +728,25 @@
   });
   asked_[wanted.id] = HistoryEntry{HistoryEntry::Kind::write, 0, began, std::nullopt, expected};
   kernel_.trace("operator " + std::to_string(number) + " puts " + wanted.id);
-  start_change(*machine, rootstock::setup_register, orchard::wish_for(wanted, note), constants::change_deadline,
-               [this, machine, told, wanted, floor, began, note, done](std::variant<rootstock::Chosen, rootstock::Rejected, std::monostate> const& result) {
+  start_change(*machine, consensus::setup_register, config::setup_proposal(wanted, note), constants::change_deadline,
+               [this, machine, told, wanted, floor, began, note, done](std::variant<consensus::Chosen, consensus::Rejected, std::monostate> const& result) {
                  if (*told) {
                    return;
                  }
                  std::uint64_t revision = 0;
                  kernel_.trace("result of " + wanted.id + " is " + std::to_string(result.index()));
-                 if (rootstock::Chosen const* const chosen = std::get_if<rootstock::Chosen>(&result)) {
+                 if (consensus::Chosen const* const chosen = std::get_if<consensus::Chosen>(&result)) {
                    revision = chosen->value.revision;
-                 } else if (rootstock::Rejected const* const rejected = std::get_if<rootstock::Rejected>(&result)) {
-                   orchard::IdStanding const known = orchard::standing_of(rejected->current, wanted.id);
-                   if (known.standing == orchard::Standing::accepted) {
+                 } else if (consensus::Rejected const* const rejected = std::get_if<consensus::Rejected>(&result)) {
+                   config::IdStanding const known = config::standing_of(rejected->current, wanted.id);
+                   if (known.standing == config::Standing::accepted) {
                      revision = known.revision;
-                   } else if (note->end == orchard::WishEnd::forgotten) {
+                   } else if (note->end == config::SetupProposalOutcome::forgotten) {
                      ++report_.forgotten;
                    } else {
                      *told = true;
                      ++report_.rejected;
-                     if (note->end == orchard::WishEnd::expectation) {
+                     if (note->end == config::SetupProposalOutcome::expectation) {
                        history_.push_back(HistoryEntry{HistoryEntry::Kind::refused, *wanted.expected, began, kernel_.now(), std::nullopt});
                      }
                      rejected_.insert(wanted.id);
@@ -783,16 +783,16 @@
     return;
   }
   later(*machine, constants::change_deadline, [this, machine, id] {
-    start_change(*machine, rootstock::setup_register, orchard::veto_of(id), constants::change_deadline, [this, id](std::variant<rootstock::Chosen, rootstock::Rejected, std::monostate> const& result) {
-      if (rootstock::Chosen const* const chosen = std::get_if<rootstock::Chosen>(&result)) {
-        orchard::IdStanding const known = orchard::standing_of(chosen->value, id);
-        if (known.standing == orchard::Standing::rejected) {
+    start_change(*machine, consensus::setup_register, config::veto_of(id), constants::change_deadline, [this, id](std::variant<consensus::Chosen, consensus::Rejected, std::monostate> const& result) {
+      if (consensus::Chosen const* const chosen = std::get_if<consensus::Chosen>(&result)) {
+        config::IdStanding const known = config::standing_of(chosen->value, id);
+        if (known.standing == config::Standing::rejected) {
           rejected_.insert(id);
           kernel_.trace("vetoed " + id);
-        } else if (known.standing == orchard::Standing::accepted) {
+        } else if (known.standing == config::Standing::accepted) {
           accepted_[id] = known.revision;
           floor_ = std::max(floor_, known.revision);
-        } else if (known.standing != orchard::Standing::forgotten) {
+        } else if (known.standing != config::Standing::forgotten) {
           violate("the outcome of " + id + " was settled without a mark");
         }
       }
@@ -813,7 +813,7 @@
   std::weak_ptr<std::function<void(int)>> const weak = look;
   *look = [this, machine, floor, began, arrival, weak, done](int left) {
     if (machine->confirm.confirmed_from() >= arrival) {
-      std::map<std::string, schema::Value>::const_iterator const setup = machine->confirm.values().find(rootstock::setup_register);
+      std::map<std::string, schema::Value>::const_iterator const setup = machine->confirm.values().find(consensus::setup_register);
       std::uint64_t const revision = setup == machine->confirm.values().end() ? 0 : setup->second.revision;
       ++report_.reads;
       history_.push_back(HistoryEntry{HistoryEntry::Kind::read, revision, began, kernel_.now(), std::nullopt});
@@ -856,9 +856,9 @@
   if (machine.disk && !machine.silent) {
     // What was on its way to the disk is torn anywhere.
     if (!machine.jobs.empty() && kernel_.chance(0.7)) {
-      rootstock::Device torn = machine.memory->device();
+      consensus::Device torn = machine.memory->device();
       torn.sync = [](std::size_t) { return absl::OkStatus(); };
-      rootstock::Ring ring(torn, ring_files, ring_bytes);
+      consensus::WriteAheadLog ring(torn, ring_files, ring_bytes);
       if (ring.recover().ok()) {
         (void)ring.append(machine.jobs.front().records, [&machine] { return machine.holder->image(); });
       }
@@ -882,13 +882,13 @@
 bool World::may_wipe() const {
   // One lost disk is to be borne, not two at once: all of the newest set must
   // be up and voting.
-  schema::HolderSet newest;
+  schema::VoterSet newest;
   for (std::unique_ptr<Machine> const& machine : machines_) {
     if (machine->alive && machine->holder.has_value() && machine->holder->set().epoch > newest.epoch) {
       newest = machine->holder->set();
     }
     for (std::pair<std::string const, schema::Value> const& value : machine->confirm.values()) {
-      if (value.first == rootstock::holders_register && value.second.revision + 1 > newest.epoch) {
+      if (value.first == consensus::holders_register && value.second.revision + 1 > newest.epoch) {
         newest.epoch = value.second.revision + 1;
         newest.holders.clear();
       }
@@ -897,7 +897,7 @@
   std::size_t voting = 0;
   for (std::unique_ptr<Machine> const& machine : machines_) {
     voting += machine->alive && !machine->silent && machine->holder.has_value() && machine->holder->voting() && machine->holder->set().epoch == newest.epoch &&
-                      rootstock::names(newest.holders, machine->holder->incarnation())
+                      consensus::names(newest.holders, machine->holder->incarnation())
                   ? 1
                   : 0;
   }
@@ -1081,7 +1081,7 @@
   kernel_.after(loam::milliseconds(50), [this, since, done] {
     bool all = true;
     for (std::unique_ptr<Furrow> const& furrow : furrows_) {
-      all = all && furrow->alive && furrow->vouch.vouched(local(*furrow)) && furrow->vouch.held().count(rootstock::setup_register) > 0;
+      all = all && furrow->alive && furrow->vouch.vouched(local(*furrow)) && furrow->vouch.held().count(consensus::setup_register) > 0;
     }
     if (all) {
       done(kernel_.now() - since);
--- a/source/almanac/control/control.hpp
+++ b/source/almanac/control/control.hpp
@@ -11,12 +11,12 @@
 
 #include "almanac/disk/memory_disk.hpp"
 #include "almanac/kernel/kernel.hpp"
-#include "hedge/desk/desk.hpp"
-#include "hedge/vouch/vouch.hpp"
-#include "rootstock/change/change.hpp"
-#include "rootstock/confirm/confirm.hpp"
-#include "rootstock/holder/holder.hpp"
-#include "stake/tenant.hpp"
+#include "membership/responder/news_responder.hpp"
+#include "membership/freshness/freshness_lease.hpp"
+#include "consensus/proposer/proposer.hpp"
+#include "consensus/majority_reader/majority_reader.hpp"
+#include "consensus/acceptor/acceptor.hpp"
+#include "lease/lease_holder.hpp"
 
 namespace finchlink::almanac {
 
@@ -65,9 +65,9 @@
   double operators_pause = 0.7;    ///< seconds between two asks of one operator
   std::size_t operators = 3;
   ControlFaults faults;
-  rootstock::Guards guards;
-  hedge::VouchGuards vouch_guards;
-  hedge::DeskGuards desk_guards;
+  consensus::Guards guards;
+  membership::FreshnessGuards vouch_guards;
+  membership::NewsGuards desk_guards;
   bool acknowledge_waits = true;
   bool repair_fenced = true;       ///< a new holder set expects the set that it replaces
   std::size_t wanted_holders = 3;  ///< how far the holder set grows (section 5.5)
--- a/source/almanac/disk/memory_disk.hpp
+++ b/source/almanac/disk/memory_disk.hpp
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-#include "rootstock/ring/ring.hpp"
+#include "consensus/write_ahead_log/write_ahead_log.hpp"
 
 namespace finchlink::almanac {
 
@@ -19,8 +19,8 @@
   bool full = false;
   bool sync_fails = false;  ///< and what was written counts as clean from then on
 
-  [[nodiscard]] rootstock::Device device() {
-    rootstock::Device device;
+  [[nodiscard]] consensus::Device device() {
+    consensus::Device device;
     device.read = [this](std::size_t file) -> absl::StatusOr<std::string> { return cache[file]; };
     device.write = [this](std::size_t file, std::size_t offset, std::string_view bytes) -> absl::Status {
       if (full) {
--- a/source/almanac/field/field.cpp
+++ b/source/almanac/field/field.cpp
@@ -11,8 +11,8 @@
 
 #include "almanac/kernel/kernel.hpp"
 #include "loam/json/tree.hpp"
-#include "orchard/label/selector.hpp"
-#include "orchard/setup/setup.hpp"
+#include "config/label/selector.hpp"
+#include "config/setup/setup.hpp"
 #include "schema/standin.hpp"
 #include "loam/constants.hpp"
 #include "tilth/budget/budget.hpp"
@@ -177,9 +177,9 @@
     return furrow.alive && furrow.revision > 0 && (!control_.vouched || control_.vouched(static_cast<std::size_t>(std::find(names_.begin(), names_.end(), furrow.name) - names_.begin())));
   }
   [[nodiscard]] bool lawful(Query const& query, Worker const& worker, bool hall_only) const;
-  [[nodiscard]] orchard::Course course(schema::Setup const& setup, std::string const& region, std::size_t mix, std::string const& home) const {
+  [[nodiscard]] config::Course course(schema::Setup const& setup, std::string const& region, std::size_t mix, std::string const& home) const {
     FieldMix const& service = options_.deployment.mixes[mix];
-    return orchard::decide(setup, region, service.method, service.path, [&home](std::string const& name) { return name == "Finchlink-Home" ? home : std::string(); }, 0);
+    return config::decide(setup, region, service.method, service.path, [&home](std::string const& name) { return name == "Finchlink-Home" ? home : std::string(); }, 0);
   }
   void ended(Query const& query, bool good);
   struct Second {
@@ -188,7 +188,7 @@
     double bad = 0;
   };
   Second& second(std::size_t mix, Moment at = -1) { return seconds_[{mix, (at < 0 ? kernel_.now() : at) / 1000000}]; }
-  QueryPointer make_query(std::size_t mix, std::size_t furrow, std::string const& home, orchard::Serve const& serve, bool passed);
+  QueryPointer make_query(std::size_t mix, std::size_t furrow, std::string const& home, config::Serve const& serve, bool passed);
   void feed(QueryPointer const& query, tilth::QueryMessage const& message);
   void perform(QueryPointer const& query, std::vector<tilth::QueryAction> const& actions);
   void place(QueryPointer const& query);
@@ -261,14 +261,14 @@
     return;
   }
   tilth::Plan const& plan = *furrows_[furrow]->plan;
-  orchard::Course const decided = course(plan.setup, plan.region, index, home);
-  if (orchard::GoHome const* const there = std::get_if<orchard::GoHome>(&decided)) {
+  config::Course const decided = course(plan.setup, plan.region, index, home);
+  if (config::GoHome const* const there = std::get_if<config::GoHome>(&decided)) {
     if (hops < 4) {
       kernel_.after(near(), [this, index, home, tries, hops, to = there->region] { arrive(index, home, tries, hops + 1, to); });
     }
     return;
   }
-  orchard::Serve const* const serve = std::get_if<orchard::Serve>(&decided);
+  config::Serve const* const serve = std::get_if<config::Serve>(&decided);
   if (serve == nullptr) {
     return;
   }
@@ -280,7 +280,7 @@
   perform(query, query->chart->begin());
 }
 
-World::QueryPointer World::make_query(std::size_t index, std::size_t furrow, std::string const& home, orchard::Serve const& serve, bool passed) {
+World::QueryPointer World::make_query(std::size_t index, std::size_t furrow, std::string const& home, config::Serve const& serve, bool passed) {
   FieldMix const mix = mix_of(index);
   QueryPointer const query = std::make_shared<Query>();
   query->id = next_query_++;
@@ -755,15 +755,15 @@
   bool const far = furrows_[target]->region != furrows_[query->furrow]->region;
   kernel_.after(far ? options_.deployment.hop : near(), [this, query, target] {
   tilth::Plan const& plan = *furrows_[target]->plan;
-  orchard::Course const decided = course(plan.setup, plan.region, query->mix, query->home);
+  config::Course const decided = course(plan.setup, plan.region, query->mix, query->home);
   if (query->chart->settled()) {
     return;
   }
-  if (!vouched(*furrows_[target]) || !std::holds_alternative<orchard::Serve>(decided)) {
+  if (!vouched(*furrows_[target]) || !std::holds_alternative<config::Serve>(decided)) {
     feed(query, tilth::NoRoom{});
     return;
   }
-  QueryPointer const child = make_query(query->mix, target, query->home, std::get<orchard::Serve>(decided), true);
+  QueryPointer const child = make_query(query->mix, target, query->home, std::get<config::Serve>(decided), true);
   child->parent = query;
   child->tokens = query->tokens;
   child->chain = query->chain;
@@ -857,7 +857,7 @@
     schema::Setup const& setup = entry->second;
     std::map<std::string, schema::Hall>::const_iterator const hall = setup.halls.find(worker.hall);
     bool const emptied = hall != setup.halls.end() && hall->second.evacuated;
-    if (!emptied && (hall_only || std::holds_alternative<orchard::Serve>(course(setup, options_.deployment.regions[worker.region], query.mix, query.home)))) {
+    if (!emptied && (hall_only || std::holds_alternative<config::Serve>(course(setup, options_.deployment.regions[worker.region], query.mix, query.home)))) {
       return true;
     }
   }
@@ -928,7 +928,7 @@
     return loam::print_tree(patch.get());
   };
   control.seen = [this](std::uint64_t revision, std::string const& content) {
-    setups_[revision] = orchard::read_setup(content).setup;
+    setups_[revision] = config::read_setup(content).setup;
     newest_ = std::max(newest_, revision);
   };
   control.adopted = [this](std::size_t furrow, std::uint64_t revision) {
@@ -1338,7 +1338,7 @@
   if (!tree.ok()) {
     return absl::InvalidArgumentError(folder + "/fleet.json: " + std::string(tree.status().message()));
   }
-  orchard::SetupReading const reading = orchard::read_setup(texts["setup.json"]);
+  config::SetupReading const reading = config::read_setup(texts["setup.json"]);
   if (!reading.good()) {
     return absl::InvalidArgumentError(folder + "/setup.json: " + (reading.json ? loam::describe(reading.faults) : reading.reason));
   }
@@ -1355,7 +1355,7 @@
       regions.push_back(hall.second.region);
     }
     deployment.halls.push_back(FieldHall{hall.first, region, hall.second.machines, hall.second.model_workers});
-    if (orchard::region_of(deployment.setup, hall.first) != hall.second.region) {
+    if (config::region_of(deployment.setup, hall.first) != hall.second.region) {
       faults.push_back(loam::Fault{"/halls/" + hall.first, "stands in another region of setup.json, or in none"});
     }
   }
--- a/source/orchard/change/wish.hpp
+++ b/source/config/change/proposal.hpp
@@ -7,9 +7,9 @@
 #include <vector>
 
 #include "loam/json/fault.hpp"
-#include "rootstock/change/change.hpp"
+#include "consensus/proposer/proposer.hpp"
 
-namespace finchlink::orchard {
+namespace finchlink::config {
 
 /// A change of the setup that an operator wants (section 5.7).
 struct WantedChange {
@@ -18,10 +18,10 @@
   std::string content;
   bool patch = false;
 };
-enum class WishEnd { none, done, given_up, forgotten, unborn, expectation, malformed, faults, size };
+enum class SetupProposalOutcome { none, done, given_up, forgotten, unborn, expectation, malformed, faults, size };
 /// Why a wish was rejected, for the answer to the operator.
-struct WishNote {
-  WishEnd end = WishEnd::none;
+struct SetupProposalReport {
+  SetupProposalOutcome end = SetupProposalOutcome::none;
   std::vector<loam::Fault> faults;
 };
 
@@ -41,8 +41,8 @@
 
 /// The wish behind a PUT or PATCH: the id's earlier outcome counts first, then
 /// the expectation, then the document.
-[[nodiscard]] rootstock::Wisher wish_for(WantedChange const& wanted, std::shared_ptr<WishNote> const& note);
+[[nodiscard]] consensus::ProposalFunction setup_proposal(WantedChange const& wanted, std::shared_ptr<SetupProposalReport> const& note);
 /// Gives an id up for good unless it was accepted: from then on "rejected" is final.
-[[nodiscard]] rootstock::Wisher veto_of(std::string const& id);
+[[nodiscard]] consensus::ProposalFunction veto_of(std::string const& id);
 
-}  // namespace finchlink::orchard
+}  // namespace finchlink::config
--- a/source/orchard/charter/charter.cpp
+++ b/source/config/charter/charter.cpp
@@ -1,4 +1,4 @@
-#include "orchard/charter/charter.hpp"
+#include "config/charter/charter.hpp"
 
 #include <map>
 #include <set>
@@ -6,9 +6,9 @@
 
 #include "loam/error/error.hpp"
 #include "loam/json/tree.hpp"
-#include "orchard/charter/tenancy.hpp"
+#include "config/charter/tenancy.hpp"
 
-namespace finchlink::orchard {
+namespace finchlink::config {
 
 namespace {
 std::string place(char const* list, std::size_t index, char const* field) { return std::string("/") + list + "/" + std::to_string(index) + field; }
@@ -145,4 +145,4 @@
   return faults;
 }
 
-}  // namespace finchlink::orchard
+}  // namespace finchlink::config
--- a/source/orchard/charter/charter.hpp
+++ b/source/config/charter/charter.hpp
@@ -9,7 +9,7 @@
 #include "loam/json/fault.hpp"
 #include "schema/setup.hpp"
 
-namespace finchlink::orchard {
+namespace finchlink::config {
 
 /// A charter as it was read (section 13.1), with every fault by its place.
 struct CharterReading {
@@ -41,4 +41,4 @@
 /// prefix, weights that add up to nothing, names that repeat, no deadline.
 [[nodiscard]] std::vector<loam::Fault> check(schema::Charter const& charter);
 
-}  // namespace finchlink::orchard
+}  // namespace finchlink::config
--- a/source/orchard/charter/wish.cpp
+++ b/source/config/charter/proposal.cpp
@@ -1,4 +1,4 @@
-#include "orchard/charter/wish.hpp"
+#include "config/charter/proposal.hpp"
 
 #include <algorithm>
 
@@ -6,7 +6,7 @@
 #include "loam/digest/digest.hpp"
 #include "loam/json/tree.hpp"
 
-namespace finchlink::orchard {
+namespace finchlink::config {
 
 std::string id_of(WantedCharter const& wanted) {
   loam::Digest digest;
@@ -39,36 +39,36 @@
 }
 }  // namespace
 
-rootstock::Wisher charter_wish(WantedCharter const& wanted, Notation const& notation, std::shared_ptr<CharterNote> const& note) {
+consensus::ProposalFunction charter_proposal(WantedCharter const& wanted, Notation const& notation, std::shared_ptr<CharterProposalReport> const& note) {
   // A whole charter says the same whatever is found: it is read once.
   std::shared_ptr<Made const> const whole = wanted.patch ? nullptr : std::make_shared<Made const>(make(wanted, notation, ""));
   std::string const id = id_of(wanted);
-  return [wanted, notation, note, whole, id](schema::Value const& current) -> rootstock::Wish {
-    *note = CharterNote{};
+  return [wanted, notation, note, whole, id](schema::Value const& current) -> consensus::Proposal {
+    *note = CharterProposalReport{};
     note->number = number_of(current);
-    std::optional<schema::ChangeMark> const mark = rootstock::find_mark(current, id);
+    std::optional<schema::ChangeMark> const mark = consensus::find_mark(current, id);
     if (mark.has_value()) {
-      note->end = CharterEnd::done;
+      note->end = CharterProposalOutcome::done;
       note->number = mark->revision;
-      return rootstock::Reject{"done"};
+      return consensus::Reject{"done"};
     }
     if (wanted.expected.has_value() && *wanted.expected != note->number) {
-      note->end = CharterEnd::expectation;
-      return rootstock::Reject{"another charter is in place"};
+      note->end = CharterProposalOutcome::expectation;
+      return consensus::Reject{"another charter is in place"};
     }
     Made const made = whole != nullptr ? *whole : make(wanted, notation, current.content);
     if (!made.reading.good()) {
-      note->end = CharterEnd::faults;
+      note->end = CharterProposalOutcome::faults;
       note->faults = made.reading.faults;
-      return rootstock::Reject{loam::describe(made.reading.faults)};
+      return consensus::Reject{loam::describe(made.reading.faults)};
     }
     if (made.reading.charter.number <= note->number) {
-      note->end = CharterEnd::number;
-      return rootstock::Reject{"the number does not rise"};
+      note->end = CharterProposalOutcome::number;
+      return consensus::Reject{"the number does not rise"};
     }
     if (made.content.size() > loam::constants::charter_limit) {
-      note->end = CharterEnd::size;
-      return rootstock::Reject{"the charter is larger than allowed"};
+      note->end = CharterProposalOutcome::size;
+      return consensus::Reject{"the charter is larger than allowed"};
     }
     schema::Value next{current.revision + 1, made.content, current.marks};
     next.marks.push_back(schema::ChangeMark{id, made.reading.charter.number});
@@ -92,12 +92,12 @@
   return halls;
 }
 
-rootstock::Wisher evacuation_wish(std::string const& hall, bool evacuated) {
-  return [hall, evacuated](schema::Value const& current) -> rootstock::Wish {
+consensus::ProposalFunction evacuation_proposal(std::string const& hall, bool evacuated) {
+  return [hall, evacuated](schema::Value const& current) -> consensus::Proposal {
     std::vector<std::string> halls = evacuated_halls(current.content);
     bool const there = std::find(halls.begin(), halls.end(), hall) != halls.end();
     if (there == evacuated) {
-      return rootstock::Keep{};
+      return consensus::Keep{};
     }
     if (evacuated) {
       halls.push_back(hall);
@@ -112,4 +112,4 @@
   };
 }
 
-}  // namespace finchlink::orchard
+}  // namespace finchlink::config
--- a/source/orchard/charter/wish.hpp
+++ b/source/config/charter/proposal.hpp
@@ -6,10 +6,10 @@
 #include <string>
 #include <vector>
 
-#include "orchard/charter/charter.hpp"
-#include "rootstock/change/change.hpp"
+#include "config/charter/charter.hpp"
+#include "consensus/proposer/proposer.hpp"
 
-namespace finchlink::orchard {
+namespace finchlink::config {
 
 /// Names of the registers of what operators of several services say (section 13.3).
 inline constexpr char const* charter_register = "charter";
@@ -21,10 +21,10 @@
   bool patch = false;
   std::optional<std::uint64_t> expected;  ///< number of the charter it builds on; nothing: any
 };
-enum class CharterEnd { none, done, expectation, number, faults, size };
+enum class CharterProposalOutcome { none, done, expectation, number, faults, size };
 /// Why a wish was rejected, for the answer to the operator.
-struct CharterNote {
-  CharterEnd end = CharterEnd::none;
+struct CharterProposalReport {
+  CharterProposalOutcome end = CharterProposalOutcome::none;
   std::uint64_t number = 0;  ///< of the charter that was found
   std::vector<loam::Fault> faults;
 };
@@ -38,12 +38,12 @@
 /// The wish behind a PUT or PATCH of the charter: a change that was taken
 /// before is done, also when newer ones came after it; then what it builds on
 /// must be the one in force, and its number must rise.
-[[nodiscard]] rootstock::Wisher charter_wish(WantedCharter const& wanted, Notation const& notation, std::shared_ptr<CharterNote> const& note);
+[[nodiscard]] consensus::ProposalFunction charter_proposal(WantedCharter const& wanted, Notation const& notation, std::shared_ptr<CharterProposalReport> const& note);
 
 /// Halls that are evacuated, from the register's content.
 [[nodiscard]] std::vector<std::string> evacuated_halls(std::string const& content);
 /// Adds a hall to the evacuated ones or takes it away; said twice, it has no
 /// further effect.
-[[nodiscard]] rootstock::Wisher evacuation_wish(std::string const& hall, bool evacuated);
+[[nodiscard]] consensus::ProposalFunction evacuation_proposal(std::string const& hall, bool evacuated);
 
-}  // namespace finchlink::orchard
+}  // namespace finchlink::config
--- a/source/orchard/charter/tenancy.cpp
+++ b/source/config/charter/tenancy.cpp
@@ -1,10 +1,10 @@
-#include "orchard/charter/tenancy.hpp"
+#include "config/charter/tenancy.hpp"
 
 #include <algorithm>
 #include <set>
 #include <string>
 
-namespace finchlink::orchard {
+namespace finchlink::config {
 
 namespace {
 /// A header's name by RFC 9110: letters, digits and some marks.
@@ -80,4 +80,4 @@
   }
 }
 
-}  // namespace finchlink::orchard
+}  // namespace finchlink::config
--- a/source/orchard/charter/tenancy.hpp
+++ b/source/config/charter/tenancy.hpp
@@ -5,7 +5,7 @@
 #include "loam/json/fault.hpp"
 #include "schema/setup.hpp"
 
-namespace finchlink::orchard {
+namespace finchlink::config {
 
 /// What a charter says of tenants (section 14.1): each lane with tenancy has
 /// exactly one place where the tenant is named, that place can name more than
@@ -13,4 +13,4 @@
 /// lane without any.
 void check_tenancies(schema::Charter const& charter, std::vector<loam::Fault>& faults);
 
-}  // namespace finchlink::orchard
+}  // namespace finchlink::config
--- a/source/orchard/course/course.cpp
+++ b/source/config/course/course.cpp
@@ -1,6 +1,6 @@
-#include "orchard/course/course.hpp"
+#include "config/course/course.hpp"
 
-namespace finchlink::orchard {
+namespace finchlink::config {
 
 Course decide(schema::Setup const& setup, std::string const& region, std::string_view method, std::string_view path,
               HeaderLookup const& header, std::size_t body_bytes) {
@@ -22,4 +22,4 @@
   return Serve{*name, home.bound};
 }
 
-}  // namespace finchlink::orchard
+}  // namespace finchlink::config
--- a/source/orchard/course/course.hpp
+++ b/source/config/course/course.hpp
@@ -5,10 +5,10 @@
 #include <string_view>
 #include <variant>
 
-#include "orchard/rule/rule.hpp"
+#include "config/rule/rule.hpp"
 #include "schema/setup.hpp"
 
-namespace finchlink::orchard {
+namespace finchlink::config {
 
 /// What is to become of a query in one region under one setup (section 9.2).
 /// It is decided by the header, and again whenever the setup changed since,
@@ -33,4 +33,4 @@
 [[nodiscard]] Course decide(schema::Setup const& setup, std::string const& region, std::string_view method, std::string_view path,
                             HeaderLookup const& header, std::size_t body_bytes);
 
-}  // namespace finchlink::orchard
+}  // namespace finchlink::config
--- a/source/orchard/label/selector.cpp
+++ b/source/config/label/selector.cpp
@@ -1,8 +1,8 @@
-#include "orchard/label/selector.hpp"
+#include "config/label/selector.hpp"
 
 #include <algorithm>
 
-namespace finchlink::orchard {
+namespace finchlink::config {
 
 namespace {
 bool term(schema::Selector const& selector, Labels const& labels) {
@@ -72,4 +72,4 @@
   return labels;
 }
 
-}  // namespace finchlink::orchard
+}  // namespace finchlink::config
--- a/source/orchard/label/selector.hpp
+++ b/source/config/label/selector.hpp
@@ -6,7 +6,7 @@
 #include "schema/setup.hpp"
 #include "schema/wire.hpp"
 
-namespace finchlink::orchard {
+namespace finchlink::config {
 
 using Labels = std::map<std::string, std::string>;
 
@@ -21,4 +21,4 @@
 /// the setup adds, in this order; later ones win.
 [[nodiscard]] Labels worker_labels(schema::Setup const& setup, schema::WorkerEntry const& worker);
 
-}  // namespace finchlink::orchard
+}  // namespace finchlink::config
--- a/source/orchard/rule/rule.cpp
+++ b/source/config/rule/rule.cpp
@@ -1,8 +1,8 @@
-#include "orchard/rule/rule.hpp"
+#include "config/rule/rule.hpp"
 
 #include <tuple>
 
-namespace finchlink::orchard {
+namespace finchlink::config {
 
 namespace {
 bool matches(schema::Match const& match, std::string_view method, std::string_view path, HeaderLookup const& header) {
@@ -75,4 +75,4 @@
   return verdict;
 }
 
-}  // namespace finchlink::orchard
+}  // namespace finchlink::config
--- a/source/orchard/rule/rule.hpp
+++ b/source/config/rule/rule.hpp
@@ -7,7 +7,7 @@
 
 #include "schema/setup.hpp"
 
-namespace finchlink::orchard {
+namespace finchlink::config {
 
 /// How a header of the query is looked up; empty when it is not there.
 using HeaderLookup = std::function<std::string(std::string const& name)>;
@@ -24,4 +24,4 @@
 };
 [[nodiscard]] HomeVerdict find_home(schema::Setup const& setup, schema::Rule const& rule, std::string_view path, HeaderLookup const& header);
 
-}  // namespace finchlink::orchard
+}  // namespace finchlink::config
--- a/source/orchard/setup/setup.cpp
+++ b/source/config/setup/setup.cpp
@@ -1,10 +1,10 @@
-#include "orchard/setup/setup.hpp"
+#include "config/setup/setup.hpp"
 
 #include <map>
 
 #include "loam/json/tree.hpp"
 
-namespace finchlink::orchard {
+namespace finchlink::config {
 
 using loam::Fault;
 
@@ -123,4 +123,4 @@
   return loam::print_sorted(loam::merge_patch(std::move(*target), change->get()).get());
 }
 
-}  // namespace finchlink::orchard
+}  // namespace finchlink::config
--- a/source/orchard/setup/setup.hpp
+++ b/source/config/setup/setup.hpp
@@ -9,7 +9,7 @@
 #include "loam/json/fault.hpp"
 #include "schema/setup.hpp"
 
-namespace finchlink::orchard {
+namespace finchlink::config {
 
 /// What reading a setup document gives: the setup, or all that is wrong.
 struct SetupReading {
@@ -28,4 +28,4 @@
 [[nodiscard]] absl::StatusOr<std::string> canonical(std::string_view text);
 [[nodiscard]] absl::StatusOr<std::string> patched(std::string_view text, std::string_view patch);
 
-}  // namespace finchlink::orchard
+}  // namespace finchlink::config
--- a/source/rootstock/holder/holder.cpp
+++ b/source/consensus/acceptor/acceptor.cpp
@@ -1,11 +1,11 @@
-#include "rootstock/holder/holder.hpp"
+#include "consensus/acceptor/acceptor.hpp"
 
 #include <algorithm>
 #include <type_traits>
 
-namespace finchlink::rootstock {
+namespace finchlink::consensus {
 
-Holder::Holder(std::uint64_t incarnation, std::string address, std::vector<std::string> founders, loam::Moment now,
+Acceptor::Acceptor(std::uint64_t incarnation, std::string address, std::vector<std::string> founders, loam::Moment now,
                Guards guards)
     : guards_(guards), address_(std::move(address)), founders_(std::move(founders)), granter_(now, guards.lease_silence) {
   founding_.incarnation = incarnation;
@@ -14,7 +14,7 @@
   }
 }
 
-Holder::Holder(std::vector<schema::Record> const& records, std::string address, std::vector<std::string> founders,
+Acceptor::Acceptor(std::vector<schema::Record> const& records, std::string address, std::vector<std::string> founders,
                loam::Moment now, Guards guards)
     : guards_(guards), address_(std::move(address)), founders_(std::move(founders)), granter_(now, guards.lease_silence) {
   for (schema::Record const& record : records) {
@@ -35,7 +35,7 @@
   }
 }
 
-std::vector<schema::Record> Holder::image() const {
+std::vector<schema::Record> Acceptor::image() const {
   std::vector<schema::Record> records;
   records.emplace_back(founding_);
   records.emplace_back(schema::SetRecord{set_, voting_, complete_});
@@ -45,18 +45,18 @@
   return records;
 }
 
-bool Holder::may_vote(std::uint64_t epoch) const {
+bool Acceptor::may_vote(std::uint64_t epoch) const {
   if (!guards_.epoch_checked) {
     return voting_;
   }
   return voting_ && epoch == set_.epoch && (names(set_.holders, founding_.incarnation) || !guards_.blank_has_no_vote);
 }
 
-schema::Refused Holder::refusal(Ballot const& ballot, Ballot const& promised) const {
+schema::Refused Acceptor::refusal(Ballot const& ballot, Ballot const& promised) const {
   return schema::Refused{ballot, promised, voting_, founding_.incarnation, set_};
 }
 
-Outcome Holder::receive(schema::Message const& message, loam::Moment now) {
+Outcome Acceptor::receive(schema::Message const& message, loam::Moment now) {
   return std::visit(
       [this, now](auto const& entry) -> Outcome {
         using Kind = std::decay_t<decltype(entry)>;
@@ -73,7 +73,7 @@
       message);
 }
 
-Outcome Holder::on(schema::Prepare const& message) {
+Outcome Acceptor::on(schema::Prepare const& message) {
   if (!may_vote(message.ballot.epoch)) {
     return Outcome{{}, schema::Message(refusal(message.ballot, Ballot{}))};
   }
@@ -92,7 +92,7 @@
   return outcome;
 }
 
-Outcome Holder::on(schema::Accept const& message) {
+Outcome Acceptor::on(schema::Accept const& message) {
   if (!may_vote(message.ballot.epoch)) {
     return Outcome{{}, schema::Message(refusal(message.ballot, Ballot{}))};
   }
@@ -109,7 +109,7 @@
   return outcome;
 }
 
-Outcome Holder::on(schema::Read const& message) const {
+Outcome Acceptor::on(schema::Read const& message) const {
   if (!may_vote(message.epoch)) {
     return Outcome{{}, schema::Message(refusal(Ballot{message.epoch, message.round, 0}, Ballot{}))};
   }
@@ -125,9 +125,9 @@
   return Outcome{{}, schema::Message(answer)};
 }
 
-void Holder::take_set(HolderSet const& set, bool voting, bool complete, loam::Moment now, Outcome& outcome) {
+void Acceptor::take_set(VoterSet const& set, bool voting, bool complete, loam::Moment now, Outcome& outcome) {
   if (voting && !voting_) {
-    granter_ = stake::Granter(now, guards_.lease_silence);
+    granter_ = lease::LeaseGranter(now, guards_.lease_silence);
   }
   set_ = set;
   voting_ = voting;
@@ -135,7 +135,7 @@
   outcome.records.emplace_back(schema::SetRecord{set_, voting_, complete_});
 }
 
-Outcome Holder::on(schema::Adopt const& message, loam::Moment now) {
+Outcome Acceptor::on(schema::Adopt const& message, loam::Moment now) {
   Outcome outcome;
   if (message.set.epoch > set_.epoch) {
     bool const named = names(message.set.holders, founding_.incarnation);
@@ -149,7 +149,7 @@
   return outcome;
 }
 
-Outcome Holder::on(schema::ImageAsk const& message) const {
+Outcome Acceptor::on(schema::ImageAsk const& message) const {
   // Only one that has the asked epoch in force may give an image: from then on
   // it takes part in no older ballot, so what it gives is final; and only one
   // that voted in the epoch before, since a newcomer may lack what that one
@@ -160,11 +160,11 @@
   return Outcome{{}, schema::Message(schema::Image{set_.epoch, founding_.incarnation, cells_})};
 }
 
-bool Holder::wants_image() const {
+bool Acceptor::wants_image() const {
   return !blank() && !voting_ && names(set_.holders, founding_.incarnation);
 }
 
-Outcome Holder::enrol(std::vector<schema::Image> const& images, loam::Moment now) {
+Outcome Acceptor::enrol(std::vector<schema::Image> const& images, loam::Moment now) {
   Outcome outcome;
   if (!wants_image()) {
     return outcome;
@@ -197,24 +197,24 @@
   return outcome;
 }
 
-bool Holder::wants_founding() const {
+bool Acceptor::wants_founding() const {
   return blank() && std::find(founders_.begin(), founders_.end(), address_) != founders_.end();
 }
 
-schema::FoundingAsk Holder::founding_ask() const { return schema::FoundingAsk{founding_.incarnation, address_}; }
+schema::FoundingAsk Acceptor::founding_ask() const { return schema::FoundingAsk{founding_.incarnation, address_}; }
 
-Outcome Holder::on(schema::FoundingAsk const& message) const {
+Outcome Acceptor::on(schema::FoundingAsk const& message) const {
   (void)message;
   return Outcome{{}, schema::Message(schema::FoundingAnswer{founding_.incarnation, address_, blank(), founding_.pledge, set_})};
 }
 
-std::vector<HolderEntry> Holder::full_pledge(std::vector<schema::FoundingAnswer> const& answers) const {
-  std::vector<HolderEntry> pledge{HolderEntry{founding_.incarnation, address_}};
+std::vector<Voter> Acceptor::full_pledge(std::vector<schema::FoundingAnswer> const& answers) const {
+  std::vector<Voter> pledge{Voter{founding_.incarnation, address_}};
   for (schema::FoundingAnswer const& answer : answers) {
     if (!answer.blank || std::find(founders_.begin(), founders_.end(), answer.address) == founders_.end()) {
       return {};
     }
-    for (HolderEntry const& other : pledge) {
+    for (Voter const& other : pledge) {
       if (other.address == answer.address || other.incarnation == answer.incarnation) {
         return {};
       }
@@ -222,16 +222,16 @@
     if (names(founding_.dropped, answer.incarnation)) {
       return {};
     }
-    pledge.push_back(HolderEntry{answer.incarnation, answer.address});
+    pledge.push_back(Voter{answer.incarnation, answer.address});
   }
   if (pledge.size() != founders_.size()) {
     return {};
   }
-  std::sort(pledge.begin(), pledge.end(), [](HolderEntry const& left, HolderEntry const& right) { return left.address < right.address; });
+  std::sort(pledge.begin(), pledge.end(), [](Voter const& left, Voter const& right) { return left.address < right.address; });
   return pledge;
 }
 
-Outcome Holder::founding(std::vector<schema::FoundingAnswer> const& answers, loam::Moment now) {
+Outcome Acceptor::founding(std::vector<schema::FoundingAnswer> const& answers, loam::Moment now) {
   Outcome outcome;
   if (!wants_founding()) {
     return outcome;
@@ -243,14 +243,14 @@
       return outcome;
     }
   }
-  std::vector<HolderEntry> const pledge = full_pledge(answers);
+  std::vector<Voter> const pledge = full_pledge(answers);
   if (pledge.empty()) {
     return outcome;
   }
   if (founding_.pledge != pledge) {
     // Incarnations that went are never pledged again: a late word of a lost
     // disk must not bring an old pledge back.
-    for (HolderEntry const& old : founding_.pledge) {
+    for (Voter const& old : founding_.pledge) {
       if (!names(pledge, old.incarnation)) {
         founding_.dropped.push_back(old);
       }
@@ -264,11 +264,11 @@
       return outcome;
     }
   }
-  take_set(HolderSet{1, pledge, pledge}, true, true, now, outcome);
+  take_set(VoterSet{1, pledge, pledge}, true, true, now, outcome);
   return outcome;
 }
 
-Outcome Holder::on(schema::LeaseAsk const& message, loam::Moment now) {
+Outcome Acceptor::on(schema::LeaseAsk const& message, loam::Moment now) {
   schema::LeaseAnswer answer{false, founding_.incarnation, message.round, set_};
   if (may_vote(message.epoch)) {
     answer.granted = granter_.ask(message, now);
@@ -276,4 +276,4 @@
   return Outcome{{}, schema::Message(answer)};
 }
 
-}  // namespace finchlink::rootstock
+}  // namespace finchlink::consensus
--- a/source/rootstock/holder/holder.hpp
+++ b/source/consensus/acceptor/acceptor.hpp
@@ -6,11 +6,11 @@
 #include <vector>
 
 #include "loam/time/moment.hpp"
-#include "rootstock/ballot/ballot.hpp"
+#include "consensus/ballot/ballot.hpp"
 #include "schema/wire.hpp"
-#include "stake/granter.hpp"
+#include "lease/lease_granter.hpp"
 
-namespace finchlink::rootstock {
+namespace finchlink::consensus {
 
 /// What a holder wants done: records to sync, then the reply to send. The
 /// shell must not send before the sync (section 5.3).
@@ -21,13 +21,13 @@
 
 /// One holder of the register: a plain state machine (section 5). It has a
 /// vote only once it was founded or enrolled with an image.
-class Holder {
+class Acceptor {
  public:
   /// A blank holder with a fresh incarnation.
-  Holder(std::uint64_t incarnation, std::string address, std::vector<std::string> founders, loam::Moment now,
+  Acceptor(std::uint64_t incarnation, std::string address, std::vector<std::string> founders, loam::Moment now,
          Guards guards = {});
   /// A holder read back from its disk.
-  Holder(std::vector<schema::Record> const& records, std::string address, std::vector<std::string> founders,
+  Acceptor(std::vector<schema::Record> const& records, std::string address, std::vector<std::string> founders,
          loam::Moment now, Guards guards = {});
 
   [[nodiscard]] Outcome receive(schema::Message const& message, loam::Moment now);
@@ -40,7 +40,7 @@
 
   /// Enrolment: which holders to ask for images, when one is wanted.
   [[nodiscard]] bool wants_image() const;
-  [[nodiscard]] std::vector<HolderEntry> image_sources() const { return set_.previous; }
+  [[nodiscard]] std::vector<Voter> image_sources() const { return set_.previous; }
   [[nodiscard]] schema::ImageAsk image_ask() const { return schema::ImageAsk{set_.epoch}; }
   [[nodiscard]] Outcome enrol(std::vector<schema::Image> const& images, loam::Moment now);
 
@@ -48,7 +48,7 @@
   [[nodiscard]] std::vector<schema::Record> image() const;
 
   [[nodiscard]] std::uint64_t incarnation() const { return founding_.incarnation; }
-  [[nodiscard]] HolderSet const& set() const { return set_; }
+  [[nodiscard]] VoterSet const& set() const { return set_; }
   [[nodiscard]] bool voting() const { return voting_; }
   [[nodiscard]] std::map<std::string, schema::Cell> const& cells() const { return cells_; }
 
@@ -63,18 +63,18 @@
   [[nodiscard]] schema::Refused refusal(Ballot const& ballot, Ballot const& promised) const;
   [[nodiscard]] bool blank() const { return set_.epoch == 0; }
   [[nodiscard]] bool may_vote(std::uint64_t epoch) const;
-  [[nodiscard]] std::vector<HolderEntry> full_pledge(std::vector<schema::FoundingAnswer> const& answers) const;
-  void take_set(HolderSet const& set, bool voting, bool complete, loam::Moment now, Outcome& outcome);
+  [[nodiscard]] std::vector<Voter> full_pledge(std::vector<schema::FoundingAnswer> const& answers) const;
+  void take_set(VoterSet const& set, bool voting, bool complete, loam::Moment now, Outcome& outcome);
 
   Guards guards_;
   std::string address_;
   std::vector<std::string> founders_;
   schema::FoundingRecord founding_;
-  HolderSet set_;
+  VoterSet set_;
   bool voting_ = false;
   bool complete_ = false;
   std::map<std::string, schema::Cell> cells_;
-  stake::Granter granter_;
+  lease::LeaseGranter granter_;
 };
 
-}  // namespace finchlink::rootstock
+}  // namespace finchlink::consensus
--- a/source/rootstock/ballot/ballot.hpp
+++ b/source/consensus/ballot/ballot.hpp
@@ -5,11 +5,11 @@
 
 #include "schema/wire.hpp"
 
-namespace finchlink::rootstock {
+namespace finchlink::consensus {
 
 using schema::Ballot;
-using schema::HolderEntry;
-using schema::HolderSet;
+using schema::Voter;
+using schema::VoterSet;
 
 /// Section 5.2: the epoch counts first, so that no ballot of an older holder
 /// set can win over one of a newer.
@@ -17,8 +17,8 @@
   return std::tie(left.epoch, left.round, left.proposer) < std::tie(right.epoch, right.round, right.proposer);
 }
 [[nodiscard]] inline std::size_t majority(std::size_t count) { return count / 2 + 1; }
-[[nodiscard]] inline bool names(std::vector<HolderEntry> const& holders, std::uint64_t incarnation) {
-  for (HolderEntry const& holder : holders) {
+[[nodiscard]] inline bool names(std::vector<Voter> const& holders, std::uint64_t incarnation) {
+  for (Voter const& holder : holders) {
     if (holder.incarnation == incarnation) {
       return true;
     }
@@ -47,4 +47,4 @@
   bool tenant_stops_early = true;
 };
 
-}  // namespace finchlink::rootstock
+}  // namespace finchlink::consensus
--- a/source/rootstock/confirm/confirm.cpp
+++ b/source/consensus/majority_reader/majority_reader.cpp
@@ -1,24 +1,24 @@
-#include "rootstock/confirm/confirm.hpp"
+#include "consensus/majority_reader/majority_reader.hpp"
 
 #include "loam/constants.hpp"
 
-namespace finchlink::rootstock {
+namespace finchlink::consensus {
 
-std::vector<ConfirmAction> Confirm::begin(HolderSet const& set, loam::Moment now) {
+std::vector<MajorityReaderAction> MajorityReader::begin(VoterSet const& set, loam::Moment now) {
   set_ = set;
   ++round_;
   started_ = now;
   open_ = true;
   answered_.clear();
   tallies_.clear();
-  std::vector<ConfirmAction> actions;
-  for (HolderEntry const& holder : set_.holders) {
+  std::vector<MajorityReaderAction> actions;
+  for (Voter const& holder : set_.holders) {
     actions.emplace_back(SendRead{holder, schema::Read{set_.epoch, known_, round_}});
   }
   return actions;
 }
 
-void Confirm::learn(std::string const& name, Ballot const& ballot, schema::Value const& value) {
+void MajorityReader::learn(std::string const& name, Ballot const& ballot, schema::Value const& value) {
   Ballot& known = known_[name];
   if (before(known, ballot)) {
     known = ballot;
@@ -26,17 +26,17 @@
   }
 }
 
-Ballot Confirm::known(std::string const& name) const {
+Ballot MajorityReader::known(std::string const& name) const {
   std::map<std::string, Ballot>::const_iterator const found = known_.find(name);
   return found == known_.end() ? Ballot{} : found->second;
 }
 
-std::vector<ConfirmAction> Confirm::receive(schema::Message const& message) {
-  std::vector<ConfirmAction> actions;
+std::vector<MajorityReaderAction> MajorityReader::receive(schema::Message const& message) {
+  std::vector<MajorityReaderAction> actions;
   if (schema::Refused const* const refused = std::get_if<schema::Refused>(&message)) {
     if (refused->set.epoch > set_.epoch) {
       open_ = false;
-      actions.emplace_back(NewerHolders{refused->set});
+      actions.emplace_back(NewerVoters{refused->set});
     }
     return actions;
   }
@@ -63,8 +63,8 @@
   return actions;
 }
 
-std::vector<ConfirmAction> Confirm::judge() {
-  std::vector<ConfirmAction> actions;
+std::vector<MajorityReaderAction> MajorityReader::judge() {
+  std::vector<MajorityReaderAction> actions;
   Unsettled unsettled;
   for (std::pair<std::string const, Tally> const& entry : tallies_) {
     if (entry.second.votes < majority(set_.holders.size())) {
@@ -103,4 +103,4 @@
   return actions;
 }
 
-}  // namespace finchlink::rootstock
+}  // namespace finchlink::consensus
--- a/source/rootstock/confirm/confirm.hpp
+++ b/source/consensus/majority_reader/majority_reader.hpp
@@ -7,13 +7,13 @@
 #include <vector>
 
 #include "loam/time/moment.hpp"
-#include "rootstock/ballot/ballot.hpp"
+#include "consensus/ballot/ballot.hpp"
 #include "schema/wire.hpp"
 
-namespace finchlink::rootstock {
+namespace finchlink::consensus {
 
 struct SendRead {
-  HolderEntry to;
+  Voter to;
   schema::Read read;
 };
 /// A majority confirmed all registers; as of a moment not before the start.
@@ -21,21 +21,21 @@
   loam::Moment started = 0;
 };
 /// A register's newest ballot is not known to be at a majority: a sure read
-/// (Change with Keep) settles it.
+/// (Proposer with Keep) settles it.
 struct Unsettled {
   std::vector<std::string> names;
 };
-struct NewerHolders {
-  HolderSet set;
+struct NewerVoters {
+  VoterSet set;
 };
-using ConfirmAction = std::variant<SendRead, Confirmed, Unsettled, NewerHolders>;
+using MajorityReaderAction = std::variant<SendRead, Confirmed, Unsettled, NewerVoters>;
 
 /// Majority reads in one round (section 5.6), over all registers at once.
-class Confirm {
+class MajorityReader {
  public:
-  [[nodiscard]] std::vector<ConfirmAction> begin(HolderSet const& set, loam::Moment now);
-  [[nodiscard]] std::vector<ConfirmAction> receive(schema::Message const& message);
-  /// What a Change chose counts as known as well.
+  [[nodiscard]] std::vector<MajorityReaderAction> begin(VoterSet const& set, loam::Moment now);
+  [[nodiscard]] std::vector<MajorityReaderAction> receive(schema::Message const& message);
+  /// What a Proposer chose counts as known as well.
   void learn(std::string const& name, Ballot const& ballot, schema::Value const& value);
   /// Newest confirmed values; they only ever get newer.
   [[nodiscard]] std::map<std::string, schema::Value> const& values() const { return values_; }
@@ -44,9 +44,9 @@
   [[nodiscard]] loam::Moment confirmed_from() const { return confirmed_from_; }
 
  private:
-  [[nodiscard]] std::vector<ConfirmAction> judge();
+  [[nodiscard]] std::vector<MajorityReaderAction> judge();
 
-  HolderSet set_;
+  VoterSet set_;
   std::uint64_t round_ = 0;
   loam::Moment started_ = 0;
   loam::Moment confirmed_from_ = 0;
@@ -68,4 +68,4 @@
   std::map<std::string, schema::Value> values_;
 };
 
-}  // namespace finchlink::rootstock
+}  // namespace finchlink::consensus
--- a/source/rootstock/change/change.cpp
+++ b/source/consensus/proposer/proposer.cpp
@@ -1,11 +1,11 @@
-#include "rootstock/change/change.hpp"
+#include "consensus/proposer/proposer.hpp"
 
 #include <algorithm>
 #include <type_traits>
 
 #include "loam/constants.hpp"
 
-namespace finchlink::rootstock {
+namespace finchlink::consensus {
 
 void add_mark(schema::Value& value, std::string const& id, std::uint64_t revision) {
   value.marks.push_back(schema::ChangeMark{id, revision});
@@ -23,8 +23,8 @@
   return std::nullopt;
 }
 
-Wisher replace_at(std::uint64_t expected, std::string const& content) {
-  return [expected, content](schema::Value const& found) -> Wish {
+ProposalFunction replace_at(std::uint64_t expected, std::string const& content) {
+  return [expected, content](schema::Value const& found) -> Proposal {
     if (found.revision != expected) {
       return Reject{"changed meanwhile"};
     }
@@ -32,22 +32,22 @@
   };
 }
 
-Change::Change(std::string name, std::uint64_t proposer, Wisher wisher, Guards guards)
-    : name_(std::move(name)), proposer_(proposer), wisher_(std::move(wisher)), guards_(guards) {}
+Proposer::Proposer(std::string name, std::uint64_t proposer, ProposalFunction propose, Guards guards)
+    : name_(std::move(name)), proposer_(proposer), propose_(std::move(propose)), guards_(guards) {}
 
-void Change::start_above(Ballot const& ballot) {
+void Proposer::start_above(Ballot const& ballot) {
   if (before(ballot_, ballot)) {
     ballot_.epoch = ballot.epoch;
     ballot_.round = ballot.round;
   }
 }
 
-void Change::know(Ballot const& ballot, schema::Value const& value) {
+void Proposer::know(Ballot const& ballot, schema::Value const& value) {
   known_ = ballot;
   known_value_ = value;
 }
 
-std::vector<ChangeAction> Change::begin(HolderSet const& set) {
+std::vector<ProposerAction> Proposer::begin(VoterSet const& set) {
   if (set.epoch > ballot_.epoch) {
     ballot_ = Ballot{set.epoch, 0, proposer_};
   }
@@ -56,16 +56,16 @@
   ballot_.proposer = proposer_;
   ++ballot_.round;
   state_ = Preparing{};
-  std::vector<ChangeAction> actions;
-  for (HolderEntry const& holder : set_.holders) {
+  std::vector<ProposerAction> actions;
+  for (Voter const& holder : set_.holders) {
     actions.emplace_back(Send{holder, schema::Prepare{name_, ballot_, known_}});
   }
   return actions;
 }
 
-std::vector<ChangeAction> Change::receive(std::uint64_t from, schema::Message const& message) {
+std::vector<ProposerAction> Proposer::receive(std::uint64_t from, schema::Message const& message) {
   return std::visit(
-      [this, from](auto const& entry) -> std::vector<ChangeAction> {
+      [this, from](auto const& entry) -> std::vector<ProposerAction> {
         using Kind = std::decay_t<decltype(entry)>;
         if constexpr (std::is_same_v<Kind, schema::Promise> || std::is_same_v<Kind, schema::Accepted> ||
                       std::is_same_v<Kind, schema::Refused>) {
@@ -80,8 +80,8 @@
       message);
 }
 
-std::vector<ChangeAction> Change::on(std::uint64_t from, schema::Promise const& message) {
-  std::vector<ChangeAction> actions;
+std::vector<ProposerAction> Proposer::on(std::uint64_t from, schema::Promise const& message) {
+  std::vector<ProposerAction> actions;
   Preparing* const preparing = std::get_if<Preparing>(&state_);
   if (preparing == nullptr) {
     return actions;
@@ -95,7 +95,7 @@
     return actions;
   }
   schema::Value const found = preparing->value;
-  Wish const wish = wisher_(found);
+  Proposal const wish = propose_(found);
   Reject const* const reject = std::get_if<Reject>(&wish);
   if (reject != nullptr && !guards_.settle_before_reject) {
     state_ = Resting{};
@@ -106,15 +106,15 @@
   // earlier try of ours may stand at a minority and would win later (5.2).
   schema::Value const value = std::holds_alternative<schema::Value>(wish) ? std::get<schema::Value>(wish) : found;
   state_ = Accepting{{}, value, reject == nullptr ? std::optional<std::string>() : std::optional<std::string>(reject->reason)};
-  for (HolderEntry const& holder : set_.holders) {
+  for (Voter const& holder : set_.holders) {
     actions.emplace_back(Send{holder, schema::Accept{name_, ballot_, value}});
   }
   return actions;
 }
 
-std::vector<ChangeAction> Change::on(std::uint64_t from, schema::Accepted const& message) {
+std::vector<ProposerAction> Proposer::on(std::uint64_t from, schema::Accepted const& message) {
   (void)message;
-  std::vector<ChangeAction> actions;
+  std::vector<ProposerAction> actions;
   Accepting* const accepting = std::get_if<Accepting>(&state_);
   if (accepting == nullptr) {
     return actions;
@@ -131,23 +131,23 @@
   return actions;
 }
 
-std::vector<ChangeAction> Change::on(std::uint64_t from, schema::Refused const& message) {
+std::vector<ProposerAction> Proposer::on(std::uint64_t from, schema::Refused const& message) {
   (void)from;
-  std::vector<ChangeAction> actions;
+  std::vector<ProposerAction> actions;
   if (std::holds_alternative<Resting>(state_)) {
     return actions;
   }
   if (message.set.epoch > set_.epoch) {
     state_ = Resting{};
-    actions.emplace_back(NewerSet{message.set});
+    actions.emplace_back(NewerVoterSet{message.set});
     return actions;
   }
   if (before(ballot_, message.promised)) {
     ballot_.round = std::max(ballot_.round, message.promised.round);
     state_ = Resting{};
-    actions.emplace_back(Again{});
+    actions.emplace_back(RetryBallot{});
   }
   return actions;
 }
 
-}  // namespace finchlink::rootstock
+}  // namespace finchlink::consensus
--- a/source/rootstock/change/change.hpp
+++ b/source/consensus/proposer/proposer.hpp
@@ -9,10 +9,10 @@
 #include <vector>
 
 #include "loam/time/moment.hpp"
-#include "rootstock/ballot/ballot.hpp"
+#include "consensus/ballot/ballot.hpp"
 #include "schema/wire.hpp"
 
-namespace finchlink::rootstock {
+namespace finchlink::consensus {
 
 /// Makes the next value from the one in the register, or says why not. It is
 /// called anew for each ballot, with what that ballot found.
@@ -20,11 +20,11 @@
 struct Reject {
   std::string reason;
 };
-using Wish = std::variant<schema::Value, Keep, Reject>;
-using Wisher = std::function<Wish(schema::Value const&)>;
+using Proposal = std::variant<schema::Value, Keep, Reject>;
+using ProposalFunction = std::function<Proposal(schema::Value const&)>;
 
 struct Send {
-  HolderEntry to;
+  Voter to;
   schema::Message message;
 };
 struct Chosen {
@@ -36,23 +36,23 @@
   schema::Value current;
 };
 /// Lost a ballot: the shell calls begin() again after a pause it draws.
-struct Again {};
+struct RetryBallot {};
 /// A holder named a newer holder set; the shell learns it and begins again.
-struct NewerSet {
-  HolderSet set;
+struct NewerVoterSet {
+  VoterSet set;
 };
-using ChangeAction = std::variant<Send, Chosen, Rejected, Again, NewerSet>;
+using ProposerAction = std::variant<Send, Chosen, Rejected, RetryBallot, NewerVoterSet>;
 
 /// One compare-and-set in two rounds at a majority (section 5.2).
-class Change {
+class Proposer {
  public:
-  Change(std::string name, std::uint64_t proposer, Wisher wisher, Guards guards = {});
+  Proposer(std::string name, std::uint64_t proposer, ProposalFunction propose, Guards guards = {});
   /// A ballot known to stand: starting above it saves a refusal.
   void start_above(Ballot const& ballot);
   /// A value known to stand under a ballot: holders need not send it again.
   void know(Ballot const& ballot, schema::Value const& value);
-  [[nodiscard]] std::vector<ChangeAction> begin(HolderSet const& set);
-  [[nodiscard]] std::vector<ChangeAction> receive(std::uint64_t from, schema::Message const& message);
+  [[nodiscard]] std::vector<ProposerAction> begin(VoterSet const& set);
+  [[nodiscard]] std::vector<ProposerAction> receive(std::uint64_t from, schema::Message const& message);
   [[nodiscard]] std::string const& name() const { return name_; }
 
  private:
@@ -69,15 +69,15 @@
   struct Resting {};
   using State = std::variant<Resting, Preparing, Accepting>;
 
-  [[nodiscard]] std::vector<ChangeAction> on(std::uint64_t from, schema::Promise const& message);
-  [[nodiscard]] std::vector<ChangeAction> on(std::uint64_t from, schema::Accepted const& message);
-  [[nodiscard]] std::vector<ChangeAction> on(std::uint64_t from, schema::Refused const& message);
+  [[nodiscard]] std::vector<ProposerAction> on(std::uint64_t from, schema::Promise const& message);
+  [[nodiscard]] std::vector<ProposerAction> on(std::uint64_t from, schema::Accepted const& message);
+  [[nodiscard]] std::vector<ProposerAction> on(std::uint64_t from, schema::Refused const& message);
 
   std::string name_;
   std::uint64_t proposer_;
-  Wisher wisher_;
+  ProposalFunction propose_;
   Guards guards_;
-  HolderSet set_;
+  VoterSet set_;
   Ballot ballot_;
   State state_ = Resting{};
   Ballot known_;
@@ -86,10 +86,10 @@
 
 /// Writes the content if the register stands at the expected revision, and
 /// says no otherwise: the fence of whatever a duty writes (section 7.2).
-[[nodiscard]] Wisher replace_at(std::uint64_t expected, std::string const& content);
+[[nodiscard]] ProposalFunction replace_at(std::uint64_t expected, std::string const& content);
 
 /// Adds a mark, keeping only the newest (constants::marks_kept).
 void add_mark(schema::Value& value, std::string const& id, std::uint64_t revision);
 [[nodiscard]] std::optional<schema::ChangeMark> find_mark(schema::Value const& value, std::string const& id);
 
-}  // namespace finchlink::rootstock
+}  // namespace finchlink::consensus
--- a/source/rootstock/ring/fault_device.cpp
+++ b/source/consensus/write_ahead_log/fault_device.cpp
@@ -1,10 +1,10 @@
-#include "rootstock/ring/fault_device.hpp"
+#include "consensus/write_ahead_log/fault_device.hpp"
 
 #include <chrono>
 #include <fstream>
 #include <thread>
 
-namespace finchlink::rootstock {
+namespace finchlink::consensus {
 
 namespace {
 /// "slow MILLISECONDS", "stall", "full" or "fail"; counts what it did.
@@ -47,4 +47,4 @@
   return faulty;
 }
 
-}  // namespace finchlink::rootstock
+}  // namespace finchlink::consensus
--- a/source/rootstock/ring/fault_device.hpp
+++ b/source/consensus/write_ahead_log/fault_device.hpp
@@ -2,12 +2,12 @@
 
 #include <string>
 
-#include "rootstock/ring/ring.hpp"
+#include "consensus/write_ahead_log/write_ahead_log.hpp"
 
-namespace finchlink::rootstock {
+namespace finchlink::consensus {
 
 /// A disk that fails by order, in builds with FINCHLINK_FAULTS only: before
 /// each write and sync it looks into `path` (docs/operating/standins.md).
 [[nodiscard]] Device with_faults(Device device, std::string const& path);
 
-}  // namespace finchlink::rootstock
+}  // namespace finchlink::consensus
--- a/source/rootstock/ring/file_device.cpp
+++ b/source/consensus/write_ahead_log/file_device.cpp
@@ -1,4 +1,4 @@
-#include "rootstock/ring/file_device.hpp"
+#include "consensus/write_ahead_log/file_device.hpp"
 
 #include <fcntl.h>
 #include <sys/file.h>
@@ -14,7 +14,7 @@
 #include "loam/constants.hpp"
 #include "loam/error/error.hpp"
 
-namespace finchlink::rootstock {
+namespace finchlink::consensus {
 
 namespace {
 struct Descriptors {
@@ -120,4 +120,4 @@
   return device;
 }
 
-}  // namespace finchlink::rootstock
+}  // namespace finchlink::consensus
--- a/source/rootstock/ring/file_device.hpp
+++ b/source/consensus/write_ahead_log/file_device.hpp
@@ -4,12 +4,12 @@
 
 #include <absl/status/statusor.h>
 
-#include "rootstock/ring/ring.hpp"
+#include "consensus/write_ahead_log/write_ahead_log.hpp"
 
-namespace finchlink::rootstock {
+namespace finchlink::consensus {
 
 /// The ring's files under the data folder, preallocated, with a lock so that
 /// no second process uses them (section 5.3).
 [[nodiscard]] absl::StatusOr<Device> open_files(std::string const& folder, std::size_t files, std::size_t file_bytes);
 
-}  // namespace finchlink::rootstock
+}  // namespace finchlink::consensus
--- a/source/rootstock/ring/ring.cpp
+++ b/source/consensus/write_ahead_log/write_ahead_log.cpp
@@ -1,4 +1,4 @@
-#include "rootstock/ring/ring.hpp"
+#include "consensus/write_ahead_log/write_ahead_log.hpp"
 
 #include <boost/crc.hpp>
 #include <algorithm>
@@ -7,7 +7,7 @@
 #include "loam/error/error.hpp"
 #include "loam/wire/pack.hpp"
 
-namespace finchlink::rootstock {
+namespace finchlink::consensus {
 
 namespace {
 constexpr std::uint32_t record_mark = 0x52534b31;  // "RSK1"
@@ -31,10 +31,10 @@
 }
 }  // namespace
 
-Ring::Ring(Device device, std::size_t files, std::size_t file_bytes)
+WriteAheadLog::WriteAheadLog(Device device, std::size_t files, std::size_t file_bytes)
     : device_(std::move(device)), files_(files), file_bytes_(file_bytes) {}
 
-std::string Ring::encode(std::vector<schema::Record> const& records, std::uint64_t generation, std::uint64_t sequence) const {
+std::string WriteAheadLog::encode(std::vector<schema::Record> const& records, std::uint64_t generation, std::uint64_t sequence) const {
   std::string const payload = loam::pack(records);
   std::string checked;
   put(checked, static_cast<std::uint32_t>(payload.size()));
@@ -47,7 +47,7 @@
   return bytes + checked;
 }
 
-bool Ring::parse(std::string_view file, std::size_t offset, Found& found) const {
+bool WriteAheadLog::parse(std::string_view file, std::size_t offset, Found& found) const {
   std::string_view record = file.substr(std::min(offset, file.size()));
   if (offset + header_bytes > file_bytes_ || record.size() < sizeof(record_mark) || take<std::uint32_t>(record, 0) != record_mark) {
     return false;
@@ -77,7 +77,7 @@
   return true;
 }
 
-bool Ring::later_record(std::string_view file, std::size_t offset, std::uint64_t generation, std::uint64_t sequence) const {
+bool WriteAheadLog::later_record(std::string_view file, std::size_t offset, std::uint64_t generation, std::uint64_t sequence) const {
   char mark[4];
   std::memcpy(mark, &record_mark, 4);
   std::string_view const needle(mark, 4);
@@ -90,7 +90,7 @@
   return false;
 }
 
-absl::StatusOr<std::vector<schema::Record>> Ring::recover() {
+absl::StatusOr<std::vector<schema::Record>> WriteAheadLog::recover() {
   std::string newest;
   std::uint64_t newest_generation = 0;
   std::uint64_t suspect = 0;
@@ -150,7 +150,7 @@
   return records;
 }
 
-absl::Status Ring::turn(std::vector<schema::Record> const& image) {
+absl::Status WriteAheadLog::turn(std::vector<schema::Record> const& image) {
   std::uint64_t const generation = generation_ + 1;
   std::size_t const file = generation % files_;
   std::string const first = encode(image, generation, 0);
@@ -177,7 +177,7 @@
   return absl::OkStatus();
 }
 
-absl::Status Ring::append(std::vector<schema::Record> const& records,
+absl::Status WriteAheadLog::append(std::vector<schema::Record> const& records,
                           std::function<std::vector<schema::Record>()> const& image) {
   if (broken_) {
     return loam::defect(absl::StatusCode::kUnavailable, "ring", "the disk failed before");
@@ -205,4 +205,4 @@
   return absl::OkStatus();
 }
 
-}  // namespace finchlink::rootstock
+}  // namespace finchlink::consensus
--- a/source/rootstock/ring/ring.hpp
+++ b/source/consensus/write_ahead_log/write_ahead_log.hpp
@@ -12,7 +12,7 @@
 
 #include "schema/wire.hpp"
 
-namespace finchlink::rootstock {
+namespace finchlink::consensus {
 
 /// What the ring needs of a disk; the daemon's is file_device.hpp, tests and
 /// almanac have one in memory. Plain functions, so that no one inherits.
@@ -26,9 +26,9 @@
 /// and a seal, then takes changes until it is full; the next file then begins
 /// with a newer image. Generation and sequence stand in every record, so that
 /// what an earlier lap left behind is never taken for new.
-class Ring {
+class WriteAheadLog {
  public:
-  Ring(Device device, std::size_t files, std::size_t file_bytes);
+  WriteAheadLog(Device device, std::size_t files, std::size_t file_bytes);
 
   /// The records on disk; none for a blank one. DataLoss: broken, not torn.
   [[nodiscard]] absl::StatusOr<std::vector<schema::Record>> recover();
@@ -62,4 +62,4 @@
   bool broken_ = false;
 };
 
-}  // namespace finchlink::rootstock
+}  // namespace finchlink::consensus
--- a/source/furrow/field/field.cpp
+++ b/source/furrow/field/field.cpp
@@ -5,8 +5,8 @@
 #include "loam/constants.hpp"
 #include "loam/json/tree.hpp"
 #include "loam/log/log.hpp"
-#include "orchard/setup/setup.hpp"
-#include "rootstock/ballot/ballot.hpp"
+#include "config/setup/setup.hpp"
+#include "consensus/ballot/ballot.hpp"
 
 namespace finchlink::furrow {
 
@@ -26,8 +26,8 @@
     std::lock_guard<std::mutex> const guard(plan_lock_);
     std::shared_ptr<Plan> const next = std::make_shared<Plan>(*plan_);
     for (schema::NamedValue const& news : vouch_.take(answer, asked, loam::boot_now())) {
-      if (news.name == rootstock::setup_register) {
-        next->setup = orchard::read_setup(news.content).setup;
+      if (news.name == consensus::setup_register) {
+        next->setup = config::read_setup(news.content).setup;
         next->has_setup = !news.content.empty();  // an id given up before the first setup leaves none
         next->decided = news.revision;
         loam::note(loam::Event::RevisionAdopted, "setup revision " + std::to_string(news.revision));
--- a/source/furrow/field/field.hpp
+++ b/source/furrow/field/field.hpp
@@ -8,7 +8,7 @@
 
 #include "tilth/plan/plan.hpp"
 #include "furrow/gauge/gauge.hpp"
-#include "hedge/vouch/vouch.hpp"
+#include "membership/freshness/freshness_lease.hpp"
 #include "loam/net/net.hpp"
 #include "loam/settings/settings.hpp"
 #include "tilth/budget/budget.hpp"
@@ -89,7 +89,7 @@
   std::uint64_t identity_;
   std::mutex plan_lock_;
   std::shared_ptr<Plan const> plan_;
-  hedge::Vouch vouch_;
+  membership::FreshnessLease vouch_;
   bool was_vouched_ = false;
   bool was_fresh_ = false;
   Shard model_;
--- a/source/furrow/main.cpp
+++ b/source/furrow/main.cpp
@@ -34,7 +34,7 @@
       if (settings.threads != 1) {
         return absl::InvalidArgumentError("/threads must be 1 for a relay");
       }
-      station = std::make_unique<furrow::Station>(context, settings, furrow::own_dialect(), orchard::own_notation(), furrow::ListReader(), loam::random_identity());
+      station = std::make_unique<furrow::Station>(context, settings, furrow::own_dialect(), config::own_notation(), furrow::ListReader(), loam::random_identity());
       return station->begin();
     }
     caller = std::make_unique<loam::Caller>(context);
--- a/source/furrow/query/query.cpp
+++ b/source/furrow/query/query.cpp
@@ -11,7 +11,7 @@
 #include "loam/json/tree.hpp"
 #include "loam/log/log.hpp"
 #include "loam/random/random.hpp"
-#include "orchard/label/selector.hpp"
+#include "config/label/selector.hpp"
 #include "tilth/chart/chart.hpp"
 #include "tilth/fit/fit.hpp"
 
@@ -704,7 +704,7 @@
   loam::Yield yield_;
   std::shared_ptr<Interrupt> interrupt_;
   loam::Moment began_;
-  orchard::Serve serve_;   ///< by the plan that it goes by now
+  config::Serve serve_;   ///< by the plan that it goes by now
   schema::Rule rule_;
   std::string home_;       ///< another region, once it is decided so
   loam::Moment deadline_;
--- a/source/furrow/query/query.hpp
+++ b/source/furrow/query/query.hpp
@@ -2,13 +2,13 @@
 
 #include "furrow/field/field.hpp"
 #include "loam/http/http.hpp"
-#include "orchard/course/course.hpp"
+#include "config/course/course.hpp"
 
 namespace finchlink::furrow {
 
 struct QueryFacts {
   std::string id;
-  orchard::Serve serve;          ///< as the header was decided
+  config::Serve serve;          ///< as the header was decided
   loam::http::request_header<> header;
   bool passed = false;  ///< another region's furrow passed it on
   bool keep = true;
--- a/source/furrow/query/reply.cpp
+++ b/source/furrow/query/reply.cpp
@@ -4,7 +4,7 @@
 #include "loam/constants.hpp"
 #include "loam/json/tree.hpp"
 #include "loam/random/random.hpp"
-#include "orchard/label/selector.hpp"
+#include "config/label/selector.hpp"
 
 namespace finchlink::furrow {
 
@@ -48,7 +48,7 @@
 loam::Answer send_home(tilth::Plan const& plan, std::string const& region, std::string const& query, std::string const& target) {
   std::vector<std::string> addresses;
   for (schema::Member const& member : plan.members) {
-    if (orchard::region_of(plan.setup, member.hall) == region) {
+    if (config::region_of(plan.setup, member.hall) == region) {
       addresses.push_back(member.address);
     }
   }
--- a/source/furrow/query/session.cpp
+++ b/source/furrow/query/session.cpp
@@ -11,7 +11,7 @@
 #include "loam/http/http.hpp"
 #include "loam/json/tree.hpp"
 #include "loam/random/random.hpp"
-#include "orchard/course/course.hpp"
+#include "config/course/course.hpp"
 
 namespace finchlink::furrow {
 
@@ -71,7 +71,7 @@
 /// be read (section 9.2).
 struct Verdict {
   std::optional<loam::Answer> answer;
-  orchard::Serve serve;
+  config::Serve serve;
 };
 
 Verdict judge_header(Field& field, Plan const& plan, http::request_header<> const& header, std::size_t body_bytes, std::string const& query) {
@@ -83,14 +83,14 @@
     verdict.answer = refusal(query, field.draining() ? "draining" : "not_vouched");
     return verdict;
   }
-  orchard::HeaderLookup const lookup = [&header](std::string const& name) { return std::string(header[name]); };
-  orchard::Course const course = orchard::decide(plan.setup, plan.region, std::string(header.method_string()), path, lookup, body_bytes);
-  if (orchard::Serve const* const serve = std::get_if<orchard::Serve>(&course)) {
+  config::HeaderLookup const lookup = [&header](std::string const& name) { return std::string(header[name]); };
+  config::Course const course = config::decide(plan.setup, plan.region, std::string(header.method_string()), path, lookup, body_bytes);
+  if (config::Serve const* const serve = std::get_if<config::Serve>(&course)) {
     verdict.serve = *serve;
-  } else if (orchard::GoHome const* const home = std::get_if<orchard::GoHome>(&course)) {
+  } else if (config::GoHome const* const home = std::get_if<config::GoHome>(&course)) {
     verdict.answer = send_home(plan, home->region, query, target);
   } else {
-    orchard::TurnAway const& away = std::get<orchard::TurnAway>(course);
+    config::TurnAway const& away = std::get<config::TurnAway>(course);
     verdict.answer = loam::answer_error(static_cast<http::status>(away.status), away.error, away.message);
   }
   return verdict;
--- a/source/furrow/relay/station.cpp
+++ b/source/furrow/relay/station.cpp
@@ -16,8 +16,8 @@
 #include "loam/json/tree.hpp"
 #include "loam/log/log.hpp"
 #include "loam/random/random.hpp"
-#include "orchard/charter/wish.hpp"
-#include "rootstock/ballot/ballot.hpp"
+#include "config/charter/proposal.hpp"
+#include "consensus/ballot/ballot.hpp"
 #include "tilth/scaler/pools.hpp"
 
 namespace finchlink::furrow {
@@ -75,7 +75,7 @@
   return text.str();
 }
 
-Station::Station(asio::io_context& context, schema::Settings const& settings, Dialect dialect, orchard::Notation notation, ListReader list_reader,
+Station::Station(asio::io_context& context, schema::Settings const& settings, Dialect dialect, config::Notation notation, ListReader list_reader,
                  std::uint64_t identity)
     : context_(context), settings_(settings), dialect_(std::move(dialect)), notation_(std::move(notation)), list_reader_(std::move(list_reader)),
       identity_(identity), caller_(context), trellises_(settings.seeds) {}
@@ -340,13 +340,13 @@
   bool changed = false;
   for (schema::NamedValue const& news : vouch_.take(answer, asked, loam::boot_now())) {
     changed = true;
-    if (news.name == orchard::charter_register) {
-      orchard::CharterReading reading = notation_.read(news.content);
+    if (news.name == config::charter_register) {
+      config::CharterReading reading = notation_.read(news.content);
       if (reading.good()) {
         book_ = std::make_shared<tilth::LaneBook const>(std::move(reading.charter));
       }
       loam::note(loam::Event::RevisionAdopted, "charter revision " + std::to_string(news.revision));
-    } else if (news.name == orchard::evacuated_register) {
+    } else if (news.name == config::evacuated_register) {
       evacuated_.clear();
       absl::StatusOr<loam::Tree> const tree = loam::read_tree(news.content);
       cJSON const* entry = nullptr;
@@ -358,7 +358,7 @@
         }
       }
       loam::note(loam::Event::RevisionAdopted, "evacuated " + news.content);
-    } else if (news.name.rfind(rootstock::split_prefix, 0) == 0) {
+    } else if (news.name.rfind(consensus::split_prefix, 0) == 0) {
       take_split(news);
     }
   }
@@ -370,7 +370,7 @@
     census_.told(names, loam::boot_now());
     changed = true;
   }
-  if (list_.take(hedge::list_news(answer), answer.list_age, asked)) {
+  if (list_.take(membership::list_news(answer), answer.list_age, asked)) {
     take_list();
     changed = true;
   }
@@ -384,7 +384,7 @@
   if (!split.ok()) {
     return;  // the one before stays: it is whole
   }
-  splits_[news.name.substr(std::strlen(rootstock::split_prefix))] = std::move(*split);
+  splits_[news.name.substr(std::strlen(consensus::split_prefix))] = std::move(*split);
   std::set<std::string> frozen;
   for (std::pair<std::string const, schema::Split> const& entry : splits_) {
     if (entry.second.frozen) {
--- a/source/furrow/relay/station.hpp
+++ b/source/furrow/relay/station.hpp
@@ -15,11 +15,11 @@
 #include <absl/status/statusor.h>
 
 #include "furrow/relay/dialect.hpp"
-#include "hedge/copy/copy.hpp"
-#include "hedge/vouch/vouch.hpp"
+#include "membership/copy/copy.hpp"
+#include "membership/freshness/freshness_lease.hpp"
 #include "loam/net/net.hpp"
 #include "loam/relay_constants.hpp"
-#include "orchard/charter/charter.hpp"
+#include "config/charter/charter.hpp"
 #include "schema/settings.hpp"
 #include "tilth/census/census.hpp"
 #include "tilth/grove/grove.hpp"
@@ -68,7 +68,7 @@
 /// knows, its workers, colleagues and kept connections.
 class Station {
  public:
-  Station(boost::asio::io_context& context, schema::Settings const& settings, Dialect dialect, orchard::Notation notation, ListReader list_reader,
+  Station(boost::asio::io_context& context, schema::Settings const& settings, Dialect dialect, config::Notation notation, ListReader list_reader,
           std::uint64_t identity);
 
   [[nodiscard]] absl::Status begin();
@@ -137,15 +137,15 @@
   boost::asio::io_context& context_;
   schema::Settings settings_;
   Dialect dialect_;
-  orchard::Notation notation_;
+  config::Notation notation_;
   ListReader list_reader_;
   std::uint64_t identity_;
   loam::Caller caller_;
-  hedge::Vouch vouch_;
+  membership::FreshnessLease vouch_;
   std::shared_ptr<tilth::LaneBook const> book_;
   std::set<std::string> evacuated_;
-  hedge::ListCopy list_;
-  hedge::MemberCopy members_;
+  membership::ListCopy list_;
+  membership::MemberCopy members_;
   loam::Moment begun_at_ = 0;
   tilth::Census census_;
   std::map<std::string, loam::Moment> cold_until_;
--- a/source/gourd/hollow.cpp
+++ b/source/gourd/hollow.cpp
@@ -6,7 +6,7 @@
 
 #include "loam/constants.hpp"
 #include "loam/random/random.hpp"
-#include "rootstock/ballot/ballot.hpp"
+#include "consensus/ballot/ballot.hpp"
 
 namespace finchlink::gourd {
 
@@ -65,7 +65,7 @@
   bool const lapsed = was_vouched_ && !vouch_.vouched(now);
   tally_.lapses += lapsed ? 1 : 0;
   for (schema::NamedValue const& news : vouch_.take(answer, asked, now)) {
-    if (news.name == rootstock::setup_register) {
+    if (news.name == consensus::setup_register) {
       setup_ = news.content;
       tally_.adopted[news.revision].push_back(now);
     }
@@ -73,7 +73,7 @@
   was_vouched_ = vouch_.vouched(now);
   member_.held = vouch_.held();
   (void)members_.take(answer);
-  if (list_.take(hedge::list_news(answer), answer.list_age, asked)) {
+  if (list_.take(membership::list_news(answer), answer.list_age, asked)) {
     member_.warm.clear();
     for (schema::WorkerEntry const& worker : list_.list().workers) {
       std::map<std::string, std::string>::const_iterator const hall = gourd_.halls.find(worker.zone);
--- a/source/gourd/hollow.hpp
+++ b/source/gourd/hollow.hpp
@@ -4,8 +4,8 @@
 #include <string>
 #include <vector>
 
-#include "hedge/copy/copy.hpp"
-#include "hedge/vouch/vouch.hpp"
+#include "membership/copy/copy.hpp"
+#include "membership/freshness/freshness_lease.hpp"
 #include "loam/net/net.hpp"
 #include "schema/standin.hpp"
 #include "schema/wire.hpp"
@@ -41,11 +41,11 @@
   std::uint64_t number_;
   std::string region_;
   schema::Member member_;
-  hedge::Vouch vouch_;
+  membership::FreshnessLease vouch_;
   bool was_vouched_ = false;
   std::string setup_;
-  hedge::MemberCopy members_;
-  hedge::ListCopy list_;
+  membership::MemberCopy members_;
+  membership::ListCopy list_;
   loam::Moment stirred_ = 0;
 };
 
--- a/source/stake/granter.cpp
+++ b/source/lease/lease_granter.cpp
@@ -1,15 +1,15 @@
-#include "stake/granter.hpp"
+#include "lease/lease_granter.hpp"
 
 #include <algorithm>
 
 #include "loam/constants.hpp"
 
-namespace finchlink::stake {
+namespace finchlink::lease {
 
-Granter::Granter(loam::Moment now, bool silence)
+LeaseGranter::LeaseGranter(loam::Moment now, bool silence)
     : silent_until_(silence ? now + loam::constants::lease_silence : now) {}
 
-bool Granter::ask(schema::LeaseAsk const& ask, loam::Moment now) {
+bool LeaseGranter::ask(schema::LeaseAsk const& ask, loam::Moment now) {
   Grant& grant = grants_[ask.name];
   if (ask.release) {
     if (grant.tenant == ask.tenant) {
@@ -25,4 +25,4 @@
   return true;
 }
 
-}  // namespace finchlink::stake
+}  // namespace finchlink::lease
--- a/source/stake/granter.hpp
+++ b/source/lease/lease_granter.hpp
@@ -6,13 +6,13 @@
 #include "loam/time/moment.hpp"
 #include "schema/wire.hpp"
 
-namespace finchlink::stake {
+namespace finchlink::lease {
 
 /// The holder's side of leases (section 7.2): grants kept in memory. One that
 /// may have forgotten grants is silent for longer than any of them lasts.
-class Granter {
+class LeaseGranter {
  public:
-  Granter(loam::Moment now, bool silence);
+  LeaseGranter(loam::Moment now, bool silence);
   [[nodiscard]] bool ask(schema::LeaseAsk const& ask, loam::Moment now);
 
  private:
@@ -24,4 +24,4 @@
   std::map<std::string, Grant> grants_;
 };
 
-}  // namespace finchlink::stake
+}  // namespace finchlink::lease
--- a/source/stake/tenant.cpp
+++ b/source/lease/lease_holder.cpp
@@ -1,16 +1,16 @@
-#include "stake/tenant.hpp"
+#include "lease/lease_holder.hpp"
 
 #include "loam/constants.hpp"
 
-namespace finchlink::stake {
+namespace finchlink::lease {
 
 namespace constants = loam::constants;
 
-Tenant::Tenant(std::string name, std::uint64_t identity, rootstock::Guards guards)
+LeaseHolder::LeaseHolder(std::string name, std::uint64_t identity, consensus::Guards guards)
     : name_(std::move(name)), identity_(identity), guards_(guards) {}
 
-std::vector<TenantAction> Tenant::tick(rootstock::HolderSet const& set, loam::Moment now) {
-  std::vector<TenantAction> actions;
+std::vector<LeaseHolderAction> LeaseHolder::tick(consensus::VoterSet const& set, loam::Moment now) {
+  std::vector<LeaseHolderAction> actions;
   if (held_ && !holds(now)) {
     held_ = false;
     actions.emplace_back(Lost{});
@@ -20,24 +20,24 @@
   }
   // An ask that got no majority is first given back, so that two tenants that
   // split the holders don't block each other for a whole span.
-  releasing_ = !releasing_ && !held_ && round_ > 0 && !granted_.empty() && granted_.size() < rootstock::majority(set_.holders.size());
+  releasing_ = !releasing_ && !held_ && round_ > 0 && !granted_.empty() && granted_.size() < consensus::majority(set_.holders.size());
   set_ = set;
   asked_ = now;
   ++round_;
   granted_.clear();
-  for (schema::HolderEntry const& holder : set_.holders) {
+  for (schema::Voter const& holder : set_.holders) {
     actions.emplace_back(SendAsk{holder, schema::LeaseAsk{set_.epoch, name_, identity_, constants::lease_span, releasing_, round_}});
   }
   return actions;
 }
 
-std::vector<TenantAction> Tenant::receive(schema::LeaseAnswer const& answer, loam::Moment now) {
-  std::vector<TenantAction> actions;
-  if (answer.round != round_ || !answer.granted || releasing_ || !rootstock::names(set_.holders, answer.incarnation)) {
+std::vector<LeaseHolderAction> LeaseHolder::receive(schema::LeaseAnswer const& answer, loam::Moment now) {
+  std::vector<LeaseHolderAction> actions;
+  if (answer.round != round_ || !answer.granted || releasing_ || !consensus::names(set_.holders, answer.incarnation)) {
     return actions;
   }
   granted_.insert(answer.incarnation);
-  if (granted_.size() < rootstock::majority(set_.holders.size())) {
+  if (granted_.size() < consensus::majority(set_.holders.size())) {
     return actions;
   }
   loam::Moment const until = guards_.tenant_stops_early ? asked_ + constants::lease_span - constants::lease_reserve
@@ -52,4 +52,4 @@
   return actions;
 }
 
-}  // namespace finchlink::stake
+}  // namespace finchlink::lease
--- a/source/hedge/copy/copy.cpp
+++ b/source/membership/copy/copy.cpp
@@ -1,8 +1,8 @@
-#include "hedge/copy/copy.hpp"
+#include "membership/copy/copy.hpp"
 
-#include "hedge/copy/lead_on.hpp"
+#include "membership/copy/lead_on.hpp"
 
-namespace finchlink::hedge {
+namespace finchlink::membership {
 
 ListNews list_news(schema::NewsAnswer const& answer) { return ListNews{answer.list_same, answer.list_from, answer.list, answer.list_gone, answer.list_digest}; }
 ListNews list_news(schema::Told const& told) { return ListNews{told.list_same, told.list_from, told.list, told.list_gone, told.list_digest}; }
@@ -59,4 +59,4 @@
   return true;
 }
 
-}  // namespace finchlink::hedge
+}  // namespace finchlink::membership
--- a/source/hedge/copy/copy.hpp
+++ b/source/membership/copy/copy.hpp
@@ -3,12 +3,12 @@
 #include <string>
 #include <vector>
 
-#include "hedge/listing/listing.hpp"
-#include "hedge/session/sessions.hpp"
+#include "membership/listing/listing.hpp"
+#include "membership/session/sessions.hpp"
 #include "loam/time/moment.hpp"
 #include "schema/wire.hpp"
 
-namespace finchlink::hedge {
+namespace finchlink::membership {
 
 /// The platform list as an asker holds it (section 6.4). What leads on from
 /// another list than the one held is left; what does not lead to the list it
@@ -45,4 +45,4 @@
   std::uint64_t digest_ = 0;
 };
 
-}  // namespace finchlink::hedge
+}  // namespace finchlink::membership
--- a/source/hedge/copy/lead_on.hpp
+++ b/source/membership/copy/lead_on.hpp
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-namespace finchlink::hedge {
+namespace finchlink::membership {
 
 /// Entries by their key, with those put in that changed and those taken out
 /// that are gone; in the order of their keys.
@@ -29,4 +29,4 @@
   return next;
 }
 
-}  // namespace finchlink::hedge
+}  // namespace finchlink::membership
--- a/source/hedge/vouch/vouch.hpp
+++ b/source/membership/freshness/freshness_lease.hpp
@@ -8,26 +8,26 @@
 #include "loam/time/moment.hpp"
 #include "schema/wire.hpp"
 
-namespace finchlink::hedge {
+namespace finchlink::membership {
 
 /// Rules that tests switch off to show that they are needed (docs/proofs.md).
-struct VouchGuards {
+struct FreshnessGuards {
   bool never_back = true;       ///< no older revision is adopted
   bool count_from_ask = true;   ///< the vouch counts from when the ask was sent
   bool stop_unvouched = true;   ///< without a vouch no new queries
 };
 
 /// How long a vouch lasts, and how old a platform list may be.
-struct VouchBounds {
+struct FreshnessBounds {
   loam::Span vouch = loam::constants::vouch_bound;
   loam::Span list = loam::constants::list_bound;
 };
 
 /// What a furrow knows for sure (section 6.2): revisions in force, how long it
 /// may take queries, how old its platform list is. Plain state.
-class Vouch {
+class FreshnessLease {
  public:
-  explicit Vouch(VouchGuards guards = {}, VouchBounds bounds = {}) : guards_(guards), bounds_(bounds) {}
+  explicit FreshnessLease(FreshnessGuards guards = {}, FreshnessBounds bounds = {}) : guards_(guards), bounds_(bounds) {}
   /// Takes an answer to an ask sent at `asked`; gives what is newly in force.
   [[nodiscard]] std::vector<schema::NamedValue> take(schema::NewsAnswer const& answer, loam::Moment asked, loam::Moment now);
   [[nodiscard]] bool vouched(loam::Moment now) const;
@@ -37,12 +37,12 @@
   [[nodiscard]] std::map<std::string, std::uint64_t> const& held() const { return held_; }
 
  private:
-  VouchGuards guards_;
-  VouchBounds bounds_;
+  FreshnessGuards guards_;
+  FreshnessBounds bounds_;
   std::map<std::string, std::uint64_t> held_;
   loam::Moment vouched_until_ = 0;
   loam::Moment list_as_of_ = 0;
   bool list_newer_ = false;
 };
 
-}  // namespace finchlink::hedge
+}  // namespace finchlink::membership
--- a/source/hedge/listing/listing.cpp
+++ b/source/membership/listing/listing.cpp
@@ -1,13 +1,13 @@
-#include "hedge/listing/listing.hpp"
+#include "membership/listing/listing.hpp"
 
 #include <algorithm>
 #include <set>
 
-#include "hedge/copy/lead_on.hpp"
+#include "membership/copy/lead_on.hpp"
 #include "loam/constants.hpp"
 #include "loam/digest/digest.hpp"
 
-namespace finchlink::hedge {
+namespace finchlink::membership {
 
 namespace {
 /// What is counted of each worker, by id; under no id the list's own revision.
@@ -125,4 +125,4 @@
   }
 }
 
-}  // namespace finchlink::hedge
+}  // namespace finchlink::membership
--- a/source/hedge/listing/listing.hpp
+++ b/source/membership/listing/listing.hpp
@@ -10,7 +10,7 @@
 #include "loam/time/moment.hpp"
 #include "schema/wire.hpp"
 
-namespace finchlink::hedge {
+namespace finchlink::membership {
 
 /// Digest of what a list says of its workers; never zero. How long a worker is
 /// still cold or has left counts down by itself and is left out, but whether is not.
@@ -63,4 +63,4 @@
   bool astray_ = false;  ///< news did not lead where they said
 };
 
-}  // namespace finchlink::hedge
+}  // namespace finchlink::membership
--- a/source/hedge/repair/repair.cpp
+++ b/source/membership/reconfiguration/reconfiguration.cpp
@@ -1,19 +1,19 @@
-#include "hedge/repair/repair.hpp"
+#include "membership/reconfiguration/reconfiguration.hpp"
 
 #include "loam/constants.hpp"
 #include "loam/json/tree.hpp"
-#include "rootstock/ballot/ballot.hpp"
+#include "consensus/ballot/ballot.hpp"
 
-namespace finchlink::hedge {
+namespace finchlink::membership {
 
-std::optional<schema::HolderSet> plan_joining(schema::HolderSet const& set, std::map<std::uint64_t, int> const& misses,
-                                              schema::HolderEntry const& self, std::size_t wanted) {
-  if (set.epoch == 0 || self.incarnation == 0 || rootstock::names(set.holders, self.incarnation)) {
+std::optional<schema::VoterSet> plan_joining(schema::VoterSet const& set, std::map<std::uint64_t, int> const& misses,
+                                              schema::Voter const& self, std::size_t wanted) {
+  if (set.epoch == 0 || self.incarnation == 0 || consensus::names(set.holders, self.incarnation)) {
     return std::nullopt;
   }
   std::size_t voting = 0;
-  schema::HolderEntry const* lost = nullptr;
-  for (schema::HolderEntry const& entry : set.holders) {
+  schema::Voter const* lost = nullptr;
+  for (schema::Voter const& entry : set.holders) {
     std::map<std::uint64_t, int>::const_iterator const found = misses.find(entry.incarnation);
     int const missed = found == misses.end() ? 0 : found->second;
     voting += missed == 0 ? 1 : 0;
@@ -22,11 +22,11 @@
       lost = &entry;
     }
   }
-  if (voting < rootstock::majority(set.holders.size()) ||
+  if (voting < consensus::majority(set.holders.size()) ||
       (lost == nullptr && (voting < set.holders.size() || set.holders.size() >= wanted))) {
     return std::nullopt;
   }
-  schema::HolderSet next{set.epoch + 1, set.holders, set.holders};
+  schema::VoterSet next{set.epoch + 1, set.holders, set.holders};
   if (lost == nullptr) {
     next.holders.push_back(self);
   } else {
@@ -37,8 +37,8 @@
 
 std::size_t wanted_holders(std::size_t tolerated) { return 2 * tolerated + 1; }
 
-rootstock::Wisher repair_wish(schema::HolderSet const& set, schema::HolderSet const& next) {
-  return rootstock::replace_at(set.epoch - 1, loam::print_tree(loam::Tree(schema::write(next)).get()));
+consensus::ProposalFunction reconfiguration_proposal(schema::VoterSet const& set, schema::VoterSet const& next) {
+  return consensus::replace_at(set.epoch - 1, loam::print_tree(loam::Tree(schema::write(next)).get()));
 }
 
-}  // namespace finchlink::hedge
+}  // namespace finchlink::membership
--- a/source/hedge/desk/desk.cpp
+++ b/source/membership/responder/news_responder.cpp
@@ -1,10 +1,10 @@
-#include "hedge/desk/desk.hpp"
+#include "membership/responder/news_responder.hpp"
 
-namespace finchlink::hedge {
+namespace finchlink::membership {
 
-DeskVerdict judge_ask(schema::NewsAsk const& ask, loam::Moment arrival, loam::Moment confirmed_from,
-                      std::map<std::string, schema::Value> const& values, bool other_news, loam::Moment now, DeskGuards guards, DeskBounds bounds) {
-  DeskVerdict verdict;
+NewsDecision decide_answer(schema::NewsAsk const& ask, loam::Moment arrival, loam::Moment confirmed_from,
+                      std::map<std::string, schema::Value> const& values, bool other_news, loam::Moment now, NewsGuards guards, NewsBounds bounds) {
+  NewsDecision verdict;
   bool const vouched = confirmed_from >= arrival || (!guards.confirm_after_arrival && confirmed_from > 0);
   schema::NewsAnswer answer;
   answer.vouched = vouched;
@@ -25,4 +25,4 @@
   return verdict;
 }
 
-}  // namespace finchlink::hedge
+}  // namespace finchlink::membership
--- a/source/hedge/desk/desk.hpp
+++ b/source/membership/responder/news_responder.hpp
@@ -8,29 +8,29 @@
 #include "loam/time/moment.hpp"
 #include "schema/wire.hpp"
 
-namespace finchlink::hedge {
+namespace finchlink::membership {
 
-struct DeskGuards {
+struct NewsGuards {
   bool confirm_after_arrival = true;  ///< vouched only by a read begun after the ask came
 };
 
 /// How long an ask is held, and how long an unconfirmed one.
-struct DeskBounds {
+struct NewsBounds {
   loam::Span hold = loam::constants::ask_hold;
   loam::Span patience = loam::constants::ask_patience;
 };
 
 /// A trellis's answer to a furrow's ask (section 6.2): the news and the vouch,
 /// or nothing yet, and until when to wait for something to change.
-struct DeskVerdict {
+struct NewsDecision {
   std::optional<schema::NewsAnswer> answer;
   loam::Span wait = 0;
   /// The asker holds nothing, so it can serve nobody, and there is news for it:
   /// only a read begun now is missing, and it isn't left for the next turn.
   bool hurry = false;
 };
-[[nodiscard]] DeskVerdict judge_ask(schema::NewsAsk const& ask, loam::Moment arrival, loam::Moment confirmed_from,
+[[nodiscard]] NewsDecision decide_answer(schema::NewsAsk const& ask, loam::Moment arrival, loam::Moment confirmed_from,
                                     std::map<std::string, schema::Value> const& values, bool other_news, loam::Moment now,
-                                    DeskGuards guards = {}, DeskBounds bounds = {});
+                                    NewsGuards guards = {}, NewsBounds bounds = {});
 
-}  // namespace finchlink::hedge
+}  // namespace finchlink::membership
--- a/source/hedge/session/sessions.cpp
+++ b/source/membership/session/sessions.cpp
@@ -1,4 +1,4 @@
-#include "hedge/session/sessions.hpp"
+#include "membership/session/sessions.hpp"
 
 #include <algorithm>
 
@@ -6,7 +6,7 @@
 #include "loam/digest/digest.hpp"
 #include "loam/wire/pack.hpp"
 
-namespace finchlink::hedge {
+namespace finchlink::membership {
 
 namespace constants = loam::constants;
 
@@ -201,4 +201,4 @@
   return entries;
 }
 
-}  // namespace finchlink::hedge
+}  // namespace finchlink::membership
--- a/source/hedge/session/sessions.hpp
+++ b/source/membership/session/sessions.hpp
@@ -10,7 +10,7 @@
 #include "loam/time/moment.hpp"
 #include "schema/wire.hpp"
 
-namespace finchlink::hedge {
+namespace finchlink::membership {
 
 /// Digest of what readiness and addresses need of members; never zero. What
 /// changes all the time (load, revisions held) is left out.
@@ -85,4 +85,4 @@
   loam::DeltaSource own_{loam::constants::delta_states};  ///< sessions held here, as they are told
 };
 
-}  // namespace finchlink::hedge
+}  // namespace finchlink::membership
--- a/source/platform/notation.cpp
+++ b/source/platform/notation.cpp
@@ -124,8 +124,8 @@
   return service;
 }
 
-orchard::CharterReading read_charter(std::string const& text) {
-  orchard::CharterReading reading;
+config::CharterReading read_charter(std::string const& text) {
+  config::CharterReading reading;
   absl::StatusOr<loam::Tree> const tree = loam::read_tree(text);
   if (!tree.ok()) {
     reading.faults.push_back(loam::Fault{"", std::string(tree.status().message())});
@@ -150,15 +150,15 @@
     target.header_wait_ms = limits.natural("header_wait_ms", target.header_wait_ms);
     target.idle_ms = limits.natural("idle_ms", target.idle_ms);
   }
-  std::vector<loam::Fault> const more = orchard::check(reading.charter);
+  std::vector<loam::Fault> const more = config::check(reading.charter);
   reading.faults.insert(reading.faults.end(), more.begin(), more.end());
   return reading;
 }
 }  // namespace
 
-orchard::Notation notation() {
-  return orchard::Notation{read_charter, [](std::string const& current, std::string const& change) {
-                             return orchard::merge_named(current, change, "revision", {"channels", "plants"});
+config::Notation notation() {
+  return config::Notation{read_charter, [](std::string const& current, std::string const& change) {
+                             return config::merge_named(current, change, "revision", {"channels", "plants"});
                            }};
 }
 
--- a/source/platform/notation.hpp
+++ b/source/platform/notation.hpp
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "orchard/charter/charter.hpp"
+#include "config/charter/charter.hpp"
 
 namespace finchlink::platform {
 
 /// The platform's configuration in terms of a charter (section 13.2). Its text
 /// is kept as it came; fields that we don't know are skipped in reading.
-[[nodiscard]] orchard::Notation notation();
+[[nodiscard]] config::Notation notation();
 
 }  // namespace finchlink::platform
--- a/source/seedbed/ledger/ledger.cpp
+++ b/source/seedbed/ledger/ledger.cpp
@@ -12,7 +12,7 @@
 constexpr loam::Span allowed_evacuation = loam::seconds(5);  // after the operator was told yes
 }  // namespace
 
-void Ledger::arrived(Arrival const& arrival, bool ran, bool flooded) {
+void RegisterClient::arrived(Arrival const& arrival, bool ran, bool flooded) {
   std::lock_guard<std::mutex> const guard(lock_);
   std::map<std::string, loam::Moment>::const_iterator const drain = draining_.find(arrival.worker);
   if (drain != draining_.end()) {
@@ -45,7 +45,7 @@
   run.prefill += arrival.leg == "prefill" ? 1 : 0;
 }
 
-void Ledger::only(std::string const& rule, std::string const& region) {
+void RegisterClient::only(std::string const& rule, std::string const& region) {
   std::lock_guard<std::mutex> const guard(lock_);
   if (region.empty()) {
     only_.erase(rule);
@@ -54,7 +54,7 @@
   }
 }
 
-void Ledger::draining(std::string const& worker, bool on, loam::Moment now) {
+void RegisterClient::draining(std::string const& worker, bool on, loam::Moment now) {
   std::lock_guard<std::mutex> const guard(lock_);
   if (on) {
     draining_[worker] = now;
@@ -63,7 +63,7 @@
   }
 }
 
-void Ledger::evacuated(std::string const& zone, bool on, loam::Moment now) {
+void RegisterClient::evacuated(std::string const& zone, bool on, loam::Moment now) {
   std::lock_guard<std::mutex> const guard(lock_);
   if (on) {
     evacuated_[zone] = now;
@@ -72,7 +72,7 @@
   }
 }
 
-std::string Ledger::print() {
+std::string RegisterClient::print() {
   std::lock_guard<std::mutex> const guard(lock_);
   std::uint64_t twice = 0;
   std::uint64_t repeated = 0;
@@ -110,7 +110,7 @@
   return loam::print_tree(object.get(), true);
 }
 
-void Ledger::walls(std::string const& tenant, CacheReading const& reading) {
+void RegisterClient::walls(std::string const& tenant, CacheReading const& reading) {
   std::lock_guard<std::mutex> const guard(lock_);
   TenantReuse& entry = by_tenant_[tenant];
   ++entry.prompts;
@@ -127,7 +127,7 @@
   }
 }
 
-std::string Ledger::print_walls() {
+std::string RegisterClient::print_walls() {
   std::lock_guard<std::mutex> const guard(lock_);
   loam::Tree object(cJSON_CreateObject());
   cJSON* const tenants = cJSON_AddObjectToObject(object.get(), "tenants");
@@ -149,7 +149,7 @@
   return loam::print_tree(object.get());
 }
 
-std::string Ledger::ran_nonces() {
+std::string RegisterClient::ran_nonces() {
   std::lock_guard<std::mutex> const guard(lock_);
   std::string text;
   for (std::pair<std::string const, Run> const& run : runs_) {
--- a/source/seedbed/ledger/ledger.hpp
+++ b/source/seedbed/ledger/ledger.hpp
@@ -13,7 +13,7 @@
 namespace finchlink::seedbed {
 
 /// What really ran, and what should not have: the judge of a fleet run.
-class Ledger {
+class RegisterClient {
  public:
   struct Arrival {
     std::string nonce;
--- a/source/seedbed/main.cpp
+++ b/source/seedbed/main.cpp
@@ -34,7 +34,7 @@
 /// POST /control/DEED/NAME: drain, restore, crash, revive, dark, light, unlist,
 /// list, weights (of another version) for a worker or a whole zone; evacuated, retaken and only/RULE@REGION
 /// for the ledger.
-bool control(std::vector<std::unique_ptr<seedbed::Worker>> const& workers, seedbed::Ledger& ledger, std::string const& deed, std::string const& name) {
+bool control(std::vector<std::unique_ptr<seedbed::Worker>> const& workers, seedbed::RegisterClient& ledger, std::string const& deed, std::string const& name) {
   if (deed == "evacuated" || deed == "retaken") {
     ledger.evacuated(name, deed == "evacuated", loam::boot_now());
     return true;
@@ -102,7 +102,7 @@
   }
   std::signal(SIGPIPE, SIG_IGN);
   boost::asio::io_context context(static_cast<int>(bed.threads));
-  seedbed::Ledger ledger;
+  seedbed::RegisterClient ledger;
   std::vector<std::unique_ptr<seedbed::Worker>> workers;
   std::uint64_t seed = bed.seed;
   for (schema::BedWorker const& entry : bed.workers) {
--- a/source/seedbed/worker/worker.cpp
+++ b/source/seedbed/worker/worker.cpp
@@ -14,8 +14,8 @@
 namespace http = loam::http;
 using boost::system::error_code;
 
-Worker::Worker(boost::asio::io_context& context, schema::Bed const& bed, schema::BedWorker const& self, Ledger& ledger, bool warm, std::uint64_t seed)
-    : context_(context), bed_(bed), self_(self), ledger_(ledger), random_(seed), cache_(bed.cache_blocks), part_cache_(static_cast<double>(bed.kept_tokens)), boot_("boot-" + std::to_string(seed) + "-0"),
+Worker::Worker(boost::asio::io_context& context, schema::Bed const& bed, schema::BedWorker const& self, RegisterClient& ledger, bool warm, std::uint64_t seed)
+    : context_(context), bed_(bed), self_(self), register_(ledger), random_(seed), cache_(bed.cache_blocks), part_cache_(static_cast<double>(bed.kept_tokens)), boot_("boot-" + std::to_string(seed) + "-0"),
       up_since_(loam::boot_now()), warm_(warm) {}
 
 void Worker::begin() {
@@ -29,7 +29,7 @@
 
 void Worker::set_draining(bool on) {
   draining_ = on;
-  ledger_.draining(self_.id, on, loam::boot_now());
+  register_.draining(self_.id, on, loam::boot_now());
 }
 bool Worker::draining() { return draining_; }
 
@@ -154,7 +154,7 @@
         CacheReading reading;
         if (prefill->relayed) {
           reading = part_cache_.read(prefill->tenant, prefill->weights, prefill->parts);
-          ledger_.walls(prefill->tenant, reading);
+          register_.walls(prefill->tenant, reading);
           prefill->reused = reading.reused;
           prefill->read = true;
         }
@@ -326,7 +326,7 @@
       return;
     }
     std::string const query(ask["Finchlink-Query"]);
-    Ledger::Arrival arrival;
+    RegisterClient::Arrival arrival;
     arrival.rule = std::string(ask["Finchlink-Rule"]);
     arrival.worker = self_.id;
     arrival.region = self_.region;
@@ -372,7 +372,7 @@
         waiting_.push_back(job);
       }
     }
-    ledger_.arrived(arrival, !refused, flooded);
+    register_.arrived(arrival, !refused, flooded);
     if (refused) {
       loam::Answer answer = loam::answer_error(http::status::too_many_requests, "full", "nothing ran");
       if (relayed) {
--- a/source/seedbed/worker/worker.hpp
+++ b/source/seedbed/worker/worker.hpp
@@ -21,7 +21,7 @@
 /// together, by the design's equations with noise; or a plain service.
 class Worker {
  public:
-  Worker(boost::asio::io_context& context, schema::Bed const& bed, schema::BedWorker const& self, Ledger& ledger, bool warm, std::uint64_t seed);
+  Worker(boost::asio::io_context& context, schema::Bed const& bed, schema::BedWorker const& self, RegisterClient& ledger, bool warm, std::uint64_t seed);
   void begin();
   void serve(loam::Stream& stream, loam::Yield yield);
 
@@ -77,7 +77,7 @@
   boost::asio::io_context& context_;
   schema::Bed bed_;
   schema::BedWorker self_;
-  Ledger& ledger_;
+  RegisterClient& register_;
   std::mutex lock_;
   std::mt19937_64 random_;
   std::deque<JobPointer> waiting_;
--- a/source/tests/orchard/setup_test.cpp
+++ b/source/tests/config/setup_test.cpp
@@ -5,10 +5,10 @@
 
 #include "loam/json/tree.hpp"
 #include "loam/constants.hpp"
-#include "orchard/change/wish.hpp"
-#include "orchard/label/selector.hpp"
-#include "orchard/rule/rule.hpp"
-#include "orchard/setup/setup.hpp"
+#include "config/change/proposal.hpp"
+#include "config/label/selector.hpp"
+#include "config/rule/rule.hpp"
+#include "config/setup/setup.hpp"
 
 namespace finchlink {
 namespace {
@@ -20,7 +20,7 @@
   return text.str();
 }
 
-bool has_fault(orchard::SetupReading const& reading, std::string const& path) {
+bool has_fault(config::SetupReading const& reading, std::string const& path) {
   for (loam::Fault const& fault : reading.faults) {
     if (fault.path == path) {
       return true;
@@ -31,41 +31,41 @@
 
 TEST(Setup, BothDeploymentsAreGoodAndReadBackTheSame) {
   for (std::string const name : {"pruebaviva", "corrib"}) {
-    orchard::SetupReading const reading = orchard::read_setup(file("deployments/" + name + "/setup.json"));
+    config::SetupReading const reading = config::read_setup(file("deployments/" + name + "/setup.json"));
     ASSERT_TRUE(reading.good()) << name << loam::describe(reading.faults);
     loam::Tree const written(schema::write(reading.setup));
-    orchard::SetupReading const again = orchard::read_setup(loam::print_tree(written.get()));
+    config::SetupReading const again = config::read_setup(loam::print_tree(written.get()));
     ASSERT_TRUE(again.good()) << loam::describe(again.faults);
     EXPECT_EQ(again.setup, reading.setup);
   }
 }
 
 TEST(Setup, NamesEveryFaultWithItsPath) {
-  orchard::SetupReading const reading = orchard::read_setup(R"({"regions":{"a":{"halls":["x","y"]},"b":{"halls":["x"]}},"halls":{"z":{}},
+  config::SetupReading const reading = config::read_setup(R"({"regions":{"a":{"halls":["x","y"]},"b":{"halls":["x"]}},"halls":{"z":{}},
     "rules":{"r/1":{"match":{"path":"/p","path_prefix":"/q"},"kind":"odd","deadline_ms":3,"colour":1,"home":{"region":"c"},"selector":{"key":"k","op":"in","values":[]}}}})");
   ASSERT_TRUE(reading.json);
   for (std::string const path : {"/regions/b/halls/0", "/halls/z", "/rules/r~11/match", "/rules/r~11/kind", "/rules/r~11/deadline_ms",
                                  "/rules/r~11/colour", "/rules/r~11/home/region", "/rules/r~11/selector/values"}) {
     EXPECT_TRUE(has_fault(reading, path)) << path << " not in " << loam::describe(reading.faults);
   }
-  EXPECT_FALSE(orchard::read_setup("{\"regions\":").json);
-  EXPECT_TRUE(has_fault(orchard::read_setup("{\"regions\":{},\"regions\":{},\"rules\":{}}"), "/regions"));
+  EXPECT_FALSE(config::read_setup("{\"regions\":").json);
+  EXPECT_TRUE(has_fault(config::read_setup("{\"regions\":{},\"regions\":{},\"rules\":{}}"), "/regions"));
 }
 
 TEST(Setup, MergePatchFollowsItsStandard) {
-  EXPECT_EQ(*orchard::patched(R"({"a":"b","c":{"d":"e","f":"g"}})", R"({"a":"z","c":{"f":null}})"), R"({"a":"z","c":{"d":"e"}})");
-  EXPECT_EQ(*orchard::patched(R"({"a":[1,2]})", R"({"a":[3],"b":{"c":null}})"), R"({"a":[3],"b":{}})");
-  EXPECT_EQ(*orchard::patched("", R"({"x":1})"), R"({"x":1})");
+  EXPECT_EQ(*config::patched(R"({"a":"b","c":{"d":"e","f":"g"}})", R"({"a":"z","c":{"f":null}})"), R"({"a":"z","c":{"d":"e"}})");
+  EXPECT_EQ(*config::patched(R"({"a":[1,2]})", R"({"a":[3],"b":{"c":null}})"), R"({"a":[3],"b":{}})");
+  EXPECT_EQ(*config::patched("", R"({"x":1})"), R"({"x":1})");
 }
 
 TEST(Selector, JoinsItsTerms) {
-  orchard::Labels const labels{{"kind", "model"}, {"site", "cork"}};
+  config::Labels const labels{{"kind", "model"}, {"site", "cork"}};
   std::function<bool(std::string const&)> const says = [&labels](std::string const& text) {
     schema::Selector selector;
     std::vector<loam::Fault> faults;
     schema::read(loam::read_tree(text)->get(), "", selector, faults);
     EXPECT_TRUE(faults.empty());
-    return orchard::selects(selector, labels);
+    return config::selects(selector, labels);
   };
   EXPECT_TRUE(says("{}"));
   EXPECT_TRUE(says(R"({"key":"kind","op":"equals","values":["model"]})"));
@@ -76,27 +76,27 @@
 }
 
 TEST(Rule, HomeComesFromPathAndHeadersAlone) {
-  schema::Setup const setup = orchard::read_setup(file("deployments/pruebaviva/setup.json")).setup;
-  orchard::HeaderLookup const bogota = [](std::string const& name) { return name == "Finchlink-Home" ? std::string("bogota") : std::string(); };
-  orchard::HeaderLookup const none = [](std::string const&) { return std::string(); };
-  EXPECT_EQ(orchard::find_rule(setup, "POST", "/v1/verdict", none), "verdict");
-  EXPECT_EQ(orchard::find_rule(setup, "GET", "/v1/verdict", none), std::nullopt);
-  EXPECT_EQ(orchard::find_rule(setup, "GET", "/v1/badge/x", none), "badge");
-  EXPECT_EQ(orchard::find_home(setup, setup.rules.at("verdict"), "/v1/verdict", bogota).region, "bogota");
-  EXPECT_FALSE(orchard::find_home(setup, setup.rules.at("verdict"), "/v1/verdict", none).bound);
+  schema::Setup const setup = config::read_setup(file("deployments/pruebaviva/setup.json")).setup;
+  config::HeaderLookup const bogota = [](std::string const& name) { return name == "Finchlink-Home" ? std::string("bogota") : std::string(); };
+  config::HeaderLookup const none = [](std::string const&) { return std::string(); };
+  EXPECT_EQ(config::find_rule(setup, "POST", "/v1/verdict", none), "verdict");
+  EXPECT_EQ(config::find_rule(setup, "GET", "/v1/verdict", none), std::nullopt);
+  EXPECT_EQ(config::find_rule(setup, "GET", "/v1/badge/x", none), "badge");
+  EXPECT_EQ(config::find_home(setup, setup.rules.at("verdict"), "/v1/verdict", bogota).region, "bogota");
+  EXPECT_FALSE(config::find_home(setup, setup.rules.at("verdict"), "/v1/verdict", none).bound);
   schema::Rule by_path = setup.rules.at("verdict");
   by_path.home = schema::Home{"", "", 2};
-  EXPECT_EQ(orchard::find_home(setup, by_path, "/v1/antioquia/x", none).region, "antioquia");
-  EXPECT_FALSE(orchard::find_home(setup, by_path, "/v1/elsewhere/x", none).known);
+  EXPECT_EQ(config::find_home(setup, by_path, "/v1/antioquia/x", none).region, "antioquia");
+  EXPECT_FALSE(config::find_home(setup, by_path, "/v1/elsewhere/x", none).known);
 }
 
 schema::Value after(schema::Value value, std::string const& id) {
-  std::shared_ptr<orchard::WishNote> const note = std::make_shared<orchard::WishNote>();
-  orchard::WantedChange wanted;
+  std::shared_ptr<config::SetupProposalReport> const note = std::make_shared<config::SetupProposalReport>();
+  config::WantedChange wanted;
   wanted.id = id;
   wanted.patch = true;
   wanted.content = R"({"halls":{"h":{"labels":{"mark":"x"}}}})";
-  rootstock::Wish const wish = orchard::wish_for(wanted, note)(value);
+  consensus::Proposal const wish = config::setup_proposal(wanted, note)(value);
   return std::holds_alternative<schema::Value>(wish) ? std::get<schema::Value>(wish) : value;
 }
 
@@ -104,29 +104,29 @@
   schema::Value value{1, R"({"regions":{"r":{"halls":["h"]}},"rules":{}})", {{"first.0", 1}}};
   value = after(value, "mine.1");
   std::uint64_t const taken = value.revision;
-  ASSERT_EQ(orchard::standing_of(value, "mine.1").revision, taken);
+  ASSERT_EQ(config::standing_of(value, "mine.1").revision, taken);
   for (std::size_t turn = 0; turn < 2 * loam::constants::marks_kept; ++turn) {
     value = after(value, "storm-" + std::to_string(turn) + "." + std::to_string(value.revision));
     // Never a false no, never a second effect.
-    orchard::Standing const known = orchard::standing_of(value, "mine.1").standing;
-    ASSERT_TRUE(known == orchard::Standing::accepted || known == orchard::Standing::forgotten) << turn;
+    config::Standing const known = config::standing_of(value, "mine.1").standing;
+    ASSERT_TRUE(known == config::Standing::accepted || known == config::Standing::forgotten) << turn;
     EXPECT_EQ(after(value, "mine.1").revision, value.revision) << "took effect twice";
-    EXPECT_TRUE(std::holds_alternative<rootstock::Keep>(orchard::veto_of("mine.1")(value)));
+    EXPECT_TRUE(std::holds_alternative<consensus::Keep>(config::veto_of("mine.1")(value)));
   }
-  EXPECT_EQ(orchard::standing_of(value, "mine.1").standing, orchard::Standing::forgotten);
+  EXPECT_EQ(config::standing_of(value, "mine.1").standing, config::Standing::forgotten);
   EXPECT_LE(value.marks.size(), loam::constants::marks_kept);
   // One that was never sent, born of late, is surely open, and its veto lasts.
   std::string const fresh = "fresh." + std::to_string(value.revision);
-  EXPECT_EQ(orchard::standing_of(value, fresh).standing, orchard::Standing::open);
-  value = std::get<schema::Value>(orchard::veto_of(fresh)(value));
+  EXPECT_EQ(config::standing_of(value, fresh).standing, config::Standing::open);
+  value = std::get<schema::Value>(config::veto_of(fresh)(value));
   EXPECT_EQ(after(value, fresh).revision, value.revision);
-  EXPECT_EQ(orchard::standing_of(value, fresh).standing, orchard::Standing::rejected);
+  EXPECT_EQ(config::standing_of(value, fresh).standing, config::Standing::rejected);
 }
 
 TEST(Change, AskingForMadeUpIdsWritesNothingForTheUnborn) {
   schema::Value const value{7, "{}", {{"a.6", 7}}};
-  EXPECT_TRUE(std::holds_alternative<rootstock::Keep>(orchard::veto_of("x.8")(value)));
-  EXPECT_TRUE(std::holds_alternative<rootstock::Keep>(orchard::veto_of("x")(value)));  // born before what is remembered
+  EXPECT_TRUE(std::holds_alternative<consensus::Keep>(config::veto_of("x.8")(value)));
+  EXPECT_TRUE(std::holds_alternative<consensus::Keep>(config::veto_of("x")(value)));  // born before what is remembered
   EXPECT_EQ(after(value, "x.8").revision, 7u);
 }
 
--- a/source/tests/orchard/tenancy_test.cpp
+++ b/source/tests/config/tenancy_test.cpp
@@ -1,6 +1,6 @@
 #include <gtest/gtest.h>
 
-#include "orchard/charter/charter.hpp"
+#include "config/charter/charter.hpp"
 #include "tilth/lanes/lanes.hpp"
 #include "tilth/wall/tenant.hpp"
 
@@ -8,7 +8,7 @@
 namespace {
 
 std::string faults_of(std::string const& tenancy, std::string const& tenants = "[]") {
-  orchard::CharterReading const reading = orchard::own_notation().read(
+  config::CharterReading const reading = config::own_notation().read(
       R"({"number":1,"services":[{"name":"s"}],"lanes":[{"name":"l","prefix":"/a/b/","home_regions":["east"],"shares":[{"service":"s"}],"tenancy":)" + tenancy + "}],\"tenants\":" + tenants + "}");
   return loam::describe(reading.faults);
 }
@@ -33,16 +33,16 @@
 }
 
 TEST(Tenancy, TenantsWithoutALaneAreAFault) {
-  orchard::CharterReading const reading = orchard::own_notation().read(
+  config::CharterReading const reading = config::own_notation().read(
       R"({"number":1,"services":[{"name":"s"}],"lanes":[{"name":"l","shares":[{"service":"s"}]}],"tenants":[{"name":"t"}]})");
   EXPECT_NE(loam::describe(reading.faults).find("/tenants"), std::string::npos);
 }
 
 TEST(Tenancy, PatchesChangeTenants) {
   std::string const whole = R"({"number":1,"services":[{"name":"s"}],"lanes":[{"name":"l","shares":[{"service":"s"}],"tenancy":{"header":"A"}}],"tenants":[{"name":"t"}]})";
-  absl::StatusOr<std::string> const merged = orchard::own_notation().merge(whole, R"({"number":2,"upsert":{"tenants":[{"name":"u","home_regions":["east"]}]},"remove":{"tenants":["t"]}})");
+  absl::StatusOr<std::string> const merged = config::own_notation().merge(whole, R"({"number":2,"upsert":{"tenants":[{"name":"u","home_regions":["east"]}]},"remove":{"tenants":["t"]}})");
   ASSERT_TRUE(merged.ok());
-  orchard::CharterReading const reading = orchard::own_notation().read(*merged);
+  config::CharterReading const reading = config::own_notation().read(*merged);
   ASSERT_TRUE(reading.good()) << loam::describe(reading.faults);
   tilth::LaneBook const book(reading.charter);
   EXPECT_EQ(book.tenant("t"), nullptr);
--- a/source/tests/rootstock/holder_test.cpp
+++ b/source/tests/consensus/acceptor_test.cpp
@@ -1,18 +1,18 @@
 #include <gtest/gtest.h>
 
 #include "loam/constants.hpp"
-#include "rootstock/change/change.hpp"
-#include "rootstock/confirm/confirm.hpp"
-#include "rootstock/holder/holder.hpp"
+#include "consensus/proposer/proposer.hpp"
+#include "consensus/majority_reader/majority_reader.hpp"
+#include "consensus/acceptor/acceptor.hpp"
 
 namespace finchlink {
 namespace {
 
-using namespace rootstock;
+using namespace consensus;
 
 /// Holders that a test speaks to directly, with no network between.
 struct Group {
-  std::vector<Holder> holders;
+  std::vector<Acceptor> holders;
   explicit Group(std::size_t count, Guards guards = {}) {
     std::vector<std::string> const founders{"a", "b", "c"};
     for (std::size_t index = 0; index < count; ++index) {
@@ -38,18 +38,18 @@
   }
   /// Runs a change against the named holders only; the revision, 0 for none.
   std::uint64_t change(std::string const& content, std::vector<std::size_t> const& reach, bool accept = true, std::uint64_t round = 0) {
-    Change core("setup", 7 + round, [&content](schema::Value const& found) -> Wish { return schema::Value{found.revision + 1, content, {}}; });
+    Proposer core("setup", 7 + round, [&content](schema::Value const& found) -> Proposal { return schema::Value{found.revision + 1, content, {}}; });
     core.start_above(Ballot{1, round, 0});
-    std::vector<ChangeAction> actions = core.begin(holders[reach.front()].set());
+    std::vector<ProposerAction> actions = core.begin(holders[reach.front()].set());
     for (std::size_t place = 0; place < actions.size(); ++place) {
-      ChangeAction const action = actions[place];  // a copy: more are added below
+      ProposerAction const action = actions[place];  // a copy: more are added below
       Send const* const send = std::get_if<Send>(&action);
       if (Chosen const* const chosen = std::get_if<Chosen>(&action)) {
         return chosen->value.revision;
       }
       for (std::size_t const index : reach) {
         if (send != nullptr && holders[index].incarnation() == send->to.incarnation && (accept || std::holds_alternative<schema::Prepare>(send->message))) {
-          std::vector<ChangeAction> const more = core.receive(holders[index].incarnation(), *holders[index].receive(send->message, 0).reply);
+          std::vector<ProposerAction> const more = core.receive(holders[index].incarnation(), *holders[index].receive(send->message, 0).reply);
           actions.insert(actions.end(), more.begin(), more.end());
         }
       }
@@ -58,23 +58,23 @@
   }
 };
 
-TEST(Holder, FoundsOnlyWhenAllThreeAreBlankAndAgree) {
+TEST(Acceptor, FoundsOnlyWhenAllThreeAreBlankAndAgree) {
   Group group(3);
   (void)group.holders[0].founding({group.word(1)}, 0);  // one founder does not answer
   EXPECT_EQ(group.holders[0].set().epoch, 0u);
   group.found();
-  for (Holder const& holder : group.holders) {
+  for (Acceptor const& holder : group.holders) {
     EXPECT_EQ(holder.set().epoch, 1u);
     EXPECT_TRUE(holder.voting());
   }
   // One comes back blank: the others are founded, so it is not again.
-  Holder blank(900, "b", {"a", "b", "c"}, 0);
+  Acceptor blank(900, "b", {"a", "b", "c"}, 0);
   (void)blank.founding({group.word(0), group.word(2)}, 0);
   EXPECT_EQ(blank.set().epoch, 0u);
   EXPECT_FALSE(blank.voting());
 }
 
-TEST(Holder, NeverPledgesALostIncarnationAgain) {
+TEST(Acceptor, NeverPledgesALostIncarnationAgain) {
   Group group(3);
   schema::FoundingAnswer const old_word = group.word(1);
   (void)group.holders[0].founding({old_word, group.word(2)}, 0);
@@ -84,7 +84,7 @@
   EXPECT_TRUE(group.holders[0].founding({old_word, group.word(2)}, 0).records.empty());
 }
 
-TEST(Holder, BlankOneHasNoVoteUntilEnrolledWithAnImage) {
+TEST(Acceptor, BlankOneHasNoVoteUntilEnrolledWithAnImage) {
   for (bool const guard : {true, false}) {
     Guards guards;
     guards.image_before_vote = guard;
@@ -94,10 +94,10 @@
     ASSERT_EQ(group.change("second", {1, 2}, true, 5), 2u);  // a never hears of it
     // c is lost; d takes its place by a chosen change, known to a and b.
     group.holders.emplace_back(777, "d", std::vector<std::string>{"a", "b", "c"}, 0, guards);
-    schema::HolderSet next = group.holders[0].set();
+    schema::VoterSet next = group.holders[0].set();
     next.previous = next.holders;
     next.epoch = 2;
-    next.holders[2] = schema::HolderEntry{777, "d"};
+    next.holders[2] = schema::Voter{777, "d"};
     EXPECT_EQ(group.change("too early", {3}), 0u);
     for (std::size_t const index : {std::size_t{0}, std::size_t{1}, std::size_t{3}}) {
       (void)group.holders[index].receive(schema::Adopt{next}, 0);
@@ -119,10 +119,10 @@
   }
 }
 
-TEST(Holder, OneThatMissedAnEpochTakesAnImageFirst) {
+TEST(Acceptor, OneThatMissedAnEpochTakesAnImageFirst) {
   Group group(3);
   group.found();
-  schema::HolderSet far = group.holders[0].set();
+  schema::VoterSet far = group.holders[0].set();
   far.previous = far.holders;
   far.epoch = 3;
   (void)group.holders[0].receive(schema::Adopt{far}, 0);
@@ -132,16 +132,16 @@
   EXPECT_TRUE(std::holds_alternative<schema::Refused>(*group.holders[0].receive(schema::ImageAsk{3}, 0).reply));
 }
 
-TEST(Holder, StateComesBackFromItsRecords) {
+TEST(Acceptor, StateComesBackFromItsRecords) {
   Group group(3);
   group.found();
   ASSERT_EQ(group.change("first", {0, 1, 2}), 1u);
-  Holder const again(group.holders[0].image(), "a", {"a", "b", "c"}, 0);
+  Acceptor const again(group.holders[0].image(), "a", {"a", "b", "c"}, 0);
   EXPECT_EQ(again.image(), group.holders[0].image());
   EXPECT_TRUE(again.voting());
 }
 
-TEST(Change, NoIsSaidOnlyWhenWhatWasFoundIsChosen) {
+TEST(Proposer, NoIsSaidOnlyWhenWhatWasFoundIsChosen) {
   // An earlier try of ours stands at one holder. A later ballot of the same
   // change that finds another revision must bury it before it says no.
   for (bool const guard : {true, false}) {
@@ -150,14 +150,14 @@
     ASSERT_EQ(group.change("base", {0, 1, 2}), 1u);
     Guards guards;
     guards.settle_before_reject = guard;
-    Change core("setup", 50, [](schema::Value const& found) -> Wish {
-      return found.revision == 1 ? Wish{schema::Value{2, "ours", {}}} : Wish{Reject{"the revision is another"}};
+    Proposer core("setup", 50, [](schema::Value const& found) -> Proposal {
+      return found.revision == 1 ? Proposal{schema::Value{2, "ours", {}}} : Proposal{Reject{"the revision is another"}};
     }, guards);
     core.start_above(Ballot{1, 10, 0});
-    std::vector<ChangeAction> sends = core.begin(group.holders[0].set());
-    std::vector<ChangeAction> accepts;
+    std::vector<ProposerAction> sends = core.begin(group.holders[0].set());
+    std::vector<ProposerAction> accepts;
     for (std::size_t index = 0; index < 2; ++index) {
-      std::vector<ChangeAction> const more = core.receive(100 + index, *group.holders[index].receive(std::get<Send>(sends[index]).message, 0).reply);
+      std::vector<ProposerAction> const more = core.receive(100 + index, *group.holders[index].receive(std::get<Send>(sends[index]).message, 0).reply);
       accepts.insert(accepts.end(), more.begin(), more.end());
     }
     ASSERT_EQ(accepts.size(), 3u);
@@ -169,23 +169,23 @@
     // Our second ballot reaches b and c.
     sends = core.begin(group.holders[0].set());
     bool rejected = false;
-    std::vector<ChangeAction> actions;
+    std::vector<ProposerAction> actions;
     for (std::size_t index = 1; index < 3; ++index) {
-      std::vector<ChangeAction> const more = core.receive(100 + index, *group.holders[index].receive(std::get<Send>(sends[index]).message, 0).reply);
+      std::vector<ProposerAction> const more = core.receive(100 + index, *group.holders[index].receive(std::get<Send>(sends[index]).message, 0).reply);
       actions.insert(actions.end(), more.begin(), more.end());
     }
     for (std::size_t place = 0; place < actions.size(); ++place) {
       rejected = rejected || std::holds_alternative<Rejected>(actions[place]);
       if (Send const* const send = std::get_if<Send>(&actions[place])) {
         if (send->to.incarnation != 100) {
-          std::vector<ChangeAction> const more = core.receive(send->to.incarnation, *group.holders[send->to.incarnation - 100].receive(send->message, 0).reply);
+          std::vector<ProposerAction> const more = core.receive(send->to.incarnation, *group.holders[send->to.incarnation - 100].receive(send->message, 0).reply);
           actions.insert(actions.end(), more.begin(), more.end());
         }
       }
     }
     ASSERT_TRUE(rejected);
     // A reader that reaches a and b settles what it finds there.
-    Change reader("setup", 60, [](schema::Value const&) -> Wish { return Keep{}; });
+    Proposer reader("setup", 60, [](schema::Value const&) -> Proposal { return Keep{}; });
     reader.start_above(Ballot{1, 40, 0});
     std::string found;
     actions = reader.begin(group.holders[0].set());
@@ -194,7 +194,7 @@
         found = chosen->value.content;
       } else if (Send const* const send = std::get_if<Send>(&actions[place])) {
         if (send->to.incarnation != 102) {
-          std::vector<ChangeAction> const more = reader.receive(send->to.incarnation, *group.holders[send->to.incarnation - 100].receive(send->message, 0).reply);
+          std::vector<ProposerAction> const more = reader.receive(send->to.incarnation, *group.holders[send->to.incarnation - 100].receive(send->message, 0).reply);
           actions.insert(actions.end(), more.begin(), more.end());
         }
       }
@@ -203,13 +203,13 @@
   }
 }
 
-TEST(Confirm, OneRoundIsEnoughOnlyWhenAMajorityAgrees) {
+TEST(MajorityReader, OneRoundIsEnoughOnlyWhenAMajorityAgrees) {
   Group group(3);
   group.found();
   ASSERT_EQ(group.change("first", {0, 1, 2}), 1u);
-  Confirm confirm;
+  MajorityReader confirm;
   (void)confirm.begin(group.holders[0].set(), loam::seconds(1));
-  std::vector<ConfirmAction> actions;
+  std::vector<MajorityReaderAction> actions;
   for (std::size_t const index : {std::size_t{0}, std::size_t{1}}) {
     actions = confirm.receive(*group.holders[index].receive(schema::Read{1, {}, 1}, 0).reply);
   }
--- a/source/tests/rootstock/ring_test.cpp
+++ b/source/tests/consensus/write_ahead_log_test.cpp
@@ -4,12 +4,12 @@
 #include <filesystem>
 
 #include "almanac/disk/memory_disk.hpp"
-#include "rootstock/ring/file_device.hpp"
+#include "consensus/write_ahead_log/file_device.hpp"
 
 namespace finchlink {
 namespace {
 
-using rootstock::Ring;
+using consensus::WriteAheadLog;
 using almanac::MemoryDisk;
 
 std::vector<schema::Record> cell(std::string const& name, std::uint64_t revision, std::size_t size = 20) {
@@ -21,25 +21,25 @@
   return records.empty() ? 0 : std::get<schema::CellRecord>(records.back()).cell.value.revision;
 }
 
-TEST(Ring, KeepsWhatWasSyncedOverManyLaps) {
+TEST(WriteAheadLog, KeepsWhatWasSyncedOverManyLaps) {
   MemoryDisk disk(3, 2000);
-  Ring ring(disk.device(), 3, 2000);
+  WriteAheadLog ring(disk.device(), 3, 2000);
   ASSERT_TRUE(ring.recover().ok());
   for (std::uint64_t revision = 1; revision <= 200; ++revision) {
     std::vector<schema::Record> const records = cell("setup", revision);
     ASSERT_TRUE(ring.append(records, [&records] { return records; }).ok());
     disk.lose_power(0);
-    Ring again(disk.device(), 3, 2000);
+    WriteAheadLog again(disk.device(), 3, 2000);
     absl::StatusOr<std::vector<schema::Record>> const found = again.recover();
     ASSERT_TRUE(found.ok()) << found.status();
     ASSERT_EQ(newest(*found), revision);
   }
 }
 
-TEST(Ring, TrustsNothingThatAFailedSyncLeftInMemory) {
+TEST(WriteAheadLog, TrustsNothingThatAFailedSyncLeftInMemory) {
   for (bool const renewed : {true, false}) {
     MemoryDisk disk(3, 4000);
-    Ring ring(disk.device(), 3, 4000);
+    WriteAheadLog ring(disk.device(), 3, 4000);
     ASSERT_TRUE(ring.recover().ok());
     std::vector<schema::Record> records = cell("setup", 1);
     ASSERT_TRUE(ring.append(records, [&records] { return records; }).ok());
@@ -48,7 +48,7 @@
     EXPECT_FALSE(ring.append(records, [&records] { return records; }).ok());
     disk.sync_fails = false;
     // Opened anew: revision 2 is read from memory and would be told of.
-    Ring again(disk.device(), 3, 4000);
+    WriteAheadLog again(disk.device(), 3, 4000);
     absl::StatusOr<std::vector<schema::Record>> const found = again.recover();
     ASSERT_TRUE(found.ok());
     ASSERT_EQ(newest(*found), 2u);
@@ -56,39 +56,39 @@
       ASSERT_TRUE(again.renew(records).ok());
     }
     disk.lose_power(0);
-    Ring last(disk.device(), 3, 4000);
+    WriteAheadLog last(disk.device(), 3, 4000);
     absl::StatusOr<std::vector<schema::Record>> const left = last.recover();
     ASSERT_TRUE(left.ok());
     EXPECT_EQ(newest(*left), renewed ? 2u : 1u) << "what was told of was lost";
   }
 }
 
-TEST(Ring, TakesATornTailForTornAtEveryByte) {
+TEST(WriteAheadLog, TakesATornTailForTornAtEveryByte) {
   for (std::size_t kept = 0; kept < 120; ++kept) {
     MemoryDisk disk(3, 4000);
-    Ring ring(disk.device(), 3, 4000);
+    WriteAheadLog ring(disk.device(), 3, 4000);
     ASSERT_TRUE(ring.recover().ok());
     for (std::uint64_t revision = 1; revision <= 3; ++revision) {
       std::vector<schema::Record> const records = cell("setup", revision);
       ASSERT_TRUE(ring.append(records, [&records] { return records; }).ok());
     }
-    rootstock::Device unsynced = disk.device();
+    consensus::Device unsynced = disk.device();
     unsynced.sync = [](std::size_t) { return absl::OkStatus(); };
-    Ring torn(unsynced, 3, 4000);
+    WriteAheadLog torn(unsynced, 3, 4000);
     ASSERT_TRUE(torn.recover().ok());
     std::vector<schema::Record> const records = cell("setup", 4);
     ASSERT_TRUE(torn.append(records, [&records] { return records; }).ok());
     disk.lose_power(kept);
-    Ring again(disk.device(), 3, 4000);
+    WriteAheadLog again(disk.device(), 3, 4000);
     absl::StatusOr<std::vector<schema::Record>> const found = again.recover();
     ASSERT_TRUE(found.ok()) << kept << " " << found.status();
     EXPECT_GE(newest(*found), 3u);
   }
 }
 
-TEST(Ring, TellsABrokenRecordFromATornOne) {
+TEST(WriteAheadLog, TellsABrokenRecordFromATornOne) {
   MemoryDisk disk(3, 4000);
-  Ring ring(disk.device(), 3, 4000);
+  WriteAheadLog ring(disk.device(), 3, 4000);
   ASSERT_TRUE(ring.recover().ok());
   for (std::uint64_t revision = 1; revision <= 5; ++revision) {
     std::vector<schema::Record> const records = cell("setup", revision);
@@ -98,16 +98,16 @@
   std::size_t const place = disk.cache[1].find("xxxx", disk.cache[1].find("xxxx", disk.cache[1].find("xxxx") + 60) + 60);
   ASSERT_NE(place, std::string::npos);
   disk.cache[1][place] = 'y';
-  Ring again(disk.device(), 3, 4000);
+  WriteAheadLog again(disk.device(), 3, 4000);
   EXPECT_TRUE(absl::IsDataLoss(again.recover().status()));
 }
 
-TEST(Ring, TakesZerosThatTheDeviceLeavesOutForPartsOfRecords) {
+TEST(WriteAheadLog, TakesZerosThatTheDeviceLeavesOutForPartsOfRecords) {
   for (std::size_t size = 0; size < 60; ++size) {
     MemoryDisk disk(3, 4000);
-    Ring ring(disk.device(), 3, 4000);
+    WriteAheadLog ring(disk.device(), 3, 4000);
     ASSERT_TRUE(ring.recover().ok());
-    rootstock::Device sparing = disk.device();
+    consensus::Device sparing = disk.device();
     sparing.read = [&disk](std::size_t file) -> absl::StatusOr<std::string> {
       std::string const& whole = disk.cache[file];
       std::size_t const last = whole.find_last_not_of('\0');
@@ -118,7 +118,7 @@
       entry.value = schema::Value{revision, std::string(size, '\0'), {}};  // a record that ends in zeros
       std::vector<schema::Record> const records{schema::CellRecord{"setup", entry}};
       ASSERT_TRUE(ring.append(records, [&records] { return records; }).ok());
-      Ring again(sparing, 3, 4000);
+      WriteAheadLog again(sparing, 3, 4000);
       absl::StatusOr<std::vector<schema::Record>> const found = again.recover();
       ASSERT_TRUE(found.ok()) << found.status();
       ASSERT_EQ(newest(*found), revision);
@@ -126,24 +126,24 @@
   }
 }
 
-TEST(Ring, KeepsWhatWasWrittenInFilesThatAreMostlyEmpty) {
+TEST(WriteAheadLog, KeepsWhatWasWrittenInFilesThatAreMostlyEmpty) {
   std::string folder = testing::TempDir() + "ring-XXXXXX";
   ASSERT_NE(mkdtemp(folder.data()), nullptr);
   std::size_t const bytes = 400000;
   std::vector<schema::Record> const large = cell("setup", 1, 150000);
   {
-    absl::StatusOr<rootstock::Device> const device = rootstock::open_files(folder, 3, bytes);
+    absl::StatusOr<consensus::Device> const device = consensus::open_files(folder, 3, bytes);
     ASSERT_TRUE(device.ok()) << device.status();
     EXPECT_EQ(device->read(0)->size(), 0u);
-    Ring ring(*device, 3, bytes);
+    WriteAheadLog ring(*device, 3, bytes);
     ASSERT_TRUE(ring.recover().ok());
     ASSERT_TRUE(ring.append(large, [&large] { return large; }).ok());
     std::vector<schema::Record> const small = cell("setup", 2);
     ASSERT_TRUE(ring.append(small, [&small] { return small; }).ok());
   }
-  absl::StatusOr<rootstock::Device> const device = rootstock::open_files(folder, 3, bytes);
+  absl::StatusOr<consensus::Device> const device = consensus::open_files(folder, 3, bytes);
   ASSERT_TRUE(device.ok()) << device.status();
-  Ring again(*device, 3, bytes);
+  WriteAheadLog again(*device, 3, bytes);
   absl::StatusOr<std::vector<schema::Record>> const found = again.recover();
   ASSERT_TRUE(found.ok()) << found.status();
   EXPECT_EQ(newest(*found), 2u);
@@ -151,9 +151,9 @@
   std::filesystem::remove_all(folder);
 }
 
-TEST(Ring, IsUsedNoMoreAfterTheDiskFailed) {
+TEST(WriteAheadLog, IsUsedNoMoreAfterTheDiskFailed) {
   MemoryDisk disk(3, 4000);
-  Ring ring(disk.device(), 3, 4000);
+  WriteAheadLog ring(disk.device(), 3, 4000);
   ASSERT_TRUE(ring.recover().ok());
   std::vector<schema::Record> const records = cell("setup", 1);
   ASSERT_TRUE(ring.append(records, [&records] { return records; }).ok());
--- a/source/tests/loam/fuzz_test.cpp
+++ b/source/tests/loam/fuzz_test.cpp
@@ -8,12 +8,12 @@
 
 #include "almanac/disk/memory_disk.hpp"
 #include "furrow/worker/contract.hpp"
-#include "hedge/copy/copy.hpp"
+#include "membership/copy/copy.hpp"
 #include "loam/json/tree.hpp"
 #include "loam/constants.hpp"
 #include "loam/wire/frame.hpp"
 #include "loam/wire/pack.hpp"
-#include "orchard/setup/setup.hpp"
+#include "config/setup/setup.hpp"
 #include "schema/wire.hpp"
 
 namespace finchlink {
@@ -66,10 +66,10 @@
     entry.address = "10.0.0.1:80";
     list.workers.push_back(entry);
   }
-  hedge::Listing teller;
+  membership::Listing teller;
   ASSERT_TRUE(teller.keep(list, 1000, 1000));
-  hedge::Sessions sessions(schema::TrellisEntry{"t", 1, "h", "a", "", false, false, 0});
-  hedge::Sessions other(schema::TrellisEntry{"u", 2, "h", "b", "", false, false, 0});
+  membership::Sessions sessions(schema::TrellisEntry{"t", 1, "h", "a", "", false, false, 0});
+  membership::Sessions other(schema::TrellisEntry{"u", 2, "h", "b", "", false, false, 0});
   schema::Member member;
   member.incarnation = 1;
   for (std::string const name : {"f", "g", "h"}) {
@@ -83,13 +83,13 @@
   ASSERT_NE(known, 0u);
   std::uint64_t const list_digest = teller.digest();
   std::uint64_t const members_digest = sessions.digest();
-  hedge::ListCopy const list_before = [&] {
-    hedge::ListCopy copy;
+  membership::ListCopy const list_before = [&] {
+    membership::ListCopy copy;
     (void)copy.take(teller.since(0), 0, 1000);
     return copy;
   }();
-  hedge::MemberCopy const members_before = [&] {
-    hedge::MemberCopy copy;
+  membership::MemberCopy const members_before = [&] {
+    membership::MemberCopy copy;
     schema::NewsAnswer answer;
     answer.vouched = true;
     answer.members = sessions.members();
@@ -105,12 +105,12 @@
   (void)sessions.heard(member, 2000);
   schema::NewsAnswer good;
   good.vouched = true;
-  hedge::ListNews const news = teller.since(list_digest);
+  membership::ListNews const news = teller.since(list_digest);
   good.list_from = news.from;
   good.list = news.list;
   good.list_gone = news.gone;
   good.list_digest = news.digest;
-  hedge::MemberNews const joined = sessions.since(members_digest);
+  membership::MemberNews const joined = sessions.since(members_digest);
   good.members_from = joined.from;
   good.members = joined.members;
   good.members_digest = joined.digest;
@@ -129,23 +129,23 @@
     absl::StatusOr<schema::Message> const read = loam::unpack<schema::Message>(round == 0 ? answer_bytes : spoiled(answer_bytes, random));
     schema::NewsAnswer const* const answer = read.ok() ? std::get_if<schema::NewsAnswer>(&*read) : nullptr;
     if (answer != nullptr) {
-      hedge::ListCopy lists = list_before;
-      bool const changed = lists.take(hedge::list_news(*answer), answer->list_age, 2000);
+      membership::ListCopy lists = list_before;
+      bool const changed = lists.take(membership::list_news(*answer), answer->list_age, 2000);
       (changed ? taken : left) += 1;
       // One that was led on is the one that was named.
       if (changed && answer->list_from != 0) {
-        EXPECT_EQ(hedge::digest_of(lists.list()), answer->list_digest);
+        EXPECT_EQ(membership::digest_of(lists.list()), answer->list_digest);
       }
       EXPECT_TRUE(changed || lists.list() == list_before.list());
-      hedge::MemberCopy members = members_before;
+      membership::MemberCopy members = members_before;
       if (members.take(*answer) && answer->members_from != 0) {
-        EXPECT_EQ(hedge::digest_of(members.members()), answer->members_digest);
+        EXPECT_EQ(membership::digest_of(members.members()), answer->members_digest);
       }
     }
     absl::StatusOr<schema::Message> const heard = loam::unpack<schema::Message>(spoiled(tell_bytes, random));
     schema::Tell const* const tell = heard.ok() ? std::get_if<schema::Tell>(&*heard) : nullptr;
     if (tell != nullptr) {
-      hedge::Sessions receiver = other;
+      membership::Sessions receiver = other;
       std::uint64_t const digest = receiver.told(*tell, 2000);
       EXPECT_TRUE(digest == 0 || digest == tell->sessions_digest || digest == known);
     }
@@ -205,7 +205,7 @@
   int read = 0;
   for (int round = 0; round < rounds() / 4; ++round) {
     almanac::MemoryDisk disk(3, 3000);
-    rootstock::Ring ring(disk.device(), 3, 3000);
+    consensus::WriteAheadLog ring(disk.device(), 3, 3000);
     ASSERT_TRUE(ring.recover().ok());
     std::uint64_t const last = random() % 40 + 1;
     for (std::uint64_t revision = 1; revision <= last; ++revision) {
@@ -218,7 +218,7 @@
     std::string bytes = spoiled(disk.cache[file], random);
     bytes.resize(3000);
     disk.cache[file] = bytes;
-    rootstock::Ring again(disk.device(), 3, 3000);
+    consensus::WriteAheadLog again(disk.device(), 3, 3000);
     absl::StatusOr<std::vector<schema::Record>> const found = again.recover();
     if (!found.ok()) {
       ++lost;
@@ -247,14 +247,14 @@
     text << file.rdbuf();
     for (int round = 0; round < rounds() / 2; ++round) {
       std::string const document = spoiled(text.str(), random);
-      orchard::SetupReading const reading = orchard::read_setup(document);
+      config::SetupReading const reading = config::read_setup(document);
       faulty += reading.good() ? 0 : 1;
       if (reading.good()) {  // what is taken can be written and read again
-        absl::StatusOr<std::string> const canonical = orchard::canonical(document);
+        absl::StatusOr<std::string> const canonical = config::canonical(document);
         ASSERT_TRUE(canonical.ok());
-        EXPECT_TRUE(orchard::read_setup(*canonical).good());
+        EXPECT_TRUE(config::read_setup(*canonical).good());
       }
-      (void)orchard::patched(text.str(), document);
+      (void)config::patched(text.str(), document);
     }
   }
   EXPECT_GT(faulty, 0);
--- a/source/tests/hedge/copy_test.cpp
+++ b/source/tests/membership/copy_test.cpp
@@ -1,4 +1,4 @@
-#include "hedge/copy/copy.hpp"
+#include "membership/copy/copy.hpp"
 
 #include <gtest/gtest.h>
 
@@ -36,17 +36,17 @@
 schema::TrellisEntry trellis(std::string const& address) { return schema::TrellisEntry{address, 1, "h", address, "", false, false, 0}; }
 
 /// What a trellis tells an asker that holds this, sent and read back.
-schema::NewsAnswer answer_of(hedge::Listing const& listing, hedge::Sessions const& sessions, std::uint64_t list, std::uint64_t members, loam::Moment now) {
+schema::NewsAnswer answer_of(membership::Listing const& listing, membership::Sessions const& sessions, std::uint64_t list, std::uint64_t members, loam::Moment now) {
   schema::NewsAnswer answer;
   answer.vouched = true;
-  hedge::ListNews const told = listing.since(list);
+  membership::ListNews const told = listing.since(list);
   answer.list_same = told.same;
   answer.list_from = told.from;
   answer.list = told.list;
   answer.list_gone = told.gone;
   answer.list_digest = told.digest;
   answer.list_age = listing.age(now);
-  hedge::MemberNews const known = sessions.since(members);
+  membership::MemberNews const known = sessions.since(members);
   answer.members_same = known.same;
   answer.members_from = known.from;
   answer.members = known.members;
@@ -56,7 +56,7 @@
   return std::get<schema::NewsAnswer>(*read);
 }
 
-bool take(hedge::ListCopy& copy, hedge::Listing const& teller, loam::Moment now) { return copy.take(teller.since(copy.digest()), teller.age(now), now); }
+bool take(membership::ListCopy& copy, membership::Listing const& teller, loam::Moment now) { return copy.take(teller.since(copy.digest()), teller.age(now), now); }
 
 schema::PlatformList many(std::size_t count) {
   schema::PlatformList list;
@@ -67,10 +67,10 @@
 }
 
 TEST(ListCopy, IsToldOnlyWhatChanged) {
-  hedge::Listing teller;
+  membership::Listing teller;
   schema::PlatformList list = many(600);
   ASSERT_TRUE(teller.keep(list, loam::seconds(1), loam::seconds(1)));
-  hedge::ListCopy copy;
+  membership::ListCopy copy;
   ASSERT_TRUE(take(copy, teller, loam::seconds(2)));
   EXPECT_EQ(copy.list(), teller.list());
   EXPECT_EQ(copy.as_of(), loam::seconds(1));
@@ -78,7 +78,7 @@
   list.workers.erase(list.workers.begin() + 9);
   list.workers.push_back(worker("worker-0001"));
   ASSERT_TRUE(teller.keep(list, loam::seconds(3), loam::seconds(3)));
-  hedge::ListNews const news = teller.since(copy.digest());
+  membership::ListNews const news = teller.since(copy.digest());
   EXPECT_EQ(news.from, copy.digest());
   EXPECT_EQ(news.list.workers.size(), 2u);
   EXPECT_EQ(news.gone, std::vector<std::string>{"worker-1009"});
@@ -88,11 +88,11 @@
 }
 
 TEST(ListCopy, ATellerThatDoesNotKnowTheListHeldTellsAll) {
-  hedge::Listing teller;
-  hedge::Listing other;
+  membership::Listing teller;
+  membership::Listing other;
   schema::PlatformList list = many(5);
   ASSERT_TRUE(teller.keep(list, loam::seconds(1), loam::seconds(1)));
-  hedge::ListCopy copy;
+  membership::ListCopy copy;
   ASSERT_TRUE(take(copy, teller, loam::seconds(1)));
   list.workers[0].draining = true;
   ASSERT_TRUE(other.keep(list, loam::seconds(2), loam::seconds(2)));  // it never held the first one
@@ -102,14 +102,14 @@
 }
 
 TEST(ListCopy, ATellerThatHoldsTheSameListByAnotherWayLeadsOn) {
-  hedge::Listing teller;
-  hedge::Listing other;
+  membership::Listing teller;
+  membership::Listing other;
   schema::PlatformList list = many(5);
   std::reverse(list.workers.begin(), list.workers.end());
   ASSERT_TRUE(teller.keep(many(5), loam::seconds(1), loam::seconds(1)));
   ASSERT_TRUE(other.keep(many(9), loam::milliseconds(500), loam::seconds(1)));
   ASSERT_TRUE(other.keep(list, loam::seconds(1), loam::seconds(1)));
-  hedge::ListCopy copy;
+  membership::ListCopy copy;
   ASSERT_TRUE(take(copy, teller, loam::seconds(1)));
   EXPECT_TRUE(other.since(copy.digest()).same);
   list.workers[2].capacity = 9;
@@ -120,14 +120,14 @@
 }
 
 TEST(ListCopy, AnOlderListIsNotAdopted) {
-  hedge::Listing teller;
-  hedge::Listing behind;
+  membership::Listing teller;
+  membership::Listing behind;
   schema::PlatformList list = many(3);
   ASSERT_TRUE(behind.keep(list, loam::seconds(1), loam::seconds(1)));
   ASSERT_TRUE(teller.keep(list, loam::seconds(1), loam::seconds(1)));
   list.workers[0].draining = true;
   ASSERT_TRUE(teller.keep(list, loam::seconds(5), loam::seconds(5)));
-  hedge::ListCopy copy;
+  membership::ListCopy copy;
   ASSERT_TRUE(take(copy, teller, loam::seconds(6)));
   std::uint64_t const digest = copy.digest();
   EXPECT_FALSE(take(copy, behind, loam::seconds(7)));  // its age counts from this ask
@@ -137,15 +137,15 @@
 }
 
 TEST(ListCopy, WhatLeadsElsewhereIsLeftAndAllIsAskedFor) {
-  hedge::Listing teller;
+  membership::Listing teller;
   schema::PlatformList list = many(4);
   ASSERT_TRUE(teller.keep(list, loam::seconds(1), loam::seconds(1)));
-  hedge::ListCopy copy;
+  membership::ListCopy copy;
   ASSERT_TRUE(take(copy, teller, loam::seconds(1)));
   schema::PlatformList const held = copy.list();
   list.workers[1].draining = true;
   ASSERT_TRUE(teller.keep(list, loam::seconds(2), loam::seconds(2)));
-  hedge::ListNews news = teller.since(copy.digest());
+  membership::ListNews news = teller.since(copy.digest());
   news.list.workers[0].capacity = 77;
   EXPECT_FALSE(copy.take(news, 0, loam::seconds(2)));
   EXPECT_EQ(copy.list(), held);  // in use meanwhile, and no fresher than it was
@@ -157,14 +157,14 @@
 }
 
 TEST(ListCopy, WhatLeadsOnFromAnotherListIsLeft) {
-  hedge::Listing teller;
+  membership::Listing teller;
   schema::PlatformList list = many(4);
   ASSERT_TRUE(teller.keep(list, loam::seconds(1), loam::seconds(1)));
-  hedge::ListCopy copy;
+  membership::ListCopy copy;
   ASSERT_TRUE(take(copy, teller, loam::seconds(1)));
   list.workers[1].draining = true;
   ASSERT_TRUE(teller.keep(list, loam::seconds(2), loam::seconds(2)));
-  hedge::ListNews const late = teller.since(copy.digest());
+  membership::ListNews const late = teller.since(copy.digest());
   list.workers[2].draining = true;
   ASSERT_TRUE(teller.keep(list, loam::seconds(3), loam::seconds(3)));
   ASSERT_TRUE(take(copy, teller, loam::seconds(3)));
@@ -175,7 +175,7 @@
   EXPECT_EQ(copy.as_of(), loam::seconds(3));
   EXPECT_EQ(copy.list(), teller.list());
   // Neither does the word that another list is still the same.
-  hedge::ListNews same;
+  membership::ListNews same;
   same.same = true;
   same.digest = digest + 1;
   EXPECT_FALSE(copy.take(same, 0, loam::seconds(5)));
@@ -186,10 +186,10 @@
 }
 
 TEST(ListCopy, WhatCountsDownIsToldWithEachChange) {
-  hedge::Listing teller;
+  membership::Listing teller;
   schema::PlatformList list{0, {worker("a", 3000), worker("b"), worker("c")}};
   ASSERT_TRUE(teller.keep(list, loam::seconds(1), loam::seconds(1)));
-  hedge::ListCopy copy;
+  membership::ListCopy copy;
   ASSERT_TRUE(take(copy, teller, loam::seconds(1)));
   list.workers[0].cold_ms = 2900;  // it was cold anew between two lists
   ASSERT_TRUE(teller.keep(list, loam::seconds(3), loam::seconds(3)));
@@ -203,9 +203,9 @@
 }
 
 TEST(ListCopy, AListReadElsewhereIsNotLedOnFrom) {
-  hedge::Listing teller;
+  membership::Listing teller;
   ASSERT_TRUE(teller.keep(many(3), loam::seconds(1), loam::seconds(1)));
-  hedge::ListCopy copy;
+  membership::ListCopy copy;
   ASSERT_TRUE(take(copy, teller, loam::seconds(1)));
   copy.put(many(2), loam::seconds(2));
   EXPECT_EQ(copy.digest(), 0u);
@@ -219,15 +219,15 @@
 TEST(ListCopy, AskersOfSeveralTellersEndEqual) {
   std::mt19937_64 random(5);
   for (int round = 0; round < 40; ++round) {
-    hedge::Listing tellers[3];
-    hedge::Sessions nobody(trellis("t"));
-    hedge::ListCopy copies[4];
+    membership::Listing tellers[3];
+    membership::Sessions nobody(trellis("t"));
+    membership::ListCopy copies[4];
     schema::PlatformList list;
     loam::Moment now = loam::seconds(10);
     std::size_t led = 0;
     for (int step = 0; step < 150; ++step) {
       now += loam::milliseconds(50 + static_cast<std::int64_t>(random() % 400));
-      hedge::count_down(list, loam::milliseconds(50));
+      membership::count_down(list, loam::milliseconds(50));
       std::string const id = "w" + std::to_string(random() % 15);
       std::erase_if(list.workers, [&id](schema::WorkerEntry const& entry) { return entry.id == id; });
       if (random() % 3 != 0) {
@@ -235,11 +235,11 @@
       }
       list.revision = round % 2 == 0 ? 0 : list.revision + 1;
       // One reads; the others are told, or not, by whoever holds something newer.
-      hedge::Listing& reader = tellers[random() % 3];
+      membership::Listing& reader = tellers[random() % 3];
       (void)reader.keep(list, now, now);
-      for (hedge::Listing& other : tellers) {
+      for (membership::Listing& other : tellers) {
         if (&other != &reader && random() % 3 != 0) {
-          hedge::ListNews const news = reader.since(other.wanted());
+          membership::ListNews const news = reader.since(other.wanted());
           (void)other.take(news, now - reader.age(now), now);
           if (!news.same) {
             ASSERT_EQ(other.list(), reader.list());
@@ -247,8 +247,8 @@
           ASSERT_EQ(other.digest(), reader.digest());
         }
       }
-      for (hedge::ListCopy& copy : copies) {
-        hedge::Listing const& teller = tellers[random() % 3];
+      for (membership::ListCopy& copy : copies) {
+        membership::Listing const& teller = tellers[random() % 3];
         if (random() % 2 == 0 || teller.age(now) < 0) {
           continue;
         }
@@ -256,7 +256,7 @@
         schema::NewsAnswer const answer = answer_of(teller, nobody, copy.digest(), 0, now);
         led += answer.list_from != 0 ? 1 : 0;
         bool const lost = random() % 5 == 0;
-        if (!lost && copy.take(hedge::list_news(answer), answer.list_age, now)) {
+        if (!lost && copy.take(membership::list_news(answer), answer.list_age, now)) {
           ASSERT_EQ(copy.list(), teller.list());
         }
         ASSERT_GE(copy.as_of(), before);
@@ -271,13 +271,13 @@
 }
 
 TEST(Listing, AColleaguesNewsThatLeadElsewhereIsLeftAndAllIsWanted) {
-  hedge::Listing teller;
-  hedge::Listing other;
+  membership::Listing teller;
+  membership::Listing other;
   ASSERT_TRUE(teller.keep(many(4), loam::seconds(1), loam::seconds(1)));
   ASSERT_TRUE(other.take(teller.since(other.wanted()), loam::seconds(1), loam::seconds(1)));
   schema::PlatformList list = many(5);
   ASSERT_TRUE(teller.keep(list, loam::seconds(2), loam::seconds(2)));
-  hedge::ListNews news = teller.since(other.wanted());
+  membership::ListNews news = teller.since(other.wanted());
   ASSERT_NE(news.from, 0u);
   ASSERT_EQ(news.list.workers.size(), 1u);
   news.list.workers[0].address = "spoiled";
@@ -291,14 +291,14 @@
 }
 
 TEST(MemberCopy, FollowsOneAndTurnsToAnother) {
-  hedge::Listing nothing;
-  hedge::Sessions first(trellis("a"));
-  hedge::Sessions second(trellis("b"));
+  membership::Listing nothing;
+  membership::Sessions first(trellis("a"));
+  membership::Sessions second(trellis("b"));
   for (int index = 0; index < 40; ++index) {
     (void)first.heard(member("f" + std::to_string(100 + index)), 1000);
     (void)second.heard(member("f" + std::to_string(139 - index)), 900);
   }
-  hedge::MemberCopy copy;
+  membership::MemberCopy copy;
   ASSERT_TRUE(copy.take(answer_of(nothing, first, copy.digest(), copy.digest(), 1000)));
   EXPECT_EQ(copy.members(), first.members());
   EXPECT_TRUE(second.since(copy.digest()).same);  // however it came about
@@ -319,10 +319,10 @@
 }
 
 TEST(MemberCopy, LoadsAndRevisionsAreNoNews) {
-  hedge::Sessions sessions(trellis("a"));
+  membership::Sessions sessions(trellis("a"));
   (void)sessions.heard(member("f"), 1000);
   std::uint64_t const digest = sessions.digest();
-  EXPECT_EQ(digest, hedge::digest_of(sessions.members()));
+  EXPECT_EQ(digest, membership::digest_of(sessions.members()));
   schema::Member busy = member("f");
   busy.load = 7;
   busy.held["charter"] = 3;
@@ -333,10 +333,10 @@
 }
 
 TEST(MemberCopy, WhatLeadsElsewhereIsLeftAndAllIsAskedFor) {
-  hedge::Listing nothing;
-  hedge::Sessions sessions(trellis("a"));
+  membership::Listing nothing;
+  membership::Sessions sessions(trellis("a"));
   (void)sessions.heard(member("f"), 1000);
-  hedge::MemberCopy copy;
+  membership::MemberCopy copy;
   ASSERT_TRUE(copy.take(answer_of(nothing, sessions, 0, 0, 1000)));
   (void)sessions.heard(member("g"), 2000);
   schema::NewsAnswer answer = answer_of(nothing, sessions, 0, copy.digest(), 2000);
@@ -352,7 +352,7 @@
 }
 
 /// One telling of `from` to `to`, as sent and read back; gives what `to` answers.
-std::uint64_t telling(hedge::Sessions const& from, std::uint64_t known, hedge::Sessions& to, loam::Moment now, std::size_t* bytes = nullptr) {
+std::uint64_t telling(membership::Sessions const& from, std::uint64_t known, membership::Sessions& to, loam::Moment now, std::size_t* bytes = nullptr) {
   schema::Tell tell;
   tell.from = from.self();
   from.tell(known, now, tell);
@@ -365,8 +365,8 @@
 }
 
 TEST(Tellings, CarryOnlyHowLongAgoWhereNothingChanged) {
-  hedge::Sessions one(trellis("a"));
-  hedge::Sessions other(trellis("b"));
+  membership::Sessions one(trellis("a"));
+  membership::Sessions other(trellis("b"));
   loam::Moment now = loam::seconds(1);
   for (int index = 0; index < 137; ++index) {
     (void)one.heard(member("furrow-" + std::to_string(index), static_cast<std::uint64_t>(index) * 7919 + 1), now);
@@ -390,8 +390,8 @@
 }
 
 TEST(Tellings, CountFromWhenASessionWasHeardOf) {
-  hedge::Sessions one(trellis("a"));
-  hedge::Sessions other(trellis("b"));
+  membership::Sessions one(trellis("a"));
+  membership::Sessions other(trellis("b"));
   loam::Moment const heard = loam::seconds(1);
   (void)one.heard(member("f"), heard);
   std::uint64_t const known = telling(one, 0, other, heard);
@@ -404,12 +404,12 @@
 }
 
 TEST(Tellings, AColleagueThatLostThemIsToldAll) {
-  hedge::Sessions one(trellis("a"));
-  hedge::Sessions other(trellis("b"));
+  membership::Sessions one(trellis("a"));
+  membership::Sessions other(trellis("b"));
   (void)one.heard(member("f"), 1000);
   (void)one.heard(member("g"), 1000);
   std::uint64_t known = telling(one, 0, other, 1000);
-  hedge::Sessions restarted(trellis("b"));
+  membership::Sessions restarted(trellis("b"));
   (void)one.heard(member("h"), 2000);
   known = telling(one, known, restarted, 2000);
   EXPECT_EQ(known, 0u);
@@ -420,8 +420,8 @@
 }
 
 TEST(Tellings, WhatLeadsElsewhereIsLeftAndAllIsTold) {
-  hedge::Sessions one(trellis("a"));
-  hedge::Sessions other(trellis("b"));
+  membership::Sessions one(trellis("a"));
+  membership::Sessions other(trellis("b"));
   (void)one.heard(member("f"), 1000);
   (void)one.heard(member("g"), 1000);
   std::uint64_t known = telling(one, 0, other, 1000);
@@ -448,8 +448,8 @@
 TEST(Tellings, ThatOverlapOrComeLateDoNoHarm) {
   std::mt19937_64 random(9);
   for (int round = 0; round < 40; ++round) {
-    hedge::Sessions one(trellis("a"));
-    hedge::Sessions other(trellis("b"));
+    membership::Sessions one(trellis("a"));
+    membership::Sessions other(trellis("b"));
     std::uint64_t known = 0;
     loam::Moment now = loam::seconds(1);
     std::vector<schema::Tell> under_way;
@@ -484,8 +484,8 @@
 }
 
 TEST(Tellings, AFurrowThatTurnedAwayIsNotToldOnAndBackAgainItIs) {
-  hedge::Sessions one(trellis("a"));
-  hedge::Sessions other(trellis("b"));
+  membership::Sessions one(trellis("a"));
+  membership::Sessions other(trellis("b"));
   (void)one.heard(member("f"), 1000);
   (void)one.heard(member("g"), 1000);
   std::uint64_t known = telling(one, 0, other, 1000);
--- a/source/tests/hedge/digest_test.cpp
+++ b/source/tests/membership/digest_test.cpp
@@ -1,7 +1,7 @@
 #include <gtest/gtest.h>
 
-#include "hedge/listing/listing.hpp"
-#include "hedge/session/sessions.hpp"
+#include "membership/listing/listing.hpp"
+#include "membership/session/sessions.hpp"
 #include "loam/digest/digest.hpp"
 
 namespace finchlink {
@@ -27,19 +27,19 @@
   schema::PlatformList const list{0, {worker("a"), worker("b")}};
   schema::PlatformList later = list;
   later.workers[0].cold_ms = 20;
-  EXPECT_EQ(hedge::digest_of(list), hedge::digest_of(later));
+  EXPECT_EQ(membership::digest_of(list), membership::digest_of(later));
   later.workers[0].cold_ms = 0;
-  EXPECT_NE(hedge::digest_of(list), hedge::digest_of(later));
+  EXPECT_NE(membership::digest_of(list), membership::digest_of(later));
   later = list;
   later.workers[1].draining = true;
-  EXPECT_NE(hedge::digest_of(list), hedge::digest_of(later));
+  EXPECT_NE(membership::digest_of(list), membership::digest_of(later));
   later = list;
   later.workers[1].left_ms = 900;
-  EXPECT_NE(hedge::digest_of(list), hedge::digest_of(later));
+  EXPECT_NE(membership::digest_of(list), membership::digest_of(later));
   later = list;
   later.workers[1].address = "10.0.0.2:80";
-  EXPECT_NE(hedge::digest_of(list), hedge::digest_of(later));
-  EXPECT_NE(hedge::digest_of(schema::PlatformList{}), 0u);
+  EXPECT_NE(membership::digest_of(list), membership::digest_of(later));
+  EXPECT_NE(membership::digest_of(schema::PlatformList{}), 0u);
 }
 
 TEST(Digests, OfMembersLeaveOutLoadAndRevisions) {
@@ -47,17 +47,17 @@
   std::vector<schema::Member> other = members;
   other[0].load = 7;
   other[0].held["setup"] = 3;
-  EXPECT_EQ(hedge::digest_of(members), hedge::digest_of(other));
+  EXPECT_EQ(membership::digest_of(members), membership::digest_of(other));
   other[0].ready = false;
-  EXPECT_NE(hedge::digest_of(members), hedge::digest_of(other));
+  EXPECT_NE(membership::digest_of(members), membership::digest_of(other));
   other = members;
   other[0].incarnation = 2;
-  EXPECT_NE(hedge::digest_of(members), hedge::digest_of(other));
-  EXPECT_NE(hedge::digest_of(std::vector<schema::Member>{}), 0u);
+  EXPECT_NE(membership::digest_of(members), membership::digest_of(other));
+  EXPECT_NE(membership::digest_of(std::vector<schema::Member>{}), 0u);
 }
 
 TEST(Listing, RenewedCountsDownButNotToNothing) {
-  hedge::Listing listing;
+  membership::Listing listing;
   schema::PlatformList list{0, {worker("a"), worker("b")}};
   list.workers[0].left_ms = 500;
   list.workers[1].cold_ms = 0;
--- a/source/tests/hedge/vouch_test.cpp
+++ b/source/tests/membership/freshness_lease_test.cpp
@@ -1,14 +1,14 @@
 #include <gtest/gtest.h>
 
-#include "hedge/desk/desk.hpp"
-#include "hedge/listing/listing.hpp"
-#include "hedge/repair/repair.hpp"
-#include "hedge/session/sessions.hpp"
-#include "hedge/vouch/vouch.hpp"
+#include "membership/responder/news_responder.hpp"
+#include "membership/listing/listing.hpp"
+#include "membership/reconfiguration/reconfiguration.hpp"
+#include "membership/session/sessions.hpp"
+#include "membership/freshness/freshness_lease.hpp"
 #include "loam/constants.hpp"
 #include "loam/json/tree.hpp"
-#include "stake/granter.hpp"
-#include "stake/tenant.hpp"
+#include "lease/lease_granter.hpp"
+#include "lease/lease_holder.hpp"
 
 namespace finchlink {
 namespace {
@@ -23,11 +23,11 @@
   return answer;
 }
 
-TEST(Vouch, NeverAdoptsAnOlderRevision) {
+TEST(FreshnessLease, NeverAdoptsAnOlderRevision) {
   for (bool const guard : {true, false}) {
-    hedge::VouchGuards guards;
+    membership::FreshnessGuards guards;
     guards.never_back = guard;
-    hedge::Vouch vouch(guards);
+    membership::FreshnessLease vouch(guards);
     EXPECT_EQ(vouch.take(news(5, true), 0, 10).size(), 1u);
     // A late answer of a trellis that lagged.
     EXPECT_EQ(vouch.take(news(4, true), 5, 20).empty(), guard);
@@ -35,8 +35,8 @@
   }
 }
 
-TEST(Vouch, CountsFromWhenTheAskWasSent) {
-  hedge::Vouch vouch;
+TEST(FreshnessLease, CountsFromWhenTheAskWasSent) {
+  membership::FreshnessLease vouch;
   // The answer is read 10 s after the ask: a freeze lay between.
   (void)vouch.take(news(1, true), loam::seconds(1), loam::seconds(11));
   EXPECT_FALSE(vouch.vouched(loam::seconds(11)));
@@ -46,29 +46,29 @@
   EXPECT_FALSE(vouch.vouched(loam::seconds(12) + constants::vouch_bound));
 }
 
-TEST(Desk, VouchesOnlyForReadsBegunAfterTheAsk) {
+TEST(NewsResponder, VouchesOnlyForReadsBegunAfterTheAsk) {
   std::map<std::string, schema::Value> const values{{"setup", schema::Value{3, "x", {}}}};
   schema::NewsAsk ask;
-  EXPECT_FALSE(hedge::judge_ask(ask, 1000, 999, values, false, 2000).answer.has_value());
-  hedge::DeskVerdict const now = hedge::judge_ask(ask, 1000, 1000, values, false, 2000);
+  EXPECT_FALSE(membership::decide_answer(ask, 1000, 999, values, false, 2000).answer.has_value());
+  membership::NewsDecision const now = membership::decide_answer(ask, 1000, 1000, values, false, 2000);
   ASSERT_TRUE(now.answer.has_value());
   EXPECT_TRUE(now.answer->vouched);
   EXPECT_EQ(now.answer->news.size(), 1u);
   // No majority within the patience: an answer, but no vouch.
-  hedge::DeskVerdict const late = hedge::judge_ask(ask, 1000, 999, values, false, 1000 + constants::ask_patience);
+  membership::NewsDecision const late = membership::decide_answer(ask, 1000, 999, values, false, 1000 + constants::ask_patience);
   ASSERT_TRUE(late.answer.has_value());
   EXPECT_FALSE(late.answer->vouched);
   ask.member.held["setup"] = 3;
-  EXPECT_FALSE(hedge::judge_ask(ask, 1000, 1000, values, false, 2000).answer.has_value());  // held until news
+  EXPECT_FALSE(membership::decide_answer(ask, 1000, 1000, values, false, 2000).answer.has_value());  // held until news
 }
 
-TEST(Desk, HurriesTheReadForAnAskerThatHoldsNothing) {
+TEST(NewsResponder, HurriesTheReadForAnAskerThatHoldsNothing) {
   std::map<std::string, schema::Value> const values{{"setup", schema::Value{3, "x", {}}}};
   schema::NewsAsk ask;
-  EXPECT_TRUE(hedge::judge_ask(ask, 1000, 999, values, false, 2000).hurry);
-  EXPECT_FALSE(hedge::judge_ask(ask, 1000, 1000, values, false, 2000).hurry);  // answered
+  EXPECT_TRUE(membership::decide_answer(ask, 1000, 999, values, false, 2000).hurry);
+  EXPECT_FALSE(membership::decide_answer(ask, 1000, 1000, values, false, 2000).hurry);  // answered
   ask.member.held["setup"] = 2;  // it serves meanwhile: the next read is soon enough
-  EXPECT_FALSE(hedge::judge_ask(ask, 1000, 999, values, false, 2000).hurry);
+  EXPECT_FALSE(membership::decide_answer(ask, 1000, 999, values, false, 2000).hurry);
 }
 
 TEST(Bounds, AddUpToWhatIsAllowed) {
@@ -87,8 +87,8 @@
 }
 
 TEST(Sessions, EndAfterTheBoundAndTellEachOther) {
-  hedge::Sessions first(schema::TrellisEntry{"t1", 1, "h", "a", "", false, false, 0});
-  hedge::Sessions second(schema::TrellisEntry{"t2", 2, "h", "b", "", false, false, 0});
+  membership::Sessions first(schema::TrellisEntry{"t1", 1, "h", "a", "", false, false, 0});
+  membership::Sessions second(schema::TrellisEntry{"t2", 2, "h", "b", "", false, false, 0});
   schema::Member member;
   member.name = "furrow";
   member.incarnation = 9;
@@ -104,8 +104,8 @@
   EXPECT_EQ(second.expire(50000000 + constants::session_bound + 2000).size(), 1u);
 }
 
-schema::HolderSet three() {
-  schema::HolderSet set;
+schema::VoterSet three() {
+  schema::VoterSet set;
   set.epoch = 1;
   set.holders = {{1, "a"}, {2, "b"}, {3, "c"}};
   return set;
@@ -113,14 +113,14 @@
 
 TEST(Lease, TenantStopsBeforeItsHoldersGrantAnew) {
   for (bool const guard : {true, false}) {
-    rootstock::Guards guards;
+    consensus::Guards guards;
     guards.tenant_stops_early = guard;
-    stake::Tenant slow("duty", 10, guards);
-    std::vector<stake::Granter> granters(3, stake::Granter(-loam::seconds(100), true));
-    std::vector<stake::TenantAction> const asks = slow.tick(three(), loam::seconds(1));
+    lease::LeaseHolder slow("duty", 10, guards);
+    std::vector<lease::LeaseGranter> granters(3, lease::LeaseGranter(-loam::seconds(100), true));
+    std::vector<lease::LeaseHolderAction> const asks = slow.tick(three(), loam::seconds(1));
     std::vector<schema::LeaseAnswer> answers;
     for (std::size_t index = 0; index < 3; ++index) {
-      schema::LeaseAsk const& ask = std::get<stake::SendAsk>(asks[index]).ask;
+      schema::LeaseAsk const& ask = std::get<lease::SendAsk>(asks[index]).ask;
       answers.push_back(schema::LeaseAnswer{granters[index].ask(ask, loam::seconds(1)), index + 1, ask.round, {}});
     }
     // The answers are slow, or this machine was frozen: read 2.5 s later.
@@ -128,10 +128,10 @@
       (void)slow.receive(answer, loam::milliseconds(3500));
     }
     // Another gets the lease as soon as the first one's span is over.
-    stake::Tenant other("duty", 20);
+    lease::LeaseHolder other("duty", 20);
     loam::Moment const then = loam::seconds(1) + constants::lease_span;
-    for (stake::TenantAction const& action : other.tick(three(), then)) {
-      stake::SendAsk const& send = std::get<stake::SendAsk>(action);
+    for (lease::LeaseHolderAction const& action : other.tick(three(), then)) {
+      lease::SendAsk const& send = std::get<lease::SendAsk>(action);
       (void)other.receive(schema::LeaseAnswer{granters[send.to.incarnation - 1].ask(send.ask, then), send.to.incarnation, send.ask.round, {}}, then);
     }
     EXPECT_TRUE(other.holds(then));
@@ -141,7 +141,7 @@
 
 TEST(Lease, HolderThatForgotGrantsNothingForASpan) {
   for (bool const guard : {true, false}) {
-    stake::Granter restarted(loam::seconds(5), guard);
+    lease::LeaseGranter restarted(loam::seconds(5), guard);
     schema::LeaseAsk const ask{1, "duty", 20, constants::lease_span, false, 1};
     EXPECT_EQ(restarted.ask(ask, loam::seconds(5)), !guard);
     EXPECT_TRUE(restarted.ask(ask, loam::seconds(5) + constants::lease_silence));
@@ -149,7 +149,7 @@
 }
 
 TEST(Listing, GoesBackOnlyWhenThePlatformCountsAnew) {
-  hedge::Listing listing;
+  membership::Listing listing;
   schema::PlatformList list;
   list.revision = 500;
   EXPECT_TRUE(listing.keep(list, loam::seconds(1), loam::seconds(1)));
@@ -172,33 +172,33 @@
 }
 
 TEST(Repair, ReplacesOnlyFromAVotingMajorityAndOnlyByOneThatStandsBy) {
-  schema::HolderEntry spare{44, "d"};
+  schema::Voter spare{44, "d"};
   std::map<std::uint64_t, int> misses{{1, 0}, {2, 0}, {3, constants::join_misses}};
-  std::optional<schema::HolderSet> const plan = hedge::plan_joining(three(), misses, spare, 3);
+  std::optional<schema::VoterSet> const plan = membership::plan_joining(three(), misses, spare, 3);
   ASSERT_TRUE(plan.has_value());
   EXPECT_EQ(plan->epoch, 2u);
   EXPECT_EQ(plan->holders[2], spare);
   EXPECT_EQ(plan->holders.size(), 3u);
   EXPECT_EQ(plan->previous, three().holders);
   // Not by one that holds already, nor by one whose disk is silent.
-  EXPECT_FALSE(hedge::plan_joining(three(), misses, three().holders[0], 3).has_value());
-  EXPECT_FALSE(hedge::plan_joining(three(), misses, schema::HolderEntry{0, "d"}, 3).has_value());
+  EXPECT_FALSE(membership::plan_joining(three(), misses, three().holders[0], 3).has_value());
+  EXPECT_FALSE(membership::plan_joining(three(), misses, schema::Voter{0, "d"}, 3).has_value());
   misses[2] = 1;  // no majority answers
-  EXPECT_FALSE(hedge::plan_joining(three(), misses, spare, 3).has_value());
+  EXPECT_FALSE(membership::plan_joining(three(), misses, spare, 3).has_value());
   misses = {{1, 0}, {2, 0}, {3, 1}};  // one look missed is no loss,
-  EXPECT_FALSE(hedge::plan_joining(three(), misses, spare, 3).has_value());
+  EXPECT_FALSE(membership::plan_joining(three(), misses, spare, 3).has_value());
   spare.address = "c";                // unless another stands at its place
-  EXPECT_TRUE(hedge::plan_joining(three(), misses, spare, 3).has_value());
-  EXPECT_EQ(hedge::plan_joining(three(), misses, spare, 3)->holders[2], spare);
+  EXPECT_TRUE(membership::plan_joining(three(), misses, spare, 3).has_value());
+  EXPECT_EQ(membership::plan_joining(three(), misses, spare, 3)->holders[2], spare);
 }
 
 TEST(Repair, GrowsByOneAndOnlyWhileAllVote) {
-  EXPECT_EQ(hedge::wanted_holders(1), 3u);
-  EXPECT_EQ(hedge::wanted_holders(2), 5u);
-  schema::HolderEntry const fourth{44, "d"};
+  EXPECT_EQ(membership::wanted_holders(1), 3u);
+  EXPECT_EQ(membership::wanted_holders(2), 5u);
+  schema::Voter const fourth{44, "d"};
   std::map<std::uint64_t, int> const all{{1, 0}, {2, 0}, {3, 0}};
-  EXPECT_FALSE(hedge::plan_joining(three(), all, fourth, 3).has_value());
-  std::optional<schema::HolderSet> const plan = hedge::plan_joining(three(), all, fourth, 5);
+  EXPECT_FALSE(membership::plan_joining(three(), all, fourth, 3).has_value());
+  std::optional<schema::VoterSet> const plan = membership::plan_joining(three(), all, fourth, 5);
   ASSERT_TRUE(plan.has_value());
   EXPECT_EQ(plan->epoch, 2u);
   EXPECT_EQ(plan->previous, three().holders);
@@ -206,39 +206,39 @@
   EXPECT_EQ(plan->holders[3], fourth);
   std::map<std::uint64_t, int> one_missed = all;
   one_missed[2] = 1;
-  EXPECT_FALSE(hedge::plan_joining(three(), one_missed, fourth, 5).has_value());
+  EXPECT_FALSE(membership::plan_joining(three(), one_missed, fourth, 5).has_value());
   // The newcomer has no vote yet: the next waits for it.
-  schema::HolderEntry const fifth{55, "e"};
-  EXPECT_FALSE(hedge::plan_joining(*plan, {{1, 0}, {2, 0}, {3, 0}, {44, 1}}, fifth, 5).has_value());
-  std::optional<schema::HolderSet> const whole = hedge::plan_joining(*plan, {{1, 0}, {2, 0}, {3, 0}, {44, 0}}, fifth, 5);
+  schema::Voter const fifth{55, "e"};
+  EXPECT_FALSE(membership::plan_joining(*plan, {{1, 0}, {2, 0}, {3, 0}, {44, 1}}, fifth, 5).has_value());
+  std::optional<schema::VoterSet> const whole = membership::plan_joining(*plan, {{1, 0}, {2, 0}, {3, 0}, {44, 0}}, fifth, 5);
   ASSERT_TRUE(whole.has_value());
   EXPECT_EQ(whole->holders.size(), 5u);
   // With five, two are replaced one after the other, and nobody is added.
   std::map<std::uint64_t, int> two_lost{{1, 0}, {2, 0}, {3, 0}, {44, constants::join_misses}, {55, 1}};
-  std::optional<schema::HolderSet> const replaced = hedge::plan_joining(*whole, two_lost, schema::HolderEntry{66, "f"}, 5);
+  std::optional<schema::VoterSet> const replaced = membership::plan_joining(*whole, two_lost, schema::Voter{66, "f"}, 5);
   ASSERT_TRUE(replaced.has_value());
   EXPECT_EQ(replaced->holders.size(), 5u);
-  EXPECT_EQ(replaced->holders[3], (schema::HolderEntry{66, "f"}));
+  EXPECT_EQ(replaced->holders[3], (schema::Voter{66, "f"}));
   // One whose own place is in the set takes that one, though another seems lost.
-  std::optional<schema::HolderSet> const own = hedge::plan_joining(*whole, two_lost, schema::HolderEntry{77, "e"}, 5);
+  std::optional<schema::VoterSet> const own = membership::plan_joining(*whole, two_lost, schema::Voter{77, "e"}, 5);
   ASSERT_TRUE(own.has_value());
-  EXPECT_EQ(own->holders[4], (schema::HolderEntry{77, "e"}));
+  EXPECT_EQ(own->holders[4], (schema::Voter{77, "e"}));
   EXPECT_EQ(own->holders[3], whole->holders[3]);
 }
 
 TEST(Repair, NeverWritesASecondSetOfOneEpoch) {
   // Epoch 2 is chosen at revision 1, nobody has adopted it yet, and a second
   // tenant still plans from epoch 1.
-  schema::HolderSet first = three();
+  schema::VoterSet first = three();
   first.epoch = 2;
   first.holders[2] = {44, "d"};
-  schema::HolderSet second = first;
+  schema::VoterSet second = first;
   second.holders[2] = {55, "e"};
   schema::Value const chosen{1, loam::print_tree(loam::Tree(schema::write(first)).get()), {}};
-  EXPECT_TRUE(std::holds_alternative<rootstock::Reject>(hedge::repair_wish(three(), second)(chosen)));
-  EXPECT_TRUE(std::holds_alternative<schema::Value>(hedge::repair_wish(three(), first)(schema::Value{})));
+  EXPECT_TRUE(std::holds_alternative<consensus::Reject>(membership::reconfiguration_proposal(three(), second)(chosen)));
+  EXPECT_TRUE(std::holds_alternative<schema::Value>(membership::reconfiguration_proposal(three(), first)(schema::Value{})));
   // The guard off, as it stood in the shell: expecting what the register holds.
-  EXPECT_TRUE(std::holds_alternative<schema::Value>(rootstock::replace_at(chosen.revision, "another set of epoch 2")(chosen)));
+  EXPECT_TRUE(std::holds_alternative<schema::Value>(consensus::replace_at(chosen.revision, "another set of epoch 2")(chosen)));
 }
 
 }  // namespace
--- a/source/tests/hedge/desk_test.cpp
+++ b/source/tests/membership/news_responder_test.cpp
@@ -1,8 +1,8 @@
 #include <gtest/gtest.h>
 
-#include "hedge/desk/desk.hpp"
+#include "membership/responder/news_responder.hpp"
 
-namespace finchlink::hedge {
+namespace finchlink::membership {
 namespace {
 
 schema::NewsAsk ask_holding(std::map<std::string, std::uint64_t> const& held) {
@@ -20,25 +20,25 @@
   return {{"charter", value}};
 }
 
-TEST(Desk, AReadIsHurriedForOneWhoHoldsNothing) {
+TEST(NewsResponder, AReadIsHurriedForOneWhoHoldsNothing) {
   loam::Moment const arrival = loam::seconds(10);
   loam::Moment const before = arrival - 1;
-  DeskVerdict const blank = judge_ask(ask_holding({}), arrival, before, values(), false, arrival);
+  NewsDecision const blank = decide_answer(ask_holding({}), arrival, before, values(), false, arrival);
   EXPECT_FALSE(blank.answer.has_value());  // no word without a read begun after the ask
   EXPECT_TRUE(blank.hurry);
-  DeskVerdict const answered = judge_ask(ask_holding({}), arrival, arrival, values(), false, arrival);
+  NewsDecision const answered = decide_answer(ask_holding({}), arrival, arrival, values(), false, arrival);
   ASSERT_TRUE(answered.answer.has_value());
   EXPECT_TRUE(answered.answer->vouched);
   EXPECT_FALSE(answered.hurry);
 }
 
-TEST(Desk, NoReadIsHurriedWithoutNewsOrForOneWhoServes) {
+TEST(NewsResponder, NoReadIsHurriedWithoutNewsOrForOneWhoServes) {
   loam::Moment const arrival = loam::seconds(10);
   loam::Moment const before = arrival - 1;
-  EXPECT_FALSE(judge_ask(ask_holding({}), arrival, before, {}, false, arrival).hurry);
-  EXPECT_FALSE(judge_ask(ask_holding({{"charter", 2}}), arrival, before, values(), false, arrival).hurry);
-  EXPECT_FALSE(judge_ask(ask_holding({{"charter", 3}}), arrival, before, values(), false, arrival).hurry);
+  EXPECT_FALSE(decide_answer(ask_holding({}), arrival, before, {}, false, arrival).hurry);
+  EXPECT_FALSE(decide_answer(ask_holding({{"charter", 2}}), arrival, before, values(), false, arrival).hurry);
+  EXPECT_FALSE(decide_answer(ask_holding({{"charter", 3}}), arrival, before, values(), false, arrival).hurry);
 }
 
 }  // namespace
-}  // namespace finchlink::hedge
+}  // namespace finchlink::membership
--- a/source/tests/platform/notation_test.cpp
+++ b/source/tests/platform/notation_test.cpp
@@ -28,7 +28,7 @@
 }
 
 TEST(PlatformNotation, ReadsACharter) {
-  orchard::CharterReading const reading = platform::notation().read(whole);
+  config::CharterReading const reading = platform::notation().read(whole);
   ASSERT_TRUE(reading.good()) << loam::describe(reading.faults);
   schema::Charter const& charter = reading.charter;
   EXPECT_EQ(charter.number, 7u);
@@ -75,7 +75,7 @@
       whole, R"({"revision":9,"upsert":{"channels":[{"name":"r-3","host":"b.example","path_prefix":"/z/","kind":"unsafe","deadline_ms":1.5,"plant":"p"},)"
              R"({"name":"r-1","host":"a.example","path_prefix":"/w/","kind":"stream","deadline_ms":8000,"plant":"p"}]},"remove":{"channels":["r-2","r-none"]}})");
   ASSERT_TRUE(merged.ok()) << merged.status();
-  orchard::CharterReading const reading = platform::notation().read(*merged);
+  config::CharterReading const reading = platform::notation().read(*merged);
   ASSERT_TRUE(reading.good()) << loam::describe(reading.faults);
   EXPECT_EQ(reading.charter.number, 9u);
   ASSERT_EQ(reading.charter.lanes.size(), 2u);
--- a/source/tests/relay/fleet.hpp
+++ b/source/tests/relay/fleet.hpp
@@ -20,8 +20,8 @@
 #include "furrow/relay/station.hpp"
 #include "loam/json/tree.hpp"
 #include "loam/net/net.hpp"
-#include "orchard/charter/charter.hpp"
-#include "orchard/charter/wish.hpp"
+#include "config/charter/charter.hpp"
+#include "config/charter/proposal.hpp"
 #include "schema/setup.hpp"
 #include "tests/own_address.hpp"
 
@@ -274,7 +274,7 @@
   void publish(std::string const& name, std::uint64_t revision, std::string const& content) { news[name] = schema::NamedValue{name, revision, content}; }
   void publish_charter(std::uint64_t revision) {
     loam::Tree const tree(schema::write(charter));
-    publish(orchard::charter_register, revision, loam::print_tree(tree.get()));
+    publish(config::charter_register, revision, loam::print_tree(tree.get()));
   }
 
   /// Starts the relay and waits until it has heard the news.
@@ -283,7 +283,7 @@
       publish_charter(1);
     }
     EXPECT_TRUE(loam::serve_frames(*context, trellis_address, 64, [this](schema::Message const& message, loam::Yield yield) { return answer(message, yield); }).ok());
-    station = std::make_unique<furrow::Station>(*context, settings, furrow::own_dialect(), orchard::own_notation(), nullptr, 7);
+    station = std::make_unique<furrow::Station>(*context, settings, furrow::own_dialect(), config::own_notation(), nullptr, 7);
     EXPECT_TRUE(station->begin().ok());
     if (with_charter) {
       EXPECT_TRUE(until([this] { return station->book() != nullptr && station->grove().size() == list.workers.size(); }));
--- a/source/tests/relay/station_test.cpp
+++ b/source/tests/relay/station_test.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "hedge/listing/listing.hpp"
+#include "membership/listing/listing.hpp"
 #include "tests/relay/fleet.hpp"
 
 namespace finchlink::relay_test {
@@ -249,7 +249,7 @@
   bool wrong = false;
   fleet.script = [&](schema::NewsAsk const& ask, schema::NewsAnswer& answer) {
     asked.push_back(ask.list_digest);
-    answer.list_digest = hedge::digest_of(fleet.list);
+    answer.list_digest = membership::digest_of(fleet.list);
     answer.list_same = ask.list_digest == answer.list_digest;
     answer.list = answer.list_same ? schema::PlatformList{} : fleet.list;
     if (!answer.list_same && ask.list_digest != 0) {  // only what changed
