--- a/source/tests/tilth/split_test.cpp
+++ b/source/tests/tilth/split_test.cpp
@@ -1,7 +1,7 @@
 #include <gtest/gtest.h>
 
 #include "loam/relay_constants.hpp"
-#include "rootstock/change/change.hpp"
+#include "consensus/proposer/proposer.hpp"
 #include "tilth/grove/grove.hpp"
 #include "tilth/observe/observer.hpp"
 #include "tilth/scaler/pools.hpp"
@@ -231,11 +231,11 @@
   tilth::ScalerAction const first = fed.tick(schema::Split(), 0);
   ASSERT_TRUE(std::holds_alternative<tilth::WriteSplit>(first));
   schema::Value kept;
-  rootstock::Wish const wish = rootstock::replace_at(0, tilth::print_split(std::get<tilth::WriteSplit>(first).split))(kept);
+  consensus::Proposal const wish = consensus::replace_at(0, tilth::print_split(std::get<tilth::WriteSplit>(first).split))(kept);
   ASSERT_TRUE(std::holds_alternative<schema::Value>(wish));
   kept = std::get<schema::Value>(wish);
   // Whoever lost the lease meanwhile builds on what is no longer there.
-  EXPECT_FALSE(std::holds_alternative<schema::Value>(rootstock::replace_at(kept.revision + 7, "other")(kept)));
+  EXPECT_FALSE(std::holds_alternative<schema::Value>(consensus::replace_at(kept.revision + 7, "other")(kept)));
   // The successor reads it back whole; it has seen no report and decides nothing.
   absl::StatusOr<schema::Split> const read = tilth::read_split(kept.content);
   ASSERT_TRUE(read.ok());
--- a/source/tilth/plan/plan.cpp
+++ b/source/tilth/plan/plan.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "orchard/label/selector.hpp"
+#include "config/label/selector.hpp"
 
 namespace finchlink::tilth {
 
@@ -24,13 +24,13 @@
 }  // namespace
 
 void derive(Plan& plan, std::string const& self, std::string const& hall) {
-  plan.region = orchard::region_of(plan.setup, hall);
+  plan.region = config::region_of(plan.setup, hall);
   plan.allowed.clear();
   plan.wishes.clear();
   std::vector<std::string> furrows{self};
   std::map<std::string, std::vector<std::string>> warm_boots;
   for (schema::Member const& member : plan.members) {
-    if (member.name != self && orchard::region_of(plan.setup, member.hall) == plan.region) {
+    if (member.name != self && config::region_of(plan.setup, member.hall) == plan.region) {
       furrows.push_back(member.name);
     }
     for (std::string const& warm : member.warm) {
@@ -47,7 +47,7 @@
     evacuated[entry.first] = entry.second.evacuated;
   }
   for (schema::WorkerEntry const& worker : plan.list.workers) {
-    if (plan.region.empty() || orchard::region_of(plan.setup, worker.zone) != plan.region) {
+    if (plan.region.empty() || config::region_of(plan.setup, worker.zone) != plan.region) {
       continue;
     }
     WorkerWish wish;
@@ -62,9 +62,9 @@
     wish.warm_boots = warm_boots[worker.id];
     std::string const pool = pool_of(worker.kind);
     plan.wishes[pool].push_back(wish);
-    orchard::Labels const labels = orchard::worker_labels(plan.setup, worker);
+    config::Labels const labels = config::worker_labels(plan.setup, worker);
     for (std::pair<std::string const, schema::Rule> const& rule : plan.setup.rules) {
-      if (pool_of(rule.second.kind) == pool && orchard::selects(rule.second.selector, labels)) {
+      if (pool_of(rule.second.kind) == pool && config::selects(rule.second.selector, labels)) {
         plan.allowed[rule.first].push_back(worker.id);
       }
     }
@@ -110,7 +110,7 @@
   std::vector<schema::Member> near;
   std::vector<schema::Member> far;
   for (schema::Member const& member : plan.members) {
-    std::string const region = orchard::region_of(plan.setup, member.hall);
+    std::string const region = config::region_of(plan.setup, member.hall);
     bool const room = std::find(member.rooms.begin(), member.rooms.end(), pool) != member.rooms.end();
     if (room && !region.empty() && member.name != self) {
       (region == plan.region ? near : far).push_back(member);
@@ -134,17 +134,17 @@
     followed.changed = other_workers;
     return followed;
   }
-  orchard::Course const course = orchard::decide(current->setup, current->region, header.method, header.path, header.lookup, header.body_bytes);
+  config::Course const course = config::decide(current->setup, current->region, header.method, header.path, header.lookup, header.body_bytes);
   Decided decided;
   followed.changed = true;
-  if (orchard::Serve const* const serve = std::get_if<orchard::Serve>(&course)) {
+  if (config::Serve const* const serve = std::get_if<config::Serve>(&course)) {
     schema::Rule const rule = current->setup.rules.at(serve->rule);
     followed.changed = !(*serve == footing.serve) || !(rule == footing.rule) || other_workers || current->setup.scaler.manner != before->setup.scaler.manner;
     footing.serve = *serve;
     footing.rule = rule;
   } else {
-    decided.standing = std::holds_alternative<orchard::GoHome>(course) ? Standing::home : Standing::none;
-    footing.home = decided.standing == Standing::home ? std::get<orchard::GoHome>(course).region : "";
+    decided.standing = std::holds_alternative<config::GoHome>(course) ? Standing::home : Standing::none;
+    footing.home = decided.standing == Standing::home ? std::get<config::GoHome>(course).region : "";
   }
   decided.repeatable = footing.rule.repeatable;
   decided.resumable = footing.rule.resumable;
--- a/source/tilth/plan/plan.hpp
+++ b/source/tilth/plan/plan.hpp
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "orchard/course/course.hpp"
+#include "config/course/course.hpp"
 #include "schema/setup.hpp"
 #include "schema/wire.hpp"
 #include "tilth/chart/chart.hpp"
@@ -51,14 +51,14 @@
 /// What a query was decided to be, by which plan (section 9.7).
 struct Footing {
   std::shared_ptr<Plan const> plan;
-  orchard::Serve serve;
+  config::Serve serve;
   schema::Rule rule;
   std::string home;  ///< another region, once it is decided so
 };
 struct Header {
   std::string method;
   std::string path;
-  orchard::HeaderLookup lookup;
+  config::HeaderLookup lookup;
   std::size_t body_bytes = 0;
 };
 /// Decides anew by the plan in force. `changed`: what the query may do or where
--- a/source/trellis/holder/holder_shell.cpp
+++ b/source/trellis/acceptor/acceptor_service.cpp
@@ -1,22 +1,22 @@
-#include "trellis/holder/holder_shell.hpp"
+#include "trellis/acceptor/acceptor_service.hpp"
 
 #include <cstdio>
 
 #include "loam/constants.hpp"
 #include "loam/log/log.hpp"
 #include "loam/random/random.hpp"
-#include "rootstock/ring/fault_device.hpp"
-#include "rootstock/ring/file_device.hpp"
+#include "consensus/write_ahead_log/fault_device.hpp"
+#include "consensus/write_ahead_log/file_device.hpp"
 
 namespace finchlink::trellis {
 
 namespace constants = loam::constants;
 
-HolderShell::HolderShell(boost::asio::io_context& context, loam::Caller& caller, std::string folder, std::string address,
+AcceptorService::AcceptorService(boost::asio::io_context& context, loam::Caller& caller, std::string folder, std::string address,
                          std::vector<std::string> founders)
     : context_(context), caller_(caller), folder_(std::move(folder)), address_(std::move(address)), founders_(std::move(founders)) {}
 
-HolderShell::~HolderShell() {
+AcceptorService::~AcceptorService() {
   {
     std::lock_guard<std::mutex> const guard(lock_);
     stopping_ = true;
@@ -27,17 +27,17 @@
   }
 }
 
-bool HolderShell::open_disk() {
+bool AcceptorService::open_disk() {
   ring_.reset();  // lets go of the folder before it is taken again
-  absl::StatusOr<rootstock::Device> device = rootstock::open_files(folder_, constants::ring_files, constants::ring_file_bytes);
+  absl::StatusOr<consensus::Device> device = consensus::open_files(folder_, constants::ring_files, constants::ring_file_bytes);
   if (!device.ok()) {
     defect_ = std::string(device.status().message());
     return false;
   }
 #ifdef FINCHLINK_FAULTS
-  *device = rootstock::with_faults(*device, folder_ + ".faults");
+  *device = consensus::with_faults(*device, folder_ + ".faults");
 #endif
-  rootstock::Ring ring(*device, constants::ring_files, constants::ring_file_bytes);
+  consensus::WriteAheadLog ring(*device, constants::ring_files, constants::ring_file_bytes);
   absl::StatusOr<std::vector<schema::Record>> records = ring.recover();
   if (!records.ok() && absl::IsDataLoss(records.status())) {
     // What is left can't be told from what was acknowledged: the disk counts
@@ -50,7 +50,7 @@
         return false;
       }
     }
-    ring = rootstock::Ring(*device, constants::ring_files, constants::ring_file_bytes);
+    ring = consensus::WriteAheadLog(*device, constants::ring_files, constants::ring_file_bytes);
     records = std::vector<schema::Record>();
   }
   if (!records.ok()) {
@@ -84,7 +84,7 @@
   return true;
 }
 
-void HolderShell::begin() {
+void AcceptorService::begin() {
   worker_ = std::thread([this] {
     // A disk that filled or failed may come back: it is opened anew, which is
     // to this holder what a restart is (section 5.3).
@@ -107,7 +107,7 @@
   loam::start(context_, [this](loam::Yield yield) { stand_up(yield); });
 }
 
-void HolderShell::work() {
+void AcceptorService::work() {
   while (true) {
     std::deque<Job> jobs;
     {
@@ -150,10 +150,10 @@
   }
 }
 
-std::optional<rootstock::Outcome> HolderShell::apply(std::function<rootstock::Outcome(rootstock::Holder&)> const& step, loam::Yield yield) {
+std::optional<consensus::Outcome> AcceptorService::apply(std::function<consensus::Outcome(consensus::Acceptor&)> const& step, loam::Yield yield) {
   std::shared_ptr<Ticket> const ticket = std::make_shared<Ticket>(yield.get_executor());
   ticket->timer.expires_after(loam::duration(constants::holder_deadline));
-  rootstock::Outcome outcome;
+  consensus::Outcome outcome;
   {
     // The step and its place among the jobs are one: records must reach the
     // disk in the order in which the core made them.
@@ -185,13 +185,13 @@
   return outcome;
 }
 
-std::optional<schema::Message> HolderShell::receive(schema::Message const& message, loam::Yield yield) {
-  std::optional<rootstock::Outcome> const outcome =
-      apply([&message](rootstock::Holder& holder) { return holder.receive(message, loam::boot_now()); }, yield);
+std::optional<schema::Message> AcceptorService::receive(schema::Message const& message, loam::Yield yield) {
+  std::optional<consensus::Outcome> const outcome =
+      apply([&message](consensus::Acceptor& holder) { return holder.receive(message, loam::boot_now()); }, yield);
   return outcome.has_value() ? outcome->reply : std::nullopt;
 }
 
-void HolderShell::stand_up(loam::Yield yield) {
+void AcceptorService::stand_up(loam::Yield yield) {
   while (true) {
     loam::pause(context_, constants::founding_pause, yield);
     bool founding = false;
@@ -211,7 +211,7 @@
           }
         }
       } else if (image) {
-        for (schema::HolderEntry const& source : holder_->image_sources()) {
+        for (schema::Voter const& source : holder_->image_sources()) {
           calls.emplace_back(source.address, holder_->image_ask());
         }
       }
@@ -234,8 +234,8 @@
           return false;
         },
         yield);
-    std::optional<rootstock::Outcome> const outcome = apply(
-        [founding, &answers, &images](rootstock::Holder& holder) {
+    std::optional<consensus::Outcome> const outcome = apply(
+        [founding, &answers, &images](consensus::Acceptor& holder) {
           return founding ? holder.founding(answers, loam::boot_now()) : holder.enrol(images, loam::boot_now());
         },
         yield);
@@ -250,19 +250,19 @@
   }
 }
 
-std::uint64_t HolderShell::incarnation() {
+std::uint64_t AcceptorService::incarnation() {
   std::lock_guard<std::mutex> const guard(lock_);
   return holder_.has_value() ? holder_->incarnation() : 0;
 }
-bool HolderShell::voting() {
+bool AcceptorService::voting() {
   std::lock_guard<std::mutex> const guard(lock_);
   return !silent_ && holder_.has_value() && holder_->voting();
 }
-schema::HolderSet HolderShell::set() {
+schema::VoterSet AcceptorService::set() {
   std::lock_guard<std::mutex> const guard(lock_);
-  return holder_.has_value() ? holder_->set() : schema::HolderSet{};
+  return holder_.has_value() ? holder_->set() : schema::VoterSet{};
 }
-bool HolderShell::silent() {
+bool AcceptorService::silent() {
   std::lock_guard<std::mutex> const guard(lock_);
   return silent_;
 }
--- a/source/trellis/holder/holder_shell.hpp
+++ b/source/trellis/acceptor/acceptor_service.hpp
@@ -12,21 +12,21 @@
 #include <absl/status/status.h>
 
 #include "loam/net/net.hpp"
-#include "rootstock/holder/holder.hpp"
-#include "rootstock/ring/ring.hpp"
+#include "consensus/acceptor/acceptor.hpp"
+#include "consensus/write_ahead_log/write_ahead_log.hpp"
 
 namespace finchlink::trellis {
 
 /// Runs a Holder on a disk (section 5.3): records are synced on a thread of
 /// their own before a reply goes out; a disk that fails, stalls or is slow
 /// makes the holder silent and nothing else.
-class HolderShell {
+class AcceptorService {
  public:
-  HolderShell(boost::asio::io_context& context, loam::Caller& caller, std::string folder, std::string address,
+  AcceptorService(boost::asio::io_context& context, loam::Caller& caller, std::string folder, std::string address,
               std::vector<std::string> founders);
-  ~HolderShell();
-  HolderShell(HolderShell const&) = delete;
-  HolderShell& operator=(HolderShell const&) = delete;
+  ~AcceptorService();
+  AcceptorService(AcceptorService const&) = delete;
+  AcceptorService& operator=(AcceptorService const&) = delete;
 
   /// Opens the disk and starts the loops of founding and enrolment.
   void begin();
@@ -35,7 +35,7 @@
 
   [[nodiscard]] std::uint64_t incarnation();
   [[nodiscard]] bool voting();
-  [[nodiscard]] schema::HolderSet set();
+  [[nodiscard]] schema::VoterSet set();
   [[nodiscard]] bool silent();
 
  private:
@@ -54,7 +54,7 @@
   void stand_up(loam::Yield yield);
   /// One step of the core; its outcome once it is lasting, nothing when this
   /// holder is silent.
-  [[nodiscard]] std::optional<rootstock::Outcome> apply(std::function<rootstock::Outcome(rootstock::Holder&)> const& step, loam::Yield yield);
+  [[nodiscard]] std::optional<consensus::Outcome> apply(std::function<consensus::Outcome(consensus::Acceptor&)> const& step, loam::Yield yield);
 
   boost::asio::io_context& context_;
   loam::Caller& caller_;
@@ -62,8 +62,8 @@
   std::string address_;
   std::vector<std::string> founders_;
   std::mutex lock_;
-  std::optional<rootstock::Holder> holder_;
-  std::optional<rootstock::Ring> ring_;
+  std::optional<consensus::Acceptor> holder_;
+  std::optional<consensus::WriteAheadLog> ring_;
   std::condition_variable wake_;
   std::deque<Job> jobs_;
   std::size_t open_jobs_ = 0;
--- a/source/trellis/duty/duties.cpp
+++ b/source/trellis/duty/duties.cpp
@@ -3,22 +3,22 @@
 #include <algorithm>
 #include <set>
 
-#include "hedge/repair/repair.hpp"
+#include "membership/reconfiguration/reconfiguration.hpp"
 #include "loam/relay_constants.hpp"
 #include "loam/json/tree.hpp"
 #include "loam/log/log.hpp"
-#include "orchard/charter/wish.hpp"
-#include "orchard/label/selector.hpp"
-#include "orchard/setup/setup.hpp"
+#include "config/charter/proposal.hpp"
+#include "config/label/selector.hpp"
+#include "config/setup/setup.hpp"
 
 namespace finchlink::trellis {
 
 namespace constants = loam::constants;
 
-Duties::Duties(boost::asio::io_context& context, loam::Caller& caller, Ledger& ledger, News& news, HolderShell* holder, std::uint64_t identity,
-               schema::Settings const& settings, orchard::Notation notation)
-    : context_(context), caller_(caller), ledger_(ledger), news_(news), holder_(holder), identity_(identity), settings_(settings), notation_(std::move(notation)),
-      address_(settings.colleague_address), wanted_holders_(hedge::wanted_holders(settings.tolerated_machines)) {}
+Duties::Duties(boost::asio::io_context& context, loam::Caller& caller, RegisterClient& register_client, News& news, AcceptorService* holder, std::uint64_t identity,
+               schema::Settings const& settings, config::Notation notation)
+    : context_(context), caller_(caller), register_(register_client), news_(news), holder_(holder), identity_(identity), settings_(settings), notation_(std::move(notation)),
+      address_(settings.colleague_address), wanted_holders_(membership::wanted_holders(settings.tolerated_machines)) {}
 
 void Duties::begin() {
   loam::start(context_, [this](loam::Yield yield) {
@@ -38,7 +38,7 @@
           // trellis of the region is left to do it.
           std::function<bool()> const wanted = [this, name] {
             schema::Setup const known = setup();
-            return known.regions.count(name) > 0 && on_duty(name, [&known](std::string const& hall) { return orchard::region_of(known, hall); });
+            return known.regions.count(name) > 0 && on_duty(name, [&known](std::string const& hall) { return config::region_of(known, hall); });
           };
           run("scaler/" + name, wanted, [this, name](std::function<bool()> const& held, loam::Yield inner) { scale(name, held, inner); });
         }
@@ -73,9 +73,9 @@
         join(yield);
         // What surely is missing, a place of one's own or one more, is not
         // waited for as long as what only seems lost.
-        schema::HolderSet const set = ledger_.set();
+        schema::VoterSet const set = register_.set();
         bool sure = set.holders.size() < wanted_holders_;
-        for (schema::HolderEntry const& entry : set.holders) {
+        for (schema::Voter const& entry : set.holders) {
           sure = sure || entry.address == address_;
         }
         loam::pause(context_, sure ? constants::founding_pause : constants::join_pause, yield);
@@ -86,18 +86,18 @@
 
 void Duties::run(std::string const& name, std::function<bool()> const& wanted,
                  std::function<void(std::function<bool()> const&, loam::Yield)> const& step) {
-  std::shared_ptr<stake::Tenant> const tenant = std::make_shared<stake::Tenant>("duty/" + name, identity_);
+  std::shared_ptr<lease::LeaseHolder> const tenant = std::make_shared<lease::LeaseHolder>("duty/" + name, identity_);
   std::shared_ptr<std::mutex> const tenant_lock = std::make_shared<std::mutex>();
   loam::start(context_, [this, name, tenant, tenant_lock, wanted](loam::Yield yield) {
     while (true) {
       std::vector<std::pair<std::string, schema::Message>> calls;
       if (wanted()) {
-        schema::HolderSet const set = ledger_.set();
+        schema::VoterSet const set = register_.set();
         std::lock_guard<std::mutex> const guard(*tenant_lock);
-        for (stake::TenantAction const& action : tenant->tick(set, loam::boot_now())) {
-          if (stake::SendAsk const* const send = std::get_if<stake::SendAsk>(&action)) {
+        for (lease::LeaseHolderAction const& action : tenant->tick(set, loam::boot_now())) {
+          if (lease::SendAsk const* const send = std::get_if<lease::SendAsk>(&action)) {
             calls.emplace_back(send->to.address, send->ask);
-          } else if (std::holds_alternative<stake::Lost>(action)) {
+          } else if (std::holds_alternative<lease::Lost>(action)) {
             loam::note(loam::Event::LeaseLost, name);
           }
         }
@@ -109,8 +109,8 @@
               schema::LeaseAnswer const* const given = answer.ok() ? std::get_if<schema::LeaseAnswer>(&*answer) : nullptr;
               if (given != nullptr) {
                 std::lock_guard<std::mutex> const guard(*tenant_lock);
-                for (stake::TenantAction const& action : tenant->receive(*given, loam::boot_now())) {
-                  if (std::holds_alternative<stake::Gained>(action)) {
+                for (lease::LeaseHolderAction const& action : tenant->receive(*given, loam::boot_now())) {
+                  if (std::holds_alternative<lease::Gained>(action)) {
                     loam::note(loam::Event::LeaseTaken, name);
                   }
                 }
@@ -142,11 +142,11 @@
 }
 
 schema::Setup Duties::setup() {
-  schema::Value const value = ledger_.value(rootstock::setup_register);
+  schema::Value const value = register_.value(consensus::setup_register);
   std::lock_guard<std::mutex> const guard(lock_);
   if (value.revision != setup_revision_) {
     setup_revision_ = value.revision;
-    setup_ = orchard::read_setup(value.content).setup;
+    setup_ = config::read_setup(value.content).setup;
   }
   return setup_;
 }
@@ -176,18 +176,18 @@
   }
   schema::Value charter;
   schema::Value evacuated;
-  ledger_.look([&charter, &evacuated, this](std::map<std::string, schema::Value> const& values, loam::Moment) {
-    std::map<std::string, schema::Value>::const_iterator const found = values.find(orchard::charter_register);
+  register_.look([&charter, &evacuated, this](std::map<std::string, schema::Value> const& values, loam::Moment) {
+    std::map<std::string, schema::Value>::const_iterator const found = values.find(config::charter_register);
     if (found != values.end() && found->second.revision != charter_revision_) {
       charter = found->second;
     }
-    std::map<std::string, schema::Value>::const_iterator const halls = values.find(orchard::evacuated_register);
+    std::map<std::string, schema::Value>::const_iterator const halls = values.find(config::evacuated_register);
     if (halls != values.end()) {
       evacuated = halls->second;
     }
   });
   if (charter.revision > 0) {
-    orchard::CharterReading reading = notation_.read(charter.content);
+    config::CharterReading reading = notation_.read(charter.content);
     std::lock_guard<std::mutex> const guard(lock_);
     charter_revision_ = charter.revision;
     charter_ = std::move(reading.charter);
@@ -196,7 +196,7 @@
       lane = schema::Lane{.shares = std::move(lane.shares), .set_point_ms = lane.set_point_ms};
     }
   }
-  std::vector<std::string> const halls = orchard::evacuated_halls(evacuated.content);
+  std::vector<std::string> const halls = config::evacuated_halls(evacuated.content);
   schema::PlatformList const list = news_.list();
   std::lock_guard<std::mutex> const guard(lock_);
   return tilth::pools_of(list, charter_, known.regions, std::set<std::string>(halls.begin(), halls.end()));
@@ -221,7 +221,7 @@
   std::vector<schema::Session> const sessions = news_.take_reports();
   std::lock_guard<std::mutex> const guard(lock_);
   for (schema::Session const& session : sessions) {
-    std::string const region = orchard::region_of(known, session.member.hall);
+    std::string const region = config::region_of(known, session.member.hall);
     for (schema::FurrowReport const& report : session.reports) {
       scalers_[region].report(report, known.scaler, loam::boot_now());
     }
@@ -230,8 +230,8 @@
 
 void Duties::scale(std::string const& region, std::function<bool()> const& held, loam::Yield yield) {
   schema::Setup const known = setup();
-  std::string const name = rootstock::split_register(region);
-  schema::Value const value = ledger_.value(name);
+  std::string const name = consensus::split_register(region);
+  schema::Value const value = register_.value(name);
   schema::Split current;
   std::vector<loam::Fault> faults;
   absl::StatusOr<loam::Tree> const tree = loam::read_tree(value.content);
@@ -242,7 +242,7 @@
   for (schema::WorkerEntry const& worker : news_.list().workers) {
     std::map<std::string, schema::Hall>::const_iterator const hall = known.halls.find(worker.zone);
     bool const evacuated = hall != known.halls.end() && hall->second.evacuated;
-    if (worker.kind == "model" && !worker.draining && !evacuated && orchard::region_of(known, worker.zone) == region) {
+    if (worker.kind == "model" && !worker.draining && !evacuated && config::region_of(known, worker.zone) == region) {
       workers.push_back(worker.id);
     }
   }
@@ -260,7 +260,7 @@
 }
 
 void Duties::scale_pool(std::string const& name, tilth::Pool const& pool, std::function<bool()> const& held, loam::Yield yield) {
-  schema::Value const value = ledger_.value(rootstock::split_register(name));
+  schema::Value const value = register_.value(consensus::split_register(name));
   absl::StatusOr<schema::Split> const read = tilth::read_split(value.content);
   schema::Split const current = value.revision > 0 && read.ok() ? *read : schema::Split();
   schema::ScalerAims const aims = tilth::aims_of(settings(), pool);
@@ -286,8 +286,8 @@
   }
   std::string const text = tilth::print_split(split);
   // The expectation fences: whoever lost the lease meanwhile writes nothing.
-  Ledger::Result const result = ledger_.change(rootstock::split_register(name), rootstock::replace_at(revision, text), constants::change_deadline, yield);
-  bool const chosen = std::holds_alternative<rootstock::Chosen>(result);
+  RegisterClient::Result const result = register_.change(consensus::split_register(name), consensus::replace_at(revision, text), constants::change_deadline, yield);
+  bool const chosen = std::holds_alternative<consensus::Chosen>(result);
   loam::note(chosen ? loam::Event::SplitWritten : loam::Event::SplitDefect, name + ": " + split.reason);
   std::lock_guard<std::mutex> const guard(lock_);
   reasons_["scaler/" + name.substr(0, name.find('/'))] = split.reason;
@@ -298,7 +298,7 @@
   // All seeds may have moved: the own disk and whoever told us of himself
   // know the holder set as well (section 5.5).
   if (holder_ != nullptr) {
-    ledger_.learn(holder_->set());
+    register_.learn(holder_->set());
   }
   std::vector<std::string> colleagues;
   for (schema::TrellisEntry const& trellis : news_.trellises()) {
@@ -306,30 +306,30 @@
       colleagues.push_back(trellis.address);
     }
   }
-  ledger_.know_colleagues(colleagues);
-  schema::HolderSet const set = ledger_.set();
+  register_.know_colleagues(colleagues);
+  schema::VoterSet const set = register_.set();
   if (holder_ != nullptr && set.epoch > 0 && holder_->set().epoch < set.epoch && holder_->set().epoch > 0) {
     (void)holder_->receive(schema::Adopt{set}, yield);
   } else if (holder_ != nullptr && set.epoch > 1 && holder_->set().epoch == 0) {
     (void)holder_->receive(schema::Adopt{set}, yield);
   }
   // A holders register that was chosen but told to no one yet (section 5.5).
-  schema::Value const value = ledger_.value(rootstock::holders_register);
+  schema::Value const value = register_.value(consensus::holders_register);
   absl::StatusOr<loam::Tree> const tree = loam::read_tree(value.content);
   if (value.revision == 0 || !tree.ok()) {
     return;
   }
-  schema::HolderSet next;
+  schema::VoterSet next;
   std::vector<loam::Fault> faults;
   schema::read(tree->get(), "", next, faults);
   if (!faults.empty() || next.epoch <= set.epoch) {
     return;
   }
   std::vector<std::pair<std::string, schema::Message>> calls;
-  for (schema::HolderEntry const& entry : next.previous) {
+  for (schema::Voter const& entry : next.previous) {
     calls.emplace_back(entry.address, schema::Adopt{next});
   }
-  for (schema::HolderEntry const& entry : next.holders) {
+  for (schema::Voter const& entry : next.holders) {
     calls.emplace_back(entry.address, schema::Adopt{next});
   }
   std::size_t adopted = 0;
@@ -342,14 +342,14 @@
       },
       yield);
   if (adopted > 0) {
-    ledger_.learn(next);
+    register_.learn(next);
   }
 }
 
 void Duties::join(loam::Yield yield) {
-  schema::HolderSet const set = ledger_.set();
-  schema::HolderEntry const self{holder_->silent() ? 0 : holder_->incarnation(), address_};
-  if (set.epoch == 0 || self.incarnation == 0 || rootstock::names(set.holders, self.incarnation)) {
+  schema::VoterSet const set = register_.set();
+  schema::Voter const self{holder_->silent() ? 0 : holder_->incarnation(), address_};
+  if (set.epoch == 0 || self.incarnation == 0 || consensus::names(set.holders, self.incarnation)) {
     misses_.clear();
     return;
   }
@@ -358,7 +358,7 @@
   std::vector<std::pair<std::string, schema::Message>> calls;
   std::vector<std::uint64_t> asked;
   std::set<std::uint64_t> missing;
-  for (schema::HolderEntry const& entry : set.holders) {
+  for (schema::Voter const& entry : set.holders) {
     ++misses_[entry.incarnation];
     missing.insert(entry.incarnation);
     if (entry.address != address_) {  // this very process stands there
@@ -381,15 +381,15 @@
         return missing.empty();
       },
       yield);
-  std::optional<schema::HolderSet> const next = hedge::plan_joining(set, misses_, self, wanted_holders_);
+  std::optional<schema::VoterSet> const next = membership::plan_joining(set, misses_, self, wanted_holders_);
   if (!next.has_value()) {
     return;
   }
   loam::note(loam::Event::RepairProposed, "epoch " + std::to_string(next->epoch));
   // No lease is needed: of all who want a place, what they expect of the
   // register lets one of them have it (section 5.5).
-  Ledger::Result const result = ledger_.change(rootstock::holders_register, hedge::repair_wish(set, *next), constants::change_deadline, yield);
-  if (!std::holds_alternative<rootstock::Chosen>(result)) {
+  RegisterClient::Result const result = register_.change(consensus::holders_register, membership::reconfiguration_proposal(set, *next), constants::change_deadline, yield);
+  if (!std::holds_alternative<consensus::Chosen>(result)) {
     loam::note(loam::Event::RepairDefect, "not chosen");
   }
   spread_set(yield);
--- a/source/trellis/duty/duties.hpp
+++ b/source/trellis/duty/duties.hpp
@@ -4,12 +4,12 @@
 #include <mutex>
 #include <string>
 
-#include "orchard/charter/charter.hpp"
-#include "stake/tenant.hpp"
+#include "config/charter/charter.hpp"
+#include "lease/lease_holder.hpp"
 #include "tilth/scaler/pools.hpp"
 #include "tilth/scaler/scaler.hpp"
-#include "trellis/holder/holder_shell.hpp"
-#include "trellis/ledger/ledger.hpp"
+#include "trellis/acceptor/acceptor_service.hpp"
+#include "trellis/register_client/register_client.hpp"
 #include "trellis/news/news.hpp"
 
 namespace finchlink::trellis {
@@ -19,8 +19,8 @@
 /// takes a place in the holder set when one is free or lost (section 5.5).
 class Duties {
  public:
-  Duties(boost::asio::io_context& context, loam::Caller& caller, Ledger& ledger, News& news, HolderShell* holder, std::uint64_t identity,
-         schema::Settings const& settings, orchard::Notation notation);
+  Duties(boost::asio::io_context& context, loam::Caller& caller, RegisterClient& register_client, News& news, AcceptorService* holder, std::uint64_t identity,
+         schema::Settings const& settings, config::Notation notation);
   void begin();
   /// Settings that changed.
   void follow(schema::Settings const& settings);
@@ -45,12 +45,12 @@
 
   boost::asio::io_context& context_;
   loam::Caller& caller_;
-  Ledger& ledger_;
+  RegisterClient& register_;
   News& news_;
-  HolderShell* holder_;
+  AcceptorService* holder_;
   std::uint64_t identity_;
   schema::Settings settings_;
-  orchard::Notation notation_;
+  config::Notation notation_;
   std::string address_;
   std::size_t wanted_holders_;
   std::mutex lock_;
--- a/source/trellis/main.cpp
+++ b/source/trellis/main.cpp
@@ -18,8 +18,8 @@
 /// The control plane of one machine.
 struct Program {
   std::unique_ptr<loam::Caller> caller;
-  std::unique_ptr<trellis::HolderShell> holder;
-  std::unique_ptr<trellis::Ledger> ledger;
+  std::unique_ptr<trellis::AcceptorService> holder;
+  std::unique_ptr<trellis::RegisterClient> register_client;
   std::unique_ptr<trellis::News> news;
   std::unique_ptr<trellis::Duties> duties;
   std::unique_ptr<trellis::Operator> operators;
@@ -42,15 +42,15 @@
     schema::TimeBounds const& bounds = settings.bounds;
     program.caller = std::make_unique<loam::Caller>(context);
     if (!settings.data_folder.empty()) {
-      program.holder = std::make_unique<trellis::HolderShell>(context, *program.caller, settings.data_folder, settings.colleague_address,
+      program.holder = std::make_unique<trellis::AcceptorService>(context, *program.caller, settings.data_folder, settings.colleague_address,
                                                               settings.founding ? settings.seeds : std::vector<std::string>());
     }
-    program.ledger = std::make_unique<trellis::Ledger>(context, *program.caller, identity, settings.seeds, span(bounds.confirm_pause_ms));
-    program.news = std::make_unique<trellis::News>(context, *program.caller, *program.ledger, program.holder.get(), settings, identity, platform ? trellis::ListReader(platform::read_list) : trellis::ListReader());
-    program.duties = std::make_unique<trellis::Duties>(context, *program.caller, *program.ledger, *program.news, program.holder.get(), identity, settings,
-                                                         platform ? platform::notation() : orchard::own_notation());
-    program.operators = std::make_unique<trellis::Operator>(context, *program.ledger, *program.news, program.holder.get(), [&program] { return program.duties->describe(); },
-                                                             platform ? platform::notation() : orchard::own_notation(),
+    program.register_client = std::make_unique<trellis::RegisterClient>(context, *program.caller, identity, settings.seeds, span(bounds.confirm_pause_ms));
+    program.news = std::make_unique<trellis::News>(context, *program.caller, *program.register_client, program.holder.get(), settings, identity, platform ? trellis::ListReader(platform::read_list) : trellis::ListReader());
+    program.duties = std::make_unique<trellis::Duties>(context, *program.caller, *program.register_client, *program.news, program.holder.get(), identity, settings,
+                                                         platform ? platform::notation() : config::own_notation());
+    program.operators = std::make_unique<trellis::Operator>(context, *program.register_client, *program.news, program.holder.get(), [&program] { return program.duties->describe(); },
+                                                             platform ? platform::notation() : config::own_notation(),
                                                              platform ? platform::operator_paths() : trellis::OperatorPaths(), span(bounds.acknowledge_wait_ms));
     absl::Status status = loam::serve_frames(context, settings.colleague_address, settings.connections,
                                              [&program](schema::Message const& message, loam::Yield yield) -> std::optional<schema::Message> {
@@ -76,7 +76,7 @@
     if (program.holder != nullptr) {
       program.holder->begin();
     }
-    program.ledger->begin();
+    program.register_client->begin();
     program.news->begin();
     program.duties->begin();
     return absl::OkStatus();
@@ -84,7 +84,7 @@
   daemon.settings_path = platform::settings_path;
   daemon.read_settings = platform::read_settings;
   daemon.changed = [&program](schema::Settings const& settings) {
-    program.ledger->follow(settings.seeds, span(settings.bounds.confirm_pause_ms));
+    program.register_client->follow(settings.seeds, span(settings.bounds.confirm_pause_ms));
     program.news->follow(settings);
     program.duties->follow(settings);
     program.operators->follow(span(settings.bounds.acknowledge_wait_ms));
--- a/source/trellis/news/news.cpp
+++ b/source/trellis/news/news.cpp
@@ -2,8 +2,8 @@
 
 #include <algorithm>
 
-#include "hedge/copy/copy.hpp"
-#include "hedge/desk/desk.hpp"
+#include "membership/copy/copy.hpp"
+#include "membership/responder/news_responder.hpp"
 #include "loam/constants.hpp"
 #include "loam/error/error.hpp"
 #include "loam/http/http.hpp"
@@ -15,9 +15,9 @@
 
 namespace constants = loam::constants;
 
-News::News(boost::asio::io_context& context, loam::Caller& caller, Ledger& ledger, HolderShell* holder, schema::Settings const& settings,
+News::News(boost::asio::io_context& context, loam::Caller& caller, RegisterClient& register_client, AcceptorService* holder, schema::Settings const& settings,
            std::uint64_t identity, ListReader reader)
-    : context_(context), caller_(caller), ledger_(ledger), holder_(holder), settings_(settings), identity_(identity),
+    : context_(context), caller_(caller), register_(register_client), holder_(holder), settings_(settings), identity_(identity),
       sessions_(self(), loam::milliseconds(static_cast<std::int64_t>(settings.bounds.session_bound_ms))), reader_(std::move(reader)) {}
 
 void News::follow(schema::Settings const& settings) {
@@ -69,7 +69,7 @@
     changed = listing_.keep(list, as_of, loam::boot_now()) && listing_.digest() != before;
   }
   if (changed) {
-    ledger_.bell().ring();
+    register_.bell().ring();
   }
 }
 
@@ -164,7 +164,7 @@
 void News::judge_members() {
   if (sessions_.digest() != members_digest_) {
     members_digest_ = sessions_.digest();
-    ledger_.bell().ring();
+    register_.bell().ring();
   }
 }
 
@@ -238,12 +238,12 @@
             bool changed = false;
             {
               std::lock_guard<std::mutex> const guard(lock_);
-              changed = told->list_age >= 0 && listing_.take(hedge::list_news(*told), sent - told->list_age, loam::boot_now());
+              changed = told->list_age >= 0 && listing_.take(membership::list_news(*told), sent - told->list_age, loam::boot_now());
               sessions_.met(told->from, loam::boot_now());
               known_there_[calls[index].first] = told->sessions_digest;
             }
             if (changed) {
-              ledger_.bell().ring();
+              register_.bell().ring();
             }
           }
         }
@@ -266,7 +266,7 @@
     // A colleague that tells of a newer list is asked for it: what it says of
     // its age counts only from when we asked (section 6.3).
     loam::Span const age = listing_.age(now);
-    hedge::ListNews news = listing_.since(tell.list_digest);
+    membership::ListNews news = listing_.since(tell.list_digest);
     fetch = tell.list_age >= 0 && !news.same && (age < 0 || tell.list_age < age) && !fetching_;
     fetching_ = fetching_ || fetch;
     told.from = sessions_.self();
@@ -278,7 +278,7 @@
     told.list_gone = std::move(news.gone);
   }
   if (tell.confirm) {
-    ledger_.hurry();
+    register_.hurry();
   }
   if (fetch) {  // not under the lock: a coroutine may begin at once
     loam::start(context_, [this, address = tell.from.address](loam::Yield yield) {
@@ -292,7 +292,7 @@
 
 schema::Message News::ask(schema::NewsAsk const& ask, loam::Yield yield) {
   loam::Moment const arrival = loam::boot_now();
-  hedge::DeskBounds const bounds{bound(&schema::TimeBounds::ask_hold_ms), bound(&schema::TimeBounds::ask_patience_ms)};
+  membership::NewsBounds const bounds{bound(&schema::TimeBounds::ask_hold_ms), bound(&schema::TimeBounds::ask_patience_ms)};
   std::uint64_t list_before = 0;
   std::uint64_t members_before = 0;
   {
@@ -310,7 +310,7 @@
   schema::NewsAnswer answer;
   bool hurried = false;
   while (true) {
-    std::uint64_t const seen = ledger_.bell().count();
+    std::uint64_t const seen = register_.bell().count();
     loam::Moment const now = loam::boot_now();
     bool other_news = false;
     {
@@ -318,28 +318,28 @@
       other_news = listing_.digest() != list_before || (members_before != 0 && members_digest_ != members_before);
     }
     bool const rested = now - arrival >= constants::bell_pause;
-    hedge::DeskVerdict verdict;
-    ledger_.look([&](std::map<std::string, schema::Value> const& values, loam::Moment confirmed_from) {
-      verdict = hedge::judge_ask(ask, arrival, confirmed_from, values, other_news && rested, now, {}, bounds);
+    membership::NewsDecision verdict;
+    register_.look([&](std::map<std::string, schema::Value> const& values, loam::Moment confirmed_from) {
+      verdict = membership::decide_answer(ask, arrival, confirmed_from, values, other_news && rested, now, {}, bounds);
     });
     if (verdict.answer.has_value()) {
       answer = *verdict.answer;
       break;
     }
     if (verdict.hurry && !hurried) {
-      ledger_.hurry();
+      register_.hurry();
       hurried = true;
     }
-    ledger_.bell().wait(seen, other_news && !rested ? std::min(verdict.wait, constants::bell_pause - (now - arrival)) : verdict.wait, yield);
+    register_.bell().wait(seen, other_news && !rested ? std::min(verdict.wait, constants::bell_pause - (now - arrival)) : verdict.wait, yield);
   }
   std::lock_guard<std::mutex> const guard(lock_);
-  hedge::MemberNews members = sessions_.since(ask.members_digest);
+  membership::MemberNews members = sessions_.since(ask.members_digest);
   answer.members_digest = members.digest;
   answer.members_same = members.same;
   answer.members_from = members.from;
   answer.members = std::move(members.members);
   answer.members_gone = std::move(members.gone);
-  hedge::ListNews list = listing_.since(ask.list_digest);
+  membership::ListNews list = listing_.since(ask.list_digest);
   answer.list_digest = list.digest;
   answer.list_same = list.same;
   answer.list_from = list.from;
--- a/source/trellis/news/news.hpp
+++ b/source/trellis/news/news.hpp
@@ -3,12 +3,12 @@
 #include <deque>
 #include <mutex>
 
-#include "hedge/listing/listing.hpp"
-#include "hedge/session/sessions.hpp"
+#include "membership/listing/listing.hpp"
+#include "membership/session/sessions.hpp"
 #include "loam/net/net.hpp"
 #include "loam/settings/settings.hpp"
-#include "trellis/holder/holder_shell.hpp"
-#include "trellis/ledger/ledger.hpp"
+#include "trellis/acceptor/acceptor_service.hpp"
+#include "trellis/register_client/register_client.hpp"
 
 namespace finchlink::trellis {
 
@@ -18,7 +18,7 @@
 /// What a furrow is told (section 6), members and the platform list.
 class News {
  public:
-  News(boost::asio::io_context& context, loam::Caller& caller, Ledger& ledger, HolderShell* holder, schema::Settings const& settings,
+  News(boost::asio::io_context& context, loam::Caller& caller, RegisterClient& register_client, AcceptorService* holder, schema::Settings const& settings,
        std::uint64_t identity, ListReader reader = {});
   void begin();
   /// Settings that changed.
@@ -55,13 +55,13 @@
 
   boost::asio::io_context& context_;
   loam::Caller& caller_;
-  Ledger& ledger_;
-  HolderShell* holder_;
+  RegisterClient& register_;
+  AcceptorService* holder_;
   schema::Settings settings_;
   std::uint64_t identity_;
   std::mutex lock_;
-  hedge::Sessions sessions_;
-  hedge::Listing listing_;
+  membership::Sessions sessions_;
+  membership::Listing listing_;
   struct Kept {
     schema::Member member;
     schema::FurrowReport report;
--- a/source/trellis/operator/operator.cpp
+++ b/source/trellis/operator/operator.cpp
@@ -6,8 +6,8 @@
 #include "loam/json/tree.hpp"
 #include "loam/log/log.hpp"
 #include "loam/random/random.hpp"
-#include "orchard/label/selector.hpp"
-#include "orchard/setup/setup.hpp"
+#include "config/label/selector.hpp"
+#include "config/setup/setup.hpp"
 
 namespace finchlink::trellis {
 
@@ -136,11 +136,11 @@
     cJSON_AddNumberToObject(list.get(), "age_ms", static_cast<double>(news_.list_age()) / 1000);
     answer = loam::answer_text(http::status::ok, loam::print_tree(list.get(), true));
   } else if (target == "/holders" && verb == http::verb::get) {
-    loam::Tree set(schema::write(ledger_.set()));
+    loam::Tree set(schema::write(register_.set()));
     answer = loam::answer_text(http::status::ok, loam::print_tree(set.get(), true));
   } else if (target == "/split" && verb == http::verb::get) {
     loam::Tree object(cJSON_CreateObject());
-    for (std::pair<std::string const, schema::Value> const& value : ledger_.values()) {
+    for (std::pair<std::string const, schema::Value> const& value : register_.values()) {
       if (value.first.rfind("split/", 0) == 0) {
         absl::StatusOr<loam::Tree> content = loam::read_tree(value.second.content);
         if (content.ok()) {
@@ -155,7 +155,7 @@
   } else if (target == "/alive") {
     answer = loam::answer_text(http::status::ok, "{\"alive\":true}");
   } else if (target == "/ready") {
-    bool const ready = loam::boot_now() - ledger_.confirmed_from() < constants::vouch_bound;
+    bool const ready = loam::boot_now() - register_.confirmed_from() < constants::vouch_bound;
     answer = ready ? loam::answer_text(http::status::ok, "{\"ready\":true}")
                    : loam::answer_error(http::status::service_unavailable, "no_majority", "no majority of holders answered of late");
   } else if (target == "/metrics") {
@@ -168,21 +168,21 @@
 bool Operator::confirmed(loam::Yield yield) {
   // A read that is sure: a majority confirms it after the ask came.
   loam::Moment const arrival = loam::boot_now();
-  ledger_.hurry();
-  while (ledger_.confirmed_from() < arrival) {
+  register_.hurry();
+  while (register_.confirmed_from() < arrival) {
     if (loam::boot_now() - arrival > constants::change_deadline) {
       return false;
     }
-    std::uint64_t const seen = ledger_.bell().count();
-    if (ledger_.confirmed_from() < arrival) {
-      ledger_.bell().wait(seen, constants::confirm_pause * 2, yield);
+    std::uint64_t const seen = register_.bell().count();
+    if (register_.confirmed_from() < arrival) {
+      register_.bell().wait(seen, constants::confirm_pause * 2, yield);
     }
   }
   return true;
 }
 
 void Operator::spread(loam::Yield yield) {
-  ledger_.hurry();
+  register_.hurry();
   news_.announce(true);
   // From here every vouch brings this revision; when the bound is over, whoever
   // lacks it has stopped by itself (section 4.1).
@@ -204,17 +204,17 @@
   if (!confirmed(yield)) {
     return loam::answer_error(http::status::service_unavailable, "no_majority", "no majority of holders answered");
   }
-  schema::Value const value = ledger_.value(orchard::charter_register);
+  schema::Value const value = register_.value(config::charter_register);
   if (value.revision == 0) {
     return loam::answer_error(http::status::not_found, "no_charter", "no charter was put yet");
   }
   loam::Answer answer = loam::answer_text(http::status::ok, value.content);
-  answer.set(http::field::etag, "\"" + std::to_string(orchard::number_of(value)) + "\"");
+  answer.set(http::field::etag, "\"" + std::to_string(config::number_of(value)) + "\"");
   return answer;
 }
 
 loam::Answer Operator::change_charter(loam::Ask const& ask, bool patch, loam::Yield yield) {
-  orchard::WantedCharter wanted{ask.body(), patch, std::nullopt};
+  config::WantedCharter wanted{ask.body(), patch, std::nullopt};
   std::string const match(ask[http::field::if_match]);
   if (!match.empty() && match != "*") {
     wanted.expected = tag_revision(match);
@@ -222,22 +222,22 @@
       return loam::answer_error(http::status::bad_request, "if_match", "If-Match takes one number, or *");
     }
   }
-  std::shared_ptr<orchard::CharterNote> const note = std::make_shared<orchard::CharterNote>();
-  Ledger::Result const result = ledger_.change(orchard::charter_register, orchard::charter_wish(wanted, notation_, note), constants::change_deadline, yield);
+  std::shared_ptr<config::CharterProposalReport> const note = std::make_shared<config::CharterProposalReport>();
+  RegisterClient::Result const result = register_.change(config::charter_register, config::charter_proposal(wanted, notation_, note), constants::change_deadline, yield);
   std::uint64_t number = note->number;
-  if (rootstock::Chosen const* const done = std::get_if<rootstock::Chosen>(&result)) {
-    number = orchard::number_of(done->value);
-    note->end = orchard::CharterEnd::done;
+  if (consensus::Chosen const* const done = std::get_if<consensus::Chosen>(&result)) {
+    number = config::number_of(done->value);
+    note->end = config::CharterProposalOutcome::done;
     ++accepted_;
     loam::note(loam::Event::CharterChosen, std::to_string(number));
-  } else if (std::holds_alternative<Ledger::Unknown>(result)) {
+  } else if (std::holds_alternative<RegisterClient::Unknown>(result)) {
     // It may have been chosen or may yet be: no status that promises otherwise.
     ++unknown_;
-    loam::note(loam::Event::CharterUnknown, orchard::id_of(wanted));
+    loam::note(loam::Event::CharterUnknown, config::id_of(wanted));
     return loam::answer_error(http::status::gateway_timeout, "unknown", "no majority of holders answered in time; send the same again");
   }
   std::string const tag = "\"" + std::to_string(number) + "\"";
-  if (note->end == orchard::CharterEnd::done) {
+  if (note->end == config::CharterProposalOutcome::done) {
     spread(yield);
     loam::Answer answer = loam::answer_text(http::status::ok, "{\"number\":" + std::to_string(number) + "}");
     answer.set(http::field::etag, tag);
@@ -245,15 +245,15 @@
   }
   ++rejected_;
   loam::note(loam::Event::CharterRejected, loam::describe(note->faults));
-  if (note->end == orchard::CharterEnd::faults) {
+  if (note->end == config::CharterProposalOutcome::faults) {
     loam::Answer answer = faults_answer(note->faults);
     answer.result(http::status::bad_request);
     return answer;
   }
-  if (note->end == orchard::CharterEnd::number) {
+  if (note->end == config::CharterProposalOutcome::number) {
     return loam::answer_error(http::status::bad_request, "number", "the number must be above the one in place, " + std::to_string(number));
   }
-  if (note->end == orchard::CharterEnd::size) {
+  if (note->end == config::CharterProposalOutcome::size) {
     return loam::answer_error(http::status::payload_too_large, "too_large", "the charter is larger than allowed");
   }
   loam::Answer answer = loam::answer_error(http::status::precondition_failed, "another", "charter " + std::to_string(number) + " is in place");
@@ -262,8 +262,8 @@
 }
 
 loam::Answer Operator::evacuate(std::string const& hall, bool evacuated, loam::Yield yield) {
-  Ledger::Result const result = ledger_.change(orchard::evacuated_register, orchard::evacuation_wish(hall, evacuated), constants::change_deadline, yield);
-  if (std::holds_alternative<Ledger::Unknown>(result)) {
+  RegisterClient::Result const result = register_.change(config::evacuated_register, config::evacuation_proposal(hall, evacuated), constants::change_deadline, yield);
+  if (std::holds_alternative<RegisterClient::Unknown>(result)) {
     ++unknown_;
     return loam::answer_error(http::status::gateway_timeout, "unknown", "no majority of holders answered in time; send the same again");
   }
@@ -277,7 +277,7 @@
   if (!confirmed(yield)) {
     return loam::answer_error(http::status::service_unavailable, "no_majority", "no majority of holders answered");
   }
-  std::string const content = ledger_.value(orchard::evacuated_register).content;
+  std::string const content = register_.value(config::evacuated_register).content;
   return loam::answer_text(http::status::ok, content.empty() ? "[]" : content);
 }
 
@@ -285,7 +285,7 @@
   if (!confirmed(yield)) {
     return loam::answer_error(http::status::service_unavailable, "no_majority", "no majority of holders answered");
   }
-  schema::Value const value = ledger_.value(rootstock::setup_register);
+  schema::Value const value = register_.value(consensus::setup_register);
   if (value.content.empty()) {
     return loam::answer_error(http::status::not_found, "no_setup", "no setup was put yet");
   }
@@ -298,14 +298,14 @@
   // Right after its start a trellis knows no revision yet; an id born at none
   // would count as forgotten.
   loam::Moment const until = loam::boot_now() + constants::change_deadline;
-  while (ledger_.confirmed_from() == 0 && loam::boot_now() < until) {
+  while (register_.confirmed_from() == 0 && loam::boot_now() < until) {
     loam::pause(context_, constants::confirm_pause, yield);
   }
-  return name + "-" + std::to_string(loam::random_identity()) + "." + std::to_string(ledger_.value(rootstock::setup_register).revision);
+  return name + "-" + std::to_string(loam::random_identity()) + "." + std::to_string(register_.value(consensus::setup_register).revision);
 }
 
 loam::Answer Operator::change_setup(loam::Ask const& ask, bool patch, loam::Yield yield) {
-  orchard::WantedChange wanted;
+  config::WantedChange wanted;
   wanted.patch = patch;
   wanted.id = std::string(ask["Change-Id"]);
   if (wanted.id.empty()) {
@@ -320,13 +320,13 @@
       return loam::answer_error(http::status::bad_request, "if_match", "If-Match takes one revision in quotes, or *");
     }
   }
-  absl::StatusOr<std::string> const content = orchard::canonical(ask.body());
+  absl::StatusOr<std::string> const content = config::canonical(ask.body());
   if (!content.ok()) {
     return loam::answer_error(http::status::bad_request, "malformed", std::string(content.status().message()));
   }
   wanted.content = *content;
   if (!patch) {
-    orchard::SetupReading const reading = orchard::read_setup(wanted.content);
+    config::SetupReading const reading = config::read_setup(wanted.content);
     if (!reading.good()) {
       return faults_answer(reading.faults);
     }
@@ -334,33 +334,33 @@
   return apply(wanted, yield);
 }
 
-loam::Answer Operator::apply(orchard::WantedChange const& wanted, loam::Yield yield) {
-  std::shared_ptr<orchard::WishNote> const note = std::make_shared<orchard::WishNote>();
-  Ledger::Result const result = ledger_.change(rootstock::setup_register, orchard::wish_for(wanted, note), constants::change_deadline, yield);
-  if (rootstock::Chosen const* const done = std::get_if<rootstock::Chosen>(&result)) {
+loam::Answer Operator::apply(config::WantedChange const& wanted, loam::Yield yield) {
+  std::shared_ptr<config::SetupProposalReport> const note = std::make_shared<config::SetupProposalReport>();
+  RegisterClient::Result const result = register_.change(consensus::setup_register, config::setup_proposal(wanted, note), constants::change_deadline, yield);
+  if (consensus::Chosen const* const done = std::get_if<consensus::Chosen>(&result)) {
     return chosen(wanted.id, done->value.revision, yield);
   }
-  if (rootstock::Rejected const* const rejected = std::get_if<rootstock::Rejected>(&result)) {
-    orchard::IdStanding const known = orchard::standing_of(rejected->current, wanted.id);
-    if (known.standing == orchard::Standing::accepted) {
+  if (consensus::Rejected const* const rejected = std::get_if<consensus::Rejected>(&result)) {
+    config::IdStanding const known = config::standing_of(rejected->current, wanted.id);
+    if (known.standing == config::Standing::accepted) {
       return chosen(wanted.id, known.revision, yield);
     }
-    if (note->end == orchard::WishEnd::forgotten) {
+    if (note->end == config::SetupProposalOutcome::forgotten) {
       ++unknown_;
       return outcome_answer(http::status::conflict, "forgotten", wanted.id, 0, "too old to tell whether it was taken before; nothing was done now. End an id in the revision that you know: NAME.REVISION");
     }
     ++rejected_;
     loam::note(loam::Event::SetupRejected, wanted.id + " " + rejected->reason);
-    if (known.standing == orchard::Standing::rejected) {
+    if (known.standing == config::Standing::rejected) {
       return outcome_answer(http::status::conflict, "rejected", wanted.id, rejected->current.revision, "this id was given up before");
     }
-    if (note->end == orchard::WishEnd::unborn) {
+    if (note->end == config::SetupProposalOutcome::unborn) {
       return outcome_answer(http::status::bad_request, "rejected", wanted.id, rejected->current.revision, rejected->reason);
     }
-    if (note->end == orchard::WishEnd::faults) {
+    if (note->end == config::SetupProposalOutcome::faults) {
       return faults_answer(note->faults);
     }
-    if (note->end == orchard::WishEnd::size) {
+    if (note->end == config::SetupProposalOutcome::size) {
       return outcome_answer(http::status::payload_too_large, "rejected", wanted.id, rejected->current.revision, rejected->reason);
     }
     loam::Answer answer = outcome_answer(http::status::precondition_failed, "rejected", wanted.id, rejected->current.revision, rejected->reason);
@@ -387,8 +387,8 @@
   // the same id makes "rejected" final (section 5.7).
   loam::Moment const until = loam::boot_now() + constants::change_deadline;
   while (loam::boot_now() < until) {
-    orchard::IdStanding const known = orchard::standing_of(ledger_.value(rootstock::setup_register), id);
-    if (known.standing != orchard::Standing::open && known.standing != orchard::Standing::unborn) {
+    config::IdStanding const known = config::standing_of(register_.value(consensus::setup_register), id);
+    if (known.standing != config::Standing::open && known.standing != config::Standing::unborn) {
       return told(known, id, yield);
     }
     loam::pause(context_, constants::confirm_pause, yield);
@@ -399,24 +399,24 @@
     answer.set(http::field::retry_after, std::to_string(constants::retry_after_seconds));
     return answer;
   }
-  Ledger::Result const result = ledger_.change(rootstock::setup_register, orchard::veto_of(id), constants::change_deadline, yield);
+  RegisterClient::Result const result = register_.change(consensus::setup_register, config::veto_of(id), constants::change_deadline, yield);
   --outcomes_;
-  if (rootstock::Chosen const* const done = std::get_if<rootstock::Chosen>(&result)) {
-    return told(orchard::standing_of(done->value, id), id, yield);
+  if (consensus::Chosen const* const done = std::get_if<consensus::Chosen>(&result)) {
+    return told(config::standing_of(done->value, id), id, yield);
   }
   return outcome_answer(http::status::gateway_timeout, "unknown", id, 0, "no majority of holders answered");
 }
 
-loam::Answer Operator::told(orchard::IdStanding const& known, std::string const& id, loam::Yield yield) {
+loam::Answer Operator::told(config::IdStanding const& known, std::string const& id, loam::Yield yield) {
   switch (known.standing) {
-    case orchard::Standing::accepted:
+    case config::Standing::accepted:
       // "Accepted" promises the same here as after a PUT (section 4.1); when
       // it was chosen is not known, so the whole wait counts from now.
       loam::pause(context_, acknowledge_wait_, yield);
       return outcome_answer(http::status::ok, "accepted", id, known.revision);
-    case orchard::Standing::rejected:
+    case config::Standing::rejected:
       return outcome_answer(http::status::ok, "rejected", id, 0);
-    case orchard::Standing::unborn:
+    case config::Standing::unborn:
       return outcome_answer(http::status::not_found, "unborn", id, 0, "this id names a revision that is still to come");
     default:
       return outcome_answer(http::status::gone, "forgotten", id, 0, "too old: what became of it is no longer known");
@@ -433,7 +433,7 @@
   loam::Tree patch(cJSON_CreateObject());
   cJSON* const entry = cJSON_AddObjectToObject(cJSON_AddObjectToObject(patch.get(), "halls"), name.c_str());
   cJSON_AddBoolToObject(entry, "evacuated", deed == "drain" ? 1 : 0);
-  orchard::WantedChange wanted;
+  config::WantedChange wanted;
   wanted.id = fresh_id("hall", yield);
   wanted.patch = true;
   wanted.content = loam::print_tree(patch.get());
@@ -446,10 +446,10 @@
   text += "trellis_changes_total{outcome=\"accepted\"} " + std::to_string(accepted_) + "\n";
   text += "trellis_changes_total{outcome=\"rejected\"} " + std::to_string(rejected_) + "\n";
   text += "trellis_changes_total{outcome=\"unknown\"} " + std::to_string(unknown_) + "\n";
-  text += "# TYPE trellis_setup_revision gauge\ntrellis_setup_revision " + std::to_string(ledger_.value(rootstock::setup_register).revision) + "\n";
+  text += "# TYPE trellis_setup_revision gauge\ntrellis_setup_revision " + std::to_string(register_.value(consensus::setup_register).revision) + "\n";
   text += "# TYPE trellis_members gauge\ntrellis_members " + std::to_string(news_.members().size()) + "\n";
   text += "# TYPE trellis_list_age_seconds gauge\ntrellis_list_age_seconds " + std::to_string(static_cast<double>(news_.list_age()) / 1e6) + "\n";
-  text += "# TYPE trellis_confirmed_age_seconds gauge\ntrellis_confirmed_age_seconds " + std::to_string(static_cast<double>(loam::boot_now() - ledger_.confirmed_from()) / 1e6) + "\n";
+  text += "# TYPE trellis_confirmed_age_seconds gauge\ntrellis_confirmed_age_seconds " + std::to_string(static_cast<double>(loam::boot_now() - register_.confirmed_from()) / 1e6) + "\n";
   text += "# TYPE trellis_holder_voting gauge\ntrellis_holder_voting " + std::to_string(holder_ != nullptr && holder_->voting() ? 1 : 0) + "\n";
   return loam::answer_text(http::status::ok, text, "text/plain; version=0.0.4");
 }
--- a/source/trellis/operator/operator.hpp
+++ b/source/trellis/operator/operator.hpp
@@ -4,9 +4,9 @@
 
 #include "loam/constants.hpp"
 #include "loam/http/http.hpp"
-#include "orchard/change/wish.hpp"
-#include "orchard/charter/wish.hpp"
-#include "trellis/ledger/ledger.hpp"
+#include "config/change/proposal.hpp"
+#include "config/charter/proposal.hpp"
+#include "trellis/register_client/register_client.hpp"
 #include "trellis/news/news.hpp"
 #include "trellis/operator/paths.hpp"
 
@@ -15,9 +15,9 @@
 /// What operators ask over HTTP (docs/operating/setup.md).
 class Operator {
  public:
-  Operator(boost::asio::io_context& context, Ledger& ledger, News& news, HolderShell* holder, std::function<std::string()> duties,
-           orchard::Notation notation = orchard::own_notation(), OperatorPaths paths = {}, loam::Span acknowledge_wait = loam::constants::acknowledge_wait)
-      : context_(context), ledger_(ledger), news_(news), holder_(holder), duties_(std::move(duties)), notation_(std::move(notation)),
+  Operator(boost::asio::io_context& context, RegisterClient& register_client, News& news, AcceptorService* holder, std::function<std::string()> duties,
+           config::Notation notation = config::own_notation(), OperatorPaths paths = {}, loam::Span acknowledge_wait = loam::constants::acknowledge_wait)
+      : context_(context), register_(register_client), news_(news), holder_(holder), duties_(std::move(duties)), notation_(std::move(notation)),
         paths_(std::move(paths)), acknowledge_wait_(acknowledge_wait) {}
   /// Settings that changed.
   void follow(loam::Span acknowledge_wait) { acknowledge_wait_ = acknowledge_wait; }
@@ -36,20 +36,20 @@
   void spread(loam::Yield yield);
   [[nodiscard]] loam::Answer get_setup(loam::Yield yield);
   [[nodiscard]] loam::Answer change_setup(loam::Ask const& ask, bool patch, loam::Yield yield);
-  [[nodiscard]] loam::Answer apply(orchard::WantedChange const& wanted, loam::Yield yield);
+  [[nodiscard]] loam::Answer apply(config::WantedChange const& wanted, loam::Yield yield);
   [[nodiscard]] loam::Answer outcome(std::string const& id, loam::Yield yield);
-  [[nodiscard]] loam::Answer told(orchard::IdStanding const& known, std::string const& id, loam::Yield yield);
+  [[nodiscard]] loam::Answer told(config::IdStanding const& known, std::string const& id, loam::Yield yield);
   [[nodiscard]] std::string fresh_id(std::string const& name, loam::Yield yield);
   [[nodiscard]] loam::Answer hall(std::string const& target, loam::Yield yield);
   [[nodiscard]] loam::Answer chosen(std::string const& id, std::uint64_t revision, loam::Yield yield);
   [[nodiscard]] loam::Answer metrics();
 
   boost::asio::io_context& context_;
-  Ledger& ledger_;
+  RegisterClient& register_;
   News& news_;
-  HolderShell* holder_;
+  AcceptorService* holder_;
   std::function<std::string()> duties_;
-  orchard::Notation notation_;
+  config::Notation notation_;
   OperatorPaths paths_;
   std::atomic<loam::Span> acknowledge_wait_;
   std::atomic<int> open_ = 0;
--- a/source/trellis/ledger/ledger.cpp
+++ b/source/trellis/register_client/register_client.cpp
@@ -1,4 +1,4 @@
-#include "trellis/ledger/ledger.hpp"
+#include "trellis/register_client/register_client.hpp"
 
 #include <algorithm>
 
@@ -8,25 +8,25 @@
 namespace finchlink::trellis {
 
 namespace constants = loam::constants;
-using rootstock::ChangeAction;
-using rootstock::ConfirmAction;
+using consensus::ProposerAction;
+using consensus::MajorityReaderAction;
 
-Ledger::Ledger(boost::asio::io_context& context, loam::Caller& caller, std::uint64_t identity, std::vector<std::string> seeds,
+RegisterClient::RegisterClient(boost::asio::io_context& context, loam::Caller& caller, std::uint64_t identity, std::vector<std::string> seeds,
                loam::Span confirm_pause)
     : context_(context), caller_(caller), identity_(identity), seeds_(std::move(seeds)), confirm_pause_(confirm_pause) {}
 
-void Ledger::follow(std::vector<std::string> const& seeds, loam::Span confirm_pause) {
+void RegisterClient::follow(std::vector<std::string> const& seeds, loam::Span confirm_pause) {
   std::lock_guard<std::mutex> const guard(lock_);
   seeds_ = seeds;
   confirm_pause_ = confirm_pause;
 }
 
-void Ledger::look(std::function<void(std::map<std::string, schema::Value> const&, loam::Moment)> const& looker) {
+void RegisterClient::look(std::function<void(std::map<std::string, schema::Value> const&, loam::Moment)> const& looker) {
   std::lock_guard<std::mutex> const guard(lock_);
   looker(confirm_.values(), confirm_.confirmed_from());
 }
 
-void Ledger::begin() {
+void RegisterClient::begin() {
   loam::start(context_, [this](loam::Yield yield) {
     while (true) {
       // Counted before the read begins: who hurries it meanwhile wants a newer one.
@@ -46,40 +46,40 @@
   });
 }
 
-schema::HolderSet Ledger::set() {
+schema::VoterSet RegisterClient::set() {
   std::lock_guard<std::mutex> const guard(lock_);
   return set_;
 }
 
-void Ledger::learn(schema::HolderSet const& set) {
+void RegisterClient::learn(schema::VoterSet const& set) {
   std::lock_guard<std::mutex> const guard(lock_);
   if (set.epoch > set_.epoch) {
     set_ = set;
   }
 }
 
-void Ledger::know_colleagues(std::vector<std::string> const& addresses) {
+void RegisterClient::know_colleagues(std::vector<std::string> const& addresses) {
   std::lock_guard<std::mutex> const guard(lock_);
   colleagues_ = addresses;
 }
 
-std::map<std::string, schema::Value> Ledger::values() {
+std::map<std::string, schema::Value> RegisterClient::values() {
   std::lock_guard<std::mutex> const guard(lock_);
   return confirm_.values();
 }
 
-schema::Value Ledger::value(std::string const& name) {
+schema::Value RegisterClient::value(std::string const& name) {
   std::lock_guard<std::mutex> const guard(lock_);
   std::map<std::string, schema::Value>::const_iterator const found = confirm_.values().find(name);
   return found == confirm_.values().end() ? schema::Value{} : found->second;
 }
 
-loam::Moment Ledger::confirmed_from() {
+loam::Moment RegisterClient::confirmed_from() {
   std::lock_guard<std::mutex> const guard(lock_);
   return confirm_.confirmed_from();
 }
 
-void Ledger::discover(loam::Yield yield) {
+void RegisterClient::discover(loam::Yield yield) {
   std::vector<std::pair<std::string, schema::Message>> calls;
   {
     std::lock_guard<std::mutex> const guard(lock_);
@@ -103,12 +103,12 @@
       yield);
 }
 
-bool Ledger::confirm_once(loam::Yield yield) {
+bool RegisterClient::confirm_once(loam::Yield yield) {
   std::vector<std::pair<std::string, schema::Message>> calls;
   {
     std::lock_guard<std::mutex> const guard(lock_);
-    for (ConfirmAction const& action : confirm_.begin(set_, loam::boot_now())) {
-      rootstock::SendRead const& send = std::get<rootstock::SendRead>(action);
+    for (MajorityReaderAction const& action : confirm_.begin(set_, loam::boot_now())) {
+      consensus::SendRead const& send = std::get<consensus::SendRead>(action);
       calls.emplace_back(send.to.address, send.read);
     }
   }
@@ -122,14 +122,14 @@
         }
         bool done = false;
         std::lock_guard<std::mutex> const guard(lock_);
-        for (ConfirmAction const& action : confirm_.receive(*answer)) {
-          if (std::holds_alternative<rootstock::Confirmed>(action)) {
+        for (MajorityReaderAction const& action : confirm_.receive(*answer)) {
+          if (std::holds_alternative<consensus::Confirmed>(action)) {
             unsettled.clear();
             confirmed = true;
             done = true;
-          } else if (rootstock::Unsettled const* const open = std::get_if<rootstock::Unsettled>(&action)) {
+          } else if (consensus::Unsettled const* const open = std::get_if<consensus::Unsettled>(&action)) {
             unsettled = open->names;
-          } else if (rootstock::NewerHolders const* const newer = std::get_if<rootstock::NewerHolders>(&action)) {
+          } else if (consensus::NewerVoters const* const newer = std::get_if<consensus::NewerVoters>(&action)) {
             if (newer->set.epoch > set_.epoch) {
               set_ = newer->set;
             }
@@ -146,15 +146,15 @@
     unsettled.clear();
   }
   for (std::string const& name : unsettled) {
-    (void)change(name, [](schema::Value const&) -> rootstock::Wish { return rootstock::Keep{}; }, constants::holder_deadline, yield);
+    (void)change(name, [](schema::Value const&) -> consensus::Proposal { return consensus::Keep{}; }, constants::holder_deadline, yield);
   }
   bell_.ring();
   return confirmed;
 }
 
-Ledger::Result Ledger::change(std::string const& name, rootstock::Wisher wisher, loam::Span deadline, loam::Yield yield) {
+RegisterClient::Result RegisterClient::change(std::string const& name, consensus::ProposalFunction propose, loam::Span deadline, loam::Yield yield) {
   loam::Moment const until = loam::boot_now() + deadline;
-  rootstock::Change core(name, loam::random_identity(), std::move(wisher));
+  consensus::Proposer core(name, loam::random_identity(), std::move(propose));
   {
     std::lock_guard<std::mutex> const guard(lock_);
     core.start_above(confirm_.known(name));
@@ -165,20 +165,20 @@
   }
   loam::Span range = constants::ballot_pause_most - constants::ballot_pause_least;
   while (loam::boot_now() < until) {
-    schema::HolderSet const holders = set();
+    schema::VoterSet const holders = set();
     if (holders.epoch == 0) {
       loam::pause(context_, constants::confirm_pause, yield);
       continue;
     }
-    std::vector<ChangeAction> actions = core.begin(holders);
+    std::vector<ProposerAction> actions = core.begin(holders);
     std::optional<Result> result;
     bool again = false;
     while (!result.has_value() && !again && !actions.empty()) {
       std::vector<std::pair<std::string, schema::Message>> calls;
       std::vector<std::uint64_t> incarnations;
       std::size_t bytes = 0;
-      for (ChangeAction const& action : actions) {
-        if (rootstock::Send const* const send = std::get_if<rootstock::Send>(&action)) {
+      for (ProposerAction const& action : actions) {
+        if (consensus::Send const* const send = std::get_if<consensus::Send>(&action)) {
           calls.emplace_back(send->to.address, send->message);
           incarnations.push_back(send->to.incarnation);
           if (schema::Accept const* const accept = std::get_if<schema::Accept>(&send->message)) {
@@ -195,19 +195,19 @@
               return false;
             }
             bool done = false;
-            for (ChangeAction const& action : core.receive(incarnations[index], *answer)) {
-              if (std::holds_alternative<rootstock::Send>(action)) {
+            for (ProposerAction const& action : core.receive(incarnations[index], *answer)) {
+              if (std::holds_alternative<consensus::Send>(action)) {
                 actions.push_back(action);
                 done = true;
-              } else if (rootstock::Chosen const* const chosen = std::get_if<rootstock::Chosen>(&action)) {
+              } else if (consensus::Chosen const* const chosen = std::get_if<consensus::Chosen>(&action)) {
                 std::lock_guard<std::mutex> const guard(lock_);
                 confirm_.learn(name, chosen->ballot, chosen->value);
                 result = *chosen;
                 done = true;
-              } else if (rootstock::Rejected const* const rejected = std::get_if<rootstock::Rejected>(&action)) {
+              } else if (consensus::Rejected const* const rejected = std::get_if<consensus::Rejected>(&action)) {
                 result = *rejected;
                 done = true;
-              } else if (rootstock::NewerSet const* const newer = std::get_if<rootstock::NewerSet>(&action)) {
+              } else if (consensus::NewerVoterSet const* const newer = std::get_if<consensus::NewerVoterSet>(&action)) {
                 learn(newer->set);
                 again = true;
                 done = true;
--- a/source/trellis/ledger/ledger.hpp
+++ b/source/trellis/register_client/register_client.hpp
@@ -8,21 +8,21 @@
 
 #include "loam/constants.hpp"
 #include "loam/net/net.hpp"
-#include "rootstock/change/change.hpp"
-#include "rootstock/confirm/confirm.hpp"
+#include "consensus/proposer/proposer.hpp"
+#include "consensus/majority_reader/majority_reader.hpp"
 
 namespace finchlink::trellis {
 
 /// The register as a trellis uses it (section 5): changes, majority reads and
 /// what is known of the holder set. Cores decide, this sends.
-class Ledger {
+class RegisterClient {
  public:
   struct Unknown {
     std::string reason;
   };
-  using Result = std::variant<rootstock::Chosen, rootstock::Rejected, Unknown>;
+  using Result = std::variant<consensus::Chosen, consensus::Rejected, Unknown>;
 
-  Ledger(boost::asio::io_context& context, loam::Caller& caller, std::uint64_t identity, std::vector<std::string> seeds,
+  RegisterClient(boost::asio::io_context& context, loam::Caller& caller, std::uint64_t identity, std::vector<std::string> seeds,
          loam::Span confirm_pause = loam::constants::confirm_pause);
   /// Starts the loop of majority reads.
   void begin();
@@ -31,10 +31,10 @@
   /// The next majority read begins at once instead of after its pause.
   void hurry() { hurry_.ring(); }
 
-  [[nodiscard]] Result change(std::string const& name, rootstock::Wisher wisher, loam::Span deadline, loam::Yield yield);
+  [[nodiscard]] Result change(std::string const& name, consensus::ProposalFunction propose, loam::Span deadline, loam::Yield yield);
 
-  [[nodiscard]] schema::HolderSet set();
-  void learn(schema::HolderSet const& set);
+  [[nodiscard]] schema::VoterSet set();
+  void learn(schema::VoterSet const& set);
   /// Addresses beside the seeds that are asked while no holder set is known.
   void know_colleagues(std::vector<std::string> const& addresses);
   [[nodiscard]] std::map<std::string, schema::Value> values();
@@ -57,8 +57,8 @@
   std::vector<std::string> seeds_;
   std::vector<std::string> colleagues_;
   std::mutex lock_;
-  schema::HolderSet set_;
-  rootstock::Confirm confirm_;
+  schema::VoterSet set_;
+  consensus::MajorityReader confirm_;
   loam::Span confirm_pause_;
   loam::Bell bell_;
   loam::Bell hurry_;
