--- a/examples/graft/main.cpp
+++ b/examples/graft/main.cpp
@@ -5,8 +5,8 @@
 #include <string>
 #include <vector>
 
-#include "consensus/proposer/proposer.hpp"
 #include "consensus/acceptor/acceptor.hpp"
+#include "consensus/proposer/proposer.hpp"
 
 namespace {
 
@@ -30,7 +30,8 @@
         std::vector<schema::FoundingAnswer> answers;
         for (std::size_t other = 0; other < holders.size(); ++other) {
           if (other != index) {
-            answers.push_back(std::get<schema::FoundingAnswer>(*holders[other].receive(schema::FoundingAsk{}, 0).reply));
+            answers.push_back(
+                std::get<schema::FoundingAnswer>(*holders[other].receive(schema::FoundingAsk{}, 0).reply));
           }
         }
         (void)holders[index].founding(answers, 0);
@@ -53,7 +54,8 @@
       consensus::Send const* const send = std::get_if<consensus::Send>(&action);
       for (std::size_t index = 0; send != nullptr && index < holders.size(); ++index) {
         if (up[index] && holders[index].incarnation() == send->to.incarnation) {
-          std::vector<consensus::ProposerAction> const more = change.receive(send->to.incarnation, *holders[index].receive(send->message, 0).reply);
+          std::vector<consensus::ProposerAction> const more =
+              change.receive(send->to.incarnation, *holders[index].receive(send->message, 0).reply);
           actions.insert(actions.end(), more.begin(), more.end());
         }
       }
--- a/source/almanac/control/control.cpp
+++ b/source/almanac/control/control.cpp
@@ -4,10 +4,10 @@
 
 #include <algorithm>
 
-#include "membership/reconfiguration/reconfiguration.hpp"
+#include "config/change/proposal.hpp"
 #include "loam/constants.hpp"
 #include "loam/json/tree.hpp"
-#include "config/change/proposal.hpp"
+#include "membership/reconfiguration/reconfiguration.hpp"
 
 namespace finchlink::almanac {
 
@@ -29,7 +29,9 @@
   void end_day(Moment at);
   ControlReport finish();
   void check_leases();
-  bool vouched(std::size_t furrow) { return furrows_[furrow]->alive && furrows_[furrow]->vouch.vouched(local(*furrows_[furrow])); }
+  bool vouched(std::size_t furrow) {
+    return furrows_[furrow]->alive && furrows_[furrow]->vouch.vouched(local(*furrows_[furrow]));
+  }
 
  private:
   using Reply = std::function<void(std::optional<schema::Message> const&)>;
@@ -81,7 +83,9 @@
 
   // --- time and network ---
   template <class Node>
-  Moment local(Node const& node) const { return node.offset + static_cast<Moment>(static_cast<double>(kernel_.now()) * node.rate); }
+  Moment local(Node const& node) const {
+    return node.offset + static_cast<Moment>(static_cast<double>(kernel_.now()) * node.rate);
+  }
   template <class Node>
   void later(Node& node, Span span, std::function<void()> event) {
     std::uint64_t const life = node.life;
@@ -107,11 +111,17 @@
       event();
     }
   }
-  bool cut(std::string const& from, std::string const& to) const { return cuts_.count({from, to}) > 0 || (split_.count(from) != split_.count(to)); }
-  Span delay() { return kernel_.chance(0.02) ? kernel_.between(0, options_.faults.delay_most * 20) : kernel_.between(200, options_.faults.delay_most); }
+  bool cut(std::string const& from, std::string const& to) const {
+    return cuts_.count({from, to}) > 0 || (split_.count(from) != split_.count(to));
+  }
+  Span delay() {
+    return kernel_.chance(0.02) ? kernel_.between(0, options_.faults.delay_most * 20)
+                                : kernel_.between(200, options_.faults.delay_most);
+  }
 
   template <class Node>
-  void call(Node& from, std::string const& from_name, std::string const& to, schema::Message const& message, Span deadline, Reply done) {
+  void call(Node& from, std::string const& from_name, std::string const& to, schema::Message const& message,
+            Span deadline, Reply done) {
     std::uint64_t const life = from.life;
     std::shared_ptr<bool> const over = std::make_shared<bool>(false);
     Reply const finish = [this, &from, life, over, done](std::optional<schema::Message> const& answer) {
@@ -212,19 +222,19 @@
   std::vector<std::string> founders_;
   std::set<std::pair<std::string, std::string>> cuts_;
   std::set<std::string> split_;
-  std::vector<HistoryEntry> history_;           ///< what operators were told of the setup
-  std::map<std::string, HistoryEntry> asked_;   ///< changes by id, told or not
+  std::vector<HistoryEntry> history_;          ///< what operators were told of the setup
+  std::map<std::string, HistoryEntry> asked_;  ///< changes by id, told or not
   bool calm_ = false;
   bool has_setup_ = false;
   std::uint64_t next_id_ = 1;
   std::uint64_t next_address_ = 100;
-  std::map<std::uint64_t, schema::VoterSet> sets_;     ///< epoch to holder set: only ever one
-  std::map<std::uint64_t, std::string> contents_;       ///< revision to content: only ever one
-  std::map<std::uint64_t, std::string> owners_;         ///< revision to the change that made it
-  std::map<std::string, std::uint64_t> accepted_;       ///< acknowledged ids
-  std::set<std::string> rejected_;                      ///< ids told "rejected"
-  std::uint64_t floor_ = 0;                             ///< newest revision that a finished ask showed
-  std::uint64_t in_force_ = 0;                          ///< newest acknowledged revision
+  std::map<std::uint64_t, schema::VoterSet> sets_;  ///< epoch to holder set: only ever one
+  std::map<std::uint64_t, std::string> contents_;   ///< revision to content: only ever one
+  std::map<std::uint64_t, std::string> owners_;     ///< revision to the change that made it
+  std::map<std::string, std::uint64_t> accepted_;   ///< acknowledged ids
+  std::set<std::string> rejected_;                  ///< ids told "rejected"
+  std::uint64_t floor_ = 0;                         ///< newest revision that a finished ask showed
+  std::uint64_t in_force_ = 0;                      ///< newest acknowledged revision
   std::uint64_t lease_owner_ = 0;
 };
 
@@ -284,7 +294,8 @@
       machine.silent = true;
     } else if (records->empty() && !options_.guards.blank_has_no_vote && machine.last_set.epoch > 0) {
       // The guard off: it takes up its old name and vote with nothing on disk.
-      std::vector<schema::Record> const claimed{schema::FoundingRecord{machine.last_incarnation, {}, {}}, schema::SetRecord{machine.last_set, true, true}};
+      std::vector<schema::Record> const claimed{schema::FoundingRecord{machine.last_incarnation, {}, {}},
+                                                schema::SetRecord{machine.last_set, true, true}};
       machine.holder.emplace(claimed, machine.address, founders_, local(machine), options_.guards);
     } else if (records->empty()) {
       machine.holder.emplace((kernel_.draw() >> 12u) + 1, machine.address, founders_, local(machine), options_.guards);
@@ -370,7 +381,8 @@
     }
     Reply const ignore = [](std::optional<schema::Message> const&) {};
     if (machine.holder->wants_founding()) {
-      std::shared_ptr<std::vector<schema::FoundingAnswer>> const answers = std::make_shared<std::vector<schema::FoundingAnswer>>();
+      std::shared_ptr<std::vector<schema::FoundingAnswer>> const answers =
+          std::make_shared<std::vector<schema::FoundingAnswer>>();
       for (std::string const& founder : founders_) {
         if (founder != machine.address) {
           call(machine, machine.address, founder, machine.holder->founding_ask(), constants::holder_deadline,
@@ -407,35 +419,40 @@
         asked.push_back(machines_[kernel_.below(machines_.size())]->address);
       }
       for (std::string const& founder : asked) {
-        call(machine, machine.address, founder, schema::Read{0, {}, 0}, constants::holder_deadline, [this, &machine](std::optional<schema::Message> const& answer) {
-          if (answer.has_value() && std::holds_alternative<schema::Refused>(*answer)) {
-            learn(machine, std::get<schema::Refused>(*answer).set);
-          }
-        });
+        call(machine, machine.address, founder, schema::Read{0, {}, 0}, constants::holder_deadline,
+             [this, &machine](std::optional<schema::Message> const& answer) {
+               if (answer.has_value() && std::holds_alternative<schema::Refused>(*answer)) {
+                 learn(machine, std::get<schema::Refused>(*answer).set);
+               }
+             });
       }
       return;
     }
     for (consensus::MajorityReaderAction const& action : machine.confirm.begin(machine.set, local(machine))) {
       consensus::SendRead const& send = std::get<consensus::SendRead>(action);
-      call(machine, machine.address, send.to.address, send.read, constants::holder_deadline, [this, &machine](std::optional<schema::Message> const& answer) {
-        if (!answer.has_value()) {
-          return;
-        }
-        for (consensus::MajorityReaderAction const& result : machine.confirm.receive(*answer)) {
-          if (consensus::NewerVoters const* const newer = std::get_if<consensus::NewerVoters>(&result)) {
-            learn(machine, newer->set);
-          } else if (consensus::Unsettled const* const open = std::get_if<consensus::Unsettled>(&result)) {
-            for (std::string const& name : open->names) {
-              start_change(machine, name, [](schema::Value const&) -> consensus::Proposal { return consensus::Keep{}; }, constants::holder_deadline, nullptr);
-            }
-          } else if (std::holds_alternative<consensus::Confirmed>(result)) {
-            std::map<std::string, schema::Value>::const_iterator const setup = machine.confirm.values().find(consensus::setup_register);
-            if (setup != machine.confirm.values().end()) {
-              observe(setup->second, machine.address);
-            }
-          }
-        }
-      });
+      call(machine, machine.address, send.to.address, send.read, constants::holder_deadline,
+           [this, &machine](std::optional<schema::Message> const& answer) {
+             if (!answer.has_value()) {
+               return;
+             }
+             for (consensus::MajorityReaderAction const& result : machine.confirm.receive(*answer)) {
+               if (consensus::NewerVoters const* const newer = std::get_if<consensus::NewerVoters>(&result)) {
+                 learn(machine, newer->set);
+               } else if (consensus::Unsettled const* const open = std::get_if<consensus::Unsettled>(&result)) {
+                 for (std::string const& name : open->names) {
+                   start_change(
+                       machine, name, [](schema::Value const&) -> consensus::Proposal { return consensus::Keep{}; },
+                       constants::holder_deadline, nullptr);
+                 }
+               } else if (std::holds_alternative<consensus::Confirmed>(result)) {
+                 std::map<std::string, schema::Value>::const_iterator const setup =
+                     machine.confirm.values().find(consensus::setup_register);
+                 if (setup != machine.confirm.values().end()) {
+                   observe(setup->second, machine.address);
+                 }
+               }
+             }
+           });
     }
   });
 }
@@ -449,11 +466,13 @@
   std::function<void(std::variant<consensus::Chosen, consensus::Rejected, std::monostate>)> done;
 };
 
-void World::start_change(Machine& machine, std::string const& name, consensus::ProposalFunction propose, Span deadline,
-                         std::function<void(std::variant<consensus::Chosen, consensus::Rejected, std::monostate>)> done) {
+void World::start_change(
+    Machine& machine, std::string const& name, consensus::ProposalFunction propose, Span deadline,
+    std::function<void(std::variant<consensus::Chosen, consensus::Rejected, std::monostate>)> done) {
   std::shared_ptr<ChangeRun> const run = std::make_shared<ChangeRun>();
   run->machine = &machine;
-  run->core = std::make_unique<consensus::Proposer>(name, (kernel_.draw() >> 12u) + 1, std::move(propose), options_.guards);
+  run->core =
+      std::make_unique<consensus::Proposer>(name, (kernel_.draw() >> 12u) + 1, std::move(propose), options_.guards);
   run->core->start_above(machine.confirm.known(name));
   run->until = local(machine) + deadline;
   run->done = std::move(done);
@@ -476,11 +495,12 @@
   std::uint64_t const number = ++run->tries;
   std::function<void()> const again = [this, run, number] {
     if (!run->over && run->tries == number) {
-      later(*run->machine, kernel_.between(constants::ballot_pause_least, constants::ballot_pause_most), [this, run, number] {
-        if (run->tries == number) {
-          try_change(run);
-        }
-      });
+      later(*run->machine, kernel_.between(constants::ballot_pause_least, constants::ballot_pause_most),
+            [this, run, number] {
+              if (run->tries == number) {
+                try_change(run);
+              }
+            });
     }
   };
   if (machine.set.epoch == 0) {
@@ -488,7 +508,8 @@
     return;
   }
   later(machine, constants::holder_deadline, again);
-  std::shared_ptr<std::function<void(std::vector<consensus::ProposerAction> const&)>> const perform = std::make_shared<std::function<void(std::vector<consensus::ProposerAction> const&)>>();
+  std::shared_ptr<std::function<void(std::vector<consensus::ProposerAction> const&)>> const perform =
+      std::make_shared<std::function<void(std::vector<consensus::ProposerAction> const&)>>();
   std::weak_ptr<std::function<void(std::vector<consensus::ProposerAction> const&)>> const weak = perform;
   *perform = [this, run, number, again, weak](std::vector<consensus::ProposerAction> const& actions) {
     Machine& own = *run->machine;
@@ -499,11 +520,12 @@
       }
       if (consensus::Send const* const send = std::get_if<consensus::Send>(&action)) {
         std::uint64_t const incarnation = send->to.incarnation;
-        call(own, own.address, send->to.address, send->message, constants::holder_deadline, [run, number, incarnation, self](std::optional<schema::Message> const& answer) {
-          if (answer.has_value() && !run->over && run->tries == number) {
-            (*self)(run->core->receive(incarnation, *answer));
-          }
-        });
+        call(own, own.address, send->to.address, send->message, constants::holder_deadline,
+             [run, number, incarnation, self](std::optional<schema::Message> const& answer) {
+               if (answer.has_value() && !run->over && run->tries == number) {
+                 (*self)(run->core->receive(incarnation, *answer));
+               }
+             });
       } else if (consensus::Chosen const* const chosen = std::get_if<consensus::Chosen>(&action)) {
         run->over = true;
         own.confirm.learn(run->core->name(), chosen->ballot, chosen->value);
@@ -534,9 +556,11 @@
     spread(machine);
     if (machine.holder.has_value() && !machine.silent && machine.set.epoch > machine.holder->set().epoch &&
         (machine.holder->set().epoch > 0 || machine.set.epoch > 1)) {
-      submit(machine, machine.holder->receive(schema::Adopt{machine.set}, local(machine)), [](std::optional<schema::Message> const&) {});
+      submit(machine, machine.holder->receive(schema::Adopt{machine.set}, local(machine)),
+             [](std::optional<schema::Message> const&) {});
     }
-    std::map<std::string, schema::Value>::const_iterator const value = machine.confirm.values().find(consensus::holders_register);
+    std::map<std::string, schema::Value>::const_iterator const value =
+        machine.confirm.values().find(consensus::holders_register);
     if (value == machine.confirm.values().end()) {
       return;
     }
@@ -549,11 +573,13 @@
     std::vector<schema::Voter> all = next.previous;
     all.insert(all.end(), next.holders.begin(), next.holders.end());
     for (schema::Voter const& entry : all) {
-      call(machine, machine.address, entry.address, schema::Adopt{next}, constants::holder_deadline, [this, &machine, next](std::optional<schema::Message> const& answer) {
-        if (answer.has_value() && std::holds_alternative<schema::Adopted>(*answer) && std::get<schema::Adopted>(*answer).epoch >= next.epoch) {
-          learn(machine, next);
-        }
-      });
+      call(machine, machine.address, entry.address, schema::Adopt{next}, constants::holder_deadline,
+           [this, &machine, next](std::optional<schema::Message> const& answer) {
+             if (answer.has_value() && std::holds_alternative<schema::Adopted>(*answer) &&
+                 std::get<schema::Adopted>(*answer).epoch >= next.epoch) {
+               learn(machine, next);
+             }
+           });
     }
   });
 }
@@ -563,11 +589,12 @@
     lease_loop(machine);
     for (lease::LeaseHolderAction const& action : machine.tenant->tick(machine.set, local(machine))) {
       if (lease::SendAsk const* const send = std::get_if<lease::SendAsk>(&action)) {
-        call(machine, machine.address, send->to.address, send->ask, constants::holder_deadline, [this, &machine](std::optional<schema::Message> const& answer) {
-          if (answer.has_value() && std::holds_alternative<schema::LeaseAnswer>(*answer)) {
-            (void)machine.tenant->receive(std::get<schema::LeaseAnswer>(*answer), local(machine));
-          }
-        });
+        call(machine, machine.address, send->to.address, send->ask, constants::holder_deadline,
+             [this, &machine](std::optional<schema::Message> const& answer) {
+               if (answer.has_value() && std::holds_alternative<schema::LeaseAnswer>(*answer)) {
+                 (void)machine.tenant->receive(std::get<schema::LeaseAnswer>(*answer), local(machine));
+               }
+             });
       }
     }
   });
@@ -575,53 +602,62 @@
 
 void World::join(Machine& machine) {
   later(machine, constants::join_pause, [this, &machine] {
-    if (machine.set.epoch == 0 || machine.silent || !machine.holder.has_value() || consensus::names(machine.set.holders, machine.holder->incarnation())) {
+    if (machine.set.epoch == 0 || machine.silent || !machine.holder.has_value() ||
+        consensus::names(machine.set.holders, machine.holder->incarnation())) {
       machine.misses.clear();
       join(machine);
       return;
     }
     for (schema::Voter const& entry : machine.set.holders) {
       ++machine.misses[entry.incarnation];
-      call(machine, machine.address, entry.address, schema::Adopt{machine.set}, constants::join_look, [&machine](std::optional<schema::Message> const& answer) {
-        schema::Adopted const* const given = answer.has_value() ? std::get_if<schema::Adopted>(&*answer) : nullptr;
-        if (given != nullptr && given->voting) {
-          machine.misses[given->incarnation] = 0;
-        }
-      });
+      call(machine, machine.address, entry.address, schema::Adopt{machine.set}, constants::join_look,
+           [&machine](std::optional<schema::Message> const& answer) {
+             schema::Adopted const* const given = answer.has_value() ? std::get_if<schema::Adopted>(&*answer) : nullptr;
+             if (given != nullptr && given->voting) {
+               machine.misses[given->incarnation] = 0;
+             }
+           });
     }
     later(machine, constants::join_look, [this, &machine] {
       join(machine);
       if (machine.silent || !machine.holder.has_value()) {
         return;
       }
-      std::optional<schema::VoterSet> const plan =
-          membership::plan_joining(machine.set, machine.misses, schema::Voter{machine.holder->incarnation(), machine.address}, options_.wanted_holders);
+      std::optional<schema::VoterSet> const plan = membership::plan_joining(
+          machine.set, machine.misses, schema::Voter{machine.holder->incarnation(), machine.address},
+          options_.wanted_holders);
       if (!plan.has_value()) {
         return;
       }
-      std::map<std::string, schema::Value>::const_iterator const known = machine.confirm.values().find(consensus::holders_register);
+      std::map<std::string, schema::Value>::const_iterator const known =
+          machine.confirm.values().find(consensus::holders_register);
       std::uint64_t const newest = known == machine.confirm.values().end() ? 0 : known->second.revision;
       // The guard off: it expects what the register holds, not what it replaces.
-      consensus::ProposalFunction const propose = options_.repair_fenced ? membership::reconfiguration_proposal(machine.set, *plan)
-                                                              : consensus::replace_at(newest, loam::print_tree(loam::Tree(schema::write(*plan)).get()));
-      start_change(
-          machine, consensus::holders_register, propose, constants::change_deadline, [this](std::variant<consensus::Chosen, consensus::Rejected, std::monostate> const& result) {
-            if (std::holds_alternative<consensus::Chosen>(result)) {
-              ++report_.repairs;
-              kernel_.trace("repair chosen");
-            }
-          });
+      consensus::ProposalFunction const propose =
+          options_.repair_fenced
+              ? membership::reconfiguration_proposal(machine.set, *plan)
+              : consensus::replace_at(newest, loam::print_tree(loam::Tree(schema::write(*plan)).get()));
+      start_change(machine, consensus::holders_register, propose, constants::change_deadline,
+                   [this](std::variant<consensus::Chosen, consensus::Rejected, std::monostate> const& result) {
+                     if (std::holds_alternative<consensus::Chosen>(result)) {
+                       ++report_.repairs;
+                       kernel_.trace("repair chosen");
+                     }
+                   });
     });
   });
 }
 
 void World::answer_ask(Machine& machine, schema::NewsAsk const& ask, Moment arrival, Reply const& reply) {
-  membership::NewsDecision const verdict = membership::decide_answer(ask, arrival, machine.confirm.confirmed_from(), machine.confirm.values(), false, local(machine), options_.desk_guards);
+  membership::NewsDecision const verdict =
+      membership::decide_answer(ask, arrival, machine.confirm.confirmed_from(), machine.confirm.values(), false,
+                                local(machine), options_.desk_guards);
   if (verdict.answer.has_value()) {
     reply(schema::Message(*verdict.answer));
     return;
   }
-  later(machine, std::min<Span>(verdict.wait + 1, loam::milliseconds(20)), [this, &machine, ask, arrival, reply] { answer_ask(machine, ask, arrival, reply); });
+  later(machine, std::min<Span>(verdict.wait + 1, loam::milliseconds(20)),
+        [this, &machine, ask, arrival, reply] { answer_ask(machine, ask, arrival, reply); });
 }
 
 void World::begin_furrow(Furrow& furrow) {
@@ -642,23 +678,25 @@
   ask.member.name = furrow.name;
   ask.member.held = furrow.vouch.held();
   Moment const asked = local(furrow);
-  call(furrow, furrow.name, machines_[furrow.turn % machines_.size()]->address, ask, constants::ask_deadline, [this, &furrow, asked](std::optional<schema::Message> const& answer) {
-    schema::NewsAnswer const* const news = answer.has_value() ? std::get_if<schema::NewsAnswer>(&*answer) : nullptr;
-    if (news != nullptr) {
-      for (schema::NamedValue const& value : furrow.vouch.take(*news, asked, local(furrow))) {
-        kernel_.trace(furrow.name + " adopts " + value.name + " " + std::to_string(value.revision));
-        if (options_.adopted && value.name == consensus::setup_register) {
-          options_.adopted(furrow.number, value.revision);
-        }
-      }
-    }
-    if (news == nullptr || !news->vouched) {
-      furrow.turn = kernel_.below(machines_.size());
-      later(furrow, constants::ask_retry, [this, &furrow] { ask_loop(furrow); });
-    } else {
-      ask_loop(furrow);
-    }
-  });
+  call(furrow, furrow.name, machines_[furrow.turn % machines_.size()]->address, ask, constants::ask_deadline,
+       [this, &furrow, asked](std::optional<schema::Message> const& answer) {
+         schema::NewsAnswer const* const news =
+             answer.has_value() ? std::get_if<schema::NewsAnswer>(&*answer) : nullptr;
+         if (news != nullptr) {
+           for (schema::NamedValue const& value : furrow.vouch.take(*news, asked, local(furrow))) {
+             kernel_.trace(furrow.name + " adopts " + value.name + " " + std::to_string(value.revision));
+             if (options_.adopted && value.name == consensus::setup_register) {
+               options_.adopted(furrow.number, value.revision);
+             }
+           }
+         }
+         if (news == nullptr || !news->vouched) {
+           furrow.turn = kernel_.below(machines_.size());
+           later(furrow, constants::ask_retry, [this, &furrow] { ask_loop(furrow); });
+         } else {
+           ask_loop(furrow);
+         }
+       });
 }
 
 void World::query_loop(Furrow& furrow) {
@@ -668,17 +706,20 @@
       ++report_.unvouched;
       return;
     }
-    std::map<std::string, std::uint64_t>::const_iterator const held = furrow.vouch.held().find(consensus::setup_register);
+    std::map<std::string, std::uint64_t>::const_iterator const held =
+        furrow.vouch.held().find(consensus::setup_register);
     std::uint64_t const revision = held == furrow.vouch.held().end() ? 0 : held->second;
     if (revision == 0) {
       return;
     }
     ++report_.queries;
     if (revision < in_force_) {
-      violate(furrow.name + " serves by revision " + std::to_string(revision) + " though " + std::to_string(in_force_) + " was acknowledged");
+      violate(furrow.name + " serves by revision " + std::to_string(revision) + " though " + std::to_string(in_force_) +
+              " was acknowledged");
     }
     if (revision < furrow.shown) {
-      violate(furrow.name + " slipped back from revision " + std::to_string(furrow.shown) + " to " + std::to_string(revision));
+      violate(furrow.name + " slipped back from revision " + std::to_string(furrow.shown) + " to " +
+              std::to_string(revision));
     }
     furrow.shown = std::max(furrow.shown, revision);
   });
@@ -686,7 +727,8 @@
 
 void World::acknowledged(std::string const& id, std::uint64_t revision, std::uint64_t floor, Moment began) {
   if (revision <= floor && accepted_.count(id) == 0) {
-    violate("change " + id + " was taken at revision " + std::to_string(revision) + " though " + std::to_string(floor) + " was known before it began");
+    violate("change " + id + " was taken at revision " + std::to_string(revision) + " though " + std::to_string(floor) +
+            " was known before it began");
   }
   ++report_.acknowledged;
   asked_[id].revision = revision;
@@ -708,28 +750,33 @@
     return;
   }
   config::WantedChange wanted;
-  std::map<std::string, schema::Value>::const_iterator const seen = machine->confirm.values().find(consensus::setup_register);
-  wanted.id = "c" + std::to_string(next_id_++) + "." + std::to_string(seen == machine->confirm.values().end() ? 0 : seen->second.revision);
+  std::map<std::string, schema::Value>::const_iterator const seen =
+      machine->confirm.values().find(consensus::setup_register);
+  wanted.id = "c" + std::to_string(next_id_++) + "." +
+              std::to_string(seen == machine->confirm.values().end() ? 0 : seen->second.revision);
   wanted.expected = expected;
   wanted.patch = has_setup_;
   wanted.content = !has_setup_ ? (options_.first_setup.empty() ? first_setup : options_.first_setup)
-                               : (options_.patch ? options_.patch(wanted.id) : R"({"halls":{"h":{"labels":{"mark":")" + wanted.id + "\"}}}}");
+                               : (options_.patch ? options_.patch(wanted.id)
+                                                 : R"({"halls":{"h":{"labels":{"mark":")" + wanted.id + "\"}}}}");
   std::uint64_t const floor = floor_;
   Moment const began = kernel_.now();
   std::shared_ptr<bool> const told = std::make_shared<bool>(false);
   std::shared_ptr<config::SetupProposalReport> const note = std::make_shared<config::SetupProposalReport>();
-  kernel_.after(constants::change_deadline + constants::acknowledge_wait + loam::seconds(2), [this, told, id = wanted.id, done] {
-    if (!*told) {  // the trellis died with it; what became of it is asked for
-      *told = true;
-      ++report_.unknown;
-      outcome_of(id);
-      done(false);
-    }
-  });
+  kernel_.after(constants::change_deadline + constants::acknowledge_wait + loam::seconds(2),
+                [this, told, id = wanted.id, done] {
+                  if (!*told) {  // the trellis died with it; what became of it is asked for
+                    *told = true;
+                    ++report_.unknown;
+                    outcome_of(id);
+                    done(false);
+                  }
+                });
   asked_[wanted.id] = HistoryEntry{HistoryEntry::Kind::write, 0, began, std::nullopt, expected};
   kernel_.trace("operator " + std::to_string(number) + " puts " + wanted.id);
   start_change(*machine, consensus::setup_register, config::setup_proposal(wanted, note), constants::change_deadline,
-               [this, machine, told, wanted, floor, began, note, done](std::variant<consensus::Chosen, consensus::Rejected, std::monostate> const& result) {
+               [this, machine, told, wanted, floor, began, note,
+                done](std::variant<consensus::Chosen, consensus::Rejected, std::monostate> const& result) {
                  if (*told) {
                    return;
                  }
@@ -747,7 +794,8 @@
                      *told = true;
                      ++report_.rejected;
                      if (note->end == config::SetupProposalOutcome::expectation) {
-                       history_.push_back(HistoryEntry{HistoryEntry::Kind::refused, *wanted.expected, began, kernel_.now(), std::nullopt});
+                       history_.push_back(HistoryEntry{HistoryEntry::Kind::refused, *wanted.expected, began,
+                                                       kernel_.now(), std::nullopt});
                      }
                      rejected_.insert(wanted.id);
                      kernel_.trace("rejected " + wanted.id);
@@ -767,13 +815,14 @@
                    done(false);
                    return;
                  }
-                 later(*machine, options_.acknowledge_waits ? constants::acknowledge_wait : 0, [this, told, wanted, revision, floor, began, done] {
-                   if (!*told) {
-                     *told = true;
-                     acknowledged(wanted.id, revision, floor, began);
-                     done(true);
-                   }
-                 });
+                 later(*machine, options_.acknowledge_waits ? constants::acknowledge_wait : 0,
+                       [this, told, wanted, revision, floor, began, done] {
+                         if (!*told) {
+                           *told = true;
+                           acknowledged(wanted.id, revision, floor, began);
+                           done(true);
+                         }
+                       });
                });
 }
 
@@ -783,20 +832,21 @@
     return;
   }
   later(*machine, constants::change_deadline, [this, machine, id] {
-    start_change(*machine, consensus::setup_register, config::veto_of(id), constants::change_deadline, [this, id](std::variant<consensus::Chosen, consensus::Rejected, std::monostate> const& result) {
-      if (consensus::Chosen const* const chosen = std::get_if<consensus::Chosen>(&result)) {
-        config::IdStanding const known = config::standing_of(chosen->value, id);
-        if (known.standing == config::Standing::rejected) {
-          rejected_.insert(id);
-          kernel_.trace("vetoed " + id);
-        } else if (known.standing == config::Standing::accepted) {
-          accepted_[id] = known.revision;
-          floor_ = std::max(floor_, known.revision);
-        } else if (known.standing != config::Standing::forgotten) {
-          violate("the outcome of " + id + " was settled without a mark");
-        }
-      }
-    });
+    start_change(*machine, consensus::setup_register, config::veto_of(id), constants::change_deadline,
+                 [this, id](std::variant<consensus::Chosen, consensus::Rejected, std::monostate> const& result) {
+                   if (consensus::Chosen const* const chosen = std::get_if<consensus::Chosen>(&result)) {
+                     config::IdStanding const known = config::standing_of(chosen->value, id);
+                     if (known.standing == config::Standing::rejected) {
+                       rejected_.insert(id);
+                       kernel_.trace("vetoed " + id);
+                     } else if (known.standing == config::Standing::accepted) {
+                       accepted_[id] = known.revision;
+                       floor_ = std::max(floor_, known.revision);
+                     } else if (known.standing != config::Standing::forgotten) {
+                       violate("the outcome of " + id + " was settled without a mark");
+                     }
+                   }
+                 });
   });
 }
 
@@ -813,12 +863,14 @@
   std::weak_ptr<std::function<void(int)>> const weak = look;
   *look = [this, machine, floor, began, arrival, weak, done](int left) {
     if (machine->confirm.confirmed_from() >= arrival) {
-      std::map<std::string, schema::Value>::const_iterator const setup = machine->confirm.values().find(consensus::setup_register);
+      std::map<std::string, schema::Value>::const_iterator const setup =
+          machine->confirm.values().find(consensus::setup_register);
       std::uint64_t const revision = setup == machine->confirm.values().end() ? 0 : setup->second.revision;
       ++report_.reads;
       history_.push_back(HistoryEntry{HistoryEntry::Kind::read, revision, began, kernel_.now(), std::nullopt});
       if (revision < floor) {
-        violate("a read gave revision " + std::to_string(revision) + " though " + std::to_string(floor) + " was known before");
+        violate("a read gave revision " + std::to_string(revision) + " though " + std::to_string(floor) +
+                " was known before");
       }
       floor_ = std::max(floor_, revision);
       done(revision);
@@ -896,7 +948,8 @@
   }
   std::size_t voting = 0;
   for (std::unique_ptr<Machine> const& machine : machines_) {
-    voting += machine->alive && !machine->silent && machine->holder.has_value() && machine->holder->voting() && machine->holder->set().epoch == newest.epoch &&
+    voting += machine->alive && !machine->silent && machine->holder.has_value() && machine->holder->voting() &&
+                      machine->holder->set().epoch == newest.epoch &&
                       consensus::names(newest.holders, machine->holder->incarnation())
                   ? 1
                   : 0;
@@ -1012,7 +1065,8 @@
   repeat(mix.cut, [this, any] {
     std::string const from = kernel_.chance(0.3) ? furrows_[kernel_.below(furrows_.size())]->name : any().address;
     std::string const to = any().address;
-    std::pair<std::string, std::string> const one = kernel_.chance(0.5) ? std::make_pair(from, to) : std::make_pair(to, from);
+    std::pair<std::string, std::string> const one =
+        kernel_.chance(0.5) ? std::make_pair(from, to) : std::make_pair(to, from);
     cuts_.insert(one);
     kernel_.after(kernel_.between(loam::milliseconds(200), loam::seconds(6)), [this, one] { cuts_.erase(one); });
   });
@@ -1034,7 +1088,8 @@
   repeat(mix.slow_disk, [this] {
     Machine& machine = *machines_[kernel_.below(options_.disk_machines)];
     machine.disk_delay = kernel_.between(loam::milliseconds(50), loam::milliseconds(900));
-    kernel_.after(kernel_.between(loam::seconds(1), loam::seconds(6)), [&machine] { machine.disk_delay = loam::milliseconds(2); });
+    kernel_.after(kernel_.between(loam::seconds(1), loam::seconds(6)),
+                  [&machine] { machine.disk_delay = loam::milliseconds(2); });
   });
   repeat(mix.stall_disk, [this] {
     Machine& machine = *machines_[kernel_.below(options_.disk_machines)];
@@ -1081,7 +1136,8 @@
   kernel_.after(loam::milliseconds(50), [this, since, done] {
     bool all = true;
     for (std::unique_ptr<Furrow> const& furrow : furrows_) {
-      all = all && furrow->alive && furrow->vouch.vouched(local(*furrow)) && furrow->vouch.held().count(consensus::setup_register) > 0;
+      all = all && furrow->alive && furrow->vouch.vouched(local(*furrow)) &&
+            furrow->vouch.held().count(consensus::setup_register) > 0;
     }
     if (all) {
       done(kernel_.now() - since);
@@ -1114,7 +1170,8 @@
   }
   for (std::size_t number = 0; number < options_.furrows; ++number) {
     std::unique_ptr<Furrow> furrow = std::make_unique<Furrow>();
-    furrow->name = number < options_.furrow_names.size() ? options_.furrow_names[number] : "furrow-" + std::to_string(number);
+    furrow->name =
+        number < options_.furrow_names.size() ? options_.furrow_names[number] : "furrow-" + std::to_string(number);
     furrow->number = number;
     furrow->offset = kernel_.between(loam::seconds(10), loam::seconds(100000));
     furrow->rate = 1.0 + options_.faults.clock_rate * (2 * kernel_.uniform() - 1);
@@ -1192,10 +1249,12 @@
   // No acknowledged change is lost: each is in the content of its revision.
   for (std::pair<std::string const, std::uint64_t> const& change : accepted_) {
     if (owners_[change.second] != change.first) {
-      violate("acknowledged change " + change.first + " is not what revision " + std::to_string(change.second) + " holds");
+      violate("acknowledged change " + change.first + " is not what revision " + std::to_string(change.second) +
+              " holds");
     }
   }
-  for (std::pair<std::uint64_t const, std::string> const& owner : owners_) {  // what was told, and what was found to have happened
+  for (std::pair<std::uint64_t const, std::string> const& owner :
+       owners_) {  // what was told, and what was found to have happened
     HistoryEntry write = asked_[owner.second];
     write.revision = owner.first;
     history_.push_back(write);
--- a/source/almanac/control/control.hpp
+++ b/source/almanac/control/control.hpp
@@ -11,12 +11,12 @@
 
 #include "almanac/disk/memory_disk.hpp"
 #include "almanac/kernel/kernel.hpp"
-#include "membership/responder/news_responder.hpp"
-#include "membership/freshness/freshness_lease.hpp"
-#include "consensus/proposer/proposer.hpp"
-#include "consensus/majority_reader/majority_reader.hpp"
 #include "consensus/acceptor/acceptor.hpp"
+#include "consensus/majority_reader/majority_reader.hpp"
+#include "consensus/proposer/proposer.hpp"
 #include "lease/lease_holder.hpp"
+#include "membership/freshness/freshness_lease.hpp"
+#include "membership/responder/news_responder.hpp"
 
 namespace finchlink::almanac {
 
@@ -24,11 +24,11 @@
 /// in seconds; 0: never.
 struct ControlFaults {
   double kill = 0;
-  double herd = 0;        ///< several at once, at times all
+  double herd = 0;  ///< several at once, at times all
   double freeze = 0;
-  double cut = 0;         ///< one direction between two machines
-  double split = 0;       ///< the machines fall into two parts
-  double wipe = 0;        ///< a disk lost, the machine back empty, at times at a new address
+  double cut = 0;    ///< one direction between two machines
+  double split = 0;  ///< the machines fall into two parts
+  double wipe = 0;   ///< a disk lost, the machine back empty, at times at a new address
   double slow_disk = 0;
   double stall_disk = 0;
   double full_disk = 0;
@@ -62,7 +62,7 @@
   std::size_t disk_machines = 4;   ///< three founders and one that stands by
   std::size_t plain_machines = 2;  ///< trellises without a disk
   std::size_t furrows = 6;
-  double operators_pause = 0.7;    ///< seconds between two asks of one operator
+  double operators_pause = 0.7;  ///< seconds between two asks of one operator
   std::size_t operators = 3;
   ControlFaults faults;
   consensus::Guards guards;
@@ -74,8 +74,8 @@
   bool learn_beyond_seeds = true;  ///< the holder set is also learnt from the own disk and from colleagues
   bool print = false;
   // --- where the query path runs beside it (section 10.1) ---
-  std::vector<std::string> furrow_names;   ///< empty: named by number
-  std::string first_setup;                 ///< empty: a small one
+  std::vector<std::string> furrow_names;  ///< empty: named by number
+  std::string first_setup;                ///< empty: a small one
   /// A change that an operator wants, as a merge patch; `id` marks it.
   std::function<std::string(std::string const& id)> patch;
   std::function<void(std::uint64_t revision, std::string const& content)> seen;
@@ -87,14 +87,13 @@
 /// The control plane as a part of a larger world, on that world's kernel.
 struct ControlPart {
   std::function<void()> begin;
-  std::function<void()> each;                    ///< after every event
-  std::function<void(loam::Moment)> end_day;     ///< faults stop, after a last one; all comes back; a last change
+  std::function<void()> each;                 ///< after every event
+  std::function<void(loam::Moment)> end_day;  ///< faults stop, after a last one; all comes back; a last change
   std::function<ControlReport()> finish;
   std::function<bool(std::size_t furrow)> vouched;
 };
 [[nodiscard]] ControlPart control_part(ControlOptions const& options, Kernel& kernel);
 
-
 /// Runs the control plane's cores (register, leases, vouching, repair) under
 /// faults and checks what must never happen.
 [[nodiscard]] ControlReport run_control(ControlOptions const& options);
--- a/source/almanac/disk/memory_disk.hpp
+++ b/source/almanac/disk/memory_disk.hpp
@@ -12,7 +12,8 @@
 /// A disk in memory. Writes last only once synced; a power loss keeps any
 /// part of the others.
 struct MemoryDisk {
-  explicit MemoryDisk(std::size_t files, std::size_t bytes) : lasting(files, std::string(bytes, '\0')), cache(lasting), dirty(files) {}
+  explicit MemoryDisk(std::size_t files, std::size_t bytes)
+      : lasting(files, std::string(bytes, '\0')), cache(lasting), dirty(files) {}
   std::vector<std::string> lasting;
   std::vector<std::string> cache;
   std::vector<std::vector<std::pair<std::size_t, std::size_t>>> dirty;  ///< per file, written since the last sync
--- a/source/almanac/field/field.cpp
+++ b/source/almanac/field/field.cpp
@@ -10,16 +10,16 @@
 #include <sstream>
 
 #include "almanac/kernel/kernel.hpp"
-#include "loam/json/tree.hpp"
 #include "config/label/selector.hpp"
 #include "config/setup/setup.hpp"
-#include "schema/standin.hpp"
 #include "loam/constants.hpp"
+#include "loam/json/tree.hpp"
+#include "schema/standin.hpp"
 #include "tilth/budget/budget.hpp"
 #include "tilth/budget/share.hpp"
 #include "tilth/chart/chart.hpp"
-#include "tilth/plan/plan.hpp"
 #include "tilth/placement/placement.hpp"
+#include "tilth/plan/plan.hpp"
 #include "tilth/scaler/scaler.hpp"
 
 namespace finchlink::almanac {
@@ -33,15 +33,17 @@
 constexpr double true_prefill[3] = {0.004, 0.000018, 0.000000002};
 constexpr double true_decode[3] = {0.003, 0.006, 0.00025};
 constexpr double noise = 0.05;
-constexpr std::size_t worker_limit = 48;      // beyond it a worker says 429
-constexpr std::size_t cold_bears = 4;         // queries at once on a worker that just came back
+constexpr std::size_t worker_limit = 48;  // beyond it a worker says 429
+constexpr std::size_t cold_bears = 4;     // queries at once on a worker that just came back
 constexpr Span warming = loam::seconds(3);
 constexpr std::size_t cache_blocks = 4096;
 constexpr Span drain_allowed = loam::seconds(5);
 
 class World {
  public:
-  explicit World(FieldOptions const& options) : options_(options), kernel_(options.seed) { kernel_.print_trace(options.print); }
+  explicit World(FieldOptions const& options) : options_(options), kernel_(options.seed) {
+    kernel_.print_trace(options.print);
+  }
   FieldReport run();
 
  private:
@@ -103,7 +105,7 @@
     std::uint64_t id = 0;
     std::size_t mix = 0;
     std::size_t furrow = 0;
-    std::string home;             ///< as its caller names it
+    std::string home;  ///< as its caller names it
     tilth::Footing footing;
     std::unique_ptr<tilth::Chart> chart;
     std::uint64_t ticket = 0;
@@ -124,16 +126,16 @@
     std::vector<double> gaps;
     Moment last_event = 0;
     double running_at_start = 0;
-    std::uint64_t seen = 0;           ///< events that the caller has
-    std::uint64_t expected = 1;       ///< next event of a whole answer
+    std::uint64_t seen = 0;      ///< events that the caller has
+    std::uint64_t expected = 1;  ///< next event of a whole answer
     Moment deadline = 0;
-    QueryPointer parent;              ///< it was passed on by this one
+    QueryPointer parent;  ///< it was passed on by this one
     JobPointer job;
-    std::uint64_t runs = 0;           ///< how often its work was begun
+    std::uint64_t runs = 0;  ///< how often its work was begun
     bool told_refused = false;
-    std::uint64_t tries = 0;          ///< times that its caller was refused before
-    std::size_t hops = 0;             ///< 307s that its caller has followed
-    double wait = 0;                  ///< the wait that it was denied for
+    std::uint64_t tries = 0;  ///< times that its caller was refused before
+    std::size_t hops = 0;     ///< 307s that its caller has followed
+    double wait = 0;          ///< the wait that it was denied for
   };
   struct Region {
     tilth::Scaler scaler;
@@ -166,7 +168,8 @@
   Span near() { return kernel_.between(200, 600); }
 
   void arrivals(std::size_t mix);
-  void arrive(std::size_t mix, std::string const& home, std::uint64_t tries, std::size_t hops, std::optional<std::string> const& region);
+  void arrive(std::size_t mix, std::string const& home, std::uint64_t tries, std::size_t hops,
+              std::optional<std::string> const& region);
   void renew(Furrow& furrow);
   bool follow(QueryPointer const& query);
   [[nodiscard]] schema::Setup changed_setup(schema::Setup setup);
@@ -174,12 +177,17 @@
   void join_control();
   void lose(std::size_t furrow);
   [[nodiscard]] bool vouched(Furrow const& furrow) const {
-    return furrow.alive && furrow.revision > 0 && (!control_.vouched || control_.vouched(static_cast<std::size_t>(std::find(names_.begin(), names_.end(), furrow.name) - names_.begin())));
+    return furrow.alive && furrow.revision > 0 &&
+           (!control_.vouched || control_.vouched(static_cast<std::size_t>(
+                                     std::find(names_.begin(), names_.end(), furrow.name) - names_.begin())));
   }
   [[nodiscard]] bool lawful(Query const& query, Worker const& worker, bool hall_only) const;
-  [[nodiscard]] config::Course course(schema::Setup const& setup, std::string const& region, std::size_t mix, std::string const& home) const {
+  [[nodiscard]] config::Course course(schema::Setup const& setup, std::string const& region, std::size_t mix,
+                                      std::string const& home) const {
     FieldMix const& service = options_.deployment.mixes[mix];
-    return config::decide(setup, region, service.method, service.path, [&home](std::string const& name) { return name == "Finchlink-Home" ? home : std::string(); }, 0);
+    return config::decide(
+        setup, region, service.method, service.path,
+        [&home](std::string const& name) { return name == "Finchlink-Home" ? home : std::string(); }, 0);
   }
   void ended(Query const& query, bool good);
   struct Second {
@@ -188,7 +196,8 @@
     double bad = 0;
   };
   Second& second(std::size_t mix, Moment at = -1) { return seconds_[{mix, (at < 0 ? kernel_.now() : at) / 1000000}]; }
-  QueryPointer make_query(std::size_t mix, std::size_t furrow, std::string const& home, config::Serve const& serve, bool passed);
+  QueryPointer make_query(std::size_t mix, std::size_t furrow, std::string const& home, config::Serve const& serve,
+                          bool passed);
   void feed(QueryPointer const& query, tilth::QueryMessage const& message);
   void perform(QueryPointer const& query, std::vector<tilth::QueryAction> const& actions);
   void place(QueryPointer const& query);
@@ -209,7 +218,10 @@
   void repeat(double mean, std::function<void()> fault);
   void weigh_crowd();
   void finish();
-  double noisy(double seconds) { return std::max(0.0, seconds * (1.0 + noise * (kernel_.uniform() + kernel_.uniform() + kernel_.uniform() - 1.5) * 2)); }
+  double noisy(double seconds) {
+    return std::max(0.0,
+                    seconds * (1.0 + noise * (kernel_.uniform() + kernel_.uniform() + kernel_.uniform() - 1.5) * 2));
+  }
 
   FieldOptions options_;
   mutable Kernel kernel_;
@@ -238,7 +250,8 @@
 void World::arrivals(std::size_t index) {
   double rate = options_.deployment.mixes[index].rate * options_.scale;
   Moment const crowd = options_.faults.crowd_at;
-  if (crowd > 0 && kernel_.now() >= crowd && kernel_.now() < crowd + options_.faults.crowd_span && (index == 0 || !options_.faults.crowd_on_first)) {
+  if (crowd > 0 && kernel_.now() >= crowd && kernel_.now() < crowd + options_.faults.crowd_span &&
+      (index == 0 || !options_.faults.crowd_on_first)) {
     rate *= options_.faults.crowd;
   }
   kernel_.after(static_cast<Span>(kernel_.exponential(1.0 / rate) * 1e6), [this, index] {
@@ -251,7 +264,8 @@
   });
 }
 
-void World::arrive(std::size_t index, std::string const& home, std::uint64_t tries, std::size_t hops, std::optional<std::string> const& region) {
+void World::arrive(std::size_t index, std::string const& home, std::uint64_t tries, std::size_t hops,
+                   std::optional<std::string> const& region) {
   std::size_t furrow = kernel_.below(furrows_.size());
   while (region.has_value() && options_.deployment.regions[furrows_[furrow]->region] != *region) {  // sent there by 307
     furrow = kernel_.below(furrows_.size());
@@ -264,7 +278,8 @@
   config::Course const decided = course(plan.setup, plan.region, index, home);
   if (config::GoHome const* const there = std::get_if<config::GoHome>(&decided)) {
     if (hops < 4) {
-      kernel_.after(near(), [this, index, home, tries, hops, to = there->region] { arrive(index, home, tries, hops + 1, to); });
+      kernel_.after(near(),
+                    [this, index, home, tries, hops, to = there->region] { arrive(index, home, tries, hops + 1, to); });
     }
     return;
   }
@@ -280,7 +295,8 @@
   perform(query, query->chart->begin());
 }
 
-World::QueryPointer World::make_query(std::size_t index, std::size_t furrow, std::string const& home, config::Serve const& serve, bool passed) {
+World::QueryPointer World::make_query(std::size_t index, std::size_t furrow, std::string const& home,
+                                      config::Serve const& serve, bool passed) {
   FieldMix const mix = mix_of(index);
   QueryPointer const query = std::make_shared<Query>();
   query->id = next_query_++;
@@ -301,7 +317,8 @@
   std::uint64_t chain = 0;
   for (double place = block; place <= query->tokens; place += block) {
     bool const shared = place <= mix.prefix_tokens;
-    chain = tilth::mix(chain, shared ? tilth::mix(index * 1000 + prefix, static_cast<std::uint64_t>(place)) : tilth::mix(query->id, 77));
+    chain = tilth::mix(chain, shared ? tilth::mix(index * 1000 + prefix, static_cast<std::uint64_t>(place))
+                                     : tilth::mix(query->id, 77));
     query->chain.push_back(chain);
   }
   tilth::QueryTerms terms;
@@ -314,7 +331,8 @@
     if (!options_.budget) {
       return true;
     }
-    return furrows_[furrow]->budgets.try_emplace(name).first->second.take(now, tilth::keeps_right(name, furrows_[furrow]->name, names_));
+    return furrows_[furrow]->budgets.try_emplace(name).first->second.take(
+        now, tilth::keeps_right(name, furrows_[furrow]->name, names_));
   });
   all_.push_back(query);
   if (!passed) {
@@ -327,7 +345,9 @@
   return query;
 }
 
-void World::feed(QueryPointer const& query, tilth::QueryMessage const& message) { perform(query, query->chart->advance(message, kernel_.now())); }
+void World::feed(QueryPointer const& query, tilth::QueryMessage const& message) {
+  perform(query, query->chart->advance(message, kernel_.now()));
+}
 
 void World::settle_parent(QueryPointer const& query, tilth::QueryMessage const& message) {
   QueryPointer const parent = query->parent;
@@ -374,7 +394,9 @@
       if (query->parent != nullptr) {
         settle_parent(query, tilth::NoRoom{});
       } else if (query->hops < 4) {
-        kernel_.after(near(), [this, query] { arrive(query->mix, query->home, query->tries, query->hops + 1, query->footing.home); });
+        kernel_.after(near(), [this, query] {
+          arrive(query->mix, query->home, query->tries, query->hops + 1, query->footing.home);
+        });
       }
     } else if (std::holds_alternative<tilth::Refuse>(action)) {
       if (query->parent != nullptr) {
@@ -441,7 +463,8 @@
   ticket.outputs = furrow.outputs.try_emplace(ticket.rule, 32.0).first->second;
   bool const paired = query->has_kv || options_.aims.manner == "paired";
   query->decode_leg = paired && query->has_kv;
-  ticket.phase = tilth::wanted_phase(*query->footing.plan, "model", paired, query->decode_leg, ticket.tokens, ticket.outputs);
+  ticket.phase =
+      tilth::wanted_phase(*query->footing.plan, "model", paired, query->decode_leg, ticket.tokens, ticket.outputs);
   query->phase = ticket.phase;
   ticket.deadline = query->deadline;
   ticket.begun = query->has_kv;
@@ -509,7 +532,8 @@
       end_dispatch(query, tilth::Ending::abandoned, tilth::Withdrawn{});
       return;
     }
-    if (options_.decide_anew && (follow(query) || !tilth::may_go(*furrow.plan, query->footing.serve.rule, worker->id))) {
+    if (options_.decide_anew &&
+        (follow(query) || !tilth::may_go(*furrow.plan, query->footing.serve.rule, worker->id))) {
       end_dispatch(query, tilth::Ending::abandoned, tilth::Withdrawn{});
       return;
     }
@@ -523,13 +547,16 @@
     if (worker->draining) {
       report_.worst_drain = std::max(report_.worst_drain, kernel_.now() - worker->draining_since);
       if (kernel_.now() - worker->draining_since > drain_allowed) {
-        violate(worker->id + " got a query " + std::to_string((kernel_.now() - worker->draining_since) / 1000) + " ms after it was shown draining");
+        violate(worker->id + " got a query " + std::to_string((kernel_.now() - worker->draining_since) / 1000) +
+                " ms after it was shown draining");
       }
     }
     if (!lawful(*query, *worker, true)) {
-      violate("a query went to " + worker->id + " in an emptied hall after revision " + std::to_string(acknowledged_) + " was acknowledged");
+      violate("a query went to " + worker->id + " in an emptied hall after revision " + std::to_string(acknowledged_) +
+              " was acknowledged");
     } else if (!lawful(*query, *worker, false)) {
-      violate("a query of " + mix.name + " went by an old rule after revision " + std::to_string(acknowledged_) + " was acknowledged");
+      violate("a query of " + mix.name + " went by an old rule after revision " + std::to_string(acknowledged_) +
+              " was acknowledged");
     }
     if (worker->dark) {
       kernel_.after(constants::stream_silence, [this, query, dispatch] {
@@ -540,10 +567,12 @@
       return;
     }
     Span const up = kernel_.now() - worker->up_since;
-    double const bears = static_cast<double>(cold_bears) + static_cast<double>(worker_limit) * static_cast<double>(up) / static_cast<double>(warming);
+    double const bears = static_cast<double>(cold_bears) +
+                         static_cast<double>(worker_limit) * static_cast<double>(up) / static_cast<double>(warming);
     bool const flooded = up < warming && static_cast<double>(worker->open()) >= bears;
     if (flooded) {
-      violate(worker->id + " came back " + std::to_string(up / 1000) + " ms ago and was flooded with " + std::to_string(worker->open() + 1) + " queries");
+      violate(worker->id + " came back " + std::to_string(up / 1000) + " ms ago and was flooded with " +
+              std::to_string(worker->open() + 1) + " queries");
     }
     if (flooded || worker->open() >= worker_limit) {
       end_dispatch(query, tilth::Ending::refused, tilth::WorkerRefused{});
@@ -554,7 +583,8 @@
       root = root->parent;
     }
     bool repeatable = false;
-    for (std::map<std::uint64_t, schema::Setup>::const_iterator entry = setups_.lower_bound(acknowledged_); entry != setups_.end(); ++entry) {
+    for (std::map<std::uint64_t, schema::Setup>::const_iterator entry = setups_.lower_bound(acknowledged_);
+         entry != setups_.end(); ++entry) {
       repeatable = repeatable || entry->second.rules.at(query->footing.serve.rule).repeatable;
     }
     if (!query->decode_leg && ++root->runs > 1 && !repeatable) {
@@ -601,12 +631,15 @@
     worker.waiting.pop_front();
     double seconds = 0;
     if (!job->decode_leg) {
-      double const cached = std::min(static_cast<double>(worker.cache.match(job->chain)) * static_cast<double>(options_.bounds.block_tokens), job->tokens - 1);
+      double const cached = std::min(
+          static_cast<double>(worker.cache.match(job->chain)) * static_cast<double>(options_.bounds.block_tokens),
+          job->tokens - 1);
       double const uncached = job->tokens - cached;
       prompt_tokens_ += job->tokens;
       cached_tokens_ += cached;
       worker.cache.remember(job->chain);
-      seconds = noisy(true_prefill[0] + true_prefill[1] * uncached + true_prefill[2] * tilth::pairs(uncached, cached)) / worker.speed;
+      seconds = noisy(true_prefill[0] + true_prefill[1] * uncached + true_prefill[2] * tilth::pairs(uncached, cached)) /
+                worker.speed;
     }
     worker.running.push_back(job);
     worker.busy = true;
@@ -627,7 +660,9 @@
     return;
   }
   double const batch = static_cast<double>(worker.running.size());
-  double const seconds = noisy(true_decode[0] + true_decode[1] * tilth::spread(options_.aims.experts_share, 1, batch) + true_decode[2] * batch) / worker.speed;
+  double const seconds = noisy(true_decode[0] + true_decode[1] * tilth::spread(options_.aims.experts_share, 1, batch) +
+                               true_decode[2] * batch) /
+                         worker.speed;
   worker.busy = true;
   kernel_.after(static_cast<Span>(seconds * 1e6), [this, &worker, life] {
     if (worker.life != life) {
@@ -663,7 +698,8 @@
     Furrow& furrow = *furrows_[query->furrow];
     FieldMix const& mix = options_.deployment.mixes[query->mix];
     Moment const now = kernel_.now();
-    schema::WorkerFigures& figures = furrow.figures[query->worker + (query->phase == tilth::Phase::decode ? " d" : " p")];
+    schema::WorkerFigures& figures =
+        furrow.figures[query->worker + (query->phase == tilth::Phase::decode ? " d" : " p")];
     figures.worker = query->worker;
     figures.phase = query->phase == tilth::Phase::decode ? "decode" : "prefill";
     if (query->leg_first == 0) {
@@ -705,7 +741,8 @@
       figures.decodes += 1;
       figures.decode_seconds += static_cast<double>(now - query->leg_first) / 1e6;
       if (query->iterations >= 4 && furrow.samples.size() < constants::samples_most) {
-        double const running = std::max(1.0, (query->running_at_start + furrow.placement.running_on(query->worker) + 1) / 2);
+        double const running =
+            std::max(1.0, (query->running_at_start + furrow.placement.running_on(query->worker) + 1) / 2);
         schema::Sample sample;
         sample.worker = query->worker;
         sample.decode = true;
@@ -742,7 +779,8 @@
   if (query->chart->settled()) {
     return;
   }
-  std::vector<schema::Member> const targets = tilth::pass_targets(*query->footing.plan, furrows_[query->furrow]->name, "model", query->footing.serve.bound);
+  std::vector<schema::Member> const targets =
+      tilth::pass_targets(*query->footing.plan, furrows_[query->furrow]->name, "model", query->footing.serve.bound);
   if (targets.empty()) {
     feed(query, tilth::NoRoom{});
     return;
@@ -754,22 +792,22 @@
   std::size_t const target = static_cast<std::size_t>(std::find(names_.begin(), names_.end(), chosen) - names_.begin());
   bool const far = furrows_[target]->region != furrows_[query->furrow]->region;
   kernel_.after(far ? options_.deployment.hop : near(), [this, query, target] {
-  tilth::Plan const& plan = *furrows_[target]->plan;
-  config::Course const decided = course(plan.setup, plan.region, query->mix, query->home);
-  if (query->chart->settled()) {
-    return;
-  }
-  if (!vouched(*furrows_[target]) || !std::holds_alternative<config::Serve>(decided)) {
-    feed(query, tilth::NoRoom{});
-    return;
-  }
-  QueryPointer const child = make_query(query->mix, target, query->home, std::get<config::Serve>(decided), true);
-  child->parent = query;
-  child->tokens = query->tokens;
-  child->chain = query->chain;
-  child->outputs = query->outputs;
-  child->deadline = query->deadline;
-  perform(child, child->chart->begin());
+    tilth::Plan const& plan = *furrows_[target]->plan;
+    config::Course const decided = course(plan.setup, plan.region, query->mix, query->home);
+    if (query->chart->settled()) {
+      return;
+    }
+    if (!vouched(*furrows_[target]) || !std::holds_alternative<config::Serve>(decided)) {
+      feed(query, tilth::NoRoom{});
+      return;
+    }
+    QueryPointer const child = make_query(query->mix, target, query->home, std::get<config::Serve>(decided), true);
+    child->parent = query;
+    child->tokens = query->tokens;
+    child->chain = query->chain;
+    child->outputs = query->outputs;
+    child->deadline = query->deadline;
+    perform(child, child->chart->begin());
   });
 }
 
@@ -800,7 +838,8 @@
   }
   for (std::unique_ptr<Worker> const& worker : workers_) {
     if (furrow.listed[worker->id]) {
-      plan->list.workers.push_back(schema::WorkerEntry{worker->id, worker->id, worker->hall, "model", options_.drop_drained && furrow.drained[worker->id], {}});
+      plan->list.workers.push_back(schema::WorkerEntry{
+          worker->id, worker->id, worker->hall, "model", options_.drop_drained && furrow.drained[worker->id], {}});
     }
   }
   tilth::derive(*plan, furrow.name, furrow.hall);
@@ -816,18 +855,21 @@
   }
   bool const turned = plan->decided != furrow.plan->decided || plan->allowed != furrow.plan->allowed;
   furrow.plan = plan;
-  obey(furrow, furrow.placement.update(plan->wishes["model"], options_.bounds, options_.aims, plan->furrows_here, kernel_.now()));
+  obey(furrow, furrow.placement.update(plan->wishes["model"], options_.bounds, options_.aims, plan->furrows_here,
+                                       kernel_.now()));
   if (!turned || !options_.decide_anew) {
     return;
   }
   std::vector<QueryPointer> waiting;
   for (std::pair<std::uint64_t const, QueryPointer> const& entry : tickets_) {
-    if (furrows_[entry.second->furrow].get() == &furrow && std::holds_alternative<tilth::Waitlisted>(entry.second->chart->state())) {
+    if (furrows_[entry.second->furrow].get() == &furrow &&
+        std::holds_alternative<tilth::Waitlisted>(entry.second->chart->state())) {
       waiting.push_back(entry.second);
     }
   }
   for (QueryPointer const& query : waiting) {
-    if (query->ticket != 0 && std::holds_alternative<tilth::Waitlisted>(query->chart->state()) && follow(query) && !query->chart->settled()) {
+    if (query->ticket != 0 && std::holds_alternative<tilth::Waitlisted>(query->chart->state()) && follow(query) &&
+        !query->chart->settled()) {
       std::uint64_t const ticket = query->ticket;
       query->ticket = 0;
       tickets_.erase(ticket);
@@ -842,7 +884,9 @@
     return false;
   }
   FieldMix const& mix = options_.deployment.mixes[query->mix];
-  tilth::Header const header{mix.method, mix.path, [query](std::string const& name) { return name == "Finchlink-Home" ? query->home : std::string(); }, 0};
+  tilth::Header const header{
+      mix.method, mix.path,
+      [query](std::string const& name) { return name == "Finchlink-Home" ? query->home : std::string(); }, 0};
   tilth::Followed followed = tilth::follow(query->footing, furrows_[query->furrow]->plan, header);
   report_.decided_anew += followed.changed ? 1 : 0;
   if (followed.decided.has_value()) {
@@ -853,11 +897,13 @@
 }
 
 bool World::lawful(Query const& query, Worker const& worker, bool hall_only) const {
-  for (std::map<std::uint64_t, schema::Setup>::const_iterator entry = setups_.lower_bound(acknowledged_); entry != setups_.end(); ++entry) {
+  for (std::map<std::uint64_t, schema::Setup>::const_iterator entry = setups_.lower_bound(acknowledged_);
+       entry != setups_.end(); ++entry) {
     schema::Setup const& setup = entry->second;
     std::map<std::string, schema::Hall>::const_iterator const hall = setup.halls.find(worker.hall);
     bool const emptied = hall != setup.halls.end() && hall->second.evacuated;
-    if (!emptied && (hall_only || std::holds_alternative<config::Serve>(course(setup, options_.deployment.regions[worker.region], query.mix, query.home)))) {
+    if (!emptied && (hall_only || std::holds_alternative<config::Serve>(course(
+                                      setup, options_.deployment.regions[worker.region], query.mix, query.home)))) {
       return true;
     }
   }
@@ -985,7 +1031,9 @@
   for (std::unique_ptr<Worker> const& worker : workers_) {
     if (worker->region == furrow.region && furrow.listed[worker->id]) {
       if (worker->up && !worker->dark) {
-        obey(furrow, furrow.placement.load(worker->id, static_cast<double>(worker->running.size()), static_cast<double>(worker->waiting.size()), "boot-" + std::to_string(worker->life), kernel_.now()));
+        obey(furrow, furrow.placement.load(worker->id, static_cast<double>(worker->running.size()),
+                                           static_cast<double>(worker->waiting.size()),
+                                           "boot-" + std::to_string(worker->life), kernel_.now()));
       } else {
         obey(furrow, furrow.placement.load_missed(worker->id, kernel_.now()));
       }
@@ -1019,7 +1067,8 @@
         names.push_back(worker->id);
       }
     }
-    tilth::ScalerAction const action = region.scaler.tick(region.split, region.revision, names, options_.aims, options_.bounds, kernel_.now());
+    tilth::ScalerAction const action =
+        region.scaler.tick(region.split, region.revision, names, options_.aims, options_.bounds, kernel_.now());
     if (tilth::WriteSplit const* const write = std::get_if<tilth::WriteSplit>(&action)) {
       region.split = write->split;
       ++region.revision;
@@ -1028,7 +1077,8 @@
       for (std::unique_ptr<Furrow> const& furrow : furrows_) {
         if (furrow->region == index) {
           Furrow* const one = furrow.get();
-          kernel_.after(kernel_.between(loam::milliseconds(20), loam::milliseconds(300)), [one, split = region.split] { one->split = split; });
+          kernel_.after(kernel_.between(loam::milliseconds(20), loam::milliseconds(300)),
+                        [one, split = region.split] { one->split = split; });
         }
       }
     }
@@ -1128,13 +1178,14 @@
     std::uint64_t const shown = ++worker.shown;  // the list is counted: an older one never replaces a newer
     for (std::unique_ptr<Furrow> const& furrow : furrows_) {  // trellis reads the list, furrow hears
       Furrow* const one = furrow.get();
-      kernel_.after(kernel_.between(loam::milliseconds(30), loam::milliseconds(1400)), [this, one, id = worker.id, on, shown] {
-        if (shown > one->list_seen[id]) {
-          one->list_seen[id] = shown;
-          one->drained[id] = on;
-          renew(*one);
-        }
-      });
+      kernel_.after(kernel_.between(loam::milliseconds(30), loam::milliseconds(1400)),
+                    [this, one, id = worker.id, on, shown] {
+                      if (shown > one->list_seen[id]) {
+                        one->list_seen[id] = shown;
+                        one->drained[id] = on;
+                        renew(*one);
+                      }
+                    });
     }
   };
   repeat(mix.drain, [this, any, show] {
@@ -1148,15 +1199,16 @@
     Worker& worker = any();
     if (!worker.draining && worker.up) {
       show(worker, true);
-      kernel_.after(kernel_.between(loam::milliseconds(500), loam::seconds(6)), [this, &worker, show] {  // at short notice or slowly
-        if (worker.up) {
-          crash(worker);
-        }
-        kernel_.after(kernel_.between(loam::seconds(1), loam::seconds(4)), [this, &worker, show] {
-          revive(worker);
-          show(worker, false);
-        });
-      });
+      kernel_.after(kernel_.between(loam::milliseconds(500), loam::seconds(6)),
+                    [this, &worker, show] {  // at short notice or slowly
+                      if (worker.up) {
+                        crash(worker);
+                      }
+                      kernel_.after(kernel_.between(loam::seconds(1), loam::seconds(4)), [this, &worker, show] {
+                        revive(worker);
+                        show(worker, false);
+                      });
+                    });
     }
   });
 }
@@ -1187,7 +1239,8 @@
       report_.calm_good += entry.second.good / static_cast<double>(from - 5);
     } else if (entry.first >= from + 3 && entry.first < until) {
       report_.crowd_good += entry.second.good / static_cast<double>(until - from - 3);
-    } else if (entry.first >= until && entry.first < options_.length / 1000000 - 1 && entry.second.bad > 0.02 * (entry.second.good + entry.second.bad)) {
+    } else if (entry.first >= until && entry.first < options_.length / 1000000 - 1 &&
+               entry.second.bad > 0.02 * (entry.second.good + entry.second.bad)) {
       report_.after_crowd = static_cast<double>(entry.first + 1 - until);
     }
   }
@@ -1207,7 +1260,8 @@
     }
   }
   for (std::pair<std::string const, std::vector<Moment>> const& entry : retries_) {
-    report_.worst_retry_share = std::max(report_.worst_retry_share, tilth::worst_retry_share(first_dispatches_[entry.first], entry.second));
+    report_.worst_retry_share =
+        std::max(report_.worst_retry_share, tilth::worst_retry_share(first_dispatches_[entry.first], entry.second));
   }
   if (report_.worst_retry_share > 0.2) {
     violate("retries were " + std::to_string(report_.worst_retry_share) + " of a service's traffic in ten seconds");
@@ -1234,7 +1288,8 @@
       double const truth = true_prefill[0] + true_prefill[1] * 600 + true_prefill[2] * tilth::pairs(600, 1200);
       prefill_error += std::abs(shown - truth) / truth;
       double const shown_decode = model.iteration_seconds(options_.aims.experts_share, 1, 8);
-      double const truth_decode = true_decode[0] + true_decode[1] * tilth::spread(options_.aims.experts_share, 1, 8) + true_decode[2] * 8;
+      double const truth_decode =
+          true_decode[0] + true_decode[1] * tilth::spread(options_.aims.experts_share, 1, 8) + true_decode[2] * 8;
       decode_error += std::abs(shown_decode - truth_decode) / truth_decode;
       count += 1;
     }
@@ -1302,7 +1357,8 @@
   kernel_.run(options_.length + loam::seconds(40), control_.each);
   if (control_.finish) {
     report_.control = control_.finish();
-    report_.violations.insert(report_.violations.end(), report_.control.violations.begin(), report_.control.violations.end());
+    report_.violations.insert(report_.violations.end(), report_.control.violations.begin(),
+                              report_.control.violations.end());
   }
   finish();
   return report_;
@@ -1340,7 +1396,8 @@
   }
   config::SetupReading const reading = config::read_setup(texts["setup.json"]);
   if (!reading.good()) {
-    return absl::InvalidArgumentError(folder + "/setup.json: " + (reading.json ? loam::describe(reading.faults) : reading.reason));
+    return absl::InvalidArgumentError(
+        folder + "/setup.json: " + (reading.json ? loam::describe(reading.faults) : reading.reason));
   }
   schema::Fleet fleet;
   std::vector<loam::Fault> faults;
@@ -1350,7 +1407,8 @@
   deployment.hop = static_cast<Span>(fleet.hop_ms * 1000);
   for (std::pair<std::string const, schema::FleetHall> const& hall : fleet.halls) {
     std::vector<std::string>& regions = deployment.regions;
-    std::size_t const region = static_cast<std::size_t>(std::find(regions.begin(), regions.end(), hall.second.region) - regions.begin());
+    std::size_t const region =
+        static_cast<std::size_t>(std::find(regions.begin(), regions.end(), hall.second.region) - regions.begin());
     if (region == regions.size()) {
       regions.push_back(hall.second.region);
     }
@@ -1362,8 +1420,10 @@
   for (schema::Mix const& mix : fleet.mixes) {
     if (!mix.plain) {
       double const bytes = deployment.setup.workers.bytes_per_token;
-      deployment.mixes.push_back(FieldMix{mix.name, mix.method, mix.path, mix.rate, static_cast<double>(mix.prefix_bytes) / bytes, static_cast<double>(mix.own_bytes) / bytes,
-                                          mix.prefixes, std::ceil(static_cast<double>(mix.outputs) / 4), mix.homes});
+      deployment.mixes.push_back(FieldMix{mix.name, mix.method, mix.path, mix.rate,
+                                          static_cast<double>(mix.prefix_bytes) / bytes,
+                                          static_cast<double>(mix.own_bytes) / bytes, mix.prefixes,
+                                          std::ceil(static_cast<double>(mix.outputs) / 4), mix.homes});
       if (deployment.setup.rules.count(mix.name) == 0) {
         faults.push_back(loam::Fault{"/mixes", mix.name + " is no rule of setup.json"});
       }
@@ -1378,7 +1438,10 @@
   return deployment;
 }
 
-std::vector<std::string> field_scenarios() { return {"field-calm", "field-crashes", "field-dark", "field-blinks", "field-drains", "field-replace", "field-cuts", "field-setups", "field-swing", "field-crowd", "field-overload", "field-storm"}; }
+std::vector<std::string> field_scenarios() {
+  return {"field-calm", "field-crashes", "field-dark",  "field-blinks", "field-drains",   "field-replace",
+          "field-cuts", "field-setups",  "field-swing", "field-crowd",  "field-overload", "field-storm"};
+}
 
 std::optional<FieldFaults> field_scenario(std::string const& name) {
   FieldFaults faults;
@@ -1429,7 +1492,9 @@
   return faults;
 }
 
-bool is_whole(std::string const& name) { return name.rfind("whole-", 0) == 0; }
+bool is_whole(std::string const& name) {
+  return name.rfind("whole-", 0) == 0;
+}
 
 bool apply_whole(std::string const& name, FieldOptions& options) {
   std::optional<ControlFaults> const faults = control_scenario(name.substr(6));
--- a/source/almanac/field/field.hpp
+++ b/source/almanac/field/field.hpp
@@ -8,8 +8,8 @@
 
 #include <absl/status/statusor.h>
 
-#include "loam/time/moment.hpp"
 #include "almanac/control/control.hpp"
+#include "loam/time/moment.hpp"
 #include "schema/setup.hpp"
 #include "tilth/placement/placement.hpp"
 
@@ -20,16 +20,16 @@
   std::string name;
   std::string method;
   std::string path;
-  double rate = 10;         ///< queries a second
+  double rate = 10;  ///< queries a second
   double prefix_tokens = 0;
   double own_tokens = 100;
   std::uint64_t prefixes = 20;
-  double outputs = 16;      ///< iterations of decode
+  double outputs = 16;             ///< iterations of decode
   std::vector<std::string> homes;  ///< named by callers in turn; empty: none
 };
 struct FieldHall {
   std::string name;
-  std::size_t region = 0;   ///< place among the deployment's regions
+  std::size_t region = 0;  ///< place among the deployment's regions
   std::size_t furrows = 0;
   std::size_t workers = 0;
 };
@@ -43,19 +43,19 @@
 };
 
 struct FieldFaults {
-  double crash = 0;      ///< mean seconds between two; back cold after a while
+  double crash = 0;  ///< mean seconds between two; back cold after a while
   double dark = 0;
-  double blink = 0;      ///< dark without closing anything, back cold within a second
+  double blink = 0;  ///< dark without closing anything, back cold within a second
   double drain = 0;
-  double replace = 0;    ///< one by one: drained, gone, a new one comes
-  loam::Moment swing_at = 0;   ///< from then on long prompts become long answers
-  loam::Moment crowd_at = 0;   ///< from then on for crowd_span
-  double crowd = 1;      ///< times the rate
+  double replace = 0;         ///< one by one: drained, gone, a new one comes
+  loam::Moment swing_at = 0;  ///< from then on long prompts become long answers
+  loam::Moment crowd_at = 0;  ///< from then on for crowd_span
+  double crowd = 1;           ///< times the rate
   loam::Span crowd_span = loam::seconds(10);
-  bool crowd_on_first = false;  ///< the crowd is on the first service only
-  std::uint64_t comes_back = 0; ///< times that a refused caller tries again, when it was told to
-  double setups = 0;     ///< a rule's home or repeatable is changed, a hall emptied or taken back
-  double cut = 0;        ///< connections to workers cut at any point
+  bool crowd_on_first = false;   ///< the crowd is on the first service only
+  std::uint64_t comes_back = 0;  ///< times that a refused caller tries again, when it was told to
+  double setups = 0;             ///< a rule's home or repeatable is changed, a hall emptied or taken back
+  double cut = 0;                ///< connections to workers cut at any point
 };
 
 struct FieldOptions {
@@ -66,15 +66,15 @@
   schema::ScalerAims aims;
   schema::WorkerBounds bounds;
   double scale = 1;
-  bool tend_cold = true;         ///< guard: one furrow ramps a cold worker
-  bool budget = true;            ///< guard: retries only by right
-  bool dispatch_once = true;     ///< guard: not repeatable means one dispatch
-  bool honest_refusal = true;    ///< guard: no refusal once it may have run
-  bool checked_numbers = true;   ///< guard: numbering of streams is checked
-  bool decide_anew = true;       ///< guard: a query goes by the setup in force when bytes go
-  bool drop_drained = true;      ///< guard: a draining worker gets nothing new
+  bool tend_cold = true;        ///< guard: one furrow ramps a cold worker
+  bool budget = true;           ///< guard: retries only by right
+  bool dispatch_once = true;    ///< guard: not repeatable means one dispatch
+  bool honest_refusal = true;   ///< guard: no refusal once it may have run
+  bool checked_numbers = true;  ///< guard: numbering of streams is checked
+  bool decide_anew = true;      ///< guard: a query goes by the setup in force when bytes go
+  bool drop_drained = true;     ///< guard: a draining worker gets nothing new
   tilth::PlacementGuards placement;
-  bool hear_closing = true;      ///< guard: a closing connection tells of a crash at once
+  bool hear_closing = true;  ///< guard: a closing connection tells of a crash at once
   bool print = false;
   /// With it the control plane runs beside, on the same clock: setups come by
   /// its register and news, and without its vouch nothing is sent (section 10.1).
@@ -90,27 +90,27 @@
   std::uint64_t broken = 0;
   std::uint64_t passes = 0;
   std::uint64_t retries = 0;
-  std::uint64_t faults = 0;      ///< that were really brought about
+  std::uint64_t faults = 0;  ///< that were really brought about
   std::uint64_t switches = 0;
   std::uint64_t moved = 0;
-  double reuse = 0;              ///< part of prompt tokens found in the true caches
-  double first_p50 = 0;          ///< seconds
+  double reuse = 0;      ///< part of prompt tokens found in the true caches
+  double first_p50 = 0;  ///< seconds
   double first_p99 = 0;
-  double good_rate = 0;          ///< good answers a second over the second half
-  double crowd_good = 0;         ///< good answers a second while the crowd is there, its first three seconds left out
-  double calm_good = 0;          ///< before it
-  double others_good = 0;        ///< part of the other services' queries that end well meanwhile
-  double after_crowd = 0;        ///< seconds behind the crowd until fewer than one in fifty is refused or late
-  double worst_refusal = 0;      ///< seconds from arrival to a refusal, at most
+  double good_rate = 0;            ///< good answers a second over the second half
+  double crowd_good = 0;           ///< good answers a second while the crowd is there, its first three seconds left out
+  double calm_good = 0;            ///< before it
+  double others_good = 0;          ///< part of the other services' queries that end well meanwhile
+  double after_crowd = 0;          ///< seconds behind the crowd until fewer than one in fifty is refused or late
+  double worst_refusal = 0;        ///< seconds from arrival to a refusal, at most
   std::uint64_t decided_anew = 0;  ///< queries that a change of the setup turned
   double worst_retry_share = 0;
   loam::Span worst_drain = 0;
-  std::map<std::string, double> fit_error;  ///< mean relative error against the true times
-  std::vector<std::size_t> prefill_workers; ///< per region, at the end
+  std::map<std::string, double> fit_error;   ///< mean relative error against the true times
+  std::vector<std::size_t> prefill_workers;  ///< per region, at the end
   std::uint64_t trace_hash = 0;
   std::uint64_t events = 0;
   ControlReport control;
-  std::uint64_t unvouched = 0;   ///< queries refused, or withdrawn, for want of a vouch
+  std::uint64_t unvouched = 0;  ///< queries refused, or withdrawn, for want of a vouch
   std::uint64_t furrows_lost = 0;
 };
 
--- a/source/almanac/history/history.cpp
+++ b/source/almanac/history/history.cpp
@@ -59,7 +59,8 @@
     // before it began, and its successor surely not before it ended.
     bool there = entry.revision == 0;
     for (HistoryEntry const& other : entries) {
-      there = there || (other.kind != Kind::refused && other.revision == entry.revision && other.ended.has_value() && *other.ended < entry.began);
+      there = there || (other.kind != Kind::refused && other.revision == entry.revision && other.ended.has_value() &&
+                        *other.ended < entry.began);
     }
     std::map<std::uint64_t, loam::Moment>::const_iterator const next = earliest.find(entry.revision + 1);
     if (there && (next == earliest.end() || next->second > *entry.ended)) {
--- a/source/almanac/kernel/kernel.cpp
+++ b/source/almanac/kernel/kernel.cpp
@@ -23,7 +23,9 @@
   now_ = until;
 }
 
-double Kernel::exponential(double mean) { return -mean * std::log(1.0 - uniform()); }
+double Kernel::exponential(double mean) {
+  return -mean * std::log(1.0 - uniform());
+}
 
 void Kernel::trace(std::string const& text) {
   std::string const line = std::to_string(now_) + " " + text;
--- a/source/almanac/kernel/kernel.hpp
+++ b/source/almanac/kernel/kernel.hpp
@@ -24,7 +24,9 @@
 
   [[nodiscard]] std::uint64_t draw() { return random_(); }
   [[nodiscard]] std::uint64_t below(std::uint64_t bound) { return bound == 0 ? 0 : random_() % bound; }
-  [[nodiscard]] loam::Span between(loam::Span least, loam::Span most) { return least + static_cast<loam::Span>(below(static_cast<std::uint64_t>(most - least + 1))); }
+  [[nodiscard]] loam::Span between(loam::Span least, loam::Span most) {
+    return least + static_cast<loam::Span>(below(static_cast<std::uint64_t>(most - least + 1)));
+  }
   [[nodiscard]] bool chance(double part) { return static_cast<double>(random_() >> 11u) * 0x1.0p-53 < part; }
   [[nodiscard]] double uniform() { return static_cast<double>(random_() >> 11u) * 0x1.0p-53; }
   [[nodiscard]] double exponential(double mean);
--- a/source/almanac/main.cpp
+++ b/source/almanac/main.cpp
@@ -38,12 +38,21 @@
 
 /// Switches one guard off, to show that a checker sees what it prevents.
 bool switch_off(almanac::ControlOptions& run, std::string const& guard) {
-  std::map<std::string, bool*> const guards{
-      {"sync_before_reply", &run.guards.sync_before_reply}, {"blank_has_no_vote", &run.guards.blank_has_no_vote}, {"epoch_checked", &run.guards.epoch_checked},
-      {"promise_kept", &run.guards.promise_kept}, {"settle_before_reject", &run.guards.settle_before_reject}, {"image_before_vote", &run.guards.image_before_vote},
-      {"lease_silence", &run.guards.lease_silence}, {"tenant_stops_early", &run.guards.tenant_stops_early}, {"never_back", &run.vouch_guards.never_back},
-      {"count_from_ask", &run.vouch_guards.count_from_ask}, {"stop_unvouched", &run.vouch_guards.stop_unvouched},
-      {"confirm_after_arrival", &run.desk_guards.confirm_after_arrival}, {"acknowledge_waits", &run.acknowledge_waits}, {"learn_beyond_seeds", &run.learn_beyond_seeds}, {"repair_fenced", &run.repair_fenced}};
+  std::map<std::string, bool*> const guards{{"sync_before_reply", &run.guards.sync_before_reply},
+                                            {"blank_has_no_vote", &run.guards.blank_has_no_vote},
+                                            {"epoch_checked", &run.guards.epoch_checked},
+                                            {"promise_kept", &run.guards.promise_kept},
+                                            {"settle_before_reject", &run.guards.settle_before_reject},
+                                            {"image_before_vote", &run.guards.image_before_vote},
+                                            {"lease_silence", &run.guards.lease_silence},
+                                            {"tenant_stops_early", &run.guards.tenant_stops_early},
+                                            {"never_back", &run.vouch_guards.never_back},
+                                            {"count_from_ask", &run.vouch_guards.count_from_ask},
+                                            {"stop_unvouched", &run.vouch_guards.stop_unvouched},
+                                            {"confirm_after_arrival", &run.desk_guards.confirm_after_arrival},
+                                            {"acknowledge_waits", &run.acknowledge_waits},
+                                            {"learn_beyond_seeds", &run.learn_beyond_seeds},
+                                            {"repair_fenced", &run.repair_fenced}};
   std::map<std::string, bool*>::const_iterator const found = guards.find(guard);
   if (found == guards.end()) {
     return false;
@@ -52,7 +61,17 @@
   return true;
 }
 bool switch_off_field(almanac::FieldOptions& run, std::string const& guard) {
-  std::map<std::string, bool*> const guards{{"tend_cold", &run.tend_cold}, {"doubt", &run.placement.doubt}, {"finish_begun", &run.placement.finish_begun}, {"count_others", &run.placement.count_others}, {"hear_closing", &run.hear_closing}, {"budget", &run.budget}, {"dispatch_once", &run.dispatch_once}, {"honest_refusal", &run.honest_refusal}, {"checked_numbers", &run.checked_numbers}, {"drop_drained", &run.drop_drained}, {"decide_anew", &run.decide_anew}};
+  std::map<std::string, bool*> const guards{{"tend_cold", &run.tend_cold},
+                                            {"doubt", &run.placement.doubt},
+                                            {"finish_begun", &run.placement.finish_begun},
+                                            {"count_others", &run.placement.count_others},
+                                            {"hear_closing", &run.hear_closing},
+                                            {"budget", &run.budget},
+                                            {"dispatch_once", &run.dispatch_once},
+                                            {"honest_refusal", &run.honest_refusal},
+                                            {"checked_numbers", &run.checked_numbers},
+                                            {"drop_drained", &run.drop_drained},
+                                            {"decide_anew", &run.decide_anew}};
   std::map<std::string, bool*>::const_iterator const found = guards.find(guard);
   if (found == guards.end()) {
     return false;
@@ -70,9 +89,11 @@
     run.length = static_cast<loam::Span>(found["seconds"].as<double>() * 1e6);
     run.rate *= found["scale"].as<double>();
     run.print = found.count("trace") > 0;
-    std::map<std::string, bool*> const guards{{"tenant_in_key", &run.guards.tenant_in_key}, {"version_in_key", &run.guards.version_in_key}};
+    std::map<std::string, bool*> const guards{{"tenant_in_key", &run.guards.tenant_in_key},
+                                              {"version_in_key", &run.guards.version_in_key}};
     std::string off;
-    for (std::string const& guard : found.count("off") > 0 ? found["off"].as<std::vector<std::string>>() : std::vector<std::string>()) {
+    for (std::string const& guard :
+         found.count("off") > 0 ? found["off"].as<std::vector<std::string>>() : std::vector<std::string>()) {
       if (guards.count(guard) == 0) {
         return usage("'" + guard + "' is not a guard of the walls");
       }
@@ -99,23 +120,31 @@
       std::cout << "trace " << std::hex << report.trace_hash << std::dec << "\n";
     }
     if (!report.violations.empty() && ++failed <= 5) {
-      std::cout << "seed " << seed << ": " << report.violations.front() << " (" << report.violations.size() << " in all)\n  replay: almanac --scenario walls --seeds " << seed << " --seconds "
+      std::cout << "seed " << seed << ": " << report.violations.front() << " (" << report.violations.size()
+                << " in all)\n  replay: almanac --scenario walls --seeds " << seed << " --seconds "
                 << found["seconds"].as<double>() << " --scale " << found["scale"].as<double>() << off << " --trace\n";
     }
   }
-  std::cout << "walls: " << (last - first + 1) << " seeds, " << failed << " failed; sent " << sum.sent << ", ran " << sum.ran << ", given up " << sum.unplaced << ", hits crossed " << sum.crossed_hits << ", of other weights "
-            << sum.old_hits << ", own " << sum.own_hits << ", public " << sum.public_hits << ", cold " << sum.cold << ", less kept than recorded " << sum.evicted << ", moved " << sum.moved << ", misdirected " << sum.misdirected
-            << ", rotations " << sum.rotations << ", faults " << sum.faults << ", crossings named " << sum.named << ", least share of a steady tenant's prompts with own hits " << sum.least_own << "\n";
+  std::cout << "walls: " << (last - first + 1) << " seeds, " << failed << " failed; sent " << sum.sent << ", ran "
+            << sum.ran << ", given up " << sum.unplaced << ", hits crossed " << sum.crossed_hits
+            << ", of other weights " << sum.old_hits << ", own " << sum.own_hits << ", public " << sum.public_hits
+            << ", cold " << sum.cold << ", less kept than recorded " << sum.evicted << ", moved " << sum.moved
+            << ", misdirected " << sum.misdirected << ", rotations " << sum.rotations << ", faults " << sum.faults
+            << ", crossings named " << sum.named << ", least share of a steady tenant's prompts with own hits "
+            << sum.least_own << "\n";
   return failed == 0 ? 0 : 1;
 }
 
-int run_field_scenario(std::string const& name, std::uint64_t first, std::uint64_t last, options::variables_map const& found) {
-  std::optional<almanac::FieldFaults> const faults = almanac::field_scenario(almanac::is_whole(name) ? "field-calm" : name);
+int run_field_scenario(std::string const& name, std::uint64_t first, std::uint64_t last,
+                       options::variables_map const& found) {
+  std::optional<almanac::FieldFaults> const faults =
+      almanac::field_scenario(almanac::is_whole(name) ? "field-calm" : name);
   almanac::FieldOptions probe;
   if (almanac::is_whole(name) && !almanac::apply_whole(name, probe)) {
     return usage("'" + name + "' is not a scenario; see --list");
   }
-  absl::StatusOr<almanac::FieldDeployment> deployment = almanac::field_deployment(found["deployments"].as<std::string>() + "/" + found["deployment"].as<std::string>());
+  absl::StatusOr<almanac::FieldDeployment> deployment =
+      almanac::field_deployment(found["deployments"].as<std::string>() + "/" + found["deployment"].as<std::string>());
   if (!faults.has_value()) {
     return usage("'" + name + "' is not a scenario; see --list");
   }
@@ -127,11 +156,15 @@
     return usage("--fewer leaves no worker");
   }
   deployment->halls.front().workers -= fewer;
-  std::vector<std::string> const variants = found.count("variant") > 0 ? found["variant"].as<std::vector<std::string>>() : std::vector<std::string>{"ours"};
+  std::vector<std::string> const variants =
+      found.count("variant") > 0 ? found["variant"].as<std::vector<std::string>>() : std::vector<std::string>{"ours"};
   int code = 0;
   for (std::string const& variant : variants) {
-    double good = 0, sent = 0, refused = 0, apologies = 0, broken = 0, reuse = 0, p50 = 0, p99 = 0, rate = 0, switches = 0, retries = 0, passes = 0, prefill_error = 0, decode_error = 0;
-    double acknowledged = 0, unknown = 0, explained = 0, furrows_lost = 0, unvouched = 0, recovery = 0, decided_anew = 0, brought = 0, share = 0, calm_good = 0, crowd_good = 0, others_good = 1, after_crowd = 0, worst_refusal = 0;
+    double good = 0, sent = 0, refused = 0, apologies = 0, broken = 0, reuse = 0, p50 = 0, p99 = 0, rate = 0,
+           switches = 0, retries = 0, passes = 0, prefill_error = 0, decode_error = 0;
+    double acknowledged = 0, unknown = 0, explained = 0, furrows_lost = 0, unvouched = 0, recovery = 0,
+           decided_anew = 0, brought = 0, share = 0, calm_good = 0, crowd_good = 0, others_good = 1, after_crowd = 0,
+           worst_refusal = 0;
     loam::Span drain = 0;
     std::uint64_t failed = 0;
     std::string splits;
@@ -169,11 +202,21 @@
       if (first == last) {
         std::cout << "trace " << std::hex << report.trace_hash << std::dec << "\n";
       }
-      sent += static_cast<double>(report.sent); good += static_cast<double>(report.good); refused += static_cast<double>(report.refused); apologies += static_cast<double>(report.apologies);
-      broken += static_cast<double>(report.broken); reuse += report.reuse; p50 += report.first_p50; p99 += report.first_p99; rate += report.good_rate; switches += static_cast<double>(report.switches);
-      retries += static_cast<double>(report.retries); passes += static_cast<double>(report.passes);
+      sent += static_cast<double>(report.sent);
+      good += static_cast<double>(report.good);
+      refused += static_cast<double>(report.refused);
+      apologies += static_cast<double>(report.apologies);
+      broken += static_cast<double>(report.broken);
+      reuse += report.reuse;
+      p50 += report.first_p50;
+      p99 += report.first_p99;
+      rate += report.good_rate;
+      switches += static_cast<double>(report.switches);
+      retries += static_cast<double>(report.retries);
+      passes += static_cast<double>(report.passes);
       std::map<std::string, double> errors = report.fit_error;
-      prefill_error += errors["prefill"]; decode_error += errors["decode"];
+      prefill_error += errors["prefill"];
+      decode_error += errors["decode"];
       share = std::max(share, report.worst_retry_share);
       drain = std::max(drain, report.worst_drain);
       decided_anew += static_cast<double>(report.decided_anew);
@@ -196,28 +239,40 @@
       if (!report.violations.empty()) {
         code = 1;
         if (++failed <= 3) {
-          std::cout << "seed " << seed << ": " << report.violations.front() << " (" << report.violations.size() << " in all)\n  replay: almanac --scenario " << name << " --deployment " << found["deployment"].as<std::string>() << " --seeds " << seed
-                    << " --seconds " << found["seconds"].as<double>() << " --scale " << run.scale << " --manner " << run.aims.manner << off << " --trace\n";
+          std::cout << "seed " << seed << ": " << report.violations.front() << " (" << report.violations.size()
+                    << " in all)\n  replay: almanac --scenario " << name << " --deployment "
+                    << found["deployment"].as<std::string>() << " --seeds " << seed << " --seconds "
+                    << found["seconds"].as<double>() << " --scale " << run.scale << " --manner " << run.aims.manner
+                    << off << " --trace\n";
         }
       }
     }
     double const runs = static_cast<double>(last - first + 1);
-    std::cout << name << " " << found["deployment"].as<std::string>() << " " << found["manner"].as<std::string>() << " x" << found["scale"].as<double>() << " " << variant << ": " << runs << " seeds, " << failed << " failed; sent " << sent / runs << ", good " << good / runs << ", refused "
-              << refused / runs << ", apologies " << apologies / runs << ", broken " << broken / runs << ", good/s " << rate / runs << ", first p50 " << p50 / runs * 1000 << " ms p99 " << p99 / runs * 1000 << " ms, reuse " << reuse / runs
-              << ", passes " << passes / runs << ", decided anew " << decided_anew / runs << ", faults " << brought / runs << ", retries " << retries / runs << " (worst share " << share << "), worst drain " << drain / 1000 << " ms, switches " << switches / runs << ", prefill workers " << splits
+    std::cout << name << " " << found["deployment"].as<std::string>() << " " << found["manner"].as<std::string>()
+              << " x" << found["scale"].as<double>() << " " << variant << ": " << runs << " seeds, " << failed
+              << " failed; sent " << sent / runs << ", good " << good / runs << ", refused " << refused / runs
+              << ", apologies " << apologies / runs << ", broken " << broken / runs << ", good/s " << rate / runs
+              << ", first p50 " << p50 / runs * 1000 << " ms p99 " << p99 / runs * 1000 << " ms, reuse " << reuse / runs
+              << ", passes " << passes / runs << ", decided anew " << decided_anew / runs << ", faults "
+              << brought / runs << ", retries " << retries / runs << " (worst share " << share << "), worst drain "
+              << drain / 1000 << " ms, switches " << switches / runs << ", prefill workers " << splits
               << ", fit error prefill " << prefill_error / runs << " decode " << decode_error / runs;
     if (almanac::is_whole(name)) {
-      std::cout << ", control: acknowledged " << acknowledged / runs << " unknown " << unknown / runs << " explained " << explained / runs << " furrows lost " << furrows_lost / runs << " unvouched " << unvouched / runs << ", worst recovery " << recovery << " ms";
+      std::cout << ", control: acknowledged " << acknowledged / runs << " unknown " << unknown / runs << " explained "
+                << explained / runs << " furrows lost " << furrows_lost / runs << " unvouched " << unvouched / runs
+                << ", worst recovery " << recovery << " ms";
     }
     if (crowd_good > 0) {
-      std::cout << ", crowd: good/s before " << calm_good / runs << " in it " << crowd_good / runs << ", worst part of the others good " << others_good << ", at rest after " << after_crowd << " s at worst, slowest refusal "
-                << worst_refusal << " s";
+      std::cout << ", crowd: good/s before " << calm_good / runs << " in it " << crowd_good / runs
+                << ", worst part of the others good " << others_good << ", at rest after " << after_crowd
+                << " s at worst, slowest refusal " << worst_refusal << " s";
     }
     std::cout << "\n";
   }
   return code;
 }
-int run_relay_scenario(std::string const& name, std::uint64_t first, std::uint64_t last, options::variables_map const& found) {
+int run_relay_scenario(std::string const& name, std::uint64_t first, std::uint64_t last,
+                       options::variables_map const& found) {
   std::optional<almanac::RelayFaults> const faults = almanac::relay_scenario(name);
   if (!faults.has_value()) {
     return usage("'" + name + "' is not a scenario; see --list");
@@ -263,27 +318,44 @@
     if (!report.violations.empty()) {
       code = 1;
       if (++failed <= 3) {
-        std::cout << "seed " << seed << ": " << report.violations.front() << " (" << report.violations.size() << " in all)\n  replay: almanac --scenario " << name << " --seeds " << seed << " --seconds "
+        std::cout << "seed " << seed << ": " << report.violations.front() << " (" << report.violations.size()
+                  << " in all)\n  replay: almanac --scenario " << name << " --seeds " << seed << " --seconds "
                   << found["seconds"].as<double>() << " --scale " << found["scale"].as<double>() << off << " --trace\n";
       }
     }
   }
-  std::cout << name << " x" << found["scale"].as<double>() << ": " << last - first + 1 << " seeds, " << failed << " failed; sent " << sum.sent << ", good " << sum.good << ", refused " << sum.refused << ", apologies " << sum.apologies << ", broken "
-            << sum.broken << ", retries " << sum.retries << ", taken up " << sum.resumed << ", misdirected " << sum.misdirected << ", turned away " << sum.turned_away << ", met an ill worker " << sum.met_ill << ", troubles " << sum.troubles
-            << "; at worst of their bounds: retries " << sum.worst_retries << ", cold " << sum.worst_cold << ", drain " << sum.worst_drain / 1000 << " ms, part of a pool at rest " << sum.worst_resting << "\n";
+  std::cout << name << " x" << found["scale"].as<double>() << ": " << last - first + 1 << " seeds, " << failed
+            << " failed; sent " << sum.sent << ", good " << sum.good << ", refused " << sum.refused << ", apologies "
+            << sum.apologies << ", broken " << sum.broken << ", retries " << sum.retries << ", taken up " << sum.resumed
+            << ", misdirected " << sum.misdirected << ", turned away " << sum.turned_away << ", met an ill worker "
+            << sum.met_ill << ", troubles " << sum.troubles << "; at worst of their bounds: retries "
+            << sum.worst_retries << ", cold " << sum.worst_cold << ", drain " << sum.worst_drain / 1000
+            << " ms, part of a pool at rest " << sum.worst_resting << "\n";
   return code;
 }
 }  // namespace
 
 int main(int count, char** values) {
   options::options_description flags("almanac --scenario NAME --seeds FIRST..LAST");
-  flags.add_options()("help", "this text")("version", "the version")("scenario", options::value<std::string>()->default_value("storm"), "a scenario, or all; see --list")(
-      "seeds", options::value<std::string>()->default_value("1..20"), "one seed or a range")("seconds", options::value<double>()->default_value(60), "length of a run in its own time")(
-      "off", options::value<std::vector<std::string>>()->composing(), "switch a guard off")("trace", "print the trace of each run")("list", "the scenarios")(
-      "deployment", options::value<std::string>()->default_value("pruebaviva"), "pruebaviva or corrib (field scenarios)")("variant", options::value<std::vector<std::string>>()->composing(), "ours, static, no-prefix, no-spill, no-overflow or no-hold (field scenarios)")(
-      "deployments", options::value<std::string>()->default_value("deployments"), "folder with the deployments")("scale", options::value<double>()->default_value(1.0), "times the deployment's rates")("manner", options::value<std::string>()->default_value("whole"), "whole or paired")(
-      "crowd", options::value<double>()->default_value(0), "times the rate in the crowd of field-crowd and field-overload; 0: the scenario's")("crowd-on-first", "the crowd is on the first service only")(
-      "fewer", options::value<std::uint64_t>()->default_value(0), "workers fewer in the first hall")("window", options::value<double>()->default_value(20), "scaler's window in seconds")("hold", options::value<double>()->default_value(5), "scaler's hold in seconds");
+  flags.add_options()("help", "this text")("version", "the version")(
+      "scenario", options::value<std::string>()->default_value("storm"), "a scenario, or all; see --list")(
+      "seeds", options::value<std::string>()->default_value("1..20"), "one seed or a range")(
+      "seconds", options::value<double>()->default_value(60), "length of a run in its own time")(
+      "off", options::value<std::vector<std::string>>()->composing(), "switch a guard off")(
+      "trace", "print the trace of each run")("list", "the scenarios")(
+      "deployment", options::value<std::string>()->default_value("pruebaviva"),
+      "pruebaviva or corrib (field scenarios)")(
+      "variant", options::value<std::vector<std::string>>()->composing(),
+      "ours, static, no-prefix, no-spill, no-overflow or no-hold (field scenarios)")(
+      "deployments", options::value<std::string>()->default_value("deployments"), "folder with the deployments")(
+      "scale", options::value<double>()->default_value(1.0), "times the deployment's rates")(
+      "manner", options::value<std::string>()->default_value("whole"), "whole or paired")(
+      "crowd", options::value<double>()->default_value(0),
+      "times the rate in the crowd of field-crowd and field-overload; 0: the scenario's")(
+      "crowd-on-first", "the crowd is on the first service only")(
+      "fewer", options::value<std::uint64_t>()->default_value(0), "workers fewer in the first hall")(
+      "window", options::value<double>()->default_value(20), "scaler's window in seconds")(
+      "hold", options::value<double>()->default_value(5), "scaler's hold in seconds");
   options::variables_map found;
   try {
     options::store(options::command_line_parser(count, values).options(flags).run(), found);
@@ -321,11 +393,13 @@
     return usage("--seconds takes 5 to 86400");
   }
   std::string const wanted = found["scenario"].as<std::string>();
-  std::vector<std::string> const names = wanted == "all" ? almanac::control_scenarios() : std::vector<std::string>{wanted};
+  std::vector<std::string> const names =
+      wanted == "all" ? almanac::control_scenarios() : std::vector<std::string>{wanted};
   int code = 0;
   for (std::string const& name : names) {
     if (name == "walls" || name.rfind("relay-", 0) == 0) {
-      int const outcome = name == "walls" ? run_walls_scenario(first, last, found) : run_relay_scenario(name, first, last, found);
+      int const outcome =
+          name == "walls" ? run_walls_scenario(first, last, found) : run_relay_scenario(name, first, last, found);
       if (outcome == loam::exit_usage) {
         return outcome;
       }
@@ -381,15 +455,19 @@
         ++failed;
         code = 1;
         if (failed <= 5) {
-          std::cout << "seed " << seed << ": " << report.violations.front() << " (" << report.violations.size() << " in all)\n  replay: almanac --scenario " << name << " --seeds " << seed
-                    << " --seconds " << found["seconds"].as<double>() << off << " --trace\n";
+          std::cout << "seed " << seed << ": " << report.violations.front() << " (" << report.violations.size()
+                    << " in all)\n  replay: almanac --scenario " << name << " --seeds " << seed << " --seconds "
+                    << found["seconds"].as<double>() << off << " --trace\n";
         }
       }
     }
     double const took = std::chrono::duration<double>(std::chrono::steady_clock::now() - began).count();
-    std::cout << name << ": " << (last - first + 1) << " seeds, " << failed << " failed; acknowledged " << sum.acknowledged << ", rejected " << sum.rejected << ", unknown " << sum.unknown
-              << ", reads " << sum.reads << ", queries " << sum.queries << " (" << sum.unvouched << " not taken), repairs " << sum.repairs << ", lease changes " << sum.lease_changes
-              << ", worst acknowledgement " << sum.worst_acknowledge / 1000 << " ms, worst recovery " << sum.worst_recovery / 1000 << " ms; " << sum.events << " events in " << took << " s\n";
+    std::cout << name << ": " << (last - first + 1) << " seeds, " << failed << " failed; acknowledged "
+              << sum.acknowledged << ", rejected " << sum.rejected << ", unknown " << sum.unknown << ", reads "
+              << sum.reads << ", queries " << sum.queries << " (" << sum.unvouched << " not taken), repairs "
+              << sum.repairs << ", lease changes " << sum.lease_changes << ", worst acknowledgement "
+              << sum.worst_acknowledge / 1000 << " ms, worst recovery " << sum.worst_recovery / 1000 << " ms; "
+              << sum.events << " events in " << took << " s\n";
   }
   return code;
 }
--- a/source/almanac/relay/relay.cpp
+++ b/source/almanac/relay/relay.cpp
@@ -32,8 +32,8 @@
 enum class Illness { none, errors, reset, mute, slow, shed };
 struct Sickness {
   Illness kind = Illness::none;
-  double part = 0;               ///< of its queries
-  std::string callers_hall;      ///< only for these; empty: for all
+  double part = 0;           ///< of its queries
+  std::string callers_hall;  ///< only for these; empty: for all
 };
 
 /// A worker as it truly is.
@@ -46,9 +46,9 @@
   bool up = true;
   bool dark = false;
   bool full = false;
-  std::uint64_t run = 0;         ///< grows when what runs there is lost
+  std::uint64_t run = 0;  ///< grows when what runs there is lost
   loam::Moment cold_until = 0;
-  loam::Moment drains_at = 0;    ///< 0: not; shown on the list from then on
+  loam::Moment drains_at = 0;  ///< 0: not; shown on the list from then on
   Sickness sick;
   double garble = 0;
   std::size_t running = 0;
@@ -73,7 +73,7 @@
 struct Flight {
   std::string id;
   std::size_t furrow = 0;
-  std::uint64_t life = 0;            ///< of its furrow
+  std::uint64_t life = 0;  ///< of its furrow
   schema::Lane lane;
   std::optional<tilth::Chart> chart;
   tilth::Wanted wanted;
@@ -81,16 +81,16 @@
   std::string service;
   loam::Moment arrived = 0;
   loam::Moment deadline = 0;
-  std::uint64_t dispatch = 0;        ///< grows: what belongs to an earlier one is not heard
-  std::uint64_t watch = 0;           ///< the same for its silence alarm
+  std::uint64_t dispatch = 0;  ///< grows: what belongs to an earlier one is not heard
+  std::uint64_t watch = 0;     ///< the same for its silence alarm
   loam::Moment silent_since = 0;
   loam::Span allowed = 0;
   int connects = 0;
-  std::uint64_t runs = 0;            ///< that workers began, in truth
+  std::uint64_t runs = 0;  ///< that workers began, in truth
   std::uint64_t arrivals = 0;
-  std::uint64_t passed_on = 0;       ///< events that the caller has
+  std::uint64_t passed_on = 0;  ///< events that the caller has
   bool first_seen = false;
-  bool occupied = false;             ///< a place is taken in the grove
+  bool occupied = false;  ///< a place is taken in the grove
   bool reserved = false;
   bool slow = false;
   bool refused = false;
@@ -105,7 +105,9 @@
 
 class World {
  public:
-  explicit World(RelayOptions const& options) : options_(options), kernel_(options.seed), book_(charter()) { kernel_.print_trace(options.print); }
+  explicit World(RelayOptions const& options) : options_(options), kernel_(options.seed), book_(charter()) {
+    kernel_.print_trace(options.print);
+  }
 
   RelayReport run() {
     begin();
@@ -139,8 +141,11 @@
       double set_point;
       double deadline;
     };
-    for (Kind const& kind : {Kind{"once", "pool", false, true, false, 1, 1000, 8000}, Kind{"taken-up", "pool", true, true, true, 2, 800, 4000}, Kind{"whole", "web", true, false, false, 2, 400, 2500},
-                             Kind{"paid", "web", false, false, false, 2, 500, 4000}, Kind{"at-home", "pool", true, true, true, 2, 800, 4000}}) {
+    for (Kind const& kind : {Kind{"once", "pool", false, true, false, 1, 1000, 8000},
+                             Kind{"taken-up", "pool", true, true, true, 2, 800, 4000},
+                             Kind{"whole", "web", true, false, false, 2, 400, 2500},
+                             Kind{"paid", "web", false, false, false, 2, 500, 4000},
+                             Kind{"at-home", "pool", true, true, true, 2, 800, 4000}}) {
       schema::Lane lane;
       lane.name = kind.name;
       lane.host = "relay.example";
@@ -268,7 +273,8 @@
       double const part = static_cast<double>(pool.second.second) / static_cast<double>(pool.second.first);
       report_.worst_resting = std::max(report_.worst_resting, part);
       if (part > constants::ejection_share + 1e-9) {
-        violation("for " + furrow.name + " " + std::to_string(pool.second.second) + " of " + std::to_string(pool.second.first) + " of " + pool.first + " rest");
+        violation("for " + furrow.name + " " + std::to_string(pool.second.second) + " of " +
+                  std::to_string(pool.second.first) + " of " + pool.first + " rest");
       }
     }
   }
@@ -328,7 +334,8 @@
     }
     return well.empty() ? nullptr : well[kernel_.below(well.size())];
   }
-  void for_a_while(Life& life, loam::Span span, std::function<void(Life&)> const& change, std::function<void(Life&)> const& end) {
+  void for_a_while(Life& life, loam::Span span, std::function<void(Life&)> const& change,
+                   std::function<void(Life&)> const& end) {
     change(life);
     kernel_.after(span, [&life, end] { end(life); });
   }
@@ -336,9 +343,12 @@
     Life* const life = draw_life();
     if (life != nullptr) {
       static constexpr Illness kinds[] = {Illness::errors, Illness::reset, Illness::mute, Illness::slow, Illness::shed};
-      Sickness sick{kinds[kernel_.below(5)], 0.3 + 0.4 * kernel_.uniform(), kernel_.chance(0.4) ? hall_name(kernel_.below(halls)) : ""};
+      Sickness sick{kinds[kernel_.below(5)], 0.3 + 0.4 * kernel_.uniform(),
+                    kernel_.chance(0.4) ? hall_name(kernel_.below(halls)) : ""};
       kernel_.trace("ill " + life->id);
-      for_a_while(*life, loam::seconds(6), [sick](Life& entry) { entry.sick = sick; }, [](Life& entry) { entry.sick = Sickness{}; });
+      for_a_while(
+          *life, loam::seconds(6), [sick](Life& entry) { entry.sick = sick; },
+          [](Life& entry) { entry.sick = Sickness{}; });
     }
   }
   void fail_all() {
@@ -346,7 +356,12 @@
     if (life != nullptr) {
       Illness const kind = kernel_.chance(0.5) ? Illness::errors : Illness::reset;
       kernel_.trace("lies " + life->id);
-      for_a_while(*life, loam::seconds(6), [kind](Life& entry) { entry.sick = Sickness{kind, 1, ""}; }, [](Life& entry) { entry.sick = Sickness{}; });
+      for_a_while(
+          *life, loam::seconds(6),
+          [kind](Life& entry) {
+            entry.sick = Sickness{kind, 1, ""};
+          },
+          [](Life& entry) { entry.sick = Sickness{}; });
     }
   }
   void begin_flapping() {
@@ -369,7 +384,8 @@
     Life* const life = draw_life();
     if (life != nullptr) {
       double const part = 0.03 + 0.2 * kernel_.uniform();
-      for_a_while(*life, loam::seconds(5), [part](Life& entry) { entry.garble = part; }, [](Life& entry) { entry.garble = 0; });
+      for_a_while(
+          *life, loam::seconds(5), [part](Life& entry) { entry.garble = part; }, [](Life& entry) { entry.garble = 0; });
     }
   }
   void end(Life& life) {
@@ -402,13 +418,21 @@
     Life* const life = draw_life();
     if (life != nullptr) {
       kernel_.trace("dark " + life->id);
-      for_a_while(*life, loam::seconds(4), [](Life& entry) { entry.dark = true; ++entry.run; entry.running = 0; }, [](Life& entry) { entry.dark = false; });
+      for_a_while(
+          *life, loam::seconds(4),
+          [](Life& entry) {
+            entry.dark = true;
+            ++entry.run;
+            entry.running = 0;
+          },
+          [](Life& entry) { entry.dark = false; });
     }
   }
   void fill() {
     Life* const life = draw_life();
     if (life != nullptr) {
-      for_a_while(*life, loam::seconds(3), [](Life& entry) { entry.full = true; }, [](Life& entry) { entry.full = false; });
+      for_a_while(
+          *life, loam::seconds(3), [](Life& entry) { entry.full = true; }, [](Life& entry) { entry.full = false; });
     }
   }
   void drain() {
@@ -469,13 +493,19 @@
 
   void arrive(std::size_t index) {
     Furrow& furrow = *furrows_[index];
-    kernel_.after(static_cast<loam::Span>(kernel_.exponential(1e6 * static_cast<double>(options_.furrows) / options_.rate)), [this, index, life = furrow.life] {
-      if (furrows_[index]->life == life) {
-        arrive(index);
-      }
-    });
+    kernel_.after(
+        static_cast<loam::Span>(kernel_.exponential(1e6 * static_cast<double>(options_.furrows) / options_.rate)),
+        [this, index, life = furrow.life] {
+          if (furrows_[index]->life == life) {
+            arrive(index);
+          }
+        });
     double const which = kernel_.uniform();
-    std::string const name = which < 0.1 ? "once" : which < 0.55 ? "taken-up" : which < 0.75 ? "whole" : which < 0.9 ? "paid" : "at-home";
+    std::string const name = which < 0.1    ? "once"
+                             : which < 0.55 ? "taken-up"
+                             : which < 0.75 ? "whole"
+                             : which < 0.9  ? "paid"
+                                            : "at-home";
     schema::Lane const* const lane = book_.find("relay.example", "/" + name + "/x");
     FlightPointer const flight = std::make_shared<Flight>();
     flight->id = "q" + std::to_string(++last_query_);
@@ -488,7 +518,8 @@
       bool const long_prompt = name == "once";
       flight->wanted.tokens = long_prompt ? 6000 : 300;
       flight->wanted.outputs = 40;
-      flight->wanted.parts = {tilth::Part{1 + kernel_.below(long_prompt ? 20 : 200), long_prompt ? 4000.0 : 100.0}, tilth::Part{1000000 + last_query_, long_prompt ? 2000.0 : 200.0}};
+      flight->wanted.parts = {tilth::Part{1 + kernel_.below(long_prompt ? 20 : 200), long_prompt ? 4000.0 : 100.0},
+                              tilth::Part{1000000 + last_query_, long_prompt ? 2000.0 : 200.0}};
     }
     tilth::QueryTerms terms;
     terms.resumable = lane->stream && lane->resumable;
@@ -506,8 +537,12 @@
     });
   }
 
-  [[nodiscard]] bool repeatable(Flight const& flight) const { return flight.lane.repeatable || (flight.lane.stream && flight.lane.resumable); }
-  [[nodiscard]] bool live(Flight const& flight) const { return furrows_[flight.furrow]->life == flight.life && !flight.chart->settled(); }
+  [[nodiscard]] bool repeatable(Flight const& flight) const {
+    return flight.lane.repeatable || (flight.lane.stream && flight.lane.resumable);
+  }
+  [[nodiscard]] bool live(Flight const& flight) const {
+    return furrows_[flight.furrow]->life == flight.life && !flight.chart->settled();
+  }
   [[nodiscard]] Furrow& furrow_of(Flight const& flight) { return *furrows_[flight.furrow]; }
   tilth::Rights& rights(Flight const& flight) {
     tilth::Rights& rights = furrow_of(flight).rights[flight.service];
@@ -521,7 +556,9 @@
     return good;
   }
 
-  void feed(FlightPointer const& flight, tilth::QueryMessage const& message) { perform(flight, flight->chart->advance(message, kernel_.now())); }
+  void feed(FlightPointer const& flight, tilth::QueryMessage const& message) {
+    perform(flight, flight->chart->advance(message, kernel_.now()));
+  }
   void perform(FlightPointer const& flight, std::vector<tilth::QueryAction> const& actions) {
     for (tilth::QueryAction const& action : actions) {
       std::visit([this, &flight](auto const& entry) { act(flight, entry); }, action);
@@ -566,8 +603,12 @@
       return;
     }
     if (until == 0) {
-      loam::Span const hold = loam::milliseconds(static_cast<std::int64_t>(flight->lane.set_point_ms * constants::hold_part));
-      loam::Span const again = flight->passed_on > 0 ? loam::milliseconds(static_cast<std::int64_t>(flight->lane.gap_set_point_ms / 2)) : flight->chart->dispatches() > 0 ? constants::place_pause : 0;
+      loam::Span const hold =
+          loam::milliseconds(static_cast<std::int64_t>(flight->lane.set_point_ms * constants::hold_part));
+      loam::Span const again = flight->passed_on > 0
+                                   ? loam::milliseconds(static_cast<std::int64_t>(flight->lane.gap_set_point_ms / 2))
+                               : flight->chart->dispatches() > 0 ? constants::place_pause
+                                                                 : 0;
       until = std::max(flight->arrived + hold, kernel_.now() + again);
     }
     Furrow& furrow = furrow_of(*flight);
@@ -597,7 +638,9 @@
     reach(flight);
   }
 
-  [[nodiscard]] loam::Span hop(Flight const& flight) const { return flight.spot.near ? loam::milliseconds(1) : loam::milliseconds(40); }
+  [[nodiscard]] loam::Span hop(Flight const& flight) const {
+    return flight.spot.near ? loam::milliseconds(1) : loam::milliseconds(40);
+  }
   [[nodiscard]] Life* at_address(std::string const& address) const {
     std::map<std::string, Life*>::const_iterator const found = by_address_.find(address);
     return found == by_address_.end() ? nullptr : found->second;
@@ -607,7 +650,9 @@
     std::uint64_t const dispatch = flight->dispatch;
     Life const* const life = at_address(flight->spot.address);
     bool const dark = life != nullptr && life->dark;
-    loam::Span const takes = dark ? (flight->spot.near ? constants::relay_connect_near : constants::relay_connect_deadline) : 2 * hop(*flight);
+    loam::Span const takes =
+        dark ? (flight->spot.near ? constants::relay_connect_near : constants::relay_connect_deadline)
+             : 2 * hop(*flight);
     bool const reached = life != nullptr && !dark;
     kernel_.after(takes, [this, flight, dispatch, reached] {
       if (!live(*flight) || flight->dispatch != dispatch) {
@@ -636,7 +681,8 @@
 
   void watch(FlightPointer const& flight, double set_point_ms) {
     flight->silent_since = kernel_.now();
-    flight->allowed = std::max(loam::milliseconds(static_cast<std::int64_t>(set_point_ms * constants::silence_part)), static_cast<loam::Span>(flight->spot.predicted_seconds * 2e6));
+    flight->allowed = std::max(loam::milliseconds(static_cast<std::int64_t>(set_point_ms * constants::silence_part)),
+                               static_cast<loam::Span>(flight->spot.predicted_seconds * 2e6));
     std::uint64_t const serial = ++flight->watch;
     kernel_.after(flight->allowed, [this, flight, serial] { silent(flight, serial); });
   }
@@ -646,13 +692,15 @@
     }
     Furrow& furrow = furrow_of(*flight);
     loam::Moment const now = kernel_.now();
-    if (now - furrow.grove.heard_at(flight->spot.worker) < constants::alive_span && now - flight->silent_since < 2 * flight->allowed) {
+    if (now - furrow.grove.heard_at(flight->spot.worker) < constants::alive_span &&
+        now - flight->silent_since < 2 * flight->allowed) {
       kernel_.after(constants::alive_step, [this, flight, serial] { silent(flight, serial); });
       return;
     }
     tilth::Wanted elsewhere = flight->wanted;
     elsewhere.avoid.push_back(flight->spot.worker);
-    bool const other = repeatable(*flight) && flight->chart->dispatches() < static_cast<int>(flight->lane.dispatches) && (!options_.rights || rights(*flight).available()) && furrow.grove.alternative(elsewhere, now);
+    bool const other = repeatable(*flight) && flight->chart->dispatches() < static_cast<int>(flight->lane.dispatches) &&
+                       (!options_.rights || rights(*flight).available()) && furrow.grove.alternative(elsewhere, now);
     if (other) {
       flight->reserved = options_.rights && rights(*flight).take();
       bool const slow = furrow.grove.heard_at(flight->spot.worker) >= flight->silent_since;
@@ -663,7 +711,8 @@
 
   // --- at the worker ---
 
-  void answer(FlightPointer const& flight, std::uint64_t dispatch, loam::Span after, std::function<void()> const& what) {
+  void answer(FlightPointer const& flight, std::uint64_t dispatch, loam::Span after,
+              std::function<void()> const& what) {
     kernel_.after(after + hop(*flight), [this, flight, dispatch, what] {
       if (live(*flight) && flight->dispatch == dispatch) {
         what();
@@ -701,7 +750,8 @@
       return;
     }
     check_arrival(*flight, *life);
-    if (life->full || (life->sick.kind == Illness::shed && ill_for(*life, *flight)) || life->running >= (life->model ? 96u : 30u)) {
+    if (life->full || (life->sick.kind == Illness::shed && ill_for(*life, *flight)) ||
+        life->running >= (life->model ? 96u : 30u)) {
       ++report_.turned_away;
       turn_away(flight, dispatch, tilth::Outcome::refused);
       return;
@@ -730,16 +780,20 @@
     std::uint64_t const run = life->run;
     if (!flight->lane.stream) {
       loam::Span const work = static_cast<loam::Span>(pace * (20e3 + kernel_.exponential(40e3)));
-      kernel_.after(work, [this, flight, dispatch, life, run, spoilt] { finish_whole(flight, dispatch, *life, run, spoilt); });
+      kernel_.after(
+          work, [this, flight, dispatch, life, run, spoilt] { finish_whole(flight, dispatch, *life, run, spoilt); });
       return;
     }
     loam::Span const work = static_cast<loam::Span>(pace * (20e3 + flight->spot.uncached * 20));
     std::uint64_t const cut_at = spoilt ? 1 + kernel_.below(5) : 0;
-    kernel_.after(work, [this, flight, dispatch, life, run, cut_at, pace] { next_event(flight, dispatch, *life, run, 6, cut_at, pace); });
+    kernel_.after(work, [this, flight, dispatch, life, run, cut_at, pace] {
+      next_event(flight, dispatch, *life, run, 6, cut_at, pace);
+    });
   }
 
   [[nodiscard]] bool ill_for(Life& life, Flight const& flight) {
-    if (life.sick.kind == Illness::none || (!life.sick.callers_hall.empty() && hall_name(furrows_[flight.furrow]->hall) != life.sick.callers_hall)) {
+    if (life.sick.kind == Illness::none ||
+        (!life.sick.callers_hall.empty() && hall_name(furrows_[flight.furrow]->hall) != life.sick.callers_hall)) {
       return false;
     }
     return kernel_.chance(life.sick.part);
@@ -759,7 +813,8 @@
   void tell(Flight& flight, Life const& life) {
     double const slots = life.model ? 48 : 6;
     double const running = static_cast<double>(life.running);
-    furrow_of(flight).grove.told(flight.spot.worker, std::min(running, slots), std::max(0.0, running - slots), slots, kernel_.now());
+    furrow_of(flight).grove.told(flight.spot.worker, std::min(running, slots), std::max(0.0, running - slots), slots,
+                                 kernel_.now());
   }
 
   void finish_whole(FlightPointer const& flight, std::uint64_t dispatch, Life& life, std::uint64_t run, bool spoilt) {
@@ -779,7 +834,8 @@
     });
   }
 
-  void next_event(FlightPointer const& flight, std::uint64_t dispatch, Life& life, std::uint64_t run, std::uint64_t left, std::uint64_t cut_at, double pace) {
+  void next_event(FlightPointer const& flight, std::uint64_t dispatch, Life& life, std::uint64_t run,
+                  std::uint64_t left, std::uint64_t cut_at, double pace) {
     if (lost(flight, dispatch, life, run)) {
       return;
     }
@@ -800,7 +856,8 @@
         flight->first_seen = true;
         report_.resumed += flight->passed_on > 0 ? 1 : 0;
         tell(*flight, life);
-        furrow.grove.first_token(flight->spot, flight->wanted.parts, static_cast<double>(kernel_.now() - flight->silent_since) / 1e6);
+        furrow.grove.first_token(flight->spot, flight->wanted.parts,
+                                 static_cast<double>(kernel_.now() - flight->silent_since) / 1e6);
       }
       ++flight->passed_on;
       watch(flight, flight->lane.gap_set_point_ms);
@@ -811,7 +868,9 @@
         ++report_.good;
       }
     });
-    kernel_.after(static_cast<loam::Span>(pace * 20e3), [this, flight, dispatch, &life, run, left, cut_at, pace] { next_event(flight, dispatch, life, run, left - 1, cut_at, pace); });
+    kernel_.after(static_cast<loam::Span>(pace * 20e3), [this, flight, dispatch, &life, run, left, cut_at, pace] {
+      next_event(flight, dispatch, life, run, left - 1, cut_at, pace);
+    });
   }
 
   // --- what must never happen ---
@@ -824,7 +883,8 @@
     if (life.drains_at > 0) {
       report_.worst_drain = std::max(report_.worst_drain, now - life.drains_at);
       if (now - life.drains_at > drain_bound) {
-        violation(life.id + " got a query " + std::to_string((now - life.drains_at) / 1000) + " ms after it was draining");
+        violation(life.id + " got a query " + std::to_string((now - life.drains_at) / 1000) +
+                  " ms after it was draining");
       }
     }
     std::map<std::size_t, loam::Moment>::const_iterator const evacuated = evacuated_at_.find(life.hall);
@@ -858,16 +918,20 @@
       }
       for (std::size_t index = 0; index < further.size(); ++index) {
         loam::Moment const begin = further[index];
-        std::size_t const end = static_cast<std::size_t>(std::lower_bound(further.begin(), further.end(), begin + retry_window) - further.begin());
+        std::size_t const end = static_cast<std::size_t>(
+            std::lower_bound(further.begin(), further.end(), begin + retry_window) - further.begin());
         double queries = 0;
         for (loam::Moment const from : {begin, begin - retry_window, begin - retry_window / 2}) {
-          queries = std::max(queries, static_cast<double>(std::lower_bound(firsts.begin(), firsts.end(), from + retry_window) - std::lower_bound(firsts.begin(), firsts.end(), from)));
+          queries = std::max(queries,
+                             static_cast<double>(std::lower_bound(firsts.begin(), firsts.end(), from + retry_window) -
+                                                 std::lower_bound(firsts.begin(), firsts.end(), from)));
         }
         double const most = retry_ratio * queries + options_.retry_slack;
         double const found = static_cast<double>(end - index);
         report_.worst_retries = std::max(report_.worst_retries, found / most);
         if (found > most) {
-          violation("retries of " + service.first + " were " + std::to_string(end - index) + " in a window from " + std::to_string(begin / 1000) + " ms, " + std::to_string(static_cast<int>(most)) + " may be");
+          violation("retries of " + service.first + " were " + std::to_string(end - index) + " in a window from " +
+                    std::to_string(begin / 1000) + " ms, " + std::to_string(static_cast<int>(most)) + " may be");
           break;
         }
       }
@@ -880,7 +944,7 @@
   RelayReport report_;
   std::vector<std::unique_ptr<Life>> lives_;
   std::map<std::string, Life*> by_address_;
-  std::set<std::string> gone_;       ///< off the list
+  std::set<std::string> gone_;  ///< off the list
   std::vector<Image> images_;
   std::vector<std::unique_ptr<Furrow>> furrows_;
   std::set<std::string> evacuated_;
@@ -922,7 +986,9 @@
 
 }  // namespace
 
-RelayReport run_relay(RelayOptions const& options) { return World(options).run(); }
+RelayReport run_relay(RelayOptions const& options) {
+  return World(options).run();
+}
 
 std::optional<RelayFaults> relay_scenario(std::string const& name) {
   std::map<std::string, RelayFaults> const all = scenarios();
@@ -939,10 +1005,18 @@
 }
 
 bool switch_off_relay(RelayOptions& options, std::string const& guard) {
-  std::map<std::string, bool*> const guards{
-      {"dispatch_once", &options.dispatch_once}, {"honest_refusal", &options.honest_refusal}, {"rights", &options.rights}, {"drop_drained", &options.drop_drained}, {"drop_evacuated", &options.drop_evacuated},
-      {"keep_homes", &options.keep_homes}, {"name_worker", &options.name_worker}, {"cold_bound", &options.grove.cold_bound}, {"suspect_returned", &options.grove.suspect_returned},
-      {"rest", &options.grove.rest}, {"hall_suspicion", &options.grove.hall_suspicion}, {"ejection_bound", &options.grove.ejection_bound}};
+  std::map<std::string, bool*> const guards{{"dispatch_once", &options.dispatch_once},
+                                            {"honest_refusal", &options.honest_refusal},
+                                            {"rights", &options.rights},
+                                            {"drop_drained", &options.drop_drained},
+                                            {"drop_evacuated", &options.drop_evacuated},
+                                            {"keep_homes", &options.keep_homes},
+                                            {"name_worker", &options.name_worker},
+                                            {"cold_bound", &options.grove.cold_bound},
+                                            {"suspect_returned", &options.grove.suspect_returned},
+                                            {"rest", &options.grove.rest},
+                                            {"hall_suspicion", &options.grove.hall_suspicion},
+                                            {"ejection_bound", &options.grove.ejection_bound}};
   std::map<std::string, bool*>::const_iterator const found = guards.find(guard);
   if (found == guards.end()) {
     return false;
--- a/source/almanac/walls/walls.cpp
+++ b/source/almanac/walls/walls.cpp
@@ -52,7 +52,7 @@
   std::string tenant;  ///< as named; empty: none
   std::string reader;  ///< who truly reads
   std::vector<tilth::NamedPart> parts;
-  bool open = false;   ///< its first part is public
+  bool open = false;  ///< its first part is public
   double tokens = 0;
   int tries = 0;
   std::vector<std::string> avoid;
@@ -81,7 +81,8 @@
     std::vector<std::pair<std::string, std::string>> const halls{{"one", "east"}, {"two", "east"}, {"three", "west"}};
     for (std::size_t index = 0; index < 6; ++index) {
       std::pair<std::string, std::string> const& hall = halls[index % halls.size()];
-      workers_.push_back(SimWorker{"w" + std::to_string(index), "10.0.0." + std::to_string(index) + ":1", hall.first, hall.second, seedbed::PartCache(options.kept_tokens)});
+      workers_.push_back(SimWorker{"w" + std::to_string(index), "10.0.0." + std::to_string(index) + ":1", hall.first,
+                                   hall.second, seedbed::PartCache(options.kept_tokens)});
     }
     for (std::size_t index = 0; index < 4; ++index) {
       std::pair<std::string, std::string> const& hall = halls[index % halls.size()];
@@ -129,7 +130,9 @@
       report_.violations.push_back(text);
     }
   }
-  [[nodiscard]] loam::Span way(std::string const& from, std::string const& to) { return from == to ? kernel_.between(300, 2000) : kernel_.between(12000, 30000); }
+  [[nodiscard]] loam::Span way(std::string const& from, std::string const& to) {
+    return from == to ? kernel_.between(300, 2000) : kernel_.between(12000, 30000);
+  }
 
   // --- furrows ---
 
@@ -246,7 +249,9 @@
     flight->query = query;
     flight->furrow = index;
     flight->furrow_life = furrow.life;
-    flight->prompt = tilth::Prompt{query->tenant, "m", query->parts, query->open ? std::vector<std::string>{public_part} : std::vector<std::string>(), "header customer"};
+    flight->prompt = tilth::Prompt{query->tenant, "m", query->parts,
+                                   query->open ? std::vector<std::string>{public_part} : std::vector<std::string>(),
+                                   "header customer"};
     flight->wanted.shares.push_back(schema::Share{"model", 1});
     flight->wanted.parts = furrow.walls->place(flight->prompt);
     flight->wanted.tokens = query->tokens;
@@ -262,10 +267,12 @@
     double const predicted = query->tokens - flight->spot.uncached;
     double const allowed = furrow.known.count(query->reader) > 0 ? query->tokens : query->open ? public_tokens : 0;
     if (options_.guards.tenant_in_key && predicted > allowed + 0.5) {
-      violate("furrow " + furrow.name + " predicts " + std::to_string(predicted) + " kept tokens for " + query->reader + ", which sent none from there");
+      violate("furrow " + furrow.name + " predicts " + std::to_string(predicted) + " kept tokens for " + query->reader +
+              ", which sent none from there");
     }
     SimWorker const* const worker = holder(flight->spot.worker);
-    kernel_.after(worker == nullptr ? loam::milliseconds(1) : way(furrow.region, worker->region), [this, flight] { send(flight); });
+    kernel_.after(worker == nullptr ? loam::milliseconds(1) : way(furrow.region, worker->region),
+                  [this, flight] { send(flight); });
   }
 
   /// The caller asks another furrow, maybe in another region.
@@ -338,7 +345,8 @@
     ++worker->running;
     std::uint64_t const life = worker->life;
     std::string const weights = worker->weights;
-    loam::Span const took = 4000 + static_cast<loam::Span>((reading.tokens - reading.reused) * 18) + static_cast<loam::Span>(worker->running) * 500;
+    loam::Span const took = 4000 + static_cast<loam::Span>((reading.tokens - reading.reused) * 18) +
+                            static_cast<loam::Span>(worker->running) * 500;
     kernel_.after(took, [this, flight, life, weights, reading] {
       SimWorker* const there = holder(flight->spot.worker);
       SimFurrow* const origin = home(*flight);
@@ -358,7 +366,8 @@
       double const predicted = flight->query->tokens - flight->spot.uncached;
       report_.evicted += reading.reused < predicted ? 1 : 0;
       hear(*flight, *origin, *there, reading.reused, weights);
-      origin->grove->first_token(flight->spot, flight->walled.version.empty() ? std::vector<tilth::Part>() : flight->wanted.parts, 0.02);
+      origin->grove->first_token(
+          flight->spot, flight->walled.version.empty() ? std::vector<tilth::Part>() : flight->wanted.parts, 0.02);
       end(*flight, *origin, true, tilth::Outcome::good);
     });
   }
@@ -369,7 +378,8 @@
     report_.public_hits += reading.open_hits;
     report_.crossed_hits += reading.crossed_hits;
     report_.old_hits += reading.old_hits;
-    kernel_.trace("read " + std::to_string(flight.query->number) + " " + flight.query->reader + " at " + worker.id + " " + worker.weights + " reused " + std::to_string(static_cast<std::uint64_t>(reading.reused)));
+    kernel_.trace("read " + std::to_string(flight.query->number) + " " + flight.query->reader + " at " + worker.id +
+                  " " + worker.weights + " reused " + std::to_string(static_cast<std::uint64_t>(reading.reused)));
     for (std::string const& crossing : reading.crossings) {
       violate("hit across a wall at " + worker.id + ": " + crossing);
     }
@@ -383,9 +393,12 @@
     }
   }
 
-  void hear(Flight const& flight, SimFurrow& furrow, SimWorker const& worker, std::optional<double> reused, std::string const& weights = "") {
-    tilth::WallAnswer const answer{flight.spot.worker, weights.empty() ? worker.weights : weights, reused, reused.has_value()};
-    for (tilth::WallAction const& action : furrow.walls->heard(answer, flight.walled, flight.query->tokens - flight.spot.uncached)) {
+  void hear(Flight const& flight, SimFurrow& furrow, SimWorker const& worker, std::optional<double> reused,
+            std::string const& weights = "") {
+    tilth::WallAnswer const answer{flight.spot.worker, weights.empty() ? worker.weights : weights, reused,
+                                   reused.has_value()};
+    for (tilth::WallAction const& action :
+         furrow.walls->heard(answer, flight.walled, flight.query->tokens - flight.spot.uncached)) {
       if (tilth::ForgetWorker const* const forget = std::get_if<tilth::ForgetWorker>(&action)) {
         furrow.grove->forget_walled(forget->worker);
       } else if (tilth::GaveUp const* const gave_up = std::get_if<tilth::GaveUp>(&action)) {
@@ -393,7 +406,9 @@
       }
     }
   }
-  void end(Flight const& flight, SimFurrow& furrow, bool first_seen, tilth::Outcome outcome) { furrow.grove->ended(flight.spot, first_seen, outcome, kernel_.now()); }
+  void end(Flight const& flight, SimFurrow& furrow, bool first_seen, tilth::Outcome outcome) {
+    furrow.grove->ended(flight.spot, first_seen, outcome, kernel_.now());
+  }
   /// The same furrow tries another worker, or the caller another furrow.
   void again(std::shared_ptr<Flight> const& flight) {
     flight->query->avoid.push_back(flight->spot.worker);
@@ -410,7 +425,8 @@
     kernel_.after(kernel_.between(4000000, 9000000), [this] {
       ++report_.rotations;
       if (secrets_.previous.empty()) {
-        secrets_ = tilth::Secrets{"secret-" + std::to_string(report_.rotations) + std::string(32, 'x'), secrets_.current, kernel_.below(100)};
+        secrets_ = tilth::Secrets{"secret-" + std::to_string(report_.rotations) + std::string(32, 'x'),
+                                  secrets_.current, kernel_.below(100)};
       } else if (secrets_.moved < 100 && kernel_.chance(0.5)) {
         secrets_.moved += kernel_.below(101 - secrets_.moved);
       } else {
@@ -517,6 +533,8 @@
 
 }  // namespace
 
-WallsReport run_walls(WallsOptions const& options) { return World(options).run(); }
+WallsReport run_walls(WallsOptions const& options) {
+  return World(options).run();
+}
 
 }  // namespace finchlink::almanac
--- a/source/config/change/proposal.cpp
+++ b/source/config/change/proposal.cpp
@@ -3,8 +3,8 @@
 #include <algorithm>
 #include <charconv>
 
-#include "loam/constants.hpp"
 #include "config/setup/setup.hpp"
+#include "loam/constants.hpp"
 
 namespace finchlink::config {
 
@@ -31,7 +31,8 @@
   return IdStanding{birth > value.revision ? Standing::unborn : Standing::open, 0};
 }
 
-consensus::ProposalFunction setup_proposal(WantedChange const& wanted, std::shared_ptr<SetupProposalReport> const& note) {
+consensus::ProposalFunction setup_proposal(WantedChange const& wanted,
+                                           std::shared_ptr<SetupProposalReport> const& note) {
   return [wanted, note](schema::Value const& current) -> consensus::Proposal {
     *note = SetupProposalReport{};
     switch (standing_of(current, wanted.id).standing) {
--- a/source/config/change/proposal.hpp
+++ b/source/config/change/proposal.hpp
@@ -6,8 +6,8 @@
 #include <string>
 #include <vector>
 
-#include "loam/json/fault.hpp"
 #include "consensus/proposer/proposer.hpp"
+#include "loam/json/fault.hpp"
 
 namespace finchlink::config {
 
@@ -41,7 +41,8 @@
 
 /// The wish behind a PUT or PATCH: the id's earlier outcome counts first, then
 /// the expectation, then the document.
-[[nodiscard]] consensus::ProposalFunction setup_proposal(WantedChange const& wanted, std::shared_ptr<SetupProposalReport> const& note);
+[[nodiscard]] consensus::ProposalFunction setup_proposal(WantedChange const& wanted,
+                                                         std::shared_ptr<SetupProposalReport> const& note);
 /// Gives an id up for good unless it was accepted: from then on "rejected" is final.
 [[nodiscard]] consensus::ProposalFunction veto_of(std::string const& id);
 
--- a/source/config/charter/charter.cpp
+++ b/source/config/charter/charter.cpp
@@ -4,14 +4,16 @@
 #include <set>
 #include <utility>
 
+#include "config/charter/tenancy.hpp"
 #include "loam/error/error.hpp"
 #include "loam/json/tree.hpp"
-#include "config/charter/tenancy.hpp"
 
 namespace finchlink::config {
 
 namespace {
-std::string place(char const* list, std::size_t index, char const* field) { return std::string("/") + list + "/" + std::to_string(index) + field; }
+std::string place(char const* list, std::size_t index, char const* field) {
+  return std::string("/") + list + "/" + std::to_string(index) + field;
+}
 
 CharterReading read_own(std::string const& text) {
   CharterReading reading;
@@ -27,9 +29,10 @@
 }
 }  // namespace
 
-absl::StatusOr<std::string> merge_named(std::string const& current, std::string const& change, std::string const& number_field,
-                                        std::vector<std::string> const& lists) {
-  absl::StatusOr<loam::Tree> target = current.empty() ? absl::StatusOr<loam::Tree>(loam::Tree(cJSON_CreateObject())) : loam::read_tree(current);
+absl::StatusOr<std::string> merge_named(std::string const& current, std::string const& change,
+                                        std::string const& number_field, std::vector<std::string> const& lists) {
+  absl::StatusOr<loam::Tree> target =
+      current.empty() ? absl::StatusOr<loam::Tree>(loam::Tree(cJSON_CreateObject())) : loam::read_tree(current);
   absl::StatusOr<loam::Tree> const delta = loam::read_tree(change);
   if (!target.ok() || !delta.ok() || cJSON_IsObject(target->get()) == 0 || cJSON_IsObject(delta->get()) == 0) {
     return loam::defect(absl::StatusCode::kInvalidArgument, "charter", "not a JSON object");
--- a/source/config/charter/charter.hpp
+++ b/source/config/charter/charter.hpp
@@ -34,7 +34,8 @@
 /// {"upsert": {LIST: items}, "remove": {LIST: names}} laid over a whole text:
 /// items of the lists are replaced or added by their "name", and the number is
 /// taken over. All other members of the text stay as they are.
-[[nodiscard]] absl::StatusOr<std::string> merge_named(std::string const& current, std::string const& change, std::string const& number_field,
+[[nodiscard]] absl::StatusOr<std::string> merge_named(std::string const& current, std::string const& change,
+                                                      std::string const& number_field,
                                                       std::vector<std::string> const& lists);
 
 /// What parts say of each other: unknown services, lanes of one host and
--- a/source/config/charter/proposal.cpp
+++ b/source/config/charter/proposal.cpp
@@ -10,11 +10,16 @@
 
 std::string id_of(WantedCharter const& wanted) {
   loam::Digest digest;
-  digest.add(wanted.content).add(wanted.patch ? 1 : 0).add(wanted.expected.has_value() ? 1 : 0).add(wanted.expected.value_or(0));
+  digest.add(wanted.content)
+      .add(wanted.patch ? 1 : 0)
+      .add(wanted.expected.has_value() ? 1 : 0)
+      .add(wanted.expected.value_or(0));
   return digest.text();
 }
 
-std::uint64_t number_of(schema::Value const& value) { return value.marks.empty() ? 0 : value.marks.back().revision; }
+std::uint64_t number_of(schema::Value const& value) {
+  return value.marks.empty() ? 0 : value.marks.back().revision;
+}
 
 namespace {
 /// What a change makes of the charter that was found.
@@ -39,9 +44,11 @@
 }
 }  // namespace
 
-consensus::ProposalFunction charter_proposal(WantedCharter const& wanted, Notation const& notation, std::shared_ptr<CharterProposalReport> const& note) {
+consensus::ProposalFunction charter_proposal(WantedCharter const& wanted, Notation const& notation,
+                                             std::shared_ptr<CharterProposalReport> const& note) {
   // A whole charter says the same whatever is found: it is read once.
-  std::shared_ptr<Made const> const whole = wanted.patch ? nullptr : std::make_shared<Made const>(make(wanted, notation, ""));
+  std::shared_ptr<Made const> const whole =
+      wanted.patch ? nullptr : std::make_shared<Made const>(make(wanted, notation, ""));
   std::string const id = id_of(wanted);
   return [wanted, notation, note, whole, id](schema::Value const& current) -> consensus::Proposal {
     *note = CharterProposalReport{};
--- a/source/config/charter/proposal.hpp
+++ b/source/config/charter/proposal.hpp
@@ -17,7 +17,7 @@
 
 /// A change of the charter that an operator wants (section 13.3).
 struct WantedCharter {
-  std::string content;                    ///< a whole charter, or a change of one
+  std::string content;  ///< a whole charter, or a change of one
   bool patch = false;
   std::optional<std::uint64_t> expected;  ///< number of the charter it builds on; nothing: any
 };
@@ -38,7 +38,8 @@
 /// The wish behind a PUT or PATCH of the charter: a change that was taken
 /// before is done, also when newer ones came after it; then what it builds on
 /// must be the one in force, and its number must rise.
-[[nodiscard]] consensus::ProposalFunction charter_proposal(WantedCharter const& wanted, Notation const& notation, std::shared_ptr<CharterProposalReport> const& note);
+[[nodiscard]] consensus::ProposalFunction charter_proposal(WantedCharter const& wanted, Notation const& notation,
+                                                           std::shared_ptr<CharterProposalReport> const& note);
 
 /// Halls that are evacuated, from the register's content.
 [[nodiscard]] std::vector<std::string> evacuated_halls(std::string const& content);
--- a/source/config/charter/tenancy.cpp
+++ b/source/config/charter/tenancy.cpp
@@ -16,8 +16,12 @@
 }
 
 bool of_connection(std::string name) {
-  std::transform(name.begin(), name.end(), name.begin(), [](char letter) { return static_cast<char>(letter >= 'A' && letter <= 'Z' ? letter - 'A' + 'a' : letter); });
-  std::set<std::string> const names{"connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade", "expect", "content-length", "host"};
+  std::transform(name.begin(), name.end(), name.begin(), [](char letter) {
+    return static_cast<char>(letter >= 'A' && letter <= 'Z' ? letter - 'A' + 'a' : letter);
+  });
+  std::set<std::string> const names{
+      "connection", "keep-alive", "proxy-connection", "te",  "trailer", "transfer-encoding",
+      "upgrade",    "expect",     "content-length",   "host"};
   return names.count(name) > 0;
 }
 
@@ -33,9 +37,11 @@
   }
   // A prefix begins and ends with a slash: between its slashes stand the
   // parts that are alike in all of the lane's paths.
-  std::size_t const alike = static_cast<std::size_t>(std::max<std::ptrdiff_t>(std::count(lane.prefix.begin(), lane.prefix.end(), '/') - 1, 0));
+  std::size_t const alike = static_cast<std::size_t>(
+      std::max<std::ptrdiff_t>(std::count(lane.prefix.begin(), lane.prefix.end(), '/') - 1, 0));
   if (tenancy.path_segment > 0 && tenancy.path_segment <= alike) {
-    faults.push_back(loam::Fault{place + "/path_segment", "stands in the lane's prefix, so that all queries would name one tenant"});
+    faults.push_back(
+        loam::Fault{place + "/path_segment", "stands in the lane's prefix, so that all queries would name one tenant"});
   }
   std::set<std::string> parts;
   for (std::size_t index = 0; index < tenancy.public_parts.size(); ++index) {
@@ -70,9 +76,11 @@
     }
     for (schema::Lane const& lane : charter.lanes) {
       bool const bound = lane.tenancy.has_value() && !lane.home_regions.empty() && !tenant.home_regions.empty();
-      bool const meets = !bound || std::any_of(tenant.home_regions.begin(), tenant.home_regions.end(), [&lane](std::string const& region) {
-        return std::find(lane.home_regions.begin(), lane.home_regions.end(), region) != lane.home_regions.end();
-      });
+      bool const meets =
+          !bound ||
+          std::any_of(tenant.home_regions.begin(), tenant.home_regions.end(), [&lane](std::string const& region) {
+            return std::find(lane.home_regions.begin(), lane.home_regions.end(), region) != lane.home_regions.end();
+          });
       if (!meets) {
         faults.push_back(loam::Fault{place + "/home_regions", "leaves no region on lane " + lane.name});
       }
--- a/source/config/course/course.hpp
+++ b/source/config/course/course.hpp
@@ -30,7 +30,7 @@
 };
 using Course = std::variant<Serve, GoHome, TurnAway>;
 
-[[nodiscard]] Course decide(schema::Setup const& setup, std::string const& region, std::string_view method, std::string_view path,
-                            HeaderLookup const& header, std::size_t body_bytes);
+[[nodiscard]] Course decide(schema::Setup const& setup, std::string const& region, std::string_view method,
+                            std::string_view path, HeaderLookup const& header, std::size_t body_bytes);
 
 }  // namespace finchlink::config
--- a/source/config/label/selector.cpp
+++ b/source/config/label/selector.cpp
@@ -11,7 +11,8 @@
   }
   Labels::const_iterator const found = labels.find(selector.key);
   bool const present = found != labels.end();
-  bool const listed = present && std::find(selector.values.begin(), selector.values.end(), found->second) != selector.values.end();
+  bool const listed =
+      present && std::find(selector.values.begin(), selector.values.end(), found->second) != selector.values.end();
   if (selector.op == "exists") {
     return present;
   }
@@ -39,7 +40,8 @@
   if (selector.any.empty()) {
     return true;
   }
-  return std::any_of(selector.any.begin(), selector.any.end(), [&labels](schema::Selector const& part) { return selects(part, labels); });
+  return std::any_of(selector.any.begin(), selector.any.end(),
+                     [&labels](schema::Selector const& part) { return selects(part, labels); });
 }
 
 std::string region_of(schema::Setup const& setup, std::string const& hall) {
--- a/source/config/rule/rule.cpp
+++ b/source/config/rule/rule.cpp
@@ -55,7 +55,8 @@
   return best;
 }
 
-HomeVerdict find_home(schema::Setup const& setup, schema::Rule const& rule, std::string_view path, HeaderLookup const& header) {
+HomeVerdict find_home(schema::Setup const& setup, schema::Rule const& rule, std::string_view path,
+                      HeaderLookup const& header) {
   HomeVerdict verdict;
   if (!rule.home.has_value()) {
     return verdict;
--- a/source/config/rule/rule.hpp
+++ b/source/config/rule/rule.hpp
@@ -13,15 +13,16 @@
 using HeaderLookup = std::function<std::string(std::string const& name)>;
 
 /// The rule that a query falls under, from method, path and headers alone.
-[[nodiscard]] std::optional<std::string> find_rule(schema::Setup const& setup, std::string_view method, std::string_view path,
-                                                   HeaderLookup const& header);
+[[nodiscard]] std::optional<std::string> find_rule(schema::Setup const& setup, std::string_view method,
+                                                   std::string_view path, HeaderLookup const& header);
 
 /// What the rule says of a query's home (section 9.2).
 struct HomeVerdict {
-  bool bound = false;   ///< it has a home
-  bool known = true;    ///< the home it names is a region
+  bool bound = false;  ///< it has a home
+  bool known = true;   ///< the home it names is a region
   std::string region;
 };
-[[nodiscard]] HomeVerdict find_home(schema::Setup const& setup, schema::Rule const& rule, std::string_view path, HeaderLookup const& header);
+[[nodiscard]] HomeVerdict find_home(schema::Setup const& setup, schema::Rule const& rule, std::string_view path,
+                                    HeaderLookup const& header);
 
 }  // namespace finchlink::config
--- a/source/config/setup/setup.cpp
+++ b/source/config/setup/setup.cpp
@@ -40,7 +40,8 @@
   }
 }
 
-void check_rule(schema::Setup const& setup, schema::Rule const& rule, std::string const& path, std::vector<Fault>& faults) {
+void check_rule(schema::Setup const& setup, schema::Rule const& rule, std::string const& path,
+                std::vector<Fault>& faults) {
   check_selector(rule.selector, path + "/selector", faults);
   if (rule.match.path.empty() == rule.match.path_prefix.empty()) {
     faults.push_back(Fault{path + "/match", "needs either path or path_prefix"});
@@ -50,7 +51,8 @@
     faults.push_back(Fault{path + "/match", "a path must begin with /"});
   }
   if (rule.home.has_value()) {
-    int const ways = (rule.home->region.empty() ? 0 : 1) + (rule.home->header.empty() ? 0 : 1) + (rule.home->path_segment == 0 ? 0 : 1);
+    int const ways = (rule.home->region.empty() ? 0 : 1) + (rule.home->header.empty() ? 0 : 1) +
+                     (rule.home->path_segment == 0 ? 0 : 1);
     if (ways != 1) {
       faults.push_back(Fault{path + "/home", "needs one of region, header and path_segment"});
     }
--- a/source/consensus/acceptor/acceptor.cpp
+++ b/source/consensus/acceptor/acceptor.cpp
@@ -6,8 +6,11 @@
 namespace finchlink::consensus {
 
 Acceptor::Acceptor(std::uint64_t incarnation, std::string address, std::vector<std::string> founders, loam::Moment now,
-               Guards guards)
-    : guards_(guards), address_(std::move(address)), founders_(std::move(founders)), granter_(now, guards.lease_silence) {
+                   Guards guards)
+    : guards_(guards),
+      address_(std::move(address)),
+      founders_(std::move(founders)),
+      granter_(now, guards.lease_silence) {
   founding_.incarnation = incarnation;
   if (!guards_.blank_has_no_vote) {
     voting_ = true;
@@ -15,8 +18,11 @@
 }
 
 Acceptor::Acceptor(std::vector<schema::Record> const& records, std::string address, std::vector<std::string> founders,
-               loam::Moment now, Guards guards)
-    : guards_(guards), address_(std::move(address)), founders_(std::move(founders)), granter_(now, guards.lease_silence) {
+                   loam::Moment now, Guards guards)
+    : guards_(guards),
+      address_(std::move(address)),
+      founders_(std::move(founders)),
+      granter_(now, guards.lease_silence) {
   for (schema::Record const& record : records) {
     std::visit(
         [this](auto const& entry) {
@@ -141,8 +147,8 @@
     bool const named = names(message.set.holders, founding_.incarnation);
     // A vote goes on only from one epoch to the next by way of holders that
     // had it; a newcomer first takes an image (section 5.5).
-    bool const complete = voting_ && names(message.set.previous, founding_.incarnation) &&
-                          message.set.epoch == set_.epoch + 1;
+    bool const complete =
+        voting_ && names(message.set.previous, founding_.incarnation) && message.set.epoch == set_.epoch + 1;
     take_set(message.set, named && (complete || !guards_.image_before_vote), complete, now, outcome);
   }
   outcome.reply = schema::Adopted{set_.epoch, founding_.incarnation, voting_};
@@ -201,11 +207,14 @@
   return blank() && std::find(founders_.begin(), founders_.end(), address_) != founders_.end();
 }
 
-schema::FoundingAsk Acceptor::founding_ask() const { return schema::FoundingAsk{founding_.incarnation, address_}; }
+schema::FoundingAsk Acceptor::founding_ask() const {
+  return schema::FoundingAsk{founding_.incarnation, address_};
+}
 
 Outcome Acceptor::on(schema::FoundingAsk const& message) const {
   (void)message;
-  return Outcome{{}, schema::Message(schema::FoundingAnswer{founding_.incarnation, address_, blank(), founding_.pledge, set_})};
+  return Outcome{
+      {}, schema::Message(schema::FoundingAnswer{founding_.incarnation, address_, blank(), founding_.pledge, set_})};
 }
 
 std::vector<Voter> Acceptor::full_pledge(std::vector<schema::FoundingAnswer> const& answers) const {
@@ -227,7 +236,8 @@
   if (pledge.size() != founders_.size()) {
     return {};
   }
-  std::sort(pledge.begin(), pledge.end(), [](Voter const& left, Voter const& right) { return left.address < right.address; });
+  std::sort(pledge.begin(), pledge.end(),
+            [](Voter const& left, Voter const& right) { return left.address < right.address; });
   return pledge;
 }
 
--- a/source/consensus/acceptor/acceptor.hpp
+++ b/source/consensus/acceptor/acceptor.hpp
@@ -5,10 +5,10 @@
 #include <string>
 #include <vector>
 
-#include "loam/time/moment.hpp"
 #include "consensus/ballot/ballot.hpp"
-#include "schema/wire.hpp"
 #include "lease/lease_granter.hpp"
+#include "loam/time/moment.hpp"
+#include "schema/wire.hpp"
 
 namespace finchlink::consensus {
 
@@ -25,10 +25,10 @@
  public:
   /// A blank holder with a fresh incarnation.
   Acceptor(std::uint64_t incarnation, std::string address, std::vector<std::string> founders, loam::Moment now,
-         Guards guards = {});
+           Guards guards = {});
   /// A holder read back from its disk.
   Acceptor(std::vector<schema::Record> const& records, std::string address, std::vector<std::string> founders,
-         loam::Moment now, Guards guards = {});
+           loam::Moment now, Guards guards = {});
 
   [[nodiscard]] Outcome receive(schema::Message const& message, loam::Moment now);
 
--- a/source/consensus/ballot/ballot.hpp
+++ b/source/consensus/ballot/ballot.hpp
@@ -16,7 +16,9 @@
 [[nodiscard]] inline bool before(Ballot const& left, Ballot const& right) {
   return std::tie(left.epoch, left.round, left.proposer) < std::tie(right.epoch, right.round, right.proposer);
 }
-[[nodiscard]] inline std::size_t majority(std::size_t count) { return count / 2 + 1; }
+[[nodiscard]] inline std::size_t majority(std::size_t count) {
+  return count / 2 + 1;
+}
 [[nodiscard]] inline bool names(std::vector<Voter> const& holders, std::uint64_t incarnation) {
   for (Voter const& holder : holders) {
     if (holder.incarnation == incarnation) {
@@ -31,7 +33,9 @@
 inline constexpr char const* setup_register = "setup";
 /// Of a region or, under a charter, of a pool of one.
 inline constexpr char const* split_prefix = "split/";
-[[nodiscard]] inline std::string split_register(std::string const& of) { return split_prefix + of; }
+[[nodiscard]] inline std::string split_register(std::string const& of) {
+  return split_prefix + of;
+}
 
 /// Rules that tests switch off one at a time to show that each is needed
 /// (docs/proofs.md). Daemons never change them.
--- a/source/consensus/majority_reader/majority_reader.hpp
+++ b/source/consensus/majority_reader/majority_reader.hpp
@@ -6,8 +6,8 @@
 #include <variant>
 #include <vector>
 
-#include "loam/time/moment.hpp"
 #include "consensus/ballot/ballot.hpp"
+#include "loam/time/moment.hpp"
 #include "schema/wire.hpp"
 
 namespace finchlink::consensus {
--- a/source/consensus/proposer/proposer.cpp
+++ b/source/consensus/proposer/proposer.cpp
@@ -105,7 +105,8 @@
   // A no is final only once what was found is chosen under this ballot: an
   // earlier try of ours may stand at a minority and would win later (5.2).
   schema::Value const value = std::holds_alternative<schema::Value>(wish) ? std::get<schema::Value>(wish) : found;
-  state_ = Accepting{{}, value, reject == nullptr ? std::optional<std::string>() : std::optional<std::string>(reject->reason)};
+  state_ = Accepting{
+      {}, value, reject == nullptr ? std::optional<std::string>() : std::optional<std::string>(reject->reason)};
   for (Voter const& holder : set_.holders) {
     actions.emplace_back(Send{holder, schema::Accept{name_, ballot_, value}});
   }
--- a/source/consensus/write_ahead_log/file_device.cpp
+++ b/source/consensus/write_ahead_log/file_device.cpp
@@ -78,7 +78,8 @@
     std::string piece(std::min(file_bytes, loam::constants::ring_piece_bytes), '\0');
     std::size_t done = 0;
     while (done < file_bytes) {
-      ssize_t const count = pread(descriptors->files[file], piece.data(), std::min(piece.size(), file_bytes - done), static_cast<off_t>(done));
+      ssize_t const count = pread(descriptors->files[file], piece.data(), std::min(piece.size(), file_bytes - done),
+                                  static_cast<off_t>(done));
       if (count < 0 && errno == EINTR) {
         continue;
       }
@@ -100,7 +101,8 @@
   device.write = [descriptors](std::size_t file, std::size_t offset, std::string_view bytes) -> absl::Status {
     std::size_t done = 0;
     while (done < bytes.size()) {
-      ssize_t const count = pwrite(descriptors->files[file], bytes.data() + done, bytes.size() - done, static_cast<off_t>(offset + done));
+      ssize_t const count =
+          pwrite(descriptors->files[file], bytes.data() + done, bytes.size() - done, static_cast<off_t>(offset + done));
       if (count < 0 && errno == EINTR) {
         continue;
       }
--- a/source/consensus/write_ahead_log/write_ahead_log.cpp
+++ b/source/consensus/write_ahead_log/write_ahead_log.cpp
@@ -1,7 +1,7 @@
 #include "consensus/write_ahead_log/write_ahead_log.hpp"
 
-#include <boost/crc.hpp>
 #include <algorithm>
+#include <boost/crc.hpp>
 #include <cstring>
 
 #include "loam/error/error.hpp"
@@ -34,7 +34,8 @@
 WriteAheadLog::WriteAheadLog(Device device, std::size_t files, std::size_t file_bytes)
     : device_(std::move(device)), files_(files), file_bytes_(file_bytes) {}
 
-std::string WriteAheadLog::encode(std::vector<schema::Record> const& records, std::uint64_t generation, std::uint64_t sequence) const {
+std::string WriteAheadLog::encode(std::vector<schema::Record> const& records, std::uint64_t generation,
+                                  std::uint64_t sequence) const {
   std::string const payload = loam::pack(records);
   std::string checked;
   put(checked, static_cast<std::uint32_t>(payload.size()));
@@ -49,7 +50,8 @@
 
 bool WriteAheadLog::parse(std::string_view file, std::size_t offset, Found& found) const {
   std::string_view record = file.substr(std::min(offset, file.size()));
-  if (offset + header_bytes > file_bytes_ || record.size() < sizeof(record_mark) || take<std::uint32_t>(record, 0) != record_mark) {
+  if (offset + header_bytes > file_bytes_ || record.size() < sizeof(record_mark) ||
+      take<std::uint32_t>(record, 0) != record_mark) {
     return false;
   }
   std::string padded;  // zeros that the device left out are part of the record
@@ -77,11 +79,13 @@
   return true;
 }
 
-bool WriteAheadLog::later_record(std::string_view file, std::size_t offset, std::uint64_t generation, std::uint64_t sequence) const {
+bool WriteAheadLog::later_record(std::string_view file, std::size_t offset, std::uint64_t generation,
+                                 std::uint64_t sequence) const {
   char mark[4];
   std::memcpy(mark, &record_mark, 4);
   std::string_view const needle(mark, 4);
-  for (std::size_t place = file.find(needle, offset); place != std::string_view::npos; place = file.find(needle, place + 1)) {
+  for (std::size_t place = file.find(needle, offset); place != std::string_view::npos;
+       place = file.find(needle, place + 1)) {
     Found found;
     if (parse(file, place, found) && found.generation == generation && found.sequence > sequence) {
       return true;
@@ -133,7 +137,8 @@
   std::uint64_t expected = 0;
   Found found;
   while (parse(newest, offset, found) && found.generation == newest_generation && found.sequence == expected) {
-    absl::StatusOr<std::vector<schema::Record>> const entries = loam::unpack<std::vector<schema::Record>>(found.payload);
+    absl::StatusOr<std::vector<schema::Record>> const entries =
+        loam::unpack<std::vector<schema::Record>>(found.payload);
     if (!entries.ok()) {
       return loam::turned(absl::StatusCode::kDataLoss, "ring", "a record can't be read", entries.status());
     }
@@ -178,7 +183,7 @@
 }
 
 absl::Status WriteAheadLog::append(std::vector<schema::Record> const& records,
-                          std::function<std::vector<schema::Record>()> const& image) {
+                                   std::function<std::vector<schema::Record>()> const& image) {
   if (broken_) {
     return loam::defect(absl::StatusCode::kUnavailable, "ring", "the disk failed before");
   }
--- a/source/consensus/write_ahead_log/write_ahead_log.hpp
+++ b/source/consensus/write_ahead_log/write_ahead_log.hpp
@@ -49,8 +49,10 @@
     std::string payload;
   };
   [[nodiscard]] bool parse(std::string_view file, std::size_t offset, Found& found) const;
-  [[nodiscard]] bool later_record(std::string_view file, std::size_t offset, std::uint64_t generation, std::uint64_t sequence) const;
-  [[nodiscard]] std::string encode(std::vector<schema::Record> const& records, std::uint64_t generation, std::uint64_t sequence) const;
+  [[nodiscard]] bool later_record(std::string_view file, std::size_t offset, std::uint64_t generation,
+                                  std::uint64_t sequence) const;
+  [[nodiscard]] std::string encode(std::vector<schema::Record> const& records, std::uint64_t generation,
+                                   std::uint64_t sequence) const;
   [[nodiscard]] absl::Status turn(std::vector<schema::Record> const& image);
 
   Device device_;
--- a/source/furrow/field/field.cpp
+++ b/source/furrow/field/field.cpp
@@ -2,11 +2,11 @@
 
 #include <algorithm>
 
+#include "config/setup/setup.hpp"
+#include "consensus/ballot/ballot.hpp"
 #include "loam/constants.hpp"
 #include "loam/json/tree.hpp"
 #include "loam/log/log.hpp"
-#include "config/setup/setup.hpp"
-#include "consensus/ballot/ballot.hpp"
 
 namespace finchlink::furrow {
 
@@ -69,7 +69,8 @@
 
 bool Field::list_fresh(loam::Moment now) {
   std::lock_guard<std::mutex> const guard(plan_lock_);
-  return vouch_.list_fresh(now) || (plan_->has_setup && plan_->setup.stale_list == "keep" && !plan_->list.workers.empty());
+  return vouch_.list_fresh(now) ||
+         (plan_->has_setup && plan_->setup.stale_list == "keep" && !plan_->list.workers.empty());
 }
 
 bool Field::may_dispatch(std::string const& rule, std::string const& worker, loam::Moment now) {
@@ -113,9 +114,12 @@
   }
 }
 
-Field::Shard& Field::shard(std::string const& pool) { return pool == "model" ? model_ : plain_; }
+Field::Shard& Field::shard(std::string const& pool) {
+  return pool == "model" ? model_ : plain_;
+}
 
-void Field::with(std::string const& pool, std::function<std::vector<tilth::PlacementAction>(tilth::Placement&)> const& step) {
+void Field::with(std::string const& pool,
+                 std::function<std::vector<tilth::PlacementAction>(tilth::Placement&)> const& step) {
   Shard& part = shard(pool);
   std::vector<tilth::PlacementAction> actions;
   {
@@ -233,7 +237,9 @@
   return report;
 }
 
-std::string Field::pass_word() const { return settings_.name + " " + std::to_string(identity_); }
+std::string Field::pass_word() const {
+  return settings_.name + " " + std::to_string(identity_);
+}
 
 bool Field::knows_pass(std::string const& word) {
   for (schema::Member const& member : plan()->members) {
--- a/source/furrow/field/field.hpp
+++ b/source/furrow/field/field.hpp
@@ -6,13 +6,13 @@
 #include <mutex>
 #include <string>
 
-#include "tilth/plan/plan.hpp"
 #include "furrow/gauge/gauge.hpp"
-#include "membership/freshness/freshness_lease.hpp"
 #include "loam/net/net.hpp"
 #include "loam/settings/settings.hpp"
+#include "membership/freshness/freshness_lease.hpp"
 #include "tilth/budget/budget.hpp"
 #include "tilth/placement/placement.hpp"
+#include "tilth/plan/plan.hpp"
 
 namespace finchlink::furrow {
 
--- a/source/furrow/gauge/gauge.cpp
+++ b/source/furrow/gauge/gauge.cpp
@@ -33,7 +33,8 @@
     for (std::pair<std::string const, Histogram> const& entry : family.second) {
       std::string const lead = entry.first.empty() ? "" : entry.first + ",";
       for (std::size_t index = 0; index < bounds.size(); ++index) {
-        text << family.first << "_bucket{" << lead << "le=\"" << bounds[index] << "\"} " << entry.second.below[index] << "\n";
+        text << family.first << "_bucket{" << lead << "le=\"" << bounds[index] << "\"} " << entry.second.below[index]
+             << "\n";
       }
       text << family.first << "_bucket{" << lead << "le=\"+Inf\"} " << entry.second.count << "\n";
       text << family.first << "_sum{" << entry.first << "} " << entry.second.sum << "\n";
--- a/source/furrow/gauge/gauge.hpp
+++ b/source/furrow/gauge/gauge.hpp
@@ -16,7 +16,8 @@
   [[nodiscard]] std::string print();
 
  private:
-  static constexpr std::array<double, 14> bounds = {0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 20};
+  static constexpr std::array<double, 14> bounds = {0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1,
+                                                    0.25,  0.5,    1,     2.5,  5,     10,   20};
   struct Histogram {
     std::array<std::uint64_t, bounds.size()> below{};
     std::uint64_t count = 0;
--- a/source/furrow/main.cpp
+++ b/source/furrow/main.cpp
@@ -27,21 +27,23 @@
       furrow::ListReader const reader = [&context](std::string const& address, loam::Yield yield) {
         return platform::read_list(context, address, loam::constants::list_deadline, yield);
       };
-      station = std::make_unique<furrow::Station>(context, settings, platform::dialect(), platform::notation(), reader, loam::random_identity());
+      station = std::make_unique<furrow::Station>(context, settings, platform::dialect(), platform::notation(), reader,
+                                                  loam::random_identity());
       return station->begin();
     }
     if (settings.relay) {
       if (settings.threads != 1) {
         return absl::InvalidArgumentError("/threads must be 1 for a relay");
       }
-      station = std::make_unique<furrow::Station>(context, settings, furrow::own_dialect(), config::own_notation(), furrow::ListReader(), loam::random_identity());
+      station = std::make_unique<furrow::Station>(context, settings, furrow::own_dialect(), config::own_notation(),
+                                                  furrow::ListReader(), loam::random_identity());
       return station->begin();
     }
     caller = std::make_unique<loam::Caller>(context);
     field = std::make_unique<furrow::Field>(context, settings, loam::random_identity());
-    absl::Status const status = loam::listen(context, settings.http_address, settings.connections, [&field](loam::Stream& stream, loam::Yield yield) {
-      furrow::serve_caller(*field, stream, yield);
-    });
+    absl::Status const status = loam::listen(
+        context, settings.http_address, settings.connections,
+        [&field](loam::Stream& stream, loam::Yield yield) { furrow::serve_caller(*field, stream, yield); });
     if (!status.ok()) {
       return status;
     }
--- a/source/furrow/news/news.cpp
+++ b/source/furrow/news/news.cpp
@@ -28,7 +28,8 @@
       }
       schema::NewsAsk ask{field.self(), 0, 0, 0, {reports.begin(), reports.end()}};
       loam::Moment const asked = loam::boot_now();
-      absl::StatusOr<schema::Message> const answer = caller.call(trellises[turn % trellises.size()], ask, constants::ask_deadline, yield);
+      absl::StatusOr<schema::Message> const answer =
+          caller.call(trellises[turn % trellises.size()], ask, constants::ask_deadline, yield);
       schema::NewsAnswer const* const news = answer.ok() ? std::get_if<schema::NewsAnswer>(&*answer) : nullptr;
       if (news != nullptr) {
         while (!reports.empty() && reports.front().slice <= news->reports_taken) {
--- a/source/furrow/query/query.cpp
+++ b/source/furrow/query/query.cpp
@@ -5,13 +5,13 @@
 #include <algorithm>
 #include <boost/asio/write.hpp>
 
+#include "config/label/selector.hpp"
 #include "furrow/query/reply.hpp"
 #include "furrow/worker/contract.hpp"
 #include "loam/constants.hpp"
 #include "loam/json/tree.hpp"
 #include "loam/log/log.hpp"
 #include "loam/random/random.hpp"
-#include "config/label/selector.hpp"
 #include "tilth/chart/chart.hpp"
 #include "tilth/fit/fit.hpp"
 
@@ -58,8 +58,15 @@
 class Query {
  public:
   Query(Field& field, std::shared_ptr<Plan const> plan, QueryFacts facts, loam::Stream& caller, loam::Yield yield)
-      : field_(field), plan_(std::move(plan)), facts_(std::move(facts)), caller_(caller), yield_(yield),
-        interrupt_(std::make_shared<Interrupt>()), began_(loam::boot_now()), serve_(facts_.serve), rule_(plan_->setup.rules.at(serve_.rule)),
+      : field_(field),
+        plan_(std::move(plan)),
+        facts_(std::move(facts)),
+        caller_(caller),
+        yield_(yield),
+        interrupt_(std::make_shared<Interrupt>()),
+        began_(loam::boot_now()),
+        serve_(facts_.serve),
+        rule_(plan_->setup.rules.at(serve_.rule)),
         deadline_(began_ + loam::milliseconds(static_cast<std::int64_t>(rule_.deadline_ms))),
         chart_(terms(), [this](loam::Moment now) { return field_.retry(serve_.rule, now); }) {}
 
@@ -67,7 +74,8 @@
     if (!facts_.passed) {
       field_.arrived(serve_.rule, began_);
     }
-    std::shared_ptr<asio::steady_timer> const timer = std::make_shared<asio::steady_timer>(yield_.get_executor(), loam::duration(deadline_ - began_));
+    std::shared_ptr<asio::steady_timer> const timer =
+        std::make_shared<asio::steady_timer>(yield_.get_executor(), loam::duration(deadline_ - began_));
     timer->async_wait([interrupt = interrupt_, timer](error_code const& error) {
       if (!error && !interrupt->over) {
         interrupt->late = true;
@@ -82,7 +90,8 @@
     }
     schema::WorkerBounds const& bounds = plan_->setup.workers;
     tokens_ = std::max(1.0, static_cast<double>(facts_.body.size()) / bounds.bytes_per_token);
-    chain_ = tilth::block_chain(facts_.body, static_cast<std::size_t>(static_cast<double>(bounds.block_tokens) * bounds.bytes_per_token));
+    chain_ = tilth::block_chain(
+        facts_.body, static_cast<std::size_t>(static_cast<double>(bounds.block_tokens) * bounds.bytes_per_token));
     perform(chart_.begin());
     while (!chart_.settled()) {
       if (interrupt_->gone) {
@@ -104,10 +113,12 @@
     timer->cancel();
     error_code ignored;
     caller_.socket().cancel(ignored);
-    std::string const how = std::holds_alternative<tilth::Settled>(chart_.state()) ? std::get<tilth::Settled>(chart_.state()).how : "open";
+    std::string const how =
+        std::holds_alternative<tilth::Settled>(chart_.state()) ? std::get<tilth::Settled>(chart_.state()).how : "open";
     field_.gauges().count("furrow_queries_total", "rule=\"" + serve_.rule + "\",outcome=\"" + how + "\"");
     if (how == "complete") {
-      field_.gauges().observe("furrow_query_seconds", "rule=\"" + serve_.rule + "\"", static_cast<double>(loam::boot_now() - began_) / 1e6);
+      field_.gauges().observe("furrow_query_seconds", "rule=\"" + serve_.rule + "\"",
+                              static_cast<double>(loam::boot_now() - began_) / 1e6);
     }
     return keep_;
   }
@@ -127,8 +138,9 @@
   /// one in force. True: what it may do or where it may go is another now.
   bool follow_plan() {
     tilth::Footing footing{plan_, serve_, rule_, home_};
-    tilth::Header const header{std::string(facts_.header.method_string()), facts_.target.substr(0, facts_.target.find('?')),
-                               [this](std::string const& name) { return std::string(facts_.header[name]); }, facts_.body.size()};
+    tilth::Header const header{
+        std::string(facts_.header.method_string()), facts_.target.substr(0, facts_.target.find('?')),
+        [this](std::string const& name) { return std::string(facts_.header[name]); }, facts_.body.size()};
     tilth::Followed const followed = tilth::follow(footing, field_.plan(), header);
     plan_ = footing.plan;
     serve_ = footing.serve;
@@ -205,7 +217,8 @@
     error_code error;
     if (!header_sent_) {
       header_sent_ = true;
-      field_.gauges().observe("furrow_first_event_seconds", "rule=\"" + serve_.rule + "\"", static_cast<double>(loam::boot_now() - began_) / 1e6);
+      field_.gauges().observe("furrow_first_event_seconds", "rule=\"" + serve_.rule + "\"",
+                              static_cast<double>(loam::boot_now() - began_) / 1e6);
       http::response<http::empty_body> header{http::status::ok, 11};
       header.set(http::field::content_type, "text/event-stream");
       header.set(http::field::cache_control, "no-store");
@@ -216,7 +229,8 @@
       caller_.expires_after(loam::duration(constants::write_deadline));
       http::async_write_header(caller_, serializer, yield_[error]);
     }
-    std::string const text = "id: " + std::to_string(event_.number) + "\nevent: " + (event_.last ? "complete" : "token") + "\ndata: " + event_.raw + "\n\n";
+    std::string const text = "id: " + std::to_string(event_.number) +
+                             "\nevent: " + (event_.last ? "complete" : "token") + "\ndata: " + event_.raw + "\n\n";
     bool good = !error && write_chunk(text);
     if (good && event_.last) {
       caller_.expires_after(loam::duration(constants::write_deadline));
@@ -241,7 +255,8 @@
     ticket.chain = chain_;
     ticket.tokens = tokens_;
     ticket.outputs = field_.outputs(serve_.rule);
-    ticket.phase = tilth::wanted_phase(*plan_, rule_.kind, paired(), leg_ == Leg::decode, ticket.tokens, ticket.outputs);
+    ticket.phase =
+        tilth::wanted_phase(*plan_, rule_.kind, paired(), leg_ == Leg::decode, ticket.tokens, ticket.outputs);
     phase_ = ticket.phase;
     ticket.deadline = deadline_;
     ticket.begun = !kv_.empty();
@@ -266,13 +281,17 @@
   [[nodiscard]] std::string pool() const { return pool_of(rule_.kind); }
 
   /// What began in two legs ends so, whatever the manner is by now.
-  [[nodiscard]] bool paired() const { return rule_.kind == "model" && (!kv_.empty() || plan_->setup.scaler.manner == "paired"); }
+  [[nodiscard]] bool paired() const {
+    return rule_.kind == "model" && (!kv_.empty() || plan_->setup.scaler.manner == "paired");
+  }
 
   void cancel_ticket(std::uint64_t ticket) {
     field_.with(pool(), [ticket](tilth::Placement& placement) { return placement.cancel(ticket, loam::boot_now()); });
   }
   void finish_ticket(std::uint64_t ticket, tilth::Ending ending) {
-    field_.with(pool(), [ticket, ending](tilth::Placement& placement) { return placement.finished(ticket, ending, loam::boot_now()); });
+    field_.with(pool(), [ticket, ending](tilth::Placement& placement) {
+      return placement.finished(ticket, ending, loam::boot_now());
+    });
   }
 
   /// The place may not be used any more: what is wanted is brought in line
@@ -322,7 +341,8 @@
     if (withdrawn(ticket)) {
       return;
     }
-    absl::StatusOr<std::unique_ptr<loam::Stream>> connection = loam::connect(field_.context(), go_.address, constants::connect_deadline, yield_);
+    absl::StatusOr<std::unique_ptr<loam::Stream>> connection =
+        loam::connect(field_.context(), go_.address, constants::connect_deadline, yield_);
     if (connection.ok() && !interrupt_->set() && withdrawn(ticket)) {
       return;
     }
@@ -408,7 +428,8 @@
   }
 
   /// The next bytes of a worker's answer; empty at its end. False: cut.
-  bool read_some(loam::Stream& worker, boost::beast::flat_buffer& buffer, http::response_parser<http::buffer_body>& parser, std::string& bytes) {
+  bool read_some(loam::Stream& worker, boost::beast::flat_buffer& buffer,
+                 http::response_parser<http::buffer_body>& parser, std::string& bytes) {
     char piece[16384];
     bytes.clear();
     if (parser.is_done()) {
@@ -416,7 +437,8 @@
     }
     parser.get().body().data = piece;
     parser.get().body().size = sizeof(piece);
-    worker.expires_after(loam::duration(std::max<loam::Span>(1000, std::min(constants::stream_silence, deadline_ - loam::boot_now()))));
+    worker.expires_after(
+        loam::duration(std::max<loam::Span>(1000, std::min(constants::stream_silence, deadline_ - loam::boot_now()))));
     error_code error;
     http::async_read_some(worker, buffer, parser, yield_[error]);
     if (error && error != http::error::need_buffer) {
@@ -426,14 +448,16 @@
     return true;
   }
 
-  tilth::Ending talk_whole(loam::Stream& worker, boost::beast::flat_buffer& buffer, http::response_parser<http::buffer_body>& parser) {
+  tilth::Ending talk_whole(loam::Stream& worker, boost::beast::flat_buffer& buffer,
+                           http::response_parser<http::buffer_body>& parser) {
     std::string body;
     std::string bytes;
     unsigned int const status = parser.get().result_int();
     // Without a length or chunks an early end can't be told from the end.
     bool const delimited = parser.content_length().has_value() || parser.chunked();
     while (!parser.is_done()) {
-      if (!delimited || !read_some(worker, buffer, parser, bytes) || body.size() + bytes.size() > constants::answer_limit) {
+      if (!delimited || !read_some(worker, buffer, parser, bytes) ||
+          body.size() + bytes.size() > constants::answer_limit) {
         after_ = tilth::WorkerDefect{"cut_answer"};
         return interrupt_->set() ? tilth::Ending::abandoned : tilth::Ending::defect;
       }
@@ -457,12 +481,14 @@
       after_ = tilth::WorkerDefect{"no_stream"};
       return tilth::Ending::defect;
     }
-    whole_ = loam::answer_text(static_cast<http::status>(status), std::move(body), std::string(parser.get()[http::field::content_type]));
+    whole_ = loam::answer_text(static_cast<http::status>(status), std::move(body),
+                               std::string(parser.get()[http::field::content_type]));
     after_ = tilth::Whole{};
     return tilth::Ending::good;
   }
 
-  tilth::Ending talk_events(loam::Stream& worker, boost::beast::flat_buffer& buffer, http::response_parser<http::buffer_body>& parser, std::uint64_t ticket) {
+  tilth::Ending talk_events(loam::Stream& worker, boost::beast::flat_buffer& buffer,
+                            http::response_parser<http::buffer_body>& parser, std::uint64_t ticket) {
     EventReader reader(plan_->setup.workers.bytes_per_token);
     std::string bytes;
     std::string text;
@@ -498,7 +524,8 @@
             note_prefill();
           }
           if (!rule_.stream) {
-            field_.gauges().observe("furrow_first_event_seconds", "rule=\"" + serve_.rule + "\"", static_cast<double>(first_at - began_) / 1e6);
+            field_.gauges().observe("furrow_first_event_seconds", "rule=\"" + serve_.rule + "\"",
+                                    static_cast<double>(first_at - began_) / 1e6);
           }
         } else {
           iterations += 1;
@@ -568,7 +595,8 @@
     }
   }
 
-  void note_decode(loam::Moment first_at, double outputs, double iterations, double running, std::vector<double> const& gaps) {
+  void note_decode(loam::Moment first_at, double outputs, double iterations, double running,
+                   std::vector<double> const& gaps) {
     field_.learn_outputs(serve_.rule, outputs);
     double const took = static_cast<double>(loam::boot_now() - first_at) / 1e6;
     schema::WorkerFigures figures;
@@ -605,7 +633,8 @@
     }
     go_ = tilth::Go{0, "pass", targets[loam::random_number() % targets.size()].address, 0, 0};
     feed(tilth::Placed{go_.worker});
-    absl::StatusOr<std::unique_ptr<loam::Stream>> const connection = loam::connect(field_.context(), go_.address, constants::connect_deadline, yield_);
+    absl::StatusOr<std::unique_ptr<loam::Stream>> const connection =
+        loam::connect(field_.context(), go_.address, constants::connect_deadline, yield_);
     if (!connection.ok() || interrupt_->set() || follow_plan() || !field_.vouched(loam::boot_now())) {
       if (!interrupt_->set()) {
         feed(tilth::NoRoom{});
@@ -661,7 +690,8 @@
       std::string bytes;
       while (true) {
         std::vector<StreamEvent> events;
-        if (!read_some(stream, buffer, parser, bytes) || (bytes.empty() && parser.is_done()) || !reader.feed(bytes, events)) {
+        if (!read_some(stream, buffer, parser, bytes) || (bytes.empty() && parser.is_done()) ||
+            !reader.feed(bytes, events)) {
           after_ = tilth::WorkerDefect{"pass_cut"};
           return;
         }
@@ -677,7 +707,8 @@
     (void)talk_whole_pass(stream, buffer, parser);
   }
 
-  bool talk_whole_pass(loam::Stream& stream, boost::beast::flat_buffer& buffer, http::response_parser<http::buffer_body>& parser) {
+  bool talk_whole_pass(loam::Stream& stream, boost::beast::flat_buffer& buffer,
+                       http::response_parser<http::buffer_body>& parser) {
     std::string body;
     std::string bytes;
     unsigned int const status = parser.get().result_int();
@@ -692,7 +723,8 @@
       after_ = tilth::WorkerAnswered{static_cast<int>(status)};
       return false;
     }
-    whole_ = loam::answer_text(static_cast<http::status>(status), std::move(body), std::string(parser.get()[http::field::content_type]));
+    whole_ = loam::answer_text(static_cast<http::status>(status), std::move(body),
+                               std::string(parser.get()[http::field::content_type]));
     after_ = tilth::Whole{};
     return true;
   }
@@ -704,9 +736,9 @@
   loam::Yield yield_;
   std::shared_ptr<Interrupt> interrupt_;
   loam::Moment began_;
-  config::Serve serve_;   ///< by the plan that it goes by now
+  config::Serve serve_;  ///< by the plan that it goes by now
   schema::Rule rule_;
-  std::string home_;       ///< another region, once it is decided so
+  std::string home_;  ///< another region, once it is decided so
   loam::Moment deadline_;
   tilth::Chart chart_;
   double tokens_ = 0;
@@ -729,7 +761,8 @@
 
 }  // namespace
 
-bool run_query(Field& field, std::shared_ptr<Plan const> plan, QueryFacts facts, loam::Stream& caller, bool pipelined, loam::Yield yield) {
+bool run_query(Field& field, std::shared_ptr<Plan const> plan, QueryFacts facts, loam::Stream& caller, bool pipelined,
+               loam::Yield yield) {
   Query query(field, std::move(plan), std::move(facts), caller, yield);
   return query.run(pipelined);
 }
--- a/source/furrow/query/reply.cpp
+++ b/source/furrow/query/reply.cpp
@@ -1,10 +1,10 @@
 #include "furrow/query/reply.hpp"
 
+#include "config/label/selector.hpp"
 #include "furrow/worker/contract.hpp"
 #include "loam/constants.hpp"
 #include "loam/json/tree.hpp"
 #include "loam/random/random.hpp"
-#include "config/label/selector.hpp"
 
 namespace finchlink::furrow {
 
@@ -40,19 +40,22 @@
 }
 
 loam::Answer elsewhere(std::string const& location) {
-  loam::Answer answer = loam::answer_error(http::status::temporary_redirect, "elsewhere", "this query's home is another region");
+  loam::Answer answer =
+      loam::answer_error(http::status::temporary_redirect, "elsewhere", "this query's home is another region");
   answer.set(http::field::location, location);
   return answer;
 }
 
-loam::Answer send_home(tilth::Plan const& plan, std::string const& region, std::string const& query, std::string const& target) {
+loam::Answer send_home(tilth::Plan const& plan, std::string const& region, std::string const& query,
+                       std::string const& target) {
   std::vector<std::string> addresses;
   for (schema::Member const& member : plan.members) {
     if (config::region_of(plan.setup, member.hall) == region) {
       addresses.push_back(member.address);
     }
   }
-  return addresses.empty() ? refusal(query, "home_unreachable") : elsewhere("http://" + addresses[loam::random_number() % addresses.size()] + target);
+  return addresses.empty() ? refusal(query, "home_unreachable")
+                           : elsewhere("http://" + addresses[loam::random_number() % addresses.size()] + target);
 }
 
 void part_unread(loam::Stream& stream, boost::asio::io_context& context, loam::Yield yield) {
--- a/source/furrow/query/reply.hpp
+++ b/source/furrow/query/reply.hpp
@@ -2,8 +2,8 @@
 
 #include <string>
 
-#include "tilth/plan/plan.hpp"
 #include "loam/http/http.hpp"
+#include "tilth/plan/plan.hpp"
 
 namespace finchlink::furrow {
 
@@ -13,7 +13,8 @@
 [[nodiscard]] loam::Answer apology(std::string const& query, int status, std::string const& reason, bool may_have_run);
 [[nodiscard]] loam::Answer elsewhere(std::string const& location);
 /// 307 to a furrow of the query's home, or a refusal when none is known.
-[[nodiscard]] loam::Answer send_home(tilth::Plan const& plan, std::string const& region, std::string const& query, std::string const& target);
+[[nodiscard]] loam::Answer send_home(tilth::Plan const& plan, std::string const& region, std::string const& query,
+                                     std::string const& target);
 
 /// Ends the connection after an answer to a query whose body was not read:
 /// nothing of it is read on, and the caller gets time to take the answer.
--- a/source/furrow/query/session.cpp
+++ b/source/furrow/query/session.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/write.hpp>
 
+#include "config/course/course.hpp"
 #include "furrow/query/query.hpp"
 #include "furrow/query/reply.hpp"
 #include "furrow/worker/contract.hpp"
@@ -11,7 +12,6 @@
 #include "loam/http/http.hpp"
 #include "loam/json/tree.hpp"
 #include "loam/random/random.hpp"
-#include "config/course/course.hpp"
 
 namespace finchlink::furrow {
 
@@ -34,7 +34,9 @@
     std::map<std::string, schema::Hall>::const_iterator const hall = plan->setup.halls.find(field.self().hall);
     bool const evacuated = hall != plan->setup.halls.end() && hall->second.evacuated;
     bool const ready = field.vouched(now) && field.list_fresh(now) && !field.draining() && !evacuated;
-    return ready ? loam::answer_text(http::status::ok, "{\"ready\":true}") : loam::answer_error(http::status::service_unavailable, "not_ready", evacuated ? "hall evacuated" : "not vouched for, or draining");
+    return ready ? loam::answer_text(http::status::ok, "{\"ready\":true}")
+                 : loam::answer_error(http::status::service_unavailable, "not_ready",
+                                      evacuated ? "hall evacuated" : "not vouched for, or draining");
   }
   if (target == "/-/state") {
     schema::Member shown = field.self();
@@ -74,7 +76,8 @@
   config::Serve serve;
 };
 
-Verdict judge_header(Field& field, Plan const& plan, http::request_header<> const& header, std::size_t body_bytes, std::string const& query) {
+Verdict judge_header(Field& field, Plan const& plan, http::request_header<> const& header, std::size_t body_bytes,
+                     std::string const& query) {
   Verdict verdict;
   std::string const target(header.target());
   std::string const path = target.substr(0, target.find('?'));
@@ -84,7 +87,8 @@
     return verdict;
   }
   config::HeaderLookup const lookup = [&header](std::string const& name) { return std::string(header[name]); };
-  config::Course const course = config::decide(plan.setup, plan.region, std::string(header.method_string()), path, lookup, body_bytes);
+  config::Course const course =
+      config::decide(plan.setup, plan.region, std::string(header.method_string()), path, lookup, body_bytes);
   if (config::Serve const* const serve = std::get_if<config::Serve>(&course)) {
     verdict.serve = *serve;
   } else if (config::GoHome const* const home = std::get_if<config::GoHome>(&course)) {
@@ -114,13 +118,16 @@
     parser.body_limit(boost::none);
     stream.expires_after(loam::duration(constants::header_deadline));
     http::async_read_header(stream, buffer, parser, yield[error]);
-    if (error == http::error::end_of_stream || error == boost::beast::error::timeout || error == boost::asio::error::eof || error == boost::asio::error::connection_reset || error == boost::asio::error::operation_aborted) {
+    if (error == http::error::end_of_stream || error == boost::beast::error::timeout ||
+        error == boost::asio::error::eof || error == boost::asio::error::connection_reset ||
+        error == boost::asio::error::operation_aborted) {
       return;
     }
     if (error) {
       bool const large = error == http::error::header_limit;
-      loam::Answer answer = loam::answer_error(large ? http::status::request_header_fields_too_large : http::status::bad_request,
-                                               large ? "too_large" : "malformed", error.message());
+      loam::Answer answer =
+          loam::answer_error(large ? http::status::request_header_fields_too_large : http::status::bad_request,
+                             large ? "too_large" : "malformed", error.message());
       (void)send(stream, answer, false, yield);
       part_unread(stream, field.context(), yield);
       return;
@@ -142,7 +149,8 @@
     // pass, and only a pass names its query.
     bool const claimed = !header[pass_header].empty();
     bool const passed = claimed && field.knows_pass(std::string(header[pass_header]));
-    std::string const query = passed ? std::string(header[query_header]) : field.name() + "-" + std::to_string(loam::random_identity());
+    std::string const query =
+        passed ? std::string(header[query_header]) : field.name() + "-" + std::to_string(loam::random_identity());
     std::shared_ptr<Plan const> const plan = field.plan();
     Verdict verdict = judge_header(field, *plan, header, parser.content_length().value_or(0), query);
     bool const has_body = parser.content_length().value_or(0) > 0 || parser.chunked();
@@ -155,7 +163,8 @@
       }
     }
     if (verdict.answer.has_value()) {
-      field.gauges().count("furrow_queries_total", "rule=\"" + verdict.serve.rule + "\",outcome=\"" + std::to_string(verdict.answer->result_int()) + "\"");
+      field.gauges().count("furrow_queries_total", "rule=\"" + verdict.serve.rule + "\",outcome=\"" +
+                                                       std::to_string(verdict.answer->result_int()) + "\"");
       bool const again = send(stream, *verdict.answer, keep && !has_body, yield);
       if (!again) {
         if (has_body) {
@@ -175,9 +184,11 @@
     http::async_read(stream, buffer, parser, yield[error]);
     if (error) {
       field.close_query(verdict.serve.rule);
-      if (error == http::error::body_limit || error == http::error::bad_chunk || error == http::error::bad_chunk_extension) {
+      if (error == http::error::body_limit || error == http::error::bad_chunk ||
+          error == http::error::bad_chunk_extension) {
         bool const large = error == http::error::body_limit;
-        loam::Answer answer = loam::answer_error(large ? http::status::payload_too_large : http::status::bad_request, large ? "too_large" : "malformed", error.message());
+        loam::Answer answer = loam::answer_error(large ? http::status::payload_too_large : http::status::bad_request,
+                                                 large ? "too_large" : "malformed", error.message());
         (void)send(stream, answer, false, yield);
         part_unread(stream, field.context(), yield);
       } else if (error == boost::beast::error::timeout) {
--- a/source/furrow/relay/event_cutter.hpp
+++ b/source/furrow/relay/event_cutter.hpp
@@ -35,7 +35,8 @@
     while (true) {
       std::size_t const unix_end = pending_.find("\n\n", begin);
       std::size_t const other_end = pending_.find("\r\n\r\n", begin);
-      std::size_t const end = std::min(unix_end == std::string::npos ? unix_end : unix_end + 2, other_end == std::string::npos ? other_end : other_end + 4);
+      std::size_t const end = std::min(unix_end == std::string::npos ? unix_end : unix_end + 2,
+                                       other_end == std::string::npos ? other_end : other_end + 4);
       if (end == std::string::npos) {
         break;
       }
