--- a/source/furrow/relay/relay.cpp
+++ b/source/furrow/relay/relay.cpp
@@ -11,10 +11,10 @@
 #include "furrow/relay/event_cutter.hpp"
 #include "furrow/relay/station.hpp"
 #include "furrow/relay/walls.hpp"
-#include "loam/relay_constants.hpp"
-#include "loam/wall_constants.hpp"
 #include "loam/log/log.hpp"
 #include "loam/random/random.hpp"
+#include "loam/relay_constants.hpp"
+#include "loam/wall_constants.hpp"
 #include "tilth/chart/chart.hpp"
 #include "tilth/chart/first_hold.hpp"
 #include "tilth/wall/tenant.hpp"
@@ -28,17 +28,24 @@
 
 namespace {
 
-double draw() { return static_cast<double>(loam::random_number() % 1000000) / 1e6; }
+double draw() {
+  return static_cast<double>(loam::random_number() % 1000000) / 1e6;
+}
 
 /// Some servers take "_" in a field's name for "-".
-char folded(char letter) { return letter == '_' ? '-' : static_cast<char>(letter >= 'A' && letter <= 'Z' ? letter - 'A' + 'a' : letter); }
+char folded(char letter) {
+  return letter == '_' ? '-' : static_cast<char>(letter >= 'A' && letter <= 'Z' ? letter - 'A' + 'a' : letter);
+}
 bool same_name(std::string_view one, std::string_view other) {
-  return std::equal(one.begin(), one.end(), other.begin(), other.end(), [](char left, char right) { return folded(left) == folded(right); });
+  return std::equal(one.begin(), one.end(), other.begin(), other.end(),
+                    [](char left, char right) { return folded(left) == folded(right); });
 }
 
 /// Headers that concern one connection only are not passed on.
 bool of_connection(std::string_view name) {
-  static constexpr std::string_view names[] = {"connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade", "expect", "content-length"};
+  static constexpr std::string_view names[] = {"connection", "keep-alive", "proxy-connection",
+                                               "te",         "trailer",    "transfer-encoding",
+                                               "upgrade",    "expect",     "content-length"};
   for (std::string_view const entry : names) {
     if (boost::beast::iequals({name.data(), name.size()}, {entry.data(), entry.size()})) {
       return true;
@@ -48,7 +55,8 @@
 }
 
 template <class Fields>
-void copy_fields(Fields const& fields, std::string const& connection, std::vector<std::string_view> const& replaced, std::string& text) {
+void copy_fields(Fields const& fields, std::string const& connection, std::vector<std::string_view> const& replaced,
+                 std::string& text) {
   for (typename Fields::value_type const& field : fields) {
     std::string_view const name(field.name_string().data(), field.name_string().size());
     bool left_out = of_connection(name);
@@ -66,7 +74,9 @@
 
 constexpr std::uint64_t not_natural = std::numeric_limits<std::uint64_t>::max();
 
-std::string_view view(boost::beast::string_view text) { return {text.data(), text.size()}; }
+std::string_view view(boost::beast::string_view text) {
+  return {text.data(), text.size()};
+}
 
 struct Query {
   http::request_header<> header;
@@ -79,13 +89,22 @@
 /// One query on its way to workers and back (section 13.8).
 class Relay {
  public:
-  Relay(Station& station, Query& query, schema::Lane const& lane, Socket& caller, std::shared_ptr<tilth::LaneBook const> book, loam::Yield yield)
-      : station_(station), query_(query), book_(std::move(book)), lane_(lane), caller_(caller), yield_(yield),
-        bare_(query.header.method() == http::verb::head), id_(view(query.header[station.dialect().query])), deadline_(query.arrived + loam::milliseconds(static_cast<std::int64_t>(lane.deadline_ms))),
+  Relay(Station& station, Query& query, schema::Lane const& lane, Socket& caller,
+        std::shared_ptr<tilth::LaneBook const> book, loam::Yield yield)
+      : station_(station),
+        query_(query),
+        book_(std::move(book)),
+        lane_(lane),
+        caller_(caller),
+        yield_(yield),
+        bare_(query.header.method() == http::verb::head),
+        id_(view(query.header[station.dialect().query])),
+        deadline_(query.arrived + loam::milliseconds(static_cast<std::int64_t>(lane.deadline_ms))),
         chart_(terms(lane), [this](loam::Moment) { return may_spend(true); }) {
     std::string_view const left = view(query.header[station.dialect().left]);
     if (!left.empty()) {
-      deadline_ = std::min(deadline_, query.arrived + loam::milliseconds(static_cast<std::int64_t>(std::min<std::uint64_t>(natural(left, 86400000), 86400000))));
+      deadline_ = std::min(deadline_, query.arrived + loam::milliseconds(static_cast<std::int64_t>(
+                                                          std::min<std::uint64_t>(natural(left, 86400000), 86400000))));
     }
     std::uint64_t const behind = natural(view(query.header[station.dialect().last_event]), not_natural);
     numbering_ = Numbering(behind == not_natural ? std::nullopt : std::optional<std::uint64_t>(behind));
@@ -167,7 +186,9 @@
     if (tenant != nullptr && !tilth::join_homes(lane_.home_regions, tenant->home_regions, homes_)) {
       tenant_fault_ = "no_home";
     }
-    prompt_ = tilth::Prompt{reading.name, model_of(query_.header, dialect.model), tilth::named_parts(view(query_.header[dialect.parts])), lane_.tenancy->public_parts, tilth::realm_of(*lane_.tenancy, lane_.name)};
+    prompt_ = tilth::Prompt{reading.name, model_of(query_.header, dialect.model),
+                            tilth::named_parts(view(query_.header[dialect.parts])), lane_.tenancy->public_parts,
+                            tilth::realm_of(*lane_.tenancy, lane_.name)};
     wanted_.parts = station_.walls().place(*prompt_);
   }
 
@@ -188,7 +209,8 @@
       } else if (tilth::GaveUp const* const gave_up = std::get_if<tilth::GaveUp>(&action)) {
         station_.grove().gave_up(gave_up->worker, wanted_.parts, gave_up->tokens);
       } else if (tilth::Crossed const* const crossed = std::get_if<tilth::Crossed>(&action)) {
-        loam::note(loam::Event::WallCrossed, crossed->worker + " " + std::to_string(static_cast<std::uint64_t>(crossed->tokens)) + " " + id_);
+        loam::note(loam::Event::WallCrossed,
+                   crossed->worker + " " + std::to_string(static_cast<std::uint64_t>(crossed->tokens)) + " " + id_);
       } else if (tilth::RanOtherWeights const* const other = std::get_if<tilth::RanOtherWeights>(&action)) {
         loam::note(loam::Event::OtherWeightsRan, other->worker + " for " + other->expected + " " + id_);
         station_.grove().forget_walled(other->worker);
@@ -220,8 +242,10 @@
     if (lane_.set_point_ms <= 0 || static_cast<double>(first) / 1000 < lane_.set_point_ms) {
       return;
     }
-    loam::note(loam::Event::QueryLate, id_ + " " + lane_.name + " " + how + " first " + std::to_string(first / 1000) + " ms of " + std::to_string((loam::boot_now() - query_.arrived) / 1000) +
-                                           " tokens " + std::to_string(static_cast<std::uint64_t>(wanted_.tokens)) + trail_);
+    loam::note(loam::Event::QueryLate, id_ + " " + lane_.name + " " + how + " first " + std::to_string(first / 1000) +
+                                           " ms of " + std::to_string((loam::boot_now() - query_.arrived) / 1000) +
+                                           " tokens " + std::to_string(static_cast<std::uint64_t>(wanted_.tokens)) +
+                                           trail_);
   }
 
   void watch_caller(std::shared_ptr<Guard> const& guard) {
@@ -278,7 +302,8 @@
     // Silence: another worker is asked if the query may be repeated, a right is
     // there, and another has a place; else this one may take its time.
     wanted_.avoid.push_back(spot_.worker);
-    bool const other = repeatable() && chart_.dispatches() < static_cast<int>(lane_.dispatches) && may_spend(false) && station_.grove().alternative(wanted_, now);
+    bool const other = repeatable() && chart_.dispatches() < static_cast<int>(lane_.dispatches) && may_spend(false) &&
+                       station_.grove().alternative(wanted_, now);
     if (other) {
       // The right is taken now: others whose worker fell silent at the same
       // moment must not count on the same one.
@@ -339,7 +364,8 @@
 
   void answer(std::string const& status, std::string const& reason, bool come_back) {
     std::string const body = "{\"error\":\"" + reason + "\"}";
-    std::string text = "HTTP/1.1 " + status + "\r\n" + station_.dialect().query + ": " + id_ + "\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) + "\r\n";
+    std::string text = "HTTP/1.1 " + status + "\r\n" + station_.dialect().query + ": " + id_ +
+                       "\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) + "\r\n";
     if (come_back) {
       double const point = lane_.set_point_ms > 0 ? lane_.set_point_ms / 1000 : 1.0;
       text += "Retry-After: " + std::to_string(point * (0.15 + 0.15 * draw())) + "\r\n";
@@ -396,9 +422,11 @@
       decided.repeatable = next.repeatable;
       decided.resumable = next.resumable;
       decided.stream = next.stream;
-      deadline_ = std::min(deadline_, query_.arrived + loam::milliseconds(static_cast<std::int64_t>(lane_.deadline_ms)));
+      deadline_ =
+          std::min(deadline_, query_.arrived + loam::milliseconds(static_cast<std::int64_t>(lane_.deadline_ms)));
     }
-    if (aside_ != nullptr && (decided.standing != tilth::Standing::serve || !decided.repeatable || !decided.resumable)) {
+    if (aside_ != nullptr &&
+        (decided.standing != tilth::Standing::serve || !decided.repeatable || !decided.resumable)) {
       later_ = decided;  // it may run nowhere else any more, but finish where it runs
       back_ = true;
       return;
@@ -408,8 +436,13 @@
 
   /// A place, waited for as long as a lane's set point bears.
   bool find_place() {
-    loam::Span const hold = lane_.set_point_ms > 0 ? loam::milliseconds(static_cast<std::int64_t>(lane_.set_point_ms * constants::hold_part)) : constants::hold_plain;
-    loam::Span const again = began_ ? loam::milliseconds(static_cast<std::int64_t>(lane_.gap_set_point_ms / 2)) : chart_.dispatches() > 0 ? constants::place_pause : 0;
+    loam::Span const hold =
+        lane_.set_point_ms > 0
+            ? loam::milliseconds(static_cast<std::int64_t>(lane_.set_point_ms * constants::hold_part))
+            : constants::hold_plain;
+    loam::Span const again = began_ ? loam::milliseconds(static_cast<std::int64_t>(lane_.gap_set_point_ms / 2))
+                             : chart_.dispatches() > 0 ? constants::place_pause
+                                                       : 0;
     loam::Moment const until = std::max(query_.arrived + hold, loam::boot_now() + again);
     while (true) {
       follow();
@@ -424,7 +457,10 @@
       std::variant<tilth::Spot, tilth::NoSpot> const found = station_.grove().choose(wanted_, now);
       if (tilth::Spot const* const spot = std::get_if<tilth::Spot>(&found)) {
         spot_ = *spot;
-        trail_ += "; at " + std::to_string((now - query_.arrived) / 1000) + " ms " + spot->worker + " predicted " + std::to_string(static_cast<int>(spot->predicted_seconds * 1000)) + "/" + std::to_string(static_cast<int>(spot->price * 1000)) + " uncached " + std::to_string(static_cast<int>(spot->uncached));
+        trail_ += "; at " + std::to_string((now - query_.arrived) / 1000) + " ms " + spot->worker + " predicted " +
+                  std::to_string(static_cast<int>(spot->predicted_seconds * 1000)) + "/" +
+                  std::to_string(static_cast<int>(spot->price * 1000)) + " uncached " +
+                  std::to_string(static_cast<int>(spot->uncached));
         return true;
       }
       if (now >= until || now >= deadline_) {
@@ -545,7 +581,8 @@
       feed(*later_);
       later_.reset();
     }
-    alarm_->set(silence_due(lane_.gap_set_point_ms > 0 ? lane_.gap_set_point_ms : 2 * lane_.set_point_ms, loam::boot_now()));
+    alarm_->set(
+        silence_due(lane_.gap_set_point_ms > 0 ? lane_.gap_set_point_ms : 2 * lane_.set_point_ms, loam::boot_now()));
     (void)read_events(*reading_);  // the grove has counted its end already
     after_talk();
   }
@@ -582,7 +619,8 @@
     worker_ = std::make_unique<Socket>(station_.context());
     ++station_.tally().connects;
     connecting_ = true;
-    alarm_->set(std::min(deadline_, loam::boot_now() + (spot_.near ? constants::relay_connect_near : constants::relay_connect_deadline)));
+    alarm_->set(std::min(deadline_, loam::boot_now() + (spot_.near ? constants::relay_connect_near
+                                                                   : constants::relay_connect_deadline)));
     error_code error = loam::open_own(*worker_, *endpoint);
     if (!error) {
       worker_->async_connect(*endpoint, yield_[error]);
@@ -600,7 +638,10 @@
     Dialect const& dialect = station_.dialect();
     std::string text;
     text.reserve(1024);
-    text.append(view(query_.header.method_string())).append(" ").append(view(query_.header.target())).append(" HTTP/1.1\r\n");
+    text.append(view(query_.header.method_string()))
+        .append(" ")
+        .append(view(query_.header.target()))
+        .append(" HTTP/1.1\r\n");
     std::vector<std::string_view> replaced{dialect.left, dialect.target};
     bool const resuming = chart_.last_event() > 0 && numbering_.last().has_value();
     if (resuming) {
@@ -610,7 +651,10 @@
       replaced.insert(replaced.end(), {dialect.parts, dialect.expected});
     }
     copy_fields(query_.header, std::string(view(query_.header[http::field::connection])), replaced, text);
-    text.append(dialect.left).append(": ").append(std::to_string(std::max<loam::Span>(1, (deadline_ - loam::boot_now()) / 1000))).append("\r\n");
+    text.append(dialect.left)
+        .append(": ")
+        .append(std::to_string(std::max<loam::Span>(1, (deadline_ - loam::boot_now()) / 1000)))
+        .append("\r\n");
     text.append(dialect.target).append(": ").append(spot_.worker).append("\r\n");
     if (resuming) {
       text.append(dialect.last_event).append(": ").append(std::to_string(*numbering_.last())).append("\r\n");
@@ -622,7 +666,10 @@
       text.append(dialect.expected).append(": ").append(walled_.version).append("\r\n");
     }
     if (!dialect.urgency.empty() && lane_.stream && query_.header[dialect.urgency].empty()) {
-      text.append(dialect.urgency).append(": ").append(std::to_string(std::clamp<std::int64_t>(lane_.priority, 0, 9))).append("\r\n");
+      text.append(dialect.urgency)
+          .append(": ")
+          .append(std::to_string(std::clamp<std::int64_t>(lane_.priority, 0, 9)))
+          .append("\r\n");
     }
     if (!query_.body.empty() || query_.had_length) {
       text.append("Content-Length: ").append(std::to_string(query_.body.size())).append("\r\n");
@@ -634,7 +681,8 @@
   [[nodiscard]] loam::Moment silence_due(double set_point_ms, loam::Moment now) {
     double const point = set_point_ms > 0 ? set_point_ms : 1000;
     silent_since_ = now;
-    allowed_ = std::max(loam::milliseconds(static_cast<std::int64_t>(point * constants::silence_part)), static_cast<loam::Span>(spot_.predicted_seconds * 2e6));
+    allowed_ = std::max(loam::milliseconds(static_cast<std::int64_t>(point * constants::silence_part)),
+                        static_cast<loam::Span>(spot_.predicted_seconds * 2e6));
     return std::min(deadline_, now + allowed_);
   }
 
@@ -701,7 +749,8 @@
       after_ = tilth::WorkerRefused{};
       std::string const expected = walled_.version;
       hear_wall(got, false);
-      bool const other_weights = prompt_.has_value() && !got[dialect.weights].empty() && view(got[dialect.weights]) != expected;
+      bool const other_weights =
+          prompt_.has_value() && !got[dialect.weights].empty() && view(got[dialect.weights]) != expected;
       if (status == 421 && !other_weights) {
         return tilth::Outcome::misdirected;
       }
@@ -740,7 +789,8 @@
 
   /// Kept only when the answer ended where it said and nothing came behind it.
   void after_answer(boost::beast::flat_buffer const& buffer, Parser const& parser) {
-    if (!parser.is_done() || buffer.size() > 0 || !parser.get().keep_alive() || worker_ == nullptr || !worker_->is_open()) {
+    if (!parser.is_done() || buffer.size() > 0 || !parser.get().keep_alive() || worker_ == nullptr ||
+        !worker_->is_open()) {
       return;
     }
     loam::Span longest = constants::worker_idle;
@@ -766,9 +816,12 @@
 
   /// The worker's head for the caller, without what concerns its connection.
   [[nodiscard]] std::string answer_head(Parser const& parser) const {
-    std::string text = "HTTP/1.1 " + std::to_string(parser.get().result_int()) + " " + std::string(view(parser.get().reason())) + "\r\n";
+    std::string text = "HTTP/1.1 " + std::to_string(parser.get().result_int()) + " " +
+                       std::string(view(parser.get().reason())) + "\r\n";
     // The ids that parts went out under stay between us and the workers.
-    std::vector<std::string_view> const left_out = prompt_.has_value() ? std::vector<std::string_view>{station_.dialect().parts, station_.dialect().expected} : std::vector<std::string_view>();
+    std::vector<std::string_view> const left_out =
+        prompt_.has_value() ? std::vector<std::string_view>{station_.dialect().parts, station_.dialect().expected}
+                            : std::vector<std::string_view>();
     copy_fields(parser.get(), std::string(view(parser.get()[http::field::connection])), left_out, text);
     return text;
   }
@@ -791,7 +844,9 @@
     }
     first_at_ = loam::boot_now();
     // An answer to HEAD tells the length that the body would have.
-    std::string const length = bare_ ? std::string(view(parser.get()[http::field::content_length])) : bare ? "" : std::to_string(body.size());
+    std::string const length = bare_  ? std::string(view(parser.get()[http::field::content_length]))
+                               : bare ? ""
+                                      : std::to_string(body.size());
     whole_ = answer_head(parser) + (length.empty() ? "" : "Content-Length: " + length + "\r\n");
     whole_body_ = std::move(body);
     after_answer(buffer, parser);
@@ -901,9 +956,9 @@
   std::string service_;
   std::shared_ptr<Alarm> alarm_;
   std::unique_ptr<Socket> worker_;
-  std::shared_ptr<Reading> reading_;       ///< of the dispatch under way
-  std::shared_ptr<Reading> aside_;         ///< given up for its silence; goes on if no other does
-  std::optional<tilth::Decided> later_;    ///< told to the chart once it is back there
+  std::shared_ptr<Reading> reading_;     ///< of the dispatch under way
+  std::shared_ptr<Reading> aside_;       ///< given up for its silence; goes on if no other does
+  std::optional<tilth::Decided> later_;  ///< told to the chart once it is back there
   asio::steady_timer* seat_ = nullptr;
   std::optional<tilth::QueryMessage> after_;
   std::string whole_;
@@ -913,14 +968,14 @@
   loam::Span allowed_ = 0;
   int connects_ = 0;
   loam::Moment first_at_ = 0;
-  std::string trail_;       ///< workers it was placed on: when, predicted
+  std::string trail_;  ///< workers it was placed on: when, predicted
   bool setting_aside_ = false;
-  bool back_ = false;       ///< to the one set aside
-  bool slow_ = false;       ///< given up for its slowness
-  bool reserved_ = false;   ///< the right to its next dispatch is taken already
+  bool back_ = false;      ///< to the one set aside
+  bool slow_ = false;      ///< given up for its slowness
+  bool reserved_ = false;  ///< the right to its next dispatch is taken already
   bool connecting_ = false;
   bool first_seen_ = false;
-  bool began_ = false;      ///< the head went to the caller
+  bool began_ = false;  ///< the head went to the caller
   bool writing_ = false;
   bool gone_ = false;
   bool keep_ = false;
@@ -929,9 +984,11 @@
 };
 
 /// A final answer of our own without a dispatch; `bare`: to a HEAD.
-bool write_small(Socket& socket, std::string const& status, std::string const& extra, std::string const& reason, bool keep, bool bare, loam::Yield yield) {
+bool write_small(Socket& socket, std::string const& status, std::string const& extra, std::string const& reason,
+                 bool keep, bool bare, loam::Yield yield) {
   std::string const body = "{\"error\":\"" + reason + "\"}";
-  std::string const text = "HTTP/1.1 " + status + "\r\n" + extra + "Content-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) +
+  std::string const text = "HTTP/1.1 " + status + "\r\n" + extra +
+                           "Content-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) +
                            (keep ? "\r\n\r\n" : "\r\nConnection: close\r\n\r\n") + (bare ? "" : body);
   error_code error;
   asio::async_write(socket, asio::buffer(text), yield[error]);
@@ -948,7 +1005,8 @@
 /// A final answer before all of the query is read. Closing with unread bytes
 /// would reset the connection, and the answer might never be read: what comes
 /// is thrown away, for a moment and up to a size (section 13.8).
-void refuse_unread(Socket& socket, Alarm& alarm, Patience& patience, std::string const& status, std::string const& extra, std::string const& reason, bool bare, loam::Yield yield) {
+void refuse_unread(Socket& socket, Alarm& alarm, Patience& patience, std::string const& status,
+                   std::string const& extra, std::string const& reason, bool bare, loam::Yield yield) {
   patience.close = true;
   alarm.set(loam::boot_now() + constants::refused_linger);
   (void)write_small(socket, status, extra, reason, false, bare, yield);
@@ -1003,10 +1061,12 @@
       break;
     }
     if (error == http::error::body_limit) {  // announced too large: no byte of it is read
-      refuse_unread(*socket, *alarm, *patience, "413 Payload Too Large", "", "too_large", parser.get().method() == http::verb::head, yield);
+      refuse_unread(*socket, *alarm, *patience, "413 Payload Too Large", "", "too_large",
+                    parser.get().method() == http::verb::head, yield);
       break;
     }
-    if (error && error.category() == http::make_error_code(http::error::bad_value).category() && error != http::error::end_of_stream && error != http::error::partial_message) {
+    if (error && error.category() == http::make_error_code(http::error::bad_value).category() &&
+        error != http::error::end_of_stream && error != http::error::partial_message) {
       refuse_unread(*socket, *alarm, *patience, "400 Bad Request", "", "malformed", false, yield);
       break;
     }
@@ -1016,11 +1076,13 @@
     Query query;
     query.arrived = loam::boot_now();
     station.opened();
-    std::string const named = station.dialect().query + ": " + std::string(view(parser.get()[station.dialect().query])) + "\r\n";
+    std::string const named =
+        station.dialect().query + ": " + std::string(view(parser.get()[station.dialect().query])) + "\r\n";
     bool const bare = parser.get().method() == http::verb::head;
     if (station.book() != nullptr && station.book()->walled()) {
       // Refused before a body byte is read (section 14.1).
-      schema::Lane const* const lane = station.book()->find(view(parser.get()[http::field::host]), view(parser.get().target()));
+      schema::Lane const* const lane =
+          station.book()->find(view(parser.get()[http::field::host]), view(parser.get().target()));
       if (lane != nullptr && lane->tenancy.has_value()) {
         tilth::TenantReading const reading = tenant_of(*lane->tenancy, parser.get());
         if (reading.end == tilth::TenantEnd::refused) {
@@ -1061,7 +1123,10 @@
     // Right after a start charter and list come within a moment (section 13.8):
     // the query waits for them as it would for a place, then is refused.
     std::string_view const left = view(query.header[station.dialect().left]);
-    std::optional<loam::Span> const bearable = left.empty() ? std::nullopt : std::optional<loam::Span>(loam::milliseconds(static_cast<std::int64_t>(std::min<std::uint64_t>(natural(left, 86400000), 86400000))));
+    std::optional<loam::Span> const bearable =
+        left.empty() ? std::nullopt
+                     : std::optional<loam::Span>(loam::milliseconds(
+                           static_cast<std::int64_t>(std::min<std::uint64_t>(natural(left, 86400000), 86400000))));
     loam::Span const hold = tilth::first_hold(station.charter_hold, query.arrived - station.begun_at(), bearable);
     while (!station.begun() && loam::boot_now() - query.arrived < hold) {
       loam::pause(station.context(), constants::place_pause, yield);
@@ -1069,7 +1134,8 @@
     std::shared_ptr<tilth::LaneBook const> const book = station.book();
     bool const keep = query.keep && !station.draining();
     if (book == nullptr) {
-      again = write_small(*socket, "503 Service Unavailable", named + "Retry-After: 0.5\r\n", "no_setup", keep, bare, yield);
+      again = write_small(*socket, "503 Service Unavailable", named + "Retry-After: 0.5\r\n", "no_setup", keep, bare,
+                          yield);
     } else {
       schema::Lane const* const lane = book->find(view(query.header[http::field::host]), view(query.header.target()));
       if (lane == nullptr) {
--- a/source/furrow/relay/station.cpp
+++ b/source/furrow/relay/station.cpp
@@ -10,14 +10,14 @@
 #include <cstring>
 #include <sstream>
 
+#include "config/charter/proposal.hpp"
+#include "consensus/ballot/ballot.hpp"
 #include "furrow/relay/walls.hpp"
-#include "loam/relay_constants.hpp"
-#include "loam/wall_constants.hpp"
 #include "loam/json/tree.hpp"
 #include "loam/log/log.hpp"
 #include "loam/random/random.hpp"
-#include "config/charter/proposal.hpp"
-#include "consensus/ballot/ballot.hpp"
+#include "loam/relay_constants.hpp"
+#include "loam/wall_constants.hpp"
 #include "tilth/scaler/pools.hpp"
 
 namespace finchlink::furrow {
@@ -28,13 +28,14 @@
 using boost::system::error_code;
 
 void start_small(asio::io_context& context, std::function<void(loam::Yield)> body) {
-  asio::spawn(context, std::allocator_arg, boost::context::fixedsize_stack(constants::relay_stack),
-              [body = std::move(body)](loam::Yield yield) { body(yield); },
-              [](std::exception_ptr error) {
-                if (error) {
-                  std::rethrow_exception(error);
-                }
-              });
+  asio::spawn(
+      context, std::allocator_arg, boost::context::fixedsize_stack(constants::relay_stack),
+      [body = std::move(body)](loam::Yield yield) { body(yield); },
+      [](std::exception_ptr error) {
+        if (error) {
+          std::rethrow_exception(error);
+        }
+      });
 }
 
 void Alarm::set(loam::Moment due) {
@@ -71,21 +72,31 @@
   for (std::pair<std::string const, std::uint64_t> const& entry : outcomes) {
     text << "relay_queries_total{outcome=\"" << entry.first << "\"} " << entry.second << "\n";
   }
-  text << "relay_retries_total " << retries << "\nrelay_resumed_total " << resumed << "\nrelay_connects_total " << connects << "\nrelay_dispatches_total " << dispatches << "\n";
+  text << "relay_retries_total " << retries << "\nrelay_resumed_total " << resumed << "\nrelay_connects_total "
+       << connects << "\nrelay_dispatches_total " << dispatches << "\n";
   return text.str();
 }
 
-Station::Station(asio::io_context& context, schema::Settings const& settings, Dialect dialect, config::Notation notation, ListReader list_reader,
-                 std::uint64_t identity)
-    : context_(context), settings_(settings), dialect_(std::move(dialect)), notation_(std::move(notation)), list_reader_(std::move(list_reader)),
-      identity_(identity), caller_(context), trellises_(settings.seeds) {}
+Station::Station(asio::io_context& context, schema::Settings const& settings, Dialect dialect,
+                 config::Notation notation, ListReader list_reader, std::uint64_t identity)
+    : context_(context),
+      settings_(settings),
+      dialect_(std::move(dialect)),
+      notation_(std::move(notation)),
+      list_reader_(std::move(list_reader)),
+      identity_(identity),
+      caller_(context),
+      trellises_(settings.seeds) {}
 
 absl::Status Station::begin() {
   begun_at_ = loam::boot_now();
-  absl::Status status = listen(settings_.http_address, [this](std::shared_ptr<Socket> const& socket, loam::Yield yield) { serve_caller(*this, socket, yield); });
+  absl::Status status =
+      listen(settings_.http_address,
+             [this](std::shared_ptr<Socket> const& socket, loam::Yield yield) { serve_caller(*this, socket, yield); });
   for (std::string const& address : {settings_.ready_address, settings_.directory_address}) {
     if (status.ok() && !address.empty()) {
-      status = listen(address, [this](std::shared_ptr<Socket> const& socket, loam::Yield yield) { serve_small(socket, yield); });
+      status = listen(address,
+                      [this](std::shared_ptr<Socket> const& socket, loam::Yield yield) { serve_small(socket, yield); });
     }
   }
   if (!status.ok()) {
@@ -99,7 +110,8 @@
   return absl::OkStatus();
 }
 
-absl::Status Station::listen(std::string const& address, std::function<void(std::shared_ptr<Socket>, loam::Yield)> session) {
+absl::Status Station::listen(std::string const& address,
+                             std::function<void(std::shared_ptr<Socket>, loam::Yield)> session) {
   absl::StatusOr<loam::Endpoint> endpoint = loam::read_endpoint(address);
   if (!endpoint.ok()) {
     return endpoint.status();
@@ -147,7 +159,8 @@
 
 tilth::Rights& Station::rights(std::string const& service) {
   tilth::Rights& rights = rights_[service];
-  rights.bound(settings_.bounds.retry_ratio, settings_.bounds.retry_slack, static_cast<double>(std::max<std::size_t>(1, census_.furrows(loam::boot_now()).size())));
+  rights.bound(settings_.bounds.retry_ratio, settings_.bounds.retry_slack,
+               static_cast<double>(std::max<std::size_t>(1, census_.furrows(loam::boot_now()).size())));
   return rights;
 }
 
@@ -189,7 +202,10 @@
     // A copy: news that come meanwhile replace the list that is walked here.
     std::vector<std::string> const told = trellises_;
     for (std::size_t index = 0; index < std::min(constants::lost_asks, told.size()); ++index) {
-      if (caller_.call(told[index], asked, loam::milliseconds(static_cast<std::int64_t>(settings_.bounds.ask_deadline_ms)), yield).ok()) {
+      if (caller_
+              .call(told[index], asked, loam::milliseconds(static_cast<std::int64_t>(settings_.bounds.ask_deadline_ms)),
+                    yield)
+              .ok()) {
         break;
       }
     }
@@ -292,7 +308,8 @@
 
 void Station::know_trellises(std::vector<std::string> const& told) {
   std::vector<std::string> known;
-  for (std::vector<std::string> const* const addresses : std::initializer_list<std::vector<std::string> const*>{&told, &settings_.seeds}) {
+  for (std::vector<std::string> const* const addresses :
+       std::initializer_list<std::vector<std::string> const*>{&told, &settings_.seeds}) {
     for (std::string const& address : *addresses) {
       if (!address.empty() && std::find(known.begin(), known.end(), address) == known.end()) {
         known.push_back(address);
@@ -314,11 +331,14 @@
   while (true) {
     loam::pause(context_, constants::own_list_after / 4, yield);
     loam::Moment const now = loam::boot_now();
-    if (list_reader_ == nullptr || book_ == nullptr || now - std::max(list_.as_of(), heard_at_) < constants::own_list_after) {
+    if (list_reader_ == nullptr || book_ == nullptr ||
+        now - std::max(list_.as_of(), heard_at_) < constants::own_list_after) {
       continue;
     }
     // No trellis tells of workers: one look of its own, spread over the furrows.
-    loam::pause(context_, static_cast<loam::Span>(loam::random_number() % static_cast<std::uint64_t>(constants::own_list_after)), yield);
+    loam::pause(context_,
+                static_cast<loam::Span>(loam::random_number() % static_cast<std::uint64_t>(constants::own_list_after)),
+                yield);
     loam::Moment const asked = loam::boot_now();
     if (asked - std::max(list_.as_of(), heard_at_) < constants::own_list_after) {
       continue;
@@ -399,7 +419,8 @@
   if (!entry.phase.empty()) {
     return entry.phase;
   }
-  std::map<std::string, schema::Split>::const_iterator const split = splits_.find(tilth::pool_name(region, entry.service));
+  std::map<std::string, schema::Split>::const_iterator const split =
+      splits_.find(tilth::pool_name(region, entry.service));
   if (split == splits_.end() || split->second.phases.empty()) {
     return "";
   }
@@ -413,7 +434,8 @@
     return {};
   }
   schema::FurrowReport report;
-  if (now - reported_at_ >= loam::milliseconds(static_cast<std::int64_t>(report_ms_)) && observer_.take(report_slice_ + 1, now - reported_at_, report)) {
+  if (now - reported_at_ >= loam::milliseconds(static_cast<std::int64_t>(report_ms_)) &&
+      observer_.take(report_slice_ + 1, now - reported_at_, report)) {
     ++report_slice_;
     reported_at_ = now;
     reports_.push_back(std::move(report));
@@ -438,8 +460,10 @@
   sighting.cached = std::max(0.0, wanted.tokens - spot.uncached);
   sighting.running = (spot.running + 1 + grove_.running_on(spot.worker, now)) / 2;
   std::size_t const slash = sighting.pool.find('/');
-  schema::Service const* const service = book_ == nullptr || slash == std::string::npos ? nullptr : book_->service(sighting.pool.substr(slash + 1));
-  observer_.saw(sighting, service == nullptr ? 1 : static_cast<double>(service->stride), schema::ScalerAims().experts_share);
+  schema::Service const* const service =
+      book_ == nullptr || slash == std::string::npos ? nullptr : book_->service(sighting.pool.substr(slash + 1));
+  observer_.saw(sighting, service == nullptr ? 1 : static_cast<double>(service->stride),
+                schema::ScalerAims().experts_share);
 }
 
 void Station::take_list() {
@@ -497,7 +521,9 @@
   }
   grove_.update(stands, terms, loam::boot_now());
   walls_.keep_only([&listed](std::string const& worker) { return listed.count(worker) > 0; });
-  std::erase_if(kept_, [&listed](std::pair<std::string const, std::deque<Kept>> const& entry) { return listed.count(entry.first) == 0; });
+  std::erase_if(kept_, [&listed](std::pair<std::string const, std::deque<Kept>> const& entry) {
+    return listed.count(entry.first) == 0;
+  });
 }
 
 std::string Station::directory(std::string const& hall, std::string const& region) {
@@ -516,7 +542,10 @@
     (member.hall == hall ? same_hall : here ? same_region : others).push_back(member.address);
   }
   if (!self_there && ready()) {
-    (settings_.hall == hall ? same_hall : settings_.region == region ? same_region : others).push_back(settings_.http_address);
+    (settings_.hall == hall       ? same_hall
+     : settings_.region == region ? same_region
+                                  : others)
+        .push_back(settings_.http_address);
   }
   std::vector<std::string> addresses = same_hall;
   if (addresses.size() < constants::directory_least) {
@@ -571,8 +600,10 @@
       body = print_tenants(walls_);
     }
     bool const again = parser.get().keep_alive() && !draining_;
-    std::string const text = "HTTP/1.1 " + status + "\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) +
-                             (again ? "\r\n\r\n" : "\r\nConnection: close\r\n\r\n") + (parser.get().method() == http::verb::head ? "" : body);
+    std::string const text = "HTTP/1.1 " + status +
+                             "\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) +
+                             (again ? "\r\n\r\n" : "\r\nConnection: close\r\n\r\n") +
+                             (parser.get().method() == http::verb::head ? "" : body);
     asio::async_write(*socket, asio::buffer(text), yield[error]);
     if (error || !again) {
       break;
--- a/source/furrow/relay/station.hpp
+++ b/source/furrow/relay/station.hpp
@@ -14,12 +14,12 @@
 
 #include <absl/status/statusor.h>
 
+#include "config/charter/charter.hpp"
 #include "furrow/relay/dialect.hpp"
-#include "membership/copy/copy.hpp"
-#include "membership/freshness/freshness_lease.hpp"
 #include "loam/net/net.hpp"
 #include "loam/relay_constants.hpp"
-#include "config/charter/charter.hpp"
+#include "membership/copy/copy.hpp"
+#include "membership/freshness/freshness_lease.hpp"
 #include "schema/settings.hpp"
 #include "tilth/census/census.hpp"
 #include "tilth/grove/grove.hpp"
@@ -68,8 +68,8 @@
 /// knows, its workers, colleagues and kept connections.
 class Station {
  public:
-  Station(boost::asio::io_context& context, schema::Settings const& settings, Dialect dialect, config::Notation notation, ListReader list_reader,
-          std::uint64_t identity);
+  Station(boost::asio::io_context& context, schema::Settings const& settings, Dialect dialect,
+          config::Notation notation, ListReader list_reader, std::uint64_t identity);
 
   [[nodiscard]] absl::Status begin();
   void drain();
@@ -113,7 +113,8 @@
   struct Acceptor {
     boost::asio::ip::tcp::acceptor acceptor;
   };
-  [[nodiscard]] absl::Status listen(std::string const& address, std::function<void(std::shared_ptr<Socket>, loam::Yield)> session);
+  [[nodiscard]] absl::Status listen(std::string const& address,
+                                    std::function<void(std::shared_ptr<Socket>, loam::Yield)> session);
   void serve_small(std::shared_ptr<Socket> const& socket, loam::Yield yield);
   void ask_news(loam::Yield yield);
   void heard_from(schema::NewsAnswer const& news);
--- a/source/furrow/relay/walls.cpp
+++ b/source/furrow/relay/walls.cpp
@@ -6,10 +6,10 @@
 #include <sstream>
 
 #include "furrow/relay/station.hpp"
-#include "loam/wall_constants.hpp"
 #include "loam/error/error.hpp"
 #include "loam/json/tree.hpp"
 #include "loam/log/log.hpp"
+#include "loam/wall_constants.hpp"
 
 namespace finchlink::furrow {
 
@@ -18,7 +18,8 @@
 tilth::TenantReading tenant_of(schema::Tenancy const& tenancy, http::fields const& header, std::string_view target) {
   std::vector<std::string_view> values;
   if (!tenancy.header.empty()) {
-    std::pair<http::fields::const_iterator, http::fields::const_iterator> const range = header.equal_range(tenancy.header);
+    std::pair<http::fields::const_iterator, http::fields::const_iterator> const range =
+        header.equal_range(tenancy.header);
     for (http::fields::const_iterator entry = range.first; entry != range.second; ++entry) {
       values.emplace_back(entry->value().data(), entry->value().size());
     }
@@ -104,9 +105,11 @@
 std::string print_wall_metrics(tilth::Walls const& walls) {
   tilth::TenantTally const sum = sum_of(walls);
   std::stringstream text;
-  text << "# TYPE relay_wall_crossings_total counter\nrelay_wall_crossings_total " << walls.crossings() << "\nrelay_wall_queries_total " << sum.queries
-       << "\nrelay_wall_cold_total " << sum.cold << "\nrelay_wall_tokens_total " << static_cast<std::uint64_t>(sum.tokens) << "\nrelay_wall_reused_tokens_total "
-       << static_cast<std::uint64_t>(sum.reused) << "\nrelay_wall_other_weights_total " << walls.other_weights() << "\nrelay_wall_keyed " << (walls.keyed() ? 1 : 0) << "\n";
+  text << "# TYPE relay_wall_crossings_total counter\nrelay_wall_crossings_total " << walls.crossings()
+       << "\nrelay_wall_queries_total " << sum.queries << "\nrelay_wall_cold_total " << sum.cold
+       << "\nrelay_wall_tokens_total " << static_cast<std::uint64_t>(sum.tokens) << "\nrelay_wall_reused_tokens_total "
+       << static_cast<std::uint64_t>(sum.reused) << "\nrelay_wall_other_weights_total " << walls.other_weights()
+       << "\nrelay_wall_keyed " << (walls.keyed() ? 1 : 0) << "\n";
   return text.str();
 }
 
--- a/source/furrow/relay/walls.hpp
+++ b/source/furrow/relay/walls.hpp
@@ -13,7 +13,8 @@
 namespace finchlink::furrow {
 
 /// What a query's header says of its tenant (section 14.1).
-[[nodiscard]] tilth::TenantReading tenant_of(schema::Tenancy const& tenancy, boost::beast::http::fields const& header, std::string_view target);
+[[nodiscard]] tilth::TenantReading tenant_of(schema::Tenancy const& tenancy, boost::beast::http::fields const& header,
+                                             std::string_view target);
 template <class Header>
 [[nodiscard]] tilth::TenantReading tenant_of(schema::Tenancy const& tenancy, Header const& header) {
   return tenant_of(tenancy, header, std::string_view(header.target().data(), header.target().size()));
--- a/source/furrow/watch/watch.cpp
+++ b/source/furrow/watch/watch.cpp
@@ -31,7 +31,8 @@
   return !error;  // readable without a question asked: closed
 }
 
-void watch(boost::asio::io_context& context, Field& field, std::string const& pool, std::string const& id, std::string const& address, loam::Yield yield) {
+void watch(boost::asio::io_context& context, Field& field, std::string const& pool, std::string const& id,
+           std::string const& address, loam::Yield yield) {
   std::unique_ptr<loam::Stream> stream;
   boost::beast::flat_buffer buffer;
   while (true) {
@@ -49,7 +50,8 @@
     std::optional<WorkerLoad> load;
     if (stream == nullptr) {
       buffer.clear();
-      absl::StatusOr<std::unique_ptr<loam::Stream>> fresh = loam::connect(context, address, constants::load_pause, yield);
+      absl::StatusOr<std::unique_ptr<loam::Stream>> fresh =
+          loam::connect(context, address, constants::load_pause, yield);
       if (fresh.ok()) {
         stream = std::move(*fresh);
       }
@@ -62,7 +64,8 @@
     }
     loam::Moment const now = loam::boot_now();
     field.with(pool, [&](tilth::Placement& placement) {
-      return load.has_value() ? placement.load(id, load->running, load->waiting, load->boot, now) : placement.load_missed(id, now);
+      return load.has_value() ? placement.load(id, load->running, load->waiting, load->boot, now)
+                              : placement.load_missed(id, now);
     });
     if (stream == nullptr) {
       loam::pause(context, constants::load_pause, yield);
@@ -86,7 +89,8 @@
           std::string const key = pool.first + " " + wish.id + " " + wish.address;
           std::lock_guard<std::mutex> const guard(watched->lock);
           if (watched->addresses.insert(key).second) {
-            loam::start(context, [&context, &field, watched, key, name = pool.first, id = wish.id, address = wish.address](loam::Yield inner) {
+            loam::start(context, [&context, &field, watched, key, name = pool.first, id = wish.id,
+                                  address = wish.address](loam::Yield inner) {
               watch(context, field, name, id, address, inner);
               std::lock_guard<std::mutex> const done(watched->lock);
               watched->addresses.erase(key);
--- a/source/furrow/worker/contract.cpp
+++ b/source/furrow/worker/contract.cpp
@@ -12,7 +12,8 @@
 namespace http = loam::http;
 using boost::system::error_code;
 
-std::optional<WorkerLoad> ask_load(loam::Stream& stream, boost::beast::flat_buffer& buffer, std::string const& address, loam::Yield yield) {
+std::optional<WorkerLoad> ask_load(loam::Stream& stream, boost::beast::flat_buffer& buffer, std::string const& address,
+                                   loam::Yield yield) {
   error_code error;
   loam::Ask ask{http::verb::get, "/load", 11};
   ask.set(http::field::host, address);
@@ -65,7 +66,9 @@
   return ask;
 }
 
-bool says_not_run(unsigned int status) { return status == 429 || status == 503; }
+bool says_not_run(unsigned int status) {
+  return status == 429 || status == 503;
+}
 
 bool EventReader::feed(std::string_view bytes, std::vector<StreamEvent>& events) {
   pending_.append(bytes);
--- a/source/furrow/worker/contract.hpp
+++ b/source/furrow/worker/contract.hpp
@@ -16,16 +16,17 @@
   double waiting = 0;
   std::string boot;  ///< changes when the worker starts anew; may be empty
 };
-[[nodiscard]] std::optional<WorkerLoad> ask_load(loam::Stream& stream, boost::beast::flat_buffer& buffer, std::string const& address, loam::Yield yield);
+[[nodiscard]] std::optional<WorkerLoad> ask_load(loam::Stream& stream, boost::beast::flat_buffer& buffer,
+                                                 std::string const& address, loam::Yield yield);
 
 enum class Leg { whole, prefill, decode };
 
 struct LegCall {
-  std::string query;        ///< identity of the query, echoed by the worker
+  std::string query;  ///< identity of the query, echoed by the worker
   std::string rule;
   int dispatch = 1;
   Leg leg = Leg::whole;
-  std::string kv;           ///< what the prefill leg gave for the decode leg
+  std::string kv;  ///< what the prefill leg gave for the decode leg
   std::uint64_t last_event = 0;
   loam::http::verb method = loam::http::verb::post;
   std::string target;
@@ -45,10 +46,10 @@
 struct StreamEvent {
   std::uint64_t number = 0;
   bool last = false;
-  std::string query;   ///< the last one names the query once more
+  std::string query;  ///< the last one names the query once more
   std::string text;
   double tokens = 0;
-  std::string raw;     ///< the data line as it came
+  std::string raw;  ///< the data line as it came
 };
 /// Reads events out of the bytes of a stream as they come.
 class EventReader {
--- a/source/gleaner/main.cpp
+++ b/source/gleaner/main.cpp
@@ -33,8 +33,8 @@
   std::uint64_t refused = 0;       ///< 503 or 429: told that nothing ran
   std::uint64_t without_hint = 0;  ///< of these, without Retry-After
   std::uint64_t may_have_run = 0;
-  std::uint64_t broken = 0;        ///< streams that ended with an error event or were cut
-  std::uint64_t unreached = 0;     ///< no answer in any try
+  std::uint64_t broken = 0;     ///< streams that ended with an error event or were cut
+  std::uint64_t unreached = 0;  ///< no answer in any try
   std::uint64_t other = 0;
   std::uint64_t wrong_owner = 0;
   std::uint64_t wrong_number = 0;
@@ -84,10 +84,12 @@
   double first = 0;
 };
 
-Seen talk(boost::asio::io_context& context, Call const& call, std::string const& address, loam::Moment until, loam::Yield yield) {
+Seen talk(boost::asio::io_context& context, Call const& call, std::string const& address, loam::Moment until,
+          loam::Yield yield) {
   Seen seen;
   loam::Moment const began = loam::boot_now();
-  absl::StatusOr<std::unique_ptr<loam::Stream>> const connection = loam::connect(context, address, loam::seconds(2), yield);
+  absl::StatusOr<std::unique_ptr<loam::Stream>> const connection =
+      loam::connect(context, address, loam::seconds(2), yield);
   if (!connection.ok()) {
     return seen;
   }
@@ -214,8 +216,12 @@
   std::stringstream own;
   own << "f" << std::hex << std::hash<std::string>()(run + mix.name) << number;
   add(own.str(), mix.own_tokens);
-  call.fields = {{"Finchlink-Query", call.nonce}, {"Finchlink-Model", "m"}, {"Finchlink-Tokens", std::to_string(tokens) + "," + std::to_string(mix.outputs)}, {"Finchlink-Parts", parts},
-                 {"Finchlink-Standin-Tenant", tenant}, {"Finchlink-Standin-Public", mix.public_part.empty() ? "0" : "1"}};
+  call.fields = {{"Finchlink-Query", call.nonce},
+                 {"Finchlink-Model", "m"},
+                 {"Finchlink-Tokens", std::to_string(tokens) + "," + std::to_string(mix.outputs)},
+                 {"Finchlink-Parts", parts},
+                 {"Finchlink-Standin-Tenant", tenant},
+                 {"Finchlink-Standin-Public", mix.public_part.empty() ? "0" : "1"}};
   if (!mix.tenant_header.empty()) {
     call.fields.emplace_back(mix.tenant_header, tenant);
   }
@@ -225,7 +231,8 @@
   }
 }
 
-void run_call(boost::asio::io_context& context, Book& book, Call const& call, std::string address, std::vector<std::string> const& others, loam::Span deadline, loam::Yield yield) {
+void run_call(boost::asio::io_context& context, Book& book, Call const& call, std::string address,
+              std::vector<std::string> const& others, loam::Span deadline, loam::Yield yield) {
   loam::Moment const began = loam::boot_now();
   Seen seen;
   int redirects = 0;
@@ -278,7 +285,19 @@
   for (std::pair<std::string const, Tally>& entry : book.tallies) {
     Tally& tally = entry.second;
     cJSON* const part = cJSON_AddObjectToObject(object.get(), entry.first.c_str());
-    std::vector<std::pair<char const*, std::uint64_t>> const numbers{{"sent", tally.sent}, {"good", tally.good}, {"refused", tally.refused}, {"refused_without_retry_after", tally.without_hint}, {"may_have_run", tally.may_have_run}, {"unreached", tally.unreached}, {"broken", tally.broken}, {"other", tally.other}, {"wrong_owner", tally.wrong_owner}, {"wrong_number", tally.wrong_number}, {"cut_but_looked_whole", tally.looked_whole}, {"redirects", tally.redirects}};
+    std::vector<std::pair<char const*, std::uint64_t>> const numbers{
+        {"sent", tally.sent},
+        {"good", tally.good},
+        {"refused", tally.refused},
+        {"refused_without_retry_after", tally.without_hint},
+        {"may_have_run", tally.may_have_run},
+        {"unreached", tally.unreached},
+        {"broken", tally.broken},
+        {"other", tally.other},
+        {"wrong_owner", tally.wrong_owner},
+        {"wrong_number", tally.wrong_number},
+        {"cut_but_looked_whole", tally.looked_whole},
+        {"redirects", tally.redirects}};
     for (std::pair<char const*, std::uint64_t> const& number : numbers) {
       cJSON_AddNumberToObject(part, number.first, static_cast<double>(number.second));
     }
@@ -336,20 +355,25 @@
         }
         Call call;
         call.mix = mix;
-        if (harvest.swing_seconds > 0 && loam::boot_now() - start_of_run > static_cast<loam::Span>(harvest.swing_seconds * 1e6)) {
+        if (harvest.swing_seconds > 0 &&
+            loam::boot_now() - start_of_run > static_cast<loam::Span>(harvest.swing_seconds * 1e6)) {
           std::swap(call.mix.outputs, call.mix.own_bytes);
         }
         call.nonce = run + "-" + mix.name + "-" + std::to_string(++number);
         call.home = mix.homes.empty() ? "" : mix.homes[random() % mix.homes.size()];
         std::uint64_t const prefix = mix.prefixes == 0 ? 0 : random() % mix.prefixes;
         if (mix.tenants > 0) {
-          call.body = "{\"nonce\":\"" + call.nonce + "\",\"repeatable\":true,\"outputs\":" + std::to_string(mix.outputs) + "}";
+          call.body =
+              "{\"nonce\":\"" + call.nonce + "\",\"repeatable\":true,\"outputs\":" + std::to_string(mix.outputs) + "}";
           name_tenant(call, run, number - 1, random);
         } else if (mix.method == "GET") {
           call.mix.path += "?nonce=" + call.nonce;
         } else {
-          call.body = "{\"prompt\":\"" + filler(mix_seed * 1000003 + prefix, mix.prefix_bytes) + filler(random(), call.mix.own_bytes) + "\",\"nonce\":\"" + call.nonce +
-                      "\",\"repeatable\":" + (mix.repeatable ? "true" : "false") + ",\"outputs\":" + std::to_string(call.mix.outputs) + (call.home.empty() ? "" : ",\"home\":\"" + call.home + "\"") + "}";
+          call.body = "{\"prompt\":\"" + filler(mix_seed * 1000003 + prefix, mix.prefix_bytes) +
+                      filler(random(), call.mix.own_bytes) + "\",\"nonce\":\"" + call.nonce +
+                      "\",\"repeatable\":" + (mix.repeatable ? "true" : "false") +
+                      ",\"outputs\":" + std::to_string(call.mix.outputs) +
+                      (call.home.empty() ? "" : ",\"home\":\"" + call.home + "\"") + "}";
         }
         std::string const address = harvest.targets[random() % harvest.targets.size()];
         {
@@ -361,7 +385,8 @@
         }
         ++book.open;
         loam::start(context, [&context, &book, &harvest, call, address](loam::Yield inner) {
-          run_call(context, book, call, address, harvest.targets, loam::milliseconds(static_cast<std::int64_t>(harvest.deadline_ms)), inner);
+          run_call(context, book, call, address, harvest.targets,
+                   loam::milliseconds(static_cast<std::int64_t>(harvest.deadline_ms)), inner);
         });
       }
       --mixes_left;
@@ -374,7 +399,8 @@
     std::string ran;
     if (!harvest.ledger.empty()) {
       loam::Ask ask{http::verb::get, "/ledger/ran", 11};
-      absl::StatusOr<loam::Answer> const answer = loam::ask_once(context, harvest.ledger, ask, loam::seconds(10), 1u << 30u, yield);
+      absl::StatusOr<loam::Answer> const answer =
+          loam::ask_once(context, harvest.ledger, ask, loam::seconds(10), 1u << 30u, yield);
       if (!answer.ok()) {
         std::cerr << "gleaner: the ledger can't be read: " << answer.status().message() << "\n";
       } else {
--- a/source/gourd/hollow.cpp
+++ b/source/gourd/hollow.cpp
@@ -4,9 +4,9 @@
 #include <deque>
 #include <iterator>
 
+#include "consensus/ballot/ballot.hpp"
 #include "loam/constants.hpp"
 #include "loam/random/random.hpp"
-#include "consensus/ballot/ballot.hpp"
 
 namespace finchlink::gourd {
 
@@ -55,7 +55,8 @@
   if (gourd_.stir_ms > 0 && now - stirred_ >= loam::milliseconds(static_cast<std::int64_t>(gourd_.stir_ms))) {
     // The first time at a place of its own, so that furrows don't stir as one.
     bool const first = stirred_ == 0;
-    stirred_ = first ? now - loam::milliseconds(static_cast<std::int64_t>(loam::random_number() % gourd_.stir_ms)) : now;
+    stirred_ =
+        first ? now - loam::milliseconds(static_cast<std::int64_t>(loam::random_number() % gourd_.stir_ms)) : now;
     member_.load = first ? member_.load : static_cast<double>((static_cast<std::uint64_t>(member_.load) + 1) % 10);
   }
 }
@@ -107,7 +108,8 @@
     ask.members_digest = gourd_.whole ? 0 : members_.digest();
     ask.reports.assign(reports.begin(), reports.end());
     ++tally_.asks;
-    absl::StatusOr<schema::Message> const answer = caller_.call(trellises[turn], ask, loam::milliseconds(static_cast<std::int64_t>(gourd_.ask_deadline_ms)), yield);
+    absl::StatusOr<schema::Message> const answer = caller_.call(
+        trellises[turn], ask, loam::milliseconds(static_cast<std::int64_t>(gourd_.ask_deadline_ms)), yield);
     schema::NewsAnswer const* const news = answer.ok() ? std::get_if<schema::NewsAnswer>(&*answer) : nullptr;
     if (news != nullptr) {
       while (!reports.empty() && reports.front().slice <= news->reports_taken) {
@@ -122,7 +124,8 @@
         loam::pause(context_, constants::ask_retry, yield);
       }
     } else {
-      loam::Span const left = loam::milliseconds(static_cast<std::int64_t>(gourd_.ask_least_ms)) - (loam::boot_now() - asked);
+      loam::Span const left =
+          loam::milliseconds(static_cast<std::int64_t>(gourd_.ask_least_ms)) - (loam::boot_now() - asked);
       if (left > 0) {
         loam::pause(context_, left, yield);
       }
--- a/source/gourd/hollow.hpp
+++ b/source/gourd/hollow.hpp
@@ -4,9 +4,9 @@
 #include <string>
 #include <vector>
 
+#include "loam/net/net.hpp"
 #include "membership/copy/copy.hpp"
 #include "membership/freshness/freshness_lease.hpp"
-#include "loam/net/net.hpp"
 #include "schema/standin.hpp"
 #include "schema/wire.hpp"
 
--- a/source/gourd/main.cpp
+++ b/source/gourd/main.cpp
@@ -16,8 +16,8 @@
 using namespace finchlink;
 
 void print(gourd::Tally const& tally, std::uint64_t furrows) {
-  std::cout << "{\"furrows\": " << furrows << ", \"asks\": " << tally.asks << ", \"unanswered\": " << tally.unanswered << ", \"unvouched\": " << tally.unvouched
-            << ", \"lapses\": " << tally.lapses << ", \"adopted\": {";
+  std::cout << "{\"furrows\": " << furrows << ", \"asks\": " << tally.asks << ", \"unanswered\": " << tally.unanswered
+            << ", \"unvouched\": " << tally.unvouched << ", \"lapses\": " << tally.lapses << ", \"adopted\": {";
   char const* separator = "";
   for (std::pair<std::uint64_t const, std::vector<loam::Moment>> const& revision : tally.adopted) {
     std::cout << separator << "\"" << revision.first << "\": [";
--- a/source/lease/lease_holder.cpp
+++ b/source/lease/lease_holder.cpp
@@ -20,13 +20,15 @@
   }
   // An ask that got no majority is first given back, so that two tenants that
   // split the holders don't block each other for a whole span.
-  releasing_ = !releasing_ && !held_ && round_ > 0 && !granted_.empty() && granted_.size() < consensus::majority(set_.holders.size());
+  releasing_ = !releasing_ && !held_ && round_ > 0 && !granted_.empty() &&
+               granted_.size() < consensus::majority(set_.holders.size());
   set_ = set;
   asked_ = now;
   ++round_;
   granted_.clear();
   for (schema::Voter const& holder : set_.holders) {
-    actions.emplace_back(SendAsk{holder, schema::LeaseAsk{set_.epoch, name_, identity_, constants::lease_span, releasing_, round_}});
+    actions.emplace_back(
+        SendAsk{holder, schema::LeaseAsk{set_.epoch, name_, identity_, constants::lease_span, releasing_, round_}});
   }
   return actions;
 }
@@ -41,7 +43,7 @@
     return actions;
   }
   loam::Moment const until = guards_.tenant_stops_early ? asked_ + constants::lease_span - constants::lease_reserve
-                                                         : now + constants::lease_span;
+                                                        : now + constants::lease_span;
   if (until > until_ && now < until) {
     until_ = until;
     if (!held_) {
--- a/source/loam/constants.hpp
+++ b/source/loam/constants.hpp
@@ -158,7 +158,7 @@
 
 // --- frames (section 3) ---
 inline constexpr std::size_t frame_limit = 8u << 20u;
-inline constexpr std::uint32_t frame_mark = 0x46434c31;  // "FCL1"
+inline constexpr std::uint32_t frame_mark = 0x46434c31;             // "FCL1"
 inline constexpr std::uint32_t frame_mark_compressed = 0x46434c32;  // "FCL2"
 /// Frames of at least this many bytes are compressed: charters and lists travel
 /// to every furrow, over links of 10 Mbit/s, and shrink to a fifth and less.
--- a/source/loam/delta/delta.cpp
+++ b/source/loam/delta/delta.cpp
@@ -4,9 +4,13 @@
 
 namespace {
 /// What one entry adds to the digest; the length keeps name and bytes apart.
-std::uint64_t part_of(std::string const& name, std::string const& bytes) { return fingerprint(std::to_string(name.size()) + " " + name + bytes); }
+std::uint64_t part_of(std::string const& name, std::string const& bytes) {
+  return fingerprint(std::to_string(name.size()) + " " + name + bytes);
+}
 /// Sums wrap around, so a digest may be 0 by chance, which stands for nothing.
-std::uint64_t never_zero(std::uint64_t sum) { return sum == 0 ? 1 : sum; }
+std::uint64_t never_zero(std::uint64_t sum) {
+  return sum == 0 ? 1 : sum;
+}
 }  // namespace
 
 std::uint64_t fingerprint(std::string_view bytes) {
@@ -57,7 +61,9 @@
     states_.pop_front();
   }
   // Nobody can ask from before the oldest state that is known.
-  std::erase_if(removed_, [this](std::pair<std::string const, std::uint64_t> const& entry) { return entry.second <= states_.front().first; });
+  std::erase_if(removed_, [this](std::pair<std::string const, std::uint64_t> const& entry) {
+    return entry.second <= states_.front().first;
+  });
 }
 
 bool DeltaSource::take(std::map<std::string, std::string> const& state) {
@@ -106,7 +112,8 @@
   delta.whole = true;
   std::uint64_t from = 0;
   // The newest state of that digest: from there the least has changed.
-  for (std::deque<std::pair<std::uint64_t, std::uint64_t>>::const_reverse_iterator state = states_.rbegin(); state != states_.rend(); ++state) {
+  for (std::deque<std::pair<std::uint64_t, std::uint64_t>>::const_reverse_iterator state = states_.rbegin();
+       state != states_.rend(); ++state) {
     if (state->second == digest) {
       delta.whole = false;
       from = state->first;
--- a/source/loam/delta/delta.hpp
+++ b/source/loam/delta/delta.hpp
@@ -63,7 +63,7 @@
   std::map<std::string, std::uint64_t> removed_;  ///< name to the count at which it went
   std::uint64_t count_ = 0;
   std::uint64_t sum_ = 1;
-  std::uint64_t digest_ = 1;  ///< of no entries; never zero
+  std::uint64_t digest_ = 1;                                    ///< of no entries; never zero
   std::deque<std::pair<std::uint64_t, std::uint64_t>> states_;  ///< count and digest, oldest first
 };
 
--- a/source/loam/digest/digest.hpp
+++ b/source/loam/digest/digest.hpp
@@ -33,8 +33,8 @@
 
  private:
   void step(unsigned char letter) {
-    first_ = (first_ ^ letter) * 0x100000001b3ULL;                          // FNV-1a
-    second_ = (second_ + letter + 1) * 0x9e3779b97f4a7c15ULL;               // multiples of the golden ratio
+    first_ = (first_ ^ letter) * 0x100000001b3ULL;             // FNV-1a
+    second_ = (second_ + letter + 1) * 0x9e3779b97f4a7c15ULL;  // multiples of the golden ratio
     second_ ^= second_ >> 29u;
   }
   static std::string hex(std::uint64_t value) {
--- a/source/loam/http/http.cpp
+++ b/source/loam/http/http.cpp
@@ -45,8 +45,8 @@
 }
 }  // namespace
 
-absl::Status serve_asks(boost::asio::io_context& context, std::string const& address, std::size_t most, std::size_t body_limit,
-                        AskHandler handler) {
+absl::Status serve_asks(boost::asio::io_context& context, std::string const& address, std::size_t most,
+                        std::size_t body_limit, AskHandler handler) {
   return listen(context, address, most, [handler, body_limit](Stream& stream, Yield yield) {
     boost::beast::flat_buffer buffer;
     bool again = true;
@@ -57,8 +57,9 @@
       parser.body_limit(body_limit);
       stream.expires_after(duration(constants::caller_idle));
       http::async_read(stream, buffer, parser, yield[error]);
-      if (error == http::error::end_of_stream || error == boost::beast::error::timeout || (error &&
-          error.category() == boost::asio::error::get_system_category()) || error == boost::asio::error::eof) {
+      if (error == http::error::end_of_stream || error == boost::beast::error::timeout ||
+          (error && error.category() == boost::asio::error::get_system_category()) ||
+          error == boost::asio::error::eof) {
         return;
       }
       Answer answer;
@@ -67,7 +68,8 @@
       if (error == http::error::body_limit) {
         answer = answer_error(http::status::payload_too_large, "too_large", "the body is larger than allowed");
       } else if (error == http::error::header_limit) {
-        answer = answer_error(http::status::request_header_fields_too_large, "too_large", "the header is larger than allowed");
+        answer = answer_error(http::status::request_header_fields_too_large, "too_large",
+                              "the header is larger than allowed");
       } else if (error) {
         answer = answer_error(http::status::bad_request, "malformed", error.message());
       } else {
@@ -92,7 +94,8 @@
   });
 }
 
-absl::StatusOr<Answer> ask_once(boost::asio::io_context& context, std::string const& address, Ask ask, Span deadline, std::size_t limit, Yield yield) {
+absl::StatusOr<Answer> ask_once(boost::asio::io_context& context, std::string const& address, Ask ask, Span deadline,
+                                std::size_t limit, Yield yield) {
   Moment const until = boot_now() + deadline;
   absl::StatusOr<std::unique_ptr<Stream>> const stream = connect(context, address, deadline, yield);
   if (!stream.ok()) {
--- a/source/loam/http/http.hpp
+++ b/source/loam/http/http.hpp
@@ -27,6 +27,7 @@
                                       std::size_t body_limit, AskHandler handler);
 
 /// One ask on a connection of its own.
-[[nodiscard]] absl::StatusOr<Answer> ask_once(boost::asio::io_context& context, std::string const& address, Ask ask, Span deadline, std::size_t limit, Yield yield);
+[[nodiscard]] absl::StatusOr<Answer> ask_once(boost::asio::io_context& context, std::string const& address, Ask ask,
+                                              Span deadline, std::size_t limit, Yield yield);
 
 }  // namespace finchlink::loam
--- a/source/loam/json/tree.cpp
+++ b/source/loam/json/tree.cpp
@@ -54,7 +54,8 @@
     while (node->child != nullptr) {
       members.push_back(cJSON_DetachItemViaPointer(node, node->child));
     }
-    std::sort(members.begin(), members.end(), [](cJSON const* left, cJSON const* right) { return std::string_view(left->string) < right->string; });
+    std::sort(members.begin(), members.end(),
+              [](cJSON const* left, cJSON const* right) { return std::string_view(left->string) < right->string; });
     for (cJSON* const member : members) {
       std::string const name = member->string;
       cJSON_AddItemToObject(node, name.c_str(), member);
--- a/source/loam/log/log.cpp
+++ b/source/loam/log/log.cpp
@@ -20,10 +20,14 @@
 
 trivial::severity_level severity(Level level) {
   switch (level) {
-    case Level::debug: return trivial::debug;
-    case Level::info: return trivial::info;
-    case Level::warning: return trivial::warning;
-    case Level::error: return trivial::error;
+    case Level::debug:
+      return trivial::debug;
+    case Level::info:
+      return trivial::info;
+    case Level::warning:
+      return trivial::warning;
+    case Level::error:
+      return trivial::error;
   }
   return trivial::info;
 }
--- a/source/loam/net/net.cpp
+++ b/source/loam/net/net.cpp
@@ -1,12 +1,12 @@
 #include "loam/net/net.hpp"
 
+#include <netinet/in.h>
 #include <atomic>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <charconv>
 #include <deque>
-#include <netinet/in.h>
 #include <optional>
 
 #include "loam/constants.hpp"
@@ -72,7 +72,9 @@
   return error;
 }
 
-std::chrono::microseconds duration(Span span) { return std::chrono::microseconds(span); }
+std::chrono::microseconds duration(Span span) {
+  return std::chrono::microseconds(span);
+}
 
 void start(asio::io_context& context, std::function<void(Yield)> body) {
   asio::spawn(asio::make_strand(context), std::move(body), [](std::exception_ptr error) {
@@ -95,7 +97,8 @@
     return endpoint.status();
   }
   *endpoint = own_endpoint(*endpoint);
-  std::shared_ptr<asio::ip::tcp::acceptor> const acceptor = std::make_shared<asio::ip::tcp::acceptor>(asio::make_strand(context));
+  std::shared_ptr<asio::ip::tcp::acceptor> const acceptor =
+      std::make_shared<asio::ip::tcp::acceptor>(asio::make_strand(context));
   error_code error;
   acceptor->open(endpoint->protocol(), error);
   if (!error) {
@@ -152,13 +155,14 @@
   return absl::OkStatus();
 }
 
-absl::StatusOr<std::unique_ptr<Stream>> connect(asio::io_context& context, std::string const& address, Span deadline, Yield yield,
-                                                bool own_strand) {
+absl::StatusOr<std::unique_ptr<Stream>> connect(asio::io_context& context, std::string const& address, Span deadline,
+                                                Yield yield, bool own_strand) {
   absl::StatusOr<Endpoint> const endpoint = read_endpoint(address);
   if (!endpoint.ok()) {
     return endpoint.status();
   }
-  std::unique_ptr<Stream> stream = std::make_unique<Stream>(own_strand ? boost::asio::any_io_executor(asio::make_strand(context)) : yield.get_executor());
+  std::unique_ptr<Stream> stream = std::make_unique<Stream>(
+      own_strand ? boost::asio::any_io_executor(asio::make_strand(context)) : yield.get_executor());
   error_code error = open_own(stream->socket(), *endpoint);
   if (error) {
     return defect(absl::StatusCode::kUnavailable, "net", own_ip->to_string() + ": " + error.message());
@@ -200,7 +204,8 @@
   return answer;
 }
 
-absl::StatusOr<schema::Message> Caller::on_own_strand(Stream& stream, std::string const& bytes, Span deadline, Yield yield) {
+absl::StatusOr<schema::Message> Caller::on_own_strand(Stream& stream, std::string const& bytes, Span deadline,
+                                                      Yield yield) {
   // A kept connection belongs to the strand it was made on, with its timers.
   struct Result {
     explicit Result(asio::any_io_executor const& executor) : timer(executor) {}
@@ -227,7 +232,8 @@
   return std::move(result->answer);
 }
 
-absl::StatusOr<schema::Message> Caller::call(std::string const& address, schema::Message const& message, Span deadline, Yield yield) {
+absl::StatusOr<schema::Message> Caller::call(std::string const& address, schema::Message const& message, Span deadline,
+                                             Yield yield) {
   std::string const bytes = frame(message);
   Moment const until = boot_now() + deadline;
   count_sent(message.index(), bytes.size());
@@ -325,7 +331,8 @@
 }
 
 void Bell::wait(std::uint64_t seen, Span span, Yield yield) {
-  std::shared_ptr<asio::steady_timer> const timer = std::make_shared<asio::steady_timer>(yield.get_executor(), duration(span));
+  std::shared_ptr<asio::steady_timer> const timer =
+      std::make_shared<asio::steady_timer>(yield.get_executor(), duration(span));
   {
     std::lock_guard<std::mutex> const guard(lock_);
     if (count_ != seen) {
@@ -354,12 +361,14 @@
 };
 }  // namespace
 
-void Gather::run(asio::io_context& context, Caller& caller, std::vector<std::pair<std::string, schema::Message>> const& calls,
-                 Span deadline, Handler const& handler, Yield yield, Span again) {
+void Gather::run(asio::io_context& context, Caller& caller,
+                 std::vector<std::pair<std::string, schema::Message>> const& calls, Span deadline,
+                 Handler const& handler, Yield yield, Span again) {
   std::shared_ptr<Inbox> const inbox = std::make_shared<Inbox>(yield.get_executor());
   Moment const until = boot_now() + deadline;
   asio::any_io_executor const executor = yield.get_executor();
-  std::function<void(std::size_t, Span)> const make = [&context, &caller, &calls, inbox, executor](std::size_t index, Span patience) {
+  std::function<void(std::size_t, Span)> const make = [&context, &caller, &calls, inbox, executor](std::size_t index,
+                                                                                                   Span patience) {
     start(context, [&caller, inbox, index, call = calls[index], patience, executor](Yield inner) {
       absl::StatusOr<schema::Message> answer = caller.call(call.first, call.second, patience, inner);
       {
--- a/source/loam/net/net.hpp
+++ b/source/loam/net/net.hpp
@@ -42,19 +42,23 @@
                                   std::function<void(Stream&, Yield)> session);
 
 /// A connection to a colleague or back end.
-[[nodiscard]] absl::StatusOr<std::unique_ptr<Stream>> connect(boost::asio::io_context& context, std::string const& address,
-                                                              Span deadline, Yield yield, bool own_strand = false);
+[[nodiscard]] absl::StatusOr<std::unique_ptr<Stream>> connect(boost::asio::io_context& context,
+                                                              std::string const& address, Span deadline, Yield yield,
+                                                              bool own_strand = false);
 
 /// Calls to our own processes over kept connections (section 3.2). One call
 /// at a time uses a connection; a defect closes it.
 class Caller {
  public:
   explicit Caller(boost::asio::io_context& context) : context_(context) {}
-  [[nodiscard]] absl::StatusOr<schema::Message> call(std::string const& address, schema::Message const& message, Span deadline, Yield yield);
+  [[nodiscard]] absl::StatusOr<schema::Message> call(std::string const& address, schema::Message const& message,
+                                                     Span deadline, Yield yield);
 
  private:
-  [[nodiscard]] absl::StatusOr<schema::Message> exchange(Stream& stream, std::string const& bytes, Span deadline, Yield yield);
-  [[nodiscard]] absl::StatusOr<schema::Message> on_own_strand(Stream& stream, std::string const& bytes, Span deadline, Yield yield);
+  [[nodiscard]] absl::StatusOr<schema::Message> exchange(Stream& stream, std::string const& bytes, Span deadline,
+                                                         Yield yield);
+  [[nodiscard]] absl::StatusOr<schema::Message> on_own_strand(Stream& stream, std::string const& bytes, Span deadline,
+                                                              Yield yield);
   boost::asio::io_context& context_;
   std::mutex lock_;
   std::map<std::string, std::vector<std::unique_ptr<Stream>>> idle_;
@@ -62,7 +66,8 @@
 
 /// Answers frames; `answer` gives nothing when this side stays silent.
 using FrameAnswer = std::function<std::optional<schema::Message>(schema::Message const&, Yield)>;
-[[nodiscard]] absl::Status serve_frames(boost::asio::io_context& context, std::string const& address, std::size_t most, FrameAnswer answer);
+[[nodiscard]] absl::Status serve_frames(boost::asio::io_context& context, std::string const& address, std::size_t most,
+                                        FrameAnswer answer);
 
 /// Wakes all who wait; each waits in its own coroutine (section 3.3).
 class Bell {
@@ -87,8 +92,8 @@
  public:
   using Handler = std::function<bool(std::size_t index, absl::StatusOr<schema::Message> const& answer)>;
   static void run(boost::asio::io_context& context, Caller& caller,
-                  std::vector<std::pair<std::string, schema::Message>> const& calls, Span deadline, Handler const& handler, Yield yield,
-                  Span again = 0);
+                  std::vector<std::pair<std::string, schema::Message>> const& calls, Span deadline,
+                  Handler const& handler, Yield yield, Span again = 0);
 };
 
 }  // namespace finchlink::loam
--- a/source/loam/net/traffic.cpp
+++ b/source/loam/net/traffic.cpp
@@ -39,8 +39,12 @@
 }
 }  // namespace
 
-void count_sent(std::size_t kind, std::size_t bytes) { count(sent, kind, bytes); }
-void count_received(std::size_t kind, std::size_t bytes) { count(received, kind, bytes); }
+void count_sent(std::size_t kind, std::size_t bytes) {
+  count(sent, kind, bytes);
+}
+void count_received(std::size_t kind, std::size_t bytes) {
+  count(received, kind, bytes);
+}
 
 std::string describe_traffic() {
   std::string text = "{";
@@ -50,8 +54,8 @@
     }
     text += text.size() > 1 ? ", \"" : "\"";
     text += schema::message_kinds[kind];
-    text += "\": [" + std::to_string(sent[kind].frames) + ", " + std::to_string(sent[kind].bytes) + ", " + std::to_string(received[kind].frames) + ", " +
-            std::to_string(received[kind].bytes) + "]";
+    text += "\": [" + std::to_string(sent[kind].frames) + ", " + std::to_string(sent[kind].bytes) + ", " +
+            std::to_string(received[kind].frames) + ", " + std::to_string(received[kind].bytes) + "]";
   }
   return text + "}";
 }
--- a/source/loam/process/followed.hpp
+++ b/source/loam/process/followed.hpp
@@ -21,7 +21,8 @@
   using Reader = std::function<absl::StatusOr<schema::Settings>(std::string const& path)>;
   using Changed = std::function<void(schema::Settings const&)>;
 
-  Followed(std::string path, Reader reader, Changed changed) : path_(std::move(path)), reader_(std::move(reader)), changed_(std::move(changed)) {}
+  Followed(std::string path, Reader reader, Changed changed)
+      : path_(std::move(path)), reader_(std::move(reader)), changed_(std::move(changed)) {}
   /// The first reading; options that the file does not tell are `given`'s.
   [[nodiscard]] absl::Status begin(schema::Settings const& given);
   /// Reads the file; what is new and good is in force from here on.
--- a/source/loam/process/process.cpp
+++ b/source/loam/process/process.cpp
@@ -19,7 +19,8 @@
   std::uint64_t const round = static_cast<std::uint64_t>(constants::wide_round / 1000);
   // A furrow whose trellis went as it asked: the ask fails, the next one is
   // confirmed by a trellis that has read the change by then.
-  std::uint64_t const news = bounds.ask_deadline_ms + static_cast<std::uint64_t>(constants::ask_retry / 1000) + bounds.confirm_pause_ms + round;
+  std::uint64_t const news = bounds.ask_deadline_ms + static_cast<std::uint64_t>(constants::ask_retry / 1000) +
+                             bounds.confirm_pause_ms + round;
   std::uint64_t const listed = 2 * bounds.list_pause_ms + bounds.tell_pause_ms + round + bounds.ask_hold_ms;
   struct Sum {
     char const* what;
@@ -37,8 +38,9 @@
   };
   for (Sum const& entry : sums) {
     if (entry.sum > entry.bound) {
-      return defect(absl::StatusCode::kInvalidArgument, "bounds",
-                    std::string(entry.what) + ": " + std::to_string(entry.sum) + " ms of " + std::to_string(entry.bound) + " ms");
+      return defect(
+          absl::StatusCode::kInvalidArgument, "bounds",
+          std::string(entry.what) + ": " + std::to_string(entry.sum) + " ms of " + std::to_string(entry.bound) + " ms");
     }
   }
   return absl::OkStatus();
@@ -46,7 +48,8 @@
 
 int run_daemon(Daemon const& daemon, int count, char const* const* values) {
   std::optional<std::string> const path = daemon.settings_path ? daemon.settings_path() : std::nullopt;
-  absl::StatusOr<Invocation> invocation = read_invocation(count, values, daemon.program, path.has_value() ? std::vector<std::string>() : daemon.needed);
+  absl::StatusOr<Invocation> invocation =
+      read_invocation(count, values, daemon.program, path.has_value() ? std::vector<std::string>() : daemon.needed);
   if (!invocation.ok()) {
     std::cerr << daemon.program << ": " << invocation.status().message() << "\n";
     return exit_usage;
@@ -104,7 +107,11 @@
   note(Event::ProcessStarted, "http " + settings.http_address + " colleagues " + settings.colleague_address);
   note_traffic_on_signal(context);
   boost::asio::signal_set signals(context, SIGTERM, SIGINT);
-  Span const drain_span = path.has_value() ? std::max<Span>(milliseconds(static_cast<std::int64_t>(settings.bounds.grace_ms)) - constants::drain_reserve, 0) : constants::drain_span;
+  Span const drain_span =
+      path.has_value()
+          ? std::max<Span>(milliseconds(static_cast<std::int64_t>(settings.bounds.grace_ms)) - constants::drain_reserve,
+                           0)
+          : constants::drain_span;
   signals.async_wait([&context, &daemon, drain_span](boost::system::error_code const& error, int) {
     if (error) {
       return;
--- a/source/loam/settings/settings.cpp
+++ b/source/loam/settings/settings.cpp
@@ -82,7 +82,8 @@
   visible.add_options()("help", "this text")("version", "the version")("check", "check the settings, then stop")(
       "events", "print the catalogue of log events")("settings", options::value<std::string>(), "settings file (JSON)");
   for (schema::Flag const& flag : schema::flags) {
-    visible.add_options()(hyphened(flag.name).c_str(), options::value<std::vector<std::string>>()->composing(), flag.about);
+    visible.add_options()(hyphened(flag.name).c_str(), options::value<std::vector<std::string>>()->composing(),
+                          flag.about);
   }
   options::options_description hidden;
   hidden.add_options()("words", options::value<std::vector<std::string>>());
--- a/source/loam/settings/settings.hpp
+++ b/source/loam/settings/settings.hpp
@@ -30,7 +30,8 @@
 
 /// Settings from file, then environment (FINCHLINK_NAME …), then flags; each
 /// later one wins. All faults come at once, with their place.
-[[nodiscard]] absl::StatusOr<Invocation> read_invocation(int count, char const* const* values, std::string const& program,
+[[nodiscard]] absl::StatusOr<Invocation> read_invocation(int count, char const* const* values,
+                                                         std::string const& program,
                                                          std::vector<std::string> const& needed);
 
 /// Options of the command line that another's settings file doesn't tell of
--- a/source/loam/time/moment.hpp
+++ b/source/loam/time/moment.hpp
@@ -10,8 +10,12 @@
 using Moment = std::int64_t;
 using Span = std::int64_t;
 
-[[nodiscard]] constexpr Span milliseconds(std::int64_t count) { return count * 1000; }
-[[nodiscard]] constexpr Span seconds(std::int64_t count) { return count * 1000000; }
+[[nodiscard]] constexpr Span milliseconds(std::int64_t count) {
+  return count * 1000;
+}
+[[nodiscard]] constexpr Span seconds(std::int64_t count) {
+  return count * 1000000;
+}
 
 [[nodiscard]] inline Moment boot_now() {
   timespec reading{};
--- a/source/loam/wire/frame.cpp
+++ b/source/loam/wire/frame.cpp
@@ -28,7 +28,8 @@
   uLongf size = compressBound(payload.size());
   std::string bytes(sizeof(length) + size, '\0');
   std::memcpy(bytes.data(), &length, sizeof(length));
-  int const done = compress2(reinterpret_cast<Bytef*>(bytes.data() + sizeof(length)), &size, reinterpret_cast<Bytef const*>(payload.data()), payload.size(), Z_BEST_SPEED);
+  int const done = compress2(reinterpret_cast<Bytef*>(bytes.data() + sizeof(length)), &size,
+                             reinterpret_cast<Bytef const*>(payload.data()), payload.size(), Z_BEST_SPEED);
   if (done != Z_OK || sizeof(length) + size >= payload.size()) {
     return "";
   }
@@ -43,7 +44,9 @@
   }
   std::string payload(length, '\0');
   uLongf size = length;
-  int const done = uncompress(reinterpret_cast<Bytef*>(payload.data()), &size, reinterpret_cast<Bytef const*>(bytes.data() + sizeof(length)), bytes.size() - sizeof(length));
+  int const done =
+      uncompress(reinterpret_cast<Bytef*>(payload.data()), &size,
+                 reinterpret_cast<Bytef const*>(bytes.data() + sizeof(length)), bytes.size() - sizeof(length));
   if (done != Z_OK || size != length) {
     return defect(absl::StatusCode::kDataLoss, "frame", "what is compressed can't be expanded");
   }
@@ -67,7 +70,8 @@
 }
 
 absl::StatusOr<std::size_t> frame_length(std::string_view header) {
-  if (header.size() != frame_header || (word(header, 0) != constants::frame_mark && word(header, 0) != constants::frame_mark_compressed)) {
+  if (header.size() != frame_header ||
+      (word(header, 0) != constants::frame_mark && word(header, 0) != constants::frame_mark_compressed)) {
     return defect(absl::StatusCode::kDataLoss, "frame", "the mark is wrong");
   }
   std::size_t const length = word(header, 4);
--- a/source/loam/wire/pack.hpp
+++ b/source/loam/wire/pack.hpp
@@ -24,7 +24,8 @@
 /// bytes that are left, so that a broken frame can't ask for memory.
 class PackWriter : public cereal::OutputArchive<PackWriter, cereal::AllowEmptyClassElision> {
  public:
-  explicit PackWriter(std::string& target) : cereal::OutputArchive<PackWriter, cereal::AllowEmptyClassElision>(this), target_(target) {}
+  explicit PackWriter(std::string& target)
+      : cereal::OutputArchive<PackWriter, cereal::AllowEmptyClassElision>(this), target_(target) {}
   void put(void const* data, std::size_t size) { target_.append(static_cast<char const*>(data), size); }
 
  private:
@@ -33,7 +34,8 @@
 
 class PackReader : public cereal::InputArchive<PackReader, cereal::AllowEmptyClassElision> {
  public:
-  explicit PackReader(std::string_view source) : cereal::InputArchive<PackReader, cereal::AllowEmptyClassElision>(this), source_(source) {}
+  explicit PackReader(std::string_view source)
+      : cereal::InputArchive<PackReader, cereal::AllowEmptyClassElision>(this), source_(source) {}
   void take(void* data, std::size_t size) {
     if (size > source_.size()) {
       throw std::out_of_range("the frame ends too early");
@@ -48,12 +50,12 @@
 };
 
 template <class Number>
-  requires std::is_arithmetic_v<Number>
+requires std::is_arithmetic_v<Number>
 inline void CEREAL_SAVE_FUNCTION_NAME(PackWriter& archive, Number const& number) {
   archive.put(&number, sizeof(number));
 }
 template <class Number>
-  requires std::is_arithmetic_v<Number>
+requires std::is_arithmetic_v<Number>
 inline void CEREAL_LOAD_FUNCTION_NAME(PackReader& archive, Number& number) {
   if constexpr (std::is_same_v<Number, bool>) {
     std::uint8_t byte = 0;
@@ -116,6 +118,4 @@
 
 }  // namespace finchlink::loam
 
-
-
 CEREAL_SETUP_ARCHIVE_TRAITS(finchlink::loam::PackReader, finchlink::loam::PackWriter)
--- a/source/membership/copy/copy.cpp
+++ b/source/membership/copy/copy.cpp
@@ -4,8 +4,12 @@
 
 namespace finchlink::membership {
 
-ListNews list_news(schema::NewsAnswer const& answer) { return ListNews{answer.list_same, answer.list_from, answer.list, answer.list_gone, answer.list_digest}; }
-ListNews list_news(schema::Told const& told) { return ListNews{told.list_same, told.list_from, told.list, told.list_gone, told.list_digest}; }
+ListNews list_news(schema::NewsAnswer const& answer) {
+  return ListNews{answer.list_same, answer.list_from, answer.list, answer.list_gone, answer.list_digest};
+}
+ListNews list_news(schema::Told const& told) {
+  return ListNews{told.list_same, told.list_from, told.list, told.list_gone, told.list_digest};
+}
 
 bool ListCopy::take(ListNews const& news, loam::Span age, loam::Moment asked) {
   loam::Moment const as_of = asked - age;
--- a/source/membership/copy/copy.hpp
+++ b/source/membership/copy/copy.hpp
@@ -3,9 +3,9 @@
 #include <string>
 #include <vector>
 
+#include "loam/time/moment.hpp"
 #include "membership/listing/listing.hpp"
 #include "membership/session/sessions.hpp"
-#include "loam/time/moment.hpp"
 #include "schema/wire.hpp"
 
 namespace finchlink::membership {
--- a/source/membership/freshness/freshness_lease.cpp
+++ b/source/membership/freshness/freshness_lease.cpp
@@ -4,7 +4,8 @@
 
 namespace finchlink::membership {
 
-std::vector<schema::NamedValue> FreshnessLease::take(schema::NewsAnswer const& answer, loam::Moment asked, loam::Moment now) {
+std::vector<schema::NamedValue> FreshnessLease::take(schema::NewsAnswer const& answer, loam::Moment asked,
+                                                     loam::Moment now) {
   std::vector<schema::NamedValue> adopted;
   for (schema::NamedValue const& news : answer.news) {
     std::uint64_t& held = held_[news.name];
@@ -23,8 +24,12 @@
   return adopted;
 }
 
-bool FreshnessLease::vouched(loam::Moment now) const { return now < vouched_until_ || (!guards_.stop_unvouched && vouched_until_ > 0); }
+bool FreshnessLease::vouched(loam::Moment now) const {
+  return now < vouched_until_ || (!guards_.stop_unvouched && vouched_until_ > 0);
+}
 
-bool FreshnessLease::list_fresh(loam::Moment now) const { return list_as_of_ > 0 && now - list_as_of_ < bounds_.list; }
+bool FreshnessLease::list_fresh(loam::Moment now) const {
+  return list_as_of_ > 0 && now - list_as_of_ < bounds_.list;
+}
 
 }  // namespace finchlink::membership
--- a/source/membership/freshness/freshness_lease.hpp
+++ b/source/membership/freshness/freshness_lease.hpp
@@ -12,9 +12,9 @@
 
 /// Rules that tests switch off to show that they are needed (docs/proofs.md).
 struct FreshnessGuards {
-  bool never_back = true;       ///< no older revision is adopted
-  bool count_from_ask = true;   ///< the vouch counts from when the ask was sent
-  bool stop_unvouched = true;   ///< without a vouch no new queries
+  bool never_back = true;      ///< no older revision is adopted
+  bool count_from_ask = true;  ///< the vouch counts from when the ask was sent
+  bool stop_unvouched = true;  ///< without a vouch no new queries
 };
 
 /// How long a vouch lasts, and how old a platform list may be.
@@ -27,9 +27,11 @@
 /// may take queries, how old its platform list is. Plain state.
 class FreshnessLease {
  public:
-  explicit FreshnessLease(FreshnessGuards guards = {}, FreshnessBounds bounds = {}) : guards_(guards), bounds_(bounds) {}
+  explicit FreshnessLease(FreshnessGuards guards = {}, FreshnessBounds bounds = {})
+      : guards_(guards), bounds_(bounds) {}
   /// Takes an answer to an ask sent at `asked`; gives what is newly in force.
-  [[nodiscard]] std::vector<schema::NamedValue> take(schema::NewsAnswer const& answer, loam::Moment asked, loam::Moment now);
+  [[nodiscard]] std::vector<schema::NamedValue> take(schema::NewsAnswer const& answer, loam::Moment asked,
+                                                     loam::Moment now);
   [[nodiscard]] bool vouched(loam::Moment now) const;
   [[nodiscard]] bool list_fresh(loam::Moment now) const;
   /// True when the answer's list was asked for later than the one held.
--- a/source/membership/listing/listing.cpp
+++ b/source/membership/listing/listing.cpp
@@ -3,9 +3,9 @@
 #include <algorithm>
 #include <set>
 
-#include "membership/copy/lead_on.hpp"
 #include "loam/constants.hpp"
 #include "loam/digest/digest.hpp"
+#include "membership/copy/lead_on.hpp"
 
 namespace finchlink::membership {
 
@@ -18,7 +18,12 @@
   }
   for (schema::WorkerEntry const& worker : list.workers) {
     loam::Digest digest;
-    digest.add(worker.address).add(worker.zone).add(worker.kind).add(worker.service).add(worker.capacity).add(worker.phase);
+    digest.add(worker.address)
+        .add(worker.zone)
+        .add(worker.kind)
+        .add(worker.service)
+        .add(worker.capacity)
+        .add(worker.phase);
     digest.add((worker.draining ? 1u : 0u) + (worker.cold_ms > 0 ? 2u : 0u) + (worker.left_ms > 0 ? 4u : 0u));
     for (std::pair<std::string const, std::string> const& label : worker.labels) {
       digest.add(label.first).add(label.second);
@@ -29,7 +34,9 @@
 }
 }  // namespace
 
-std::uint64_t digest_of(schema::PlatformList const& list) { return loam::digest_of(counted(list)); }
+std::uint64_t digest_of(schema::PlatformList const& list) {
+  return loam::digest_of(counted(list));
+}
 
 bool Listing::keep(schema::PlatformList const& list, loam::Moment as_of, loam::Moment now) {
   if (as_of <= as_of_) {
@@ -45,7 +52,9 @@
   astray_ = false;
   list_ = list;
   // In one order everywhere, however the list was learnt.
-  std::stable_sort(list_.workers.begin(), list_.workers.end(), [](schema::WorkerEntry const& left, schema::WorkerEntry const& right) { return left.id < right.id; });
+  std::stable_sort(
+      list_.workers.begin(), list_.workers.end(),
+      [](schema::WorkerEntry const& left, schema::WorkerEntry const& right) { return left.id < right.id; });
   (void)source_.take(counted(list_));
   as_of_ = as_of;
   return true;
--- a/source/membership/listing/listing.hpp
+++ b/source/membership/listing/listing.hpp
@@ -31,7 +31,8 @@
 
 /// The list that news lead to from one held that is older by what passed;
 /// nothing when they don't lead to the one they name.
-[[nodiscard]] std::optional<schema::PlatformList> led_on(schema::PlatformList const& held, loam::Span passed, ListNews const& news);
+[[nodiscard]] std::optional<schema::PlatformList> led_on(schema::PlatformList const& held, loam::Span passed,
+                                                         ListNews const& news);
 
 /// The platform list as a trellis keeps it (section 6.3): later asked wins, a
 /// counted list does not go back for a moment (a lagging replica), but does
--- a/source/membership/reconfiguration/reconfiguration.cpp
+++ b/source/membership/reconfiguration/reconfiguration.cpp
@@ -1,13 +1,13 @@
 #include "membership/reconfiguration/reconfiguration.hpp"
 
+#include "consensus/ballot/ballot.hpp"
 #include "loam/constants.hpp"
 #include "loam/json/tree.hpp"
-#include "consensus/ballot/ballot.hpp"
 
 namespace finchlink::membership {
 
 std::optional<schema::VoterSet> plan_joining(schema::VoterSet const& set, std::map<std::uint64_t, int> const& misses,
-                                              schema::Voter const& self, std::size_t wanted) {
+                                             schema::Voter const& self, std::size_t wanted) {
   if (set.epoch == 0 || self.incarnation == 0 || consensus::names(set.holders, self.incarnation)) {
     return std::nullopt;
   }
@@ -35,7 +35,9 @@
   return next;
 }
 
-std::size_t wanted_holders(std::size_t tolerated) { return 2 * tolerated + 1; }
+std::size_t wanted_holders(std::size_t tolerated) {
+  return 2 * tolerated + 1;
+}
 
 consensus::ProposalFunction reconfiguration_proposal(schema::VoterSet const& set, schema::VoterSet const& next) {
   return consensus::replace_at(set.epoch - 1, loam::print_tree(loam::Tree(schema::write(next)).get()));
--- a/source/membership/reconfiguration/reconfiguration.hpp
+++ b/source/membership/reconfiguration/reconfiguration.hpp
@@ -15,8 +15,9 @@
 /// 5.5). One step at a time, and only from a majority that answers and votes;
 /// growing waits until all do. `misses` counts looks in a row that a holder left
 /// unanswered.
-[[nodiscard]] std::optional<schema::VoterSet> plan_joining(schema::VoterSet const& set, std::map<std::uint64_t, int> const& misses,
-                                                            schema::Voter const& self, std::size_t wanted);
+[[nodiscard]] std::optional<schema::VoterSet> plan_joining(schema::VoterSet const& set,
+                                                           std::map<std::uint64_t, int> const& misses,
+                                                           schema::Voter const& self, std::size_t wanted);
 
 /// Holders that bear the loss of `tolerated` of them at once.
 [[nodiscard]] std::size_t wanted_holders(std::size_t tolerated);
@@ -25,6 +26,7 @@
 /// replaces and from nothing else: epoch 1 was founded, each change adds one. A
 /// register that is ahead of the set says that another set of this very epoch
 /// was chosen already and is not adopted yet (section 5.5).
-[[nodiscard]] consensus::ProposalFunction reconfiguration_proposal(schema::VoterSet const& set, schema::VoterSet const& next);
+[[nodiscard]] consensus::ProposalFunction reconfiguration_proposal(schema::VoterSet const& set,
+                                                                   schema::VoterSet const& next);
 
 }  // namespace finchlink::membership
--- a/source/membership/responder/news_responder.cpp
+++ b/source/membership/responder/news_responder.cpp
@@ -3,7 +3,8 @@
 namespace finchlink::membership {
 
 NewsDecision decide_answer(schema::NewsAsk const& ask, loam::Moment arrival, loam::Moment confirmed_from,
-                      std::map<std::string, schema::Value> const& values, bool other_news, loam::Moment now, NewsGuards guards, NewsBounds bounds) {
+                           std::map<std::string, schema::Value> const& values, bool other_news, loam::Moment now,
+                           NewsGuards guards, NewsBounds bounds) {
   NewsDecision verdict;
   bool const vouched = confirmed_from >= arrival || (!guards.confirm_after_arrival && confirmed_from > 0);
   schema::NewsAnswer answer;
--- a/source/membership/responder/news_responder.hpp
+++ b/source/membership/responder/news_responder.hpp
@@ -30,7 +30,7 @@
   bool hurry = false;
 };
 [[nodiscard]] NewsDecision decide_answer(schema::NewsAsk const& ask, loam::Moment arrival, loam::Moment confirmed_from,
-                                    std::map<std::string, schema::Value> const& values, bool other_news, loam::Moment now,
-                                    NewsGuards guards = {}, NewsBounds bounds = {});
+                                         std::map<std::string, schema::Value> const& values, bool other_news,
+                                         loam::Moment now, NewsGuards guards = {}, NewsBounds bounds = {});
 
 }  // namespace finchlink::membership
--- a/source/membership/session/sessions.cpp
+++ b/source/membership/session/sessions.cpp
@@ -12,7 +12,13 @@
 
 namespace {
 std::string counted(schema::Member const& member) {
-  return loam::Digest().add(member.name).add(member.incarnation).add(member.hall).add(member.address).add(member.ready ? 1 : 0).text();
+  return loam::Digest()
+      .add(member.name)
+      .add(member.incarnation)
+      .add(member.hall)
+      .add(member.address)
+      .add(member.ready ? 1 : 0)
+      .text();
 }
 }  // namespace
 
@@ -128,7 +134,8 @@
   for (std::map<std::string, Known>::iterator entry = trellises_.begin(); entry != trellises_.end();) {
     entry = now - entry->second.heard > constants::colleague_bound ? trellises_.erase(entry) : std::next(entry);
   }
-  std::erase_if(told_, [this](std::pair<std::string const, Told> const& entry) { return trellises_.count(entry.first) == 0; });
+  std::erase_if(told_,
+                [this](std::pair<std::string const, Told> const& entry) { return trellises_.count(entry.first) == 0; });
   return ended;
 }
 
@@ -188,7 +195,8 @@
   for (std::pair<std::string const, Standing> const& entry : sessions_) {
     if (entry.second.direct) {
       // Rounded to the older side.
-      tell.heard_ago_ms.push_back(static_cast<std::uint64_t>(std::max<loam::Span>(now - entry.second.heard, 0) + 999) / 1000);
+      tell.heard_ago_ms.push_back(static_cast<std::uint64_t>(std::max<loam::Span>(now - entry.second.heard, 0) + 999) /
+                                  1000);
     }
   }
 }
--- a/source/membership/session/sessions.hpp
+++ b/source/membership/session/sessions.hpp
@@ -29,7 +29,8 @@
 /// stands, and the trellises that tell each other of them. Plain state.
 class Sessions {
  public:
-  explicit Sessions(schema::TrellisEntry self, loam::Span bound = loam::constants::session_bound) : self_(std::move(self)), bound_(bound) {}
+  explicit Sessions(schema::TrellisEntry self, loam::Span bound = loam::constants::session_bound)
+      : self_(std::move(self)), bound_(bound) {}
   /// How long a session lasts after its last ask.
   void set_bound(loam::Span bound) { bound_ = bound; }
 
--- a/source/platform/listing.cpp
+++ b/source/platform/listing.cpp
@@ -14,16 +14,19 @@
 }
 std::uint64_t natural_of(cJSON const* entry, char const* field) {
   cJSON const* const found = cJSON_GetObjectItemCaseSensitive(entry, field);
-  return cJSON_IsNumber(found) != 0 && found->valuedouble > 0 ? static_cast<std::uint64_t>(found->valuedouble + 0.999) : 0;
+  return cJSON_IsNumber(found) != 0 && found->valuedouble > 0 ? static_cast<std::uint64_t>(found->valuedouble + 0.999)
+                                                              : 0;
 }
 
 std::string escaped(std::string const& text) {
   std::string result;
   for (char const letter : text) {
-    bool const plain = (letter >= 'a' && letter <= 'z') || (letter >= 'A' && letter <= 'Z') || (letter >= '0' && letter <= '9') || letter == '-' ||
-                       letter == '_' || letter == '.' || letter == '~';
+    bool const plain = (letter >= 'a' && letter <= 'z') || (letter >= 'A' && letter <= 'Z') ||
+                       (letter >= '0' && letter <= '9') || letter == '-' || letter == '_' || letter == '.' ||
+                       letter == '~';
     unsigned char const byte = static_cast<unsigned char>(letter);
-    result += plain ? std::string(1, letter) : std::string("%") + "0123456789ABCDEF"[byte >> 4u] + "0123456789ABCDEF"[byte & 15u];
+    result += plain ? std::string(1, letter)
+                    : std::string("%") + "0123456789ABCDEF"[byte >> 4u] + "0123456789ABCDEF"[byte & 15u];
   }
   return result;
 }
@@ -46,7 +49,8 @@
     if (worker.id.empty() || worker.address.empty()) {
       return loam::defect(absl::StatusCode::kDataLoss, "list", "a worker has no id or address");
     }
-    bool const model = cJSON_GetObjectItemCaseSensitive(entry, "models") != nullptr || cJSON_GetObjectItemCaseSensitive(entry, "phase") != nullptr;
+    bool const model = cJSON_GetObjectItemCaseSensitive(entry, "models") != nullptr ||
+                       cJSON_GetObjectItemCaseSensitive(entry, "phase") != nullptr;
     worker.kind = model ? "model" : "plain";
     worker.draining = text_of(entry, "state") == "draining";
     worker.capacity = natural_of(entry, "capacity");
@@ -59,7 +63,8 @@
   return page;
 }
 
-absl::StatusOr<schema::PlatformList> read_list(boost::asio::io_context& context, std::string const& address, loam::Span deadline, loam::Yield yield) {
+absl::StatusOr<schema::PlatformList> read_list(boost::asio::io_context& context, std::string const& address,
+                                               loam::Span deadline, loam::Yield yield) {
   loam::Moment const until = loam::boot_now() + deadline;
   schema::PlatformList list;
   std::string token;
@@ -68,14 +73,17 @@
     if (left <= 0) {
       return loam::defect(absl::StatusCode::kDeadlineExceeded, "list", "its pages take too long");
     }
-    loam::Ask const ask{loam::http::verb::get, token.empty() ? "/workers" : "/workers?page_token=" + escaped(token), 11};
-    absl::StatusOr<loam::Answer> const answer = loam::ask_once(context, address, ask, left, loam::constants::list_limit, yield);
+    loam::Ask const ask{loam::http::verb::get, token.empty() ? "/workers" : "/workers?page_token=" + escaped(token),
+                        11};
+    absl::StatusOr<loam::Answer> const answer =
+        loam::ask_once(context, address, ask, left, loam::constants::list_limit, yield);
     if (!answer.ok()) {
       return answer.status();
     }
     if (answer->result() != loam::http::status::ok) {
       bool const often = answer->result() == loam::http::status::too_many_requests;
-      return loam::defect(often ? absl::StatusCode::kResourceExhausted : absl::StatusCode::kUnavailable, "list", "status " + std::to_string(answer->result_int()));
+      return loam::defect(often ? absl::StatusCode::kResourceExhausted : absl::StatusCode::kUnavailable, "list",
+                          "status " + std::to_string(answer->result_int()));
     }
     absl::StatusOr<ListPage> const page = parse_page(answer->body());
     if (!page.ok()) {
--- a/source/platform/listing.hpp
+++ b/source/platform/listing.hpp
@@ -19,7 +19,8 @@
 
 /// Reads the platform's worker list over all its pages (section 13.4).
 /// ResourceExhausted: it was asked too often.
-[[nodiscard]] absl::StatusOr<schema::PlatformList> read_list(boost::asio::io_context& context, std::string const& address, loam::Span deadline,
+[[nodiscard]] absl::StatusOr<schema::PlatformList> read_list(boost::asio::io_context& context,
+                                                             std::string const& address, loam::Span deadline,
                                                              loam::Yield yield);
 
 }  // namespace finchlink::platform
--- a/source/platform/notation.cpp
+++ b/source/platform/notation.cpp
@@ -10,7 +10,8 @@
 /// Reads one object of the platform's, adding faults by their place.
 class Entry {
  public:
-  Entry(cJSON const* node, std::string path, std::vector<loam::Fault>& faults) : node_(node), path_(std::move(path)), faults_(faults) {
+  Entry(cJSON const* node, std::string path, std::vector<loam::Fault>& faults)
+      : node_(node), path_(std::move(path)), faults_(faults) {
     if (cJSON_IsObject(node_) == 0) {
       faults_.push_back(loam::Fault{path_, "must be an object"});
     }
@@ -55,13 +56,16 @@
     if (found != nullptr && cJSON_IsArray(found) == 0) {
       fault(field, "must be a list");
     }
-    for (cJSON const* item = found != nullptr && cJSON_IsArray(found) != 0 ? found->child : nullptr; item != nullptr; item = item->next) {
+    for (cJSON const* item = found != nullptr && cJSON_IsArray(found) != 0 ? found->child : nullptr; item != nullptr;
+         item = item->next) {
       items.push_back(item);
     }
     return items;
   }
   [[nodiscard]] std::string place(char const* field) const { return path_ + "/" + field; }
-  void fault(char const* field, std::string const& reason) const { faults_.push_back(loam::Fault{place(field), reason}); }
+  void fault(char const* field, std::string const& reason) const {
+    faults_.push_back(loam::Fault{place(field), reason});
+  }
 
  private:
   static constexpr double exact_most = 9007199254740992.0;  // 2^53: above it a double skips whole numbers
@@ -135,11 +139,13 @@
   reading.charter.number = root.natural("revision");
   std::vector<cJSON const*> const services = root.list("plants");
   for (std::size_t index = 0; index < services.size(); ++index) {
-    reading.charter.services.push_back(service_of(services[index], root.place("plants") + "/" + std::to_string(index), reading.faults));
+    reading.charter.services.push_back(
+        service_of(services[index], root.place("plants") + "/" + std::to_string(index), reading.faults));
   }
   std::vector<cJSON const*> const lanes = root.list("channels");
   for (std::size_t index = 0; index < lanes.size(); ++index) {
-    reading.charter.lanes.push_back(lane_of(lanes[index], root.place("channels") + "/" + std::to_string(index), reading.faults));
+    reading.charter.lanes.push_back(
+        lane_of(lanes[index], root.place("channels") + "/" + std::to_string(index), reading.faults));
   }
   cJSON const* const limits_node = root.find("limits");
   if (limits_node != nullptr) {
@@ -158,8 +164,8 @@
 
 config::Notation notation() {
   return config::Notation{read_charter, [](std::string const& current, std::string const& change) {
-                             return config::merge_named(current, change, "revision", {"channels", "plants"});
-                           }};
+                            return config::merge_named(current, change, "revision", {"channels", "plants"});
+                          }};
 }
 
 }  // namespace finchlink::platform
--- a/source/platform/settings.cpp
+++ b/source/platform/settings.cpp
@@ -61,7 +61,8 @@
   bounds.retry_slack = number_of(given, "retry_slack", bounds.retry_slack);
   bounds.cold_overshoot = number_of(given, "cold_overshoot", bounds.cold_overshoot);
   bounds.cold_slack = number_of(given, "cold_slack", bounds.cold_slack);
-  bounds.directory_ttl_ms = std::min(bounds.directory_ttl_ms, natural_of(given, "ttl_max_s", bounds.directory_ttl_ms, 1000));
+  bounds.directory_ttl_ms =
+      std::min(bounds.directory_ttl_ms, natural_of(given, "ttl_max_s", bounds.directory_ttl_ms, 1000));
   bounds.pass_period_ms = natural_of(given, "pass_period_ms", bounds.pass_period_ms);
   return bounds;
 }
@@ -81,7 +82,8 @@
   }
   settings.ready_address = text_of(listening, "ready");
   settings.directory_address = text_of(listening, "directory");
-  std::string const port = root["port_range"] && root["port_range"].size() > 0 ? root["port_range"][0].as<std::string>() : "";
+  std::string const port =
+      root["port_range"] && root["port_range"].size() > 0 ? root["port_range"][0].as<std::string>() : "";
   settings.colleague_address = port.empty() ? "" : text_of(root, "ip") + ":" + port;
   for (YAML::Node const& seed : root["seeds"]) {
     // Ports are alike on all machines, so a seed's own port tells where its
@@ -112,8 +114,10 @@
       return loam::defect(absl::StatusCode::kInvalidArgument, "settings", "the file is not a map");
     }
     schema::Settings settings = settings_of(root);
-    if (settings.name.empty() || settings.hall.empty() || settings.colleague_address.empty() || settings.http_address.empty()) {
-      return loam::defect(absl::StatusCode::kInvalidArgument, "settings", "node, zone, ip, port_range or listen is missing");
+    if (settings.name.empty() || settings.hall.empty() || settings.colleague_address.empty() ||
+        settings.http_address.empty()) {
+      return loam::defect(absl::StatusCode::kInvalidArgument, "settings",
+                          "node, zone, ip, port_range or listen is missing");
     }
     return settings;
   } catch (YAML::Exception const& error) {
--- a/source/seedbed/main.cpp
+++ b/source/seedbed/main.cpp
@@ -24,7 +24,8 @@
   for (std::unique_ptr<seedbed::Worker> const& worker : workers) {
     if (worker->listed()) {
       schema::BedWorker const& self = worker->self();
-      list.workers.push_back(schema::WorkerEntry{self.id, self.address, self.zone, self.kind, worker->draining(), self.labels, self.kind, worker->limit()});
+      list.workers.push_back(schema::WorkerEntry{self.id, self.address, self.zone, self.kind, worker->draining(),
+                                                 self.labels, self.kind, worker->limit()});
     }
   }
   loam::Tree const tree(schema::write(list));
@@ -34,7 +35,8 @@
 /// POST /control/DEED/NAME: drain, restore, crash, revive, dark, light, unlist,
 /// list, weights (of another version) for a worker or a whole zone; evacuated, retaken and only/RULE@REGION
 /// for the ledger.
-bool control(std::vector<std::unique_ptr<seedbed::Worker>> const& workers, seedbed::RegisterClient& ledger, std::string const& deed, std::string const& name) {
+bool control(std::vector<std::unique_ptr<seedbed::Worker>> const& workers, seedbed::RegisterClient& ledger,
+             std::string const& deed, std::string const& name) {
   if (deed == "evacuated" || deed == "retaken") {
     ledger.evacuated(name, deed == "evacuated", loam::boot_now());
     return true;
@@ -109,36 +111,41 @@
     workers.push_back(std::make_unique<seedbed::Worker>(context, bed, entry, ledger, bed.warm_at_start, ++seed));
     seedbed::Worker* const worker = workers.back().get();
     worker->begin();
-    absl::Status const status = loam::listen(context, entry.listen.empty() ? entry.address : entry.listen, 4096, [worker](loam::Stream& stream, loam::Yield yield) { worker->serve(stream, yield); });
+    absl::Status const status =
+        loam::listen(context, entry.listen.empty() ? entry.address : entry.listen, 4096,
+                     [worker](loam::Stream& stream, loam::Yield yield) { worker->serve(stream, yield); });
     if (!status.ok()) {
       std::cerr << "seedbed: " << status.message() << "\n";
       return loam::exit_listen;
     }
   }
   std::atomic<std::uint64_t> revision = 1;
-  absl::Status const status = loam::serve_asks(context, bed.list_address, 4096, 1u << 20u, [&](loam::Ask const& ask, loam::Yield) {
-    std::string const target(ask.target());
-    if (target == "/workers") {
-      return answer_list(workers, revision);
-    }
-    if (target == "/ledger") {
-      return loam::answer_text(http::status::ok, ledger.print());
-    }
-    if (target == "/ledger/walls") {
-      return loam::answer_text(http::status::ok, ledger.print_walls());
-    }
-    if (target == "/ledger/ran") {
-      return loam::answer_text(http::status::ok, ledger.ran_nonces(), "text/plain");
-    }
-    if (ask.method() == http::verb::post && target.rfind("/control/", 0) == 0) {
-      std::string const rest = target.substr(9);
-      std::size_t const slash = rest.find('/');
-      bool const done = slash != std::string::npos && control(workers, ledger, rest.substr(0, slash), rest.substr(slash + 1));
-      revision = done && rest == "recount/all" ? 1 : revision + 1;
-      return loam::answer_text(done ? http::status::ok : http::status::not_found, done ? "{\"done\":true}" : "{\"done\":false}");
-    }
-    return loam::answer_error(http::status::not_found, "unknown_path", target);
-  });
+  absl::Status const status =
+      loam::serve_asks(context, bed.list_address, 4096, 1u << 20u, [&](loam::Ask const& ask, loam::Yield) {
+        std::string const target(ask.target());
+        if (target == "/workers") {
+          return answer_list(workers, revision);
+        }
+        if (target == "/ledger") {
+          return loam::answer_text(http::status::ok, ledger.print());
+        }
+        if (target == "/ledger/walls") {
+          return loam::answer_text(http::status::ok, ledger.print_walls());
+        }
+        if (target == "/ledger/ran") {
+          return loam::answer_text(http::status::ok, ledger.ran_nonces(), "text/plain");
+        }
+        if (ask.method() == http::verb::post && target.rfind("/control/", 0) == 0) {
+          std::string const rest = target.substr(9);
+          std::size_t const slash = rest.find('/');
+          bool const done =
+              slash != std::string::npos && control(workers, ledger, rest.substr(0, slash), rest.substr(slash + 1));
+          revision = done && rest == "recount/all" ? 1 : revision + 1;
+          return loam::answer_text(done ? http::status::ok : http::status::not_found,
+                                   done ? "{\"done\":true}" : "{\"done\":false}");
+        }
+        return loam::answer_error(http::status::not_found, "unknown_path", target);
+      });
   if (!status.ok()) {
     std::cerr << "seedbed: " << status.message() << "\n";
     return loam::exit_listen;
--- a/source/seedbed/worker/part_cache.cpp
+++ b/source/seedbed/worker/part_cache.cpp
@@ -2,7 +2,8 @@
 
 namespace finchlink::seedbed {
 
-CacheReading PartCache::read(std::string const& reader, std::string const& weights, std::vector<CachePart> const& parts) {
+CacheReading PartCache::read(std::string const& reader, std::string const& weights,
+                             std::vector<CachePart> const& parts) {
   CacheReading reading;
   bool all_before = true;
   for (CachePart const& part : parts) {
--- a/source/seedbed/worker/part_cache.hpp
+++ b/source/seedbed/worker/part_cache.hpp
@@ -18,9 +18,9 @@
   double tokens = 0;
   double reused = 0;
   std::uint64_t own_hits = 0;
-  std::uint64_t open_hits = 0;     ///< on parts that are nobody's
-  std::uint64_t crossed_hits = 0;  ///< on what another tenant wrote
-  std::uint64_t old_hits = 0;      ///< on what other weights computed
+  std::uint64_t open_hits = 0;         ///< on parts that are nobody's
+  std::uint64_t crossed_hits = 0;      ///< on what another tenant wrote
+  std::uint64_t old_hits = 0;          ///< on what other weights computed
   std::vector<std::string> crossings;  ///< writer > reader: part
 };
 
@@ -31,7 +31,8 @@
 class PartCache {
  public:
   explicit PartCache(double most) : most_(most) {}
-  [[nodiscard]] CacheReading read(std::string const& reader, std::string const& weights, std::vector<CachePart> const& parts);
+  [[nodiscard]] CacheReading read(std::string const& reader, std::string const& weights,
+                                  std::vector<CachePart> const& parts);
   void clear();
 
  private:
--- a/source/seedbed/worker/worker.cpp
+++ b/source/seedbed/worker/worker.cpp
@@ -14,9 +14,18 @@
 namespace http = loam::http;
 using boost::system::error_code;
 
-Worker::Worker(boost::asio::io_context& context, schema::Bed const& bed, schema::BedWorker const& self, RegisterClient& ledger, bool warm, std::uint64_t seed)
-    : context_(context), bed_(bed), self_(self), register_(ledger), random_(seed), cache_(bed.cache_blocks), part_cache_(static_cast<double>(bed.kept_tokens)), boot_("boot-" + std::to_string(seed) + "-0"),
-      up_since_(loam::boot_now()), warm_(warm) {}
+Worker::Worker(boost::asio::io_context& context, schema::Bed const& bed, schema::BedWorker const& self,
+               RegisterClient& ledger, bool warm, std::uint64_t seed)
+    : context_(context),
+      bed_(bed),
+      self_(self),
+      register_(ledger),
+      random_(seed),
+      cache_(bed.cache_blocks),
+      part_cache_(static_cast<double>(bed.kept_tokens)),
+      boot_("boot-" + std::to_string(seed) + "-0"),
+      up_since_(loam::boot_now()),
+      warm_(warm) {}
 
 void Worker::begin() {
   loam::start(context_, [this](loam::Yield yield) { engine(yield); });
@@ -31,7 +40,9 @@
   draining_ = on;
   register_.draining(self_.id, on, loam::boot_now());
 }
-bool Worker::draining() { return draining_; }
+bool Worker::draining() {
+  return draining_;
+}
 
 void Worker::set_crashed(bool on) {
   std::lock_guard<std::mutex> const guard(lock_);
@@ -41,10 +52,16 @@
   crashed_ = on;
   if (on) {
     for (std::deque<JobPointer>::iterator job = waiting_.begin(); job != waiting_.end(); ++job) {
-      boost::asio::post((*job)->timer.get_executor(), [one = *job] { one->dropped = true; one->timer.cancel(); });
+      boost::asio::post((*job)->timer.get_executor(), [one = *job] {
+        one->dropped = true;
+        one->timer.cancel();
+      });
     }
     for (JobPointer const& job : running_) {
-      boost::asio::post(job->timer.get_executor(), [job] { job->dropped = true; job->timer.cancel(); });
+      boost::asio::post(job->timer.get_executor(), [job] {
+        job->dropped = true;
+        job->timer.cancel();
+      });
     }
     waiting_.clear();
     running_.clear();
@@ -76,7 +93,8 @@
   if (!other_worker && !other_weights) {
     return false;
   }
-  loam::Answer answer = loam::answer_error(http::status::misdirected_request, other_worker ? "other_worker" : "other_weights", "nothing ran");
+  loam::Answer answer = loam::answer_error(http::status::misdirected_request,
+                                           other_worker ? "other_worker" : "other_weights", "nothing ran");
   answer.set("Finchlink-Query", ask["Finchlink-Query"]);
   answer.set("Finchlink-Refused", "1");
   if (!other_worker) {
@@ -101,7 +119,8 @@
   while (std::getline(words, word, ',')) {
     std::size_t const colon = word.rfind(':');
     if (colon != std::string::npos) {
-      job.parts.push_back(CachePart{word.substr(0, colon), std::atof(word.c_str() + colon + 1), job.parts.size() < open});
+      job.parts.push_back(
+          CachePart{word.substr(0, colon), std::atof(word.c_str() + colon + 1), job.parts.size() < open});
     }
   }
 }
@@ -111,7 +130,8 @@
   double const up = static_cast<double>(loam::boot_now() - up_since_) / 1000.0;
   flooded = false;
   if (!warm_ && up < static_cast<double>(bed_.warming_ms)) {
-    double const bears = static_cast<double>(bed_.cold_bears) + static_cast<double>(bed_.limit) * up / static_cast<double>(bed_.warming_ms);
+    double const bears = static_cast<double>(bed_.cold_bears) +
+                         static_cast<double>(bed_.limit) * up / static_cast<double>(bed_.warming_ms);
     flooded = static_cast<double>(open) >= bears;
   }
   return flooded || open >= bed_.limit;
@@ -127,7 +147,8 @@
   if (last) {
     cJSON_AddStringToObject(object.get(), "query", job->query.c_str());
   }
-  std::string const event = "id: " + std::to_string(job->produced) + "\nevent: " + (last ? "complete" : "token") + "\ndata: " + loam::print_tree(object.get()) + "\n\n";
+  std::string const event = "id: " + std::to_string(job->produced) + "\nevent: " + (last ? "complete" : "token") +
+                            "\ndata: " + loam::print_tree(object.get()) + "\n\n";
   boost::asio::post(job->timer.get_executor(), [job, event, last] {
     job->events.push_back(event);
     job->ended = job->ended || last;
@@ -158,7 +179,11 @@
           prefill->reused = reading.reused;
           prefill->read = true;
         }
-        double const cached = prefill->relayed ? std::min(reading.reused, prefill->tokens - 1) : std::min(static_cast<double>(cache_.match(prefill->chain)) * static_cast<double>(bed_.block_tokens), prefill->tokens - 1);
+        double const cached =
+            prefill->relayed
+                ? std::min(reading.reused, prefill->tokens - 1)
+                : std::min(static_cast<double>(cache_.match(prefill->chain)) * static_cast<double>(bed_.block_tokens),
+                           prefill->tokens - 1);
         double const uncached = prefill->tokens - cached;
         cache_.remember(prefill->chain);
         std::vector<double> const& terms = bed_.model.prefill;
@@ -170,7 +195,10 @@
       } else {
         batch = running_.size();
         std::vector<double> const& terms = bed_.model.decode;
-        seconds = batch == 0 ? 0 : noisy(terms[0] + terms[1] * tilth::spread(bed_.model.experts_share, 1, static_cast<double>(batch)) + terms[2] * static_cast<double>(batch));
+        seconds = batch == 0 ? 0
+                             : noisy(terms[0] +
+                                     terms[1] * tilth::spread(bed_.model.experts_share, 1, static_cast<double>(batch)) +
+                                     terms[2] * static_cast<double>(batch));
       }
     }
     if (prefill == nullptr && batch == 0) {
@@ -197,7 +225,8 @@
       }
       continue;
     }
-    std::string const piece(static_cast<std::size_t>(static_cast<double>(bed_.tokens_per_event) * bed_.bytes_per_token), 'w');
+    std::string const piece(static_cast<std::size_t>(static_cast<double>(bed_.tokens_per_event) * bed_.bytes_per_token),
+                            'w');
     for (std::list<JobPointer>::iterator place = running_.begin(); place != running_.end();) {
       JobPointer const job = *place;
       if (job->dropped) {
@@ -311,7 +340,8 @@
       std::string body;
       {
         std::lock_guard<std::mutex> const guard(lock_);
-        body = "{\"running\":" + std::to_string(running_.size() + plain_open_) + ",\"waiting\":" + std::to_string(waiting_.size()) + ",\"boot\":\"" + boot_ + "\"}";
+        body = "{\"running\":" + std::to_string(running_.size() + plain_open_) +
+               ",\"waiting\":" + std::to_string(waiting_.size()) + ",\"boot\":\"" + boot_ + "\"}";
       }
       loam::Answer answer = loam::answer_text(http::status::ok, body);
       answer.keep_alive(true);
@@ -363,7 +393,8 @@
         job->nonce = arrival.nonce;
         job->leg = arrival.leg;
         job->tokens = std::max(1.0, static_cast<double>(ask.body().size()) / bed_.bytes_per_token);
-        job->chain = tilth::block_chain(ask.body(), static_cast<std::size_t>(static_cast<double>(bed_.block_tokens) * bed_.bytes_per_token));
+        job->chain = tilth::block_chain(
+            ask.body(), static_cast<std::size_t>(static_cast<double>(bed_.block_tokens) * bed_.bytes_per_token));
         if (relayed) {
           take_parts(ask, *job);
         }
--- a/source/seedbed/worker/worker.hpp
+++ b/source/seedbed/worker/worker.hpp
@@ -21,7 +21,8 @@
 /// together, by the design's equations with noise; or a plain service.
 class Worker {
  public:
-  Worker(boost::asio::io_context& context, schema::Bed const& bed, schema::BedWorker const& self, RegisterClient& ledger, bool warm, std::uint64_t seed);
+  Worker(boost::asio::io_context& context, schema::Bed const& bed, schema::BedWorker const& self,
+         RegisterClient& ledger, bool warm, std::uint64_t seed);
   void begin();
   void serve(loam::Stream& stream, loam::Yield yield);
 
--- a/source/stile/main.cpp
+++ b/source/stile/main.cpp
@@ -25,9 +25,9 @@
   schema::Stile stile;
   std::map<std::string, schema::StileMachine> machines;  ///< by IP
   std::mutex lock;
-  std::set<std::pair<std::string, std::string>> cuts;    ///< from and to, names of machines
+  std::set<std::pair<std::string, std::string>> cuts;  ///< from and to, names of machines
   std::atomic<std::uint64_t> passed = 0;
-  std::atomic<std::uint64_t> held = 0;                   ///< pieces and connections held by a cut
+  std::atomic<std::uint64_t> held = 0;  ///< pieces and connections held by a cut
 
   [[nodiscard]] std::vector<std::string> named(std::string const& word) const {
     std::vector<std::string> names;
@@ -46,7 +46,9 @@
     std::map<std::string, schema::StileMachine>::const_iterator const left = machines.find(from);
     std::map<std::string, schema::StileMachine>::const_iterator const right = machines.find(to);
     bool const far = left != machines.end() && right != machines.end() && left->second.region != right->second.region;
-    return far && !left->second.region.empty() && !right->second.region.empty() ? static_cast<loam::Span>(stile.hop_ms * 1000) : 0;
+    return far && !left->second.region.empty() && !right->second.region.empty()
+               ? static_cast<loam::Span>(stile.hop_ms * 1000)
+               : 0;
   }
   [[nodiscard]] bool cut(std::string const& from, std::string const& to) {
     std::lock_guard<std::mutex> const guard(lock);
@@ -62,7 +64,8 @@
   }
 };
 
-void pump(boost::asio::io_context& context, Net& net, loam::Stream& from, loam::Stream& to, std::string const& from_ip, std::string const& to_ip, loam::Yield yield) {
+void pump(boost::asio::io_context& context, Net& net, loam::Stream& from, loam::Stream& to, std::string const& from_ip,
+          std::string const& to_ip, loam::Yield yield) {
   std::vector<char> piece(65536);
   loam::Span const hop = net.hop(from_ip, to_ip);
   error_code error;
@@ -88,7 +91,8 @@
   }
 }
 
-void carry(boost::asio::io_context& context, Net& net, std::string const& target, loam::Stream& near, loam::Yield yield) {
+void carry(boost::asio::io_context& context, Net& net, std::string const& target, loam::Stream& near,
+           loam::Yield yield) {
   error_code error;
   std::string const from = near.socket().remote_endpoint(error).address().to_string();
   std::string const to = target.substr(0, target.rfind(':'));
@@ -131,7 +135,8 @@
     parts.push_back(word);
   }
   if (target == "/counts") {
-    return loam::answer_text(http::status::ok, "{\"passed\":" + std::to_string(net.passed) + ",\"held\":" + std::to_string(net.held) + "}");
+    return loam::answer_text(
+        http::status::ok, "{\"passed\":" + std::to_string(net.passed) + ",\"held\":" + std::to_string(net.held) + "}");
   }
   if (ask.method() != http::verb::post || parts.size() != 4 || (parts[1] != "cut" && parts[1] != "heal")) {
     return loam::answer_error(http::status::not_found, "unknown_path", target);
@@ -151,7 +156,8 @@
       }
     }
   }
-  return loam::answer_text(pairs > 0 ? http::status::ok : http::status::not_found, "{\"pairs\":" + std::to_string(pairs) + "}");
+  return loam::answer_text(pairs > 0 ? http::status::ok : http::status::not_found,
+                           "{\"pairs\":" + std::to_string(pairs) + "}");
 }
 }  // namespace
 
@@ -170,7 +176,8 @@
     schema::read(tree->get(), "", net.stile, faults);
   }
   if (!tree.ok() || !faults.empty()) {
-    std::cerr << "stile: " << values[1] << ": " << (tree.ok() ? loam::describe(faults) : std::string(tree.status().message())) << "\n";
+    std::cerr << "stile: " << values[1] << ": "
+              << (tree.ok() ? loam::describe(faults) : std::string(tree.status().message())) << "\n";
     return loam::exit_usage;
   }
   for (schema::StileMachine const& machine : net.stile.machines) {
@@ -179,13 +186,17 @@
   std::signal(SIGPIPE, SIG_IGN);
   boost::asio::io_context context(4);
   for (schema::StileRoute const& route : net.stile.routes) {
-    absl::Status const status = loam::listen(context, route.listen, 100000, [&context, &net, to = route.to](loam::Stream& stream, loam::Yield yield) { carry(context, net, to, stream, yield); });
+    absl::Status const status = loam::listen(context, route.listen, 100000,
+                                             [&context, &net, to = route.to](loam::Stream& stream, loam::Yield yield) {
+                                               carry(context, net, to, stream, yield);
+                                             });
     if (!status.ok()) {
       std::cerr << "stile: " << status.message() << "\n";
       return loam::exit_listen;
     }
   }
-  absl::Status const status = loam::serve_asks(context, net.stile.control, 64, 4096, [&net](loam::Ask const& ask, loam::Yield) { return control(net, ask); });
+  absl::Status const status = loam::serve_asks(context, net.stile.control, 64, 4096,
+                                               [&net](loam::Ask const& ask, loam::Yield) { return control(net, ask); });
   if (!status.ok()) {
     std::cerr << "stile: " << status.message() << "\n";
     return loam::exit_listen;
--- a/source/tests/almanac/control_test.cpp
+++ b/source/tests/almanac/control_test.cpp
@@ -5,7 +5,8 @@
 namespace finchlink {
 namespace {
 
-almanac::ControlReport run(std::string const& scenario, std::uint64_t seed, std::function<void(almanac::ControlOptions&)> const& change = nullptr) {
+almanac::ControlReport run(std::string const& scenario, std::uint64_t seed,
+                           std::function<void(almanac::ControlOptions&)> const& change = nullptr) {
   almanac::ControlOptions options;
   options.seed = seed;
   options.length = loam::seconds(25);
@@ -17,7 +18,8 @@
 }
 
 /// With a guard off some seed must break; which checker sees it is in docs/proofs.md.
-std::string first_break(std::string const& scenario, std::uint64_t seeds, std::function<void(almanac::ControlOptions&)> const& off) {
+std::string first_break(std::string const& scenario, std::uint64_t seeds,
+                        std::function<void(almanac::ControlOptions&)> const& off) {
   for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
     almanac::ControlReport const report = run(scenario, seed, off);
     if (!report.violations.empty()) {
@@ -53,16 +55,23 @@
   EXPECT_NE(first_break("calm", 2, [](almanac::ControlOptions& options) { options.acknowledge_waits = false; }), "");
 }
 TEST(Control, UnvouchedFurrowsTakeNothing) {
-  EXPECT_NE(first_break("freezes", 4, [](almanac::ControlOptions& options) { options.vouch_guards.stop_unvouched = false; }), "");
+  EXPECT_NE(
+      first_break("freezes", 4, [](almanac::ControlOptions& options) { options.vouch_guards.stop_unvouched = false; }),
+      "");
 }
 TEST(Control, TheVouchCountsFromTheAsk) {
-  EXPECT_NE(first_break("freezes", 6, [](almanac::ControlOptions& options) { options.vouch_guards.count_from_ask = false; }), "");
+  EXPECT_NE(
+      first_break("freezes", 6, [](almanac::ControlOptions& options) { options.vouch_guards.count_from_ask = false; }),
+      "");
 }
 TEST(Control, TheTrellisConfirmsAfterTheAsk) {
-  EXPECT_NE(first_break("cuts", 8, [](almanac::ControlOptions& options) { options.desk_guards.confirm_after_arrival = false; }), "");
+  EXPECT_NE(first_break("cuts", 8,
+                        [](almanac::ControlOptions& options) { options.desk_guards.confirm_after_arrival = false; }),
+            "");
 }
 TEST(Control, EpochsFenceOldHolders) {
-  EXPECT_NE(first_break("wipes", 4, [](almanac::ControlOptions& options) { options.guards.epoch_checked = false; }), "");
+  EXPECT_NE(first_break("wipes", 4, [](almanac::ControlOptions& options) { options.guards.epoch_checked = false; }),
+            "");
 }
 
 }  // namespace
--- a/source/tests/almanac/field_test.cpp
+++ b/source/tests/almanac/field_test.cpp
@@ -5,7 +5,8 @@
 namespace finchlink {
 namespace {
 
-almanac::FieldReport run(std::string const& scenario, std::uint64_t seed, std::function<void(almanac::FieldOptions&)> const& change = nullptr) {
+almanac::FieldReport run(std::string const& scenario, std::uint64_t seed,
+                         std::function<void(almanac::FieldOptions&)> const& change = nullptr) {
   almanac::FieldOptions options;
   options.seed = seed;
   options.length = loam::seconds(30);
@@ -24,7 +25,8 @@
   options.deployment = *almanac::field_deployment(FINCHLINK_SOURCE_FOLDER "/deployments/corrib");
   options.aims.manner = "paired";
 }
-std::string first_break(std::string const& scenario, std::uint64_t seeds, std::function<void(almanac::FieldOptions&)> const& off) {
+std::string first_break(std::string const& scenario, std::uint64_t seeds,
+                        std::function<void(almanac::FieldOptions&)> const& off) {
   for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
     almanac::FieldReport const report = run(scenario, seed, off);
     if (!report.violations.empty()) {
@@ -41,7 +43,8 @@
       EXPECT_TRUE(first.violations.empty()) << scenario << " seed " << seed << ": " << first.violations.front();
       EXPECT_GT(first.good, first.sent / 3) << scenario;  // field-setups is beyond capacity for most of its time
       almanac::FieldReport const second = run(scenario, seed, corrib);
-      EXPECT_TRUE(second.violations.empty()) << scenario << " corrib seed " << seed << ": " << second.violations.front();
+      EXPECT_TRUE(second.violations.empty())
+          << scenario << " corrib seed " << seed << ": " << second.violations.front();
     }
   }
 }
@@ -64,32 +67,46 @@
 }
 
 TEST(Field, OneDispatchForWhatMayNotBeRepeated) {
-  EXPECT_NE(first_break("field-cuts", 6, [](almanac::FieldOptions& options) {
-              corrib(options);
-              options.dispatch_once = false;
-            }).find("ran twice"), std::string::npos);
+  EXPECT_NE(first_break("field-cuts", 6,
+                        [](almanac::FieldOptions& options) {
+                          corrib(options);
+                          options.dispatch_once = false;
+                        })
+                .find("ran twice"),
+            std::string::npos);
 }
 TEST(Field, NoRefusalOnceItMayHaveRun) {
-  EXPECT_NE(first_break("field-cuts", 6, [](almanac::FieldOptions& options) {
-              corrib(options);
-              options.honest_refusal = false;
-            }).find("refused though it ran"), std::string::npos);
+  EXPECT_NE(first_break("field-cuts", 6,
+                        [](almanac::FieldOptions& options) {
+                          corrib(options);
+                          options.honest_refusal = false;
+                        })
+                .find("refused though it ran"),
+            std::string::npos);
 }
 TEST(Field, RetriesNeedARight) {
   EXPECT_EQ(first_break("field-cuts", 3, [](almanac::FieldOptions& options) { options.faults.cut = 0.35; }), "");
-  EXPECT_NE(first_break("field-cuts", 8, [](almanac::FieldOptions& options) {
-              options.faults.cut = 0.35;
-              options.budget = false;
-            }).find("retries were"), std::string::npos);
+  EXPECT_NE(first_break("field-cuts", 8,
+                        [](almanac::FieldOptions& options) {
+                          options.faults.cut = 0.35;
+                          options.budget = false;
+                        })
+                .find("retries were"),
+            std::string::npos);
 }
 TEST(Field, ColdWorkersAreTendedByOne) {
-  EXPECT_NE(first_break("field-crashes", 4, [](almanac::FieldOptions& options) {
-              options.scale = 2.5;
-              options.tend_cold = false;
-            }).find("was flooded"), std::string::npos);
+  EXPECT_NE(first_break("field-crashes", 4,
+                        [](almanac::FieldOptions& options) {
+                          options.scale = 2.5;
+                          options.tend_cold = false;
+                        })
+                .find("was flooded"),
+            std::string::npos);
 }
 TEST(Field, QueriesGoByTheSetupInForce) {
-  std::function<void(almanac::FieldOptions&)> const off = [](almanac::FieldOptions& options) { options.decide_anew = false; };
+  std::function<void(almanac::FieldOptions&)> const off = [](almanac::FieldOptions& options) {
+    options.decide_anew = false;
+  };
   EXPECT_NE(first_break("field-setups", 3, off), "");
   almanac::FieldReport const report = run("field-setups", 1);
   EXPECT_TRUE(report.violations.empty()) << report.violations.front();
@@ -97,10 +114,13 @@
   EXPECT_GT(report.decided_anew, 20u);
 }
 TEST(Field, WorkersThatMissedALookAreTakenForCold) {
-  EXPECT_NE(first_break("field-blinks", 10, [](almanac::FieldOptions& options) {
-              options.scale = 2;
-              options.placement.doubt = false;
-            }).find("was flooded"), std::string::npos);
+  EXPECT_NE(first_break("field-blinks", 10,
+                        [](almanac::FieldOptions& options) {
+                          options.scale = 2;
+                          options.placement.doubt = false;
+                        })
+                .find("was flooded"),
+            std::string::npos);
 }
 TEST(Field, BeyondCapacityWorkGoesOnAndRefusalsAreImmediate) {
   // Fifteen times the rate is about three times what the workers bear; refused
@@ -118,12 +138,12 @@
   }
   almanac::FieldReport const& held = reports[0];
   EXPECT_TRUE(held.violations.empty());
-  EXPECT_GT(held.refused, 10000u);       // the crowd really was too much
-  EXPECT_GT(held.crowd_good, 600);       // of about 1000 a second that they bear
+  EXPECT_GT(held.refused, 10000u);  // the crowd really was too much
+  EXPECT_GT(held.crowd_good, 600);  // of about 1000 a second that they bear
   EXPECT_LT(held.worst_refusal, 0.5);
-  EXPECT_LE(held.after_crowd, 10);       // no state that feeds itself
+  EXPECT_LE(held.after_crowd, 10);  // no state that feeds itself
   EXPECT_LT(held.apologies, 50u);
-  EXPECT_GT(reports[1].apologies, 500u); // half-run work thrown away
+  EXPECT_GT(reports[1].apologies, 500u);  // half-run work thrown away
 }
 TEST(Field, ACrowdOnOneServiceLeavesTheOthersAlone) {
   almanac::FieldReport const report = run("field-overload", 1, [](almanac::FieldOptions& options) {
@@ -154,14 +174,19 @@
       {"stop_unvouched", [](almanac::ControlOptions& control) { control.vouch_guards.stop_unvouched = false; }},
       {"acknowledge_waits", [](almanac::ControlOptions& control) { control.acknowledge_waits = false; }}};
   for (std::pair<std::string const, std::function<void(almanac::ControlOptions&)>> const& guard : guards) {
-    EXPECT_NE(first_break("field-calm", 3, [&guard](almanac::FieldOptions& options) {
-                ASSERT_TRUE(almanac::apply_whole("whole-storm", options));
-                guard.second(*options.control);
-              }), "") << guard.first;
+    EXPECT_NE(first_break("field-calm", 3,
+                          [&guard](almanac::FieldOptions& options) {
+                            ASSERT_TRUE(almanac::apply_whole("whole-storm", options));
+                            guard.second(*options.control);
+                          }),
+              "")
+        << guard.first;
   }
 }
 TEST(Field, DrainingWorkersGetNothingNew) {
-  EXPECT_NE(first_break("field-drains", 2, [](almanac::FieldOptions& options) { options.drop_drained = false; }).find("shown draining"), std::string::npos);
+  EXPECT_NE(first_break("field-drains", 2, [](almanac::FieldOptions& options) { options.drop_drained = false; })
+                .find("shown draining"),
+            std::string::npos);
 }
 
 }  // namespace
--- a/source/tests/almanac/relay_test.cpp
+++ b/source/tests/almanac/relay_test.cpp
@@ -44,9 +44,15 @@
 };
 
 TEST(AlmanacRelay, EachGuardIsNeeded) {
-  for (Needed const& needed : {Needed{"dispatch_once", "relay-grey", "ran twice"}, Needed{"honest_refusal", "relay-grey", "refused though it ran"}, Needed{"rights", "relay-full", "retries of", 120, 45, 8},
-                               Needed{"drop_drained", "relay-planned", "after it was draining"}, Needed{"drop_evacuated", "relay-planned", "in an evacuated hall"}, Needed{"keep_homes", "relay-storm", "outside its homes"},
-                               Needed{"name_worker", "relay-crash", "worker of another service"}, Needed{"cold_bound", "relay-crash", "was flooded", 3000, 1}, Needed{"suspect_returned", "relay-planned", "was flooded", 600, 4},
+  for (Needed const& needed : {Needed{"dispatch_once", "relay-grey", "ran twice"},
+                               Needed{"honest_refusal", "relay-grey", "refused though it ran"},
+                               Needed{"rights", "relay-full", "retries of", 120, 45, 8},
+                               Needed{"drop_drained", "relay-planned", "after it was draining"},
+                               Needed{"drop_evacuated", "relay-planned", "in an evacuated hall"},
+                               Needed{"keep_homes", "relay-storm", "outside its homes"},
+                               Needed{"name_worker", "relay-crash", "worker of another service"},
+                               Needed{"cold_bound", "relay-crash", "was flooded", 3000, 1},
+                               Needed{"suspect_returned", "relay-planned", "was flooded", 600, 4},
                                Needed{"ejection_bound", "relay-plague", " rest"}}) {
     bool broken = false;
     for (std::uint64_t seed = 1; seed <= 8 && !broken; ++seed) {
--- a/source/tests/config/charter_test.cpp
+++ b/source/tests/config/charter_test.cpp
@@ -1,14 +1,14 @@
 #include <gtest/gtest.h>
 
-#include "loam/constants.hpp"
 #include "config/charter/proposal.hpp"
+#include "loam/constants.hpp"
 
 namespace finchlink {
 namespace {
 
 std::string charter_text(std::uint64_t number, std::string const& prefix = "/a/", std::string const& service = "s") {
-  return "{\"number\":" + std::to_string(number) + ",\"lanes\":[{\"name\":\"l\",\"prefix\":\"" + prefix + "\",\"shares\":[{\"service\":\"" + service +
-         "\"}],\"deadline_ms\":1000}],\"services\":[{\"name\":\"s\"}]}";
+  return "{\"number\":" + std::to_string(number) + ",\"lanes\":[{\"name\":\"l\",\"prefix\":\"" + prefix +
+         "\",\"shares\":[{\"service\":\"" + service + "\"}],\"deadline_ms\":1000}],\"services\":[{\"name\":\"s\"}]}";
 }
 
 struct Told {
@@ -71,7 +71,8 @@
   EXPECT_EQ(unknown.note.end, config::CharterProposalOutcome::faults);
   EXPECT_FALSE(unknown.note.faults.empty());
   EXPECT_EQ(held.change({"{\"number\":", false, 0}).note.end, config::CharterProposalOutcome::faults);
-  EXPECT_EQ(held.change({charter_text(1).replace(charter_text(1).find("1000}"), 4, "0"), false, 0}).note.end, config::CharterProposalOutcome::faults);
+  EXPECT_EQ(held.change({charter_text(1).replace(charter_text(1).find("1000}"), 4, "0"), false, 0}).note.end,
+            config::CharterProposalOutcome::faults);
   EXPECT_EQ(held.value.revision, 0u);
   std::string const large = charter_text(1) + std::string(loam::constants::charter_limit, ' ');
   EXPECT_EQ(held.change({large, false, 0}).note.end, config::CharterProposalOutcome::size);
@@ -80,7 +81,8 @@
 TEST(CharterProposal, PatchesAreLaidOverWhatIsFound) {
   Register held;
   EXPECT_TRUE(held.change({charter_text(1), false, 0}).taken);
-  std::string const patch = R"({"number":2,"upsert":{"lanes":[{"name":"m","prefix":"/m/","shares":[{"service":"s"}],"deadline_ms":5}]},"remove":{"lanes":["l"]}})";
+  std::string const patch =
+      R"({"number":2,"upsert":{"lanes":[{"name":"m","prefix":"/m/","shares":[{"service":"s"}],"deadline_ms":5}]},"remove":{"lanes":["l"]}})";
   EXPECT_TRUE(held.change({patch, true, 1}).taken);
   config::CharterReading const reading = config::own_notation().read(held.value.content);
   ASSERT_TRUE(reading.good());
@@ -88,7 +90,8 @@
   EXPECT_EQ(reading.charter.lanes[0].name, "m");
   EXPECT_EQ(held.change({patch, true, 1}).note.end, config::CharterProposalOutcome::done);
   // A lane of an unknown service is found only in the merged whole.
-  EXPECT_EQ(held.change({R"({"number":3,"remove":{"services":["s"]}})", true, 2}).note.end, config::CharterProposalOutcome::faults);
+  EXPECT_EQ(held.change({R"({"number":3,"remove":{"services":["s"]}})", true, 2}).note.end,
+            config::CharterProposalOutcome::faults);
 }
 
 TEST(CharterProposal, KeepsTheNewestMarks) {
@@ -106,12 +109,14 @@
   std::string lanes;
   for (int index = 0; index < 3000; ++index) {
     std::string const name = std::to_string(index);
-    lanes += (index > 0 ? "," : "") + std::string("{\"name\":\"lane-") + name + "\",\"host\":\"ficu95.example\",\"prefix\":\"/p" + name + "/\",\"shares\":[{\"service\":\"s\"}],\"deadline_ms\":1000,\"padding\":\"" +
-             std::string(200, 'x') + "\"}";
+    lanes += (index > 0 ? "," : "") + std::string("{\"name\":\"lane-") + name +
+             "\",\"host\":\"ficu95.example\",\"prefix\":\"/p" + name +
+             "/\",\"shares\":[{\"service\":\"s\"}],\"deadline_ms\":1000,\"padding\":\"" + std::string(200, 'x') + "\"}";
   }
   // Own notation refuses unknown fields; merging does not look at them.
-  absl::StatusOr<std::string> const merged = config::merge_named("{\"number\":1,\"lanes\":[" + lanes + "],\"services\":[{\"name\":\"s\"}]}",
-                                                                  R"({"number":2,"remove":{"lanes":["lane-7"]}})", "number", {"lanes", "services"});
+  absl::StatusOr<std::string> const merged =
+      config::merge_named("{\"number\":1,\"lanes\":[" + lanes + "],\"services\":[{\"name\":\"s\"}]}",
+                          R"({"number":2,"remove":{"lanes":["lane-7"]}})", "number", {"lanes", "services"});
   ASSERT_TRUE(merged.ok());
   EXPECT_GT(merged->size(), 700000u);
   EXPECT_EQ(merged->find("\"lane-7\""), std::string::npos);
--- a/source/tests/config/setup_test.cpp
+++ b/source/tests/config/setup_test.cpp
@@ -3,12 +3,12 @@
 #include <fstream>
 #include <sstream>
 
-#include "loam/json/tree.hpp"
-#include "loam/constants.hpp"
 #include "config/change/proposal.hpp"
 #include "config/label/selector.hpp"
 #include "config/rule/rule.hpp"
 #include "config/setup/setup.hpp"
+#include "loam/constants.hpp"
+#include "loam/json/tree.hpp"
 
 namespace finchlink {
 namespace {
@@ -41,11 +41,13 @@
 }
 
 TEST(Setup, NamesEveryFaultWithItsPath) {
-  config::SetupReading const reading = config::read_setup(R"({"regions":{"a":{"halls":["x","y"]},"b":{"halls":["x"]}},"halls":{"z":{}},
+  config::SetupReading const reading =
+      config::read_setup(R"({"regions":{"a":{"halls":["x","y"]},"b":{"halls":["x"]}},"halls":{"z":{}},
     "rules":{"r/1":{"match":{"path":"/p","path_prefix":"/q"},"kind":"odd","deadline_ms":3,"colour":1,"home":{"region":"c"},"selector":{"key":"k","op":"in","values":[]}}}})");
   ASSERT_TRUE(reading.json);
-  for (std::string const path : {"/regions/b/halls/0", "/halls/z", "/rules/r~11/match", "/rules/r~11/kind", "/rules/r~11/deadline_ms",
-                                 "/rules/r~11/colour", "/rules/r~11/home/region", "/rules/r~11/selector/values"}) {
+  for (std::string const path :
+       {"/regions/b/halls/0", "/halls/z", "/rules/r~11/match", "/rules/r~11/kind", "/rules/r~11/deadline_ms",
+        "/rules/r~11/colour", "/rules/r~11/home/region", "/rules/r~11/selector/values"}) {
     EXPECT_TRUE(has_fault(reading, path)) << path << " not in " << loam::describe(reading.faults);
   }
   EXPECT_FALSE(config::read_setup("{\"regions\":").json);
@@ -53,7 +55,8 @@
 }
 
 TEST(Setup, MergePatchFollowsItsStandard) {
-  EXPECT_EQ(*config::patched(R"({"a":"b","c":{"d":"e","f":"g"}})", R"({"a":"z","c":{"f":null}})"), R"({"a":"z","c":{"d":"e"}})");
+  EXPECT_EQ(*config::patched(R"({"a":"b","c":{"d":"e","f":"g"}})", R"({"a":"z","c":{"f":null}})"),
+            R"({"a":"z","c":{"d":"e"}})");
   EXPECT_EQ(*config::patched(R"({"a":[1,2]})", R"({"a":[3],"b":{"c":null}})"), R"({"a":[3],"b":{}})");
   EXPECT_EQ(*config::patched("", R"({"x":1})"), R"({"x":1})");
 }
@@ -71,13 +74,16 @@
   EXPECT_TRUE(says(R"({"key":"kind","op":"equals","values":["model"]})"));
   EXPECT_FALSE(says(R"({"key":"kind","op":"notin","values":["model","web"]})"));
   EXPECT_TRUE(says(R"({"key":"absent","op":"notin","values":["x"]})"));
-  EXPECT_FALSE(says(R"({"all":[{"key":"site","op":"exists"},{"none":[{"key":"kind","op":"in","values":["model"]}]}]})"));
+  EXPECT_FALSE(
+      says(R"({"all":[{"key":"site","op":"exists"},{"none":[{"key":"kind","op":"in","values":["model"]}]}]})"));
   EXPECT_TRUE(says(R"({"any":[{"key":"absent","op":"exists"},{"key":"site","op":"in","values":["x","cork"]}]})"));
 }
 
 TEST(Rule, HomeComesFromPathAndHeadersAlone) {
   schema::Setup const setup = config::read_setup(file("deployments/pruebaviva/setup.json")).setup;
-  config::HeaderLookup const bogota = [](std::string const& name) { return name == "Finchlink-Home" ? std::string("bogota") : std::string(); };
+  config::HeaderLookup const bogota = [](std::string const& name) {
+    return name == "Finchlink-Home" ? std::string("bogota") : std::string();
+  };
   config::HeaderLookup const none = [](std::string const&) { return std::string(); };
   EXPECT_EQ(config::find_rule(setup, "POST", "/v1/verdict", none), "verdict");
   EXPECT_EQ(config::find_rule(setup, "GET", "/v1/verdict", none), std::nullopt);
--- a/source/tests/config/tenancy_test.cpp
+++ b/source/tests/config/tenancy_test.cpp
@@ -9,7 +9,8 @@
 
 std::string faults_of(std::string const& tenancy, std::string const& tenants = "[]") {
   config::CharterReading const reading = config::own_notation().read(
-      R"({"number":1,"services":[{"name":"s"}],"lanes":[{"name":"l","prefix":"/a/b/","home_regions":["east"],"shares":[{"service":"s"}],"tenancy":)" + tenancy + "}],\"tenants\":" + tenants + "}");
+      R"({"number":1,"services":[{"name":"s"}],"lanes":[{"name":"l","prefix":"/a/b/","home_regions":["east"],"shares":[{"service":"s"}],"tenancy":)" +
+      tenancy + "}],\"tenants\":" + tenants + "}");
   return loam::describe(reading.faults);
 }
 
@@ -27,8 +28,11 @@
   EXPECT_NE(faults_of(R"({"path_segment":2})").find("stands in the lane's prefix"), std::string::npos);
   EXPECT_NE(faults_of(R"({"header":"A","public_parts":["x","x"]})").find("/public_parts/1"), std::string::npos);
   EXPECT_NE(faults_of(R"({"header":"A","public_parts":["x:1"]})").find("is no part's id"), std::string::npos);
-  EXPECT_NE(faults_of(R"({"header":"A"})", R"([{"name":"t","home_regions":["west"]}])").find("leaves no region on lane l"), std::string::npos);
-  EXPECT_NE(faults_of(R"({"header":"A"})", R"([{"name":"t"},{"name":"t"}])").find("/tenants/1/name"), std::string::npos);
+  EXPECT_NE(
+      faults_of(R"({"header":"A"})", R"([{"name":"t","home_regions":["west"]}])").find("leaves no region on lane l"),
+      std::string::npos);
+  EXPECT_NE(faults_of(R"({"header":"A"})", R"([{"name":"t"},{"name":"t"}])").find("/tenants/1/name"),
+            std::string::npos);
   EXPECT_NE(faults_of(R"({"header":"A","unknown":1})").find("unknown"), std::string::npos);
 }
 
@@ -39,8 +43,10 @@
 }
 
 TEST(Tenancy, PatchesChangeTenants) {
-  std::string const whole = R"({"number":1,"services":[{"name":"s"}],"lanes":[{"name":"l","shares":[{"service":"s"}],"tenancy":{"header":"A"}}],"tenants":[{"name":"t"}]})";
-  absl::StatusOr<std::string> const merged = config::own_notation().merge(whole, R"({"number":2,"upsert":{"tenants":[{"name":"u","home_regions":["east"]}]},"remove":{"tenants":["t"]}})");
+  std::string const whole =
+      R"({"number":1,"services":[{"name":"s"}],"lanes":[{"name":"l","shares":[{"service":"s"}],"tenancy":{"header":"A"}}],"tenants":[{"name":"t"}]})";
+  absl::StatusOr<std::string> const merged = config::own_notation().merge(
+      whole, R"({"number":2,"upsert":{"tenants":[{"name":"u","home_regions":["east"]}]},"remove":{"tenants":["t"]}})");
   ASSERT_TRUE(merged.ok());
   config::CharterReading const reading = config::own_notation().read(*merged);
   ASSERT_TRUE(reading.good()) << loam::describe(reading.faults);
@@ -91,7 +97,8 @@
   for (bool const required : {true, false}) {
     tenancy.required = required;
     tenancy.path_segment = 2;
-    for (char const* const path : {"/v/acme/../other/x", "/v/acme/./x", "/v/../v/acme/x", "/v/acme/%2e%2e/other", "/v/acme/.%2E/other", "/v/..", "/v/acme/..", "/v/%2e/x"}) {
+    for (char const* const path : {"/v/acme/../other/x", "/v/acme/./x", "/v/../v/acme/x", "/v/acme/%2e%2e/other",
+                                   "/v/acme/.%2E/other", "/v/..", "/v/acme/..", "/v/%2e/x"}) {
       EXPECT_STREQ(tilth::read_tenant(tenancy, {}, path).fault, "malformed_tenant") << path;
     }
     tenancy.path_segment = 3;
--- a/source/tests/consensus/acceptor_test.cpp
+++ b/source/tests/consensus/acceptor_test.cpp
@@ -1,9 +1,9 @@
 #include <gtest/gtest.h>
 
-#include "loam/constants.hpp"
-#include "consensus/proposer/proposer.hpp"
-#include "consensus/majority_reader/majority_reader.hpp"
 #include "consensus/acceptor/acceptor.hpp"
+#include "consensus/majority_reader/majority_reader.hpp"
+#include "consensus/proposer/proposer.hpp"
+#include "loam/constants.hpp"
 
 namespace finchlink {
 namespace {
@@ -37,8 +37,11 @@
     }
   }
   /// Runs a change against the named holders only; the revision, 0 for none.
-  std::uint64_t change(std::string const& content, std::vector<std::size_t> const& reach, bool accept = true, std::uint64_t round = 0) {
-    Proposer core("setup", 7 + round, [&content](schema::Value const& found) -> Proposal { return schema::Value{found.revision + 1, content, {}}; });
+  std::uint64_t change(std::string const& content, std::vector<std::size_t> const& reach, bool accept = true,
+                       std::uint64_t round = 0) {
+    Proposer core("setup", 7 + round, [&content](schema::Value const& found) -> Proposal {
+      return schema::Value{found.revision + 1, content, {}};
+    });
     core.start_above(Ballot{1, round, 0});
     std::vector<ProposerAction> actions = core.begin(holders[reach.front()].set());
     for (std::size_t place = 0; place < actions.size(); ++place) {
@@ -48,8 +51,10 @@
         return chosen->value.revision;
       }
       for (std::size_t const index : reach) {
-        if (send != nullptr && holders[index].incarnation() == send->to.incarnation && (accept || std::holds_alternative<schema::Prepare>(send->message))) {
-          std::vector<ProposerAction> const more = core.receive(holders[index].incarnation(), *holders[index].receive(send->message, 0).reply);
+        if (send != nullptr && holders[index].incarnation() == send->to.incarnation &&
+            (accept || std::holds_alternative<schema::Prepare>(send->message))) {
+          std::vector<ProposerAction> const more =
+              core.receive(holders[index].incarnation(), *holders[index].receive(send->message, 0).reply);
           actions.insert(actions.end(), more.begin(), more.end());
         }
       }
@@ -108,7 +113,8 @@
     if (guard) {
       EXPECT_EQ(revision, 0u);
       EXPECT_TRUE(group.holders[3].wants_image());
-      std::vector<schema::Image> images{std::get<schema::Image>(*group.holders[0].receive(group.holders[3].image_ask(), 0).reply)};
+      std::vector<schema::Image> images{
+          std::get<schema::Image>(*group.holders[0].receive(group.holders[3].image_ask(), 0).reply)};
       EXPECT_TRUE(group.holders[3].enrol(images, 0).records.empty());  // one is no majority of the old set
       images.push_back(std::get<schema::Image>(*group.holders[1].receive(group.holders[3].image_ask(), 0).reply));
       EXPECT_FALSE(group.holders[3].enrol(images, 0).records.empty());
@@ -150,14 +156,19 @@
     ASSERT_EQ(group.change("base", {0, 1, 2}), 1u);
     Guards guards;
     guards.settle_before_reject = guard;
-    Proposer core("setup", 50, [](schema::Value const& found) -> Proposal {
-      return found.revision == 1 ? Proposal{schema::Value{2, "ours", {}}} : Proposal{Reject{"the revision is another"}};
-    }, guards);
+    Proposer core(
+        "setup", 50,
+        [](schema::Value const& found) -> Proposal {
+          return found.revision == 1 ? Proposal{schema::Value{2, "ours", {}}}
+                                     : Proposal{Reject{"the revision is another"}};
+        },
+        guards);
     core.start_above(Ballot{1, 10, 0});
     std::vector<ProposerAction> sends = core.begin(group.holders[0].set());
     std::vector<ProposerAction> accepts;
     for (std::size_t index = 0; index < 2; ++index) {
-      std::vector<ProposerAction> const more = core.receive(100 + index, *group.holders[index].receive(std::get<Send>(sends[index]).message, 0).reply);
+      std::vector<ProposerAction> const more =
+          core.receive(100 + index, *group.holders[index].receive(std::get<Send>(sends[index]).message, 0).reply);
       accepts.insert(accepts.end(), more.begin(), more.end());
     }
     ASSERT_EQ(accepts.size(), 3u);
@@ -171,14 +182,16 @@
     bool rejected = false;
     std::vector<ProposerAction> actions;
     for (std::size_t index = 1; index < 3; ++index) {
-      std::vector<ProposerAction> const more = core.receive(100 + index, *group.holders[index].receive(std::get<Send>(sends[index]).message, 0).reply);
+      std::vector<ProposerAction> const more =
+          core.receive(100 + index, *group.holders[index].receive(std::get<Send>(sends[index]).message, 0).reply);
       actions.insert(actions.end(), more.begin(), more.end());
     }
     for (std::size_t place = 0; place < actions.size(); ++place) {
       rejected = rejected || std::holds_alternative<Rejected>(actions[place]);
       if (Send const* const send = std::get_if<Send>(&actions[place])) {
         if (send->to.incarnation != 100) {
-          std::vector<ProposerAction> const more = core.receive(send->to.incarnation, *group.holders[send->to.incarnation - 100].receive(send->message, 0).reply);
+          std::vector<ProposerAction> const more = core.receive(
+              send->to.incarnation, *group.holders[send->to.incarnation - 100].receive(send->message, 0).reply);
           actions.insert(actions.end(), more.begin(), more.end());
         }
       }
@@ -194,7 +207,8 @@
         found = chosen->value.content;
       } else if (Send const* const send = std::get_if<Send>(&actions[place])) {
         if (send->to.incarnation != 102) {
-          std::vector<ProposerAction> const more = reader.receive(send->to.incarnation, *group.holders[send->to.incarnation - 100].receive(send->message, 0).reply);
+          std::vector<ProposerAction> const more = reader.receive(
+              send->to.incarnation, *group.holders[send->to.incarnation - 100].receive(send->message, 0).reply);
           actions.insert(actions.end(), more.begin(), more.end());
         }
       }
@@ -220,7 +234,8 @@
   (void)group.holders[0].receive(schema::Accept{"setup", Ballot{1, 99, 3}, schema::Value{2, "half", {}}}, 0);
   bool settled = false;
   for (std::uint64_t round = 2; round < 8; ++round) {
-    (void)confirm.begin(group.holders[0].set(), loam::seconds(1) + loam::milliseconds(100) * static_cast<loam::Span>(round));
+    (void)confirm.begin(group.holders[0].set(),
+                        loam::seconds(1) + loam::milliseconds(100) * static_cast<loam::Span>(round));
     for (std::size_t const index : {std::size_t{0}, std::size_t{1}}) {
       actions = confirm.receive(*group.holders[index].receive(schema::Read{1, {}, round}, 0).reply);
     }
--- a/source/tests/consensus/write_ahead_log_test.cpp
+++ b/source/tests/consensus/write_ahead_log_test.cpp
@@ -9,8 +9,8 @@
 namespace finchlink {
 namespace {
 
-using consensus::WriteAheadLog;
 using almanac::MemoryDisk;
+using consensus::WriteAheadLog;
 
 std::vector<schema::Record> cell(std::string const& name, std::uint64_t revision, std::size_t size = 20) {
   schema::Cell entry;
@@ -95,7 +95,8 @@
     ASSERT_TRUE(ring.append(records, [&records] { return records; }).ok());
   }
   // The third record loses a bit; two good ones follow it.
-  std::size_t const place = disk.cache[1].find("xxxx", disk.cache[1].find("xxxx", disk.cache[1].find("xxxx") + 60) + 60);
+  std::size_t const place =
+      disk.cache[1].find("xxxx", disk.cache[1].find("xxxx", disk.cache[1].find("xxxx") + 60) + 60);
   ASSERT_NE(place, std::string::npos);
   disk.cache[1][place] = 'y';
   WriteAheadLog again(disk.device(), 3, 4000);
--- a/source/tests/loam/asks_test.cpp
+++ b/source/tests/loam/asks_test.cpp
@@ -22,7 +22,8 @@
   // An operator whose charter is too large must hear it, or sends it again.
   std::string const body(30000, 'x');
   Served served;
-  std::shared_ptr<Line> const caller = served.fleet.call("PUT /charter HTTP/1.1\r\nHost: any\r\nContent-Length: 30000\r\n\r\n" + body, served.address);
+  std::shared_ptr<Line> const caller =
+      served.fleet.call("PUT /charter HTTP/1.1\r\nHost: any\r\nContent-Length: 30000\r\n\r\n" + body, served.address);
   ASSERT_TRUE(served.fleet.until([&] { return caller->ended; }));
   EXPECT_FALSE(caller->was_reset);
   std::optional<Response> const answer = served.fleet.answer_on(caller);
--- a/source/tests/loam/delta_test.cpp
+++ b/source/tests/loam/delta_test.cpp
@@ -38,7 +38,8 @@
   std::optional<Delta> const delta = source.since(copy.digest());
   ASSERT_TRUE(delta.has_value());
   EXPECT_FALSE(delta->whole);
-  EXPECT_EQ(delta->put, (std::vector<std::pair<std::string, std::string>>{{"worker-601", "ready"}, {"worker-7", "draining"}}));
+  EXPECT_EQ(delta->put,
+            (std::vector<std::pair<std::string, std::string>>{{"worker-601", "ready"}, {"worker-7", "draining"}}));
   EXPECT_EQ(delta->removed, (std::vector<std::string>{"worker-9"}));
   EXPECT_TRUE(copy.apply(*delta));
   EXPECT_EQ(copy.entries(), state);
--- a/source/tests/loam/followed_test.cpp
+++ b/source/tests/loam/followed_test.cpp
@@ -42,13 +42,16 @@
   schema::Settings settings;
   std::vector<loam::Fault> faults;
   schema::read(tree->get(), "", settings, faults);
-  return faults.empty() ? absl::StatusOr<schema::Settings>(settings) : absl::InvalidArgumentError(loam::describe(faults));
+  return faults.empty() ? absl::StatusOr<schema::Settings>(settings)
+                        : absl::InvalidArgumentError(loam::describe(faults));
 }
 
 /// What is logged while it lives.
 class Heard {
  public:
-  Heard() : sink_(boost::log::add_console_log(text_, boost::log::keywords::format = "%Message%", boost::log::keywords::auto_flush = true)) {}
+  Heard()
+      : sink_(boost::log::add_console_log(text_, boost::log::keywords::format = "%Message%",
+                                          boost::log::keywords::auto_flush = true)) {}
   ~Heard() { boost::log::core::get()->remove_sink(sink_); }
   [[nodiscard]] std::size_t count(std::string const& word) const {
     std::size_t found = 0;
@@ -85,7 +88,8 @@
   File file;
   file.write(wide());
   std::vector<schema::Settings> told;
-  loam::Followed followed(file.path(), read_own, [&told](schema::Settings const& settings) { told.push_back(settings); });
+  loam::Followed followed(file.path(), read_own,
+                          [&told](schema::Settings const& settings) { told.push_back(settings); });
   schema::Settings given;
   given.scaler = "on";  // an option, which no file of someone else's tells
   ASSERT_TRUE(followed.begin(given).ok());
@@ -168,7 +172,8 @@
     }
     File file;
     file.write(fleet.settings);
-    loam::Followed followed(file.path(), read_own, [&fleet](schema::Settings const& settings) { fleet.station->renew(settings); });
+    loam::Followed followed(file.path(), read_own,
+                            [&fleet](schema::Settings const& settings) { fleet.station->renew(settings); });
     ASSERT_TRUE(followed.begin(fleet.settings).ok());
     fleet.begin(in_touch);
     followed.run(*fleet.context, loam::seconds(3600));  // it takes the signal
@@ -182,7 +187,8 @@
     ASSERT_EQ(raise(SIGHUP), 0);
     ASSERT_TRUE(fleet.until([&] { return heard.count("E1006") == 1; }));
     ASSERT_TRUE(fleet.until([&] { return fleet.station->ready(); }));
-    std::optional<Response> const answer = fleet.answer_on(fleet.call("GET /-/directory HTTP/1.1\r\nHost: any\r\n\r\n", fleet.settings.directory_address));
+    std::optional<Response> const answer =
+        fleet.answer_on(fleet.call("GET /-/directory HTTP/1.1\r\nHost: any\r\n\r\n", fleet.settings.directory_address));
     ASSERT_TRUE(answer.has_value());
     EXPECT_NE(answer->body().find("\"seconds\":1.5"), std::string::npos) << answer->body();
     file.write("no settings");
--- a/source/tests/loam/fuzz_test.cpp
+++ b/source/tests/loam/fuzz_test.cpp
@@ -7,13 +7,13 @@
 #include <sstream>
 
 #include "almanac/disk/memory_disk.hpp"
+#include "config/setup/setup.hpp"
 #include "furrow/worker/contract.hpp"
-#include "membership/copy/copy.hpp"
-#include "loam/json/tree.hpp"
 #include "loam/constants.hpp"
+#include "loam/json/tree.hpp"
 #include "loam/wire/frame.hpp"
 #include "loam/wire/pack.hpp"
-#include "config/setup/setup.hpp"
+#include "membership/copy/copy.hpp"
 #include "schema/wire.hpp"
 
 namespace finchlink {
@@ -31,12 +31,24 @@
     std::size_t const place = random() % text.size();
     std::size_t const length = std::min<std::size_t>(text.size() - place, random() % 24);
     switch (random() % 6) {
-      case 0: text[place] = static_cast<char>(text[place] ^ (1 << (random() % 8))); break;
-      case 1: text.erase(place, length); break;
-      case 2: text.insert(place, text.substr(place, length)); break;
-      case 3: text.replace(place, length, std::string(length, static_cast<char>(random()))); break;
-      case 4: text.resize(place); break;
-      default: text.insert(place, std::string(random() % 3 == 0 ? 400 : 2, "[{\"0:\n"[random() % 6])); break;
+      case 0:
+        text[place] = static_cast<char>(text[place] ^ (1 << (random() % 8)));
+        break;
+      case 1:
+        text.erase(place, length);
+        break;
+      case 2:
+        text.insert(place, text.substr(place, length));
+        break;
+      case 3:
+        text.replace(place, length, std::string(length, static_cast<char>(random())));
+        break;
+      case 4:
+        text.resize(place);
+        break;
+      default:
+        text.insert(place, std::string(random() % 3 == 0 ? 400 : 2, "[{\"0:\n"[random() % 6]));
+        break;
     }
   }
   return text;
@@ -49,7 +61,8 @@
   answer.list.workers.resize(5);
   schema::Image image;
   image.cells["setup"].value = schema::Value{3, "{}", {{"a.1", 2}, {"b.2", 3}}};
-  std::vector<std::string> const good{loam::pack(schema::Message(answer)), loam::pack(schema::Message(image)), loam::pack(schema::Message(schema::Prepare{"setup", {1, 2, 3}}))};
+  std::vector<std::string> const good{loam::pack(schema::Message(answer)), loam::pack(schema::Message(image)),
+                                      loam::pack(schema::Message(schema::Prepare{"setup", {1, 2, 3}}))};
   std::mt19937_64 random(1);
   int refused = 0;
   for (int round = 0; round < rounds(); ++round) {
@@ -126,7 +139,8 @@
   int taken = 0;
   int left = 0;
   for (int round = 0; round < rounds(); ++round) {
-    absl::StatusOr<schema::Message> const read = loam::unpack<schema::Message>(round == 0 ? answer_bytes : spoiled(answer_bytes, random));
+    absl::StatusOr<schema::Message> const read =
+        loam::unpack<schema::Message>(round == 0 ? answer_bytes : spoiled(answer_bytes, random));
     schema::NewsAnswer const* const answer = read.ok() ? std::get_if<schema::NewsAnswer>(&*read) : nullptr;
     if (answer != nullptr) {
       membership::ListCopy lists = list_before;
@@ -158,9 +172,10 @@
   std::mt19937_64 random(3);
   std::string content;
   for (int lane = 0; lane < 1800; ++lane) {  // as charters are: the same fields with other names
-    content += "{\"name\":\"r-" + std::to_string(random() % 100000000) + "\",\"host\":\"ficu" + std::to_string(random() % 100) +
-               ".example\",\"path_prefix\":\"/lohu" + std::to_string(random() % 1000000) +
-               "/\",\"kind\":\"stream\",\"deadline_ms\":8000,\"priority\":1,\"tries\":1,\"sticky\":true,\"resumable\":false},";
+    content +=
+        "{\"name\":\"r-" + std::to_string(random() % 100000000) + "\",\"host\":\"ficu" +
+        std::to_string(random() % 100) + ".example\",\"path_prefix\":\"/lohu" + std::to_string(random() % 1000000) +
+        "/\",\"kind\":\"stream\",\"deadline_ms\":8000,\"priority\":1,\"tries\":1,\"sticky\":true,\"resumable\":false},";
   }
   schema::NewsAnswer answer;
   answer.news.push_back(schema::NamedValue{"charter", 7, content});
@@ -172,10 +187,12 @@
   }
   schema::NewsAnswer other;
   other.news.push_back(schema::NamedValue{"charter", 8, noise});
-  for (schema::Message const& message : {schema::Message(answer), schema::Message(other), schema::Message(schema::Prepare{"setup", {1, 2, 3}})}) {
+  for (schema::Message const& message :
+       {schema::Message(answer), schema::Message(other), schema::Message(schema::Prepare{"setup", {1, 2, 3}})}) {
     std::string const whole = loam::frame(message);
     std::string_view const header(whole.data(), loam::frame_header);
-    absl::StatusOr<schema::Message> const read = loam::unframe(header, std::string_view(whole).substr(loam::frame_header));
+    absl::StatusOr<schema::Message> const read =
+        loam::unframe(header, std::string_view(whole).substr(loam::frame_header));
     ASSERT_TRUE(read.ok()) << read.status();
     EXPECT_EQ(*read, message);
   }
@@ -192,7 +209,8 @@
     std::string payload = spoiled(good.substr(loam::frame_header), random);
     boost::crc_32_type check;
     check.process_bytes(payload.data(), payload.size());
-    std::uint32_t const words[3] = {loam::constants::frame_mark_compressed, static_cast<std::uint32_t>(payload.size()), check.checksum()};
+    std::uint32_t const words[3] = {loam::constants::frame_mark_compressed, static_cast<std::uint32_t>(payload.size()),
+                                    check.checksum()};
     std::string const header(reinterpret_cast<char const*>(words), sizeof(words));
     refused += loam::unframe(header, payload).ok() ? 0 : 1;
   }
--- a/source/tests/loam/gather_test.cpp
+++ b/source/tests/loam/gather_test.cpp
@@ -23,24 +23,29 @@
 
   /// Both are asked; `answering` is the try that the rising one answers.
   void gather(std::size_t answering, Span deadline, Span again) {
-    EXPECT_TRUE(serve_frames(context, silent, 8, [this](schema::Message const&, Yield yield) -> std::optional<schema::Message> {
-                  ++asked_silent;
-                  silent_asked.ring();
-                  if (silent_late && asked_silent == 1) {
-                    return std::nullopt;
-                  }
-                  never.wait(never.count(), seconds(600), yield);
-                  return std::nullopt;
-                }).ok());
-    EXPECT_TRUE(serve_frames(context, rising, 8, [this, answering](schema::Message const&, Yield yield) -> std::optional<schema::Message> {
-                  ++asked_rising;
-                  while (silent_late && asked_silent < 2) {
-                    silent_asked.wait(silent_asked.count(), seconds(600), yield);
-                  }
-                  return asked_rising < answering ? std::nullopt : std::optional<schema::Message>(schema::Unknown{"up"});
-                }).ok());
+    EXPECT_TRUE(
+        serve_frames(context, silent, 8, [this](schema::Message const&, Yield yield) -> std::optional<schema::Message> {
+          ++asked_silent;
+          silent_asked.ring();
+          if (silent_late && asked_silent == 1) {
+            return std::nullopt;
+          }
+          never.wait(never.count(), seconds(600), yield);
+          return std::nullopt;
+        }).ok());
+    EXPECT_TRUE(serve_frames(context, rising, 8,
+                             [this, answering](schema::Message const&, Yield yield) -> std::optional<schema::Message> {
+                               ++asked_rising;
+                               while (silent_late && asked_silent < 2) {
+                                 silent_asked.wait(silent_asked.count(), seconds(600), yield);
+                               }
+                               return asked_rising < answering ? std::nullopt
+                                                               : std::optional<schema::Message>(schema::Unknown{"up"});
+                             })
+                    .ok());
     start(context, [this, deadline, again](Yield yield) {
-      std::vector<std::pair<std::string, schema::Message>> const calls = {{silent, schema::Read{}}, {rising, schema::Read{}}};
+      std::vector<std::pair<std::string, schema::Message>> const calls = {{silent, schema::Read{}},
+                                                                          {rising, schema::Read{}}};
       Gather::run(
           context, caller, calls, deadline,
           [this](std::size_t index, absl::StatusOr<schema::Message> const& answer) {
@@ -106,13 +111,15 @@
   std::size_t asked = 0;
   std::size_t handed = 0;
   for (std::string const port : {":20001", ":20002"}) {
-    EXPECT_TRUE(serve_frames(context, ip + port, 8, [&asked](schema::Message const&, Yield) -> std::optional<schema::Message> {
-                  ++asked;
-                  return std::nullopt;
-                }).ok());
+    EXPECT_TRUE(
+        serve_frames(context, ip + port, 8, [&asked](schema::Message const&, Yield) -> std::optional<schema::Message> {
+          ++asked;
+          return std::nullopt;
+        }).ok());
   }
   start(context, [&](Yield yield) {
-    std::vector<std::pair<std::string, schema::Message>> const calls = {{ip + ":20001", schema::Read{}}, {ip + ":20002", schema::Read{}}};
+    std::vector<std::pair<std::string, schema::Message>> const calls = {{ip + ":20001", schema::Read{}},
+                                                                        {ip + ":20002", schema::Read{}}};
     Gather::run(
         context, caller, calls, seconds(600),
         [&handed](std::size_t, absl::StatusOr<schema::Message> const& answer) {
--- a/source/tests/loam/log_test.cpp
+++ b/source/tests/loam/log_test.cpp
@@ -16,7 +16,8 @@
   std::set<int> numbers;
   for (loam::EventEntry const& entry : loam::event_catalogue()) {
     EXPECT_TRUE(numbers.insert(static_cast<int>(entry.event)).second);
-    std::string const line = "| E" + std::to_string(static_cast<int>(entry.event)) + " | " + entry.name + " | " + entry.meaning + " |";
+    std::string const line =
+        "| E" + std::to_string(static_cast<int>(entry.event)) + " | " + entry.name + " | " + entry.meaning + " |";
     EXPECT_NE(text.str().find(line), std::string::npos) << line;
   }
 }
--- a/source/tests/membership/copy_test.cpp
+++ b/source/tests/membership/copy_test.cpp
@@ -33,10 +33,13 @@
   return entry;
 }
 
-schema::TrellisEntry trellis(std::string const& address) { return schema::TrellisEntry{address, 1, "h", address, "", false, false, 0}; }
+schema::TrellisEntry trellis(std::string const& address) {
+  return schema::TrellisEntry{address, 1, "h", address, "", false, false, 0};
+}
 
 /// What a trellis tells an asker that holds this, sent and read back.
-schema::NewsAnswer answer_of(membership::Listing const& listing, membership::Sessions const& sessions, std::uint64_t list, std::uint64_t members, loam::Moment now) {
+schema::NewsAnswer answer_of(membership::Listing const& listing, membership::Sessions const& sessions,
+                             std::uint64_t list, std::uint64_t members, loam::Moment now) {
   schema::NewsAnswer answer;
   answer.vouched = true;
   membership::ListNews const told = listing.since(list);
@@ -56,7 +59,9 @@
   return std::get<schema::NewsAnswer>(*read);
 }
 
-bool take(membership::ListCopy& copy, membership::Listing const& teller, loam::Moment now) { return copy.take(teller.since(copy.digest()), teller.age(now), now); }
+bool take(membership::ListCopy& copy, membership::Listing const& teller, loam::Moment now) {
+  return copy.take(teller.since(copy.digest()), teller.age(now), now);
+}
 
 schema::PlatformList many(std::size_t count) {
   schema::PlatformList list;
@@ -352,7 +357,8 @@
 }
 
 /// One telling of `from` to `to`, as sent and read back; gives what `to` answers.
-std::uint64_t telling(membership::Sessions const& from, std::uint64_t known, membership::Sessions& to, loam::Moment now, std::size_t* bytes = nullptr) {
+std::uint64_t telling(membership::Sessions const& from, std::uint64_t known, membership::Sessions& to, loam::Moment now,
+                      std::size_t* bytes = nullptr) {
   schema::Tell tell;
   tell.from = from.self();
   from.tell(known, now, tell);
@@ -360,7 +366,8 @@
   if (bytes != nullptr) {
     *bytes = frame.size();
   }
-  absl::StatusOr<schema::Message> const read = loam::unframe(std::string_view(frame).substr(0, loam::frame_header), std::string_view(frame).substr(loam::frame_header));
+  absl::StatusOr<schema::Message> const read = loam::unframe(std::string_view(frame).substr(0, loam::frame_header),
+                                                             std::string_view(frame).substr(loam::frame_header));
   return to.told(std::get<schema::Tell>(*read), now);
 }
 
@@ -378,7 +385,8 @@
   for (int turn = 0; turn < 30; ++turn) {  // far beyond the bound: tellings keep the sessions standing
     now += loam::milliseconds(300);
     for (int index = 0; index < 137; ++index) {
-      (void)one.heard(member("furrow-" + std::to_string(index), static_cast<std::uint64_t>(index) * 7919 + 1), now - loam::milliseconds(index));
+      (void)one.heard(member("furrow-" + std::to_string(index), static_cast<std::uint64_t>(index) * 7919 + 1),
+                      now - loam::milliseconds(index));
     }
     std::size_t bytes = 0;
     known = telling(one, known, other, now, &bytes);
--- a/source/tests/membership/digest_test.cpp
+++ b/source/tests/membership/digest_test.cpp
@@ -1,8 +1,8 @@
 #include <gtest/gtest.h>
 
+#include "loam/digest/digest.hpp"
 #include "membership/listing/listing.hpp"
 #include "membership/session/sessions.hpp"
-#include "loam/digest/digest.hpp"
 
 namespace finchlink {
 namespace {
--- a/source/tests/membership/freshness_lease_test.cpp
+++ b/source/tests/membership/freshness_lease_test.cpp
@@ -1,14 +1,14 @@
 #include <gtest/gtest.h>
 
-#include "membership/responder/news_responder.hpp"
+#include "lease/lease_granter.hpp"
+#include "lease/lease_holder.hpp"
+#include "loam/constants.hpp"
+#include "loam/json/tree.hpp"
+#include "membership/freshness/freshness_lease.hpp"
 #include "membership/listing/listing.hpp"
 #include "membership/reconfiguration/reconfiguration.hpp"
+#include "membership/responder/news_responder.hpp"
 #include "membership/session/sessions.hpp"
-#include "membership/freshness/freshness_lease.hpp"
-#include "loam/constants.hpp"
-#include "loam/json/tree.hpp"
-#include "lease/lease_granter.hpp"
-#include "lease/lease_holder.hpp"
 
 namespace finchlink {
 namespace {
@@ -55,7 +55,8 @@
   EXPECT_TRUE(now.answer->vouched);
   EXPECT_EQ(now.answer->news.size(), 1u);
   // No majority within the patience: an answer, but no vouch.
-  membership::NewsDecision const late = membership::decide_answer(ask, 1000, 999, values, false, 1000 + constants::ask_patience);
+  membership::NewsDecision const late =
+      membership::decide_answer(ask, 1000, 999, values, false, 1000 + constants::ask_patience);
   ASSERT_TRUE(late.answer.has_value());
   EXPECT_FALSE(late.answer->vouched);
   ask.member.held["setup"] = 3;
@@ -76,14 +77,17 @@
   EXPECT_GE(constants::acknowledge_wait, constants::vouch_bound + constants::vouch_bound / 10 + constants::ask_retry);
   EXPECT_LE(constants::acknowledge_wait, loam::milliseconds(2500));
   // Two failed asks and a good one fit into the vouch bound.
-  EXPECT_LE(constants::ask_deadline + constants::ask_retry + constants::ask_hold + loam::milliseconds(200), constants::vouch_bound);
+  EXPECT_LE(constants::ask_deadline + constants::ask_retry + constants::ask_hold + loam::milliseconds(200),
+            constants::vouch_bound);
   // Draining: last read of the list before it showed, its bound, clocks apart.
   EXPECT_LE(constants::list_bound + constants::list_bound / 10, loam::milliseconds(4000));
   EXPECT_GT(constants::session_bound, constants::vouch_bound);
   EXPECT_GE(constants::lease_reserve, constants::lease_span / 10);
   EXPECT_GE(constants::lease_silence, constants::lease_span + constants::lease_span / 10);
   // Retries: 0.1 of the arrivals of fifteen seconds fall into ten.
-  EXPECT_LE(constants::retry_share * static_cast<double>(loam::seconds(10) + constants::retry_life) / static_cast<double>(loam::seconds(10)), 0.2);
+  EXPECT_LE(constants::retry_share * static_cast<double>(loam::seconds(10) + constants::retry_life) /
+                static_cast<double>(loam::seconds(10)),
+            0.2);
 }
 
 TEST(Sessions, EndAfterTheBoundAndTellEachOther) {
@@ -132,7 +136,10 @@
     loam::Moment const then = loam::seconds(1) + constants::lease_span;
     for (lease::LeaseHolderAction const& action : other.tick(three(), then)) {
       lease::SendAsk const& send = std::get<lease::SendAsk>(action);
-      (void)other.receive(schema::LeaseAnswer{granters[send.to.incarnation - 1].ask(send.ask, then), send.to.incarnation, send.ask.round, {}}, then);
+      (void)other.receive(
+          schema::LeaseAnswer{
+              granters[send.to.incarnation - 1].ask(send.ask, then), send.to.incarnation, send.ask.round, {}},
+          then);
     }
     EXPECT_TRUE(other.holds(then));
     EXPECT_EQ(slow.holds(then), !guard) << "two hold one lease with the guard off";
@@ -187,7 +194,7 @@
   EXPECT_FALSE(membership::plan_joining(three(), misses, spare, 3).has_value());
   misses = {{1, 0}, {2, 0}, {3, 1}};  // one look missed is no loss,
   EXPECT_FALSE(membership::plan_joining(three(), misses, spare, 3).has_value());
-  spare.address = "c";                // unless another stands at its place
+  spare.address = "c";  // unless another stands at its place
   EXPECT_TRUE(membership::plan_joining(three(), misses, spare, 3).has_value());
   EXPECT_EQ(membership::plan_joining(three(), misses, spare, 3)->holders[2], spare);
 }
@@ -210,12 +217,14 @@
   // The newcomer has no vote yet: the next waits for it.
   schema::Voter const fifth{55, "e"};
   EXPECT_FALSE(membership::plan_joining(*plan, {{1, 0}, {2, 0}, {3, 0}, {44, 1}}, fifth, 5).has_value());
-  std::optional<schema::VoterSet> const whole = membership::plan_joining(*plan, {{1, 0}, {2, 0}, {3, 0}, {44, 0}}, fifth, 5);
+  std::optional<schema::VoterSet> const whole =
+      membership::plan_joining(*plan, {{1, 0}, {2, 0}, {3, 0}, {44, 0}}, fifth, 5);
   ASSERT_TRUE(whole.has_value());
   EXPECT_EQ(whole->holders.size(), 5u);
   // With five, two are replaced one after the other, and nobody is added.
   std::map<std::uint64_t, int> two_lost{{1, 0}, {2, 0}, {3, 0}, {44, constants::join_misses}, {55, 1}};
-  std::optional<schema::VoterSet> const replaced = membership::plan_joining(*whole, two_lost, schema::Voter{66, "f"}, 5);
+  std::optional<schema::VoterSet> const replaced =
+      membership::plan_joining(*whole, two_lost, schema::Voter{66, "f"}, 5);
   ASSERT_TRUE(replaced.has_value());
   EXPECT_EQ(replaced->holders.size(), 5u);
   EXPECT_EQ(replaced->holders[3], (schema::Voter{66, "f"}));
@@ -236,9 +245,11 @@
   second.holders[2] = {55, "e"};
   schema::Value const chosen{1, loam::print_tree(loam::Tree(schema::write(first)).get()), {}};
   EXPECT_TRUE(std::holds_alternative<consensus::Reject>(membership::reconfiguration_proposal(three(), second)(chosen)));
-  EXPECT_TRUE(std::holds_alternative<schema::Value>(membership::reconfiguration_proposal(three(), first)(schema::Value{})));
+  EXPECT_TRUE(
+      std::holds_alternative<schema::Value>(membership::reconfiguration_proposal(three(), first)(schema::Value{})));
   // The guard off, as it stood in the shell: expecting what the register holds.
-  EXPECT_TRUE(std::holds_alternative<schema::Value>(consensus::replace_at(chosen.revision, "another set of epoch 2")(chosen)));
+  EXPECT_TRUE(
+      std::holds_alternative<schema::Value>(consensus::replace_at(chosen.revision, "another set of epoch 2")(chosen)));
 }
 
 }  // namespace
--- a/source/tests/own_address.hpp
+++ b/source/tests/own_address.hpp
@@ -14,6 +14,8 @@
   unsigned int const second = 100 + number / (250 * 256);
   return "127." + std::to_string(second) + "." + std::to_string(third) + "." + std::to_string(last);
 }
-inline std::string own_ip() { return address_of_process(static_cast<unsigned int>(getpid())); }
+inline std::string own_ip() {
+  return address_of_process(static_cast<unsigned int>(getpid()));
+}
 
 }  // namespace finchlink
--- a/source/tests/platform/listing_test.cpp
+++ b/source/tests/platform/listing_test.cpp
@@ -26,7 +26,8 @@
 }
 
 TEST(PlatformListing, RefusesWhatIsNoList) {
-  for (std::string const text : {"", "{", "[]", R"({"instances":{}})", R"({"instances":[{"id":"x"}]})", R"({"instances":[1]})"}) {
+  for (std::string const text :
+       {"", "{", "[]", R"({"instances":{}})", R"({"instances":[{"id":"x"}]})", R"({"instances":[1]})"}) {
     EXPECT_FALSE(platform::parse_page(text).ok()) << text;
   }
 }
@@ -40,8 +41,10 @@
                     return loam::answer_error(status, "often", "");
                   }
                   bool const second = ask.target().find("page_token=p%2F1") != std::string::npos;
-                  return loam::answer_text(loam::http::status::ok, second ? R"({"instances":[{"id":"b","address":"1.1.1.1:2","plant":"p"}],"next_token":null})"
-                                                                          : R"({"instances":[{"id":"a","address":"1.1.1.1:1","plant":"p"}],"next_token":"p/1"})");
+                  return loam::answer_text(
+                      loam::http::status::ok,
+                      second ? R"({"instances":[{"id":"b","address":"1.1.1.1:2","plant":"p"}],"next_token":null})"
+                             : R"({"instances":[{"id":"a","address":"1.1.1.1:1","plant":"p"}],"next_token":"p/1"})");
                 }).ok());
   }
   absl::StatusOr<schema::PlatformList> read() {
--- a/source/tests/platform/notation_test.cpp
+++ b/source/tests/platform/notation_test.cpp
@@ -62,7 +62,9 @@
   EXPECT_TRUE(faulty("[]", ""));
   EXPECT_TRUE(faulty(replaced(whole, "\"plant\":\"q\",\"home", "\"plant\":\"nowhere\",\"home"), "/lanes/1/shares"));
   EXPECT_TRUE(faulty(replaced(whole, "/y/", "/x/"), "/lanes/1/prefix"));
-  EXPECT_TRUE(faulty(replaced(whole, "\"gain\":90},{\"plant\":\"q\",\"gain\":10", "\"gain\":0},{\"plant\":\"q\",\"gain\":0"), "/lanes/0/shares"));
+  EXPECT_TRUE(
+      faulty(replaced(whole, "\"gain\":90},{\"plant\":\"q\",\"gain\":10", "\"gain\":0},{\"plant\":\"q\",\"gain\":0"),
+             "/lanes/0/shares"));
   EXPECT_TRUE(faulty(replaced(whole, "\"deadline_ms\":4000", "\"deadline_ms\":0"), "/lanes/1/deadline_ms"));
   EXPECT_TRUE(faulty(replaced(whole, "\"deadline_ms\":4000,", ""), "/lanes/1/deadline_ms"));
   EXPECT_TRUE(faulty(replaced(whole, "\"plant\":\"q\",\"home", "\"home"), "/lanes/1/shares"));
@@ -72,8 +74,9 @@
 
 TEST(PlatformNotation, LaysAChangeOverAWhole) {
   absl::StatusOr<std::string> const merged = platform::notation().merge(
-      whole, R"({"revision":9,"upsert":{"channels":[{"name":"r-3","host":"b.example","path_prefix":"/z/","kind":"unsafe","deadline_ms":1.5,"plant":"p"},)"
-             R"({"name":"r-1","host":"a.example","path_prefix":"/w/","kind":"stream","deadline_ms":8000,"plant":"p"}]},"remove":{"channels":["r-2","r-none"]}})");
+      whole,
+      R"({"revision":9,"upsert":{"channels":[{"name":"r-3","host":"b.example","path_prefix":"/z/","kind":"unsafe","deadline_ms":1.5,"plant":"p"},)"
+      R"({"name":"r-1","host":"a.example","path_prefix":"/w/","kind":"stream","deadline_ms":8000,"plant":"p"}]},"remove":{"channels":["r-2","r-none"]}})");
   ASSERT_TRUE(merged.ok()) << merged.status();
   config::CharterReading const reading = platform::notation().read(*merged);
   ASSERT_TRUE(reading.good()) << loam::describe(reading.faults);
@@ -96,8 +99,9 @@
 }
 
 TEST(PlatformNotation, ChangesThatCannotBeReadAreRefused) {
-  for (std::string const change : {"{", "[]", R"({"revision":9,"upsert":[]})", R"({"revision":9,"upsert":{"channels":{}}})",
-                                   R"({"revision":9,"upsert":{"channels":[{"host":"x"}]}})", R"({"revision":9,"remove":{"channels":[1]}})"}) {
+  for (std::string const change :
+       {"{", "[]", R"({"revision":9,"upsert":[]})", R"({"revision":9,"upsert":{"channels":{}}})",
+        R"({"revision":9,"upsert":{"channels":[{"host":"x"}]}})", R"({"revision":9,"remove":{"channels":[1]}})"}) {
     EXPECT_FALSE(platform::notation().merge(whole, change).ok()) << change;
   }
 }
--- a/source/tests/platform/settings_test.cpp
+++ b/source/tests/platform/settings_test.cpp
@@ -77,8 +77,10 @@
 TEST(PlatformSettings, BoundsThatDoNotAddUpAreNamed) {
   absl::StatusOr<schema::Settings> const read = platform::parse_settings(sample);
   ASSERT_TRUE(read.ok());
-  for (std::uint64_t schema::TimeBounds::*field : {&schema::TimeBounds::apply_ms, &schema::TimeBounds::evacuate_ms, &schema::TimeBounds::drain_ms,
-                                                  &schema::TimeBounds::acknowledge_ms, &schema::TimeBounds::session_bound_ms, &schema::TimeBounds::ask_deadline_ms}) {
+  for (std::uint64_t schema::TimeBounds::*field :
+       {&schema::TimeBounds::apply_ms, &schema::TimeBounds::evacuate_ms, &schema::TimeBounds::drain_ms,
+        &schema::TimeBounds::acknowledge_ms, &schema::TimeBounds::session_bound_ms,
+        &schema::TimeBounds::ask_deadline_ms}) {
     schema::TimeBounds bounds = read->bounds;
     bounds.*field = 500;
     EXPECT_FALSE(loam::check_bounds(bounds).ok());
--- a/source/tests/relay/event_cutter_test.cpp
+++ b/source/tests/relay/event_cutter_test.cpp
@@ -9,7 +9,9 @@
 
 using furrow::EventCutter;
 
-std::string event(std::uint64_t number, std::string const& data = "x") { return "id: " + std::to_string(number) + "\ndata: " + data + "\n\n"; }
+std::string event(std::uint64_t number, std::string const& data = "x") {
+  return "id: " + std::to_string(number) + "\ndata: " + data + "\n\n";
+}
 
 TEST(EventCutter, PassesWholeEventsHoweverTheBytesCome) {
   std::string const text = event(1) + event(2, "two\ndata: lines") + event(3);
@@ -85,16 +87,20 @@
     std::optional<std::uint64_t> had = std::nullopt;
   };
   for (Case const& entry : {
-           Case{event(1) + event(2), event(3) + event(4), event(3) + event(4), false}, Case{event(1) + event(2), event(4), "", true},
+           Case{event(1) + event(2), event(3) + event(4), event(3) + event(4), false},
+           Case{event(1) + event(2), event(4), "", true},
            Case{event(1) + event(2), event(1) + event(2) + event(3), event(3), false},  // all of it again
-           Case{event(1) + event(2), event(2) + event(4), "", true}, Case{event(1), event(2), event(2), false}, Case{event(1), event(3), "", true},
-           Case{event(0), event(0) + event(1), event(1), false}, Case{event(0), event(2), "", true},
-           Case{event(8), event(9), event(9), false, 7}, Case{event(8), event(10), "", true, 7},  // the caller had seven
-           Case{event(5) + event(10), event(15) + event(17), event(15) + event(17), false}, Case{event(5) + event(10), event(20), "", true},
-           Case{event(5) + event(10), event(12), event(12), false},  // the last may be shorter
+           Case{event(1) + event(2), event(2) + event(4), "", true}, Case{event(1), event(2), event(2), false},
+           Case{event(1), event(3), "", true}, Case{event(0), event(0) + event(1), event(1), false},
+           Case{event(0), event(2), "", true}, Case{event(8), event(9), event(9), false, 7},
+           Case{event(8), event(10), "", true, 7},  // the caller had seven
+           Case{event(5) + event(10), event(15) + event(17), event(15) + event(17), false},
+           Case{event(5) + event(10), event(20), "", true},
+           Case{event(5) + event(10), event(12), event(12), false},          // the last may be shorter
            Case{event(1) + event(4) + event(5), event(9), event(9), false},  // uneven: nothing can be told
            Case{event(5), event(9), event(9), false}, Case{"", event(9), event(9), false, 7},
-           Case{event(1) + event(2), event(3) + event(7), event(3) + event(7), false},  // its own run: as the worker has it
+           Case{event(1) + event(2), event(3) + event(7), event(3) + event(7),
+                false},  // its own run: as the worker has it
        }) {
     Joined const joined = join(entry.before, entry.behind, entry.had);
     EXPECT_EQ(joined.bytes, entry.passed) << entry.before << entry.behind;
