--- a/source/tests/relay/fleet.hpp
+++ b/source/tests/relay/fleet.hpp
@@ -16,12 +16,12 @@
 #include <string>
 #include <vector>
 
+#include "config/charter/charter.hpp"
+#include "config/charter/proposal.hpp"
 #include "furrow/relay/dialect.hpp"
 #include "furrow/relay/station.hpp"
 #include "loam/json/tree.hpp"
 #include "loam/net/net.hpp"
-#include "config/charter/charter.hpp"
-#include "config/charter/proposal.hpp"
 #include "schema/setup.hpp"
 #include "tests/own_address.hpp"
 
@@ -41,9 +41,7 @@
     socket_.set_option(asio::ip::tcp::no_delay(true), ignored_);
     read();
   }
-  void send(std::string const& text) {
-    asio::write(socket_, asio::buffer(text), ignored_);
-  }
+  void send(std::string const& text) { asio::write(socket_, asio::buffer(text), ignored_); }
   void close() {
     socket_.close(ignored_);
     ended = true;
@@ -58,15 +56,16 @@
 
  private:
   void read() {
-    socket_.async_read_some(asio::buffer(piece_), [self = shared_from_this()](error_code const& error, std::size_t count) {
-      self->got.append(self->piece_.data(), count);
-      if (error) {
-        self->was_reset = error == asio::error::connection_reset;
-        self->ended = true;
-        return;
-      }
-      self->read();
-    });
+    socket_.async_read_some(asio::buffer(piece_),
+                            [self = shared_from_this()](error_code const& error, std::size_t count) {
+                              self->got.append(self->piece_.data(), count);
+                              if (error) {
+                                self->was_reset = error == asio::error::connection_reset;
+                                self->ended = true;
+                                return;
+                              }
+                              self->read();
+                            });
   }
   Socket socket_;
   std::array<char, 16384> piece_{};
@@ -113,8 +112,13 @@
 
 class Worker {
  public:
-  Worker(asio::io_context& context, std::string const& ip) : context_(context), acceptor_(context, asio::ip::tcp::endpoint(asio::ip::make_address(ip), 0)) { accept(); }
-  [[nodiscard]] std::string address() const { return acceptor_.local_endpoint().address().to_string() + ":" + std::to_string(acceptor_.local_endpoint().port()); }
+  Worker(asio::io_context& context, std::string const& ip)
+      : context_(context), acceptor_(context, asio::ip::tcp::endpoint(asio::ip::make_address(ip), 0)) {
+    accept();
+  }
+  [[nodiscard]] std::string address() const {
+    return acceptor_.local_endpoint().address().to_string() + ":" + std::to_string(acceptor_.local_endpoint().port());
+  }
   /// Takes whole queries off the lines; how many there were.
   std::size_t look() {
     std::size_t const before = arrivals.size();
@@ -146,22 +150,32 @@
 };
 
 /// What workers and callers say.
-inline std::string with_id(std::string const& id) { return "Finchlink-Query: " + id + "\r\n"; }
+inline std::string with_id(std::string const& id) {
+  return "Finchlink-Query: " + id + "\r\n";
+}
 inline std::string success(std::string const& id, std::string const& body, std::string const& more = "") {
-  return "HTTP/1.1 200 OK\r\n" + with_id(id) + "Finchlink-Seal: seal-" + id + "\r\n" + more + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  return "HTTP/1.1 200 OK\r\n" + with_id(id) + "Finchlink-Seal: seal-" + id + "\r\n" + more +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 inline std::string stream_head(std::string const& id, std::string const& more = "") {
-  return "HTTP/1.1 200 OK\r\n" + with_id(id) + "Finchlink-Seal: seal-" + id + "\r\n" + more + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+  return "HTTP/1.1 200 OK\r\n" + with_id(id) + "Finchlink-Seal: seal-" + id + "\r\n" + more +
+         "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
 }
 inline std::string chunk(std::string const& text) {
   char size[24];
   std::snprintf(size, sizeof(size), "%zx\r\n", text.size());
   return size + text + "\r\n";
 }
-inline std::string event(std::uint64_t number) { return "id: " + std::to_string(number) + "\ndata: piece " + std::to_string(number) + "\n\n"; }
-inline std::string not_run(std::string const& id, std::string const& status) { return "HTTP/1.1 " + status + "\r\n" + with_id(id) + "Finchlink-Refused: 1\r\nContent-Length: 0\r\n\r\n"; }
-inline std::string query(std::string const& path, std::string const& id, std::string const& body = "", std::string const& more = "") {
-  return "POST " + path + " HTTP/1.1\r\nHost: h.example\r\n" + with_id(id) + more + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+inline std::string event(std::uint64_t number) {
+  return "id: " + std::to_string(number) + "\ndata: piece " + std::to_string(number) + "\n\n";
+}
+inline std::string not_run(std::string const& id, std::string const& status) {
+  return "HTTP/1.1 " + status + "\r\n" + with_id(id) + "Finchlink-Refused: 1\r\nContent-Length: 0\r\n\r\n";
+}
+inline std::string query(std::string const& path, std::string const& id, std::string const& body = "",
+                         std::string const& more = "") {
+  return "POST " + path + " HTTP/1.1\r\nHost: h.example\r\n" + with_id(id) + more +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
 /// A stream as far as a caller has it.
@@ -215,7 +229,8 @@
     settings.bounds.directory_ttl_ms = 2000;
     charter.number = 1;
     charter.services = {service("web", false), service("pool", true)};
-    charter.lanes = {lane("plain", true, false, false, "web"), lane("once", false, false, false, "web"), lane("talk", false, true, false, "pool"), lane("tale", false, true, true, "pool")};
+    charter.lanes = {lane("plain", true, false, false, "web"), lane("once", false, false, false, "web"),
+                     lane("talk", false, true, false, "pool"), lane("tale", false, true, true, "pool")};
   }
   ~Fleet() {
     context->stop();
@@ -233,7 +248,8 @@
     entry.kept_tokens = 100000;
     return entry;
   }
-  static schema::Lane lane(std::string const& name, bool repeatable, bool stream, bool resumable, std::string const& service_name) {
+  static schema::Lane lane(std::string const& name, bool repeatable, bool stream, bool resumable,
+                           std::string const& service_name) {
     schema::Lane entry;
     entry.name = name;
     entry.host = "h.example";
@@ -259,7 +275,8 @@
     list_worker(id, workers[id]->address(), service_name, hall);
     return *workers[id];
   }
-  void list_worker(std::string const& id, std::string const& address, std::string const& service_name, std::string const& hall = "north") {
+  void list_worker(std::string const& id, std::string const& address, std::string const& service_name,
+                   std::string const& hall = "north") {
     schema::WorkerEntry entry;
     entry.id = id;
     entry.address = address;
@@ -271,7 +288,9 @@
   }
 
   /// The news as they are from now on; revision 0: none.
-  void publish(std::string const& name, std::uint64_t revision, std::string const& content) { news[name] = schema::NamedValue{name, revision, content}; }
+  void publish(std::string const& name, std::uint64_t revision, std::string const& content) {
+    news[name] = schema::NamedValue{name, revision, content};
+  }
   void publish_charter(std::uint64_t revision) {
     loam::Tree const tree(schema::write(charter));
     publish(config::charter_register, revision, loam::print_tree(tree.get()));
@@ -282,11 +301,16 @@
     if (with_charter) {
       publish_charter(1);
     }
-    EXPECT_TRUE(loam::serve_frames(*context, trellis_address, 64, [this](schema::Message const& message, loam::Yield yield) { return answer(message, yield); }).ok());
-    station = std::make_unique<furrow::Station>(*context, settings, furrow::own_dialect(), config::own_notation(), nullptr, 7);
+    EXPECT_TRUE(
+        loam::serve_frames(*context, trellis_address, 64, [this](schema::Message const& message, loam::Yield yield) {
+          return answer(message, yield);
+        }).ok());
+    station = std::make_unique<furrow::Station>(*context, settings, furrow::own_dialect(), config::own_notation(),
+                                                nullptr, 7);
     EXPECT_TRUE(station->begin().ok());
     if (with_charter) {
-      EXPECT_TRUE(until([this] { return station->book() != nullptr && station->grove().size() == list.workers.size(); }));
+      EXPECT_TRUE(
+          until([this] { return station->book() != nullptr && station->grove().size() == list.workers.size(); }));
     }
   }
   /// Waits until the relay has asked and been answered once more.
@@ -331,10 +355,12 @@
   /// The first whole answer on a line, taken off it.
   std::optional<Response> answer_on(std::shared_ptr<Line> const& line, int bound_ms = 5000) {
     std::optional<Read<false>> found;
-    (void)until([&] {
-      found = read_first<false>(line->got, false);
-      return found.has_value() || line->ended;
-    }, bound_ms);
+    (void)until(
+        [&] {
+          found = read_first<false>(line->got, false);
+          return found.has_value() || line->ended;
+        },
+        bound_ms);
     if (!found.has_value()) {
       return std::nullopt;
     }
@@ -345,7 +371,9 @@
     return until([&] { return at.arrivals.size() >= count; }, bound_ms);
   }
   /// The worker that the count-th query of all reached, waited for.
-  Worker* holder(std::size_t count = 1, int bound_ms = 5000) { return until([&] { return order.size() >= count; }, bound_ms) ? order[count - 1] : nullptr; }
+  Worker* holder(std::size_t count = 1, int bound_ms = 5000) {
+    return until([&] { return order.size() >= count; }, bound_ms) ? order[count - 1] : nullptr;
+  }
   [[nodiscard]] std::string name_of(Worker const* worker) const {
     for (std::pair<std::string const, std::unique_ptr<Worker>> const& entry : workers) {
       if (entry.second.get() == worker) {
@@ -366,7 +394,7 @@
   std::vector<schema::Member> members;
   std::uint64_t members_digest = 1;
   std::map<std::string, schema::NamedValue> news;
-  bool silent = false;        ///< the trellis says nothing
+  bool silent = false;         ///< the trellis says nothing
   std::size_t unanswered = 0;  // asks that the trellis ends unanswered first
   bool vouched = true;
   std::function<void(schema::NewsAsk const&, schema::NewsAnswer&)> script;  ///< changes what the trellis answers
--- a/source/tests/relay/station_test.cpp
+++ b/source/tests/relay/station_test.cpp
@@ -8,14 +8,25 @@
 namespace finchlink::relay_test {
 namespace {
 
-Arrival& last(Worker* worker) { return worker->arrivals.back(); }
-unsigned int status_of(std::optional<Response> const& answer) { return answer.has_value() ? answer->result_int() : 0; }
-std::string text_of(std::optional<Response> const& answer, std::string const& name) { return answer.has_value() ? std::string((*answer)[name]) : "no answer"; }
-std::string get(std::string const& target) { return "GET " + target + " HTTP/1.1\r\nHost: any\r\n\r\n"; }
+Arrival& last(Worker* worker) {
+  return worker->arrivals.back();
+}
+unsigned int status_of(std::optional<Response> const& answer) {
+  return answer.has_value() ? answer->result_int() : 0;
+}
+std::string text_of(std::optional<Response> const& answer, std::string const& name) {
+  return answer.has_value() ? std::string((*answer)[name]) : "no answer";
+}
+std::string get(std::string const& target) {
+  return "GET " + target + " HTTP/1.1\r\nHost: any\r\n\r\n";
+}
 
-unsigned int readiness(Fleet& fleet) { return status_of(fleet.answer_on(fleet.call(get("/-/ready"), fleet.settings.ready_address))); }
+unsigned int readiness(Fleet& fleet) {
+  return status_of(fleet.answer_on(fleet.call(get("/-/ready"), fleet.settings.ready_address)));
+}
 std::string directory(Fleet& fleet, std::string const& hall, std::string const& region) {
-  std::optional<Response> const answer = fleet.answer_on(fleet.call(get("/-/directory?zone=" + hall + "&region=" + region), fleet.settings.directory_address));
+  std::optional<Response> const answer = fleet.answer_on(
+      fleet.call(get("/-/directory?zone=" + hall + "&region=" + region), fleet.settings.directory_address));
   return answer.has_value() ? answer->body() : "no answer";
 }
 schema::Member member(std::string const& name, std::string const& hall, std::string const& address, bool ready = true) {
@@ -81,7 +92,8 @@
   asio::ip::tcp::acceptor one(*fleet.context, asio::ip::tcp::endpoint(asio::ip::make_address(fleet.ip), 0));
   asio::ip::tcp::acceptor two(*fleet.context, asio::ip::tcp::endpoint(asio::ip::make_address(fleet.ip), 0));
   for (asio::ip::tcp::acceptor const* const silent : {&one, &two}) {
-    fleet.settings.seeds.insert(fleet.settings.seeds.begin(), fleet.ip + ":" + std::to_string(silent->local_endpoint().port()));
+    fleet.settings.seeds.insert(fleet.settings.seeds.begin(),
+                                fleet.ip + ":" + std::to_string(silent->local_endpoint().port()));
   }
   fleet.settings.bounds.ask_deadline_ms = 60000;
   fleet.publish_charter(1);
@@ -106,11 +118,13 @@
   std::string const holding = fleet.next_address();
   fleet.settings.seeds = {holding, fleet.trellis_address};
   fleet.settings.bounds.ask_deadline_ms = 600000;
-  ASSERT_TRUE(loam::serve_frames(*fleet.context, holding, 8, [&](schema::Message const&, loam::Yield yield) -> std::optional<schema::Message> {
-                ++held;
-                never.wait(never.count(), loam::seconds(600), yield);
-                return std::nullopt;
-              }).ok());
+  ASSERT_TRUE(loam::serve_frames(*fleet.context, holding, 8,
+                                 [&](schema::Message const&, loam::Yield yield) -> std::optional<schema::Message> {
+                                   ++held;
+                                   never.wait(never.count(), loam::seconds(600), yield);
+                                   return std::nullopt;
+                                 })
+                  .ok());
   fleet.unanswered = 4;
   fleet.begin(false);
   fleet.station->lost_patience = loam::seconds(600);
@@ -208,7 +222,8 @@
   fleet.publish("evacuated", 1, "[\"north\"]");
   fleet.list.workers[2].draining = true;
   ++fleet.list_digest;
-  ASSERT_TRUE(fleet.until([&] { return !fleet.station->grove().usable("w1") && !fleet.station->grove().usable("w3"); }));
+  ASSERT_TRUE(
+      fleet.until([&] { return !fleet.station->grove().usable("w1") && !fleet.station->grove().usable("w3"); }));
   for (std::size_t count = 1; count <= 3; ++count) {
     std::string const id = "q" + std::to_string(count);
     std::shared_ptr<Line> const caller = fleet.call(query("/once/a", id));
@@ -287,17 +302,21 @@
   std::string const holding = fleet.next_address();
   std::string const second = fleet.next_address();
   fleet.settings.seeds = {holding, second, fleet.trellis_address};
-  ASSERT_TRUE(loam::serve_frames(*fleet.context, holding, 8, [&](schema::Message const&, loam::Yield yield) -> std::optional<schema::Message> {
-                held += leaving ? 1 : 0;
-                while (leaving && !released) {
-                  release.wait(release.count(), loam::seconds(600), yield);
-                }
-                return std::nullopt;
-              }).ok());
-  ASSERT_TRUE(loam::serve_frames(*fleet.context, second, 8, [&](schema::Message const&, loam::Yield) -> std::optional<schema::Message> {
-                heard += leaving ? 1 : 0;
-                return std::nullopt;
-              }).ok());
+  ASSERT_TRUE(loam::serve_frames(*fleet.context, holding, 8,
+                                 [&](schema::Message const&, loam::Yield yield) -> std::optional<schema::Message> {
+                                   held += leaving ? 1 : 0;
+                                   while (leaving && !released) {
+                                     release.wait(release.count(), loam::seconds(600), yield);
+                                   }
+                                   return std::nullopt;
+                                 })
+                  .ok());
+  ASSERT_TRUE(loam::serve_frames(*fleet.context, second, 8,
+                                 [&](schema::Message const&, loam::Yield) -> std::optional<schema::Message> {
+                                   heard += leaving ? 1 : 0;
+                                   return std::nullopt;
+                                 })
+                  .ok());
   fleet.settings.bounds.ask_deadline_ms = 600000;
   fleet.begin();
   fleet.hear();  // in touch with the last one, and asks it alone
@@ -344,8 +363,9 @@
   Fleet fleet;
   fleet.worker("w1");
   fleet.begin();
-  fleet.members = {member("furrow-self", "north", fleet.settings.http_address), member("beside", "north", "10.0.0.1:1"), member("tired", "north", "10.0.0.2:1", false),
-                   member("near", "south", "10.0.0.3:1"), member("away", "far", "10.0.0.4:1")};
+  fleet.members = {member("furrow-self", "north", fleet.settings.http_address), member("beside", "north", "10.0.0.1:1"),
+                   member("tired", "north", "10.0.0.2:1", false), member("near", "south", "10.0.0.3:1"),
+                   member("away", "far", "10.0.0.4:1")};
   ++fleet.members_digest;
   ASSERT_TRUE(fleet.until([&] { return directory(fleet, "south", "dublin").find("10.0.0.3:1") != std::string::npos; }));
   std::string const own = directory(fleet, "north", "dublin");
@@ -377,7 +397,8 @@
   Fleet fleet;
   Worker& worker = fleet.worker("w1");
   fleet.begin();
-  for (std::string const address : {fleet.settings.http_address, fleet.settings.ready_address, fleet.settings.directory_address}) {
+  for (std::string const address :
+       {fleet.settings.http_address, fleet.settings.ready_address, fleet.settings.directory_address}) {
     std::shared_ptr<Line> const caller = fleet.call("HEAD /none/a HTTP/1.1\r\nHost: h.example\r\n\r\n", address);
     ASSERT_TRUE(fleet.until([&] { return caller->got.find("\r\n\r\n") != std::string::npos; }));
     EXPECT_EQ(caller->got.rfind("HTTP/1.1 404 ", 0), 0u);
@@ -395,10 +416,14 @@
   fleet.charter.limits.header_bytes = 4096;
   Worker& worker = fleet.worker("w1");
   fleet.begin();
-  EXPECT_EQ(status_of(fleet.answer_on(fleet.call(query("/plain/a", "q1", "", "X-Long: " + std::string(5000, 'x') + "\r\n")))), 431u);
+  EXPECT_EQ(
+      status_of(fleet.answer_on(fleet.call(query("/plain/a", "q1", "", "X-Long: " + std::string(5000, 'x') + "\r\n")))),
+      431u);
   EXPECT_EQ(status_of(fleet.answer_on(fleet.call("what is this\r\n\r\n"))), 400u);
   // Two lengths: nothing may hide behind.
-  EXPECT_EQ(status_of(fleet.answer_on(fleet.call("POST /plain/a HTTP/1.1\r\nHost: h.example\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"))), 400u);
+  EXPECT_EQ(status_of(fleet.answer_on(fleet.call("POST /plain/a HTTP/1.1\r\nHost: h.example\r\nContent-Length: "
+                                                 "3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"))),
+            400u);
   fleet.rest(20);
   EXPECT_TRUE(worker.arrivals.empty());
 }
@@ -409,7 +434,10 @@
   Worker& worker = fleet.worker("w1");
   fleet.begin();
   EXPECT_EQ(status_of(fleet.answer_on(fleet.call(query("/plain/a", "q1", std::string(1001, 'x'))))), 413u);
-  EXPECT_EQ(status_of(fleet.answer_on(fleet.call("POST /plain/a HTTP/1.1\r\nHost: h.example\r\n" + with_id("q1") + "Transfer-Encoding: chunked\r\n\r\n" + chunk(std::string(1001, 'x')) + "0\r\n\r\n"))), 413u);
+  EXPECT_EQ(status_of(fleet.answer_on(fleet.call("POST /plain/a HTTP/1.1\r\nHost: h.example\r\n" + with_id("q1") +
+                                                 "Transfer-Encoding: chunked\r\n\r\n" + chunk(std::string(1001, 'x')) +
+                                                 "0\r\n\r\n"))),
+            413u);
   fleet.rest(20);
   EXPECT_TRUE(worker.arrivals.empty());
   std::shared_ptr<Line> const largest = fleet.call(query("/plain/a", "q2", std::string(1000, 'x')));
@@ -423,9 +451,15 @@
     std::string text;
     unsigned int status;
   };
-  for (Case const& entry : {Case{query("/plain/a", "q1", rest), 413}, Case{"POST /plain/a HTTP/1.1\r\nHost: h.example\r\n" + with_id("q1") + "Transfer-Encoding: chunked\r\n\r\n" + chunk(rest), 413},
-                            Case{query("/plain/a", "q1", rest, "X-Long: " + std::string(5000, 'x') + "\r\n"), 431}, Case{"what is this\r\n\r\n" + rest, 400},
-                            Case{"POST /plain/a HTTP/1.1\r\nHost: h.example\r\n" + with_id("q1") + "Transfer-Encoding: chunked\r\n\r\nzz\r\n" + rest, 400}}) {
+  for (Case const& entry : {Case{query("/plain/a", "q1", rest), 413},
+                            Case{"POST /plain/a HTTP/1.1\r\nHost: h.example\r\n" + with_id("q1") +
+                                     "Transfer-Encoding: chunked\r\n\r\n" + chunk(rest),
+                                 413},
+                            Case{query("/plain/a", "q1", rest, "X-Long: " + std::string(5000, 'x') + "\r\n"), 431},
+                            Case{"what is this\r\n\r\n" + rest, 400},
+                            Case{"POST /plain/a HTTP/1.1\r\nHost: h.example\r\n" + with_id("q1") +
+                                     "Transfer-Encoding: chunked\r\n\r\nzz\r\n" + rest,
+                                 400}}) {
     Fleet fleet;
     fleet.charter.limits.header_bytes = 4096;
     fleet.charter.limits.body_bytes = 1000;
@@ -448,10 +482,12 @@
   fleet.begin();
   std::optional<Response> const header = fleet.answer_on(fleet.call("POST /plain/a HTTP/1.1\r\nHo"));
   EXPECT_EQ(status_of(header), 408u);
-  std::optional<Response> const body = fleet.answer_on(fleet.call("POST /plain/a HTTP/1.1\r\nHost: h.example\r\n" + with_id("q1") + "Content-Length: 9\r\n\r\nhalf"));
+  std::optional<Response> const body = fleet.answer_on(
+      fleet.call("POST /plain/a HTTP/1.1\r\nHost: h.example\r\n" + with_id("q1") + "Content-Length: 9\r\n\r\nhalf"));
   EXPECT_EQ(status_of(body), 408u);
   EXPECT_EQ(text_of(body, "Finchlink-Query"), "q1");
-  std::shared_ptr<Line> const waiting = fleet.call("POST /plain/a HTTP/1.1\r\nHost: h.example\r\n" + with_id("q2") + "Expect: 100-continue\r\nContent-Length: 9\r\n\r\n");
+  std::shared_ptr<Line> const waiting = fleet.call("POST /plain/a HTTP/1.1\r\nHost: h.example\r\n" + with_id("q2") +
+                                                   "Expect: 100-continue\r\nContent-Length: 9\r\n\r\n");
   EXPECT_EQ(status_of(fleet.answer_on(waiting)), 100u);
   EXPECT_EQ(status_of(fleet.answer_on(waiting)), 408u);
   EXPECT_TRUE(worker.arrivals.empty());  // the promise that it has not run and never will
--- a/source/tests/relay/stream_test.cpp
+++ b/source/tests/relay/stream_test.cpp
@@ -5,8 +5,12 @@
 namespace finchlink::relay_test {
 namespace {
 
-Arrival& last(Worker* worker) { return worker->arrivals.back(); }
-unsigned int status_of(std::optional<Response> const& answer) { return answer.has_value() ? answer->result_int() : 0; }
+Arrival& last(Worker* worker) {
+  return worker->arrivals.back();
+}
+unsigned int status_of(std::optional<Response> const& answer) {
+  return answer.has_value() ? answer->result_int() : 0;
+}
 std::string events(std::uint64_t first, std::uint64_t behind) {
   std::string text;
   for (std::uint64_t number = first; number < behind; ++number) {
@@ -23,7 +27,8 @@
       fleet.worker("m" + std::to_string(index), "pool");
     }
     fleet.begin();
-    caller = fleet.call(query("/" + lane + "/a", "q1", "prompt", "Finchlink-Tokens: 300,80\r\nFinchlink-Parts: ab:200,cd:100\r\n"));
+    caller = fleet.call(
+        query("/" + lane + "/a", "q1", "prompt", "Finchlink-Tokens: 300,80\r\nFinchlink-Parts: ab:200,cd:100\r\n"));
     first = fleet.holder(1);
     if (first == nullptr) {
       return;
@@ -162,7 +167,8 @@
 
 TEST(RelayStream, AnotherAnswerInPlaceOfTheRestNeverReachesTheCaller) {
   // Whoever takes the stream up may fail in ways that are whole answers.
-  for (std::string const& bad : {"HTTP/1.1 400 Bad Request\r\n" + with_id("q1") + "Content-Length: 3\r\n\r\nbad", "HTTP/1.1 500 Internal\r\n" + with_id("q1") + "Content-Length: 3\r\n\r\nbad",
+  for (std::string const& bad : {"HTTP/1.1 400 Bad Request\r\n" + with_id("q1") + "Content-Length: 3\r\n\r\nbad",
+                                 "HTTP/1.1 500 Internal\r\n" + with_id("q1") + "Content-Length: 3\r\n\r\nbad",
                                  success("q1", "not a stream"), not_run("q1", "503 Busy"), success("other", "x")}) {
     Under under("tale", 2);
     ASSERT_TRUE(under.good);
@@ -170,7 +176,9 @@
     Worker* const second = under.fleet.holder(2);
     ASSERT_NE(second, nullptr);
     last(second).line->send(bad);
-    ASSERT_TRUE(under.fleet.until([&] { return under.caller->ended || under.now().behind != "" || under.now().whole; }, 2000)) << bad;
+    ASSERT_TRUE(
+        under.fleet.until([&] { return under.caller->ended || under.now().behind != "" || under.now().whole; }, 2000))
+        << bad;
     EXPECT_EQ(under.now().events, events(1, 3)) << bad;
     EXPECT_EQ(under.now().behind, "") << bad;
     EXPECT_FALSE(under.now().whole) << bad;
@@ -238,7 +246,8 @@
 }
 
 TEST(RelayStream, ASilentOneGoesOnWhenTheOtherHasNothingForIt) {
-  for (std::string const& bad : {not_run("q1", "503 Busy"), success("q1", "not a stream"), success("other", "x"), std::string("HTTP/1.1 500 Internal\r\nContent-Length: 0\r\n\r\n")}) {
+  for (std::string const& bad : {not_run("q1", "503 Busy"), success("q1", "not a stream"), success("other", "x"),
+                                 std::string("HTTP/1.1 500 Internal\r\nContent-Length: 0\r\n\r\n")}) {
     Under under("tale", 2);
     ASSERT_TRUE(under.good);
     Worker* const second = under.fleet.holder(2);
@@ -292,7 +301,10 @@
       under.fleet.charter.lanes.back().resumable = false;
     }
     under.fleet.publish_charter(2);
-    ASSERT_TRUE(under.fleet.until([&] { return under.fleet.station->book()->find("h.example", "/tale/a") == nullptr || !under.fleet.station->book()->find("h.example", "/tale/a")->resumable; }));
+    ASSERT_TRUE(under.fleet.until([&] {
+      return under.fleet.station->book()->find("h.example", "/tale/a") == nullptr ||
+             !under.fleet.station->book()->find("h.example", "/tale/a")->resumable;
+    }));
     last(second).line->send(not_run("q1", "503 Busy"));
     under.fleet.rest(20);
     EXPECT_FALSE(under.caller->ended) << removed;
--- a/source/tests/relay/walls_test.cpp
+++ b/source/tests/relay/walls_test.cpp
@@ -8,8 +8,12 @@
 namespace finchlink::relay_test {
 namespace {
 
-std::string tenant(std::string const& name) { return "Customer: " + name + "\r\n"; }
-std::string parts(std::string const& text) { return "Finchlink-Tokens: 300,4\r\nFinchlink-Model: m\r\nFinchlink-Parts: " + text + "\r\n"; }
+std::string tenant(std::string const& name) {
+  return "Customer: " + name + "\r\n";
+}
+std::string parts(std::string const& text) {
+  return "Finchlink-Tokens: 300,4\r\nFinchlink-Model: m\r\nFinchlink-Parts: " + text + "\r\n";
+}
 
 /// A relay whose lane "plain" has tenants, with a secrets file.
 struct Walled {
@@ -33,7 +37,8 @@
   ~Walled() { std::remove(path.c_str()); }
   void write(std::string const& secret) const { std::ofstream(path) << "{\"current\":\"" << secret << "\"}"; }
   /// Sends a query, answers it, and gives what reached the worker.
-  Arrival ask(std::string const& more, std::string const& said = "Finchlink-Weights: v1\r\n", std::string const& path_asked = "/plain/a") {
+  Arrival ask(std::string const& more, std::string const& said = "Finchlink-Weights: v1\r\n",
+              std::string const& path_asked = "/plain/a") {
     std::string const id = "q" + std::to_string(++asked);
     std::shared_ptr<Line> const caller = fleet.call(query(path_asked, id, "body", more));
     EXPECT_TRUE(fleet.arrived(*worker, asked));
@@ -51,7 +56,9 @@
 TEST(RelayWalls, WithoutATenantItIsRefusedBeforeItsBodyIsRead) {
   Walled walled;
   for (std::string const& more : {std::string(), tenant("a") + tenant("b"), tenant(""), tenant("a b")}) {
-    std::shared_ptr<Line> const caller = walled.fleet.call("POST /plain/a HTTP/1.1\r\nHost: h.example\r\nFinchlink-Query: q\r\n" + more + "Content-Length: 100000\r\n\r\n");
+    std::shared_ptr<Line> const caller =
+        walled.fleet.call("POST /plain/a HTTP/1.1\r\nHost: h.example\r\nFinchlink-Query: q\r\n" + more +
+                          "Content-Length: 100000\r\n\r\n");
     std::optional<Response> const answer = walled.fleet.answer_on(caller, 2000);
     ASSERT_TRUE(answer.has_value()) << more;
     EXPECT_EQ(answer->result_int(), 400u) << more;
@@ -73,13 +80,15 @@
 
 /// A query whose trailer names a tenant and other parts.
 std::string with_trailer(std::string const& header) {
-  return "POST /plain/a HTTP/1.1\r\nHost: h.example\r\nFinchlink-Query: q\r\n" + header + parts("x:100") + "Transfer-Encoding: chunked\r\nTrailer: Customer\r\n\r\n2\r\nhi\r\n0\r\n" + tenant("b") +
+  return "POST /plain/a HTTP/1.1\r\nHost: h.example\r\nFinchlink-Query: q\r\n" + header + parts("x:100") +
+         "Transfer-Encoding: chunked\r\nTrailer: Customer\r\n\r\n2\r\nhi\r\n0\r\n" + tenant("b") +
          "Finchlink-Parts: y:100\r\nFinchlink-Model: n\r\n\r\n";
 }
 
 TEST(RelayWalls, ATrailerNamesNoSecondTenant) {
   Walled walled;
-  std::string const keyed = (walled.ask(tenant("a") + parts("x:100")), walled.ask(tenant("a") + parts("x:100")).header("Finchlink-Parts"));
+  std::string const keyed =
+      (walled.ask(tenant("a") + parts("x:100")), walled.ask(tenant("a") + parts("x:100")).header("Finchlink-Parts"));
   std::shared_ptr<Line> const caller = walled.fleet.call(with_trailer(tenant("a")));
   ASSERT_TRUE(walled.fleet.arrived(*walled.worker, ++walled.asked));
   Arrival const& arrival = walled.worker->arrivals.back();
@@ -95,7 +104,8 @@
   walled.fleet.charter.number = 2;
   walled.fleet.publish_charter(2);
   ASSERT_TRUE(walled.fleet.until([&] { return walled.fleet.station->book()->charter().number == 2; }));
-  std::string const of_b = (walled.ask(tenant("b") + parts("x:100")), walled.ask(tenant("b") + parts("x:100")).header("Finchlink-Parts"));
+  std::string const of_b =
+      (walled.ask(tenant("b") + parts("x:100")), walled.ask(tenant("b") + parts("x:100")).header("Finchlink-Parts"));
   std::shared_ptr<Line> const caller = walled.fleet.call(with_trailer(""));
   ASSERT_TRUE(walled.fleet.arrived(*walled.worker, ++walled.asked));
   EXPECT_NE(walled.worker->arrivals.back().header("Finchlink-Parts"), of_b);
@@ -167,7 +177,9 @@
   std::shared_ptr<Line> const caller = walled.fleet.call(query("/plain/a", "other", "body", prompt));
   ASSERT_TRUE(walled.fleet.arrived(*walled.worker, ++walled.asked));
   EXPECT_EQ(walled.worker->arrivals.back().header("Finchlink-Expect-Weights"), "v1");
-  walled.worker->arrivals.back().line->send("HTTP/1.1 421 Misdirected Request\r\n" + with_id("other") + "Finchlink-Refused: 1\r\nFinchlink-Weights: v2\r\nContent-Length: 0\r\n\r\n");
+  walled.worker->arrivals.back().line->send(
+      "HTTP/1.1 421 Misdirected Request\r\n" + with_id("other") +
+      "Finchlink-Refused: 1\r\nFinchlink-Weights: v2\r\nContent-Length: 0\r\n\r\n");
   std::optional<Response> const answer = walled.fleet.answer_on(caller);
   ASSERT_TRUE(answer.has_value());
   EXPECT_EQ(answer->result_int(), 503u) << "no other worker was there, and nothing ran";
@@ -180,7 +192,9 @@
 TEST(RelayWalls, OtherSpellingsOfOurNamesDoNotReachWorkers) {
   // Some servers take "_" for "-" in a field's name.
   Walled walled;
-  Arrival const arrival = walled.ask("CUSTOMER:   a  \r\n" + parts("x:100") + "Finchlink_Parts: y:100\r\nfinchlink_expect-weights: v9\r\nFINCHLINK-PARTS: z:5\r\n");
+  Arrival const arrival =
+      walled.ask("CUSTOMER:   a  \r\n" + parts("x:100") +
+                 "Finchlink_Parts: y:100\r\nfinchlink_expect-weights: v9\r\nFINCHLINK-PARTS: z:5\r\n");
   EXPECT_EQ(arrival.request.count("Finchlink_Parts"), 0u);
   EXPECT_EQ(arrival.request.count("finchlink_expect-weights"), 0u);
   EXPECT_EQ(arrival.request.count("Finchlink-Parts"), 1u);
@@ -193,7 +207,8 @@
   std::shared_ptr<Line> const caller = walled.fleet.call(query("/plain/a", "echo", "", tenant("a") + parts("x:100")));
   ASSERT_TRUE(walled.fleet.arrived(*walled.worker, ++walled.asked));
   std::string const ids = walled.worker->arrivals.back().header("Finchlink-Parts");
-  walled.worker->arrivals.back().line->send(success("echo", "good", "Finchlink-Weights: v1\r\nFinchlink-Parts: " + ids + "\r\n"));
+  walled.worker->arrivals.back().line->send(
+      success("echo", "good", "Finchlink-Weights: v1\r\nFinchlink-Parts: " + ids + "\r\n"));
   std::optional<Response> const answer = walled.fleet.answer_on(caller);
   ASSERT_TRUE(answer.has_value());
   EXPECT_EQ(answer->result_int(), 200u);
@@ -214,7 +229,8 @@
   std::string const before = walled.ask(prompt).header("Finchlink-Parts");
   (void)walled.ask(prompt, "Finchlink-Weights: v2\r\n");
   EXPECT_EQ(walled.fleet.station->walls().other_weights(), 1u);
-  EXPECT_NE(furrow::print_wall_metrics(walled.fleet.station->walls()).find("relay_wall_other_weights_total 1\n"), std::string::npos);
+  EXPECT_NE(furrow::print_wall_metrics(walled.fleet.station->walls()).find("relay_wall_other_weights_total 1\n"),
+            std::string::npos);
   (void)walled.ask(prompt, "Finchlink-Weights: v1\r\n");  // it goes back, and is alarmed of again
   Arrival const cold = walled.ask(prompt, "Finchlink-Weights: v1\r\n");
   EXPECT_NE(cold.header("Finchlink-Parts"), before) << "what is kept under v1's ids is not known";
@@ -246,7 +262,9 @@
   ASSERT_TRUE(walled.fleet.until([&] { return walled.fleet.station->book()->charter().number == 2; }));
   (void)walled.ask(tenant("a") + parts("p:50,x:100"));
   std::string const of_a = walled.ask(tenant("a") + parts("p:50,x:100")).header("Finchlink-Parts");
-  EXPECT_EQ(walled.ask(parts("p:50,x:100"), "Finchlink-Weights: v1\r\n", "/once/a").header("Finchlink-Parts"), "p:50,x:100") << "not even public parts are shared with it";
+  EXPECT_EQ(walled.ask(parts("p:50,x:100"), "Finchlink-Weights: v1\r\n", "/once/a").header("Finchlink-Parts"),
+            "p:50,x:100")
+      << "not even public parts are shared with it";
   for (tilth::NamedPart const& part : tilth::named_parts(of_a)) {
     EXPECT_TRUE(part.id != "p" && part.id != "x");
   }
@@ -265,24 +283,26 @@
   fleet.begin();
   ASSERT_TRUE(fleet.until([&] { return fleet.station->walls().keyed(); }));
   std::size_t seen = 0;
-  std::function<std::string(std::string const&, std::string const&, Worker*)> const whole = [&](std::string const& name, std::string const& version, Worker* wanted) {
-    // Until the wanted worker had one: placement is free to choose.
-    for (int round = 0; round < 20; ++round) {
-      std::string const id = "warm" + std::to_string(++seen);
-      std::shared_ptr<Line> const caller = fleet.call(query("/tale/a", id, "", tenant(name) + parts("x" + id + ":100")));
-      Worker* const at = fleet.holder(seen);
-      if (at == nullptr) {
+  std::function<std::string(std::string const&, std::string const&, Worker*)> const whole =
+      [&](std::string const& name, std::string const& version, Worker* wanted) {
+        // Until the wanted worker had one: placement is free to choose.
+        for (int round = 0; round < 20; ++round) {
+          std::string const id = "warm" + std::to_string(++seen);
+          std::shared_ptr<Line> const caller =
+              fleet.call(query("/tale/a", id, "", tenant(name) + parts("x" + id + ":100")));
+          Worker* const at = fleet.holder(seen);
+          if (at == nullptr) {
+            return std::string();
+          }
+          Arrival const& arrival = at->arrivals.back();
+          arrival.line->send(stream_head(id, "Finchlink-Weights: " + version + "\r\n") + chunk(event(1)) + "0\r\n\r\n");
+          (void)fleet.until([&] { return passed(caller->got).whole; });
+          if (at == wanted) {
+            return arrival.header("Finchlink-Parts");
+          }
+        }
         return std::string();
-      }
-      Arrival const& arrival = at->arrivals.back();
-      arrival.line->send(stream_head(id, "Finchlink-Weights: " + version + "\r\n") + chunk(event(1)) + "0\r\n\r\n");
-      (void)fleet.until([&] { return passed(caller->got).whole; });
-      if (at == wanted) {
-        return arrival.header("Finchlink-Parts");
-      }
-    }
-    return std::string();
-  };
+      };
   ASSERT_NE(whole("warm", "v1", fleet.workers["w1"].get()), "");
   ASSERT_NE(whole("warm", "v1", fleet.workers["w2"].get()), "");
   std::shared_ptr<Line> const caller = fleet.call(query("/tale/a", "cut", "", tenant("a") + parts("x:100,y:50")));
@@ -298,7 +318,8 @@
   EXPECT_EQ(second->arrivals.back().header("Finchlink-Parts"), ids) << "its own, and nobody else's";
   EXPECT_EQ(second->arrivals.back().header("Finchlink-Expect-Weights"), "v1");
   // That one has other weights by now: nothing ran, and no third may be asked under v1's ids.
-  second->arrivals.back().line->send("HTTP/1.1 421 Misdirected Request\r\n" + with_id("cut") + "Finchlink-Refused: 1\r\nFinchlink-Weights: v2\r\nContent-Length: 0\r\n\r\n");
+  second->arrivals.back().line->send("HTTP/1.1 421 Misdirected Request\r\n" + with_id("cut") +
+                                     "Finchlink-Refused: 1\r\nFinchlink-Weights: v2\r\nContent-Length: 0\r\n\r\n");
   (void)fleet.until([&] { return caller->ended; }, 3000);
   for (std::pair<std::string const, std::unique_ptr<Worker>>& entry : fleet.workers) {
     for (Arrival const& arrival : entry.second->arrivals) {
@@ -312,7 +333,8 @@
   Walled walled;
   (void)walled.ask(tenant("a") + parts("x:100,y:100"), "Finchlink-Weights: v1\r\nFinchlink-Reused: 100\r\n");
   EXPECT_EQ(walled.fleet.station->walls().crossings(), 1u);
-  EXPECT_NE(furrow::print_wall_metrics(walled.fleet.station->walls()).find("relay_wall_crossings_total 1\n"), std::string::npos);
+  EXPECT_NE(furrow::print_wall_metrics(walled.fleet.station->walls()).find("relay_wall_crossings_total 1\n"),
+            std::string::npos);
   (void)walled.ask(tenant("a") + parts("x:100,y:100"), "Finchlink-Weights: v1\r\nFinchlink-Reused: 0\r\n");
   (void)walled.ask(tenant("a") + parts("x:100,y:100"), "Finchlink-Weights: v1\r\nFinchlink-Reused: 200\r\n");
   EXPECT_EQ(walled.fleet.station->walls().crossings(), 1u) << "its own is no crossing";
--- a/source/tests/relay/whole_test.cpp
+++ b/source/tests/relay/whole_test.cpp
@@ -5,17 +5,27 @@
 namespace finchlink::relay_test {
 namespace {
 
-std::string text_of(std::optional<Response> const& answer, std::string const& name) { return answer.has_value() ? std::string((*answer)[name]) : "no answer"; }
-unsigned int status_of(std::optional<Response> const& answer) { return answer.has_value() ? answer->result_int() : 0; }
-std::string body_of(std::optional<Response> const& answer) { return answer.has_value() ? answer->body() : "no answer"; }
-Arrival& last(Worker* worker) { return worker->arrivals.back(); }
+std::string text_of(std::optional<Response> const& answer, std::string const& name) {
+  return answer.has_value() ? std::string((*answer)[name]) : "no answer";
+}
+unsigned int status_of(std::optional<Response> const& answer) {
+  return answer.has_value() ? answer->result_int() : 0;
+}
+std::string body_of(std::optional<Response> const& answer) {
+  return answer.has_value() ? answer->body() : "no answer";
+}
+Arrival& last(Worker* worker) {
+  return worker->arrivals.back();
+}
 
 TEST(RelayWhole, QueryAndAnswerGoThroughUnchanged) {
   Fleet fleet;
   Worker& worker = fleet.worker("w1");
   fleet.begin();
   std::shared_ptr<Line> const caller =
-      fleet.call(query("/plain/a/b?c=d&e", "q1", "the body", "X-Own: kept\r\nConnection: X-Hop\r\nX-Hop: this hop only\r\nFinchlink-Left: 2000\r\nFinchlink-Worker: forged\r\n"));
+      fleet.call(query("/plain/a/b?c=d&e", "q1", "the body",
+                       "X-Own: kept\r\nConnection: X-Hop\r\nX-Hop: this hop only\r\nFinchlink-Left: "
+                       "2000\r\nFinchlink-Worker: forged\r\n"));
   ASSERT_TRUE(fleet.arrived(worker, 1));
   Arrival& arrival = last(&worker);
   EXPECT_EQ(arrival.request.method_string(), "POST");
@@ -50,22 +60,28 @@
   Fleet fleet;
   Worker& worker = fleet.worker("w1");
   fleet.begin();
-  std::shared_ptr<Line> const caller = fleet.call("POST /once/a HTTP/1.1\r\nHost: h.example\r\n" + with_id("q1") + "Transfer-Encoding: chunked\r\n\r\n" + chunk("first "));
+  std::shared_ptr<Line> const caller = fleet.call("POST /once/a HTTP/1.1\r\nHost: h.example\r\n" + with_id("q1") +
+                                                  "Transfer-Encoding: chunked\r\n\r\n" + chunk("first "));
   fleet.rest(30);
   EXPECT_TRUE(worker.arrivals.empty());
   caller->send(chunk("second") + "0\r\n\r\n");
   ASSERT_TRUE(fleet.arrived(worker, 1));
   EXPECT_EQ(last(&worker).request.body(), "first second");
-  last(&worker).line->send("HTTP/1.1 200 OK\r\n" + with_id("q1") + "Finchlink-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk("one ") + chunk("two") + "0\r\n\r\n");
+  last(&worker).line->send("HTTP/1.1 200 OK\r\n" + with_id("q1") +
+                           "Finchlink-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk("one ") + chunk("two") +
+                           "0\r\n\r\n");
   EXPECT_EQ(body_of(fleet.answer_on(caller)), "one two");
 }
 
 TEST(RelayWhole, AHeadIsAnsweredWithoutABody) {
-  for (std::string const& more : {std::string("Content-Length: 10\r\n"), std::string("Transfer-Encoding: chunked\r\n"), std::string(), std::string("Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n")}) {
+  for (std::string const& more :
+       {std::string("Content-Length: 10\r\n"), std::string("Transfer-Encoding: chunked\r\n"), std::string(),
+        std::string("Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n")}) {
     Fleet fleet;
     Worker& worker = fleet.worker("w1");
     fleet.begin();
-    std::shared_ptr<Line> const caller = fleet.call("HEAD /plain/a HTTP/1.1\r\nHost: h.example\r\n" + with_id("q1") + "\r\n");
+    std::shared_ptr<Line> const caller =
+        fleet.call("HEAD /plain/a HTTP/1.1\r\nHost: h.example\r\n" + with_id("q1") + "\r\n");
     ASSERT_TRUE(fleet.arrived(worker, 1));
     EXPECT_EQ(last(&worker).request.method_string(), "HEAD");
     // The worker's connection stays open: only the method tells that no body comes.
@@ -88,7 +104,8 @@
 TEST(RelayWhole, AHeadThatFindsNoPlaceIsRefusedWithoutABody) {
   Fleet fleet;
   fleet.begin();
-  std::shared_ptr<Line> const caller = fleet.call("HEAD /plain/a HTTP/1.1\r\nHost: h.example\r\n" + with_id("q1") + "\r\n");
+  std::shared_ptr<Line> const caller =
+      fleet.call("HEAD /plain/a HTTP/1.1\r\nHost: h.example\r\n" + with_id("q1") + "\r\n");
   ASSERT_TRUE(fleet.until([&] { return caller->got.find("\r\n\r\n") != std::string::npos; }));
   EXPECT_EQ(caller->got.rfind("HTTP/1.1 503 ", 0), 0u);
   EXPECT_NE(caller->got.find("\r\nRetry-After: "), std::string::npos);
@@ -163,11 +180,19 @@
 
 /// What a worker in trouble may say instead of its answer; then it closes.
 std::vector<std::string> bad_answers() {
-  return {"", "no answer at all\r\n\r\n", std::string("\x16\x03\x01\x02\x00", 5), "HTTP/1.1 200 OK\r\nContent-Le", success("other", "another's answer"),
-          "HTTP/1.1 200 OK\r\n" + with_id("q1") + "Content-Length: 8\r\n\r\nunsealed", "HTTP/1.1 200 OK\r\n" + with_id("q1") + "Finchlink-Seal: s\r\nContent-Length: 100\r\n\r\nbroken off",
-          "HTTP/1.1 200 OK\r\n" + with_id("q1") + "Finchlink-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk("broken off"),
-          "HTTP/1.1 200 OK\r\n" + with_id("q1") + "Finchlink-Seal: s\r\n\r\nwithout a length", "HTTP/1.1 503 Busy\r\n" + with_id("q1") + "Content-Length: 0\r\n\r\n",
-          "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 200 OK\r\n" + with_id("q1") + "Finchlink-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"};
+  return {"",
+          "no answer at all\r\n\r\n",
+          std::string("\x16\x03\x01\x02\x00", 5),
+          "HTTP/1.1 200 OK\r\nContent-Le",
+          success("other", "another's answer"),
+          "HTTP/1.1 200 OK\r\n" + with_id("q1") + "Content-Length: 8\r\n\r\nunsealed",
+          "HTTP/1.1 200 OK\r\n" + with_id("q1") + "Finchlink-Seal: s\r\nContent-Length: 100\r\n\r\nbroken off",
+          "HTTP/1.1 200 OK\r\n" + with_id("q1") + "Finchlink-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n" +
+              chunk("broken off"),
+          "HTTP/1.1 200 OK\r\n" + with_id("q1") + "Finchlink-Seal: s\r\n\r\nwithout a length",
+          "HTTP/1.1 503 Busy\r\n" + with_id("q1") + "Content-Length: 0\r\n\r\n",
+          "HTTP/1.1 100 Continue\r\n\r\n",
+          "HTTP/1.1 200 OK\r\n" + with_id("q1") + "Finchlink-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"};
 }
 
 TEST(RelayWhole, WhatIsNoAnswerNeverReachesTheCaller) {
@@ -426,7 +451,7 @@
   std::shared_ptr<Line> const two = fleet.call(query("/plain/a", "two"));
   ASSERT_NE(fleet.holder(count + 3), nullptr);  // one of them went on
   fleet.rest(500);
-  EXPECT_EQ(fleet.order.size(), count + 3);     // the other did not
+  EXPECT_EQ(fleet.order.size(), count + 3);  // the other did not
   EXPECT_TRUE(one->got.empty());
   EXPECT_TRUE(two->got.empty());
   std::size_t open = 0;
--- a/source/tests/tilth/chart_test.cpp
+++ b/source/tests/tilth/chart_test.cpp
@@ -144,7 +144,8 @@
   terms.stream = true;
   terms.resumable = true;
   terms.repeatable = true;
-  std::vector<QueryMessage> const ends{DeadlinePassed{}, NoRoom{}, WorkerRefused{}, Decided{true, true, true, Standing::none}};
+  std::vector<QueryMessage> const ends{DeadlinePassed{}, NoRoom{}, WorkerRefused{},
+                                       Decided{true, true, true, Standing::none}};
   for (std::size_t index = 0; index < ends.size(); ++index) {
     Chart query = chart(terms);
     (void)query.advance(Placed{"a"}, 0);
@@ -266,7 +267,8 @@
   int retries = 0;
   int after_the_end = 0;  ///< retries once nothing comes any more
 };
-Shares shares(std::uint64_t seed, std::function<double(int slot)> const& rate, std::function<bool(int slot)> const& wrong,
+Shares shares(std::uint64_t seed, std::function<double(int slot)> const& rate,
+              std::function<bool(int slot)> const& wrong,
               std::function<bool(int slot, std::size_t furrow)> const& killed = nullptr) {
   constexpr int slots = 900;
   std::mt19937_64 random(seed);
@@ -293,8 +295,10 @@
     }
   }
   for (std::size_t from = 0; from + 100 <= slots; ++from) {
-    int const queries = std::accumulate(arrivals.begin() + static_cast<std::ptrdiff_t>(from), arrivals.begin() + static_cast<std::ptrdiff_t>(from) + 100, 0);
-    int const again = std::accumulate(retries.begin() + static_cast<std::ptrdiff_t>(from), retries.begin() + static_cast<std::ptrdiff_t>(from) + 100, 0);
+    int const queries = std::accumulate(arrivals.begin() + static_cast<std::ptrdiff_t>(from),
+                                        arrivals.begin() + static_cast<std::ptrdiff_t>(from) + 100, 0);
+    int const again = std::accumulate(retries.begin() + static_cast<std::ptrdiff_t>(from),
+                                      retries.begin() + static_cast<std::ptrdiff_t>(from) + 100, 0);
     result.retries += again;
     result.worst = queries >= 20 ? std::max(result.worst, static_cast<double>(again) / queries) : result.worst;
   }
@@ -305,18 +309,24 @@
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
     for (double const full : {230.0, 155.0, 65.0, 30.0, 20.0}) {
       std::function<bool(int)> const always = [](int) { return true; };
-      Shares const steady = shares(seed, [full](int) { return full; }, always);
+      Shares const steady = shares(
+          seed, [full](int) { return full; }, always);
       EXPECT_LT(steady.worst, 0.2) << full;
       EXPECT_GT(steady.retries, 0) << "small services retry too: " << full;
       // Rights pile up while all is well; things go wrong just when it falls.
       std::function<bool(int)> const low = [](int slot) { return slot / 200 % 2 == 1; };
-      Shares const tenth = shares(seed, [full, low](int slot) { return low(slot) ? full / 10 : full; }, low);
+      Shares const tenth = shares(
+          seed, [full, low](int slot) { return low(slot) ? full / 10 : full; }, low);
       EXPECT_LT(tenth.worst, 0.2) << "falls to a tenth of " << full;
-      Shares const crowd = shares(seed, [full, low](int slot) { return low(slot) ? full / 3 : full * 3; }, low);
+      Shares const crowd = shares(
+          seed, [full, low](int slot) { return low(slot) ? full / 3 : full * 3; }, low);
       EXPECT_LT(crowd.worst, 0.2) << "crowds of " << full;
-      Shares const starts = shares(seed, [full](int slot) { return slot < 300 ? 0.0 : full; }, always);
+      Shares const starts = shares(
+          seed, [full](int slot) { return slot < 300 ? 0.0 : full; }, always);
       EXPECT_LT(starts.worst, 0.2) << "starts with " << full;
-      Shares const kills = shares(seed, [full](int) { return full; }, always, [](int slot, std::size_t furrow) { return slot % 40 == static_cast<int>(furrow); });
+      Shares const kills = shares(
+          seed, [full](int) { return full; }, always,
+          [](int slot, std::size_t furrow) { return slot % 40 == static_cast<int>(furrow); });
       EXPECT_LT(kills.worst, 0.2) << "killed furrows at " << full;
     }
   }
@@ -327,7 +337,8 @@
   // young rights of one second and those kept for a moment.
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
     std::function<bool(int)> const over = [](int slot) { return slot >= 400; };
-    Shares const ended = shares(seed, [over](int slot) { return over(slot) ? 0.0 : 230.0; }, over);
+    Shares const ended = shares(
+        seed, [over](int slot) { return over(slot) ? 0.0 : 230.0; }, over);
     EXPECT_LE(ended.after_the_end, 24);
   }
 }
@@ -350,7 +361,7 @@
   for (int query = 0; query < 30; ++query) {
     budget.arrived(loam::seconds(4));
   }
-  EXPECT_FALSE(budget.take(loam::milliseconds(6100), true));   // nothing came for two seconds
+  EXPECT_FALSE(budget.take(loam::milliseconds(6100), true));  // nothing came for two seconds
 }
 
 }  // namespace
--- a/source/tests/tilth/grove_test.cpp
+++ b/source/tests/tilth/grove_test.cpp
@@ -72,7 +72,8 @@
   Grove grove;
   grove.update({stand("a", "web"), stand("b", "pool"), stand("c", "old")}, terms(), start);
   Wanted query;
-  query.shares = {schema::Share{"old", 0}, schema::Share{"web", 90}, schema::Share{"pool", 10}, schema::Share{"old", 0}};
+  query.shares = {schema::Share{"old", 0}, schema::Share{"web", 90}, schema::Share{"pool", 10},
+                  schema::Share{"old", 0}};
   std::map<std::string, int> counts;
   for (int step = 0; step < 1000; ++step) {
     query.draw = step / 1000.0;
@@ -174,11 +175,13 @@
     Grove grove;
     std::vector<Stand> stands = several(2, "web");
     grove.update(stands, terms(), start);
-    std::variant<Spot, NoSpot> const running = grove.choose([] {
-      Wanted query = wanted();
-      query.avoid = {"north-1"};
-      return query;
-    }(), start);
+    std::variant<Spot, NoSpot> const running = grove.choose(
+        [] {
+          Wanted query = wanted();
+          query.avoid = {"north-1"};
+          return query;
+        }(),
+        start);
     ASSERT_TRUE(std::holds_alternative<Spot>(running));
     if (how == 0) {
       stands[0].draining = true;
@@ -229,7 +232,10 @@
   }
   std::size_t most = 0;
   for (loam::Moment const begin : sends) {
-    most = std::max<std::size_t>(most, static_cast<std::size_t>(std::count_if(sends.begin(), sends.end(), [begin](loam::Moment sent) { return sent >= begin && sent < begin + loam::seconds(1); })));
+    most = std::max<std::size_t>(
+        most, static_cast<std::size_t>(std::count_if(sends.begin(), sends.end(), [begin](loam::Moment sent) {
+          return sent >= begin && sent < begin + loam::seconds(1);
+        })));
   }
   return most;
 }
@@ -243,7 +249,8 @@
       EXPECT_GE(most, 1u) << rate << " " << furrows;  // it is not left to starve either
     }
   }
-  EXPECT_GT(static_cast<double>(sent_in_a_second(12, 45, GroveGuards{.cold_bound = false})), 45 * 1.5 + 5);  // the guard is needed
+  EXPECT_GT(static_cast<double>(sent_in_a_second(12, 45, GroveGuards{.cold_bound = false})),
+            45 * 1.5 + 5);  // the guard is needed
 }
 
 TEST(Grove, FewerQueriesThanFurrowsAreTendedByThoseAHashPicks) {
--- a/source/tests/tilth/judge_test.cpp
+++ b/source/tests/tilth/judge_test.cpp
@@ -11,17 +11,27 @@
 
 constexpr loam::Moment start = loam::seconds(1000);
 
-Subject subject(std::string const& worker) { return Subject{worker, "east/web", "north"}; }
-bool open(Judge const& judge, Judge::Handle worker, loam::Moment now) { return std::holds_alternative<Open>(judge.verdict(worker, now)); }
-bool on_trial(Judge const& judge, Judge::Handle worker, loam::Moment now) { return std::holds_alternative<OnTrial>(judge.verdict(worker, now)); }
-bool resting(Judge const& judge, Judge::Handle worker, loam::Moment now) { return std::holds_alternative<Resting>(judge.verdict(worker, now)); }
+Subject subject(std::string const& worker) {
+  return Subject{worker, "east/web", "north"};
+}
+bool open(Judge const& judge, Judge::Handle worker, loam::Moment now) {
+  return std::holds_alternative<Open>(judge.verdict(worker, now));
+}
+bool on_trial(Judge const& judge, Judge::Handle worker, loam::Moment now) {
+  return std::holds_alternative<OnTrial>(judge.verdict(worker, now));
+}
+bool resting(Judge const& judge, Judge::Handle worker, loam::Moment now) {
+  return std::holds_alternative<Resting>(judge.verdict(worker, now));
+}
 /// When its rest is over.
 loam::Moment rested(Judge const& judge, Judge::Handle worker, loam::Moment now) {
   Verdict const verdict = judge.verdict(worker, now);
   Resting const* const rest = std::get_if<Resting>(&verdict);
   return rest == nullptr ? now : rest->until;
 }
-bool forgets(std::vector<JudgeAction> const& actions) { return actions.size() == 1 && std::holds_alternative<MayHaveForgotten>(actions.front()); }
+bool forgets(std::vector<JudgeAction> const& actions) {
+  return actions.size() == 1 && std::holds_alternative<MayHaveForgotten>(actions.front());
+}
 
 TEST(Judge, ADefectMakesARestThenATrialThatBytesEnd) {
   for (Outcome const outcome : {Outcome::defect, Outcome::unreachable}) {
@@ -120,7 +130,8 @@
         rest += resting(judge, worker, now) ? 1 : 0;
         EXPECT_EQ(judge.ejected(worker, now), resting(judge, worker, now));
       }
-      EXPECT_EQ(rest, guarded ? static_cast<std::size_t>(constants::ejection_share * static_cast<double>(size)) : size) << size;
+      EXPECT_EQ(rest, guarded ? static_cast<std::size_t>(constants::ejection_share * static_cast<double>(size)) : size)
+          << size;
       EXPECT_EQ(on_trial(judge, workers.front(), now), guarded);
       EXPECT_TRUE(resting(judge, workers.back(), now));
       // Another pool's worker is judged by its own pool alone.
--- a/source/tests/tilth/lanes_test.cpp
+++ b/source/tests/tilth/lanes_test.cpp
@@ -25,7 +25,8 @@
 
 TEST(Lanes, LongestPrefixOfTheHostDecides) {
   schema::Charter charter;
-  charter.lanes = {lane("short", "a.example", "/x/"), lane("long", "a.example", "/x/y/"), lane("other", "b.example", "/x/y/z/"), lane("root", "c.example", "/")};
+  charter.lanes = {lane("short", "a.example", "/x/"), lane("long", "a.example", "/x/y/"),
+                   lane("other", "b.example", "/x/y/z/"), lane("root", "c.example", "/")};
   LaneBook const book(charter);
   EXPECT_EQ(found(book, "a.example", "/x/1"), "short");
   EXPECT_EQ(found(book, "a.example", "/x/y/1"), "long");
@@ -156,9 +157,9 @@
   for (std::uint64_t session = 0; session < 50; ++session) {
     reuse.remember({Part{1, 500}, Part{100 + session, 100}});
   }
-  EXPECT_EQ(reuse.match({Part{1, 500}}), 500);                       // in every query
-  EXPECT_EQ(reuse.match({Part{1, 500}, Part{100, 100}}), 500);       // long ago
-  EXPECT_EQ(reuse.match({Part{1, 500}, Part{149, 100}}), 600);       // just now
+  EXPECT_EQ(reuse.match({Part{1, 500}}), 500);                  // in every query
+  EXPECT_EQ(reuse.match({Part{1, 500}, Part{100, 100}}), 500);  // long ago
+  EXPECT_EQ(reuse.match({Part{1, 500}, Part{149, 100}}), 600);  // just now
   double kept = 0;
   for (std::uint64_t session = 0; session < 50; ++session) {
     kept += reuse.match({Part{1, 500}, Part{100 + session, 100}}) - 500;
--- a/source/tests/tilth/placement_test.cpp
+++ b/source/tests/tilth/placement_test.cpp
@@ -35,7 +35,8 @@
     }
   }
   std::vector<PlacementAction> update(loam::Moment now) { return placement.update(wishes, bounds, aims, 1, now); }
-  std::vector<PlacementAction> enqueue(Phase phase = Phase::both, std::vector<std::uint64_t> chain = {}, loam::Moment now = 0, loam::Span patience = loam::seconds(60)) {
+  std::vector<PlacementAction> enqueue(Phase phase = Phase::both, std::vector<std::uint64_t> chain = {},
+                                       loam::Moment now = 0, loam::Span patience = loam::seconds(60)) {
     Ticket ticket;
     ticket.id = next++;
     ticket.rule = "r";
@@ -104,7 +105,8 @@
     }
     int const timed = static_cast<int>(std::max(1.0, 24.0 * (tick + 1) * 50 / 4000));
     int const shown = 1 << std::min(good / 4, 5);
-    worst = std::max(worst, static_cast<int>(running[0].size() + running[1].size()) - std::min(timed, std::max(1, shown)));
+    worst =
+        std::max(worst, static_cast<int>(running[0].size() + running[1].size()) - std::min(timed, std::max(1, shown)));
   }
   EXPECT_GT(good, 12);  // the ramp goes on all the same
   return worst;
@@ -259,7 +261,8 @@
     state = state * 6364136223846793005u + 1442695040888963407u;
     double const uncached = 50 + static_cast<double>((state >> 33u) % 2000);
     double const wobble = 1.0 + (static_cast<double>((state >> 20u) % 100) - 50) / 1000;
-    rows.push_back(FitRow{{1, uncached, pairs(uncached, 500), 0}, (0.004 + 0.00002 * uncached + 3e-9 * pairs(uncached, 500)) * wobble});
+    rows.push_back(FitRow{{1, uncached, pairs(uncached, 500), 0},
+                          (0.004 + 0.00002 * uncached + 3e-9 * pairs(uncached, 500)) * wobble});
   }
   Fit const fit = fit_rows(rows, 24);
   ASSERT_TRUE(fit.good);
@@ -320,7 +323,7 @@
   }
   EXPECT_LT(prefills, 3u);
   EXPECT_TRUE(std::holds_alternative<Rest>(decide(200, 0, loam::seconds(1), split)));  // held
-  EXPECT_TRUE(std::holds_alternative<Rest>(decide(4, 0, loam::seconds(10), split)));  // nothing to gain
+  EXPECT_TRUE(std::holds_alternative<Rest>(decide(4, 0, loam::seconds(10), split)));   // nothing to gain
   // A gain in the mean, but from bursts: less than two errors.
   EXPECT_TRUE(std::holds_alternative<WriteSplit>(decide(9, 0, loam::seconds(10), split)));
   EXPECT_TRUE(std::holds_alternative<Rest>(decide(9, 0.9, loam::seconds(10), split)));
--- a/source/tests/tilth/split_test.cpp
+++ b/source/tests/tilth/split_test.cpp
@@ -1,7 +1,7 @@
 #include <gtest/gtest.h>
 
-#include "loam/relay_constants.hpp"
 #include "consensus/proposer/proposer.hpp"
+#include "loam/relay_constants.hpp"
 #include "tilth/grove/grove.hpp"
 #include "tilth/observe/observer.hpp"
 #include "tilth/scaler/pools.hpp"
@@ -38,7 +38,8 @@
 
 std::map<std::string, std::string> const regions{{"north", "r1"}, {"south", "r1"}, {"west", "r2"}};
 
-tilth::Sighting stream(std::string const& on, bool long_prompt, loam::Span to_first, loam::Span gap, std::uint64_t events) {
+tilth::Sighting stream(std::string const& on, bool long_prompt, loam::Span to_first, loam::Span gap,
+                       std::uint64_t events) {
   tilth::Sighting sighting;
   sighting.worker = on;
   sighting.pool = "r1/text";
@@ -58,7 +59,8 @@
 
 TEST(Pools, AreTheModelServicesOfEachRegionThatTakeQueries) {
   schema::PlatformList list;
-  list.workers = {worker("a", "north"), worker("b", "south"), worker("c", "west"), worker("d", "north", "plain"), worker("e", "nowhere"), worker("f", "north"), worker("g", "south")};
+  list.workers = {worker("a", "north"),   worker("b", "south"), worker("c", "west"), worker("d", "north", "plain"),
+                  worker("e", "nowhere"), worker("f", "north"), worker("g", "south")};
   list.workers[5].draining = true;
   list.workers[6].phase = "decode";
   std::map<std::string, tilth::Pool> const pools = tilth::pools_of(list, charter(), regions, {});
@@ -117,7 +119,8 @@
   ASSERT_TRUE(observer.take(1, loam::seconds(2), report));
   EXPECT_TRUE(report.samples.empty());
   for (int index = 0; index < 40; ++index) {
-    observer.saw(stream("w" + std::to_string(index), false, loam::milliseconds(60), loam::milliseconds(30), 5), 5, 0.03);
+    observer.saw(stream("w" + std::to_string(index), false, loam::milliseconds(60), loam::milliseconds(30), 5), 5,
+                 0.03);
   }
   ASSERT_TRUE(observer.take(2, loam::seconds(2), report));
   EXPECT_LE(report.samples.size(), loam::constants::samples_told);
@@ -157,7 +160,8 @@
         break;
       }
       tilth::Sighting sighting = stream(workers[static_cast<std::size_t>(index) % workers.size()], long_prompt,
-                                        loam::milliseconds(long_prompt ? 50 + 80 : 50 + 6), loam::milliseconds(27 + index % 3), long_prompt ? 24 : 9);
+                                        loam::milliseconds(long_prompt ? 50 + 80 : 50 + 6),
+                                        loam::milliseconds(27 + index % 3), long_prompt ? 24 : 9);
       sighting.running = 1 + index % 12;
       observer.saw(sighting, 5, 0.03125);
     }
@@ -166,7 +170,9 @@
     scaler.report(report, aims, now);
     now += loam::seconds(1);
   }
-  tilth::ScalerAction tick(schema::Split const& split, std::uint64_t revision) { return scaler.tick(split, revision, workers, aims, bounds, now); }
+  tilth::ScalerAction tick(schema::Split const& split, std::uint64_t revision) {
+    return scaler.tick(split, revision, workers, aims, bounds, now);
+  }
 };
 
 std::size_t prefills(schema::Split const& split) {
@@ -209,7 +215,8 @@
     fed.slice(10, 100);
   }
   std::map<std::string, std::string> const fixed{{"a", "decode"}, {"b", "decode"}};
-  tilth::ScalerAction const action = fed.scaler.tick(schema::Split(), 0, fed.workers, fed.aims, fed.bounds, fed.now, fixed);
+  tilth::ScalerAction const action =
+      fed.scaler.tick(schema::Split(), 0, fed.workers, fed.aims, fed.bounds, fed.now, fixed);
   ASSERT_TRUE(std::holds_alternative<tilth::WriteSplit>(action));
   schema::Split split = std::get<tilth::WriteSplit>(action).split;
   EXPECT_EQ(split.phases.at("a"), "decode");
@@ -220,7 +227,8 @@
   for (std::string const& id : fed.workers) {
     all[id] = "decode";
   }
-  EXPECT_TRUE(std::holds_alternative<tilth::Rest>(fed.scaler.tick(split, 1, fed.workers, fed.aims, fed.bounds, fed.now, all)));
+  EXPECT_TRUE(
+      std::holds_alternative<tilth::Rest>(fed.scaler.tick(split, 1, fed.workers, fed.aims, fed.bounds, fed.now, all)));
 }
 
 TEST(Split, ALostScalerLeavesAWholeOneAndItsSuccessorHolds) {
@@ -231,7 +239,8 @@
   tilth::ScalerAction const first = fed.tick(schema::Split(), 0);
   ASSERT_TRUE(std::holds_alternative<tilth::WriteSplit>(first));
   schema::Value kept;
-  consensus::Proposal const wish = consensus::replace_at(0, tilth::print_split(std::get<tilth::WriteSplit>(first).split))(kept);
+  consensus::Proposal const wish =
+      consensus::replace_at(0, tilth::print_split(std::get<tilth::WriteSplit>(first).split))(kept);
   ASSERT_TRUE(std::holds_alternative<schema::Value>(wish));
   kept = std::get<schema::Value>(wish);
   // Whoever lost the lease meanwhile builds on what is no longer there.
@@ -243,7 +252,8 @@
   EXPECT_TRUE(read->frozen);
   EXPECT_EQ(read->coefficients.size(), 6u);
   tilth::Scaler successor;
-  EXPECT_TRUE(std::holds_alternative<tilth::Rest>(successor.tick(*read, kept.revision, fed.workers, fed.aims, fed.bounds, fed.now)));
+  EXPECT_TRUE(std::holds_alternative<tilth::Rest>(
+      successor.tick(*read, kept.revision, fed.workers, fed.aims, fed.bounds, fed.now)));
   // Workers that the platform lists no longer leave it.
   EXPECT_EQ(tilth::pruned(*read, {"a", "b"}).phases.size(), 2u);
   EXPECT_FALSE(tilth::read_split("{\"phases\":").ok());
@@ -269,7 +279,8 @@
     tilth::Wanted wanted;
     wanted.shares = {schema::Share{"text", 1}};
     wanted.tokens = tokens;
-    wanted.parts = {tilth::Part{static_cast<std::uint64_t>(index) * 7919u + 1u, tokens * 0.8}, tilth::Part{static_cast<std::uint64_t>(index) * 104729u + 3u, tokens * 0.2}};
+    wanted.parts = {tilth::Part{static_cast<std::uint64_t>(index) * 7919u + 1u, tokens * 0.8},
+                    tilth::Part{static_cast<std::uint64_t>(index) * 104729u + 3u, tokens * 0.2}};
     std::variant<tilth::Spot, tilth::NoSpot> const found = grove.choose(wanted, now);
     if (tilth::Spot const* const spot = std::get_if<tilth::Spot>(&found)) {
       used.insert(spot->worker);
@@ -291,7 +302,9 @@
 
 TEST(Split, PlacementFeedsLongPromptsAndTheRestByIt) {
   Grove grove;
-  grove.update({stand("a", "prefill"), stand("b", "prefill"), stand("c", "decode"), stand("d", "decode"), stand("e", "both")}, terms(), 0);
+  grove.update(
+      {stand("a", "prefill"), stand("b", "prefill"), stand("c", "decode"), stand("d", "decode"), stand("e", "both")},
+      terms(), 0);
   std::set<std::string> const longs = fed(grove, 16000, 60, loam::seconds(1));
   EXPECT_EQ(longs.count("c") + longs.count("d"), 0u);
   EXPECT_EQ(longs.count("a") + longs.count("b"), 2u);
@@ -409,7 +422,8 @@
   rest.uncached = 50 * 300;
   report.figures = {longs, rest};
   scaler.report(report, aims, loam::seconds(10));
-  tilth::ScalerAction const action = scaler.tick(schema::Split(), 0, {"a", "b", "s"}, aims, schema::WorkerBounds(), loam::seconds(12));
+  tilth::ScalerAction const action =
+      scaler.tick(schema::Split(), 0, {"a", "b", "s"}, aims, schema::WorkerBounds(), loam::seconds(12));
   ASSERT_TRUE(std::holds_alternative<tilth::WriteSplit>(action));
   schema::Split const split = std::get<tilth::WriteSplit>(action).split;
   EXPECT_NEAR(split.coefficients.at("a").prefill[1], 0.00002, 0.000002);
--- a/source/tests/tilth/wall_flood_test.cpp
+++ b/source/tests/tilth/wall_flood_test.cpp
@@ -15,7 +15,8 @@
 constexpr std::size_t flood_prompts = 20000;
 
 std::vector<tilth::Part> prompt_of(std::uint64_t holder, std::uint64_t number) {
-  return {tilth::Part{holder * 1000003 + number * 7, 400, holder}, tilth::Part{holder * 1000003 + number * 7 + 1, 200, holder}};
+  return {tilth::Part{holder * 1000003 + number * 7, 400, holder},
+          tilth::Part{holder * 1000003 + number * 7 + 1, 200, holder}};
 }
 
 double bytes_in_use() {
@@ -75,7 +76,8 @@
   std::vector<Flooded> found;
   for (std::size_t const tenants : sizes) {
     found.push_back(flood(tenants, 8600.0 * 1200));
-    std::cout << tenants << " tenants: record " << found.back().record << " bytes, " << found.back().entries << " entries, told reuse " << found.back().tallies << " bytes, " << found.back().kept
+    std::cout << tenants << " tenants: record " << found.back().record << " bytes, " << found.back().entries
+              << " entries, told reuse " << found.back().tallies << " bytes, " << found.back().kept
               << " tenants' prompts still recorded, giving up " << found.back().give_up_us << " us\n";
     EXPECT_EQ(found.back().kept, tenants) << "the flood took something from a tenant below an even share";
   }
@@ -109,7 +111,8 @@
   for (std::size_t number = 0; number < tenants * 3; ++number) {
     of_flood += reuse.match(prompt_of(flooding, 1000 + number)) > 0 ? 1 : 0;
   }
-  std::cout << "kept at once " << kept << " of " << tenants << ", in the end " << later << ", prompts of the flood " << of_flood << ", holders " << reuse.walled()->holders() << "\n";
+  std::cout << "kept at once " << kept << " of " << tenants << ", in the end " << later << ", prompts of the flood "
+            << of_flood << ", holders " << reuse.walled()->holders() << "\n";
   EXPECT_LE(reuse.walled()->tokens(), most);
   EXPECT_EQ(kept, tenants) << "those who came first keep nothing from those who come now";
   EXPECT_LE(of_flood, 4u) << "twice an even part";
--- a/source/tests/tilth/wall_grove_test.cpp
+++ b/source/tests/tilth/wall_grove_test.cpp
@@ -91,7 +91,8 @@
 }
 
 TEST(WallGrove, ADefectForgets) {
-  for (tilth::Outcome const outcome : {tilth::Outcome::unreachable, tilth::Outcome::defect, tilth::Outcome::misdirected}) {
+  for (tilth::Outcome const outcome :
+       {tilth::Outcome::unreachable, tilth::Outcome::defect, tilth::Outcome::misdirected}) {
     Kept kept;
     tilth::Spot const spot = kept.place();
     kept.grove.ended(spot, false, outcome, kept.now);
--- a/source/tests/tilth/wall_test.cpp
+++ b/source/tests/tilth/wall_test.cpp
@@ -18,7 +18,8 @@
 
 TEST(WallKey, IsTheStandardsKeyedHash) {
   // RFC 4231, test case 2.
-  EXPECT_EQ(tilth::hex(tilth::keyed_hash("Jefe", "what do ya want for nothing?")), "5bdcc146bf60754e6a042426089575c75a003f089d2739839dec58b964ec3843");
+  EXPECT_EQ(tilth::hex(tilth::keyed_hash("Jefe", "what do ya want for nothing?")),
+            "5bdcc146bf60754e6a042426089575c75a003f089d2739839dec58b964ec3843");
 }
 
 TEST(WallKey, EveryFieldCounts) {
@@ -36,11 +37,18 @@
 }
 
 TEST(WallSecrets, AreReadAndNeverQuoted) {
-  absl::StatusOr<tilth::Secrets> const good = tilth::read_secrets("{\"current\":\"" + first_secret + "\",\"previous\":\"" + second_secret + "\",\"moved\":30}");
+  absl::StatusOr<tilth::Secrets> const good =
+      tilth::read_secrets("{\"current\":\"" + first_secret + "\",\"previous\":\"" + second_secret + "\",\"moved\":30}");
   ASSERT_TRUE(good.ok());
   EXPECT_EQ(good->moved, 30u);
-  std::vector<std::string> const bad{"", "{}", "{\"current\":\"short\"}", "{\"current\":\"" + first_secret + "\",\"previous\":\"" + first_secret + "\"}",
-                                     "{\"current\":\"" + first_secret + "\",\"moved\":50}", "{\"current\":\"" + first_secret + "\",\"moved\":101}", "{\"current\":\"" + first_secret + "\",\"other\":1}", "{\"current\":\"" + first_secret};
+  std::vector<std::string> const bad{"",
+                                     "{}",
+                                     "{\"current\":\"short\"}",
+                                     "{\"current\":\"" + first_secret + "\",\"previous\":\"" + first_secret + "\"}",
+                                     "{\"current\":\"" + first_secret + "\",\"moved\":50}",
+                                     "{\"current\":\"" + first_secret + "\",\"moved\":101}",
+                                     "{\"current\":\"" + first_secret + "\",\"other\":1}",
+                                     "{\"current\":\"" + first_secret};
   for (std::string const& text : bad) {
     absl::StatusOr<tilth::Secrets> const read = tilth::read_secrets(text);
     EXPECT_FALSE(read.ok()) << text;
@@ -211,7 +219,10 @@
 
 TEST(WallRecord, AFloodTakesNothingFromTheOthers) {
   tilth::Reuse reuse(100000);
-  std::function<std::vector<tilth::Part>(std::uint64_t, std::uint64_t)> const parts = [](std::uint64_t holder, std::uint64_t key) { return std::vector<tilth::Part>{{holder * 1000003, 50, holder}, {key, 50, holder}}; };
+  std::function<std::vector<tilth::Part>(std::uint64_t, std::uint64_t)> const parts = [](std::uint64_t holder,
+                                                                                         std::uint64_t key) {
+    return std::vector<tilth::Part>{{holder * 1000003, 50, holder}, {key, 50, holder}};
+  };
   for (std::uint64_t tenant = 100; tenant < 200; ++tenant) {
     reuse.remember(parts(tenant, tenant));
   }
@@ -279,7 +290,8 @@
   };
   double const tally = (of_tallies(8600) - of_tallies(100)) / 8500;
   double const record = (of_records(8600) - of_records(100)) / 8500;
-  std::cout << "bytes for each tenant: told reuse " << tally << ", a record of two parts at one worker " << record << "\n";
+  std::cout << "bytes for each tenant: told reuse " << tally << ", a record of two parts at one worker " << record
+            << "\n";
   EXPECT_LT(tally, 400);
   EXPECT_LT(record, 1000);
 }
@@ -293,7 +305,8 @@
     std::string id;
     double tokens;
   };
-  std::vector<Hit> read(std::string const& reader, std::vector<tilth::NamedPart> const& parts, double most, std::size_t& own) {
+  std::vector<Hit> read(std::string const& reader, std::vector<tilth::NamedPart> const& parts, double most,
+                        std::size_t& own) {
     std::vector<Hit> crossed;
     bool kept = true;
     for (tilth::NamedPart const& part : parts) {
@@ -313,7 +326,8 @@
     }
     while (static_cast<double>(kept_.size()) > most) {
       std::map<std::string, std::pair<std::string, std::uint64_t>>::iterator oldest = kept_.begin();
-      for (std::map<std::string, std::pair<std::string, std::uint64_t>>::iterator entry = kept_.begin(); entry != kept_.end(); ++entry) {
+      for (std::map<std::string, std::pair<std::string, std::uint64_t>>::iterator entry = kept_.begin();
+           entry != kept_.end(); ++entry) {
         oldest = entry->second.second < oldest->second.second ? entry : oldest;
       }
       kept_.erase(oldest);
@@ -352,7 +366,9 @@
   Played played;
   for (int step = 0; step < 4000; ++step) {
     if (step % 500 == 250) {  // a rotation, which furrows learn of one by one
-      secrets = secrets.previous.empty() ? tilth::Secrets{std::string(32, static_cast<char>('c' + step / 500)), secrets.current, 40} : tilth::Secrets{secrets.current, "", 100};
+      secrets = secrets.previous.empty()
+                    ? tilth::Secrets{std::string(32, static_cast<char>('c' + step / 500)), secrets.current, 40}
+                    : tilth::Secrets{secrets.current, "", 100};
     }
     std::size_t const at = random() % furrows.size();
     std::size_t const worker = random() % memories.size();
@@ -370,7 +386,8 @@
     }
     std::string const tenant = random() % 20 == 0 ? "" : "t" + std::to_string(random() % 12);
     std::string const reader = tenant.empty() ? "nobody-" + std::to_string(step) : tenant;
-    tilth::Prompt const prompt = prompt_of(tenant, "a:400,b" + std::to_string(random() % 3) + ":200,c" + std::to_string(random() % 5) + ":100");
+    tilth::Prompt const prompt =
+        prompt_of(tenant, "a:400,b" + std::to_string(random() % 3) + ":200,c" + std::to_string(random() % 5) + ":100");
     std::string const name = "w" + std::to_string(worker);
     ++nonce;
     tilth::Walled const walled = furrows[at].send(prompt, name, {nonce, seed << 20u});
@@ -379,11 +396,13 @@
     if (expected) {  // other weights: 421, nothing ran
       ++played.queries;
       std::size_t own = 0;
-      played.crossed += memories[worker].read(reader + "@" + versions[worker], tilth::named_parts(walled.header), 60, own).size();
+      played.crossed +=
+          memories[worker].read(reader + "@" + versions[worker], tilth::named_parts(walled.header), 60, own).size();
       played.own += own;
       reused = memories[worker].reused();
     }
-    (void)furrows[at].heard({name, versions[worker], expected ? std::optional<double>(reused) : std::nullopt, expected}, walled, 0);
+    (void)furrows[at].heard({name, versions[worker], expected ? std::optional<double>(reused) : std::nullopt, expected},
+                            walled, 0);
   }
   for (tilth::Walls const& walls : furrows) {
     played.named += walls.crossings();
--- a/source/tilth/budget/budget.hpp
+++ b/source/tilth/budget/budget.hpp
@@ -18,7 +18,8 @@
 /// to its own arrivals, the sum holds.
 class Budget {
  public:
-  explicit Budget(double share = loam::constants::retry_share, loam::Span life = loam::constants::retry_life) : share_(share), life_(life) {}
+  explicit Budget(double share = loam::constants::retry_share, loam::Span life = loam::constants::retry_life)
+      : share_(share), life_(life) {}
   void arrived(loam::Moment now);
   /// `keeps`: this furrow is one of those that may spend a kept right.
   [[nodiscard]] bool take(loam::Moment now, bool keeps);
@@ -38,6 +39,7 @@
 };
 
 /// The few furrows that may keep a right of a service, by hash over all.
-[[nodiscard]] bool keeps_right(std::string const& service, std::string const& self, std::vector<std::string> const& furrows);
+[[nodiscard]] bool keeps_right(std::string const& service, std::string const& self,
+                               std::vector<std::string> const& furrows);
 
 }  // namespace finchlink::tilth
--- a/source/tilth/budget/share.cpp
+++ b/source/tilth/budget/share.cpp
@@ -10,7 +10,8 @@
 constexpr double kept = 15;                       // three retries at a fifth
 
 double within(std::vector<loam::Moment> const& moments, loam::Moment from, loam::Moment until) {
-  return static_cast<double>(std::upper_bound(moments.begin(), moments.end(), until) - std::lower_bound(moments.begin(), moments.end(), from));
+  return static_cast<double>(std::upper_bound(moments.begin(), moments.end(), until) -
+                             std::lower_bound(moments.begin(), moments.end(), from));
 }
 }  // namespace
 
@@ -19,7 +20,8 @@
   for (loam::Moment const start : retries) {
     double const again = within(retries, start, start + window);
     double const queries = within(firsts, start, start + window);
-    worst = std::max(worst, again / (queries >= full ? queries : within(firsts, start - loam::seconds(1), start + window) + kept));
+    worst = std::max(
+        worst, again / (queries >= full ? queries : within(firsts, start - loam::seconds(1), start + window) + kept));
   }
   return worst;
 }
--- a/source/tilth/budget/share.hpp
+++ b/source/tilth/budget/share.hpp
@@ -10,6 +10,7 @@
 /// retries in any ten seconds that begin with one. A window that holds fewer
 /// than twenty first dispatches is weighed with the second before it and the
 /// three kept retries (fifteen queries' worth) beside. Both lists are sorted.
-[[nodiscard]] double worst_retry_share(std::vector<loam::Moment> const& firsts, std::vector<loam::Moment> const& retries);
+[[nodiscard]] double worst_retry_share(std::vector<loam::Moment> const& firsts,
+                                       std::vector<loam::Moment> const& retries);
 
 }  // namespace finchlink::tilth
--- a/source/tilth/census/census.cpp
+++ b/source/tilth/census/census.cpp
@@ -18,7 +18,9 @@
   for (std::string const& name : next) {
     gone_.erase(name);
   }
-  std::erase_if(gone_, [now](std::pair<std::string const, loam::Moment> const& entry) { return now - entry.second >= loam::constants::census_memory; });
+  std::erase_if(gone_, [now](std::pair<std::string const, loam::Moment> const& entry) {
+    return now - entry.second >= loam::constants::census_memory;
+  });
   members_ = std::move(next);
 }
 
--- a/source/tilth/chart/chart.hpp
+++ b/source/tilth/chart/chart.hpp
@@ -4,8 +4,8 @@
 #include <functional>
 #include <optional>
 #include <string>
-#include <vector>
 #include <variant>
+#include <vector>
 
 #include "loam/time/moment.hpp"
 
@@ -32,24 +32,24 @@
 struct Placed {
   std::string worker;
 };
-struct NoRoom {};               ///< no worker of this region can take it
-struct Connected {};            ///< bytes go out from here on
-struct Withdrawn {};            ///< the place may not be used after all; nothing was tried
-struct ConnectDefect {};        ///< no byte has gone out
-struct WorkerRefused {};        ///< 429 or 503: certain that nothing ran
-struct WorkerDefect {           ///< reset, silence, wrong answer, cut
+struct NoRoom {};         ///< no worker of this region can take it
+struct Connected {};      ///< bytes go out from here on
+struct Withdrawn {};      ///< the place may not be used after all; nothing was tried
+struct ConnectDefect {};  ///< no byte has gone out
+struct WorkerRefused {};  ///< 429 or 503: certain that nothing ran
+struct WorkerDefect {     ///< reset, silence, wrong answer, cut
   std::string what;
 };
-struct WorkerAnswered {         ///< a final answer that is not a success
+struct WorkerAnswered {  ///< a final answer that is not a success
   int status = 502;
 };
-struct Event {                  ///< the next numbered event of a stream
+struct Event {  ///< the next numbered event of a stream
   std::uint64_t number = 0;
   bool last = false;
 };
-struct Whole {};                ///< a whole answer, checked
-struct LegDone {};             ///< the prefill leg of a paired query
-struct Returned {               ///< a worker given up for its silence goes on after all
+struct Whole {};    ///< a whole answer, checked
+struct LegDone {};  ///< the prefill leg of a paired query
+struct Returned {   ///< a worker given up for its silence goes on after all
   std::string worker;
 };
 struct CallerGone {};
@@ -62,31 +62,33 @@
   bool stream = false;
   Standing standing = Standing::serve;
 };
-using QueryMessage = std::variant<Decided, Placed, NoRoom, Connected, Withdrawn, ConnectDefect, WorkerRefused, WorkerDefect, WorkerAnswered, Event, Whole, LegDone, Returned, CallerGone, DeadlinePassed>;
+using QueryMessage =
+    std::variant<Decided, Placed, NoRoom, Connected, Withdrawn, ConnectDefect, WorkerRefused, WorkerDefect,
+                 WorkerAnswered, Event, Whole, LegDone, Returned, CallerGone, DeadlinePassed>;
 
 // What is to be done.
-struct Place {                  ///< find a worker (again)
+struct Place {  ///< find a worker (again)
   bool again = false;
 };
-struct PassOn {};               ///< offer it to the other region
-struct Forward {                ///< hand this event to the caller
+struct PassOn {};  ///< offer it to the other region
+struct Forward {   ///< hand this event to the caller
   std::uint64_t number = 0;
   bool last = false;
 };
-struct Deliver {};              ///< hand the whole answer to the caller
-struct Refuse {                 ///< final no: nothing ran, Retry-After
+struct Deliver {};  ///< hand the whole answer to the caller
+struct Refuse {     ///< final no: nothing ran, Retry-After
   std::string reason;
 };
-struct Apologise {              ///< final 502 or 504
+struct Apologise {  ///< final 502 or 504
   int status = 502;
   std::string reason;
   bool may_have_run = false;
 };
-struct EndBroken {              ///< the caller has part of a stream: an error event ends it
+struct EndBroken {  ///< the caller has part of a stream: an error event ends it
   std::string reason;
 };
-struct Abandon {};              ///< end the dispatch; no one waits for it
-struct SendHome {};             ///< nothing ran, and its home is another region by now
+struct Abandon {};   ///< end the dispatch; no one waits for it
+struct SendHome {};  ///< nothing ran, and its home is another region by now
 using QueryAction = std::variant<SendHome, Place, PassOn, Forward, Deliver, Refuse, Apologise, EndBroken, Abandon>;
 
 struct QueryTerms {
--- a/source/tilth/fit/fit.cpp
+++ b/source/tilth/fit/fit.cpp
@@ -8,7 +8,8 @@
 
 namespace {
 /// Least squares over the columns that are not held at zero.
-Eigen::VectorXd solve_passive(Eigen::MatrixXd const& matrix, Eigen::VectorXd const& target, std::vector<bool> const& passive) {
+Eigen::VectorXd solve_passive(Eigen::MatrixXd const& matrix, Eigen::VectorXd const& target,
+                              std::vector<bool> const& passive) {
   std::vector<Eigen::Index> columns;
   for (std::size_t column = 0; column < passive.size(); ++column) {
     if (passive[column]) {
@@ -37,7 +38,8 @@
     Eigen::VectorXd const slope = matrix.transpose() * (target - matrix * result);
     Eigen::Index chosen = -1;
     for (Eigen::Index column = 0; column < count; ++column) {
-      if (!passive[static_cast<std::size_t>(column)] && slope(column) > tolerance && (chosen < 0 || slope(column) > slope(chosen))) {
+      if (!passive[static_cast<std::size_t>(column)] && slope(column) > tolerance &&
+          (chosen < 0 || slope(column) > slope(chosen))) {
         chosen = column;
       }
     }
--- a/source/tilth/grove/grove.cpp
+++ b/source/tilth/grove/grove.cpp
@@ -12,7 +12,9 @@
 namespace constants = loam::constants;
 
 namespace {
-double seconds_of(loam::Span span) { return static_cast<double>(span) / 1e6; }
+double seconds_of(loam::Span span) {
+  return static_cast<double>(span) / 1e6;
+}
 /// What a prompt shares with others: all parts but the last, which is its own;
 /// a prompt of one part shares that with its session.
 Part shared_of(std::vector<Part> const& parts) {
@@ -24,7 +26,9 @@
   }
   return shared;
 }
-bool holds(std::vector<std::string> const& list, std::string const& entry) { return std::find(list.begin(), list.end(), entry) != list.end(); }
+bool holds(std::vector<std::string> const& list, std::string const& entry) {
+  return std::find(list.begin(), list.end(), entry) != list.end();
+}
 }  // namespace
 
 void Grove::update(std::vector<Stand> const& stands, GroveTerms const& terms, loam::Moment now) {
@@ -54,7 +58,8 @@
       worker.hash = hash_text(stand.id);
       worker.slots = static_cast<double>(std::max<std::uint64_t>(1, stand.capacity));
     }
-    worker.judged = judge_.admit(Subject{stand.id, pool_name(stand.region, stand.service), stand.hall, !stand.draining && !stand.evacuated});
+    worker.judged = judge_.admit(
+        Subject{stand.id, pool_name(stand.region, stand.service), stand.hall, !stand.draining && !stand.evacuated});
     worker.reuse.bound(stand.kept_tokens * constants::reuse_part);
     by_service_[stand.service].push_back(stand.id);
     next.emplace(stand.id, std::move(worker));
@@ -64,10 +69,12 @@
   std::map<std::pair<std::string, std::string>, std::vector<std::pair<std::uint64_t, Worker*>>> places;
   for (std::pair<std::string const, Worker>& entry : next) {
     if (entry.second.stand.model && !entry.second.stand.draining && !entry.second.stand.evacuated) {
-      places[{entry.second.stand.service, entry.second.stand.region}].emplace_back(mix(hash_text(entry.first), 1), &entry.second);
+      places[{entry.second.stand.service, entry.second.stand.region}].emplace_back(mix(hash_text(entry.first), 1),
+                                                                                   &entry.second);
     }
   }
-  for (std::pair<std::pair<std::string, std::string> const, std::vector<std::pair<std::uint64_t, Worker*>>>& place : places) {
+  for (std::pair<std::pair<std::string, std::string> const, std::vector<std::pair<std::uint64_t, Worker*>>>& place :
+       places) {
     std::sort(place.second.begin(), place.second.end());
     for (std::size_t index = 0; index < place.second.size(); ++index) {
       place.second[index].second->rank = index;
@@ -78,7 +85,8 @@
   // served anywhere, if there are enough of them (section 13.14).
   free_.clear();
   std::map<std::string, std::pair<double, double>> spare;
-  for (std::pair<std::pair<std::string, std::string> const, std::vector<std::pair<std::uint64_t, Worker*>>> const& place : places) {
+  for (std::pair<std::pair<std::string, std::string> const, std::vector<std::pair<std::uint64_t, Worker*>>> const&
+           place : places) {
     std::map<std::string, std::set<std::string>>::const_iterator const claimed = terms_.claims.find(place.first.first);
     if (claimed == terms_.claims.end()) {
       continue;
@@ -115,7 +123,8 @@
   for (std::pair<std::string const, Worker>& entry : workers_) {
     if (entry.second.own > 0 && next.count(entry.first) == 0) {
       entry.second.stand.draining = true;
-      judge_.admit(Subject{entry.first, pool_name(entry.second.stand.region, entry.second.stand.service), entry.second.stand.hall, false});
+      judge_.admit(Subject{entry.first, pool_name(entry.second.stand.region, entry.second.stand.service),
+                           entry.second.stand.hall, false});
       next.emplace(entry.first, std::move(entry.second));
     }
   }
@@ -138,7 +147,8 @@
   if (!worker.stand.phase.empty()) {
     return worker.stand.phase != "decode";
   }
-  std::map<std::pair<std::string, std::string>, Demand>::const_iterator const found = demand_.find({worker.stand.service, worker.stand.region});
+  std::map<std::pair<std::string, std::string>, Demand>::const_iterator const found =
+      demand_.find({worker.stand.service, worker.stand.region});
   if (worker.ranks < 3 || found == demand_.end() || found->second.decode <= 0) {
     return true;  // nothing to keep apart
   }
@@ -171,7 +181,9 @@
 
 double Grove::load(Worker const& worker, loam::Moment now) const {
   double const age = worker.told_at == 0 ? 1e9 : seconds_of(now - worker.told_at);
-  double const told = age > constants::load_memory ? 0 : (worker.told_total + static_cast<double>(worker.sent_since)) * (1 - age / constants::load_memory);
+  double const told = age > constants::load_memory ? 0
+                                                   : (worker.told_total + static_cast<double>(worker.sent_since)) *
+                                                         (1 - age / constants::load_memory);
   return std::max(told, static_cast<double>(worker.own));
 }
 
@@ -197,7 +209,10 @@
     }
   }
   double const furrows = std::max<double>(1.0, static_cast<double>(terms_.furrows.size()));
-  double const connections = stand.connections == 0 ? 1e9 : std::max(2.0, static_cast<double>(stand.connections) * constants::connection_part / furrows);
+  double const connections =
+      stand.connections == 0
+          ? 1e9
+          : std::max(2.0, static_cast<double>(stand.connections) * constants::connection_part / furrows);
   return static_cast<double>(worker.own) < connections && load(worker, now) < worker.slots * constants::queue_factor;
 }
 
@@ -254,11 +269,13 @@
 std::set<std::string> const* Grove::free_regions(std::string const& service, Wanted const& wanted) const {
   std::map<std::string, std::set<std::string>>::const_iterator const found = free_.find(service);
   double const way = constants::other_region_cost + constants::other_region_seconds;
-  bool const roams = wanted.homes.empty() && shared_of(wanted.parts).tokens * constants::reread_cost >= constants::roaming_worth * way;
+  bool const roams =
+      wanted.homes.empty() && shared_of(wanted.parts).tokens * constants::reread_cost >= constants::roaming_worth * way;
   return roams && found != free_.end() ? &found->second : nullptr;
 }
 
-Grove::Worker const* Grove::best(std::string const& service, Wanted const& wanted, loam::Moment now, Price& price_found) const {
+Grove::Worker const* Grove::best(std::string const& service, Wanted const& wanted, loam::Moment now,
+                                 Price& price_found) const {
   std::map<std::string, std::vector<std::string>>::const_iterator const ids = by_service_.find(service);
   Worker const* found = nullptr;
   if (ids == by_service_.end()) {
@@ -275,13 +292,15 @@
       if (!worker.stand.model || worker.stand.draining || worker.stand.evacuated) {
         continue;
       }
-      if (kept_apart(worker) && (wanted.tokens >= constants::owned_tokens) != fed_long(worker, now) && worker.stand.phase != "both") {
+      if (kept_apart(worker) && (wanted.tokens >= constants::owned_tokens) != fed_long(worker, now) &&
+          worker.stand.phase != "both") {
         continue;  // an owner is one that is fed such prompts
       }
       if (free != nullptr && free->count(worker.stand.region) == 0) {
         continue;
       }
-      std::pair<std::uint64_t, Worker const*>& owner = owners[free == nullptr ? std::string_view(worker.stand.region) : std::string_view()];
+      std::pair<std::uint64_t, Worker const*>& owner =
+          owners[free == nullptr ? std::string_view(worker.stand.region) : std::string_view()];
       std::uint64_t const weight = mix(worker.hash, key);
       if (owner.second == nullptr || weight > owner.first) {
         owner = {weight, &worker};
@@ -293,7 +312,8 @@
     if (!open(worker, wanted, now)) {
       continue;
     }
-    std::map<std::string_view, std::pair<std::uint64_t, Worker const*>>::const_iterator const owner = owners.find(free == nullptr ? std::string_view(worker.stand.region) : std::string_view());
+    std::map<std::string_view, std::pair<std::uint64_t, Worker const*>>::const_iterator const owner =
+        owners.find(free == nullptr ? std::string_view(worker.stand.region) : std::string_view());
     Price const offer = price(worker, wanted, owner != owners.end() && owner->second.second == &worker, now);
     if (found == nullptr || offer.cost < price_found.cost) {
       found = &worker;
@@ -339,15 +359,26 @@
       if (worker.stand.model) {
         Demand& demand = demand_[{worker.stand.service, worker.stand.region}];
         demand.fade(now);
-        (wanted.tokens >= constants::owned_tokens ? demand.prefill : demand.decode) += offer.uncached * constants::prefill_start[1] + constants::short_work;
+        (wanted.tokens >= constants::owned_tokens ? demand.prefill : demand.decode) +=
+            offer.uncached * constants::prefill_start[1] + constants::short_work;
       }
       if (worker.stand.cold_rate > 0) {
-        while (!worker.sends.empty() && (now - worker.sends.front() >= constants::cold_window || worker.sends.size() > 256)) {
+        while (!worker.sends.empty() &&
+               (now - worker.sends.front() >= constants::cold_window || worker.sends.size() > 256)) {
           worker.sends.pop_front();
         }
         worker.sends.push_back(now);
       }
-      return Spot{worker.stand.id, worker.stand.address, offer.uncached, offer.seconds, offer.cost, worker.stand.region == terms_.region, next_ticket_++, alone, sure, running};
+      return Spot{worker.stand.id,
+                  worker.stand.address,
+                  offer.uncached,
+                  offer.seconds,
+                  offer.cost,
+                  worker.stand.region == terms_.region,
+                  next_ticket_++,
+                  alone,
+                  sure,
+                  running};
     }
   }
   return NoSpot{!workers_.empty(), constants::plain_seconds};
--- a/source/tilth/grove/grove.hpp
+++ b/source/tilth/grove/grove.hpp
@@ -28,9 +28,9 @@
   std::uint64_t capacity = 1;
   std::uint64_t connections = 0;  ///< from all callers; 0: not told
   loam::Moment cold_until = 0;
-  double cold_rate = 0;           ///< queries a second while cold; 0: no bound
+  double cold_rate = 0;  ///< queries a second while cold; 0: no bound
   double kept_tokens = 0;
-  std::string phase;              ///< by the split: prefill, decode or both; empty: no split here
+  std::string phase;  ///< by the split: prefill, decode or both; empty: no split here
 };
 
 /// A query that wants a worker.
@@ -38,7 +38,7 @@
   std::vector<schema::Share> shares;
   std::vector<std::string> homes;  ///< regions; empty: any
   std::vector<Part> parts;
-  double tokens = 0;               ///< of the prompt
+  double tokens = 0;  ///< of the prompt
   double outputs = 0;
   std::vector<std::string> avoid;  ///< workers that had it already
   bool once = false;               ///< it may be sent to one worker only
@@ -48,16 +48,16 @@
   std::string worker;
   std::string address;
   double uncached = 0;
-  double predicted_seconds = 0;    ///< to the first token, the way included
-  double price = 0;                ///< what it was chosen by
-  bool near = true;                ///< in the own region
+  double predicted_seconds = 0;  ///< to the first token, the way included
+  double price = 0;              ///< what it was chosen by
+  bool near = true;              ///< in the own region
   std::uint64_t ticket = 0;
-  bool alone = false;              ///< no prompt that we know of waits before it
-  bool sure = false;               ///< its cached part is known from own dispatches
-  double running = 0;              ///< queries there before it
+  bool alone = false;  ///< no prompt that we know of waits before it
+  bool sure = false;   ///< its cached part is known from own dispatches
+  double running = 0;  ///< queries there before it
 };
 struct NoSpot {
-  bool any = false;                ///< workers there are, but none takes it now
+  bool any = false;  ///< workers there are, but none takes it now
   double expected_seconds = 0;
 };
 
@@ -69,8 +69,9 @@
   std::vector<std::string> furrows;  ///< members, this one included
   double cold_overshoot = 1;
   double cold_slack = 0;
-  std::map<std::string, std::set<std::string>> claims;  ///< by service: regions that some lane calls home (section 13.14)
-  bool keep_long_apart = true;       ///< long prompts and the rest go to different workers (section 13.6)
+  std::map<std::string, std::set<std::string>>
+      claims;                   ///< by service: regions that some lane calls home (section 13.14)
+  bool keep_long_apart = true;  ///< long prompts and the rest go to different workers (section 13.6)
 };
 
 /// Rules that tests switch off to show that they are needed.
@@ -86,7 +87,8 @@
 /// 13.7): plain state; every message carries its moment.
 class Grove {
  public:
-  explicit Grove(GroveGuards guards = {}) : guards_(guards), judge_(JudgeGuards{guards.rest, guards.ejection_bound, guards.hall_suspicion}) {}
+  explicit Grove(GroveGuards guards = {})
+      : guards_(guards), judge_(JudgeGuards{guards.rest, guards.ejection_bound, guards.hall_suspicion}) {}
   void update(std::vector<Stand> const& stands, GroveTerms const& terms, loam::Moment now);
   /// Takes the place, too; ended() gives it back.
   [[nodiscard]] std::variant<Spot, NoSpot> choose(Wanted const& wanted, loam::Moment now);
@@ -125,18 +127,18 @@
   };
   struct Worker {
     Stand stand;
-    std::uint64_t hash = 0;     ///< of its id
+    std::uint64_t hash = 0;  ///< of its id
     Judge::Handle judged = 0;
-    std::size_t rank = 0;       ///< by hash among its service's workers of its region
+    std::size_t rank = 0;  ///< by hash among its service's workers of its region
     std::size_t ranks = 1;
     std::uint64_t own = 0;
-    double own_prefill = 0;     ///< tokens sent whose first answer is not here yet
+    double own_prefill = 0;  ///< tokens sent whose first answer is not here yet
     double told_total = 0;
     double told_waiting = 0;
     loam::Moment told_at = 0;
     std::uint64_t sent_since = 0;
     double slots = 0;
-    double pace = 1;            ///< seen over predicted, smoothed
+    double pace = 1;                 ///< seen over predicted, smoothed
     std::deque<loam::Moment> sends;  ///< within the last second, while cold
     Reuse reuse;
   };
@@ -146,8 +148,8 @@
   [[nodiscard]] double load(Worker const& worker, loam::Moment now) const;
   [[nodiscard]] bool open(Worker const& worker, Wanted const& wanted, loam::Moment now) const;
   struct Price {
-    double seconds = 0;    ///< to the first token, as predicted
-    double cost = 0;       ///< the same and what else speaks against it
+    double seconds = 0;  ///< to the first token, as predicted
+    double cost = 0;     ///< the same and what else speaks against it
     double uncached = 0;
   };
   [[nodiscard]] Price price(Worker const& worker, Wanted const& wanted, bool owner, loam::Moment now) const;
@@ -155,7 +157,8 @@
   /// Regions of a service whose workers own what queries without a home share.
   [[nodiscard]] std::set<std::string> const* free_regions(std::string const& service, Wanted const& wanted) const;
   [[nodiscard]] bool fed_long(Worker const& worker, loam::Moment now) const;
-  [[nodiscard]] Worker const* best(std::string const& service, Wanted const& wanted, loam::Moment now, Price& price_found) const;
+  [[nodiscard]] Worker const* best(std::string const& service, Wanted const& wanted, loam::Moment now,
+                                   Price& price_found) const;
   /// What this furrow saw of the worker, for the judge, and what follows from it.
   void witness(Worker& worker, Evidence const& evidence, loam::Moment now);
 
@@ -165,7 +168,7 @@
   GroveTerms terms_;
   std::map<std::string, Worker> workers_;
   std::map<std::string, std::vector<std::string>> by_service_;
-  std::map<std::string, std::set<std::string>> free_;  ///< by service: regions that no lane calls home
+  std::map<std::string, std::set<std::string>> free_;             ///< by service: regions that no lane calls home
   std::map<std::pair<std::string, std::string>, Demand> demand_;  ///< service, region
 };
 
--- a/source/tilth/judge/judge.cpp
+++ b/source/tilth/judge/judge.cpp
@@ -55,7 +55,8 @@
 
 std::vector<JudgeAction> Judge::take(Handle worker, Evidence const& evidence, loam::Moment now) {
   std::vector<JudgeAction> actions;
-  std::visit([this, worker, now, &actions](auto const& entry) { act(records_[worker], entry, now, actions); }, evidence);
+  std::visit([this, worker, now, &actions](auto const& entry) { act(records_[worker], entry, now, actions); },
+             evidence);
   return actions;
 }
 
@@ -93,7 +94,8 @@
     case Outcome::unreachable:
     case Outcome::defect:
       actions.push_back(MayHaveForgotten{});  // it may come back without what it kept
-      record.rest = std::clamp<loam::Span>(record.rest * 2, constants::worker_rest_least, constants::worker_rest_most / 2);
+      record.rest =
+          std::clamp<loam::Span>(record.rest * 2, constants::worker_rest_least, constants::worker_rest_most / 2);
       record.ill_until = std::max(record.ill_until, now + record.rest);
       record.trial = true;
       if (ended.outcome == Outcome::unreachable) {
@@ -150,7 +152,8 @@
 
 bool Judge::hall_dark(Handle worker, loam::Moment now) const {
   Record const& record = records_[worker];
-  std::map<std::string, std::map<std::string, loam::Moment>>::const_iterator const found = dark_.find(record.subject.hall);
+  std::map<std::string, std::map<std::string, loam::Moment>>::const_iterator const found =
+      dark_.find(record.subject.hall);
   if (!guards_.hall_suspicion || found == dark_.end()) {
     return false;
   }
--- a/source/tilth/judge/judge.hpp
+++ b/source/tilth/judge/judge.hpp
@@ -44,7 +44,7 @@
 /// What the judge needs to know of a worker, from the list.
 struct Subject {
   std::string worker;
-  std::string pool;     ///< workers that can stand in for each other: a region's of one service
+  std::string pool;  ///< workers that can stand in for each other: a region's of one service
   std::string hall;
   bool serving = true;  ///< neither draining nor in an evacuated hall
 };
--- a/source/tilth/model/model.hpp
+++ b/source/tilth/model/model.hpp
@@ -16,7 +16,9 @@
 };
 
 /// Query-key pairs that a prefill computes.
-[[nodiscard]] inline double pairs(double uncached, double cached) { return uncached * cached + uncached * (uncached + 1) / 2; }
+[[nodiscard]] inline double pairs(double uncached, double cached) {
+  return uncached * cached + uncached * (uncached + 1) / 2;
+}
 /// Share of the routed experts that an iteration of `running` queries reads.
 [[nodiscard]] inline double spread(double experts_share, double tokens_forward, double running) {
   return 1.0 - std::pow(1.0 - experts_share, tokens_forward * running);
--- a/source/tilth/observe/observer.hpp
+++ b/source/tilth/observe/observer.hpp
@@ -15,18 +15,18 @@
 /// What one stream showed of its worker (section 13.11).
 struct Sighting {
   std::string worker;
-  std::string pool;            ///< region and service of the worker
+  std::string pool;  ///< region and service of the worker
   bool long_prompt = false;
-  bool alone = false;          ///< nothing that we know of was queued before it
-  bool sure = false;           ///< the cached part is known from own dispatches
-  double uncached = 0;         ///< tokens
+  bool alone = false;   ///< nothing that we know of was queued before it
+  bool sure = false;    ///< the cached part is known from own dispatches
+  double uncached = 0;  ///< tokens
   double cached = 0;
-  double running = 0;          ///< queries on the worker, as told and sent
+  double running = 0;  ///< queries on the worker, as told and sent
   loam::Moment sent = 0;
   loam::Moment first = 0;
   loam::Moment last = 0;
   std::uint64_t events = 0;
-  std::vector<double> gaps;    ///< seconds between events, the earliest ones
+  std::vector<double> gaps;  ///< seconds between events, the earliest ones
 
   /// Events came, as many as were read at once.
   void event(std::uint64_t count, loam::Moment now);
--- a/source/tilth/placement/placement.cpp
+++ b/source/tilth/placement/placement.cpp
@@ -11,9 +11,11 @@
 namespace constants = loam::constants;
 
 namespace {
-constexpr int misses_most = 3;           // looks at a worker's load, about a second
-constexpr double service_weight = 0.1;   // of the newest in the mean service time
-double in_seconds(loam::Span span) { return static_cast<double>(span) / 1e6; }
+constexpr int misses_most = 3;          // looks at a worker's load, about a second
+constexpr double service_weight = 0.1;  // of the newest in the mean service time
+double in_seconds(loam::Span span) {
+  return static_cast<double>(span) / 1e6;
+}
 }  // namespace
 
 Phase phase_of(std::string const& text) {
@@ -21,18 +23,21 @@
 }
 
 int come_back_after(double expected_seconds, double draw) {
-  double const least = std::clamp(std::ceil(expected_seconds), static_cast<double>(constants::retry_after_seconds), constants::retry_after_most / 2.0);
+  double const least = std::clamp(std::ceil(expected_seconds), static_cast<double>(constants::retry_after_seconds),
+                                  constants::retry_after_most / 2.0);
   return static_cast<int>(least + std::floor(std::clamp(draw, 0.0, 0.999999) * (least + 1)));
 }
 
 std::size_t Placement::full_window() const {
-  double const part = static_cast<double>(bounds_.limit) * constants::share_excess / static_cast<double>(std::max<std::size_t>(furrows_, 1));
-  return std::max<std::size_t>(1, static_cast<std::size_t>(std::ceil(std::min(part, static_cast<double>(bounds_.limit)))));
+  double const part = static_cast<double>(bounds_.limit) * constants::share_excess /
+                      static_cast<double>(std::max<std::size_t>(furrows_, 1));
+  return std::max<std::size_t>(1,
+                               static_cast<std::size_t>(std::ceil(std::min(part, static_cast<double>(bounds_.limit)))));
 }
 
 bool Placement::open(Worker const& worker, loam::Moment now) const {
-  return worker.listed && worker.wish.usable && worker.heard && worker.misses < misses_most && now >= worker.rest_until &&
-         (worker.warm || worker.wish.tended);
+  return worker.listed && worker.wish.usable && worker.heard && worker.misses < misses_most &&
+         now >= worker.rest_until && (worker.warm || worker.wish.tended);
 }
 
 /// Section 8.7: one furrow ramps a cold worker, by what it has shown and by the
@@ -40,7 +45,9 @@
 std::size_t Placement::ramp(Worker const& worker, loam::Moment now) const {
   double const doublings = static_cast<double>(worker.good / std::max<std::uint64_t>(1, bounds_.ramp_step));
   double const shown = static_cast<double>(bounds_.ramp_first) * std::pow(2.0, std::min(doublings, 20.0));
-  double const share = bounds_.ramp_ms == 0 ? 1.0 : in_seconds(now - worker.warming_since) * 1000.0 / static_cast<double>(bounds_.ramp_ms);
+  double const share = bounds_.ramp_ms == 0
+                           ? 1.0
+                           : in_seconds(now - worker.warming_since) * 1000.0 / static_cast<double>(bounds_.ramp_ms);
   double const timed = std::max(static_cast<double>(bounds_.ramp_first), static_cast<double>(bounds_.limit) * share);
   return static_cast<std::size_t>(std::max(1.0, std::min({shown, timed, static_cast<double>(bounds_.limit)})));
 }
@@ -64,7 +71,8 @@
   // Member lists may differ, or the tender has just changed: what others have
   // there counts against the ramp, and each takes half at most of what was free
   // when the load was told, so that two take together what one may.
-  double const free = std::max(0.0, static_cast<double>(allowed) - std::max(worker.told_total, static_cast<double>(worker.own_at_look)));
+  double const free = std::max(
+      0.0, static_cast<double>(allowed) - std::max(worker.told_total, static_cast<double>(worker.own_at_look)));
   return std::min(allowed, worker.own_at_look + static_cast<std::size_t>(std::ceil(free / 2)));
 }
 
@@ -74,7 +82,8 @@
   }
   std::vector<std::string> const& boots = worker.wish.warm_boots;
   bool const known = std::find(boots.begin(), boots.end(), worker.boot) != boots.end();
-  bool const ramped = worker.wish.tended && ramp(worker, now) >= bounds_.limit && now - worker.warming_since >= loam::milliseconds(static_cast<std::int64_t>(bounds_.ramp_ms));
+  bool const ramped = worker.wish.tended && ramp(worker, now) >= bounds_.limit &&
+                      now - worker.warming_since >= loam::milliseconds(static_cast<std::int64_t>(bounds_.ramp_ms));
   worker.warm = known || ramped;
 }
 
@@ -82,7 +91,8 @@
   if (!bounds_.prefix_placement) {
     return 0;
   }
-  double const cached = static_cast<double>(worker.record.match(ticket.chain)) * static_cast<double>(bounds_.block_tokens);
+  double const cached =
+      static_cast<double>(worker.record.match(ticket.chain)) * static_cast<double>(bounds_.block_tokens);
   return std::max(0.0, std::min(cached, ticket.tokens - 1));
 }
 
@@ -113,7 +123,8 @@
 }
 
 bool Placement::fits(Worker const& worker, Ticket const& ticket) const {
-  bool const phase = ticket.phase == Phase::both || worker.wish.phase == Phase::both || worker.wish.phase == ticket.phase;
+  bool const phase =
+      ticket.phase == Phase::both || worker.wish.phase == Phase::both || worker.wish.phase == ticket.phase;
   return phase && std::find(ticket.allowed.begin(), ticket.allowed.end(), worker.wish.id) != ticket.allowed.end();
 }
 
@@ -146,7 +157,9 @@
   for (bool const strict : {true, false}) {
     for (std::pair<std::string const, Worker> const& entry : workers_) {
       Worker const& worker = entry.second;
-      bool const allowed = strict ? fits(worker, ticket) : std::find(ticket.allowed.begin(), ticket.allowed.end(), entry.first) != ticket.allowed.end();
+      bool const allowed =
+          strict ? fits(worker, ticket)
+                 : std::find(ticket.allowed.begin(), ticket.allowed.end(), entry.first) != ticket.allowed.end();
       if (!allowed || !open(worker, now)) {
         continue;
       }
@@ -209,7 +222,8 @@
   }
   std::uint64_t& count = waiting_by_rule_[ticket.rule];
   double const predicted = predict(worker, ticket, now);
-  if (bounded && (count >= ticket.waitlist_bound || now + static_cast<loam::Span>(predicted * 1e6) >= ticket.deadline)) {
+  if (bounded &&
+      (count >= ticket.waitlist_bound || now + static_cast<loam::Span>(predicted * 1e6) >= ticket.deadline)) {
     actions.emplace_back(Denied{ticket.id, "busy", predicted});
     return;
   }
@@ -231,7 +245,8 @@
     // Idle: take over from the longest waitlist what fits here.
     Worker* longest = nullptr;
     for (std::pair<std::string const, Worker>& entry : workers_) {
-      if (&entry.second != &worker && !entry.second.waiting.empty() && fits(worker, entry.second.waiting.front().ticket) &&
+      if (&entry.second != &worker && !entry.second.waiting.empty() &&
+          fits(worker, entry.second.waiting.front().ticket) &&
           (longest == nullptr || entry.second.waiting.size() > longest->waiting.size())) {
         longest = &entry.second;
       }
@@ -262,8 +277,9 @@
   }
 }
 
-std::vector<PlacementAction> Placement::update(std::vector<WorkerWish> const& wishes, schema::WorkerBounds const& bounds,
-                                               schema::ScalerAims const& aims, std::size_t furrows, loam::Moment now) {
+std::vector<PlacementAction> Placement::update(std::vector<WorkerWish> const& wishes,
+                                               schema::WorkerBounds const& bounds, schema::ScalerAims const& aims,
+                                               std::size_t furrows, loam::Moment now) {
   std::vector<PlacementAction> actions;
   bounds_ = bounds;
   aims_ = aims;
@@ -310,7 +326,8 @@
   return actions;
 }
 
-std::vector<PlacementAction> Placement::load(std::string const& id, double running, double waiting, std::string const& boot, loam::Moment now) {
+std::vector<PlacementAction> Placement::load(std::string const& id, double running, double waiting,
+                                             std::string const& boot, loam::Moment now) {
   std::vector<PlacementAction> actions;
   std::map<std::string, Worker>::iterator const found = workers_.find(id);
   if (found == workers_.end()) {
@@ -476,7 +493,9 @@
 
 double Placement::running_on(std::string const& id) const {
   std::map<std::string, Worker>::const_iterator const found = workers_.find(id);
-  return found == workers_.end() ? 0 : std::max(found->second.told_running, static_cast<double>(found->second.running.size()));
+  return found == workers_.end()
+             ? 0
+             : std::max(found->second.told_running, static_cast<double>(found->second.running.size()));
 }
 
 }  // namespace finchlink::tilth
--- a/source/tilth/placement/placement.hpp
+++ b/source/tilth/placement/placement.hpp
@@ -24,8 +24,8 @@
   std::string address;
   Phase phase = Phase::both;
   WorkerModel model;
-  bool usable = true;    ///< listed, not draining, its hall not evacuated
-  bool tended = false;   ///< this furrow is the one that ramps it
+  bool usable = true;                   ///< listed, not draining, its hall not evacuated
+  bool tended = false;                  ///< this furrow is the one that ramps it
   std::vector<std::string> warm_boots;  ///< boots that some furrow knows to be warm
 };
 
@@ -66,9 +66,9 @@
 
 /// Rules that tests switch off to show that they are needed (docs/proofs.md).
 struct PlacementGuards {
-  bool finish_begun = true; ///< the second leg of a query is not refused for a full waitlist
-  bool doubt = true;        ///< a worker that missed a look may be back cold already
-  bool count_others = true; ///< a ramp counts what others have on the worker
+  bool finish_begun = true;  ///< the second leg of a query is not refused for a full waitlist
+  bool doubt = true;         ///< a worker that missed a look may be back cold already
+  bool count_others = true;  ///< a ramp counts what others have on the worker
 };
 
 /// Where each query lands within a region (section 8): plain state, one per
@@ -76,9 +76,11 @@
 class Placement {
  public:
   explicit Placement(PlacementGuards guards = {}) : guards_(guards) {}
-  [[nodiscard]] std::vector<PlacementAction> update(std::vector<WorkerWish> const& wishes, schema::WorkerBounds const& bounds,
-                                                    schema::ScalerAims const& aims, std::size_t furrows, loam::Moment now);
-  [[nodiscard]] std::vector<PlacementAction> load(std::string const& worker, double running, double waiting, std::string const& boot, loam::Moment now);
+  [[nodiscard]] std::vector<PlacementAction> update(std::vector<WorkerWish> const& wishes,
+                                                    schema::WorkerBounds const& bounds, schema::ScalerAims const& aims,
+                                                    std::size_t furrows, loam::Moment now);
+  [[nodiscard]] std::vector<PlacementAction> load(std::string const& worker, double running, double waiting,
+                                                  std::string const& boot, loam::Moment now);
   /// The worker did not tell its load.
   [[nodiscard]] std::vector<PlacementAction> load_missed(std::string const& worker, loam::Moment now);
   /// Its kept connection closed: it is gone for now, whatever comes back is cold.
--- a/source/tilth/plan/plan.cpp
+++ b/source/tilth/plan/plan.cpp
@@ -78,7 +78,8 @@
 
 bool may_go(Plan const& plan, std::string const& rule, std::string const& worker) {
   std::map<std::string, std::vector<std::string>>::const_iterator const allowed = plan.allowed.find(rule);
-  if (allowed == plan.allowed.end() || std::find(allowed->second.begin(), allowed->second.end(), worker) == allowed->second.end()) {
+  if (allowed == plan.allowed.end() ||
+      std::find(allowed->second.begin(), allowed->second.end(), worker) == allowed->second.end()) {
     return false;
   }
   for (std::pair<std::string const, std::vector<WorkerWish>> const& pool : plan.wishes) {
@@ -91,7 +92,8 @@
   return false;
 }
 
-Phase wanted_phase(Plan const& plan, std::string const& kind, bool paired, bool second_leg, double tokens, double outputs) {
+Phase wanted_phase(Plan const& plan, std::string const& kind, bool paired, bool second_leg, double tokens,
+                   double outputs) {
   if (kind != "model") {
     return Phase::both;
   }
@@ -99,14 +101,17 @@
     return second_leg ? Phase::decode : Phase::prefill;
   }
   std::map<std::string, schema::Split>::const_iterator const split = plan.splits.find(plan.region);
-  WorkerModel const model = split != plan.splits.end() && !split->second.coefficients.empty() ? WorkerModel(split->second.coefficients.begin()->second) : WorkerModel();
+  WorkerModel const model = split != plan.splits.end() && !split->second.coefficients.empty()
+                                ? WorkerModel(split->second.coefficients.begin()->second)
+                                : WorkerModel();
   schema::ScalerAims const& aims = plan.setup.scaler;
   double const batch = std::max(1.0, static_cast<double>(plan.setup.workers.limit) / 2);
   double const decode = outputs * model.iteration_seconds(aims.experts_share, aims.tokens_forward, batch) / batch;
   return model.prefill_seconds(tokens, 0) >= decode ? Phase::prefill : Phase::decode;
 }
 
-std::vector<schema::Member> pass_targets(Plan const& plan, std::string const& self, std::string const& pool, bool bound) {
+std::vector<schema::Member> pass_targets(Plan const& plan, std::string const& self, std::string const& pool,
+                                         bool bound) {
   std::vector<schema::Member> near;
   std::vector<schema::Member> far;
   for (schema::Member const& member : plan.members) {
@@ -134,12 +139,14 @@
     followed.changed = other_workers;
     return followed;
   }
-  config::Course const course = config::decide(current->setup, current->region, header.method, header.path, header.lookup, header.body_bytes);
+  config::Course const course =
+      config::decide(current->setup, current->region, header.method, header.path, header.lookup, header.body_bytes);
   Decided decided;
   followed.changed = true;
   if (config::Serve const* const serve = std::get_if<config::Serve>(&course)) {
     schema::Rule const rule = current->setup.rules.at(serve->rule);
-    followed.changed = !(*serve == footing.serve) || !(rule == footing.rule) || other_workers || current->setup.scaler.manner != before->setup.scaler.manner;
+    followed.changed = !(*serve == footing.serve) || !(rule == footing.rule) || other_workers ||
+                       current->setup.scaler.manner != before->setup.scaler.manner;
     footing.serve = *serve;
     footing.rule = rule;
   } else {
--- a/source/tilth/plan/plan.hpp
+++ b/source/tilth/plan/plan.hpp
@@ -26,12 +26,14 @@
   std::vector<schema::Member> members;
   schema::PlatformList list;
   std::map<std::string, std::vector<std::string>> allowed;  ///< rule to the workers it may use here
-  std::map<std::string, std::vector<WorkerWish>> wishes;  ///< pool to workers
+  std::map<std::string, std::vector<WorkerWish>> wishes;    ///< pool to workers
   std::size_t furrows_here = 1;
 };
 
 /// The pool (and so the shard) of a kind of worker or rule.
-[[nodiscard]] inline std::string pool_of(std::string const& kind) { return kind == "model" ? "model" : "plain"; }
+[[nodiscard]] inline std::string pool_of(std::string const& kind) {
+  return kind == "model" ? "model" : "plain";
+}
 
 /// Works out the derived parts: region, allowed workers, wishes.
 void derive(Plan& plan, std::string const& self, std::string const& hall);
@@ -42,11 +44,13 @@
 
 /// Section 8.6: paired queries run their legs on the two phases; a whole one
 /// goes to the phase whose predicted cost weighs most.
-[[nodiscard]] Phase wanted_phase(Plan const& plan, std::string const& kind, bool paired, bool second_leg, double tokens, double outputs);
+[[nodiscard]] Phase wanted_phase(Plan const& plan, std::string const& kind, bool paired, bool second_leg, double tokens,
+                                 double outputs);
 
 /// Whom a query may be passed on to (section 9.4): furrows of this region that
 /// report room, then, without a home, those of the other.
-[[nodiscard]] std::vector<schema::Member> pass_targets(Plan const& plan, std::string const& self, std::string const& pool, bool bound);
+[[nodiscard]] std::vector<schema::Member> pass_targets(Plan const& plan, std::string const& self,
+                                                       std::string const& pool, bool bound);
 
 /// What a query was decided to be, by which plan (section 9.7).
 struct Footing {
--- a/source/tilth/reuse/reuse.cpp
+++ b/source/tilth/reuse/reuse.cpp
@@ -5,7 +5,9 @@
 namespace finchlink::tilth {
 
 namespace {
-bool behind_walls(std::vector<Part> const& parts) { return !parts.empty() && parts.front().holder != 0; }
+bool behind_walls(std::vector<Part> const& parts) {
+  return !parts.empty() && parts.front().holder != 0;
+}
 
 std::vector<WallEntry> chained(std::vector<Part> const& parts) {
   std::vector<WallEntry> entries;
--- a/source/tilth/rights/rights.cpp
+++ b/source/tilth/rights/rights.cpp
@@ -18,7 +18,9 @@
   rights_ = std::min(rights_, most_);
 }
 
-void Rights::arrived() { rights_ = std::min(most_, rights_ + earned_); }
+void Rights::arrived() {
+  rights_ = std::min(most_, rights_ + earned_);
+}
 
 bool Rights::take() {
   if (rights_ < 1) {
--- a/source/tilth/scaler/pools.cpp
+++ b/source/tilth/scaler/pools.cpp
@@ -3,9 +3,9 @@
 #include <algorithm>
 #include <cmath>
 
-#include "loam/relay_constants.hpp"
 #include "loam/error/error.hpp"
 #include "loam/json/tree.hpp"
+#include "loam/relay_constants.hpp"
 #include "tilth/prefix/prefix.hpp"
 
 namespace finchlink::tilth {
@@ -29,9 +29,12 @@
 }
 }  // namespace
 
-std::string pool_name(std::string const& region, std::string const& service) { return region + "/" + service; }
+std::string pool_name(std::string const& region, std::string const& service) {
+  return region + "/" + service;
+}
 
-std::map<std::string, Pool> pools_of(schema::PlatformList const& list, schema::Charter const& charter, std::map<std::string, std::string> const& regions,
+std::map<std::string, Pool> pools_of(schema::PlatformList const& list, schema::Charter const& charter,
+                                     std::map<std::string, std::string> const& regions,
                                      std::set<std::string> const& evacuated) {
   std::map<std::string, Pool> pools;
   std::map<std::string, schema::Service const*> services;
@@ -71,7 +74,9 @@
     // The order of the furrows' own ranks: a first split keeps long prompts
     // where they were (section 13.6).
     std::sort(pool.second.workers.begin(), pool.second.workers.end(),
-              [](std::string const& one, std::string const& other) { return mix(hash_text(one), 1) < mix(hash_text(other), 1); });
+              [](std::string const& one, std::string const& other) {
+                return mix(hash_text(one), 1) < mix(hash_text(other), 1);
+              });
   }
   return pools;
 }
@@ -94,10 +99,12 @@
     return 0;
   }
   std::uint64_t const slice = settings.scaler_window_ms / std::max<std::uint64_t>(1, settings.scaler_slices);
-  return std::clamp<std::uint64_t>(slice / 2, constants::relay_report_least / 1000, constants::relay_report_span / 1000);
+  return std::clamp<std::uint64_t>(slice / 2, constants::relay_report_least / 1000,
+                                   constants::relay_report_span / 1000);
 }
 
-std::map<std::string, schema::FurrowReport> apart(schema::FurrowReport const& report, std::map<std::string, Pool> const& pools) {
+std::map<std::string, schema::FurrowReport> apart(schema::FurrowReport const& report,
+                                                  std::map<std::string, Pool> const& pools) {
   std::map<std::string, schema::FurrowReport> parts;
   for (schema::WorkerFigures const& figures : report.figures) {
     if (pools.count(figures.worker) > 0) {
@@ -144,8 +151,12 @@
 }
 
 schema::Split pruned(schema::Split split, std::set<std::string> const& listed) {
-  std::erase_if(split.phases, [&listed](std::pair<std::string const, std::string> const& entry) { return listed.count(entry.first) == 0; });
-  std::erase_if(split.coefficients, [&listed](std::pair<std::string const, schema::Coefficients> const& entry) { return listed.count(entry.first) == 0; });
+  std::erase_if(split.phases, [&listed](std::pair<std::string const, std::string> const& entry) {
+    return listed.count(entry.first) == 0;
+  });
+  std::erase_if(split.coefficients, [&listed](std::pair<std::string const, schema::Coefficients> const& entry) {
+    return listed.count(entry.first) == 0;
+  });
   return split;
 }
 
--- a/source/tilth/scaler/pools.hpp
+++ b/source/tilth/scaler/pools.hpp
@@ -22,14 +22,15 @@
   std::map<std::string, std::string> fixed;  ///< whose phase the platform tells
   std::set<std::string> listed;              ///< all, also those that take none now
   std::uint64_t capacity = 0;
-  double set_point = 0;                      ///< seconds; the least of its lanes; 0: none told
+  double set_point = 0;  ///< seconds; the least of its lanes; 0: none told
 };
 
 [[nodiscard]] std::string pool_name(std::string const& region, std::string const& service);
 
 /// By name.
 [[nodiscard]] std::map<std::string, Pool> pools_of(schema::PlatformList const& list, schema::Charter const& charter,
-                                                   std::map<std::string, std::string> const& regions, std::set<std::string> const& evacuated);
+                                                   std::map<std::string, std::string> const& regions,
+                                                   std::set<std::string> const& evacuated);
 
 /// The scaler's aims for a pool, from the options of this process.
 [[nodiscard]] schema::ScalerAims aims_of(schema::Settings const& settings, Pool const& pool);
@@ -37,7 +38,8 @@
 [[nodiscard]] std::uint64_t report_ms_of(schema::Settings const& settings);
 
 /// A report taken apart by pools; rows go to the pool of their worker.
-[[nodiscard]] std::map<std::string, schema::FurrowReport> apart(schema::FurrowReport const& report, std::map<std::string, Pool> const& pools);
+[[nodiscard]] std::map<std::string, schema::FurrowReport> apart(schema::FurrowReport const& report,
+                                                                std::map<std::string, Pool> const& pools);
 
 /// A split as the register holds it.
 [[nodiscard]] absl::StatusOr<schema::Split> read_split(std::string const& content);
--- a/source/tilth/scaler/scaler.cpp
+++ b/source/tilth/scaler/scaler.cpp
@@ -11,11 +11,12 @@
 namespace constants = loam::constants;
 
 namespace {
-constexpr std::size_t rows_most = 2000;   // rows kept per worker and phase; a fit needs far fewer
-constexpr std::size_t rows_least = 24;    // rows before a worker's own fit is trusted
-constexpr std::size_t rows_each_size = 4; // rows of small and of large prompts without which one cost can't be told from the other
-constexpr double size_part = 0.125;       // of the largest prompt seen: from here on a prompt is large
-constexpr double outlier = 1.5;           // rows slower than this times the median row waited behind others; left out
+constexpr std::size_t rows_most = 2000;  // rows kept per worker and phase; a fit needs far fewer
+constexpr std::size_t rows_least = 24;   // rows before a worker's own fit is trusted
+constexpr std::size_t rows_each_size =
+    4;  // rows of small and of large prompts without which one cost can't be told from the other
+constexpr double size_part = 0.125;  // of the largest prompt seen: from here on a prompt is large
+constexpr double outlier = 1.5;      // rows slower than this times the median row waited behind others; left out
 
 void add(PhaseWork& sum, schema::WorkerFigures const& figures) {
   sum.queries += figures.queries;
@@ -89,24 +90,30 @@
   return coefficients;
 }
 
-double per_query(double sum, double count) { return count > 0 ? sum / count : 0; }
+double per_query(double sum, double count) {
+  return count > 0 ? sum / count : 0;
+}
 
 /// Seconds that reading a prompt takes. Under a set point what was seen counts
 /// where it was longer than the work explains: parts that a worker lost unseen,
 /// and prompts of others that were read first (section 13.11).
 double reading_seconds(WorkerModel const& model, PhaseWork const& work, double set_point) {
-  double const explained = model.prefill[1] * per_query(work.uncached, work.queries) + model.prefill[2] * per_query(work.pairs, work.queries);
-  return set_point > 0 ? std::max(explained, per_query(work.prefill_seconds, work.queries) - model.prefill[0]) : explained;
+  double const explained = model.prefill[1] * per_query(work.uncached, work.queries) +
+                           model.prefill[2] * per_query(work.pairs, work.queries);
+  return set_point > 0 ? std::max(explained, per_query(work.prefill_seconds, work.queries) - model.prefill[0])
+                       : explained;
 }
 
 /// Seconds that one query of this phase keeps a worker busy.
-double busy_seconds(WorkerModel const& model, PhaseWork const& work, bool prefill, bool decode, schema::ScalerAims const& aims, double batch, double set_point) {
+double busy_seconds(WorkerModel const& model, PhaseWork const& work, bool prefill, bool decode,
+                    schema::ScalerAims const& aims, double batch, double set_point) {
   double seconds = 0;
   if (prefill && work.queries > 0) {
     seconds += model.prefill[0] / aims.prefill_batch + reading_seconds(model, work, set_point);
   }
   if (decode && work.decodes > 0) {
-    seconds += per_query(work.iterations, work.decodes) * model.iteration_seconds(aims.experts_share, aims.tokens_forward, batch) / batch;
+    seconds += per_query(work.iterations, work.decodes) *
+               model.iteration_seconds(aims.experts_share, aims.tokens_forward, batch) / batch;
   }
   return seconds;
 }
@@ -127,15 +134,16 @@
 }
 
 /// Is a phase's part of all work enough for a worker of its own?
-bool worth_apart(WorkerModel const& model, SliceWork const& work, schema::ScalerAims const& aims, double batch, std::size_t workers) {
+bool worth_apart(WorkerModel const& model, SliceWork const& work, schema::ScalerAims const& aims, double batch,
+                 std::size_t workers) {
   double const prefill = work.prefill.queries * busy_seconds(model, work.prefill, true, true, aims, batch, 0);
   double const decode = work.decode.queries * busy_seconds(model, work.decode, true, true, aims, batch, 0);
   return std::min(prefill, decode) * static_cast<double>(workers) >= (prefill + decode) * constants::apart_least;
 }
 }  // namespace
 
-double throughput(std::map<std::string, std::string> const& phases, std::map<std::string, WorkerModel> const& models, SliceWork const& work,
-                  schema::ScalerAims const& aims, double batch, double set_point) {
+double throughput(std::map<std::string, std::string> const& phases, std::map<std::string, WorkerModel> const& models,
+                  SliceWork const& work, schema::ScalerAims const& aims, double batch, double set_point) {
   bool const paired = aims.manner == "paired";
   double const prefills = work.prefill.queries;
   double const decodes = paired ? work.decode.decodes : work.decode.queries;
@@ -154,7 +162,8 @@
     double const seconds = prefill ? busy_seconds(model->second, work.prefill, true, !paired, aims, batch, set_point)
                                    : busy_seconds(model->second, work.decode, !paired, true, aims, batch, set_point);
     if (seconds > 0) {
-      (prefill ? prefill_rate : decode_rate) += bearable_load(model->second, prefill ? work.prefill : work.decode, set_point) / seconds;
+      (prefill ? prefill_rate : decode_rate) +=
+          bearable_load(model->second, prefill ? work.prefill : work.decode, set_point) / seconds;
     }
   }
   // Each phase must carry its share of the queries; in the paired manner that
@@ -170,7 +179,8 @@
   if (first_report_ == 0) {
     first_report_ = now;
   }
-  loam::Span const span = std::max<loam::Span>(loam::milliseconds(static_cast<std::int64_t>(aims.window_ms / aims.slices)), 1);
+  loam::Span const span =
+      std::max<loam::Span>(loam::milliseconds(static_cast<std::int64_t>(aims.window_ms / aims.slices)), 1);
   if (slices_.empty() || now - slices_.back().begins >= span) {
     slices_.push_back(Slice{now, {}});
   }
@@ -181,7 +191,8 @@
     add(figures.phase == "decode" ? slices_.back().work.decode : slices_.back().work.prefill, figures);
   }
   for (schema::Sample const& sample : report.samples) {
-    std::vector<FitRow>& rows = sample.decode ? decode_rows_[sample.worker] : (sample.sure ? prefill_rows_ : prefill_unsure_)[sample.worker];
+    std::vector<FitRow>& rows =
+        sample.decode ? decode_rows_[sample.worker] : (sample.sure ? prefill_rows_ : prefill_unsure_)[sample.worker];
     if (rows.size() < rows_most && sample.seconds > 0) {
       rows.push_back(sample.decode ? FitRow{{1.0, sample.spread, sample.running}, sample.seconds}
                                    : FitRow{{1.0, sample.uncached, sample.pairs, sample.restored}, sample.seconds});
@@ -218,18 +229,25 @@
     std::map<std::string, std::vector<FitRow>>::const_iterator const prefill = prefills.find(worker);
     std::map<std::string, std::vector<FitRow>>::const_iterator const decode = decode_rows_.find(worker);
     // Few rows of its own: what all workers show together stands in.
-    Fit const own_prefill = prefill == prefills.end() || (set_point_ > 0 && !tells_sizes(prefill->second, largest)) ? Fit{} : robust_fit(prefill->second, rows_least);
+    Fit const own_prefill = prefill == prefills.end() || (set_point_ > 0 && !tells_sizes(prefill->second, largest))
+                                ? Fit{}
+                                : robust_fit(prefill->second, rows_least);
     Fit const own_decode = decode == decode_rows_.end() ? Fit{} : robust_fit(decode->second, rows_least);
     schema::Coefficients coefficients;
-    coefficients.prefill = own_prefill.good ? own_prefill.coefficients : set_point_ > 0 && prefill != prefills.end() ? scaled(common_prefill, prefill->second) : common_prefill.coefficients;
-    coefficients.decode = own_decode.good ? own_decode.coefficients : set_point_ > 0 && decode != decode_rows_.end() ? scaled(common_decode, decode->second) : common_decode.coefficients;
+    coefficients.prefill = own_prefill.good                              ? own_prefill.coefficients
+                           : set_point_ > 0 && prefill != prefills.end() ? scaled(common_prefill, prefill->second)
+                                                                         : common_prefill.coefficients;
+    coefficients.decode = own_decode.good                                  ? own_decode.coefficients
+                          : set_point_ > 0 && decode != decode_rows_.end() ? scaled(common_decode, decode->second)
+                                                                           : common_decode.coefficients;
     coefficients.error = own_prefill.good ? own_prefill.error : common_prefill.error;
     split.coefficients[worker] = coefficients;
   }
   return split;
 }
 
-std::map<std::string, WorkerModel> Scaler::models_of(schema::Split const& split, std::vector<std::string> const& workers) const {
+std::map<std::string, WorkerModel> Scaler::models_of(schema::Split const& split,
+                                                     std::vector<std::string> const& workers) const {
   std::map<std::string, WorkerModel> models;
   for (std::string const& worker : workers) {
     std::map<std::string, schema::Coefficients>::const_iterator const found = split.coefficients.find(worker);
@@ -262,7 +280,8 @@
   return static_cast<double>(prefills) >= least && static_cast<double>(prefills) <= most;
 }
 
-std::optional<schema::Split> Scaler::first_split(std::vector<std::string> const& workers, schema::ScalerAims const& aims, double batch,
+std::optional<schema::Split> Scaler::first_split(std::vector<std::string> const& workers,
+                                                 schema::ScalerAims const& aims, double batch,
                                                  std::map<std::string, std::string> const& fixed) const {
   schema::Split split = fitted(workers);
   if (split.coefficients.empty()) {
@@ -270,7 +289,9 @@
   }
   SliceWork sum;
   for (Slice const& slice : slices_) {
-    for (std::pair<PhaseWork*, PhaseWork const*> const& part : {std::pair<PhaseWork*, PhaseWork const*>{&sum.prefill, &slice.work.prefill}, {&sum.decode, &slice.work.decode}}) {
+    for (std::pair<PhaseWork*, PhaseWork const*> const& part :
+         {std::pair<PhaseWork*, PhaseWork const*>{&sum.prefill, &slice.work.prefill},
+          {&sum.decode, &slice.work.decode}}) {
       part.first->queries += part.second->queries;
       part.first->uncached += part.second->uncached;
       part.first->pairs += part.second->pairs;
@@ -306,7 +327,8 @@
   for (std::pair<std::string const, std::string> const& phase : split.phases) {
     feeding += phase.second == "prefill" ? 1 : 0;
   }
-  split.reason = "first split after warm-up, prefill " + std::to_string(feeding) + " of " + std::to_string(workers.size()) + ", predicted " + std::to_string(best) + " queries a second";
+  split.reason = "first split after warm-up, prefill " + std::to_string(feeding) + " of " +
+                 std::to_string(workers.size()) + ", predicted " + std::to_string(best) + " queries a second";
   return split;
 }
 
@@ -338,7 +360,10 @@
       return Rest{"warm-up: workers do both phases while times are fitted"};
     }
     std::optional<schema::Split> const first = first_split(workers, aims, batch, fixed);
-    return first.has_value() ? ScalerAction{WriteSplit{*first}} : ScalerAction{Rest{"too few observations for a fit, or too little work of one phase to set workers apart"}};
+    return first.has_value()
+               ? ScalerAction{WriteSplit{*first}}
+               : ScalerAction{
+                     Rest{"too few observations for a fit, or too little work of one phase to set workers apart"}};
   }
   std::vector<SliceWork> const works = counted(aims);
   std::map<std::string, WorkerModel> const models = models_of(current, workers);
@@ -347,7 +372,8 @@
   std::vector<std::string> unassigned;
   for (std::string const& worker : workers) {
     std::map<std::string, std::string>::const_iterator const told = fixed.find(worker);
-    std::map<std::string, std::string>::const_iterator const found = told != fixed.end() ? told : current.phases.find(worker);
+    std::map<std::string, std::string>::const_iterator const found =
+        told != fixed.end() ? told : current.phases.find(worker);
     if (found == current.phases.end() || found->second == "both") {
       unassigned.push_back(worker);
     } else {
@@ -361,8 +387,8 @@
   if (!unassigned.empty() || prefills == 0 || decodes == 0) {
     schema::Split split = current;
     if (unassigned.empty()) {
-      std::vector<std::string>::const_iterator const free =
-          std::find_if(workers.begin(), workers.end(), [&fixed](std::string const& worker) { return fixed.count(worker) == 0; });
+      std::vector<std::string>::const_iterator const free = std::find_if(
+          workers.begin(), workers.end(), [&fixed](std::string const& worker) { return fixed.count(worker) == 0; });
       if (free == workers.end()) {
         return Rest{"all workers can do one phase only"};
       }
@@ -378,13 +404,16 @@
         std::map<std::string, std::string> with_decode = assigned;
         with_prefill[newcomer] = "prefill";
         with_decode[newcomer] = "decode";
-        bool const prefill = feeding == 0 || (assigned.size() > feeding && throughput(with_prefill, models, recent, aims, batch, set_point_) >
-                                                                               throughput(with_decode, models, recent, aims, batch, set_point_));
+        bool const prefill = feeding == 0 || (assigned.size() > feeding &&
+                                              throughput(with_prefill, models, recent, aims, batch, set_point_) >
+                                                  throughput(with_decode, models, recent, aims, batch, set_point_));
         assigned[newcomer] = prefill ? "prefill" : "decode";
         feeding += prefill ? 1 : 0;
         split.phases[newcomer] = assigned[newcomer];
       }
-      split.reason = unassigned.front() + (unassigned.size() > 1 ? " and " + std::to_string(unassigned.size() - 1) + " more" : "") + " came new";
+      split.reason = unassigned.front() +
+                     (unassigned.size() > 1 ? " and " + std::to_string(unassigned.size() - 1) + " more" : "") +
+                     " came new";
     }
     if (split.coefficients.count(workers.front()) == 0 && !split.coefficients.empty()) {
       split.coefficients[workers.front()] = split.coefficients.begin()->second;
@@ -408,9 +437,11 @@
   }
   std::optional<schema::Split> best;
   double best_gain = 0;
-  for (std::int64_t change = -static_cast<std::int64_t>(aims.step); change <= static_cast<std::int64_t>(aims.step); ++change) {
+  for (std::int64_t change = -static_cast<std::int64_t>(aims.step); change <= static_cast<std::int64_t>(aims.step);
+       ++change) {
     std::int64_t const count = static_cast<std::int64_t>(prefills) + change;
-    if (change == 0 || count < 1 || count >= static_cast<std::int64_t>(phases.size()) || !candidate(static_cast<std::size_t>(count), phases.size())) {
+    if (change == 0 || count < 1 || count >= static_cast<std::int64_t>(phases.size()) ||
+        !candidate(static_cast<std::size_t>(count), phases.size())) {
       continue;
     }
     // Who is relatively best at the other phase goes first.
@@ -418,9 +449,12 @@
     for (std::pair<std::string const, std::string> const& entry : phases) {
       if ((entry.second == "prefill") == (change < 0) && fixed.count(entry.first) == 0) {
         WorkerModel const& model = models.at(entry.first);
-        double const prefill = busy_seconds(model, works.back().prefill, true, aims.manner != "paired", aims, batch, set_point_);
-        double const decode = busy_seconds(model, works.back().decode, aims.manner != "paired", true, aims, batch, set_point_);
-        movable.emplace_back(change < 0 ? decode / std::max(prefill, 1e-9) : prefill / std::max(decode, 1e-9), entry.first);
+        double const prefill =
+            busy_seconds(model, works.back().prefill, true, aims.manner != "paired", aims, batch, set_point_);
+        double const decode =
+            busy_seconds(model, works.back().decode, aims.manner != "paired", true, aims, batch, set_point_);
+        movable.emplace_back(change < 0 ? decode / std::max(prefill, 1e-9) : prefill / std::max(decode, 1e-9),
+                             entry.first);
       }
     }
     std::sort(movable.begin(), movable.end());
@@ -431,7 +465,8 @@
     std::vector<double> gains;
     double mean = 0;
     for (SliceWork const& work : works) {
-      gains.push_back(throughput(candidate, models, work, aims, batch, set_point_) - throughput(phases, models, work, aims, batch, set_point_));
+      gains.push_back(throughput(candidate, models, work, aims, batch, set_point_) -
+                      throughput(phases, models, work, aims, batch, set_point_));
       mean += gains.back() / static_cast<double>(works.size());
     }
     double spread = 0;
@@ -443,11 +478,13 @@
       best_gain = mean;
       schema::Split split = current;
       split.phases = candidate;
-      split.reason = "gain " + std::to_string(mean) + " queries a second, standard error " + std::to_string(error) + ", prefill " + std::to_string(prefills) + " to " + std::to_string(count);
+      split.reason = "gain " + std::to_string(mean) + " queries a second, standard error " + std::to_string(error) +
+                     ", prefill " + std::to_string(prefills) + " to " + std::to_string(count);
       best = split;
     }
   }
-  return best.has_value() ? ScalerAction{WriteSplit{*best}} : ScalerAction{Rest{"no candidate gains more than its error allows"}};
+  return best.has_value() ? ScalerAction{WriteSplit{*best}}
+                          : ScalerAction{Rest{"no candidate gains more than its error allows"}};
 }
 
 }  // namespace finchlink::tilth
--- a/source/tilth/scaler/scaler.hpp
+++ b/source/tilth/scaler/scaler.hpp
@@ -32,7 +32,8 @@
 /// Queries a second that a split can carry: the lesser of its phases
 /// (section 8.3). With a set point, in seconds, a worker counts for what it
 /// carries while first answers keep within it (section 13.11).
-[[nodiscard]] double throughput(std::map<std::string, std::string> const& phases, std::map<std::string, WorkerModel> const& models, SliceWork const& work,
+[[nodiscard]] double throughput(std::map<std::string, std::string> const& phases,
+                                std::map<std::string, WorkerModel> const& models, SliceWork const& work,
                                 schema::ScalerAims const& aims, double batch, double set_point = 0);
 
 struct WriteSplit {
@@ -56,8 +57,9 @@
   }
   void report(schema::FurrowReport const& report, schema::ScalerAims const& aims, loam::Moment now);
   /// `fixed`: workers that can do one phase only; they never switch.
-  [[nodiscard]] ScalerAction tick(schema::Split const& current, std::uint64_t revision, std::vector<std::string> const& workers,
-                                  schema::ScalerAims const& aims, schema::WorkerBounds const& bounds, loam::Moment now,
+  [[nodiscard]] ScalerAction tick(schema::Split const& current, std::uint64_t revision,
+                                  std::vector<std::string> const& workers, schema::ScalerAims const& aims,
+                                  schema::WorkerBounds const& bounds, loam::Moment now,
                                   std::map<std::string, std::string> const& fixed = {});
   [[nodiscard]] std::size_t slices() const { return slices_.size(); }
 
@@ -67,9 +69,11 @@
     SliceWork work;
   };
   [[nodiscard]] schema::Split fitted(std::vector<std::string> const& workers) const;
-  [[nodiscard]] std::optional<schema::Split> first_split(std::vector<std::string> const& workers, schema::ScalerAims const& aims, double batch,
+  [[nodiscard]] std::optional<schema::Split> first_split(std::vector<std::string> const& workers,
+                                                         schema::ScalerAims const& aims, double batch,
                                                          std::map<std::string, std::string> const& fixed) const;
-  [[nodiscard]] std::map<std::string, WorkerModel> models_of(schema::Split const& split, std::vector<std::string> const& workers) const;
+  [[nodiscard]] std::map<std::string, WorkerModel> models_of(schema::Split const& split,
+                                                             std::vector<std::string> const& workers) const;
   [[nodiscard]] std::vector<SliceWork> counted(schema::ScalerAims const& aims) const;
 
   [[nodiscard]] bool candidate(std::size_t prefills, std::size_t workers) const;
--- a/source/tilth/wall/key.cpp
+++ b/source/tilth/wall/key.cpp
@@ -4,9 +4,9 @@
 
 #include <cstring>
 
-#include "loam/wall_constants.hpp"
 #include "loam/error/error.hpp"
 #include "loam/json/tree.hpp"
+#include "loam/wall_constants.hpp"
 
 namespace finchlink::tilth {
 
@@ -31,10 +31,13 @@
     std::string const name = item->string;
     if (name == "moved" && cJSON_IsNumber(item) != 0 && item->valuedouble >= 0 && item->valuedouble <= 100) {
       secrets.moved = static_cast<std::uint64_t>(item->valuedouble);
-    } else if ((name == "current" || name == "previous") && cJSON_IsString(item) != 0 && std::strlen(item->valuestring) >= loam::constants::secret_bytes_least) {
+    } else if ((name == "current" || name == "previous") && cJSON_IsString(item) != 0 &&
+               std::strlen(item->valuestring) >= loam::constants::secret_bytes_least) {
       (name == "current" ? secrets.current : secrets.previous) = item->valuestring;
     } else {
-      return loam::defect(absl::StatusCode::kInvalidArgument, "secrets", "current and previous are texts of 32 bytes or more, moved is 0 to 100; nothing else stands there");
+      return loam::defect(
+          absl::StatusCode::kInvalidArgument, "secrets",
+          "current and previous are texts of 32 bytes or more, moved is 0 to 100; nothing else stands there");
     }
   }
   if (secrets.current.empty()) {
@@ -70,9 +73,13 @@
   return keyed_hash(secret, text);
 }
 
-std::string part_hash(std::string const& key, std::string const& before, std::string_view part) { return keyed_hash(key, before + std::string(part)); }
+std::string part_hash(std::string const& key, std::string const& before, std::string_view part) {
+  return keyed_hash(key, before + std::string(part));
+}
 
-std::string walled_id(std::string const& hash) { return hex(std::string_view(hash).substr(0, loam::constants::wall_id_bytes)); }
+std::string walled_id(std::string const& hash) {
+  return hex(std::string_view(hash).substr(0, loam::constants::wall_id_bytes));
+}
 
 std::string keyed_hash(std::string_view key, std::string_view text) {
   hmac_sha256_ctx context;
--- a/source/tilth/wall/record.cpp
+++ b/source/tilth/wall/record.cpp
@@ -51,7 +51,9 @@
   list(place.holder);
 }
 
-void WallRecord::drop_oldest_of(std::uint64_t holder) { drop(holders_.at(holder).by_use.begin()->second); }
+void WallRecord::drop_oldest_of(std::uint64_t holder) {
+  drop(holders_.at(holder).by_use.begin()->second);
+}
 
 void WallRecord::remember(std::vector<WallEntry> const& entries, double most) {
   // Last part first: of one prompt the end gives way before the beginning.
@@ -71,7 +73,8 @@
   }
   while (tokens_ > most && !by_weight_.empty()) {
     std::pair<double, std::uint64_t> const heaviest = *by_weight_.rbegin();
-    bool const floods = heaviest.first > loam::constants::wall_shares_most * tokens_ / static_cast<double>(holders_.size());
+    bool const floods =
+        heaviest.first > loam::constants::wall_shares_most * tokens_ / static_cast<double>(holders_.size());
     drop_oldest_of(floods ? heaviest.second : by_age_.begin()->second);
   }
 }
--- a/source/tilth/wall/tenant.cpp
+++ b/source/tilth/wall/tenant.cpp
@@ -8,7 +8,10 @@
 
 namespace {
 int digit(char letter) {
-  return letter >= '0' && letter <= '9' ? letter - '0' : letter >= 'a' && letter <= 'f' ? letter - 'a' + 10 : letter >= 'A' && letter <= 'F' ? letter - 'A' + 10 : -1;
+  return letter >= '0' && letter <= '9'   ? letter - '0'
+         : letter >= 'a' && letter <= 'f' ? letter - 'a' + 10
+         : letter >= 'A' && letter <= 'F' ? letter - 'A' + 10
+                                          : -1;
 }
 
 /// "%61" and "a" are one letter, so they must be one tenant.
@@ -51,7 +54,8 @@
 }
 }  // namespace
 
-TenantReading read_tenant(schema::Tenancy const& tenancy, std::vector<std::string_view> const& values, std::string_view target) {
+TenantReading read_tenant(schema::Tenancy const& tenancy, std::vector<std::string_view> const& values,
+                          std::string_view target) {
   TenantReading reading;
   if (!tenancy.header.empty()) {
     if (values.size() > 1) {
@@ -67,7 +71,9 @@
   if (reading.name.empty()) {
     return tenancy.required ? TenantReading{TenantEnd::refused, "", "no_tenant"} : reading;
   }
-  bool const plain = std::all_of(reading.name.begin(), reading.name.end(), [](char letter) { return static_cast<unsigned char>(letter) > 0x20 && static_cast<unsigned char>(letter) != 0x7f; });
+  bool const plain = std::all_of(reading.name.begin(), reading.name.end(), [](char letter) {
+    return static_cast<unsigned char>(letter) > 0x20 && static_cast<unsigned char>(letter) != 0x7f;
+  });
   if (!plain || reading.name.size() > loam::constants::tenant_bytes) {
     return TenantReading{TenantEnd::refused, "", "malformed_tenant"};
   }
@@ -86,7 +92,8 @@
   return realm;
 }
 
-bool join_homes(std::vector<std::string> const& lane, std::vector<std::string> const& tenant, std::vector<std::string>& joined) {
+bool join_homes(std::vector<std::string> const& lane, std::vector<std::string> const& tenant,
+                std::vector<std::string>& joined) {
   if (tenant.empty() || lane.empty()) {
     joined = tenant.empty() ? lane : tenant;
     return true;
--- a/source/tilth/wall/tenant.hpp
+++ b/source/tilth/wall/tenant.hpp
@@ -18,7 +18,8 @@
 /// `values`: all that stand under the tenancy's header, in order; one more
 /// than one is refused, since a worker might take the other, and so is a path
 /// that a front may have read in another way.
-[[nodiscard]] TenantReading read_tenant(schema::Tenancy const& tenancy, std::vector<std::string_view> const& values, std::string_view target);
+[[nodiscard]] TenantReading read_tenant(schema::Tenancy const& tenancy, std::vector<std::string_view> const& values,
+                                        std::string_view target);
 
 /// Where a tenant's name stands: customer 7 of one header and rider 7 of a path
 /// are two. Lanes that name tenants by the same header have one realm; a lane
@@ -27,6 +28,7 @@
 
 /// Regions that both allow; the lane's own when the tenant names none.
 /// False: none is left, and the query has no place.
-[[nodiscard]] bool join_homes(std::vector<std::string> const& lane, std::vector<std::string> const& tenant, std::vector<std::string>& joined);
+[[nodiscard]] bool join_homes(std::vector<std::string> const& lane, std::vector<std::string> const& tenant,
+                              std::vector<std::string>& joined);
 
 }  // namespace finchlink::tilth
--- a/source/tilth/wall/walls.cpp
+++ b/source/tilth/wall/walls.cpp
@@ -31,7 +31,10 @@
 }
 
 void append(std::string& header, std::string_view id, double tokens) {
-  header.append(header.empty() ? "" : ",").append(id).append(":").append(std::to_string(static_cast<std::uint64_t>(tokens)));
+  header.append(header.empty() ? "" : ",")
+      .append(id)
+      .append(":")
+      .append(std::to_string(static_cast<std::uint64_t>(tokens)));
 }
 }  // namespace
 
@@ -42,7 +45,8 @@
     text.remove_prefix(std::min(text.size(), entry.size() + 1));
     std::size_t const colon = entry.rfind(':');
     std::uint64_t tokens = 0;
-    if (colon == std::string_view::npos || std::from_chars(entry.data() + colon + 1, entry.data() + entry.size(), tokens).ec != std::errc()) {
+    if (colon == std::string_view::npos ||
+        std::from_chars(entry.data() + colon + 1, entry.data() + entry.size(), tokens).ec != std::errc()) {
       continue;
     }
     entry = entry.substr(0, colon);
@@ -63,7 +67,8 @@
 
 std::size_t Walls::public_count(Prompt const& prompt) const {
   std::size_t count = 0;
-  while (count < prompt.parts.size() && std::find(prompt.shared.begin(), prompt.shared.end(), prompt.parts[count].id) != prompt.shared.end()) {
+  while (count < prompt.parts.size() &&
+         std::find(prompt.shared.begin(), prompt.shared.end(), prompt.parts[count].id) != prompt.shared.end()) {
     ++count;
   }
   return count;
@@ -90,7 +95,8 @@
   std::size_t const shared = public_count(prompt);
   std::size_t const count = prompt.tenant.empty() ? shared : prompt.parts.size();
   std::string const common = wall_key(secret_of(*secrets_, ""), Wall{true, "", prompt.model, record_version, ""});
-  std::string const own = wall_key(secret_of(*secrets_, prompt.tenant), Wall{false, prompt.tenant, prompt.model, record_version, prompt.realm});
+  std::string const own = wall_key(secret_of(*secrets_, prompt.tenant),
+                                   Wall{false, prompt.tenant, prompt.model, record_version, prompt.realm});
   std::uint64_t const holder = number_of(own) | 2u;  // neither nobody nor everybody
   std::string before = nothing_before;
   for (std::size_t index = 0; index < count; ++index) {
@@ -107,8 +113,11 @@
   walled.version = version.value_or("");
   walled.cold = !keyed || prompt.tenant.empty();
   std::size_t const shared = keyed ? public_count(prompt) : 0;
-  std::string const common = keyed ? wall_key(secret_of(*secrets_, ""), Wall{true, "", prompt.model, *version, ""}) : "";
-  std::string const own = walled.cold ? "" : wall_key(secret_of(*secrets_, prompt.tenant), Wall{false, prompt.tenant, prompt.model, *version, prompt.realm});
+  std::string const common =
+      keyed ? wall_key(secret_of(*secrets_, ""), Wall{true, "", prompt.model, *version, ""}) : "";
+  std::string const own = walled.cold ? ""
+                                      : wall_key(secret_of(*secrets_, prompt.tenant),
+                                                 Wall{false, prompt.tenant, prompt.model, *version, prompt.realm});
   std::string before = nothing_before;
   for (std::size_t index = 0; index < prompt.parts.size(); ++index) {
     NamedPart const& part = prompt.parts[index];
--- a/source/tilth/wall/walls.hpp
+++ b/source/tilth/wall/walls.hpp
@@ -34,7 +34,7 @@
 
 /// Whose prompt it is, and of what.
 struct Prompt {
-  std::string tenant;               ///< empty: it names none and goes cold
+  std::string tenant;  ///< empty: it names none and goes cold
   std::string model;
   std::vector<NamedPart> parts;
   std::vector<std::string> shared;  ///< ids that are public in its lane
@@ -42,10 +42,10 @@
 };
 /// What goes to one worker.
 struct Walled {
-  std::string header;        ///< the parts under the ids that the worker keeps them by
-  bool cold = false;         ///< tenant's parts have ids that are used once
-  double most_reused = 0;    ///< tokens that can be kept there by right
-  std::string version;       ///< of the weights that it was keyed for; empty: unknown
+  std::string header;      ///< the parts under the ids that the worker keeps them by
+  bool cold = false;       ///< tenant's parts have ids that are used once
+  double most_reused = 0;  ///< tokens that can be kept there by right
+  std::string version;     ///< of the weights that it was keyed for; empty: unknown
 };
 /// What a worker said of a walled query.
 struct WallAnswer {
@@ -54,20 +54,31 @@
   std::optional<double> reused;  ///< tokens that it did not read again
   bool ran = false;              ///< else it was turned away
 };
-struct ForgetWorker { std::string worker; };
+struct ForgetWorker {
+  std::string worker;
+};
 /// It kept only this much of the query's prompt.
-struct GaveUp { std::string worker; double tokens = 0; };
+struct GaveUp {
+  std::string worker;
+  double tokens = 0;
+};
 /// It reused what nobody may have kept there for this tenant.
-struct Crossed { std::string worker; double tokens = 0; };
+struct Crossed {
+  std::string worker;
+  double tokens = 0;
+};
 /// It ran a prompt that was keyed for another version than it has.
-struct RanOtherWeights { std::string worker; std::string expected; };
+struct RanOtherWeights {
+  std::string worker;
+  std::string expected;
+};
 using WallAction = std::variant<ForgetWorker, GaveUp, Crossed, RanOtherWeights>;
 
 struct TenantTally {
   std::uint64_t queries = 0;
-  std::uint64_t cold = 0;    ///< sent under ids that are used once
-  double tokens = 0;         ///< of parts sent
-  double reused = 0;         ///< of these, not read again, as workers told
+  std::uint64_t cold = 0;  ///< sent under ids that are used once
+  double tokens = 0;       ///< of parts sent
+  double reused = 0;       ///< of these, not read again, as workers told
 };
 
 /// The walls of one furrow (section 14): secrets, versions of weights as
@@ -80,7 +91,8 @@
   /// Parts for placement and record; none where nothing can be reused.
   [[nodiscard]] std::vector<Part> place(Prompt const& prompt) const;
   /// `once`: never handed in before; from it come ids that are used once.
-  [[nodiscard]] Walled send(Prompt const& prompt, std::string const& worker, std::array<std::uint64_t, 2> const& once) const;
+  [[nodiscard]] Walled send(Prompt const& prompt, std::string const& worker,
+                            std::array<std::uint64_t, 2> const& once) const;
   [[nodiscard]] std::vector<WallAction> heard(WallAnswer const& answer, Walled const& sent, double predicted);
   /// A worker that left, or came back: its version is unknown again.
   void forget(std::string const& worker) {
@@ -89,8 +101,11 @@
   }
   template <class Keep>
   void keep_only(Keep const& keep) {
-    std::erase_if(versions_, [&keep](std::pair<std::string const, std::string> const& entry) { return !keep(entry.first); });
-    std::erase_if(spoiled_, [&keep](std::pair<std::string const, std::set<std::string>> const& entry) { return !keep(entry.first); });
+    std::erase_if(versions_,
+                  [&keep](std::pair<std::string const, std::string> const& entry) { return !keep(entry.first); });
+    std::erase_if(spoiled_, [&keep](std::pair<std::string const, std::set<std::string>> const& entry) {
+      return !keep(entry.first);
+    });
   }
   void count(Prompt const& prompt, Walled const& sent, std::optional<double> reused);
   [[nodiscard]] tsl::robin_map<std::string, TenantTally> const& tallies() const { return tallies_; }
--- a/source/trellis/acceptor/acceptor_service.cpp
+++ b/source/trellis/acceptor/acceptor_service.cpp
@@ -2,19 +2,23 @@
 
 #include <cstdio>
 
+#include "consensus/write_ahead_log/fault_device.hpp"
+#include "consensus/write_ahead_log/file_device.hpp"
 #include "loam/constants.hpp"
 #include "loam/log/log.hpp"
 #include "loam/random/random.hpp"
-#include "consensus/write_ahead_log/fault_device.hpp"
-#include "consensus/write_ahead_log/file_device.hpp"
 
 namespace finchlink::trellis {
 
 namespace constants = loam::constants;
 
-AcceptorService::AcceptorService(boost::asio::io_context& context, loam::Caller& caller, std::string folder, std::string address,
-                         std::vector<std::string> founders)
-    : context_(context), caller_(caller), folder_(std::move(folder)), address_(std::move(address)), founders_(std::move(founders)) {}
+AcceptorService::AcceptorService(boost::asio::io_context& context, loam::Caller& caller, std::string folder,
+                                 std::string address, std::vector<std::string> founders)
+    : context_(context),
+      caller_(caller),
+      folder_(std::move(folder)),
+      address_(std::move(address)),
+      founders_(std::move(founders)) {}
 
 AcceptorService::~AcceptorService() {
   {
@@ -29,7 +33,8 @@
 
 bool AcceptorService::open_disk() {
   ring_.reset();  // lets go of the folder before it is taken again
-  absl::StatusOr<consensus::Device> device = consensus::open_files(folder_, constants::ring_files, constants::ring_file_bytes);
+  absl::StatusOr<consensus::Device> device =
+      consensus::open_files(folder_, constants::ring_files, constants::ring_file_bytes);
   if (!device.ok()) {
     defect_ = std::string(device.status().message());
     return false;
@@ -78,7 +83,8 @@
       return false;
     }
     loam::note(loam::Event::HolderRecovered, "incarnation " + std::to_string(holder_->incarnation()) + " epoch " +
-                                                 std::to_string(holder_->set().epoch) + (holder_->voting() ? " voting" : " without a vote"));
+                                                 std::to_string(holder_->set().epoch) +
+                                                 (holder_->voting() ? " voting" : " without a vote"));
   }
   silent_ = false;
   return true;
@@ -150,7 +156,8 @@
   }
 }
 
-std::optional<consensus::Outcome> AcceptorService::apply(std::function<consensus::Outcome(consensus::Acceptor&)> const& step, loam::Yield yield) {
+std::optional<consensus::Outcome> AcceptorService::apply(
+    std::function<consensus::Outcome(consensus::Acceptor&)> const& step, loam::Yield yield) {
   std::shared_ptr<Ticket> const ticket = std::make_shared<Ticket>(yield.get_executor());
   ticket->timer.expires_after(loam::duration(constants::holder_deadline));
   consensus::Outcome outcome;
@@ -164,7 +171,8 @@
     std::uint64_t const epoch = holder_->set().epoch;
     outcome = step(*holder_);
     if (holder_->set().epoch != epoch) {
-      loam::note(loam::Event::HolderAdopted, "epoch " + std::to_string(holder_->set().epoch) + (holder_->voting() ? " voting" : " without a vote"));
+      loam::note(loam::Event::HolderAdopted,
+                 "epoch " + std::to_string(holder_->set().epoch) + (holder_->voting() ? " voting" : " without a vote"));
     }
     // Even a reply without records waits for what is being synced: it may tell
     // of state that is not lasting yet.
--- a/source/trellis/acceptor/acceptor_service.hpp
+++ b/source/trellis/acceptor/acceptor_service.hpp
@@ -11,9 +11,9 @@
 
 #include <absl/status/status.h>
 
-#include "loam/net/net.hpp"
 #include "consensus/acceptor/acceptor.hpp"
 #include "consensus/write_ahead_log/write_ahead_log.hpp"
+#include "loam/net/net.hpp"
 
 namespace finchlink::trellis {
 
@@ -23,7 +23,7 @@
 class AcceptorService {
  public:
   AcceptorService(boost::asio::io_context& context, loam::Caller& caller, std::string folder, std::string address,
-              std::vector<std::string> founders);
+                  std::vector<std::string> founders);
   ~AcceptorService();
   AcceptorService(AcceptorService const&) = delete;
   AcceptorService& operator=(AcceptorService const&) = delete;
@@ -54,7 +54,8 @@
   void stand_up(loam::Yield yield);
   /// One step of the core; its outcome once it is lasting, nothing when this
   /// holder is silent.
-  [[nodiscard]] std::optional<consensus::Outcome> apply(std::function<consensus::Outcome(consensus::Acceptor&)> const& step, loam::Yield yield);
+  [[nodiscard]] std::optional<consensus::Outcome> apply(
+      std::function<consensus::Outcome(consensus::Acceptor&)> const& step, loam::Yield yield);
 
   boost::asio::io_context& context_;
   loam::Caller& caller_;
--- a/source/trellis/command/command.cpp
+++ b/source/trellis/command/command.cpp
@@ -43,7 +43,8 @@
 };
 
 /// Adds what one relay tells of its tenants (section 14.4).
-bool add_tenants(std::string const& body, std::map<std::string, std::map<std::string, double>>& sums, double& crossings) {
+bool add_tenants(std::string const& body, std::map<std::string, std::map<std::string, double>>& sums,
+                 double& crossings) {
   absl::StatusOr<loam::Tree> const tree = loam::read_tree(body);
   if (!tree.ok()) {
     return false;
@@ -66,12 +67,16 @@
 }
 
 void print_tenants(std::map<std::string, std::map<std::string, double>>& sums, double crossings) {
-  std::cout << std::left << std::setw(32) << "tenant" << std::right << std::setw(10) << "queries" << std::setw(10) << "cold" << std::setw(14) << "tokens" << std::setw(14) << "reused" << std::setw(8) << "share" << "\n";
+  std::cout << std::left << std::setw(32) << "tenant" << std::right << std::setw(10) << "queries" << std::setw(10)
+            << "cold" << std::setw(14) << "tokens" << std::setw(14) << "reused" << std::setw(8) << "share"
+            << "\n";
   for (std::pair<std::string const, std::map<std::string, double>>& entry : sums) {
     std::map<std::string, double>& sum = entry.second;
     if (sum["queries"] > 0) {
-      std::cout << std::left << std::setw(32) << (entry.first.empty() ? "(none named)" : entry.first) << std::right << std::fixed << std::setprecision(0) << std::setw(10) << sum["queries"] << std::setw(10)
-                << sum["cold"] << std::setw(14) << sum["tokens"] << std::setw(14) << sum["reused"] << std::setprecision(3) << std::setw(8) << (sum["tokens"] > 0 ? sum["reused"] / sum["tokens"] : 0) << "\n";
+      std::cout << std::left << std::setw(32) << (entry.first.empty() ? "(none named)" : entry.first) << std::right
+                << std::fixed << std::setprecision(0) << std::setw(10) << sum["queries"] << std::setw(10) << sum["cold"]
+                << std::setw(14) << sum["tokens"] << std::setw(14) << sum["reused"] << std::setprecision(3)
+                << std::setw(8) << (sum["tokens"] > 0 ? sum["reused"] / sum["tokens"] : 0) << "\n";
     }
   }
   std::cout << std::setprecision(0) << "crossings " << crossings << "\n";
@@ -97,7 +102,8 @@
     return true;
   }
   if ((first == "evacuate" || first == "retake") && words.size() == 2) {
-    plan = Plan{first == "evacuate" ? http::verb::post : http::verb::delete_, paths.hall + words[1] + paths.evacuation, ""};
+    plan = Plan{first == "evacuate" ? http::verb::post : http::verb::delete_, paths.hall + words[1] + paths.evacuation,
+                ""};
     return true;
   }
   if (first == "change" && words.size() == 2) {
@@ -112,8 +118,8 @@
     plan = Plan{http::verb::get, "/-/tenants", "", true};
     return true;
   }
-  if (words.size() == 1 && (first == "members" || first == "trellises" || first == "workers" || first == "split" || first == "duties" ||
-                            first == "holders" || first == "ready" || first == "evacuated")) {
+  if (words.size() == 1 && (first == "members" || first == "trellises" || first == "workers" || first == "split" ||
+                            first == "duties" || first == "holders" || first == "ready" || first == "evacuated")) {
     plan.target = "/" + first;
     return true;
   }
@@ -121,12 +127,16 @@
 }
 }  // namespace
 
-bool is_command(int count, char const* const* values) { return count > 1 && values[1][0] != '-'; }
+bool is_command(int count, char const* const* values) {
+  return count > 1 && values[1][0] != '-';
+}
 
 int run_command(int count, char const* const* values) {
   options::options_description visible("flags");
-  visible.add_options()("help", "this text")("at", options::value<std::string>(), "HTTP addresses of trellises, tried in turn")(
-      "expect", options::value<std::string>(), "revision that the change is meant for")("id", options::value<std::string>(), "id of the change");
+  visible.add_options()("help", "this text")("at", options::value<std::string>(),
+                                             "HTTP addresses of trellises, tried in turn")(
+      "expect", options::value<std::string>(), "revision that the change is meant for")(
+      "id", options::value<std::string>(), "id of the change");
   options::options_description all;
   all.add(visible).add_options()("words", options::value<std::vector<std::string>>());
   options::positional_options_description positional;
@@ -139,7 +149,8 @@
     return loam::exit_usage;
   }
   Plan plan;
-  if (found.count("help") > 0 || !plan_of(found["words"].as<std::vector<std::string>>(), plan) || found.count("at") == 0) {
+  if (found.count("help") > 0 || !plan_of(found["words"].as<std::vector<std::string>>(), plan) ||
+      found.count("at") == 0) {
     std::cerr << words_help;
     return found.count("help") > 0 ? 0 : loam::exit_usage;
   }
@@ -167,7 +178,8 @@
   if (found.count("id") > 0) {
     ask.set("Change-Id", found["id"].as<std::string>());
   }
-  bool const own_id = plan.target == "/setup" && found.count("id") == 0 && (plan.verb == http::verb::put || plan.verb == http::verb::patch);
+  bool const own_id = plan.target == "/setup" && found.count("id") == 0 &&
+                      (plan.verb == http::verb::put || plan.verb == http::verb::patch);
   int code = loam::exit_unreachable;
   boost::asio::io_context context;
   loam::start(context, [&](loam::Yield yield) {
@@ -178,7 +190,8 @@
     double crossings = 0;
     bool all = true;
     while (plan.sum && std::getline(addresses, address, ',')) {
-      absl::StatusOr<loam::Answer> const answer = loam::ask_once(context, address, ask, loam::constants::change_deadline * 3, loam::constants::list_limit, yield);
+      absl::StatusOr<loam::Answer> const answer = loam::ask_once(
+          context, address, ask, loam::constants::change_deadline * 3, loam::constants::list_limit, yield);
       if (!answer.ok() || !add_tenants(answer->body(), sums, crossings)) {
         std::cerr << "trellis: " << address << " tells of no tenants\n";
         all = false;
@@ -191,16 +204,20 @@
     }
     while (std::getline(addresses, address, ',')) {
       if (own_id && revision.empty()) {  // an id ends in the revision that its maker knew (section 5.7)
-        absl::StatusOr<loam::Answer> const now = loam::ask_once(context, address, loam::Ask{http::verb::get, "/setup", 11}, loam::constants::change_deadline * 3, loam::constants::list_limit, yield);
+        absl::StatusOr<loam::Answer> const now =
+            loam::ask_once(context, address, loam::Ask{http::verb::get, "/setup", 11},
+                           loam::constants::change_deadline * 3, loam::constants::list_limit, yield);
         if (!now.ok() || now->result_int() >= 500) {
           std::cerr << "trellis: " << address << " does not know the setup\n";
           continue;
         }
         std::string const tag((*now)[http::field::etag]);
         revision = tag.size() > 2 ? tag.substr(1, tag.size() - 2) : "0";
-        ask.set("Change-Id", "command-" + std::to_string(loam::boot_now()) + "-" + std::to_string(getpid()) + "." + revision);
+        ask.set("Change-Id",
+                "command-" + std::to_string(loam::boot_now()) + "-" + std::to_string(getpid()) + "." + revision);
       }
-      absl::StatusOr<loam::Answer> const answer = loam::ask_once(context, address, ask, loam::constants::change_deadline * 3, loam::constants::list_limit, yield);
+      absl::StatusOr<loam::Answer> const answer = loam::ask_once(
+          context, address, ask, loam::constants::change_deadline * 3, loam::constants::list_limit, yield);
       if (!answer.ok()) {
         std::cerr << "trellis: " << answer.status().message() << "\n";
         continue;
--- a/source/trellis/duty/duties.cpp
+++ b/source/trellis/duty/duties.cpp
@@ -3,22 +3,31 @@
 #include <algorithm>
 #include <set>
 
-#include "membership/reconfiguration/reconfiguration.hpp"
-#include "loam/relay_constants.hpp"
-#include "loam/json/tree.hpp"
-#include "loam/log/log.hpp"
 #include "config/charter/proposal.hpp"
 #include "config/label/selector.hpp"
 #include "config/setup/setup.hpp"
+#include "loam/json/tree.hpp"
+#include "loam/log/log.hpp"
+#include "loam/relay_constants.hpp"
+#include "membership/reconfiguration/reconfiguration.hpp"
 
 namespace finchlink::trellis {
 
 namespace constants = loam::constants;
 
-Duties::Duties(boost::asio::io_context& context, loam::Caller& caller, RegisterClient& register_client, News& news, AcceptorService* holder, std::uint64_t identity,
-               schema::Settings const& settings, config::Notation notation)
-    : context_(context), caller_(caller), register_(register_client), news_(news), holder_(holder), identity_(identity), settings_(settings), notation_(std::move(notation)),
-      address_(settings.colleague_address), wanted_holders_(membership::wanted_holders(settings.tolerated_machines)) {}
+Duties::Duties(boost::asio::io_context& context, loam::Caller& caller, RegisterClient& register_client, News& news,
+               AcceptorService* holder, std::uint64_t identity, schema::Settings const& settings,
+               config::Notation notation)
+    : context_(context),
+      caller_(caller),
+      register_(register_client),
+      news_(news),
+      holder_(holder),
+      identity_(identity),
+      settings_(settings),
+      notation_(std::move(notation)),
+      address_(settings.colleague_address),
+      wanted_holders_(membership::wanted_holders(settings.tolerated_machines)) {}
 
 void Duties::begin() {
   loam::start(context_, [this](loam::Yield yield) {
@@ -38,9 +47,11 @@
           // trellis of the region is left to do it.
           std::function<bool()> const wanted = [this, name] {
             schema::Setup const known = setup();
-            return known.regions.count(name) > 0 && on_duty(name, [&known](std::string const& hall) { return config::region_of(known, hall); });
+            return known.regions.count(name) > 0 &&
+                   on_duty(name, [&known](std::string const& hall) { return config::region_of(known, hall); });
           };
-          run("scaler/" + name, wanted, [this, name](std::function<bool()> const& held, loam::Yield inner) { scale(name, held, inner); });
+          run("scaler/" + name, wanted,
+              [this, name](std::function<bool()> const& held, loam::Yield inner) { scale(name, held, inner); });
         }
       }
       for (std::pair<std::string const, tilth::Pool> const& pool : pools()) {
@@ -50,9 +61,9 @@
           std::function<bool()> const wanted = [this, region] {
             schema::Settings const known = settings();
             return known.scaler == "on" && on_duty(region, [&known](std::string const& hall) {
-              std::map<std::string, std::string>::const_iterator const found = known.regions.find(hall);
-              return found == known.regions.end() ? std::string() : found->second;
-            });
+                     std::map<std::string, std::string>::const_iterator const found = known.regions.find(hall);
+                     return found == known.regions.end() ? std::string() : found->second;
+                   });
           };
           run("scaler/" + region, wanted, [this, region](std::function<bool()> const& held, loam::Yield inner) {
             for (std::pair<std::string const, tilth::Pool> const& entry : pools()) {
@@ -106,7 +117,8 @@
         loam::Gather::run(
             context_, caller_, calls, constants::holder_deadline,
             [tenant, tenant_lock, name](std::size_t, absl::StatusOr<schema::Message> const& answer) {
-              schema::LeaseAnswer const* const given = answer.ok() ? std::get_if<schema::LeaseAnswer>(&*answer) : nullptr;
+              schema::LeaseAnswer const* const given =
+                  answer.ok() ? std::get_if<schema::LeaseAnswer>(&*answer) : nullptr;
               if (given != nullptr) {
                 std::lock_guard<std::mutex> const guard(*tenant_lock);
                 for (lease::LeaseHolderAction const& action : tenant->receive(*given, loam::boot_now())) {
@@ -259,7 +271,8 @@
   }
 }
 
-void Duties::scale_pool(std::string const& name, tilth::Pool const& pool, std::function<bool()> const& held, loam::Yield yield) {
+void Duties::scale_pool(std::string const& name, tilth::Pool const& pool, std::function<bool()> const& held,
+                        loam::Yield yield) {
   schema::Value const value = register_.value(consensus::split_register(name));
   absl::StatusOr<schema::Split> const read = tilth::read_split(value.content);
   schema::Split const current = value.revision > 0 && read.ok() ? *read : schema::Split();
@@ -280,13 +293,15 @@
   }
 }
 
-void Duties::write_split(std::string const& name, std::uint64_t revision, schema::Split const& split, std::function<bool()> const& held, loam::Yield yield) {
+void Duties::write_split(std::string const& name, std::uint64_t revision, schema::Split const& split,
+                         std::function<bool()> const& held, loam::Yield yield) {
   if (!held()) {
     return;
   }
   std::string const text = tilth::print_split(split);
   // The expectation fences: whoever lost the lease meanwhile writes nothing.
-  RegisterClient::Result const result = register_.change(consensus::split_register(name), consensus::replace_at(revision, text), constants::change_deadline, yield);
+  RegisterClient::Result const result = register_.change(
+      consensus::split_register(name), consensus::replace_at(revision, text), constants::change_deadline, yield);
   bool const chosen = std::holds_alternative<consensus::Chosen>(result);
   loam::note(chosen ? loam::Event::SplitWritten : loam::Event::SplitDefect, name + ": " + split.reason);
   std::lock_guard<std::mutex> const guard(lock_);
@@ -388,7 +403,8 @@
   loam::note(loam::Event::RepairProposed, "epoch " + std::to_string(next->epoch));
   // No lease is needed: of all who want a place, what they expect of the
   // register lets one of them have it (section 5.5).
-  RegisterClient::Result const result = register_.change(consensus::holders_register, membership::reconfiguration_proposal(set, *next), constants::change_deadline, yield);
+  RegisterClient::Result const result = register_.change(
+      consensus::holders_register, membership::reconfiguration_proposal(set, *next), constants::change_deadline, yield);
   if (!std::holds_alternative<consensus::Chosen>(result)) {
     loam::note(loam::Event::RepairDefect, "not chosen");
   }
--- a/source/trellis/duty/duties.hpp
+++ b/source/trellis/duty/duties.hpp
@@ -9,8 +9,8 @@
 #include "tilth/scaler/pools.hpp"
 #include "tilth/scaler/scaler.hpp"
 #include "trellis/acceptor/acceptor_service.hpp"
-#include "trellis/register_client/register_client.hpp"
 #include "trellis/news/news.hpp"
+#include "trellis/register_client/register_client.hpp"
 
 namespace finchlink::trellis {
 
@@ -19,8 +19,8 @@
 /// takes a place in the holder set when one is free or lost (section 5.5).
 class Duties {
  public:
-  Duties(boost::asio::io_context& context, loam::Caller& caller, RegisterClient& register_client, News& news, AcceptorService* holder, std::uint64_t identity,
-         schema::Settings const& settings, config::Notation notation);
+  Duties(boost::asio::io_context& context, loam::Caller& caller, RegisterClient& register_client, News& news,
+         AcceptorService* holder, std::uint64_t identity, schema::Settings const& settings, config::Notation notation);
   void begin();
   /// Settings that changed.
   void follow(schema::Settings const& settings);
@@ -28,7 +28,8 @@
 
  private:
   /// Runs the lease of one duty; `step` is called again and again while held.
-  void run(std::string const& name, std::function<bool()> const& wanted, std::function<void(std::function<bool()> const&, loam::Yield)> const& step);
+  void run(std::string const& name, std::function<bool()> const& wanted,
+           std::function<void(std::function<bool()> const&, loam::Yield)> const& step);
   void join(loam::Yield yield);
   void spread_set(loam::Yield yield);
   void feed_scalers();
@@ -36,11 +37,14 @@
   [[nodiscard]] schema::Setup setup();
   /// Whose a region's scaler is: of the trellises inside it, and from outside
   /// only when none of them is left to do it.
-  [[nodiscard]] bool on_duty(std::string const& region, std::function<std::string(std::string const&)> const& region_of);
+  [[nodiscard]] bool on_duty(std::string const& region,
+                             std::function<std::string(std::string const&)> const& region_of);
   /// The pools of the charter in force; none while the scaler is off (section 13.11).
   [[nodiscard]] std::map<std::string, tilth::Pool> pools();
-  void scale_pool(std::string const& name, tilth::Pool const& pool, std::function<bool()> const& held, loam::Yield yield);
-  void write_split(std::string const& name, std::uint64_t revision, schema::Split const& split, std::function<bool()> const& held, loam::Yield yield);
+  void scale_pool(std::string const& name, tilth::Pool const& pool, std::function<bool()> const& held,
+                  loam::Yield yield);
+  void write_split(std::string const& name, std::uint64_t revision, schema::Split const& split,
+                   std::function<bool()> const& held, loam::Yield yield);
   [[nodiscard]] schema::Settings settings();
 
   boost::asio::io_context& context_;
--- a/source/trellis/main.cpp
+++ b/source/trellis/main.cpp
@@ -25,7 +25,9 @@
   std::unique_ptr<trellis::Operator> operators;
 };
 
-loam::Span span(std::uint64_t milliseconds) { return loam::milliseconds(static_cast<std::int64_t>(milliseconds)); }
+loam::Span span(std::uint64_t milliseconds) {
+  return loam::milliseconds(static_cast<std::int64_t>(milliseconds));
+}
 }  // namespace
 
 int main(int count, char** values) {
@@ -42,34 +44,42 @@
     schema::TimeBounds const& bounds = settings.bounds;
     program.caller = std::make_unique<loam::Caller>(context);
     if (!settings.data_folder.empty()) {
-      program.holder = std::make_unique<trellis::AcceptorService>(context, *program.caller, settings.data_folder, settings.colleague_address,
-                                                              settings.founding ? settings.seeds : std::vector<std::string>());
+      program.holder = std::make_unique<trellis::AcceptorService>(
+          context, *program.caller, settings.data_folder, settings.colleague_address,
+          settings.founding ? settings.seeds : std::vector<std::string>());
     }
-    program.register_client = std::make_unique<trellis::RegisterClient>(context, *program.caller, identity, settings.seeds, span(bounds.confirm_pause_ms));
-    program.news = std::make_unique<trellis::News>(context, *program.caller, *program.register_client, program.holder.get(), settings, identity, platform ? trellis::ListReader(platform::read_list) : trellis::ListReader());
-    program.duties = std::make_unique<trellis::Duties>(context, *program.caller, *program.register_client, *program.news, program.holder.get(), identity, settings,
-                                                         platform ? platform::notation() : config::own_notation());
-    program.operators = std::make_unique<trellis::Operator>(context, *program.register_client, *program.news, program.holder.get(), [&program] { return program.duties->describe(); },
-                                                             platform ? platform::notation() : config::own_notation(),
-                                                             platform ? platform::operator_paths() : trellis::OperatorPaths(), span(bounds.acknowledge_wait_ms));
-    absl::Status status = loam::serve_frames(context, settings.colleague_address, settings.connections,
-                                             [&program](schema::Message const& message, loam::Yield yield) -> std::optional<schema::Message> {
-      if (schema::NewsAsk const* const ask = std::get_if<schema::NewsAsk>(&message)) {
-        return program.news->ask(*ask, yield);
-      }
-      if (schema::Tell const* const tell = std::get_if<schema::Tell>(&message)) {
-        return program.news->tell(*tell);
-      }
-      if (program.holder == nullptr) {
-        return schema::Message(schema::Unknown{"this trellis holds no register"});
-      }
-      return program.holder->receive(message, yield);
-    });
+    program.register_client = std::make_unique<trellis::RegisterClient>(context, *program.caller, identity,
+                                                                        settings.seeds, span(bounds.confirm_pause_ms));
+    program.news = std::make_unique<trellis::News>(
+        context, *program.caller, *program.register_client, program.holder.get(), settings, identity,
+        platform ? trellis::ListReader(platform::read_list) : trellis::ListReader());
+    program.duties = std::make_unique<trellis::Duties>(context, *program.caller, *program.register_client,
+                                                       *program.news, program.holder.get(), identity, settings,
+                                                       platform ? platform::notation() : config::own_notation());
+    program.operators = std::make_unique<trellis::Operator>(
+        context, *program.register_client, *program.news, program.holder.get(),
+        [&program] { return program.duties->describe(); }, platform ? platform::notation() : config::own_notation(),
+        platform ? platform::operator_paths() : trellis::OperatorPaths(), span(bounds.acknowledge_wait_ms));
+    absl::Status status = loam::serve_frames(
+        context, settings.colleague_address, settings.connections,
+        [&program](schema::Message const& message, loam::Yield yield) -> std::optional<schema::Message> {
+          if (schema::NewsAsk const* const ask = std::get_if<schema::NewsAsk>(&message)) {
+            return program.news->ask(*ask, yield);
+          }
+          if (schema::Tell const* const tell = std::get_if<schema::Tell>(&message)) {
+            return program.news->tell(*tell);
+          }
+          if (program.holder == nullptr) {
+            return schema::Message(schema::Unknown{"this trellis holds no register"});
+          }
+          return program.holder->receive(message, yield);
+        });
     if (!status.ok()) {
       return status;
     }
-    status = loam::serve_asks(context, settings.http_address, settings.connections, constants::charter_limit,
-                              [&program](loam::Ask const& ask, loam::Yield yield) { return program.operators->answer(ask, yield); });
+    status = loam::serve_asks(
+        context, settings.http_address, settings.connections, constants::charter_limit,
+        [&program](loam::Ask const& ask, loam::Yield yield) { return program.operators->answer(ask, yield); });
     if (!status.ok()) {
       return status;
     }
--- a/source/trellis/news/news.cpp
+++ b/source/trellis/news/news.cpp
@@ -2,23 +2,29 @@
 
 #include <algorithm>
 
-#include "membership/copy/copy.hpp"
-#include "membership/responder/news_responder.hpp"
 #include "loam/constants.hpp"
 #include "loam/error/error.hpp"
 #include "loam/http/http.hpp"
 #include "loam/json/tree.hpp"
 #include "loam/log/log.hpp"
+#include "membership/copy/copy.hpp"
+#include "membership/responder/news_responder.hpp"
 #include "tilth/scaler/pools.hpp"
 
 namespace finchlink::trellis {
 
 namespace constants = loam::constants;
 
-News::News(boost::asio::io_context& context, loam::Caller& caller, RegisterClient& register_client, AcceptorService* holder, schema::Settings const& settings,
-           std::uint64_t identity, ListReader reader)
-    : context_(context), caller_(caller), register_(register_client), holder_(holder), settings_(settings), identity_(identity),
-      sessions_(self(), loam::milliseconds(static_cast<std::int64_t>(settings.bounds.session_bound_ms))), reader_(std::move(reader)) {}
+News::News(boost::asio::io_context& context, loam::Caller& caller, RegisterClient& register_client,
+           AcceptorService* holder, schema::Settings const& settings, std::uint64_t identity, ListReader reader)
+    : context_(context),
+      caller_(caller),
+      register_(register_client),
+      holder_(holder),
+      settings_(settings),
+      identity_(identity),
+      sessions_(self(), loam::milliseconds(static_cast<std::int64_t>(settings.bounds.session_bound_ms))),
+      reader_(std::move(reader)) {}
 
 void News::follow(schema::Settings const& settings) {
   std::lock_guard<std::mutex> const guard(lock_);
@@ -32,7 +38,8 @@
 }
 
 schema::TrellisEntry News::self() {
-  schema::TrellisEntry entry{settings_.name, identity_, settings_.hall, settings_.colleague_address, settings_.http_address, holder_ != nullptr, false, 0};
+  schema::TrellisEntry entry{settings_.name,         identity_,          settings_.hall, settings_.colleague_address,
+                             settings_.http_address, holder_ != nullptr, false,          0};
   if (holder_ != nullptr) {
     entry.voting = holder_->voting();
     entry.holder = holder_->silent() ? 0 : holder_->incarnation();
@@ -93,7 +100,8 @@
 
 absl::StatusOr<schema::PlatformList> News::read_own_list(std::string const& address, loam::Yield yield) {
   loam::Ask ask{loam::http::verb::get, "/workers", 11};
-  absl::StatusOr<loam::Answer> const answer = loam::ask_once(context_, address, ask, constants::list_deadline, constants::list_limit, yield);
+  absl::StatusOr<loam::Answer> const answer =
+      loam::ask_once(context_, address, ask, constants::list_deadline, constants::list_limit, yield);
   if (!answer.ok()) {
     return answer.status();
   }
@@ -121,7 +129,8 @@
     address = settings_.platform_address;
   }
   loam::Span const pause = bound(&schema::TimeBounds::list_pause_ms);
-  absl::StatusOr<schema::PlatformList> const list = reader_ ? reader_(context_, address, constants::list_deadline, yield) : read_own_list(address, yield);
+  absl::StatusOr<schema::PlatformList> const list =
+      reader_ ? reader_(context_, address, constants::list_deadline, yield) : read_own_list(address, yield);
   if (list.ok()) {
     std::uint64_t const before = list_digest();
     keep_list(*list, asked);
@@ -132,11 +141,14 @@
     return reader_ ? constants::bell_pause : pause;  // with a reader, list_rest() tells the rest
   }
   loam::note(loam::Event::ListDefect, std::string(list.status().message()));
-  list_pause_after_defect_ = absl::IsResourceExhausted(list.status()) ? std::min(std::max(pause, list_pause_after_defect_ * 2), constants::list_rest_most) : pause;
+  list_pause_after_defect_ = absl::IsResourceExhausted(list.status())
+                                 ? std::min(std::max(pause, list_pause_after_defect_ * 2), constants::list_rest_most)
+                                 : pause;
   return list_pause_after_defect_;
 }
 
-void News::keep_reports(schema::Member const& member, std::vector<schema::FurrowReport> const& reports, loam::Moment now) {
+void News::keep_reports(schema::Member const& member, std::vector<schema::FurrowReport> const& reports,
+                        loam::Moment now) {
   for (schema::FurrowReport const& report : reports) {
     std::uint64_t& newest = newest_slice_[member.incarnation];
     if (report.slice <= newest) {
@@ -173,7 +185,8 @@
   for (std::size_t place = 0; place < tell.sessions.size(); ++place) {
     places[tell.sessions[place].member.incarnation] = place;
   }
-  std::vector<schema::Session> const direct = reports_.empty() ? std::vector<schema::Session>{} : sessions_.tellable(now);
+  std::vector<schema::Session> const direct =
+      reports_.empty() ? std::vector<schema::Session>{} : sessions_.tellable(now);
   for (schema::Session const& session : direct) {
     for (Kept const& kept : reports_) {
       if (kept.member.incarnation != session.member.incarnation) {
@@ -238,7 +251,8 @@
             bool changed = false;
             {
               std::lock_guard<std::mutex> const guard(lock_);
-              changed = told->list_age >= 0 && listing_.take(membership::list_news(*told), sent - told->list_age, loam::boot_now());
+              changed = told->list_age >= 0 &&
+                        listing_.take(membership::list_news(*told), sent - told->list_age, loam::boot_now());
               sessions_.met(told->from, loam::boot_now());
               known_there_[calls[index].first] = told->sessions_digest;
             }
@@ -292,7 +306,8 @@
 
 schema::Message News::ask(schema::NewsAsk const& ask, loam::Yield yield) {
   loam::Moment const arrival = loam::boot_now();
-  membership::NewsBounds const bounds{bound(&schema::TimeBounds::ask_hold_ms), bound(&schema::TimeBounds::ask_patience_ms)};
+  membership::NewsBounds const bounds{bound(&schema::TimeBounds::ask_hold_ms),
+                                      bound(&schema::TimeBounds::ask_patience_ms)};
   std::uint64_t list_before = 0;
   std::uint64_t members_before = 0;
   {
@@ -330,7 +345,9 @@
       register_.hurry();
       hurried = true;
     }
-    register_.bell().wait(seen, other_news && !rested ? std::min(verdict.wait, constants::bell_pause - (now - arrival)) : verdict.wait, yield);
+    register_.bell().wait(
+        seen, other_news && !rested ? std::min(verdict.wait, constants::bell_pause - (now - arrival)) : verdict.wait,
+        yield);
   }
   std::lock_guard<std::mutex> const guard(lock_);
   membership::MemberNews members = sessions_.since(ask.members_digest);
@@ -356,8 +373,9 @@
     bool const known = theirs != settings_.regions.end() && own != settings_.regions.end();
     return trellis.hall == ask.member.hall ? 0 : (known && theirs->second == own->second ? 1 : 2);
   };
-  std::stable_sort(colleagues.begin(), colleagues.end(),
-                   [&far](schema::TrellisEntry const& left, schema::TrellisEntry const& right) { return far(left) < far(right); });
+  std::stable_sort(
+      colleagues.begin(), colleagues.end(),
+      [&far](schema::TrellisEntry const& left, schema::TrellisEntry const& right) { return far(left) < far(right); });
   for (schema::TrellisEntry const& trellis : colleagues) {
     answer.colleagues.push_back(trellis.address);
   }
--- a/source/trellis/news/news.hpp
+++ b/source/trellis/news/news.hpp
@@ -3,23 +3,24 @@
 #include <deque>
 #include <mutex>
 
-#include "membership/listing/listing.hpp"
-#include "membership/session/sessions.hpp"
 #include "loam/net/net.hpp"
 #include "loam/settings/settings.hpp"
+#include "membership/listing/listing.hpp"
+#include "membership/session/sessions.hpp"
 #include "trellis/acceptor/acceptor_service.hpp"
 #include "trellis/register_client/register_client.hpp"
 
 namespace finchlink::trellis {
 
 /// How the platform list is read where it is not in our own form (section 13.4).
-using ListReader = std::function<absl::StatusOr<schema::PlatformList>(boost::asio::io_context&, std::string const& address, loam::Span deadline, loam::Yield)>;
+using ListReader = std::function<absl::StatusOr<schema::PlatformList>(
+    boost::asio::io_context&, std::string const& address, loam::Span deadline, loam::Yield)>;
 
 /// What a furrow is told (section 6), members and the platform list.
 class News {
  public:
-  News(boost::asio::io_context& context, loam::Caller& caller, RegisterClient& register_client, AcceptorService* holder, schema::Settings const& settings,
-       std::uint64_t identity, ListReader reader = {});
+  News(boost::asio::io_context& context, loam::Caller& caller, RegisterClient& register_client, AcceptorService* holder,
+       schema::Settings const& settings, std::uint64_t identity, ListReader reader = {});
   void begin();
   /// Settings that changed.
   void follow(schema::Settings const& settings);
@@ -72,7 +73,8 @@
   std::map<std::uint64_t, std::uint64_t> newest_slice_;
   ListReader reader_;
   std::uint64_t members_digest_ = 0;
-  std::map<std::string, std::uint64_t> known_there_;  ///< digest of our sessions as a colleague knows them, by its address
+  std::map<std::string, std::uint64_t>
+      known_there_;        ///< digest of our sessions as a colleague knows them, by its address
   bool fetching_ = false;  ///< a colleague's newer list is on its way
   loam::Span list_pause_after_defect_ = 0;
 };
