--- a/source/trellis/operator/operator.cpp
+++ b/source/trellis/operator/operator.cpp
@@ -2,12 +2,12 @@
 
 #include <charconv>
 
+#include "config/label/selector.hpp"
+#include "config/setup/setup.hpp"
 #include "loam/constants.hpp"
 #include "loam/json/tree.hpp"
 #include "loam/log/log.hpp"
 #include "loam/random/random.hpp"
-#include "config/label/selector.hpp"
-#include "config/setup/setup.hpp"
 
 namespace finchlink::trellis {
 
@@ -29,7 +29,8 @@
   return loam::answer_text(http::status::unprocessable_entity, loam::print_tree(object.get()));
 }
 
-loam::Answer outcome_answer(http::status status, std::string const& outcome, std::string const& id, std::uint64_t revision, std::string const& message = "") {
+loam::Answer outcome_answer(http::status status, std::string const& outcome, std::string const& id,
+                            std::uint64_t revision, std::string const& message = "") {
   loam::Tree object(cJSON_CreateObject());
   cJSON_AddStringToObject(object.get(), "outcome", outcome.c_str());
   cJSON_AddStringToObject(object.get(), "id", id.c_str());
@@ -56,7 +57,8 @@
     return false;
   }
   for (char const letter : id) {
-    bool const good = (letter >= 'a' && letter <= 'z') || (letter >= 'A' && letter <= 'Z') || (letter >= '0' && letter <= '9') || letter == '-' || letter == '_' || letter == '.';
+    bool const good = (letter >= 'a' && letter <= 'z') || (letter >= 'A' && letter <= 'Z') ||
+                      (letter >= '0' && letter <= '9') || letter == '-' || letter == '_' || letter == '.';
     if (!good) {
       return false;
     }
@@ -90,10 +92,12 @@
 namespace {
 /// The hall that a path of evacuations names.
 std::optional<std::string> hall_in(OperatorPaths const& paths, std::string const& target) {
-  if (target.rfind(paths.hall, 0) != 0 || !target.ends_with(paths.evacuation) || target.size() <= paths.hall.size() + paths.evacuation.size()) {
+  if (target.rfind(paths.hall, 0) != 0 || !target.ends_with(paths.evacuation) ||
+      target.size() <= paths.hall.size() + paths.evacuation.size()) {
     return std::nullopt;
   }
-  std::string const hall = target.substr(paths.hall.size(), target.size() - paths.hall.size() - paths.evacuation.size());
+  std::string const hall =
+      target.substr(paths.hall.size(), target.size() - paths.hall.size() - paths.evacuation.size());
   return hall.find('/') == std::string::npos ? std::optional<std::string>(hall) : std::nullopt;
 }
 }  // namespace
@@ -157,7 +161,8 @@
   } else if (target == "/ready") {
     bool const ready = loam::boot_now() - register_.confirmed_from() < constants::vouch_bound;
     answer = ready ? loam::answer_text(http::status::ok, "{\"ready\":true}")
-                   : loam::answer_error(http::status::service_unavailable, "no_majority", "no majority of holders answered of late");
+                   : loam::answer_error(http::status::service_unavailable, "no_majority",
+                                        "no majority of holders answered of late");
   } else if (target == "/metrics") {
     answer = metrics();
   }
@@ -223,7 +228,8 @@
     }
   }
   std::shared_ptr<config::CharterProposalReport> const note = std::make_shared<config::CharterProposalReport>();
-  RegisterClient::Result const result = register_.change(config::charter_register, config::charter_proposal(wanted, notation_, note), constants::change_deadline, yield);
+  RegisterClient::Result const result = register_.change(
+      config::charter_register, config::charter_proposal(wanted, notation_, note), constants::change_deadline, yield);
   std::uint64_t number = note->number;
   if (consensus::Chosen const* const done = std::get_if<consensus::Chosen>(&result)) {
     number = config::number_of(done->value);
@@ -234,7 +240,8 @@
     // It may have been chosen or may yet be: no status that promises otherwise.
     ++unknown_;
     loam::note(loam::Event::CharterUnknown, config::id_of(wanted));
-    return loam::answer_error(http::status::gateway_timeout, "unknown", "no majority of holders answered in time; send the same again");
+    return loam::answer_error(http::status::gateway_timeout, "unknown",
+                              "no majority of holders answered in time; send the same again");
   }
   std::string const tag = "\"" + std::to_string(number) + "\"";
   if (note->end == config::CharterProposalOutcome::done) {
@@ -251,21 +258,25 @@
     return answer;
   }
   if (note->end == config::CharterProposalOutcome::number) {
-    return loam::answer_error(http::status::bad_request, "number", "the number must be above the one in place, " + std::to_string(number));
+    return loam::answer_error(http::status::bad_request, "number",
+                              "the number must be above the one in place, " + std::to_string(number));
   }
   if (note->end == config::CharterProposalOutcome::size) {
     return loam::answer_error(http::status::payload_too_large, "too_large", "the charter is larger than allowed");
   }
-  loam::Answer answer = loam::answer_error(http::status::precondition_failed, "another", "charter " + std::to_string(number) + " is in place");
+  loam::Answer answer = loam::answer_error(http::status::precondition_failed, "another",
+                                           "charter " + std::to_string(number) + " is in place");
   answer.set(http::field::etag, tag);
   return answer;
 }
 
 loam::Answer Operator::evacuate(std::string const& hall, bool evacuated, loam::Yield yield) {
-  RegisterClient::Result const result = register_.change(config::evacuated_register, config::evacuation_proposal(hall, evacuated), constants::change_deadline, yield);
+  RegisterClient::Result const result = register_.change(
+      config::evacuated_register, config::evacuation_proposal(hall, evacuated), constants::change_deadline, yield);
   if (std::holds_alternative<RegisterClient::Unknown>(result)) {
     ++unknown_;
-    return loam::answer_error(http::status::gateway_timeout, "unknown", "no majority of holders answered in time; send the same again");
+    return loam::answer_error(http::status::gateway_timeout, "unknown",
+                              "no majority of holders answered in time; send the same again");
   }
   ++accepted_;
   loam::note(loam::Event::EvacuationChosen, hall + (evacuated ? " is emptied" : " is taken back"));
@@ -301,7 +312,8 @@
   while (register_.confirmed_from() == 0 && loam::boot_now() < until) {
     loam::pause(context_, constants::confirm_pause, yield);
   }
-  return name + "-" + std::to_string(loam::random_identity()) + "." + std::to_string(register_.value(consensus::setup_register).revision);
+  return name + "-" + std::to_string(loam::random_identity()) + "." +
+         std::to_string(register_.value(consensus::setup_register).revision);
 }
 
 loam::Answer Operator::change_setup(loam::Ask const& ask, bool patch, loam::Yield yield) {
@@ -311,7 +323,8 @@
   if (wanted.id.empty()) {
     wanted.id = fresh_id("change", yield);
   } else if (!good_id(wanted.id)) {
-    return loam::answer_error(http::status::bad_request, "change_id", "Change-Id takes up to 64 letters, digits, '-', '_' and '.'");
+    return loam::answer_error(http::status::bad_request, "change_id",
+                              "Change-Id takes up to 64 letters, digits, '-', '_' and '.'");
   }
   std::string const match(ask[http::field::if_match]);
   if (!match.empty() && match != "*") {
@@ -336,7 +349,8 @@
 
 loam::Answer Operator::apply(config::WantedChange const& wanted, loam::Yield yield) {
   std::shared_ptr<config::SetupProposalReport> const note = std::make_shared<config::SetupProposalReport>();
-  RegisterClient::Result const result = register_.change(consensus::setup_register, config::setup_proposal(wanted, note), constants::change_deadline, yield);
+  RegisterClient::Result const result = register_.change(
+      consensus::setup_register, config::setup_proposal(wanted, note), constants::change_deadline, yield);
   if (consensus::Chosen const* const done = std::get_if<consensus::Chosen>(&result)) {
     return chosen(wanted.id, done->value.revision, yield);
   }
@@ -347,23 +361,29 @@
     }
     if (note->end == config::SetupProposalOutcome::forgotten) {
       ++unknown_;
-      return outcome_answer(http::status::conflict, "forgotten", wanted.id, 0, "too old to tell whether it was taken before; nothing was done now. End an id in the revision that you know: NAME.REVISION");
+      return outcome_answer(http::status::conflict, "forgotten", wanted.id, 0,
+                            "too old to tell whether it was taken before; nothing was done now. End an id in the "
+                            "revision that you know: NAME.REVISION");
     }
     ++rejected_;
     loam::note(loam::Event::SetupRejected, wanted.id + " " + rejected->reason);
     if (known.standing == config::Standing::rejected) {
-      return outcome_answer(http::status::conflict, "rejected", wanted.id, rejected->current.revision, "this id was given up before");
+      return outcome_answer(http::status::conflict, "rejected", wanted.id, rejected->current.revision,
+                            "this id was given up before");
     }
     if (note->end == config::SetupProposalOutcome::unborn) {
-      return outcome_answer(http::status::bad_request, "rejected", wanted.id, rejected->current.revision, rejected->reason);
+      return outcome_answer(http::status::bad_request, "rejected", wanted.id, rejected->current.revision,
+                            rejected->reason);
     }
     if (note->end == config::SetupProposalOutcome::faults) {
       return faults_answer(note->faults);
     }
     if (note->end == config::SetupProposalOutcome::size) {
-      return outcome_answer(http::status::payload_too_large, "rejected", wanted.id, rejected->current.revision, rejected->reason);
+      return outcome_answer(http::status::payload_too_large, "rejected", wanted.id, rejected->current.revision,
+                            rejected->reason);
     }
-    loam::Answer answer = outcome_answer(http::status::precondition_failed, "rejected", wanted.id, rejected->current.revision, rejected->reason);
+    loam::Answer answer = outcome_answer(http::status::precondition_failed, "rejected", wanted.id,
+                                         rejected->current.revision, rejected->reason);
     answer.set(http::field::etag, "\"" + std::to_string(rejected->current.revision) + "\"");
     return answer;
   }
@@ -395,11 +415,13 @@
   }
   if (++outcomes_ > constants::outcomes_most) {
     --outcomes_;
-    loam::Answer answer = loam::answer_error(http::status::service_unavailable, "busy", "too many outcomes are looked up at once");
+    loam::Answer answer =
+        loam::answer_error(http::status::service_unavailable, "busy", "too many outcomes are looked up at once");
     answer.set(http::field::retry_after, std::to_string(constants::retry_after_seconds));
     return answer;
   }
-  RegisterClient::Result const result = register_.change(consensus::setup_register, config::veto_of(id), constants::change_deadline, yield);
+  RegisterClient::Result const result =
+      register_.change(consensus::setup_register, config::veto_of(id), constants::change_deadline, yield);
   --outcomes_;
   if (consensus::Chosen const* const done = std::get_if<consensus::Chosen>(&result)) {
     return told(config::standing_of(done->value, id), id, yield);
@@ -446,11 +468,15 @@
   text += "trellis_changes_total{outcome=\"accepted\"} " + std::to_string(accepted_) + "\n";
   text += "trellis_changes_total{outcome=\"rejected\"} " + std::to_string(rejected_) + "\n";
   text += "trellis_changes_total{outcome=\"unknown\"} " + std::to_string(unknown_) + "\n";
-  text += "# TYPE trellis_setup_revision gauge\ntrellis_setup_revision " + std::to_string(register_.value(consensus::setup_register).revision) + "\n";
+  text += "# TYPE trellis_setup_revision gauge\ntrellis_setup_revision " +
+          std::to_string(register_.value(consensus::setup_register).revision) + "\n";
   text += "# TYPE trellis_members gauge\ntrellis_members " + std::to_string(news_.members().size()) + "\n";
-  text += "# TYPE trellis_list_age_seconds gauge\ntrellis_list_age_seconds " + std::to_string(static_cast<double>(news_.list_age()) / 1e6) + "\n";
-  text += "# TYPE trellis_confirmed_age_seconds gauge\ntrellis_confirmed_age_seconds " + std::to_string(static_cast<double>(loam::boot_now() - register_.confirmed_from()) / 1e6) + "\n";
-  text += "# TYPE trellis_holder_voting gauge\ntrellis_holder_voting " + std::to_string(holder_ != nullptr && holder_->voting() ? 1 : 0) + "\n";
+  text += "# TYPE trellis_list_age_seconds gauge\ntrellis_list_age_seconds " +
+          std::to_string(static_cast<double>(news_.list_age()) / 1e6) + "\n";
+  text += "# TYPE trellis_confirmed_age_seconds gauge\ntrellis_confirmed_age_seconds " +
+          std::to_string(static_cast<double>(loam::boot_now() - register_.confirmed_from()) / 1e6) + "\n";
+  text += "# TYPE trellis_holder_voting gauge\ntrellis_holder_voting " +
+          std::to_string(holder_ != nullptr && holder_->voting() ? 1 : 0) + "\n";
   return loam::answer_text(http::status::ok, text, "text/plain; version=0.0.4");
 }
 
--- a/source/trellis/operator/operator.hpp
+++ b/source/trellis/operator/operator.hpp
@@ -2,23 +2,30 @@
 
 #include <atomic>
 
-#include "loam/constants.hpp"
-#include "loam/http/http.hpp"
 #include "config/change/proposal.hpp"
 #include "config/charter/proposal.hpp"
-#include "trellis/register_client/register_client.hpp"
+#include "loam/constants.hpp"
+#include "loam/http/http.hpp"
 #include "trellis/news/news.hpp"
 #include "trellis/operator/paths.hpp"
+#include "trellis/register_client/register_client.hpp"
 
 namespace finchlink::trellis {
 
 /// What operators ask over HTTP (docs/operating/setup.md).
 class Operator {
  public:
-  Operator(boost::asio::io_context& context, RegisterClient& register_client, News& news, AcceptorService* holder, std::function<std::string()> duties,
-           config::Notation notation = config::own_notation(), OperatorPaths paths = {}, loam::Span acknowledge_wait = loam::constants::acknowledge_wait)
-      : context_(context), register_(register_client), news_(news), holder_(holder), duties_(std::move(duties)), notation_(std::move(notation)),
-        paths_(std::move(paths)), acknowledge_wait_(acknowledge_wait) {}
+  Operator(boost::asio::io_context& context, RegisterClient& register_client, News& news, AcceptorService* holder,
+           std::function<std::string()> duties, config::Notation notation = config::own_notation(),
+           OperatorPaths paths = {}, loam::Span acknowledge_wait = loam::constants::acknowledge_wait)
+      : context_(context),
+        register_(register_client),
+        news_(news),
+        holder_(holder),
+        duties_(std::move(duties)),
+        notation_(std::move(notation)),
+        paths_(std::move(paths)),
+        acknowledge_wait_(acknowledge_wait) {}
   /// Settings that changed.
   void follow(loam::Span acknowledge_wait) { acknowledge_wait_ = acknowledge_wait; }
   [[nodiscard]] loam::Answer answer(loam::Ask const& ask, loam::Yield yield);
--- a/source/trellis/register_client/register_client.cpp
+++ b/source/trellis/register_client/register_client.cpp
@@ -8,12 +8,16 @@
 namespace finchlink::trellis {
 
 namespace constants = loam::constants;
-using consensus::ProposerAction;
 using consensus::MajorityReaderAction;
+using consensus::ProposerAction;
 
-RegisterClient::RegisterClient(boost::asio::io_context& context, loam::Caller& caller, std::uint64_t identity, std::vector<std::string> seeds,
-               loam::Span confirm_pause)
-    : context_(context), caller_(caller), identity_(identity), seeds_(std::move(seeds)), confirm_pause_(confirm_pause) {}
+RegisterClient::RegisterClient(boost::asio::io_context& context, loam::Caller& caller, std::uint64_t identity,
+                               std::vector<std::string> seeds, loam::Span confirm_pause)
+    : context_(context),
+      caller_(caller),
+      identity_(identity),
+      seeds_(std::move(seeds)),
+      confirm_pause_(confirm_pause) {}
 
 void RegisterClient::follow(std::vector<std::string> const& seeds, loam::Span confirm_pause) {
   std::lock_guard<std::mutex> const guard(lock_);
@@ -21,7 +25,8 @@
   confirm_pause_ = confirm_pause;
 }
 
-void RegisterClient::look(std::function<void(std::map<std::string, schema::Value> const&, loam::Moment)> const& looker) {
+void RegisterClient::look(
+    std::function<void(std::map<std::string, schema::Value> const&, loam::Moment)> const& looker) {
   std::lock_guard<std::mutex> const guard(lock_);
   looker(confirm_.values(), confirm_.confirmed_from());
 }
@@ -146,13 +151,16 @@
     unsettled.clear();
   }
   for (std::string const& name : unsettled) {
-    (void)change(name, [](schema::Value const&) -> consensus::Proposal { return consensus::Keep{}; }, constants::holder_deadline, yield);
+    (void)change(
+        name, [](schema::Value const&) -> consensus::Proposal { return consensus::Keep{}; }, constants::holder_deadline,
+        yield);
   }
   bell_.ring();
   return confirmed;
 }
 
-RegisterClient::Result RegisterClient::change(std::string const& name, consensus::ProposalFunction propose, loam::Span deadline, loam::Yield yield) {
+RegisterClient::Result RegisterClient::change(std::string const& name, consensus::ProposalFunction propose,
+                                              loam::Span deadline, loam::Yield yield) {
   loam::Moment const until = loam::boot_now() + deadline;
   consensus::Proposer core(name, loam::random_identity(), std::move(propose));
   {
@@ -187,7 +195,9 @@
         }
       }
       actions.clear();
-      loam::Span const patience = std::min(constants::holder_deadline + static_cast<loam::Span>(bytes) * constants::holder_byte_span, std::max<loam::Span>(until - loam::boot_now(), 1000));
+      loam::Span const patience =
+          std::min(constants::holder_deadline + static_cast<loam::Span>(bytes) * constants::holder_byte_span,
+                   std::max<loam::Span>(until - loam::boot_now(), 1000));
       loam::Gather::run(
           context_, caller_, calls, patience,
           [&](std::size_t index, absl::StatusOr<schema::Message> const& answer) {
@@ -224,7 +234,10 @@
       bell_.ring();
       return *result;
     }
-    loam::pause(context_, constants::ballot_pause_least + static_cast<loam::Span>(loam::random_number() % static_cast<std::uint64_t>(range)), yield);
+    loam::pause(context_,
+                constants::ballot_pause_least +
+                    static_cast<loam::Span>(loam::random_number() % static_cast<std::uint64_t>(range)),
+                yield);
     // Two that race over a long way take each other's ballots until one of
     // them waits for longer than the other's two rounds take.
     range = std::min(range * 2, constants::ballot_pause_longest);
--- a/source/trellis/register_client/register_client.hpp
+++ b/source/trellis/register_client/register_client.hpp
@@ -6,10 +6,10 @@
 #include <variant>
 #include <vector>
 
+#include "consensus/majority_reader/majority_reader.hpp"
+#include "consensus/proposer/proposer.hpp"
 #include "loam/constants.hpp"
 #include "loam/net/net.hpp"
-#include "consensus/proposer/proposer.hpp"
-#include "consensus/majority_reader/majority_reader.hpp"
 
 namespace finchlink::trellis {
 
@@ -22,8 +22,8 @@
   };
   using Result = std::variant<consensus::Chosen, consensus::Rejected, Unknown>;
 
-  RegisterClient(boost::asio::io_context& context, loam::Caller& caller, std::uint64_t identity, std::vector<std::string> seeds,
-         loam::Span confirm_pause = loam::constants::confirm_pause);
+  RegisterClient(boost::asio::io_context& context, loam::Caller& caller, std::uint64_t identity,
+                 std::vector<std::string> seeds, loam::Span confirm_pause = loam::constants::confirm_pause);
   /// Starts the loop of majority reads.
   void begin();
   /// Settings that changed.
@@ -31,7 +31,8 @@
   /// The next majority read begins at once instead of after its pause.
   void hurry() { hurry_.ring(); }
 
-  [[nodiscard]] Result change(std::string const& name, consensus::ProposalFunction propose, loam::Span deadline, loam::Yield yield);
+  [[nodiscard]] Result change(std::string const& name, consensus::ProposalFunction propose, loam::Span deadline,
+                              loam::Yield yield);
 
   [[nodiscard]] schema::VoterSet set();
   void learn(schema::VoterSet const& set);
