A silent trellis no longer delays gossip to the others; members test asks each of them

Cause: rounds of gossip ran one after the other, and a round waits up to two pauses (1.2 s) for a peer that is silent. The next word of a session then came 1.15 + 1.8 s after the last ask, later than the 2.5 s that a session stands, so with one trellis frozen the others forgot furrows that lived. The test of the commands asked one trellis once, within a second of the furrows' first session; with one slow peer that trellis had not been told yet. Conclusion: rounds have a pace of their own (GossipSchedule), a peer has one message under way, and the sum is checked with the other bounds. The test waits for gossip, but asks all three trellises.

--- a/source/loam/process/process.cpp
+++ b/source/loam/process/process.cpp
@@ -12,6 +12,7 @@
 #include "loam/net/net.hpp"
 #include "loam/net/traffic.hpp"
 #include "loam/process/followed.hpp"
+#include "loam/relay_constants.hpp"
 
 namespace finchlink::loam {
 
@@ -22,6 +23,10 @@
   std::uint64_t const news = bounds.ask_deadline_ms + static_cast<std::uint64_t>(constants::ask_retry / 1000) +
                              bounds.confirm_pause_ms + round;
   std::uint64_t const listed = 2 * bounds.list_pause_ms + bounds.tell_pause_ms + round + bounds.ask_hold_ms;
+  // A session that a peer trellis tells of: heard at one ask, told just before
+  // the next, and kept until the telling after that.
+  std::uint64_t const gossip =
+      bounds.ask_hold_ms + static_cast<std::uint64_t>(constants::ask_least / 1000) + bounds.tell_pause_ms + round;
   struct Sum {
     char const* what;
     std::uint64_t sum;
@@ -34,6 +39,7 @@
       {"an ask is held longer than it may take", bounds.ask_hold_ms + round, bounds.ask_deadline_ms},
       {"an unconfirmed ask is answered later than it may take", bounds.ask_patience_ms + round, bounds.ask_deadline_ms},
       {"a session ends between two asks", bounds.ask_deadline_ms + round, bounds.session_bound_ms},
+      {"a session that peers tell of ends between two tellings", gossip, bounds.session_bound_ms},
       {"a change waits longer than it may take", bounds.acknowledge_wait_ms + 2 * round, bounds.acknowledge_ms},
   };
   for (Sum const& entry : sums) {
--- a/source/tests/platform/fleet_test.py
+++ b/source/tests/platform/fleet_test.py
@@ -83,6 +83,10 @@
     def ready(self, name):
         return standin.until(lambda: self.ask(name, standin.READY, "GET", "/v1/readiness")[0] == 200)
 
+    def names(self, command, control):
+        """The names in a list that one trellis prints."""
+        return {entry["name"] for entry in json.loads(self.command(command, at=control)[1])}
+
     def furrows(self):
         return [name for name, process in self.plan["processes"].items() if process["program"] == "furrow"]
 
@@ -124,10 +128,11 @@
             self.assertTrue(standin.until(lambda: self.ask(name, standin.FRONT, "GET", "/new/a")[0] == 200))
             self.assertEqual(self.ask(name, standin.FRONT, "GET", "/talk/a")[0], 404)
         # Who is there.
-        names = {entry["name"] for entry in json.loads(self.command("members")[1])}
-        self.assertEqual(names, set(self.furrows()))
-        names = {entry["name"] for entry in json.loads(self.command("trellises")[1])}
-        self.assertEqual(names, set(self.trellises()))
+        # Sessions reach the other trellises by gossip, within two rounds of it:
+        # every one of them comes to know all, not only the one that was asked.
+        for control in self.controls:
+            self.assertTrue(standin.until(lambda: self.names("members", control) == set(self.furrows())), control)
+            self.assertTrue(standin.until(lambda: self.names("trellises", control) == set(self.trellises())), control)
         listed = json.loads(self.command("workers")[1])
         self.assertEqual({entry["id"] for entry in listed["workers"]}, {worker["id"] for worker in self.plan["workers"]})
         self.assertEqual(len(json.loads(self.command("holders")[1])["holders"]), 3)
--- a/source/trellis/news/news.cpp
+++ b/source/trellis/news/news.cpp
@@ -50,7 +50,9 @@
 void News::begin() {
   loam::start(context_, [this](loam::Yield yield) {
     while (true) {
-      tell_colleagues(false, "", yield);
+      // A round of its own: one silent peer must not delay the next round to
+      // the others, whose copies of our sessions would end meanwhile.
+      announce(false);
       loam::pause(context_, bound(&schema::TimeBounds::tell_pause_ms), yield);
     }
   });
@@ -230,20 +232,25 @@
     }
     std::sort(addresses.begin(), addresses.end());
     addresses.erase(std::unique(addresses.begin(), addresses.end()), addresses.end());
+    std::erase(addresses, settings_.colleague_address);
+    if (!confirm && only.empty()) {
+      addresses = gossip_.start_round(addresses, now, patience);
+    }
     for (std::string const& address : addresses) {
-      if (address != settings_.colleague_address) {
-        schema::Tell told = tell;
-        sessions_.tell(known_there_[address], now, told);
-        add_reports(told, now);
-        calls.emplace_back(address, std::move(told));
-      }
+      schema::Tell told = tell;
+      sessions_.tell(known_there_[address], now, told);
+      add_reports(told, now);
+      calls.emplace_back(address, std::move(told));
     }
   }
   loam::Moment const sent = loam::boot_now();
-  // A silent colleague must not hold up the next telling by more than this.
   loam::Gather::run(
       context_, caller_, calls, patience,
       [this, sent, &calls](std::size_t index, absl::StatusOr<schema::Message> const& answer) {
+        {
+          std::lock_guard<std::mutex> const guard(lock_);
+          gossip_.settled(calls[index].first);
+        }
         if (answer.ok()) {
           if (schema::Told const* const told = std::get_if<schema::Told>(&*answer)) {
             // Counted from when we asked: a frozen machine that wakes must
--- a/source/trellis/news/news.hpp
+++ b/source/trellis/news/news.hpp
@@ -5,6 +5,7 @@
 
 #include "loam/net/net.hpp"
 #include "loam/settings/settings.hpp"
+#include "membership/gossip/gossip_schedule.hpp"
 #include "membership/listing/listing.hpp"
 #include "membership/session/sessions.hpp"
 #include "trellis/acceptor/acceptor_service.hpp"
@@ -62,6 +63,7 @@
   std::uint64_t identity_;
   std::mutex lock_;
   membership::Sessions sessions_;
+  membership::GossipSchedule gossip_;
   membership::Listing listing_;
   struct Kept {
     schema::Member member;
