--- a/source/almanac/control/control.cpp
+++ b/source/almanac/control/control.cpp
@@ -19,6 +19,8 @@
 
 constexpr std::size_t ring_files = 3;
 constexpr std::size_t ring_bytes = 1u << 17u;
+constexpr Span departure_grace = loam::milliseconds(7700);
+constexpr Span hurried_look = loam::milliseconds(150);
 char const* const first_setup = R"({"regions":{"r":{"halls":["h"]}},"rules":{}})";
 
 class World {
@@ -66,6 +68,11 @@
     consensus::MajorityReader confirm;
     std::map<std::uint64_t, int> misses;
     std::unique_ptr<lease::LeaseHolder> tenant;
+    std::map<std::string, membership::Peer> peers;  ///< by address, as gossip told of them
+    std::optional<membership::Departure> departure;
+    Moment departing_from = 0;
+    bool for_good = false;  ///< once it goes, it is gone
+    bool gone = false;
   };
   struct Furrow {
     std::string name;
@@ -183,6 +190,21 @@
   void confirm_loop(Machine& machine);
   void spread(Machine& machine);
   void join(Machine& machine);
+  void look_at_voters(Machine& machine, Span look, std::function<void()> const& again);
+  void take_place(Machine& machine);
+
+  // --- gossip and departures ---
+  schema::TrellisEntry entry_of(Machine const& machine) const;
+  static std::vector<membership::Peer> peers_of(Machine const& machine);
+  void note_peer(Machine& machine, schema::TrellisEntry const& entry);
+  void gossip(Machine& machine);
+  void gossip_loop(Machine& machine);
+  void leave(Machine& machine, bool for_good);
+  void depart_loop(Machine& machine);
+  Machine& add_machine();
+  std::vector<Machine*> newest_voters();
+  void replace_planned();
+  void strike_behind(Machine& leaver, Machine& newcomer, std::vector<Machine*> const& others);
   void lease_loop(Machine& machine);
   struct ChangeRun;
   void start_change(Machine& machine, std::string const& name, consensus::ProposalFunction propose, Span deadline,
@@ -206,7 +228,9 @@
   void kill(Machine& machine);
   void revive(Machine& machine);
   void wipe(Machine& machine);
+  void lose_disk(Machine& machine);
   bool may_wipe() const;
+  Machine& any_machine();
   void heal();
   void violate(std::string const& text);
   void observe(schema::Value const& value, std::string const& where);
@@ -228,6 +252,7 @@
   bool has_setup_ = false;
   std::uint64_t next_id_ = 1;
   std::uint64_t next_address_ = 100;
+  bool replacing_ = false;                          ///< a planned replacement and what comes behind it are under way
   std::map<std::uint64_t, schema::VoterSet> sets_;  ///< epoch to holder set: only ever one
   std::map<std::uint64_t, std::string> contents_;   ///< revision to content: only ever one
   std::map<std::uint64_t, std::string> owners_;     ///< revision to the change that made it
@@ -285,6 +310,8 @@
   machine.set = schema::VoterSet{};
   machine.confirm = consensus::MajorityReader{};
   machine.misses.clear();
+  machine.peers.clear();
+  machine.departure.reset();
   machine.tenant = std::make_unique<lease::LeaseHolder>("duty/repair", machine.identity, options_.guards);
   if (machine.disk) {
     machine.ring = std::make_unique<consensus::WriteAheadLog>(machine.memory->device(), ring_files, ring_bytes);
@@ -313,6 +340,9 @@
   spread(machine);
   lease_loop(machine);
   join(machine);
+  if (options_.faults.replace > 0) {
+    gossip_loop(machine);
+  }
 }
 
 void World::submit(Machine& machine, consensus::Outcome outcome, Reply const& reply) {
@@ -367,6 +397,13 @@
     answer_ask(machine, *ask, local(machine), reply);
     return;
   }
+  if (schema::Tell const* const tell = std::get_if<schema::Tell>(&message)) {
+    note_peer(machine, tell->from);
+    schema::Told told;
+    told.from = entry_of(machine);
+    reply(schema::Message(told));
+    return;
+  }
   if (!machine.holder.has_value() || machine.silent) {
     return;
   }
@@ -601,53 +638,160 @@
 }
 
 void World::join(Machine& machine) {
-  later(machine, constants::join_pause, [this, &machine] {
-    if (machine.set.epoch == 0 || machine.silent || !machine.holder.has_value() ||
-        consensus::names(machine.set.holders, machine.holder->incarnation())) {
-      machine.misses.clear();
-      join(machine);
-      return;
-    }
-    for (schema::Voter const& entry : machine.set.holders) {
-      ++machine.misses[entry.incarnation];
-      call(machine, machine.address, entry.address, schema::Adopt{machine.set}, constants::join_look,
-           [&machine](std::optional<schema::Message> const& answer) {
-             schema::Adopted const* const given = answer.has_value() ? std::get_if<schema::Adopted>(&*answer) : nullptr;
-             if (given != nullptr && given->voting) {
-               machine.misses[given->incarnation] = 0;
+  later(machine, constants::join_pause,
+        [this, &machine] { look_at_voters(machine, constants::join_look, [this, &machine] { join(machine); }); });
+}
+
+void World::look_at_voters(Machine& machine, Span look, std::function<void()> const& again) {
+  if (machine.set.epoch == 0 || machine.silent || !machine.holder.has_value() || machine.departure.has_value() ||
+      consensus::names(machine.set.holders, machine.holder->incarnation())) {
+    machine.misses.clear();
+    again();
+    return;
+  }
+  for (schema::Voter const& entry : machine.set.holders) {
+    ++machine.misses[entry.incarnation];
+    call(machine, machine.address, entry.address, schema::Adopt{machine.set}, look,
+         [&machine](std::optional<schema::Message> const& answer) {
+           schema::Adopted const* const given = answer.has_value() ? std::get_if<schema::Adopted>(&*answer) : nullptr;
+           if (given != nullptr && given->voting) {
+             machine.misses[given->incarnation] = 0;
+           }
+         });
+  }
+  later(machine, look, [this, &machine, again] {
+    again();
+    take_place(machine);
+  });
+}
+
+void World::take_place(Machine& machine) {
+  if (machine.silent || !machine.holder.has_value()) {
+    return;
+  }
+  membership::JoiningView view{machine.misses, membership::leaving_voters(peers_of(machine))};
+  if (machine.departure.has_value()) {
+    view.leaving.insert(machine.holder->incarnation());
+  }
+  std::optional<schema::VoterSet> const plan =
+      membership::plan_joining(machine.set, view, schema::Voter{machine.holder->incarnation(), machine.address},
+                               options_.wanted_holders, options_.joining_guards);
+  if (!plan.has_value()) {
+    return;
+  }
+  std::map<std::string, schema::Value>::const_iterator const known =
+      machine.confirm.values().find(consensus::holders_register);
+  std::uint64_t const newest = known == machine.confirm.values().end() ? 0 : known->second.revision;
+  // The guard off: it expects what the register holds, not what it replaces.
+  consensus::ProposalFunction const propose =
+      options_.repair_fenced ? membership::reconfiguration_proposal(machine.set, *plan)
+                             : consensus::replace_at(newest, loam::print_tree(loam::Tree(schema::write(*plan)).get()));
+  start_change(machine, consensus::holders_register, propose, constants::change_deadline,
+               [this](std::variant<consensus::Chosen, consensus::Rejected, std::monostate> const& result) {
+                 if (std::holds_alternative<consensus::Chosen>(result)) {
+                   ++report_.repairs;
+                   kernel_.trace("repair chosen");
+                 }
+               });
+}
+
+schema::TrellisEntry World::entry_of(Machine const& machine) const {
+  schema::TrellisEntry entry;
+  entry.name = machine.address;
+  entry.address = machine.address;
+  entry.incarnation = machine.identity;
+  entry.disk = machine.disk;
+  entry.leaving = machine.departure.has_value();
+  if (machine.holder.has_value() && !machine.silent) {
+    entry.holder = machine.holder->incarnation();
+    entry.voting = machine.holder->voting();
+    entry.epoch = machine.holder->set().epoch;
+  }
+  return entry;
+}
+
+std::vector<membership::Peer> World::peers_of(Machine const& machine) {
+  std::vector<membership::Peer> peers;
+  for (std::pair<std::string const, membership::Peer> const& peer : machine.peers) {
+    peers.push_back(peer.second);
+  }
+  return peers;
+}
+
+void World::note_peer(Machine& machine, schema::TrellisEntry const& entry) {
+  membership::Peer& peer = machine.peers[entry.address];
+  bool const news = entry.leaving && !peer.entry.leaving;
+  peer = membership::Peer{entry, local(machine)};
+  if (news) {
+    look_at_voters(machine, hurried_look, [] {});
+  }
+}
+
+void World::gossip(Machine& machine) {
+  schema::Tell tell;
+  tell.from = entry_of(machine);
+  for (std::unique_ptr<Machine> const& other : machines_) {
+    if (other->address != machine.address && !other->gone) {
+      call(machine, machine.address, other->address, tell, constants::tell_pause * 2,
+           [this, &machine](std::optional<schema::Message> const& answer) {
+             if (answer.has_value() && std::holds_alternative<schema::Told>(*answer)) {
+               note_peer(machine, std::get<schema::Told>(*answer).from);
              }
            });
     }
-    later(machine, constants::join_look, [this, &machine] {
-      join(machine);
-      if (machine.silent || !machine.holder.has_value()) {
-        return;
-      }
-      std::optional<schema::VoterSet> const plan = membership::plan_joining(
-          machine.set, machine.misses, schema::Voter{machine.holder->incarnation(), machine.address},
-          options_.wanted_holders);
-      if (!plan.has_value()) {
-        return;
-      }
-      std::map<std::string, schema::Value>::const_iterator const known =
-          machine.confirm.values().find(consensus::holders_register);
-      std::uint64_t const newest = known == machine.confirm.values().end() ? 0 : known->second.revision;
-      // The guard off: it expects what the register holds, not what it replaces.
-      consensus::ProposalFunction const propose =
-          options_.repair_fenced
-              ? membership::reconfiguration_proposal(machine.set, *plan)
-              : consensus::replace_at(newest, loam::print_tree(loam::Tree(schema::write(*plan)).get()));
-      start_change(machine, consensus::holders_register, propose, constants::change_deadline,
-                   [this](std::variant<consensus::Chosen, consensus::Rejected, std::monostate> const& result) {
-                     if (std::holds_alternative<consensus::Chosen>(result)) {
-                       ++report_.repairs;
-                       kernel_.trace("repair chosen");
-                     }
-                   });
-    });
+  }
+}
+
+void World::gossip_loop(Machine& machine) {
+  later(machine, constants::tell_pause, [this, &machine] {
+    gossip_loop(machine);
+    gossip(machine);
   });
 }
 
+/// SIGTERM: the machine leaves by agreement, and is killed when the grace ends.
+void World::leave(Machine& machine, bool for_good) {
+  if (!machine.alive || machine.departure.has_value()) {
+    return;
+  }
+  kernel_.trace("leave " + machine.address);
+  machine.for_good = for_good;
+  machine.departing_from = kernel_.now();
+  bool const voting_disk = machine.holder.has_value() && !machine.silent;
+  machine.departure.emplace(voting_disk ? machine.holder->incarnation() : 0, local(machine) + departure_grace,
+                            options_.departure_guards);
+  for (lease::LeaseHolderAction const& action : machine.tenant->release()) {
+    if (lease::SendAsk const* const send = std::get_if<lease::SendAsk>(&action)) {
+      call(machine, machine.address, send->to.address, send->ask, constants::holder_deadline,
+           [](std::optional<schema::Message> const&) {});
+    }
+  }
+  std::uint64_t const life = machine.life;
+  kernel_.after(departure_grace + constants::drain_reserve, [this, &machine, life] {
+    if (machine.alive && machine.life == life) {
+      ++report_.grace_ends;
+      kill(machine);
+      machine.gone = machine.for_good;
+    }
+  });
+  depart_loop(machine);
+}
+
+void World::depart_loop(Machine& machine) {
+  gossip(machine);
+  schema::VoterSet const own = machine.holder.has_value() ? machine.holder->set() : schema::VoterSet{};
+  membership::DepartureStep const step =
+      machine.departure->decide(own.epoch > machine.set.epoch ? own : machine.set, peers_of(machine), local(machine));
+  if (membership::stays(step)) {
+    later(machine, constants::departure_pause, [this, &machine] { depart_loop(machine); });
+    return;
+  }
+  kernel_.trace(machine.address + " goes: " + membership::name_of(step));
+  report_.worst_departure = std::max(report_.worst_departure, kernel_.now() - machine.departing_from);
+  kill(machine);
+  machine.gone = machine.for_good;
+}
+
 void World::answer_ask(Machine& machine, schema::NewsAsk const& ask, Moment arrival, Reply const& reply) {
   membership::NewsDecision const verdict =
       membership::decide_answer(ask, arrival, machine.confirm.confirmed_from(), machine.confirm.values(), false,
@@ -744,7 +888,7 @@
 }
 
 void World::put(std::size_t number, std::optional<std::uint64_t> expected, std::function<void(bool)> done) {
-  Machine* const machine = machines_[kernel_.below(machines_.size())].get();
+  Machine* const machine = &any_machine();
   if (!machine->alive || machine->frozen) {
     done(false);
     return;
@@ -827,7 +971,7 @@
 }
 
 void World::outcome_of(std::string const& id) {
-  Machine* const machine = machines_[kernel_.below(machines_.size())].get();
+  Machine* const machine = &any_machine();
   if (!machine->alive || machine->frozen) {
     return;
   }
@@ -852,7 +996,7 @@
 
 void World::read(std::function<void(std::uint64_t)> done) {
   // GET /setup: waits until a majority confirmed after the ask came.
-  Machine* const machine = machines_[kernel_.below(machines_.size())].get();
+  Machine* const machine = &any_machine();
   if (!machine->alive || machine->frozen) {
     return;
   }
@@ -925,7 +1069,7 @@
 }
 
 void World::revive(Machine& machine) {
-  if (!machine.alive) {
+  if (!machine.alive && !machine.gone) {
     kernel_.trace("start " + machine.address);
     boot(machine);
   }
@@ -958,7 +1102,13 @@
 }
 
 void World::wipe(Machine& machine) {
-  if (!machine.disk || !machine.holder.has_value() || !may_wipe()) {
+  if (machine.disk && machine.holder.has_value() && may_wipe()) {
+    lose_disk(machine);
+  }
+}
+
+void World::lose_disk(Machine& machine) {
+  if (!machine.disk || !machine.holder.has_value()) {
     return;
   }
   kernel_.trace("wipe " + machine.address);
@@ -981,6 +1131,93 @@
   });
 }
 
+World::Machine& World::any_machine() {
+  std::vector<Machine*> there;
+  for (std::unique_ptr<Machine> const& machine : machines_) {
+    if (!machine->gone) {
+      there.push_back(machine.get());
+    }
+  }
+  return *there[kernel_.below(there.size())];
+}
+
+World::Machine& World::add_machine() {
+  std::unique_ptr<Machine> machine = std::make_unique<Machine>();
+  machine->address = "core-" + std::to_string(next_address_++);
+  machine->disk = true;
+  machine->offset = kernel_.between(loam::seconds(10), loam::seconds(100000));
+  machine->rate = 1.0 + options_.faults.clock_rate * (2 * kernel_.uniform() - 1);
+  machine->memory = std::make_unique<MemoryDisk>(ring_files, ring_bytes);
+  machines_.push_back(std::move(machine));
+  kernel_.trace("new " + machines_.back()->address);
+  boot(*machines_.back());
+  return *machines_.back();
+}
+
+std::vector<World::Machine*> World::newest_voters() {
+  std::uint64_t newest = 0;
+  std::vector<Machine*> voters;
+  for (std::unique_ptr<Machine> const& machine : machines_) {
+    if (machine->alive && machine->holder.has_value() && machine->holder->voting()) {
+      newest = std::max(newest, machine->holder->set().epoch);
+      voters.push_back(machine.get());
+    }
+  }
+  std::erase_if(voters, [newest](Machine* const voter) { return voter->holder->set().epoch != newest; });
+  return voters;
+}
+
+/// A new machine first, then SIGTERM to a voter, then what strikes behind it.
+void World::replace_planned() {
+  std::vector<Machine*> voters = newest_voters();
+  if (replacing_ || !may_wipe() || voters.size() < 3) {
+    return;
+  }
+  replacing_ = true;
+  ++report_.replacements;
+  Machine* const leaver = voters[kernel_.below(voters.size())];
+  std::erase(voters, leaver);
+  if (kernel_.chance(0.5)) {
+    std::swap(voters.front(), voters.back());
+  }
+  Machine* const newcomer = &add_machine();
+  kernel_.after(loam::seconds(1), [this, leaver, newcomer, voters] { strike_behind(*leaver, *newcomer, voters); });
+  kernel_.after(loam::seconds(22), [this] { replacing_ = false; });
+}
+
+void World::strike_behind(Machine& leaver, Machine& newcomer, std::vector<Machine*> const& others) {
+  enum class Strike { second_loss, newcomer_fails, leaver_freezes, leaver_killed, two_leave, cancelled, count };
+  Strike const strike = static_cast<Strike>(kernel_.below(static_cast<std::uint64_t>(Strike::count)));
+  Span const behind = kernel_.between(loam::milliseconds(200), loam::seconds(3));
+  Machine* const first = others.front();
+  Machine* const second = others.back();
+  if (strike == Strike::second_loss) {
+    kernel_.after(behind, [this, first] { lose_disk(*first); });
+  } else if (strike == Strike::newcomer_fails) {
+    kernel_.after(kernel_.between(0, loam::milliseconds(1500)), [this, &newcomer] { kill(newcomer); });
+    kernel_.after(kernel_.between(loam::seconds(2), loam::seconds(12)), [this, &newcomer] { revive(newcomer); });
+  } else if (strike == Strike::leaver_freezes) {
+    Span const from = kernel_.between(1, loam::seconds(1));
+    kernel_.after(from, [&leaver] { leaver.frozen = true; });
+    kernel_.after(from + kernel_.between(loam::seconds(1), loam::seconds(9)), [this, &leaver] { thaw(leaver); });
+  } else if (strike == Strike::leaver_killed) {
+    kernel_.after(kernel_.between(1, loam::milliseconds(800)), [this, &leaver] {
+      kill(leaver);
+      leaver.gone = true;
+    });
+  } else if (strike == Strike::two_leave) {
+    (void)add_machine();
+    kernel_.after(kernel_.between(1, loam::milliseconds(300)), [this, first] { leave(*first, true); });
+    kernel_.after(behind, [this, second] { lose_disk(*second); });
+  } else {
+    kernel_.after(kernel_.between(1, loam::milliseconds(500)), [this, &leaver] { kill(leaver); });
+    kernel_.after(loam::milliseconds(800), [this, &leaver] { revive(leaver); });
+    kernel_.after(behind, [this, first] { kill(*first); });
+    kernel_.after(behind + kernel_.between(loam::seconds(1), loam::seconds(3)), [this, first] { revive(*first); });
+  }
+  leave(leaver, strike != Strike::cancelled);
+}
+
 void World::heal() {
   cuts_.clear();
   split_.clear();
@@ -1084,6 +1321,7 @@
     }
     kernel_.after(kernel_.between(loam::milliseconds(500), loam::seconds(6)), [this] { split_.clear(); });
   });
+  repeat(mix.replace, [this] { replace_planned(); });
   repeat(mix.wipe, [this] { wipe(*machines_[kernel_.below(options_.disk_machines)]); });
   repeat(mix.slow_disk, [this] {
     Machine& machine = *machines_[kernel_.below(options_.disk_machines)];
@@ -1150,6 +1388,9 @@
 }
 
 void World::begin() {
+  if (options_.faults.replace > 0 && kernel_.chance(0.5)) {
+    options_.disk_machines = std::min<std::size_t>(options_.disk_machines, 3);  // nobody stands by
+  }
   std::size_t const count = options_.disk_machines + options_.plain_machines;
   for (std::size_t number = 0; number < std::min<std::size_t>(3, options_.disk_machines); ++number) {
     founders_.push_back("core-" + std::to_string(number));
@@ -1290,7 +1531,7 @@
 }
 
 std::vector<std::string> control_scenarios() {
-  return {"calm", "kills", "herds", "freezes", "cuts", "splits", "disks", "wipes", "storm"};
+  return {"calm", "kills", "herds", "freezes", "cuts", "splits", "disks", "wipes", "replacements", "storm"};
 }
 
 std::optional<ControlFaults> control_scenario(std::string const& name) {
@@ -1320,6 +1561,10 @@
     faults.stall_disk = all ? 15 : 5;
     faults.full_disk = all ? 25 : 9;
   }
+  if (name == "replacements") {
+    faults.replace = 3;
+    faults.last_fault = false;
+  }
   if (name == "wipes" || all) {
     faults.wipe = all ? 14 : 5;
     faults.kill = all ? 5 : 9;
--- a/source/almanac/control/control.hpp
+++ b/source/almanac/control/control.hpp
@@ -15,7 +15,9 @@
 #include "consensus/majority_reader/majority_reader.hpp"
 #include "consensus/proposer/proposer.hpp"
 #include "lease/lease_holder.hpp"
+#include "membership/departure/departure.hpp"
 #include "membership/freshness/freshness_lease.hpp"
+#include "membership/reconfiguration/reconfiguration.hpp"
 #include "membership/responder/news_responder.hpp"
 
 namespace finchlink::almanac {
@@ -32,6 +34,7 @@
   double slow_disk = 0;
   double stall_disk = 0;
   double full_disk = 0;
+  double replace = 0;       ///< a planned replacement of a voter, with a loss or a failure right behind it
   double duplicate = 0.02;  ///< part of the messages that come twice
   loam::Span delay_most = loam::milliseconds(8);
   double clock_rate = 0.01;  ///< clocks run apart by this part at most
@@ -50,8 +53,11 @@
   std::uint64_t unvouched = 0;
   std::uint64_t repairs = 0;
   std::uint64_t lease_changes = 0;
+  std::uint64_t replacements = 0;  ///< planned ones
+  std::uint64_t grace_ends = 0;    ///< departures that lasted until the process was killed
   loam::Span worst_acknowledge = 0;
   loam::Span worst_recovery = 0;
+  loam::Span worst_departure = 0;  ///< of those that went by themselves
   std::uint64_t trace_hash = 0;
   std::uint64_t events = 0;
 };
@@ -68,6 +74,8 @@
   consensus::Guards guards;
   membership::FreshnessGuards vouch_guards;
   membership::NewsGuards desk_guards;
+  membership::DepartureGuards departure_guards;
+  membership::JoiningGuards joining_guards;
   bool acknowledge_waits = true;
   bool repair_fenced = true;       ///< a new holder set expects the set that it replaces
   std::size_t wanted_holders = 3;  ///< how far the holder set grows (section 5.5)
--- a/source/almanac/main.cpp
+++ b/source/almanac/main.cpp
@@ -52,7 +52,11 @@
                                             {"confirm_after_arrival", &run.desk_guards.confirm_after_arrival},
                                             {"acknowledge_waits", &run.acknowledge_waits},
                                             {"learn_beyond_seeds", &run.learn_beyond_seeds},
-                                            {"repair_fenced", &run.repair_fenced}};
+                                            {"repair_fenced", &run.repair_fenced},
+                                            {"wait_for_successor", &run.departure_guards.wait_for_successor},
+                                            {"wait_for_votes", &run.departure_guards.wait_for_votes},
+                                            {"one_at_a_time", &run.joining_guards.one_at_a_time},
+                                            {"unseen_is_missed", &run.joining_guards.unseen_is_missed}};
   std::map<std::string, bool*>::const_iterator const found = guards.find(guard);
   if (found == guards.end()) {
     return false;
@@ -445,6 +449,9 @@
       sum.unvouched += report.unvouched;
       sum.repairs += report.repairs;
       sum.lease_changes += report.lease_changes;
+      sum.replacements += report.replacements;
+      sum.grace_ends += report.grace_ends;
+      sum.worst_departure = std::max(sum.worst_departure, report.worst_departure);
       sum.events += report.events;
       sum.worst_acknowledge = std::max(sum.worst_acknowledge, report.worst_acknowledge);
       sum.worst_recovery = std::max(sum.worst_recovery, report.worst_recovery);
@@ -465,9 +472,11 @@
     std::cout << name << ": " << (last - first + 1) << " seeds, " << failed << " failed; acknowledged "
               << sum.acknowledged << ", rejected " << sum.rejected << ", unknown " << sum.unknown << ", reads "
               << sum.reads << ", queries " << sum.queries << " (" << sum.unvouched << " not taken), repairs "
-              << sum.repairs << ", lease changes " << sum.lease_changes << ", worst acknowledgement "
-              << sum.worst_acknowledge / 1000 << " ms, worst recovery " << sum.worst_recovery / 1000 << " ms; "
-              << sum.events << " events in " << took << " s\n";
+              << sum.repairs << ", planned replacements " << sum.replacements << " (" << sum.grace_ends
+              << " lasted all the grace, others at most " << sum.worst_departure / 1000 << " ms), lease changes "
+              << sum.lease_changes << ", worst acknowledgement " << sum.worst_acknowledge / 1000
+              << " ms, worst recovery " << sum.worst_recovery / 1000 << " ms; " << sum.events << " events in " << took
+              << " s\n";
   }
   return code;
 }
--- a/source/furrow/main.cpp
+++ b/source/furrow/main.cpp
@@ -51,7 +51,7 @@
     furrow::begin_watch(context, *field);
     return absl::OkStatus();
   };
-  daemon.drain = [&] {
+  daemon.drain = [&](loam::Moment) {
     if (station != nullptr) {
       station->drain();
     } else {
--- a/source/lease/lease_holder.cpp
+++ b/source/lease/lease_holder.cpp
@@ -15,7 +15,7 @@
     held_ = false;
     actions.emplace_back(Lost{});
   }
-  if (set.epoch == 0 || (asked_ != 0 && now < asked_ + constants::lease_renew)) {
+  if (released_ || set.epoch == 0 || (asked_ != 0 && now < asked_ + constants::lease_renew)) {
     return actions;
   }
   // An ask that got no majority is first given back, so that two tenants that
@@ -33,6 +33,24 @@
   return actions;
 }
 
+std::vector<LeaseHolderAction> LeaseHolder::release() {
+  std::vector<LeaseHolderAction> actions;
+  if (held_) {
+    actions.emplace_back(Lost{});
+  }
+  held_ = false;
+  until_ = 0;
+  released_ = true;
+  releasing_ = true;  // answers to what was asked before count for nothing
+  ++round_;
+  granted_.clear();
+  for (schema::Voter const& voter : set_.holders) {
+    actions.emplace_back(
+        SendAsk{voter, schema::LeaseAsk{set_.epoch, name_, identity_, constants::lease_span, releasing_, round_}});
+  }
+  return actions;
+}
+
 std::vector<LeaseHolderAction> LeaseHolder::receive(schema::LeaseAnswer const& answer, loam::Moment now) {
   std::vector<LeaseHolderAction> actions;
   if (answer.round != round_ || !answer.granted || releasing_ || !consensus::names(set_.holders, answer.incarnation)) {
--- a/source/lease/lease_holder.hpp
+++ b/source/lease/lease_holder.hpp
@@ -29,6 +29,10 @@
   LeaseHolder(std::string name, std::uint64_t identity, consensus::Guards guards = {});
   [[nodiscard]] std::vector<LeaseHolderAction> tick(consensus::VoterSet const& set, loam::Moment now);
   [[nodiscard]] std::vector<LeaseHolderAction> receive(schema::LeaseAnswer const& answer, loam::Moment now);
+  /// Gives the lease back for good: it is held no longer when this returns and
+  /// never asked for again, and the acceptors may grant it to another before it
+  /// runs out.
+  [[nodiscard]] std::vector<LeaseHolderAction> release();
   [[nodiscard]] bool holds(loam::Moment now) const { return now < until_; }
   [[nodiscard]] std::string const& name() const { return name_; }
 
@@ -42,6 +46,7 @@
   loam::Moment until_ = 0;
   bool held_ = false;
   bool releasing_ = false;
+  bool released_ = false;  ///< for good
   std::set<std::uint64_t> granted_;
 };
 
--- a/source/loam/constants.hpp
+++ b/source/loam/constants.hpp
@@ -125,6 +125,14 @@
 /// between regions with a slow disk takes a third of it.
 inline constexpr Span join_look = milliseconds(500);
 inline constexpr Span join_pause = milliseconds(500);
+/// A departing voter tells its peers this often that it leaves, and hears from
+/// them whether they vote: a few round trips between regions.
+inline constexpr Span departure_pause = milliseconds(150);
+/// A spare that a departing voter hasn't heard for this long is not waited for:
+/// two tellings of the platform's pace, and a round.
+inline constexpr Span departure_contact = milliseconds(1600);
+/// A departing voter that decided nothing for this long stood still itself.
+inline constexpr Span departure_gap = milliseconds(500);
 /// Pause between two looks of a duty at whether its lease is held.
 inline constexpr Span duty_pause = milliseconds(500);
 
@@ -134,6 +142,9 @@
 /// The tenant stops this much earlier, and renews this early.
 inline constexpr Span lease_reserve = milliseconds(600);
 inline constexpr Span lease_renew = milliseconds(1000);
+/// A process that ends waits this long until acceptors know that it gave its
+/// leases back: a round between regions.
+inline constexpr Span lease_release_patience = milliseconds(200);
 /// A holder without memory of its grants (restart, new vote) grants nothing
 /// for one span and a tenth.
 inline constexpr Span lease_silence = milliseconds(3300);
--- a/source/loam/process/process.cpp
+++ b/source/loam/process/process.cpp
@@ -117,9 +117,9 @@
       return;
     }
     note(Event::ProcessDraining, "");
-    daemon.drain();
-    start(context, [&context, &daemon, drain_span](Yield yield) {
-      Moment const until = boot_now() + drain_span;
+    Moment const until = boot_now() + drain_span;
+    daemon.drain(until);
+    start(context, [&context, &daemon, until](Yield yield) {
       while (daemon.busy() && boot_now() < until) {
         pause(context, milliseconds(20), yield);
       }
--- a/source/loam/process/process.hpp
+++ b/source/loam/process/process.hpp
@@ -9,6 +9,7 @@
 #include <absl/status/status.h>
 
 #include "loam/settings/settings.hpp"
+#include "loam/time/moment.hpp"
 
 namespace finchlink::loam {
 
@@ -19,7 +20,8 @@
   std::string program;
   std::vector<std::string> needed;
   std::function<absl::Status(boost::asio::io_context&, schema::Settings const&)> begin;
-  std::function<void()> drain;
+  /// Told to end; the process is stopped at `until` at the latest.
+  std::function<void(Moment until)> drain;
   std::function<bool()> busy;
   /// Settings that someone else writes (section 13.2): where they are, and how
   /// they are read. Both are left empty where the settings are our own.
--- a/source/membership/reconfiguration/reconfiguration.cpp
+++ b/source/membership/reconfiguration/reconfiguration.cpp
@@ -6,35 +6,88 @@
 
 namespace finchlink::membership {
 
-std::optional<schema::VoterSet> plan_joining(schema::VoterSet const& set, std::map<std::uint64_t, int> const& misses,
-                                             schema::Voter const& self, std::size_t wanted) {
-  if (set.epoch == 0 || self.incarnation == 0 || consensus::names(set.holders, self.incarnation)) {
-    return std::nullopt;
-  }
+namespace {
+/// A voter that no look was for is not known to vote, and not known to be lost.
+int missed_by(JoiningView const& view, schema::Voter const& voter, JoiningGuards guards) {
+  std::map<std::uint64_t, int>::const_iterator const found = view.misses.find(voter.incarnation);
+  int const unseen = guards.unseen_is_missed ? 1 : 0;
+  return found == view.misses.end() ? unseen : found->second;
+}
+
+std::size_t count_voting(schema::VoterSet const& set, JoiningView const& view, JoiningGuards guards) {
   std::size_t voting = 0;
+  for (schema::Voter const& voter : set.holders) {
+    voting += missed_by(view, voter, guards) == 0 ? 1 : 0;
+  }
+  return voting;
+}
+
+/// The voter at the asker's own address, else one that is lost.
+schema::Voter const* find_lost(schema::VoterSet const& set, JoiningView const& view, schema::Voter const& self,
+                               JoiningGuards guards) {
   schema::Voter const* lost = nullptr;
-  for (schema::Voter const& entry : set.holders) {
-    std::map<std::uint64_t, int>::const_iterator const found = misses.find(entry.incarnation);
-    int const missed = found == misses.end() ? 0 : found->second;
-    voting += missed == 0 ? 1 : 0;
-    bool const own_place = entry.address == self.address;
-    if (own_place || (missed >= loam::constants::join_misses && (lost == nullptr || lost->address != self.address))) {
-      lost = &entry;
+  for (schema::Voter const& voter : set.holders) {
+    if (voter.address == self.address) {
+      return &voter;
+    }
+    if (missed_by(view, voter, guards) >= loam::constants::join_misses) {
+      lost = &voter;
+    }
+  }
+  return lost;
+}
+
+/// A voter that leaves, while all others vote.
+schema::Voter const* find_leaver(schema::VoterSet const& set, JoiningView const& view, JoiningGuards guards) {
+  schema::Voter const* leaver = nullptr;
+  for (schema::Voter const& voter : set.holders) {
+    if (view.leaving.count(voter.incarnation) > 0) {
+      leaver = leaver == nullptr ? &voter : leaver;
     }
   }
-  if (voting < consensus::majority(set.holders.size()) ||
-      (lost == nullptr && (voting < set.holders.size() || set.holders.size() >= wanted))) {
+  if (leaver == nullptr || !guards.one_at_a_time) {
+    return leaver;
+  }
+  for (schema::Voter const& voter : set.holders) {
+    if (&voter != leaver && missed_by(view, voter, guards) > 0) {
+      return nullptr;
+    }
+  }
+  return leaver;
+}
+}  // namespace
+
+std::optional<schema::VoterSet> plan_joining(schema::VoterSet const& set, JoiningView const& view,
+                                             schema::Voter const& self, std::size_t wanted, JoiningGuards guards) {
+  if (set.epoch == 0 || self.incarnation == 0 || consensus::names(set.holders, self.incarnation) ||
+      view.leaving.count(self.incarnation) > 0) {
+    return std::nullopt;
+  }
+  std::size_t const voting = count_voting(set, view, guards);
+  if (voting < consensus::majority(set.holders.size())) {
+    return std::nullopt;
+  }
+  schema::Voter const* replaced = find_lost(set, view, self, guards);
+  if (replaced == nullptr) {
+    replaced = find_leaver(set, view, guards);
+  }
+  if (replaced == nullptr && (voting < set.holders.size() || set.holders.size() >= wanted)) {
     return std::nullopt;
   }
   schema::VoterSet next{set.epoch + 1, set.holders, set.holders};
-  if (lost == nullptr) {
+  if (replaced == nullptr) {
     next.holders.push_back(self);
   } else {
-    next.holders[static_cast<std::size_t>(lost - set.holders.data())] = self;
+    next.holders[static_cast<std::size_t>(replaced - set.holders.data())] = self;
   }
   return next;
 }
 
+std::optional<schema::VoterSet> plan_joining(schema::VoterSet const& set, std::map<std::uint64_t, int> const& misses,
+                                             schema::Voter const& self, std::size_t wanted) {
+  return plan_joining(set, JoiningView{misses, {}}, self, wanted);
+}
+
 std::size_t wanted_holders(std::size_t tolerated) {
   return 2 * tolerated + 1;
 }
--- a/source/membership/reconfiguration/reconfiguration.hpp
+++ b/source/membership/reconfiguration/reconfiguration.hpp
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "consensus/proposer/proposer.hpp"
@@ -9,12 +10,29 @@
 
 namespace finchlink::membership {
 
-/// The next holder set as one wants it who has a disk and no place in the set:
+/// Rules that tests switch off one at a time to show that each is needed.
+struct JoiningGuards {
+  bool one_at_a_time = true;     ///< a leaver's place is taken only while all other voters vote
+  bool unseen_is_missed = true;  ///< a voter that no look was for does not count as voting
+};
+
+/// What one knows who has a disk and no place in the set.
+struct JoiningView {
+  std::map<std::uint64_t, int> misses;  ///< looks in a row that a voter left unanswered
+  std::set<std::uint64_t> leaving;      ///< voters that said that they leave, also the asker itself
+};
+
+/// The next voter set as one wants it who has a disk and no place in the set:
 /// it takes over the place at its own address (its disk was lost), else that of
-/// a lost holder, else it is added while there are fewer than `wanted` (section
-/// 5.5). One step at a time, and only from a majority that answers and votes;
-/// growing waits until all do. `misses` counts looks in a row that a holder left
-/// unanswered.
+/// a lost voter, else that of one that leaves, else it is added while there are
+/// fewer than `wanted` (section 5.5). One step at a time, and only from a
+/// majority that answers and votes; growing waits until all do, and a leaver's
+/// place is taken only while all others do, so that the snapshot can always be
+/// had without it.
+[[nodiscard]] std::optional<schema::VoterSet> plan_joining(schema::VoterSet const& set, JoiningView const& view,
+                                                           schema::Voter const& self, std::size_t wanted,
+                                                           JoiningGuards guards = {});
+/// The same where nobody is known to leave.
 [[nodiscard]] std::optional<schema::VoterSet> plan_joining(schema::VoterSet const& set,
                                                            std::map<std::uint64_t, int> const& misses,
                                                            schema::Voter const& self, std::size_t wanted);
--- a/source/membership/session/sessions.cpp
+++ b/source/membership/session/sessions.cpp
@@ -201,6 +201,14 @@
   }
 }
 
+std::vector<Peer> Sessions::peers() const {
+  std::vector<Peer> peers;
+  for (std::pair<std::string const, Known> const& known : trellises_) {
+    peers.push_back(Peer{known.second.entry, known.second.heard});
+  }
+  return peers;
+}
+
 std::vector<schema::TrellisEntry> Sessions::trellises() const {
   std::vector<schema::TrellisEntry> entries{self_};
   for (std::pair<std::string const, Known> const& entry : trellises_) {
--- a/source/membership/session/sessions.hpp
+++ b/source/membership/session/sessions.hpp
@@ -8,6 +8,7 @@
 #include "loam/constants.hpp"
 #include "loam/delta/delta.hpp"
 #include "loam/time/moment.hpp"
+#include "membership/departure/departure.hpp"
 #include "schema/wire.hpp"
 
 namespace finchlink::membership {
@@ -55,6 +56,8 @@
   /// whole ones where they changed, and of all how long ago they were heard of.
   void tell(std::uint64_t known, loam::Moment now, schema::Tell& tell) const;
   [[nodiscard]] std::vector<schema::TrellisEntry> trellises() const;
+  /// All other trellises, each with when it was last heard of.
+  [[nodiscard]] std::vector<Peer> peers() const;
   void set_self(schema::TrellisEntry const& self) { self_ = self; }
   [[nodiscard]] schema::TrellisEntry const& self() const { return self_; }
 
--- /dev/null
+++ b/source/tests/membership/departure_test.cpp
@@ -0,0 +1,255 @@
+#include "membership/departure/departure.hpp"
+
+#include <gtest/gtest.h>
+
+#include "consensus/acceptor/acceptor.hpp"
+#include "lease/lease_granter.hpp"
+#include "lease/lease_holder.hpp"
+#include "loam/constants.hpp"
+#include "membership/reconfiguration/reconfiguration.hpp"
+#include "membership/session/sessions.hpp"
+
+namespace finchlink {
+namespace {
+
+namespace constants = loam::constants;
+using membership::DepartureStep;
+using membership::Peer;
+
+constexpr loam::Moment start = loam::seconds(100);
+constexpr loam::Moment until = start + loam::milliseconds(7700);
+
+schema::Voter const voter_a{1, "a"};
+schema::Voter const voter_b{2, "b"};
+schema::Voter const voter_c{3, "c"};
+schema::Voter const spare_d{4, "d"};
+schema::Voter const spare_e{5, "e"};
+
+schema::VoterSet founded() {
+  std::vector<schema::Voter> const voters{voter_a, voter_b, voter_c};
+  return schema::VoterSet{1, voters, voters};
+}
+
+/// The set after `newcomer` took the place of the first voter.
+schema::VoterSet replaced_first(schema::Voter const& newcomer) {
+  return schema::VoterSet{2, {newcomer, voter_b, voter_c}, founded().holders};
+}
+
+Peer peer(schema::Voter const& voter, bool voting, std::uint64_t epoch, loam::Moment heard, bool leaving = false) {
+  schema::TrellisEntry entry{voter.address, voter.incarnation, "h",   voter.address, "", true,
+                             voting,        voter.incarnation, epoch, leaving};
+  return Peer{entry, heard};
+}
+
+std::vector<Peer> other_voters(loam::Moment heard, std::uint64_t epoch = 1) {
+  return {peer(voter_b, true, epoch, heard), peer(voter_c, true, epoch, heard)};
+}
+
+TEST(Departure, NobodyWaitsSoItGoesAtOnce) {
+  membership::Departure departure(1, until);
+  EXPECT_EQ(departure.decide(founded(), other_voters(start), start), DepartureStep::go_unreplaced);
+  EXPECT_EQ(departure.decide(founded(), {}, start), DepartureStep::go_unreplaced);
+}
+
+TEST(Departure, OneWithoutAPlaceOrADiskGoesAtOnce) {
+  std::vector<Peer> const peers = other_voters(start);
+  EXPECT_EQ(membership::Departure(9, until).decide(founded(), peers, start), DepartureStep::go_no_voter);
+  EXPECT_EQ(membership::Departure(0, until).decide(founded(), peers, start), DepartureStep::go_no_voter);
+  // Replaced two epochs ago: no snapshot is asked of it any more.
+  schema::VoterSet const later{3, {spare_d, spare_e, voter_c}, replaced_first(spare_d).holders};
+  EXPECT_EQ(membership::Departure(1, until).decide(later, peers, start), DepartureStep::go_no_voter);
+}
+
+TEST(Departure, StaysUntilItsSuccessorVotes) {
+  membership::Departure departure(1, until);
+  std::vector<Peer> peers = other_voters(start);
+  peers.push_back(peer(spare_d, false, 0, start));
+  EXPECT_EQ(departure.decide(founded(), peers, start), DepartureStep::await_successor);
+  EXPECT_EQ(departure.decide(replaced_first(spare_d), peers, start + 100), DepartureStep::await_votes);
+  // A vote told of an older epoch is not the one that is waited for.
+  peers.back() = peer(spare_d, true, 1, start + 200);
+  EXPECT_EQ(departure.decide(replaced_first(spare_d), peers, start + 200), DepartureStep::await_votes);
+  peers.back() = peer(spare_d, true, 2, start + 300);
+  EXPECT_EQ(departure.decide(replaced_first(spare_d), peers, start + 300), DepartureStep::go_replaced);
+}
+
+TEST(Departure, StaysWhileAnotherVotersSuccessorHasNoSnapshot) {
+  // Two leave; the place of the other one was taken, and nobody waits for ours.
+  membership::Departure departure(2, until);
+  schema::VoterSet const set = replaced_first(spare_d);
+  std::vector<Peer> peers{peer(voter_a, false, 2, start, true), peer(voter_c, true, 2, start),
+                          peer(spare_d, false, 2, start)};
+  EXPECT_EQ(departure.decide(set, peers, start), DepartureStep::await_votes);
+  peers.back() = peer(spare_d, true, 2, start);
+  EXPECT_EQ(departure.decide(set, peers, start + 100), DepartureStep::go_unreplaced);
+}
+
+TEST(Departure, ASuccessorThatFailsMidwayIsAwaitedUntilTheGraceEnds) {
+  membership::Departure departure(1, until);
+  std::vector<Peer> peers = other_voters(start, 2);
+  loam::Moment now = start;
+  while (now < until) {
+    ASSERT_EQ(departure.decide(replaced_first(spare_d), peers, now), DepartureStep::await_votes);
+    now += loam::milliseconds(20);
+  }
+  EXPECT_EQ(departure.decide(replaced_first(spare_d), peers, now), DepartureStep::go_grace_over);
+}
+
+TEST(Departure, ASpareThatWentIsNotAwaited) {
+  membership::Departure departure(1, until);
+  std::vector<Peer> peers = other_voters(start);
+  peers.push_back(peer(spare_d, false, 0, start - loam::seconds(9)));
+  EXPECT_EQ(departure.decide(founded(), peers, start), DepartureStep::await_successor)
+      << "it gets the chance to answer";
+  loam::Moment now = start;
+  while (departure.decide(founded(), peers, now) == DepartureStep::await_successor) {
+    now += loam::milliseconds(20);
+    ASSERT_LE(now - start, constants::departure_contact + loam::milliseconds(20));
+  }
+  EXPECT_EQ(departure.decide(founded(), peers, now), DepartureStep::go_unreplaced);
+}
+
+TEST(Departure, ASpareThatLeavesTooIsNotAwaited) {
+  membership::Departure departure(1, until);
+  std::vector<Peer> peers = other_voters(start);
+  peers.push_back(peer(spare_d, false, 0, start, true));
+  EXPECT_EQ(departure.decide(founded(), peers, start), DepartureStep::go_unreplaced);
+  peers.back().entry.leaving = false;
+  peers.back().entry.holder = 0;  // its disk is silent
+  EXPECT_EQ(departure.decide(founded(), peers, start), DepartureStep::go_unreplaced);
+}
+
+TEST(Departure, AFreezeOfItsOwnDoesNotMakeTheSpareSeemGone) {
+  membership::Departure departure(1, until);
+  std::vector<Peer> peers = other_voters(start);
+  peers.push_back(peer(spare_d, false, 0, start));
+  EXPECT_EQ(departure.decide(founded(), peers, start), DepartureStep::await_successor);
+  loam::Moment const woken = start + loam::seconds(4);
+  EXPECT_EQ(departure.decide(founded(), peers, woken), DepartureStep::await_successor);
+  EXPECT_EQ(departure.decide(founded(), peers, until + 1), DepartureStep::go_grace_over);
+}
+
+TEST(Departure, WithoutTheGuardsItGoesWithTheOnlySnapshotAnotherCouldTake) {
+  std::vector<Peer> peers = other_voters(start);
+  peers.push_back(peer(spare_d, false, 0, start));
+  EXPECT_EQ(membership::Departure(1, until, {.wait_for_successor = false}).decide(founded(), peers, start),
+            DepartureStep::go_unreplaced);
+  EXPECT_EQ(membership::Departure(1, until, {.wait_for_votes = false}).decide(replaced_first(spare_d), peers, start),
+            DepartureStep::go_replaced);
+}
+
+TEST(Departure, GossipTellsWhoLeaves) {
+  membership::Sessions sessions(schema::TrellisEntry{"d", 4, "h", "d", "", true, false, 4});
+  schema::Tell tell;
+  tell.from = peer(voter_a, true, 1, 0, true).entry;
+  (void)sessions.told(tell, start);
+  EXPECT_EQ(membership::leaving_voters(sessions.peers()), std::set<std::uint64_t>{1});
+  // Started again with its disk: the leave is cancelled.
+  tell.from.leaving = false;
+  (void)sessions.told(tell, start + 1);
+  EXPECT_TRUE(membership::leaving_voters(sessions.peers()).empty());
+}
+
+TEST(Joining, TakesALeaversPlaceWhileAllOthersVote) {
+  membership::JoiningView view{{{1, 0}, {2, 0}, {3, 0}}, {1}};
+  std::optional<schema::VoterSet> const plan = membership::plan_joining(founded(), view, spare_d, 3);
+  ASSERT_TRUE(plan.has_value());
+  EXPECT_EQ(*plan, replaced_first(spare_d));
+  // It went meanwhile: its place is taken at once, not after three looks.
+  view.misses[1] = 1;
+  EXPECT_TRUE(membership::plan_joining(founded(), view, spare_d, 3).has_value());
+  // Another missed a look: the snapshot might then hang on the leaver alone.
+  view.misses[2] = 1;
+  view.misses[1] = 0;
+  EXPECT_FALSE(membership::plan_joining(founded(), view, spare_d, 3).has_value());
+  EXPECT_TRUE(membership::plan_joining(founded(), view, spare_d, 3, {.one_at_a_time = false}).has_value());
+  // One that is lost for sure comes first, and the leaver's copy helps.
+  view.misses[2] = constants::join_misses;
+  std::optional<schema::VoterSet> const lost = membership::plan_joining(founded(), view, spare_d, 3);
+  ASSERT_TRUE(lost.has_value());
+  EXPECT_EQ(lost->holders[1], spare_d);
+  EXPECT_EQ(lost->holders[0], voter_a);
+}
+
+TEST(Joining, TheNextLeaversPlaceWaitsForTheFirstNewcomersVote) {
+  membership::JoiningView view{{{4, 1}, {2, 0}, {3, 0}}, {1, 2}};
+  EXPECT_FALSE(membership::plan_joining(replaced_first(spare_d), view, spare_e, 3).has_value());
+  view.misses[4] = 0;
+  std::optional<schema::VoterSet> const plan = membership::plan_joining(replaced_first(spare_d), view, spare_e, 3);
+  ASSERT_TRUE(plan.has_value());
+  EXPECT_EQ(plan->holders, (std::vector<schema::Voter>{spare_d, spare_e, voter_c}));
+}
+
+TEST(Joining, ANewcomerThatNoLookWasForIsNotTakenForAVoter) {
+  // The look was for the first set; the second was learnt while it went on.
+  membership::JoiningView const view{{{1, 0}, {2, 0}, {3, 0}}, {1, 2}};
+  EXPECT_FALSE(membership::plan_joining(replaced_first(spare_d), view, spare_e, 3).has_value());
+  EXPECT_TRUE(
+      membership::plan_joining(replaced_first(spare_d), view, spare_e, 3, {.unseen_is_missed = false}).has_value());
+}
+
+TEST(Joining, OneThatLeavesTakesNoPlace) {
+  membership::JoiningView const view{{{1, 0}, {2, 0}, {3, constants::join_misses}}, {4}};
+  EXPECT_FALSE(membership::plan_joining(founded(), view, spare_d, 3).has_value());
+  EXPECT_TRUE(membership::plan_joining(founded(), view, spare_e, 3).has_value());
+}
+
+TEST(Joining, AReplacedVoterGivesTheSnapshotThatASecondLossTookElsewhere) {
+  // Each of three acceptors with one register; the first leaves and is
+  // replaced, the second loses its disk before the newcomer has a snapshot.
+  std::vector<schema::Record> const records{
+      schema::FoundingRecord{1, {}, {}}, schema::SetRecord{founded(), true, true},
+      schema::CellRecord{"setup", schema::Cell{{1, 1, 1}, {1, 1, 1}, schema::Value{7, "kept", {}}}}};
+  consensus::Acceptor leaver(records, "a", {}, start);
+  std::vector<schema::Record> third = records;
+  std::get<schema::FoundingRecord>(third[0]).incarnation = 3;
+  third.pop_back();  // what was acknowledged stands at the first two
+  consensus::Acceptor remaining(third, "c", {}, start);
+  consensus::Acceptor newcomer(4, "d", {}, start);
+  schema::Adopt const adopt{replaced_first(spare_d)};
+  for (consensus::Acceptor* const acceptor : {&leaver, &remaining, &newcomer}) {
+    (void)acceptor->receive(adopt, start);
+  }
+  EXPECT_FALSE(leaver.voting());
+  ASSERT_TRUE(newcomer.wants_image());
+  std::vector<schema::Image> images;
+  images.push_back(std::get<schema::Image>(*remaining.receive(schema::ImageAsk{2}, start).reply));
+  (void)newcomer.enrol(images, start);
+  EXPECT_FALSE(newcomer.voting()) << "had the leaver gone, the register would be lost";
+  images.push_back(std::get<schema::Image>(*leaver.receive(schema::ImageAsk{2}, start).reply));
+  (void)newcomer.enrol(images, start);
+  EXPECT_TRUE(newcomer.voting());
+  EXPECT_EQ(newcomer.cells().at("setup").value.content, "kept");
+}
+
+TEST(LeaseRelease, AnotherTakesItAtOnceAndTheLeaverNeverAgain) {
+  lease::LeaseHolder leaver("duty/x", 11);
+  lease::LeaseHolder other("duty/x", 22);
+  std::map<std::uint64_t, lease::LeaseGranter> granters;
+  for (schema::Voter const& voter : founded().holders) {
+    granters.emplace(voter.incarnation, lease::LeaseGranter(start, false));
+  }
+  std::function<void(lease::LeaseHolder&, std::vector<lease::LeaseHolderAction> const&, loam::Moment)> const exchange =
+      [&granters](lease::LeaseHolder& holder, std::vector<lease::LeaseHolderAction> const& actions, loam::Moment now) {
+        for (lease::LeaseHolderAction const& action : actions) {
+          if (lease::SendAsk const* const send = std::get_if<lease::SendAsk>(&action)) {
+            bool const granted = granters.at(send->to.incarnation).ask(send->ask, now);
+            (void)holder.receive(schema::LeaseAnswer{granted, send->to.incarnation, send->ask.round, founded()}, now);
+          }
+        }
+      };
+  exchange(leaver, leaver.tick(founded(), start), start);
+  ASSERT_TRUE(leaver.holds(start));
+  exchange(other, other.tick(founded(), start), start);
+  EXPECT_FALSE(other.holds(start));
+  loam::Moment const told = start + loam::milliseconds(10);
+  exchange(leaver, leaver.release(), told);
+  EXPECT_FALSE(leaver.holds(told));
+  EXPECT_TRUE(leaver.tick(founded(), told + loam::seconds(5)).empty());
+  loam::Moment const next = start + constants::lease_renew;
+  exchange(other, other.tick(founded(), next), next);
+  EXPECT_TRUE(other.holds(next));
+}
+
+}  // namespace
+}  // namespace finchlink
--- a/source/trellis/command/command.cpp
+++ b/source/trellis/command/command.cpp
@@ -32,14 +32,17 @@
     "  evacuate|retake NAME          empty a hall or take it back (charter)\n"
     "  evacuated                     halls that are emptied (charter)\n"
     "  tenants                       reuse of each tenant, summed over the relays at --at (their ready addresses)\n"
+    "  check                         whether the control plane is healthy: 0 yes, 1 no\n"
     "  members | trellises | workers | split | duties | holders | ready\n"
-    "FILE - reads standard input. Exit codes: 0 done, 2 usage, 4 refused, 5 not reached or unknown.\n";
+    "FILE - reads standard input. Exit codes: 0 done, 1 degraded (check), 2 usage, 4 refused, 5 not reached or "
+    "unknown.\n";
 
 struct Plan {
   http::verb verb = http::verb::get;
   std::string target;
   std::string file;
-  bool sum = false;  ///< all addresses are asked, and what they tell is added up
+  bool check = false;  ///< the answer tells whether all is well, whatever its status
+  bool sum = false;    ///< all addresses are asked, and what they tell is added up
 };
 
 /// Adds what one relay tells of its tenants (section 14.4).
@@ -115,7 +118,11 @@
     return true;
   }
   if (first == "tenants" && words.size() == 1) {
-    plan = Plan{http::verb::get, "/-/tenants", "", true};
+    plan = Plan{.target = "/-/tenants", .sum = true};
+    return true;
+  }
+  if (first == "check" && words.size() == 1) {
+    plan = Plan{.target = "/check", .check = true};
     return true;
   }
   if (words.size() == 1 && (first == "members" || first == "trellises" || first == "workers" || first == "split" ||
@@ -227,6 +234,10 @@
         std::cerr << "revision " << (*answer)[http::field::etag] << "\n";
       }
       int const status = static_cast<int>(answer->result_int());
+      if (plan.check && (status == 200 || status == 503)) {
+        code = status == 200 ? 0 : exit_degraded;
+        return;
+      }
       code = status < 300 ? 0 : (status >= 500 ? loam::exit_unreachable : loam::exit_refused);
       return;
     }
--- a/source/trellis/command/command.hpp
+++ b/source/trellis/command/command.hpp
@@ -2,6 +2,9 @@
 
 namespace finchlink::trellis {
 
+/// Exit code of `trellis check` when something is not as it should be.
+inline constexpr int exit_degraded = 1;
+
 /// The operators' side: `trellis setup get|put|patch …`, `trellis hall …` and
 /// the reading commands (docs/operating/setup.md).
 [[nodiscard]] bool is_command(int count, char const* const* values);
--- /dev/null
+++ b/source/trellis/departure/departure_service.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <optional>
+
+#include "membership/departure/departure.hpp"
+#include "trellis/acceptor/acceptor_service.hpp"
+#include "trellis/duty/duties.hpp"
+#include "trellis/news/news.hpp"
+#include "trellis/register_client/register_client.hpp"
+
+namespace finchlink::trellis {
+
+/// Leaves by agreement (section 5.8): tells the peers that this process ends,
+/// gives its leases back, and holds the end up while the core wants it to stay.
+/// Everything else is served on meanwhile. begin() and busy() are called by the
+/// daemon's drain, one after the other.
+class DepartureService {
+ public:
+  /// `acceptor` is null where this process has no disk.
+  DepartureService(boost::asio::io_context& context, RegisterClient& register_client, News& news, Duties& duties,
+                   AcceptorService* acceptor)
+      : context_(context), register_(register_client), news_(news), duties_(duties), acceptor_(acceptor) {}
+
+  /// The process was told to end and is stopped at `until`.
+  void begin(loam::Moment until);
+  /// Whether it stays on.
+  [[nodiscard]] bool busy();
+
+ private:
+  [[nodiscard]] schema::VoterSet newest_set();
+
+  boost::asio::io_context& context_;
+  RegisterClient& register_;
+  News& news_;
+  Duties& duties_;
+  AcceptorService* acceptor_;
+  std::optional<membership::Departure> departure_;
+  std::optional<membership::DepartureStep> step_;
+};
+
+}  // namespace finchlink::trellis
--- a/source/trellis/duty/duties.cpp
+++ b/source/trellis/duty/duties.cpp
@@ -81,6 +81,7 @@
   if (holder_ != nullptr) {
     loam::start(context_, [this](loam::Yield yield) {
       while (true) {
+        std::uint64_t const seen = news_.departures().count();
         join(yield);
         // What surely is missing, a place of one's own or one more, is not
         // waited for as long as what only seems lost.
@@ -89,7 +90,7 @@
         for (schema::Voter const& entry : set.holders) {
           sure = sure || entry.address == address_;
         }
-        loam::pause(context_, sure ? constants::founding_pause : constants::join_pause, yield);
+        news_.departures().wait(seen, sure ? constants::founding_pause : constants::join_pause, yield);
       }
     });
   }
@@ -99,6 +100,10 @@
                  std::function<void(std::function<bool()> const&, loam::Yield)> const& step) {
   std::shared_ptr<lease::LeaseHolder> const tenant = std::make_shared<lease::LeaseHolder>("duty/" + name, identity_);
   std::shared_ptr<std::mutex> const tenant_lock = std::make_shared<std::mutex>();
+  {
+    std::lock_guard<std::mutex> const guard(lock_);
+    tenants_.push_back(Tenant{tenant, tenant_lock});
+  }
   loam::start(context_, [this, name, tenant, tenant_lock, wanted](loam::Yield yield) {
     while (true) {
       std::vector<std::pair<std::string, schema::Message>> calls;
@@ -364,7 +369,7 @@
 void Duties::join(loam::Yield yield) {
   schema::VoterSet const set = register_.set();
   schema::Voter const self{holder_->silent() ? 0 : holder_->incarnation(), address_};
-  if (set.epoch == 0 || self.incarnation == 0 || consensus::names(set.holders, self.incarnation)) {
+  if (set.epoch == 0 || self.incarnation == 0 || consensus::names(set.holders, self.incarnation) || news_.leaving()) {
     misses_.clear();
     return;
   }
@@ -396,7 +401,8 @@
         return missing.empty();
       },
       yield);
-  std::optional<schema::VoterSet> const next = membership::plan_joining(set, misses_, self, wanted_holders_);
+  membership::JoiningView const view{misses_, membership::leaving_voters(news_.peers())};
+  std::optional<schema::VoterSet> const next = membership::plan_joining(set, view, self, wanted_holders_);
   if (!next.has_value()) {
     return;
   }
@@ -411,6 +417,33 @@
   spread_set(yield);
 }
 
+void Duties::release() {
+  std::vector<Tenant> tenants;
+  {
+    std::lock_guard<std::mutex> const guard(lock_);
+    tenants = tenants_;
+  }
+  std::vector<std::pair<std::string, schema::Message>> calls;
+  for (Tenant const& tenant : tenants) {
+    std::lock_guard<std::mutex> const guard(*tenant.lock);
+    for (lease::LeaseHolderAction const& action : tenant.lease->release()) {
+      if (lease::SendAsk const* const send = std::get_if<lease::SendAsk>(&action)) {
+        calls.emplace_back(send->to.address, send->ask);
+      }
+    }
+  }
+  if (calls.empty()) {
+    return;
+  }
+  releasing_ = true;
+  loam::start(context_, [this, calls](loam::Yield yield) {
+    loam::Gather::run(
+        context_, caller_, calls, constants::lease_release_patience,
+        [](std::size_t, absl::StatusOr<schema::Message> const&) { return false; }, yield);
+    releasing_ = false;
+  });
+}
+
 std::string Duties::describe() {
   std::lock_guard<std::mutex> const guard(lock_);
   loam::Tree object(cJSON_CreateObject());
--- a/source/trellis/duty/duties.hpp
+++ b/source/trellis/duty/duties.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <atomic>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <string>
 
@@ -25,6 +27,11 @@
   /// Settings that changed.
   void follow(schema::Settings const& settings);
   [[nodiscard]] std::string describe();
+  /// Gives all leases back, since this process ends; another may take them at
+  /// once instead of when they run out.
+  void release();
+  /// Whether the acceptors are still being told of that.
+  [[nodiscard]] bool releasing() const { return releasing_; }
 
  private:
   /// Runs the lease of one duty; `step` is called again and again while held.
@@ -58,6 +65,12 @@
   std::string address_;
   std::size_t wanted_holders_;
   std::mutex lock_;
+  struct Tenant {
+    std::shared_ptr<lease::LeaseHolder> lease;
+    std::shared_ptr<std::mutex> lock;
+  };
+  std::vector<Tenant> tenants_;
+  std::atomic<bool> releasing_ = false;
   std::map<std::string, bool> held_;
   std::map<std::string, std::string> reasons_;
   std::map<std::string, tilth::Scaler> scalers_;
--- a/source/trellis/main.cpp
+++ b/source/trellis/main.cpp
@@ -8,6 +8,7 @@
 #include "platform/operator.hpp"
 #include "platform/settings.hpp"
 #include "trellis/command/command.hpp"
+#include "trellis/departure/departure_service.hpp"
 #include "trellis/duty/duties.hpp"
 #include "trellis/operator/operator.hpp"
 
@@ -22,6 +23,7 @@
   std::unique_ptr<trellis::RegisterClient> register_client;
   std::unique_ptr<trellis::News> news;
   std::unique_ptr<trellis::Duties> duties;
+  std::unique_ptr<trellis::DepartureService> departure;
   std::unique_ptr<trellis::Operator> operators;
 };
 
@@ -56,6 +58,8 @@
     program.duties = std::make_unique<trellis::Duties>(context, *program.caller, *program.register_client,
                                                        *program.news, program.holder.get(), identity, settings,
                                                        platform ? platform::notation() : config::own_notation());
+    program.departure = std::make_unique<trellis::DepartureService>(context, *program.register_client, *program.news,
+                                                                    *program.duties, program.holder.get());
     program.operators = std::make_unique<trellis::Operator>(
         context, *program.register_client, *program.news, program.holder.get(),
         [&program] { return program.duties->describe(); }, platform ? platform::notation() : config::own_notation(),
@@ -99,7 +103,11 @@
     program.duties->follow(settings);
     program.operators->follow(span(settings.bounds.acknowledge_wait_ms));
   };
-  daemon.drain = [] {};
-  daemon.busy = [&program] { return program.operators->busy(); };
+  daemon.drain = [&program](loam::Moment until) { program.departure->begin(until); };
+  daemon.busy = [&program] {
+    // Both are asked each time: the departure counts on being asked without gaps.
+    bool const departing = program.departure->busy();
+    return departing || program.operators->busy();
+  };
   return loam::run_daemon(daemon, count, values);
 }
--- a/source/trellis/news/news.cpp
+++ b/source/trellis/news/news.cpp
@@ -38,11 +38,20 @@
 }
 
 schema::TrellisEntry News::self() {
-  schema::TrellisEntry entry{settings_.name,         identity_,          settings_.hall, settings_.colleague_address,
-                             settings_.http_address, holder_ != nullptr, false,          0};
+  schema::TrellisEntry entry{settings_.name,
+                             identity_,
+                             settings_.hall,
+                             settings_.colleague_address,
+                             settings_.http_address,
+                             holder_ != nullptr,
+                             false,
+                             0,
+                             0,
+                             leaving_};
   if (holder_ != nullptr) {
     entry.voting = holder_->voting();
     entry.holder = holder_->silent() ? 0 : holder_->incarnation();
+    entry.epoch = holder_->set().epoch;
   }
   return entry;
 }
@@ -89,7 +98,7 @@
   // are told; whoever misses that for long enough reads itself (section 13.4).
   loam::Span rank = 0;
   for (schema::TrellisEntry const& trellis : sessions_.trellises()) {
-    rank += trellis.name < settings_.name ? 1 : 0;
+    rank += trellis.name < settings_.name && !trellis.leaving ? 1 : 0;
   }
   loam::Span const pause = loam::milliseconds(static_cast<std::int64_t>(settings_.bounds.list_pause_ms));
   loam::Span const tell = loam::milliseconds(static_cast<std::int64_t>(settings_.bounds.tell_pause_ms));
@@ -180,6 +189,13 @@
   }
 }
 
+bool News::judge_departures() {
+  std::set<std::uint64_t> const leaving = membership::leaving_voters(sessions_.peers());
+  bool const more = !std::includes(leaving_voters_.begin(), leaving_voters_.end(), leaving.begin(), leaving.end());
+  leaving_voters_ = leaving;
+  return more;
+}
+
 void News::add_reports(schema::Tell& tell, loam::Moment now) {
   std::map<std::uint64_t, std::size_t> places;
   for (std::size_t place = 0; place < tell.sessions.size(); ++place) {
@@ -249,16 +265,21 @@
             // Counted from when we asked: a frozen machine that wakes must
             // not take an old word for a fresh one (section 6.3).
             bool changed = false;
+            bool departing = false;
             {
               std::lock_guard<std::mutex> const guard(lock_);
               changed = told->list_age >= 0 &&
                         listing_.take(membership::list_news(*told), sent - told->list_age, loam::boot_now());
               sessions_.met(told->from, loam::boot_now());
+              departing = judge_departures();
               known_there_[calls[index].first] = told->sessions_digest;
             }
             if (changed) {
               register_.bell().ring();
             }
+            if (departing) {
+              departures_.ring();
+            }
           }
         }
         return false;
@@ -270,9 +291,12 @@
   loam::Moment const now = loam::boot_now();
   schema::Told told;
   bool fetch = false;
+  bool departing = false;
   {
     std::lock_guard<std::mutex> const guard(lock_);
+    sessions_.set_self(self());  // a departing voter waits for what this says of our vote
     told.sessions_digest = sessions_.told(tell, now);
+    departing = judge_departures();
     judge_members();
     for (schema::Session const& session : tell.sessions) {
       keep_reports(session.member, session.reports, now);
@@ -291,6 +315,9 @@
     told.list = std::move(news.list);
     told.list_gone = std::move(news.gone);
   }
+  if (departing) {
+    departures_.ring();
+  }
   if (tell.confirm) {
     register_.hurry();
   }
@@ -365,13 +392,15 @@
   answer.list_age = listing_.age(loam::boot_now());
   answer.report_ms = tilth::report_ms_of(settings_);
   answer.reports_taken = newest_slice_[ask.member.incarnation];
-  // Near ones first: bytes between regions and halls are paid for.
+  // Near ones first: bytes between regions and halls are paid for. Those that leave come last.
+  constexpr int farthest = 3;
   std::vector<schema::TrellisEntry> colleagues = sessions_.trellises();
   std::function<int(schema::TrellisEntry const&)> const far = [this, &ask](schema::TrellisEntry const& trellis) {
     std::map<std::string, std::string>::const_iterator const theirs = settings_.regions.find(trellis.hall);
     std::map<std::string, std::string>::const_iterator const own = settings_.regions.find(ask.member.hall);
     bool const known = theirs != settings_.regions.end() && own != settings_.regions.end();
-    return trellis.hall == ask.member.hall ? 0 : (known && theirs->second == own->second ? 1 : 2);
+    int const distance = trellis.hall == ask.member.hall ? 0 : (known && theirs->second == own->second ? 1 : 2);
+    return trellis.leaving ? distance + farthest : distance;
   };
   std::stable_sort(
       colleagues.begin(), colleagues.end(),
@@ -392,6 +421,10 @@
   sessions_.set_self(self());
   return sessions_.trellises();
 }
+std::vector<membership::Peer> News::peers() {
+  std::lock_guard<std::mutex> const guard(lock_);
+  return sessions_.peers();
+}
 schema::PlatformList News::list() {
   std::lock_guard<std::mutex> const guard(lock_);
   return listing_.list();
--- a/source/trellis/news/news.hpp
+++ b/source/trellis/news/news.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <deque>
 #include <mutex>
 
@@ -31,6 +32,13 @@
 
   [[nodiscard]] std::vector<schema::Member> members();
   [[nodiscard]] std::vector<schema::TrellisEntry> trellises();
+  /// All other trellises, each with when it was last heard of.
+  [[nodiscard]] std::vector<membership::Peer> peers();
+  /// From now on all are told that this process leaves.
+  void set_leaving() { leaving_ = true; }
+  [[nodiscard]] bool leaving() const { return leaving_; }
+  /// Rings when a voter is first heard to leave.
+  [[nodiscard]] loam::Bell& departures() { return departures_; }
   [[nodiscard]] schema::PlatformList list();
   [[nodiscard]] std::uint64_t list_digest();
   /// Microseconds since the list was asked for; negative when never read.
@@ -49,6 +57,8 @@
   void tell_colleagues(bool confirm, std::string const& only, loam::Yield yield);
   /// Notes whether members are others than before; rings if so. Under the lock.
   void judge_members();
+  /// Notes which voters leave; true when another one does. Under the lock.
+  [[nodiscard]] bool judge_departures();
   /// Puts newly taken reports to the sessions they are of. Under the lock.
   void add_reports(schema::Tell& tell, loam::Moment now);
   [[nodiscard]] loam::Span bound(std::uint64_t schema::TimeBounds::*field);
@@ -73,6 +83,9 @@
   std::map<std::uint64_t, std::uint64_t> newest_slice_;
   ListReader reader_;
   std::uint64_t members_digest_ = 0;
+  std::atomic<bool> leaving_ = false;
+  std::set<std::uint64_t> leaving_voters_;
+  loam::Bell departures_;
   std::map<std::string, std::uint64_t>
       known_there_;        ///< digest of our sessions as a colleague knows them, by its address
   bool fetching_ = false;  ///< a colleague's newer list is on its way
--- /dev/null
+++ b/source/trellis/operator/health.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <string>
+
+#include "loam/http/http.hpp"
+#include "membership/status/voter_status.hpp"
+#include "trellis/news/news.hpp"
+#include "trellis/register_client/register_client.hpp"
+
+namespace finchlink::trellis {
+
+/// What operators ask of the control plane's own state: the voters, a check of
+/// the whole, and metrics of both (docs/operating/recovery.md).
+class HealthPages {
+ public:
+  /// `acceptor` is null where this process has no disk.
+  HealthPages(RegisterClient& register_client, News& news, AcceptorService* acceptor)
+      : register_(register_client), news_(news), acceptor_(acceptor) {}
+
+  /// GET /holders: the voter set, and of each voter its vote, epoch, last contact and whether it leaves.
+  [[nodiscard]] loam::Answer holders();
+  /// GET /check: 200 when healthy, else 503; what is wrong stands in `problems`.
+  [[nodiscard]] loam::Answer check();
+  /// Lines of the metrics page.
+  [[nodiscard]] std::string metrics();
+
+ private:
+  [[nodiscard]] membership::HealthView view();
+
+  RegisterClient& register_;
+  News& news_;
+  AcceptorService* acceptor_;
+};
+
+}  // namespace finchlink::trellis
--- a/source/trellis/operator/operator.cpp
+++ b/source/trellis/operator/operator.cpp
@@ -140,8 +140,9 @@
     cJSON_AddNumberToObject(list.get(), "age_ms", static_cast<double>(news_.list_age()) / 1000);
     answer = loam::answer_text(http::status::ok, loam::print_tree(list.get(), true));
   } else if (target == "/holders" && verb == http::verb::get) {
-    loam::Tree set(schema::write(register_.set()));
-    answer = loam::answer_text(http::status::ok, loam::print_tree(set.get(), true));
+    answer = health_.holders();
+  } else if (target == "/check" && verb == http::verb::get) {
+    answer = health_.check();
   } else if (target == "/split" && verb == http::verb::get) {
     loam::Tree object(cJSON_CreateObject());
     for (std::pair<std::string const, schema::Value> const& value : register_.values()) {
@@ -477,6 +478,7 @@
           std::to_string(static_cast<double>(loam::boot_now() - register_.confirmed_from()) / 1e6) + "\n";
   text += "# TYPE trellis_holder_voting gauge\ntrellis_holder_voting " +
           std::to_string(holder_ != nullptr && holder_->voting() ? 1 : 0) + "\n";
+  text += health_.metrics();
   return loam::answer_text(http::status::ok, text, "text/plain; version=0.0.4");
 }
 
--- a/source/trellis/operator/operator.hpp
+++ b/source/trellis/operator/operator.hpp
@@ -7,6 +7,7 @@
 #include "loam/constants.hpp"
 #include "loam/http/http.hpp"
 #include "trellis/news/news.hpp"
+#include "trellis/operator/health.hpp"
 #include "trellis/operator/paths.hpp"
 #include "trellis/register_client/register_client.hpp"
 
@@ -22,6 +23,7 @@
         register_(register_client),
         news_(news),
         holder_(holder),
+        health_(register_client, news, holder),
         duties_(std::move(duties)),
         notation_(std::move(notation)),
         paths_(std::move(paths)),
@@ -55,6 +57,7 @@
   RegisterClient& register_;
   News& news_;
   AcceptorService* holder_;
+  HealthPages health_;
   std::function<std::string()> duties_;
   config::Notation notation_;
   OperatorPaths paths_;
