Relay taken apart by job, without a change of what it does

Its members now stand in files by job (relay.hpp lists them): relay, caller_watch, attempt, request_head, worker_answer, event_stream, caller_answer, tenant_prompt; a caller's connection is in caller_session, fields of heads in header_fields. A mechanical move: definitions leave the class, nothing else changes.

--- /dev/null
+++ b/source/furrow/relay/caller_answer.cpp
@@ -0,0 +1,86 @@
+#include "furrow/relay/relay.hpp"
+
+#include <boost/asio/write.hpp>
+
+#include "loam/log/log.hpp"
+#include "loam/random/random.hpp"
+
+namespace finchlink::furrow {
+
+namespace asio = boost::asio;
+namespace constants = loam::constants;
+using boost::system::error_code;
+
+void Relay::act(tilth::Refuse const& reason) {
+  if (!tenant_fault_.empty()) {
+    answer("400 Bad Request", tenant_fault_, false);
+  } else if (withdrawn_lane_) {
+    answer("404 Not Found", "unknown_rule", false);
+  } else {
+    (void)reason;
+    refuse();
+  }
+}
+
+void Relay::act(tilth::Apologise const& apologise) {
+  if (!whole_.empty()) {
+    (void)write_whole();  // the worker's own failure says more than ours
+  } else {
+    answer(apologise.status == 504 ? "504 Gateway Timeout" : "502 Bad Gateway", apologise.reason, false);
+  }
+}
+
+void Relay::act(tilth::EndBroken const& broken) {
+  loam::note(loam::Event::QueryCut, id_ + " " + broken.reason);
+  keep_ = false;  // no closing chunk: nobody can take it for whole
+}
+
+void Relay::answer(std::string const& status, std::string const& reason, bool come_back) {
+  std::string const body = "{\"error\":\"" + reason + "\"}";
+  std::string text = "HTTP/1.1 " + status + "\r\n" + station_.dialect().query + ": " + id_ +
+                     "\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) + "\r\n";
+  if (come_back) {
+    double const point = lane_.set_point_ms > 0 ? lane_.set_point_ms / 1000 : 1.0;
+    text += "Retry-After: " + std::to_string(point * (0.15 + 0.15 * draw())) + "\r\n";
+  }
+  (void)write(text + closing_line() + "\r\n" + (bare_ ? "" : body));
+}
+
+std::string Relay::closing_line() {
+  keep_ = query_.keep && !station_.draining();
+  return keep_ ? "" : "Connection: close\r\n";
+}
+
+bool Relay::write(std::string const& text) {
+  if (gone_) {
+    keep_ = false;
+    return false;
+  }
+  error_code error;
+  writing_ = true;
+  asio::async_write(caller_, asio::buffer(text), yield_[error]);
+  writing_ = false;
+  if (error) {
+    keep_ = false;
+    gone_ = true;
+  }
+  return !error;
+}
+
+bool Relay::write_whole() {
+  bool const good = write(whole_ + closing_line() + "\r\n" + whole_body_);
+  return good;
+}
+
+std::string Relay::answer_head(Parser const& parser) const {
+  std::string text =
+      "HTTP/1.1 " + std::to_string(parser.get().result_int()) + " " + std::string(view(parser.get().reason())) + "\r\n";
+  // The ids that parts went out under stay between us and the workers.
+  std::vector<std::string_view> const left_out =
+      prompt_.has_value() ? std::vector<std::string_view>{station_.dialect().parts, station_.dialect().expected}
+                          : std::vector<std::string_view>();
+  copy_fields(parser.get(), std::string(view(parser.get()[http::field::connection])), left_out, text);
+  return text;
+}
+
+}  // namespace finchlink::furrow
--- /dev/null
+++ b/source/furrow/relay/relay.hpp
@@ -0,0 +1,175 @@
+#pragma once
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "furrow/relay/event_cutter.hpp"
+#include "furrow/relay/header_fields.hpp"
+#include "furrow/relay/station.hpp"
+#include "tilth/chart/chart.hpp"
+#include "tilth/wall/tenant.hpp"
+
+namespace finchlink::furrow {
+
+namespace http = boost::beast::http;
+
+/// A request as it was read from its caller, whole.
+struct Query {
+  http::request_header<> header;
+  std::string body;
+  bool had_length = false;
+  bool keep = true;
+  loam::Moment arrived = 0;
+};
+
+/// One query on its way to workers and back (section 13.8). It lives on its caller's coroutine, which is on the
+/// relay's one thread; whatever outlives it (timers, the watch on the caller) reaches it through a guard.
+/// Its members are defined by job:
+/// - relay.cpp: begin to end, and what the chart decides
+/// - caller_watch.cpp: a caller that leaves, the deadline, silence
+/// - attempt.cpp: a place, a connection, retries, and the return to a worker that was set aside
+/// - request_head.cpp: the head that goes to a worker
+/// - worker_answer.cpp: a worker's answer, refused, whole or no answer at all
+/// - event_stream.cpp: an answer that is a stream of events
+/// - caller_answer.cpp: what is written to the caller
+/// - tenant_prompt.cpp: whose prompt it is (section 14)
+class Relay {
+ public:
+  Relay(Station& station, Query& query, schema::Lane const& lane, Socket& caller,
+        std::shared_ptr<tilth::LaneBook const> book, loam::Yield yield);
+  /// False: the caller's connection is of no more use.
+  bool run();
+
+ private:
+  struct Guard {
+    Relay* relay = nullptr;
+  };
+  using Parser = http::response_parser<http::buffer_body>;
+  /// A worker's answer as far as it was read; of one set aside, its connection, too.
+  struct Reading {
+    boost::beast::flat_buffer buffer;
+    Parser parser;
+    EventCutter cutter;
+    tilth::Sighting sighting;
+    loam::Moment sent = 0;
+    bool first = true;
+    bool resumed = false;
+    tilth::Spot spot;
+    tilth::Walled walled;
+    std::unique_ptr<Socket> socket;
+  };
+  using WorkerHeader = Parser::value_type;
+
+  static tilth::QueryTerms terms(schema::Lane const& lane);
+  [[nodiscard]] bool repeatable() const { return lane_.repeatable || (lane_.stream && lane_.resumable); }
+  /// Whose prompt it is, by the newest word on its lane (section 14.1).
+  void enter_wall();
+  /// What the worker tells of versions and reuse (section 14.3).
+  void hear_wall(WorkerHeader const& got, bool ran);
+  /// What the worker keeps of the prompt from now on; ids used once it won't need.
+  [[nodiscard]] std::vector<tilth::Part> kept_parts() const;
+  bool may_spend(bool spend);
+  /// Section 13.3: which stage took how long, where an answer missed its set point.
+  void tell_late(std::string const& how) const;
+  void watch_caller(std::shared_ptr<Guard> const& guard);
+  void cut();
+  void rang();
+  void feed(tilth::QueryMessage const& message) { perform(chart_.advance(message, loam::boot_now())); }
+  void perform(std::vector<tilth::QueryAction> const& actions);
+  void act(tilth::Place const&) { place_next_ = true; }
+  void act(tilth::PassOn const&) { feed(tilth::NoRoom{}); }
+  void act(tilth::SendHome const&) { refuse(); }
+  void act(tilth::Forward const&) {}
+  void act(tilth::Deliver const&) { (void)write_whole(); }
+  void act(tilth::Refuse const& reason);
+  void act(tilth::Apologise const& apologise);
+  void act(tilth::EndBroken const& broken);
+  void act(tilth::Abandon const&) { keep_ = false; }
+  /// Final, at once, with the time to come back at: nothing ran (section 9.8).
+  void refuse() { answer("503 Service Unavailable", "no_place", true); }
+  void answer(std::string const& status, std::string const& reason, bool come_back);
+  [[nodiscard]] std::string closing_line();
+  bool write(std::string const& text);
+  bool write_whole();
+  /// Section 9.7: the newest charter decides, up to when bytes go out.
+  void follow();
+  /// A place, waited for as long as a lane's set point bears.
+  bool find_place();
+  void dispatch();
+  /// A dispatch is over, or was set aside: the chart hears how.
+  void after_talk();
+  /// While a worker is set aside, what would end the query leads back to it.
+  void feed_or_return(tilth::QueryMessage const& message);
+  /// No other one goes on with the stream: the silent one may take its time.
+  void go_back();
+  [[nodiscard]] bool still_named() const;
+  void keep_worker(loam::Span longest);
+  /// A connection. A kept one may turn out stale just as bytes go out, so what
+  /// may not be repeated always has a fresh one (section 13.8).
+  bool reach();
+  [[nodiscard]] std::string head() const;
+  [[nodiscard]] loam::Moment silence_due(double set_point_ms, loam::Moment now);
+  /// The next bytes of the answer; false: cut, silent or no answer at all.
+  bool read_some(boost::beast::flat_buffer& buffer, Parser& parser, std::string& bytes);
+  tilth::Outcome talk();
+  void hear_load(std::string_view text);
+  /// Kept only when the answer ended where it said and nothing came behind it.
+  void after_answer(boost::beast::flat_buffer const& buffer, Parser const& parser);
+  void finish_reading(boost::beast::flat_buffer& buffer, Parser& parser);
+  /// The worker's head for the caller, without what concerns its connection.
+  [[nodiscard]] std::string answer_head(Parser const& parser) const;
+  tilth::Outcome talk_whole(boost::beast::flat_buffer& buffer, Parser& parser, unsigned int status);
+  tilth::Outcome talk_events(Reading& reading);
+  tilth::Outcome read_events(Reading& reading);
+  Station& station_;
+  Query& query_;
+  std::shared_ptr<tilth::LaneBook const> book_;
+  schema::Lane lane_;
+  Socket& caller_;
+  loam::Yield yield_;
+  bool const bare_;  ///< it is a HEAD: no answer to it has a body
+  std::string id_;
+  loam::Moment deadline_;
+  tilth::Chart chart_;
+  tilth::Wanted wanted_;
+  tilth::Spot spot_;
+  std::optional<tilth::Prompt> prompt_;  ///< where its lane has tenants
+  tilth::Walled walled_;                 ///< as it went to the last worker
+  std::string tenant_fault_;
+  std::vector<std::string> homes_;
+  std::string service_;
+  std::shared_ptr<Alarm> alarm_;
+  std::unique_ptr<Socket> worker_;
+  std::shared_ptr<Reading> reading_;     ///< of the dispatch under way
+  std::shared_ptr<Reading> aside_;       ///< given up for its silence; goes on if no other does
+  std::optional<tilth::Decided> later_;  ///< told to the chart once it is back there
+  boost::asio::steady_timer* seat_ = nullptr;
+  std::optional<tilth::QueryMessage> after_;
+  std::string whole_;
+  std::string whole_body_;
+  Numbering numbering_;  ///< of the events that the caller has
+  loam::Moment silent_since_ = 0;
+  loam::Span allowed_ = 0;
+  int connects_ = 0;
+  loam::Moment first_at_ = 0;
+  std::string trail_;  ///< workers it was placed on: when, predicted
+  bool setting_aside_ = false;
+  bool back_ = false;      ///< to the one set aside
+  bool slow_ = false;      ///< given up for its slowness
+  bool reserved_ = false;  ///< the right to its next dispatch is taken already
+  bool connecting_ = false;
+  bool first_seen_ = false;
+  bool began_ = false;  ///< the head went to the caller
+  bool writing_ = false;
+  bool gone_ = false;
+  bool keep_ = false;
+  bool place_next_ = false;
+  bool withdrawn_lane_ = false;
+};
+
+}  // namespace finchlink::furrow
--- /dev/null
+++ b/source/furrow/relay/worker_answer.cpp
@@ -0,0 +1,158 @@
+#include "furrow/relay/relay.hpp"
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/write.hpp>
+
+#include "furrow/relay/walls.hpp"
+#include "loam/relay_constants.hpp"
+
+namespace finchlink::furrow {
+
+namespace asio = boost::asio;
+namespace constants = loam::constants;
+using boost::system::error_code;
+
+bool Relay::read_some(boost::beast::flat_buffer& buffer, Parser& parser, std::string& bytes) {
+  bytes.resize(constants::piece_bytes);
+  parser.get().body().data = bytes.data();
+  parser.get().body().size = bytes.size();
+  parser.get().body().more = true;
+  error_code error;
+  http::async_read_some(*worker_, buffer, parser, yield_[error]);
+  if (error && error != http::error::need_buffer) {
+    bytes.clear();
+    return false;
+  }
+  bytes.resize(bytes.size() - parser.get().body().size);
+  return true;
+}
+
+tilth::Outcome Relay::talk() {
+  Dialect const& dialect = station_.dialect();
+  loam::Moment const sent = loam::boot_now();
+  alarm_->set(silence_due(lane_.set_point_ms, sent));
+  if (prompt_.has_value()) {
+    walled_ = station_.walls().send(*prompt_, spot_.worker, draw_once());
+  }
+  std::string const text = head();
+  error_code error;
+  std::array<asio::const_buffer, 2> const pieces{asio::buffer(text), asio::buffer(query_.body)};
+  asio::async_write(*worker_, pieces, yield_[error]);
+  // Even when writing failed the worker may have answered already.
+  boost::beast::flat_buffer& buffer = reading_->buffer;
+  Parser& parser = reading_->parser;
+  parser.header_limit(constants::answer_header_limit);
+  parser.body_limit(boost::none);
+  parser.skip(bare_);
+  if (worker_->is_open()) {
+    http::async_read_header(*worker_, buffer, parser, yield_[error]);
+  }
+  if (error) {
+    after_ = tilth::WorkerDefect{"no_answer"};
+    return tilth::Outcome::defect;
+  }
+  Parser::value_type const& got = parser.get();
+  unsigned int const status = got.result_int();
+  hear_load(view(got[dialect.load]));
+  if (!got[dialect.not_run].empty() || status == 421) {
+    after_ = tilth::WorkerRefused{};
+    std::string const expected = walled_.version;
+    hear_wall(got, false);
+    bool const other_weights =
+        prompt_.has_value() && !got[dialect.weights].empty() && view(got[dialect.weights]) != expected;
+    if (status == 421 && !other_weights) {
+      return tilth::Outcome::misdirected;
+    }
+    finish_reading(buffer, parser);
+    return tilth::Outcome::refused;
+  }
+  if (view(got[dialect.query]) != id_) {
+    after_ = tilth::WorkerDefect{"wrong_query"};
+    return tilth::Outcome::defect;
+  }
+  bool const success = status >= 200 && status < 300;
+  if ((success && got[dialect.seal].empty()) || status < 200 || status == 429 || status == 503 || status == 408) {
+    after_ = tilth::WorkerDefect{"no_answer_of_ours"};
+    return tilth::Outcome::defect;
+  }
+  hear_wall(got, success);
+  if (success && !bare_ && got[http::field::content_type].starts_with("text/event-stream")) {
+    reading_->sent = sent;
+    return talk_events(*reading_);
+  }
+  return talk_whole(buffer, parser, status);
+}
+
+void Relay::hear_load(std::string_view text) {
+  if (text.empty()) {
+    return;
+  }
+  double figures[3] = {0, 0, 0};
+  for (double& figure : figures) {
+    std::string_view const word = text.substr(0, text.find(','));
+    figure = static_cast<double>(natural(word.substr(std::min(word.size(), word.find_first_not_of(' '))), 0));
+    text.remove_prefix(std::min(text.size(), word.size() + 1));
+  }
+  station_.grove().told(spot_.worker, figures[0], figures[1], figures[2], loam::boot_now());
+}
+
+void Relay::after_answer(boost::beast::flat_buffer const& buffer, Parser const& parser) {
+  if (!parser.is_done() || buffer.size() > 0 || !parser.get().keep_alive() || worker_ == nullptr ||
+      !worker_->is_open()) {
+    return;
+  }
+  loam::Span longest = constants::worker_idle;
+  std::string_view const told = view(parser.get()["Keep-Alive"]);
+  std::size_t const at = told.find("timeout=");
+  if (at != std::string_view::npos) {
+    longest = std::min(longest, loam::seconds(static_cast<std::int64_t>(natural(told.substr(at + 8), 1))) / 2);
+  } else if (!told.empty()) {
+    longest = std::min(longest, loam::seconds(static_cast<std::int64_t>(natural(told, 1))) / 2);
+  }
+  keep_worker(longest);
+}
+
+void Relay::finish_reading(boost::beast::flat_buffer& buffer, Parser& parser) {
+  std::string bytes;
+  while (!parser.is_done() && (parser.content_length().has_value() || parser.chunked())) {
+    if (!read_some(buffer, parser, bytes)) {
+      return;
+    }
+  }
+  after_answer(buffer, parser);
+}
+
+tilth::Outcome Relay::talk_whole(boost::beast::flat_buffer& buffer, Parser& parser, unsigned int status) {
+  std::string body;
+  std::string bytes;
+  bool const bare = bare_ || status == 204 || status == 304;
+  bool const delimited = bare || parser.content_length().has_value() || parser.chunked();
+  while (!parser.is_done()) {
+    if (!delimited || !read_some(buffer, parser, bytes) || body.size() + bytes.size() > constants::answer_limit) {
+      after_ = tilth::WorkerDefect{"cut_answer"};
+      return tilth::Outcome::defect;
+    }
+    body += bytes;
+  }
+  first_seen_ = true;
+  if (prompt_.has_value()) {
+    station_.grove().first_token(spot_, status < 300 ? kept_parts() : std::vector<tilth::Part>(), 0);
+  }
+  first_at_ = loam::boot_now();
+  // An answer to HEAD tells the length that the body would have.
+  std::string const length = bare_  ? std::string(view(parser.get()[http::field::content_length]))
+                             : bare ? ""
+                                    : std::to_string(body.size());
+  whole_ = answer_head(parser) + (length.empty() ? "" : "Content-Length: " + length + "\r\n");
+  whole_body_ = std::move(body);
+  after_answer(buffer, parser);
+  if (status >= 500 && repeatable()) {
+    after_ = tilth::WorkerDefect{"worker_error"};
+    return tilth::Outcome::defect;
+  }
+  after_ = tilth::Whole{};
+  return status >= 500 ? tilth::Outcome::defect : tilth::Outcome::good;
+}
+
+}  // namespace finchlink::furrow
