--- a/source/furrow/relay/attempt.cpp
+++ b/source/furrow/relay/attempt.cpp
@@ -115,8 +115,8 @@
     aside_->walled = walled_;
     aside_->socket = std::move(worker_);
   }
+  drop_worker();
   reading_.reset();
-  worker_.reset();
   slow_ = false;
   wanted_.avoid.push_back(spot_.worker);
   if (after_.has_value()) {
@@ -179,8 +179,18 @@
   worker_.reset();
 }
 
+void Relay::drop_worker() {
+  if (worker_ != nullptr && reading_ != nullptr && reading_->sending != nullptr && !reading_->sending->done) {
+    error_code ignored;
+    worker_->close(ignored);
+    reading_->sending->socket = std::move(worker_);
+  }
+  worker_.reset();
+}
+
 bool Relay::reach() {
-  if (repeatable()) {
+  // Without an id a surplus answer could not be told from its own.
+  if (repeatable() && !id_.empty()) {
     worker_ = station_.kept(spot_.worker);
     if (worker_ != nullptr) {
       return true;
--- a/source/furrow/relay/caller_session.cpp
+++ b/source/furrow/relay/caller_session.cpp
@@ -54,7 +54,8 @@
 }  // namespace
 
 void serve_caller(Station& station, std::shared_ptr<Socket> const& socket, loam::Yield yield) {
-  boost::beast::flat_buffer buffer;
+  ReadAhead ahead;
+  boost::beast::flat_buffer& buffer = ahead.buffer;
   std::shared_ptr<Patience> const patience = std::make_shared<Patience>();
   std::shared_ptr<Alarm> const alarm = std::make_shared<Alarm>(station.context(), [socket, patience] {
     error_code ignored;
@@ -106,7 +107,7 @@
       break;
     }
     Query query;
-    query.arrived = loam::boot_now();
+    query.arrived = ahead.since != 0 ? ahead.since : loam::boot_now();
     station.opened();
     std::string const named =
         station.dialect().query + ": " + std::string(view(parser.get()[station.dialect().query])) + "\r\n";
@@ -124,7 +125,7 @@
         }
       }
     }
-    if (parser.get()[http::field::expect] == "100-continue") {
+    if (boost::beast::iequals(parser.get()[http::field::expect], "100-continue")) {
       asio::async_write(*socket, asio::buffer(std::string("HTTP/1.1 100 Continue\r\n\r\n")), yield[error]);
     }
     // What comes behind a body names no tenant and no prompt.
@@ -148,7 +149,8 @@
     }
     query.had_length = parser.content_length().has_value() || parser.chunked();
     query.keep = parser.get().keep_alive();
-    query.body = std::move(parser.get().body());
+    query.body = std::make_shared<std::string const>(std::move(parser.get().body()));
+    ahead.since = buffer.size() > 0 ? loam::boot_now() : 0;
     query.header = before_body.has_value() ? std::move(*before_body) : std::move(parser.get().base());
     patience->close = true;
     alarm->set(loam::boot_now() + loam::seconds(3600));
@@ -173,7 +175,8 @@
       if (lane == nullptr) {
         again = write_small(*socket, "404 Not Found", named, "unknown_rule", keep, bare, yield);
       } else {
-        std::unique_ptr<Relay> const relay = std::make_unique<Relay>(station, query, *lane, *socket, book, yield);
+        std::unique_ptr<Relay> const relay =
+            std::make_unique<Relay>(station, query, *lane, *socket, ahead, book, yield);
         again = relay->run();
       }
     }
--- a/source/furrow/relay/caller_watch.cpp
+++ b/source/furrow/relay/caller_watch.cpp
@@ -17,18 +17,29 @@
     if (error || guard->relay == nullptr) {
       return;
     }
-    char byte = 0;
-    ssize_t const count = recv(guard->relay->caller_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (guard->relay->look_at_caller()) {
+      guard->relay->watch_caller(guard);
+    }
+  });
+}
+
+bool Relay::look_at_caller() {
+  while (ahead_.buffer.size() < constants::read_ahead_most) {
+    boost::beast::flat_buffer::mutable_buffers_type const room = ahead_.buffer.prepare(constants::piece_bytes);
+    ssize_t const count = recv(caller_.native_handle(), room.data(), room.size(), MSG_DONTWAIT);
     if (count > 0) {
-      return;  // the next query is there already
+      ahead_.buffer.commit(static_cast<std::size_t>(count));
+      ahead_.since = ahead_.since == 0 ? loam::boot_now() : ahead_.since;
+      continue;
     }
     if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
-      guard->relay->watch_caller(guard);
-      return;
+      return true;
     }
-    guard->relay->gone_ = true;
-    guard->relay->cut();
-  });
+    gone_ = true;
+    cut();
+    return false;
+  }
+  return false;
 }
 
 void Relay::cut() {
@@ -74,7 +85,7 @@
     reserved_ = station_.rights(service_).take();
     // Slow, not dark, if anything came from it since: no reason for it to rest.
     slow_ = station_.grove().heard_at(spot_.worker) >= silent_since_;
-    if (worker_ != nullptr && std::holds_alternative<tilth::Streaming>(chart_.state())) {
+    if (worker_ != nullptr && std::holds_alternative<tilth::Streaming>(chart_.state()) && reading_->sending->whole()) {
       // Part of its stream is with the caller: it is only set aside until
       // another one goes on, since that one may refuse.
       setting_aside_ = true;
--- a/source/furrow/relay/event_cutter.hpp
+++ b/source/furrow/relay/event_cutter.hpp
@@ -42,7 +42,9 @@
       }
       std::string_view const event = std::string_view(pending_).substr(begin, end - begin);
       std::optional<std::uint64_t> const number = number_of(event);
-      Numbering::Verdict const verdict = number.has_value() ? numbering.judge(*number) : Numbering::Verdict::pass;
+      Numbering::Verdict const verdict = number.has_value()    ? numbering.judge(*number)
+                                         : carries_data(event) ? numbering.judge_unnumbered()
+                                                               : Numbering::Verdict::pass;
       if (verdict == Numbering::Verdict::gap) {
         whole.gap = true;
         break;
@@ -59,6 +61,10 @@
   [[nodiscard]] std::string const& rest() const { return pending_; }
 
  private:
+  /// Comments and other events without data show nothing, so that it does no harm to pass them on twice.
+  static bool carries_data(std::string_view event) {
+    return event.rfind("data", 0) == 0 || event.find("\ndata") != std::string_view::npos;
+  }
   static std::optional<std::uint64_t> number_of(std::string_view event) {
     std::size_t at = event.rfind("id:", 0) == 0 ? 0 : event.find("\nid:");
     if (at == std::string_view::npos) {
--- a/source/furrow/relay/event_stream.cpp
+++ b/source/furrow/relay/event_stream.cpp
@@ -19,7 +19,7 @@
 }
 
 tilth::Outcome Relay::read_events(Reading& reading) {
-  Parser& parser = reading.parser;
+  Parser& parser = *reading.parser;
   tilth::Sighting& sighting = reading.sighting;
   loam::Moment const sent = reading.sent;
   std::string bytes;
@@ -35,7 +35,7 @@
       after_ = tilth::WorkerDefect{"gap"};
       return tilth::Outcome::defect;
     }
-    if (parser.is_done() && !reading.cutter.rest().empty()) {
+    if (parser.is_done() && (!reading.cutter.rest().empty() || !ended_whole(parser))) {
       after_ = tilth::WorkerDefect{"cut_event"};
       return tilth::Outcome::defect;
     }
@@ -64,7 +64,7 @@
     std::snprintf(size, sizeof(size), "%zx\r\n", whole.bytes.size());
     text.append(size).append(whole.bytes).append("\r\n");
     // The chart counts what was passed on, whatever the worker's numbers are.
-    feed(tilth::Event{chart_.last_event() + 1, false});
+    feed(tilth::Event{chart_.last_event() + 1, false, numbering_.position_known()});
     if (parser.is_done()) {
       ended = true;
       text.append("0\r\n\r\n");
@@ -81,7 +81,7 @@
   if (!ended) {  // the end came by itself, behind the last event
     (void)write("0\r\n\r\n");
   }
-  feed(tilth::Whole{});
+  feed(tilth::StreamEnded{});
   after_answer(reading.buffer, parser);
   if (!reading.resumed) {
     station_.saw(std::move(sighting), spot_, wanted_);
--- a/source/furrow/relay/relay.cpp
+++ b/source/furrow/relay/relay.cpp
@@ -13,13 +13,14 @@
 namespace constants = loam::constants;
 using boost::system::error_code;
 
-Relay::Relay(Station& station, Query& query, schema::Lane const& lane, Socket& caller,
+Relay::Relay(Station& station, Query& query, schema::Lane const& lane, Socket& caller, ReadAhead& ahead,
              std::shared_ptr<tilth::LaneBook const> book, loam::Yield yield)
     : station_(station),
       query_(query),
       book_(std::move(book)),
       lane_(lane),
       caller_(caller),
+      ahead_(ahead),
       yield_(yield),
       bare_(query.header.method() == http::verb::head),
       id_(view(query.header[station.dialect().query])),
@@ -51,7 +52,9 @@
       guard->relay->rang();
     }
   });
-  watch_caller(guard);
+  if (look_at_caller()) {  // it may have left while its request waited for its turn
+    watch_caller(guard);
+  }
   perform(chart_.begin());
   while (!chart_.settled()) {
     if (gone_) {
--- a/source/furrow/relay/relay.hpp
+++ b/source/furrow/relay/relay.hpp
@@ -21,12 +21,18 @@
 /// A request as it was read from its caller, whole.
 struct Query {
   http::request_header<> header;
-  std::string body;
+  std::shared_ptr<std::string const> body;  ///< shared with a write that may still be under way
   bool had_length = false;
   bool keep = true;
   loam::Moment arrived = 0;
 };
 
+/// Bytes of a caller's connection that were read before their request's turn.
+struct ReadAhead {
+  boost::beast::flat_buffer buffer;
+  loam::Moment since = 0;  ///< when its first byte came; 0: not while another request was served
+};
+
 /// One query on its way to workers and back (section 13.8). It lives on its caller's coroutine, which is on the
 /// relay's one thread; whatever outlives it (timers, the watch on the caller) reaches it through a guard.
 /// Its members are defined by job:
@@ -40,7 +46,7 @@
 /// - tenant_prompt.cpp: whose prompt it is (section 14)
 class Relay {
  public:
-  Relay(Station& station, Query& query, schema::Lane const& lane, Socket& caller,
+  Relay(Station& station, Query& query, schema::Lane const& lane, Socket& caller, ReadAhead& ahead,
         std::shared_ptr<tilth::LaneBook const> book, loam::Yield yield);
   /// False: the caller's connection is of no more use.
   bool run();
@@ -50,10 +56,20 @@
     Relay* relay = nullptr;
   };
   using Parser = http::response_parser<http::buffer_body>;
+  /// A request on its way to a worker, which may answer before it has read all of it.
+  struct Sending {
+    std::string head;
+    std::shared_ptr<std::string const> body;
+    std::unique_ptr<Socket> socket;  ///< closed, where the exchange ended first: the write may still go on to it
+    bool done = false;
+    bool failed = false;
+    [[nodiscard]] bool whole() const { return done && !failed; }
+  };
   /// A worker's answer as far as it was read; of one set aside, its connection, too.
   struct Reading {
+    std::shared_ptr<Sending> sending;
     boost::beast::flat_buffer buffer;
-    Parser parser;
+    std::unique_ptr<Parser> parser;
     EventCutter cutter;
     tilth::Sighting sighting;
     loam::Moment sent = 0;
@@ -66,7 +82,7 @@
   using WorkerHeader = Parser::value_type;
 
   static tilth::QueryTerms terms(schema::Lane const& lane);
-  [[nodiscard]] bool repeatable() const { return lane_.repeatable || (lane_.stream && lane_.resumable); }
+  [[nodiscard]] bool repeatable() const { return chart_.may_repeat(); }
   /// Whose prompt it is, by the newest word on its lane (section 14.1).
   void enter_wall();
   /// What the worker tells of versions and reuse (section 14.3).
@@ -77,6 +93,9 @@
   /// Section 13.3: which stage took how long, where an answer missed its set point.
   void tell_late(std::string const& how) const;
   void watch_caller(std::shared_ptr<Guard> const& guard);
+  /// Reads ahead what the caller sent of its next requests, since its end shows behind that; false: nothing more to
+  /// watch for, as it left or sent too much ahead.
+  bool look_at_caller();
   void cut();
   void rang();
   void feed(tilth::QueryMessage const& message) { perform(chart_.advance(message, loam::boot_now())); }
@@ -109,6 +128,8 @@
   void go_back();
   [[nodiscard]] bool still_named() const;
   void keep_worker(loam::Span longest);
+  /// Closes the worker's connection; it lives on until a write under way has heard of that.
+  void drop_worker();
   /// A connection. A kept one may turn out stale just as bytes go out, so what
   /// may not be repeated always has a fresh one (section 13.8).
   bool reach();
@@ -117,6 +138,14 @@
   /// The next bytes of the answer; false: cut, silent or no answer at all.
   bool read_some(boost::beast::flat_buffer& buffer, Parser& parser, std::string& bytes);
   tilth::Outcome talk();
+  /// Writes head and body while the answer is read already.
+  void begin_sending();
+  /// Reads up to the head of the final answer; false: there was none.
+  bool read_head(Reading& reading);
+  /// The worker promises that it has not run this request, and no other one.
+  [[nodiscard]] bool is_refusal(WorkerHeader const& got) const;
+  /// An answer without a length is whole where its connection ended in order.
+  [[nodiscard]] bool ended_whole(Parser const& parser) const;
   void hear_load(std::string_view text);
   /// Kept only when the answer ended where it said and nothing came behind it.
   void after_answer(boost::beast::flat_buffer const& buffer, Parser const& parser);
@@ -131,6 +160,7 @@
   std::shared_ptr<tilth::LaneBook const> book_;
   schema::Lane lane_;
   Socket& caller_;
+  ReadAhead& ahead_;
   loam::Yield yield_;
   bool const bare_;  ///< it is a HEAD: no answer to it has a body
   std::string id_;
--- a/source/furrow/relay/request_head.cpp
+++ b/source/furrow/relay/request_head.cpp
@@ -45,8 +45,8 @@
         .append(std::to_string(std::clamp<std::int64_t>(lane_.priority, 0, 9)))
         .append("\r\n");
   }
-  if (!query_.body.empty() || query_.had_length) {
-    text.append("Content-Length: ").append(std::to_string(query_.body.size())).append("\r\n");
+  if (!query_.body->empty() || query_.had_length) {
+    text.append("Content-Length: ").append(std::to_string(query_.body->size())).append("\r\n");
   }
   text.append("\r\n");
   return text;
--- a/source/furrow/relay/worker_answer.cpp
+++ b/source/furrow/relay/worker_answer.cpp
@@ -28,6 +28,56 @@
   return true;
 }
 
+void Relay::begin_sending() {
+  std::shared_ptr<Sending> const sending = std::make_shared<Sending>();
+  sending->head = head();
+  sending->body = query_.body;
+  reading_->sending = sending;
+  std::array<asio::const_buffer, 2> const pieces{asio::buffer(sending->head), asio::buffer(*sending->body)};
+  asio::async_write(*worker_, pieces, [sending](error_code const& error, std::size_t) {
+    sending->done = true;
+    sending->failed = static_cast<bool>(error);
+  });
+}
+
+bool Relay::read_head(Reading& reading) {
+  for (int heads = 0; heads <= constants::interim_answers_most; ++heads) {
+    reading.parser = std::make_unique<Parser>();
+    reading.parser->header_limit(constants::answer_header_limit);
+    reading.parser->body_limit(boost::none);
+    reading.parser->skip(bare_);
+    if (!worker_->is_open()) {
+      return false;
+    }
+    error_code error;
+    http::async_read_header(*worker_, reading.buffer, *reading.parser, yield_[error]);
+    if (error) {
+      return false;
+    }
+    unsigned int const status = reading.parser->get().result_int();
+    bool const interim = status >= 100 && status < 200 && status != 101;
+    if (!interim) {
+      return true;
+    }
+  }
+  return false;
+}
+
+bool Relay::is_refusal(WorkerHeader const& got) const {
+  Dialect const& dialect = station_.dialect();
+  std::string_view const id = view(got[dialect.query]);
+  if (!id.empty() && id != id_) {
+    return false;  // late, and of another request: this one may run
+  }
+  unsigned int const status = got.result_int();
+  return status == 421 || (status >= 400 && !got[dialect.not_run].empty());
+}
+
+bool Relay::ended_whole(Parser const& parser) const {
+  // A failed write took the word of a reset with it: the end that is read then looks orderly.
+  return !parser.need_eof() || !reading_->sending->failed;
+}
+
 tilth::Outcome Relay::talk() {
   Dialect const& dialect = station_.dialect();
   loam::Moment const sent = loam::boot_now();
@@ -35,27 +85,17 @@
   if (prompt_.has_value()) {
     walled_ = station_.walls().send(*prompt_, spot_.worker, draw_once());
   }
-  std::string const text = head();
-  error_code error;
-  std::array<asio::const_buffer, 2> const pieces{asio::buffer(text), asio::buffer(query_.body)};
-  asio::async_write(*worker_, pieces, yield_[error]);
-  // Even when writing failed the worker may have answered already.
-  boost::beast::flat_buffer& buffer = reading_->buffer;
-  Parser& parser = reading_->parser;
-  parser.header_limit(constants::answer_header_limit);
-  parser.body_limit(boost::none);
-  parser.skip(bare_);
-  if (worker_->is_open()) {
-    http::async_read_header(*worker_, buffer, parser, yield_[error]);
-  }
-  if (error) {
+  begin_sending();
+  if (!read_head(*reading_)) {
     after_ = tilth::WorkerDefect{"no_answer"};
     return tilth::Outcome::defect;
   }
+  boost::beast::flat_buffer& buffer = reading_->buffer;
+  Parser& parser = *reading_->parser;
   Parser::value_type const& got = parser.get();
   unsigned int const status = got.result_int();
   hear_load(view(got[dialect.load]));
-  if (!got[dialect.not_run].empty() || status == 421) {
+  if (is_refusal(got)) {
     after_ = tilth::WorkerRefused{};
     std::string const expected = walled_.version;
     hear_wall(got, false);
@@ -72,7 +112,8 @@
     return tilth::Outcome::defect;
   }
   bool const success = status >= 200 && status < 300;
-  if ((success && got[dialect.seal].empty()) || status < 200 || status == 429 || status == 503 || status == 408) {
+  if ((success && got[dialect.seal].empty()) || !got[dialect.not_run].empty() || status < 200 || status == 429 ||
+      status == 503 || status == 408) {
     after_ = tilth::WorkerDefect{"no_answer_of_ours"};
     return tilth::Outcome::defect;
   }
@@ -98,7 +139,11 @@
 }
 
 void Relay::after_answer(boost::beast::flat_buffer const& buffer, Parser const& parser) {
-  if (!parser.is_done() || buffer.size() > 0 || !parser.get().keep_alive() || worker_ == nullptr ||
+  // While the worker still reads the request, other bytes on the connection would count as the rest of its body.
+  if (!reading_->sending->whole()) {
+    return;
+  }
+  if (!parser.is_done() || parser.need_eof() || buffer.size() > 0 || !parser.get().keep_alive() || worker_ == nullptr ||
       !worker_->is_open()) {
     return;
   }
@@ -127,14 +172,17 @@
   std::string body;
   std::string bytes;
   bool const bare = bare_ || status == 204 || status == 304;
-  bool const delimited = bare || parser.content_length().has_value() || parser.chunked();
   while (!parser.is_done()) {
-    if (!delimited || !read_some(buffer, parser, bytes) || body.size() + bytes.size() > constants::answer_limit) {
+    if (!read_some(buffer, parser, bytes) || body.size() + bytes.size() > constants::answer_limit) {
       after_ = tilth::WorkerDefect{"cut_answer"};
       return tilth::Outcome::defect;
     }
     body += bytes;
   }
+  if (!bare && !ended_whole(parser)) {
+    after_ = tilth::WorkerDefect{"cut_answer"};
+    return tilth::Outcome::defect;
+  }
   first_seen_ = true;
   if (prompt_.has_value()) {
     station_.grove().first_token(spot_, status < 300 ? kept_parts() : std::vector<tilth::Part>(), 0);
--- a/source/loam/relay_constants.hpp
+++ b/source/loam/relay_constants.hpp
@@ -101,6 +101,11 @@
 inline constexpr Span relay_connect_near = milliseconds(120);
 /// Tries to connect that one query may make; none of them reached a worker.
 inline constexpr int connects_most = 4;
+/// Bytes of a caller's next requests that are read while one is served, so that its
+/// end behind them is seen; with more than this ahead it isn't watched any longer.
+inline constexpr std::size_t read_ahead_most = 64u << 10u;
+/// Heads of interim answers (1xx) that a worker may send before its final one.
+inline constexpr int interim_answers_most = 8;
 /// An idle connection to a worker is used again within this.
 inline constexpr Span worker_idle = milliseconds(4000);
 /// Idle connections kept per worker.
--- a/source/tests/relay/event_cutter_test.cpp
+++ b/source/tests/relay/event_cutter_test.cpp
@@ -108,6 +108,31 @@
   }
 }
 
+TEST(Numbering, BehindAnEventWithoutANumberNobodyCanBeToldWhereToGoOn) {
+  std::string const plain = "data: no number\n\n";
+  std::string const comment = ": still there\n\n";
+  struct Case {
+    std::string passed;
+    bool known;
+  };
+  for (Case const& entry :
+       {Case{"", true}, Case{event(1), true}, Case{event(1) + plain, false}, Case{event(1) + plain + event(2), true},
+        Case{plain, false}, Case{event(1) + comment, true}, Case{comment, true}}) {
+    furrow::Numbering numbering;
+    numbering.begin_run();
+    EventCutter cutter;
+    EXPECT_EQ(cutter.feed(entry.passed, numbering).bytes, entry.passed);
+    EXPECT_EQ(numbering.position_known(), entry.known) << entry.passed;
+  }
+}
+
+TEST(Numbering, EventsWithoutANumberBetweenKnownOnesAreKnown) {
+  std::string const plain = "data: no number\n\n";
+  EXPECT_EQ(join(event(1) + plain + event(2), event(1) + plain + event(2) + event(3)).bytes, event(3));
+  EXPECT_EQ(join(event(1) + event(2), plain + event(3)).bytes, plain + event(3));  // it goes on right behind
+  EXPECT_EQ(join(event(1) + event(2), event(2) + plain + event(3)).bytes, plain + event(3));
+}
+
 TEST(Parts, AreReadFromTextAndNeverFail) {
   std::vector<tilth::Part> const parts = furrow::read_parts("5c1e07a2:800, 91bd3f06:410,e4402b7d:250");
   ASSERT_EQ(parts.size(), 3u);
--- a/source/tests/tilth/chart_test.cpp
+++ b/source/tests/tilth/chart_test.cpp
@@ -223,6 +223,50 @@
   EXPECT_TRUE(only<Apologise>(waits.advance(Decided{false, false, false, Standing::serve}, 0)));
 }
 
+TEST(Chart, ARuleThatAllowsMoreSaysNothingOfWhatRunsAlready) {
+  // Sent while it might run once only: it isn't sent again, though the rule allows it by now.
+  Chart sent = chart(QueryTerms{});
+  (void)sent.advance(Placed{"a"}, 0);
+  (void)sent.advance(Connected{}, 0);
+  (void)sent.advance(Decided{true, true, false, Standing::serve}, 0);
+  EXPECT_FALSE(sent.may_repeat());
+  EXPECT_TRUE(only<Apologise>(sent.advance(WorkerDefect{"cut"}, 0)));
+  // Nothing ran yet: the newest rule alone counts.
+  Chart waits = chart(QueryTerms{});
+  (void)waits.advance(Decided{true, false, false, Standing::serve}, 0);
+  (void)waits.advance(Placed{"a"}, 0);
+  (void)waits.advance(Connected{}, 0);
+  EXPECT_TRUE(only<Place>(waits.advance(WorkerDefect{"cut"}, 0)));
+}
+
+TEST(Chart, ATakeUpBehindTheLastEventEndsTheStream) {
+  QueryTerms terms;
+  terms.stream = terms.resumable = terms.repeatable = true;
+  Chart query = chart(terms);
+  (void)query.advance(Placed{"a"}, 0);
+  (void)query.advance(Connected{}, 0);
+  (void)query.advance(Event{1, false}, 0);
+  EXPECT_TRUE(only<Place>(query.advance(WorkerDefect{"cut"}, 0)));
+  (void)query.advance(Placed{"b"}, 0);
+  (void)query.advance(Connected{}, 0);
+  EXPECT_TRUE(query.advance(StreamEnded{}, 0).empty());
+  EXPECT_TRUE(query.settled());
+}
+
+TEST(Chart, AStreamWhosePlaceCannotBeToldIsNotTakenUp) {
+  for (bool const told : {true, false}) {
+    QueryTerms terms;
+    terms.stream = terms.resumable = terms.repeatable = true;
+    Chart query = chart(terms);
+    (void)query.advance(Placed{"a"}, 0);
+    (void)query.advance(Connected{}, 0);
+    (void)query.advance(Event{1, false, told}, 0);
+    EXPECT_EQ(query.may_repeat(), told);
+    std::vector<QueryAction> const actions = query.advance(WorkerDefect{"cut"}, 0);
+    EXPECT_TRUE(told ? only<Place>(actions) : only<EndBroken>(actions));
+  }
+}
+
 TEST(Chart, GoesBackToTheOneSetAsideFromWhereverItIs) {
   for (int const stage : {0, 1, 2}) {
     QueryTerms terms;
--- a/source/tilth/chart/chart.cpp
+++ b/source/tilth/chart/chart.cpp
@@ -40,8 +40,11 @@
 std::vector<QueryAction> Chart::on(Decided const& message, loam::Moment) {
   // What is under way keeps the form of its answer; whether it may run again
   // is asked of the newest rule (section 9.7).
-  terms_.repeatable = message.repeatable;
-  terms_.resumable = message.resumable;
+  bool const may_be_running =
+      repeats_ || std::holds_alternative<Exposed>(state_) || std::holds_alternative<Streaming>(state_);
+  // A rule that allows more than the one that it was sent under says nothing of what runs already.
+  terms_.repeatable = message.repeatable && (terms_.repeatable || !may_be_running);
+  terms_.resumable = message.resumable && (terms_.resumable || !may_be_running);
   standing_ = message.standing;
   if (!std::holds_alternative<Waitlisted>(state_)) {
     return {};
@@ -117,7 +120,7 @@
   bool const streaming = std::holds_alternative<Streaming>(state_) && terms_.stream;
   may_have_run_ = true;
   repeats_ = true;
-  if (streaming ? (terms_.resumable && terms_.repeatable) : terms_.repeatable) {
+  if (streaming ? (terms_.resumable && may_repeat()) : terms_.repeatable) {
     return try_again(message.what, 502, now);
   }
   return give_up(message.what, 502);
@@ -147,6 +150,7 @@
     return on(WorkerDefect{"numbering"}, now);
   }
   last_event_ = message.number;
+  position_known_ = message.resumable;
   if (message.last) {
     settle("complete");
   }
@@ -181,6 +185,14 @@
   return {Deliver{}};
 }
 
+std::vector<QueryAction> Chart::on(StreamEnded const&, loam::Moment) {
+  // A worker that goes on behind the last event has no event to give, only the end.
+  if (last_event_ > 0 && (std::holds_alternative<Exposed>(state_) || std::holds_alternative<Streaming>(state_))) {
+    settle("complete");
+  }
+  return {};
+}
+
 std::vector<QueryAction> Chart::on(Returned const& message, loam::Moment) {
   state_ = Streaming{message.worker};  // what runs there finishes, whatever the rule says by now (section 9.7)
   return {};
--- a/source/tilth/chart/chart.hpp
+++ b/source/tilth/chart/chart.hpp
@@ -43,13 +43,15 @@
 struct WorkerAnswered {  ///< a final answer that is not a success
   int status = 502;
 };
-struct Event {  ///< the next numbered event of a stream
+struct Event {  ///< the next event of a stream that is passed on
   std::uint64_t number = 0;
   bool last = false;
+  bool resumable = true;  ///< its place can be told to a worker that is to go on behind it
 };
-struct Whole {};    ///< a whole answer, checked
-struct LegDone {};  ///< the prefill leg of a paired query
-struct Returned {   ///< a worker given up for its silence goes on after all
+struct Whole {};        ///< a whole answer, checked
+struct StreamEnded {};  ///< a stream ended in order, maybe right behind what the caller had already
+struct LegDone {};      ///< the prefill leg of a paired query
+struct Returned {       ///< a worker given up for its silence goes on after all
   std::string worker;
 };
 struct CallerGone {};
@@ -64,7 +66,7 @@
 };
 using QueryMessage =
     std::variant<Decided, Placed, NoRoom, Connected, Withdrawn, ConnectDefect, WorkerRefused, WorkerDefect,
-                 WorkerAnswered, Event, Whole, LegDone, Returned, CallerGone, DeadlinePassed>;
+                 WorkerAnswered, Event, Whole, StreamEnded, LegDone, Returned, CallerGone, DeadlinePassed>;
 
 // What is to be done.
 struct Place {  ///< find a worker (again)
@@ -111,6 +113,10 @@
   [[nodiscard]] bool may_have_run() const { return may_have_run_; }
   [[nodiscard]] std::uint64_t last_event() const { return last_event_; }
   [[nodiscard]] int dispatches() const { return dispatches_; }
+  /// It may run once more, by every rule that it was sent under, and behind what the caller has.
+  [[nodiscard]] bool may_repeat() const {
+    return terms_.repeatable && (last_event_ == 0 || (terms_.resumable && position_known_));
+  }
 
  private:
   [[nodiscard]] std::vector<QueryAction> on(Decided const& message, loam::Moment now);
@@ -124,6 +130,7 @@
   [[nodiscard]] std::vector<QueryAction> on(WorkerAnswered const& message, loam::Moment now);
   [[nodiscard]] std::vector<QueryAction> on(Event const& message, loam::Moment now);
   [[nodiscard]] std::vector<QueryAction> on(Whole const& message, loam::Moment now);
+  [[nodiscard]] std::vector<QueryAction> on(StreamEnded const& message, loam::Moment now);
   [[nodiscard]] std::vector<QueryAction> on(LegDone const& message, loam::Moment now);
   [[nodiscard]] std::vector<QueryAction> on(Returned const& message, loam::Moment now);
   [[nodiscard]] std::vector<QueryAction> on(CallerGone const& message, loam::Moment now);
@@ -131,7 +138,6 @@
   [[nodiscard]] std::vector<QueryAction> try_again(std::string const& reason, int status, loam::Moment now);
   [[nodiscard]] std::vector<QueryAction> give_up(std::string const& reason, int status);
   [[nodiscard]] std::vector<QueryAction> place(bool again);
-  [[nodiscard]] bool may_repeat() const { return terms_.repeatable && (last_event_ == 0 || terms_.resumable); }
   void settle(std::string const& how) { state_ = Settled{how}; }
 
   QueryTerms terms_;
@@ -143,6 +149,7 @@
   bool repeats_ = false;  ///< its next dispatch would run what may have run before
   bool passed_ = false;
   std::uint64_t last_event_ = 0;
+  bool position_known_ = true;  ///< of the last event passed on
 };
 
 }  // namespace finchlink::tilth
