Charters keep marks as the setup does, evacuations are fenced by what was known

Cause, found by reading: 64 marks of charters were kept and nothing said that older ones had been dropped, so a change that was taken and sent again behind 65 others got a 412. The setup had a floor for this. And evacuations carry no identity: an order read by a trellis that freezes or loses its majority, sent to another one, acknowledged and withdrawn, was carried out when the first one came back within its 4 s.

Marks: config/change/change_marks is the one mechanism of both registers: 256 marks, one floor, 504 for what may have been taken and forgotten (the setup answered 409). A change of the charter is certainly not taken if its own number or the one it builds on is not below the oldest mark's, if no mark was dropped, or if it can't be read; then 412 or 400 as before. Evacuations: an order changes its zone only if the ballot finds the zone's newest order as its trellis knew it when the order came; each order counts, also one that finds the zone as wanted; nothing is changed for a caller whose connection is closed (one recv with MSG_PEEK in the ballot). Else 504, and the trellis reads anew. Content stays the JSON list.

Ruled out: the whole register's revision as the fence (orders about two zones would refuse each other); a bound on the age of an order (read too late by a frozen machine).

Tests: EvacuationProposal.* and CharterProposal.* run both sides of each guard; Asks.AHandlerIsToldWhenItsCallerGoes. Changed: KeepsTheNewestMarks expected "another charter" for a change whose mark was dropped, which was the fault; it expects "forgotten" now. HallsAreAddedAndTakenAwayOnce expected no write for a repeated order; ZonesAreAddedAndTakenAwayOnce expects the same content in a new revision, since a withdrawal that finds nothing to do must fence as well.

--- a/source/config/change/proposal.cpp
+++ b/source/config/change/proposal.cpp
@@ -1,6 +1,5 @@
 #include "config/change/proposal.hpp"
 
-#include <algorithm>
 #include <charconv>
 
 #include "config/setup/setup.hpp"
@@ -19,16 +18,12 @@
 }
 
 IdStanding standing_of(schema::Value const& value, std::string const& id) {
-  std::optional<schema::ChangeMark> const mark = consensus::find_mark(value, id);
-  if (mark.has_value()) {
-    return IdStanding{mark->revision > 0 ? Standing::accepted : Standing::rejected, mark->revision};
-  }
   std::uint64_t const birth = birth_of(id);
-  std::uint64_t const floor = value.revision - std::min<std::uint64_t>(value.revision, value.marks.size());
-  if (birth < floor) {
-    return IdStanding{Standing::forgotten, 0};
+  IdStanding const standing = standing_of(value, id, birth >= dropped_marks(value));
+  if (standing.standing == Standing::open && birth > value.revision) {
+    return IdStanding{Standing::unborn, 0};
   }
-  return IdStanding{birth > value.revision ? Standing::unborn : Standing::open, 0};
+  return standing;
 }
 
 consensus::ProposalFunction setup_proposal(WantedChange const& wanted,
@@ -75,7 +70,7 @@
       return consensus::Reject{"the setup is larger than allowed"};
     }
     schema::Value next{current.revision + 1, content, current.marks};
-    consensus::add_mark(next, wanted.id, next.revision);
+    add_mark(next, wanted.id, next.revision);
     return next;
   };
 }
@@ -88,7 +83,7 @@
     // A revision of its own with the same content, so that each revision has
     // exactly one mark and the floor below holds.
     schema::Value next{current.revision + 1, current.content, current.marks};
-    consensus::add_mark(next, id, 0);
+    add_mark(next, id, 0);
     return next;
   };
 }
--- a/source/config/change/proposal.hpp
+++ b/source/config/change/proposal.hpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "config/change/change_marks.hpp"
 #include "consensus/proposer/proposer.hpp"
 #include "loam/json/fault.hpp"
 
@@ -32,11 +33,6 @@
 /// What a value says of an id (section 5.7). Each revision leaves one mark and
 /// the newest marks are kept, so an id born before the oldest of them whose own
 /// is not found may have had one: that is "forgotten", never "rejected".
-enum class Standing { open, accepted, rejected, forgotten, unborn };
-struct IdStanding {
-  Standing standing = Standing::open;
-  std::uint64_t revision = 0;
-};
 [[nodiscard]] IdStanding standing_of(schema::Value const& value, std::string const& id);
 
 /// The wish behind a PUT or PATCH: the id's earlier outcome counts first, then
--- a/source/config/charter/charter.cpp
+++ b/source/config/charter/charter.cpp
@@ -103,10 +103,24 @@
   return loam::print_tree(target->get());
 }
 
+std::optional<std::uint64_t> number_in(std::string const& text, std::string const& number_field) {
+  absl::StatusOr<loam::Tree> const tree = loam::read_tree(text);
+  if (!tree.ok()) {
+    return std::nullopt;
+  }
+  cJSON const* const number = cJSON_GetObjectItemCaseSensitive(tree->get(), number_field.c_str());
+  if (cJSON_IsNumber(number) == 0 || !(number->valuedouble >= 1) || !(number->valuedouble <= 0x1.0p53)) {
+    return std::nullopt;
+  }
+  return static_cast<std::uint64_t>(number->valuedouble);
+}
+
 Notation own_notation() {
-  return Notation{read_own, [](std::string const& current, std::string const& change) {
+  return Notation{read_own,
+                  [](std::string const& current, std::string const& change) {
                     return merge_named(current, change, "number", {"lanes", "services", "tenants"});
-                  }};
+                  },
+                  [](std::string const& text) { return number_in(text, "number"); }};
 }
 
 std::vector<loam::Fault> check(schema::Charter const& charter) {
--- a/source/config/charter/charter.hpp
+++ b/source/config/charter/charter.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -25,6 +27,8 @@
   std::function<CharterReading(std::string const& text)> read;
   /// A partial change laid over a whole one; gives a whole text.
   std::function<absl::StatusOr<std::string>(std::string const& current, std::string const& change)> merge;
+  /// The number that a charter, whole or partial, brings; nothing where it can't be read.
+  std::function<std::optional<std::uint64_t>(std::string const& text)> number;
 };
 
 /// Our own notation: the JSON of schema::Charter; a change is
@@ -38,6 +42,9 @@
                                                       std::string const& number_field,
                                                       std::vector<std::string> const& lists);
 
+/// A whole number above 0 that stands in a member of a JSON object.
+[[nodiscard]] std::optional<std::uint64_t> number_in(std::string const& text, std::string const& number_field);
+
 /// What parts say of each other: unknown services, lanes of one host and
 /// prefix, weights that add up to nothing, names that repeat, no deadline.
 [[nodiscard]] std::vector<loam::Fault> check(schema::Charter const& charter);
--- a/source/config/charter/proposal.cpp
+++ b/source/config/charter/proposal.cpp
@@ -1,10 +1,7 @@
 #include "config/charter/proposal.hpp"
 
-#include <algorithm>
-
 #include "loam/constants.hpp"
 #include "loam/digest/digest.hpp"
-#include "loam/json/tree.hpp"
 
 namespace finchlink::config {
 
@@ -44,79 +41,83 @@
 }
 }  // namespace
 
+bool kept_if_taken(schema::Value const& value, WantedCharter const& wanted, std::optional<std::uint64_t> number) {
+  if (dropped_marks(value) == 0) {
+    return true;
+  }
+  if (value.marks.empty()) {
+    return false;
+  }
+  std::uint64_t const oldest = value.marks.front().revision;
+  return wanted.expected.value_or(0) >= oldest || number.value_or(0) >= oldest;
+}
+
+namespace {
+/// The change and what is made of it once, for all ballots.
+struct CharterChange {
+  WantedCharter wanted;
+  std::string id;
+  std::optional<Made> whole;  ///< a whole charter says the same whatever is found
+  std::optional<std::uint64_t> number;
+};
+
+CharterChange prepare(WantedCharter const& wanted, Notation const& notation) {
+  CharterChange change{wanted, id_of(wanted), std::nullopt, std::nullopt};
+  if (!wanted.patch) {
+    change.whole = make(wanted, notation, "");
+    change.number = change.whole->reading.charter.number;
+  } else if (notation.number) {
+    change.number = notation.number(wanted.content);
+  }
+  return change;
+}
+
+Standing standing_of(schema::Value const& current, CharterChange const& change, MarkOptions const& marks) {
+  // One that can't be read was never taken.
+  bool const malformed = change.whole.has_value() && !change.whole->reading.good();
+  return standing_of(current, change.id, malformed || kept_if_taken(current, change.wanted, change.number), marks)
+      .standing;
+}
+
+consensus::Reject refuse(CharterProposalReport& note, CharterProposalOutcome end, std::string const& reason) {
+  note.end = end;
+  return consensus::Reject{reason};
+}
+}  // namespace
+
 consensus::ProposalFunction charter_proposal(WantedCharter const& wanted, Notation const& notation,
-                                             std::shared_ptr<CharterProposalReport> const& note) {
-  // A whole charter says the same whatever is found: it is read once.
-  std::shared_ptr<Made const> const whole =
-      wanted.patch ? nullptr : std::make_shared<Made const>(make(wanted, notation, ""));
-  std::string const id = id_of(wanted);
-  return [wanted, notation, note, whole, id](schema::Value const& current) -> consensus::Proposal {
+                                             std::shared_ptr<CharterProposalReport> const& note,
+                                             MarkOptions const& marks) {
+  std::shared_ptr<CharterChange const> const change = std::make_shared<CharterChange const>(prepare(wanted, notation));
+  return [change, notation, note, marks](schema::Value const& current) -> consensus::Proposal {
     *note = CharterProposalReport{};
     note->number = number_of(current);
-    std::optional<schema::ChangeMark> const mark = consensus::find_mark(current, id);
-    if (mark.has_value()) {
-      note->end = CharterProposalOutcome::done;
-      note->number = mark->revision;
-      return consensus::Reject{"done"};
+    Standing const standing = standing_of(current, *change, marks);
+    if (standing == Standing::accepted) {
+      note->number = find_mark(current, change->id)->revision;
+      return refuse(*note, CharterProposalOutcome::done, "done");
     }
-    if (wanted.expected.has_value() && *wanted.expected != note->number) {
-      note->end = CharterProposalOutcome::expectation;
-      return consensus::Reject{"another charter is in place"};
+    if (standing == Standing::forgotten) {
+      return refuse(*note, CharterProposalOutcome::forgotten, "too old to tell whether it was taken");
     }
-    Made const made = whole != nullptr ? *whole : make(wanted, notation, current.content);
+    if (change->wanted.expected.has_value() && *change->wanted.expected != note->number) {
+      return refuse(*note, CharterProposalOutcome::expectation, "another charter is in place");
+    }
+    Made const made = change->whole.has_value() ? *change->whole : make(change->wanted, notation, current.content);
     if (!made.reading.good()) {
-      note->end = CharterProposalOutcome::faults;
       note->faults = made.reading.faults;
-      return consensus::Reject{loam::describe(made.reading.faults)};
+      return refuse(*note, CharterProposalOutcome::faults, loam::describe(made.reading.faults));
     }
     if (made.reading.charter.number <= note->number) {
-      note->end = CharterProposalOutcome::number;
-      return consensus::Reject{"the number does not rise"};
+      return refuse(*note, CharterProposalOutcome::number, "the number does not rise");
     }
     if (made.content.size() > loam::constants::charter_limit) {
-      note->end = CharterProposalOutcome::size;
-      return consensus::Reject{"the charter is larger than allowed"};
+      return refuse(*note, CharterProposalOutcome::size, "the charter is larger than allowed");
     }
     schema::Value next{current.revision + 1, made.content, current.marks};
-    next.marks.push_back(schema::ChangeMark{id, made.reading.charter.number});
-    if (next.marks.size() > loam::constants::charter_marks_kept) {
-      next.marks.erase(next.marks.begin());
-    }
+    add_mark(next, change->id, made.reading.charter.number, marks.kept);
     return next;
   };
 }
 
-std::vector<std::string> evacuated_halls(std::string const& content) {
-  std::vector<std::string> halls;
-  absl::StatusOr<loam::Tree> const tree = loam::read_tree(content);
-  if (tree.ok() && cJSON_IsArray(tree->get()) != 0) {
-    for (cJSON const* entry = (*tree)->child; entry != nullptr; entry = entry->next) {
-      if (cJSON_IsString(entry) != 0) {
-        halls.emplace_back(entry->valuestring);
-      }
-    }
-  }
-  return halls;
-}
-
-consensus::ProposalFunction evacuation_proposal(std::string const& hall, bool evacuated) {
-  return [hall, evacuated](schema::Value const& current) -> consensus::Proposal {
-    std::vector<std::string> halls = evacuated_halls(current.content);
-    bool const there = std::find(halls.begin(), halls.end(), hall) != halls.end();
-    if (there == evacuated) {
-      return consensus::Keep{};
-    }
-    if (evacuated) {
-      halls.push_back(hall);
-    } else {
-      std::erase(halls, hall);
-    }
-    loam::Tree list(cJSON_CreateArray());
-    for (std::string const& name : halls) {
-      cJSON_AddItemToArray(list.get(), cJSON_CreateString(name.c_str()));
-    }
-    return schema::Value{current.revision + 1, loam::print_tree(list.get()), {}};
-  };
-}
-
 }  // namespace finchlink::config
--- a/source/config/charter/proposal.hpp
+++ b/source/config/charter/proposal.hpp
@@ -6,14 +6,14 @@
 #include <string>
 #include <vector>
 
+#include "config/change/change_marks.hpp"
 #include "config/charter/charter.hpp"
 #include "consensus/proposer/proposer.hpp"
 
 namespace finchlink::config {
 
-/// Names of the registers of what operators of several services say (section 13.3).
+/// Name of the register that holds the charter (section 13.3).
 inline constexpr char const* charter_register = "charter";
-inline constexpr char const* evacuated_register = "evacuated";
 
 /// A change of the charter that an operator wants (section 13.3).
 struct WantedCharter {
@@ -21,7 +21,15 @@
   bool patch = false;
   std::optional<std::uint64_t> expected;  ///< number of the charter it builds on; nothing: any
 };
-enum class CharterProposalOutcome { none, done, expectation, number, faults, size };
+enum class CharterProposalOutcome {
+  none,
+  done,         ///< taken, now or before
+  forgotten,    ///< so old that it may have been taken and its mark dropped: unknown
+  expectation,  ///< certainly not taken: another charter is in place
+  number,       ///< certainly not taken: its number does not rise
+  faults,
+  size,
+};
 /// Why a wish was rejected, for the answer to the operator.
 struct CharterProposalReport {
   CharterProposalOutcome end = CharterProposalOutcome::none;
@@ -35,16 +43,19 @@
 /// has to be read for it; 0 before the first.
 [[nodiscard]] std::uint64_t number_of(schema::Value const& value);
 
-/// The wish behind a PUT or PATCH of the charter: a change that was taken
-/// before is done, also when newer ones came after it; then what it builds on
-/// must be the one in force, and its number must rise.
+/// Whether the mark of this change would still be in the value, had the change
+/// been taken. Its mark would carry its own number, and lie behind the mark of
+/// the charter that it builds on: either one at or above the oldest kept mark
+/// makes the answer certain.
+[[nodiscard]] bool kept_if_taken(schema::Value const& value, WantedCharter const& wanted,
+                                 std::optional<std::uint64_t> number);
+
+/// The proposal behind a PUT or PATCH of the charter: a change that was taken
+/// before is done, also when newer ones came after it; one that may have been
+/// taken and forgotten is not judged; then what it builds on must be the one in
+/// force, and its number must rise.
 [[nodiscard]] consensus::ProposalFunction charter_proposal(WantedCharter const& wanted, Notation const& notation,
-                                                           std::shared_ptr<CharterProposalReport> const& note);
-
-/// Halls that are evacuated, from the register's content.
-[[nodiscard]] std::vector<std::string> evacuated_halls(std::string const& content);
-/// Adds a hall to the evacuated ones or takes it away; said twice, it has no
-/// further effect.
-[[nodiscard]] consensus::ProposalFunction evacuation_proposal(std::string const& hall, bool evacuated);
+                                                           std::shared_ptr<CharterProposalReport> const& note,
+                                                           MarkOptions const& marks = {});
 
 }  // namespace finchlink::config
--- a/source/consensus/proposer/proposer.cpp
+++ b/source/consensus/proposer/proposer.cpp
@@ -3,26 +3,8 @@
 #include <algorithm>
 #include <type_traits>
 
-#include "loam/constants.hpp"
-
 namespace finchlink::consensus {
 
-void add_mark(schema::Value& value, std::string const& id, std::uint64_t revision) {
-  value.marks.push_back(schema::ChangeMark{id, revision});
-  if (value.marks.size() > loam::constants::marks_kept) {
-    value.marks.erase(value.marks.begin());
-  }
-}
-
-std::optional<schema::ChangeMark> find_mark(schema::Value const& value, std::string const& id) {
-  for (schema::ChangeMark const& mark : value.marks) {
-    if (mark.id == id) {
-      return mark;
-    }
-  }
-  return std::nullopt;
-}
-
 ProposalFunction replace_at(std::uint64_t expected, std::string const& content) {
   return [expected, content](schema::Value const& found) -> Proposal {
     if (found.revision != expected) {
--- a/source/consensus/proposer/proposer.hpp
+++ b/source/consensus/proposer/proposer.hpp
@@ -88,8 +88,4 @@
 /// says no otherwise: the fence of whatever a duty writes (section 7.2).
 [[nodiscard]] ProposalFunction replace_at(std::uint64_t expected, std::string const& content);
 
-/// Adds a mark, keeping only the newest (constants::marks_kept).
-void add_mark(schema::Value& value, std::string const& id, std::uint64_t revision);
-[[nodiscard]] std::optional<schema::ChangeMark> find_mark(schema::Value const& value, std::string const& id);
-
 }  // namespace finchlink::consensus
--- a/source/furrow/relay/station.cpp
+++ b/source/furrow/relay/station.cpp
@@ -11,6 +11,7 @@
 #include <sstream>
 
 #include "config/charter/proposal.hpp"
+#include "config/evacuation/proposal.hpp"
 #include "consensus/ballot/ballot.hpp"
 #include "furrow/relay/walls.hpp"
 #include "loam/json/tree.hpp"
@@ -367,16 +368,8 @@
       }
       loam::note(loam::Event::RevisionAdopted, "charter revision " + std::to_string(news.revision));
     } else if (news.name == config::evacuated_register) {
-      evacuated_.clear();
-      absl::StatusOr<loam::Tree> const tree = loam::read_tree(news.content);
-      cJSON const* entry = nullptr;
-      if (tree.ok()) {
-        cJSON_ArrayForEach(entry, tree->get()) {
-          if (cJSON_IsString(entry) != 0) {
-            evacuated_.insert(entry->valuestring);
-          }
-        }
-      }
+      std::vector<std::string> const zones = config::evacuated_zones(news.content);
+      evacuated_ = decltype(evacuated_)(zones.begin(), zones.end());
       loam::note(loam::Event::RevisionAdopted, "evacuated " + news.content);
     } else if (news.name.rfind(consensus::split_prefix, 0) == 0) {
       take_split(news);
--- a/source/loam/constants.hpp
+++ b/source/loam/constants.hpp
@@ -101,9 +101,11 @@
 /// A large value takes this much longer a byte, in microseconds: windows of
 /// 64 KB between regions let through a megabyte a second.
 inline constexpr Span holder_byte_span = 1;
-/// Ids of changes kept inside a register, one a revision; what became of an
-/// older one is no longer known (section 5.7). At the pace of a storm, some
-/// twenty changes a second, that is three times a change's own time.
+/// Marks of changes kept inside a register, one a revision; what became of an
+/// older change may no longer be known (section 5.7). An order is repeated for
+/// at most some 18 s (the longest bound of an acknowledgement with all its
+/// extensions) and storms bring ten changes a second: 180, and a half more. A
+/// mark of the charter takes 48 bytes: 12 KB of each value that is sent.
 inline constexpr std::size_t marks_kept = 256;
 /// Outcomes looked up at once in one trellis: each may write a mark. Six
 /// trellises then push out 256 marks in no less than ten seconds, more than
@@ -113,9 +115,6 @@
 inline constexpr std::size_t setup_limit = 256u << 10u;
 /// Largest charter in bytes: some five thousand lanes of 350 bytes.
 inline constexpr std::size_t charter_limit = 2u << 20u;
-/// Changes of the charter whose outcome is remembered: an operator repeats a
-/// change for some seconds, in which no more than a few are taken.
-inline constexpr std::size_t charter_marks_kept = 64;
 /// Pause between tries to found the register.
 inline constexpr Span founding_pause = milliseconds(200);
 /// A holder that misses this many looks in a row (two to three seconds) is
--- a/source/loam/http/http.cpp
+++ b/source/loam/http/http.cpp
@@ -1,7 +1,10 @@
 #include "loam/http/http.hpp"
 
+#include <sys/socket.h>
+
 #include <array>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <cerrno>
 
 #include "loam/constants.hpp"
 #include "loam/error/error.hpp"
@@ -45,8 +48,22 @@
 }
 }  // namespace
 
+bool CallerConnection::gone() const {
+  char next = 0;
+  ssize_t const got = recv(socket_, &next, 1, MSG_PEEK | MSG_DONTWAIT);
+  return got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
 absl::Status serve_asks(boost::asio::io_context& context, std::string const& address, std::size_t most,
                         std::size_t body_limit, AskHandler handler) {
+  return serve_asks(context, address, most, body_limit,
+                    [handler = std::move(handler)](Ask const& ask, CallerConnection const&, Yield yield) {
+                      return handler(ask, yield);
+                    });
+}
+
+absl::Status serve_asks(boost::asio::io_context& context, std::string const& address, std::size_t most,
+                        std::size_t body_limit, ConnectedAskHandler handler) {
   return listen(context, address, most, [handler, body_limit](Stream& stream, Yield yield) {
     boost::beast::flat_buffer buffer;
     bool again = true;
@@ -76,7 +93,7 @@
         Ask const ask = parser.release();
         again = ask.keep_alive();
         stream.expires_never();
-        answer = handler(ask, yield);
+        answer = handler(ask, CallerConnection(stream), yield);
         if (ask.method() == http::verb::head) {  // tells the length that the body would have
           answer.body().clear();
         }
--- a/source/platform/notation.cpp
+++ b/source/platform/notation.cpp
@@ -163,9 +163,11 @@
 }  // namespace
 
 config::Notation notation() {
-  return config::Notation{read_charter, [](std::string const& current, std::string const& change) {
+  return config::Notation{read_charter,
+                          [](std::string const& current, std::string const& change) {
                             return config::merge_named(current, change, "revision", {"channels", "plants"});
-                          }};
+                          },
+                          [](std::string const& text) { return config::number_in(text, "revision"); }};
 }
 
 }  // namespace finchlink::platform
--- a/source/tests/loam/asks_test.cpp
+++ b/source/tests/loam/asks_test.cpp
@@ -44,5 +44,31 @@
   EXPECT_EQ(answer->body(), "got 0");
 }
 
+TEST(Asks, AHandlerIsToldWhenItsCallerGoes) {
+  bool serving = false;
+  bool there_at_first = false;
+  bool gone_at_last = false;
+  Fleet fleet;
+  std::string const address = fleet.next_address();
+  EXPECT_TRUE(loam::serve_asks(*fleet.context, address, 16, 1000,
+                               [&](loam::Ask const&, loam::CallerConnection const& caller, loam::Yield yield) {
+                                 there_at_first = !caller.gone();
+                                 serving = true;
+                                 loam::Moment const until = loam::boot_now() + loam::seconds(10);
+                                 while (!caller.gone() && loam::boot_now() < until) {
+                                   loam::pause(*fleet.context, loam::milliseconds(1), yield);
+                                 }
+                                 gone_at_last = caller.gone();
+                                 return loam::answer_text(http::status::ok, "{}");
+                               })
+                  .ok());
+  std::shared_ptr<Line> const caller = fleet.call("POST /any HTTP/1.1\r\nHost: any\r\n\r\n", address);
+  ASSERT_TRUE(fleet.until([&] { return serving; }));
+  EXPECT_FALSE(gone_at_last);
+  caller->close();
+  ASSERT_TRUE(fleet.until([&] { return gone_at_last; }));
+  EXPECT_TRUE(there_at_first);
+}
+
 }  // namespace
 }  // namespace finchlink::relay_test
--- a/source/trellis/duty/duties.cpp
+++ b/source/trellis/duty/duties.cpp
@@ -4,6 +4,7 @@
 #include <set>
 
 #include "config/charter/proposal.hpp"
+#include "config/evacuation/proposal.hpp"
 #include "config/label/selector.hpp"
 #include "config/setup/setup.hpp"
 #include "loam/json/tree.hpp"
@@ -208,7 +209,7 @@
       lane = schema::Lane{.shares = std::move(lane.shares), .set_point_ms = lane.set_point_ms};
     }
   }
-  std::vector<std::string> const halls = config::evacuated_halls(evacuated.content);
+  std::vector<std::string> const halls = config::evacuated_zones(evacuated.content);
   schema::PlatformList const list = news_.list();
   std::lock_guard<std::mutex> const guard(lock_);
   return tilth::pools_of(list, charter_, known.regions, std::set<std::string>(halls.begin(), halls.end()));
--- a/source/trellis/operator/operator.cpp
+++ b/source/trellis/operator/operator.cpp
@@ -102,7 +102,7 @@
 }
 }  // namespace
 
-loam::Answer Operator::answer(loam::Ask const& ask, loam::Yield yield) {
+loam::Answer Operator::answer(loam::Ask const& ask, loam::CallerConnection const& caller, loam::Yield yield) {
   ++open_;
   std::string const target(ask.target().substr(0, ask.target().find('?')));
   loam::Answer answer = loam::answer_error(http::status::not_found, "unknown_path", "see docs/operating/setup.md");
@@ -116,7 +116,7 @@
   if (target == paths_.charter || target == own.charter) {
     answer = answer_charter(ask, yield);
   } else if (named.has_value() && (verb == http::verb::post || verb == http::verb::delete_)) {
-    answer = evacuate(*named, verb == http::verb::post, yield);
+    answer = evacuate(*named, verb == http::verb::post, caller, yield);
   } else if (target == "/evacuated" && verb == http::verb::get) {
     answer = get_evacuated(yield);
   } else if (target == "/setup") {
@@ -237,11 +237,12 @@
     ++accepted_;
     loam::note(loam::Event::CharterChosen, std::to_string(number));
   } else if (std::holds_alternative<RegisterClient::Unknown>(result)) {
-    // It may have been chosen or may yet be: no status that promises otherwise.
-    ++unknown_;
     loam::note(loam::Event::CharterUnknown, config::id_of(wanted));
-    return loam::answer_error(http::status::gateway_timeout, "unknown",
-                              "no majority of holders answered in time; send the same again");
+    return unknown("no majority of holders answered in time; send the same again");
+  }
+  if (note->end == config::CharterProposalOutcome::forgotten) {
+    loam::note(loam::Event::CharterUnknown, config::id_of(wanted) + " is too old");
+    return unknown("too old to tell whether it was taken before; nothing was done now");
   }
   std::string const tag = "\"" + std::to_string(number) + "\"";
   if (note->end == config::CharterProposalOutcome::done) {
@@ -270,16 +271,31 @@
   return answer;
 }
 
-loam::Answer Operator::evacuate(std::string const& hall, bool evacuated, loam::Yield yield) {
-  RegisterClient::Result const result = register_.change(
-      config::evacuated_register, config::evacuation_proposal(hall, evacuated), constants::change_deadline, yield);
+loam::Answer Operator::unknown(std::string const& message) {
+  ++unknown_;
+  return loam::answer_error(http::status::gateway_timeout, "unknown", message);
+}
+
+loam::Answer Operator::evacuate(std::string const& zone, bool evacuated, loam::CallerConnection const& caller,
+                                loam::Yield yield) {
+  // Known before anything else happens: what comes later may be newer than this order (section 13.3).
+  config::EvacuationOrder const order{zone, evacuated,
+                                      config::newest_order(register_.value(config::evacuated_register), zone)};
+  std::shared_ptr<config::EvacuationReport> const report = std::make_shared<config::EvacuationReport>();
+  RegisterClient::Result const result = register_.change(config::evacuated_register,
+                                                         config::evacuation_proposal(
+                                                             order, [caller] { return caller.gone(); }, report),
+                                                         constants::change_deadline, yield);
   if (std::holds_alternative<RegisterClient::Unknown>(result)) {
-    ++unknown_;
-    return loam::answer_error(http::status::gateway_timeout, "unknown",
-                              "no majority of holders answered in time; send the same again");
+    return unknown("no majority of holders answered in time; send the same again");
+  }
+  if (std::holds_alternative<consensus::Rejected>(result)) {
+    // Whoever sends it again must find this trellis up to date.
+    register_.hurry();
+    return unknown("another order about this zone came meanwhile; send the same again");
   }
   ++accepted_;
-  loam::note(loam::Event::EvacuationChosen, hall + (evacuated ? " is emptied" : " is taken back"));
+  loam::note(loam::Event::EvacuationChosen, zone + (evacuated ? " is emptied" : " is taken back"));
   spread(yield);
   return loam::answer_text(http::status::ok, "{}");
 }
@@ -361,7 +377,7 @@
     }
     if (note->end == config::SetupProposalOutcome::forgotten) {
       ++unknown_;
-      return outcome_answer(http::status::conflict, "forgotten", wanted.id, 0,
+      return outcome_answer(http::status::gateway_timeout, "forgotten", wanted.id, 0,
                             "too old to tell whether it was taken before; nothing was done now. End an id in the "
                             "revision that you know: NAME.REVISION");
     }
--- a/source/trellis/operator/operator.hpp
+++ b/source/trellis/operator/operator.hpp
@@ -4,6 +4,7 @@
 
 #include "config/change/proposal.hpp"
 #include "config/charter/proposal.hpp"
+#include "config/evacuation/proposal.hpp"
 #include "loam/constants.hpp"
 #include "loam/http/http.hpp"
 #include "trellis/news/news.hpp"
@@ -28,7 +29,7 @@
         acknowledge_wait_(acknowledge_wait) {}
   /// Settings that changed.
   void follow(loam::Span acknowledge_wait) { acknowledge_wait_ = acknowledge_wait; }
-  [[nodiscard]] loam::Answer answer(loam::Ask const& ask, loam::Yield yield);
+  [[nodiscard]] loam::Answer answer(loam::Ask const& ask, loam::CallerConnection const& caller, loam::Yield yield);
   [[nodiscard]] bool busy() const { return open_ > 0; }
 
  private:
@@ -36,7 +37,10 @@
   [[nodiscard]] loam::Answer get_charter(loam::Yield yield);
   [[nodiscard]] loam::Answer change_charter(loam::Ask const& ask, bool patch, loam::Yield yield);
   [[nodiscard]] loam::Answer get_evacuated(loam::Yield yield);
-  [[nodiscard]] loam::Answer evacuate(std::string const& hall, bool evacuated, loam::Yield yield);
+  [[nodiscard]] loam::Answer evacuate(std::string const& zone, bool evacuated, loam::CallerConnection const& caller,
+                                      loam::Yield yield);
+  /// What became of an order is not known: no status that promises otherwise.
+  [[nodiscard]] loam::Answer unknown(std::string const& message);
   /// Whether a majority confirmed all values after now; waits for it.
   [[nodiscard]] bool confirmed(loam::Yield yield);
   /// What was chosen is on its way to all furrows; then the wait before yes.
