Simulated operators of charters and evacuations, explained together with the holders

Found by it: a refused repair settles an empty holders register, and the simulator read its content without a look and aborted; the daemons looked already. The simulator's sure reads go by one function now.

--- a/source/almanac/control/control.cpp
+++ b/source/almanac/control/control.cpp
@@ -199,6 +199,10 @@
   void acknowledged(std::string const& id, std::uint64_t revision, std::uint64_t floor, Moment began);
   void outcome_of(std::string const& id);
   void read(std::function<void(std::uint64_t)> done);
+  /// Calls back once a majority confirmed all registers after now.
+  void when_confirmed(Machine& machine, std::function<void()> done);
+  schema::Value known(Machine const& machine, std::string const& name) const;
+  void begin_orders();
 
   // --- faults and checks ---
   void faults();
@@ -222,7 +226,8 @@
   std::vector<std::string> founders_;
   std::set<std::pair<std::string, std::string>> cuts_;
   std::set<std::string> split_;
-  std::vector<HistoryEntry> history_;          ///< what operators were told of the setup
+  std::unique_ptr<OperatorModel> orders_;      ///< operators of charters and evacuations
+  History history_;                            ///< what operators were told of the setup
   std::map<std::string, HistoryEntry> asked_;  ///< changes by id, told or not
   bool calm_ = false;
   bool has_setup_ = false;
@@ -445,10 +450,11 @@
                        constants::holder_deadline, nullptr);
                  }
                } else if (std::holds_alternative<consensus::Confirmed>(result)) {
-                 std::map<std::string, schema::Value>::const_iterator const setup =
-                     machine.confirm.values().find(consensus::setup_register);
-                 if (setup != machine.confirm.values().end()) {
-                   observe(setup->second, machine.address);
+                 observe(known(machine, consensus::setup_register), machine.address);
+                 if (orders_ != nullptr) {
+                   for (std::pair<std::string const, schema::Value> const& value : machine.confirm.values()) {
+                     orders_->observe(value.first, value.second);
+                   }
                  }
                }
              }
@@ -559,14 +565,14 @@
       submit(machine, machine.holder->receive(schema::Adopt{machine.set}, local(machine)),
              [](std::optional<schema::Message> const&) {});
     }
-    std::map<std::string, schema::Value>::const_iterator const value =
-        machine.confirm.values().find(consensus::holders_register);
-    if (value == machine.confirm.values().end()) {
+    // A refused repair settles what it found, and that is nothing before the first one.
+    schema::Value const value = known(machine, consensus::holders_register);
+    if (value.revision == 0) {
       return;
     }
     schema::VoterSet next;
     std::vector<loam::Fault> faults;
-    schema::read(loam::read_tree(value->second.content)->get(), "", next, faults);
+    schema::read(loam::read_tree(value.content)->get(), "", next, faults);
     if (next.epoch <= machine.set.epoch) {
       return;
     }
@@ -637,11 +643,17 @@
           options_.repair_fenced
               ? membership::reconfiguration_proposal(machine.set, *plan)
               : consensus::replace_at(newest, loam::print_tree(loam::Tree(schema::write(*plan)).get()));
+      Moment const began = kernel_.now();
       start_change(machine, consensus::holders_register, propose, constants::change_deadline,
-                   [this](std::variant<consensus::Chosen, consensus::Rejected, std::monostate> const& result) {
-                     if (std::holds_alternative<consensus::Chosen>(result)) {
+                   [this, began](ChangeEnd const& result) {
+                     if (consensus::Chosen const* const chosen = std::get_if<consensus::Chosen>(&result)) {
                        ++report_.repairs;
                        kernel_.trace("repair chosen");
+                       if (orders_ != nullptr) {
+                         orders_->record(
+                             consensus::holders_register,
+                             HistoryEntry{HistoryEntry::Kind::write, chosen->value.revision, began, kernel_.now()});
+                       }
                      }
                    });
     });
@@ -858,30 +870,59 @@
   }
   std::uint64_t const floor = floor_;
   Moment const began = kernel_.now();
-  Moment const arrival = local(*machine);
+  when_confirmed(*machine, [this, machine, floor, began, done] {
+    std::uint64_t const revision = known(*machine, consensus::setup_register).revision;
+    ++report_.reads;
+    history_.push_back(HistoryEntry{HistoryEntry::Kind::read, revision, began, kernel_.now()});
+    if (revision < floor) {
+      violate("a read gave revision " + std::to_string(revision) + " though " + std::to_string(floor) +
+              " was known before");
+    }
+    floor_ = std::max(floor_, revision);
+    done(revision);
+  });
+}
+
+void World::when_confirmed(Machine& machine, std::function<void()> done) {
+  Moment const arrival = local(machine);
   std::shared_ptr<std::function<void(int)>> const look = std::make_shared<std::function<void(int)>>();
   std::weak_ptr<std::function<void(int)>> const weak = look;
-  *look = [this, machine, floor, began, arrival, weak, done](int left) {
-    if (machine->confirm.confirmed_from() >= arrival) {
-      std::map<std::string, schema::Value>::const_iterator const setup =
-          machine->confirm.values().find(consensus::setup_register);
-      std::uint64_t const revision = setup == machine->confirm.values().end() ? 0 : setup->second.revision;
-      ++report_.reads;
-      history_.push_back(HistoryEntry{HistoryEntry::Kind::read, revision, began, kernel_.now(), std::nullopt});
-      if (revision < floor) {
-        violate("a read gave revision " + std::to_string(revision) + " though " + std::to_string(floor) +
-                " was known before");
-      }
-      floor_ = std::max(floor_, revision);
-      done(revision);
+  *look = [this, &machine, arrival, weak, done](int left) {
+    if (machine.confirm.confirmed_from() >= arrival) {
+      done();
     } else if (left > 0) {
       std::shared_ptr<std::function<void(int)>> const self = weak.lock();
-      later(*machine, loam::milliseconds(20), [self, left] { (*self)(left - 1); });
+      later(machine, loam::milliseconds(20), [self, left] { (*self)(left - 1); });
     }
   };
   (*look)(200);
 }
 
+schema::Value World::known(Machine const& machine, std::string const& name) const {
+  std::map<std::string, schema::Value>::const_iterator const found = machine.confirm.values().find(name);
+  return found == machine.confirm.values().end() ? schema::Value{} : found->second;
+}
+
+void World::begin_orders() {
+  ClusterAccess access;
+  access.nodes = [this] { return machines_.size(); };
+  access.alive = [this](std::size_t node) { return machines_[node]->alive; };
+  access.deliver = [this](std::size_t node, std::function<void()> const& event) {
+    on(*machines_[node], machines_[node]->life, event);
+  };
+  access.change = [this](std::size_t node, std::string const& name, consensus::ProposalFunction propose,
+                         std::function<void(ChangeEnd const&)> const& done) {
+    start_change(*machines_[node], name, std::move(propose), constants::change_deadline, done);
+  };
+  access.value = [this](std::size_t node, std::string const& name) { return known(*machines_[node], name); };
+  access.confirmed = [this](std::size_t node, std::function<void()> const& done) {
+    when_confirmed(*machines_[node], done);
+  };
+  access.violate = [this](std::string const& text) { violate(text); };
+  orders_ = std::make_unique<OperatorModel>(options_.orders, kernel_, std::move(access));
+  orders_->begin();
+}
+
 void World::operator_loop(std::size_t number) {
   kernel_.after(static_cast<Span>(kernel_.exponential(options_.operators_pause) * 1e6), [this, number] {
     operator_loop(number);
@@ -1182,6 +1223,9 @@
   for (std::size_t number = 0; number < options_.operators; ++number) {
     operator_loop(number);
   }
+  if (options_.orders.operators > 0) {
+    begin_orders();
+  }
   kernel_.after(loam::seconds(3), [this] { faults(); });
 }
 
@@ -1189,6 +1233,9 @@
 void World::end_day(Moment at) {
   kernel_.at(at, [this] {
     calm_ = true;
+    if (orders_ != nullptr) {
+      orders_->stop();
+    }
     for (std::unique_ptr<Machine> const& machine : machines_) {
       if (options_.faults.last_fault && kernel_.chance(0.6)) {
         kill(*machine);
@@ -1214,6 +1261,9 @@
   kernel_.run(options_.length, each);
   // The day ends: faults stop, after one last; what was lost returns.
   calm_ = true;
+  if (orders_ != nullptr) {
+    orders_->stop();
+  }
   if (options_.faults.last_fault) {
     for (std::unique_ptr<Machine> const& machine : machines_) {
       if (kernel_.chance(0.6)) {
@@ -1264,6 +1314,9 @@
     violate("no order explains what was told: " + wrong);
   }
   report_.explained = history_.size();
+  if (orders_ != nullptr) {
+    report_.orders = orders_->finish();
+  }
   report_.trace_hash = kernel_.trace_hash();
   report_.events = kernel_.events();
   return report_;
--- a/source/almanac/control/control.hpp
+++ b/source/almanac/control/control.hpp
@@ -11,6 +11,7 @@
 
 #include "almanac/disk/memory_disk.hpp"
 #include "almanac/kernel/kernel.hpp"
+#include "almanac/operators/operators.hpp"
 #include "consensus/acceptor/acceptor.hpp"
 #include "consensus/majority_reader/majority_reader.hpp"
 #include "consensus/proposer/proposer.hpp"
@@ -52,6 +53,7 @@
   std::uint64_t lease_changes = 0;
   loam::Span worst_acknowledge = 0;
   loam::Span worst_recovery = 0;
+  OperatorCounts orders;  ///< of charters and evacuations
   std::uint64_t trace_hash = 0;
   std::uint64_t events = 0;
 };
@@ -64,6 +66,7 @@
   std::size_t furrows = 6;
   double operators_pause = 0.7;  ///< seconds between two asks of one operator
   std::size_t operators = 3;
+  OperatorLoad orders;  ///< operators of charters and evacuations, beside those of the setup
   ControlFaults faults;
   consensus::Guards guards;
   membership::FreshnessGuards vouch_guards;
--- a/source/almanac/history/history.cpp
+++ b/source/almanac/history/history.cpp
@@ -10,9 +10,57 @@
 std::string named(std::string const& what, std::uint64_t revision, loam::Moment at) {
   return what + " revision " + std::to_string(revision) + " (begun at " + std::to_string(at) + " us)";
 }
+
+/// A change that was taken must not have been refused, by whichever node.
+std::string explain_refusals(History const& entries) {
+  std::map<std::string, HistoryEntry const*> taken;
+  for (HistoryEntry const& entry : entries) {
+    if (entry.kind == Kind::write && !entry.change.empty()) {
+      taken.emplace(entry.change, &entry);
+    }
+  }
+  for (HistoryEntry const& entry : entries) {
+    if (entry.kind == Kind::refused && taken.count(entry.change) > 0) {
+      return named("refused a change that was taken at", taken.at(entry.change)->revision, entry.began);
+    }
+  }
+  return "";
+}
+
+/// What was given up must not overtake what was acknowledged since.
+std::string explain_abandoned(History const& entries) {
+  for (HistoryEntry const& late : entries) {
+    if (late.kind != Kind::write || late.subject.empty() || !late.abandoned.has_value()) {
+      continue;
+    }
+    for (HistoryEntry const& order : entries) {
+      if (order.subject == late.subject && order.ended.has_value() && order.began >= *late.abandoned &&
+          order.revision < late.revision) {
+        return named("an abandoned order about " + late.subject + " took effect behind an acknowledged one, at",
+                     late.revision, late.began);
+      }
+    }
+  }
+  return "";
+}
 }  // namespace
 
-std::string explain_history(std::vector<HistoryEntry> const& entries) {
+std::string explain_histories(Histories const& histories) {
+  for (std::pair<std::string const, History> const& history : histories) {
+    std::string const wrong = explain_history(history.second);
+    if (!wrong.empty()) {
+      return history.first + ": " + wrong;
+    }
+  }
+  return "";
+}
+
+std::string explain_history(History const& entries) {
+  for (std::string const& wrong : {explain_refusals(entries), explain_abandoned(entries)}) {
+    if (!wrong.empty()) {
+      return wrong;
+    }
+  }
   std::map<std::uint64_t, HistoryEntry const*> writes;
   std::map<std::uint64_t, std::vector<HistoryEntry const*>> reads;
   std::uint64_t newest = 0;
--- a/source/almanac/main.cpp
+++ b/source/almanac/main.cpp
@@ -52,7 +52,12 @@
                                             {"confirm_after_arrival", &run.desk_guards.confirm_after_arrival},
                                             {"acknowledge_waits", &run.acknowledge_waits},
                                             {"learn_beyond_seeds", &run.learn_beyond_seeds},
-                                            {"repair_fenced", &run.repair_fenced}};
+                                            {"repair_fenced", &run.repair_fenced},
+                                            {"evacuation_fenced", &run.orders.evacuation.fenced},
+                                            {"orders_counted", &run.orders.evacuation.orders_counted},
+                                            {"caller_watched", &run.orders.evacuation.caller_watched},
+                                            {"marks_found", &run.orders.marks.found},
+                                            {"forgotten_known", &run.orders.marks.forgotten_known}};
   std::map<std::string, bool*>::const_iterator const found = guards.find(guard);
   if (found == guards.end()) {
     return false;
@@ -80,6 +85,29 @@
   return true;
 }
 
+void add_orders(almanac::OperatorCounts& sum, almanac::OperatorCounts const& report) {
+  sum.orders += report.orders;
+  sum.attempts += report.attempts;
+  sum.acknowledged += report.acknowledged;
+  sum.acknowledged_again += report.acknowledged_again;
+  sum.refused += report.refused;
+  sum.forgotten += report.forgotten;
+  sum.superseded += report.superseded;
+  sum.caller_gone += report.caller_gone;
+  sum.unknown += report.unknown;
+  sum.abandoned += report.abandoned;
+  sum.reads += report.reads;
+  sum.explained += report.explained;
+}
+
+void print_orders(almanac::OperatorCounts const& sum) {
+  std::cout << "  orders of charters and evacuations: " << sum.orders << ", sent " << sum.attempts
+            << " times, acknowledged " << sum.acknowledged << " (again " << sum.acknowledged_again << "), refused "
+            << sum.refused << ", forgotten " << sum.forgotten << ", superseded " << sum.superseded << ", caller gone "
+            << sum.caller_gone << ", unknown " << sum.unknown << ", abandoned " << sum.abandoned << ", reads "
+            << sum.reads << "; explained " << sum.explained << "\n";
+}
+
 int run_walls_scenario(std::uint64_t first, std::uint64_t last, options::variables_map const& found) {
   almanac::WallsReport sum;
   std::uint64_t failed = 0;
@@ -353,6 +381,8 @@
       "crowd", options::value<double>()->default_value(0),
       "times the rate in the crowd of field-crowd and field-overload; 0: the scenario's")(
       "crowd-on-first", "the crowd is on the first service only")(
+      "operators", options::value<std::uint64_t>()->default_value(0),
+      "operators of charters and evacuations beside those of the setup (control scenarios)")(
       "fewer", options::value<std::uint64_t>()->default_value(0), "workers fewer in the first hall")(
       "window", options::value<double>()->default_value(20), "scaler's window in seconds")(
       "hold", options::value<double>()->default_value(5), "scaler's hold in seconds");
@@ -426,8 +456,9 @@
       run.seed = seed;
       run.length = static_cast<loam::Span>(found["seconds"].as<double>() * 1e6);
       run.faults = *faults;
+      run.orders.operators = found["operators"].as<std::uint64_t>();
       run.print = found.count("trace") > 0;
-      std::string off;
+      std::string off = run.orders.operators > 0 ? " --operators " + std::to_string(run.orders.operators) : "";
       if (found.count("off") > 0) {
         for (std::string const& guard : found["off"].as<std::vector<std::string>>()) {
           if (!switch_off(run, guard)) {
@@ -446,6 +477,7 @@
       sum.repairs += report.repairs;
       sum.lease_changes += report.lease_changes;
       sum.events += report.events;
+      add_orders(sum.orders, report.orders);
       sum.worst_acknowledge = std::max(sum.worst_acknowledge, report.worst_acknowledge);
       sum.worst_recovery = std::max(sum.worst_recovery, report.worst_recovery);
       if (first == last) {
@@ -468,6 +500,9 @@
               << sum.repairs << ", lease changes " << sum.lease_changes << ", worst acknowledgement "
               << sum.worst_acknowledge / 1000 << " ms, worst recovery " << sum.worst_recovery / 1000 << " ms; "
               << sum.events << " events in " << took << " s\n";
+    if (sum.orders.orders > 0) {
+      print_orders(sum.orders);
+    }
   }
   return code;
 }
--- a/source/tests/almanac/history_test.cpp
+++ b/source/tests/almanac/history_test.cpp
@@ -54,5 +54,53 @@
   }
 }
 
+HistoryEntry order(std::uint64_t revision, loam::Moment began, std::optional<loam::Moment> ended,
+                   std::optional<loam::Moment> abandoned) {
+  HistoryEntry write = entry(Kind::write, revision, began, ended);
+  write.subject = "zone";
+  write.abandoned = abandoned;
+  return write;
+}
+
+TEST(History, ATakenChangeIsNeverRefused) {
+  HistoryEntry write = entry(Kind::write, 1, 0, 10);
+  write.change = "c";
+  HistoryEntry refusal = entry(Kind::refused, HistoryEntry::no_revision, 500, 510);
+  refusal.change = "other";
+  EXPECT_EQ(almanac::explain_history({write, refusal}), "");
+  refusal.change = "c";
+  EXPECT_NE(almanac::explain_history({write, refusal}).find("refused a change that was taken"), std::string::npos);
+  // Also where it was taken behind the no, by a node that was late.
+  write.began = 0;
+  write.ended = std::nullopt;
+  refusal.ended = 5;
+  EXPECT_NE(almanac::explain_history({refusal, write}), "");
+}
+
+TEST(History, AnAbandonedOrderDoesNotOvertakeAnAcknowledgedOne) {
+  // Given up at 10; another one, begun at 20, was acknowledged and came first.
+  EXPECT_NE(almanac::explain_history({order(1, 20, 30, std::nullopt), order(2, 0, std::nullopt, 10)})
+                .find("abandoned order about zone"),
+            std::string::npos);
+  // The operator gave up and turned to the other in one moment.
+  EXPECT_NE(almanac::explain_history({order(1, 10, 30, std::nullopt), order(2, 0, std::nullopt, 10)}), "");
+  // It came first; it was not given up before the other began; nobody was told of the other; another subject.
+  EXPECT_EQ(almanac::explain_history({order(2, 20, 30, std::nullopt), order(1, 0, std::nullopt, 10)}), "");
+  EXPECT_EQ(almanac::explain_history({order(1, 5, 30, std::nullopt), order(2, 0, std::nullopt, 10)}), "");
+  EXPECT_EQ(almanac::explain_history({order(1, 20, std::nullopt, 30), order(2, 0, std::nullopt, 10)}), "");
+  HistoryEntry elsewhere = order(1, 20, 30, std::nullopt);
+  elsewhere.subject = "other zone";
+  EXPECT_EQ(almanac::explain_history({elsewhere, order(2, 0, std::nullopt, 10)}), "");
+}
+
+TEST(History, RegistersAreExplainedOneByOne) {
+  almanac::Histories const good{{"charter", {entry(Kind::write, 1, 0, 10)}},
+                                {"holders", {entry(Kind::read, 0, 0, 10)}}};
+  EXPECT_EQ(almanac::explain_histories(good), "");
+  almanac::Histories bad = good;
+  bad["holders"] = {entry(Kind::write, 1, 0, 10), entry(Kind::read, 0, 20, 30)};
+  EXPECT_EQ(almanac::explain_histories(bad).find("holders: "), 0u);
+}
+
 }  // namespace
 }  // namespace finchlink
