A furrow that has just started waits for a vouched word, and refuses no route unvouched

Cause: a furrow put news in force from any answer, before it looked whether the answer was vouched. One that had just started holds nothing to compare with, so a trellis that is cut off gave it an old charter and old evacuations, and it served by them until a vouched word came. A furrow of any age also answered 404 for a route that its charter lacked though nobody stood behind that charter, and one whose seeds were all on the small side of a cut never learnt of the others (colleagues were taken from vouched answers only).

Now: an unvouched word is put in force by one that was never vouched for only when no ask sent within 2.5 s was vouched for (two rounds of asks of one that reaches a majority); until then 503 with a time. A route that the charter lacks is refused for good (404) only when a majority stood behind it within 4.5 s. Trellises that an unvouched answer names are asked as well. What 13.9 promises stays: a furrow that restarts while the core is lost serves by a lone trellis' word, 2.5 s later than before.

Tests changed: Platform.Fleet test_the_core_is_lost_and_comes_back keeps every check that it had, and now also expects 404 for an absent route in touch, 503 out of touch from old and new furrows, and 404 again afterwards.

--- a/source/furrow/relay/relay.cpp
+++ b/source/furrow/relay/relay.cpp
@@ -339,7 +339,7 @@
   void act(tilth::Refuse const& reason) {
     if (!tenant_fault_.empty()) {
       answer("400 Bad Request", tenant_fault_, false);
-    } else if (withdrawn_lane_) {
+    } else if (withdrawn_lane_ && station_.charter_confirmed()) {
       answer("404 Not Found", "unknown_rule", false);
     } else {
       (void)reason;
@@ -1138,7 +1138,11 @@
                           yield);
     } else {
       schema::Lane const* const lane = book->find(view(query.header[http::field::host]), view(query.header.target()));
-      if (lane == nullptr) {
+      if (lane == nullptr && !station.charter_confirmed()) {
+        // A newer charter may have the route; this furrow can't know (section 13.15).
+        again = write_small(*socket, "503 Service Unavailable", named + "Retry-After: 0.5\r\n", "charter_unconfirmed",
+                            keep, bare, yield);
+      } else if (lane == nullptr) {
         again = write_small(*socket, "404 Not Found", named, "unknown_rule", keep, bare, yield);
       } else {
         std::unique_ptr<Relay> const relay = std::make_unique<Relay>(station, query, *lane, *socket, book, yield);
--- a/source/furrow/relay/station.cpp
+++ b/source/furrow/relay/station.cpp
@@ -265,6 +265,7 @@
             }
             take(*news, asked);
             if (!news->vouched) {
+              know_more_trellises(news->colleagues);
               return false;
             }
             from = calls[index].first;
@@ -282,6 +283,8 @@
       if (news != nullptr && news->vouched) {
         from = address;
         heard_from(*news);
+      } else if (news != nullptr) {
+        know_more_trellises(news->colleagues);
       }
     }
     lost_ = from.empty();
@@ -319,6 +322,14 @@
   trellises_ = std::move(known);
 }
 
+void Station::know_more_trellises(std::vector<std::string> const& told) {
+  for (std::string const& address : told) {
+    if (!address.empty() && std::find(trellises_.begin(), trellises_.end(), address) == trellises_.end()) {
+      trellises_.push_back(address);
+    }
+  }
+}
+
 void Station::renew(schema::Settings const& settings) {
   // In touch, the order as told stays; out of touch the new seeds come first.
   std::vector<std::string> known = lost_ ? settings.seeds : trellises_;
--- a/source/furrow/relay/station.hpp
+++ b/source/furrow/relay/station.hpp
@@ -89,6 +89,10 @@
   [[nodiscard]] loam::Moment begun_at() const { return begun_at_; }
   /// It has had a charter and a list of workers, even an empty one, since it started.
   [[nodiscard]] bool begun() const { return book_ != nullptr && list_.as_of() > 0; }
+  /// A majority stood behind the charter of late, so a route that it lacks may be refused for good (section 13.15).
+  [[nodiscard]] bool charter_confirmed() const {
+    return vouch_.confirmed_within(loam::constants::charter_confirmed_bound, loam::boot_now());
+  }
   [[nodiscard]] bool ready() const { return book_ != nullptr && heard_ && !draining_ && grove_.size() > 0; }
 
   /// A kept connection to the worker that seems whole, or none.
@@ -121,6 +125,9 @@
   /// Trellises to ask, near ones first as told; seeds stay in for the day that
   /// all others are gone.
   void know_trellises(std::vector<std::string> const& told);
+  /// Trellises that one without a majority names are asked as well, behind those known: all seeds may be cut off
+  /// from the majority (section 13.15).
+  void know_more_trellises(std::vector<std::string> const& told);
   void read_own_list(loam::Yield yield);
   void follow_secrets(loam::Yield yield);
   void take(schema::NewsAnswer const& answer, loam::Moment asked);
--- a/source/membership/freshness/freshness_lease.cpp
+++ b/source/membership/freshness/freshness_lease.cpp
@@ -4,10 +4,21 @@
 
 namespace finchlink::membership {
 
+bool FreshnessLease::may_adopt(schema::NewsAnswer const& answer, loam::Moment asked) {
+  if (!first_answered_ask_.has_value()) {
+    first_answered_ask_ = asked;
+  }
+  if (answer.vouched || confirmed_ask_.has_value() || !guards_.wait_for_vouch) {
+    return true;
+  }
+  return asked - *first_answered_ask_ >= bounds_.unvouched_wait;
+}
+
 std::vector<schema::NamedValue> FreshnessLease::take(schema::NewsAnswer const& answer, loam::Moment asked,
                                                      loam::Moment now) {
   std::vector<schema::NamedValue> adopted;
-  for (schema::NamedValue const& news : answer.news) {
+  std::vector<schema::NamedValue> const nothing;
+  for (schema::NamedValue const& news : may_adopt(answer, asked) ? answer.news : nothing) {
     std::uint64_t& held = held_[news.name];
     if (news.revision > held || (!guards_.never_back && news.revision != held)) {
       held = news.revision;
@@ -15,6 +26,7 @@
     }
   }
   if (answer.vouched) {
+    confirmed_ask_ = std::max(confirmed_ask_.value_or(asked), asked);
     vouched_until_ = std::max(vouched_until_, (guards_.count_from_ask ? asked : now) + bounds_.vouch);
   }
   list_newer_ = answer.list_age >= 0 && asked - answer.list_age > list_as_of_;
@@ -28,6 +40,10 @@
   return now < vouched_until_ || (!guards_.stop_unvouched && vouched_until_ > 0);
 }
 
+bool FreshnessLease::confirmed_within(loam::Span span, loam::Moment now) const {
+  return confirmed_ask_.has_value() && now - *confirmed_ask_ < span;
+}
+
 bool FreshnessLease::list_fresh(loam::Moment now) const {
   return list_as_of_ > 0 && now - list_as_of_ < bounds_.list;
 }
--- a/source/tests/membership/freshness_lease_test.cpp
+++ b/source/tests/membership/freshness_lease_test.cpp
@@ -3,7 +3,9 @@
 #include "lease/lease_granter.hpp"
 #include "lease/lease_holder.hpp"
 #include "loam/constants.hpp"
+#include "loam/freshness_constants.hpp"
 #include "loam/json/tree.hpp"
+#include "loam/relay_constants.hpp"
 #include "membership/freshness/freshness_lease.hpp"
 #include "membership/listing/listing.hpp"
 #include "membership/reconfiguration/reconfiguration.hpp"
@@ -46,6 +48,54 @@
   EXPECT_FALSE(vouch.vouched(loam::seconds(12) + constants::vouch_bound));
 }
 
+TEST(FreshnessLease, OneThatHasJustStartedWaitsForAVouchedWord) {
+  for (bool const guard : {true, false}) {
+    membership::FreshnessGuards guards;
+    guards.wait_for_vouch = guard;
+    membership::FreshnessLease lease(guards);
+    loam::Moment const first = loam::seconds(10);
+    // A trellis that is cut off holds revision 4, the others have gone on to 5.
+    EXPECT_EQ(lease.take(news(4, false), first, first).empty(), guard);
+    EXPECT_EQ(lease.held().empty(), guard) << "so that it is told all by who knows";
+    EXPECT_EQ(lease.take(news(4, false), first + constants::unvouched_wait - 1, first + loam::seconds(60)).empty(),
+              true)
+        << "counted by asks: an answer that is read after a freeze is no newer for it";
+    EXPECT_EQ(lease.take(news(5, true), first + constants::unvouched_wait, first + constants::unvouched_wait).size(),
+              1u);
+    EXPECT_EQ(lease.held().at("setup"), 5u);
+  }
+}
+
+TEST(FreshnessLease, WithoutAMajorityForLongItTakesWhatIsKnown) {
+  membership::FreshnessLease lease;
+  loam::Moment const first = loam::seconds(10);
+  EXPECT_TRUE(lease.take(news(4, false), first, first).empty());
+  loam::Moment const later = first + constants::unvouched_wait;
+  EXPECT_EQ(lease.take(news(4, false), later, later).size(), 1u);
+  EXPECT_FALSE(lease.vouched(later));
+  EXPECT_FALSE(lease.confirmed_within(loam::seconds(600), later));
+}
+
+TEST(FreshnessLease, OneThatWasVouchedForTakesNewerWordsFromAll) {
+  // Whatever a trellis knows was chosen once, so what is newer than a vouched word is no step back.
+  membership::FreshnessLease lease;
+  loam::Moment const first = loam::seconds(10);
+  EXPECT_EQ(lease.take(news(4, true), first, first).size(), 1u);
+  EXPECT_EQ(lease.take(news(5, false), first + 1, first + 1).size(), 1u);
+  EXPECT_TRUE(lease.take(news(4, false), first + 2, first + 2).empty());
+}
+
+TEST(FreshnessLease, IsConfirmedFromWhenTheAskWasSent) {
+  membership::FreshnessLease lease;
+  EXPECT_FALSE(lease.confirmed_within(loam::seconds(1), 0));
+  // Read 20 s after the ask: a freeze lay between.
+  (void)lease.take(news(1, true), loam::seconds(1), loam::seconds(21));
+  EXPECT_FALSE(lease.confirmed_within(constants::charter_confirmed_bound, loam::seconds(21)));
+  (void)lease.take(news(1, true), loam::seconds(22), loam::seconds(22));
+  (void)lease.take(news(1, true), loam::seconds(2), loam::seconds(23));  // a late answer takes nothing back
+  EXPECT_TRUE(lease.confirmed_within(constants::charter_confirmed_bound, loam::seconds(24)));
+}
+
 TEST(NewsResponder, VouchesOnlyForReadsBegunAfterTheAsk) {
   std::map<std::string, schema::Value> const values{{"setup", schema::Value{3, "x", {}}}};
   schema::NewsAsk ask;
@@ -79,6 +129,12 @@
   // Two failed asks and a good one fit into the vouch bound.
   EXPECT_LE(constants::ask_deadline + constants::ask_retry + constants::ask_hold + loam::milliseconds(200),
             constants::vouch_bound);
+  // One that has just started hears a vouched word before it takes another: two rounds of asks.
+  EXPECT_GE(constants::unvouched_wait,
+            2 * (constants::lost_patience + constants::ask_retry + constants::relay_connect_deadline / 2));
+  // In touch the newest vouch is younger: two asks held, one that failed, pauses between them, the ways.
+  EXPECT_GE(constants::charter_confirmed_bound, 2 * constants::wide_ask_hold + constants::wide_ask_deadline +
+                                                    2 * constants::ask_least + loam::milliseconds(500));
   // Draining: last read of the list before it showed, its bound, clocks apart.
   EXPECT_LE(constants::list_bound + constants::list_bound / 10, loam::milliseconds(4000));
   EXPECT_GT(constants::session_bound, constants::vouch_bound);
--- a/source/tests/platform/fleet_test.py
+++ b/source/tests/platform/fleet_test.py
@@ -161,6 +161,7 @@
         self.put_first()
         for name in self.furrows():
             self.assertTrue(self.ready(name), name)
+            self.assertEqual(self.ask(name, standin.FRONT, "GET", "/absent/a")[0], 404, name)
         lost = self.trellises()[1:]
         for name in lost:
             self.fleet.kill(name)
@@ -172,9 +173,13 @@
         self.assertEqual(self.command("evacuate", "north", at=self.controls[0])[0], 5)
         for name in self.furrows():
             self.assertEqual(self.ask(name, standin.FRONT, "GET", "/plain/a")[0], 200)
-        # One that starts now is vouched for by nobody: not ready. Until the lone trellis
-        # has told it what it holds, a query is refused with a time to come back at;
-        # from then on it serves by that (design 13.9), and is not ready still.
+        # Whether a route exists can't be known any more: no refusal for good, a time to come back at.
+        for name in self.furrows():
+            self.assertTrue(standin.until(lambda: self.ask(name, standin.FRONT, "GET", "/absent/a")[0] == 503), name)
+        # One that starts now is vouched for by nobody: not ready. A query is refused with a
+        # time to come back at until it is sure that the core is lost and not only the trellis
+        # that it asks cut off; from then on it serves by that (design 13.15), is not ready
+        # still and refuses nothing for good.
         self.fleet.kill(self.furrows()[0])
         self.fleet.start(self.furrows()[0])
         self.assertTrue(standin.until(lambda: self.ask(self.furrows()[0], standin.READY, "GET", "/v1/readiness")[0] == 503))
@@ -183,6 +188,9 @@
         self.assertTrue(status == 200 or "Retry-After" in fields, fields)
         self.assertTrue(standin.until(lambda: self.ask(self.furrows()[0], standin.FRONT, "GET", "/plain/a")[0] == 200))
         self.assertEqual(self.ask(self.furrows()[0], standin.READY, "GET", "/v1/readiness")[0], 503)
+        status, _, fields = self.ask(self.furrows()[0], standin.FRONT, "GET", "/absent/a")
+        self.assertEqual(status, 503)
+        self.assertIn("Retry-After", fields)
         for name in lost:
             self.plan["processes"][name]["settings"]["bootstrap"] = False
             self.fleet.start(name)
@@ -192,6 +200,8 @@
         with open(other, encoding="utf-8") as stream:
             self.assertEqual(self.command("charter", "get"), (0, stream.read()))
         self.assertTrue(self.ready(self.furrows()[0]))
+        for name in self.furrows():
+            self.assertTrue(standin.until(lambda: self.ask(name, standin.FRONT, "GET", "/absent/a")[0] == 404), name)
 
 
 class Settings(Case):
--- a/source/tests/relay/station_test.cpp
+++ b/source/tests/relay/station_test.cpp
@@ -171,6 +171,81 @@
   EXPECT_EQ(fleet.told.back().held.at("charter"), 2u);
 }
 
+TEST(Station, OneThatHasJustStartedServesNobodyByTheWordOfATrellisThatIsCutOff) {
+  Fleet fleet;
+  Worker& north = fleet.worker("w1", "web", "north");
+  Worker& south = fleet.worker("w2", "web", "south");
+  fleet.publish_charter(1);
+  fleet.publish("evacuated", 1, "[]");  // the others have emptied the north since
+  fleet.vouched = false;
+  fleet.begin(false);
+  fleet.hear();
+  EXPECT_EQ(fleet.station->book(), nullptr);
+  std::optional<Response> const refused = fleet.answer_on(fleet.call(query("/plain/a", "q1")));
+  EXPECT_EQ(status_of(refused), 503u);
+  EXPECT_GT(std::stod(text_of(refused, "Retry-After")), 0);
+  EXPECT_EQ(status_of(fleet.answer_on(fleet.call(query("/new/a", "q2")))), 503u);  // not 404: who knows
+  EXPECT_EQ(readiness(fleet), 503u);
+  EXPECT_TRUE(north.arrivals.empty());
+  EXPECT_TRUE(south.arrivals.empty());
+  EXPECT_EQ(fleet.told.back().held.count("charter"), 0u);  // whoever vouches tells it all
+  fleet.charter.number = 2;
+  fleet.charter.lanes[0] = Fleet::lane("new", true, false, false, "web");
+  fleet.publish_charter(2);
+  fleet.publish("evacuated", 2, "[\"north\"]");
+  fleet.vouched = true;
+  ASSERT_TRUE(fleet.until([&] { return fleet.station->ready(); }));
+  std::shared_ptr<Line> const caller = fleet.call(query("/new/a", "q3"));
+  ASSERT_TRUE(fleet.arrived(south, 1));
+  last(&south).line->send(success("q3", "good"));
+  EXPECT_EQ(status_of(fleet.answer_on(caller)), 200u);
+  EXPECT_EQ(status_of(fleet.answer_on(fleet.call(query("/plain/a", "q4")))), 404u);
+  EXPECT_TRUE(north.arrivals.empty());
+}
+
+TEST(Station, WithoutAMajorityForLongOneThatHasJustStartedServesWhatItCanAndRefusesNothingForGood) {
+  Fleet fleet;
+  Worker& worker = fleet.worker("w1");
+  fleet.publish_charter(1);
+  fleet.vouched = false;
+  fleet.begin(false);
+  ASSERT_TRUE(fleet.until([&] { return fleet.station->book() != nullptr; }, 30000));
+  std::shared_ptr<Line> const caller = fleet.call(query("/plain/a", "q1"));
+  ASSERT_TRUE(fleet.arrived(worker, 1));
+  last(&worker).line->send(success("q1", "good"));
+  EXPECT_EQ(status_of(fleet.answer_on(caller)), 200u);
+  std::optional<Response> const refused = fleet.answer_on(fleet.call(query("/new/a", "q2")));
+  EXPECT_EQ(status_of(refused), 503u);
+  EXPECT_GT(std::stod(text_of(refused, "Retry-After")), 0);
+  EXPECT_EQ(text_of(refused, "Finchlink-Query"), "q2");
+  EXPECT_EQ(readiness(fleet), 503u);
+  fleet.vouched = true;
+  ASSERT_TRUE(fleet.until([&] { return fleet.station->ready(); }));
+  EXPECT_EQ(status_of(fleet.answer_on(fleet.call(query("/new/a", "q3")))), 404u);
+}
+
+TEST(Station, SeedsThatAreAllCutOffNameTheOthers) {
+  // Seven trellises, the three seeds on the small side of a cut: they know the others, who vouch.
+  Fleet fleet;
+  fleet.worker("w1");
+  fleet.publish_charter(1);
+  std::string const cut_off = fleet.next_address();
+  fleet.settings.seeds = {cut_off};
+  std::size_t asked = 0;
+  ASSERT_TRUE(loam::serve_frames(*fleet.context, cut_off, 8,
+                                 [&](schema::Message const&, loam::Yield) -> std::optional<schema::Message> {
+                                   ++asked;
+                                   schema::NewsAnswer answer;
+                                   answer.list_age = -1;
+                                   answer.colleagues = {cut_off, fleet.trellis_address};
+                                   return answer;
+                                 })
+                  .ok());
+  fleet.begin(false);
+  EXPECT_TRUE(fleet.until([&] { return fleet.station->ready(); }));
+  EXPECT_GE(asked, 1u);
+}
+
 TEST(Station, OutOfTouchItServesOnWithTheNewestItKnows) {
   Fleet fleet;
   Worker& worker = fleet.worker("w1");
