A trellis frozen in the middle of a call sends no late accept and gives no late answer

Cause: a proposer that was frozen between its two rounds went on with the second when it woke, since only the outer loop looked at the change's deadline: a change that its caller had given up was made 20 s later. And an answer that was ready before a freeze went out after it, a yes, a refusal or a reading that others may have overtaken since.

--- /dev/null
+++ b/source/tests/trellis/late_answer_test.cpp
@@ -0,0 +1,34 @@
+#include <gtest/gtest.h>
+
+#include "trellis/operator/late_answer.hpp"
+
+namespace finchlink::trellis {
+namespace {
+
+namespace constants = loam::constants;
+namespace http = loam::http;
+
+unsigned int status_after(loam::Span span, http::status status, http::verb verb) {
+  return unless_late(loam::answer_text(status, "{}"), verb, span, constants::acknowledge_wait).result_int();
+}
+
+TEST(LateAnswer, NoYesRefusalOrReadingIsGivenByOneThatWasFrozenInTheMiddle) {
+  loam::Span const frozen = loam::seconds(20);
+  EXPECT_EQ(status_after(frozen, http::status::ok, http::verb::put), 504u);
+  EXPECT_EQ(status_after(frozen, http::status::ok, http::verb::post), 504u);
+  EXPECT_EQ(status_after(frozen, http::status::ok, http::verb::delete_), 504u);
+  EXPECT_EQ(status_after(frozen, http::status::precondition_failed, http::verb::put), 504u);
+  EXPECT_EQ(status_after(frozen, http::status::ok, http::verb::get), 503u);
+  EXPECT_EQ(status_after(frozen, http::status::not_found, http::verb::get), 503u);
+}
+
+TEST(LateAnswer, WhatTookNoLongerThanItsOwnWaitsStands) {
+  loam::Span const longest = longest_call(constants::acknowledge_wait);
+  EXPECT_EQ(longest, 2 * constants::change_deadline + constants::acknowledge_wait);
+  EXPECT_EQ(status_after(longest, http::status::ok, http::verb::put), 200u);
+  EXPECT_EQ(status_after(longest + 1, http::status::ok, http::verb::put), 504u);
+  EXPECT_EQ(status_after(0, http::status::precondition_failed, http::verb::put), 412u);
+}
+
+}  // namespace
+}  // namespace finchlink::trellis
--- /dev/null
+++ b/source/trellis/operator/late_answer.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "loam/constants.hpp"
+#include "loam/http/http.hpp"
+#include "loam/time/moment.hpp"
+
+namespace finchlink::trellis {
+
+/// The longest that a call to an operator's path takes unless the process stood still: a look at what became of a
+/// change waits out the change's deadline and then changes the register itself, and a yes waits until it is in
+/// force everywhere (sections 4.1 and 5.7).
+[[nodiscard]] inline loam::Span longest_call(loam::Span acknowledge_wait) {
+  return 2 * loam::constants::change_deadline + acknowledge_wait;
+}
+
+/// The answer to a call that took `span`. A process that was frozen in the middle of a call may hold a yes, a
+/// refusal or a reading that was true before the freeze, while others have since heard and changed more through
+/// other trellises: it is left without a clear answer, since what is now true was not asked (section 4.2).
+[[nodiscard]] inline loam::Answer unless_late(loam::Answer answer, loam::http::verb verb, loam::Span span,
+                                              loam::Span acknowledge_wait) {
+  if (span <= longest_call(acknowledge_wait)) {
+    return answer;
+  }
+  bool const reading = verb == loam::http::verb::get || verb == loam::http::verb::head;
+  return loam::answer_error(reading ? loam::http::status::service_unavailable : loam::http::status::gateway_timeout,
+                            reading ? "late" : "unknown", "this process stood still meanwhile; send the same again");
+}
+
+}  // namespace finchlink::trellis
--- a/source/trellis/operator/operator.cpp
+++ b/source/trellis/operator/operator.cpp
@@ -8,6 +8,7 @@
 #include "loam/json/tree.hpp"
 #include "loam/log/log.hpp"
 #include "loam/random/random.hpp"
+#include "trellis/operator/late_answer.hpp"
 
 namespace finchlink::trellis {
 
@@ -104,6 +105,7 @@
 
 loam::Answer Operator::answer(loam::Ask const& ask, loam::Yield yield) {
   ++open_;
+  loam::Moment const arrival = loam::boot_now();
   std::string const target(ask.target().substr(0, ask.target().find('?')));
   loam::Answer answer = loam::answer_error(http::status::not_found, "unknown_path", "see docs/operating/setup.md");
   http::verb const verb = ask.method();
@@ -167,7 +169,7 @@
     answer = metrics();
   }
   --open_;
-  return answer;
+  return unless_late(std::move(answer), verb, loam::boot_now() - arrival, acknowledge_wait_);
 }
 
 bool Operator::confirmed(loam::Yield yield) {
--- a/source/trellis/register_client/register_client.cpp
+++ b/source/trellis/register_client/register_client.cpp
@@ -181,7 +181,9 @@
     std::vector<ProposerAction> actions = core.begin(holders);
     std::optional<Result> result;
     bool again = false;
-    while (!result.has_value() && !again && !actions.empty()) {
+    // One that was frozen after its first round doesn't begin the second behind its deadline: whoever asked for the
+    // change has given it up, and may have undone it through another trellis (section 4.2).
+    while (!result.has_value() && !again && !actions.empty() && loam::boot_now() < until) {
       std::vector<std::pair<std::string, schema::Message>> calls;
       std::vector<std::uint64_t> incarnations;
       std::size_t bytes = 0;
