--- a/source/furrow/relay/caller_answer.cpp
+++ b/source/furrow/relay/caller_answer.cpp
@@ -14,7 +14,7 @@
 void Relay::act(tilth::Refuse const& reason) {
   if (!tenant_fault_.empty()) {
     answer("400 Bad Request", tenant_fault_, false);
-  } else if (withdrawn_lane_) {
+  } else if (withdrawn_lane_ && station_.charter_confirmed()) {
     answer("404 Not Found", "unknown_rule", false);
   } else {
     (void)reason;
