What counts as a missed look at the voters stands once, in the core

It stood in the shell (Duties::join) and in the simulator, there without the rule that a new disk at a voter's address takes that place itself. Both now call membership::VoterLooks, so that a model of membership runs the same decisions. Tests: VoterLooks.*.

--- a/source/almanac/control/control.cpp
+++ b/source/almanac/control/control.cpp
@@ -8,6 +8,7 @@
 #include "loam/constants.hpp"
 #include "loam/json/tree.hpp"
 #include "membership/reconfiguration/reconfiguration.hpp"
+#include "membership/reconfiguration/voter_looks.hpp"
 
 namespace finchlink::almanac {
 
@@ -64,7 +65,7 @@
     std::uint64_t identity = 0;
     schema::VoterSet set;
     consensus::MajorityReader confirm;
-    std::map<std::uint64_t, int> misses;
+    membership::VoterLooks looks;
     std::unique_ptr<lease::LeaseHolder> tenant;
   };
   struct Furrow {
@@ -284,7 +285,7 @@
   machine.identity = (kernel_.draw() >> 12u) + 1;
   machine.set = schema::VoterSet{};
   machine.confirm = consensus::MajorityReader{};
-  machine.misses.clear();
+  machine.looks.clear();
   machine.tenant = std::make_unique<lease::LeaseHolder>("duty/repair", machine.identity, options_.guards);
   if (machine.disk) {
     machine.ring = std::make_unique<consensus::WriteAheadLog>(machine.memory->device(), ring_files, ring_bytes);
@@ -604,17 +605,17 @@
   later(machine, constants::join_pause, [this, &machine] {
     if (machine.set.epoch == 0 || machine.silent || !machine.holder.has_value() ||
         consensus::names(machine.set.holders, machine.holder->incarnation())) {
-      machine.misses.clear();
+      machine.looks.clear();
       join(machine);
       return;
     }
+    machine.looks.begin(machine.set);
     for (schema::Voter const& entry : machine.set.holders) {
-      ++machine.misses[entry.incarnation];
       call(machine, machine.address, entry.address, schema::Adopt{machine.set}, constants::join_look,
-           [&machine](std::optional<schema::Message> const& answer) {
+           [&machine, asked = entry.incarnation](std::optional<schema::Message> const& answer) {
              schema::Adopted const* const given = answer.has_value() ? std::get_if<schema::Adopted>(&*answer) : nullptr;
-             if (given != nullptr && given->voting) {
-               machine.misses[given->incarnation] = 0;
+             if (given != nullptr) {
+               machine.looks.answered(asked, *given);
              }
            });
     }
@@ -624,7 +625,7 @@
         return;
       }
       std::optional<schema::VoterSet> const plan = membership::plan_joining(
-          machine.set, machine.misses, schema::Voter{machine.holder->incarnation(), machine.address},
+          machine.set, machine.looks.misses(), schema::Voter{machine.holder->incarnation(), machine.address},
           options_.wanted_holders);
       if (!plan.has_value()) {
         return;
--- /dev/null
+++ b/source/membership/reconfiguration/voter_looks.cpp
@@ -0,0 +1,33 @@
+#include "membership/reconfiguration/voter_looks.hpp"
+
+#include <algorithm>
+
+#include "loam/constants.hpp"
+
+namespace finchlink::membership {
+
+void VoterLooks::begin(schema::VoterSet const& set) {
+  missing_.clear();
+  for (schema::Voter const& voter : set.holders) {
+    ++misses_[voter.incarnation];
+    missing_.insert(voter.incarnation);
+  }
+}
+
+void VoterLooks::answered(std::uint64_t asked, schema::Adopted const& answer) {
+  if (answer.voting) {
+    misses_[answer.incarnation] = 0;
+    missing_.erase(answer.incarnation);
+  } else if (answer.incarnation != asked) {
+    // Whoever stands there with a new disk takes that place himself.
+    misses_[asked] = std::min(misses_[asked], loam::constants::join_misses - 1);
+    missing_.erase(asked);
+  }
+}
+
+void VoterLooks::clear() {
+  misses_.clear();
+  missing_.clear();
+}
+
+}  // namespace finchlink::membership
--- /dev/null
+++ b/source/tests/membership/voter_looks_test.cpp
@@ -0,0 +1,55 @@
+#include <gtest/gtest.h>
+
+#include "loam/constants.hpp"
+#include "membership/reconfiguration/reconfiguration.hpp"
+#include "membership/reconfiguration/voter_looks.hpp"
+
+namespace finchlink {
+namespace {
+
+namespace constants = loam::constants;
+
+schema::VoterSet three() {
+  std::vector<schema::Voter> const voters{{1, "a"}, {2, "b"}, {3, "c"}};
+  return schema::VoterSet{4, voters, voters};
+}
+
+/// One look that the first two voters answer; the answer of the third, if any.
+void look(membership::VoterLooks& looks, std::optional<schema::Adopted> const& third) {
+  looks.begin(three());
+  looks.answered(1, schema::Adopted{4, 1, true});
+  looks.answered(2, schema::Adopted{4, 2, true});
+  if (third.has_value()) {
+    looks.answered(3, *third);
+  }
+}
+
+bool replaces_third(membership::VoterLooks const& looks) {
+  return membership::plan_joining(three(), looks.misses(), schema::Voter{44, "d"}, 3).has_value();
+}
+
+TEST(VoterLooks, OneThatIsSilentCountsAsLostAfterAFewLooks) {
+  membership::VoterLooks looks;
+  for (int count = 1; count < constants::join_misses; ++count) {
+    look(looks, std::nullopt);
+    EXPECT_FALSE(looks.complete());
+    EXPECT_FALSE(replaces_third(looks)) << count;
+  }
+  look(looks, std::nullopt);
+  EXPECT_TRUE(replaces_third(looks));
+  look(looks, schema::Adopted{4, 3, true});
+  EXPECT_TRUE(looks.complete());
+  EXPECT_FALSE(replaces_third(looks));
+}
+
+TEST(VoterLooks, ANewDiskAtAVotersAddressTakesThatPlaceItself) {
+  membership::VoterLooks looks;
+  for (int count = 0; count < 2 * constants::join_misses; ++count) {
+    look(looks, schema::Adopted{0, 33, false});
+    EXPECT_TRUE(looks.complete());
+    EXPECT_FALSE(replaces_third(looks));
+  }
+}
+
+}  // namespace
+}  // namespace finchlink
--- a/source/trellis/duty/duties.cpp
+++ b/source/trellis/duty/duties.cpp
@@ -365,17 +365,13 @@
   schema::VoterSet const set = register_.set();
   schema::Voter const self{holder_->silent() ? 0 : holder_->incarnation(), address_};
   if (set.epoch == 0 || self.incarnation == 0 || consensus::names(set.holders, self.incarnation)) {
-    misses_.clear();
+    looks_.clear();
     return;
   }
-  // Counted in looks, not in time: after a freeze of this machine all would
-  // seem silent by the clock.
   std::vector<std::pair<std::string, schema::Message>> calls;
   std::vector<std::uint64_t> asked;
-  std::set<std::uint64_t> missing;
+  looks_.begin(set);
   for (schema::Voter const& entry : set.holders) {
-    ++misses_[entry.incarnation];
-    missing.insert(entry.incarnation);
     if (entry.address != address_) {  // this very process stands there
       calls.emplace_back(entry.address, schema::Adopt{set});
       asked.push_back(entry.incarnation);
@@ -383,20 +379,15 @@
   }
   loam::Gather::run(
       context_, caller_, calls, constants::join_look,
-      [this, &missing, &asked](std::size_t index, absl::StatusOr<schema::Message> const& answer) {
+      [this, &asked](std::size_t index, absl::StatusOr<schema::Message> const& answer) {
         schema::Adopted const* const given = answer.ok() ? std::get_if<schema::Adopted>(&*answer) : nullptr;
-        if (given != nullptr && given->voting) {
-          misses_[given->incarnation] = 0;
-          missing.erase(given->incarnation);
-        } else if (given != nullptr && given->incarnation != asked[index]) {
-          // Whoever stands there with a new disk takes that place himself.
-          misses_[asked[index]] = std::min(misses_[asked[index]], constants::join_misses - 1);
-          missing.erase(asked[index]);
+        if (given != nullptr) {
+          looks_.answered(asked[index], *given);
         }
-        return missing.empty();
+        return looks_.complete();
       },
       yield);
-  std::optional<schema::VoterSet> const next = membership::plan_joining(set, misses_, self, wanted_holders_);
+  std::optional<schema::VoterSet> const next = membership::plan_joining(set, looks_.misses(), self, wanted_holders_);
   if (!next.has_value()) {
     return;
   }
--- a/source/trellis/duty/duties.hpp
+++ b/source/trellis/duty/duties.hpp
@@ -6,6 +6,7 @@
 
 #include "config/charter/charter.hpp"
 #include "lease/lease_holder.hpp"
+#include "membership/reconfiguration/voter_looks.hpp"
 #include "tilth/scaler/pools.hpp"
 #include "tilth/scaler/scaler.hpp"
 #include "trellis/acceptor/acceptor_service.hpp"
@@ -65,7 +66,7 @@
   schema::Setup setup_;
   std::uint64_t charter_revision_ = 0;
   schema::Charter charter_;
-  std::map<std::uint64_t, int> misses_;  ///< looks in a row without an answer, per holder
+  membership::VoterLooks looks_;
 };
 
 }  // namespace finchlink::trellis
