A voter that answers and is catching up is not replaced after three looks

Cause: a look counted an answer without a vote like no answer. With two machines waiting for a place and an image that takes longer than three looks (some 3 s; a charter of 2 MB over 5 Mbit/s takes 4 s), each replaces the other before it votes, for as long as both wait. Now it is waited for, 60 looks at most; it still does not count as voting, so growing and further changes wait as before. Ruled out: waiting for ever (one that can never catch up would keep the place). Test: VoterLooks.OneThatCatchesUpIsWaitedForAndNotForEver.

--- a/source/loam/constants.hpp
+++ b/source/loam/constants.hpp
@@ -121,6 +121,9 @@
 /// A holder that misses this many looks in a row (two to three seconds) is
 /// replaced by one that has a disk and no place.
 inline constexpr int join_misses = 3;
+/// A voter that answers and has not caught up yet is waited for so many looks
+/// (half a minute to a minute) before it counts as lost: 2 MB take 4 s at 5 Mbit/s.
+inline constexpr int catching_up_looks = 60;
 /// How long a look at the holders may take, and the pause between two: a round
 /// between regions with a slow disk takes a third of it.
 inline constexpr Span join_look = milliseconds(500);
--- a/source/membership/reconfiguration/voter_looks.cpp
+++ b/source/membership/reconfiguration/voter_looks.cpp
@@ -17,16 +17,21 @@
 void VoterLooks::answered(std::uint64_t asked, schema::Adopted const& answer) {
   if (answer.voting) {
     misses_[answer.incarnation] = 0;
+    catching_up_.erase(answer.incarnation);
     missing_.erase(answer.incarnation);
   } else if (answer.incarnation != asked) {
     // Whoever stands there with a new disk takes that place himself.
     misses_[asked] = std::min(misses_[asked], loam::constants::join_misses - 1);
     missing_.erase(asked);
+  } else if (++catching_up_[asked] <= loam::constants::catching_up_looks) {
+    // Were it replaced, its successor would have to catch up as well.
+    misses_[asked] = std::min(misses_[asked], loam::constants::join_misses - 1);
   }
 }
 
 void VoterLooks::clear() {
   misses_.clear();
+  catching_up_.clear();
   missing_.clear();
 }
 
--- a/source/tests/membership/voter_looks_test.cpp
+++ b/source/tests/membership/voter_looks_test.cpp
@@ -51,5 +51,23 @@
   }
 }
 
+/// Two that wait for a place replaced each other for ever when an image took
+/// longer than three looks.
+TEST(VoterLooks, OneThatCatchesUpIsWaitedForAndNotForEver) {
+  membership::VoterLooks looks;
+  for (int count = 0; count < constants::catching_up_looks; ++count) {
+    look(looks, schema::Adopted{4, 3, false});
+    EXPECT_FALSE(replaces_third(looks)) << count;
+    EXPECT_GT(looks.misses().at(3), 0) << "it has no vote";
+  }
+  for (int count = 0; count < constants::join_misses; ++count) {
+    look(looks, schema::Adopted{4, 3, false});
+  }
+  EXPECT_TRUE(replaces_third(looks));
+  look(looks, schema::Adopted{4, 3, true});
+  look(looks, schema::Adopted{4, 3, false});
+  EXPECT_FALSE(replaces_third(looks)) << "the wait begins anew";
+}
+
 }  // namespace
 }  // namespace finchlink
