The first set is taken up by founding alone, not from a newcomer's look

Cause: a newcomer that learned of the first set from the first founder looks at all three with an Adopt. The two that had not founded yet took the set from it without a vote, and became learners that nobody can give an image: one voter of three, for good. The window is that of founding and open at each first start with more trellises than seeds. Ruled out: taking the set with a vote from an Adopt (a late one may name a founder whose disk is lost, after another set was pledged).

--- a/source/consensus/acceptor/acceptor.cpp
+++ b/source/consensus/acceptor/acceptor.cpp
@@ -143,7 +143,10 @@
 
 Outcome Acceptor::on(schema::Adopt const& message, loam::Moment now) {
   Outcome outcome;
-  if (message.set.epoch > set_.epoch) {
+  // A founder that took the first set from here would do so without a vote,
+  // and all its colleagues might: it founds, or is told so by one that did (5.4).
+  bool const to_be_founded = guards_.first_set_only_founded && blank() && message.set.epoch == 1;
+  if (message.set.epoch > set_.epoch && !to_be_founded) {
     bool const named = names(message.set.holders, founding_.incarnation);
     // A vote goes on only from one epoch to the next by way of holders that
     // had it; a newcomer first takes an image (section 5.5).
