A voter that missed epochs which named it all the while votes on

Cause: a voter that missed an epoch became a learner, and its data no longer counted for others' images. Five voters, one down; a lost disk is repaired (epoch 2), a second one's place is taken (epoch 3), and a third disk is lost before that newcomer has its image: two are lost, which five bear, but of epoch 2 only two could give images and three are needed. The one that was down came back with all its data for nothing: no majority for good. Cure: a voter that the set before names keeps its vote. Ruled out: a field per voter that tells since when it is named (changes the records on disk).

--- a/source/almanac/control/control.cpp
+++ b/source/almanac/control/control.cpp
@@ -609,6 +609,9 @@
       join(machine);
       return;
     }
+    // One that was left out knows it before it asks for a place again.
+    call(machine, machine.address, machine.address, schema::Adopt{machine.set}, constants::join_look,
+         [](std::optional<schema::Message> const&) {});
     machine.looks.begin(machine.set);
     for (schema::Voter const& entry : machine.set.holders) {
       call(machine, machine.address, entry.address, schema::Adopt{machine.set}, constants::join_look,
@@ -621,7 +624,8 @@
     }
     later(machine, constants::join_look, [this, &machine] {
       join(machine);
-      if (machine.silent || !machine.holder.has_value()) {
+      if (machine.silent || !machine.holder.has_value() ||
+          (machine.set.epoch > 1 && machine.holder->set().epoch < machine.set.epoch)) {
         return;
       }
       std::optional<schema::VoterSet> const plan = membership::plan_joining(
--- a/source/consensus/acceptor/acceptor.cpp
+++ b/source/consensus/acceptor/acceptor.cpp
@@ -131,6 +131,15 @@
   return Outcome{{}, schema::Message(answer)};
 }
 
+bool Acceptor::complete_under(VoterSet const& set) const {
+  // An incarnation is in the sets of one unbroken row of epochs, since one that
+  // was left out adopts that before it asks for a place again. So a voter that
+  // the set before names was named in all that it missed; had it been told of
+  // each in turn, it would have voted in each (section 5.5).
+  bool const row_unbroken = guards_.vote_kept_over_missed || set.epoch == set_.epoch + 1;
+  return voting_ && names(set.previous, founding_.incarnation) && row_unbroken;
+}
+
 void Acceptor::take_set(VoterSet const& set, bool voting, bool complete, loam::Moment now, Outcome& outcome) {
   if (voting && !voting_) {
     granter_ = lease::LeaseGranter(now, guards_.lease_silence);
@@ -148,10 +157,7 @@
   bool const to_be_founded = guards_.first_set_only_founded && blank() && message.set.epoch == 1;
   if (message.set.epoch > set_.epoch && !to_be_founded) {
     bool const named = names(message.set.holders, founding_.incarnation);
-    // A vote goes on only from one epoch to the next by way of holders that
-    // had it; a newcomer first takes an image (section 5.5).
-    bool const complete =
-        voting_ && names(message.set.previous, founding_.incarnation) && message.set.epoch == set_.epoch + 1;
+    bool const complete = complete_under(message.set);
     take_set(message.set, named && (complete || !guards_.image_before_vote), complete, now, outcome);
   }
   outcome.reply = schema::Adopted{set_.epoch, founding_.incarnation, voting_};
--- a/source/consensus/acceptor/acceptor.hpp
+++ b/source/consensus/acceptor/acceptor.hpp
@@ -62,6 +62,8 @@
   [[nodiscard]] Outcome on(schema::LeaseAsk const& message, loam::Moment now);
   [[nodiscard]] schema::Refused refusal(Ballot const& ballot, Ballot const& promised) const;
   [[nodiscard]] bool blank() const { return set_.epoch == 0; }
+  /// Whether this one has, for its part, all that was chosen before the set.
+  [[nodiscard]] bool complete_under(VoterSet const& set) const;
   [[nodiscard]] bool may_vote(std::uint64_t epoch) const;
   [[nodiscard]] std::vector<Voter> full_pledge(std::vector<schema::FoundingAnswer> const& answers) const;
   void take_set(VoterSet const& set, bool voting, bool complete, loam::Moment now, Outcome& outcome);
--- a/source/trellis/duty/duties.cpp
+++ b/source/trellis/duty/duties.cpp
@@ -368,6 +368,11 @@
     looks_.clear();
     return;
   }
+  // One that was left out must know it, and for good, before it is named again:
+  // it would take itself for a voter that only missed epochs (section 5.5).
+  if (!holder_->receive(schema::Adopt{set}, yield).has_value()) {
+    return;
+  }
   std::vector<std::pair<std::string, schema::Message>> calls;
   std::vector<std::uint64_t> asked;
   looks_.begin(set);
