--- a/source/almanac/control/control.cpp
+++ b/source/almanac/control/control.cpp
@@ -8,6 +8,7 @@
 #include "loam/constants.hpp"
 #include "loam/json/tree.hpp"
 #include "membership/reconfiguration/reconfiguration.hpp"
+#include "membership/reconfiguration/voter_looks.hpp"
 
 namespace finchlink::almanac {
 
@@ -66,7 +67,7 @@
     std::uint64_t identity = 0;
     schema::VoterSet set;
     consensus::MajorityReader confirm;
-    std::map<std::uint64_t, int> misses;
+    membership::VoterLooks looks;
     std::unique_ptr<lease::LeaseHolder> tenant;
     std::map<std::string, membership::Peer> peers;  ///< by address, as gossip told of them
     std::optional<membership::Departure> departure;
@@ -316,7 +317,7 @@
   machine.identity = (kernel_.draw() >> 12u) + 1;
   machine.set = schema::VoterSet{};
   machine.confirm = consensus::MajorityReader{};
-  machine.misses.clear();
+  machine.looks.clear();
   machine.peers.clear();
   machine.departure.reset();
   machine.tenant = std::make_unique<lease::LeaseHolder>("duty/repair", machine.identity, options_.guards);
@@ -653,17 +654,20 @@
 void World::look_at_voters(Machine& machine, Span look, std::function<void()> const& again) {
   if (machine.set.epoch == 0 || machine.silent || !machine.holder.has_value() || machine.departure.has_value() ||
       consensus::names(machine.set.holders, machine.holder->incarnation())) {
-    machine.misses.clear();
+    machine.looks.clear();
     again();
     return;
   }
+  // One that was left out knows it before it asks for a place again.
+  call(machine, machine.address, machine.address, schema::Adopt{machine.set}, look,
+       [](std::optional<schema::Message> const&) {});
+  machine.looks.begin(machine.set);
   for (schema::Voter const& entry : machine.set.holders) {
-    ++machine.misses[entry.incarnation];
     call(machine, machine.address, entry.address, schema::Adopt{machine.set}, look,
-         [&machine](std::optional<schema::Message> const& answer) {
+         [&machine, asked = entry.incarnation](std::optional<schema::Message> const& answer) {
            schema::Adopted const* const given = answer.has_value() ? std::get_if<schema::Adopted>(&*answer) : nullptr;
-           if (given != nullptr && given->voting) {
-             machine.misses[given->incarnation] = 0;
+           if (given != nullptr) {
+             machine.looks.answered(asked, *given);
            }
          });
   }
@@ -674,10 +678,11 @@
 }
 
 void World::take_place(Machine& machine) {
-  if (machine.silent || !machine.holder.has_value()) {
+  if (machine.silent || !machine.holder.has_value() ||
+      (machine.set.epoch > 1 && machine.holder->set().epoch < machine.set.epoch)) {
     return;
   }
-  membership::JoiningView view{machine.misses, membership::leaving_voters(peers_of(machine))};
+  membership::JoiningView view{machine.looks.misses(), membership::leaving_voters(peers_of(machine))};
   if (machine.departure.has_value()) {
     view.leaving.insert(machine.holder->incarnation());
   }
--- a/source/trellis/duty/duties.cpp
+++ b/source/trellis/duty/duties.cpp
@@ -371,17 +371,18 @@
   schema::VoterSet const set = register_.set();
   schema::Voter const self{holder_->silent() ? 0 : holder_->incarnation(), address_};
   if (set.epoch == 0 || self.incarnation == 0 || consensus::names(set.holders, self.incarnation) || news_.leaving()) {
-    misses_.clear();
+    looks_.clear();
+    return;
+  }
+  // One that was left out must know it, and for good, before it is named again:
+  // it would take itself for a voter that only missed epochs (section 5.5).
+  if (!holder_->receive(schema::Adopt{set}, yield).has_value()) {
     return;
   }
-  // Counted in looks, not in time: after a freeze of this machine all would
-  // seem silent by the clock.
   std::vector<std::pair<std::string, schema::Message>> calls;
   std::vector<std::uint64_t> asked;
-  std::set<std::uint64_t> missing;
+  looks_.begin(set);
   for (schema::Voter const& entry : set.holders) {
-    ++misses_[entry.incarnation];
-    missing.insert(entry.incarnation);
     if (entry.address != address_) {  // this very process stands there
       calls.emplace_back(entry.address, schema::Adopt{set});
       asked.push_back(entry.incarnation);
@@ -389,20 +390,15 @@
   }
   loam::Gather::run(
       context_, caller_, calls, constants::join_look,
-      [this, &missing, &asked](std::size_t index, absl::StatusOr<schema::Message> const& answer) {
+      [this, &asked](std::size_t index, absl::StatusOr<schema::Message> const& answer) {
         schema::Adopted const* const given = answer.ok() ? std::get_if<schema::Adopted>(&*answer) : nullptr;
-        if (given != nullptr && given->voting) {
-          misses_[given->incarnation] = 0;
-          missing.erase(given->incarnation);
-        } else if (given != nullptr && given->incarnation != asked[index]) {
-          // Whoever stands there with a new disk takes that place himself.
-          misses_[asked[index]] = std::min(misses_[asked[index]], constants::join_misses - 1);
-          missing.erase(asked[index]);
+        if (given != nullptr) {
+          looks_.answered(asked[index], *given);
         }
-        return missing.empty();
+        return looks_.complete();
       },
       yield);
-  membership::JoiningView const view{misses_, membership::leaving_voters(news_.peers())};
+  membership::JoiningView const view{looks_.misses(), membership::leaving_voters(news_.peers())};
   std::optional<schema::VoterSet> const next = membership::plan_joining(set, view, self, wanted_holders_);
   if (!next.has_value()) {
     return;
