A connection that rested over a change keeps to the limits in force

Cause: the limits for a client's next request were read before the connection rested, so a request on a connection opened before a change (or before the first charter) was judged by the limits that held then: 413, 431 or 408 for what the charter in force allows. Ruled out: the lookup of the lane, which takes the charter in force each time. Tests: Limits.AConnectionThatRestedOverAChangeKeepsToTheLimitsInForce and Limits.AConnectionOpenedBeforeTheFirstCharterKeepsToItsLimits; both fail without the change (the allowed request never reaches a worker; one too large goes to it), both pass with it; 83 of 83 relay, station and limits tests pass.

--- a/source/furrow/relay/relay.cpp
+++ b/source/furrow/relay/relay.cpp
@@ -1044,6 +1044,9 @@
         break;
       }
       buffer.commit(count);
+      if (station.book() != nullptr) {
+        limits = station.book()->charter().limits;  // they may have changed while the connection rested
+      }
     }
     patience->close = false;
     patience->out = false;
