Tests: what a worker is handed of a client's request, and for how long

Four rules were kept but shown by no test: the fields of a prompt reach the worker unchanged in each try; a second try is handed only the time that is left; who left while a place was waited for is not sent on, even where a kept connection stands ready; at the route's deadline a waiting client is answered.

--- /dev/null
+++ b/source/tests/relay/forwarding_test.cpp
@@ -0,0 +1,111 @@
+#include <gtest/gtest.h>
+
+#include "tests/relay/fleet.hpp"
+
+namespace finchlink::relay_test {
+namespace {
+
+unsigned int status_of(std::optional<Response> const& answer) {
+  return answer.has_value() ? answer->result_int() : 0;
+}
+
+/// A lane on which a request without a worker waits for seconds.
+schema::Lane patient(schema::Lane lane) {
+  lane.set_point_ms = 20000;
+  return lane;
+}
+
+/// What names model, size and parts of a prompt is the client's, also in a
+/// second try (section 13.8).
+TEST(Forwarding, FieldsOfThePromptReachTheWorkerUnchanged) {
+  Fleet fleet;
+  fleet.worker("w1");
+  fleet.worker("w2");
+  fleet.begin();
+  furrow::Dialect const dialect = furrow::own_dialect();
+  std::map<std::string, std::string> const sent{
+      {dialect.model, "model-a"}, {dialect.tokens, "1200, 40"}, {dialect.parts, "p1:700, p2:500"}};
+  std::string fields;
+  for (std::pair<std::string const, std::string> const& field : sent) {
+    fields += field.first + ": " + field.second + "\r\n";
+  }
+  std::shared_ptr<Line> const caller = fleet.call(query("/plain/a", "q1", "body", fields));
+  for (std::size_t attempt = 1; attempt <= 2; ++attempt) {
+    Worker* const worker = fleet.holder(attempt);
+    ASSERT_NE(worker, nullptr);
+    Arrival const& arrival = worker->arrivals.back();
+    for (std::pair<std::string const, std::string> const& field : sent) {
+      EXPECT_EQ(arrival.request.count(field.first), 1u) << field.first;
+      EXPECT_EQ(arrival.header(field.first), field.second);
+    }
+    arrival.line->send(attempt == 1 ? not_run("q1", "503 Service Unavailable") : success("q1", "good"));
+  }
+  EXPECT_EQ(status_of(fleet.answer_on(caller)), 200u);
+}
+
+/// The time that a first try took is not handed on again.
+TEST(Forwarding, ASecondTryIsHandedTheTimeThatIsLeft) {
+  constexpr int whole_ms = 2000;
+  constexpr int first_try_ms = 50;
+  Fleet fleet;
+  fleet.worker("w1");
+  fleet.worker("w2");
+  fleet.begin();
+  std::string const left = furrow::own_dialect().left;
+  std::shared_ptr<Line> const caller =
+      fleet.call(query("/plain/a", "q1", "", left + ": " + std::to_string(whole_ms) + "\r\n"));
+  Worker* const first = fleet.holder(1);
+  ASSERT_NE(first, nullptr);
+  EXPECT_LE(std::stoi(first->arrivals.back().header(left)), whole_ms);
+  fleet.rest(first_try_ms);
+  first->arrivals.back().line->send(not_run("q1", "503 Service Unavailable"));
+  Worker* const second = fleet.holder(2);
+  ASSERT_NE(second, nullptr);
+  EXPECT_LE(std::stoi(second->arrivals.back().header(left)), whole_ms - first_try_ms);
+}
+
+/// Its worker has a kept connection, so that nothing else would hold the
+/// request back once there is a place again.
+TEST(Forwarding, WhoLeftWhileWaitingForAPlaceIsNotSentOn) {
+  Fleet fleet;
+  for (schema::Lane& lane : fleet.charter.lanes) {
+    lane = patient(lane);
+  }
+  Worker& worker = fleet.worker("w1");
+  fleet.begin();
+  std::shared_ptr<Line> const caller = fleet.call(query("/plain/a", "q1", "body"));
+  ASSERT_TRUE(fleet.arrived(worker, 1));
+  worker.arrivals.back().line->send(success("q1", "good"));
+  ASSERT_EQ(status_of(fleet.answer_on(caller)), 200u);
+  fleet.publish(config::evacuated_register, 1, "[\"north\"]");
+  ASSERT_TRUE(fleet.until([&] { return !fleet.station->grove().usable("w1"); }));
+  caller->send(query("/plain/a", "q2", "body"));
+  fleet.rest(20);
+  caller->close();
+  fleet.rest(20);
+  fleet.publish(config::evacuated_register, 2, "[]");
+  ASSERT_TRUE(fleet.until([&] { return fleet.station->grove().usable("w1"); }));
+  EXPECT_TRUE(fleet.until([&] { return fleet.station->tally().outcomes["abandoned"] == 1; }, 1000));
+  EXPECT_EQ(worker.arrivals.size(), 1u);
+  EXPECT_EQ(worker.lines.size(), 1u);
+}
+
+/// Nothing has run and nothing will: the caller is told so when its route's
+/// time is up, not when the wait for a place would end.
+TEST(Forwarding, AtTheRoutesDeadlineACallerIsAnswered) {
+  constexpr std::uint64_t deadline_ms = 300;
+  Fleet fleet;
+  for (schema::Lane& lane : fleet.charter.lanes) {
+    lane = patient(lane);
+    lane.deadline_ms = deadline_ms;
+  }
+  fleet.begin();
+  loam::Moment const sent = loam::boot_now();
+  std::shared_ptr<Line> const caller = fleet.call(query("/once/a", "q1"));
+  EXPECT_EQ(status_of(fleet.answer_on(caller)), 503u);
+  EXPECT_GE(loam::boot_now() - sent, loam::milliseconds(deadline_ms));
+  EXPECT_LT(loam::boot_now() - sent, loam::milliseconds(2000));  // the wait for a place would be 4 s
+}
+
+}  // namespace
+}  // namespace finchlink::relay_test
