--- a/source/tests/relay/station_test.cpp
+++ b/source/tests/relay/station_test.cpp
@@ -224,6 +224,25 @@
   EXPECT_EQ(status_of(fleet.answer_on(fleet.call(query("/new/a", "q3")))), 404u);
 }
 
+TEST(Station, ALaneThatAnUnvouchedCharterDropsIsRefusedWithATime) {
+  Fleet fleet;
+  fleet.charter.lanes[1].set_point_ms = 60000;  // a query may wait for a place
+  fleet.charter.lanes[1].deadline_ms = 30000;
+  fleet.publish_charter(1);
+  fleet.vouched = false;
+  fleet.begin(false);
+  ASSERT_TRUE(fleet.until([&] { return fleet.station->book() != nullptr; }, 30000));
+  std::shared_ptr<Line> const caller = fleet.call(query("/once/a", "q1", "x"));
+  fleet.rest(50);
+  EXPECT_TRUE(caller->got.empty());
+  fleet.charter.lanes.erase(fleet.charter.lanes.begin() + 1);
+  fleet.charter.number = 2;
+  fleet.publish_charter(2);
+  std::optional<Response> const refused = fleet.answer_on(caller);
+  EXPECT_EQ(status_of(refused), 503u);  // a third one may have it again
+  EXPECT_GT(std::stod(text_of(refused, "Retry-After")), 0);
+}
+
 TEST(Station, SeedsThatAreAllCutOffNameTheOthers) {
   // Seven trellises, the three seeds on the small side of a cut: they know the others, who vouch.
   Fleet fleet;
