--- a/source/consensus/write_ahead_log/write_ahead_log.cpp
+++ b/source/consensus/write_ahead_log/write_ahead_log.cpp
@@ -99,7 +99,7 @@
   std::uint64_t newest_generation = 0;
   std::uint64_t suspect = 0;
   for (std::size_t index = 0; index < files_; ++index) {
-    absl::StatusOr<std::string> const file = device_.read(index);
+    absl::StatusOr<std::string> file = device_.read(index);
     if (!file.ok()) {
       return loam::turned(absl::StatusCode::kUnavailable, "ring", "a file can't be read", file.status());
     }
--- a/source/seedbed/worker/worker.cpp
+++ b/source/seedbed/worker/worker.cpp
@@ -51,8 +51,8 @@
   }
   crashed_ = on;
   if (on) {
-    for (std::deque<JobPointer>::iterator job = waiting_.begin(); job != waiting_.end(); ++job) {
-      boost::asio::post((*job)->timer.get_executor(), [one = *job] {
+    for (JobPointer const& job : waiting_) {
+      boost::asio::post(job->timer.get_executor(), [one = job] {
         one->dropped = true;
         one->timer.cancel();
       });
--- a/source/tilth/placement/placement.cpp
+++ b/source/tilth/placement/placement.cpp
@@ -43,8 +43,9 @@
 /// Section 8.7: one furrow ramps a cold worker, by what it has shown and by the
 /// time that it has had; the smaller of the two counts.
 std::size_t Placement::ramp(Worker const& worker, loam::Moment now) const {
-  double const doublings = static_cast<double>(worker.good / std::max<std::uint64_t>(1, bounds_.ramp_step));
-  double const shown = static_cast<double>(bounds_.ramp_first) * std::pow(2.0, std::min(doublings, 20.0));
+  std::uint64_t const doublings = worker.good / std::max<std::uint64_t>(1, bounds_.ramp_step);
+  double const shown =
+      static_cast<double>(bounds_.ramp_first) * std::pow(2.0, std::min(static_cast<double>(doublings), 20.0));
   double const share = bounds_.ramp_ms == 0
                            ? 1.0
                            : in_seconds(now - worker.warming_since) * 1000.0 / static_cast<double>(bounds_.ramp_ms);
