--- /dev/null
+++ b/source/almanac/operators/order_ledger.cpp
@@ -0,0 +1,197 @@
+#include "almanac/operators/order_ledger.hpp"
+
+#include <algorithm>
+#include <set>
+
+#include "config/change/change_marks.hpp"
+#include "config/charter/proposal.hpp"
+#include "config/evacuation/proposal.hpp"
+
+namespace finchlink::almanac {
+
+using Kind = HistoryEntry::Kind;
+
+namespace {
+/// Owners of revisions are told by marks that the simulator adds to evacuations; so many are kept.
+constexpr std::size_t owner_marks_kept = 64;
+constexpr char owner_mark = '#';
+}  // namespace
+
+schema::Value without_owners(schema::Value value, std::vector<schema::ChangeMark>* owners) {
+  std::vector<schema::ChangeMark> kept;
+  for (schema::ChangeMark const& mark : value.marks) {
+    if (!mark.id.empty() && mark.id.front() == owner_mark) {
+      if (owners != nullptr) {
+        owners->push_back(mark);
+      }
+    } else {
+      kept.push_back(mark);
+    }
+  }
+  value.marks = std::move(kept);
+  return value;
+}
+
+consensus::ProposalFunction with_owner(consensus::ProposalFunction propose, std::uint64_t attempt) {
+  return [propose = std::move(propose), attempt](schema::Value const& found) -> consensus::Proposal {
+    std::vector<schema::ChangeMark> owners;
+    consensus::Proposal proposal = propose(without_owners(found, &owners));
+    if (schema::Value* const next = std::get_if<schema::Value>(&proposal)) {
+      owners.push_back(schema::ChangeMark{owner_mark + std::to_string(attempt), next->revision});
+      if (owners.size() > owner_marks_kept) {
+        owners.erase(owners.begin());
+      }
+      next->marks.insert(next->marks.end(), owners.begin(), owners.end());
+    }
+    return proposal;
+  };
+}
+
+void OrderLedger::observe(std::string const& name, schema::Value const& value) {
+  if (value.revision > 0 && name == config::charter_register) {
+    observe_charter(value);
+  } else if (value.revision > 0 && name == config::evacuated_register) {
+    observe_zones(value);
+  }
+}
+
+void OrderLedger::observe_charter(schema::Value const& value) {
+  std::uint64_t revision = config::dropped_marks(value);
+  for (schema::ChangeMark const& mark : value.marks) {
+    std::string& owner = charter_of_[++revision];
+    if (!owner.empty() && owner != mark.id) {
+      violate_("charter revision " + std::to_string(revision) + " is of two changes");
+    }
+    owner = mark.id;
+    number_at_[revision] = mark.revision;
+  }
+}
+
+void OrderLedger::observe_zones(schema::Value const& value) {
+  std::vector<schema::ChangeMark> owners;
+  (void)without_owners(value, &owners);
+  for (schema::ChangeMark const& mark : owners) {
+    std::uint64_t const attempt = std::stoull(mark.id.substr(1));
+    std::uint64_t& owner = zone_order_of_[mark.revision];
+    if (owner != 0 && owner != attempt) {
+      violate_("evacuations revision " + std::to_string(mark.revision) + " is of two orders");
+    }
+    owner = attempt;
+  }
+  zones_at_[value.revision] = value.content;
+}
+
+void OrderLedger::close_zone_order(std::uint64_t attempt, loam::Moment now) {
+  std::map<std::uint64_t, ZoneRecord>::iterator const found = zone_orders_.find(attempt);
+  if (found != zone_orders_.end()) {
+    found->second.closed = now;
+  }
+}
+
+void OrderLedger::acknowledge_zone(std::uint64_t attempt, std::uint64_t revision, loam::Moment now) {
+  ZoneRecord& record = zone_orders_[attempt];
+  std::map<std::uint64_t, std::uint64_t>::const_iterator const owner = zone_order_of_.find(revision);
+  if (owner != zone_order_of_.end() && owner->second == attempt) {
+    record.ended = now;
+    return;
+  }
+  // It found the zone as wanted and wrote nothing: a read.
+  HistoryEntry read{Kind::read, revision, record.began, now};
+  read.subject = record.zone;
+  histories_[config::evacuated_register].push_back(read);
+}
+
+void OrderLedger::add_charter_history() {
+  History& history = histories_[config::charter_register];
+  std::map<std::uint64_t, std::uint64_t> revision_of;
+  for (std::pair<std::uint64_t const, std::uint64_t> const& number : number_at_) {
+    revision_of[number.second] = number.first;
+  }
+  for (HistoryEntry& entry : history) {
+    if (entry.kind == Kind::refused && entry.expected.has_value()) {
+      std::map<std::uint64_t, std::uint64_t>::const_iterator const found = revision_of.find(*entry.expected);
+      entry.revision = *entry.expected == 0         ? 0
+                       : found != revision_of.end() ? found->second
+                                                    : HistoryEntry::no_revision;
+    }
+  }
+  for (std::pair<std::uint64_t const, std::string> const& owner : charter_of_) {
+    ChangeRecord const& change = changes_[owner.second];
+    HistoryEntry write{Kind::write, owner.first, change.began, change.ended};
+    if (change.expected == 0 || revision_of.count(change.expected) > 0) {
+      write.expected = change.expected == 0 ? 0 : revision_of[change.expected];
+    }
+    write.change = owner.second;
+    write.subject = "the charter";
+    write.abandoned = change.ended.has_value() ? std::nullopt : change.closed;
+    history.push_back(write);
+  }
+  for (std::pair<std::string const, ChangeRecord> const& change : changes_) {
+    if (change.second.ended.has_value() &&
+        std::none_of(charter_of_.begin(), charter_of_.end(),
+                     [&change](std::pair<std::uint64_t const, std::string> const& owner) {
+                       return owner.second == change.first;
+                     })) {
+      violate_("an acknowledged change of the charter is in no revision");
+    }
+  }
+}
+
+void OrderLedger::add_evacuation_history() {
+  History& history = histories_[config::evacuated_register];
+  std::map<std::string, bool> evacuated;
+  for (std::pair<std::uint64_t const, std::uint64_t> const& owner : zone_order_of_) {
+    ZoneRecord const& record = zone_orders_[owner.second];
+    HistoryEntry write{Kind::write, owner.first, record.began, record.ended};
+    write.subject = record.zone;
+    bool const changed = evacuated[record.zone] != record.evacuated;
+    evacuated[record.zone] = record.evacuated;
+    // One that found the zone as wanted harms nobody, however late it is.
+    if (changed && !record.ended.has_value()) {
+      write.abandoned = record.closed;
+    }
+    history.push_back(write);
+  }
+}
+
+void OrderLedger::check_zones() {
+  // Each content is what the orders up to its revision make of it.
+  std::set<std::string> expected;
+  std::uint64_t revision = 0;
+  for (std::pair<std::uint64_t const, std::uint64_t> const& owner : zone_order_of_) {
+    if (owner.first != ++revision) {
+      violate_("nobody saw whose evacuations revision " + std::to_string(revision) + " is");
+      return;
+    }
+    ZoneRecord const& record = zone_orders_[owner.second];
+    if (record.evacuated) {
+      expected.insert(record.zone);
+    } else {
+      expected.erase(record.zone);
+    }
+    std::map<std::uint64_t, std::string>::const_iterator const seen = zones_at_.find(revision);
+    if (seen != zones_at_.end()) {
+      std::vector<std::string> const zones = config::evacuated_zones(seen->second);
+      if (std::set<std::string>(zones.begin(), zones.end()) != expected) {
+        violate_("evacuations revision " + std::to_string(revision) + " is not what was ordered");
+      }
+    }
+  }
+}
+
+std::uint64_t OrderLedger::explain() {
+  add_charter_history();
+  add_evacuation_history();
+  check_zones();
+  std::string const wrong = explain_histories(histories_);
+  if (!wrong.empty()) {
+    violate_("no order explains what operators were told: " + wrong);
+  }
+  std::uint64_t explained = 0;
+  for (std::pair<std::string const, History> const& history : histories_) {
+    explained += history.second.size();
+  }
+  return explained;
+}
+
+}  // namespace finchlink::almanac
