--- a/source/trellis/main.cpp
+++ b/source/trellis/main.cpp
@@ -77,11 +77,9 @@
     if (!status.ok()) {
       return status;
     }
-    status = loam::serve_asks(
-        context, settings.http_address, settings.connections, constants::charter_limit,
-        [&program](loam::Ask const& ask, loam::CallerConnection const& caller, loam::Yield yield) {
-          return program.operators->answer(ask, caller, yield);
-        });
+    status = loam::serve_asks(context, settings.http_address, settings.connections, constants::charter_limit,
+                              [&program](loam::Ask const& ask, loam::CallerConnection const& caller,
+                                         loam::Yield yield) { return program.operators->answer(ask, caller, yield); });
     if (!status.ok()) {
       return status;
     }
