A blank founder that is told of the first set has its vote

Cure: named in epoch 1 while blank, with the incarnation that was pledged, it has a vote, as it has had by a founder's answer. Ruled out: the operators' load (nothing is sent to holders before the founding).

Founding.AFounderThatIsToldOfTheSetFirstVotesInIt fails without it.

--- a/source/consensus/acceptor/acceptor.cpp
+++ b/source/consensus/acceptor/acceptor.cpp
@@ -149,7 +149,11 @@
     // had it; a newcomer first takes an image (section 5.5).
     bool const complete =
         voting_ && names(message.set.previous, founding_.incarnation) && message.set.epoch == set_.epoch + 1;
-    take_set(message.set, named && (complete || !guards_.image_before_vote), complete, now, outcome);
+    // A blank founder that hears of the founding by this way has a vote as by
+    // any other (section 5.4): the first epoch has no images to take.
+    bool const founded = blank() && message.set.epoch == 1 && named;
+    bool const votes = named && (founded || complete || !guards_.image_before_vote);
+    take_set(message.set, votes, founded || complete, now, outcome);
   }
   outcome.reply = schema::Adopted{set_.epoch, founding_.incarnation, voting_};
   return outcome;
--- a/source/tests/consensus/acceptor_test.cpp
+++ b/source/tests/consensus/acceptor_test.cpp
@@ -63,6 +63,22 @@
   }
 };
 
+TEST(Founding, AFounderThatIsToldOfTheSetFirstVotesInIt) {
+  // A trellis without a place looked at the holders before this founder had all answers.
+  std::vector<std::string> const founders{"a", "b", "c"};
+  consensus::Acceptor founder(11, "a", founders, 0);
+  schema::VoterSet const set{1, {{11, "a"}, {12, "b"}, {13, "c"}}, {}};
+  (void)founder.receive(schema::Adopt{set}, 0);
+  EXPECT_TRUE(founder.voting());
+  // One that the set does not name, and a newcomer of a later epoch, have no vote by a mere word.
+  consensus::Acceptor other(99, "a", founders, 0);
+  (void)other.receive(schema::Adopt{set}, 0);
+  EXPECT_FALSE(other.voting());
+  consensus::Acceptor late(11, "a", founders, 0);
+  (void)late.receive(schema::Adopt{schema::VoterSet{2, set.holders, set.holders}}, 0);
+  EXPECT_FALSE(late.voting());
+}
+
 TEST(Acceptor, FoundsOnlyWhenAllThreeAreBlankAndAgree) {
   Group group(3);
   (void)group.holders[0].founding({group.word(1)}, 0);  // one founder does not answer
