--- a/source/tests/relay/forwarding_test.cpp
+++ b/source/tests/relay/forwarding_test.cpp
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include "config/evacuation/proposal.hpp"
 #include "tests/relay/fleet.hpp"
 
 namespace finchlink::relay_test {
