--- a/source/almanac/membership_model/actions.cpp
+++ b/source/almanac/membership_model/actions.cpp
@@ -73,14 +73,14 @@
 
 consensus::ProposalFunction write_proposal(std::uint64_t expected, std::string const& content) {
   return [expected, content](schema::Value const& found) -> consensus::Proposal {
-    if (consensus::find_mark(found, content).has_value()) {
+    if (config::find_mark(found, content).has_value()) {
       return consensus::Keep{};
     }
     if (found.revision != expected) {
       return consensus::Reject{"changed meanwhile"};
     }
     schema::Value next{found.revision + 1, content, found.marks};
-    consensus::add_mark(next, content, next.revision);
+    config::add_mark(next, content, next.revision);
     return next;
   };
 }
