--- a/source/membership/freshness/freshness_lease.cpp
+++ b/source/membership/freshness/freshness_lease.cpp
@@ -18,14 +18,20 @@
                                                      loam::Moment now) {
   std::vector<schema::NamedValue> adopted;
   std::vector<schema::NamedValue> const nothing;
+  bool whole = true;
   for (schema::NamedValue const& news : may_adopt(answer, asked) ? answer.news : nothing) {
+    if (guards_.contents_whole && news.withheld > 0) {
+      std::map<std::string, std::uint64_t>::const_iterator const known = held_.find(news.name);
+      whole = whole && known != held_.end() && known->second >= news.revision;
+      continue;
+    }
     std::uint64_t& held = held_[news.name];
     if (news.revision > held || (!guards_.never_back && news.revision != held)) {
       held = news.revision;
       adopted.push_back(news);
     }
   }
-  if (answer.vouched) {
+  if (answer.vouched && whole) {
     confirmed_ask_ = std::max(confirmed_ask_.value_or(asked), asked);
     vouched_until_ = std::max(vouched_until_, (guards_.count_from_ask ? asked : now) + bounds_.vouch);
   }
--- a/source/membership/freshness/freshness_lease.hpp
+++ b/source/membership/freshness/freshness_lease.hpp
@@ -18,6 +18,7 @@
   bool count_from_ask = true;  ///< the vouch counts from when the ask was sent
   bool stop_unvouched = true;  ///< without a vouch no new queries
   bool wait_for_vouch = true;  ///< one that has just started adopts an unvouched word only after a wait
+  bool contents_whole = true;  ///< a content that was left out is not adopted, and nothing is vouched for without it
 };
 
 /// How long a vouch lasts, how old a platform list may be, and how long one that has just started waits for a
