--- a/source/almanac/control/control.hpp
+++ b/source/almanac/control/control.hpp
@@ -59,8 +59,8 @@
   std::uint64_t unvouched = 0;
   std::uint64_t repairs = 0;
   std::uint64_t lease_changes = 0;
-  std::uint64_t replacements = 0;  ///< planned ones
-  std::uint64_t grace_ends = 0;    ///< departures that lasted until the process was killed
+  std::uint64_t replacements = 0;   ///< planned ones
+  std::uint64_t grace_ends = 0;     ///< departures that lasted until the process was killed
   std::uint64_t changes = 0;        ///< newest revision of the setup
   std::uint64_t returns = 0;        ///< machines that came back and were watched catching up
   std::uint64_t empty_adopted = 0;  ///< contents that furrows took though they were left out
@@ -69,7 +69,7 @@
   loam::Span worst_acknowledge = 0;
   loam::Span worst_recovery = 0;
   loam::Span worst_departure = 0;  ///< of those that went by themselves
-  OperatorCounts orders;  ///< of charters and evacuations
+  OperatorCounts orders;           ///< of charters and evacuations
   std::uint64_t trace_hash = 0;
   std::uint64_t events = 0;
 };
--- a/source/almanac/membership_model/actions.cpp
+++ b/source/almanac/membership_model/actions.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "almanac/membership_model/invariants.hpp"
+#include "config/change/change_marks.hpp"
 #include "loam/constants.hpp"
 #include "loam/digest/digest.hpp"
 #include "loam/wire/pack.hpp"
