Exchange fuzz: a late answer never goes out within a slow one

The script put a late answer of another request into the middle of one that it sent slowly on the same connection: the worker's own body was garbled.

--- a/source/tests/relay/exchange_fuzz_test.cpp
+++ b/source/tests/relay/exchange_fuzz_test.cpp
@@ -308,7 +308,9 @@
 
   void check_whole(Entry const& entry, Response const& answer) {
     if (answer.result_int() == 200) {
-      EXPECT_EQ(entry.bodies.count(answer.body()), 1u) << entry.id << " got what no worker gave for it";
+      EXPECT_EQ(entry.bodies.count(answer.body()), 1u)
+          << entry.id << " got what no worker gave for it: " << answer.base() << answer.body().size() << " bytes, "
+          << answer.body().substr(0, 60);
       EXPECT_NE(std::string(answer["Finchlink-Seal"]), "");
     } else if (answer.result_int() == 500) {
       EXPECT_EQ(entry.failures.count(answer.body()), 1u) << entry.id;
@@ -450,7 +452,9 @@
   void send_slowly(std::shared_ptr<Line> const& line, std::string const& text) {
     std::size_t const half = text.empty() ? 0 : below(text.size());
     line->send(text.substr(0, half));
-    later(below(10), [line, rest = text.substr(half)] {
+    slow_.insert(line);
+    later(below(10), [this, line, rest = text.substr(half)] {
+      slow_.erase(line);
       if (!line->ended) {
         line->send(rest);
       }
@@ -554,7 +558,7 @@
       case 27:
         line->send(whole);
         later(5 + below(60), [this, line, &entry] {
-          if (!line->ended) {
+          if (!line->ended && slow_.count(line) == 0) {  // never within an answer
             line->send(answer_of_another(entry));
             taint(line);
           }
@@ -704,6 +708,7 @@
   std::vector<Later> later_;
   std::set<std::pair<std::shared_ptr<Line>, std::string>> early_;  ///< answered before the body was read
   std::map<std::shared_ptr<Line>, loam::Moment> tainted_;          ///< lines with bytes that nobody asked for
+  std::set<std::shared_ptr<Line>> slow_;                           ///< half of an answer went out
   std::map<std::string, std::uint64_t> tally_;
   std::size_t asked_ = 0;
   std::uint64_t attempts_ = 0;
