A transfer whose sources stay silent is given up, and a superseded one at once

The daemon's loop gave up after 10 s without a piece, the simulator's copy never did, and a furrow whose trellis was replaced never heard of a newer charter; even in the daemon that took 10 s, longer than a change may take to be in force. Now the core decides: five silences in a row, or one where a newer revision is current; both loops follow it. Transfer.IsGivenUpWhenItsSourcesStaySilent, guard on and off.

--- a/source/almanac/control/control.cpp
+++ b/source/almanac/control/control.cpp
@@ -196,16 +196,13 @@
     std::size_t const before = receiver->received();
     call(node, name, receiver->source(), receiver->request(), constants::piece_deadline,
          [this, &node, name, receiver, done, before](std::optional<schema::Message> const& answer) {
-           if (!answer.has_value()) {
-             receiver->no_answer();
-           } else {
-             consensus::TransferState const state = receiver->receive(*answer);
-             if (state != consensus::TransferState::under_way) {
-               bool const whole = state == consensus::TransferState::whole;
-               report_.transfers += whole ? 1 : 0;
-               done(whole ? std::optional<std::string>(receiver->take()) : std::nullopt);
-               return;
-             }
+           consensus::TransferState const state =
+               answer.has_value() ? receiver->receive(*answer) : receiver->no_answer();
+           if (state != consensus::TransferState::under_way) {
+             bool const whole = state == consensus::TransferState::whole;
+             report_.transfers += whole ? 1 : 0;
+             done(whole ? std::optional<std::string>(receiver->take()) : std::nullopt);
+             return;
            }
            later(node, receiver->received() > before ? 0 : constants::piece_pause,
                  [this, &node, name, receiver, done] { fetch(node, name, receiver, done); });
--- a/source/consensus/transfer/transfer_client.cpp
+++ b/source/consensus/transfer/transfer_client.cpp
@@ -13,16 +13,12 @@
     std::size_t const before = receiver.received();
     absl::StatusOr<schema::Message> const answer =
         caller.call(receiver.source(), receiver.request(), constants::piece_deadline, yield);
-    if (answer.ok()) {
-      TransferState const state = receiver.receive(*answer);
-      if (state == TransferState::whole) {
-        return receiver.take();
-      }
-      if (state == TransferState::gone) {
-        return std::nullopt;
-      }
-    } else {
-      receiver.no_answer();
+    TransferState const state = answer.ok() ? receiver.receive(*answer) : receiver.no_answer();
+    if (state == TransferState::whole) {
+      return receiver.take();
+    }
+    if (state == TransferState::gone) {
+      return std::nullopt;
     }
     if (receiver.received() > before) {
       progressed = loam::boot_now();
--- a/source/consensus/transfer/value_receiver.cpp
+++ b/source/consensus/transfer/value_receiver.cpp
@@ -30,7 +30,7 @@
   digest_.clear();
 }
 
-void ValueReceiver::no_answer() {
+void ValueReceiver::next_source() {
   if (!guards_.resumes) {
     begin_anew();
   }
@@ -39,6 +39,13 @@
   }
 }
 
+TransferState ValueReceiver::no_answer() {
+  ++silences_;
+  next_source();
+  bool const lost = silences_ >= loam::constants::transfer_silences_most || superseded_;
+  return lost && guards_.given_up ? TransferState::gone : TransferState::under_way;
+}
+
 TransferState ValueReceiver::drop_source() {
   if (!sources_.empty()) {
     sources_.erase(sources_.begin() + static_cast<std::ptrdiff_t>(turn_ % sources_.size()));
@@ -49,11 +56,12 @@
 
 TransferState ValueReceiver::receive(schema::Message const& answer) {
   schema::Piece const* const piece = std::get_if<schema::Piece>(&answer);
+  silences_ = 0;
   if (piece == nullptr) {
     return drop_source();  // an older program, or one that keeps no register
   }
   if (guards_.key_checked && !(piece->key == key_)) {
-    no_answer();
+    next_source();
     return TransferState::under_way;
   }
   if (piece->total == 0 || piece->total > loam::constants::frame_limit) {
@@ -66,7 +74,7 @@
   bool const same = piece->total == total_ && piece->digest == digest_;
   if (guards_.key_checked && !same) {
     begin_anew();  // one of two sources has other bytes; the digest of the whole decides
-    no_answer();
+    next_source();
     return TransferState::under_way;
   }
   if (piece->offset != bytes_.size() || piece->bytes.empty() || piece->bytes.size() > total_ - bytes_.size()) {
@@ -78,7 +86,7 @@
   }
   if (guards_.digest_checked && loam::Digest().add(bytes_).text() != digest_) {
     begin_anew();
-    no_answer();
+    next_source();
     return TransferState::under_way;
   }
   return TransferState::whole;
--- a/source/consensus/transfer/value_receiver.hpp
+++ b/source/consensus/transfer/value_receiver.hpp
@@ -14,6 +14,7 @@
   bool resumes = true;         ///< what has arrived is kept when a piece is lost
   bool digest_checked = true;  ///< bytes whose digest is wrong are not used
   bool key_checked = true;     ///< pieces of another value are not put in
+  bool given_up = true;        ///< sources that stay silent are not asked for ever
 };
 
 enum class TransferState {
@@ -36,8 +37,11 @@
   void add_source(std::string const& address);
 
   [[nodiscard]] TransferState receive(schema::Message const& answer);
-  /// The source did not answer in time: the next one is asked.
-  void no_answer();
+  /// The source did not answer in time: the next one is asked, or the transfer
+  /// is given up after so many silences in a row that all sources count as lost.
+  TransferState no_answer();
+  /// A newer value is current: this one is worth finishing, not waiting for.
+  void supersede() { superseded_ = true; }
   [[nodiscard]] std::string take() { return std::move(bytes_); }
 
   [[nodiscard]] std::size_t received() const { return bytes_.size(); }
@@ -47,11 +51,14 @@
  private:
   [[nodiscard]] TransferState drop_source();
   void begin_anew();
+  void next_source();
 
   schema::TransferKey key_;
   std::vector<std::string> sources_;
   TransferGuards guards_;
   std::size_t turn_ = 0;
+  std::size_t silences_ = 0;  ///< requests in a row that were not answered
+  bool superseded_ = false;
   std::size_t total_ = 0;
   std::string digest_;
   std::string bytes_;
--- a/source/furrow/contents/content_fetcher.cpp
+++ b/source/furrow/contents/content_fetcher.cpp
@@ -42,6 +42,8 @@
     if (!placed.second) {
       if (placed.first->second->key == key) {
         placed.first->second->added.push_back(from);
+      } else {
+        placed.first->second->superseded = true;
       }
       return;
     }
@@ -57,6 +59,9 @@
       receiver.add_source(address);
     }
     transfer->added.clear();
+    if (transfer->superseded) {
+      receiver.supersede();
+    }
     return true;
   };
   (void)go_on();  // the first source
--- a/source/furrow/contents/content_fetcher.hpp
+++ b/source/furrow/contents/content_fetcher.hpp
@@ -29,6 +29,7 @@
   struct Transfer {
     schema::TransferKey key;
     std::vector<std::string> added;  ///< sources named since it began
+    bool superseded = false;         ///< a newer revision was named since
   };
   struct Whole {
     std::uint64_t revision = 0;
--- a/source/loam/constants.hpp
+++ b/source/loam/constants.hpp
@@ -164,6 +164,10 @@
 inline constexpr std::size_t transfer_piece_bytes = 128u << 10u;
 /// One piece, before the next source is asked: 0.6 Mbit/s are enough.
 inline constexpr Span piece_deadline = milliseconds(2000);
+/// Requests in a row that nobody answered before a transfer is given up: its
+/// sources are lost, and what is current is asked for anew. Ten seconds, longer
+/// than the cuts that a transfer should outlast.
+inline constexpr std::size_t transfer_silences_most = 5;
 /// Pause after a piece that did not come.
 inline constexpr Span piece_pause = milliseconds(50);
 /// A transfer that got no piece for this long is given up; what names it is
--- a/source/tests/consensus/transfer_test.cpp
+++ b/source/tests/consensus/transfer_test.cpp
@@ -487,5 +487,20 @@
   EXPECT_EQ(whole.enrolled, -1);
 }
 
+TEST(Transfer, IsGivenUpWhenItsSourcesStaySilent) {
+  consensus::ValueReceiver receiver(schema::TransferKey{"charter", {}, 3}, {"lost"});
+  for (std::size_t silence = 1; silence < loam::constants::transfer_silences_most; ++silence) {
+    EXPECT_EQ(receiver.no_answer(), consensus::TransferState::under_way);
+  }
+  EXPECT_EQ(receiver.no_answer(), consensus::TransferState::gone);
+  consensus::ValueReceiver superseded(schema::TransferKey{"charter", {}, 3}, {"lost"});
+  superseded.supersede();
+  EXPECT_EQ(superseded.no_answer(), consensus::TransferState::gone);
+  consensus::ValueReceiver unguarded(schema::TransferKey{"charter", {}, 3}, {"lost"}, {.given_up = false});
+  for (std::size_t silence = 0; silence < 100; ++silence) {
+    EXPECT_EQ(unguarded.no_answer(), consensus::TransferState::under_way);
+  }
+}
+
 }  // namespace
 }  // namespace finchlink
