--- a/source/tests/consensus/acceptor_test.cpp
+++ b/source/tests/consensus/acceptor_test.cpp
@@ -283,6 +283,32 @@
   }
 }
 
+/// Incident 0020. Two changes are half done, each at one voter; the one with the newer ballot answers last in every
+/// round, and one voter is down. What the first answers name is older than what the last one named before, and that
+/// must not count as something new each time: it would never be settled.
+TEST(MajorityReader, TwoHalfDoneChangesAreSettledWhoeverAnswersFirst) {
+  VoterSet const set{1, {{1, "a"}, {2, "b"}, {3, "c"}, {4, "d"}, {5, "e"}}, {}};
+  MajorityReader reader;
+  std::function<schema::Message(std::uint64_t, std::uint64_t, std::uint64_t)> const answer =
+      [](std::uint64_t voter, std::uint64_t round, std::uint64_t ballot) {
+        schema::Ballot const accepted{1, ballot, 9};
+        return schema::Message(schema::ReadAnswer{
+            1, round, voter, {{"charter", schema::Cell{accepted, accepted, schema::Value{ballot, "text", {}}}}}, {}});
+      };
+  bool settled = false;
+  loam::Moment now = loam::seconds(1);
+  for (std::uint64_t round = 1; round <= 30 && !settled; ++round, now += loam::milliseconds(250)) {
+    (void)reader.begin(set, now);
+    for (std::pair<std::uint64_t, std::uint64_t> const& voter :
+         {std::make_pair(2ul, 2ul), std::make_pair(3ul, 1ul), std::make_pair(4ul, 1ul), std::make_pair(1ul, 3ul)}) {
+      for (MajorityReaderAction const& action : reader.receive(answer(voter.first, round, voter.second))) {
+        settled = settled || std::holds_alternative<Unsettled>(action);
+      }
+    }
+  }
+  EXPECT_TRUE(settled);
+}
+
 TEST(MajorityReader, OneRoundIsEnoughOnlyWhenAMajorityAgrees) {
   Group group(3);
   group.found();
