Say why a read of the configuration is refused: E3011 to E3013, ends of reads, latency

How each majority read ended is now plain state in a module of its own (read_outcomes), fed by the client of the registers: E3011 after 1 s without a confirmed read, and every 3 s while that lasts, with each voter as answered, refused (its epoch), failed or silent, the registers that were unsettled or whose value was missing, the epoch asked, how long the read took and how long the process rested before it; E3012 when reads are confirmed again; E3013 for each operator's read that is refused. Metrics: trellis_reads_total{outcome}, a histogram of operators' reads and the longest of this life. The read itself was one long function; it is split into the read, one answer and one action. Ruled out: a line per read that fails (16 a second while a majority is away). Measured in no run with real processes yet.

--- a/source/consensus/majority_reader/majority_reader.cpp
+++ b/source/consensus/majority_reader/majority_reader.cpp
@@ -9,6 +9,7 @@
   ++round_;
   started_ = now;
   open_ = true;
+  unsettled_.clear();
   answered_.clear();
   tallies_.clear();
   std::vector<MajorityReaderAction> actions;
@@ -102,6 +103,7 @@
       learn(entry.first, entry.second.best, entry.second.value);
     }
   }
+  unsettled_ = unsettled.names;
   if (unsettled.names.empty() && actions.empty()) {
     open_ = false;
     open_ballots_.clear();
--- a/source/consensus/majority_reader/majority_reader.hpp
+++ b/source/consensus/majority_reader/majority_reader.hpp
@@ -49,6 +49,8 @@
   /// Newest confirmed values; they only ever get newer.
   [[nodiscard]] std::map<std::string, schema::Value> const& values() const { return values_; }
   [[nodiscard]] Ballot known(std::string const& name) const;
+  /// Registers whose newest ballot stood at no majority when the read under way was last judged.
+  [[nodiscard]] std::vector<std::string> const& unsettled() const { return unsettled_; }
   /// Everything chosen before this moment is in values().
   [[nodiscard]] loam::Moment confirmed_from() const { return confirmed_from_; }
 
@@ -73,6 +75,7 @@
   loam::Moment started_ = 0;
   loam::Moment confirmed_from_ = 0;
   bool open_ = false;
+  std::vector<std::string> unsettled_;
   std::set<std::uint64_t> answered_;
   std::map<std::string, Tally> tallies_;
   std::map<std::string, Ballot> known_;
--- a/source/loam/constants.hpp
+++ b/source/loam/constants.hpp
@@ -111,6 +111,11 @@
 /// trellises then push out 256 marks in no less than ten seconds, more than
 /// twice the time of a change that is under way.
 inline constexpr int outcomes_most = 16;
+/// Reads that no majority confirmed for longer than this are told in the log:
+/// a dozen reads, below the vouch bound and a quarter of what an operator's read waits.
+inline constexpr Span reads_lost_after = milliseconds(1000);
+/// While reads stay lost, the newest one is told again after this.
+inline constexpr Span reads_lost_again = milliseconds(3000);
 /// Largest setup document in bytes; three copies and the ring stay small.
 inline constexpr std::size_t setup_limit = 256u << 10u;
 /// Largest charter in bytes: some five thousand lanes of 350 bytes.
--- a/source/trellis/operator/operator.cpp
+++ b/source/trellis/operator/operator.cpp
@@ -173,9 +173,23 @@
   return unless_late(std::move(answer), verb, loam::boot_now() - arrival, acknowledge_wait_);
 }
 
-bool Operator::confirmed(loam::Yield yield) {
-  // A read that is sure: a majority confirms it after the ask came.
+std::optional<schema::Value> Operator::confirmed(std::string const& path, std::string const& name, loam::Yield yield) {
   loam::Moment const arrival = loam::boot_now();
+  bool const sure = await_confirmation(arrival, yield);
+  loam::Moment const now = loam::boot_now();
+  loam::Moment const last = register_.confirmed_from();
+  read_latency_.record(now - arrival);
+  if (!sure) {
+    loam::note(loam::Event::ReadRefused,
+               path + " waited " + std::to_string((now - arrival) / loam::milliseconds(1)) + " ms, last confirmation " +
+                   (last == 0 ? "never" : std::to_string((now - last) / loam::milliseconds(1)) + " ms old"));
+    return std::nullopt;
+  }
+  return register_.value(name);
+}
+
+bool Operator::await_confirmation(loam::Moment arrival, loam::Yield yield) {
+  // A read that is sure: a majority confirms it after the ask came.
   register_.hurry();
   while (register_.confirmed_from() < arrival) {
     if (loam::boot_now() - arrival > constants::change_deadline) {
@@ -209,15 +223,15 @@
 }
 
 loam::Answer Operator::get_charter(loam::Yield yield) {
-  if (!confirmed(yield)) {
+  std::optional<schema::Value> const value = confirmed(paths_.charter, config::charter_register, yield);
+  if (!value.has_value()) {
     return loam::answer_error(http::status::service_unavailable, "no_majority", "no majority of holders answered");
   }
-  schema::Value const value = register_.value(config::charter_register);
-  if (value.revision == 0) {
+  if (value->revision == 0) {
     return loam::answer_error(http::status::not_found, "no_charter", "no charter was put yet");
   }
-  loam::Answer answer = loam::answer_text(http::status::ok, value.content);
-  answer.set(http::field::etag, "\"" + std::to_string(config::number_of(value)) + "\"");
+  loam::Answer answer = loam::answer_text(http::status::ok, value->content);
+  answer.set(http::field::etag, "\"" + std::to_string(config::number_of(*value)) + "\"");
   return answer;
 }
 
@@ -304,23 +318,24 @@
 }
 
 loam::Answer Operator::get_evacuated(loam::Yield yield) {
-  if (!confirmed(yield)) {
+  std::optional<schema::Value> const value = confirmed("/evacuated", config::evacuated_register, yield);
+  if (!value.has_value()) {
     return loam::answer_error(http::status::service_unavailable, "no_majority", "no majority of holders answered");
   }
-  std::string const content = register_.value(config::evacuated_register).content;
+  std::string const& content = value->content;
   return loam::answer_text(http::status::ok, content.empty() ? "[]" : content);
 }
 
 loam::Answer Operator::get_setup(loam::Yield yield) {
-  if (!confirmed(yield)) {
+  std::optional<schema::Value> const value = confirmed("/setup", consensus::setup_register, yield);
+  if (!value.has_value()) {
     return loam::answer_error(http::status::service_unavailable, "no_majority", "no majority of holders answered");
   }
-  schema::Value const value = register_.value(consensus::setup_register);
-  if (value.content.empty()) {
+  if (value->content.empty()) {
     return loam::answer_error(http::status::not_found, "no_setup", "no setup was put yet");
   }
-  loam::Answer answer = loam::answer_text(http::status::ok, value.content);
-  answer.set(http::field::etag, "\"" + std::to_string(value.revision) + "\"");
+  loam::Answer answer = loam::answer_text(http::status::ok, value->content);
+  answer.set(http::field::etag, "\"" + std::to_string(value->revision) + "\"");
   return answer;
 }
 
@@ -494,6 +509,8 @@
           std::to_string(static_cast<double>(news_.list_age()) / 1e6) + "\n";
   text += "# TYPE trellis_confirmed_age_seconds gauge\ntrellis_confirmed_age_seconds " +
           std::to_string(static_cast<double>(loam::boot_now() - register_.confirmed_from()) / 1e6) + "\n";
+  text += metrics_of(register_.read_outcomes());
+  text += read_latency_.metrics();
   text += "# TYPE trellis_holder_voting gauge\ntrellis_holder_voting " +
           std::to_string(holder_ != nullptr && holder_->voting() ? 1 : 0) + "\n";
   text += health_.metrics();
--- a/source/trellis/operator/operator.hpp
+++ b/source/trellis/operator/operator.hpp
@@ -10,6 +10,7 @@
 #include "trellis/news/news.hpp"
 #include "trellis/operator/health.hpp"
 #include "trellis/operator/paths.hpp"
+#include "trellis/operator/read_latency.hpp"
 #include "trellis/register_client/register_client.hpp"
 
 namespace finchlink::trellis {
@@ -43,8 +44,12 @@
                                       loam::Yield yield);
   /// What became of an order is not known: no status that promises otherwise.
   [[nodiscard]] loam::Answer unknown(std::string const& message);
-  /// Whether a majority confirmed all values after now; waits for it.
-  [[nodiscard]] bool confirmed(loam::Yield yield);
+  /// The register's value, confirmed by a majority after now; waits for it. A
+  /// refusal, without a value, is noted with the path that was asked for.
+  [[nodiscard]] std::optional<schema::Value> confirmed(std::string const& path, std::string const& name,
+                                                       loam::Yield yield);
+  /// Waits until a majority confirmed all values after `arrival`; whether it did in time.
+  [[nodiscard]] bool await_confirmation(loam::Moment arrival, loam::Yield yield);
   /// What was chosen is on its way to all furrows; then the wait before yes.
   void spread(loam::Yield yield);
   [[nodiscard]] loam::Answer get_setup(loam::Yield yield);
@@ -66,6 +71,7 @@
   config::Notation notation_;
   OperatorPaths paths_;
   std::atomic<loam::Span> acknowledge_wait_;
+  ReadLatency read_latency_;
   std::atomic<int> open_ = 0;
   std::atomic<int> outcomes_ = 0;
   std::atomic<std::uint64_t> accepted_ = 0;
--- /dev/null
+++ b/source/trellis/operator/read_latency.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <array>
+#include <atomic>
+#include <cstdint>
+#include <string>
+
+#include "loam/time/moment.hpp"
+
+namespace finchlink::trellis {
+
+/// How long operators' reads of a confirmed state took: a histogram for the
+/// metrics page. Safe from any thread.
+class ReadLatency {
+ public:
+  void record(loam::Span took) {
+    std::size_t index = 0;
+    while (index < bounds.size() && took > bounds[index]) {
+      ++index;
+    }
+    ++buckets_[index];
+    sum_ += took;
+    loam::Span seen = longest_;
+    while (seen < took && !longest_.compare_exchange_weak(seen, took)) {
+    }
+  }
+  [[nodiscard]] std::string metrics() const {
+    std::string const name = "trellis_read_seconds";
+    std::string text = "# TYPE " + name + " histogram\n";
+    std::uint64_t total = 0;
+    for (std::size_t index = 0; index < buckets_.size(); ++index) {
+      total += buckets_[index];
+      std::string const bound = index < bounds.size() ? seconds(bounds[index]) : "+Inf";
+      text += name + "_bucket{le=\"" + bound + "\"} " + std::to_string(total) + "\n";
+    }
+    text += name + "_sum " + seconds(sum_) + "\n" + name + "_count " + std::to_string(total) + "\n";
+    return text + "# TYPE trellis_read_longest_seconds gauge\ntrellis_read_longest_seconds " + seconds(longest_) + "\n";
+  }
+
+ private:
+  /// Upper bounds of the buckets, in microseconds; the last is the deadline of a read.
+  static constexpr std::array<loam::Span, 7> bounds{50'000, 100'000, 250'000, 500'000, 1'000'000, 2'000'000, 4'000'000};
+  static std::string seconds(loam::Span span) { return std::to_string(static_cast<double>(span) / 1e6); }
+
+  std::array<std::atomic<std::uint64_t>, bounds.size() + 1> buckets_{};
+  std::atomic<loam::Span> sum_ = 0;
+  std::atomic<loam::Span> longest_ = 0;
+};
+
+}  // namespace finchlink::trellis
--- /dev/null
+++ b/source/trellis/register_client/read_outcomes.cpp
@@ -0,0 +1,125 @@
+#include "trellis/register_client/read_outcomes.hpp"
+
+#include "loam/constants.hpp"
+#include "loam/log/log.hpp"
+
+namespace finchlink::trellis {
+
+namespace constants = loam::constants;
+
+namespace {
+constexpr std::array<char const*, read_outcome_count> labels{"confirmed",   "unsettled",    "missing",
+                                                             "no_majority", "newer_voters", "no_voters"};
+
+struct ReactionText {
+  std::string operator()(VoterSilent) const { return "silent"; }
+  std::string operator()(VoterFailed) const { return "failed"; }
+  std::string operator()(VoterAnswered) const { return "answered"; }
+  std::string operator()(VoterRefused refused) const { return "refused(epoch " + std::to_string(refused.epoch) + ")"; }
+};
+
+std::string joined(std::vector<std::string> const& names) {
+  std::string text;
+  for (std::string const& name : names) {
+    text += (text.empty() ? "" : ",") + name;
+  }
+  return text.empty() ? "none" : text;
+}
+
+std::string milliseconds(loam::Span span) {
+  return std::to_string(span / loam::milliseconds(1)) + " ms";
+}
+
+struct NoteReads {
+  void operator()(ReadsLost const& lost) const {
+    loam::note(loam::Event::ReadsLost, "none confirmed for " + milliseconds(lost.unconfirmed) + ", rounds " +
+                                           std::to_string(lost.rounds) + ", rest before this " +
+                                           milliseconds(lost.rest) + ", " + describe(lost.round));
+  }
+  void operator()(ReadsRegained const& regained) const {
+    loam::note(loam::Event::ReadsRegained,
+               "after " + milliseconds(regained.unconfirmed) + " and " + std::to_string(regained.rounds) + " rounds");
+  }
+};
+}  // namespace
+
+char const* label_of(ReadOutcome outcome) {
+  return labels[static_cast<std::size_t>(outcome)];
+}
+
+VoterReaction reaction_of(schema::Message const& answer) {
+  if (schema::Refused const* const refused = std::get_if<schema::Refused>(&answer)) {
+    return VoterRefused{refused->set.epoch};
+  }
+  return VoterAnswered{};
+}
+
+ReadOutcome outcome_of(ReadRound const& round) {
+  if (round.epoch == 0) {
+    return ReadOutcome::no_voters;
+  }
+  if (round.confirmed) {
+    return ReadOutcome::confirmed;
+  }
+  if (round.newer_voters) {
+    return ReadOutcome::newer_voters;
+  }
+  if (!round.missing.empty()) {
+    return ReadOutcome::missing;
+  }
+  return round.unsettled.empty() ? ReadOutcome::no_majority : ReadOutcome::unsettled;
+}
+
+std::string describe(ReadRound const& round) {
+  std::string text = std::string(label_of(outcome_of(round))) + ", own epoch " + std::to_string(round.epoch) +
+                     ", took " + milliseconds(round.ended - round.began) + ", voters:";
+  for (VoterReply const& voter : round.voters) {
+    text += " " + voter.address + "=" + std::visit(ReactionText{}, voter.reaction);
+  }
+  return text + ", unsettled: " + joined(round.unsettled) + ", missing: " + joined(round.missing);
+}
+
+std::optional<ReadsEvent> ReadOutcomes::record(ReadRound const& round) {
+  ++counts_[static_cast<std::size_t>(outcome_of(round))];
+  loam::Span const rest = last_ended_ == 0 ? 0 : round.began - last_ended_;
+  last_ended_ = round.ended;
+  if (!since_.has_value()) {
+    since_ = round.began;
+  }
+  if (round.confirmed) {
+    return confirm(round);
+  }
+  ++unconfirmed_rounds_;
+  loam::Span const unconfirmed = round.ended - *since_;
+  bool const told_lately = told_ != 0 && round.ended - told_ < constants::reads_lost_again;
+  if (unconfirmed <= constants::reads_lost_after || told_lately) {
+    return std::nullopt;
+  }
+  told_ = round.ended;
+  return ReadsLost{unconfirmed, unconfirmed_rounds_, rest, round};
+}
+
+std::optional<ReadsEvent> ReadOutcomes::confirm(ReadRound const& round) {
+  ReadsRegained const regained{round.ended - since_.value_or(round.began), unconfirmed_rounds_};
+  bool const was_lost = told_ != 0;
+  since_ = round.began;
+  told_ = 0;
+  unconfirmed_rounds_ = 0;
+  return was_lost ? std::optional<ReadsEvent>(regained) : std::nullopt;
+}
+
+void note_reads(ReadsEvent const& event) {
+  std::visit(NoteReads{}, event);
+}
+
+std::string metrics_of(ReadOutcomes const& outcomes) {
+  std::string text = "# TYPE trellis_reads_total counter\n";
+  for (std::size_t index = 0; index < read_outcome_count; ++index) {
+    ReadOutcome const outcome = static_cast<ReadOutcome>(index);
+    text += "trellis_reads_total{outcome=\"" + std::string(label_of(outcome)) + "\"} " +
+            std::to_string(outcomes.count(outcome)) + "\n";
+  }
+  return text;
+}
+
+}  // namespace finchlink::trellis
--- a/source/trellis/register_client/register_client.cpp
+++ b/source/trellis/register_client/register_client.cpp
@@ -112,6 +112,8 @@
 }
 
 void RegisterClient::discover(loam::Yield yield) {
+  ReadRound round;
+  round.began = loam::boot_now();
   std::vector<std::pair<std::string, schema::Message>> calls;
   {
     std::lock_guard<std::mutex> const guard(lock_);
@@ -133,65 +135,108 @@
         return set().epoch > 0;
       },
       yield);
+  record(std::move(round));
 }
 
-bool RegisterClient::confirm_once(loam::Yield yield) {
+ReadOutcomes RegisterClient::read_outcomes() {
+  std::lock_guard<std::mutex> const guard(lock_);
+  return read_outcomes_;
+}
+
+void RegisterClient::record(ReadRound round) {
+  round.ended = loam::boot_now();
+  std::optional<ReadsEvent> event;
+  {
+    std::lock_guard<std::mutex> const guard(lock_);
+    if (!round.confirmed) {
+      round.unsettled = confirm_.unsettled();
+    }
+    event = read_outcomes_.record(round);
+  }
+  if (event.has_value()) {
+    note_reads(*event);
+  }
+}
+
+bool RegisterClient::take_action(MajorityReaderAction const& action, ReadRound& round, ReadResult& result) {
+  if (std::holds_alternative<consensus::Confirmed>(action)) {
+    result.unsettled.clear();
+    result.confirmed = true;
+    round.confirmed = true;
+    return true;
+  }
+  if (consensus::Unsettled const* const open = std::get_if<consensus::Unsettled>(&action)) {
+    result.unsettled = open->names;
+    return false;
+  }
+  if (consensus::MissingChosen const* const left = std::get_if<consensus::MissingChosen>(&action)) {
+    result.missing.push_back(*left);
+    round.missing.push_back(left->name);
+    return true;
+  }
+  if (consensus::NewerVoters const* const newer = std::get_if<consensus::NewerVoters>(&action)) {
+    if (newer->set.epoch > set_.epoch) {
+      set_ = newer->set;
+    }
+    round.newer_voters = true;
+    return true;
+  }
+  return false;
+}
+
+bool RegisterClient::take_answer(schema::Message const& answer, ReadRound& round, ReadResult& result) {
+  bool done = false;
+  std::lock_guard<std::mutex> const guard(lock_);
+  for (MajorityReaderAction const& action : confirm_.receive(answer)) {
+    done = take_action(action, round, result) || done;
+  }
+  return done;
+}
+
+RegisterClient::ReadResult RegisterClient::read_once(loam::Yield yield) {
   std::vector<std::pair<std::string, schema::Message>> calls;
+  ReadRound round;
+  round.began = loam::boot_now();
   {
     std::lock_guard<std::mutex> const guard(lock_);
-    for (MajorityReaderAction const& action : confirm_.begin(set_, loam::boot_now())) {
+    round.epoch = set_.epoch;
+    for (MajorityReaderAction const& action : confirm_.begin(set_, round.began)) {
       consensus::SendRead const& send = std::get<consensus::SendRead>(action);
       calls.emplace_back(send.to.address, send.read);
+      round.voters.push_back(VoterReply{send.to.address, VoterSilent{}});
     }
   }
-  std::vector<std::string> unsettled;
-  std::vector<consensus::MissingChosen> missing;
-  bool confirmed = false;
+  ReadResult result;
   loam::Gather::run(
       context_, caller_, calls, constants::holder_deadline,
-      [this, &unsettled, &missing, &confirmed](std::size_t, absl::StatusOr<schema::Message> const& answer) {
-        if (!answer.ok()) {
-          return false;
-        }
-        bool done = false;
-        std::lock_guard<std::mutex> const guard(lock_);
-        for (MajorityReaderAction const& action : confirm_.receive(*answer)) {
-          if (std::holds_alternative<consensus::Confirmed>(action)) {
-            unsettled.clear();
-            confirmed = true;
-            done = true;
-          } else if (consensus::Unsettled const* const open = std::get_if<consensus::Unsettled>(&action)) {
-            unsettled = open->names;
-          } else if (consensus::MissingChosen const* const left = std::get_if<consensus::MissingChosen>(&action)) {
-            missing.push_back(*left);
-            done = true;
-          } else if (consensus::NewerVoters const* const newer = std::get_if<consensus::NewerVoters>(&action)) {
-            if (newer->set.epoch > set_.epoch) {
-              set_ = newer->set;
-            }
-            done = true;
-          }
-        }
-        return done;
+      [this, &round, &result](std::size_t index, absl::StatusOr<schema::Message> const& answer) {
+        round.voters[index].reaction = answer.ok() ? reaction_of(*answer) : VoterReaction(VoterFailed{});
+        return answer.ok() && take_answer(*answer, round, result);
       },
       yield);
+  record(std::move(round));
+  return result;
+}
+
+bool RegisterClient::confirm_once(loam::Yield yield) {
+  ReadResult result = read_once(yield);
   schema::VoterSet const holders = set();
-  for (consensus::MissingChosen const& value : missing) {
+  for (consensus::MissingChosen const& value : result.missing) {
     transfers_.want(value.name, value.digest, addresses_of(holders, value.sources), value.accepted);
   }
   // Someone's change is half done: a sure read settles it (section 5.6). The
   // next round then finds it at a majority. All trellises see it at the same
   // time, and would take each other's ballots: whose lot it is not looks again.
   if (loam::random_number() % constants::settle_lots != 0) {
-    unsettled.clear();
+    result.unsettled.clear();
   }
-  for (std::string const& name : unsettled) {
+  for (std::string const& name : result.unsettled) {
     (void)change(
         name, [](schema::Value const&) -> consensus::Proposal { return consensus::Keep{}; }, constants::holder_deadline,
         yield);
   }
   bell_.ring();
-  return confirmed;
+  return result.confirmed;
 }
 
 std::optional<schema::Value> RegisterClient::fetch(std::string const& name, consensus::NeededValue const& needed,
--- a/source/trellis/register_client/register_client.hpp
+++ b/source/trellis/register_client/register_client.hpp
@@ -10,6 +10,7 @@
 #include "consensus/proposer/proposer.hpp"
 #include "loam/constants.hpp"
 #include "loam/net/net.hpp"
+#include "trellis/register_client/read_outcomes.hpp"
 #include "trellis/register_client/register_transfers.hpp"
 
 namespace finchlink::trellis {
@@ -47,6 +48,8 @@
   [[nodiscard]] loam::Moment confirmed_from();
   /// Rings when something was confirmed or learnt.
   [[nodiscard]] loam::Bell& bell() { return bell_; }
+  /// How majority reads ended so far.
+  [[nodiscard]] ReadOutcomes read_outcomes();
   /// Bytes that values on their way here in pieces still lack (section 5.8).
   [[nodiscard]] std::size_t bytes_left() { return transfers_.bytes_left(); }
 
@@ -54,6 +57,18 @@
   /// One majority read; whether it confirmed all registers.
   [[nodiscard]] bool confirm_once(loam::Yield yield);
   void discover(loam::Yield yield);
+  /// What one majority read brought.
+  struct ReadResult {
+    bool confirmed = false;
+    std::vector<std::string> unsettled;  ///< registers that are to be settled
+    std::vector<consensus::MissingChosen> missing;
+  };
+  [[nodiscard]] ReadResult read_once(loam::Yield yield);
+  /// One voter's answer to the read under way; whether the read is over.
+  [[nodiscard]] bool take_answer(schema::Message const& answer, ReadRound& round, ReadResult& result);
+  /// Whether the read is over.
+  [[nodiscard]] bool take_action(consensus::MajorityReaderAction const& action, ReadRound& round, ReadResult& result);
+  void record(ReadRound round);
   /// Takes what a transfer brought.
   void take(std::string const& name, std::optional<schema::Value> const& value,
             std::optional<schema::Ballot> const& chosen);
@@ -71,6 +86,7 @@
   std::mutex lock_;
   schema::VoterSet set_;
   consensus::MajorityReader confirm_;
+  ReadOutcomes read_outcomes_;
   loam::Span confirm_pause_;
   loam::Bell bell_;
   loam::Bell hurry_;
