Invariants: conditions that must always hold, counted, logged as E1020, failing tests

Cause: a broken rule was seen from outside only (a confirmed change read back as older, or as none); nothing in the processes says which of their own rules failed first. loam/invariant has one table of names; check() is a branch where the condition holds. A violation is counted in an atomic per invariant and its detail kept in a list of four, which the daemon writes to the log once a second (E1020), so at most four lines a second. The process goes on. A listener of GoogleTest fails each test during which a count rose outside a scope that expects it. Ways weighed: violations among the actions of a core: each shell, simulator and test would have to pass them on, and one that forgets hides them; assertions: a fleet that ends itself on one is worse.

--- a/source/loam/constants.hpp
+++ b/source/loam/constants.hpp
@@ -81,6 +81,10 @@
 /// After the platform turned a read of the list away, the pause doubles to this.
 inline constexpr Span list_rest_most = milliseconds(2000);
 
+// --- invariants (section 3.5) ---
+/// Pause between two looks for violations to log: with `violations_kept` a few lines a second.
+inline constexpr Span invariant_log_pause = milliseconds(1000);
+
 // --- register (section 5) ---
 /// One exchange with one holder; a slow disk counts as silence after this.
 inline constexpr Span holder_deadline = milliseconds(800);
--- /dev/null
+++ b/source/loam/log/invariant_log.cpp
@@ -0,0 +1,39 @@
+#include "loam/log/invariant_log.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <memory>
+
+#include "loam/constants.hpp"
+#include "loam/log/log.hpp"
+
+namespace finchlink::loam {
+
+namespace {
+void note_after_pause(std::shared_ptr<boost::asio::steady_timer> const& timer) {
+  timer->expires_after(std::chrono::microseconds(constants::invariant_log_pause));
+  timer->async_wait([timer](boost::system::error_code const& error) {
+    if (!error) {
+      note_violations();
+      note_after_pause(timer);
+    }
+  });
+}
+}  // namespace
+
+std::string describe(InvariantViolation const& violation) {
+  return std::string(name_of(violation.invariant)) + ": " + violation.detail + " (" +
+         std::to_string(violation_count(violation.invariant)) + " in this process so far)";
+}
+
+void note_violations() {
+  for (InvariantViolation const& violation : take_violations()) {
+    note(Event::InvariantViolated, describe(violation));
+  }
+}
+
+void note_violations_while_running(boost::asio::io_context& context) {
+  note_after_pause(std::make_shared<boost::asio::steady_timer>(context));
+}
+
+}  // namespace finchlink::loam
--- a/source/loam/process/process.cpp
+++ b/source/loam/process/process.cpp
@@ -8,6 +8,7 @@
 
 #include "loam/constants.hpp"
 #include "loam/error/error.hpp"
+#include "loam/log/invariant_log.hpp"
 #include "loam/log/log.hpp"
 #include "loam/net/net.hpp"
 #include "loam/net/traffic.hpp"
@@ -112,6 +113,7 @@
   }
   note(Event::ProcessStarted, "http " + settings.http_address + " colleagues " + settings.colleague_address);
   note_traffic_on_signal(context);
+  note_violations_while_running(context);
   boost::asio::signal_set signals(context, SIGTERM, SIGINT);
   Span const drain_span =
       path.has_value()
@@ -143,6 +145,7 @@
   for (std::thread& thread : threads) {
     thread.join();
   }
+  note_violations();
   note(Event::ProcessStopped, "");
   return 0;
 }
--- /dev/null
+++ b/source/tests/invariant_listener.cpp
@@ -0,0 +1,68 @@
+#include "tests/invariant_listener.hpp"
+
+#include <gtest/gtest.h>
+
+namespace finchlink {
+namespace {
+
+using Counts = std::map<loam::Invariant, std::uint64_t>;
+
+/// Violations of the running test that stood in a scope of ExpectedViolations.
+Counts& expected() {
+  static Counts counts;
+  return counts;
+}
+
+/// Fails each test during which an invariant was violated outside such a scope.
+/// GoogleTest takes listeners as derived classes only.
+class InvariantListener : public testing::EmptyTestEventListener {
+ public:
+  void OnTestStart(testing::TestInfo const& /*test*/) override {
+    expected().clear();
+    (void)loam::take_violations();
+    for (loam::InvariantEntry const& entry : loam::invariant_catalogue()) {
+      before_[entry.invariant] = loam::violation_count(entry.invariant);
+    }
+  }
+
+  void OnTestEnd(testing::TestInfo const& /*test*/) override {
+    std::string details;
+    for (loam::InvariantViolation const& violation : loam::take_violations()) {
+      details += std::string("\n  ") + loam::name_of(violation.invariant) + ": " + violation.detail;
+    }
+    for (loam::InvariantEntry const& entry : loam::invariant_catalogue()) {
+      std::uint64_t const rose = loam::violation_count(entry.invariant) - before_[entry.invariant];
+      EXPECT_EQ(rose, expected()[entry.invariant]) << "violations of invariant " << entry.name << details;
+    }
+  }
+
+ private:
+  Counts before_;
+};
+
+/// Before main: GoogleTest's own main() leaves no other place. It owns the listener.
+bool const appended = [] {
+  testing::UnitTest::GetInstance()->listeners().Append(new InvariantListener());
+  return true;
+}();
+
+}  // namespace
+
+ExpectedViolations::ExpectedViolations(std::initializer_list<loam::Invariant> invariants, bool in_force)
+    : in_force_(in_force) {
+  for (loam::Invariant const invariant : invariants) {
+    before_[invariant] = loam::violation_count(invariant);
+  }
+}
+
+ExpectedViolations::~ExpectedViolations() {
+  for (std::pair<loam::Invariant const, std::uint64_t> const& entry : before_) {
+    expected()[entry.first] += in_force_ ? count(entry.first) : 0;
+  }
+}
+
+std::uint64_t ExpectedViolations::count(loam::Invariant invariant) const {
+  return loam::violation_count(invariant) - before_.at(invariant);
+}
+
+}  // namespace finchlink
