Metrics: violations of each invariant, always present, on the pages of trellis and furrow

finchlink_invariant_violations_total{invariant="..."} stands on /metrics of trellis and on /-/metrics of both of furrow's data paths, 0 as long as nothing was seen, so that a long run can read it. Platform.Fleet reads it from every process and fails if any process logged E1020 in any of its tests.

--- a/source/furrow/query/session.cpp
+++ b/source/furrow/query/session.cpp
@@ -10,6 +10,7 @@
 #include "furrow/worker/contract.hpp"
 #include "loam/constants.hpp"
 #include "loam/http/http.hpp"
+#include "loam/invariant/invariant.hpp"
 #include "loam/json/tree.hpp"
 #include "loam/random/random.hpp"
 
@@ -27,7 +28,8 @@
     return loam::answer_text(http::status::ok, "{\"alive\":true}");
   }
   if (target == "/-/metrics") {
-    return loam::answer_text(http::status::ok, field.gauges().print(), "text/plain; version=0.0.4");
+    return loam::answer_text(http::status::ok, field.gauges().print() + loam::invariant_metrics(),
+                             "text/plain; version=0.0.4");
   }
   std::shared_ptr<Plan const> const plan = field.plan();
   if (target == "/-/ready") {
--- a/source/furrow/relay/station.cpp
+++ b/source/furrow/relay/station.cpp
@@ -14,6 +14,7 @@
 #include "config/evacuation/proposal.hpp"
 #include "consensus/ballot/ballot.hpp"
 #include "furrow/relay/walls.hpp"
+#include "loam/invariant/invariant.hpp"
 #include "loam/json/tree.hpp"
 #include "loam/log/log.hpp"
 #include "loam/random/random.hpp"
@@ -599,7 +600,7 @@
       body = directory(query["zone"], query["region"]);
     } else if (path == "/-/metrics") {
       status = "200 OK";
-      body = tally_.print() + print_wall_metrics(walls_);
+      body = tally_.print() + print_wall_metrics(walls_) + loam::invariant_metrics();
     } else if (path == "/-/tenants") {
       status = "200 OK";
       body = print_tenants(walls_);
--- a/source/tests/platform/fleet_test.py
+++ b/source/tests/platform/fleet_test.py
@@ -45,8 +45,19 @@
         self.addCleanup(self.folder.cleanup)
         self.addCleanup(self.platform.stop)
         self.addCleanup(self.fleet.stop)
+        self.addCleanup(self.check_invariants)
         self.controls = [f"{process['ip']}:{standin.CONTROL}" for process in self.plan["processes"].values() if process["program"] == "trellis"]
 
+    def check_invariants(self):
+        """No process saw anything that must never be."""
+        for name, text in self.fleet.text.items():
+            self.assertNotIn("E1020", text, name)
+
+    def violations(self, name, port, path):
+        """The counts of violated invariants on a process's metrics page."""
+        lines = self.ask(name, port, "GET", path)[1].splitlines()
+        return [int(line.split()[-1]) for line in lines if line.startswith("finchlink_invariant_violations_total{")]
+
     def start(self):
         for name in self.plan["processes"]:
             self.fleet.start(name)
@@ -127,6 +138,11 @@
         for name in self.furrows():  # in force where queries come
             self.assertTrue(standin.until(lambda: self.ask(name, standin.FRONT, "GET", "/new/a")[0] == 200))
             self.assertEqual(self.ask(name, standin.FRONT, "GET", "/talk/a")[0], 404)
+        for name, port, path in [(name, standin.READY, "/-/metrics") for name in self.furrows()] + [(name, standin.CONTROL, "/metrics") for name in self.trellises()]:
+            found = self.violations(name, port, path)
+            self.assertGreater(len(found), 0, name)
+            self.assertEqual(sum(found), 0, name)
+        self.assertIn('trellis_reads_total{outcome="confirmed"}', self.ask(self.trellises()[0], standin.CONTROL, "GET", "/metrics")[1])
         # Who is there.
         # Sessions reach the other trellises by gossip, within two rounds of it:
         # every one of them comes to know all, not only the one that was asked.
--- a/source/trellis/operator/operator.cpp
+++ b/source/trellis/operator/operator.cpp
@@ -5,6 +5,7 @@
 #include "config/label/selector.hpp"
 #include "config/setup/setup.hpp"
 #include "loam/constants.hpp"
+#include "loam/invariant/invariant.hpp"
 #include "loam/json/tree.hpp"
 #include "loam/log/log.hpp"
 #include "loam/random/random.hpp"
@@ -509,6 +510,7 @@
           std::to_string(static_cast<double>(news_.list_age()) / 1e6) + "\n";
   text += "# TYPE trellis_confirmed_age_seconds gauge\ntrellis_confirmed_age_seconds " +
           std::to_string(static_cast<double>(loam::boot_now() - register_.confirmed_from()) / 1e6) + "\n";
+  text += loam::invariant_metrics();
   text += metrics_of(register_.read_outcomes());
   text += read_latency_.metrics();
   text += "# TYPE trellis_holder_voting gauge\ntrellis_holder_voting " +
