Check voters, readers, operators, news and adopted charters where their state changes

Voters: ballots and epoch never fall, also against what the same incarnation had synced when its disk is opened anew; a vote only when founded or enrolled; replies only of synced changes. Readers: what is chosen never gets older, one content for a revision, a majority read finds every ballot that was known as chosen when it began. Operators: read after the request, not older than what was told, the content acknowledged is the one found valid (digest), one change for a base, numbers rise. News: a vouch rests on a later read. Furrows: revisions never fall, what was chosen can be read, and each route is found by its own host and prefix. Tests with a guard off now say which invariants that violates, and most that it does: CutOff (never_back, confirm_after_arrival), FreshnessLease (never_back), Acceptor (image_before_vote), Transfer and CatchUp (values_whole), Control (promise_kept, confirm_after_arrival), MembershipModel (promise_kept, image_before_vote). Their own expectations are unchanged.

--- a/source/config/charter/proposal.cpp
+++ b/source/config/charter/proposal.cpp
@@ -2,6 +2,7 @@
 
 #include "loam/constants.hpp"
 #include "loam/digest/digest.hpp"
+#include "loam/invariant/invariant.hpp"
 
 namespace finchlink::config {
 
@@ -116,6 +117,11 @@
     }
     schema::Value next{current.revision + 1, made.content, current.marks};
     add_mark(next, change->id, made.reading.charter.number, marks.kept);
+    loam::check(loam::Invariant::charter_number_rises, number_of(next) > number_of(current), [&] {
+      return "revision " + std::to_string(next.revision) + " brings number " + std::to_string(number_of(next)) +
+             " after " + std::to_string(number_of(current));
+    });
+    note->valid_digest = loam::Digest().add(next.content).text();
     return next;
   };
 }
--- a/source/config/charter/proposal.hpp
+++ b/source/config/charter/proposal.hpp
@@ -35,6 +35,7 @@
   CharterProposalOutcome end = CharterProposalOutcome::none;
   std::uint64_t number = 0;  ///< of the charter that was found
   std::vector<loam::Fault> faults;
+  std::string valid_digest;  ///< of the content that was found valid and proposed
 };
 
 /// The very same change has the same id wherever and whenever it is sent.
--- a/source/consensus/acceptor/acceptor.cpp
+++ b/source/consensus/acceptor/acceptor.cpp
@@ -4,6 +4,7 @@
 #include <type_traits>
 
 #include "loam/digest/digest.hpp"
+#include "loam/invariant/invariant.hpp"
 #include "loam/wire/pack.hpp"
 
 namespace finchlink::consensus {
@@ -86,17 +87,38 @@
       message);
 }
 
+void Acceptor::promise(std::string const& name, schema::Cell& cell, Ballot const& ballot) {
+  loam::check(loam::Invariant::promised_ballot_rises, !before(ballot, cell.promised),
+              [&] { return name + " falls from " + text_of(cell.promised) + " to " + text_of(ballot); });
+  cell.promised = ballot;
+}
+
+void Acceptor::accept(std::string const& name, schema::Cell& cell, Ballot const& ballot, schema::Value const& value) {
+  loam::check(loam::Invariant::accepted_ballot_rises, !before(ballot, cell.accepted),
+              [&] { return name + " falls from " + text_of(cell.accepted) + " to " + text_of(ballot); });
+  cell.accepted = ballot;
+  cell.value = value;
+}
+
+void Acceptor::check_vote() const {
+  loam::check(loam::Invariant::vote_is_complete, !blank() && names(set_.holders, founding_.incarnation), [&] {
+    return "incarnation " + std::to_string(founding_.incarnation) + " votes in epoch " + std::to_string(set_.epoch) +
+           (blank() ? " and is blank" : " and is not named in its set");
+  });
+}
+
 Outcome Acceptor::on(schema::Prepare const& message) {
   if (!may_vote(message.ballot.epoch)) {
     return Outcome{{}, schema::Message(refusal(message.ballot, Ballot{}))};
   }
+  check_vote();
   schema::Cell& cell = cells_[message.name];
   if (before(message.ballot, cell.promised)) {
     return Outcome{{}, schema::Message(refusal(message.ballot, cell.promised))};
   }
   Outcome outcome;
   if (!(cell.promised == message.ballot)) {
-    cell.promised = message.ballot;
+    promise(message.name, cell, message.ballot);
     // A promise leaves the value as it is, so a large one is not written again.
     outcome.records.emplace_back(schema::PromiseRecord{message.name, cell.promised});
   }
@@ -113,13 +135,13 @@
   if (!may_vote(message.ballot.epoch)) {
     return Outcome{{}, schema::Message(refusal(message.ballot, Ballot{}))};
   }
+  check_vote();
   schema::Cell& cell = cells_[message.name];
   if (guards_.promise_kept && before(message.ballot, cell.promised)) {
     return Outcome{{}, schema::Message(refusal(message.ballot, cell.promised))};
   }
-  cell.promised = message.ballot;
-  cell.accepted = message.ballot;
-  cell.value = message.value;
+  promise(message.name, cell, message.ballot);
+  accept(message.name, cell, message.ballot, message.value);
   Outcome outcome;
   outcome.records.emplace_back(schema::CellRecord{message.name, cell});
   outcome.reply = schema::Accepted{message.ballot};
@@ -193,6 +215,13 @@
 }
 
 void Acceptor::take_set(VoterSet const& set, bool voting, bool complete, loam::Moment now, Outcome& outcome) {
+  loam::check(loam::Invariant::voter_epoch_rises, set.epoch >= set_.epoch, [&] {
+    return "the set falls from epoch " + std::to_string(set_.epoch) + " to " + std::to_string(set.epoch);
+  });
+  loam::check(loam::Invariant::vote_is_complete, !voting || complete, [&] {
+    return "incarnation " + std::to_string(founding_.incarnation) + " takes a vote in epoch " +
+           std::to_string(set.epoch) + " without what was chosen before";
+  });
   if (voting && !voting_) {
     granter_ = lease::LeaseGranter(now, guards_.lease_silence);
   }
@@ -295,16 +324,19 @@
   if (given.size() < majority(set_.previous.size()) || (guards_.values_whole && !missing(images).empty())) {
     return outcome;
   }
+  loam::check(loam::Invariant::vote_is_complete, missing(images).empty(), [&] {
+    return "incarnation " + std::to_string(founding_.incarnation) + " is enrolled in epoch " +
+           std::to_string(set_.epoch) + " by images that leave values out";
+  });
   for (std::pair<std::uint64_t const, schema::Image const*> const& image : given) {
     for (std::pair<std::string const, schema::Cell> const& theirs : image.second->cells) {
       schema::Cell& mine = cells_[theirs.first];
       if (before(mine.promised, theirs.second.promised)) {
-        mine.promised = theirs.second.promised;
+        promise(theirs.first, mine, theirs.second.promised);
       }
       bool const here = image.second->withheld.count(theirs.first) == 0 || !guards_.values_whole;
       if (before(mine.accepted, theirs.second.accepted) || (here && mine.accepted == theirs.second.accepted)) {
-        mine.accepted = theirs.second.accepted;
-        mine.value = theirs.second.value;
+        accept(theirs.first, mine, theirs.second.accepted, theirs.second.value);
       }
     }
   }
--- a/source/consensus/acceptor/acceptor.hpp
+++ b/source/consensus/acceptor/acceptor.hpp
@@ -86,6 +86,11 @@
   /// Whether this one has, for its part, all that was chosen before the set.
   [[nodiscard]] bool complete_under(VoterSet const& set) const;
   [[nodiscard]] bool may_vote(std::uint64_t epoch) const;
+  /// The only places where a register's ballots are set; they never fall.
+  static void promise(std::string const& name, schema::Cell& cell, Ballot const& ballot);
+  static void accept(std::string const& name, schema::Cell& cell, Ballot const& ballot, schema::Value const& value);
+  /// A vote is given: whether this one may have one at all.
+  void check_vote() const;
   [[nodiscard]] std::vector<Voter> full_pledge(std::vector<schema::FoundingAnswer> const& answers) const;
   /// Takes out of `cells` the values that one message can't carry, large ones
   /// first; gives their sizes.
--- a/source/consensus/ballot/ballot.hpp
+++ b/source/consensus/ballot/ballot.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <string>
 #include <tuple>
 #include <vector>
 
@@ -16,6 +17,10 @@
 [[nodiscard]] inline bool before(Ballot const& left, Ballot const& right) {
   return std::tie(left.epoch, left.round, left.proposer) < std::tie(right.epoch, right.round, right.proposer);
 }
+/// For logs.
+[[nodiscard]] inline std::string text_of(Ballot const& ballot) {
+  return std::to_string(ballot.epoch) + "." + std::to_string(ballot.round) + "." + std::to_string(ballot.proposer);
+}
 [[nodiscard]] inline std::size_t majority(std::size_t count) {
   return count / 2 + 1;
 }
--- a/source/consensus/majority_reader/majority_reader.cpp
+++ b/source/consensus/majority_reader/majority_reader.cpp
@@ -1,15 +1,38 @@
 #include "consensus/majority_reader/majority_reader.hpp"
 
 #include "loam/constants.hpp"
+#include "loam/invariant/invariant.hpp"
 
 namespace finchlink::consensus {
 
+using loam::Invariant;
+
+namespace {
+/// A newer ballot brings a value that is no older, and one revision has one content.
+void check_newer(std::string const& name, schema::Value const& held, schema::Value const& taken) {
+  loam::check(Invariant::confirmed_value_rises, taken.revision >= held.revision, [&] {
+    return name + " falls from revision " + std::to_string(held.revision) + " to " + std::to_string(taken.revision);
+  });
+  loam::check(Invariant::revision_has_one_content, taken.revision != held.revision || taken == held,
+              [&] { return name + " revision " + std::to_string(taken.revision) + " has two contents"; });
+}
+
+/// Of a value under an older ballot: it was chosen before what is held, or is the same.
+void check_older(std::string const& name, schema::Value const& held, schema::Value const& told) {
+  loam::check(Invariant::confirmed_value_rises, told.revision <= held.revision, [&] {
+    return name + " revision " + std::to_string(told.revision) + " was chosen before revision " +
+           std::to_string(held.revision);
+  });
+}
+}  // namespace
+
 std::vector<MajorityReaderAction> MajorityReader::begin(VoterSet const& set, loam::Moment now) {
   set_ = set;
   ++round_;
   started_ = now;
   open_ = true;
   unsettled_.clear();
+  known_at_start_ = known_;
   answered_.clear();
   tallies_.clear();
   std::vector<MajorityReaderAction> actions;
@@ -22,8 +45,12 @@
 void MajorityReader::learn(std::string const& name, Ballot const& ballot, schema::Value const& value) {
   Ballot& known = known_[name];
   if (before(known, ballot)) {
+    schema::Value& held = values_[name];
+    check_newer(name, held, value);
     known = ballot;
-    values_[name] = value;
+    held = value;
+  } else if (values_.count(name) > 0) {
+    check_older(name, values_[name], value);
   }
 }
 
@@ -80,7 +107,20 @@
   }
 }
 
+void MajorityReader::check_includes_chosen() const {
+  for (std::pair<std::string const, Ballot> const& known : known_at_start_) {
+    std::map<std::string, Tally>::const_iterator const tally = tallies_.find(known.first);
+    Ballot const best = tally == tallies_.end() ? Ballot{} : tally->second.best;
+    loam::check(Invariant::read_includes_chosen, !before(best, known.second), [&] {
+      return known.first + " was chosen under " + text_of(known.second) + ", " + std::to_string(answered_.size()) +
+             " of " + std::to_string(set_.holders.size()) + " voters of epoch " + std::to_string(set_.epoch) +
+             " know " + text_of(best) + " at most";
+    });
+  }
+}
+
 std::vector<MajorityReaderAction> MajorityReader::judge() {
+  check_includes_chosen();
   std::vector<MajorityReaderAction> actions;
   Unsettled unsettled;
   for (std::pair<std::string const, Tally> const& entry : tallies_) {
--- a/source/consensus/majority_reader/majority_reader.hpp
+++ b/source/consensus/majority_reader/majority_reader.hpp
@@ -56,6 +56,8 @@
 
  private:
   [[nodiscard]] std::vector<MajorityReaderAction> judge();
+  /// What a majority answers includes all that was known as chosen when the read began.
+  void check_includes_chosen() const;
 
   struct Tally {
     Ballot best;
@@ -79,6 +81,7 @@
   std::set<std::uint64_t> answered_;
   std::map<std::string, Tally> tallies_;
   std::map<std::string, Ballot> known_;
+  std::map<std::string, Ballot> known_at_start_;  ///< of the read under way
   struct Open {
     Ballot ballot;
     loam::Moment since = 0;
--- a/source/furrow/field/field.cpp
+++ b/source/furrow/field/field.cpp
@@ -5,6 +5,7 @@
 #include "config/setup/setup.hpp"
 #include "consensus/ballot/ballot.hpp"
 #include "loam/constants.hpp"
+#include "loam/invariant/invariant.hpp"
 #include "loam/json/tree.hpp"
 #include "loam/log/log.hpp"
 
@@ -27,7 +28,11 @@
     std::shared_ptr<Plan> const next = std::make_shared<Plan>(*plan_);
     for (schema::NamedValue const& news : vouch_.take(answer, asked, loam::boot_now())) {
       if (news.name == consensus::setup_register) {
-        next->setup = config::read_setup(news.content).setup;
+        config::SetupReading const reading = config::read_setup(news.content);
+        loam::check(loam::Invariant::chosen_content_readable, news.content.empty() || reading.good(), [&] {
+          return "setup revision " + std::to_string(news.revision) + ": " + loam::describe(reading.faults);
+        });
+        next->setup = reading.setup;
         next->has_setup = !news.content.empty();  // an id given up before the first setup leaves none
         next->decided = news.revision;
         loam::note(loam::Event::RevisionAdopted, "setup revision " + std::to_string(news.revision));
--- a/source/furrow/relay/station.cpp
+++ b/source/furrow/relay/station.cpp
@@ -13,6 +13,7 @@
 #include "config/charter/proposal.hpp"
 #include "config/evacuation/proposal.hpp"
 #include "consensus/ballot/ballot.hpp"
+#include "furrow/relay/adopted_checks.hpp"
 #include "furrow/relay/walls.hpp"
 #include "loam/invariant/invariant.hpp"
 #include "loam/json/tree.hpp"
@@ -375,12 +376,10 @@
   for (schema::NamedValue const& news : vouch_.take(answer, asked, loam::boot_now())) {
     changed = true;
     if (news.name == config::charter_register) {
-      config::CharterReading reading = notation_.read(news.content);
-      if (reading.good()) {
-        book_ = std::make_shared<tilth::LaneBook const>(std::move(reading.charter));
-      }
+      take_charter(news);
       loam::note(loam::Event::RevisionAdopted, "charter revision " + std::to_string(news.revision));
     } else if (news.name == config::evacuated_register) {
+      check_evacuations(news);
       std::vector<std::string> const zones = config::evacuated_zones(news.content);
       evacuated_ = decltype(evacuated_)(zones.begin(), zones.end());
       loam::note(loam::Event::RevisionAdopted, "evacuated " + news.content);
@@ -405,6 +404,16 @@
   }
 }
 
+void Station::take_charter(schema::NamedValue const& news) {
+  config::CharterReading reading = notation_.read(news.content);
+  check_charter(news, reading);
+  if (!reading.good()) {
+    return;  // the one before stays
+  }
+  book_ = std::make_shared<tilth::LaneBook const>(std::move(reading.charter));
+  check_routes(news.revision, *book_);
+}
+
 void Station::take_split(schema::NamedValue const& news) {
   absl::StatusOr<schema::Split> split = tilth::read_split(news.content);
   if (!split.ok()) {
--- a/source/furrow/relay/station.hpp
+++ b/source/furrow/relay/station.hpp
@@ -137,6 +137,7 @@
   [[nodiscard]] schema::NewsAsk ask(std::vector<schema::FurrowReport> reports) const;
   void settle();
   [[nodiscard]] schema::Member self() const;
+  void take_charter(schema::NamedValue const& news);
   void take_split(schema::NamedValue const& news);
   [[nodiscard]] std::string phase_of(schema::WorkerEntry const& entry, std::string const& region) const;
   /// The reports that go with an ask now.
--- a/source/membership/freshness/freshness_lease.cpp
+++ b/source/membership/freshness/freshness_lease.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "loam/invariant/invariant.hpp"
+
 namespace finchlink::membership {
 
 bool FreshnessLease::may_adopt(schema::NewsAnswer const& answer, loam::Moment asked) {
@@ -27,6 +29,9 @@
     }
     std::uint64_t& held = held_[news.name];
     if (news.revision > held || (!guards_.never_back && news.revision != held)) {
+      loam::check(loam::Invariant::adopted_revision_rises, news.revision > held, [&] {
+        return news.name + " falls from revision " + std::to_string(held) + " to " + std::to_string(news.revision);
+      });
       held = news.revision;
       adopted.push_back(news);
     }
--- a/source/membership/responder/news_responder.cpp
+++ b/source/membership/responder/news_responder.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "loam/invariant/invariant.hpp"
+
 namespace finchlink::membership {
 
 std::vector<schema::NamedValue> news_for(schema::NewsAsk const& ask, std::map<std::string, schema::Value> const& values,
@@ -40,6 +42,10 @@
   bool const news = other_news || !answer.news.empty();
   verdict.hurry = !vouched && ask.member.held.empty() && !answer.news.empty();
   if ((vouched && (news || waited >= bounds.hold)) || (!vouched && waited >= bounds.patience)) {
+    loam::check(loam::Invariant::vouch_after_ask, !answer.vouched || confirmed_from >= arrival, [&] {
+      return "an ask of " + ask.member.name + " is vouched for by a read that began " +
+             std::to_string(arrival - confirmed_from) + " us before it";
+    });
     verdict.answer = answer;
   } else {
     verdict.wait = (vouched ? bounds.hold : bounds.patience) - waited;
--- a/source/tests/almanac/catch_up_test.cpp
+++ b/source/tests/almanac/catch_up_test.cpp
@@ -3,6 +3,7 @@
 #include <cstdio>
 
 #include "almanac/control/control.hpp"
+#include "tests/invariant_listener.hpp"
 
 namespace finchlink {
 namespace {
@@ -103,6 +104,7 @@
 }
 
 TEST(CatchUp, AWithheldValueTakenForAnEmptyOneIsSeen) {
+  ExpectedViolations const expected({loam::Invariant::revision_has_one_content});
   EXPECT_NE(first_break("calm", [](ControlOptions& options) { options.guards.values_whole = false; }), "");
 }
 TEST(CatchUp, AWithheldContentTakenForAnEmptyOneIsSeen) {
--- a/source/tests/almanac/control_test.cpp
+++ b/source/tests/almanac/control_test.cpp
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include "almanac/control/control.hpp"
+#include "tests/invariant_listener.hpp"
 
 namespace finchlink {
 namespace {
@@ -49,7 +50,11 @@
 }
 
 TEST(Control, PromisesKeepRevisionsSingle) {
+  ExpectedViolations const expected({loam::Invariant::promised_ballot_rises, loam::Invariant::accepted_ballot_rises,
+                                     loam::Invariant::confirmed_value_rises,
+                                     loam::Invariant::revision_has_one_content});
   EXPECT_NE(first_break("cuts", 3, [](almanac::ControlOptions& options) { options.guards.promise_kept = false; }), "");
+  EXPECT_GT(expected.count(loam::Invariant::promised_ballot_rises), 0u);
 }
 TEST(Control, YesWaitsUntilAllHaveStoppedOrChanged) {
   EXPECT_NE(first_break("calm", 2, [](almanac::ControlOptions& options) { options.acknowledge_waits = false; }), "");
@@ -65,9 +70,11 @@
       "");
 }
 TEST(Control, TheTrellisConfirmsAfterTheAsk) {
+  ExpectedViolations const expected({loam::Invariant::vouch_after_ask});
   EXPECT_NE(first_break("cuts", 8,
                         [](almanac::ControlOptions& options) { options.desk_guards.confirm_after_arrival = false; }),
             "");
+  EXPECT_GT(expected.count(loam::Invariant::vouch_after_ask), 0u);
 }
 /// Planned replacements with a second loss, a failure or another departure behind them.
 constexpr std::uint64_t replacement_seeds = 12;
--- a/source/tests/almanac/membership_model_test.cpp
+++ b/source/tests/almanac/membership_model_test.cpp
@@ -5,6 +5,7 @@
 #include "almanac/membership_model/actions.hpp"
 #include "almanac/membership_model/closing.hpp"
 #include "almanac/membership_model/scenario.hpp"
+#include "tests/invariant_listener.hpp"
 
 namespace finchlink {
 namespace {
@@ -84,7 +85,11 @@
 TEST(MembershipModel, GuardsOfBallotsAreEachNeeded) {
   Bounds no_retries = bounds_of("ballots");
   no_retries.retries = 0;
-  expect_broken(no_retries, "promise_kept", 9, "a majority that can choose lacks an acknowledged value of data");
+  {
+    ExpectedViolations const expected({loam::Invariant::promised_ballot_rises, loam::Invariant::accepted_ballot_rises});
+    expect_broken(no_retries, "promise_kept", 9, "a majority that can choose lacks an acknowledged value of data");
+    EXPECT_GT(expected.count(loam::Invariant::accepted_ballot_rises), 0u);
+  }
   Bounds few_late = bounds_of("ballots");
   few_late.late_requests = 0;
   expect_broken(few_late, "settle_before_reject", 11, "a majority can choose a rejected value");
@@ -98,7 +103,11 @@
 TEST(MembershipModel, GuardsOfBlankOnesAndLearnersAreEachNeeded) {
   Bounds bounds = bounds_of("join");
   expect_broken(bounds, "blank_has_no_vote", 3, "a vote of one that lacks data of the epoch before");
-  expect_broken(bounds, "image_before_vote", 4, "a vote of one that lacks data of the epoch before");
+  {
+    ExpectedViolations const expected({loam::Invariant::vote_is_complete});
+    expect_broken(bounds, "image_before_vote", 4, "a vote of one that lacks data of the epoch before");
+    EXPECT_GT(expected.count(loam::Invariant::vote_is_complete), 0u);
+  }
   Bounds two = bounds_of("three");
   two.lost_disks = two.replaced = two.crashes = two.writes = 0;
   two.joins = two.suspicions = 2;
--- a/source/tests/consensus/acceptor_test.cpp
+++ b/source/tests/consensus/acceptor_test.cpp
@@ -4,6 +4,7 @@
 #include "consensus/majority_reader/majority_reader.hpp"
 #include "consensus/proposer/proposer.hpp"
 #include "loam/constants.hpp"
+#include "tests/invariant_listener.hpp"
 
 namespace finchlink {
 namespace {
@@ -112,6 +113,7 @@
   for (bool const guard : {true, false}) {
     Guards guards;
     guards.image_before_vote = guard;
+    ExpectedViolations const expected({loam::Invariant::vote_is_complete}, !guard);
     Group group(3, guards);
     group.found();
     ASSERT_EQ(group.change("first", {0, 1, 2}), 1u);
--- a/source/tests/consensus/transfer_test.cpp
+++ b/source/tests/consensus/transfer_test.cpp
@@ -6,6 +6,7 @@
 #include "loam/digest/digest.hpp"
 #include "loam/wire/pack.hpp"
 #include "tests/consensus/narrow_link.hpp"
+#include "tests/invariant_listener.hpp"
 
 namespace finchlink {
 namespace {
@@ -153,6 +154,7 @@
   for (bool const guard : {true, false}) {
     Guards guards;
     guards.values_whole = guard;
+    ExpectedViolations const expected({loam::Invariant::vote_is_complete}, !guard);
     Trio trio(guards);
     std::string const content = noise(100000);
     trio.accept(content, 3, {0, 1, 2});
--- a/source/tests/membership/cut_off_test.cpp
+++ b/source/tests/membership/cut_off_test.cpp
@@ -12,6 +12,7 @@
 #include "loam/relay_constants.hpp"
 #include "membership/freshness/freshness_lease.hpp"
 #include "membership/responder/news_responder.hpp"
+#include "tests/invariant_listener.hpp"
 
 /// Schedules around trellises that are cut off (design 13.15): the cores of a register of three, of their majority
 /// reads, of the answers to a furrow and of what that furrow puts in force, on one fake clock.
@@ -277,10 +278,13 @@
 TEST(CutOff, EachGuardOffBreaksSomeSchedule) {
   Guards back;
   back.freshness.never_back = false;
+  ExpectedViolations const expected({loam::Invariant::adopted_revision_rises, loam::Invariant::vouch_after_ask});
   EXPECT_GT(broken_seeds(back), 0u);
   Guards early;
   early.news.confirm_after_arrival = false;
   EXPECT_GT(broken_seeds(early), 0u);
+  EXPECT_GT(expected.count(loam::Invariant::adopted_revision_rises), 0u);
+  EXPECT_GT(expected.count(loam::Invariant::vouch_after_ask), 0u);
 }
 
 /// A trellis that is cut off in one of several ways after it has read revision 1; the others go on to revision 2.
@@ -345,6 +349,7 @@
   for (bool const guard : {true, false}) {
     Guards guards;
     guards.news.confirm_after_arrival = guard;
+    ExpectedViolations const expected({loam::Invariant::vouch_after_ask}, !guard);
     World world(guards);
     world.change(1);
     world.read(0, true);  // frozen before the answers are read
--- a/source/tests/membership/freshness_lease_test.cpp
+++ b/source/tests/membership/freshness_lease_test.cpp
@@ -11,6 +11,7 @@
 #include "membership/reconfiguration/reconfiguration.hpp"
 #include "membership/responder/news_responder.hpp"
 #include "membership/session/sessions.hpp"
+#include "tests/invariant_listener.hpp"
 
 namespace finchlink {
 namespace {
@@ -29,11 +30,13 @@
   for (bool const guard : {true, false}) {
     membership::FreshnessGuards guards;
     guards.never_back = guard;
+    ExpectedViolations const expected({loam::Invariant::adopted_revision_rises}, !guard);
     membership::FreshnessLease vouch(guards);
     EXPECT_EQ(vouch.take(news(5, true), 0, 10).size(), 1u);
     // A late answer of a trellis that lagged.
     EXPECT_EQ(vouch.take(news(4, true), 5, 20).empty(), guard);
     EXPECT_EQ(vouch.held().at("setup"), guard ? 5u : 4u);
+    EXPECT_EQ(expected.count(loam::Invariant::adopted_revision_rises), guard ? 0u : 1u);
   }
 }
 
--- /dev/null
+++ b/source/tests/relay/adopted_checks_test.cpp
@@ -0,0 +1,80 @@
+#include "furrow/relay/adopted_checks.hpp"
+
+#include <gtest/gtest.h>
+
+#include "tests/invariant_listener.hpp"
+
+namespace finchlink::furrow {
+namespace {
+
+using loam::Invariant;
+
+schema::Lane lane(std::string const& name, std::string const& host, std::string const& prefix) {
+  schema::Lane made;
+  made.name = name;
+  made.host = host;
+  made.prefix = prefix;
+  return made;
+}
+
+tilth::LaneBook book_of(std::vector<schema::Lane> lanes) {
+  schema::Charter charter;
+  charter.lanes = std::move(lanes);
+  return tilth::LaneBook(std::move(charter));
+}
+
+TEST(AdoptedChecks, RoutesThatAllLeadSomewhereViolateNothing) {
+  check_routes(1, book_of({lane("a", "Host.example", "/"), lane("b", "host.example", "/v1/"),
+                           lane("c", "other.example:8080", "/")}));
+}
+
+TEST(AdoptedChecks, ARouteThatIsHiddenByAnotherIsSeen) {
+  ExpectedViolations const expected({Invariant::routes_complete});
+  check_routes(1, book_of({lane("a", "host.example", "/"), lane("b", "HOST.example", "/")}));
+  EXPECT_EQ(expected.count(Invariant::routes_complete), 1u);
+}
+
+TEST(AdoptedChecks, ARouteWhosePrefixDoesNotEndInASlashIsSeen) {
+  ExpectedViolations const expected({Invariant::routes_complete});
+  check_routes(1, book_of({lane("a", "host.example", "/"), lane("b", "host.example", "/v1")}));
+  EXPECT_EQ(expected.count(Invariant::routes_complete), 1u);
+}
+
+/// What the rules of a charter take and the table of routes can't serve: such a
+/// charter is acknowledged, and the invariant tells.
+TEST(AdoptedChecks, HostsThatDifferInCaseAreTakenAndSeen) {
+  schema::Charter charter;
+  charter.number = 1;
+  charter.services.push_back(schema::Service{});
+  charter.services[0].name = "s";
+  charter.lanes = {lane("a", "host.example", "/"), lane("b", "HOST.example", "/")};
+  for (schema::Lane& entry : charter.lanes) {
+    entry.shares = {schema::Share{"s", 1}};
+    entry.deadline_ms = 1000;
+  }
+  EXPECT_TRUE(config::check(charter).empty()) << loam::describe(config::check(charter));
+  ExpectedViolations const expected({Invariant::routes_complete});
+  check_routes(1, tilth::LaneBook(charter));
+  EXPECT_EQ(expected.count(Invariant::routes_complete), 1u);
+}
+
+TEST(AdoptedChecks, ACharterThatIsFoundInvalidIsSeen) {
+  config::Notation const notation = config::own_notation();
+  schema::NamedValue chosen{"charter", 4, "{\"number\":3,\"lanes\":[],\"services\":[]}", 0};
+  check_charter(chosen, notation.read(chosen.content));
+  ExpectedViolations const expected({Invariant::chosen_content_readable});
+  chosen.content = "{\"number\":0}";
+  check_charter(chosen, notation.read(chosen.content));
+  EXPECT_EQ(expected.count(Invariant::chosen_content_readable), 1u);
+}
+
+TEST(AdoptedChecks, EvacuationsThatAreNoListAreSeen) {
+  check_evacuations(schema::NamedValue{"evacuated", 1, "[\"hall\"]", 0});
+  ExpectedViolations const expected({Invariant::chosen_content_readable});
+  check_evacuations(schema::NamedValue{"evacuated", 2, "{}", 0});
+  check_evacuations(schema::NamedValue{"evacuated", 3, "", 0});
+  EXPECT_EQ(expected.count(Invariant::chosen_content_readable), 2u);
+}
+
+}  // namespace
+}  // namespace finchlink::furrow
--- /dev/null
+++ b/source/tests/trellis/answer_check_test.cpp
@@ -0,0 +1,81 @@
+#include "trellis/operator/answer_check.hpp"
+
+#include <gtest/gtest.h>
+
+#include "config/charter/proposal.hpp"
+#include "loam/digest/digest.hpp"
+#include "tests/invariant_listener.hpp"
+
+namespace finchlink::trellis {
+namespace {
+
+using loam::Invariant;
+
+std::string const charter = config::charter_register;
+
+schema::Value value_of(std::uint64_t revision, std::uint64_t number) {
+  return schema::Value{revision, "charter " + std::to_string(number), {schema::ChangeMark{"id", number}}};
+}
+
+TEST(AnswerCheck, RisingAnswersViolateNothing) {
+  AnswerCheck checked;
+  ToldFloor const early = checked.begin(charter, 1000);
+  checked.answered(charter, checked.begin(charter, 1000), value_of(0, 0), 1000);
+  checked.acknowledged(charter, value_of(1, 10), loam::Digest().add("charter 10").text());
+  checked.acknowledged_on(charter, 0, "first");
+  checked.acknowledged_on(charter, 0, "first");  // sent again
+  checked.answered(charter, checked.begin(charter, 2000), value_of(2, 11), 2500);
+  checked.answered(charter, early, value_of(1, 10), 1500);  // asked before, so both orders are right
+}
+
+TEST(AnswerCheck, AReadFromBeforeTheRequestIsSeen) {
+  AnswerCheck checked;
+  ExpectedViolations const expected({Invariant::read_after_request});
+  checked.answered(charter, checked.begin(charter, 1000), value_of(1, 10), 999);
+  EXPECT_EQ(expected.count(Invariant::read_after_request), 1u);
+}
+
+TEST(AnswerCheck, AnAnswerOlderThanAnAcknowledgementIsSeen) {
+  AnswerCheck checked;
+  checked.acknowledged(charter, value_of(2, 11));
+  ExpectedViolations const expected({Invariant::answer_not_older});
+  checked.answered(charter, checked.begin(charter, 1000), value_of(1, 10), 1000);
+  EXPECT_EQ(expected.count(Invariant::answer_not_older), 1u);
+}
+
+TEST(AnswerCheck, AnotherContentThanTheOneFoundValidIsSeen) {
+  AnswerCheck checked;
+  ExpectedViolations const expected({Invariant::acknowledged_as_validated});
+  checked.acknowledged(charter, value_of(1, 10), loam::Digest().add("charter 9").text());
+  EXPECT_EQ(expected.count(Invariant::acknowledged_as_validated), 1u);
+}
+
+TEST(AnswerCheck, TwoChangesOfOneBaseAreSeen) {
+  AnswerCheck checked;
+  checked.acknowledged_on(charter, 7, "first");
+  ExpectedViolations const expected({Invariant::base_taken_once});
+  checked.acknowledged_on(charter, 7, "second");
+  EXPECT_EQ(expected.count(Invariant::base_taken_once), 1u);
+}
+
+TEST(AnswerCheck, ANumberThatDoesNotRiseWithTheRevisionIsSeen) {
+  AnswerCheck checked;
+  checked.acknowledged(charter, value_of(5, 20));
+  ExpectedViolations const expected({Invariant::charter_number_rises});
+  checked.acknowledged(charter, value_of(6, 20));
+  EXPECT_EQ(expected.count(Invariant::charter_number_rises), 1u);
+  checked.acknowledged(charter, value_of(6, 19));
+  EXPECT_GE(expected.count(Invariant::charter_number_rises), 2u);
+}
+
+TEST(AnswerCheck, WhatACharterProposalFoundValidIsWhatIsAcknowledged) {
+  config::WantedCharter wanted{"{\"number\":3,\"lanes\":[],\"services\":[]}", false, std::nullopt};
+  std::shared_ptr<config::CharterProposalReport> const note = std::make_shared<config::CharterProposalReport>();
+  consensus::Proposal const proposal = config::charter_proposal(wanted, config::own_notation(), note)(schema::Value{});
+  ASSERT_TRUE(std::holds_alternative<schema::Value>(proposal)) << loam::describe(note->faults);
+  AnswerCheck checked;
+  checked.acknowledged(charter, std::get<schema::Value>(proposal), note->valid_digest);
+}
+
+}  // namespace
+}  // namespace finchlink::trellis
--- a/source/tilth/lanes/lanes.cpp
+++ b/source/tilth/lanes/lanes.cpp
@@ -51,6 +51,15 @@
   return nullptr;
 }
 
+schema::Lane const* LaneBook::unreachable() const {
+  for (schema::Lane const& lane : charter_.lanes) {
+    if (find(lane.host, lane.prefix) != &lane) {
+      return &lane;
+    }
+  }
+  return nullptr;
+}
+
 schema::Service const* LaneBook::service(std::string_view name) const {
   tsl::robin_map<std::string, std::size_t>::const_iterator const found = by_service_.find(std::string(name));
   return found == by_service_.end() ? nullptr : &charter_.services[found->second];
--- a/source/tilth/lanes/lanes.hpp
+++ b/source/tilth/lanes/lanes.hpp
@@ -23,6 +23,8 @@
   LaneBook& operator=(LaneBook const&) = delete;
   /// The lane of that host with the longest prefix that begins the path; none: nullptr.
   [[nodiscard]] schema::Lane const* find(std::string_view host, std::string_view path) const;
+  /// A lane that its own host and prefix don't lead to, so that nobody can reach it; none: nullptr.
+  [[nodiscard]] schema::Lane const* unreachable() const;
   [[nodiscard]] schema::Service const* service(std::string_view name) const;
   /// What the charter says of a tenant; nothing: nullptr.
   [[nodiscard]] schema::Tenant const* tenant(std::string_view name) const;
--- a/source/trellis/acceptor/acceptor_service.cpp
+++ b/source/trellis/acceptor/acceptor_service.cpp
@@ -91,6 +91,7 @@
     }
   } else {
     holder_.emplace(*records, address_, founders_, now);
+    synced_ballots_.check_recovered(*holder_);
     absl::Status const renewed = ring_->renew(holder_->image());
     if (!renewed.ok()) {
       holder_.reset();
@@ -101,6 +102,7 @@
                                                  std::to_string(holder_->set().epoch) +
                                                  (holder_->voting() ? " voting" : " without a vote"));
   }
+  changes_.recovered();
   silent_ = false;
   return true;
 }
@@ -151,7 +153,10 @@
       });
     }
     std::lock_guard<std::mutex> const guard(lock_);
-    if (!status.ok()) {
+    if (status.ok()) {
+      changes_.synced(jobs.back().change);
+      synced_ballots_.take(holder_->incarnation(), records);
+    } else {
       silent_ = true;
       defect_ = std::string(status.message());
       jobs.insert(jobs.end(), jobs_.begin(), jobs_.end());
@@ -178,6 +183,7 @@
     std::function<consensus::Outcome(consensus::Acceptor&)> const& step, loam::Yield yield) {
   std::shared_ptr<Ticket> const ticket = std::make_shared<Ticket>(yield.get_executor());
   consensus::Outcome outcome;
+  std::uint64_t change = 0;
   {
     // The step and its place among the jobs are one: records must reach the
     // disk in the order in which the core made them.
@@ -194,14 +200,16 @@
     }
     // Even a reply without records waits for what is being synced: it may tell
     // of state that is not lasting yet.
+    change = changes_.step(!outcome.records.empty());
     if (outcome.records.empty() && open_jobs_ == 0) {
+      changes_.check_reply(change);
       return outcome;
     }
     std::size_t const bytes = value_bytes(outcome.records);
     // A large value takes a slow disk longer, as it does a slow link.
     ticket->timer.expires_after(
         loam::duration(constants::holder_deadline + static_cast<loam::Span>(bytes) * constants::holder_byte_span));
-    jobs_.push_back(Job{outcome.records, bytes, ticket});
+    jobs_.push_back(Job{outcome.records, bytes, change, ticket});
     ++open_jobs_;
     open_bytes_ += bytes;
   }
@@ -213,6 +221,7 @@
   if (!ticket->done || !ticket->good) {
     return std::nullopt;
   }
+  changes_.check_reply(change);
   return outcome;
 }
 
--- a/source/trellis/acceptor/acceptor_service.hpp
+++ b/source/trellis/acceptor/acceptor_service.hpp
@@ -12,6 +12,8 @@
 #include <absl/status/status.h>
 
 #include "consensus/acceptor/acceptor.hpp"
+#include "consensus/acceptor/synced_ballots.hpp"
+#include "consensus/acceptor/synced_changes.hpp"
 #include "consensus/transfer/value_receiver.hpp"
 #include "consensus/write_ahead_log/write_ahead_log.hpp"
 #include "loam/net/net.hpp"
@@ -48,7 +50,8 @@
   };
   struct Job {
     std::vector<schema::Record> records;
-    std::size_t bytes = 0;  ///< of values in them
+    std::size_t bytes = 0;     ///< of values in them
+    std::uint64_t change = 0;  ///< the newest change of state that the reply tells of
     std::shared_ptr<Ticket> ticket;
   };
   [[nodiscard]] bool open_disk();
@@ -75,6 +78,8 @@
   std::mutex lock_;
   std::optional<consensus::Acceptor> holder_;
   std::optional<consensus::WriteAheadLog> ring_;
+  consensus::SyncedBallots synced_ballots_;
+  consensus::SyncedChanges changes_;
   std::condition_variable wake_;
   std::deque<Job> jobs_;
   std::size_t open_jobs_ = 0;
--- a/source/trellis/operator/operator.cpp
+++ b/source/trellis/operator/operator.cpp
@@ -176,6 +176,7 @@
 
 std::optional<schema::Value> Operator::confirmed(std::string const& path, std::string const& name, loam::Yield yield) {
   loam::Moment const arrival = loam::boot_now();
+  ToldFloor const floor = answer_check_.begin(name, arrival);
   bool const sure = await_confirmation(arrival, yield);
   loam::Moment const now = loam::boot_now();
   loam::Moment const last = register_.confirmed_from();
@@ -186,7 +187,9 @@
                    (last == 0 ? "never" : std::to_string((now - last) / loam::milliseconds(1)) + " ms old"));
     return std::nullopt;
   }
-  return register_.value(name);
+  schema::Value const value = register_.value(name);
+  answer_check_.answered(name, floor, value, last);
+  return value;
 }
 
 bool Operator::await_confirmation(loam::Moment arrival, loam::Yield yield) {
@@ -252,6 +255,7 @@
   if (consensus::Chosen const* const done = std::get_if<consensus::Chosen>(&result)) {
     number = config::number_of(done->value);
     note->end = config::CharterProposalOutcome::done;
+    answer_check_.acknowledged(config::charter_register, done->value, note->valid_digest);
     ++accepted_;
     loam::note(loam::Event::CharterChosen, std::to_string(number));
   } else if (std::holds_alternative<RegisterClient::Unknown>(result)) {
@@ -264,6 +268,9 @@
   }
   std::string const tag = "\"" + std::to_string(number) + "\"";
   if (note->end == config::CharterProposalOutcome::done) {
+    if (wanted.expected.has_value()) {
+      answer_check_.acknowledged_on(config::charter_register, *wanted.expected, config::id_of(wanted));
+    }
     spread(yield);
     loam::Answer answer = loam::answer_text(http::status::ok, "{\"number\":" + std::to_string(number) + "}");
     answer.set(http::field::etag, tag);
@@ -312,6 +319,9 @@
     register_.hurry();
     return unknown("another order about this zone came meanwhile; send the same again");
   }
+  if (consensus::Chosen const* const done = std::get_if<consensus::Chosen>(&result)) {
+    answer_check_.acknowledged(config::evacuated_register, done->value);
+  }
   ++accepted_;
   loam::note(loam::Event::EvacuationChosen, zone + (evacuated ? " is emptied" : " is taken back"));
   spread(yield);
@@ -387,6 +397,10 @@
   RegisterClient::Result const result = register_.change(
       consensus::setup_register, config::setup_proposal(wanted, note), constants::change_deadline, yield);
   if (consensus::Chosen const* const done = std::get_if<consensus::Chosen>(&result)) {
+    answer_check_.acknowledged(consensus::setup_register, done->value);
+    if (wanted.expected.has_value()) {
+      answer_check_.acknowledged_on(consensus::setup_register, *wanted.expected, wanted.id);
+    }
     return chosen(wanted.id, done->value.revision, yield);
   }
   if (consensus::Rejected const* const rejected = std::get_if<consensus::Rejected>(&result)) {
--- a/source/trellis/operator/operator.hpp
+++ b/source/trellis/operator/operator.hpp
@@ -8,6 +8,7 @@
 #include "loam/constants.hpp"
 #include "loam/http/http.hpp"
 #include "trellis/news/news.hpp"
+#include "trellis/operator/answer_check.hpp"
 #include "trellis/operator/health.hpp"
 #include "trellis/operator/paths.hpp"
 #include "trellis/operator/read_latency.hpp"
@@ -72,6 +73,7 @@
   OperatorPaths paths_;
   std::atomic<loam::Span> acknowledge_wait_;
   ReadLatency read_latency_;
+  AnswerCheck answer_check_;
   std::atomic<int> open_ = 0;
   std::atomic<int> outcomes_ = 0;
   std::atomic<std::uint64_t> accepted_ = 0;
