--- a/source/almanac/main.cpp
+++ b/source/almanac/main.cpp
@@ -4,6 +4,7 @@
 
 #include "almanac/control/control.hpp"
 #include "almanac/field/field.hpp"
+#include "almanac/kernel/invariant_watch.hpp"
 #include "almanac/membership_model/scenario.hpp"
 #include "almanac/relay/relay.hpp"
 #include "almanac/walls/walls.hpp"
@@ -18,6 +19,13 @@
   return loam::exit_usage;
 }
 
+/// A run fails also when an invariant of the running code was violated in it.
+void add_invariants(std::vector<std::string>& violations) {
+  static almanac::InvariantWatch watch;
+  std::vector<std::string> const violated = watch.take();
+  violations.insert(violations.end(), violated.begin(), violated.end());
+}
+
 bool read_seeds(std::string const& text, std::uint64_t& first, std::uint64_t& last) {
   try {
     std::size_t const dots = text.find("..");
@@ -133,7 +141,8 @@
       *guards.at(guard) = false;
       off += " --off " + guard;
     }
-    almanac::WallsReport const report = almanac::run_walls(run);
+    almanac::WallsReport report = almanac::run_walls(run);
+    add_invariants(report.violations);
     sum.sent += report.sent;
     sum.ran += report.ran;
     sum.unplaced += report.unplaced;
@@ -231,7 +240,8 @@
       if (!almanac::apply_variant(variant, run)) {
         return usage("'" + variant + "' is not a variant");
       }
-      almanac::FieldReport const report = almanac::run_field(run);
+      almanac::FieldReport report = almanac::run_field(run);
+      add_invariants(report.violations);
       if (first == last) {
         std::cout << "trace " << std::hex << report.trace_hash << std::dec << "\n";
       }
@@ -329,7 +339,8 @@
         off += " --off " + guard;
       }
     }
-    almanac::RelayReport const report = almanac::run_relay(run);
+    almanac::RelayReport report = almanac::run_relay(run);
+    add_invariants(report.violations);
     if (first == last) {
       std::cout << "trace " << std::hex << report.trace_hash << std::dec << "\n";
     }
@@ -386,7 +397,13 @@
   run.walk_steps = found["walk"].as<std::size_t>();
   run.first_seed = first;
   run.last_seed = last;
-  return almanac::membership_model::run_scenario(*scenario, run, std::cout) ? 0 : 1;
+  bool const good = almanac::membership_model::run_scenario(*scenario, run, std::cout);
+  std::vector<std::string> violated;
+  add_invariants(violated);
+  for (std::string const& line : violated) {
+    std::cout << line << "\n";
+  }
+  return good && violated.empty() ? 0 : 1;
 }
 }  // namespace
 
@@ -509,7 +526,8 @@
           off += " --off " + guard;
         }
       }
-      almanac::ControlReport const report = almanac::run_control(run);
+      almanac::ControlReport report = almanac::run_control(run);
+      add_invariants(report.violations);
       sum.acknowledged += report.acknowledged;
       sum.rejected += report.rejected;
       sum.unknown += report.unknown;
