--- a/source/loam/constants.hpp
+++ b/source/loam/constants.hpp
@@ -81,6 +81,10 @@
 /// After the platform turned a read of the list away, the pause doubles to this.
 inline constexpr Span list_rest_most = milliseconds(2000);
 
+// --- invariants (section 3.5) ---
+/// Pause between two looks for violations to log: with `violations_kept` a few lines a second.
+inline constexpr Span invariant_log_pause = milliseconds(1000);
+
 // --- register (section 5) ---
 /// One exchange with one holder; a slow disk counts as silence after this.
 inline constexpr Span holder_deadline = milliseconds(800);
@@ -111,6 +115,11 @@
 /// trellises then push out 256 marks in no less than ten seconds, more than
 /// twice the time of a change that is under way.
 inline constexpr int outcomes_most = 16;
+/// Reads that no majority confirmed for longer than this are told in the log:
+/// a dozen reads, below the vouch bound and a quarter of what an operator's read waits.
+inline constexpr Span reads_lost_after = milliseconds(1000);
+/// While reads stay lost, the newest one is told again after this.
+inline constexpr Span reads_lost_again = milliseconds(3000);
 /// Largest setup document in bytes; three copies and the ring stay small.
 inline constexpr std::size_t setup_limit = 256u << 10u;
 /// Largest charter in bytes: some five thousand lanes of 350 bytes.
