--- a/source/almanac/control/control.cpp
+++ b/source/almanac/control/control.cpp
@@ -545,7 +545,7 @@
       }
     }
   }
-  consensus::MissingValue const value = missing.front();
+  consensus::MissingValue const& value = missing.front();
   std::shared_ptr<consensus::ValueReceiver> const receiver =
       std::make_shared<consensus::ValueReceiver>(schema::TransferKey{value.name, value.digest, 0}, addresses);
   fetch(machine, machine.address, receiver, [this, &machine, images, value](std::optional<std::string> const& bytes) {
--- a/source/furrow/relay/event_stream.cpp
+++ b/source/furrow/relay/event_stream.cpp
@@ -8,7 +8,6 @@
 
 namespace asio = boost::asio;
 namespace constants = loam::constants;
-using boost::system::error_code;
 
 tilth::Outcome Relay::talk_events(Reading& reading) {
   reading.sighting.sent = reading.sent;
--- a/source/furrow/relay/request_head.cpp
+++ b/source/furrow/relay/request_head.cpp
@@ -6,7 +6,6 @@
 
 namespace asio = boost::asio;
 namespace constants = loam::constants;
-using boost::system::error_code;
 
 std::string Relay::head() const {
   Dialect const& dialect = station_.dialect();
--- a/source/furrow/relay/tenant_prompt.cpp
+++ b/source/furrow/relay/tenant_prompt.cpp
@@ -7,7 +7,6 @@
 
 namespace asio = boost::asio;
 namespace constants = loam::constants;
-using boost::system::error_code;
 
 void Relay::enter_wall() {
   Dialect const& dialect = station_.dialect();
--- a/source/trellis/operator/health.cpp
+++ b/source/trellis/operator/health.cpp
@@ -7,6 +7,13 @@
 namespace http = loam::http;
 
 namespace {
+
+/// Whole milliseconds of a span, as a number of JSON.
+double whole_milliseconds(loam::Span span) {
+  loam::Span const count = span / loam::milliseconds(1);
+  return static_cast<double>(count);
+}
+
 void add_status(cJSON* entry, membership::VoterStatus const& status) {
   cJSON_AddStringToObject(entry, "name", status.name.c_str());
   cJSON_AddBoolToObject(entry, "voting", status.voting ? 1 : 0);
@@ -14,7 +21,7 @@
   cJSON_AddBoolToObject(entry, "catching_up", status.catching_up ? 1 : 0);
   cJSON_AddBoolToObject(entry, "leaving", status.leaving ? 1 : 0);
   if (status.contact.has_value()) {
-    cJSON_AddNumberToObject(entry, "contact_age_ms", static_cast<double>(*status.contact / 1000));
+    cJSON_AddNumberToObject(entry, "contact_age_ms", whole_milliseconds(*status.contact));
   } else {
     cJSON_AddNullToObject(entry, "contact_age_ms");
   }
@@ -71,7 +78,7 @@
   }
   cJSON_AddNumberToObject(object.get(), "losses_to_spare",
                           static_cast<double>(membership::losses_to_spare(seen.set, seen.voters)));
-  cJSON_AddNumberToObject(object.get(), "majority_age_ms", static_cast<double>(seen.majority_age / 1000));
+  cJSON_AddNumberToObject(object.get(), "majority_age_ms", whole_milliseconds(seen.majority_age));
   cJSON_AddItemToObject(object.get(), "voters", holders_tree(seen).release());
   return loam::answer_text(problems.empty() ? http::status::ok : http::status::service_unavailable,
                            loam::print_tree(object.get(), true));
