--- a/source/almanac/control/control.cpp
+++ b/source/almanac/control/control.cpp
@@ -183,7 +183,7 @@
 
   struct ChangeRun;
 
-  // --- transfers in pieces (section 5.8) ---
+  // --- transfers in pieces (section 5.9) ---
   using Whole = std::function<void(std::optional<std::string> const&)>;
   /// As consensus::run_transfer does it; gives up when nobody has it any more.
   template <class Node>
--- a/source/consensus/acceptor/acceptor.hpp
+++ b/source/consensus/acceptor/acceptor.hpp
@@ -22,7 +22,7 @@
 };
 
 /// A value that images name and don't carry: the newest of its register, to be
-/// fetched in pieces from those that gave the images (section 5.8).
+/// fetched in pieces from those that gave the images (section 5.9).
 struct MissingValue {
   std::string name;
   std::string digest;
--- a/source/consensus/proposer/proposer.hpp
+++ b/source/consensus/proposer/proposer.hpp
@@ -43,7 +43,7 @@
 };
 using ProposerAction = std::variant<Send, Chosen, Rejected, RetryBallot, NewerVoterSet>;
 
-/// A value that a promise names and doesn't carry (section 5.8): once it has been
+/// A value that a promise names and doesn't carry (section 5.9): once it has been
 /// fetched from one of the sources, know() and a new ballot go on from it.
 struct NeededValue {
   Ballot accepted;
--- a/source/consensus/transfer/value_receiver.hpp
+++ b/source/consensus/transfer/value_receiver.hpp
@@ -23,7 +23,7 @@
   gone,   ///< no source has them any more: what is current is to be asked for anew
 };
 
-/// The receiving side of one transfer in pieces (section 5.8). All sources of a
+/// The receiving side of one transfer in pieces (section 5.9). All sources of a
 /// key have the same bytes, so it goes on with another source where it stopped.
 /// Plain state; the caller asks source() for request() and hands the answer in.
 class ValueReceiver {
--- a/source/consensus/transfer/value_sender.hpp
+++ b/source/consensus/transfer/value_sender.hpp
@@ -14,7 +14,7 @@
 /// Gives the bytes that a key names, or nothing when they are not here (any more).
 using TransferSource = std::function<std::optional<std::string>(schema::TransferKey const& key)>;
 
-/// The sending side of transfers in pieces (section 5.8). What is being fetched
+/// The sending side of transfers in pieces (section 5.9). What is being fetched
 /// is kept until its askers have been silent for a while, so that a change made
 /// meanwhile does not end a transfer. Plain state.
 class ValueSender {
--- a/source/furrow/contents/content_fetcher.hpp
+++ b/source/furrow/contents/content_fetcher.hpp
@@ -13,7 +13,7 @@
 namespace finchlink::furrow {
 
 /// Fetches the contents that answers of trellises leave out for their size, in
-/// pieces (section 5.8), beside the asks: those go on meanwhile, so that lists,
+/// pieces (section 5.9), beside the asks: those go on meanwhile, so that lists,
 /// members and evacuations don't wait for a large charter. Safe from any thread.
 class ContentFetcher {
  public:
--- a/source/loam/constants.hpp
+++ b/source/loam/constants.hpp
@@ -151,7 +151,7 @@
 /// for one span and a tenth.
 inline constexpr Span lease_silence = milliseconds(3300);
 
-// --- transfers in pieces (section 5.8) ---
+// --- transfers in pieces (section 5.9) ---
 /// Bytes of values in one answer of a holder; what is beyond is fetched in
 /// pieces. Answers of five holders at once over a link of 5 Mbit/s and 110 ms
 /// there and back take 0.64 s of holder_deadline.
--- a/source/membership/responder/news_responder.hpp
+++ b/source/membership/responder/news_responder.hpp
@@ -15,7 +15,7 @@
 };
 
 /// How long an ask is held, and how long an unconfirmed one; and how many bytes
-/// of contents an answer carries: more is fetched in pieces (section 5.8).
+/// of contents an answer carries: more is fetched in pieces (section 5.9).
 struct NewsBounds {
   loam::Span hold = loam::constants::ask_hold;
   loam::Span patience = loam::constants::ask_patience;
--- a/source/tests/consensus/transfer_test.cpp
+++ b/source/tests/consensus/transfer_test.cpp
@@ -321,7 +321,7 @@
   }
 };
 
-/// What a transfer may take (section 5.8): its bytes at the way's pace, one way
+/// What a transfer may take (section 5.9): its bytes at the way's pace, one way
 /// there and back a piece, and the read before and after it.
 loam::Span bound_of(std::size_t bytes, double bits_per_second, loam::Span one_way) {
   std::size_t const pieces = bytes / constants::transfer_piece_bytes + 1;
--- a/source/trellis/acceptor/acceptor_service.hpp
+++ b/source/trellis/acceptor/acceptor_service.hpp
@@ -57,7 +57,7 @@
   void stand_up_once(loam::Yield yield);
   void found(std::vector<std::pair<std::string, schema::Message>> const& calls, loam::Yield yield);
   /// One step towards a vote: images are asked for, then the values that they
-  /// leave out are fetched (section 5.8).
+  /// leave out are fetched (section 5.9).
   void enrol(schema::VoterSet const& set, schema::ImageAsk const& ask, loam::Yield yield);
   void ask_images(schema::VoterSet const& set, schema::ImageAsk const& ask, loam::Yield yield);
   /// Fetches the value; false when nobody gives it.
--- a/source/trellis/news/news.hpp
+++ b/source/trellis/news/news.hpp
@@ -31,7 +31,7 @@
   void announce(bool confirm);
   [[nodiscard]] schema::Message ask(schema::NewsAsk const& ask, loam::Yield yield);
   [[nodiscard]] schema::Message tell(schema::Tell const& tell);
-  /// A piece of a content that an answer left out (section 5.8).
+  /// A piece of a content that an answer left out (section 5.9).
   [[nodiscard]] schema::Message piece(schema::PieceRequest const& request);
 
   [[nodiscard]] std::vector<schema::Member> members();
--- a/source/trellis/register_client/register_client.hpp
+++ b/source/trellis/register_client/register_client.hpp
@@ -47,7 +47,7 @@
   [[nodiscard]] loam::Moment confirmed_from();
   /// Rings when something was confirmed or learnt.
   [[nodiscard]] loam::Bell& bell() { return bell_; }
-  /// Bytes that values on their way here in pieces still lack (section 5.8).
+  /// Bytes that values on their way here in pieces still lack (section 5.9).
   [[nodiscard]] std::size_t bytes_left() { return transfers_.bytes_left(); }
 
  private:
--- a/source/trellis/register_client/register_transfers.hpp
+++ b/source/trellis/register_client/register_transfers.hpp
@@ -14,7 +14,7 @@
 namespace finchlink::trellis {
 
 /// Fetches values of registers that were too large for an answer, in pieces
-/// (section 5.8), each in a coroutine of its own. A transfer under way is not
+/// (section 5.9), each in a coroutine of its own. A transfer under way is not
 /// given up for a newer value, so that under steady change some value always
 /// arrives. Safe from any thread.
 class RegisterTransfers {
