almanac/control: network, checker, nodes and scenarios are modules of their own

Taken out: Network (local clocks, calls, cuts; no templates any more, since what time and faults see of a process is one struct), Checker (what was told and seen of the setup's register, and what must never be), nodes (Machine, Furrow, Process), the mixes of scenarios. Long functions are split by step; numbers have names; names follow the rest of the code: acceptor, reader, voters, log, lease, freshness. A simulated change's `perform` is a function with its run and try, no closure that holds itself.

--- /dev/null
+++ b/source/almanac/control/network.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "almanac/control/control.hpp"
+#include "almanac/control/nodes.hpp"
+#include "almanac/kernel/kernel.hpp"
+
+namespace finchlink::almanac::control {
+
+/// Local clocks of processes, events at them, and calls between them: messages
+/// are late, come twice, or are lost where a link is cut (section 10).
+class Network {
+ public:
+  /// The machine that listens at an address; none: null.
+  using FindMachine = std::function<Machine*(std::string const& address)>;
+  /// Handles a message that reached a machine.
+  using Serve = std::function<void(Machine& machine, schema::Message const& message, Reply const& reply)>;
+
+  Network(Kernel& kernel, ControlFaults const& faults, FindMachine find_machine, Serve serve);
+
+  [[nodiscard]] loam::Moment local_time(Process const& process) const;
+  /// An event of the process after a span of true time, if it still lives then.
+  void later(Process& process, loam::Span span, std::function<void()> event);
+  /// An event now if that life still lasts; deferred while the process is frozen.
+  void deliver(Process& process, std::uint64_t life, std::function<void()> const& event);
+  /// Ends a freeze: what was deferred happens now.
+  void thaw(Process& process);
+
+  /// Sends a message and calls back once: with the answer, or with none at the deadline.
+  void call(Process& from, std::string const& from_name, std::string const& to, schema::Message const& message,
+            loam::Span deadline, Reply const& done);
+
+  /// Cuts one direction of a link.
+  void cut(std::pair<std::string, std::string> const& link);
+  void mend(std::pair<std::string, std::string> const& link);
+  /// Splits the processes into these and the others; an empty set ends the split.
+  void split(std::set<std::string> part);
+  /// Ends every cut and the split.
+  void heal();
+
+ private:
+  [[nodiscard]] bool blocked(std::string const& from, std::string const& to) const;
+  [[nodiscard]] loam::Span delay();
+  void send(std::string const& from, std::string const& to, schema::Message const& message, Reply const& finish);
+  void arrive(std::string const& from, std::string const& to, schema::Message const& message, Reply const& finish);
+  void send_back(std::string const& from, std::string const& to, schema::Message const& answer, Reply const& finish);
+
+  Kernel& kernel_;
+  ControlFaults const faults_;
+  FindMachine find_machine_;
+  Serve serve_;
+  std::set<std::pair<std::string, std::string>> cuts_;
+  std::set<std::string> split_;
+};
+
+}  // namespace finchlink::almanac::control
--- /dev/null
+++ b/source/almanac/control/nodes.hpp
@@ -0,0 +1,115 @@
+#pragma once
+
+/// The simulated processes of the control plane: what each keeps in memory and on its disk.
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "almanac/disk/memory_disk.hpp"
+#include "consensus/acceptor/acceptor.hpp"
+#include "consensus/majority_reader/majority_reader.hpp"
+#include "consensus/transfer/value_sender.hpp"
+#include "consensus/write_ahead_log/write_ahead_log.hpp"
+#include "lease/lease_holder.hpp"
+#include "loam/constants.hpp"
+#include "loam/time/moment.hpp"
+#include "membership/departure/departure.hpp"
+#include "membership/freshness/freshness_lease.hpp"
+#include "membership/reconfiguration/voter_looks.hpp"
+
+namespace finchlink::almanac::control {
+
+constexpr std::size_t log_files = 3;
+constexpr std::size_t log_bytes = 1u << 17u;
+constexpr loam::Span usual_disk_delay = loam::milliseconds(2);
+
+/// What answers a call; nothing when none came before the deadline.
+using Reply = std::function<void(std::optional<schema::Message> const&)>;
+/// For a message whose answer nobody waits for.
+inline void ignore_reply(std::optional<schema::Message> const& /*answer*/) {}
+
+/// A process as time and faults see it.
+struct Process {
+  bool alive = true;
+  bool frozen = false;
+  std::uint64_t life = 0;  ///< counts starts and ends: events of an earlier life are dropped
+  loam::Moment clock_offset = 0;
+  double clock_rate = 1.0;
+  std::vector<std::function<void()>> deferred;  ///< events that came while it was frozen
+};
+
+/// Records to be synced, and the answer that leaves after that.
+struct DiskJob {
+  std::vector<schema::Record> records;
+  schema::Message reply;
+  Reply send;
+};
+
+/// One machine: a trellis; with a disk an acceptor as well.
+struct Machine {
+  Process process;
+  std::string address;
+  std::uint64_t identity = 0;
+  bool gone = false;  ///< for good
+
+  // --- disk ---
+  bool disk = false;
+  std::unique_ptr<MemoryDisk> memory;
+  std::unique_ptr<consensus::WriteAheadLog> log;
+  std::deque<DiskJob> disk_jobs;
+  bool disk_busy = false;
+  loam::Span disk_delay = usual_disk_delay;
+  bool disk_stalled = false;
+
+  // --- acceptor ---
+  std::optional<consensus::Acceptor> acceptor;
+  bool silent = false;  ///< its disk failed: it gives no answers
+  std::uint64_t last_incarnation = 0;
+  schema::VoterSet last_voters;
+
+  // --- trellis ---
+  schema::VoterSet voters;  ///< the newest set that it knows
+  consensus::MajorityReader reader;
+  membership::VoterLooks voter_looks;
+  std::unique_ptr<lease::LeaseHolder> lease;
+  std::map<std::string, membership::Peer> peers;  ///< by address, as gossip told of them
+  std::set<std::string> fetching;                 ///< registers whose newest value is on its way
+  bool fetching_image = false;                    ///< a value that images left out is on its way
+  consensus::ValueSender news_sender;             ///< of contents that furrows fetch
+
+  // --- departure ---
+  std::optional<membership::Departure> departure;
+  loam::Moment departing_from = 0;
+  bool for_good = false;  ///< once it has left, it is gone
+};
+
+/// One furrow, as far as news reach it.
+struct Furrow {
+  Process process;
+  std::string name;
+  std::size_t number = 0;
+  membership::FreshnessLease freshness;
+  std::size_t turn = 0;  ///< which trellis it asks
+  std::set<std::string> fetching;
+  std::map<std::string, schema::NamedValue> fetched;
+  std::uint64_t shown = 0;  ///< newest revision whose effect this node has shown, over all its lives
+};
+
+/// What gossip tells of a machine.
+[[nodiscard]] schema::TrellisEntry entry_of(Machine const& machine);
+/// The other trellises, as gossip told the machine of them.
+[[nodiscard]] std::vector<membership::Peer> peers_of(Machine const& machine);
+/// The newest value of a register that the machine knows to be chosen.
+[[nodiscard]] schema::Value newest_known(Machine const& machine, std::string const& name);
+/// Addresses of the voters with these incarnations, in the set's order.
+[[nodiscard]] std::vector<std::string> addresses_of(schema::VoterSet const& voters,
+                                                    std::vector<std::uint64_t> const& incarnations);
+
+}  // namespace finchlink::almanac::control
