--- /dev/null
+++ b/source/almanac/control/faults.cpp
@@ -0,0 +1,159 @@
+#include <utility>
+
+#include "almanac/control/world.hpp"
+
+namespace finchlink::almanac::control {
+
+using loam::Span;
+
+namespace {
+
+constexpr double furrow_kills = 0.4;
+constexpr double whole_herds = 0.3;
+constexpr double furrow_freezes = 0.5;
+constexpr double furrow_cuts = 0.3;
+constexpr double even = 0.5;
+constexpr Span longest_freeze = loam::seconds(9);
+constexpr Span longest_cut = loam::seconds(6);
+constexpr Span restart_time = loam::milliseconds(300);
+constexpr Span power_loss_time = loam::milliseconds(500);
+
+}  // namespace
+
+void World::schedule_faults() {
+  ControlFaults const& mix = options_.faults;
+  repeat(mix.kill, [this] { kill_any(); });
+  repeat(mix.herd, [this] { kill_herd(); });
+  repeat(mix.freeze, [this] { freeze_any(); });
+  repeat(mix.cut, [this] { cut_any_link(); });
+  repeat(mix.split, [this] { split_processes(); });
+  repeat(mix.replace, [this] { replace_planned(); });
+  repeat(mix.wipe, [this] {
+    Machine& machine = any_disk_machine();
+    if (machine.disk && machine.acceptor.has_value() && may_lose_disk()) {
+      lose_disk(machine);
+    }
+  });
+  repeat(mix.slow_disk, [this] { slow_disk(); });
+  repeat(mix.stall_disk, [this] { stall_disk(); });
+  repeat(mix.full_disk, [this] { fill_disk(); });
+}
+
+void World::repeat(double mean, std::function<void()> const& fault) {
+  if (mean <= 0) {
+    return;
+  }
+  kernel_.after(static_cast<Span>(kernel_.exponential(mean) * 1e6), [this, mean, fault] {
+    if (!calm_) {
+      fault();
+    }
+    repeat(mean, fault);
+  });
+}
+
+Machine& World::any_of_all() {
+  return *machines_[kernel_.below(machines_.size())];
+}
+
+Machine& World::any_disk_machine() {
+  return *machines_[kernel_.below(options_.disk_machines)];
+}
+
+Furrow& World::any_furrow() {
+  return *furrows_[kernel_.below(furrows_.size())];
+}
+
+void World::kill_any() {
+  if (kernel_.chance(furrow_kills)) {
+    kill_furrow(any_furrow());
+    return;
+  }
+  Machine& machine = any_of_all();
+  kill(machine);
+  revive_later(machine, loam::milliseconds(50), loam::seconds(6));
+}
+
+void World::kill_furrow(Furrow& furrow) {
+  furrow.process.alive = false;
+  ++furrow.process.life;
+  if (options_.lives) {
+    options_.lives(furrow.number, false);
+  }
+  kernel_.after(kernel_.between(loam::milliseconds(10), loam::seconds(3)), [this, &furrow] {
+    if (!furrow.process.alive) {
+      begin_furrow(furrow);
+    }
+  });
+}
+
+void World::kill_herd() {
+  double const part = kernel_.chance(whole_herds) ? 1.0 : kernel_.uniform();
+  for (std::unique_ptr<Machine> const& machine : machines_) {
+    if (kernel_.chance(part)) {
+      kill(*machine);
+      revive_later(*machine, loam::milliseconds(200), loam::seconds(4));
+    }
+  }
+}
+
+void World::freeze_any() {
+  Span const span = kernel_.between(loam::milliseconds(100), longest_freeze);
+  Process& process = kernel_.chance(furrow_freezes) ? any_furrow().process : any_of_all().process;
+  process.frozen = true;
+  kernel_.after(span, [this, &process] { network_.thaw(process); });
+}
+
+void World::cut_any_link() {
+  std::string const from = kernel_.chance(furrow_cuts) ? any_furrow().name : any_of_all().address;
+  std::string const to = any_of_all().address;
+  std::pair<std::string, std::string> const link =
+      kernel_.chance(even) ? std::make_pair(from, to) : std::make_pair(to, from);
+  network_.cut(link);
+  kernel_.after(kernel_.between(loam::milliseconds(200), longest_cut), [this, link] { network_.mend(link); });
+}
+
+void World::split_processes() {
+  std::set<std::string> part;
+  for (std::unique_ptr<Machine> const& machine : machines_) {
+    if (kernel_.chance(even)) {
+      part.insert(machine->address);
+    }
+  }
+  for (std::unique_ptr<Furrow> const& furrow : furrows_) {
+    if (kernel_.chance(even)) {
+      part.insert(furrow->name);
+    }
+  }
+  network_.split(part);
+  kernel_.after(kernel_.between(loam::milliseconds(500), longest_cut), [this] { network_.split({}); });
+}
+
+void World::strike_at_revision(std::uint64_t revision) {
+  ControlFaults const& mix = options_.faults;
+  if (calm_) {
+    return;
+  }
+  if (mix.restart_each > 0 && revision % mix.restart_each == 0) {
+    Machine& machine = *machines_[(revision / mix.restart_each) % options_.disk_machines];
+    kernel_.after(0, [this, &machine] { kill(machine); });
+    kernel_.after(restart_time, [this, &machine] { bring_back(machine); });
+  }
+  if (mix.away_from > 0 && (revision == mix.away_from || revision == mix.away_to)) {
+    Machine& machine = *machines_[founders_.size() - 1];
+    bool const leaves = revision == mix.away_from;
+    kernel_.after(0, [this, &machine, leaves] { leaves ? kill(machine) : bring_back(machine); });
+  }
+  if (mix.all_lost_at > 0 && revision == mix.all_lost_at) {
+    kernel_.after(0, [this] { lose_power_everywhere(); });
+  }
+}
+
+void World::lose_power_everywhere() {
+  for (std::unique_ptr<Machine> const& machine : machines_) {
+    Machine& one = *machine;
+    kill(one);
+    kernel_.after(power_loss_time, [this, &one] { bring_back(one); });
+  }
+}
+
+}  // namespace finchlink::almanac::control
--- /dev/null
+++ b/source/almanac/control/membership.cpp
@@ -0,0 +1,166 @@
+#include <algorithm>
+
+#include "almanac/control/world.hpp"
+#include "loam/json/tree.hpp"
+#include "membership/reconfiguration/reconfiguration.hpp"
+
+namespace finchlink::almanac::control {
+
+namespace constants = loam::constants;
+using loam::Moment;
+using loam::Span;
+
+namespace {
+
+constexpr Span departure_grace = loam::milliseconds(7700);
+constexpr Span hurried_look = loam::milliseconds(150);
+
+}  // namespace
+
+void World::join_loop(Machine& machine) {
+  network_.later(machine.process, constants::join_pause, [this, &machine] {
+    look_at_voters(machine, constants::join_look, [this, &machine] { join_loop(machine); });
+  });
+}
+
+void World::look_at_voters(Machine& machine, Span look, std::function<void()> const& again) {
+  if (machine.voters.epoch == 0 || machine.silent || !machine.acceptor.has_value() || machine.departure.has_value() ||
+      consensus::names(machine.voters.holders, machine.acceptor->incarnation())) {
+    machine.voter_looks.clear();
+    again();
+    return;
+  }
+  // One that was left out knows it before it asks for a place again.
+  network_.call(machine.process, machine.address, machine.address, schema::Adopt{machine.voters}, look, ignore_reply);
+  machine.voter_looks.begin(machine.voters);
+  for (schema::Voter const& voter : machine.voters.holders) {
+    Reply const take = [&machine, asked = voter.incarnation](std::optional<schema::Message> const& answer) {
+      schema::Adopted const* const adopted = answer.has_value() ? std::get_if<schema::Adopted>(&*answer) : nullptr;
+      if (adopted != nullptr) {
+        machine.voter_looks.answered(asked, *adopted);
+      }
+    };
+    network_.call(machine.process, machine.address, voter.address, schema::Adopt{machine.voters}, look, take);
+  }
+  network_.later(machine.process, look, [this, &machine, again] {
+    again();
+    take_place(machine);
+  });
+}
+
+void World::take_place(Machine& machine) {
+  if (machine.silent || !machine.acceptor.has_value() ||
+      (machine.voters.epoch > 1 && machine.acceptor->set().epoch < machine.voters.epoch)) {
+    return;
+  }
+  membership::JoiningView view{machine.voter_looks.misses(), membership::leaving_voters(peers_of(machine))};
+  if (machine.departure.has_value()) {
+    view.leaving.insert(machine.acceptor->incarnation());
+  }
+  std::optional<schema::VoterSet> const plan =
+      membership::plan_joining(machine.voters, view, schema::Voter{machine.acceptor->incarnation(), machine.address},
+                               options_.wanted_holders, options_.joining_guards);
+  if (plan.has_value()) {
+    propose_voters(machine, *plan);
+  }
+}
+
+void World::propose_voters(Machine& machine, schema::VoterSet const& plan) {
+  std::uint64_t const newest = newest_known(machine, consensus::holders_register).revision;
+  // The guard off: it expects what the register holds, not what it replaces.
+  consensus::ProposalFunction const propose =
+      options_.repair_fenced ? membership::reconfiguration_proposal(machine.voters, plan)
+                             : consensus::replace_at(newest, loam::print_tree(loam::Tree(schema::write(plan)).get()));
+  Moment const began = kernel_.now();
+  start_change(machine, consensus::holders_register, propose, constants::change_deadline,
+               [this, began](ChangeEnd const& result) {
+                 if (consensus::Chosen const* const chosen = std::get_if<consensus::Chosen>(&result)) {
+                   note_reconfiguration(*chosen, began);
+                 }
+               });
+}
+
+void World::note_reconfiguration(consensus::Chosen const& chosen, Moment began) {
+  ++report_.repairs;
+  kernel_.trace("repair chosen");
+  if (orders_ != nullptr) {
+    orders_->record(consensus::holders_register,
+                    HistoryEntry{HistoryEntry::Kind::write, chosen.value.revision, began, kernel_.now()});
+  }
+}
+
+void World::note_peer(Machine& machine, schema::TrellisEntry const& entry) {
+  membership::Peer& peer = machine.peers[entry.address];
+  bool const begins_to_leave = entry.leaving && !peer.entry.leaving;
+  peer = membership::Peer{entry, network_.local_time(machine.process)};
+  if (begins_to_leave) {
+    look_at_voters(machine, hurried_look, [] {});
+  }
+}
+
+void World::gossip(Machine& machine) {
+  schema::Tell tell;
+  tell.from = entry_of(machine);
+  Reply const take = [this, &machine](std::optional<schema::Message> const& answer) {
+    if (answer.has_value() && std::holds_alternative<schema::Told>(*answer)) {
+      note_peer(machine, std::get<schema::Told>(*answer).from);
+    }
+  };
+  for (std::unique_ptr<Machine> const& other : machines_) {
+    if (other->address != machine.address && !other->gone) {
+      network_.call(machine.process, machine.address, other->address, tell, constants::tell_pause * 2, take);
+    }
+  }
+}
+
+void World::gossip_loop(Machine& machine) {
+  network_.later(machine.process, constants::tell_pause, [this, &machine] {
+    gossip_loop(machine);
+    gossip(machine);
+  });
+}
+
+void World::leave(Machine& machine, bool for_good) {
+  if (!machine.process.alive || machine.departure.has_value()) {
+    return;
+  }
+  kernel_.trace("leave " + machine.address);
+  machine.for_good = for_good;
+  machine.departing_from = kernel_.now();
+  bool const votes = machine.acceptor.has_value() && !machine.silent;
+  machine.departure.emplace(votes ? machine.acceptor->incarnation() : 0,
+                            network_.local_time(machine.process) + departure_grace, options_.departure_guards);
+  for (lease::LeaseHolderAction const& action : machine.lease->release()) {
+    if (lease::SendAsk const* const send = std::get_if<lease::SendAsk>(&action)) {
+      network_.call(machine.process, machine.address, send->to.address, send->ask, constants::holder_deadline,
+                    ignore_reply);
+    }
+  }
+  std::uint64_t const life = machine.process.life;
+  kernel_.after(departure_grace + constants::drain_reserve, [this, &machine, life] {
+    if (machine.process.alive && machine.process.life == life) {
+      ++report_.grace_ends;
+      kill(machine);
+      machine.gone = machine.for_good;
+    }
+  });
+  depart_loop(machine);
+}
+
+void World::depart_loop(Machine& machine) {
+  gossip(machine);
+  schema::VoterSet const own = machine.acceptor.has_value() ? machine.acceptor->set() : schema::VoterSet{};
+  schema::VoterSet const& newest = own.epoch > machine.voters.epoch ? own : machine.voters;
+  membership::DepartureStep const step =
+      machine.departure->decide(newest, peers_of(machine), network_.local_time(machine.process));
+  if (membership::stays(step)) {
+    network_.later(machine.process, constants::departure_pause, [this, &machine] { depart_loop(machine); });
+    return;
+  }
+  kernel_.trace(machine.address + " goes: " + membership::name_of(step));
+  report_.worst_departure = std::max(report_.worst_departure, kernel_.now() - machine.departing_from);
+  kill(machine);
+  machine.gone = machine.for_good;
+}
+
+}  // namespace finchlink::almanac::control
--- /dev/null
+++ b/source/almanac/control/proposals.cpp
@@ -0,0 +1,133 @@
+#include <algorithm>
+#include <utility>
+
+#include "almanac/control/world.hpp"
+#include "loam/wire/pack.hpp"
+
+namespace finchlink::almanac::control {
+
+namespace constants = loam::constants;
+using loam::Span;
+
+void World::start_change(Machine& machine, std::string const& name, consensus::ProposalFunction propose, Span deadline,
+                         OnChangeEnd done) {
+  std::shared_ptr<ChangeRun> const run = std::make_shared<ChangeRun>();
+  run->machine = &machine;
+  run->proposer =
+      std::make_unique<consensus::Proposer>(name, (kernel_.draw() >> 12u) + 1, std::move(propose), options_.guards);
+  run->until = network_.local_time(machine.process) + deadline;
+  run->done = std::move(done);
+  network_.later(machine.process, deadline, [run] { run->end(std::monostate{}); });
+  try_change(run);
+}
+
+void World::try_change(std::shared_ptr<ChangeRun> const& run) {
+  if (run->over || network_.local_time(run->machine->process) >= run->until) {
+    return;
+  }
+  std::optional<consensus::NeededValue> const needed = run->proposer->needed();
+  if (needed.has_value()) {
+    fetch_needed(run, *needed);
+  } else {
+    begin_ballot(run, false);
+  }
+}
+
+void World::fetch_needed(std::shared_ptr<ChangeRun> const& run, consensus::NeededValue const& needed) {
+  Machine& machine = *run->machine;
+  std::uint64_t const number = ++run->tries;
+  std::shared_ptr<consensus::ValueReceiver> const receiver = std::make_shared<consensus::ValueReceiver>(
+      schema::TransferKey{run->proposer->name(), needed.digest, 0}, addresses_of(machine.voters, needed.sources));
+  fetch(machine.process, machine.address, receiver,
+        [this, run, number, needed](std::optional<std::string> const& bytes) {
+          if (!run->at_try(number)) {
+            return;
+          }
+          if (bytes.has_value()) {
+            run->proposer->know(needed.accepted, *loam::unpack<schema::Value>(*bytes));
+          }
+          begin_ballot(run, bytes.has_value());
+        });
+}
+
+void World::begin_ballot(std::shared_ptr<ChangeRun> const& run, bool fetched) {
+  Machine& machine = *run->machine;
+  std::uint64_t const number = ++run->tries;
+  std::string const& name = run->proposer->name();
+  run->proposer->start_above(machine.reader.known(name));
+  std::map<std::string, schema::Value>::const_iterator const value = machine.reader.values().find(name);
+  if (value != machine.reader.values().end() && !fetched) {
+    run->proposer->know(machine.reader.known(name), value->second);
+  }
+  if (machine.voters.epoch == 0) {
+    retry_ballot(run, number);
+    return;
+  }
+  network_.later(machine.process, constants::holder_deadline, [this, run, number] { retry_ballot(run, number); });
+  perform(run, number, run->proposer->begin(machine.voters));
+}
+
+void World::retry_ballot(std::shared_ptr<ChangeRun> const& run, std::uint64_t number) {
+  if (!run->at_try(number)) {
+    return;
+  }
+  Span const most = run->pause_most;
+  if (options_.inline_bytes > 0) {  // rounds that fetch are long: pauses grow, as RegisterClient's do
+    run->pause_most = std::min(most * 2, constants::ballot_pause_longest);
+  }
+  network_.later(run->machine->process, kernel_.between(constants::ballot_pause_least, most), [this, run, number] {
+    if (run->tries == number) {
+      try_change(run);
+    }
+  });
+}
+
+void World::perform(std::shared_ptr<ChangeRun> const& run, std::uint64_t number,
+                    std::vector<consensus::ProposerAction> const& actions) {
+  for (consensus::ProposerAction const& action : actions) {
+    if (!run->at_try(number)) {
+      return;
+    }
+    if (consensus::Send const* const send = std::get_if<consensus::Send>(&action)) {
+      send_proposal(run, number, *send);
+    } else if (consensus::Chosen const* const chosen = std::get_if<consensus::Chosen>(&action)) {
+      end_chosen(*run, *chosen);
+    } else if (consensus::Rejected const* const rejected = std::get_if<consensus::Rejected>(&action)) {
+      run->end(*rejected);
+    } else {
+      if (consensus::NewerVoterSet const* const newer = std::get_if<consensus::NewerVoterSet>(&action)) {
+        learn_voters(*run->machine, newer->set);
+      }
+      retry_ballot(run, number);
+    }
+  }
+}
+
+void World::send_proposal(std::shared_ptr<ChangeRun> const& run, std::uint64_t number, consensus::Send const& send) {
+  Machine& machine = *run->machine;
+  std::uint64_t const voter = send.to.incarnation;
+  Reply const take = [this, run, number, voter](std::optional<schema::Message> const& answer) {
+    if (!answer.has_value() || !run->at_try(number)) {
+      return;
+    }
+    perform(run, number, run->proposer->receive(voter, *answer));
+    if (run->at_try(number) && run->proposer->blocked()) {
+      try_change(run);
+    }
+  };
+  network_.call(machine.process, machine.address, send.to.address, send.message, constants::holder_deadline, take);
+}
+
+void World::end_chosen(ChangeRun& run, consensus::Chosen const& chosen) {
+  Machine& machine = *run.machine;
+  run.over = true;
+  machine.reader.learn(run.proposer->name(), chosen.ballot, chosen.value);
+  if (run.proposer->name() == consensus::setup_register) {
+    checker_.observe(chosen.value, machine.address);
+  }
+  if (run.done) {
+    run.done(chosen);
+  }
+}
+
+}  // namespace finchlink::almanac::control
--- /dev/null
+++ b/source/almanac/control/trellis_loops.cpp
@@ -0,0 +1,193 @@
+#include <algorithm>
+
+#include "almanac/control/world.hpp"
+#include "loam/json/tree.hpp"
+
+namespace finchlink::almanac::control {
+
+namespace constants = loam::constants;
+using loam::Moment;
+using loam::Span;
+
+namespace {
+
+constexpr Span confirmed_look_pause = loam::milliseconds(20);
+constexpr int confirmed_looks = 200;
+constexpr Span longest_answer_wait = loam::milliseconds(20);
+
+}  // namespace
+
+void World::learn_voters(Machine& machine, schema::VoterSet const& voters) {
+  if (voters.epoch > machine.voters.epoch) {
+    machine.voters = voters;
+    checker_.observe_voters(voters, machine.address);
+  }
+}
+
+void World::read_loop(Machine& machine) {
+  network_.later(machine.process, constants::confirm_pause, [this, &machine] {
+    read_loop(machine);
+    if (machine.voters.epoch == 0) {
+      look_for_voters(machine);
+      return;
+    }
+    Moment const now = network_.local_time(machine.process);
+    for (consensus::MajorityReaderAction const& action : machine.reader.begin(machine.voters, now)) {
+      consensus::SendRead const& send = std::get<consensus::SendRead>(action);
+      network_.call(machine.process, machine.address, send.to.address, send.read, constants::holder_deadline,
+                    [this, &machine](std::optional<schema::Message> const& answer) {
+                      if (answer.has_value()) {
+                        take_read(machine, *answer);
+                      }
+                    });
+    }
+  });
+}
+
+/// Asks the seeds, and one that told us of itself since we are up.
+void World::look_for_voters(Machine& machine) {
+  std::vector<std::string> asked = founders_;
+  if (options_.learn_beyond_seeds) {
+    asked.push_back(machines_[kernel_.below(machines_.size())]->address);
+  }
+  for (std::string const& address : asked) {
+    network_.call(machine.process, machine.address, address, schema::Read{0, {}, 0}, constants::holder_deadline,
+                  [this, &machine](std::optional<schema::Message> const& answer) {
+                    if (answer.has_value() && std::holds_alternative<schema::Refused>(*answer)) {
+                      learn_voters(machine, std::get<schema::Refused>(*answer).set);
+                    }
+                  });
+  }
+}
+
+void World::take_read(Machine& machine, schema::Message const& answer) {
+  for (consensus::MajorityReaderAction const& result : machine.reader.receive(answer)) {
+    if (consensus::NewerVoters const* const newer = std::get_if<consensus::NewerVoters>(&result)) {
+      learn_voters(machine, newer->set);
+    } else if (consensus::MissingChosen const* const missing = std::get_if<consensus::MissingChosen>(&result)) {
+      fetch_chosen(machine, *missing);
+    } else if (consensus::Unsettled const* const open = std::get_if<consensus::Unsettled>(&result)) {
+      settle(machine, *open);
+    } else if (std::holds_alternative<consensus::Confirmed>(result)) {
+      observe_confirmed(machine);
+    }
+  }
+}
+
+void World::settle(Machine& machine, consensus::Unsettled const& open) {
+  bool const own_lot = options_.inline_bytes == 0 || kernel_.below(constants::settle_lots) == 0;
+  if (!own_lot) {
+    return;
+  }
+  for (std::string const& name : open.names) {
+    start_change(
+        machine, name, [](schema::Value const&) -> consensus::Proposal { return consensus::Keep{}; },
+        constants::holder_deadline, nullptr);
+  }
+}
+
+void World::observe_confirmed(Machine& machine) {
+  checker_.observe(newest_known(machine, consensus::setup_register), machine.address);
+  if (orders_ != nullptr) {
+    for (std::pair<std::string const, schema::Value> const& value : machine.reader.values()) {
+      orders_->observe(value.first, value.second);
+    }
+  }
+}
+
+void World::spread_loop(Machine& machine) {
+  network_.later(machine.process, constants::founding_pause, [this, &machine] {
+    spread_loop(machine);
+    adopt_own(machine);
+    spread_chosen_voters(machine);
+  });
+}
+
+/// The own acceptor adopts the newest set that its trellis knows.
+void World::adopt_own(Machine& machine) {
+  if (machine.acceptor.has_value() && !machine.silent && machine.voters.epoch > machine.acceptor->set().epoch &&
+      (machine.acceptor->set().epoch > 0 || machine.voters.epoch > 1)) {
+    submit(machine, machine.acceptor->receive(schema::Adopt{machine.voters}, network_.local_time(machine.process)),
+           ignore_reply);
+  }
+}
+
+/// Tells the voters of a set that was chosen, and those before, that it stands.
+void World::spread_chosen_voters(Machine& machine) {
+  // A refused change settles what it found, and that is nothing before the first one.
+  schema::Value const value = newest_known(machine, consensus::holders_register);
+  if (value.revision == 0) {
+    return;
+  }
+  schema::VoterSet next;
+  std::vector<loam::Fault> faults;
+  schema::read(loam::read_tree(value.content)->get(), "", next, faults);
+  if (next.epoch <= machine.voters.epoch) {
+    return;
+  }
+  std::vector<schema::Voter> all = next.previous;
+  all.insert(all.end(), next.holders.begin(), next.holders.end());
+  Reply const take = [this, &machine, next](std::optional<schema::Message> const& answer) {
+    if (answer.has_value() && std::holds_alternative<schema::Adopted>(*answer) &&
+        std::get<schema::Adopted>(*answer).epoch >= next.epoch) {
+      learn_voters(machine, next);
+    }
+  };
+  for (schema::Voter const& voter : all) {
+    network_.call(machine.process, machine.address, voter.address, schema::Adopt{next}, constants::holder_deadline,
+                  take);
+  }
+}
+
+void World::lease_loop(Machine& machine) {
+  network_.later(machine.process, constants::tell_pause, [this, &machine] {
+    lease_loop(machine);
+    Moment const now = network_.local_time(machine.process);
+    for (lease::LeaseHolderAction const& action : machine.lease->tick(machine.voters, now)) {
+      if (lease::SendAsk const* const send = std::get_if<lease::SendAsk>(&action)) {
+        ask_lease(machine, *send);
+      }
+    }
+  });
+}
+
+void World::ask_lease(Machine& machine, lease::SendAsk const& send) {
+  network_.call(machine.process, machine.address, send.to.address, send.ask, constants::holder_deadline,
+                [this, &machine](std::optional<schema::Message> const& answer) {
+                  if (answer.has_value() && std::holds_alternative<schema::LeaseAnswer>(*answer)) {
+                    (void)machine.lease->receive(std::get<schema::LeaseAnswer>(*answer),
+                                                 network_.local_time(machine.process));
+                  }
+                });
+}
+
+void World::answer_ask(Machine& machine, schema::NewsAsk const& ask, Moment arrival, Reply const& reply) {
+  membership::NewsBounds bounds;
+  if (options_.inline_bytes > 0) {
+    bounds.inline_bytes = options_.inline_bytes / news_part;
+  }
+  membership::NewsDecision const decision =
+      membership::decide_answer(ask, arrival, machine.reader.confirmed_from(), machine.reader.values(), false,
+                                network_.local_time(machine.process), options_.desk_guards, bounds);
+  if (decision.answer.has_value()) {
+    reply(schema::Message(*decision.answer));
+    return;
+  }
+  network_.later(machine.process, std::min<Span>(decision.wait + 1, longest_answer_wait),
+                 [this, &machine, ask, arrival, reply] { answer_ask(machine, ask, arrival, reply); });
+}
+
+void World::when_confirmed(Machine& machine, std::function<void()> const& done) {
+  wait_confirmed(machine, network_.local_time(machine.process), confirmed_looks, done);
+}
+
+void World::wait_confirmed(Machine& machine, Moment since, int looks_left, std::function<void()> const& done) {
+  if (machine.reader.confirmed_from() >= since) {
+    done();
+  } else if (looks_left > 0) {
+    network_.later(machine.process, confirmed_look_pause,
+                   [this, &machine, since, looks_left, done] { wait_confirmed(machine, since, looks_left - 1, done); });
+  }
+}
+
+}  // namespace finchlink::almanac::control
