--- /dev/null
+++ b/source/almanac/field/arrivals.cpp
@@ -0,0 +1,176 @@
+#include <algorithm>
+
+#include "almanac/field/world.hpp"
+#include "tilth/budget/share.hpp"
+
+namespace finchlink::almanac::field {
+
+using loam::Moment;
+using loam::Span;
+
+namespace {
+
+constexpr std::uint64_t mix_stride = 1000;
+constexpr std::uint64_t own_part = 77;
+
+}  // namespace
+
+FieldMix World::mix_of(std::size_t index) const {
+  FieldMix mix = options_.deployment.mixes[index];
+  if (options_.faults.swing_at > 0 && kernel_.now() >= options_.faults.swing_at) {
+    mix.own_tokens /= 4;
+    mix.outputs *= 6;
+  }
+  return mix;
+}
+
+double World::rate_of(std::size_t mix) const {
+  double const rate = options_.deployment.mixes[mix].rate * options_.scale;
+  Moment const crowd = options_.faults.crowd_at;
+  bool const crowded = crowd > 0 && kernel_.now() >= crowd && kernel_.now() < crowd + options_.faults.crowd_span &&
+                       (mix == 0 || !options_.faults.crowd_on_first);
+  return crowded ? rate * options_.faults.crowd : rate;
+}
+
+void World::arrivals(std::size_t mix) {
+  kernel_.after(static_cast<Span>(kernel_.exponential(1.0 / rate_of(mix)) * 1e6), [this, mix] {
+    if (kernel_.now() < options_.length) {
+      arrivals(mix);
+      std::vector<std::string> const& homes = options_.deployment.mixes[mix].homes;
+      ++report_.sent;
+      arrive(mix, homes.empty() ? "" : homes[kernel_.below(homes.size())], 0, 0, std::nullopt);
+    }
+  });
+}
+
+void World::arrive(std::size_t mix, std::string const& home, std::uint64_t tries, std::size_t hops,
+                   std::optional<std::string> const& region) {
+  std::size_t furrow = kernel_.below(furrows_.size());
+  while (region.has_value() && options_.deployment.regions[furrows_[furrow]->region] != *region) {  // sent there by 307
+    furrow = kernel_.below(furrows_.size());
+  }
+  if (!vouched(*furrows_[furrow])) {  // refused at once, or nobody listens there
+    ++report_.unvouched;
+    return;
+  }
+  tilth::Plan const& plan = *furrows_[furrow]->plan;
+  config::Course const decided = course(plan.setup, plan.region, mix, home);
+  if (config::GoHome const* const there = std::get_if<config::GoHome>(&decided)) {
+    if (hops < most_hops) {
+      kernel_.after(hop_within_region(),
+                    [this, mix, home, tries, hops, to = there->region] { arrive(mix, home, tries, hops + 1, to); });
+    }
+    return;
+  }
+  config::Serve const* const serve = std::get_if<config::Serve>(&decided);
+  if (serve == nullptr) {
+    return;
+  }
+  ++second(mix, kernel_.now()).arrived;
+  QueryPointer const query = make_query(mix, furrow, home, *serve, false);
+  query->tries = tries;
+  query->hops = hops;
+  furrows_[furrow]->budgets.try_emplace(serve->rule).first->second.arrived(kernel_.now());
+  perform(query, query->chart->begin());
+}
+
+QueryPointer World::make_query(std::size_t mix, std::size_t furrow, std::string const& home, config::Serve const& serve,
+                               bool passed) {
+  QueryPointer const query = std::make_shared<Query>();
+  query->id = next_query_++;
+  query->mix = mix;
+  query->furrow = furrow;
+  query->home = home;
+  query->footing.plan = furrows_[furrow]->plan;
+  query->footing.serve = serve;
+  query->footing.rule = query->footing.plan->setup.rules.at(serve.rule);
+  query->began = kernel_.now();
+  Span const deadline = loam::milliseconds(static_cast<std::int64_t>(query->footing.rule.deadline_ms));
+  query->deadline = kernel_.now() + deadline;
+  draw_prompt(*query);
+  query->chart = make_chart(*query, passed);
+  queries_.push_back(query);
+  if (!passed) {
+    kernel_.after(deadline, [this, query] {
+      if (!query->chart->settled()) {
+        feed(query, tilth::DeadlinePassed{});
+      }
+    });
+  }
+  return query;
+}
+
+void World::draw_prompt(Query& query) {
+  FieldMix const mix = mix_of(query.mix);
+  query.tokens = mix.prefix_tokens + std::max(1.0, mix.own_tokens * (0.5 + kernel_.uniform()));
+  query.outputs = static_cast<std::uint64_t>(std::max(2.0, mix.outputs * (0.5 + kernel_.uniform())));
+  std::uint64_t const prefix = kernel_.below(std::max<std::uint64_t>(1, mix.prefixes));
+  std::uint64_t const block = options_.bounds.block_tokens;
+  std::uint64_t chain = 0;
+  for (std::uint64_t place = block; static_cast<double>(place) <= query.tokens; place += block) {
+    bool const shared = static_cast<double>(place) <= mix.prefix_tokens;
+    chain =
+        tilth::mix(chain, shared ? tilth::mix(query.mix * mix_stride + prefix, place) : tilth::mix(query.id, own_part));
+    query.chain.push_back(chain);
+  }
+}
+
+std::unique_ptr<tilth::Chart> World::make_chart(Query const& query, bool passed) {
+  schema::Rule const& rule = query.footing.rule;
+  tilth::QueryTerms terms;
+  terms.repeatable = rule.repeatable || !options_.dispatch_once;
+  terms.resumable = rule.resumable;
+  terms.stream = rule.stream;
+  terms.may_pass = !passed;
+  std::string const name = options_.deployment.mixes[query.mix].name;
+  return std::make_unique<tilth::Chart>(terms, [this, furrow = query.furrow, name](Moment now) {
+    if (!options_.budget) {
+      return true;
+    }
+    return furrows_[furrow]->budgets.try_emplace(name).first->second.take(
+        now, tilth::keeps_right(name, furrows_[furrow]->name, names_));
+  });
+}
+
+void World::pass_on(QueryPointer const& query) {
+  (void)follow(query);
+  if (query->chart->settled()) {
+    return;
+  }
+  Furrow const& from = *furrows_[query->furrow];
+  std::vector<schema::Member> const targets =
+      tilth::pass_targets(*query->footing.plan, from.name, "model", query->footing.serve.bound);
+  if (targets.empty()) {
+    feed(query, tilth::NoRoom{});
+    return;
+  }
+  ++report_.passes;
+  feed(query, tilth::Placed{"pass"});
+  feed(query, tilth::Connected{});
+  std::string const chosen = targets[kernel_.below(targets.size())].name;
+  std::size_t const target = static_cast<std::size_t>(std::find(names_.begin(), names_.end(), chosen) - names_.begin());
+  bool const far = furrows_[target]->region != from.region;
+  kernel_.after(far ? options_.deployment.hop : hop_within_region(),
+                [this, query, target] { arrive_passed(query, target); });
+}
+
+void World::arrive_passed(QueryPointer const& query, std::size_t target) {
+  tilth::Plan const& plan = *furrows_[target]->plan;
+  config::Course const decided = course(plan.setup, plan.region, query->mix, query->home);
+  if (query->chart->settled()) {
+    return;
+  }
+  if (!vouched(*furrows_[target]) || !std::holds_alternative<config::Serve>(decided)) {
+    feed(query, tilth::NoRoom{});
+    return;
+  }
+  QueryPointer const child = make_query(query->mix, target, query->home, std::get<config::Serve>(decided), true);
+  child->parent = query;
+  child->tokens = query->tokens;
+  child->chain = query->chain;
+  child->outputs = query->outputs;
+  child->deadline = query->deadline;
+  perform(child, child->chart->begin());
+}
+
+}  // namespace finchlink::almanac::field
--- /dev/null
+++ b/source/almanac/field/control_plane.cpp
@@ -0,0 +1,83 @@
+#include <algorithm>
+
+#include "almanac/field/world.hpp"
+#include "loam/json/tree.hpp"
+
+namespace finchlink::almanac::field {
+
+namespace {
+
+constexpr double changes_that_matter = 0.15;
+
+}  // namespace
+
+void World::join_control() {
+  ControlOptions control = *options_.control;
+  control.seed = options_.seed;
+  control.length = options_.length;
+  control.furrows = furrows_.size();
+  control.furrow_names = names_;
+  control.first_setup = loam::print_tree(loam::Tree(schema::write(options_.deployment.setup)).get());
+  control.patch = [this](std::string const& id) { return setup_patch(id); };
+  control.seen = [this](std::uint64_t revision, std::string const& content) {
+    setups_[revision] = config::read_setup(content).setup;
+    newest_ = std::max(newest_, revision);
+  };
+  control.adopted = [this](std::size_t furrow, std::uint64_t revision) {
+    Furrow& one = *furrows_[furrow];
+    ++report_.faults;
+    one.revision = revision;
+    renew(one);
+  };
+  control.acknowledged = [this](std::uint64_t revision) { acknowledged_ = std::max(acknowledged_, revision); };
+  control.lives = [this](std::size_t furrow, bool alive) {
+    if (alive) {
+      furrows_[furrow]->alive = true;
+    } else {
+      lose(furrow);
+    }
+  };
+  control_ = control_part(control, kernel_);
+}
+
+/// Most changes touch no query; some move homes or empty halls.
+std::string World::setup_patch(std::string const& id) {
+  schema::Setup const from = setups_.empty() ? options_.deployment.setup : setups_.rbegin()->second;
+  schema::Setup to = kernel_.chance(changes_that_matter) ? changed_setup(from) : from;
+  to.halls[options_.deployment.halls.front().name].labels["mark"] = id;
+  loam::Tree const whole(schema::write(to));
+  loam::Tree patch(cJSON_CreateObject());
+  for (char const* const part : {"halls", "rules"}) {
+    cJSON_AddItemToObject(patch.get(), part, cJSON_DetachItemFromObjectCaseSensitive(whole.get(), part));
+  }
+  return loam::print_tree(patch.get());
+}
+
+/// A furrow is killed: its callers and the furrows that passed to it see their
+/// connections cut, its workers end what it had there; it comes back with nothing.
+void World::lose(std::size_t number) {
+  Furrow& furrow = *furrows_[number];
+  ++report_.furrows_lost;
+  furrow.alive = false;
+  std::vector<QueryPointer> open;
+  for (QueryPointer const& query : queries_) {
+    if (query->furrow == number && !query->chart->settled()) {
+      open.push_back(query);
+    }
+  }
+  for (QueryPointer const& query : open) {
+    if (query->parent != nullptr) {
+      settle_parent(query, tilth::WorkerDefect{"pass_cut"});
+    }
+    ended(*query, false);
+    feed(query, tilth::CallerGone{});
+  }
+  furrow.placement = tilth::Placement(options_.placement);
+  furrow.budgets.clear();
+  furrow.outputs.clear();
+  furrow.revision = 0;
+  furrow.plan = std::make_shared<tilth::Plan const>();
+  furrow.split = schema::Split{};
+}
+
+}  // namespace finchlink::almanac::field
--- /dev/null
+++ b/source/almanac/field/deployment.cpp
@@ -0,0 +1,83 @@
+#include <algorithm>
+#include <cmath>
+#include <fstream>
+#include <sstream>
+
+#include "almanac/field/field.hpp"
+#include "config/label/selector.hpp"
+#include "config/setup/setup.hpp"
+#include "loam/json/tree.hpp"
+#include "schema/standin.hpp"
+
+namespace finchlink::almanac {
+
+using loam::Span;
+
+std::size_t FieldDeployment::workers_of(std::size_t region) const {
+  std::size_t count = 0;
+  for (FieldHall const& hall : halls) {
+    count += hall.region == region ? hall.workers : 0;
+  }
+  return count;
+}
+
+absl::StatusOr<FieldDeployment> field_deployment(std::string const& folder) {
+  std::map<std::string, std::string> texts;
+  for (std::string const name : {"fleet.json", "setup.json"}) {
+    std::ifstream file(folder + "/" + name);
+    if (!file) {
+      return absl::NotFoundError(folder + "/" + name + " can't be read");
+    }
+    std::stringstream text;
+    text << file.rdbuf();
+    texts[name] = text.str();
+  }
+  absl::StatusOr<loam::Tree> const tree = loam::read_tree(texts["fleet.json"]);
+  if (!tree.ok()) {
+    return absl::InvalidArgumentError(folder + "/fleet.json: " + std::string(tree.status().message()));
+  }
+  config::SetupReading const reading = config::read_setup(texts["setup.json"]);
+  if (!reading.good()) {
+    return absl::InvalidArgumentError(
+        folder + "/setup.json: " + (reading.json ? loam::describe(reading.faults) : reading.reason));
+  }
+  schema::Fleet fleet;
+  std::vector<loam::Fault> faults;
+  schema::read(tree->get(), "", fleet, faults);
+  FieldDeployment deployment;
+  deployment.setup = reading.setup;
+  deployment.hop = static_cast<Span>(fleet.hop_ms * 1000);
+  for (std::pair<std::string const, schema::FleetHall> const& hall : fleet.halls) {
+    std::vector<std::string>& regions = deployment.regions;
+    std::size_t const region =
+        static_cast<std::size_t>(std::find(regions.begin(), regions.end(), hall.second.region) - regions.begin());
+    if (region == regions.size()) {
+      regions.push_back(hall.second.region);
+    }
+    deployment.halls.push_back(FieldHall{hall.first, region, hall.second.machines, hall.second.model_workers});
+    if (config::region_of(deployment.setup, hall.first) != hall.second.region) {
+      faults.push_back(loam::Fault{"/halls/" + hall.first, "stands in another region of setup.json, or in none"});
+    }
+  }
+  for (schema::Mix const& mix : fleet.mixes) {
+    if (!mix.plain) {
+      double const bytes = deployment.setup.workers.bytes_per_token;
+      deployment.mixes.push_back(FieldMix{mix.name, mix.method, mix.path, mix.rate,
+                                          static_cast<double>(mix.prefix_bytes) / bytes,
+                                          static_cast<double>(mix.own_bytes) / bytes, mix.prefixes,
+                                          std::ceil(static_cast<double>(mix.outputs) / 4), mix.homes});
+      if (deployment.setup.rules.count(mix.name) == 0) {
+        faults.push_back(loam::Fault{"/mixes", mix.name + " is no rule of setup.json"});
+      }
+    }
+  }
+  if (deployment.regions.size() != 2) {
+    faults.push_back(loam::Fault{"/halls", "needs two regions"});
+  }
+  if (!faults.empty()) {
+    return absl::InvalidArgumentError(folder + "/fleet.json: " + loam::describe(faults));
+  }
+  return deployment;
+}
+
+}  // namespace finchlink::almanac
--- /dev/null
+++ b/source/almanac/field/scenarios.cpp
@@ -0,0 +1,103 @@
+#include <algorithm>
+
+#include "almanac/field/field.hpp"
+
+namespace finchlink::almanac {
+
+std::vector<std::string> field_scenarios() {
+  return {"field-calm", "field-crashes", "field-dark",  "field-blinks", "field-drains",   "field-replace",
+          "field-cuts", "field-setups",  "field-swing", "field-crowd",  "field-overload", "field-storm"};
+}
+
+std::optional<FieldFaults> field_scenario(std::string const& name) {
+  FieldFaults faults;
+  std::vector<std::string> const names = field_scenarios();
+  if (std::find(names.begin(), names.end(), name) == names.end()) {
+    return std::nullopt;
+  }
+  bool const all = name == "field-storm";
+  if (name == "field-crashes" || all) {
+    faults.crash = all ? 6 : 2;
+  }
+  if (name == "field-dark" || all) {
+    faults.dark = all ? 12 : 4;
+  }
+  if (name == "field-blinks") {
+    faults.blink = 2;
+  }
+  if (name == "field-drains" || all) {
+    faults.drain = all ? 9 : 3;
+  }
+  if (name == "field-replace" || all) {
+    faults.replace = all ? 10 : 4;
+  }
+  if (name == "field-cuts" || all) {
+    faults.cut = all ? 0.01 : 0.05;
+  }
+  if (name == "field-setups" || all) {
+    faults.setups = all ? 8 : 1.2;
+  }
+  if (name == "field-setups") {
+    faults.crowd_at = loam::seconds(10);  // so that many wait at the changes
+    faults.crowd = 7;
+    faults.crowd_span = loam::seconds(30);
+    faults.cut = 0.02;
+  }
+  if (name == "field-swing" || all) {
+    faults.swing_at = loam::seconds(25);
+  }
+  if (name == "field-overload") {
+    faults.crowd_at = loam::seconds(20);
+    faults.crowd_span = loam::seconds(15);
+    faults.comes_back = 4;
+  }
+  if (name == "field-crowd" || all) {
+    faults.crowd_at = loam::seconds(15);
+    faults.crowd = 3;
+  }
+  return faults;
+}
+
+bool is_whole(std::string const& name) {
+  return name.rfind("whole-", 0) == 0;
+}
+
+bool apply_whole(std::string const& name, FieldOptions& options) {
+  std::optional<ControlFaults> const faults = control_scenario(name.substr(6));
+  if (!faults.has_value()) {
+    return false;
+  }
+  options.control.emplace();
+  options.control->faults = *faults;
+  options.control->operators_pause = 2;
+  options.faults = *field_scenario(name == "whole-storm" ? "field-storm" : "field-calm");
+  options.faults.setups = 0;  // they come by the register
+  if (name != "whole-calm") {
+    options.faults.crash = 8;
+    options.faults.drain = 8;
+  }
+  return true;
+}
+
+bool apply_variant(std::string const& name, FieldOptions& options) {
+  if (name == "ours") {
+    return true;
+  }
+  if (name == "static") {
+    options.aims.fixed_prefill = static_cast<std::int64_t>(options.deployment.workers_of(0) / 2);
+  } else if (name == "no-prefix") {
+    options.bounds.prefix_placement = false;
+  } else if (name == "no-spill") {
+    options.bounds.spill = false;
+  } else if (name == "no-overflow") {
+    options.bounds.overflow = false;
+  } else if (name == "no-hold") {
+    options.aims.hold_ms = 0;
+    options.aims.errors = 0;
+  } else {
+    return false;
+  }
+  return true;
+}
+
+}  // namespace finchlink::almanac
--- /dev/null
+++ b/source/almanac/field/world.cpp
@@ -0,0 +1,87 @@
+#include "almanac/field/world.hpp"
+
+#include <utility>
+
+namespace finchlink::almanac::field {
+
+namespace {
+
+constexpr loam::Span first_arrival_at = loam::milliseconds(300);
+constexpr loam::Span first_fault_at = loam::seconds(6);
+constexpr loam::Span calm_before_end = loam::seconds(2);
+constexpr loam::Span settling_time = loam::seconds(40);
+
+}  // namespace
+
+World::World(FieldOptions const& options) : options_(options), kernel_(options.seed) {
+  kernel_.print_trace(options.print);
+}
+
+FieldReport World::run() {
+  regions_.resize(options_.deployment.regions.size());
+  if (!options_.control.has_value()) {
+    setups_[1] = options_.deployment.setup;
+  }
+  for (FieldHall const& hall : options_.deployment.halls) {
+    add_hall(hall);
+  }
+  if (options_.control.has_value()) {
+    newest_ = acknowledged_ = 0;
+    for (std::unique_ptr<Furrow> const& furrow : furrows_) {
+      furrow->revision = 0;
+    }
+    join_control();
+    control_.begin();
+    control_.end_day(options_.length + calm_before_end);
+  }
+  begin_loops();
+  kernel_.run(options_.length + settling_time, control_.each);
+  if (control_.finish) {
+    report_.control = control_.finish();
+    report_.violations.insert(report_.violations.end(), report_.control.violations.begin(),
+                              report_.control.violations.end());
+  }
+  finish();
+  return report_;
+}
+
+void World::add_hall(FieldHall const& hall) {
+  for (std::size_t number = 1; number <= hall.workers; ++number) {
+    std::unique_ptr<Worker> worker = std::make_unique<Worker>();
+    worker->id = "model-" + hall.name + "-" + std::to_string(number);
+    worker->hall = hall.name;
+    worker->region = hall.region;
+    workers_.push_back(std::move(worker));
+  }
+  for (std::size_t number = 1; number <= hall.furrows; ++number) {
+    std::unique_ptr<Furrow> furrow = std::make_unique<Furrow>();
+    furrow->name = "furrow-" + hall.name + "-" + std::to_string(number);
+    furrow->hall = hall.name;
+    furrow->region = hall.region;
+    furrow->placement = tilth::Placement(options_.placement);
+    names_.push_back(furrow->name);
+    furrows_.push_back(std::move(furrow));
+  }
+}
+
+void World::begin_loops() {
+  for (std::unique_ptr<Furrow> const& furrow : furrows_) {
+    for (std::unique_ptr<Worker> const& worker : workers_) {
+      furrow->listed[worker->id] = true;
+    }
+    refresh(*furrow);
+    look(*furrow);
+    report_loop(*furrow);
+  }
+  for (std::size_t region = 0; region < regions_.size(); ++region) {
+    scale(region);
+  }
+  kernel_.after(first_arrival_at, [this] {
+    for (std::size_t mix = 0; mix < options_.deployment.mixes.size(); ++mix) {
+      arrivals(mix);
+    }
+  });
+  kernel_.after(first_fault_at, [this] { schedule_faults(); });
+}
+
+}  // namespace finchlink::almanac::field
