--- a/source/almanac/control/acceptors.cpp
+++ b/source/almanac/control/acceptors.cpp
@@ -1,3 +1,5 @@
+// Voters and their disks: a machine's start, what reaches it, records that wait for the disk, founding and images.
+
 #include <algorithm>
 #include <utility>
 
--- a/source/almanac/control/control.cpp
+++ b/source/almanac/control/control.cpp
@@ -1,3 +1,5 @@
+// The entry points: the control plane alone, or as a part of a larger world.
+
 #include "almanac/control/control.hpp"
 
 #include <memory>
--- a/source/almanac/control/faults.cpp
+++ b/source/almanac/control/faults.cpp
@@ -1,3 +1,5 @@
+// Which faults strike whom and when.
+
 #include <utility>
 
 #include "almanac/control/world.hpp"
--- a/source/almanac/control/furrow_loops.cpp
+++ b/source/almanac/control/furrow_loops.cpp
@@ -1,3 +1,5 @@
+// Furrows: asks for news, contents that were left out, and serving by the setup they hold.
+
 #include <algorithm>
 
 #include "almanac/control/world.hpp"
--- a/source/almanac/control/machine_faults.cpp
+++ b/source/almanac/control/machine_faults.cpp
@@ -1,3 +1,5 @@
+// What a fault does to a machine and its disk, and how it comes back.
+
 #include "almanac/control/world.hpp"
 
 namespace finchlink::almanac::control {
--- a/source/almanac/control/membership.cpp
+++ b/source/almanac/control/membership.cpp
@@ -1,3 +1,5 @@
+// Joining the voters, gossip, and leaving by agreement (sections 5.5 and 5.8).
+
 #include <algorithm>
 
 #include "almanac/control/world.hpp"
--- a/source/almanac/control/operators.cpp
+++ b/source/almanac/control/operators.cpp
@@ -1,3 +1,5 @@
+// Operators of the setup, and the way of those of charters and evacuations to the machines.
+
 #include <algorithm>
 #include <utility>
 
--- a/source/almanac/control/proposals.cpp
+++ b/source/almanac/control/proposals.cpp
@@ -1,3 +1,5 @@
+// Changes of a register, as a trellis runs them: ballots, retries, values that have to be fetched first.
+
 #include <algorithm>
 #include <utility>
 
--- a/source/almanac/control/recovery_checks.cpp
+++ b/source/almanac/control/recovery_checks.cpp
@@ -1,3 +1,5 @@
+// Checks over all nodes: one lease holder, service after the last fault, catching up.
+
 #include <algorithm>
 
 #include "almanac/control/world.hpp"
--- a/source/almanac/control/replacements.cpp
+++ b/source/almanac/control/replacements.cpp
@@ -1,3 +1,5 @@
+// Planned replacements of voters, and what goes wrong behind them.
+
 #include <algorithm>
 #include <utility>
 
--- a/source/almanac/control/scenarios.cpp
+++ b/source/almanac/control/scenarios.cpp
@@ -1,3 +1,5 @@
+// The mixes of faults by name.
+
 #include <algorithm>
 
 #include "almanac/control/control.hpp"
--- a/source/almanac/control/transfers.cpp
+++ b/source/almanac/control/transfers.cpp
@@ -1,3 +1,5 @@
+// Values and contents that are fetched in pieces (section 5.9).
+
 #include "almanac/control/world.hpp"
 #include "loam/wire/pack.hpp"
 
--- a/source/almanac/control/trellis_loops.cpp
+++ b/source/almanac/control/trellis_loops.cpp
@@ -1,3 +1,5 @@
+// A trellis's loops: majority reads, spreading a new set of voters, the lease, asks for news.
+
 #include <algorithm>
 
 #include "almanac/control/world.hpp"
--- a/source/almanac/control/world.cpp
+++ b/source/almanac/control/world.cpp
@@ -1,3 +1,5 @@
+// Construction of the world, and the course of a run.
+
 #include "almanac/control/world.hpp"
 
 #include <algorithm>
--- a/source/almanac/field/answers.cpp
+++ b/source/almanac/field/answers.cpp
@@ -1,3 +1,5 @@
+// Events of an answer on their way to the furrow, and what they tell of the worker.
+
 #include <algorithm>
 
 #include "almanac/field/world.hpp"
--- a/source/almanac/field/arrivals.cpp
+++ b/source/almanac/field/arrivals.cpp
@@ -1,3 +1,5 @@
+// Callers, their queries, and queries that one furrow passes to another.
+
 #include <algorithm>
 
 #include "almanac/field/world.hpp"
--- a/source/almanac/field/control_plane.cpp
+++ b/source/almanac/field/control_plane.cpp
@@ -1,3 +1,5 @@
+// The control plane beside the query path, and furrows that it kills.
+
 #include <algorithm>
 
 #include "almanac/field/world.hpp"
--- a/source/almanac/field/deployment.cpp
+++ b/source/almanac/field/deployment.cpp
@@ -1,3 +1,5 @@
+// A deployment, read from its files.
+
 #include <algorithm>
 #include <cmath>
 #include <fstream>
--- a/source/almanac/field/dispatch.cpp
+++ b/source/almanac/field/dispatch.cpp
@@ -1,3 +1,5 @@
+// A query on its way to a worker, and what must hold when bytes go.
+
 #include <algorithm>
 
 #include "almanac/field/world.hpp"
--- a/source/almanac/field/faults.cpp
+++ b/source/almanac/field/faults.cpp
@@ -1,3 +1,5 @@
+// Faults of workers and of the list of workers.
+
 #include "almanac/field/world.hpp"
 #include "loam/constants.hpp"
 
--- a/source/almanac/field/field.cpp
+++ b/source/almanac/field/field.cpp
@@ -1,3 +1,5 @@
+// The entry point of the simulated query path.
+
 #include "almanac/field/field.hpp"
 
 #include "almanac/field/world.hpp"
--- a/source/almanac/field/furrow_loops.cpp
+++ b/source/almanac/field/furrow_loops.cpp
@@ -1,3 +1,5 @@
+// Furrows' loops: plan, load of the workers, reports; and the scaler of each region.
+
 #include <algorithm>
 #include <utility>
 
--- a/source/almanac/field/placement.cpp
+++ b/source/almanac/field/placement.cpp
@@ -1,3 +1,5 @@
+// Tickets of placement, and what it decides about them.
+
 #include "almanac/field/world.hpp"
 
 namespace finchlink::almanac::field {
--- a/source/almanac/field/queries.cpp
+++ b/source/almanac/field/queries.cpp
@@ -1,3 +1,5 @@
+// What a query's chart orders is done here.
+
 #include <algorithm>
 
 #include "almanac/field/world.hpp"
--- a/source/almanac/field/results.cpp
+++ b/source/almanac/field/results.cpp
@@ -1,3 +1,5 @@
+// Checks and figures at the end of a run.
+
 #include <algorithm>
 #include <cmath>
 
--- a/source/almanac/field/scenarios.cpp
+++ b/source/almanac/field/scenarios.cpp
@@ -1,3 +1,5 @@
+// The mixes of faults, whole worlds and variants by name.
+
 #include <algorithm>
 
 #include "almanac/field/field.hpp"
--- a/source/almanac/field/setups.cpp
+++ b/source/almanac/field/setups.cpp
@@ -1,3 +1,5 @@
+// The setup in force, its changes, and queries that follow it.
+
 #include <algorithm>
 
 #include "almanac/field/world.hpp"
--- a/source/almanac/field/workers.cpp
+++ b/source/almanac/field/workers.cpp
@@ -1,3 +1,5 @@
+// Workers: prefill one by one, decode of all that runs, crashes.
+
 #include <algorithm>
 
 #include "almanac/field/world.hpp"
--- a/source/almanac/field/world.cpp
+++ b/source/almanac/field/world.cpp
@@ -1,3 +1,5 @@
+// Construction of the query path, and the course of a run.
+
 #include "almanac/field/world.hpp"
 
 #include <utility>
