--- a/source/trellis/register_client/register_client.hpp
+++ b/source/trellis/register_client/register_client.hpp
@@ -50,7 +50,7 @@
   [[nodiscard]] loam::Bell& bell() { return bell_; }
   /// How majority reads ended so far.
   [[nodiscard]] ReadOutcomes read_outcomes();
-  /// Bytes that values on their way here in pieces still lack (section 5.8).
+  /// Bytes that values on their way here in pieces still lack (section 5.9).
   [[nodiscard]] std::size_t bytes_left() { return transfers_.bytes_left(); }
 
  private:
