stile can lose answers: the request passes, the answer is dropped, the connection closed

Cause: operators and colleagues whose answer is lost send again; so far only whole cuts could be tried, in which what is held goes on when they heal. POST /lose/FROM/TO drops what FROM answers on connections that TO opened; /heal takes it away; /counts tells how many were lost.

--- a/source/stile/main.cpp
+++ b/source/stile/main.cpp
@@ -25,8 +25,10 @@
   schema::Stile stile;
   std::map<std::string, schema::StileMachine> machines;  ///< by IP
   std::mutex lock;
-  std::set<std::pair<std::string, std::string>> cuts;  ///< from and to, names of machines
+  std::set<std::pair<std::string, std::string>> cuts;    ///< from and to, names of machines
+  std::set<std::pair<std::string, std::string>> losses;  ///< answers from one to the other are lost
   std::atomic<std::uint64_t> passed = 0;
+  std::atomic<std::uint64_t> lost = 0;  ///< answers that were dropped
   std::atomic<std::uint64_t> held = 0;  ///< pieces and connections held by a cut
 
   [[nodiscard]] std::vector<std::string> named(std::string const& word) const {
@@ -54,6 +56,10 @@
     std::lock_guard<std::mutex> const guard(lock);
     return cuts.count({name(from), name(to)}) > 0;
   }
+  [[nodiscard]] bool loses(std::string const& from, std::string const& to) {
+    std::lock_guard<std::mutex> const guard(lock);
+    return losses.count({name(from), name(to)}) > 0;
+  }
   void hold(boost::asio::io_context& context, std::string const& from, std::string const& to, loam::Yield yield) {
     bool counted = false;
     while (cut(from, to)) {
@@ -64,8 +70,9 @@
   }
 };
 
+/// One way of a connection; `answers`: that of the machine that was connected to.
 void pump(boost::asio::io_context& context, Net& net, loam::Stream& from, loam::Stream& to, std::string const& from_ip,
-          std::string const& to_ip, loam::Yield yield) {
+          std::string const& to_ip, bool answers, loam::Yield yield) {
   std::vector<char> piece(65536);
   loam::Span const hop = net.hop(from_ip, to_ip);
   error_code error;
@@ -75,7 +82,10 @@
       loam::pause(context, hop, yield);
     }
     net.hold(context, from_ip, to_ip, yield);
-    if (count > 0) {
+    if (count > 0 && answers && net.loses(from_ip, to_ip)) {
+      ++net.lost;
+      error = boost::asio::error::connection_reset;
+    } else if (count > 0) {
       error_code writing;
       boost::asio::async_write(to.socket(), boost::asio::buffer(piece.data(), count), yield[writing]);
       ++net.passed;
@@ -110,7 +120,7 @@
   boost::asio::spawn(
       yield.get_executor(),
       [&, back](loam::Yield inner) {
-        pump(context, net, **far, near, to, from, inner);
+        pump(context, net, **far, near, to, from, true, inner);
         *back = true;
         done.cancel();
       },
@@ -119,13 +129,14 @@
           std::rethrow_exception(thrown);
         }
       });
-  pump(context, net, near, **far, from, to, yield);
+  pump(context, net, near, **far, from, to, false, yield);
   while (!*back) {
     done.async_wait(yield[error]);
   }
 }
 
-/// POST /cut/FROM/TO, /heal/FROM/TO: a machine, a hall, a region or all, one way.
+/// POST /cut/FROM/TO, /lose/FROM/TO, /heal/FROM/TO: a machine, a hall, a region or all, one way. What is lost are
+/// answers on connections that TO opened; the connection is closed behind them.
 loam::Answer control(Net& net, loam::Ask const& ask) {
   std::string const target(ask.target());
   std::stringstream words(target);
@@ -135,10 +146,13 @@
     parts.push_back(word);
   }
   if (target == "/counts") {
-    return loam::answer_text(
-        http::status::ok, "{\"passed\":" + std::to_string(net.passed) + ",\"held\":" + std::to_string(net.held) + "}");
+    std::string counts = "{\"passed\":" + std::to_string(net.passed);
+    counts += ",\"held\":" + std::to_string(net.held);
+    counts += ",\"lost\":" + std::to_string(net.lost) + "}";
+    return loam::answer_text(http::status::ok, counts);
   }
-  if (ask.method() != http::verb::post || parts.size() != 4 || (parts[1] != "cut" && parts[1] != "heal")) {
+  bool const known = parts.size() == 4 && (parts[1] == "cut" || parts[1] == "lose" || parts[1] == "heal");
+  if (ask.method() != http::verb::post || !known) {
     return loam::answer_error(http::status::not_found, "unknown_path", target);
   }
   std::lock_guard<std::mutex> const guard(net.lock);
@@ -151,8 +165,11 @@
       ++pairs;
       if (parts[1] == "cut") {
         net.cuts.insert({from, to});
+      } else if (parts[1] == "lose") {
+        net.losses.insert({from, to});
       } else {
         net.cuts.erase({from, to});
+        net.losses.erase({from, to});
       }
     }
   }
