--- a/source/tests/soak/checker_test.py
+++ b/source/tests/soak/checker_test.py
@@ -55,6 +55,12 @@
     def test_a_right_history_breaks_no_rule(self):
         self.assertEqual(checker.check(right()), [])
         self.assertEqual(set(checker.count([])), set(checker.RULES))
+        self.assertEqual(checker.judged(right()), {"reads": 3, "orders": 4, "routes_served": 3, "routes_not_served": 2})
+
+    def test_what_faults_leave_unjudged_is_not_counted(self):
+        history = right()
+        history.add(records.FaultSpan("kill_core", 5, 45, True, frozenset()))
+        self.assertEqual(checker.judged(history), {"reads": 3, "orders": 0, "routes_served": 0, "routes_not_served": 0})
 
     def test_no_answer_at_the_end(self):
         history = right()
@@ -198,6 +204,8 @@
         history.add(records.InvariantReport("trellis-m01", 5.0, "x"))
         history.add(records.ProcessExit("furrow-m01", 5.0, -6))
         self.assertEqual(self.rules(history), {"invariant", "process_ended"})
+        history.add(records.ProcessExit("furrow-m01", 5.0, -6, told=True))
+        self.assertEqual(self.rules(history), {"invariant", "process_ended", "stop_defect"})
 
 
 class Observers(unittest.TestCase):
--- a/tools/soak/checker.py
+++ b/tools/soak/checker.py
@@ -23,7 +23,7 @@
 
 
 RULES = ("final_no_answer", "final_older", "final_content", "stale_read", "read_content", "invalid_acknowledged", "refused_in_force", "refused_and_acknowledged", "two_on_one_version", "two_with_one_number",
-         "acknowledged_then_refused", "refused_without_cause", "route_not_served", "route_still_served", "furrow_went_back", "order_late", "invariant", "process_ended")
+         "acknowledged_then_refused", "refused_without_cause", "route_not_served", "route_still_served", "furrow_went_back", "order_late", "invariant", "process_ended", "stop_defect")
 
 
 class Settled:
@@ -169,37 +169,54 @@
     return found
 
 
-def check_orders(history, bounds):
-    """Orders while the core is settled are answered in time."""
-    settled, found = Settled(history, bounds), []
+def orders_of(history):
+    """Attempts by order, in the order they were sent."""
     orders = collections.defaultdict(list)
     for attempt in history.attempts:
         orders["change " + attempt.change].append(attempt)
     for attempt in history.evacuations:
         orders["evacuation " + attempt.order].append(attempt)
-    for name, attempts in orders.items():
-        attempts.sort(key=lambda entry: entry.begin)
+    return {name: sorted(attempts, key=lambda entry: entry.begin) for name, attempts in orders.items()}
+
+
+def judged_orders(history, bounds):
+    """Orders that were sent while the core was settled, and had their time before the run was closed."""
+    settled = Settled(history, bounds)
+    for name, attempts in orders_of(history).items():
         begin = attempts[0].begin
         ends = [attempt.end for attempt in attempts if attempt.status in CLEAR]
         until = begin + bounds.acknowledge_s
         cut_short = not ends and history.closed_at is not None and history.closed_at < until
-        if settled.core(begin, until) and not cut_short and (not ends or min(ends) > until):
-            took = f"{min(ends) - begin:.1f} s" if ends else "no clear answer"
+        if settled.core(begin, min([until, *ends])) and not cut_short:
+            yield name, attempts, min(ends) if ends else None
+
+
+def check_orders(history, bounds):
+    """Orders while the core is settled are answered in time."""
+    found = []
+    for name, attempts, end in judged_orders(history, bounds):
+        begin = attempts[0].begin
+        if end is None or end > begin + bounds.acknowledge_s:
+            took = f"{end - begin:.1f} s" if end is not None else "no clear answer"
             found.append(Violation("order_late", begin, f"{name}: {took}, {len(attempts)} attempts, statuses {[attempt.status for attempt in attempts][:12]}"))
     return found
 
 
+def judged_probes(history, bounds):
+    """Clear answers of furrows that nothing had hit, while the core was settled, with the newest change acknowledged apply_s before."""
+    settled, acknowledged = Settled(history, bounds), Acknowledged(history)
+    for probe in history.probes:
+        newest = acknowledged.at(probe.begin - bounds.apply_s)
+        if probe.status in (200, 404) and newest is not None and settled.core(probe.begin, probe.end) and settled.process(probe.furrow, probe.begin, probe.end):
+            yield probe, newest
+
+
 def check_probes(history, bounds):
-    settled, acknowledged, found = Settled(history, bounds), Acknowledged(history), []
+    found = []
     begun, ended = first_ends(history)
     refused = {identity for identity, attempt in ended.items() if attempt.status in REFUSED}
-    possible = sorted((change for change in history.changes.values() if change.valid and change.identity in begun and change.identity not in refused), key=lambda change: change.number)
-    for probe in history.probes:
-        if probe.status not in (200, 404):
-            continue
-        newest = acknowledged.at(probe.begin - bounds.apply_s)
-        if newest is None or not settled.core(probe.begin, probe.end) or not settled.process(probe.furrow, probe.begin, probe.end):
-            continue
+    possible = [change for change in history.changes.values() if change.valid and change.identity in begun and change.identity not in refused]
+    for probe, newest in judged_probes(history, bounds):
         newer = [change for change in possible if change.number > newest.number and begun[change.identity] < probe.end]
         serving = [change for change in [newest, *newer] if probe.route in change.routes]
         if probe.status == 404 and len(serving) == 1 + len(newer):
@@ -236,10 +253,18 @@
     found = check_final(history, bounds) + check_reads(history, bounds) + check_refusals(history) + check_acknowledgements(history)
     found += check_orders(history, bounds) + check_probes(history, bounds) + check_furrow_order(history)
     found += [Violation("invariant", entry.when, f"{entry.process}: {entry.text}") for entry in history.invariants]
-    found += [Violation("process_ended", entry.when, f"{entry.process} ended by itself with {entry.code}") for entry in history.exits]
+    found += [Violation("stop_defect" if entry.told else "process_ended", entry.when, f"{entry.process} ended {'when told to' if entry.told else 'by itself'} with {entry.code}") for entry in history.exits]
     return found
 
 
 def count(violations):
     counted = collections.Counter(violation.rule for violation in violations)
     return {rule: counted.get(rule, 0) for rule in RULES}
+
+
+def judged(history, bounds=Bounds()):
+    """How much there was to judge, so that a run in which nothing could be found is seen."""
+    acknowledged = Acknowledged(history)
+    reads = [read for read in history.reads if read.status == 200 and acknowledged.at(read.begin - bounds.apply_s) is not None]
+    probes = collections.Counter(probe.status for probe, _ in judged_probes(history, bounds))
+    return {"reads": len(reads), "orders": sum(1 for _ in judged_orders(history, bounds)), "routes_served": probes[200], "routes_not_served": probes[404]}
--- a/tools/soak/cluster.py
+++ b/tools/soak/cluster.py
@@ -12,6 +12,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import threading
 import time
 import typing
@@ -44,6 +45,7 @@
     started_at: float = 0.0
     down_for: set = dataclasses.field(default_factory=set)  # faults that keep it down
     paused_for: set = dataclasses.field(default_factory=set)
+    stopping: bool = False  # was told to end by SIGTERM
 
 
 def claim():
@@ -133,10 +135,10 @@
         os.replace(path + ".new", path)
         return path
 
-    def start_helper(self, program, content):
-        path = self.write(program + ".json", content)
-        with open(os.path.join(self.folder, program + ".log"), "ab") as log:
-            self.helpers.append(subprocess.Popen([os.path.join(self.programs, program), path], stdout=log, stderr=log, stdin=subprocess.DEVNULL))
+    def start_helper(self, name, command, content):
+        path = self.write(name + ".json", content)
+        with open(os.path.join(self.folder, name + ".log"), "ab") as log:
+            self.helpers.append(subprocess.Popen([*command, path], stdout=log, stderr=log, stdin=subprocess.DEVNULL))
 
     def start_helpers(self):
         routes, machines = [], []
@@ -146,10 +148,9 @@
             machines.append({"ip": self.own_ip(machine), "name": machine, "hall": zone, "region": self.regions[zone]})
         machines += [{"ip": f"{self.prefix}.{number}", "name": name, "hall": "", "region": ""} for name, number in OPERATOR_IPS.items()]
         self.network = f"{self.prefix}.249:{LIST_PORT}"
-        self.start_helper("stile", {"control": self.network, "routes": routes, "machines": machines, "hop_ms": 8})
-        workers = [{"id": f"worker-{zone}", "address": f"{self.prefix}.{200 + index}:{WORKER_PORT}", "zone": zone, "region": self.regions[zone], "kind": WORKER_KIND} for index, zone in enumerate(self.zones)]
-        model = {"prefill": [0.004, 0.000018, 0.000000002, 0.0], "decode": [0.003, 0.006, 0.00025], "noise": 0.05}
-        self.start_helper("seedbed", {"list_address": f"{self.prefix}.248:{LIST_PORT}", "workers": workers, "model": model, "plain_ms": 1, "threads": 1})
+        self.start_helper("stile", [os.path.join(self.programs, "stile")], {"control": self.network, "routes": routes, "machines": machines, "hop_ms": 8})
+        workers = [{"id": f"worker-{zone}", "address": f"{self.prefix}.{200 + index}:{WORKER_PORT}", "zone": zone, "kind": WORKER_KIND, "service": WORKER_KIND, "capacity": 100} for index, zone in enumerate(self.zones)]
+        self.start_helper("workers", [sys.executable, os.path.join(os.path.dirname(os.path.abspath(__file__)), "workers.py")], {"list_address": f"{self.prefix}.248:{LIST_PORT}", "workers": workers})
 
     def link(self, deed, one, other):
         """cut, lose or heal what goes from one machine to the other."""
@@ -179,6 +180,7 @@
                 process.popen = subprocess.Popen([os.path.join(self.programs, process.program), "--settings", path], stdout=log, stderr=log, stdin=subprocess.DEVNULL)
             process.started_at = time.monotonic()
             process.paused_for.clear()
+            process.stopping = False
 
     def log_path(self, name, life):
         return os.path.join(self.folder, f"{name}.{life}.log")
@@ -199,6 +201,23 @@
                 process.popen.wait()
                 process.popen = None
 
+    def stop(self, names, fault):
+        """SIGTERM; they stay down until the fault lets go of them."""
+        with self.lock:
+            for name in names:
+                process = self.processes[name]
+                process.down_for.add(fault)
+                if process.popen is not None:
+                    process.stopping = True
+                    process.popen.send_signal(signal.SIGTERM)
+
+    def running(self, name):
+        with self.lock:
+            process = self.processes[name]
+            if process.popen is not None:
+                self.note_exit(process)
+            return process.popen is not None
+
     def release(self, names, fault, other_seeds=()):
         with self.lock:
             for name in names:
@@ -226,11 +245,13 @@
                     process.popen.send_signal(signal.SIGCONT)
 
     def note_exit(self, process):
-        """A process that ended by itself is a violation; it is started again, so that the run goes on."""
+        """A process that ended by itself, or with a defect, is a violation; it is started again, so that the run goes on."""
         code = process.popen.poll()
-        if code is not None:
-            self.history.add(records.ProcessExit(process.name, time.monotonic(), code))
-            process.popen = None
+        if code is None:
+            return
+        if code != 0 or not process.stopping:
+            self.history.add(records.ProcessExit(process.name, time.monotonic(), code, process.stopping))
+        process.popen = None
 
     def look(self):
         with self.lock:
@@ -242,7 +263,7 @@
                 if helper.poll() is not None:
                     raise RuntimeError(f"{helper.args} ended with {helper.returncode}; see its log in {self.folder}")
 
-    def stop(self):
+    def end(self):
         with self.lock:
             self.closing = True
             for popen in [process.popen for process in self.processes.values() if process.popen is not None] + self.helpers:
--- a/tools/soak/documents.py
+++ b/tools/soak/documents.py
@@ -18,7 +18,7 @@
 
 
 def empty():
-    return {"number": 0, "lanes": [], "services": [{"name": SERVICE, "probe": "/health", "connections": 100}]}
+    return {"number": 0, "lanes": [], "services": [{"name": SERVICE, "connections": 100}]}
 
 
 def patch(number, identity, added, removed):
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -1,8 +1,9 @@
 """Faults of one run: what is drawn from a seed, and how each is brought about.
 
 A run has bursts of two or three faults that overlap, with calm between them, and a closing
-fault right behind an answer of yes. At most two disks are lost in a burst; a disk counts as
-lost until DISK_BACK_S after its process was started again, and the calm is longer than that.
+fault right behind an answer of yes; on every other seed a late burst is under way then, and on
+every fourth disks are lost two by two all the time, also while other faults are in force. At most
+two disks count as lost at any time: each does until DISK_BACK_S after its process was started again.
 """
 import collections
 import dataclasses
@@ -17,9 +18,12 @@
 BURST_S = 8.0
 FIRST_S = 2.0
 DISKS_AT_ONCE = 2
+CHAIN_SLACK_S = 0.2
+LATE_S = 2.0  # the late burst begins this long before the closing fault
 OTHER_SEEDS = 0.3  # share of restarts with other seeds
-KINDS = ("kill_one", "kill_several", "kill_core", "kill_all", "kill_furrows", "pause_core", "pause_furrows", "cut_machine", "cut_one_way", "cut_halves", "cut_zone", "lose_operator_answers",
+KINDS = ("kill_one", "kill_several", "kill_core", "kill_all", "kill_furrows", "stop_some", "pause_core", "pause_furrows", "cut_machine", "cut_one_way", "cut_halves", "cut_zone", "lose_operator_answers",
          "lose_core_answers", "lose_disk")
+GRACE_S = 9.0  # from SIGTERM to SIGKILL
 CLOSINGS = ("power", "power_and_disks", "kill_all")
 OPERATORS = ("operator-1", "operator-2")
 
@@ -54,12 +58,37 @@
     def plan(self):
         faults, begin = [], FIRST_S
         while begin + BURST_S + CALM_S <= self.seconds + 0.01 or not faults:
-            faults += self.burst(begin)
+            faults += self.burst(begin, DISKS_AT_ONCE if self.chains_disks() else 0)
             begin += BURST_S + CALM_S
-        return sorted(faults, key=lambda fault: fault.at)
+        return sorted(faults + self.disk_chain(), key=lambda fault: fault.at)
 
-    def burst(self, begin):
-        faults, disks = [], 0
+    def late_burst(self):
+        """Faults that go on while the closing one strikes, on every other seed; no disk is lost in them."""
+        if self.seed % 2 == 0:
+            return []
+        return sorted(self.burst(self.seconds - LATE_S, DISKS_AT_ONCE), key=lambda fault: fault.at)
+
+    def chains_disks(self):
+        return self.seed % 4 == 3
+
+    def has_calm(self):
+        """Whether there is time in which the core is settled while operators are at work."""
+        return not self.chains_disks() and self.seconds >= FIRST_S + BURST_S + CALM_S
+
+    def disk_chain(self):
+        """On every fourth seed: two disks, and two more as soon as these may be lost, through all the day."""
+        if not self.chains_disks():
+            return []
+        chain, at = [], FIRST_S
+        while at < self.seconds:
+            fault = Fault("lose_disk", at, 0.0, disks=tuple(self.random.sample(self.trellises, DISKS_AT_ONCE)))
+            self.restart(fault, fault.disks)
+            chain.append(fault)
+            at += fault.seconds + DISK_BACK_S + CHAIN_SLACK_S
+        return chain
+
+    def burst(self, begin, disks=0):
+        faults = []
         for _ in range(self.random.choice((2, 3, 3))):
             kind = self.kinds[self.turn % len(self.kinds)] if self.random.random() < 0.6 else self.random.choice(self.kinds)
             self.turn += 1
@@ -76,6 +105,9 @@
         if kind == "lose_disk":
             fault.disks = tuple(self.random.sample(self.trellises, self.random.randint(1, disks)))
             self.restart(fault, fault.disks)
+        elif kind == "stop_some":
+            names = self.random.sample(self.trellises, self.random.randint(1, 2)) + self.random.sample(self.furrows, 1)
+            self.restart(fault, names)
         elif kind.startswith("kill"):
             count = self.random.randint(2, 4)
             hit = {"kill_one": self.random.sample(self.trellises, 1), "kill_several": self.random.sample(self.trellises, count), "kill_core": self.trellises,
@@ -150,6 +182,8 @@
         self.applied = collections.Counter()
         self.count = 0
         self.defects = []
+        self.lost = set()  # processes whose disks count as lost
+        self.disks_lost = 0
 
     def pairs(self, fault):
         """Links that a fault is about."""
@@ -198,15 +232,38 @@
         self.note(fault, begin, time.monotonic(), self.hit(fault, pairs))
 
     def kill_and_restart(self, fault, identity, begin):
-        self.cluster.kill(fault.processes, identity)
-        for name in fault.disks:
-            self.cluster.lose_disk(name)
+        if fault.kind == "stop_some":
+            self.stop_and_wait(fault, identity)
+        with self.cluster.lock:
+            self.cluster.kill(fault.processes, identity)
+            disks = self.losable(fault.disks)
+            for name in disks:
+                self.cluster.lose_disk(name)
         killed = time.monotonic()
         for name, after in sorted(fault.restart_after.items(), key=lambda entry: entry[1]):
             time.sleep(max(0.0, killed + after - time.monotonic()))
             self.cluster.release([name], identity, fault.other_seeds)
         end = time.monotonic()
-        self.note(fault, begin, end + (DISK_BACK_S if fault.disks else 0.0), frozenset(fault.processes))
+        self.note(fault, begin, end + (DISK_BACK_S if disks else 0.0), frozenset(fault.processes))
+
+    def stop_and_wait(self, fault, identity):
+        """SIGTERM, and the time that the platform gives."""
+        self.cluster.stop(fault.processes, identity)
+        end = time.monotonic() + GRACE_S
+        while time.monotonic() < end and any(self.cluster.running(name) for name in fault.processes):
+            time.sleep(0.02)
+
+    def losable(self, names):
+        """Those of them whose disks may be lost now; they count as lost from now on."""
+        now, processes = time.monotonic(), self.cluster.processes
+        self.lost = {name for name in self.lost if processes[name].popen is None or processes[name].started_at + DISK_BACK_S > now}
+        allowed = [name for name in names if name in self.lost]
+        for name in names:
+            if name not in allowed and len(self.lost) < DISKS_AT_ONCE:
+                self.lost.add(name)
+                allowed.append(name)
+        self.disks_lost += len(allowed)
+        return allowed
 
     def note(self, fault, begin, end, hit):
         self.history.add(records.FaultSpan(fault.kind, begin, end, self.touches_core(hit), hit))
--- a/tools/soak/history.py
+++ b/tools/soak/history.py
@@ -84,6 +84,7 @@
     process: str
     when: float
     code: int
+    told: bool = False  # by SIGTERM
 
 
 @dataclasses.dataclass
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -1,4 +1,5 @@
 """One run of one seed: forms the cluster, lets operators, observers and faults loose, closes, reads back."""
+import collections
 import dataclasses
 import json
 import random
@@ -16,7 +17,7 @@
 FORM_S = 60.0
 FIRST_CHANGE_S = 30.0
 READ_BACK_S = 60.0  # how long reading back goes on to tell how late it was
-LONG_READ_S = 6.0
+READ_PATIENCE_S = 1.0  # then another node is asked
 
 
 @dataclasses.dataclass
@@ -46,7 +47,7 @@
         self.observers = observers.Observers(self.cluster, self.history, seed)
         self.random = random.Random(f"run {seed}")
         self.planned, self.closing, self.figures, self.defects = [], None, {}, []
-        self.network = {}
+        self.network, self.has_calm = {}, False
 
     def execute(self):
         try:
@@ -59,7 +60,7 @@
             for operator in self.operators:
                 operator.stopping.set()
             self.observers.stop()
-            self.cluster.stop()
+            self.cluster.end()
         observers.read_logs(self.cluster, self.history)
         return self.report()
 
@@ -96,9 +97,13 @@
             raise RuntimeError("the first change was not acknowledged")
         planner = faults.Planner(self.seed, self.cluster, self.options.seconds)
         self.planned, self.closing = planner.plan(), planner.closing()
-        self.closing_delay = planner.closing_delay()
+        self.closing_delay, self.has_calm = planner.closing_delay(), planner.has_calm()
         began = time.monotonic()
         self.injector.run(self.planned, began)
+        late = planner.late_burst()
+        self.planned = self.planned + late
+        self.late = threading.Thread(target=self.injector.run, args=(late, began), daemon=True)
+        self.late.start()
         time.sleep(max(0.0, began + self.options.seconds - time.monotonic()))
         self.figures["day_s"] = round(time.monotonic() - began, 1)
 
@@ -109,9 +114,8 @@
         for operator in self.operators:
             operator.stopping.set()
         self.history.closed_at = time.monotonic()
-        if not self.disks_are_back():
-            self.closing.disks = ()
         self.injector.apply(self.closing)
+        self.late.join()
         self.closed = time.monotonic()
         ready = threading.Thread(target=self.watch_ready, daemon=True)
         ready.start()
@@ -122,12 +126,6 @@
         for thread in self.threads:
             thread.join(5)
 
-    def disks_are_back(self):
-        """Whether no disk that was lost before counts as lost: the core had DISK_BACK_S without a fault since."""
-        lost = [span for span in self.history.faults if span.kind == "lose_disk"]
-        since = time.monotonic() - faults.DISK_BACK_S
-        return not lost or not any(span.core and span.end > since for span in self.history.faults)
-
     def watch_first_answer(self):
         while time.monotonic() < self.closed + checker.Bounds().settle_s:
             for process in self.cluster.trellises():
@@ -149,7 +147,7 @@
         begin = time.monotonic()
         read = None
         while time.monotonic() < begin + READ_BACK_S:
-            found = observers.read_configuration(self.cluster, self.history, self.random.choice(self.cluster.trellises()), timeout=LONG_READ_S)
+            found = observers.read_configuration(self.cluster, self.history, self.random.choice(self.cluster.trellises()), timeout=READ_PATIENCE_S)
             if found.status == 200:
                 read = found
                 break
@@ -160,15 +158,17 @@
         missing = [fault for fault in self.injector.defects]
         if sum(self.injector.applied.values()) < len(self.planned) + 1:
             missing.append(f"{len(self.planned) + 1} faults were planned, {sum(self.injector.applied.values())} applied")
-        kinds = set(self.injector.applied)
-        if any(kind.startswith("cut") for kind in kinds) and self.network.get("held", 0) == 0:
-            missing.append("cuts held nothing")
-        if any(kind.startswith("lose") and kind != "lose_disk" for kind in kinds) and self.network.get("lost", 0) == 0:
-            missing.append("no answer was lost")
+        missing += [f"nothing to judge: {what}" for what, count in checker.judged(self.history).items() if count == 0 and (what != "orders" or self.has_calm)]
         if self.observers.counter_lines_seen == 0 and not self.options.without_counters:
             missing.append(f"no line of {observers.VIOLATIONS} on {self.observers.pages_read} metrics pages")
         return missing
 
+    def answers(self):
+        """How orders of each kind were answered: counts by kind and status."""
+        counted = collections.Counter(f"{self.history.changes[attempt.change].kind} {attempt.status}" for attempt in self.history.attempts)
+        counted.update(f"evacuation {order.status}" for order in self.history.evacuations)
+        return dict(sorted(counted.items()))
+
     def when(self, moment):
         if moment == 0.0:
             return ""
@@ -183,9 +183,10 @@
         result = {"seed": self.seed, "clean": not violations and not defects, "violations": checker.count(violations),
                   "details": [{"rule": entry.rule, "when": self.when(entry.when), "detail": entry.detail} for entry in violations[:60]], "defects": defects, "power_loss": self.options.power_loss or "off",
                   "faults": [{"kind": span.kind, "begin": self.when(span.begin), "end": self.when(span.end), "hit": sorted(span.hit)} for span in sorted(history.faults, key=lambda span: span.begin)],
-                  "applied": dict(self.injector.applied), "closing": self.closing.kind if self.closing else "", "closed_at": self.when(history.closed_at or 0.0), "network": self.network,
-                  "changes": len(history.changes), "acknowledged": len(acknowledged), "attempts": len(history.attempts), "evacuation_orders": len(history.evacuations), "reads": len(history.reads),
-                  "reads_answered": len(reads), "slowest_read_s": round(max(reads, default=0.0), 2), "probes": len(history.probes), "metrics_pages": self.observers.pages_read,
+                  "applied": dict(self.injector.applied), "closing": self.closing.kind if self.closing else "", "closed_at": self.when(history.closed_at or 0.0), "network": self.network, "disks_lost": self.injector.disks_lost,
+                  "judged": checker.judged(history), "answers": self.answers(), "largest_routes": max((len(change.routes) for change in history.changes.values()), default=0), "changes": len(history.changes), "acknowledged": len(acknowledged), "attempts": len(history.attempts), "evacuation_orders": len(history.evacuations), "reads": len(history.reads),
+                  "reads_answered": len(reads), "slowest_read_s": round(max(reads, default=0.0), 2), "probes": len(history.probes), "probe_answers": dict(sorted(collections.Counter(str(probe.status) for probe in history.probes).items())),
+                  "longest_probe_s": round(max((probe.end - probe.begin for probe in history.probes), default=0.0), 2), "metrics_pages": self.observers.pages_read,
                   "invariant_lines": self.observers.counter_lines_seen, "processes": len(self.cluster.processes), **self.figures}
         with open(f"{self.folder}/report.json", "w", encoding="utf-8") as stream:
             json.dump(result, stream, indent=1)
--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -9,7 +9,9 @@
 import concurrent.futures
 import json
 import os
+import signal
 import sys
+import threading
 import time
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
@@ -18,12 +20,16 @@
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 SHORT_FURROWS, SHORT_SECONDS = 6, 10.0
+PARENT_LOOK_S = 1.0
 POWER_LOSS = ("hold", "torn")
 
 
 def seeds_of(text):
-    first, _, last = text.partition("..")
-    return list(range(int(first), int(last or first) + 1))
+    seeds = []
+    for part in text.split(","):
+        first, _, last = part.partition("..")
+        seeds += range(int(first), int(last or first) + 1)
+    return seeds
 
 
 def loses_power(programs):
@@ -35,6 +41,18 @@
         return "FINCHLINK_FAULTS:BOOL=ON" in stream.read()
 
 
+def end_with_parent():
+    """A run whose starter was ended stops its processes and ends too."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
+    parent = os.getppid()
+
+    def watch():
+        while os.getppid() == parent:
+            time.sleep(PARENT_LOOK_S)
+        os.kill(os.getpid(), signal.SIGTERM)
+    threading.Thread(target=watch, daemon=True).start()
+
+
 def options_of(given, seed):
     power = given.power_loss
     if power == "auto":
@@ -45,22 +63,32 @@
 
 def line_of(result):
     broken = {rule: count for rule, count in result["violations"].items() if count}
-    keys = ("seed", "clean", "closing", "power_loss", "changes", "acknowledged", "reads", "probes", "formed_s", "first_answer_s", "all_furrows_ready_s", "furrows_not_ready", "slowest_read_s")
+    keys = ("seed", "clean", "closing", "power_loss", "changes", "acknowledged", "judged", "formed_s", "first_answer_s", "all_furrows_ready_s", "furrows_not_ready", "slowest_read_s")
     return json.dumps({**{key: result.get(key) for key in keys}, "broken": broken, "defects": result["defects"]})
 
 
+def faults_without_effect(results, applied):
+    """Kinds that were applied and, over all seeds, did nothing."""
+    held = sum(result["network"].get("held", 0) for result in results)
+    lost = sum(result["network"].get("lost", 0) for result in results)
+    disks = sum(result["disks_lost"] for result in results)
+    expected = {"cuts held nothing": (held, ("cut_machine", "cut_one_way", "cut_halves", "cut_zone")), "no answer was lost": (lost, ("lose_operator_answers", "lose_core_answers")),
+                "no disk was lost": (disks, ("lose_disk", "power_and_disks"))}
+    return [text for text, (count, kinds) in expected.items() if count == 0 and any(applied[kind] for kind in kinds)]
+
+
 def summary(results, given, took):
     violations, applied = collections.Counter(), collections.Counter()
     for result in results:
         violations.update(result["violations"])
         applied.update(result["applied"])
-    return {"seeds": [result["seed"] for result in results], "took_s": round(took, 1), "clean": sum(result["clean"] for result in results), "violations": dict(violations), "applied": dict(applied),
+    return {"without_effect": faults_without_effect(results, applied), "seeds": [result["seed"] for result in results], "took_s": round(took, 1), "clean": sum(result["clean"] for result in results), "violations": dict(violations), "applied": dict(applied),
             "furrows": given.furrows, "seconds": given.seconds, "short": given.short, "runs": sorted(results, key=lambda result: result["seed"])}
 
 
 def main():
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
-    parser.add_argument("--seeds", type=seeds_of, default=[1], help="one, or FIRST..LAST")
+    parser.add_argument("--seeds", type=seeds_of, default=[1], help="FIRST..LAST, or some with commas")
     parser.add_argument("--jobs", type=int, default=1, help="runs at once")
     parser.add_argument("--furrows", type=int, default=12)
     parser.add_argument("--seconds", type=float, default=40.0, help="of faults before the closing one")
@@ -76,7 +104,7 @@
     if given.power_loss not in ("auto", "off") and not loses_power(given.build):
         parser.error("--power-loss needs a build with -DFINCHLINK_FAULTS=ON")
     began, results = time.monotonic(), []
-    with concurrent.futures.ProcessPoolExecutor(given.jobs) as pool:
+    with concurrent.futures.ProcessPoolExecutor(given.jobs, initializer=end_with_parent) as pool:
         pending = [pool.submit(runs.run_seed, seed, options_of(given, seed)) for seed in given.seeds]
         for done in concurrent.futures.as_completed(pending):
             results.append(done.result())
@@ -85,8 +113,8 @@
     if given.report:
         with open(given.report, "w", encoding="utf-8") as stream:
             json.dump(whole, stream, indent=1)
-    print(json.dumps({key: whole[key] for key in ("clean", "took_s", "applied")} | {"of": len(results), "broken": {rule: whole["violations"][rule] for rule in checker.RULES if whole["violations"].get(rule)}}))
-    sys.exit(0 if whole["clean"] == len(results) else 1)
+    print(json.dumps({key: whole[key] for key in ("clean", "took_s", "applied", "without_effect")} | {"of": len(results), "broken": {rule: whole["violations"][rule] for rule in checker.RULES if whole["violations"].get(rule)}}))
+    sys.exit(0 if whole["clean"] == len(results) and not whole["without_effect"] else 1)
 
 
 if __name__ == "__main__":
