Soak: a lost disk is back when the core could take it in; by time alone on request

Trace: trellis-m01 and m05 lose their disks at 10:29:20; from 10:29:21 to 28 trellis-m02, one of the three voters left, is cut off by cut_zone, so no majority can take the two in; at 10:29:28 they count as back and m02 and m04 lose theirs. One disk of five is left with version 11. No set of five voters survives that: the faults were more than is promised.

--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -3,7 +3,9 @@
 A run has bursts of two or three faults that overlap, with calm between them, and a closing
 fault right behind an answer of yes; on every other seed a late burst is under way then, and on
 every fourth disks are lost two by two all the time, also while other faults are in force. At most
-two disks count as lost at any time: each does until DISK_BACK_S after its process was started again.
+two disks count as lost at any time: each does until its process was up for DISK_BACK_S and nothing
+else was wrong with the core meanwhile, so that it could take the new one in; by time alone: until its
+process was up for DISK_BACK_S.
 """
 import collections
 import dataclasses
@@ -176,8 +178,10 @@
 class Injector:
     """Brings the faults of a plan about, each in a thread of its own, and notes when and whom they hit."""
 
-    def __init__(self, cluster, history):
-        self.cluster, self.history = cluster, history
+    def __init__(self, cluster, history, disks_by_time=False):
+        self.cluster, self.history, self.disks_by_time = cluster, history, disks_by_time
+        self.core_faults = 0  # in force now
+        self.quiet_since = 0.0  # the last one that ended
         self.links = Links(cluster)
         self.applied = collections.Counter()
         self.count = 0
@@ -215,11 +219,25 @@
         self.count += 1
         identity = self.count
         self.applied[fault.kind] += 1
+        pairs = self.pairs(fault) if fault.kind.startswith(("cut", "lose")) else []
+        hit = self.hit(fault, pairs)
+        self.count_core(hit, 1)
         begin = time.monotonic()
+        disks = self.bring_about(fault, identity, pairs)
+        end = time.monotonic()
+        self.count_core(hit, -1)
+        self.history.add(records.FaultSpan(fault.kind, begin, end + (DISK_BACK_S if disks else 0.0), self.touches_core(hit), hit))
+
+    def count_core(self, hit, change):
+        with self.cluster.lock:
+            if self.touches_core(hit):
+                self.core_faults += change
+                self.quiet_since = time.monotonic() if change < 0 else self.quiet_since
+
+    def bring_about(self, fault, identity, pairs):
+        """Lasts as long as the fault; gives the processes whose disks it took."""
         if fault.restart_after:
-            self.kill_and_restart(fault, identity, begin)
-            return
-        pairs = self.pairs(fault) if fault.kind.startswith(("cut", "lose")) else []
+            return self.kill_and_restart(fault, identity)
         if pairs:
             deed = "lose" if fault.kind.startswith("lose") else "cut"
             self.links.hold(deed, pairs)
@@ -229,9 +247,9 @@
             self.cluster.pause(fault.processes, identity)
             time.sleep(fault.seconds)
             self.cluster.resume(fault.processes, identity)
-        self.note(fault, begin, time.monotonic(), self.hit(fault, pairs))
+        return []
 
-    def kill_and_restart(self, fault, identity, begin):
+    def kill_and_restart(self, fault, identity):
         if fault.kind == "stop_some":
             self.stop_and_wait(fault, identity)
         with self.cluster.lock:
@@ -243,8 +261,7 @@
         for name, after in sorted(fault.restart_after.items(), key=lambda entry: entry[1]):
             time.sleep(max(0.0, killed + after - time.monotonic()))
             self.cluster.release([name], identity, fault.other_seeds)
-        end = time.monotonic()
-        self.note(fault, begin, end + (DISK_BACK_S if disks else 0.0), frozenset(fault.processes))
+        return disks
 
     def stop_and_wait(self, fault, identity):
         """SIGTERM, and the time that the platform gives."""
@@ -255,8 +272,9 @@
 
     def losable(self, names):
         """Those of them whose disks may be lost now; they count as lost from now on."""
-        now, processes = time.monotonic(), self.cluster.processes
-        self.lost = {name for name in self.lost if processes[name].popen is None or processes[name].started_at + DISK_BACK_S > now}
+        since, processes = time.monotonic() - DISK_BACK_S, self.cluster.processes
+        quiet = self.disks_by_time or (self.core_faults <= 1 and self.quiet_since <= since)  # one is the fault itself
+        self.lost = {name for name in self.lost if not quiet or processes[name].popen is None or processes[name].started_at > since}
         allowed = [name for name in names if name in self.lost]
         for name in names:
             if name not in allowed and len(self.lost) < DISKS_AT_ONCE:
@@ -265,9 +283,6 @@
         self.disks_lost += len(allowed)
         return allowed
 
-    def note(self, fault, begin, end, hit):
-        self.history.add(records.FaultSpan(fault.kind, begin, end, self.touches_core(hit), hit))
-
     def guarded(self, fault):
         try:
             self.apply(fault)
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -30,6 +30,7 @@
     large: bool = True
     keep: bool = False
     without_counters: bool = False
+    disks_by_time: bool = False
 
 
 class Run:
@@ -40,7 +41,7 @@
         self.history = records.History()
         self.began, self.wall_offset = time.monotonic(), time.time() - time.monotonic()
         self.cluster = clusters.Cluster(self.folder, options.programs, options.furrows, seed, self.history, options.power_loss)
-        self.injector = faults.Injector(self.cluster, self.history)
+        self.injector = faults.Injector(self.cluster, self.history, options.disks_by_time)
         self.acknowledgements = operators.Acknowledgements()
         meeting = threading.Barrier(2)
         self.operators = [operators.Operator(name, self.cluster, self.history, seed, self.acknowledgements, meeting, options.large) for name in faults.OPERATORS]
--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -29,7 +29,7 @@
     for part in text.split(","):
         first, _, last = part.partition("..")
         seeds += range(int(first), int(last or first) + 1)
-    return seeds
+    return sorted(set(seeds))  # each has a folder of its own
 
 
 def loses_power(programs):
@@ -58,7 +58,7 @@
     if power == "auto":
         power = POWER_LOSS[seed % len(POWER_LOSS)] if loses_power(given.build) else ""
     return runs.Options(programs=os.path.abspath(given.build), folder=os.path.abspath(given.folder), furrows=SHORT_FURROWS if given.short else given.furrows,
-                        seconds=SHORT_SECONDS if given.short else given.seconds, power_loss="" if power == "off" else power, large=not given.short, keep=given.keep, without_counters=given.without_counters)
+                        seconds=SHORT_SECONDS if given.short else given.seconds, power_loss="" if power == "off" else power, large=not given.short, keep=given.keep, without_counters=given.without_counters, disks_by_time=given.disks_by_time)
 
 
 def line_of(result):
@@ -99,6 +99,7 @@
     parser.add_argument("--keep", action="store_true", help="keep the folders of clean seeds as well")
     parser.add_argument("--power-loss", default="auto", choices=("auto", "off", "hold", "torn", "ignore-sync"), help="what a kill does to unsynced writes; auto: hold and torn in turn, where the build can")
     parser.add_argument("--without-counters", action="store_true", help="the programs may have no invariant counters on their metrics pages")
+    parser.add_argument("--disks-by-time", action="store_true", help="a lost disk is back 6 s behind its process's start, whatever else is wrong then: more than can be survived")
     given = parser.parse_args()
     given.build = os.path.abspath(given.build)
     if given.power_loss not in ("auto", "off") and not loses_power(given.build):
