Model counts lost disks, not voters out of reach: the majority can be lost for good

Cause: `bears_loss` let a disk be lost only while the newest set kept a majority with data. So the model never looked at schedules in which the system itself had given up redundancy: a voter out of reach is replaced, and its intact data count for nothing from the next change of the set on.

The rule now: at most so many disks lost at once as the newest set tolerates; a lost disk counts until a voter that came to its place has its data. Who is cut off, frozen or killed does not count.

--- a/source/almanac/membership_model/actions.cpp
+++ b/source/almanac/membership_model/actions.cpp
@@ -322,7 +322,7 @@
   (void)step(world, bounds, index, [&images](Acceptor& acceptor) { return acceptor.enrol(images, 0); });
   machine = world.machine(index);
   if (machine.acceptor->voting()) {
-    world.history.data_since[machine.acceptor->incarnation()] = machine.acceptor->set().epoch;
+    note_data(world, machine.acceptor->incarnation(), machine.acceptor->set().epoch);
     machine.images.clear();
     world.put(index, std::move(machine));
   }
@@ -350,7 +350,7 @@
   (void)step(world, bounds, index, [&answers](Acceptor& acceptor) { return acceptor.founding(answers, 0); });
   Acceptor const& acceptor = *world.machine(index).acceptor;
   if (acceptor.voting()) {
-    world.history.data_since[acceptor.incarnation()] = 1;
+    note_data(world, acceptor.incarnation(), 1);
   }
 }
 
--- a/source/almanac/membership_model/faults.cpp
+++ b/source/almanac/membership_model/faults.cpp
@@ -1,4 +1,5 @@
 #include "almanac/membership_model/actions.hpp"
+#include "almanac/membership_model/invariants.hpp"
 
 namespace finchlink::almanac::membership_model {
 
@@ -39,7 +40,7 @@
   schema::VoterSet const known = world.machine(index).known;
   crash(world, bounds, index);
   Machine machine = blank_machine(world, world.machine(index).address, bounds.guards);
-  world.history.data_since.erase(old.incarnation);
+  note_lost_disk(world, old.incarnation);
   if (!bounds.guards.blank_has_no_vote && known.epoch > 0) {
     // The guard off: it takes up its old name and vote with nothing on disk.
     machine.synced = {schema::FoundingRecord{old.incarnation, {}, {}}, schema::SetRecord{known, true, true}};
@@ -51,7 +52,7 @@
 void replace_machine(World& world, Bounds const& bounds, std::size_t index) {
   schema::FoundingRecord const old = std::get<schema::FoundingRecord>(world.machine(index).synced.front());
   crash(world, bounds, index);
-  world.history.data_since.erase(old.incarnation);
+  note_lost_disk(world, old.incarnation);
   world.put(index, blank_machine(world, "n" + std::to_string(world.next_incarnation), bounds.guards));
 }
 
--- a/source/almanac/membership_model/invariants.cpp
+++ b/source/almanac/membership_model/invariants.cpp
@@ -76,50 +76,18 @@
       [&world, without](schema::Voter const& voter) { return !disk_intact(world, voter.incarnation, without); }));
 }
 
-/// Voters of the newest set whose data are gone or were never there.
-std::size_t voters_without_data(World const& world, schema::VoterSet const& newest, std::size_t without) {
-  std::size_t lost = 0;
-  for (schema::Voter const& voter : newest.holders) {
-    // A founder that has not yet taken up the first set will do so from its disk.
-    bool const data = newest.epoch == 1 || has_data(world, voter.incarnation, newest.epoch);
-    lost += data && disk_intact(world, voter.incarnation, without) ? 0 : 1;
-  }
-  return lost;
-}
-
-void add_accepted(schema::Message const& message, std::vector<schema::VoterSet>& sets) {
-  schema::Accept const* const accept = std::get_if<schema::Accept>(&message);
-  if (accept != nullptr && accept->name == consensus::holders_register) {
-    std::optional<schema::VoterSet> const set = voter_set_in(accept->value);
-    sets.insert(sets.end(), set.value_or(schema::VoterSet{}));
-  }
-}
-
-/// Sets beyond the newest that are being proposed, on their way or accepted somewhere.
-std::vector<schema::VoterSet> proposed_sets(World const& world) {
-  std::vector<schema::VoterSet> sets;
-  for (std::shared_ptr<Operation const> const& operation : world.operations) {
-    sets.insert(sets.end(), operation->proposes.value_or(schema::VoterSet{}));
-    for (Request const& request : operation->waiting) {
-      add_accepted(request.message, sets);
-    }
-  }
-  for (Request const& request : world.late) {
-    add_accepted(request.message, sets);
-  }
-  for (std::shared_ptr<Machine const> const& machine : world.machines()) {
-    for (schema::Record const& record : machine->synced) {
-      schema::CellRecord const* const cell = std::get_if<schema::CellRecord>(&record);
-      if (cell != nullptr && cell->name == consensus::holders_register) {
-        sets.insert(sets.end(), voter_set_in(cell->cell.value).value_or(schema::VoterSet{}));
+/// The place of an incarnation in the newest set that names it.
+std::optional<std::size_t> place_in_sets(World const& world, std::uint64_t incarnation) {
+  for (std::map<std::uint64_t, schema::VoterSet>::const_reverse_iterator set = world.history.sets.rbegin();
+       set != world.history.sets.rend(); ++set) {
+    std::vector<schema::Voter> const& holders = set->second.holders;
+    for (std::size_t place = 0; place < holders.size(); ++place) {
+      if (holders[place].incarnation == incarnation) {
+        return place;
       }
     }
   }
-  std::uint64_t const newest = world.history.sets.rbegin()->first;
-  sets.erase(
-      std::remove_if(sets.begin(), sets.end(), [newest](schema::VoterSet const& set) { return set.epoch <= newest; }),
-      sets.end());
-  return sets;
+  return std::nullopt;
 }
 
 /// First sets that may yet be founded: what a founder has pledged, and what a
@@ -236,20 +204,34 @@
   }
 }
 
+void note_lost_disk(World& world, std::uint64_t incarnation) {
+  std::optional<std::size_t> const place = place_in_sets(world, incarnation);
+  if (place.has_value()) {
+    world.history.lost_disks[incarnation] = *place;
+  }
+  world.history.data_since.erase(incarnation);
+}
+
+void note_data(World& world, std::uint64_t incarnation, std::uint64_t epoch) {
+  world.history.data_since[incarnation] = epoch;
+  std::optional<std::size_t> const place = place_in_sets(world, incarnation);
+  std::erase_if(world.history.lost_disks,
+                [&place](std::pair<std::uint64_t const, std::size_t> const& lost) { return place == lost.second; });
+}
+
 bool bears_loss(World const& world, std::size_t machine) {
-  std::vector<schema::VoterSet> possible;
   if (!world.history.sets.empty()) {
-    schema::VoterSet const& newest = world.history.sets.rbegin()->second;
-    if (voters_without_data(world, newest, machine) > tolerated(newest)) {
+    bool const named = place_in_sets(world, incarnation_on_disk(world.machine(machine))).has_value();
+    std::size_t const lost = world.history.lost_disks.size() + (named ? 1 : 0);
+    if (lost > tolerated(world.history.sets.rbegin()->second)) {
       return false;
     }
-    possible = proposed_sets(world);
   }
-  if (world.history.sets.empty() || world.history.sets.rbegin()->first == 1) {
-    std::vector<schema::VoterSet> const pledged = pledged_sets(world);
-    possible.insert(possible.end(), pledged.begin(), pledged.end());
+  if (!world.history.sets.empty() && world.history.sets.rbegin()->first > 1) {
+    return true;
   }
-  return std::all_of(possible.begin(), possible.end(), [&world, machine](schema::VoterSet const& set) {
+  std::vector<schema::VoterSet> const pledged = pledged_sets(world);
+  return std::all_of(pledged.begin(), pledged.end(), [&world, machine](schema::VoterSet const& set) {
     return lost_disks(world, set, machine) <= tolerated(set);
   });
 }
--- a/source/almanac/membership_model/invariants.hpp
+++ b/source/almanac/membership_model/invariants.hpp
@@ -20,9 +20,13 @@
 /// Any majority of the newest set that can choose holds what was acknowledged,
 /// and none of them would bring back what was rejected.
 void check_majorities(World& world);
-/// Whether the loss of this machine's disk is within what is tolerated: the
-/// newest set keeps a majority with data, and so many disks stay in each set
-/// that was proposed and may still be chosen.
+/// Notes that the disk of an incarnation is gone.
+void note_lost_disk(World& world, std::uint64_t incarnation);
+/// Notes that an incarnation was founded or admitted and has all data since
+/// this epoch: what was lost at its place before counts no more.
+void note_data(World& world, std::uint64_t incarnation, std::uint64_t epoch);
+/// Whether the loss of this machine's disk is within what is tolerated: at most
+/// so many disks are lost at once, whoever else is cut off, frozen or killed.
 [[nodiscard]] bool bears_loss(World const& world, std::size_t machine);
 
 }  // namespace finchlink::almanac::membership_model
--- a/source/almanac/membership_model/scenario.cpp
+++ b/source/almanac/membership_model/scenario.cpp
@@ -80,6 +80,26 @@
   return bounds;
 }
 
+/// A voter is only unreachable and its place is taken; then disks are lost, of
+/// which no more than tolerated.
+Bounds unreachable_of_five() {
+  Bounds bounds = left_out_and_back();
+  bounds.suspicions = 1;
+  bounds.lost_disks = 2;
+  bounds.crashes = 0;
+  return bounds;
+}
+
+Bounds unreachable_of_three() {
+  Bounds bounds;
+  bounds.single_messages = false;
+  bounds.joins = 3;
+  bounds.suspicions = 1;
+  bounds.lost_disks = 1;
+  bounds.crashes = 1;
+  return bounds;
+}
+
 void print(std::ostream& out, Counterexample const& counterexample) {
   out << "  " << counterexample.violation << ", after " << counterexample.steps.size() << " steps:\n";
   for (std::string const& step : counterexample.steps) {
@@ -125,7 +145,11 @@
           {"membership-three", "changes of a set of three, whole rounds", rounds_of_three()},
           {"membership-growth", "a set that grows from three to five, whole rounds", rounds_of_growth()},
           {"membership-five", "lost disks of a set of five, whole rounds", rounds_of_five()},
-          {"membership-back", "voters of five that are left out and come back, whole rounds", left_out_and_back()}};
+          {"membership-back", "voters of five that are left out and come back, whole rounds", left_out_and_back()},
+          {"membership-unreachable-five", "five voters, one out of reach, two disks lost, whole rounds",
+           unreachable_of_five()},
+          {"membership-unreachable-three", "three voters, one out of reach, one disk lost, whole rounds",
+           unreachable_of_three()}};
 }
 
 std::optional<Scenario> scenario(std::string const& name) {
--- a/source/almanac/membership_model/world.cpp
+++ b/source/almanac/membership_model/world.cpp
@@ -28,6 +28,9 @@
 std::uint64_t digest_of(History const& history) {
   loam::Digest digest;
   digest.add(packed_digest(history.sets)).add(packed_digest(history.data_since));
+  for (std::pair<std::uint64_t const, std::size_t> const& lost : history.lost_disks) {
+    digest.add(lost.first).add(lost.second);
+  }
   for (std::pair<std::string const, std::vector<ChosenValue>> const& entry : history.chosen) {
     digest.add(entry.first);
     for (ChosenValue const& chosen : entry.second) {
--- a/source/almanac/membership_model/world.hpp
+++ b/source/almanac/membership_model/world.hpp
@@ -89,6 +89,9 @@
   std::map<std::uint64_t, std::uint64_t> data_since;  ///< per incarnation: the epoch it was founded or admitted in
   std::map<std::string, std::vector<ChosenValue>> chosen;
   std::set<std::string> rejected;  ///< contents whose writers were told no
+  /// Disks that were lost, and the place in the set that each stood at. One
+  /// counts until a voter that came to that place after it has its data.
+  std::map<std::uint64_t, std::size_t> lost_disks;
   std::vector<std::string> violations;
 };
 
--- a/source/tests/almanac/membership_model_test.cpp
+++ b/source/tests/almanac/membership_model_test.cpp
@@ -202,6 +202,47 @@
   EXPECT_TRUE(schedule.closes());
 }
 
+/// Five voters: the second is only out of reach, a spare takes its place; two
+/// disks are lost before the spare has its images, the first of which is already
+/// replaced by a blank one. The one that was left out has all its data.
+Schedule one_left_out_and_two_disks_lost() {
+  Schedule schedule(bounds_of("unreachable-five"));
+  schedule.take(StepKind::LoseDisk, 0);
+  schedule.take(StepKind::Join, 5, schedule.world.machine(1).acceptor->incarnation());
+  schedule.take(StepKind::Spread);
+  schedule.take(StepKind::Join, 0);
+  schedule.take(StepKind::Spread);
+  schedule.take(StepKind::LoseDisk, 2);
+  return schedule;
+}
+
+/// Three voters: a spare takes the place of the first, which was only out of
+/// reach, and dies before it has its images; the first takes its place back. It
+/// has its data and counts for nothing. Then one disk is lost.
+Schedule one_left_out_and_back_and_a_disk_lost() {
+  Schedule schedule(bounds_of("unreachable-three"));
+  schedule.take(StepKind::Join, 3, schedule.world.machine(0).acceptor->incarnation());
+  schedule.take(StepKind::Spread);
+  schedule.take(StepKind::Crash, 3);
+  schedule.take(StepKind::Join, 0);
+  schedule.take(StepKind::Spread);
+  schedule.take(StepKind::LoseDisk, 1);
+  return schedule;
+}
+
+TEST(MembershipModel, OneThatWasOnlyOutOfReachStillGivesItsData) {
+  Schedule const five = one_left_out_and_two_disks_lost();
+  EXPECT_EQ(five.world.history.sets.rbegin()->first, 3u);
+  EXPECT_EQ(five.world.history.lost_disks.size(), 2u);
+  EXPECT_TRUE(five.world.history.violations.empty());
+  EXPECT_TRUE(five.closes());
+  Schedule const three = one_left_out_and_back_and_a_disk_lost();
+  EXPECT_EQ(three.world.history.sets.rbegin()->first, 3u);
+  EXPECT_EQ(three.world.history.lost_disks.size(), 1u);
+  EXPECT_TRUE(three.world.history.violations.empty());
+  EXPECT_TRUE(three.closes());
+}
+
 TEST(MembershipModel, AScenarioPrintsWhatItFound) {
   std::ostringstream out;
   Scenario each = *scenario("membership-join");
