Images of earlier sets: a voter out of reach is a source as long as it is needed

Cause: a newcomer took images of the set before alone. A voter that was only out of reach and whose place was taken counted for nothing from the next change on, and one that was named without data and left out again could never give them. So two lost disks and one voter out of reach, of five, or one lost disk of three, left no majority for good.

Now an acceptor remembers up to which epoch it is complete (has what its vote stood for) and whole (has all that was chosen), and says so in its image. A newcomer takes images for any one epoch from before its naming on (consensus/voter_history); a set tells of earlier ones until all voters of one were seen to vote. One that was left out without data gets them all the same, and before it asks for a place again. Of four voters two images do, since they meet every majority. A pledge on disk is kept by one that is started again without the order to found. Older disks are read: the record of the set in force has a new kind, the former one keeps its number.

Tests changed. `replaced_first` of departure_test: names who was seen to vote. `OneThatMissedTwoSets...`: its guard is needed only without the new one; both ways are asserted. `OneThatWasLeftOutKnowsIt...`: without `complete_before_join`, which would hide what it shows. `TheNumbersOfRecords OnDiskStay`: the former record keeps number 1, byte for byte. The model counts disks that were lost between a pledge and the first set, and those of sets that are proposed.

--- a/source/almanac/control/control.cpp
+++ b/source/almanac/control/control.cpp
@@ -533,7 +533,7 @@
     submit(machine, machine.holder->enrol(*images, local(machine)), [](std::optional<schema::Message> const&) {});
     return;
   }
-  if (machine.fetching_image || images->size() < consensus::majority(machine.holder->image_sources().size())) {
+  if (machine.fetching_image || !machine.holder->images_suffice(*images)) {
     return;
   }
   machine.fetching_image = true;
@@ -852,7 +852,7 @@
 }
 
 void World::take_place(Machine& machine) {
-  if (machine.silent || !machine.holder.has_value() ||
+  if (machine.silent || !machine.holder.has_value() || machine.holder->wants_image() ||
       (machine.set.epoch > 1 && machine.holder->set().epoch < machine.set.epoch)) {
     return;
   }
--- a/source/almanac/membership_model/actions.cpp
+++ b/source/almanac/membership_model/actions.cpp
@@ -40,9 +40,9 @@
 
 void note_answer(World& world, Acceptor const& acceptor, schema::Message const& answer) {
   if (std::holds_alternative<schema::Promise>(answer) || std::holds_alternative<schema::Accepted>(answer)) {
-    check_entitled(world, acceptor, false);
-  } else if (std::holds_alternative<schema::Image>(answer)) {
-    check_entitled(world, acceptor, true);
+    check_entitled(world, acceptor);
+  } else if (schema::Image const* const image = std::get_if<schema::Image>(&answer)) {
+    check_image(world, *image);
   }
 }
 
@@ -234,6 +234,9 @@
   if (bounds.adopt_before_join) {
     (void)send(world, bounds, address, schema::Adopt{set});
   }
+  if (bounds.complete_before_join && world.machine(index).acceptor->wants_image()) {
+    return false;
+  }
   membership::VoterLooks const looks = look(world, bounds, set, address, seems_lost);
   schema::Voter const self{world.machine(index).acceptor->incarnation(), address};
   std::optional<schema::VoterSet> const next =
@@ -319,10 +322,12 @@
     images.push_back(each.second);
   }
   world.put(index, std::move(machine));
+  std::uint64_t const complete = world.machine(index).acceptor->complete();
   (void)step(world, bounds, index, [&images](Acceptor& acceptor) { return acceptor.enrol(images, 0); });
   machine = world.machine(index);
-  if (machine.acceptor->voting()) {
-    note_data(world, machine.acceptor->incarnation(), machine.acceptor->set().epoch);
+  if (machine.acceptor->complete() > complete) {
+    std::uint64_t const incarnation = machine.acceptor->incarnation();
+    note_data(world, incarnation, first_named(world, incarnation, machine.acceptor->complete()));
     machine.images.clear();
     world.put(index, std::move(machine));
   }
--- a/source/almanac/membership_model/invariants.cpp
+++ b/source/almanac/membership_model/invariants.cpp
@@ -76,17 +76,68 @@
       [&world, without](schema::Voter const& voter) { return !disk_intact(world, voter.incarnation, without); }));
 }
 
-/// The place of an incarnation in the newest set that names it.
-std::optional<std::size_t> place_in_sets(World const& world, std::uint64_t incarnation) {
-  for (std::map<std::uint64_t, schema::VoterSet>::const_reverse_iterator set = world.history.sets.rbegin();
-       set != world.history.sets.rend(); ++set) {
-    std::vector<schema::Voter> const& holders = set->second.holders;
-    for (std::size_t place = 0; place < holders.size(); ++place) {
-      if (holders[place].incarnation == incarnation) {
-        return place;
+void add_accepted(schema::Message const& message, std::vector<schema::VoterSet>& sets) {
+  schema::Accept const* const accept = std::get_if<schema::Accept>(&message);
+  if (accept != nullptr && accept->name == consensus::holders_register) {
+    std::optional<schema::VoterSet> const set = voter_set_in(accept->value);
+    sets.insert(sets.end(), set.value_or(schema::VoterSet{}));
+  }
+}
+
+/// Sets beyond the newest that are being proposed, on their way or accepted somewhere.
+std::vector<schema::VoterSet> proposed_sets(World const& world) {
+  std::vector<schema::VoterSet> sets;
+  for (std::shared_ptr<Operation const> const& operation : world.operations) {
+    sets.insert(sets.end(), operation->proposes.value_or(schema::VoterSet{}));
+    for (Request const& request : operation->waiting) {
+      add_accepted(request.message, sets);
+    }
+  }
+  for (Request const& request : world.late) {
+    add_accepted(request.message, sets);
+  }
+  for (std::shared_ptr<Machine const> const& machine : world.machines()) {
+    for (schema::Record const& record : machine->synced) {
+      schema::CellRecord const* const cell = std::get_if<schema::CellRecord>(&record);
+      if (cell != nullptr && cell->name == consensus::holders_register) {
+        sets.insert(sets.end(), voter_set_in(cell->cell.value).value_or(schema::VoterSet{}));
       }
     }
   }
+  std::uint64_t const newest = world.history.sets.rbegin()->first;
+  sets.erase(
+      std::remove_if(sets.begin(), sets.end(), [newest](schema::VoterSet const& set) { return set.epoch <= newest; }),
+      sets.end());
+  return sets;
+}
+
+std::optional<std::size_t> place_in(schema::VoterSet const& set, std::uint64_t incarnation) {
+  for (std::size_t place = 0; place < set.holders.size(); ++place) {
+    if (set.holders[place].incarnation == incarnation) {
+      return place;
+    }
+  }
+  return std::nullopt;
+}
+
+/// The place of an incarnation in the newest set that names it, also in one
+/// that is proposed and may yet be chosen.
+std::optional<std::size_t> place_in_sets(World const& world, std::uint64_t incarnation) {
+  if (world.history.sets.empty()) {
+    return std::nullopt;
+  }
+  std::vector<schema::VoterSet> sets;
+  for (std::pair<std::uint64_t const, schema::VoterSet> const& entry : world.history.sets) {
+    sets.push_back(entry.second);
+  }
+  std::vector<schema::VoterSet> const proposed = proposed_sets(world);
+  sets.insert(sets.end(), proposed.begin(), proposed.end());
+  for (std::vector<schema::VoterSet>::const_reverse_iterator set = sets.rbegin(); set != sets.rend(); ++set) {
+    std::optional<std::size_t> const place = place_in(*set, incarnation);
+    if (place.has_value()) {
+      return place;
+    }
+  }
   return std::nullopt;
 }
 
@@ -109,6 +160,16 @@
   return sets;
 }
 
+/// Disks of founders that were lost between the pledge and the first set.
+void note_lost_founders(World& world, schema::VoterSet const& set) {
+  for (std::size_t place = 0; place < set.holders.size(); ++place) {
+    std::uint64_t const incarnation = set.holders[place].incarnation;
+    if (!disk_intact(world, incarnation, world.machines().size())) {
+      world.history.lost_disks[incarnation] = place;
+    }
+  }
+}
+
 }  // namespace
 
 void note_chosen(World& world, std::string const& name, ChosenValue const& chosen) {
@@ -142,6 +203,9 @@
   std::pair<std::map<std::uint64_t, schema::VoterSet>::iterator, bool> const entry =
       world.history.sets.emplace(set.epoch, set);
   schema::VoterSet& known = entry.first->second;
+  if (entry.second && set.epoch == 1) {
+    note_lost_founders(world, set);
+  }
   if (set.epoch == 1 && !(known == set) && !on_a_disk(world, known)) {
     known = set;
   }
@@ -164,19 +228,39 @@
   return true;
 }
 
-void check_entitled(World& world, consensus::Acceptor const& acceptor, bool image) {
-  std::uint64_t const incarnation = acceptor.incarnation();
-  std::uint64_t const epoch = acceptor.set().epoch;
-  std::map<std::uint64_t, std::uint64_t>::const_iterator const since = world.history.data_since.find(incarnation);
-  bool const admitted_now = since != world.history.data_since.end() && since->second == epoch;
-  if (image && !admitted_now && !has_data(world, incarnation, epoch - 1)) {
-    world.history.violations.push_back("an image from one that lacks data of the epoch before");
+std::uint64_t first_named(World const& world, std::uint64_t incarnation, std::uint64_t last) {
+  std::uint64_t first = last;
+  while (first > 1) {
+    std::map<std::uint64_t, schema::VoterSet>::const_iterator const before = world.history.sets.find(first - 1);
+    if (before == world.history.sets.end() || !consensus::names(before->second.holders, incarnation)) {
+      break;
+    }
+    --first;
   }
-  if (!image && !has_data(world, incarnation, epoch)) {
+  return first;
+}
+
+void check_entitled(World& world, consensus::Acceptor const& acceptor) {
+  if (!has_data(world, acceptor.incarnation(), acceptor.set().epoch)) {
     world.history.violations.push_back("a vote of one that lacks data of the epoch before");
   }
 }
 
+void check_image(World& world, schema::Image const& image) {
+  if (!has_data(world, image.incarnation, image.complete)) {
+    world.history.violations.push_back("an image from one that lacks data of the epoch before");
+  }
+  for (std::pair<std::string const, std::vector<ChosenValue>> const& entry : world.history.chosen) {
+    std::map<std::string, schema::Cell>::const_iterator const cell = image.cells.find(entry.first);
+    schema::Ballot const accepted = cell == image.cells.end() ? schema::Ballot{} : cell->second.accepted;
+    for (ChosenValue const& chosen : entry.second) {
+      if (chosen.ballot.epoch <= image.whole && consensus::before(accepted, chosen.ballot)) {
+        world.history.violations.push_back("an image that is called whole lacks an acknowledged value");
+      }
+    }
+  }
+}
+
 void check_majorities(World& world) {
   if (world.history.sets.empty()) {
     return;
@@ -214,6 +298,9 @@
 
 void note_data(World& world, std::uint64_t incarnation, std::uint64_t epoch) {
   world.history.data_since[incarnation] = epoch;
+  if (world.history.sets.empty() || !consensus::names(world.history.sets.rbegin()->second.holders, incarnation)) {
+    return;  // it has the data, and no vote
+  }
   std::optional<std::size_t> const place = place_in_sets(world, incarnation);
   std::erase_if(world.history.lost_disks,
                 [&place](std::pair<std::uint64_t const, std::size_t> const& lost) { return place == lost.second; });
@@ -222,7 +309,12 @@
 bool bears_loss(World const& world, std::size_t machine) {
   if (!world.history.sets.empty()) {
     bool const named = place_in_sets(world, incarnation_on_disk(world.machine(machine))).has_value();
-    std::size_t const lost = world.history.lost_disks.size() + (named ? 1 : 0);
+    std::ptrdiff_t const before =
+        std::count_if(world.history.lost_disks.begin(), world.history.lost_disks.end(),
+                      [&world](std::pair<std::uint64_t const, std::size_t> const& disk) {
+                        return place_in_sets(world, disk.first).has_value();  // else its set was never chosen
+                      });
+    std::size_t const lost = static_cast<std::size_t>(before) + (named ? 1 : 0);
     if (lost > tolerated(world.history.sets.rbegin()->second)) {
       return false;
     }
--- a/source/almanac/membership_model/invariants.hpp
+++ b/source/almanac/membership_model/invariants.hpp
@@ -12,9 +12,13 @@
 /// There is one set of voters per epoch. A first set that only founders took up
 /// whose disks are lost was never in force: another may be founded.
 void note_set(World& world, schema::VoterSet const& set);
-/// A vote, or an image when `image`, of this acceptor: only from one that has
-/// all that was chosen before the epoch (section 5.5).
-void check_entitled(World& world, consensus::Acceptor const& acceptor, bool image);
+/// A vote of this acceptor: only from one that has, for its part, all that was
+/// chosen before the epoch (section 5.5).
+void check_entitled(World& world, consensus::Acceptor const& acceptor);
+/// An image: its giver has what it says that it has.
+void check_image(World& world, schema::Image const& image);
+/// The first epoch of the unbroken row that names this incarnation up to `last`.
+[[nodiscard]] std::uint64_t first_named(World const& world, std::uint64_t incarnation, std::uint64_t last);
 /// Whether this incarnation has kept the data of all epochs up to this one.
 [[nodiscard]] bool has_data(World const& world, std::uint64_t incarnation, std::uint64_t epoch);
 /// Any majority of the newest set that can choose holds what was acknowledged,
--- a/source/almanac/membership_model/scenario.cpp
+++ b/source/almanac/membership_model/scenario.cpp
@@ -173,7 +173,9 @@
                                            {"image_only_if_complete", &guards.image_only_if_complete},
                                            {"vote_kept_over_missed", &guards.vote_kept_over_missed},
                                            {"first_set_only_founded", &guards.first_set_only_founded},
-                                           {"adopt_before_join", &bounds.adopt_before_join}};
+                                           {"earlier_sets_give_images", &guards.earlier_sets_give_images},
+                                           {"adopt_before_join", &bounds.adopt_before_join},
+                                           {"complete_before_join", &bounds.complete_before_join}};
   std::map<std::string, bool*>::const_iterator const found = names.find(guard);
   if (found == names.end()) {
     return false;
--- a/source/almanac/membership_model/world.hpp
+++ b/source/almanac/membership_model/world.hpp
@@ -16,7 +16,8 @@
 /// count over the whole of a schedule.
 struct Bounds {
   consensus::Guards guards;
-  bool adopt_before_join = true;  ///< guard: one that was left out knows it before it asks for a place again
+  bool adopt_before_join = true;     ///< guard: one that was left out knows it before it asks for a place again
+  bool complete_before_join = true;  ///< guard: one that was left out without data gets them before it asks again
   std::size_t founders = 3;
   std::size_t wanted_voters = 3;
   std::size_t spares = 1;      ///< blank machines beside the founders
--- a/source/consensus/acceptor/acceptor.cpp
+++ b/source/consensus/acceptor/acceptor.cpp
@@ -35,7 +35,12 @@
           } else if constexpr (std::is_same_v<Kind, schema::SetRecord>) {
             set_ = entry.set;
             voting_ = entry.voting;
-            complete_ = entry.complete;
+            complete_ = entry.voting ? entry.set.epoch : entry.complete;
+            whole_ = entry.whole;
+          } else if constexpr (std::is_same_v<Kind, schema::FormerSetRecord>) {
+            set_ = VoterSet{entry.set.epoch, entry.set.holders, entry.set.previous, {}, {}};
+            voting_ = entry.voting;
+            complete_ = entry.voting ? set_.epoch : entry.complete ? set_.epoch - 1 : 0;
           } else if constexpr (std::is_same_v<Kind, schema::PromiseRecord>) {
             cells_[entry.name].promised = entry.promised;
           } else {
@@ -44,12 +49,18 @@
         },
         record);
   }
+  if (founders_.empty()) {
+    // What it pledged it stands by, also when it is started as one that founds nothing.
+    for (Voter const& founder : founding_.pledge) {
+      founders_.push_back(founder.address);
+    }
+  }
 }
 
 std::vector<schema::Record> Acceptor::image() const {
   std::vector<schema::Record> records;
   records.emplace_back(founding_);
-  records.emplace_back(schema::SetRecord{set_, voting_, complete_});
+  records.emplace_back(schema::SetRecord{set_, voting_, complete_, whole_});
   for (std::pair<std::string const, schema::Cell> const& cell : cells_) {
     records.emplace_back(schema::CellRecord{cell.first, cell.second});
   }
@@ -192,14 +203,26 @@
   return voting_ && names(set.previous, founding_.incarnation) && row_unbroken;
 }
 
-void Acceptor::take_set(VoterSet const& set, bool voting, bool complete, loam::Moment now, Outcome& outcome) {
+std::uint64_t Acceptor::completed_by(VoterSet const& set) const {
+  if (!voting_) {
+    return complete_;  // what it has so far; images give it the rest
+  }
+  if (complete_under(set)) {
+    return names(set.holders, founding_.incarnation) ? set.epoch : set.epoch - 1;
+  }
+  std::optional<EpochSpan> const span = newest_span(sets_told_by(set), founding_.incarnation);
+  bool const row_unbroken = guards_.vote_kept_over_missed && span.has_value() && span->last < set.epoch;
+  return row_unbroken ? std::max(complete_, span->last) : complete_;
+}
+
+void Acceptor::take_set(VoterSet const& set, bool voting, std::uint64_t complete, loam::Moment now, Outcome& outcome) {
   if (voting && !voting_) {
     granter_ = lease::LeaseGranter(now, guards_.lease_silence);
   }
   set_ = set;
   voting_ = voting;
-  complete_ = complete;
-  outcome.records.emplace_back(schema::SetRecord{set_, voting_, complete_});
+  complete_ = voting ? set.epoch : complete;
+  outcome.records.emplace_back(schema::SetRecord{set_, voting_, complete_, whole_});
 }
 
 Outcome Acceptor::on(schema::Adopt const& message, loam::Moment now) {
@@ -209,112 +232,13 @@
   bool const to_be_founded = guards_.first_set_only_founded && blank() && message.set.epoch == 1;
   if (message.set.epoch > set_.epoch && !to_be_founded) {
     bool const named = names(message.set.holders, founding_.incarnation);
-    bool const complete = complete_under(message.set);
-    take_set(message.set, named && (complete || !guards_.image_before_vote), complete, now, outcome);
+    bool const voting = named && (complete_under(message.set) || !guards_.image_before_vote);
+    take_set(message.set, voting, completed_by(message.set), now, outcome);
   }
   outcome.reply = schema::Adopted{set_.epoch, founding_.incarnation, voting_};
   return outcome;
 }
 
-Outcome Acceptor::on(schema::ImageAsk const& message) const {
-  // Only one that has the asked epoch in force may give an image: from then on
-  // it takes part in no older ballot, so what it gives is final; and only one
-  // that voted in the epoch before, since a newcomer may lack what that one
-  // chose (section 5.5).
-  if (set_.epoch != message.epoch || (!complete_ && guards_.image_only_if_complete)) {
-    return Outcome{{}, schema::Message(refusal(Ballot{message.epoch, 0, 0}, Ballot{}))};
-  }
-  schema::Image image{set_.epoch, founding_.incarnation, cells_, {}};
-  image.withheld = withhold(image.cells);
-  return Outcome{{}, schema::Message(image)};
-}
-
-bool Acceptor::wants_image() const {
-  return !blank() && !voting_ && names(set_.holders, founding_.incarnation);
-}
-
-std::vector<MissingValue> Acceptor::missing(std::vector<schema::Image> const& images) const {
-  struct Newest {
-    Ballot accepted;
-    bool here = true;
-    std::string digest;
-    std::vector<std::uint64_t> sources;
-  };
-  std::map<std::string, Newest> newest;
-  for (std::pair<std::string const, schema::Cell> const& cell : cells_) {
-    newest[cell.first].accepted = cell.second.accepted;
-  }
-  for (schema::Image const& image : images) {
-    if (image.epoch != set_.epoch || !names(set_.previous, image.incarnation)) {
-      continue;
-    }
-    for (std::pair<std::string const, schema::Cell> const& theirs : image.cells) {
-      std::map<std::string, schema::Withheld>::const_iterator const withheld = image.withheld.find(theirs.first);
-      bool const here = withheld == image.withheld.end();
-      Newest& entry = newest[theirs.first];
-      if (before(entry.accepted, theirs.second.accepted)) {
-        entry = Newest{theirs.second.accepted, here, here ? "" : withheld->second.digest, {image.incarnation}};
-      } else if (entry.accepted == theirs.second.accepted) {
-        entry.here = entry.here || here;
-        entry.sources.push_back(image.incarnation);
-      }
-    }
-  }
-  std::vector<MissingValue> missing;
-  for (std::pair<std::string const, Newest> const& entry : newest) {
-    if (!entry.second.here) {
-      missing.push_back(MissingValue{entry.first, entry.second.digest, entry.second.sources});
-    }
-  }
-  return missing;
-}
-
-void supply(std::vector<schema::Image>& images, std::string const& name, std::string const& digest,
-            schema::Value const& value) {
-  for (schema::Image& image : images) {
-    std::map<std::string, schema::Withheld>::const_iterator const withheld = image.withheld.find(name);
-    if (withheld != image.withheld.end() && withheld->second.digest == digest) {
-      image.cells[name].value = value;
-      image.withheld.erase(withheld);
-    }
-  }
-}
-
-Outcome Acceptor::enrol(std::vector<schema::Image> const& images, loam::Moment now) {
-  Outcome outcome;
-  if (!wants_image()) {
-    return outcome;
-  }
-  std::map<std::uint64_t, schema::Image const*> given;
-  for (schema::Image const& image : images) {
-    if (image.epoch == set_.epoch && names(set_.previous, image.incarnation)) {
-      given[image.incarnation] = &image;
-    }
-  }
-  // A value that was left out is no empty value: without it there is no vote.
-  if (given.size() < majority(set_.previous.size()) || (guards_.values_whole && !missing(images).empty())) {
-    return outcome;
-  }
-  for (std::pair<std::uint64_t const, schema::Image const*> const& image : given) {
-    for (std::pair<std::string const, schema::Cell> const& theirs : image.second->cells) {
-      schema::Cell& mine = cells_[theirs.first];
-      if (before(mine.promised, theirs.second.promised)) {
-        mine.promised = theirs.second.promised;
-      }
-      bool const here = image.second->withheld.count(theirs.first) == 0 || !guards_.values_whole;
-      if (before(mine.accepted, theirs.second.accepted) || (here && mine.accepted == theirs.second.accepted)) {
-        mine.accepted = theirs.second.accepted;
-        mine.value = theirs.second.value;
-      }
-    }
-  }
-  for (std::pair<std::string const, schema::Cell> const& cell : cells_) {
-    outcome.records.emplace_back(schema::CellRecord{cell.first, cell.second});
-  }
-  take_set(set_, true, true, now, outcome);
-  return outcome;
-}
-
 bool Acceptor::wants_founding() const {
   return blank() && std::find(founders_.begin(), founders_.end(), address_) != founders_.end();
 }
@@ -361,7 +285,7 @@
   // Section 5.4: a founded colleague's set is taken over, whatever was pledged.
   for (schema::FoundingAnswer const& answer : answers) {
     if (!answer.blank && answer.set.epoch == 1 && names(answer.set.holders, founding_.incarnation)) {
-      take_set(answer.set, true, true, now, outcome);
+      take_set(answer.set, true, 1, now, outcome);
       return outcome;
     }
   }
@@ -386,7 +310,7 @@
       return outcome;
     }
   }
-  take_set(VoterSet{1, pledge, pledge}, true, true, now, outcome);
+  take_set(VoterSet{1, pledge, pledge, {}, {}}, true, 1, now, outcome);
   return outcome;
 }
 
--- a/source/consensus/acceptor/acceptor.hpp
+++ b/source/consensus/acceptor/acceptor.hpp
@@ -7,6 +7,7 @@
 
 #include "consensus/ballot/ballot.hpp"
 #include "consensus/transfer/value_sender.hpp"
+#include "consensus/voter_history/voter_history.hpp"
 #include "lease/lease_granter.hpp"
 #include "loam/constants.hpp"
 #include "loam/time/moment.hpp"
@@ -48,12 +49,14 @@
   /// The answers of all founders but this one, got in one look around.
   [[nodiscard]] Outcome founding(std::vector<schema::FoundingAnswer> const& answers, loam::Moment now);
 
-  /// Enrolment: which holders to ask for images, when one is wanted.
-  [[nodiscard]] bool wants_image() const;
-  [[nodiscard]] std::vector<Voter> image_sources() const { return set_.previous; }
+  /// Enrolment: which holders to ask for images, when one is wanted. One that
+  /// was left out before it had its data wants them still: others may need them.
+  [[nodiscard]] bool wants_image() const { return span_without_data().has_value(); }
+  [[nodiscard]] std::vector<Voter> image_sources() const;
   [[nodiscard]] schema::ImageAsk image_ask() const { return schema::ImageAsk{set_.epoch}; }
-  /// Takes the images of a majority of the set before; nothing while a value
-  /// that they name is missing.
+  /// Whether these images hold all that the vote will stand for (voter_history.hpp).
+  [[nodiscard]] bool images_suffice(std::vector<schema::Image> const& images) const;
+  /// Takes images that suffice; nothing while a value that they name is missing.
   [[nodiscard]] Outcome enrol(std::vector<schema::Image> const& images, loam::Moment now);
   /// What enrol() still lacks of these images.
   [[nodiscard]] std::vector<MissingValue> missing(std::vector<schema::Image> const& images) const;
@@ -70,6 +73,7 @@
   [[nodiscard]] std::uint64_t incarnation() const { return founding_.incarnation; }
   [[nodiscard]] VoterSet const& set() const { return set_; }
   [[nodiscard]] bool voting() const { return voting_; }
+  [[nodiscard]] std::uint64_t complete() const { return complete_; }
   [[nodiscard]] std::map<std::string, schema::Cell> const& cells() const { return cells_; }
 
  private:
@@ -85,13 +89,20 @@
   [[nodiscard]] bool blank() const { return set_.epoch == 0; }
   /// Whether this one has, for its part, all that was chosen before the set.
   [[nodiscard]] bool complete_under(VoterSet const& set) const;
+  /// Up to which epoch it has what its vote stands for, once the set is in force.
+  [[nodiscard]] std::uint64_t completed_by(VoterSet const& set) const;
+  [[nodiscard]] std::vector<schema::PastVoterSet> sets_told_by(VoterSet const& set) const;
+  /// The epochs that name it and of which it has no data.
+  [[nodiscard]] std::optional<EpochSpan> span_without_data() const;
+  [[nodiscard]] std::vector<schema::Image> usable(std::vector<schema::Image> const& images) const;
+  void merge(schema::Image const& image);
   [[nodiscard]] bool may_vote(std::uint64_t epoch) const;
   [[nodiscard]] std::vector<Voter> full_pledge(std::vector<schema::FoundingAnswer> const& answers) const;
   /// Takes out of `cells` the values that one message can't carry, large ones
   /// first; gives their sizes.
   [[nodiscard]] std::map<std::string, schema::Withheld> withhold(std::map<std::string, schema::Cell>& cells) const;
   [[nodiscard]] std::string const& digest_of(std::string const& name) const;
-  void take_set(VoterSet const& set, bool voting, bool complete, loam::Moment now, Outcome& outcome);
+  void take_set(VoterSet const& set, bool voting, std::uint64_t complete, loam::Moment now, Outcome& outcome);
 
   Guards guards_;
   std::string address_;
@@ -99,7 +110,8 @@
   schema::FoundingRecord founding_;
   VoterSet set_;
   bool voting_ = false;
-  bool complete_ = false;
+  std::uint64_t complete_ = 0;  ///< has all that its vote stands for up to this epoch
+  std::uint64_t whole_ = 0;     ///< has all that was chosen up to this epoch
   std::map<std::string, schema::Cell> cells_;
   lease::LeaseGranter granter_;
   ValueSender sender_;
--- a/source/consensus/ballot/ballot.hpp
+++ b/source/consensus/ballot/ballot.hpp
@@ -19,6 +19,10 @@
 [[nodiscard]] inline std::size_t majority(std::size_t count) {
   return count / 2 + 1;
 }
+/// So many of `count` voters meet every majority of them: for an even count one fewer than a majority.
+[[nodiscard]] inline std::size_t read_quorum(std::size_t count) {
+  return count - majority(count) + 1;
+}
 [[nodiscard]] inline bool names(std::vector<Voter> const& holders, std::uint64_t incarnation) {
   for (Voter const& holder : holders) {
     if (holder.incarnation == incarnation) {
@@ -49,6 +53,7 @@
   bool image_before_vote = true;
   bool image_only_if_complete = true;  ///< images come only from those that have all of the epoch before
   bool vote_kept_over_missed = true;   ///< a voter that missed epochs which named it all the while votes on
+  bool earlier_sets_give_images = true;  ///< one that was left out is a source still, and completes its own data
   bool first_set_only_founded = true;  ///< a blank one takes the first set by founding alone
   bool values_whole = true;            ///< a value that was left out of a message is never taken for an empty one
   bool lease_silence = true;
--- a/source/membership/reconfiguration/reconfiguration.cpp
+++ b/source/membership/reconfiguration/reconfiguration.cpp
@@ -1,5 +1,7 @@
 #include "membership/reconfiguration/reconfiguration.hpp"
 
+#include <algorithm>
+
 #include "consensus/ballot/ballot.hpp"
 #include "loam/constants.hpp"
 #include "loam/json/tree.hpp"
@@ -7,6 +9,9 @@
 namespace finchlink::membership {
 
 namespace {
+/// A voter that never comes back to get its data must not let the set grow without end.
+constexpr std::size_t most_earlier_sets = 16;
+
 /// A voter that no look was for is not known to vote, and not known to be lost.
 int missed_by(JoiningView const& view, schema::Voter const& voter, JoiningGuards guards) {
   std::map<std::uint64_t, int>::const_iterator const found = view.misses.find(voter.incarnation);
@@ -55,6 +60,31 @@
   }
   return leaver;
 }
+
+/// Founders have their data from the first; another has them once it was seen to vote.
+bool has_caught_up(schema::VoterSet const& set, JoiningView const& view, schema::Voter const& voter,
+                   JoiningGuards guards) {
+  bool const seen_before =
+      std::find(set.caught_up.begin(), set.caught_up.end(), voter.incarnation) != set.caught_up.end();
+  return set.epoch == 1 || seen_before || missed_by(view, voter, guards) == 0;
+}
+
+/// What the set after `set` must tell of the epochs before it: nothing when all
+/// voters of `set` have their data, since these then are the only ones needed.
+std::vector<schema::PastVoterSet> earlier_sets(schema::VoterSet const& set, JoiningView const& view,
+                                               JoiningGuards guards) {
+  bool const all = std::all_of(set.holders.begin(), set.holders.end(),
+                               [&](schema::Voter const& voter) { return has_caught_up(set, view, voter, guards); });
+  if (all) {
+    return {};
+  }
+  std::vector<schema::PastVoterSet> sets = set.earlier;
+  sets.push_back(schema::PastVoterSet{set.epoch - 1, set.previous});
+  if (sets.size() > most_earlier_sets) {
+    sets.erase(sets.begin());
+  }
+  return sets;
+}
 }  // namespace
 
 std::optional<schema::VoterSet> plan_joining(schema::VoterSet const& set, JoiningView const& view,
@@ -74,7 +104,12 @@
   if (replaced == nullptr && (voting < set.holders.size() || set.holders.size() >= wanted)) {
     return std::nullopt;
   }
-  schema::VoterSet next{set.epoch + 1, set.holders, set.holders};
+  schema::VoterSet next{set.epoch + 1, set.holders, set.holders, earlier_sets(set, view, guards), {}};
+  for (schema::Voter const& voter : set.holders) {
+    if (&voter != replaced && has_caught_up(set, view, voter, guards)) {
+      next.caught_up.push_back(voter.incarnation);
+    }
+  }
   if (replaced == nullptr) {
     next.holders.push_back(self);
   } else {
--- a/source/tests/almanac/membership_model_test.cpp
+++ b/source/tests/almanac/membership_model_test.cpp
@@ -128,9 +128,10 @@
 /// Five voters: one is down while two changes of the set are made, then a disk
 /// is lost before the second newcomer has its image. Two disks are lost, which
 /// five bear; the one that was down has all its data.
-Schedule one_missed_two_sets(bool guard) {
+Schedule one_missed_two_sets(bool guard, bool earlier_sets) {
   Bounds bounds = bounds_of("five");
   bounds.guards.vote_kept_over_missed = guard;
+  bounds.guards.earlier_sets_give_images = earlier_sets;
   Schedule schedule(bounds);
   schedule.take(StepKind::Crash, 4);
   schedule.take(StepKind::LoseDisk, 0);
@@ -149,11 +150,15 @@
 }
 
 TEST(MembershipModel, OneThatMissedTwoSetsStillGivesItsImage) {
-  Schedule const schedule = one_missed_two_sets(true);
-  EXPECT_EQ(schedule.world.history.sets.rbegin()->first, 3u);
-  EXPECT_TRUE(schedule.world.history.violations.empty());
-  EXPECT_TRUE(schedule.closes());
-  Schedule const without = one_missed_two_sets(false);
+  for (bool const earlier_sets : {true, false}) {
+    Schedule const schedule = one_missed_two_sets(true, earlier_sets);
+    EXPECT_EQ(schedule.world.history.sets.rbegin()->first, 3u);
+    EXPECT_TRUE(schedule.world.history.violations.empty());
+    EXPECT_TRUE(schedule.closes());
+  }
+  // The images of earlier sets would do as well: each alone is enough here.
+  EXPECT_TRUE(one_missed_two_sets(false, true).closes());
+  Schedule const without = one_missed_two_sets(false, false);
   EXPECT_TRUE(without.world.history.violations.empty());
   EXPECT_FALSE(without.closes()) << "the guard is not needed";
 }
@@ -163,6 +168,7 @@
 Schedule left_out_and_back(bool guard) {
   Bounds bounds = bounds_of("back");
   bounds.adopt_before_join = guard;
+  bounds.complete_before_join = false;  // a rule for those who lack data; it would hide this one
   Schedule schedule(bounds);
   std::uint64_t const third = schedule.world.machine(2).acceptor->incarnation();
   std::uint64_t const newcomer = schedule.world.machine(5).acceptor->incarnation();
@@ -205,8 +211,10 @@
 /// Five voters: the second is only out of reach, a spare takes its place; two
 /// disks are lost before the spare has its images, the first of which is already
 /// replaced by a blank one. The one that was left out has all its data.
-Schedule one_left_out_and_two_disks_lost() {
-  Schedule schedule(bounds_of("unreachable-five"));
+Schedule one_left_out_and_two_disks_lost(bool guard) {
+  Bounds bounds = bounds_of("unreachable-five");
+  bounds.guards.earlier_sets_give_images = guard;
+  Schedule schedule(bounds);
   schedule.take(StepKind::LoseDisk, 0);
   schedule.take(StepKind::Join, 5, schedule.world.machine(1).acceptor->incarnation());
   schedule.take(StepKind::Spread);
@@ -219,8 +227,10 @@
 /// Three voters: a spare takes the place of the first, which was only out of
 /// reach, and dies before it has its images; the first takes its place back. It
 /// has its data and counts for nothing. Then one disk is lost.
-Schedule one_left_out_and_back_and_a_disk_lost() {
-  Schedule schedule(bounds_of("unreachable-three"));
+Schedule one_left_out_and_back_and_a_disk_lost(bool guard) {
+  Bounds bounds = bounds_of("unreachable-three");
+  bounds.guards.earlier_sets_give_images = guard;
+  Schedule schedule(bounds);
   schedule.take(StepKind::Join, 3, schedule.world.machine(0).acceptor->incarnation());
   schedule.take(StepKind::Spread);
   schedule.take(StepKind::Crash, 3);
@@ -231,16 +241,51 @@
 }
 
 TEST(MembershipModel, OneThatWasOnlyOutOfReachStillGivesItsData) {
-  Schedule const five = one_left_out_and_two_disks_lost();
-  EXPECT_EQ(five.world.history.sets.rbegin()->first, 3u);
-  EXPECT_EQ(five.world.history.lost_disks.size(), 2u);
-  EXPECT_TRUE(five.world.history.violations.empty());
-  EXPECT_TRUE(five.closes());
-  Schedule const three = one_left_out_and_back_and_a_disk_lost();
-  EXPECT_EQ(three.world.history.sets.rbegin()->first, 3u);
-  EXPECT_EQ(three.world.history.lost_disks.size(), 1u);
-  EXPECT_TRUE(three.world.history.violations.empty());
-  EXPECT_TRUE(three.closes());
+  for (bool const guard : {true, false}) {
+    Schedule const five = one_left_out_and_two_disks_lost(guard);
+    EXPECT_EQ(five.world.history.sets.rbegin()->first, 3u);
+    EXPECT_EQ(five.world.history.lost_disks.size(), 2u);
+    EXPECT_TRUE(five.world.history.violations.empty());
+    EXPECT_EQ(five.closes(), guard);
+    Schedule const three = one_left_out_and_back_and_a_disk_lost(guard);
+    EXPECT_EQ(three.world.history.sets.rbegin()->first, 3u);
+    EXPECT_EQ(three.world.history.lost_disks.size(), 1u);
+    EXPECT_TRUE(three.world.history.violations.empty());
+    EXPECT_EQ(three.closes(), guard);
+  }
+}
+
+/// Among five, a spare that has no data yet is left out for another one, and
+/// named again in the place of that: each then needs the other's data. Two disks
+/// are lost, and the voter whose place it was is only out of reach.
+Schedule left_out_without_data(bool guard) {
+  Bounds bounds = bounds_of("unreachable-five");
+  bounds.spares = 2;
+  bounds.crashes = 2;
+  bounds.complete_before_join = guard;
+  Schedule schedule(bounds);
+  schedule.take(StepKind::Join, 5, schedule.world.machine(3).acceptor->incarnation());
+  schedule.take(StepKind::Spread);
+  schedule.take(StepKind::Crash, 5);
+  schedule.take(StepKind::Join, 6);
+  schedule.take(StepKind::Crash, 6);
+  schedule.take(StepKind::Restart, 5);
+  schedule.take(StepKind::Spread);
+  schedule.take(StepKind::Join, 5);
+  schedule.take(StepKind::Spread);
+  schedule.take(StepKind::LoseDisk, 0);
+  schedule.take(StepKind::LoseDisk, 1);
+  return schedule;
+}
+
+TEST(MembershipModel, OneThatWasLeftOutWithoutDataGetsThemBeforeItAsksForAPlace) {
+  Schedule const schedule = left_out_without_data(true);
+  EXPECT_EQ(schedule.world.history.sets.rbegin()->first, 3u);
+  EXPECT_TRUE(schedule.closes());
+  Schedule const without = left_out_without_data(false);
+  EXPECT_EQ(without.world.history.sets.rbegin()->first, 4u);
+  EXPECT_TRUE(without.world.history.violations.empty());
+  EXPECT_FALSE(without.closes()) << "the guard is not needed";
 }
 
 TEST(MembershipModel, AScenarioPrintsWhatItFound) {
--- a/source/tests/consensus/acceptor_test.cpp
+++ b/source/tests/consensus/acceptor_test.cpp
@@ -98,6 +98,22 @@
   EXPECT_FALSE(blank.voting());
 }
 
+TEST(Acceptor, APledgeIsKeptByOneThatIsRestartedWithoutTheOrderToFound) {
+  Group group(3);
+  for (std::size_t index = 0; index < 3; ++index) {
+    (void)group.holders[index].founding({group.word((index + 1) % 3), group.word((index + 2) % 3)}, 0);
+  }
+  group.holders[1] = Acceptor(group.holders[1].image(), "b", {}, 0);
+  EXPECT_TRUE(group.holders[1].wants_founding());
+  group.found();
+  for (Acceptor const& holder : group.holders) {
+    EXPECT_TRUE(holder.voting());
+  }
+  // One that pledged nothing has nothing to stand by.
+  Group other(3);
+  EXPECT_FALSE(Acceptor(other.holders[1].image(), "b", {}, 0).wants_founding());
+}
+
 TEST(Acceptor, NeverPledgesALostIncarnationAgain) {
   Group group(3);
   schema::FoundingAnswer const old_word = group.word(1);
@@ -147,11 +163,14 @@
 /// The set of the group with other voters and another set before it.
 schema::VoterSet set_of(std::uint64_t epoch, std::vector<schema::Voter> const& voters,
                         std::vector<schema::Voter> const& previous) {
-  return schema::VoterSet{epoch, voters, previous};
+  return schema::VoterSet{epoch, voters, previous, {}, {}};
 }
 
+/// An image that has all of the epoch before.
 bool gives_image(Acceptor& acceptor) {
-  return std::holds_alternative<schema::Image>(*acceptor.receive(schema::ImageAsk{acceptor.set().epoch}, 0).reply);
+  schema::Message const answer = *acceptor.receive(schema::ImageAsk{acceptor.set().epoch}, 0).reply;
+  schema::Image const* const image = std::get_if<schema::Image>(&answer);
+  return image != nullptr && image->complete + 1 >= acceptor.set().epoch;
 }
 
 TEST(Acceptor, OneThatMissedEpochsWhichNamedItVotesOn) {
--- a/source/tests/consensus/promise_record_test.cpp
+++ b/source/tests/consensus/promise_record_test.cpp
@@ -64,13 +64,31 @@
 TEST(PromiseRecord, TheNumbersOfRecordsOnDiskStay) {
   // Older disks are read by these numbers; a new kind goes to the end.
   EXPECT_EQ(schema::Record(schema::FoundingRecord{}).index(), 0u);
-  EXPECT_EQ(schema::Record(schema::SetRecord{}).index(), 1u);
+  EXPECT_EQ(schema::Record(schema::FormerSetRecord{}).index(), 1u);
   EXPECT_EQ(schema::Record(schema::CellRecord{}).index(), 2u);
   EXPECT_EQ(schema::Record(schema::PromiseRecord{}).index(), 3u);
+  EXPECT_EQ(schema::Record(schema::SetRecord{}).index(), 4u);
   // A disk of before promises had a record of their own, byte for byte.
   std::string const packed = loam::pack(std::vector<schema::Record>{schema::CellRecord{"s", schema::Cell{}}});
   EXPECT_EQ(packed.size(), 8u + 4u + 8u + 1u + 6u * 8u + 8u + 8u + 8u);
   EXPECT_EQ(packed[8], 2);
+  // The same for the set in force, on a disk of before sets told of earlier ones.
+  schema::FormerSetRecord const former{{7, {{1, "a"}}, {}}, true, true};
+  std::string const set = loam::pack(std::vector<schema::Record>{former});
+  EXPECT_EQ(set.size(), 8u + 4u + 8u + 8u + (8u + 8u + 1u) + 8u + 1u + 1u);
+  EXPECT_EQ(set[8], 1);
+}
+
+TEST(PromiseRecord, AVoterOfAnOlderDiskVotesOnAndGivesItsImage) {
+  for (bool const voting : {true, false}) {
+    schema::FormerSetRecord const former{
+        {7, {{1, "a"}, {2, "b"}, {3, "c"}}, {{1, "a"}, {2, "b"}, {4, "d"}}}, voting, true};
+    Acceptor acceptor({schema::FoundingRecord{1, {}, {}}, former}, "a", {}, 0);
+    EXPECT_EQ(acceptor.voting(), voting);
+    EXPECT_EQ(acceptor.set().epoch, 7u);
+    EXPECT_EQ(acceptor.complete(), voting ? 7u : 6u);
+    EXPECT_TRUE(std::holds_alternative<schema::SetRecord>(acceptor.image()[1])) << "written anew as it is now";
+  }
 }
 
 TEST(PromiseRecord, ADiskOfANewerFormatIsNotTakenForABrokenOne) {
--- a/source/tests/membership/departure_test.cpp
+++ b/source/tests/membership/departure_test.cpp
@@ -32,7 +32,8 @@
 
 /// The set after `newcomer` took the place of the first voter.
 schema::VoterSet replaced_first(schema::Voter const& newcomer) {
-  return schema::VoterSet{2, {newcomer, voter_b, voter_c}, founded().holders};
+  return schema::VoterSet{
+      2, {newcomer, voter_b, voter_c}, founded().holders, {}, {voter_b.incarnation, voter_c.incarnation}};
 }
 
 Peer peer(schema::Voter const& voter, bool voting, std::uint64_t epoch, loam::Moment heard, bool leaving = false) {
--- a/source/tests/membership/freshness_lease_test.cpp
+++ b/source/tests/membership/freshness_lease_test.cpp
@@ -255,6 +255,35 @@
   EXPECT_EQ(membership::plan_joining(three(), misses, spare, 3)->holders[2], spare);
 }
 
+TEST(Repair, ASetTellsOfEarlierOnesUntilAllOfItsVotersWereSeenToVote) {
+  std::map<std::uint64_t, int> const third_lost{{1, 0}, {2, 0}, {3, constants::join_misses}};
+  schema::VoterSet const second = *membership::plan_joining(three(), third_lost, schema::Voter{44, "d"}, 3);
+  EXPECT_TRUE(second.earlier.empty()) << "founders have their data";
+  EXPECT_EQ(second.caught_up, (std::vector<std::uint64_t>{1, 2}));
+  // The newcomer was not seen to vote: what it lacks may be had from the first set alone.
+  std::map<std::uint64_t, int> const unseen{{1, 0}, {2, 0}, {44, constants::join_misses}};
+  schema::VoterSet const third = *membership::plan_joining(second, unseen, schema::Voter{55, "e"}, 3);
+  ASSERT_EQ(third.earlier.size(), 1u);
+  EXPECT_EQ(third.earlier[0], (schema::PastVoterSet{1, three().holders}));
+  EXPECT_EQ(third.previous, second.holders);
+  // The next one votes, and then is lost: it was seen, so nothing earlier is needed.
+  std::map<std::uint64_t, int> const seen{{1, 0}, {2, constants::join_misses}, {55, 0}};
+  schema::VoterSet const fourth = *membership::plan_joining(third, seen, schema::Voter{66, "f"}, 3);
+  EXPECT_TRUE(fourth.earlier.empty()) << "the second was seen to vote in an earlier look";
+  EXPECT_EQ(fourth.caught_up, (std::vector<std::uint64_t>{1, 55}));
+}
+
+TEST(Repair, EarlierSetsAreBounded) {
+  schema::VoterSet set =
+      *membership::plan_joining(three(), {{1, 0}, {2, 0}, {3, constants::join_misses}}, schema::Voter{44, "d"}, 3);
+  for (std::uint64_t incarnation = 100; incarnation < 140; ++incarnation) {
+    std::map<std::uint64_t, int> const last_lost{{1, 0}, {2, 0}, {set.holders[2].incarnation, constants::join_misses}};
+    set = *membership::plan_joining(set, last_lost, schema::Voter{incarnation, "d"}, 3);
+  }
+  EXPECT_EQ(set.earlier.size(), 16u);
+  EXPECT_EQ(set.earlier.back().epoch + 2, set.epoch) << "the newest are kept";
+}
+
 TEST(Repair, GrowsByOneAndOnlyWhileAllVote) {
   EXPECT_EQ(membership::wanted_holders(1), 3u);
   EXPECT_EQ(membership::wanted_holders(2), 5u);
--- a/source/trellis/acceptor/acceptor_service.cpp
+++ b/source/trellis/acceptor/acceptor_service.cpp
@@ -231,7 +231,7 @@
 
 void AcceptorService::stand_up_once(loam::Yield yield) {
   std::vector<std::pair<std::string, schema::Message>> founding;
-  schema::VoterSet set;
+  std::vector<schema::Voter> sources;
   std::optional<schema::ImageAsk> image;
   {
     std::lock_guard<std::mutex> const guard(lock_);
@@ -245,14 +245,14 @@
         }
       }
     } else if (holder_->wants_image()) {
-      set = holder_->set();
+      sources = holder_->image_sources();
       image = holder_->image_ask();
     }
   }
   if (!founding.empty()) {
     found(founding, yield);
   } else if (image.has_value()) {
-    enrol(set, *image, yield);
+    enrol(sources, *image, yield);
   }
 }
 
@@ -276,9 +276,15 @@
   }
 }
 
-void AcceptorService::ask_images(schema::VoterSet const& set, schema::ImageAsk const& ask, loam::Yield yield) {
+bool AcceptorService::images_suffice() {
+  std::lock_guard<std::mutex> const guard(lock_);
+  return holder_.has_value() && holder_->images_suffice(images_);
+}
+
+void AcceptorService::ask_images(std::vector<schema::Voter> const& sources, schema::ImageAsk const& ask,
+                                 loam::Yield yield) {
   std::vector<std::pair<std::string, schema::Message>> calls;
-  for (schema::Voter const& source : set.previous) {
+  for (schema::Voter const& source : sources) {
     calls.emplace_back(source.address, ask);
   }
   images_.clear();
@@ -290,16 +296,16 @@
             images_.push_back(*taken);
           }
         }
-        return false;
+        return images_suffice();  // one that stays silent is not waited for
       },
       yield);
 }
 
-void AcceptorService::enrol(schema::VoterSet const& set, schema::ImageAsk const& ask, loam::Yield yield) {
+void AcceptorService::enrol(std::vector<schema::Voter> const& sources, schema::ImageAsk const& ask, loam::Yield yield) {
   // An image stays true while the epoch does: what is chosen later, this holder
   // is not needed for. So a change made meanwhile does not end a transfer.
-  if (images_.size() < consensus::majority(set.previous.size()) || images_.front().epoch != ask.epoch) {
-    ask_images(set, ask, yield);
+  if (!images_suffice()) {
+    ask_images(sources, ask, yield);
   }
   std::vector<consensus::MissingValue> missing;
   {
@@ -310,7 +316,7 @@
     missing = holder_->missing(images_);
   }
   if (!missing.empty()) {
-    if (images_.size() < consensus::majority(set.previous.size()) || !fetch(set, missing.front(), yield)) {
+    if (!images_suffice() || !fetch(sources, missing.front(), yield)) {
       images_.clear();
     }
     return;
@@ -324,12 +330,13 @@
   }
 }
 
-bool AcceptorService::fetch(schema::VoterSet const& set, consensus::MissingValue const& missing, loam::Yield yield) {
+bool AcceptorService::fetch(std::vector<schema::Voter> const& sources, consensus::MissingValue const& missing,
+                            loam::Yield yield) {
   schema::TransferKey const key{missing.name, missing.digest, 0};
   if (!receiver_.has_value() || !(receiver_->key() == key) || receiver_->source().empty()) {
     receiver_.emplace(key, std::vector<std::string>());
   }
-  for (schema::Voter const& source : set.previous) {
+  for (schema::Voter const& source : sources) {
     for (std::uint64_t const incarnation : missing.sources) {
       if (source.incarnation == incarnation) {
         receiver_->add_source(source.address);
@@ -362,6 +369,10 @@
   std::lock_guard<std::mutex> const guard(lock_);
   return holder_.has_value() ? holder_->set() : schema::VoterSet{};
 }
+bool AcceptorService::wants_image() {
+  std::lock_guard<std::mutex> const guard(lock_);
+  return holder_.has_value() && holder_->wants_image();
+}
 bool AcceptorService::silent() {
   std::lock_guard<std::mutex> const guard(lock_);
   return silent_;
--- a/source/trellis/acceptor/acceptor_service.hpp
+++ b/source/trellis/acceptor/acceptor_service.hpp
@@ -36,6 +36,8 @@
 
   [[nodiscard]] std::uint64_t incarnation();
   [[nodiscard]] bool voting();
+  /// It was named a voter and has no data yet.
+  [[nodiscard]] bool wants_image();
   [[nodiscard]] schema::VoterSet set();
   [[nodiscard]] bool silent();
 
@@ -58,10 +60,12 @@
   void found(std::vector<std::pair<std::string, schema::Message>> const& calls, loam::Yield yield);
   /// One step towards a vote: images are asked for, then the values that they
   /// leave out are fetched (section 5.8).
-  void enrol(schema::VoterSet const& set, schema::ImageAsk const& ask, loam::Yield yield);
-  void ask_images(schema::VoterSet const& set, schema::ImageAsk const& ask, loam::Yield yield);
+  void enrol(std::vector<schema::Voter> const& sources, schema::ImageAsk const& ask, loam::Yield yield);
+  void ask_images(std::vector<schema::Voter> const& sources, schema::ImageAsk const& ask, loam::Yield yield);
+  [[nodiscard]] bool images_suffice();
   /// Fetches the value; false when nobody gives it.
-  [[nodiscard]] bool fetch(schema::VoterSet const& set, consensus::MissingValue const& missing, loam::Yield yield);
+  [[nodiscard]] bool fetch(std::vector<schema::Voter> const& sources, consensus::MissingValue const& missing,
+                           loam::Yield yield);
   /// One step of the core; its outcome once it is lasting, nothing when this
   /// holder is silent.
   [[nodiscard]] std::optional<consensus::Outcome> apply(
--- a/source/trellis/duty/duties.cpp
+++ b/source/trellis/duty/duties.cpp
@@ -379,6 +379,11 @@
   if (!holder_->receive(schema::Adopt{set}, yield).has_value()) {
     return;
   }
+  // Named again, it would no longer owe the data of the epochs that named it
+  // before; another may need just these.
+  if (holder_->wants_image()) {
+    return;
+  }
   std::vector<std::pair<std::string, schema::Message>> calls;
   std::vector<std::uint64_t> asked;
   looks_.begin(set);
