--- a/source/almanac/control/acceptors.cpp
+++ b/source/almanac/control/acceptors.cpp
@@ -222,7 +222,7 @@
     submit(machine, machine.acceptor->enrol(*images, network_.local_time(machine.process)), ignore_reply);
     return;
   }
-  if (machine.fetching_image || images->size() < consensus::majority(machine.acceptor->image_sources().size())) {
+  if (machine.fetching_image || !machine.acceptor->images_suffice(*images)) {
     return;
   }
   fetch_image_value(machine, missing.front(), images);
--- a/source/almanac/control/membership.cpp
+++ b/source/almanac/control/membership.cpp
@@ -51,7 +51,7 @@
 }
 
 void World::take_place(Machine& machine) {
-  if (machine.silent || !machine.acceptor.has_value() ||
+  if (machine.silent || !machine.acceptor.has_value() || machine.acceptor->wants_image() ||
       (machine.voters.epoch > 1 && machine.acceptor->set().epoch < machine.voters.epoch)) {
     return;
   }
--- a/source/almanac/membership_model/world.hpp
+++ b/source/almanac/membership_model/world.hpp
@@ -16,7 +16,8 @@
 /// count over the whole of a schedule.
 struct Bounds {
   consensus::Guards guards;
-  bool adopt_before_join = true;  ///< guard: one that was left out knows it before it asks for a place again
+  bool adopt_before_join = true;     ///< guard: one that was left out knows it before it asks for a place again
+  bool complete_before_join = true;  ///< guard: one that was left out without data gets them before it asks again
   std::size_t founders = 3;
   std::size_t wanted_voters = 3;
   std::size_t spares = 1;      ///< blank machines beside the founders
@@ -89,6 +90,9 @@
   std::map<std::uint64_t, std::uint64_t> data_since;  ///< per incarnation: the epoch it was founded or admitted in
   std::map<std::string, std::vector<ChosenValue>> chosen;
   std::set<std::string> rejected;  ///< contents whose writers were told no
+  /// Disks that were lost, and the place in the set that each stood at. One
+  /// counts until a voter that came to that place after it has its data.
+  std::map<std::uint64_t, std::size_t> lost_disks;
   std::vector<std::string> violations;
 };
 
