--- a/source/consensus/acceptor/acceptor.cpp
+++ b/source/consensus/acceptor/acceptor.cpp
@@ -148,6 +148,7 @@
 
 std::map<std::string, schema::Withheld> Acceptor::withhold(std::map<std::string, schema::Cell>& cells) const {
   std::vector<std::pair<std::size_t, std::string>> sizes;
+  sizes.reserve(cells.size());
   for (std::pair<std::string const, schema::Cell> const& cell : cells) {
     sizes.emplace_back(message_bytes(cell.second.value), cell.first);
   }
--- a/source/trellis/acceptor/acceptor_service.cpp
+++ b/source/trellis/acceptor/acceptor_service.cpp
@@ -284,6 +284,7 @@
 void AcceptorService::ask_images(std::vector<schema::Voter> const& sources, schema::ImageAsk const& ask,
                                  loam::Yield yield) {
   std::vector<std::pair<std::string, schema::Message>> calls;
+  calls.reserve(sources.size());
   for (schema::Voter const& source : sources) {
     calls.emplace_back(source.address, ask);
   }
