Voters take half-done changes from each other under the same ballot; settling leaves them time

Each of six processes might begin one at each look, with 0.8 s in all whatever the size; a round of a large value between regions takes longer than the pause between two such beginnings, so they took each other's ballots. The reads of all were without an answer meanwhile, and so was the operator. A reader also took the older ballot that the first answers of a round name for a new one each time, and began to wait anew.

Now a voter that lacks what others accepted takes it under the very same ballot, which its own process fetches in pieces if it is large (design 5.10): no ballot is overtaken, and however many do it do the same. A new ballot is made only behind that, runs beside the reads, ends when they are sure, and its pauses grow with how long its rounds take.

Ruled out: a voter's answer that was lost (the same with three that answer), the transfer in pieces (1 s for 700 KB).

--- a/source/almanac/control/trellis_loops.cpp
+++ b/source/almanac/control/trellis_loops.cpp
@@ -4,6 +4,7 @@
 
 #include "almanac/control/world.hpp"
 #include "loam/json/tree.hpp"
+#include "loam/wire/pack.hpp"
 
 namespace finchlink::almanac::control {
 
@@ -70,12 +71,45 @@
       fetch_chosen(machine, *missing);
     } else if (consensus::Unsettled const* const open = std::get_if<consensus::Unsettled>(&result)) {
       settle(machine, *open);
+    } else if (consensus::HalfAccepted const* const half = std::get_if<consensus::HalfAccepted>(&result)) {
+      take_half_done(machine, *half);
     } else if (std::holds_alternative<consensus::Confirmed>(result)) {
       observe_confirmed(machine);
     }
   }
 }
 
+void World::take_half_done(Machine& machine, consensus::HalfAccepted const& half) {
+  if (!machine.acceptor.has_value() || machine.silent ||
+      !consensus::lacks(machine.voters.holders, half, machine.acceptor->incarnation())) {
+    return;
+  }
+  std::function<void(schema::Value const&)> const take = [this, &machine, half](schema::Value const& value) {
+    if (machine.acceptor.has_value() && !machine.silent) {
+      machine.reader.keep(half.name, half.accepted, value);
+      submit(machine, machine.acceptor->take_accepted(half.name, half.accepted, value),
+             [](std::optional<schema::Message> const&) {});
+    }
+  };
+  if (half.value.has_value()) {
+    take(*half.value);
+    return;
+  }
+  std::vector<std::string> addresses;
+  for (schema::Voter const& voter : machine.voters.holders) {
+    if (std::find(half.sources.begin(), half.sources.end(), voter.incarnation) != half.sources.end()) {
+      addresses.push_back(voter.address);
+    }
+  }
+  std::shared_ptr<consensus::ValueReceiver> const receiver =
+      std::make_shared<consensus::ValueReceiver>(schema::TransferKey{half.name, half.digest, 0}, addresses);
+  fetch(machine.process, machine.address, receiver, [take](std::optional<std::string> const& bytes) {
+    if (bytes.has_value()) {
+      take(*loam::unpack<schema::Value>(*bytes));
+    }
+  });
+}
+
 void World::settle(Machine& machine, consensus::Unsettled const& open) {
   bool const own_lot = options_.inline_bytes == 0 || kernel_.below(constants::settle_lots) == 0;
   if (!own_lot) {
--- a/source/almanac/membership_model/actions.cpp
+++ b/source/almanac/membership_model/actions.cpp
@@ -309,6 +309,55 @@
   end(world, bounds, identity);
 }
 
+namespace {
+std::optional<schema::Cell> cell_of(World const& world, std::size_t index, std::string const& name) {
+  std::map<std::string, schema::Cell> const& cells = world.machine(index).acceptor->cells();
+  std::map<std::string, schema::Cell>::const_iterator const found = cells.find(name);
+  return found == cells.end() ? std::nullopt : std::optional<schema::Cell>(found->second);
+}
+
+/// A reader of this epoch that hears the same ballot from a majority takes it for chosen.
+void note_if_chosen(World& world, std::uint64_t epoch, std::string const& name, schema::Cell const& cell) {
+  std::map<std::uint64_t, schema::VoterSet>::const_iterator const set = world.history.sets.find(epoch);
+  if (set == world.history.sets.end()) {
+    return;
+  }
+  std::size_t accepted = 0;
+  for (std::size_t index = 0; index < world.machines().size(); ++index) {
+    if (!world.machine(index).running) {
+      continue;
+    }
+    Acceptor const& acceptor = *world.machine(index).acceptor;
+    std::optional<schema::Cell> const theirs = cell_of(world, index, name);
+    bool const answers = acceptor.voting() && acceptor.set().epoch == epoch &&
+                         consensus::names(set->second.holders, acceptor.incarnation());
+    accepted += answers && theirs.has_value() && theirs->accepted == cell.accepted ? 1 : 0;
+  }
+  if (accepted >= consensus::majority(set->second.holders.size())) {
+    note_chosen(world, name, ChosenValue{cell.accepted, cell.value});
+  }
+}
+}  // namespace
+
+bool offers(World const& world, std::size_t from, std::size_t to, std::string const& name) {
+  std::optional<schema::Cell> const theirs = cell_of(world, from, name);
+  std::optional<schema::Cell> const own = cell_of(world, to, name);
+  bool const voters = world.machine(from).acceptor->voting() && world.machine(to).acceptor->voting();
+  return voters && theirs.has_value() && consensus::before(own.value_or(schema::Cell{}).accepted, theirs->accepted);
+}
+
+void take_over(World& world, Bounds const& bounds, std::size_t from, std::size_t to, std::string const& name) {
+  schema::Cell const cell = *cell_of(world, from, name);
+  Outcome const outcome = step(world, bounds, to, [&name, &cell](Acceptor& acceptor) {
+    return acceptor.take_accepted(name, cell.accepted, cell.value);
+  });
+  if (outcome.records.empty()) {
+    return;
+  }
+  check_entitled(world, *world.machine(to).acceptor);
+  note_if_chosen(world, world.machine(to).acceptor->set().epoch, name, cell);
+}
+
 void ask_image(World& world, Bounds const& bounds, std::size_t index, std::string const& source) {
   std::optional<schema::Message> const answer = send(world, bounds, source, world.machine(index).acceptor->image_ask());
   schema::Image const* const image = answer.has_value() ? std::get_if<schema::Image>(&*answer) : nullptr;
--- a/source/almanac/membership_model/actions.hpp
+++ b/source/almanac/membership_model/actions.hpp
@@ -32,6 +32,11 @@
 void ask_image(World& world, Bounds const& bounds, std::size_t machine, std::string const& source);
 void ask_founding(World& world, Bounds const& bounds, std::size_t machine, std::size_t founder);
 void conclude_founding(World& world, Bounds const& bounds, std::size_t machine);
+/// Whether one accepted a newer ballot of a register than another voter.
+[[nodiscard]] bool offers(World const& world, std::size_t from, std::size_t to, std::string const& name);
+/// A voter takes what another one accepted, under the same ballot; a majority
+/// that has accepted one ballot has chosen it, as any reader concludes.
+void take_over(World& world, Bounds const& bounds, std::size_t from, std::size_t to, std::string const& name);
 /// The client of a machine hears of a set.
 void learn(World& world, std::size_t machine, schema::VoterSet const& set);
 
--- a/source/almanac/membership_model/scenario.cpp
+++ b/source/almanac/membership_model/scenario.cpp
@@ -100,6 +100,15 @@
   return bounds;
 }
 
+/// Changes half done that voters take from each other, while the set changes.
+Bounds taken_over() {
+  Bounds bounds = joining();
+  bounds.writes = 2;
+  bounds.lost_disks = 0;
+  bounds.taken_over = 2;
+  return bounds;
+}
+
 void print(std::ostream& out, Counterexample const& counterexample) {
   out << "  " << counterexample.violation << ", after " << counterexample.steps.size() << " steps:\n";
   for (std::string const& step : counterexample.steps) {
@@ -149,7 +158,9 @@
           {"membership-unreachable-five", "five voters, one out of reach, two disks lost, whole rounds",
            unreachable_of_five()},
           {"membership-unreachable-three", "three voters, one out of reach, one disk lost, whole rounds",
-           unreachable_of_three()}};
+           unreachable_of_three()},
+          {"membership-taken-over", "half-done changes that voters take from each other, message by message",
+           taken_over()}};
 }
 
 std::optional<Scenario> scenario(std::string const& name) {
@@ -189,6 +200,7 @@
   bounds.replaced = bounds.founded ? no_bound : 0;
   bounds.writes = bounds.settles = bounds.lost_disks = no_bound;
   bounds.crashes = bounds.suspicions = bounds.joins = bounds.retries = no_bound;
+  bounds.taken_over = no_bound;
   return bounds;
 }
 
--- a/source/almanac/membership_model/steps.cpp
+++ b/source/almanac/membership_model/steps.cpp
@@ -111,6 +111,22 @@
   }
 }
 
+/// What others accepted and this one lacks.
+void add_half_done(World const& world, std::size_t index, Steps& steps) {
+  if (world.budget.taken_over == 0) {
+    return;
+  }
+  for (std::size_t other = 0; other < world.machines().size(); ++other) {
+    bool const answers = other != index && world.machine(other).running;
+    if (answers && offers(world, other, index, data_register)) {
+      steps.push_back(Step{StepKind::TakeOver, index, other * 2});
+    }
+    if (answers && offers(world, other, index, consensus::holders_register)) {
+      steps.push_back(Step{StepKind::TakeOver, index, other * 2 + 1});
+    }
+  }
+}
+
 void add_founding(World const& world, std::size_t index, Steps& steps) {
   Machine const& machine = world.machine(index);
   if (!machine.acceptor->wants_founding() || world.history.sets.size() > 1) {
@@ -245,6 +261,11 @@
     case StepKind::ConcludeFounding:
       conclude_founding(world, bounds, step.subject);
       break;
+    case StepKind::TakeOver:
+      --world.budget.taken_over;
+      take_over(world, bounds, step.object / 2, step.subject,
+                step.object % 2 == 0 ? data_register : consensus::holders_register);
+      break;
     default:
       strike(world, bounds, step);
   }
@@ -278,6 +299,8 @@
       return "loses its disk";
     case StepKind::ReplaceMachine:
       return "is gone; a blank machine comes at a new address";
+    case StepKind::TakeOver:
+      return "takes over what another accepted, of machine and register";
     default:
       return "";
   }
@@ -299,6 +322,7 @@
   for (std::size_t index = 0; index < world.machines().size(); ++index) {
     if (world.machine(index).running) {
       add_sets(world, bounds, index, steps);
+      add_half_done(world, index, steps);
       add_images(world, bounds, index, steps);
       add_proposals(world, bounds, index, steps);
       if (!bounds.founded) {
@@ -331,6 +355,7 @@
       return 8;
     case StepKind::Join:
     case StepKind::DeliverLate:
+    case StepKind::TakeOver:
       return 4;
     case StepKind::LoseDisk:
     case StepKind::ReplaceMachine:
--- a/source/almanac/membership_model/steps.hpp
+++ b/source/almanac/membership_model/steps.hpp
@@ -22,6 +22,7 @@
   Restart,
   LoseDisk,
   ReplaceMachine,
+  TakeOver,
 };
 
 /// One step of a schedule. What `subject` and `object` count depends on the kind:
--- a/source/almanac/membership_model/world.cpp
+++ b/source/almanac/membership_model/world.cpp
@@ -67,8 +67,8 @@
 }  // namespace
 
 World::World(Bounds const& bounds)
-    : budget{bounds.writes,  bounds.settles,    bounds.lost_disks, bounds.replaced,
-             bounds.crashes, bounds.suspicions, bounds.joins,      bounds.retries} {
+    : budget{bounds.writes,     bounds.settles, bounds.lost_disks, bounds.replaced,  bounds.crashes,
+             bounds.suspicions, bounds.joins,   bounds.retries,    bounds.taken_over} {
   for (std::size_t index = 0; index < bounds.founders + bounds.spares; ++index) {
     std::string const address(1, static_cast<char>('a' + index));
     if (index < bounds.founders) {
@@ -120,7 +120,7 @@
   }
   digest.add(late_sum).add(digest_of(history));
   digest.add(budget.writes).add(budget.settles).add(budget.lost_disks).add(budget.replaced);
-  digest.add(budget.crashes).add(budget.suspicions).add(budget.joins).add(budget.retries);
+  digest.add(budget.crashes).add(budget.suspicions).add(budget.joins).add(budget.retries).add(budget.taken_over);
   return digest.short_value();
 }
 
--- a/source/almanac/membership_model/world.hpp
+++ b/source/almanac/membership_model/world.hpp
@@ -30,7 +30,8 @@
   std::size_t suspicions = 0;  ///< voters taken for lost although they vote
   std::size_t joins = 2;       ///< changes of the set that are proposed
   std::size_t open_proposals = 2;
-  std::size_t retries = 1;  ///< ballots begun again
+  std::size_t retries = 1;     ///< ballots begun again
+  std::size_t taken_over = 0;  ///< half-done changes that voters take from each other (section 5.10)
   std::size_t late_requests = 3;
   bool single_messages = true;  ///< false: a proposal or a transfer runs through in one step
 };
@@ -45,6 +46,7 @@
   std::size_t suspicions = 0;
   std::size_t joins = 0;
   std::size_t retries = 0;
+  std::size_t taken_over = 0;
 };
 
 /// A process with a disk: the acceptor, and the set that its client knows.
--- a/source/consensus/acceptor/acceptor.cpp
+++ b/source/consensus/acceptor/acceptor.cpp
@@ -159,6 +159,25 @@
   return outcome;
 }
 
+Outcome Acceptor::take_accepted(std::string const& name, Ballot const& accepted, schema::Value const& value) {
+  Outcome outcome;
+  // Its epoch may be older than the one in force. A majority promised that ballot when it was made, and whoever
+  // came to the voters since then has taken over these promises with its snapshot: so no older ballot can be
+  // chosen any more, and whoever makes a newer one meets what is accepted here.
+  if (!voting_ || !names(set_.holders, founding_.incarnation) || accepted.epoch > set_.epoch) {
+    return outcome;
+  }
+  schema::Cell& cell = cells_[name];
+  bool const promised_newer = guards_.promise_kept && before(accepted, cell.promised);
+  if (promised_newer || !before(cell.accepted, accepted)) {
+    return outcome;
+  }
+  promise(name, cell, accepted);
+  accept(name, cell, accepted, value);
+  outcome.records.emplace_back(schema::CellRecord{name, cell});
+  return outcome;
+}
+
 std::string const& Acceptor::digest_of(std::string const& name) const {
   schema::Cell const& cell = cells_.at(name);
   KnownDigest& known = digests_[name];
--- a/source/consensus/acceptor/acceptor.hpp
+++ b/source/consensus/acceptor/acceptor.hpp
@@ -61,6 +61,10 @@
   /// What enrol() still lacks of these images.
   [[nodiscard]] std::vector<MissingValue> missing(std::vector<schema::Image> const& images) const;
 
+  /// Takes a value that other voters accepted under a ballot, as if the proposer's own request had come late
+  /// (section 5.10). Nothing happens where a newer ballot was promised here.
+  [[nodiscard]] Outcome take_accepted(std::string const& name, Ballot const& accepted, schema::Value const& value);
+
   /// Bytes of values that one answer carries; more is fetched in pieces, of so many bytes.
   void limit_inline(std::size_t bytes, std::size_t piece_bytes = loam::constants::transfer_piece_bytes) {
     inline_bytes_ = bytes;
--- a/source/consensus/majority_reader/majority_reader.cpp
+++ b/source/consensus/majority_reader/majority_reader.cpp
@@ -1,13 +1,27 @@
 #include "consensus/majority_reader/majority_reader.hpp"
 
+#include <algorithm>
+
+#include "consensus/majority_reader/settle_constants.hpp"
 #include "loam/constants.hpp"
 #include "loam/invariant/invariant.hpp"
 
 namespace finchlink::consensus {
 
+namespace constants = loam::constants;
 using loam::Invariant;
 
 namespace {
+/// How long a change of a value of this size may look half done while its proposer is at work.
+loam::Span accept_span(std::size_t bytes) {
+  return constants::settle_after +
+         static_cast<loam::Span>(bytes / constants::settle_block_bytes) * constants::settle_block_span;
+}
+/// How long it may take the voters to spread it among themselves: until then a new ballot would only
+/// overtake the one that they spread.
+loam::Span spread_span(std::size_t bytes) {
+  return accept_span(bytes) + constants::settle_after + static_cast<loam::Span>(bytes) * constants::holder_byte_span;
+}
 /// A newer ballot brings a value that is no older, and one revision has one content.
 void check_newer(std::string const& name, schema::Value const& held, schema::Value const& taken) {
   loam::check(Invariant::confirmed_value_rises, taken.revision >= held.revision, [&] {
@@ -26,6 +40,11 @@
 }
 }  // namespace
 
+bool lacks(std::vector<Voter> const& voters, HalfAccepted const& half, std::uint64_t incarnation) {
+  bool const accepted = std::find(half.sources.begin(), half.sources.end(), incarnation) != half.sources.end();
+  return names(voters, incarnation) && !accepted;
+}
+
 std::vector<MajorityReaderAction> MajorityReader::begin(VoterSet const& set, loam::Moment now) {
   set_ = set;
   ++round_;
@@ -35,6 +54,7 @@
   known_at_start_ = known_;
   answered_.clear();
   tallies_.clear();
+  promised_.clear();
   std::vector<MajorityReaderAction> actions;
   for (Voter const& holder : set_.holders) {
     actions.emplace_back(SendRead{holder, schema::Read{set_.epoch, known_, round_}});
@@ -49,11 +69,18 @@
     check_newer(name, held, value);
     known = ballot;
     held = value;
+    kept_.erase(name);
   } else if (values_.count(name) > 0) {
     check_older(name, values_[name], value);
   }
 }
 
+void MajorityReader::keep(std::string const& name, Ballot const& ballot, schema::Value const& value) {
+  if (before(kept_[name].accepted, ballot)) {
+    kept_[name] = Kept{ballot, value};
+  }
+}
+
 Ballot MajorityReader::known(std::string const& name) const {
   std::map<std::string, Ballot>::const_iterator const found = known_.find(name);
   return found == known_.end() ? Ballot{} : found->second;
@@ -74,6 +101,8 @@
     return actions;
   }
   for (std::pair<std::string const, schema::Cell> const& entry : answer->cells) {
+    Ballot& promised = promised_[entry.first];
+    promised = before(promised, entry.second.promised) ? entry.second.promised : promised;
     if (!(entry.second.accepted == Ballot{})) {
       count(tallies_[entry.first], tally_of(*answer, entry.first, entry.second));
     }
@@ -88,9 +117,18 @@
                                                schema::Cell const& cell) {
   bool const known = known_[name] == cell.accepted;
   std::map<std::string, schema::Withheld>::const_iterator const withheld = answer.withheld.find(name);
-  bool const here = withheld == answer.withheld.end() || !guards_.values_whole;
-  return Tally{cell.accepted,       1, cell.value, !known && here, !known && !here, here ? "" : withheld->second.digest,
-               {answer.incarnation}};
+  bool const carried = withheld == answer.withheld.end() || !guards_.values_whole;
+  std::map<std::string, Kept>::const_iterator const kept = kept_.find(name);
+  bool const held = !carried && kept != kept_.end() && kept->second.accepted == cell.accepted;
+  bool const here = carried || held;
+  return Tally{cell.accepted,
+               1,
+               held ? kept->second.value : cell.value,
+               !known && here,
+               !known && !here,
+               here ? "" : withheld->second.digest,
+               {answer.incarnation},
+               carried ? cell.value.content.size() : withheld->second.bytes};
 }
 
 void MajorityReader::count(Tally& tally, Tally const& vote) {
@@ -151,17 +189,9 @@
     actions.emplace_back(Confirmed{started_});
     return actions;
   }
-  // Whoever proposed it is most likely still at work, and settling it for him
-  // would only take his ballot away: only what stays open is settled (5.6).
   Unsettled stale;
   for (std::string const& name : unsettled.names) {
-    Open& open = open_ballots_[name];
-    if (!(open.ballot == tallies_[name].best)) {
-      open = Open{tallies_[name].best, started_};
-    } else if (started_ - open.since >= loam::constants::settle_after) {
-      stale.names.push_back(name);
-      open.since = started_;
-    }
+    judge_open(name, tallies_[name], stale, actions);
   }
   if (!stale.names.empty()) {
     actions.emplace_back(stale);
@@ -169,4 +199,43 @@
   return actions;
 }
 
+void MajorityReader::judge_open(std::string const& name, Tally const& tally, Unsettled& stale,
+                                std::vector<MajorityReaderAction>& actions) {
+  // Whoever proposed it is most likely still at work, and a new ballot would only overtake his: only what
+  // stays open is settled (5.6), and a ballot, a promise or an acceptance more is work. The first answers of a
+  // round may name an older ballot than the last of the round before did: that is no change.
+  Open& open = open_ballots_[name];
+  Ballot const promised = promised_[name];
+  bool const newer = before(open.ballot, tally.best);
+  if (newer) {
+    open.ballot = tally.best;
+    open.votes = 0;
+    open.told = false;
+  }
+  if (newer || before(open.promised, promised) || (open.ballot == tally.best && open.votes < tally.votes)) {
+    open.promised = before(open.promised, promised) ? promised : open.promised;
+    open.votes = tally.votes;
+    open.since = started_;
+  }
+  loam::Span const quiet = started_ - open.since;
+  if (!open.told && open.ballot == tally.best && quiet >= accept_span(tally.bytes)) {
+    open.told = true;
+    std::map<std::string, schema::Value>::const_iterator const held = values_.find(name);
+    bool const same = tally.missing && held != values_.end() && held->second.revision == tally.value.revision;
+    HalfAccepted half{name, tally.best, std::nullopt, tally.digest, tally.sources};
+    if (same) {
+      half.value = held->second;  // chosen before, and a revision is chosen once
+    } else if (tally.valued) {
+      half.value = tally.value;
+    }
+    actions.emplace_back(std::move(half));
+  }
+  // A promise of an older epoch belongs to nobody who could still go on with it.
+  bool const abandoned = before(open.ballot, open.promised) && open.promised.epoch < set_.epoch;
+  if (quiet >= (abandoned ? accept_span(tally.bytes) : spread_span(tally.bytes))) {
+    stale.names.push_back(name);
+    open.since = started_;
+  }
+}
+
 }  // namespace finchlink::consensus
--- a/source/consensus/majority_reader/majority_reader.hpp
+++ b/source/consensus/majority_reader/majority_reader.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <variant>
@@ -25,18 +26,31 @@
 struct Unsettled {
   std::vector<std::string> names;
 };
+/// A register's newest ballot was accepted by some and is not known to be at a majority (section 5.10). A voter
+/// that lacks it takes it under the very same ballot: no proposer is overtaken by that, and however many do it at
+/// once they do the same. Told once for a ballot.
+struct HalfAccepted {
+  std::string name;
+  Ballot accepted;
+  std::optional<schema::Value> value;  ///< nothing: it was too large for the answers, and has this digest
+  std::string digest;
+  std::vector<std::uint64_t> sources;  ///< incarnations of those that accepted it
+};
 struct NewerVoters {
   VoterSet set;
 };
 /// A value that a majority named, so it was chosen, and that none of the answers
-/// carried (section 5.9): fetched in pieces and learnt, it is confirmed by the next read.
+/// carried (section 5.8): fetched in pieces and learnt, it is confirmed by the next read.
 struct MissingChosen {
   std::string name;
   Ballot accepted;
   std::string digest;
   std::vector<std::uint64_t> sources;  ///< incarnations, in the order in which they answered
 };
-using MajorityReaderAction = std::variant<SendRead, Confirmed, Unsettled, NewerVoters, MissingChosen>;
+using MajorityReaderAction = std::variant<SendRead, Confirmed, Unsettled, NewerVoters, MissingChosen, HalfAccepted>;
+
+/// Whether this voter is to take a half-done change that others accepted.
+[[nodiscard]] bool lacks(std::vector<Voter> const& voters, HalfAccepted const& half, std::uint64_t incarnation);
 
 /// Majority reads in one round (section 5.6), over all registers at once.
 class MajorityReader {
@@ -46,6 +60,9 @@
   [[nodiscard]] std::vector<MajorityReaderAction> receive(schema::Message const& message);
   /// What a Proposer chose counts as known as well.
   void learn(std::string const& name, Ballot const& ballot, schema::Value const& value);
+  /// A value that some accepted under a ballot, chosen or not: a majority that names the ballot without carrying
+  /// the value then needs no transfer. Any older one of that register is forgotten.
+  void keep(std::string const& name, Ballot const& ballot, schema::Value const& value);
   /// Newest confirmed values; they only ever get newer.
   [[nodiscard]] std::map<std::string, schema::Value> const& values() const { return values_; }
   [[nodiscard]] Ballot known(std::string const& name) const;
@@ -67,9 +84,13 @@
     bool missing = false;  ///< the value is new, and was left out
     std::string digest;
     std::vector<std::uint64_t> sources;
+    std::size_t bytes = 0;  ///< of the value
   };
   [[nodiscard]] Tally tally_of(schema::ReadAnswer const& answer, std::string const& name, schema::Cell const& cell);
   static void count(Tally& tally, Tally const& vote);
+  /// Adds what is to be done about a register whose newest ballot is at no majority.
+  void judge_open(std::string const& name, Tally const& tally, Unsettled& stale,
+                  std::vector<MajorityReaderAction>& actions);
 
   Guards guards_;
   VoterSet set_;
@@ -82,11 +103,21 @@
   std::map<std::string, Tally> tallies_;
   std::map<std::string, Ballot> known_;
   std::map<std::string, Ballot> known_at_start_;  ///< of the read under way
+  /// A ballot seen at no majority, and since when nothing has changed about it.
   struct Open {
     Ballot ballot;
+    Ballot promised;
+    std::size_t votes = 0;
     loam::Moment since = 0;
+    bool told = false;  ///< that it is half accepted
+  };
+  std::map<std::string, Open> open_ballots_;
+  std::map<std::string, Ballot> promised_;  ///< newest promise of this round
+  struct Kept {
+    Ballot accepted;
+    schema::Value value;
   };
-  std::map<std::string, Open> open_ballots_;  ///< ballots seen at no majority, and since when
+  std::map<std::string, Kept> kept_;
   std::map<std::string, schema::Value> values_;
 };
 
--- a/source/loam/process/process.cpp
+++ b/source/loam/process/process.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <iostream>
+#include <memory>
 #include <thread>
 #include <vector>
 
@@ -105,7 +106,10 @@
       return exit_usage;
     }
   }
-  boost::asio::io_context context(static_cast<int>(settings.threads));
+  // Never destroyed: what waits in it and what `begin` made refer to each other, so neither can go first; the
+  // process ends behind this, and the system takes all of it back.
+  boost::asio::io_context& context =
+      *std::make_unique<boost::asio::io_context>(static_cast<int>(settings.threads)).release();
   absl::Status const begun = daemon.begin(context, settings);
   if (!begun.ok()) {
     note(Event::ListenDefect, std::string(begun.message()));
--- a/source/tests/soak/guard_test.py
+++ b/source/tests/soak/guard_test.py
@@ -19,7 +19,7 @@
     def soak(self, power_loss):
         with tempfile.TemporaryDirectory() as folder:
             report = os.path.join(folder, "report.json")
-            done = subprocess.run([sys.executable, SOAK, "--short", "--seeds", str(POWER_SEED), "--build", PROGRAMS, "--folder", folder, "--report", report, "--power-loss", power_loss, "--without-counters"],
+            done = subprocess.run([sys.executable, SOAK, "--short", "--seeds", str(POWER_SEED), "--build", PROGRAMS, "--folder", folder, "--report", report, "--power-loss", power_loss],
                                   capture_output=True, text=True, check=False)
             with open(report, encoding="utf-8") as stream:
                 return done.returncode, json.load(stream)
--- a/source/tests/trellis/half_done_change_test.cpp
+++ b/source/tests/trellis/half_done_change_test.cpp
@@ -102,6 +102,12 @@
     clients_.push_back(std::make_unique<RegisterClient>(context_, *callers_.back(), client + 1,
                                                         std::vector<std::string>{}, loam::milliseconds(400)));
     clients_.back()->learn(set);
+    if (client < voters) {
+      clients_.back()->spread_to(RegisterClient::OwnVoter{
+          [this, client] { return acceptors_[client]->incarnation(); },
+          [this, client](std::string const& name, schema::Ballot const& accepted, schema::Value const& value,
+                         loam::Yield) { (void)acceptors_[client]->take_accepted(name, accepted, value); }});
+    }
   }
 
   /// The way there and back takes as long as the bytes need.
--- a/source/trellis/acceptor/acceptor_service.cpp
+++ b/source/trellis/acceptor/acceptor_service.cpp
@@ -231,6 +231,11 @@
   return outcome.has_value() ? outcome->reply : std::nullopt;
 }
 
+void AcceptorService::take_accepted(std::string const& name, schema::Ballot const& accepted, schema::Value const& value,
+                                    loam::Yield yield) {
+  (void)apply([&](consensus::Acceptor& acceptor) { return acceptor.take_accepted(name, accepted, value); }, yield);
+}
+
 void AcceptorService::stand_up(loam::Yield yield) {
   while (true) {
     loam::pause(context_, constants::founding_pause, yield);
--- a/source/trellis/acceptor/acceptor_service.hpp
+++ b/source/trellis/acceptor/acceptor_service.hpp
@@ -35,6 +35,9 @@
   void begin();
   /// Nothing: this holder stays silent.
   [[nodiscard]] std::optional<schema::Message> receive(schema::Message const& message, loam::Yield yield);
+  /// Takes a value that other voters accepted (section 5.10); returns when it is synced.
+  void take_accepted(std::string const& name, schema::Ballot const& accepted, schema::Value const& value,
+                     loam::Yield yield);
 
   [[nodiscard]] std::uint64_t incarnation();
   [[nodiscard]] bool voting();
--- a/source/trellis/main.cpp
+++ b/source/trellis/main.cpp
@@ -52,6 +52,12 @@
     }
     program.register_client = std::make_unique<trellis::RegisterClient>(context, *program.caller, identity,
                                                                         settings.seeds, span(bounds.confirm_pause_ms));
+    if (program.holder != nullptr) {
+      program.register_client->spread_to(trellis::RegisterClient::OwnVoter{
+          [&program] { return program.holder->incarnation(); },
+          [&program](std::string const& name, schema::Ballot const& accepted, schema::Value const& value,
+                     loam::Yield yield) { program.holder->take_accepted(name, accepted, value, yield); }});
+    }
     program.news = std::make_unique<trellis::News>(
         context, *program.caller, *program.register_client, program.holder.get(), settings, identity,
         platform ? trellis::ListReader(platform::read_list) : trellis::ListReader());
--- a/source/trellis/register_client/register_client.cpp
+++ b/source/trellis/register_client/register_client.cpp
@@ -161,6 +161,7 @@
 bool RegisterClient::take_action(MajorityReaderAction const& action, ReadRound& round, ReadResult& result) {
   if (std::holds_alternative<consensus::Confirmed>(action)) {
     result.unsettled.clear();
+    result.half_accepted.clear();
     result.confirmed = true;
     round.confirmed = true;
     return true;
@@ -174,6 +175,10 @@
     round.missing.push_back(left->name);
     return true;
   }
+  if (consensus::HalfAccepted const* const half = std::get_if<consensus::HalfAccepted>(&action)) {
+    result.half_accepted.push_back(*half);
+    return false;
+  }
   if (consensus::NewerVoters const* const newer = std::get_if<consensus::NewerVoters>(&action)) {
     if (newer->set.epoch > set_.epoch) {
       set_ = newer->set;
@@ -219,26 +224,76 @@
 }
 
 bool RegisterClient::confirm_once(loam::Yield yield) {
-  ReadResult result = read_once(yield);
+  ReadResult const result = read_once(yield);
   schema::VoterSet const holders = set();
   for (consensus::MissingChosen const& value : result.missing) {
-    transfers_.want(value.name, value.digest, addresses_of(holders, value.sources), value.accepted);
+    obtain(value, holders);
   }
-  // Someone's change is half done: a sure read settles it (section 5.6). The
-  // next round then finds it at a majority. All trellises see it at the same
-  // time, and would take each other's ballots: whose lot it is not looks again.
-  if (loam::random_number() % constants::settle_lots != 0) {
-    result.unsettled.clear();
+  for (consensus::HalfAccepted const& half : result.half_accepted) {
+    spread(half);
   }
-  for (std::string const& name : result.unsettled) {
-    (void)change(
-        name, [](schema::Value const&) -> consensus::Proposal { return consensus::Keep{}; }, constants::holder_deadline,
-        yield);
+  // Someone's change is half done, and the voters don't spread it: a sure read settles it (section 5.6). The
+  // next round then finds it at a majority. All trellises see it at the same time, and would take each other's
+  // ballots: whose lot it is not looks again.
+  if (loam::random_number() % constants::settle_lots == 0) {
+    for (std::string const& name : result.unsettled) {
+      settle(name);
+    }
   }
   bell_.ring();
   return result.confirmed;
 }
 
+void RegisterClient::obtain(consensus::MissingChosen const& missing, schema::VoterSet const& holders) {
+  std::optional<schema::Value> const fetched = transfers_.fetched(missing.name, missing.digest);
+  if (fetched.has_value()) {
+    take(missing.name, fetched, missing.accepted);
+  } else {
+    transfers_.want(missing.name, missing.digest, addresses_of(holders, missing.sources), missing.accepted);
+  }
+}
+
+void RegisterClient::spread(consensus::HalfAccepted const& half) {
+  if (!own_voter_.has_value() || !consensus::lacks(set().holders, half, own_voter_->incarnation())) {
+    return;
+  }
+  loam::start(context_, [this, half](loam::Yield yield) { spread_now(half, yield); });
+}
+
+void RegisterClient::spread_now(consensus::HalfAccepted const& half, loam::Yield yield) {
+  std::optional<schema::Value> value = half.value;
+  if (!value.has_value()) {
+    value = fetch(half.name, consensus::NeededValue{half.accepted, half.digest, half.sources}, set(),
+                  loam::boot_now() + constants::transfer_patience, yield);
+  }
+  if (!value.has_value()) {
+    return;
+  }
+  {
+    std::lock_guard<std::mutex> const guard(lock_);
+    confirm_.keep(half.name, half.accepted, *value);
+  }
+  own_voter_->take_accepted(half.name, half.accepted, *value, yield);
+  hurry_.ring();
+}
+
+void RegisterClient::settle(std::string const& name) {
+  {
+    std::lock_guard<std::mutex> const guard(lock_);
+    if (!settling_.insert(name).second) {
+      return;
+    }
+  }
+  loam::start(context_, [this, name](loam::Yield yield) {
+    loam::Moment const begun = loam::boot_now();
+    (void)change(
+        name, [](schema::Value const&) -> consensus::Proposal { return consensus::Keep{}; }, constants::change_deadline,
+        yield, [this, begun] { return confirmed_from() > begun; });
+    std::lock_guard<std::mutex> const guard(lock_);
+    settling_.erase(name);
+  });
+}
+
 std::optional<schema::Value> RegisterClient::fetch(std::string const& name, consensus::NeededValue const& needed,
                                                    schema::VoterSet const& holders, loam::Moment until,
                                                    loam::Yield yield) {
@@ -263,12 +318,14 @@
 }
 
 RegisterClient::Result RegisterClient::change(std::string const& name, consensus::ProposalFunction propose,
-                                              loam::Span deadline, loam::Yield yield) {
+                                              loam::Span deadline, loam::Yield yield,
+                                              std::function<bool()> const& over) {
   loam::Moment const until = loam::boot_now() + deadline;
   consensus::Proposer core(name, loam::random_identity(), std::move(propose));
   loam::Span range = constants::ballot_pause_most - constants::ballot_pause_least;
+  loam::Span longest_ballot = 0;
   bool fetched = false;  // the next ballot goes on from a value that was fetched for it
-  while (loam::boot_now() < until) {
+  while (loam::boot_now() < until && !(over && over())) {
     schema::VoterSet const holders = set();
     if (holders.epoch == 0) {
       loam::pause(context_, constants::confirm_pause, yield);
@@ -284,6 +341,7 @@
       }
     }
     fetched = false;
+    loam::Moment const begun = loam::boot_now();
     std::vector<ProposerAction> actions = core.begin(holders);
     std::optional<Result> result;
     bool again = false;
@@ -352,13 +410,14 @@
         continue;
       }
     }
+    longest_ballot = std::max(longest_ballot, loam::boot_now() - begun);
     loam::pause(context_,
                 constants::ballot_pause_least +
                     static_cast<loam::Span>(loam::random_number() % static_cast<std::uint64_t>(range)),
                 yield);
     // Two that race over a long way take each other's ballots until one of
     // them waits for longer than the other's two rounds take.
-    range = std::min(range * 2, constants::ballot_pause_longest);
+    range = std::min(range * 2, std::max(constants::ballot_pause_longest, longest_ballot * 2));
   }
   return Unknown{"no majority of holders answered in time"};
 }
--- a/source/trellis/register_client/register_client.hpp
+++ b/source/trellis/register_client/register_client.hpp
@@ -1,7 +1,10 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <mutex>
+#include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -26,6 +29,13 @@
 
   RegisterClient(boost::asio::io_context& context, loam::Caller& caller, std::uint64_t identity,
                  std::vector<std::string> seeds, loam::Span confirm_pause = loam::constants::confirm_pause);
+  /// The voter of this very process, which takes half-done changes that it lacks (section 5.10).
+  struct OwnVoter {
+    std::function<std::uint64_t()> incarnation;
+    std::function<void(std::string const& name, schema::Ballot const&, schema::Value const&, loam::Yield)>
+        take_accepted;
+  };
+  void spread_to(OwnVoter voter) { own_voter_ = std::move(voter); }
   /// Starts the loop of majority reads.
   void begin();
   /// Settings that changed.
@@ -33,8 +43,9 @@
   /// The next majority read begins at once instead of after its pause.
   void hurry() { hurry_.ring(); }
 
+  /// Tries until the deadline, or until `over` says that it is not wanted any more.
   [[nodiscard]] Result change(std::string const& name, consensus::ProposalFunction propose, loam::Span deadline,
-                              loam::Yield yield);
+                              loam::Yield yield, std::function<bool()> const& over = {});
 
   [[nodiscard]] schema::VoterSet set();
   void learn(schema::VoterSet const& set);
@@ -56,12 +67,20 @@
  private:
   /// One majority read; whether it confirmed all registers.
   [[nodiscard]] bool confirm_once(loam::Yield yield);
+  /// Hands a half-done change to the own voter, if that lacks it; fetches the value first where it must.
+  void spread(consensus::HalfAccepted const& half);
+  void spread_now(consensus::HalfAccepted const& half, loam::Yield yield);
+  /// Settles a half-done change with a ballot of its own, beside the reads; one at a time for each register.
+  void settle(std::string const& name);
+  /// A value that a majority chose and that no answer carried.
+  void obtain(consensus::MissingChosen const& missing, schema::VoterSet const& holders);
   void discover(loam::Yield yield);
   /// What one majority read brought.
   struct ReadResult {
     bool confirmed = false;
     std::vector<std::string> unsettled;  ///< registers that are to be settled
     std::vector<consensus::MissingChosen> missing;
+    std::vector<consensus::HalfAccepted> half_accepted;
   };
   [[nodiscard]] ReadResult read_once(loam::Yield yield);
   /// One voter's answer to the read under way; whether the read is over.
@@ -91,6 +110,8 @@
   loam::Bell bell_;
   loam::Bell hurry_;
   RegisterTransfers transfers_;
+  std::optional<OwnVoter> own_voter_;
+  std::set<std::string> settling_;
 };
 
 }  // namespace finchlink::trellis
