Failing tests: a copy from an image counts as a vote for a half-done change of an older epoch

Cause: a newcomer's images may carry a change that one voter accepted, and beside it the promise of a younger ballot that a majority of the epoch before gave without knowing that change. The newcomer then names the elder ballot as accepted, with its vote. A reader of the new epoch counts it, and is sure of a change that the younger one, accepted at a voter that was not asked, takes away again: a value that was read, and answered, is lost. The model of memberships counted as chosen only what a proposer was told, and what was taken over.

--- a/source/almanac/membership_model/actions.cpp
+++ b/source/almanac/membership_model/actions.cpp
@@ -46,6 +46,44 @@
   }
 }
 
+std::optional<schema::Cell> cell_of(World const& world, std::size_t index, std::string const& name) {
+  std::map<std::string, schema::Cell> const& cells = world.machine(index).acceptor->cells();
+  std::map<std::string, schema::Cell>::const_iterator const found = cells.find(name);
+  return found == cells.end() ? std::nullopt : std::optional<schema::Cell>(found->second);
+}
+
+/// A reader of this epoch that hears the same ballot from a majority takes it for chosen.
+void note_if_chosen(World& world, std::uint64_t epoch, std::string const& name, schema::Cell const& cell) {
+  std::map<std::uint64_t, schema::VoterSet>::const_iterator const set = world.history.sets.find(epoch);
+  if (set == world.history.sets.end()) {
+    return;
+  }
+  std::size_t accepted = 0;
+  for (std::size_t index = 0; index < world.machines().size(); ++index) {
+    if (!world.machine(index).running) {
+      continue;
+    }
+    Acceptor const& acceptor = *world.machine(index).acceptor;
+    std::optional<schema::Cell> const theirs = cell_of(world, index, name);
+    bool const answers = acceptor.voting() && acceptor.set().epoch == epoch &&
+                         consensus::names(set->second.holders, acceptor.incarnation());
+    accepted += answers && theirs.has_value() && theirs->accepted == cell.accepted ? 1 : 0;
+  }
+  if (accepted >= consensus::majority(set->second.holders.size())) {
+    note_chosen(world, name, ChosenValue{cell.accepted, cell.value});
+  }
+}
+
+/// What a reader of the epoch of this voter may be sure of, once this one holds it too.
+void note_readable(World& world, std::size_t index) {
+  std::map<std::string, schema::Cell> const cells = world.machine(index).acceptor->cells();
+  for (std::pair<std::string const, schema::Cell> const& cell : cells) {
+    if (!(cell.second.accepted == schema::Ballot{})) {
+      note_if_chosen(world, world.machine(index).acceptor->set().epoch, cell.first, cell.second);
+    }
+  }
+}
+
 /// One step of the core of a machine, its records synced before the answer.
 Outcome step(World& world, Bounds const& bounds, std::size_t index, std::function<Outcome(Acceptor&)> const& action) {
   Machine machine = world.machine(index);
@@ -69,6 +107,9 @@
     world.history.violations.push_back("the synced records don't make the state that answered");
   }
   world.put(index, std::move(machine));
+  if (!outcome.records.empty()) {
+    note_readable(world, index);
+  }
   return outcome;
 }
 
@@ -309,36 +350,6 @@
   end(world, bounds, identity);
 }
 
-namespace {
-std::optional<schema::Cell> cell_of(World const& world, std::size_t index, std::string const& name) {
-  std::map<std::string, schema::Cell> const& cells = world.machine(index).acceptor->cells();
-  std::map<std::string, schema::Cell>::const_iterator const found = cells.find(name);
-  return found == cells.end() ? std::nullopt : std::optional<schema::Cell>(found->second);
-}
-
-/// A reader of this epoch that hears the same ballot from a majority takes it for chosen.
-void note_if_chosen(World& world, std::uint64_t epoch, std::string const& name, schema::Cell const& cell) {
-  std::map<std::uint64_t, schema::VoterSet>::const_iterator const set = world.history.sets.find(epoch);
-  if (set == world.history.sets.end()) {
-    return;
-  }
-  std::size_t accepted = 0;
-  for (std::size_t index = 0; index < world.machines().size(); ++index) {
-    if (!world.machine(index).running) {
-      continue;
-    }
-    Acceptor const& acceptor = *world.machine(index).acceptor;
-    std::optional<schema::Cell> const theirs = cell_of(world, index, name);
-    bool const answers = acceptor.voting() && acceptor.set().epoch == epoch &&
-                         consensus::names(set->second.holders, acceptor.incarnation());
-    accepted += answers && theirs.has_value() && theirs->accepted == cell.accepted ? 1 : 0;
-  }
-  if (accepted >= consensus::majority(set->second.holders.size())) {
-    note_chosen(world, name, ChosenValue{cell.accepted, cell.value});
-  }
-}
-}  // namespace
-
 bool offers(World const& world, std::size_t from, std::size_t to, std::string const& name) {
   std::optional<schema::Cell> const theirs = cell_of(world, from, name);
   std::optional<schema::Cell> const own = cell_of(world, to, name);
@@ -355,7 +366,6 @@
     return;
   }
   check_entitled(world, *world.machine(to).acceptor);
-  note_if_chosen(world, world.machine(to).acceptor->set().epoch, name, cell);
 }
 
 void ask_image(World& world, Bounds const& bounds, std::size_t index, std::string const& source) {
--- a/source/tests/almanac/membership_model_test.cpp
+++ b/source/tests/almanac/membership_model_test.cpp
@@ -72,6 +72,44 @@
   expect_good(bounds_of("five"), 5, 2000);
 }
 
+/// Two half-done writes of epoch 1; a newcomer's images carry the elder of them as accepted, and the promise of the
+/// younger. A reader of epoch 2 must not be sure of the elder: a voter of epoch 2 has the younger.
+TEST(MembershipModel, ACopyFromAnImageIsNoVoteForAHalfDoneChange) {
+  Bounds bounds = bounds_of("taken-over");
+  bounds.taken_over = 0;
+  Schedule schedule(bounds);
+  std::size_t const first = 0;
+  std::size_t const second = 1;
+  std::size_t const third = 2;
+  std::size_t const newcomer = 3;
+  std::uint64_t const first_voter = schedule.world.machine(first).acceptor->incarnation();
+  std::uint64_t const second_voter = schedule.world.machine(second).acceptor->incarnation();
+  schedule.take(StepKind::StartWrite, first);
+  schedule.take(StepKind::Deliver, 0, 0);  // the first promises
+  schedule.take(StepKind::Deliver, 0, 0);  // the second promises
+  schedule.take(StepKind::Deliver, 0, 1);  // the second accepts
+  schedule.take(StepKind::Abandon, 0);
+  schedule.take(StepKind::StartWrite, third);
+  schedule.take(StepKind::Deliver, 0, 0);  // the first promises
+  schedule.take(StepKind::Deliver, 0, 1);  // the third promises
+  schedule.take(StepKind::Deliver, 0, 2);  // the third accepts
+  schedule.take(StepKind::Abandon, 0);
+  schedule.take(StepKind::Learn, newcomer, 1);
+  schedule.take(StepKind::Join, newcomer, first_voter);
+  for (int message = 0; message < 4; ++message) {  // the second and the third promise, then both accept
+    schedule.take(StepKind::Deliver, 0, 1);
+  }
+  ASSERT_EQ(schedule.world.history.sets.size(), 2u);
+  for (std::size_t const each : {first, second, newcomer}) {
+    schedule.take(StepKind::Tell, each, 2);
+  }
+  schedule.take(StepKind::AskImage, newcomer, first_voter);
+  schedule.take(StepKind::AskImage, newcomer, second_voter);
+  ASSERT_TRUE(schedule.world.machine(newcomer).acceptor->voting());
+  schedule.take(StepKind::Tell, third, 2);
+  EXPECT_TRUE(schedule.world.history.violations.empty()) << schedule.world.history.violations.front();
+}
+
 TEST(MembershipModel, NoRandomScheduleBreaksAnything) {
   for (Scenario const& each : scenarios()) {
     Bounds const bounds = without_budgets(each.bounds);
