What a newcomer has from images beside a newer promise is no vote for a reader

The newcomer named the older ballot as accepted, a reader counted that as a vote and was sure of a change that the newer one, accepted at a voter that had not been asked, took away again: read and put in force, then another content under the same revision, which whoever holds the first never takes. It needs two proposers that end half way and a change of the voters, no lost disk.

Now an acceptor that was ever given images tells which registers it holds under a promise newer than what it accepted; a reader counts no vote there, and the change is taken over or settled (5.10). Guard inherited_is_no_vote. Ruled out: the same for voters that came without images (whoever promised the newer ballot knew the older one, or is not among its voters).

--- a/source/almanac/membership_model/scenario.cpp
+++ b/source/almanac/membership_model/scenario.cpp
@@ -184,6 +184,7 @@
                                            {"image_only_if_complete", &guards.image_only_if_complete},
                                            {"vote_kept_over_missed", &guards.vote_kept_over_missed},
                                            {"first_set_only_founded", &guards.first_set_only_founded},
+                                           {"inherited_is_no_vote", &guards.inherited_is_no_vote},
                                            {"earlier_sets_give_images", &guards.earlier_sets_give_images},
                                            {"adopt_before_join", &bounds.adopt_before_join},
                                            {"complete_before_join", &bounds.complete_before_join}};
--- a/source/consensus/acceptor/acceptor.cpp
+++ b/source/consensus/acceptor/acceptor.cpp
@@ -219,11 +219,18 @@
   return Outcome{{}, schema::Message(sender_.answer(message, source, now))};
 }
 
+bool Acceptor::inherited(schema::Cell const& cell) const {
+  // What came with images is the acceptance of one voter, and the newer promise beside it may be of a ballot that
+  // was made without knowing it. Which cells came so is not remembered: of one that was ever given images, none
+  // counts that has a newer promise.
+  return guards_.inherited_is_no_vote && whole_ > 0 && before(cell.accepted, cell.promised);
+}
+
 Outcome Acceptor::on(schema::Read const& message) const {
   if (!may_vote(message.epoch)) {
     return Outcome{{}, schema::Message(refusal(Ballot{message.epoch, message.round, 0}, Ballot{}))};
   }
-  schema::ReadAnswer answer{set_.epoch, message.round, founding_.incarnation, {}, {}};
+  schema::ReadAnswer answer{set_.epoch, message.round, founding_.incarnation, {}, {}, {}};
   for (std::pair<std::string const, schema::Cell> const& entry : cells_) {
     schema::Cell cell{entry.second.promised, entry.second.accepted, {}};
     std::map<std::string, Ballot>::const_iterator const known = message.known.find(entry.first);
@@ -231,6 +238,9 @@
       cell.value = entry.second.value;
     }
     answer.cells[entry.first] = cell;
+    if (inherited(cell)) {
+      answer.inherited.push_back(entry.first);
+    }
   }
   answer.withheld = withhold(answer.cells);
   return Outcome{{}, schema::Message(answer)};
--- a/source/consensus/acceptor/acceptor.hpp
+++ b/source/consensus/acceptor/acceptor.hpp
@@ -74,6 +74,9 @@
   /// Everything as records: the image that begins each file of the ring.
   [[nodiscard]] std::vector<schema::Record> image() const;
 
+  /// Whether what stands here as accepted may have come with images and is no vote for its ballot (section 5.6).
+  [[nodiscard]] bool inherited(schema::Cell const& cell) const;
+
   [[nodiscard]] std::uint64_t incarnation() const { return founding_.incarnation; }
   [[nodiscard]] VoterSet const& set() const { return set_; }
   [[nodiscard]] bool voting() const { return voting_; }
--- a/source/consensus/ballot/ballot.hpp
+++ b/source/consensus/ballot/ballot.hpp
@@ -59,8 +59,9 @@
   bool image_only_if_complete = true;    ///< images come only from those that have all of the epoch before
   bool vote_kept_over_missed = true;     ///< a voter that missed epochs which named it all the while votes on
   bool earlier_sets_give_images = true;  ///< one that was left out is a source still, and completes its own data
-  bool first_set_only_founded = true;    ///< a blank one takes the first set by founding alone
-  bool values_whole = true;              ///< a value that was left out of a message is never taken for an empty one
+  bool inherited_is_no_vote = true;  ///< a reader doesn't count what a newcomer has from images beside a newer promise
+  bool first_set_only_founded = true;  ///< a blank one takes the first set by founding alone
+  bool values_whole = true;            ///< a value that was left out of a message is never taken for an empty one
   bool lease_silence = true;
   bool tenant_stops_early = true;
 };
--- a/source/consensus/majority_reader/majority_reader.cpp
+++ b/source/consensus/majority_reader/majority_reader.cpp
@@ -121,8 +121,9 @@
   std::map<std::string, Kept>::const_iterator const kept = kept_.find(name);
   bool const held = !carried && kept != kept_.end() && kept->second.accepted == cell.accepted;
   bool const here = carried || held;
+  bool const inherited = std::find(answer.inherited.begin(), answer.inherited.end(), name) != answer.inherited.end();
   return Tally{cell.accepted,
-               1,
+               inherited ? 0u : 1u,
                held ? kept->second.value : cell.value,
                !known && here,
                !known && !here,
@@ -132,10 +133,10 @@
 }
 
 void MajorityReader::count(Tally& tally, Tally const& vote) {
-  if (tally.votes == 0 || before(tally.best, vote.best)) {
+  if (tally.sources.empty() || before(tally.best, vote.best)) {
     tally = vote;
   } else if (tally.best == vote.best) {
-    ++tally.votes;
+    tally.votes += vote.votes;
     tally.sources.insert(tally.sources.end(), vote.sources.begin(), vote.sources.end());
     if (tally.missing && vote.valued) {
       tally.value = vote.value;
--- a/source/consensus/majority_reader/majority_reader.hpp
+++ b/source/consensus/majority_reader/majority_reader.hpp
@@ -78,7 +78,7 @@
 
   struct Tally {
     Ballot best;
-    std::size_t votes = 0;
+    std::size_t votes = 0;  ///< of voters that accepted it; one that has it from images counts none
     schema::Value value;
     bool valued = false;   ///< the value is new, and here
     bool missing = false;  ///< the value is new, and was left out
