A newcomer's inherited registers are remembered one by one, until something is accepted there

Only what came with images counts for nothing, until a ballot is accepted there; after a restart, where it is not known any more, as before. What could not be taken over is told again (review).

--- a/source/almanac/membership_model/actions.cpp
+++ b/source/almanac/membership_model/actions.cpp
@@ -67,7 +67,7 @@
     std::optional<schema::Cell> const theirs = cell_of(world, index, name);
     bool const answers = acceptor.voting() && acceptor.set().epoch == epoch &&
                          consensus::names(set->second.holders, acceptor.incarnation());
-    bool const same = theirs.has_value() && theirs->accepted == cell.accepted && !acceptor.inherited(*theirs);
+    bool const same = theirs.has_value() && theirs->accepted == cell.accepted && !acceptor.inherited(name);
     accepted += answers && same ? 1 : 0;
   }
   if (accepted >= consensus::majority(set->second.holders.size())) {
--- a/source/almanac/membership_model/world.cpp
+++ b/source/almanac/membership_model/world.cpp
@@ -21,6 +21,9 @@
   digest.add(packed_digest(machine.images));
   if (machine.acceptor.has_value()) {
     digest.add(packed_digest(machine.acceptor->image()));
+    for (char const* const name : {data_register, consensus::holders_register}) {
+      digest.add(machine.acceptor->inherited(name) ? 1u : 0u);
+    }
   }
   return digest.short_value();
 }
--- a/source/consensus/acceptor/acceptor.cpp
+++ b/source/consensus/acceptor/acceptor.cpp
@@ -50,6 +50,7 @@
         },
         record);
   }
+  note_inherited();
   if (founders_.empty()) {
     // What it pledged it stands by, also when it is started as one that founds nothing.
     for (Voter const& founder : founding_.pledge) {
@@ -109,6 +110,7 @@
               [&] { return name + " falls from " + text_of(cell.accepted) + " to " + text_of(ballot); });
   cell.accepted = ballot;
   cell.value = value;
+  inherited_.erase(name);
 }
 
 void Acceptor::check_vote() const {
@@ -162,8 +164,8 @@
 Outcome Acceptor::take_accepted(std::string const& name, Ballot const& accepted, schema::Value const& value) {
   Outcome outcome;
   // Its epoch may be older than the one in force. A majority promised that ballot when it was made, and whoever
-  // came to the voters since then has taken over these promises with its snapshot: so no older ballot can be
-  // chosen any more, and whoever makes a newer one meets what is accepted here.
+  // came to the voters since then has taken over these promises with its snapshot, and counts for no older ballot
+  // beside them: so none can be chosen any more, and whoever makes a newer one meets what is accepted here.
   if (!voting_ || !names(set_.holders, founding_.incarnation) || accepted.epoch > set_.epoch) {
     return outcome;
   }
@@ -219,11 +221,19 @@
   return Outcome{{}, schema::Message(sender_.answer(message, source, now))};
 }
 
-bool Acceptor::inherited(schema::Cell const& cell) const {
+bool Acceptor::inherited(std::string const& name) const {
+  return guards_.inherited_is_no_vote && inherited_.count(name) > 0;
+}
+
+void Acceptor::note_inherited() {
   // What came with images is the acceptance of one voter, and the newer promise beside it may be of a ballot that
-  // was made without knowing it. Which cells came so is not remembered: of one that was ever given images, none
-  // counts that has a newer promise.
-  return guards_.inherited_is_no_vote && whole_ > 0 && before(cell.accepted, cell.promised);
+  // was made without knowing it. After a restart it is not known which came so: none counts that has a newer promise.
+  inherited_.clear();
+  for (std::pair<std::string const, schema::Cell> const& cell : cells_) {
+    if (whole_ > 0 && before(cell.second.accepted, cell.second.promised)) {
+      inherited_.insert(cell.first);
+    }
+  }
 }
 
 Outcome Acceptor::on(schema::Read const& message) const {
@@ -238,7 +248,7 @@
       cell.value = entry.second.value;
     }
     answer.cells[entry.first] = cell;
-    if (inherited(cell)) {
+    if (inherited(entry.first)) {
       answer.inherited.push_back(entry.first);
     }
   }
--- a/source/consensus/acceptor/acceptor.hpp
+++ b/source/consensus/acceptor/acceptor.hpp
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -74,8 +75,9 @@
   /// Everything as records: the image that begins each file of the ring.
   [[nodiscard]] std::vector<schema::Record> image() const;
 
-  /// Whether what stands here as accepted may have come with images and is no vote for its ballot (section 5.6).
-  [[nodiscard]] bool inherited(schema::Cell const& cell) const;
+  /// Whether what stands here as accepted came with images, beside a newer promise, and is no vote for its ballot
+  /// (section 5.6), until something is accepted here.
+  [[nodiscard]] bool inherited(std::string const& name) const;
 
   [[nodiscard]] std::uint64_t incarnation() const { return founding_.incarnation; }
   [[nodiscard]] VoterSet const& set() const { return set_; }
@@ -106,9 +108,10 @@
   [[nodiscard]] bool may_vote(std::uint64_t epoch) const;
   /// The only places where a register's ballots are set; they never fall.
   static void promise(std::string const& name, schema::Cell& cell, Ballot const& ballot);
-  static void accept(std::string const& name, schema::Cell& cell, Ballot const& ballot, schema::Value const& value);
+  void accept(std::string const& name, schema::Cell& cell, Ballot const& ballot, schema::Value const& value);
   /// A vote is given: whether this one may have one at all.
   void check_vote() const;
+  void note_inherited();
   [[nodiscard]] std::vector<Voter> full_pledge(std::vector<schema::FoundingAnswer> const& answers) const;
   /// Takes out of `cells` the values that one message can't carry, large ones
   /// first; gives their sizes.
@@ -125,6 +128,7 @@
   std::uint64_t complete_ = 0;  ///< has all that its vote stands for up to this epoch
   std::uint64_t whole_ = 0;     ///< has all that was chosen up to this epoch
   std::map<std::string, schema::Cell> cells_;
+  std::set<std::string> inherited_;  ///< registers that came with images and a newer promise, not voted on since
   lease::LeaseGranter granter_;
   ValueSender sender_;
   struct KnownDigest {
--- a/source/consensus/acceptor/enrolment.cpp
+++ b/source/consensus/acceptor/enrolment.cpp
@@ -148,6 +148,7 @@
   for (schema::Image const& image : taken) {
     merge(image);
   }
+  note_inherited();
   for (std::pair<std::string const, schema::Cell> const& cell : cells_) {
     outcome.records.emplace_back(schema::CellRecord{cell.first, cell.second});
   }
--- a/source/consensus/majority_reader/majority_reader.cpp
+++ b/source/consensus/majority_reader/majority_reader.cpp
@@ -236,6 +236,7 @@
   if (quiet >= (abandoned ? accept_span(tally.bytes) : spread_span(tally.bytes))) {
     stale.names.push_back(name);
     open.since = started_;
+    open.told = false;  // where it could not be fetched or written, it is tried again
   }
 }
 
--- a/source/consensus/majority_reader/majority_reader.hpp
+++ b/source/consensus/majority_reader/majority_reader.hpp
@@ -40,7 +40,7 @@
   VoterSet set;
 };
 /// A value that a majority named, so it was chosen, and that none of the answers
-/// carried (section 5.8): fetched in pieces and learnt, it is confirmed by the next read.
+/// carried (section 5.9): fetched in pieces and learnt, it is confirmed by the next read.
 struct MissingChosen {
   std::string name;
   Ballot accepted;
