A silent worker of a long prompt is waited for 1.5 set points, not 0.6

Ruled out: that the load which these workers don't tell is the main cause (places were predicted well enough once nobody was given up); lack of memory (24 workers keep 8 million tokens, all subjects are 4 million).

--- a/source/almanac/relay/relay.cpp
+++ b/source/almanac/relay/relay.cpp
@@ -11,6 +11,7 @@
 #include "tilth/chart/chart.hpp"
 #include "tilth/lanes/lanes.hpp"
 #include "tilth/rights/rights.hpp"
+#include "tilth/silence/silence_bound.hpp"
 
 namespace finchlink::almanac {
 
@@ -681,8 +682,8 @@
 
   void watch(FlightPointer const& flight, double set_point_ms) {
     flight->silent_since = kernel_.now();
-    flight->allowed = std::max(loam::milliseconds(static_cast<std::int64_t>(set_point_ms * constants::silence_part)),
-                               static_cast<loam::Span>(flight->spot.predicted_seconds * 2e6));
+    flight->allowed = tilth::silence_bound(tilth::SilenceTerms{set_point_ms, flight->spot.predicted_seconds,
+                                                               flight->wanted.tokens, flight->passed_on > 0});
     std::uint64_t const serial = ++flight->watch;
     kernel_.after(flight->allowed, [this, flight, serial] { silent(flight, serial); });
   }
--- a/source/furrow/relay/attempt.cpp
+++ b/source/furrow/relay/attempt.cpp
@@ -5,6 +5,7 @@
 #include "loam/log/log.hpp"
 #include "loam/random/random.hpp"
 #include "loam/relay_constants.hpp"
+#include "tilth/silence/silence_bound.hpp"
 
 namespace finchlink::furrow {
 
@@ -219,10 +220,8 @@
 }
 
 loam::Moment Relay::silence_due(double set_point_ms, loam::Moment now) {
-  double const point = set_point_ms > 0 ? set_point_ms : 1000;
   silent_since_ = now;
-  allowed_ = std::max(loam::milliseconds(static_cast<std::int64_t>(point * constants::silence_part)),
-                      static_cast<loam::Span>(spot_.predicted_seconds * 2e6));
+  allowed_ = tilth::silence_bound(tilth::SilenceTerms{set_point_ms, spot_.predicted_seconds, wanted_.tokens, began_});
   return std::min(deadline_, now + allowed_);
 }
 
--- a/source/loam/relay_constants.hpp
+++ b/source/loam/relay_constants.hpp
@@ -134,6 +134,10 @@
 /// Part of a set point after which a silent worker is given up, if the query
 /// may be repeated and another worker has a place.
 inline constexpr double silence_part = 0.6;
+/// The same for a prompt that has an owner: another worker would read all of it.
+inline constexpr double silence_part_long = 1.5;
+/// The set point that silence is measured by where a lane tells none.
+inline constexpr double silence_point_ms = 1000;
 /// A worker that gave bytes to any query within this is busy, not dark: it is
 /// asked again after the step, at most up to twice the silence allowed.
 inline constexpr Span alive_span = milliseconds(250);
