A long prompt's silent worker is connected to before it is given up

A worker that takes a new connection is busy, one that doesn't is lost; so the silence bound is short again (0.6 of the set point), ends in a probe, and only a worker that doesn't take it is given up at once, one that does after five bounds.

--- a/source/tests/relay/whole_test.cpp
+++ b/source/tests/relay/whole_test.cpp
@@ -436,6 +436,43 @@
   }
 }
 
+/// A prompt of which another worker would read 5,000 tokens.
+std::string long_query(std::string const& id) {
+  return query("/plain/a", id, "", std::string(furrow::own_dialect().tokens) + ": 5000, 10\r\n");
+}
+
+TEST(RelaySilence, ABusyWorkerOfALongPromptIsConnectedToAndWaitedFor) {
+  Fleet fleet;
+  fleet.worker("w1");
+  fleet.worker("w2");
+  fleet.begin();
+  std::shared_ptr<Line> const caller = fleet.call(long_query("q1"));
+  Worker* const first = fleet.holder(1);
+  ASSERT_NE(first, nullptr);
+  EXPECT_TRUE(fleet.until([&] { return first->lines.size() >= 2; }));  // the probe of its first bound
+  fleet.rest(200);                                                     // and over the second one
+  EXPECT_FALSE(first->lines.front()->ended);
+  EXPECT_EQ(fleet.order.size(), 1u);
+  first->lines.front()->send(success("q1", "late"));
+  EXPECT_EQ(body_of(fleet.answer_on(caller)), "late");
+}
+
+TEST(RelaySilence, ALostWorkerOfALongPromptIsGivenUpWhenItTakesNoConnection) {
+  Fleet fleet;
+  fleet.worker("w1");
+  fleet.worker("w2");
+  fleet.begin();
+  std::shared_ptr<Line> const caller = fleet.call(long_query("q1"));
+  Worker* const first = fleet.holder(1);
+  ASSERT_NE(first, nullptr);
+  first->stop();
+  Worker* const second = fleet.holder(2);
+  ASSERT_NE(second, nullptr);
+  EXPECT_NE(second, first);
+  last(second).line->send(success("q1", "good"));
+  EXPECT_EQ(body_of(fleet.answer_on(caller)), "good");
+}
+
 TEST(RelaySilence, TwoThatFallSilentTogetherDontCountOnOneRight) {
   Fleet fleet;
   for (std::string const id : {"w1", "w2", "w3", "w4"}) {
