--- a/source/almanac/relay/relay.cpp
+++ b/source/almanac/relay/relay.cpp
@@ -11,7 +11,7 @@
 #include "tilth/chart/chart.hpp"
 #include "tilth/lanes/lanes.hpp"
 #include "tilth/rights/rights.hpp"
-#include "tilth/silence/silence_bound.hpp"
+#include "tilth/silence/silence_watch.hpp"
 
 namespace finchlink::almanac {
 
@@ -84,8 +84,7 @@
   loam::Moment deadline = 0;
   std::uint64_t dispatch = 0;  ///< grows: what belongs to an earlier one is not heard
   std::uint64_t watch = 0;     ///< the same for its silence alarm
-  loam::Moment silent_since = 0;
-  loam::Span allowed = 0;
+  tilth::SilenceWatch silence;
   int connects = 0;
   std::uint64_t runs = 0;  ///< that workers began, in truth
   std::uint64_t arrivals = 0;
@@ -681,33 +680,54 @@
   }
 
   void watch(FlightPointer const& flight, double set_point_ms) {
-    flight->silent_since = kernel_.now();
-    flight->allowed = tilth::silence_bound(tilth::SilenceTerms{set_point_ms, flight->spot.predicted_seconds,
-                                                               flight->wanted.tokens, flight->passed_on > 0});
-    std::uint64_t const serial = ++flight->watch;
-    kernel_.after(flight->allowed, [this, flight, serial] { silent(flight, serial); });
+    tilth::SilenceTerms const terms{set_point_ms, flight->spot.predicted_seconds, flight->wanted.tokens,
+                                    flight->spot.near};
+    ++flight->watch;
+    act(flight, flight->silence.begin(terms, kernel_.now()));
   }
-  void silent(FlightPointer const& flight, std::uint64_t serial) {
-    if (!live(*flight) || flight->watch != serial) {
+  void act(FlightPointer const& flight, tilth::WaitUntil const& wait) { ring_at(flight, wait.due); }
+  void act(FlightPointer const& flight, tilth::ProbeWorker const& probe) {
+    if (!may_ask_another(*flight)) {
       return;
     }
-    Furrow& furrow = furrow_of(*flight);
-    loam::Moment const now = kernel_.now();
-    if (now - furrow.grove.heard_at(flight->spot.worker) < constants::alive_span &&
-        now - flight->silent_since < 2 * flight->allowed) {
-      kernel_.after(constants::alive_step, [this, flight, serial] { silent(flight, serial); });
+    ring_at(flight, probe.due);
+    Life const* const life = at_address(flight->spot.address);
+    if (life != nullptr && life->dark) {
       return;
     }
-    tilth::Wanted elsewhere = flight->wanted;
-    elsewhere.avoid.push_back(flight->spot.worker);
-    bool const other = repeatable(*flight) && flight->chart->dispatches() < static_cast<int>(flight->lane.dispatches) &&
-                       (!options_.rights || rights(*flight).available()) && furrow.grove.alternative(elsewhere, now);
-    if (other) {
-      flight->reserved = options_.rights && rights(*flight).take();
-      bool const slow = furrow.grove.heard_at(flight->spot.worker) >= flight->silent_since;
-      leave(*flight, slow ? tilth::Outcome::abandoned : tilth::Outcome::defect);
-      feed(flight, tilth::WorkerDefect{"silent"});
+    std::uint64_t const serial = flight->watch;
+    kernel_.after(2 * hop(*flight), [this, flight, serial, taken = life != nullptr] {
+      if (live(*flight) && flight->watch == serial) {
+        perform(flight, flight->silence.probed(taken, kernel_.now()));
+      }
+    });
+  }
+  void act(FlightPointer const& flight, tilth::GiveUp const&) {
+    if (!may_ask_another(*flight)) {
+      return;
     }
+    flight->reserved = options_.rights && rights(*flight).take();
+    bool const slow = furrow_of(*flight).grove.heard_at(flight->spot.worker) >= flight->silence.since();
+    leave(*flight, slow ? tilth::Outcome::abandoned : tilth::Outcome::defect);
+    feed(flight, tilth::WorkerDefect{"silent"});
+  }
+  void perform(FlightPointer const& flight, tilth::SilenceAction const& action) {
+    std::visit([this, &flight](auto const& entry) { act(flight, entry); }, action);
+  }
+  void ring_at(FlightPointer const& flight, loam::Moment due) {
+    std::uint64_t const serial = flight->watch;
+    kernel_.after(due - kernel_.now(), [this, flight, serial] {
+      if (live(*flight) && flight->watch == serial) {
+        perform(flight, flight->silence.rang(furrow_of(*flight).grove.heard_at(flight->spot.worker), kernel_.now()));
+      }
+    });
+  }
+  [[nodiscard]] bool may_ask_another(Flight const& flight) {
+    tilth::Wanted elsewhere = flight.wanted;
+    elsewhere.avoid.push_back(flight.spot.worker);
+    return repeatable(flight) && flight.chart->dispatches() < static_cast<int>(flight.lane.dispatches) &&
+           (!options_.rights || rights(flight).available()) &&
+           furrow_of(flight).grove.alternative(elsewhere, kernel_.now());
   }
 
   // --- at the worker ---
@@ -858,7 +878,7 @@
         report_.resumed += flight->passed_on > 0 ? 1 : 0;
         tell(*flight, life);
         furrow.grove.first_token(flight->spot, flight->wanted.parts,
-                                 static_cast<double>(kernel_.now() - flight->silent_since) / 1e6);
+                                 static_cast<double>(kernel_.now() - flight->silence.since()) / 1e6);
       }
       ++flight->passed_on;
       watch(flight, flight->lane.gap_set_point_ms);
--- a/source/furrow/relay/attempt.cpp
+++ b/source/furrow/relay/attempt.cpp
@@ -5,7 +5,6 @@
 #include "loam/log/log.hpp"
 #include "loam/random/random.hpp"
 #include "loam/relay_constants.hpp"
-#include "tilth/silence/silence_bound.hpp"
 
 namespace finchlink::furrow {
 
@@ -158,8 +157,7 @@
     feed(*later_);
     later_.reset();
   }
-  alarm_->set(
-      silence_due(lane_.gap_set_point_ms > 0 ? lane_.gap_set_point_ms : 2 * lane_.set_point_ms, loam::boot_now()));
+  expect_bytes(pause_set_point_ms(), loam::boot_now());
   (void)read_events(*reading_);  // the grove has counted its end already
   after_talk();
 }
@@ -219,10 +217,14 @@
   return true;
 }
 
-loam::Moment Relay::silence_due(double set_point_ms, loam::Moment now) {
-  silent_since_ = now;
-  allowed_ = tilth::silence_bound(tilth::SilenceTerms{set_point_ms, spot_.predicted_seconds, wanted_.tokens, began_});
-  return std::min(deadline_, now + allowed_);
+void Relay::expect_bytes(double set_point_ms, loam::Moment now) {
+  drop_probe();
+  tilth::SilenceTerms const terms{set_point_ms, spot_.predicted_seconds, wanted_.tokens, spot_.near};
+  alarm_->set(std::min(deadline_, silence_.begin(terms, now).due));
+}
+
+double Relay::pause_set_point_ms() const {
+  return lane_.gap_set_point_ms > 0 ? lane_.gap_set_point_ms : 2 * lane_.set_point_ms;
 }
 
 }  // namespace finchlink::furrow
--- a/source/furrow/relay/event_stream.cpp
+++ b/source/furrow/relay/event_stream.cpp
@@ -53,7 +53,7 @@
       aside_.reset();  // this one goes on
       station_.grove().first_token(spot_, kept_parts(), static_cast<double>(now - sent) / 1e6);
     }
-    alarm_->set(silence_due(lane_.gap_set_point_ms > 0 ? lane_.gap_set_point_ms : 2 * lane_.set_point_ms, now));
+    expect_bytes(pause_set_point_ms(), now);
     std::string text;
     if (!began_) {
       began_ = true;
--- a/source/furrow/relay/relay.cpp
+++ b/source/furrow/relay/relay.cpp
@@ -25,7 +25,8 @@
       bare_(query.header.method() == http::verb::head),
       id_(view(query.header[station.dialect().query])),
       deadline_(query.arrived + loam::milliseconds(static_cast<std::int64_t>(lane.deadline_ms))),
-      chart_(terms(lane), [this](loam::Moment) { return may_spend(true); }) {
+      chart_(terms(lane), [this](loam::Moment) { return may_spend(true); }),
+      silence_(station.mechanisms().silence) {
   std::string_view const left = view(query.header[station.dialect().left]);
   if (!left.empty()) {
     deadline_ = std::min(deadline_, query.arrived + loam::milliseconds(static_cast<std::int64_t>(
@@ -45,15 +46,14 @@
     answer("400 Bad Request", tenant_fault_, false);
     return keep_;
   }
-  std::shared_ptr<Guard> const guard = std::make_shared<Guard>();
-  guard->relay = this;
-  alarm_ = std::make_shared<Alarm>(station_.context(), [guard] {
+  guard_->relay = this;
+  alarm_ = std::make_shared<Alarm>(station_.context(), [guard = guard_] {
     if (guard->relay != nullptr) {
       guard->relay->rang();
     }
   });
   if (look_at_caller()) {  // it may have left while its request waited for its turn
-    watch_caller(guard);
+    watch_caller();
   }
   perform(chart_.begin());
   while (!chart_.settled()) {
@@ -72,9 +72,10 @@
       break;
     }
   }
-  guard->relay = nullptr;
+  guard_->relay = nullptr;
   alarm_->stop();
   error_code ignored;
+  drop_probe();
   caller_.cancel(ignored);
   tilth::Settled const* const settled = std::get_if<tilth::Settled>(&chart_.state());
   tell_late(settled == nullptr ? "open" : settled->how);
--- a/source/furrow/relay/relay.hpp
+++ b/source/furrow/relay/relay.hpp
@@ -12,6 +12,7 @@
 #include "furrow/relay/header_fields.hpp"
 #include "furrow/relay/station.hpp"
 #include "tilth/chart/chart.hpp"
+#include "tilth/silence/silence_watch.hpp"
 #include "tilth/wall/tenant.hpp"
 
 namespace finchlink::furrow {
@@ -37,7 +38,8 @@
 /// relay's one thread; whatever outlives it (timers, the watch on the caller) reaches it through a guard.
 /// Its members are defined by job:
 /// - relay.cpp: begin to end, and what the chart decides
-/// - caller_watch.cpp: a caller that leaves, the deadline, silence
+/// - caller_watch.cpp: a caller that leaves, the deadline
+/// - silence.cpp: a worker that says nothing
 /// - attempt.cpp: a place, a connection, retries, and the return to a worker that was set aside
 /// - request_head.cpp: the head that goes to a worker
 /// - worker_answer.cpp: a worker's answer, refused, whole or no answer at all
@@ -92,12 +94,20 @@
   bool may_spend(bool spend);
   /// Section 13.3: which stage took how long, where an answer missed its set point.
   void tell_late(std::string const& how) const;
-  void watch_caller(std::shared_ptr<Guard> const& guard);
+  void watch_caller();
   /// Reads ahead what the caller sent of its next requests, since its end shows behind that; false: nothing more to
   /// watch for, as it left or sent too much ahead.
   bool look_at_caller();
   void cut();
   void rang();
+  void act(tilth::WaitUntil const& wait);
+  void act(tilth::ProbeWorker const& probe);
+  /// Silence: another worker is asked if the request may be repeated, a right is there, and another has a place; else
+  /// this one may take its time.
+  void act(tilth::GiveUp const&);
+  void perform(tilth::SilenceAction const& action);
+  [[nodiscard]] bool may_ask_another(loam::Moment now);
+  void drop_probe();
   void feed(tilth::QueryMessage const& message) { perform(chart_.advance(message, loam::boot_now())); }
   void perform(std::vector<tilth::QueryAction> const& actions);
   void act(tilth::Place const&) { place_next_ = true; }
@@ -134,7 +144,10 @@
   /// may not be repeated always has a fresh one (section 13.8).
   bool reach();
   [[nodiscard]] std::string head() const;
-  [[nodiscard]] loam::Moment silence_due(double set_point_ms, loam::Moment now);
+  /// The wait for the worker's next bytes begins anew.
+  void expect_bytes(double set_point_ms, loam::Moment now);
+  /// The set point of pauses between events.
+  [[nodiscard]] double pause_set_point_ms() const;
   /// The next bytes of the answer; false: cut, silent or no answer at all.
   bool read_some(boost::beast::flat_buffer& buffer, Parser& parser, std::string& bytes);
   tilth::Outcome talk();
@@ -163,6 +176,7 @@
   ReadAhead& ahead_;
   loam::Yield yield_;
   bool const bare_;  ///< it is a HEAD: no answer to it has a body
+  std::shared_ptr<Guard> const guard_ = std::make_shared<Guard>();
   std::string id_;
   loam::Moment deadline_;
   tilth::Chart chart_;
@@ -183,8 +197,8 @@
   std::string whole_;
   std::string whole_body_;
   Numbering numbering_;  ///< of the events that the caller has
-  loam::Moment silent_since_ = 0;
-  loam::Span allowed_ = 0;
+  tilth::SilenceWatch silence_;
+  std::shared_ptr<Socket> probe_;  ///< connects to a worker that says nothing, to tell a busy one from a lost one
   int connects_ = 0;
   loam::Moment first_at_ = 0;
   std::string trail_;  ///< workers it was placed on: when, predicted
--- /dev/null
+++ b/source/furrow/relay/silence.cpp
@@ -0,0 +1,77 @@
+#include <algorithm>
+
+#include "furrow/relay/relay.hpp"
+#include "loam/relay_constants.hpp"
+
+namespace finchlink::furrow {
+
+namespace constants = loam::constants;
+using boost::system::error_code;
+
+void Relay::perform(tilth::SilenceAction const& action) {
+  std::visit([this](auto const& entry) { act(entry); }, action);
+}
+
+void Relay::act(tilth::WaitUntil const& wait) {
+  alarm_->set(std::min(deadline_, wait.due));
+}
+
+void Relay::act(tilth::ProbeWorker const& probe) {
+  if (!may_ask_another(loam::boot_now())) {
+    alarm_->set(deadline_);  // whatever the probe showed, nothing would follow
+    return;
+  }
+  alarm_->set(std::min(deadline_, probe.due));
+  absl::StatusOr<loam::Endpoint> const endpoint = loam::read_endpoint(spot_.address);
+  probe_ = std::make_shared<Socket>(station_.context());
+  if (!endpoint.ok() || loam::open_own(*probe_, *endpoint)) {
+    return;  // its moment ends it
+  }
+  ++station_.tally().probes;
+  probe_->async_connect(*endpoint, [guard = guard_, socket = probe_](error_code const& error) {
+    Relay* const relay = guard->relay;
+    if (relay != nullptr && relay->probe_ == socket) {
+      relay->drop_probe();
+      relay->perform(relay->silence_.probed(!error, loam::boot_now()));
+    }
+  });
+}
+
+void Relay::drop_probe() {
+  if (probe_ != nullptr) {
+    error_code ignored;
+    probe_->close(ignored);
+    probe_.reset();
+  }
+}
+
+bool Relay::may_ask_another(loam::Moment now) {
+  wanted_.avoid.push_back(spot_.worker);
+  bool const other = repeatable() && chart_.dispatches() < static_cast<int>(lane_.dispatches) && may_spend(false) &&
+                     station_.grove().alternative(wanted_, now);
+  wanted_.avoid.pop_back();
+  return other;
+}
+
+void Relay::act(tilth::GiveUp const&) {
+  drop_probe();
+  if (!may_ask_another(loam::boot_now())) {
+    alarm_->set(deadline_);
+    return;
+  }
+  // The right is taken now: others whose worker fell silent at the same moment must not count on the same one.
+  reserved_ = station_.rights(service_).take();
+  // Slow, not dark, if anything came from it since: no reason for it to rest.
+  slow_ = station_.grove().heard_at(spot_.worker) >= silence_.since();
+  if (station_.mechanisms().set_aside && worker_ != nullptr &&
+      std::holds_alternative<tilth::Streaming>(chart_.state()) && reading_->sending->whole()) {
+    // Part of its stream is with the caller: it is only set aside until another one goes on, since that may refuse.
+    setting_aside_ = true;
+    error_code ignored;
+    worker_->cancel(ignored);
+  } else {
+    cut();
+  }
+}
+
+}  // namespace finchlink::furrow
--- a/source/furrow/relay/station.cpp
+++ b/source/furrow/relay/station.cpp
@@ -76,7 +76,7 @@
     text << "relay_queries_total{outcome=\"" << entry.first << "\"} " << entry.second << "\n";
   }
   text << "relay_retries_total " << retries << "\nrelay_resumed_total " << resumed << "\nrelay_connects_total "
-       << connects << "\nrelay_dispatches_total " << dispatches << "\n";
+       << connects << "\nrelay_probes_total " << probes << "\nrelay_dispatches_total " << dispatches << "\n";
   return text.str();
 }
 
@@ -94,6 +94,12 @@
 
 absl::Status Station::begin() {
   begun_at_ = loam::boot_now();
+  absl::StatusOr<tilth::Mechanisms> const mechanisms = tilth::mechanisms_without(settings_.without);
+  if (!mechanisms.ok()) {
+    return mechanisms.status();
+  }
+  mechanisms_ = *mechanisms;
+  grove_ = tilth::Grove(mechanisms_.grove);
   absl::Status status =
       listen(settings_.http_address,
              [this](std::shared_ptr<Socket> const& socket, loam::Yield yield) { serve_caller(*this, socket, yield); });
--- a/source/furrow/relay/station.hpp
+++ b/source/furrow/relay/station.hpp
@@ -25,6 +25,7 @@
 #include "tilth/census/census.hpp"
 #include "tilth/grove/grove.hpp"
 #include "tilth/lanes/lanes.hpp"
+#include "tilth/mechanisms/mechanisms.hpp"
 #include "tilth/observe/observer.hpp"
 #include "tilth/rights/rights.hpp"
 #include "tilth/wall/walls.hpp"
@@ -61,6 +62,7 @@
   std::uint64_t retries = 0;
   std::uint64_t resumed = 0;
   std::uint64_t connects = 0;
+  std::uint64_t probes = 0;  ///< connections opened to tell a busy worker from a lost one
   std::uint64_t dispatches = 0;
   [[nodiscard]] std::string print() const;
 };
@@ -83,6 +85,7 @@
   [[nodiscard]] Dialect const& dialect() const { return dialect_; }
   [[nodiscard]] std::shared_ptr<tilth::LaneBook const> const& book() const { return book_; }
   [[nodiscard]] tilth::Grove& grove() { return grove_; }
+  [[nodiscard]] tilth::Mechanisms const& mechanisms() const { return mechanisms_; }
   [[nodiscard]] tilth::Rights& rights(std::string const& service);
   [[nodiscard]] Tally& tally() { return tally_; }
   [[nodiscard]] tilth::Walls& walls() { return walls_; }
@@ -164,6 +167,7 @@
   loam::Moment heard_at_ = 0;
   bool heard_ = false;
   bool lost_ = true;  ///< no trellis answered the last ask
+  tilth::Mechanisms mechanisms_;
   tilth::Grove grove_;
   tilth::Observer observer_;
   std::map<std::string, schema::Split> splits_;  ///< by pool
--- a/source/furrow/relay/worker_answer.cpp
+++ b/source/furrow/relay/worker_answer.cpp
@@ -81,7 +81,7 @@
 tilth::Outcome Relay::talk() {
   Dialect const& dialect = station_.dialect();
   loam::Moment const sent = loam::boot_now();
-  alarm_->set(silence_due(lane_.set_point_ms, sent));
+  expect_bytes(lane_.set_point_ms, sent);
   if (prompt_.has_value()) {
     walled_ = station_.walls().send(*prompt_, spot_.worker, draw_once());
   }
--- a/source/loam/relay_constants.hpp
+++ b/source/loam/relay_constants.hpp
@@ -134,8 +134,9 @@
 /// Part of a set point after which a silent worker is given up, if the query
 /// may be repeated and another worker has a place.
 inline constexpr double silence_part = 0.6;
-/// The same for a prompt that has an owner: another worker would read all of it.
-inline constexpr double silence_part_long = 1.5;
+/// As many of these bounds a long prompt waits for a worker that takes connections and says nothing: by then only a
+/// request that is stuck there explains it.
+inline constexpr int silence_bounds_most = 5;
 /// The set point that silence is measured by where a lane tells none.
 inline constexpr double silence_point_ms = 1000;
 /// A worker that gave bytes to any query within this is busy, not dark: it is
--- a/source/loam/settings/settings.cpp
+++ b/source/loam/settings/settings.cpp
@@ -73,6 +73,7 @@
   read.scaler_warm_up_ms = given.scaler_warm_up_ms;
   read.scaler_refit_ms = given.scaler_refit_ms;
   read.scaler_step = given.scaler_step;
+  read.without = given.without;
 }
 
 absl::StatusOr<Invocation> read_invocation(int count, char const* const* values, std::string const& program,
--- /dev/null
+++ b/source/tests/tilth/mechanisms_test.cpp
@@ -0,0 +1,27 @@
+#include "tilth/mechanisms/mechanisms.hpp"
+
+#include <gtest/gtest.h>
+
+namespace finchlink {
+namespace {
+
+TEST(Mechanisms, AllAreOnUnlessNamed) {
+  absl::StatusOr<tilth::Mechanisms> const all = tilth::mechanisms_without({});
+  ASSERT_TRUE(all.ok());
+  EXPECT_TRUE(all->grove.owners && all->grove.spare_regions && all->grove.rest && all->silence.probe && all->set_aside);
+  absl::StatusOr<tilth::Mechanisms> const some = tilth::mechanisms_without({"owners", "set_aside"});
+  ASSERT_TRUE(some.ok());
+  EXPECT_FALSE(some->grove.owners);
+  EXPECT_FALSE(some->set_aside);
+  EXPECT_TRUE(some->grove.spare_regions);
+}
+
+TEST(Mechanisms, EachNameOfTheTableIsKnownAndNoOther) {
+  for (std::string const& name : tilth::mechanism_names()) {
+    EXPECT_TRUE(tilth::mechanisms_without({name}).ok()) << name;
+  }
+  EXPECT_TRUE(absl::IsInvalidArgument(tilth::mechanisms_without({"owner"}).status()));
+}
+
+}  // namespace
+}  // namespace finchlink
--- a/source/tilth/grove/grove.cpp
+++ b/source/tilth/grove/grove.cpp
@@ -98,9 +98,9 @@
       free_[place.first.first].insert(place.first.second);
     }
   }
-  std::erase_if(free_, [&spare](std::pair<std::string const, std::set<std::string>> const& entry) {
+  std::erase_if(free_, [&spare, this](std::pair<std::string const, std::set<std::string>> const& entry) {
     std::pair<double, double> const& count = spare[entry.first];
-    return count.first < count.second * constants::free_least;
+    return !guards_.spare_regions || count.first < count.second * constants::free_least;
   });
   // A split names who is fed what, as long as each phase has a worker that
   // takes queries (section 13.11).
@@ -115,7 +115,7 @@
   }
   for (std::pair<std::string const, Worker>& entry : next) {
     std::pair<bool, bool> const there = phases[{entry.second.stand.service, entry.second.stand.region}];
-    if (!there.first || !there.second) {
+    if (!guards_.split_phases || !there.first || !there.second) {
       entry.second.stand.phase.clear();
     }
   }
@@ -235,7 +235,7 @@
     double const kept = worker.reuse.match(wanted.parts);
     double const shared = shared_of(wanted.parts).tokens;
     double const cached = owner ? std::max(kept, shared) : kept;  // colleagues send the same there, too
-    price.cost += std::max(0.0, shared - cached) * constants::reread_cost;
+    price.cost += guards_.reread_cost ? std::max(0.0, shared - cached) * constants::reread_cost : 0;
     // Behind walls an owner is preferred, but nothing is foretold that was not seen (section 14.3).
     bool const walled = !wanted.parts.empty() && wanted.parts.front().holder != 0;
     price.uncached = std::max(0.0, wanted.tokens - (walled ? kept : cached));
@@ -249,14 +249,14 @@
   } else {
     price.seconds += running / worker.slots * constants::plain_seconds;
   }
-  price.seconds += judge_.overdue(worker.judged, now);
+  price.seconds += guards_.overdue ? judge_.overdue(worker.judged, now) : 0;
   if (over >= 0) {
     price.seconds += (over + 1) / worker.slots * constants::plain_seconds * 2;
   }
   if (cold(worker, now)) {
     price.cost += constants::cold_cost;
   }
-  if (std::holds_alternative<OnTrial>(judge_.verdict(worker.judged, now))) {
+  if (guards_.trial && std::holds_alternative<OnTrial>(judge_.verdict(worker.judged, now))) {
     price.cost += wanted.once ? constants::trial_once_cost : constants::trial_cost;
   }
   if (judge_.hall_dark(worker.judged, now)) {
@@ -286,7 +286,7 @@
   std::map<std::string_view, std::pair<std::uint64_t, Worker const*>> owners;
   std::uint64_t const key = shared_of(wanted.parts).key;
   std::set<std::string> const* const free = free_regions(service, wanted);
-  if (key != 0) {
+  if (key != 0 && guards_.owners) {
     for (std::string const& id : ids->second) {
       Worker const& worker = workers_.at(id);
       if (!worker.stand.model || worker.stand.draining || worker.stand.evacuated) {
@@ -496,7 +496,7 @@
 
 void Grove::told(std::string const& id, double running, double waiting, double slots, loam::Moment now) {
   std::map<std::string, Worker>::iterator const found = workers_.find(id);
-  if (found == workers_.end()) {
+  if (found == workers_.end() || !guards_.told_load) {
     return;
   }
   found->second.told_total = running + waiting;
--- a/source/tilth/grove/grove.hpp
+++ b/source/tilth/grove/grove.hpp
@@ -81,6 +81,13 @@
   bool ejection_bound = true;    ///< too many of a pool ill: the least bad serve
   bool hall_suspicion = true;    ///< two workers of a hall out of reach: the others come last
   bool suspect_returned = true;  ///< a hall taken back may have turned cold unseen
+  bool trial = true;             ///< a worker out of a rest costs more until it is heard
+  bool owners = true;            ///< what prompts share has an owner in each region (section 13.5)
+  bool spare_regions = true;     ///< regions that no lane calls home own what may be served anywhere (section 13.14)
+  bool split_phases = true;      ///< a written split decides who is fed what (section 13.11)
+  bool reread_cost = true;       ///< reading a shared part anew costs more than its time
+  bool overdue = true;           ///< first tokens that are late count as time
+  bool told_load = true;         ///< the load that workers tell counts
 };
 
 /// Where each query lands among the workers of several services (section
--- /dev/null
+++ b/source/tilth/silence/silence_watch.cpp
@@ -0,0 +1,66 @@
+#include "tilth/silence/silence_watch.hpp"
+
+#include <algorithm>
+
+#include "loam/relay_constants.hpp"
+
+namespace finchlink::tilth {
+
+namespace constants = loam::constants;
+
+bool SilenceWatch::long_prompt() const {
+  return terms_.prompt_tokens >= constants::owned_tokens;
+}
+
+loam::Span SilenceWatch::bound() const {
+  double const point = terms_.set_point_ms > 0 ? terms_.set_point_ms : constants::silence_point_ms;
+  return std::max(loam::milliseconds(static_cast<std::int64_t>(point * constants::silence_part)),
+                  static_cast<loam::Span>(terms_.predicted_seconds * 2e6));
+}
+
+WaitUntil SilenceWatch::begin(SilenceTerms const& terms, loam::Moment now) {
+  terms_ = terms;
+  state_ = State::waiting;
+  since_ = now;
+  return wait_until(now + bound());
+}
+
+WaitUntil SilenceWatch::wait_until(loam::Moment due) {
+  due_ = due;
+  return WaitUntil{due};
+}
+
+SilenceAction SilenceWatch::rang(loam::Moment heard_at, loam::Moment now) {
+  if (now < due_) {
+    return WaitUntil{due_};
+  }
+  if (state_ == State::probing) {
+    return GiveUp{};  // it didn't take the connection in time
+  }
+  loam::Span const silent = now - since_;
+  if (now - heard_at < constants::alive_span && silent < 2 * bound()) {
+    return wait_until(now + constants::alive_step);
+  }
+  if (!guards_.give_up) {
+    return wait_until(now + bound());
+  }
+  if (!guards_.probe || !long_prompt() || silent >= constants::silence_bounds_most * bound()) {
+    return GiveUp{};
+  }
+  state_ = State::probing;
+  due_ = now + (terms_.near ? constants::relay_connect_near : constants::relay_connect_deadline);
+  return ProbeWorker{due_};
+}
+
+SilenceAction SilenceWatch::probed(bool connected, loam::Moment now) {
+  if (state_ != State::probing) {
+    return WaitUntil{due_};
+  }
+  state_ = State::waiting;
+  if (!connected) {
+    return GiveUp{};
+  }
+  return wait_until(now + bound());
+}
+
+}  // namespace finchlink::tilth
--- /dev/null
+++ b/source/tilth/silence/silence_watch.hpp
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <variant>
+
+#include "loam/time/moment.hpp"
+
+namespace finchlink::tilth {
+
+/// What is known of an attempt when the wait for its worker's next bytes begins (section 13.8).
+struct SilenceTerms {
+  double set_point_ms = 0;       ///< of the lane, or of its pauses once a stream has begun; 0: not told
+  double predicted_seconds = 0;  ///< to the first token, as placement predicted it
+  double prompt_tokens = 0;      ///< whole prompt, kept parts included
+  bool near = true;              ///< the worker stands in the own region
+};
+
+/// Rules that tests and measurements switch off to show what they are worth.
+struct SilenceGuards {
+  bool give_up = true;  ///< another worker may be asked
+  bool probe = true;    ///< a long prompt's worker is connected to before it is given up
+};
+
+/// Look again at that moment.
+struct WaitUntil {
+  loam::Moment due = 0;
+};
+/// Connect to the worker; until `due` that counts as failed.
+struct ProbeWorker {
+  loam::Moment due = 0;
+};
+/// Nothing more is waited for; another worker may be asked.
+struct GiveUp {};
+using SilenceAction = std::variant<WaitUntil, ProbeWorker, GiveUp>;
+
+/// How long one attempt waits for a silent worker: plain state, every message carries its moment.
+///
+/// Giving up on a long prompt has another worker read all of it. That holds up every stream there, so that it falls
+/// silent too: under load such retries feed themselves. Hence the worker of a long prompt is connected to first. One
+/// that takes the connection is busy and is waited for, with a further probe after each bound, until only a request
+/// that is stuck explains the silence; one that doesn't is lost, and is given up at once.
+class SilenceWatch {
+ public:
+  explicit SilenceWatch(SilenceGuards guards = {}) : guards_(guards) {}
+  /// The request, or bytes of its answer, went through just now.
+  [[nodiscard]] WaitUntil begin(SilenceTerms const& terms, loam::Moment now);
+  /// The moment of the last action has come. `heard_at`: when any request had bytes from this worker.
+  [[nodiscard]] SilenceAction rang(loam::Moment heard_at, loam::Moment now);
+  /// The probe ended before its moment; a late end of an earlier one changes nothing.
+  [[nodiscard]] SilenceAction probed(bool connected, loam::Moment now);
+  [[nodiscard]] loam::Moment since() const { return since_; }
+
+ private:
+  enum class State { waiting, probing };
+  [[nodiscard]] loam::Span bound() const;
+  [[nodiscard]] bool long_prompt() const;
+  WaitUntil wait_until(loam::Moment due);
+
+  SilenceGuards guards_;
+  SilenceTerms terms_;
+  State state_ = State::waiting;
+  loam::Moment since_ = 0;
+  loam::Moment due_ = 0;  ///< of the last action
+};
+
+}  // namespace finchlink::tilth
