A worker's promise that nothing ran is no try of the route

Cause: a request that got 421 from a worker that was just being replaced was answered 503 at once, as its route allows one try; what a route's tries bound are workers that run a request, and this one ran none. It is placed anew now, three times at most, each for a right to retry. Test: Chart.ARefusalByAWorkerIsNoTryOfTheRoute.

--- a/source/loam/relay_constants.hpp
+++ b/source/loam/relay_constants.hpp
@@ -93,6 +93,8 @@
 /// nobody is an outlier among others.
 inline constexpr double ejection_share = 0.7;
 inline constexpr std::size_t ejection_pool_least = 3;
+/// Refusals by workers, of one request, that are no tries of its route: nothing ran there.
+inline constexpr int refusals_most = 3;
 /// A worker that refused is left alone this long.
 inline constexpr Span refused_rest = milliseconds(100);
 /// Establishing a connection to a worker; the way between regions twice, and more.
--- a/source/tests/tilth/chart_test.cpp
+++ b/source/tests/tilth/chart_test.cpp
@@ -4,6 +4,7 @@
 #include <random>
 
 #include "loam/constants.hpp"
+#include "loam/relay_constants.hpp"
 #include "tilth/budget/budget.hpp"
 #include "tilth/chart/chart.hpp"
 
@@ -54,6 +55,29 @@
   EXPECT_TRUE(only<Refuse>(query.advance(DeadlinePassed{}, 0)));
 }
 
+TEST(Chart, ARefusalByAWorkerIsNoTryOfTheRoute) {
+  QueryTerms terms;
+  terms.dispatches_most = 1;
+  Chart query = chart(terms);
+  for (int refusals = 0; refusals < loam::constants::refusals_most; ++refusals) {
+    (void)query.advance(Placed{"a"}, 0);
+    (void)query.advance(Connected{}, 0);
+    EXPECT_TRUE(only<Place>(query.advance(WorkerRefused{}, 0))) << refusals;
+  }
+  // Not without end, and never again once one may have run.
+  (void)query.advance(Placed{"b"}, 0);
+  (void)query.advance(Connected{}, 0);
+  EXPECT_TRUE(only<Refuse>(query.advance(WorkerRefused{}, 0)));
+
+  Chart ran = chart(terms);
+  (void)ran.advance(Placed{"a"}, 0);
+  (void)ran.advance(Connected{}, 0);
+  EXPECT_TRUE(only<Place>(ran.advance(WorkerRefused{}, 0)));
+  (void)ran.advance(Placed{"b"}, 0);
+  (void)ran.advance(Connected{}, 0);
+  EXPECT_TRUE(only<Apologise>(ran.advance(WorkerDefect{"cut"}, 0)));
+}
+
 TEST(Chart, WithoutBudgetTheFirstNoIsFinal) {
   Chart query = chart(QueryTerms{}, false);
   (void)query.advance(Placed{"a"}, 0);
--- a/source/tilth/chart/chart.cpp
+++ b/source/tilth/chart/chart.cpp
@@ -2,6 +2,8 @@
 
 #include <vector>
 
+#include "loam/relay_constants.hpp"
+
 namespace finchlink::tilth {
 
 std::vector<QueryAction> Chart::advance(QueryMessage const& message, loam::Moment now) {
@@ -110,6 +112,11 @@
   if (!std::holds_alternative<Exposed>(state_)) {
     return {};
   }
+  // It promised that nothing ran, so this was none of the tries that the route allows; it still takes a right.
+  if (refusals_ < loam::constants::refusals_most) {
+    ++refusals_;
+    --dispatches_;
+  }
   return try_again("busy", 502, now);
 }
 
--- a/source/tilth/chart/chart.hpp
+++ b/source/tilth/chart/chart.hpp
@@ -145,6 +145,7 @@
   QueryState state_ = Waitlisted{};
   Standing standing_ = Standing::serve;
   int dispatches_ = 0;
+  int refusals_ = 0;  ///< by workers that promised not to have run it
   bool may_have_run_ = false;
   bool repeats_ = false;  ///< its next dispatch would run what may have run before
   bool passed_ = false;
