--- /dev/null
+++ b/source/tests/almanac/decisions_test.cpp
@@ -0,0 +1,52 @@
+#include "almanac/decisions/decisions.hpp"
+
+#include <gtest/gtest.h>
+
+namespace finchlink {
+namespace {
+
+constexpr std::uint64_t seeds = 12;
+
+almanac::DecisionReport play(std::uint64_t seed, tilth::GroveGuards const& guards = {}) {
+  almanac::DecisionOptions options;
+  options.seed = seed;
+  options.grove = guards;
+  return almanac::play_decisions(options);
+}
+
+TEST(Decisions, BoundsHoldOnDeploymentsThatNobodyHasSeen) {
+  for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+    almanac::DecisionReport const report = play(seed);
+    for (std::string const& violation : report.violations) {
+      ADD_FAILURE() << "seed " << seed << ": " << violation;
+    }
+    for (almanac::KindReport const& kind : report.kinds) {
+      EXPECT_GT(kind.asked, 0u) << "seed " << seed << " " << kind.name;
+    }
+  }
+}
+
+TEST(Decisions, TheSameSeedPlaysTheSame) {
+  almanac::DecisionReport const one = play(3);
+  almanac::DecisionReport const other = play(3);
+  ASSERT_EQ(one.kinds.size(), other.kinds.size());
+  for (std::size_t index = 0; index < one.kinds.size(); ++index) {
+    EXPECT_EQ(one.kinds[index].in_set_point, other.kinds[index].in_set_point);
+  }
+  EXPECT_EQ(one.read_again_tokens, other.read_again_tokens);
+}
+
+TEST(Decisions, WithoutOwnersSharedPartsAreReadMoreOften) {
+  double with = 0;
+  double without = 0;
+  tilth::GroveGuards no_owners;
+  no_owners.owners = false;
+  for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+    with += play(seed).read_again_tokens;
+    without += play(seed, no_owners).read_again_tokens;
+  }
+  EXPECT_GT(without, 1.5 * with);
+}
+
+}  // namespace
+}  // namespace finchlink
