--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -20,6 +20,9 @@
 ZONES = {"dub-north": "dublin", "cork-harbour": "cork", "dub-south": "dublin"}
 
 
+BROKEN = 3  # run.sh makes a 1 of it; a 1 of the interpreter itself tells of no rule
+
+
 class CannotRun(Exception):
     """The case could not be played; exit status 2."""
 
@@ -440,7 +443,7 @@
         system = System(record, **more)
         broken = asyncio.run(asyncio.wait_for(whole(), 105))
         record.tell("RULE BROKEN" if broken else "rule held", "" if trouble else "(TROUBLE=0)")
-        return 1 if broken else 0
+        return BROKEN if broken else 0
     except Exception as error:  # whatever it is, no rule was judged
         record.tell("could not run:", repr(error))
         return 2
