--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -63,8 +63,8 @@
 class Record:
     """record.txt: what was sent, answered and run, with seconds since the start."""
 
-    def __init__(self, folder):
-        self.file = open(os.path.join(folder, "record.txt"), "w", encoding="utf-8")
+    def __init__(self, path):
+        self.file = open(path, "w", encoding="utf-8")
         self.begun = time.monotonic()
 
     def now(self):
@@ -429,10 +429,10 @@
         await until(ready, 30, f"{ip} is not ready")
 
 
-def play(folder, body, **more):
+def play(path, body, **more):
     """Runs body(system, platform, operator, record, trouble), which tells whether the rule was broken."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
-    record = Record(folder)
+    record = Record(path)
     system = None
 
     async def whole():
