--- a/source/common/prompt_isolation_constants.hpp
+++ b/source/common/prompt_isolation_constants.hpp
@@ -19,9 +19,6 @@
 inline constexpr std::size_t max_isolated_parts = 64;
 /// Largest token count that a part can report, far above any prompt.
 inline constexpr double max_isolated_part_tokens = 1e9;
-/// An entry of the cache record counts as at least this many tokens, which bounds the number
-/// of entries by the worker's memory even if parts are tiny.
-inline constexpr double min_isolation_entry_tokens = 16;
 /// A tenant that holds more than this many equal shares of a full record is evicted first.
 /// With one share, tenants that send no more queries would keep theirs at the expense of active ones.
 inline constexpr double max_isolation_shares = 2;
--- a/source/common/relay_constants.hpp
+++ b/source/common/relay_constants.hpp
@@ -31,6 +31,9 @@
 inline constexpr double min_reread_to_transit_ratio = 2;
 /// Prefixes of at least this many tokens have an owner and are used to estimate the speed.
 inline constexpr double min_owned_tokens = 1000;
+/// A cached part counts for at least this many tokens, which bounds the number of parts by the worker's memory even if
+/// callers name tiny ones.
+inline constexpr double min_cached_part_tokens = 16;
 /// Whether each proxy separates long prompts by its own estimate: off, since owners that change with the estimate read
 /// shared parts again (measured); a written split separates them.
 inline constexpr bool keep_long_apart = false;
--- a/source/scheduling/prompt_cache/prompt_cache_estimate.cpp
+++ b/source/scheduling/prompt_cache/prompt_cache_estimate.cpp
@@ -1,5 +1,8 @@
 #include "scheduling/prompt_cache/prompt_cache_estimate.hpp"
 
+#include <algorithm>
+
+#include "common/relay_constants.hpp"
 #include "scheduling/prefix/prefix_record.hpp"
 
 namespace finchlink::scheduling {
@@ -50,7 +53,7 @@
     chain = mix(chain, part.key);
     if (recent_.count(chain) == 0) {
       recent_[chain] = static_cast<float>(part.tokens);
-      recent_tokens_ += part.tokens;
+      recent_tokens_ += std::max(part.tokens, common::constants::min_cached_part_tokens);
     }
   }
   if (recent_tokens_ > capacity_ / 2) {
--- a/source/scheduling/prompt_cache/prompt_cache_estimate.hpp
+++ b/source/scheduling/prompt_cache/prompt_cache_estimate.hpp
@@ -20,7 +20,8 @@
 
 /// Estimates which prompt parts one worker still has cached, from this proxy's own
 /// dispatches (section 13.5). A part counts only behind all parts before it.
-/// Eviction uses two generations, which together hold at most `capacity` tokens.
+/// Eviction uses two generations, which together hold at most `capacity` tokens; parts
+/// of few tokens count for more, so that their number is bounded as well.
 class PromptCacheEstimate {
  public:
   explicit PromptCacheEstimate(double capacity = 0) : capacity_(capacity) {}
@@ -30,6 +31,8 @@
   [[nodiscard]] double match(std::vector<PromptPart> const& parts) const;
   void remember(std::vector<PromptPart> const& parts);
   void clear();
+  /// Parts held that are not isolated; one in both generations counts twice.
+  [[nodiscard]] std::size_t size() const { return recent_.size() + previous_.size(); }
   /// The worker still had only this many tokens of an isolated prompt: what it
   /// had not used since the first missing part is dropped from the estimate, too.
   void record_eviction(std::vector<PromptPart> const& parts, double tokens);
--- a/source/scheduling/prompt_isolation/record.cpp
+++ b/source/scheduling/prompt_isolation/record.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "common/prompt_isolation_constants.hpp"
+#include "common/relay_constants.hpp"
 
 namespace finchlink::scheduling {
 
@@ -59,7 +60,7 @@
   // Last part first, so that the end of a prompt is evicted before its beginning.
   for (std::vector<IsolationEntry>::const_reverse_iterator entry = entries.rbegin(); entry != entries.rend(); ++entry) {
     drop(entry->key);
-    double const weight = std::max(entry->tokens, common::constants::min_isolation_entry_tokens);
+    double const weight = std::max(entry->tokens, common::constants::min_cached_part_tokens);
     if (weight > capacity) {
       continue;
     }
--- a/source/tests/platform/clients/clients_test.py
+++ b/source/tests/platform/clients/clients_test.py
@@ -32,13 +32,15 @@
 HEADER_BYTES = 16384
 CONFIG_BYTES = 2 << 20
 LARGE_ANSWER_BYTES = 1 << 20
+PROMPTS, PARTS_OF_A_PROMPT = 1000, 1600
 FURROW, TRELLIS = "furrow-m01", "trellis-m01"
 PATIENCE_S = 60
 ZONES = {"north": "dublin", "south": "dublin", "harbour": "cork"}
 
 
 def charter(number=5, header_wait_ms=20000, idle_ms=20000):
-    document = standin.charter(number, {"web": False}, {"plain": ("web", "safe"), "slow": ("web", "safe")})
+    lanes = {"plain": ("web", "safe"), "slow": ("web", "safe"), "talk": ("pool", "stream")}
+    document = standin.charter(number, {"web": False, "pool": True}, lanes)
     document["limits"] = {"max_header_bytes": HEADER_BYTES, "max_body_bytes": BODY_BYTES, "header_wait_ms": header_wait_ms, "idle_ms": idle_ms}
     for channel in document["channels"]:
         channel["deadline_ms"] = 8000
@@ -60,6 +62,8 @@
             answer = b"x" * LARGE_ANSWER_BYTES
         elif path == "/plain/length":
             answer = str(len(body)).encode()
+        elif path.startswith("/talk/"):
+            answer_headers, answer = {**answer_headers, "Content-Type": "text/event-stream"}, b"id: 1\ndata: piece\n\n"
         return status, answer_headers, answer
 
 
@@ -74,7 +78,7 @@
         self.folder = folder.name
         prefix, held = fleet_test.claim()
         self.addCleanup(held.close)
-        self.plan = standin.plan(folder.name, prefix, ZONES, 1, {"web": 1})
+        self.plan = standin.plan(folder.name, prefix, ZONES, 1, {"web": 1, "pool": 1})
         for idle in list(self.plan["processes"]):
             if idle.startswith("furrow") and idle != FURROW:
                 del self.plan["processes"][idle]
@@ -196,6 +200,14 @@
     def test_requests_sent_ahead(self):
         self.crowd(150, kinds.sent_ahead())
 
+    def test_prompt_parts_without_tokens(self):
+        watch = self.watch(FURROW)
+        for number in range(PROMPTS):
+            parts = ",".join(f"{number * PARTS_OF_A_PROMPT + part:x}:0" for part in range(PARTS_OF_A_PROMPT))
+            self.assertTrue(standin.until(lambda: self.ask(standin.FRONT, "POST", "/talk/a", "body", {"Prompt-Prefix": parts})[0] == 200))
+        self.assertTrue(self.ordinary(standin.FRONT))
+        self.check(FURROW, watch)
+
 
 class Hanging(Case):
     """Callers that never read: the proxy gives them up."""
