--- a/source/platform/settings.cpp
+++ b/source/platform/settings.cpp
@@ -15,6 +15,10 @@
 namespace constants = common::constants;
 
 namespace {
+/// The least that a process can be given, as for the project's own settings.
+constexpr std::uint64_t min_memory_mb = 16;
+constexpr std::uint64_t min_descriptors = 64;
+
 /// A field's text; empty if it is missing or not a scalar.
 std::string string_field(YAML::Node const& node, char const* field) {
   YAML::Node const entry = node[field];
@@ -72,6 +76,16 @@
   return bounds;
 }
 
+/// The memory and the descriptors of the process; the defaults if the file doesn't state them.
+void read_limits(YAML::Node const& root, schema::Settings& settings) {
+  YAML::Node const limits = root["limits"];
+  if (!limits) {
+    return;
+  }
+  settings.memory_mb = std::max(min_memory_mb, integer_field(limits, "memory_mb", settings.memory_mb));
+  settings.descriptors = std::max(min_descriptors, integer_field(limits, "fd_limit", settings.descriptors));
+}
+
 schema::Settings convert_settings(YAML::Node const& root) {
   schema::Settings settings;
   settings.name = string_field(root, "node");
@@ -100,6 +114,7 @@
   settings.data_folder = string_field(root, "data_dir");
   settings.founding = bool_field(root, "bootstrap", false);
   settings.threads = 1;
+  read_limits(root, settings);
   settings.tolerated_machines = integer_field(root["tolerance"], "machines", settings.tolerated_machines);
   settings.bounds = convert_time_bounds(root["bounds"], cloud);
   return settings;
--- a/source/tests/platform/settings_test.cpp
+++ b/source/tests/platform/settings_test.cpp
@@ -55,6 +55,23 @@
   EXPECT_TRUE(common::check_bounds(settings->bounds).ok()) << common::check_bounds(settings->bounds);
 }
 
+TEST(PlatformSettings, StateMemoryAndDescriptors) {
+  absl::StatusOr<schema::Settings> const stated =
+      platform::parse_settings(sample + "limits: {cores: 1, memory_mb: 160, fd_limit: 3000, link_mbps: 10.0}\n");
+  ASSERT_TRUE(stated.ok()) << stated.status();
+  EXPECT_EQ(stated->memory_mb, 160u);
+  EXPECT_EQ(stated->descriptors, 3000u);
+  absl::StatusOr<schema::Settings> const left_out = platform::parse_settings(sample);
+  ASSERT_TRUE(left_out.ok()) << left_out.status();
+  EXPECT_EQ(left_out->memory_mb, schema::Settings().memory_mb);
+  EXPECT_EQ(left_out->descriptors, schema::Settings().descriptors);
+  absl::StatusOr<schema::Settings> const tiny =
+      platform::parse_settings(sample + "limits: {memory_mb: 0, fd_limit: 1}\n");
+  ASSERT_TRUE(tiny.ok()) << tiny.status();
+  EXPECT_EQ(tiny->memory_mb, 16u);
+  EXPECT_EQ(tiny->descriptors, 64u);
+}
+
 TEST(PlatformSettings, BootstrapOnlyIfTheFileSaysSo) {
   std::string text = sample;
   text.erase(text.find("bootstrap: true"), 15);
