--- a/source/common/http/http.cpp
+++ b/source/common/http/http.cpp
@@ -54,17 +54,18 @@
   return got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
 }
 
-absl::Status serve_requests(boost::asio::io_context& context, std::string const& address, std::size_t max_connections,
-                            std::size_t body_limit, RequestHandler handler) {
-  return serve_requests(context, address, max_connections, body_limit,
+absl::Status serve_requests(boost::asio::io_context& context, ListenAddress const& address, std::size_t body_limit,
+                            RequestHandler handler) {
+  return serve_requests(context, address, body_limit,
                         [handler = std::move(handler)](Request const& request, CallerConnection const&, Yield yield) {
                           return handler(request, yield);
                         });
 }
 
-absl::Status serve_requests(boost::asio::io_context& context, std::string const& address, std::size_t max_connections,
-                            std::size_t body_limit, ConnectedRequestHandler handler) {
-  return listen(context, address, max_connections, [handler, body_limit](Stream& stream, Yield yield) {
+absl::Status serve_requests(boost::asio::io_context& context, ListenAddress const& address, std::size_t body_limit,
+                            ConnectedRequestHandler handler) {
+  return listen(context, address, [handler, body_limit](AcceptedStream const& connection, Yield yield) {
+    Stream& stream = connection.stream;
     boost::beast::flat_buffer buffer;
     bool keep_open = true;
     while (keep_open) {
@@ -73,6 +74,7 @@
       parser.header_limit(constants::header_limit);
       parser.body_limit(body_limit);
       stream.expires_after(duration(constants::caller_idle));
+      connection.admitted->set_phase(ConnectionPhase::idle);
       http::async_read(stream, buffer, parser, yield[error]);
       if (error == http::error::end_of_stream || error == boost::beast::error::timeout ||
           (error && error.category() == boost::asio::error::get_system_category()) ||
@@ -92,6 +94,7 @@
       } else {
         Request const request = parser.release();
         keep_open = request.keep_alive();
+        connection.admitted->set_phase(ConnectionPhase::serving);
         stream.expires_never();
         response = handler(request, CallerConnection(stream), yield);
         if (request.method() == http::verb::head) {  // keeps the Content-Length of the body
@@ -100,6 +103,7 @@
       }
       response.keep_alive(keep_open);
       stream.expires_after(duration(constants::write_deadline));
+      connection.admitted->set_phase(ConnectionPhase::responding);
       http::async_write(stream, response, yield[error]);
       if (error) {
         return;
--- a/source/common/http/http.hpp
+++ b/source/common/http/http.hpp
@@ -38,14 +38,13 @@
 /// Handlers get complete requests.
 using RequestHandler = std::function<Response(Request const&, Yield)>;
 using ConnectedRequestHandler = std::function<Response(Request const&, CallerConnection const&, Yield)>;
-/// Serves small requests (operators, lists) on an address, IP:PORT: malformed ones get 400, too
-/// large ones 413 (431 for the header), slow senders are disconnected (section 9.6). Fails if the
-/// address can't be listened on.
-[[nodiscard]] absl::Status serve_requests(boost::asio::io_context& context, std::string const& address,
-                                          std::size_t max_connections, std::size_t body_limit, RequestHandler handler);
-[[nodiscard]] absl::Status serve_requests(boost::asio::io_context& context, std::string const& address,
-                                          std::size_t max_connections, std::size_t body_limit,
-                                          ConnectedRequestHandler handler);
+/// Serves small requests (operators, lists) on an address: malformed ones get 400, too large ones 413 (431 for the
+/// header), slow senders are disconnected (section 9.6). A body may have
+/// `body_limit` bytes. Fails if the address can't be listened on.
+[[nodiscard]] absl::Status serve_requests(boost::asio::io_context& context, ListenAddress const& address,
+                                          std::size_t body_limit, RequestHandler handler);
+[[nodiscard]] absl::Status serve_requests(boost::asio::io_context& context, ListenAddress const& address,
+                                          std::size_t body_limit, ConnectedRequestHandler handler);
 
 /// Sends one request on a new connection; `limit` bounds the response body, in bytes.
 [[nodiscard]] absl::StatusOr<Response> send_request(boost::asio::io_context& context, std::string const& address,
--- a/source/common/net/net.cpp
+++ b/source/common/net/net.cpp
@@ -9,6 +9,7 @@
 #include <deque>
 #include <optional>
 
+#include "common/admission/admission_constants.hpp"
 #include "common/constants.hpp"
 #include "common/error/error.hpp"
 #include "common/log/log.hpp"
@@ -90,33 +91,69 @@
   timer.async_wait(yield[error]);
 }
 
-absl::Status listen(asio::io_context& context, std::string const& address, std::size_t max_connections,
-                    std::function<void(Stream&, Yield)> session) {
-  absl::StatusOr<Endpoint> endpoint = read_endpoint(address);
-  if (!endpoint.ok()) {
-    return endpoint.status();
-  }
-  *endpoint = own_endpoint(*endpoint);
-  std::shared_ptr<asio::ip::tcp::acceptor> const acceptor =
-      std::make_shared<asio::ip::tcp::acceptor>(asio::make_strand(context));
+ListenAddress counted_address(std::string const& address, std::size_t max_connections) {
+  return ListenAddress{address, ListenerKind::callers, std::make_shared<Admission>(only_connections(max_connections))};
+}
+
+namespace {
+/// Opens an acceptor whose connections have bounded receive buffers.
+error_code bind(asio::ip::tcp::acceptor& acceptor, Endpoint const& endpoint, ListenerKind kind) {
   error_code error;
-  acceptor->open(endpoint->protocol(), error);
+  acceptor.open(endpoint.protocol(), error);
+  if (!error) {
+    acceptor.set_option(asio::socket_base::reuse_address(true), error);
+  }
   if (!error) {
-    acceptor->set_option(asio::socket_base::reuse_address(true), error);
+    int const bytes = static_cast<int>(receive_buffer_bytes(kind));
+    acceptor.set_option(asio::socket_base::receive_buffer_size(bytes), error);
   }
   if (!error) {
-    acceptor->bind(*endpoint, error);
+    acceptor.bind(endpoint, error);
   }
   if (!error) {
-    acceptor->listen(1024, error);
+    acceptor.listen(constants::accept_backlog, error);
+  }
+  return error;
+}
+
+/// Serves an accepted connection on its own strand, if it is admitted.
+void serve_stream(asio::ip::tcp::socket socket, ListenAddress const& address, StreamHandler const& handler) {
+  error_code ignored;
+  socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+  std::shared_ptr<Stream> const stream = std::make_shared<Stream>(std::move(socket));
+  std::shared_ptr<AdmittedConnection> admitted = address.admission->admit(
+      address.kind, [stream] { asio::post(stream->get_executor(), [stream] { stream->close(); }); });
+  if (admitted == nullptr) {
+    return;
   }
+  asio::spawn(
+      stream->get_executor(),
+      [stream, admitted = std::move(admitted), handler](Yield yield) {
+        handler(AcceptedStream{*stream, admitted}, yield);
+        stream->close();
+      },
+      [](std::exception_ptr thrown) {
+        if (thrown) {
+          std::rethrow_exception(thrown);
+        }
+      });
+}
+}  // namespace
+
+absl::Status listen(asio::io_context& context, ListenAddress const& address, StreamHandler handler) {
+  absl::StatusOr<Endpoint> const endpoint = read_endpoint(address.address);
+  if (!endpoint.ok()) {
+    return endpoint.status();
+  }
+  std::shared_ptr<asio::ip::tcp::acceptor> const acceptor =
+      std::make_shared<asio::ip::tcp::acceptor>(asio::make_strand(context));
+  error_code const error = bind(*acceptor, own_endpoint(*endpoint), address.kind);
   if (error) {
-    return make_error(absl::StatusCode::kUnavailable, "net", address + ": " + error.message());
+    return make_error(absl::StatusCode::kUnavailable, "net", address.address + ": " + error.message());
   }
-  std::shared_ptr<std::atomic<std::size_t>> const count = std::make_shared<std::atomic<std::size_t>>(0);
   asio::spawn(
       acceptor->get_executor(),
-      [&context, acceptor, count, max_connections, session](Yield yield) {
+      [&context, acceptor, address, handler = std::move(handler)](Yield yield) {
         while (true) {
           error_code accept_error;
           asio::ip::tcp::socket socket(asio::make_strand(context));
@@ -125,30 +162,12 @@
             return;
           }
           if (accept_error) {
-            asio::steady_timer timer(context, std::chrono::milliseconds(20));
+            asio::steady_timer timer(context, duration(constants::accept_retry_pause));
             error_code ignored;
             timer.async_wait(yield[ignored]);
             continue;
           }
-          if (*count >= max_connections) {
-            continue;  // closes the socket: limit of connections, section 9.6
-          }
-          ++*count;
-          error_code ignored;
-          socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-          std::shared_ptr<Stream> const stream = std::make_shared<Stream>(std::move(socket));
-          asio::spawn(
-              stream->get_executor(),
-              [stream, session, count](Yield inner) {
-                session(*stream, inner);
-                stream->close();
-                --*count;
-              },
-              [](std::exception_ptr thrown) {
-                if (thrown) {
-                  std::rethrow_exception(thrown);
-                }
-              });
+          serve_stream(std::move(socket), address, handler);
         }
       },
       asio::detached);
@@ -277,17 +296,19 @@
   return answer;
 }
 
-absl::Status serve_frames(asio::io_context& context, std::string const& address, std::size_t max_connections,
-                          FrameHandler handler) {
-  return listen(context, address, max_connections, [handler](Stream& stream, Yield yield) {
+absl::Status serve_frames(asio::io_context& context, ListenAddress const& address, FrameHandler handler) {
+  return listen(context, address, [handler = std::move(handler)](AcceptedStream const& connection, Yield yield) {
+    Stream& stream = connection.stream;
     while (true) {
       error_code error;
+      connection.admitted->set_phase(ConnectionPhase::idle);
       std::string header(frame_header, '\0');
       stream.expires_after(duration(constants::frame_idle));
       asio::async_read(stream, asio::buffer(header), yield[error]);
       if (error) {
         return;
       }
+      connection.admitted->set_phase(ConnectionPhase::receiving);
       absl::StatusOr<std::size_t> const length = frame_length(header);
       if (!length.ok()) {
         log_event(Event::FrameDefect, std::string(length.status().message()));
@@ -304,6 +325,7 @@
         return;
       }
       count_received(message->index(), header.size() + payload.size());
+      connection.admitted->set_phase(ConnectionPhase::serving);
       stream.expires_never();
       std::optional<schema::Message> const reply = handler(*message, yield);
       if (!reply.has_value()) {
@@ -312,6 +334,7 @@
       std::string const bytes = frame(*reply);
       count_sent(reply->index(), bytes.size());
       stream.expires_after(duration(constants::frame_idle));
+      connection.admitted->set_phase(ConnectionPhase::responding);
       asio::async_write(stream, asio::buffer(bytes), yield[error]);
       if (error) {
         return;
--- a/source/common/net/net.hpp
+++ b/source/common/net/net.hpp
@@ -15,6 +15,7 @@
 
 #include <absl/status/statusor.h>
 
+#include "common/net/admission.hpp"
 #include "common/time/moment.hpp"
 #include "schema/wire.hpp"
 
@@ -39,10 +40,24 @@
 /// Suspends the coroutine for this time.
 void pause(boost::asio::io_context& context, Span span, Yield yield);
 
-/// Listens and starts `session`, in a coroutine, for each connection; connections beyond
-/// `max_connections` are closed at once.
-[[nodiscard]] absl::Status listen(boost::asio::io_context& context, std::string const& address,
-                                  std::size_t max_connections, std::function<void(Stream&, Yield)> session);
+/// Where a program listens, and who connects there; connections are admitted by `admission`.
+struct ListenAddress {
+  std::string address;  ///< IP:PORT
+  ListenerKind kind = ListenerKind::callers;
+  std::shared_ptr<Admission> admission;
+};
+
+/// A connection as it was accepted. It runs on a strand of its own.
+struct AcceptedStream {
+  Stream& stream;
+  std::shared_ptr<AdmittedConnection> admitted;
+};
+using StreamHandler = std::function<void(AcceptedStream const&, Yield)>;
+/// Listens and starts `handler`, in a coroutine, for each connection; one that isn't admitted is closed at once.
+[[nodiscard]] absl::Status listen(boost::asio::io_context& context, ListenAddress const& address,
+                                  StreamHandler handler);
+/// An address whose connections are limited in number only: for stand-ins and tests.
+[[nodiscard]] ListenAddress counted_address(std::string const& address, std::size_t max_connections);
 
 /// Connects to a peer or a worker. The stream runs on the calling coroutine's executor, or, with
 /// `own_strand`, on a strand of its own.
@@ -71,8 +86,8 @@
 /// Returns the response to a message; without one the connection is closed.
 using FrameHandler = std::function<std::optional<schema::Message>(schema::Message const&, Yield)>;
 /// Serves frames on an address; a frame that can't be read closes its connection.
-[[nodiscard]] absl::Status serve_frames(boost::asio::io_context& context, std::string const& address,
-                                        std::size_t max_connections, FrameHandler handler);
+[[nodiscard]] absl::Status serve_frames(boost::asio::io_context& context, ListenAddress const& address,
+                                        FrameHandler handler);
 
 /// Wakes all coroutines that wait for it (section 3.3), like a condition variable. Thread-safe.
 class Notifier {
--- a/source/control_plane/main.cpp
+++ b/source/control_plane/main.cpp
@@ -74,8 +74,10 @@
         has_platform ? platform::notation() : config::native_format(),
         has_platform ? platform::operator_paths() : control_plane::OperatorPaths(),
         to_span(bounds.acknowledge_wait_ms));
+    std::shared_ptr<common::Admission> const admission = std::make_shared<common::Admission>(
+        common::connection_limits(settings, {common::ListenerKind::nodes, common::ListenerKind::operators}));
     absl::Status status = common::serve_frames(
-        context, settings.colleague_address, settings.connections,
+        context, common::ListenAddress{settings.colleague_address, common::ListenerKind::nodes, admission},
         [&program](schema::Message const& message, common::Yield yield) -> std::optional<schema::Message> {
           if (schema::NewsAsk const* const request = std::get_if<schema::NewsAsk>(&message)) {
             return program.updates->handle_updates_request(*request, yield);
@@ -98,7 +100,8 @@
       return status;
     }
     status = common::serve_requests(
-        context, settings.http_address, settings.connections, constants::routing_config_limit,
+        context, common::ListenAddress{settings.http_address, common::ListenerKind::operators, admission},
+        constants::routing_config_limit,
         [&program](common::Request const& request, common::CallerConnection const& caller, common::Yield yield) {
           return program.operator_service->answer(request, caller, yield);
         });
--- a/source/data_plane/main.cpp
+++ b/source/data_plane/main.cpp
@@ -44,9 +44,13 @@
     }
     caller = std::make_unique<common::FrameClient>(context);
     proxy = std::make_unique<data_plane::ProxyState>(context, settings, common::random_identity());
-    absl::Status const status = common::listen(
-        context, settings.http_address, settings.connections,
-        [&proxy](common::Stream& stream, common::Yield yield) { data_plane::serve_caller(*proxy, stream, yield); });
+    std::shared_ptr<common::Admission> const admission =
+        std::make_shared<common::Admission>(common::connection_limits(settings, {common::ListenerKind::callers}));
+    absl::Status const status =
+        common::listen(context, common::ListenAddress{settings.http_address, common::ListenerKind::callers, admission},
+                       [&proxy](common::AcceptedStream const& connection, common::Yield yield) {
+                         data_plane::serve_caller(*proxy, connection, yield);
+                       });
     if (!status.ok()) {
       return status;
     }
--- a/source/data_plane/query/session.cpp
+++ b/source/data_plane/query/session.cpp
@@ -104,11 +104,13 @@
 }
 }  // namespace
 
-void serve_caller(ProxyState& proxy, common::Stream& stream, common::Yield yield) {
+void serve_caller(ProxyState& proxy, common::AcceptedStream const& connection, common::Yield yield) {
+  common::Stream& stream = connection.stream;
   boost::beast::flat_buffer buffer;
   error_code error;
   while (true) {
     if (buffer.size() == 0) {  // an idle connection may wait longer than an incomplete header
+      connection.admitted->set_phase(common::ConnectionPhase::idle);
       stream.expires_after(common::duration(constants::caller_idle));
       std::size_t const count = stream.async_read_some(buffer.prepare(4096), yield[error]);
       if (error) {
@@ -116,6 +118,7 @@
       }
       buffer.commit(count);
     }
+    connection.admitted->set_phase(common::ConnectionPhase::receiving);
     Parser parser;
     parser.header_limit(constants::header_limit);
     parser.body_limit(boost::none);
@@ -200,6 +203,7 @@
       }
       return;
     }
+    connection.admitted->set_phase(common::ConnectionPhase::serving);
     QueryRequest request;
     request.id = query;
     request.serve = decision.serve;
--- a/source/data_plane/query/session.hpp
+++ b/source/data_plane/query/session.hpp
@@ -6,6 +6,6 @@
 namespace finchlink::data_plane {
 
 /// Serves the queries of one caller's connection, one after the other, until it ends (section 9).
-void serve_caller(ProxyState& proxy, common::Stream& stream, common::Yield yield);
+void serve_caller(ProxyState& proxy, common::AcceptedStream const& connection, common::Yield yield);
 
 }  // namespace finchlink::data_plane
--- a/source/data_plane/relay/attempt.cpp
+++ b/source/data_plane/relay/attempt.cpp
@@ -181,7 +181,7 @@
 
 void Relay::keep_worker(common::Span longest) {
   if (worker_ != nullptr && worker_->is_open()) {
-    server_.keep_idle_connection(assignment_.worker, std::move(worker_), longest);
+    server_.worker_connections().keep(assignment_.worker, std::move(worker_), longest);
   }
   worker_.reset();
 }
@@ -199,7 +199,7 @@
   // A request without an id always gets a fresh connection: on a kept one, a surplus answer to an earlier request
   // could not be told from its own.
   if (repeatable() && !id_.empty()) {
-    worker_ = server_.take_idle_connection(assignment_.worker);
+    worker_ = server_.worker_connections().take(assignment_.worker);
     if (worker_ != nullptr) {
       return true;
     }
--- a/source/data_plane/relay/caller_session.cpp
+++ b/source/data_plane/relay/caller_session.cpp
@@ -5,6 +5,7 @@
 #include "common/prompt_isolation_constants.hpp"
 #include "common/relay_constants.hpp"
 #include "data_plane/relay/prompt_isolation.hpp"
+#include "data_plane/relay/caller_session.hpp"
 #include "data_plane/relay/relay.hpp"
 #include "scheduling/query_state/first_hold.hpp"
 
@@ -55,7 +56,8 @@
 
 }  // namespace
 
-void serve_caller(RelayServer& server, std::shared_ptr<Socket> const& socket, common::Yield yield) {
+void serve_caller(RelayServer& server, AcceptedConnection const& connection, common::Yield yield) {
+  std::shared_ptr<Socket> const& socket = connection.socket;
   ReadAhead ahead;
   boost::beast::flat_buffer& buffer = ahead.buffer;
   std::shared_ptr<ReadTimeout> const timeout = std::make_shared<ReadTimeout>();
@@ -74,6 +76,7 @@
     if (buffer.size() ==
         0) {  // an idle connection may wait for idle_ms, a header that has begun only for header_wait_ms
       timeout->closes_socket = true;
+      connection.admitted->set_phase(common::ConnectionPhase::idle);
       alarm->set(common::boot_now() + common::milliseconds(static_cast<std::int64_t>(limits.idle_ms)));
       std::size_t const count = socket->async_read_some(buffer.prepare(4096), yield[error]);
       if (error) {
@@ -85,6 +88,7 @@
             server.route_table()->routing_config().limits;  // the limits may have changed while the connection was idle
       }
     }
+    connection.admitted->set_phase(common::ConnectionPhase::receiving);
     timeout->closes_socket = false;
     timeout->expired = false;
     alarm->set(common::boot_now() + common::milliseconds(static_cast<std::int64_t>(limits.header_wait_ms)));
@@ -154,6 +158,7 @@
       server.query_closed();
       break;
     }
+    connection.admitted->set_phase(common::ConnectionPhase::serving);
     query.had_length = parser.content_length().has_value() || parser.chunked();
     query.keep_alive = parser.get().keep_alive();
     query.body = std::make_shared<std::string const>(std::move(parser.get().body()));
--- a/source/data_plane/relay/relay_server.cpp
+++ b/source/data_plane/relay/relay_server.cpp
@@ -1,14 +1,7 @@
 #include "data_plane/relay/relay_server.hpp"
 
-#include <sys/socket.h>
-
 #include <algorithm>
-#include <boost/asio/write.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http.hpp>
-#include <boost/context/fixedsize_stack.hpp>
 #include <cstring>
-#include <sstream>
 
 #include "common/invariant/invariant.hpp"
 #include "common/json/tree.hpp"
@@ -20,65 +13,15 @@
 #include "config/routing/proposal.hpp"
 #include "consensus/ballot/ballot.hpp"
 #include "data_plane/relay/adopted_checks.hpp"
+#include "data_plane/relay/caller_session.hpp"
 #include "data_plane/relay/prompt_isolation.hpp"
+#include "data_plane/relay/status_session.hpp"
 #include "scheduling/scaler/pools.hpp"
 
 namespace finchlink::data_plane {
 
 namespace asio = boost::asio;
 namespace constants = common::constants;
-namespace http = boost::beast::http;
-using boost::system::error_code;
-
-void spawn_small_stack(asio::io_context& context, std::function<void(common::Yield)> body) {
-  asio::spawn(
-      context, std::allocator_arg, boost::context::fixedsize_stack(constants::relay_stack_bytes),
-      [body = std::move(body)](common::Yield yield) { body(yield); },
-      [](std::exception_ptr error) {
-        if (error) {
-          std::rethrow_exception(error);
-        }
-      });
-}
-
-void Alarm::set(common::Moment due) {
-  due_ = due;
-  if (armed_for_ == 0 || due_ < armed_for_) {
-    arm();
-  }
-}
-
-void Alarm::stop() {
-  stopped_ = true;
-  timer_.cancel();
-}
-
-void Alarm::arm() {
-  armed_for_ = due_;
-  timer_.expires_after(common::duration(std::max<common::Span>(due_ - common::boot_now(), 0)));
-  timer_.async_wait([self = shared_from_this()](error_code const& error) {
-    if (error || self->stopped_) {
-      return;
-    }
-    self->armed_for_ = 0;
-    if (common::boot_now() < self->due_) {
-      self->arm();
-    } else {
-      self->callback_();
-    }
-  });
-}
-
-std::string RelayCounters::print() const {
-  std::stringstream text;
-  text << "# TYPE relay_queries_total counter\n";
-  for (std::pair<std::string const, std::uint64_t> const& entry : outcomes) {
-    text << "relay_queries_total{outcome=\"" << entry.first << "\"} " << entry.second << "\n";
-  }
-  text << "relay_retries_total " << retries << "\nrelay_resumed_total " << resumed << "\nrelay_connects_total "
-       << connects << "\nrelay_probes_total " << probes << "\nrelay_dispatches_total " << dispatches << "\n";
-  return text.str();
-}
 
 RelayServer::RelayServer(asio::io_context& context, schema::Settings const& settings, Dialect dialect,
                          config::RoutingConfigFormat notation, ListReader list_reader, std::uint64_t identity)
@@ -88,6 +31,9 @@
       notation_(std::move(notation)),
       list_reader_(std::move(list_reader)),
       identity_(identity),
+      admission_(std::make_shared<common::Admission>(
+          common::connection_limits(settings, {common::ListenerKind::callers, common::ListenerKind::status}))),
+      worker_connections_(admission_->limits().idle_worker_connections),
       caller_(context),
       contents_(context, caller_),
       controllers_(settings.seeds) {}
@@ -100,13 +46,16 @@
   }
   mechanisms_ = *mechanisms;
   balancer_ = scheduling::LoadBalancer(mechanisms_.balancer);
-  absl::Status status = listen(
-      settings_.http_address,
-      [this](std::shared_ptr<Socket> const& socket, common::Yield yield) { serve_caller(*this, socket, yield); });
+  absl::Status status = listen(settings_.http_address, common::ListenerKind::callers,
+                               [this](AcceptedConnection const& connection, common::Yield yield) {
+                                 serve_caller(*this, connection, yield);
+                               });
   for (std::string const& address : {settings_.ready_address, settings_.directory_address}) {
     if (status.ok() && !address.empty()) {
-      status = listen(
-          address, [this](std::shared_ptr<Socket> const& socket, common::Yield yield) { serve_status(socket, yield); });
+      status = listen(address, common::ListenerKind::status,
+                      [this](AcceptedConnection const& connection, common::Yield yield) {
+                        serve_status(*this, connection, yield);
+                      });
     }
   }
   if (!status.ok()) {
@@ -120,50 +69,13 @@
   return absl::OkStatus();
 }
 
-absl::Status RelayServer::listen(std::string const& address,
-                                 std::function<void(std::shared_ptr<Socket>, common::Yield)> session) {
-  absl::StatusOr<common::Endpoint> endpoint = common::read_endpoint(address);
-  if (!endpoint.ok()) {
-    return endpoint.status();
-  }
-  *endpoint = common::own_endpoint(*endpoint);
-  std::shared_ptr<Acceptor> const listener = std::make_shared<Acceptor>(Acceptor{asio::ip::tcp::acceptor(context_)});
-  error_code error;
-  listener->acceptor.open(endpoint->protocol(), error);
-  if (!error) {
-    listener->acceptor.set_option(asio::socket_base::reuse_address(true), error);
-  }
-  if (!error) {
-    listener->acceptor.bind(*endpoint, error);
-  }
-  if (!error) {
-    listener->acceptor.listen(1024, error);
-  }
-  if (error) {
-    return absl::UnavailableError("relay: " + address + ": " + error.message());
-  }
-  acceptors_.push_back(listener);
-  spawn_small_stack(context_, [this, listener, session](common::Yield yield) {
-    while (listener->acceptor.is_open()) {
-      std::shared_ptr<Socket> const socket = std::make_shared<Socket>(context_);
-      error_code failure;
-      listener->acceptor.async_accept(*socket, yield[failure]);
-      if (failure) {
-        if (!listener->acceptor.is_open() || failure == asio::error::operation_aborted) {
-          return;
-        }
-        common::pause(context_, common::milliseconds(20), yield);
-        continue;
-      }
-      error_code ignored;
-      socket->set_option(asio::ip::tcp::no_delay(true), ignored);
-      spawn_small_stack(context_, [socket, session](common::Yield inner) {
-        session(socket, inner);
-        error_code closing;
-        socket->close(closing);
-      });
-    }
-  });
+absl::Status RelayServer::listen(std::string const& address, common::ListenerKind kind, ConnectionHandler handler) {
+  absl::StatusOr<std::shared_ptr<RelayListener>> const listener = RelayListener::open(context_, address, kind);
+  if (!listener.ok()) {
+    return listener.status();
+  }
+  (*listener)->start(admission_, std::move(handler));
+  listeners_.push_back(*listener);
   return absl::OkStatus();
 }
 
@@ -175,37 +87,6 @@
   return retry_quota;
 }
 
-std::unique_ptr<Socket> RelayServer::take_idle_connection(std::string const& worker) {
-  std::map<std::string, std::deque<IdleConnection>>::iterator const found = idle_connections_.find(worker);
-  if (found == idle_connections_.end()) {
-    return nullptr;
-  }
-  common::Moment const now = common::boot_now();
-  while (!found->second.empty()) {
-    IdleConnection entry = std::move(found->second.back());
-    found->second.pop_back();
-    if (now >= entry.until) {
-      continue;
-    }
-    char byte = 0;
-    ssize_t const count = recv(entry.socket->native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
-      return std::move(entry.socket);  // neither closed nor holding unsolicited bytes
-    }
-  }
-  return nullptr;
-}
-
-void RelayServer::keep_idle_connection(std::string const& worker, std::unique_ptr<Socket> socket,
-                                       common::Span longest) {
-  std::deque<IdleConnection>& idle = idle_connections_[worker];
-  common::Moment const now = common::boot_now();
-  while (!idle.empty() && (idle.size() >= constants::max_idle_per_worker || now >= idle.front().until)) {
-    idle.pop_front();
-  }
-  idle.push_back(IdleConnection{std::move(socket), now + std::min(longest, constants::worker_idle_timeout)});
-}
-
 void RelayServer::drain() {
   draining_ = true;
   draining_since_ = common::boot_now();
@@ -231,9 +112,8 @@
   if (now - draining_since_ < std::min(constants::drain_linger, grace / 2)) {
     return true;
   }
-  for (std::shared_ptr<Acceptor> const& listener : acceptors_) {
-    error_code ignored;
-    listener->acceptor.close(ignored);
+  for (std::shared_ptr<RelayListener> const& listener : listeners_) {
+    listener->close();
   }
   return open_queries_ > 0 && now - draining_since_ < grace - constants::drain_close_reserve;
 }
@@ -551,9 +431,7 @@
   }
   balancer_.update(specs, terms, common::boot_now());
   isolation_.keep_only([&listed](std::string const& worker) { return listed.count(worker) > 0; });
-  std::erase_if(idle_connections_, [&listed](std::pair<std::string const, std::deque<IdleConnection>> const& entry) {
-    return listed.count(entry.first) == 0;
-  });
+  worker_connections_.keep_only(listed);
 }
 
 std::string RelayServer::directory(std::string const& hall, std::string const& region) {
@@ -590,56 +468,4 @@
   return dialect_.print_directory(addresses, static_cast<double>(settings_.bounds.directory_ttl_ms) / 1000);
 }
 
-void RelayServer::serve_status(std::shared_ptr<Socket> const& socket, common::Yield yield) {
-  boost::beast::flat_buffer buffer;
-  std::shared_ptr<Alarm> const alarm = std::make_shared<Alarm>(context_, [socket] {
-    error_code ignored;
-    socket->close(ignored);
-  });
-  while (true) {
-    alarm->set(common::boot_now() + constants::caller_idle);
-    error_code error;
-    http::request_parser<http::empty_body> parser;
-    parser.header_limit(constants::header_limit);
-    http::async_read(*socket, buffer, parser, yield[error]);
-    if (error) {
-      break;
-    }
-    std::string const target(parser.get().target());
-    std::string const path = target.substr(0, target.find('?'));
-    std::string status = "404 Not Found";
-    std::string body = "{\"error\":\"unknown_path\"}";
-    if (path == dialect_.ready_path) {
-      status = ready() ? "200 OK" : "503 Service Unavailable";
-      body = ready() ? "{\"ready\":true}" : "{\"ready\":false}";
-    } else if (path == dialect_.directory_path) {
-      std::map<std::string, std::string> query;
-      std::stringstream parameters(target.size() > path.size() ? target.substr(path.size() + 1) : "");
-      std::string parameter;
-      while (std::getline(parameters, parameter, '&')) {
-        std::size_t const equals = parameter.find('=');
-        query[parameter.substr(0, equals)] = equals == std::string::npos ? "" : parameter.substr(equals + 1);
-      }
-      status = "200 OK";
-      body = directory(query["zone"], query["region"]);
-    } else if (path == "/-/metrics") {
-      status = "200 OK";
-      body = counters_.print() + print_isolation_metrics(isolation_) + common::invariant_metrics();
-    } else if (path == "/-/tenants") {
-      status = "200 OK";
-      body = print_tenants(isolation_);
-    }
-    bool const again = parser.get().keep_alive() && !draining_;
-    std::string const text = "HTTP/1.1 " + status +
-                             "\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) +
-                             (again ? "\r\n\r\n" : "\r\nConnection: close\r\n\r\n") +
-                             (parser.get().method() == http::verb::head ? "" : body);
-    asio::async_write(*socket, asio::buffer(text), yield[error]);
-    if (error || !again) {
-      break;
-    }
-  }
-  alarm->stop();
-}
-
 }  // namespace finchlink::data_plane
--- a/source/data_plane/relay/relay_server.hpp
+++ b/source/data_plane/relay/relay_server.hpp
@@ -1,11 +1,8 @@
 #pragma once
 
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/spawn.hpp>
-#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/io_context.hpp>
 #include <deque>
 #include <functional>
-#include <list>
 #include <map>
 #include <memory>
 #include <set>
@@ -18,7 +15,11 @@
 #include "common/relay_constants.hpp"
 #include "config/routing/routing_config.hpp"
 #include "data_plane/contents/content_fetcher.hpp"
+#include "data_plane/relay/alarm.hpp"
 #include "data_plane/relay/dialect.hpp"
+#include "data_plane/relay/relay_counters.hpp"
+#include "data_plane/relay/relay_listener.hpp"
+#include "data_plane/relay/worker_connections.hpp"
 #include "membership/freshness/freshness_lease.hpp"
 #include "membership/replica/replica.hpp"
 #include "scheduling/load_balancer/load_balancer.hpp"
@@ -32,43 +33,9 @@
 
 namespace finchlink::data_plane {
 
-using Socket = boost::asio::ip::tcp::socket;
 /// Reads the platform's list of workers from its address.
 using ListReader = std::function<absl::StatusOr<schema::PlatformList>(std::string const& address, common::Yield)>;
 
-/// Starts a coroutine on the relay's one thread, with a small stack: machines that relay have a fraction of a core and
-/// pay for memory (section 13.2).
-void spawn_small_stack(boost::asio::io_context& context, std::function<void(common::Yield)> body);
-
-/// One timer for many waits that seldom expire: setting it to a later time costs nothing, as it is armed again only
-/// when it expires too early (section 13.2).
-class Alarm : public std::enable_shared_from_this<Alarm> {
- public:
-  Alarm(boost::asio::io_context& context, std::function<void()> callback)
-      : timer_(context), callback_(std::move(callback)) {}
-  void set(common::Moment due);
-  void stop();
-
- private:
-  void arm();
-  boost::asio::steady_timer timer_;
-  std::function<void()> callback_;
-  common::Moment due_ = 0;
-  common::Moment armed_for_ = 0;  ///< when the timer expires; 0: it isn't armed
-  bool stopped_ = false;
-};
-
-/// Counters of a relay, printed in the text format of metrics scrapers.
-struct RelayCounters {
-  std::map<std::string, std::uint64_t> outcomes;
-  std::uint64_t retries = 0;
-  std::uint64_t resumed = 0;
-  std::uint64_t connects = 0;
-  std::uint64_t probes = 0;  ///< connections opened to tell a busy worker from an unreachable one
-  std::uint64_t dispatches = 0;
-  [[nodiscard]] std::string print() const;
-};
-
 /// The state of a proxy that relays HTTP, on one thread: the newest routing configuration that it knows, its workers,
 /// the other proxies and idle connections.
 class RelayServer {
@@ -109,9 +76,8 @@
     return route_table_ != nullptr && contacted_ && !draining_ && balancer_.size() > 0;
   }
 
-  /// An idle connection to the worker that seems usable, or null.
-  [[nodiscard]] std::unique_ptr<Socket> take_idle_connection(std::string const& worker);
-  void keep_idle_connection(std::string const& worker, std::unique_ptr<Socket> socket, common::Span longest);
+  /// Idle connections to workers.
+  [[nodiscard]] WorkerConnections& worker_connections() { return worker_connections_; }
 
   /// A stream ended whole; what was observed goes into the next report to the scaler.
   void record_observation(scheduling::StreamObservation sighting, scheduling::Assignment const& assignment,
@@ -127,17 +93,7 @@
   [[nodiscard]] std::string directory(std::string const& hall, std::string const& region);
 
  private:
-  struct IdleConnection {
-    std::unique_ptr<Socket> socket;
-    common::Moment until = 0;
-  };
-  struct Acceptor {
-    boost::asio::ip::tcp::acceptor acceptor;
-  };
-  [[nodiscard]] absl::Status listen(std::string const& address,
-                                    std::function<void(std::shared_ptr<Socket>, common::Yield)> session);
-  /// Serves readiness, directory, metrics and tenants on one connection.
-  void serve_status(std::shared_ptr<Socket> const& socket, common::Yield yield);
+  [[nodiscard]] absl::Status listen(std::string const& address, common::ListenerKind kind, ConnectionHandler handler);
   void poll_updates(common::Yield yield);
   void record_contact(schema::NewsAnswer const& update);
   /// The controllers to request updates from, in the order received, near ones first; seeds always stay in, in case
@@ -161,7 +117,6 @@
   [[nodiscard]] std::string phase_of(schema::WorkerEntry const& entry, std::string const& region) const;
   /// The reports that are sent with the next update request.
   [[nodiscard]] std::vector<schema::FurrowReport> reports_to_send(common::Moment now);
-  void tell_leaving();
 
   boost::asio::io_context& context_;
   schema::Settings settings_;
@@ -169,6 +124,8 @@
   config::RoutingConfigFormat notation_;
   ListReader list_reader_;
   std::uint64_t identity_;
+  std::shared_ptr<common::Admission> admission_;
+  WorkerConnections worker_connections_;
   common::FrameClient caller_;
   ContentFetcher contents_;
   membership::FreshnessLease freshness_;
@@ -192,16 +149,12 @@
   std::uint64_t report_slice_ = 0;
   common::Moment reported_at_ = 0;
   scheduling::PromptIsolation isolation_;
-  std::map<std::string, scheduling::RetryQuota> retry_quotas_;          ///< by service
-  std::map<std::string, std::deque<IdleConnection>> idle_connections_;  ///< by worker, the oldest first
-  std::vector<std::shared_ptr<Acceptor>> acceptors_;
+  std::map<std::string, scheduling::RetryQuota> retry_quotas_;  ///< by service
+  std::vector<std::shared_ptr<RelayListener>> listeners_;
   std::uint64_t open_queries_ = 0;
   bool draining_ = false;
   common::Moment draining_since_ = 0;
   RelayCounters counters_;
 };
 
-/// Serves one caller's connection until it ends.
-void serve_caller(RelayServer& server, std::shared_ptr<Socket> const& socket, common::Yield yield);
-
 }  // namespace finchlink::data_plane
--- a/source/fake_network/main.cpp
+++ b/source/fake_network/main.cpp
@@ -215,18 +215,18 @@
   std::signal(SIGPIPE, SIG_IGN);
   boost::asio::io_context context(4);
   for (schema::StileRoute const& route : network.config.routes) {
-    absl::Status const status =
-        common::listen(context, route.listen, 100000,
-                       [&context, &network, to = route.to](common::Stream& stream, common::Yield yield) {
-                         proxy_connection(context, network, to, stream, yield);
-                       });
+    absl::Status const status = common::listen(
+        context, common::counted_address(route.listen, 100000),
+        [&context, &network, to = route.to](common::AcceptedStream const& connection, common::Yield yield) {
+          proxy_connection(context, network, to, connection.stream, yield);
+        });
     if (!status.ok()) {
       std::cerr << "stile: " << status.message() << "\n";
       return common::exit_listen;
     }
   }
   absl::Status const status =
-      common::serve_requests(context, network.config.control, 64, 4096,
+      common::serve_requests(context, common::counted_address(network.config.control, 64), 4096,
                              [&network](common::Request const& ask, common::Yield) { return control(network, ask); });
   if (!status.ok()) {
     std::cerr << "stile: " << status.message() << "\n";
--- a/source/fake_workers/main.cpp
+++ b/source/fake_workers/main.cpp
@@ -117,8 +117,10 @@
     fake_workers::Worker* const worker = workers.back().get();
     worker->start();
     absl::Status const status =
-        common::listen(context, entry.listen.empty() ? entry.address : entry.listen, 4096,
-                       [worker](common::Stream& stream, common::Yield yield) { worker->serve(stream, yield); });
+        common::listen(context, common::counted_address(entry.listen.empty() ? entry.address : entry.listen, 4096),
+                       [worker](common::AcceptedStream const& connection, common::Yield yield) {
+                         worker->serve(connection.stream, yield);
+                       });
     if (!status.ok()) {
       std::cerr << "seedbed: " << status.message() << "\n";
       return common::exit_listen;
@@ -126,7 +128,8 @@
   }
   std::atomic<std::uint64_t> revision = 1;
   absl::Status const status = common::serve_requests(
-      context, config.list_address, 4096, 1u << 20u, [&](common::Request const& ask, common::Yield) {
+      context, common::counted_address(config.list_address, 4096), 1u << 20u,
+      [&](common::Request const& ask, common::Yield) {
         std::string const target(ask.target());
         if (target == "/workers") {
           return answer_worker_list(workers, revision);
--- a/source/tests/common/asks_test.cpp
+++ b/source/tests/common/asks_test.cpp
@@ -10,10 +10,12 @@
 struct TestServer {
   TestServer() {
     address = fleet.next_address();
-    EXPECT_TRUE(
-        common::serve_requests(*fleet.context, address, 16, 1000, [](common::Request const& request, common::Yield) {
-          return common::text_response(http::status::ok, "got " + std::to_string(request.body().size()));
-        }).ok());
+    EXPECT_TRUE(common::serve_requests(*fleet.context, common::counted_address(address, 16), 1000,
+                                       [](common::Request const& request, common::Yield) {
+                                         return common::text_response(http::status::ok,
+                                                                      "got " + std::to_string(request.body().size()));
+                                       })
+                    .ok());
   }
   Fleet fleet;
   std::string address;
@@ -52,7 +54,7 @@
   Fleet fleet;
   std::string const address = fleet.next_address();
   EXPECT_TRUE(
-      common::serve_requests(*fleet.context, address, 16, 1000,
+      common::serve_requests(*fleet.context, common::counted_address(address, 16), 1000,
                              [&](common::Request const&, common::CallerConnection const& caller, common::Yield yield) {
                                there_at_first = !caller.gone();
                                serving = true;
--- a/source/tests/common/gather_test.cpp
+++ b/source/tests/common/gather_test.cpp
@@ -23,17 +23,18 @@
 
   /// Calls both; `answering` is the number of the call to which the starting peer responds.
   void gather(std::size_t answering, Span deadline, Span again) {
-    EXPECT_TRUE(
-        serve_frames(context, silent, 8, [this](schema::Message const&, Yield yield) -> std::optional<schema::Message> {
-          ++requests_to_silent;
-          silent_requested.notify_all();
-          if (silent_fails_first && requests_to_silent == 1) {
-            return std::nullopt;
-          }
-          never.wait(never.count(), seconds(600), yield);
-          return std::nullopt;
-        }).ok());
-    EXPECT_TRUE(serve_frames(context, starting, 8,
+    EXPECT_TRUE(serve_frames(context, counted_address(silent, 8),
+                             [this](schema::Message const&, Yield yield) -> std::optional<schema::Message> {
+                               ++requests_to_silent;
+                               silent_requested.notify_all();
+                               if (silent_fails_first && requests_to_silent == 1) {
+                                 return std::nullopt;
+                               }
+                               never.wait(never.count(), seconds(600), yield);
+                               return std::nullopt;
+                             })
+                    .ok());
+    EXPECT_TRUE(serve_frames(context, counted_address(starting, 8),
                              [this, answering](schema::Message const&, Yield yield) -> std::optional<schema::Message> {
                                ++requests_to_starting;
                                while (silent_fails_first && requests_to_silent < 2) {
@@ -112,11 +113,12 @@
   std::size_t asked = 0;
   std::size_t results = 0;
   for (std::string const port : {":20001", ":20002"}) {
-    EXPECT_TRUE(
-        serve_frames(context, ip + port, 8, [&asked](schema::Message const&, Yield) -> std::optional<schema::Message> {
-          ++asked;
-          return std::nullopt;
-        }).ok());
+    EXPECT_TRUE(serve_frames(context, counted_address(ip + port, 8),
+                             [&asked](schema::Message const&, Yield) -> std::optional<schema::Message> {
+                               ++asked;
+                               return std::nullopt;
+                             })
+                    .ok());
   }
   start(context, [&](Yield yield) {
     std::vector<std::pair<std::string, schema::Message>> const calls = {{ip + ":20001", schema::Read{}},
--- a/source/tests/control_plane/acceptor_service_test.cpp
+++ b/source/tests/control_plane/acceptor_service_test.cpp
@@ -30,7 +30,7 @@
 
   explicit JoiningAcceptor(std::uint64_t silent_voter) : silent(silent_voter) {
     for (std::uint64_t incarnation = 1; incarnation <= 3; ++incarnation) {
-      EXPECT_TRUE(common::serve_frames(context, address_of(incarnation), 8,
+      EXPECT_TRUE(common::serve_frames(context, common::counted_address(address_of(incarnation), 8),
                                        [this, incarnation](schema::Message const& message, common::Yield yield) {
                                          return answer(incarnation, message, yield);
                                        })
--- a/source/tests/control_plane/half_done_change_test.cpp
+++ b/source/tests/control_plane/half_done_change_test.cpp
@@ -93,7 +93,7 @@
     for (std::size_t voter = 0; voter < voters; ++voter) {
       set.holders[voter].address = address(client, voter);
       bool const remote = region(voter) != region(client % voters);
-      EXPECT_TRUE(common::serve_frames(context_, set.holders[voter].address, 100,
+      EXPECT_TRUE(common::serve_frames(context_, common::counted_address(set.holders[voter].address, 100),
                                        [this, voter, remote](schema::Message const& message, common::Yield yield) {
                                          return answer(voter, remote, message, yield);
                                        })
--- a/source/tests/control_plane/register_client_test.cpp
+++ b/source/tests/control_plane/register_client_test.cpp
@@ -24,9 +24,10 @@
     for (std::uint64_t incarnation = 1; incarnation <= 3; ++incarnation) {
       std::string const address = own_ip() + ":" + std::to_string(20100 + incarnation);
       set.holders.push_back(schema::Voter{incarnation, address});
-      EXPECT_TRUE(common::serve_frames(context, address, 8, [this](schema::Message const& message, common::Yield) {
-                    return answer(message);
-                  }).ok());
+      EXPECT_TRUE(
+          common::serve_frames(context, common::counted_address(address, 8),
+                               [this](schema::Message const& message, common::Yield) { return answer(message); })
+              .ok());
     }
     client.learn(set);
   }
--- a/source/tests/platform/listing_test.cpp
+++ b/source/tests/platform/listing_test.cpp
@@ -35,18 +35,21 @@
 /// A server with a worker list of two pages on a local port; responds with `status` and no list unless that is 200.
 struct PagedListServer {
   explicit PagedListServer(std::string listen_address) : address(std::move(listen_address)) {
-    EXPECT_TRUE(
-        common::serve_requests(context, address, 8, 1024, [this](common::Request const& request, common::Yield) {
-          requested_targets.push_back(std::string(request.target()));
-          if (status != common::http::status::ok) {
-            return common::error_response(status, "often", "");
-          }
-          bool const is_second_page = request.target().find("page_token=p%2F1") != std::string::npos;
-          return common::text_response(
-              common::http::status::ok,
-              is_second_page ? R"({"instances":[{"id":"b","address":"1.1.1.1:2","plant":"p"}],"next_token":null})"
-                             : R"({"instances":[{"id":"a","address":"1.1.1.1:1","plant":"p"}],"next_token":"p/1"})");
-        }).ok());
+    EXPECT_TRUE(common::serve_requests(
+                    context, common::counted_address(address, 8), 1024,
+                    [this](common::Request const& request, common::Yield) {
+                      requested_targets.push_back(std::string(request.target()));
+                      if (status != common::http::status::ok) {
+                        return common::error_response(status, "often", "");
+                      }
+                      bool const is_second_page = request.target().find("page_token=p%2F1") != std::string::npos;
+                      return common::text_response(
+                          common::http::status::ok,
+                          is_second_page
+                              ? R"({"instances":[{"id":"b","address":"1.1.1.1:2","plant":"p"}],"next_token":null})"
+                              : R"({"instances":[{"id":"a","address":"1.1.1.1:1","plant":"p"}],"next_token":"p/1"})");
+                    })
+                    .ok());
   }
   absl::StatusOr<schema::PlatformList> read() {
     absl::StatusOr<schema::PlatformList> result = schema::PlatformList{};
--- a/source/tests/relay/fleet.hpp
+++ b/source/tests/relay/fleet.hpp
@@ -343,7 +343,7 @@
       publish_routing_config(1);
     }
     EXPECT_TRUE(common::serve_frames(
-                    *context, controller_address, 64,
+                    *context, common::counted_address(controller_address, 64),
                     [this](schema::Message const& message, common::Yield yield) { return answer(message, yield); })
                     .ok());
     server = std::make_unique<data_plane::RelayServer>(*context, settings, data_plane::own_dialect(),
--- a/source/tests/relay/relay_server_test.cpp
+++ b/source/tests/relay/relay_server_test.cpp
@@ -118,7 +118,7 @@
   std::string const holding = fleet.next_address();
   fleet.settings.seeds = {holding, fleet.controller_address};
   fleet.settings.bounds.ask_deadline_ms = 600000;
-  ASSERT_TRUE(common::serve_frames(*fleet.context, holding, 8,
+  ASSERT_TRUE(common::serve_frames(*fleet.context, common::counted_address(holding, 8),
                                    [&](schema::Message const&, common::Yield yield) -> std::optional<schema::Message> {
                                      ++held;
                                      never.wait(never.count(), common::seconds(600), yield);
@@ -252,7 +252,7 @@
   std::string const cut_off = fleet.next_address();
   fleet.settings.seeds = {cut_off};
   std::size_t asked = 0;
-  ASSERT_TRUE(common::serve_frames(*fleet.context, cut_off, 8,
+  ASSERT_TRUE(common::serve_frames(*fleet.context, common::counted_address(cut_off, 8),
                                    [&](schema::Message const&, common::Yield) -> std::optional<schema::Message> {
                                      ++asked;
                                      schema::NewsAnswer answer;
@@ -398,7 +398,7 @@
   std::string const holding = fleet.next_address();
   std::string const second = fleet.next_address();
   fleet.settings.seeds = {holding, second, fleet.controller_address};
-  ASSERT_TRUE(common::serve_frames(*fleet.context, holding, 8,
+  ASSERT_TRUE(common::serve_frames(*fleet.context, common::counted_address(holding, 8),
                                    [&](schema::Message const&, common::Yield yield) -> std::optional<schema::Message> {
                                      held += leaving ? 1 : 0;
                                      while (leaving && !released) {
@@ -407,7 +407,7 @@
                                      return std::nullopt;
                                    })
                   .ok());
-  ASSERT_TRUE(common::serve_frames(*fleet.context, second, 8,
+  ASSERT_TRUE(common::serve_frames(*fleet.context, common::counted_address(second, 8),
                                    [&](schema::Message const&, common::Yield) -> std::optional<schema::Message> {
                                      reports += leaving ? 1 : 0;
                                      return std::nullopt;
--- a/source/tests/relay/withheld_routing_config_test.cpp
+++ b/source/tests/relay/withheld_routing_config_test.cpp
@@ -16,9 +16,9 @@
   std::uint64_t unanswered_piece = 0;  ///< the request for this piece gets no response, as after a loss in the network
 
   explicit PieceController(Fleet& fleet) : fleet(fleet), address(fleet.next_address()) {
-    EXPECT_TRUE(common::serve_frames(*fleet.context, address, 8, [this](schema::Message const& message, common::Yield) {
-                  return answer(message);
-                }).ok());
+    EXPECT_TRUE(common::serve_frames(*fleet.context, common::counted_address(address, 8),
+                                     [this](schema::Message const& message, common::Yield) { return answer(message); })
+                    .ok());
   }
   std::optional<schema::Message> answer(schema::Message const& message) {
     if (schema::PieceRequest const* const request = std::get_if<schema::PieceRequest>(&message)) {
