--- a/source/common/relay_constants.hpp
+++ b/source/common/relay_constants.hpp
@@ -107,6 +107,8 @@
 /// Bytes of a caller's next requests that are read while one is served, so that its disconnect behind them is seen;
 /// with more than this read ahead it is no longer watched.
 inline constexpr std::size_t max_read_ahead_bytes = 64u << 10u;
+/// The longest time that a caller can say it waits, in milliseconds: a day.
+inline constexpr std::uint64_t max_time_left_ms = 86400000;
 /// Heads of interim responses (1xx) that a worker may send before its final one.
 inline constexpr int max_interim_responses = 8;
 /// An idle connection to a worker is reused within this time.
--- a/source/data_plane/relay/caller_session.cpp
+++ b/source/data_plane/relay/caller_session.cpp
@@ -1,12 +1,12 @@
-// Serves a caller's connection: reads its requests one after the other and relays each, or rejects it.
+#include "data_plane/relay/caller_session.hpp"
+
 #include <array>
 #include <boost/asio/write.hpp>
 
+#include "common/admission/admission_constants.hpp"
 #include "common/prompt_isolation_constants.hpp"
 #include "common/relay_constants.hpp"
 #include "data_plane/relay/prompt_isolation.hpp"
-#include "data_plane/relay/caller_session.hpp"
-#include "data_plane/relay/relay.hpp"
 #include "scheduling/query_state/first_hold.hpp"
 
 namespace finchlink::data_plane {
@@ -14,193 +14,276 @@
 namespace asio = boost::asio;
 namespace constants = common::constants;
 using boost::system::error_code;
+using common::ConnectionPhase;
 
 namespace {
+common::Span span_of(std::uint64_t milliseconds) {
+  return common::milliseconds(static_cast<std::int64_t>(milliseconds));
+}
+}  // namespace
+
+CallerSession::CallerSession(RelayServer& server, AcceptedConnection const& connection, common::Yield yield)
+    : server_(server),
+      socket_(connection.socket),
+      admitted_(connection.admitted),
+      yield_(yield),
+      ahead_(connection.admitted),
+      receive_buffer_memory_(connection.admitted) {
+  alarm_ = std::make_shared<Alarm>(server.context(), [socket = socket_, timeout = timeout_] {
+    error_code ignored;
+    timeout->expired = true;
+    timeout->closes_socket ? socket->close(ignored) : socket->cancel(ignored);
+  });
+}
+
+void CallerSession::run() {
+  bool keep_serving = true;
+  while (keep_serving && await_request()) {
+    std::optional<Query> query = read_request();
+    keep_serving = query.has_value() && serve(*query);
+    close_query();
+  }
+  alarm_->stop();
+}
+
+void CallerSession::open_query() {
+  query_open_ = true;
+  server_.query_opened();
+}
+
+void CallerSession::close_query() {
+  if (query_open_) {
+    query_open_ = false;
+    server_.query_closed();
+  }
+}
+
+bool CallerSession::await_request() {
+  use_limits_in_force();
+  if (ahead_.buffer.size() > 0) {
+    return true;
+  }
+  release_read_buffer();
+  admitted_->set_phase(ConnectionPhase::idle);
+  set_time_limit(true, span_of(limits_.idle_ms));
+  error_code error;
+  std::size_t const count = socket_->async_read_some(ahead_.buffer.prepare(constants::first_read_bytes), yield_[error]);
+  ahead_.buffer.commit(count);
+  use_limits_in_force();  // they may have changed while the connection was idle
+  return !error;
+}
+
+std::optional<Query> CallerSession::read_request() {
+  admitted_->set_phase(ConnectionPhase::receiving);
+  set_time_limit(false, span_of(limits_.header_wait_ms));
+  timeout_->expired = false;
+  Query query;
+  std::optional<OwnResponse> rejection;
+  bool whole = false;
+  {
+    // Ends before a rejection is written: a rejected request holds no memory while its caller takes the response.
+    Reader reader(*socket_, ahead_.buffer, admitted_, common::RequestLimits{limits_.header_bytes, limits_.body_bytes});
+    reader.stop_when([timeout = timeout_] { return timeout->expired; });
+    rejection = read_whole(reader, query);
+    whole = reader.assembly().whole();
+  }
+  restore_receive_buffer();
+  if (rejection.has_value()) {
+    reject_unread(*rejection);
+    return std::nullopt;
+  }
+  return whole ? std::optional<Query>(std::move(query)) : std::nullopt;
+}
+
+std::optional<CallerSession::OwnResponse> CallerSession::read_whole(Reader& reader, Query& query) {
+  common::ReadOutcome const outcome = reader.read_header(yield_);
+  common::RequestParser& parser = reader.parser();
+  bool const bare = parser.header().method() == http::verb::head;
+  if (outcome != common::ReadOutcome::complete) {
+    std::optional<OwnResponse> response = response_to(outcome);
+    if (response.has_value()) {
+      response->bare = bare;
+    }
+    return response;
+  }
+  open_query();
+  query.arrived = ahead_.since != 0 ? ahead_.since : common::boot_now();
+  std::optional<OwnResponse> rejection = reject_tenant(parser.header());
+  if (!rejection.has_value()) {
+    rejection = read_body(reader);
+  }
+  if (rejection.has_value()) {
+    rejection->lines = query_id_line(parser.header()) + rejection->lines;
+    rejection->bare = bare;
+    return rejection;
+  }
+  query.had_length = parser.content_length().has_value() || parser.chunked();
+  query.keep_alive = parser.keep_alive();
+  query.header = std::move(parser.header());
+  query.body = std::make_shared<std::string const>(std::move(parser.body()));
+  query.memory = reader.assembly().memory();
+  ahead_.since = ahead_.buffer.size() > 0 ? common::boot_now() : 0;
+  return std::nullopt;
+}
 
-/// Writes an error response of the relay itself, without a dispatch; `bare`: to a HEAD, so without a body.
-/// False: the connection is to be closed.
-bool write_error(Socket& socket, std::string const& status, std::string const& extra_lines, std::string const& reason,
-                 bool keep, bool bare, common::Yield yield) {
-  std::string const body = "{\"error\":\"" + reason + "\"}";
-  std::string const text = "HTTP/1.1 " + status + "\r\n" + extra_lines +
+std::optional<CallerSession::OwnResponse> CallerSession::read_body(Reader& reader) {
+  error_code error;
+  if (boost::beast::iequals(reader.parser().header()[http::field::expect], "100-continue")) {
+    asio::async_write(*socket_, asio::buffer(std::string("HTTP/1.1 100 Continue\r\n\r\n")), yield_[error]);
+  }
+  if (error || timeout_->expired) {
+    return response_to(common::ReadOutcome::disconnected);
+  }
+  reader.on_large_body([this] { enlarge_receive_buffer(); });
+  common::ReadOutcome const outcome = reader.read_body(yield_);
+  return outcome == common::ReadOutcome::complete ? std::nullopt : response_to(outcome);
+}
+
+std::optional<CallerSession::OwnResponse> CallerSession::response_to(common::ReadOutcome outcome) const {
+  if (timeout_->expired) {
+    return OwnResponse{"408 Request Timeout", "too_slow", "", false};
+  }
+  switch (outcome) {
+    case common::ReadOutcome::malformed:
+      return OwnResponse{"400 Bad Request", "malformed", "", false};
+    case common::ReadOutcome::header_too_large:
+      return OwnResponse{"431 Request Header Fields Too Large", "too_large", "", false};
+    case common::ReadOutcome::body_too_large:
+      return OwnResponse{"413 Payload Too Large", "too_large", "", false};
+    case common::ReadOutcome::out_of_memory:
+      return OwnResponse{"503 Service Unavailable", "no_memory", "Retry-After: 0.5\r\n", false};
+    default:
+      return std::nullopt;
+  }
+}
+
+std::optional<CallerSession::OwnResponse> CallerSession::reject_tenant(http::request_header<> const& header) const {
+  if (server_.route_table() == nullptr || !server_.route_table()->isolated()) {
+    return std::nullopt;
+  }
+  schema::Lane const* const route = server_.route_table()->find(view(header[http::field::host]), view(header.target()));
+  if (route == nullptr || !route->tenancy.has_value()) {
+    return std::nullopt;
+  }
+  scheduling::TenantReading const reading = tenant_of(*route->tenancy, header);
+  if (reading.end != scheduling::TenantStatus::refused) {
+    return std::nullopt;
+  }
+  return OwnResponse{"400 Bad Request", reading.fault, "", false};
+}
+
+bool CallerSession::serve(Query& query) {
+  admitted_->set_phase(ConnectionPhase::serving);
+  set_time_limit(true, constants::startup_span);
+  await_initialization(query);
+  std::shared_ptr<scheduling::RouteTable const> const route_table = server_.route_table();
+  bool const keep = query.keep_alive && !server_.draining();
+  OwnResponse response{"503 Service Unavailable", "no_setup", query_id_line(query.header), false};
+  response.bare = query.header.method() == http::verb::head;
+  if (route_table == nullptr) {
+    response.lines += "Retry-After: 0.5\r\n";
+    return write_response(response, keep);
+  }
+  schema::Lane const* const route =
+      route_table->find(view(query.header[http::field::host]), view(query.header.target()));
+  if (route != nullptr) {
+    return relay(query, *route, route_table);
+  }
+  if (!server_.routing_config_confirmed()) {
+    // A newer routing configuration may have the route, and this proxy can't know it (section 13.15).
+    response.lines += "Retry-After: 0.5\r\n";
+    response.reason = "charter_unconfirmed";
+    return write_response(response, keep);
+  }
+  response.status = "404 Not Found";
+  response.reason = "unknown_rule";
+  return write_response(response, keep);
+}
+
+bool CallerSession::relay(Query& query, schema::Lane const& route,
+                          std::shared_ptr<scheduling::RouteTable const> const& route_table) {
+  // The relay itself ends by the deadline; then its caller may still take the answer for as long as it may be idle.
+  set_time_limit(true, span_of(static_cast<std::uint64_t>(route.deadline_ms)) + span_of(limits_.idle_ms));
+  RelayCaller const caller{*socket_, ahead_, admitted_, span_of(limits_.idle_ms)};
+  std::unique_ptr<Relay> const relay = std::make_unique<Relay>(server_, query, route, caller, route_table, yield_);
+  return relay->run();
+}
+
+void CallerSession::await_initialization(Query const& query) {
+  std::string_view const left = view(query.header[server_.dialect().left]);
+  std::optional<common::Span> time_left;
+  if (!left.empty()) {
+    time_left = span_of(
+        std::min<std::uint64_t>(leading_number(left, constants::max_time_left_ms), constants::max_time_left_ms));
+  }
+  common::Span const longest =
+      scheduling::first_hold(server_.routing_config_wait, query.arrived - server_.started_at(), time_left);
+  while (!server_.initialized() && common::boot_now() - query.arrived < longest) {
+    common::pause(server_.context(), constants::placement_retry_pause, yield_);
+  }
+}
+
+bool CallerSession::write_response(OwnResponse const& response, bool keep) {
+  std::string const body = "{\"error\":\"" + response.reason + "\"}";
+  std::string const text = "HTTP/1.1 " + response.status + "\r\n" + response.lines +
                            "Content-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) +
-                           (keep ? "\r\n\r\n" : "\r\nConnection: close\r\n\r\n") + (bare ? "" : body);
+                           (keep ? "\r\n\r\n" : "\r\nConnection: close\r\n\r\n") + (response.bare ? "" : body);
+  set_time_limit(true, span_of(limits_.idle_ms));
+  admitted_->set_phase(ConnectionPhase::responding);
   error_code error;
-  asio::async_write(socket, asio::buffer(text), yield[error]);
+  asio::async_write(*socket_, asio::buffer(text), yield_[error]);
   return keep && !error;
 }
 
-/// What a timeout does to a caller's connection: between queries and once a response was written the connection is
-/// closed; while a query is being read only the read is cancelled, so that the caller still gets a response.
-struct ReadTimeout {
-  bool closes_socket = true;  ///< close the connection; else cancel what waits on it
-  bool expired = false;       ///< the timeout has fired
-};
-
-/// Writes a final response before the whole query was read, and closes the connection. Closing with unread bytes would
-/// reset it, and the caller might never read the response: so what still arrives is discarded first, for at most
-/// refused_close_linger and max_discarded_bytes (section 13.8).
-void reject_unread(Socket& socket, Alarm& alarm, ReadTimeout& timeout, std::string const& status,
-                   std::string const& extra_lines, std::string const& reason, bool bare, common::Yield yield) {
-  timeout.closes_socket = true;
-  alarm.set(common::boot_now() + constants::refused_close_linger);
-  (void)write_error(socket, status, extra_lines, reason, false, bare, yield);
+void CallerSession::reject_unread(OwnResponse const& response) {
+  (void)write_response(response, false);
+  set_time_limit(true, constants::refused_close_linger);
   error_code error;
-  socket.shutdown(Socket::shutdown_send, error);
+  socket_->shutdown(Socket::shutdown_send, error);
   std::array<char, constants::piece_bytes> discarded;
   std::size_t total = 0;
   while (!error && total < constants::max_discarded_bytes) {
-    total += socket.async_read_some(asio::buffer(discarded), yield[error]);
+    total += socket_->async_read_some(asio::buffer(discarded), yield_[error]);
   }
 }
 
-}  // namespace
+void CallerSession::enlarge_receive_buffer() {
+  if (receive_buffer_memory_.obtain(constants::large_receive_buffer_bytes, yield_)) {
+    error_code ignored;
+    int const bytes = static_cast<int>(constants::large_receive_buffer_bytes);
+    socket_->set_option(asio::socket_base::receive_buffer_size(bytes), ignored);
+  }
+}
 
-void serve_caller(RelayServer& server, AcceptedConnection const& connection, common::Yield yield) {
-  std::shared_ptr<Socket> const& socket = connection.socket;
-  ReadAhead ahead;
-  boost::beast::flat_buffer& buffer = ahead.buffer;
-  std::shared_ptr<ReadTimeout> const timeout = std::make_shared<ReadTimeout>();
-  std::shared_ptr<Alarm> const alarm = std::make_shared<Alarm>(server.context(), [socket, timeout] {
+void CallerSession::restore_receive_buffer() {
+  if (receive_buffer_memory_.bytes() > 0) {
     error_code ignored;
-    timeout->expired = true;
-    timeout->closes_socket ? socket->close(ignored) : socket->cancel(ignored);
-  });
-  schema::CallerLimits limits;
-  bool keep_serving = true;
-  while (keep_serving) {
-    if (server.route_table() != nullptr) {
-      limits = server.route_table()->routing_config().limits;
-    }
-    error_code error;
-    if (buffer.size() ==
-        0) {  // an idle connection may wait for idle_ms, a header that has begun only for header_wait_ms
-      timeout->closes_socket = true;
-      connection.admitted->set_phase(common::ConnectionPhase::idle);
-      alarm->set(common::boot_now() + common::milliseconds(static_cast<std::int64_t>(limits.idle_ms)));
-      std::size_t const count = socket->async_read_some(buffer.prepare(4096), yield[error]);
-      if (error) {
-        break;
-      }
-      buffer.commit(count);
-      if (server.route_table() != nullptr) {
-        limits =
-            server.route_table()->routing_config().limits;  // the limits may have changed while the connection was idle
-      }
-    }
-    connection.admitted->set_phase(common::ConnectionPhase::receiving);
-    timeout->closes_socket = false;
-    timeout->expired = false;
-    alarm->set(common::boot_now() + common::milliseconds(static_cast<std::int64_t>(limits.header_wait_ms)));
-    http::request_parser<http::string_body> parser;
-    parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
-    parser.body_limit(limits.body_bytes);
-    http::async_read_header(*socket, buffer, parser, yield[error]);
-    if (timeout->expired) {
-      reject_unread(*socket, *alarm, *timeout, "408 Request Timeout", "", "too_slow", false, yield);
-      break;
-    }
-    if (error == http::error::header_limit) {
-      reject_unread(*socket, *alarm, *timeout, "431 Request Header Fields Too Large", "", "too_large", false, yield);
-      break;
-    }
-    if (error == http::error::body_limit) {  // Content-Length is over the limit: no byte of the body is read
-      reject_unread(*socket, *alarm, *timeout, "413 Payload Too Large", "", "too_large",
-                    parser.get().method() == http::verb::head, yield);
-      break;
-    }
-    if (error && error.category() == http::make_error_code(http::error::bad_value).category() &&
-        error != http::error::end_of_stream && error != http::error::partial_message) {
-      reject_unread(*socket, *alarm, *timeout, "400 Bad Request", "", "malformed", false, yield);
-      break;
-    }
-    if (error) {
-      break;
-    }
-    Query query;
-    query.arrived = ahead.since != 0 ? ahead.since : common::boot_now();
-    server.query_opened();
-    std::string const query_id_line =
-        server.dialect().query + ": " + std::string(view(parser.get()[server.dialect().query])) + "\r\n";
-    bool const bare = parser.get().method() == http::verb::head;
-    if (server.route_table() != nullptr && server.route_table()->isolated()) {
-      // A request without a valid tenant is rejected before a byte of its body is read (section 14.1).
-      schema::Lane const* const route =
-          server.route_table()->find(view(parser.get()[http::field::host]), view(parser.get().target()));
-      if (route != nullptr && route->tenancy.has_value()) {
-        scheduling::TenantReading const reading = tenant_of(*route->tenancy, parser.get());
-        if (reading.end == scheduling::TenantStatus::refused) {
-          reject_unread(*socket, *alarm, *timeout, "400 Bad Request", query_id_line, reading.fault, bare, yield);
-          server.query_closed();
-          break;
-        }
-      }
-    }
-    if (boost::beast::iequals(parser.get()[http::field::expect], "100-continue")) {
-      asio::async_write(*socket, asio::buffer(std::string("HTTP/1.1 100 Continue\r\n\r\n")), yield[error]);
-    }
-    // Fields in a chunked body's trailer must not name a tenant or a prompt: only the header before the body counts.
-    std::optional<http::request_header<>> before_body;
-    if (parser.chunked()) {
-      before_body = parser.get().base();
-    }
-    if (!timeout->expired) {
-      http::async_read(*socket, buffer, parser, yield[error]);
-    }
-    if (error || timeout->expired) {
-      if (timeout->expired) {
-        reject_unread(*socket, *alarm, *timeout, "408 Request Timeout", query_id_line, "too_slow", bare, yield);
-      } else if (error == http::error::body_limit) {
-        reject_unread(*socket, *alarm, *timeout, "413 Payload Too Large", query_id_line, "too_large", bare, yield);
-      } else if (error == http::error::bad_chunk || error == http::error::bad_chunk_extension) {
-        reject_unread(*socket, *alarm, *timeout, "400 Bad Request", query_id_line, "malformed", bare, yield);
-      }
-      server.query_closed();
-      break;
-    }
-    connection.admitted->set_phase(common::ConnectionPhase::serving);
-    query.had_length = parser.content_length().has_value() || parser.chunked();
-    query.keep_alive = parser.get().keep_alive();
-    query.body = std::make_shared<std::string const>(std::move(parser.get().body()));
-    ahead.since = buffer.size() > 0 ? common::boot_now() : 0;
-    query.header = before_body.has_value() ? std::move(*before_body) : std::move(parser.get().base());
-    timeout->closes_socket = true;
-    alarm->set(common::boot_now() + common::seconds(3600));
-    // Right after a start the routing configuration and the list of workers arrive shortly (section 13.8): the query
-    // waits for them as it would for an assignment, then is rejected.
-    std::string_view const left = view(query.header[server.dialect().left]);
-    std::optional<common::Span> const time_left =
-        left.empty() ? std::nullopt
-                     : std::optional<common::Span>(common::milliseconds(static_cast<std::int64_t>(
-                           std::min<std::uint64_t>(leading_number(left, 86400000), 86400000))));
-    common::Span const longest_wait =
-        scheduling::first_hold(server.routing_config_wait, query.arrived - server.started_at(), time_left);
-    while (!server.initialized() && common::boot_now() - query.arrived < longest_wait) {
-      common::pause(server.context(), constants::placement_retry_pause, yield);
-    }
-    std::shared_ptr<scheduling::RouteTable const> const route_table = server.route_table();
-    bool const keep = query.keep_alive && !server.draining();
-    if (route_table == nullptr) {
-      keep_serving = write_error(*socket, "503 Service Unavailable", query_id_line + "Retry-After: 0.5\r\n", "no_setup",
-                                 keep, bare, yield);
-    } else {
-      schema::Lane const* const route =
-          route_table->find(view(query.header[http::field::host]), view(query.header.target()));
-      if (route == nullptr && !server.routing_config_confirmed()) {
-        // A newer routing configuration may have the route, and this proxy can't know it (section 13.15).
-        keep_serving = write_error(*socket, "503 Service Unavailable", query_id_line + "Retry-After: 0.5\r\n",
-                                   "charter_unconfirmed", keep, bare, yield);
-      } else if (route == nullptr) {
-        keep_serving = write_error(*socket, "404 Not Found", query_id_line, "unknown_rule", keep, bare, yield);
-      } else {
-        std::unique_ptr<Relay> const relay =
-            std::make_unique<Relay>(server, query, *route, *socket, ahead, route_table, yield);
-        keep_serving = relay->run();
-      }
-    }
-    server.query_closed();
+    int const bytes = static_cast<int>(constants::caller_receive_buffer_bytes);
+    socket_->set_option(asio::socket_base::receive_buffer_size(bytes), ignored);
+    (void)receive_buffer_memory_.resize(0);
+  }
+}
+
+void CallerSession::release_read_buffer() {
+  if (ahead_.buffer.capacity() > constants::first_read_bytes) {
+    ahead_.buffer = boost::beast::flat_buffer();
   }
-  alarm->stop();
+  (void)ahead_.memory.resize(0);
+}
+
+void CallerSession::use_limits_in_force() {
+  if (server_.route_table() != nullptr) {
+    limits_ = server_.route_table()->routing_config().limits;
+  }
+}
+
+void CallerSession::set_time_limit(bool closes_socket, common::Span span) {
+  timeout_->closes_socket = closes_socket;
+  alarm_->set(common::boot_now() + span);
+}
+
+std::string CallerSession::query_id_line(http::request_header<> const& header) const {
+  return server_.dialect().query + ": " + std::string(view(header[server_.dialect().query])) + "\r\n";
 }
 
 }  // namespace finchlink::data_plane
--- a/source/data_plane/relay/relay.cpp
+++ b/source/data_plane/relay/relay.cpp
@@ -13,14 +13,17 @@
 namespace constants = common::constants;
 using boost::system::error_code;
 
-Relay::Relay(RelayServer& server, Query& query, schema::Lane const& route, Socket& caller, ReadAhead& ahead,
+Relay::Relay(RelayServer& server, Query& query, schema::Lane const& route, RelayCaller const& caller,
              std::shared_ptr<scheduling::RouteTable const> route_table, common::Yield yield)
     : server_(server),
       query_(query),
       route_table_(std::move(route_table)),
       route_(route),
-      caller_(caller),
-      read_ahead_(ahead),
+      caller_(caller.socket),
+      read_ahead_(caller.ahead),
+      admitted_(caller.admitted),
+      unread_answer_timeout_(caller.unread_answer_timeout),
+      response_memory_(caller.admitted),
       yield_(yield),
       head_request_(query.header.method() == http::verb::head),
       id_(view(query.header[server.dialect().query])),
@@ -30,8 +33,9 @@
   std::string_view const left = view(query.header[server.dialect().left]);
   if (!left.empty()) {
     deadline_ =
-        std::min(deadline_, query.arrived + common::milliseconds(static_cast<std::int64_t>(
-                                                std::min<std::uint64_t>(leading_number(left, 86400000), 86400000))));
+        std::min(deadline_,
+                 query.arrived + common::milliseconds(static_cast<std::int64_t>(std::min<std::uint64_t>(
+                                     leading_number(left, constants::max_time_left_ms), constants::max_time_left_ms))));
   }
   std::uint64_t const last_event = leading_number(view(query.header[server.dialect().last_event]), no_number);
   numbering_ = EventNumbering(last_event == no_number ? std::nullopt : std::optional<std::uint64_t>(last_event));
--- a/source/data_plane/relay/relay.hpp
+++ b/source/data_plane/relay/relay.hpp
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "common/net/admission.hpp"
 #include "data_plane/relay/event_cutter.hpp"
 #include "data_plane/relay/header_fields.hpp"
 #include "data_plane/relay/relay_server.hpp"
@@ -26,12 +27,23 @@
   bool had_length = false;                  ///< the request had a Content-Length or was chunked
   bool keep_alive = true;                   ///< the caller allows the connection to be reused
   common::Moment arrived = 0;
+  std::shared_ptr<common::MemoryReservation> memory;  ///< of its header and body
 };
 
 /// Bytes of a caller's connection that were read before their request is served.
 struct ReadAhead {
+  explicit ReadAhead(std::shared_ptr<common::AdmittedConnection> connection) : memory(std::move(connection)) {}
   boost::beast::flat_buffer buffer;
-  common::Moment since = 0;  ///< when its first byte came; 0: none came while another request was served
+  common::MemoryReservation memory;  ///< of what was sent ahead
+  common::Moment since = 0;          ///< when its first byte came; 0: none came while another request was served
+};
+
+/// The connection that a query came on.
+struct RelayCaller {
+  Socket& socket;
+  ReadAhead& ahead;
+  std::shared_ptr<common::AdmittedConnection> admitted;
+  common::Span unread_answer_timeout = 0;  ///< it is closed if nothing of an answer can be written for this long
 };
 
 /// Forwards one query to workers and the response back to its caller (section 13.8). It runs on its caller's
@@ -48,7 +60,7 @@
 /// - tenant_prompt.cpp: the prompt's tenant (section 14)
 class Relay {
  public:
-  Relay(RelayServer& server, Query& query, schema::Lane const& route, Socket& caller, ReadAhead& ahead,
+  Relay(RelayServer& server, Query& query, schema::Lane const& route, RelayCaller const& caller,
         std::shared_ptr<scheduling::RouteTable const> route_table, common::Yield yield);
   /// Serves the query to its end. False: the caller's connection can't be reused.
   bool run();
@@ -184,6 +196,9 @@
   schema::Lane route_;
   Socket& caller_;
   ReadAhead& read_ahead_;
+  std::shared_ptr<common::AdmittedConnection> admitted_;
+  common::Span unread_answer_timeout_;
+  common::MemoryReservation response_memory_;  ///< of a worker's whole response
   common::Yield yield_;
   bool const head_request_;  ///< it is a HEAD: no response to it has a body
   std::shared_ptr<Guard> const guard_ = std::make_shared<Guard>();
@@ -221,6 +236,7 @@
   bool first_output_seen_ = false;
   bool head_written_ = false;  ///< the response head was sent to the caller
   bool writing_ = false;
+  common::Moment write_began_ = 0;
   bool caller_gone_ = false;
   bool keep_caller_ = false;
   bool dispatch_next_ = false;
--- a/source/data_plane/relay/relay_server.cpp
+++ b/source/data_plane/relay/relay_server.cpp
@@ -48,7 +48,7 @@
   balancer_ = scheduling::LoadBalancer(mechanisms_.balancer);
   absl::Status status = listen(settings_.http_address, common::ListenerKind::callers,
                                [this](AcceptedConnection const& connection, common::Yield yield) {
-                                 serve_caller(*this, connection, yield);
+                                 CallerSession(*this, connection, yield).run();
                                });
   for (std::string const& address : {settings_.ready_address, settings_.directory_address}) {
     if (status.ok() && !address.empty()) {
