--- a/source/data_plane/relay/attempt.cpp
+++ b/source/data_plane/relay/attempt.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 
+#include "common/admission/admission_constants.hpp"
 #include "common/log/log.hpp"
 #include "common/random/random.hpp"
 #include "common/relay_constants.hpp"
@@ -215,6 +216,14 @@
       std::min(deadline_, common::boot_now() + (assignment_.in_own_region ? constants::relay_connect_deadline_in_region
                                                                           : constants::relay_connect_deadline)));
   error_code error = common::open_own(*worker_, *endpoint);
+  if (!error && !worker_->is_open()) {
+    worker_->open(endpoint->protocol(), error);
+  }
+  if (!error) {
+    // Of an answer that its caller doesn't take, no more than this waits here.
+    int const bytes = static_cast<int>(constants::worker_receive_buffer_bytes);
+    worker_->set_option(asio::socket_base::receive_buffer_size(bytes), error);
+  }
   if (!error) {
     worker_->async_connect(*endpoint, yield_[error]);
   }
--- a/source/data_plane/relay/caller_answer.cpp
+++ b/source/data_plane/relay/caller_answer.cpp
@@ -1,6 +1,7 @@
 // Relay: what is written to the caller.
 #include "data_plane/relay/relay.hpp"
 
+#include <array>
 #include <boost/asio/write.hpp>
 
 #include "common/log/log.hpp"
@@ -52,14 +53,18 @@
   return keep_caller_ ? "" : "Connection: close\r\n";
 }
 
-bool Relay::write(std::string const& text) {
+bool Relay::write(std::string const& text, std::string const& body) {
   if (caller_gone_) {
     keep_caller_ = false;
     return false;
   }
   error_code error;
   writing_ = true;
-  asio::async_write(caller_, asio::buffer(text), yield_[error]);
+  write_began_ = common::boot_now();
+  admitted_->set_phase(common::ConnectionPhase::responding);
+  std::array<asio::const_buffer, 2> const pieces{asio::buffer(text), asio::buffer(body)};
+  asio::async_write(caller_, pieces, yield_[error]);
+  admitted_->set_phase(common::ConnectionPhase::serving);
   writing_ = false;
   if (error) {
     keep_caller_ = false;
@@ -69,8 +74,7 @@
 }
 
 bool Relay::write_response() {
-  bool const written = write(response_head_ + connection_header() + "\r\n" + response_body_);
-  return written;
+  return write(response_head_ + connection_header() + "\r\n", response_body_);
 }
 
 std::string Relay::response_head(Parser const& parser) const {
--- a/source/data_plane/relay/caller_monitor.cpp
+++ b/source/data_plane/relay/caller_monitor.cpp
@@ -65,7 +65,12 @@
     return;
   }
   if (writing_) {  // the caller is slow to read, not the worker to answer
-    alarm_->set(deadline_);
+    common::Moment const give_up = write_began_ + unread_answer_timeout_;
+    if (now >= give_up) {
+      error_code ignored;
+      caller_.close(ignored);
+    }
+    alarm_->set(std::min(deadline_, std::max(give_up, now + 1)));
     return;
   }
   if (connecting_) {
--- a/source/data_plane/relay/relay.hpp
+++ b/source/data_plane/relay/relay.hpp
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-#include "common/net/admission.hpp"
+#include "common/net/growing_text.hpp"
 #include "data_plane/relay/event_cutter.hpp"
 #include "data_plane/relay/header_fields.hpp"
 #include "data_plane/relay/relay_server.hpp"
@@ -141,7 +141,7 @@
   void respond(std::string const& status, std::string const& reason, bool retry_later);
   /// Decides whether the caller's connection is kept; the header line that says otherwise, or nothing.
   [[nodiscard]] std::string connection_header();
-  bool write(std::string const& text);
+  bool write(std::string const& text, std::string const& body = "");
   bool write_response();
   /// Applies the newest routing configuration to this query; it counts until bytes are sent (section 9.7).
   void refresh_route();
@@ -187,6 +187,8 @@
   void read_to_end(boost::beast::flat_buffer& buffer, Parser& parser);
   /// The worker's response head for the caller, without the hop-by-hop headers.
   [[nodiscard]] std::string response_head(Parser const& parser) const;
+  /// How far the body of a whole response grows.
+  [[nodiscard]] static common::TextGrowth growth_of(std::size_t needed, Parser const& parser);
   scheduling::Outcome relay_whole_response(boost::beast::flat_buffer& buffer, Parser& parser, unsigned int status);
   scheduling::Outcome relay_event_stream(Reading& reading);
   scheduling::Outcome read_events(Reading& reading);
--- a/source/data_plane/relay/worker_answer.cpp
+++ b/source/data_plane/relay/worker_answer.cpp
@@ -5,6 +5,7 @@
 #include <array>
 #include <boost/asio/write.hpp>
 
+#include "common/admission/admission_constants.hpp"
 #include "common/relay_constants.hpp"
 #include "data_plane/relay/prompt_isolation.hpp"
 
@@ -171,6 +172,15 @@
   keep_worker_if_reusable(buffer, parser);
 }
 
+common::TextGrowth Relay::growth_of(std::size_t needed, Parser const& parser) {
+  common::TextGrowth growth;
+  growth.needed = needed;
+  growth.most = static_cast<std::size_t>(
+      std::min<std::uint64_t>(parser.content_length().value_or(constants::answer_limit), constants::answer_limit));
+  growth.free = constants::free_answer_bytes;
+  return growth;
+}
+
 scheduling::Outcome Relay::relay_whole_response(boost::beast::flat_buffer& buffer, Parser& parser,
                                                 unsigned int status) {
   std::string body;
@@ -181,6 +191,10 @@
       next_message_ = scheduling::WorkerFailure{"cut_answer"};
       return scheduling::Outcome::failure;
     }
+    if (!common::grow(body, growth_of(body.size() + bytes.size(), parser), response_memory_, yield_)) {
+      next_message_ = scheduling::WorkerFailure{"no_memory"};
+      return scheduling::Outcome::failure;
+    }
     body += bytes;
   }
   if (!bare && !ended_cleanly(parser)) {
