--- a/source/data_plane/relay/caller_monitor.cpp
+++ b/source/data_plane/relay/caller_monitor.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 
+#include "common/admission/admission_constants.hpp"
 #include "common/relay_constants.hpp"
 
 namespace finchlink::data_plane {
@@ -26,6 +27,10 @@
 
 bool Relay::read_from_caller() {
   while (read_ahead_.buffer.size() < constants::max_read_ahead_bytes) {
+    std::size_t const wanted = read_ahead_.buffer.size() + constants::piece_bytes;
+    if (wanted > constants::free_read_ahead_bytes && !read_ahead_.memory.resize_if_free(wanted)) {
+      return false;
+    }
     boost::beast::flat_buffer::mutable_buffers_type const free_space =
         read_ahead_.buffer.prepare(constants::piece_bytes);
     ssize_t const count = recv(caller_.native_handle(), free_space.data(), free_space.size(), MSG_DONTWAIT);
