--- a/source/data_plane/relay/status_session.cpp
+++ b/source/data_plane/relay/status_session.cpp
@@ -2,11 +2,11 @@
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http.hpp>
 #include <map>
 #include <sstream>
 
 #include "common/constants.hpp"
+#include "common/http/request_reader.hpp"
 #include "common/invariant/invariant.hpp"
 #include "data_plane/relay/alarm.hpp"
 #include "data_plane/relay/prompt_isolation.hpp"
@@ -16,7 +16,6 @@
 
 namespace asio = boost::asio;
 namespace constants = common::constants;
-namespace http = boost::beast::http;
 using boost::system::error_code;
 using common::ConnectionPhase;
 
@@ -58,6 +57,12 @@
   }
   return StatusResponse{"404 Not Found", "{\"error\":\"unknown_path\"}"};
 }
+
+/// Reads a request, which has no body; false: there is none, or none that is served.
+bool read_status_request(common::RequestReader<Socket>& reader, common::Yield yield) {
+  return reader.read_header(yield) == common::ReadOutcome::complete &&
+         reader.read_body(yield) == common::ReadOutcome::complete;
+}
 }  // namespace
 
 void serve_status(RelayServer& server, AcceptedConnection const& connection, common::Yield yield) {
@@ -71,16 +76,20 @@
   while (keep_open) {
     alarm->set(common::boot_now() + constants::caller_idle);
     error_code error;
-    connection.admitted->set_phase(ConnectionPhase::idle);
-    http::request_parser<http::empty_body> parser;
-    parser.header_limit(constants::header_limit);
-    http::async_read(socket, buffer, parser, yield[error]);
-    if (error) {
+    if (buffer.size() == 0) {
+      connection.admitted->set_phase(ConnectionPhase::idle);
+      buffer.commit(socket.async_read_some(buffer.prepare(constants::first_read_bytes), yield[error]));
+    }
+    connection.admitted->set_phase(ConnectionPhase::receiving);
+    common::RequestReader<Socket> reader(socket, buffer, connection.admitted,
+                                         common::RequestLimits{constants::header_limit, 0});
+    if (error || !read_status_request(reader, yield)) {
       break;
     }
-    StatusResponse const response = respond_to(server, std::string(parser.get().target()));
-    keep_open = parser.get().keep_alive() && !server.draining();
-    bool const bare = parser.get().method() == http::verb::head;
+    common::RequestParser& parser = reader.parser();
+    StatusResponse const response = respond_to(server, std::string(parser.header().target()));
+    keep_open = parser.keep_alive() && !server.draining();
+    bool const bare = parser.header().method() == boost::beast::http::verb::head;
     std::string const text = "HTTP/1.1 " + response.status + "\r\nContent-Type: application/json\r\nContent-Length: " +
                              std::to_string(response.body.size()) +
                              (keep_open ? "\r\n\r\n" : "\r\nConnection: close\r\n\r\n") + (bare ? "" : response.body);
