--- a/source/common/http/http.cpp
+++ b/source/common/http/http.cpp
@@ -6,6 +6,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <cerrno>
 
+#include "common/admission/admission_constants.hpp"
 #include "common/constants.hpp"
 #include "common/error/error.hpp"
 #include "common/json/tree.hpp"
@@ -54,6 +55,119 @@
   return got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
 }
 
+std::optional<Response> failed_read_response(ReadOutcome outcome) {
+  switch (outcome) {
+    case ReadOutcome::body_too_large:
+      return error_response(http::status::payload_too_large, "too_large", "the body is larger than allowed");
+    case ReadOutcome::header_too_large:
+      return error_response(http::status::request_header_fields_too_large, "too_large",
+                            "the header is larger than allowed");
+    case ReadOutcome::malformed:
+      return error_response(http::status::bad_request, "malformed", "no HTTP request");
+    case ReadOutcome::out_of_memory:
+      return error_response(http::status::service_unavailable, "no_memory", "too much is sent at once");
+    default:
+      return std::nullopt;
+  }
+}
+
+namespace {
+/// Serves the requests of one connection.
+class RequestSession {
+ public:
+  RequestSession(AcceptedStream const& connection, std::size_t body_limit, ConnectedRequestHandler const& handler,
+                 Yield yield)
+      : stream_(connection.stream),
+        admitted_(connection.admitted),
+        body_limit_(body_limit),
+        handler_(handler),
+        yield_(yield) {}
+
+  void run() {
+    bool keep_open = true;
+    while (keep_open && await_request()) {
+      keep_open = serve_request();
+    }
+  }
+
+ private:
+  using Reader = RequestReader<Stream>;
+
+  /// Waits for the first byte of a request; false: the connection ended.
+  [[nodiscard]] bool await_request() {
+    stream_.expires_after(duration(constants::caller_idle));
+    if (buffer_.size() > 0) {
+      return true;
+    }
+    admitted_->set_phase(ConnectionPhase::idle);
+    error_code error;
+    buffer_.commit(stream_.async_read_some(buffer_.prepare(constants::first_read_bytes), yield_[error]));
+    return !error;
+  }
+
+  /// Serves one request; false: the connection is to be closed.
+  [[nodiscard]] bool serve_request() {
+    std::optional<Response> failure;
+    {
+      admitted_->set_phase(ConnectionPhase::receiving);
+      Reader reader(stream_, buffer_, admitted_, RequestLimits{constants::header_limit, body_limit_});
+      ReadOutcome outcome = reader.read_header(yield_);
+      outcome = outcome == ReadOutcome::complete ? reader.read_body(yield_) : outcome;
+      // The document is held several times while it is checked and proposed.
+      std::size_t const working_bytes = constants::operator_document_copies * reader.parser().body().capacity();
+      std::shared_ptr<MemoryReservation> const memory = reader.assembly().memory();
+      if (outcome == ReadOutcome::complete && !memory->obtain(memory->bytes() + working_bytes, yield_)) {
+        outcome = ReadOutcome::out_of_memory;
+      }
+      if (outcome == ReadOutcome::complete) {
+        return answer(reader);
+      }
+      failure = failed_read_response(outcome);
+    }
+    if (failure.has_value() && write(*failure, false)) {
+      linger_before_close(stream_, yield_);
+    }
+    return false;
+  }
+
+  [[nodiscard]] bool answer(Reader& reader) {
+    RequestParser& parser = reader.parser();
+    bool const keep_open = parser.keep_alive();
+    Request const request(std::move(parser.header()), std::move(parser.body()));
+    admitted_->set_phase(ConnectionPhase::serving);
+    stream_.expires_never();
+    Response response = handler_(request, CallerConnection(stream_), yield_);
+    if (request.method() == http::verb::head) {  // keeps the Content-Length of the body
+      response.body().clear();
+    }
+    // A large answer that may not be taken needs room, or isn't given.
+    MemoryReservation memory(admitted_);
+    std::size_t const bytes = response.body().size();
+    if (bytes > constants::free_answer_bytes && !memory.resize(bytes)) {
+      response = *failed_read_response(ReadOutcome::out_of_memory);
+    }
+    return write(response, keep_open) && keep_open;
+  }
+
+  /// False: the response could not be written.
+  [[nodiscard]] bool write(Response& response, bool keep_open) {
+    response.keep_alive(keep_open);
+    stream_.expires_after(duration(constants::write_deadline));
+    admitted_->set_phase(ConnectionPhase::responding);
+    error_code error;
+    http::async_write(stream_, response, yield_[error]);
+    return !error;
+  }
+
+  Stream& stream_;
+  std::shared_ptr<AdmittedConnection> admitted_;
+  std::size_t body_limit_;
+  ConnectedRequestHandler const& handler_;
+  Yield yield_;
+  boost::beast::flat_buffer buffer_;
+};
+}  // namespace
+
 absl::Status serve_requests(boost::asio::io_context& context, ListenAddress const& address, std::size_t body_limit,
                             RequestHandler handler) {
   return serve_requests(context, address, body_limit,
@@ -64,55 +178,10 @@
 
 absl::Status serve_requests(boost::asio::io_context& context, ListenAddress const& address, std::size_t body_limit,
                             ConnectedRequestHandler handler) {
-  return listen(context, address, [handler, body_limit](AcceptedStream const& connection, Yield yield) {
-    Stream& stream = connection.stream;
-    boost::beast::flat_buffer buffer;
-    bool keep_open = true;
-    while (keep_open) {
-      error_code error;
-      http::request_parser<http::string_body> parser;
-      parser.header_limit(constants::header_limit);
-      parser.body_limit(body_limit);
-      stream.expires_after(duration(constants::caller_idle));
-      connection.admitted->set_phase(ConnectionPhase::idle);
-      http::async_read(stream, buffer, parser, yield[error]);
-      if (error == http::error::end_of_stream || error == boost::beast::error::timeout ||
-          (error && error.category() == boost::asio::error::get_system_category()) ||
-          error == boost::asio::error::eof) {
-        return;
-      }
-      Response response;
-      keep_open = false;
-      bool const whole = !error;
-      if (error == http::error::body_limit) {
-        response = error_response(http::status::payload_too_large, "too_large", "the body is larger than allowed");
-      } else if (error == http::error::header_limit) {
-        response = error_response(http::status::request_header_fields_too_large, "too_large",
-                                  "the header is larger than allowed");
-      } else if (error) {
-        response = error_response(http::status::bad_request, "malformed", error.message());
-      } else {
-        Request const request = parser.release();
-        keep_open = request.keep_alive();
-        connection.admitted->set_phase(ConnectionPhase::serving);
-        stream.expires_never();
-        response = handler(request, CallerConnection(stream), yield);
-        if (request.method() == http::verb::head) {  // keeps the Content-Length of the body
-          response.body().clear();
-        }
-      }
-      response.keep_alive(keep_open);
-      stream.expires_after(duration(constants::write_deadline));
-      connection.admitted->set_phase(ConnectionPhase::responding);
-      http::async_write(stream, response, yield[error]);
-      if (error) {
-        return;
-      }
-      if (!whole) {
-        linger_before_close(stream, yield);
-      }
-    }
-  });
+  return listen(context, address,
+                [handler = std::move(handler), body_limit](AcceptedStream const& connection, Yield yield) {
+                  RequestSession(connection, body_limit, handler, yield).run();
+                });
 }
 
 absl::StatusOr<Response> send_request(boost::asio::io_context& context, std::string const& address, Request request,
--- a/source/common/http/http.hpp
+++ b/source/common/http/http.hpp
@@ -7,6 +7,7 @@
 
 #include <absl/status/statusor.h>
 
+#include "common/http/request_reader.hpp"
 #include "common/net/net.hpp"
 
 namespace finchlink::common {
@@ -22,6 +23,9 @@
 /// {"error": code, "message": text}, escaped; with Retry-After for 429 and 503.
 [[nodiscard]] Response error_response(http::status status, std::string const& code, std::string const& message);
 
+/// The response to a request that could not be read whole; none: the caller is gone, or was too slow.
+[[nodiscard]] std::optional<Response> failed_read_response(ReadOutcome outcome);
+
 /// The connection of a request, for handlers that must not act after the caller has left.
 /// May be copied, and used from any thread, while the handler runs.
 class CallerConnection {
@@ -39,7 +43,7 @@
 using RequestHandler = std::function<Response(Request const&, Yield)>;
 using ConnectedRequestHandler = std::function<Response(Request const&, CallerConnection const&, Yield)>;
 /// Serves small requests (operators, lists) on an address: malformed ones get 400, too large ones 413 (431 for the
-/// header), slow senders are disconnected (section 9.6). A body may have
+/// header), those for which there is no memory 503, slow senders are disconnected (section 9.6). A body may have
 /// `body_limit` bytes. Fails if the address can't be listened on.
 [[nodiscard]] absl::Status serve_requests(boost::asio::io_context& context, ListenAddress const& address,
                                           std::size_t body_limit, RequestHandler handler);
