--- a/source/common/net/net.cpp
+++ b/source/common/net/net.cpp
@@ -13,6 +13,7 @@
 #include "common/constants.hpp"
 #include "common/error/error.hpp"
 #include "common/log/log.hpp"
+#include "common/net/growing_text.hpp"
 #include "common/net/traffic.hpp"
 #include "common/relay_constants.hpp"
 #include "common/wire/frame.hpp"
@@ -296,50 +297,98 @@
   return answer;
 }
 
+namespace {
+/// Bytes to reserve for a frame: small ones are part of what an open connection takes anyway.
+std::size_t reserved_bytes(std::size_t frame_bytes) {
+  return frame_bytes > constants::free_frame_bytes ? frame_bytes : 0;
+}
+
+/// Reads a payload piece by piece: what a frame merely announces takes no memory. False: the connection ended, or there
+/// is no memory for the frame.
+bool read_payload(Stream& stream, std::size_t length, std::string& payload, MemoryReservation& memory, Yield yield) {
+  while (payload.size() < length) {
+    std::size_t const piece = std::min(length - payload.size(), constants::frame_piece_bytes);
+    std::size_t const needed = payload.size() + piece;
+    if (!grow(payload, TextGrowth{needed, length, constants::free_frame_bytes, 0}, memory, yield)) {
+      return false;
+    }
+    std::size_t const offset = payload.size();
+    payload.resize(needed);
+    error_code error;
+    asio::async_read(stream, asio::buffer(payload.data() + offset, piece), yield[error]);
+    if (error) {
+      return false;
+    }
+  }
+  return true;
+}
+
+/// Reads one frame; none: the connection is to be closed.
+std::optional<schema::Message> read_frame(AcceptedStream const& connection, MemoryReservation& memory, Yield yield) {
+  Stream& stream = connection.stream;
+  error_code error;
+  std::string header(frame_header, '\0');
+  stream.expires_after(duration(constants::frame_idle));
+  connection.admitted->set_phase(ConnectionPhase::idle);
+  asio::async_read(stream, asio::buffer(header), yield[error]);
+  if (error) {
+    return std::nullopt;
+  }
+  connection.admitted->set_phase(ConnectionPhase::receiving);
+  absl::StatusOr<std::size_t> const length = frame_length(header);
+  if (!length.ok()) {
+    log_event(Event::FrameDefect, std::string(length.status().message()));
+    return std::nullopt;
+  }
+  std::string payload;
+  if (!read_payload(stream, *length, payload, memory, yield) ||
+      !memory.obtain(reserved_bytes(payload.capacity() + unframed_bytes(header, payload)), yield)) {
+    return std::nullopt;
+  }
+  absl::StatusOr<schema::Message> message = unframe(header, payload);
+  if (!message.ok()) {
+    log_event(Event::FrameDefect, std::string(message.status().message()));
+    return std::nullopt;
+  }
+  count_received(message->index(), header.size() + payload.size());
+  return std::move(*message);
+}
+
+/// Serves frames on one connection until it ends.
+void serve_frame_stream(AcceptedStream const& connection, FrameHandler const& handler, Yield yield) {
+  Stream& stream = connection.stream;
+  while (true) {
+    MemoryReservation memory(connection.admitted);
+    std::optional<schema::Message> const message = read_frame(connection, memory, yield);
+    if (!message.has_value()) {
+      return;
+    }
+    connection.admitted->set_phase(ConnectionPhase::serving);
+    stream.expires_never();
+    std::optional<schema::Message> const reply = handler(*message, yield);
+    if (!reply.has_value()) {
+      return;
+    }
+    std::string const bytes = frame(*reply);
+    // Without room for an answer that may not be taken, the peer asks again, as after any failure.
+    if (!memory.resize(reserved_bytes(bytes.size()))) {
+      return;
+    }
+    count_sent(reply->index(), bytes.size());
+    stream.expires_after(duration(constants::frame_idle));
+    connection.admitted->set_phase(ConnectionPhase::responding);
+    error_code error;
+    asio::async_write(stream, asio::buffer(bytes), yield[error]);
+    if (error) {
+      return;
+    }
+  }
+}
+}  // namespace
+
 absl::Status serve_frames(asio::io_context& context, ListenAddress const& address, FrameHandler handler) {
   return listen(context, address, [handler = std::move(handler)](AcceptedStream const& connection, Yield yield) {
-    Stream& stream = connection.stream;
-    while (true) {
-      error_code error;
-      connection.admitted->set_phase(ConnectionPhase::idle);
-      std::string header(frame_header, '\0');
-      stream.expires_after(duration(constants::frame_idle));
-      asio::async_read(stream, asio::buffer(header), yield[error]);
-      if (error) {
-        return;
-      }
-      connection.admitted->set_phase(ConnectionPhase::receiving);
-      absl::StatusOr<std::size_t> const length = frame_length(header);
-      if (!length.ok()) {
-        log_event(Event::FrameDefect, std::string(length.status().message()));
-        return;
-      }
-      std::string payload(*length, '\0');
-      asio::async_read(stream, asio::buffer(payload), yield[error]);
-      if (error) {
-        return;
-      }
-      absl::StatusOr<schema::Message> const message = unframe(header, payload);
-      if (!message.ok()) {
-        log_event(Event::FrameDefect, std::string(message.status().message()));
-        return;
-      }
-      count_received(message->index(), header.size() + payload.size());
-      connection.admitted->set_phase(ConnectionPhase::serving);
-      stream.expires_never();
-      std::optional<schema::Message> const reply = handler(*message, yield);
-      if (!reply.has_value()) {
-        return;
-      }
-      std::string const bytes = frame(*reply);
-      count_sent(reply->index(), bytes.size());
-      stream.expires_after(duration(constants::frame_idle));
-      connection.admitted->set_phase(ConnectionPhase::responding);
-      asio::async_write(stream, asio::buffer(bytes), yield[error]);
-      if (error) {
-        return;
-      }
-    }
+    serve_frame_stream(connection, handler, yield);
   });
 }
 
--- a/source/common/wire/frame.cpp
+++ b/source/common/wire/frame.cpp
@@ -2,6 +2,7 @@
 
 #include <zlib.h>
 
+#include <algorithm>
 #include <boost/crc.hpp>
 #include <cstring>
 
@@ -81,6 +82,12 @@
   return length;
 }
 
+std::size_t unframed_bytes(std::string_view header, std::string_view payload) {
+  bool const compressed =
+      header.size() == frame_header && word(header, 0) == constants::frame_magic_compressed && payload.size() >= 4;
+  return compressed ? std::min<std::size_t>(word(payload, 0), constants::frame_limit) : payload.size();
+}
+
 absl::StatusOr<schema::Message> unframe(std::string_view header, std::string_view payload) {
   absl::StatusOr<std::size_t> const length = frame_length(header);
   if (!length.ok()) {
