--- a/source/data_plane/query/session.cpp
+++ b/source/data_plane/query/session.cpp
@@ -3,9 +3,11 @@
 #include <sys/socket.h>
 
 #include <boost/asio/write.hpp>
+#include <limits>
 
 #include "common/constants.hpp"
 #include "common/http/http.hpp"
+#include "common/http/request_reader.hpp"
 #include "common/invariant/invariant.hpp"
 #include "common/json/tree.hpp"
 #include "common/random/random.hpp"
@@ -19,7 +21,6 @@
 namespace constants = common::constants;
 namespace http = common::http;
 using boost::system::error_code;
-using Parser = http::request_parser<http::string_body>;
 
 namespace {
 /// The response to one of the proxy's own status paths.
@@ -72,6 +73,16 @@
   return !error && keep_connection;
 }
 
+/// Rejects a request that could not be read whole; the caller of one that was too slow, or is gone, gets no response.
+void reject_unread(common::Stream& stream, common::ReadOutcome outcome, boost::asio::io_context& context,
+                   common::Yield yield) {
+  std::optional<common::Response> response = common::failed_read_response(outcome);
+  if (response.has_value()) {
+    (void)send_response(stream, *response, false, yield);
+    close_unread(stream, context, yield);
+  }
+}
+
 /// What the header alone decides: a final response, or none if the body is to be read (section 9.2).
 struct HeaderDecision {
   std::optional<common::Response> response;
@@ -119,28 +130,19 @@
       buffer.commit(count);
     }
     connection.admitted->set_phase(common::ConnectionPhase::receiving);
-    Parser parser;
-    parser.header_limit(constants::header_limit);
-    parser.body_limit(boost::none);
+    common::RequestReader<common::Stream> reader(
+        stream, buffer, connection.admitted,
+        common::RequestLimits{constants::header_limit, std::numeric_limits<std::size_t>::max()});
+    common::RequestParser& parser = reader.parser();
     stream.expires_after(common::duration(constants::header_deadline));
-    http::async_read_header(stream, buffer, parser, yield[error]);
-    if (error == http::error::end_of_stream || error == boost::beast::error::timeout ||
-        error == boost::asio::error::eof || error == boost::asio::error::connection_reset ||
-        error == boost::asio::error::operation_aborted) {
+    common::ReadOutcome const header_outcome = reader.read_header(yield);
+    if (header_outcome != common::ReadOutcome::complete) {
+      reject_unread(stream, header_outcome, proxy.context(), yield);
       return;
     }
-    if (error) {
-      bool const is_too_large = error == http::error::header_limit;
-      common::Response response = common::error_response(
-          is_too_large ? http::status::request_header_fields_too_large : http::status::bad_request,
-          is_too_large ? "too_large" : "malformed", error.message());
-      (void)send_response(stream, response, false, yield);
-      close_unread(stream, proxy.context(), yield);
-      return;
-    }
-    http::request_header<> const header = parser.get();
+    http::request_header<> const header = parser.header();
     std::string const target(header.target());
-    bool const keep_connection = parser.get().keep_alive();
+    bool const keep_connection = parser.keep_alive();
     if (target.rfind("/-/", 0) == 0) {
       if (parser.content_length().value_or(0) > 0 || parser.chunked()) {
         return;
@@ -185,22 +187,12 @@
       std::string const continue_line = "HTTP/1.1 100 Continue\r\n\r\n";
       boost::asio::async_write(stream, boost::asio::buffer(continue_line), yield[error]);
     }
-    parser.body_limit(rule.body_limit);
+    reader.assembly().set_body_limit(rule.body_limit);
     stream.expires_after(common::duration(constants::body_deadline));
-    http::async_read(stream, buffer, parser, yield[error]);
-    if (error) {
+    common::ReadOutcome const body_outcome = reader.read_body(yield);
+    if (body_outcome != common::ReadOutcome::complete) {
       proxy.close_query(decision.serve.rule);
-      if (error == http::error::body_limit || error == http::error::bad_chunk ||
-          error == http::error::bad_chunk_extension) {
-        bool const is_too_large = error == http::error::body_limit;
-        common::Response response =
-            common::error_response(is_too_large ? http::status::payload_too_large : http::status::bad_request,
-                                   is_too_large ? "too_large" : "malformed", error.message());
-        (void)send_response(stream, response, false, yield);
-        close_unread(stream, proxy.context(), yield);
-      } else if (error == boost::beast::error::timeout) {
-        return;  // the connection of a slow sender is closed
-      }
+      reject_unread(stream, body_outcome, proxy.context(), yield);
       return;
     }
     connection.admitted->set_phase(common::ConnectionPhase::serving);
@@ -209,10 +201,10 @@
     request.serve = decision.serve;
     request.header = header;
     request.forwarded = forwarded;
-    request.method = parser.get().method();
+    request.method = header.method();
     request.target = target;
-    request.content_type = std::string(parser.get()[http::field::content_type]);
-    request.body = std::move(parser.get().body());
+    request.content_type = std::string(header[http::field::content_type]);
+    request.body = std::move(parser.body());
     request.keep_connection = keep_connection;
     bool const reusable = run_query(proxy, plan, std::move(request), stream, buffer.size() > 0, yield);
     proxy.close_query(decision.serve.rule);
