--- a/source/data_plane/relay/relay.hpp
+++ b/source/data_plane/relay/relay.hpp
@@ -83,7 +83,7 @@
   /// A worker's response as far as it was read; also its connection, if it was set aside.
   struct Reading {
     std::shared_ptr<Sending> sending;
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer{common::constants::answer_buffer_bytes};
     std::unique_ptr<Parser> parser;
     EventCutter cutter;
     scheduling::StreamObservation sighting;
--- a/source/tests/relay/whole_test.cpp
+++ b/source/tests/relay/whole_test.cpp
@@ -227,6 +227,21 @@
   }
 }
 
+/// What comes between the chunks of an answer, and behind them, has a limit (section 9.9).
+TEST(RelayWhole, AWorkersTrailerOrExtensionWithoutEndIsNoAnswer) {
+  for (std::string const& begin : {std::string("1\r\nx\r\n0\r\nLate: "), std::string("1;name=")}) {
+    Fleet fleet;
+    Worker& worker = fleet.worker("w1");
+    fleet.begin();
+    std::shared_ptr<Line> const caller = fleet.call(query("/once/a", "q1"));
+    ASSERT_TRUE(fleet.arrived(worker, 1));
+    std::string const head =
+        "HTTP/1.1 200 OK\r\n" + with_id("q1") + "Finchlink-Seal: seal-q1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    last_arrival(&worker).line->send_long(head + begin + std::string(4u << 20u, 'v'));
+    EXPECT_EQ(status_of(fleet.answer_on(caller)), 502u) << begin;
+  }
+}
+
 TEST(RelayWhole, AQueryThatMayNotBeRepeatedIsNeverSentTwice) {
   for (BadAnswer const& bad_answer : bad_answers()) {
     Fleet fleet;
