--- a/source/common/constants.hpp
+++ b/source/common/constants.hpp
@@ -217,6 +217,8 @@
 /// Payloads of at least this many bytes are compressed: routing configurations
 /// and lists go to every proxy, over links of 10 Mbit/s, and shrink to a fifth or less.
 inline constexpr std::size_t min_compressed_frame = 1024;
+/// Calls to one peer that may wait for its answer at a time.
+inline constexpr std::size_t max_unanswered_calls = 32;
 /// Idle frame connections kept per peer.
 inline constexpr std::size_t idle_connections = 8;
 /// An idle frame connection is closed after this.
--- a/source/common/net/net.cpp
+++ b/source/common/net/net.cpp
@@ -255,6 +255,24 @@
 
 absl::StatusOr<schema::Message> FrameClient::call(std::string const& address, schema::Message const& message,
                                                   Span deadline, Yield yield) {
+  {
+    std::lock_guard<std::mutex> const guard(lock_);
+    if (unanswered_[address] >= constants::max_unanswered_calls) {
+      return make_error(absl::StatusCode::kUnavailable, "net", address + " leaves too many calls unanswered");
+    }
+    ++unanswered_[address];
+  }
+  absl::StatusOr<schema::Message> answer = call_admitted(address, message, deadline, yield);
+  std::lock_guard<std::mutex> const guard(lock_);
+  std::map<std::string, std::size_t>::iterator const count = unanswered_.find(address);
+  if (--count->second == 0) {
+    unanswered_.erase(count);
+  }
+  return answer;
+}
+
+absl::StatusOr<schema::Message> FrameClient::call_admitted(std::string const& address, schema::Message const& message,
+                                                           Span deadline, Yield yield) {
   std::string const bytes = frame(message);
   Moment const until = boot_now() + deadline;
   count_sent(message.index(), bytes.size());
--- a/source/common/net/net.hpp
+++ b/source/common/net/net.hpp
@@ -66,7 +66,8 @@
                                                               bool own_strand = false);
 
 /// Sends frames to other finchlink processes over pooled connections and reads the responses
-/// (section 3.2). A connection serves one call at a time and is closed after an error. Thread-safe.
+/// (section 3.2). A connection serves one call at a time and is closed after an error. A peer that leaves many calls
+/// unanswered gets no more meanwhile: further ones fail at once. Thread-safe.
 class FrameClient {
  public:
   explicit FrameClient(boost::asio::io_context& context) : context_(context) {}
@@ -79,8 +80,12 @@
   [[nodiscard]] absl::StatusOr<schema::Message> on_own_strand(Stream& stream, std::string const& bytes, Span deadline,
                                                               Yield yield);
   boost::asio::io_context& context_;
+  [[nodiscard]] absl::StatusOr<schema::Message> call_admitted(std::string const& address,
+                                                              schema::Message const& message, Span deadline,
+                                                              Yield yield);
   std::mutex lock_;
   std::map<std::string, std::vector<std::unique_ptr<Stream>>> idle_;
+  std::map<std::string, std::size_t> unanswered_;  ///< calls that wait for an answer, by address
 };
 
 /// Returns the response to a message; without one the connection is closed.
--- a/source/tests/platform/clients/clients_test.py
+++ b/source/tests/platform/clients/clients_test.py
@@ -11,7 +11,7 @@
 import http.client
 import json
 import os
-import subprocess
+import signal
 import sys
 import tempfile
 import threading
@@ -33,7 +33,7 @@
 CONFIG_BYTES = 2 << 20
 LARGE_ANSWER_BYTES = 1 << 20
 PROMPTS, PARTS_OF_A_PROMPT = 1000, 1600
-FURROW, TRELLIS = "furrow-m01", "trellis-m01"
+FURROW, TRELLIS, PEER = "furrow-m01", "trellis-m01", "trellis-m03"
 PATIENCE_S = 60
 ZONES = {"north": "dublin", "south": "dublin", "harbour": "cork"}
 
@@ -275,6 +275,20 @@
         self.crowd(40, kinds.sent_ahead("/v1/config", 4))
 
 
+class Frozen(Case):
+    """Callers that make a controller ask its peers, one of which stands still."""
+
+    def test_reads_sent_ahead(self):
+        watch = self.watch(TRELLIS)
+        self.fleet.signal(PEER, signal.SIGSTOP)
+        with crowd.Crowd([crowd.Client((self.ip, standin.CONTROL), kinds.sent_ahead("/v1/config", 4), False, 3) for _ in range(100)]) as callers:
+            callers.settle()
+            self.assertTrue(self.ordinary(standin.CONTROL))
+        self.fleet.signal(PEER, signal.SIGCONT)
+        self.assertTrue(self.ordinary(standin.CONTROL))
+        self.check(TRELLIS, watch)
+
+
 class Nodes(Case):
     """The controller's listener for other nodes."""
 
