--- a/source/common/admission/admission_constants.hpp
+++ b/source/common/admission/admission_constants.hpp
@@ -49,6 +49,8 @@
 inline constexpr double large_holding_share = 0.75;
 /// Share of the shared memory up to which requests that were sent ahead are read.
 inline constexpr double read_ahead_share = 0.5;
+/// For this long after a new connection was refused, others are closed once they have been served.
+inline constexpr Span crowded_span = milliseconds(1000);
 /// A connection whose caller has not taken an answer for this long may be closed to make room.
 inline constexpr Span unread_answer_grace = milliseconds(1000);
 /// Pause before memory is asked for again that connections being closed are about to free.
--- a/source/common/admission/admission_table.cpp
+++ b/source/common/admission/admission_table.cpp
@@ -11,6 +11,7 @@
   if (open(kind) >= limits_.of(kind)) {
     Connections::iterator const replaced = find_replaceable(kind, now);
     if (replaced == connections_.end()) {
+      refused_at_[static_cast<std::size_t>(kind)] = now;
       return decision;
     }
     mark_closing(replaced->second);
@@ -22,6 +23,11 @@
   return decision;
 }
 
+bool AdmissionTable::crowded(ListenerKind kind, Moment now) const {
+  std::optional<Moment> const& refused_at = refused_at_[static_cast<std::size_t>(kind)];
+  return refused_at.has_value() && now - *refused_at < constants::crowded_span;
+}
+
 ReserveDecision AdmissionTable::reserve(ConnectionId id, std::size_t bytes, Moment now) {
   ReserveDecision decision;
   Connections::iterator const found = connections_.find(id);
--- a/source/common/admission/admission_table.hpp
+++ b/source/common/admission/admission_table.hpp
@@ -49,6 +49,8 @@
   /// A new connection. If its kind is full, one is closed for it: the one that has been idle longest, else the one
   /// whose request has been incomplete longest, else the one whose answer has not been taken for longest.
   [[nodiscard]] AdmitDecision admit(ListenerKind kind, Moment now);
+  /// A new connection of this kind was refused just now: connections should be closed once they have been served.
+  [[nodiscard]] bool crowded(ListenerKind kind, Moment now) const;
   /// The connection wants to hold `bytes` in all (beyond what an open connection takes anyway). Less than before is
   /// always granted. If there is no room, connections that hold most for longest are closed for it.
   [[nodiscard]] ReserveDecision reserve(ConnectionId id, std::size_t bytes, Moment now);
@@ -83,7 +85,8 @@
   ConnectionLimits limits_;
   Connections connections_;
   ConnectionId next_id_ = 1;
-  std::array<std::size_t, listener_kind_count> open_{};  ///< without those being closed
+  std::array<std::size_t, listener_kind_count> open_{};                  ///< without those being closed
+  std::array<std::optional<Moment>, listener_kind_count> refused_at_{};  ///< when a new connection last was refused
   std::size_t used_bytes_ = 0;
   std::size_t closing_bytes_ = 0;  ///< held by those being closed
 };
--- a/source/common/http/http.cpp
+++ b/source/common/http/http.cpp
@@ -146,7 +146,8 @@
     if (bytes > constants::free_answer_bytes && !memory.resize(bytes)) {
       response = *failed_read_response(ReadOutcome::out_of_memory);
     }
-    return write(response, keep_open) && keep_open;
+    bool const reusable = keep_open && !admitted_->crowded();
+    return write(response, reusable) && reusable;
   }
 
   /// False: the response could not be written.
--- a/source/common/net/admission.cpp
+++ b/source/common/net/admission.cpp
@@ -22,6 +22,10 @@
   admission_->set_phase(id_, phase);
 }
 
+bool AdmittedConnection::crowded() const {
+  return admission_->crowded(kind_);
+}
+
 ReserveOutcome AdmittedConnection::resize(std::size_t from, std::size_t to) {
   std::size_t const held = held_bytes_ - from + to;
   ReserveOutcome const outcome = admission_->reserve(id_, held);
@@ -82,7 +86,8 @@
     }
   }
   call_all(closers);
-  return decision.id.has_value() ? std::make_shared<AdmittedConnection>(shared_from_this(), *decision.id) : nullptr;
+  return decision.id.has_value() ? std::make_shared<AdmittedConnection>(shared_from_this(), kind, *decision.id)
+                                 : nullptr;
 }
 
 ReserveOutcome Admission::reserve(ConnectionId id, std::size_t bytes) {
@@ -107,6 +112,11 @@
   table_.set_phase(id, phase, boot_now());
 }
 
+bool Admission::crowded(ListenerKind kind) {
+  std::lock_guard<std::mutex> const guard(lock_);
+  return table_.crowded(kind, boot_now());
+}
+
 void Admission::remove(ConnectionId id) {
   std::lock_guard<std::mutex> const guard(lock_);
   closers_.erase(id);
--- a/source/common/net/admission.hpp
+++ b/source/common/net/admission.hpp
@@ -19,13 +19,15 @@
 /// A connection that was accepted; its place and all that it holds are given back when this ends.
 class AdmittedConnection {
  public:
-  AdmittedConnection(std::shared_ptr<Admission> admission, ConnectionId id)
-      : admission_(std::move(admission)), id_(id) {}
+  AdmittedConnection(std::shared_ptr<Admission> admission, ListenerKind kind, ConnectionId id)
+      : admission_(std::move(admission)), kind_(kind), id_(id) {}
   AdmittedConnection(AdmittedConnection const&) = delete;
   AdmittedConnection& operator=(AdmittedConnection const&) = delete;
   ~AdmittedConnection();
 
   void set_phase(ConnectionPhase phase);
+  /// Others of its kind find no place: it should be closed once its request has been served.
+  [[nodiscard]] bool crowded() const;
 
  private:
   friend class MemoryReservation;
@@ -33,6 +35,7 @@
   [[nodiscard]] bool resize_if_free(std::size_t from, std::size_t to);
 
   std::shared_ptr<Admission> admission_;
+  ListenerKind kind_;
   ConnectionId id_;
   std::size_t held_bytes_ = 0;  ///< by all reservations of this connection
 };
@@ -73,6 +76,7 @@
   [[nodiscard]] ReserveOutcome reserve(ConnectionId id, std::size_t bytes);
   [[nodiscard]] bool reserve_if_free(ConnectionId id, std::size_t bytes);
   void set_phase(ConnectionId id, ConnectionPhase phase);
+  [[nodiscard]] bool crowded(ListenerKind kind);
   void remove(ConnectionId id);
   /// Takes the functions that close these connections; they are called without the lock.
   [[nodiscard]] std::vector<std::function<void()>> take_closers(std::vector<ConnectionId> const& ids);
--- a/source/data_plane/relay/caller_answer.cpp
+++ b/source/data_plane/relay/caller_answer.cpp
@@ -49,7 +49,7 @@
 }
 
 std::string Relay::connection_header() {
-  keep_caller_ = query_.keep_alive && !server_.draining();
+  keep_caller_ = query_.keep_alive && !server_.draining() && !admitted_->crowded();
   return keep_caller_ ? "" : "Connection: close\r\n";
 }
 
--- a/source/data_plane/relay/caller_session.cpp
+++ b/source/data_plane/relay/caller_session.cpp
@@ -177,7 +177,7 @@
   set_time_limit(true, constants::startup_span);
   await_initialization(query);
   std::shared_ptr<scheduling::RouteTable const> const route_table = server_.route_table();
-  bool const keep = query.keep_alive && !server_.draining();
+  bool const keep = query.keep_alive && !server_.draining() && !admitted_->crowded();
   OwnResponse response{"503 Service Unavailable", "no_setup", query_id_line(query.header), false};
   response.bare = query.header.method() == http::verb::head;
   if (route_table == nullptr) {
--- a/source/data_plane/relay/status_session.cpp
+++ b/source/data_plane/relay/status_session.cpp
@@ -88,7 +88,7 @@
     }
     common::RequestParser& parser = reader.parser();
     StatusResponse const response = respond_to(server, std::string(parser.header().target()));
-    keep_open = parser.keep_alive() && !server.draining();
+    keep_open = parser.keep_alive() && !server.draining() && !connection.admitted->crowded();
     bool const bare = parser.header().method() == boost::beast::http::verb::head;
     std::string const text = "HTTP/1.1 " + response.status + "\r\nContent-Type: application/json\r\nContent-Length: " +
                              std::to_string(response.body.size()) +
--- a/source/tests/common/admission_table_test.cpp
+++ b/source/tests/common/admission_table_test.cpp
@@ -63,6 +63,17 @@
   EXPECT_TRUE(decision.close.empty());
 }
 
+TEST(AdmissionTable, ItIsCrowdedForAWhileAfterANewConnectionWasRefused) {
+  AdmissionTable table(limits_of(1, 1));
+  table.set_phase(admit(table, 1), ConnectionPhase::serving, 1);
+  EXPECT_FALSE(table.crowded(ListenerKind::callers, 2));
+  EXPECT_FALSE(table.admit(ListenerKind::callers, 5).id.has_value());
+  EXPECT_TRUE(table.crowded(ListenerKind::callers, 5));
+  EXPECT_TRUE(table.crowded(ListenerKind::callers, 4 + constants::crowded_span));
+  EXPECT_FALSE(table.crowded(ListenerKind::callers, 5 + constants::crowded_span));
+  EXPECT_FALSE(table.crowded(ListenerKind::status, 5));
+}
+
 TEST(AdmissionTable, AnAnswerThatIsNotTakenGivesWayAfterItsGrace) {
   AdmissionTable table(limits_of(1));
   ConnectionId const unread = admit(table, 1);
