--- a/source/common/net/net.cpp
+++ b/source/common/net/net.cpp
@@ -96,9 +96,7 @@
   return ListenAddress{address, ListenerKind::callers, std::make_shared<Admission>(only_connections(max_connections))};
 }
 
-namespace {
-/// Opens an acceptor whose connections have bounded receive buffers.
-error_code bind(asio::ip::tcp::acceptor& acceptor, Endpoint const& endpoint, ListenerKind kind) {
+error_code open_acceptor(asio::ip::tcp::acceptor& acceptor, Endpoint const& endpoint, ListenerKind kind) {
   error_code error;
   acceptor.open(endpoint.protocol(), error);
   if (!error) {
@@ -117,6 +115,7 @@
   return error;
 }
 
+namespace {
 /// Serves an accepted connection on its own strand, if it is admitted.
 void serve_stream(asio::ip::tcp::socket socket, ListenAddress const& address, StreamHandler const& handler) {
   error_code ignored;
@@ -148,7 +147,7 @@
   }
   std::shared_ptr<asio::ip::tcp::acceptor> const acceptor =
       std::make_shared<asio::ip::tcp::acceptor>(asio::make_strand(context));
-  error_code const error = bind(*acceptor, own_endpoint(*endpoint), address.kind);
+  error_code const error = open_acceptor(*acceptor, own_endpoint(*endpoint), address.kind);
   if (error) {
     return make_error(absl::StatusCode::kUnavailable, "net", address.address + ": " + error.message());
   }
--- a/source/common/net/net.hpp
+++ b/source/common/net/net.hpp
@@ -40,6 +40,9 @@
 /// Suspends the coroutine for this time.
 void pause(boost::asio::io_context& context, Span span, Yield yield);
 
+/// Opens an acceptor and listens; accepted connections inherit its receive buffer's size, which is set by their kind.
+[[nodiscard]] boost::system::error_code open_acceptor(boost::asio::ip::tcp::acceptor& acceptor,
+                                                      Endpoint const& endpoint, ListenerKind kind);
 /// Where a program listens, and who connects there; connections are admitted by `admission`.
 struct ListenAddress {
   std::string address;  ///< IP:PORT
--- a/source/data_plane/relay/relay_listener.cpp
+++ b/source/data_plane/relay/relay_listener.cpp
@@ -31,31 +31,6 @@
 RelayListener::RelayListener(asio::io_context& context, common::ListenerKind kind)
     : context_(context), kind_(kind), acceptor_(std::make_shared<asio::ip::tcp::acceptor>(context)) {}
 
-error_code RelayListener::bind(asio::ip::tcp::acceptor& acceptor, common::Endpoint const& endpoint,
-                               common::ListenerKind kind) {
-  error_code error;
-  acceptor.open(endpoint.protocol(), error);
-  if (!error) {
-    acceptor.set_option(asio::socket_base::reuse_address(true), error);
-  }
-  // Accepted sockets inherit the sizes of their buffers.
-  if (!error) {
-    int const bytes = static_cast<int>(common::receive_buffer_bytes(kind));
-    acceptor.set_option(asio::socket_base::receive_buffer_size(bytes), error);
-  }
-  if (!error) {
-    int const bytes = static_cast<int>(constants::caller_send_buffer_bytes);
-    acceptor.set_option(asio::socket_base::send_buffer_size(bytes), error);
-  }
-  if (!error) {
-    acceptor.bind(endpoint, error);
-  }
-  if (!error) {
-    acceptor.listen(constants::accept_backlog, error);
-  }
-  return error;
-}
-
 absl::StatusOr<std::shared_ptr<RelayListener>> RelayListener::open(asio::io_context& context,
                                                                    std::string const& address,
                                                                    common::ListenerKind kind) {
@@ -64,7 +39,11 @@
     return endpoint.status();
   }
   std::shared_ptr<RelayListener> listener = std::make_shared<RelayListener>(context, kind);
-  error_code const error = bind(*listener->acceptor_, common::own_endpoint(*endpoint), kind);
+  error_code error = common::open_acceptor(*listener->acceptor_, common::own_endpoint(*endpoint), kind);
+  if (!error) {
+    int const bytes = static_cast<int>(constants::caller_send_buffer_bytes);
+    listener->acceptor_->set_option(asio::socket_base::send_buffer_size(bytes), error);
+  }
   if (error) {
     return absl::UnavailableError("relay: " + address + ": " + error.message());
   }
--- a/source/data_plane/relay/relay_listener.hpp
+++ b/source/data_plane/relay/relay_listener.hpp
@@ -36,8 +36,6 @@
   void close();
 
  private:
-  [[nodiscard]] static boost::system::error_code bind(boost::asio::ip::tcp::acceptor& acceptor,
-                                                      common::Endpoint const& endpoint, common::ListenerKind kind);
   boost::asio::io_context& context_;
   common::ListenerKind kind_;
   std::shared_ptr<boost::asio::ip::tcp::acceptor> acceptor_;
