Relay: the log tells when the list names other workers as cold

Of a cold worker that got too much it could not be seen whether the list was not told, was told and dropped, or exceeded. E6004 names the workers that the list holds as cold, the time left that it tells and its age, at each change of the set.

--- a/source/data_plane/relay/relay_server.cpp
+++ b/source/data_plane/relay/relay_server.cpp
@@ -377,12 +377,21 @@
 }
 
 void RelayServer::refresh_cold_workers() {
+  common::Moment const now = common::boot_now();
   std::map<std::string, common::Moment> cold;
+  std::string details;
+  bool changed = false;
   for (schema::WorkerEntry const& entry : list_.list().workers) {
     if (entry.cold_ms > 0) {
-      cold[entry.id] = common::boot_now() + common::milliseconds(static_cast<std::int64_t>(entry.cold_ms));
+      cold[entry.id] = now + common::milliseconds(static_cast<std::int64_t>(entry.cold_ms));
+      details += entry.id + " " + std::to_string(entry.cold_ms) + " ms, ";
+      changed = changed || cold_until_.count(entry.id) == 0;
     }
   }
+  if (changed || cold.size() != cold_until_.size()) {
+    common::log_event(common::Event::WorkersCold, (details.empty() ? "none, " : details) + "by a list that is " +
+                                                      std::to_string((now - list_.as_of()) / 1000) + " ms old");
+  }
   cold_until_.swap(cold);
 }
 
