Routes: hosts and prefixes in one normal form, for validation and lookup alike

Cause: validation compared hosts as written, the route table filed them in small letters and without port, and the later route replaced the earlier one. The same stood for prefixes without their slashes, which were never found, and for IPv6 literals, which were all one host. Ruled out: a proxy with half a change or an older one (routes_complete names the revision applied and the route hidden). Change: config/routing/route_key is the normal form of host and prefix; validation, the route table and the check of tenants' path segments use it. Two routes with one key are refused. Such a configuration that is in force already stays usable, so that an upgrade leaves no proxy without routes.

--- a/source/config/routing/proposal.cpp
+++ b/source/config/routing/proposal.cpp
@@ -108,8 +108,8 @@
     BuiltConfig const built =
         change->whole.has_value() ? *change->whole : build(change->request, format, current.content);
     if (!built.parsed.good()) {
-      report->faults = built.parsed.faults;
-      return reject(*report, RoutingProposalOutcome::invalid, common::describe(built.parsed.faults));
+      report->faults = built.parsed.all_faults();
+      return reject(*report, RoutingProposalOutcome::invalid, common::describe(report->faults));
     }
     if (built.parsed.routing_config.number <= report->number) {
       return reject(*report, RoutingProposalOutcome::stale_number, "the number does not rise");
--- a/source/config/routing/routing_config.cpp
+++ b/source/config/routing/routing_config.cpp
@@ -6,6 +6,7 @@
 
 #include "common/error/error.hpp"
 #include "common/json/tree.hpp"
+#include "config/routing/route_key.hpp"
 #include "config/routing/tenancy.hpp"
 
 namespace finchlink::config {
@@ -24,12 +25,17 @@
     return parsed;
   }
   schema::read(tree->get(), "", parsed.routing_config, parsed.faults);
-  std::vector<common::Fault> const errors = validate(parsed.routing_config);
-  parsed.faults.insert(parsed.faults.end(), errors.begin(), errors.end());
+  validate(parsed);
   return parsed;
 }
 }  // namespace
 
+std::vector<common::Fault> ParsedRoutingConfig::all_faults() const {
+  std::vector<common::Fault> all = faults;
+  all.insert(all.end(), objections.begin(), objections.end());
+  return all;
+}
+
 absl::StatusOr<std::string> merge_named(std::string const& current, std::string const& change,
                                         std::string const& number_field, std::vector<std::string> const& lists) {
   absl::StatusOr<common::Tree> target =
@@ -124,44 +130,65 @@
                              [](std::string const& text) { return parse_number_field(text, "number"); }};
 }
 
-std::vector<common::Fault> validate(schema::Charter const& routing_config) {
-  std::vector<common::Fault> faults;
-  if (routing_config.number == 0) {
-    faults.push_back(common::Fault{"/number", "must be above 0"});
-  }
+namespace {
+std::set<std::string> validate_services(schema::Charter const& routing_config, std::vector<common::Fault>& faults) {
   std::set<std::string> services;
   for (std::size_t index = 0; index < routing_config.services.size(); ++index) {
     if (!services.insert(routing_config.services[index].name).second) {
       faults.push_back(common::Fault{item_path("services", index, "/name"), "is there twice"});
     }
   }
+  return services;
+}
+
+void validate_route(schema::Lane const& route, std::size_t index, std::set<std::string> const& services,
+                    std::vector<common::Fault>& faults) {
+  double weights = 0;
+  for (schema::Share const& share : route.shares) {
+    weights += share.weight;
+    if (services.count(share.service) == 0) {
+      faults.push_back(
+          common::Fault{item_path("lanes", index, "/shares"), "names an unknown service: " + share.service});
+    }
+  }
+  if (!(weights > 0)) {
+    faults.push_back(common::Fault{item_path("lanes", index, "/shares"), "weights add up to nothing"});
+  }
+  if (!(route.deadline_ms > 0)) {
+    faults.push_back(common::Fault{item_path("lanes", index, "/deadline_ms"), "must be above 0"});
+  }
+}
+
+void find_conflicts(schema::Charter const& routing_config, std::vector<common::Fault>& objections) {
+  std::map<RouteKey, std::string> names;
+  for (std::size_t index = 0; index < routing_config.lanes.size(); ++index) {
+    schema::Lane const& route = routing_config.lanes[index];
+    std::pair<std::map<RouteKey, std::string>::const_iterator, bool> const placed =
+        names.emplace(route_key(route), route.name);
+    if (!placed.second) {
+      objections.push_back(common::Fault{item_path("lanes", index, "/prefix"),
+                                         "another lane has this host and prefix: " + placed.first->second});
+    }
+  }
+}
+}  // namespace
+
+void validate(ParsedRoutingConfig& parsed) {
+  schema::Charter const& routing_config = parsed.routing_config;
+  if (routing_config.number == 0) {
+    parsed.faults.push_back(common::Fault{"/number", "must be above 0"});
+  }
+  std::set<std::string> const services = validate_services(routing_config, parsed.faults);
   std::set<std::string> names;
-  std::set<std::pair<std::string, std::string>> prefixes;
   for (std::size_t index = 0; index < routing_config.lanes.size(); ++index) {
     schema::Lane const& route = routing_config.lanes[index];
     if (!names.insert(route.name).second) {
-      faults.push_back(common::Fault{item_path("lanes", index, "/name"), "is there twice"});
-    }
-    if (!prefixes.insert(std::make_pair(route.host, route.prefix)).second) {
-      faults.push_back(common::Fault{item_path("lanes", index, "/prefix"), "another lane has this host and prefix"});
-    }
-    double weights = 0;
-    for (schema::Share const& share : route.shares) {
-      weights += share.weight;
-      if (services.count(share.service) == 0) {
-        faults.push_back(
-            common::Fault{item_path("lanes", index, "/shares"), "names an unknown service: " + share.service});
-      }
-    }
-    if (!(weights > 0)) {
-      faults.push_back(common::Fault{item_path("lanes", index, "/shares"), "weights add up to nothing"});
-    }
-    if (!(route.deadline_ms > 0)) {
-      faults.push_back(common::Fault{item_path("lanes", index, "/deadline_ms"), "must be above 0"});
+      parsed.faults.push_back(common::Fault{item_path("lanes", index, "/name"), "is there twice"});
     }
+    validate_route(route, index, services, parsed.faults);
   }
-  validate_tenancies(routing_config, faults);
-  return faults;
+  find_conflicts(routing_config, parsed.objections);
+  validate_tenancies(routing_config, parsed.faults);
 }
 
 }  // namespace finchlink::config
--- a/source/config/routing/routing_config.hpp
+++ b/source/config/routing/routing_config.hpp
@@ -16,8 +16,16 @@
 /// A parsed routing configuration (docs/design.md section 13.1), with its validation errors.
 struct ParsedRoutingConfig {
   schema::Charter routing_config;
-  std::vector<common::Fault> faults;
-  [[nodiscard]] bool good() const { return faults.empty(); }
+  std::vector<common::Fault> faults;  ///< what makes it unusable
+  /// What forbids to accept it, though it can be used: routes with the key of another route, of which only one can be
+  /// reached.
+  std::vector<common::Fault> objections;
+  /// Whether a change to it may be accepted.
+  [[nodiscard]] bool good() const { return faults.empty() && objections.empty(); }
+  /// Whether it can be applied once it is chosen. Objections don't prevent that: earlier versions of this program
+  /// accepted such configurations, and what they say must stay served.
+  [[nodiscard]] bool usable() const { return faults.empty(); }
+  [[nodiscard]] std::vector<common::Fault> all_faults() const;
 };
 
 /// A format in which operators write the routing configuration. The register
@@ -46,8 +54,8 @@
 /// The integer above 0 in the named member of a JSON object; nothing if there is none.
 [[nodiscard]] std::optional<std::uint64_t> parse_number_field(std::string const& text, std::string const& number_field);
 
-/// Validates a configuration as a whole: unknown services, routes with the same
-/// host and prefix, weights that sum to 0, repeated names, missing deadlines.
-[[nodiscard]] std::vector<common::Fault> validate(schema::Charter const& routing_config);
+/// Validates a parsed configuration as a whole and adds what it finds: unknown services, weights that sum to 0,
+/// repeated names and missing deadlines to the faults, routes with equal keys to the objections.
+void validate(ParsedRoutingConfig& parsed);
 
 }  // namespace finchlink::config
--- a/source/config/routing/tenancy.cpp
+++ b/source/config/routing/tenancy.cpp
@@ -4,6 +4,8 @@
 #include <set>
 #include <string>
 
+#include "config/routing/route_key.hpp"
+
 namespace finchlink::config {
 
 namespace {
@@ -38,8 +40,8 @@
   }
   // A prefix begins and ends with a slash; the segments between its slashes are
   // the same in all paths of the route, so none of them can name the tenant.
-  std::size_t const shared_segments = static_cast<std::size_t>(
-      std::max<std::ptrdiff_t>(std::count(route.prefix.begin(), route.prefix.end(), '/') - 1, 0));
+  std::string const prefix = normalize_prefix(route.prefix);
+  std::size_t const shared_segments = static_cast<std::size_t>(std::count(prefix.begin(), prefix.end(), '/') - 1);
   if (tenancy.path_segment > 0 && tenancy.path_segment <= shared_segments) {
     faults.push_back(common::Fault{place + "/path_segment",
                                    "stands in the lane's prefix, so that all queries would name one tenant"});
--- a/source/data_plane/relay/adopted_checks.cpp
+++ b/source/data_plane/relay/adopted_checks.cpp
@@ -8,7 +8,7 @@
 using common::Invariant;
 
 void check_routing_config(schema::NamedValue const& chosen, config::ParsedRoutingConfig const& reading) {
-  common::check(Invariant::chosen_content_readable, reading.good(), [&] {
+  common::check(Invariant::chosen_content_readable, reading.usable(), [&] {
     return "routing configuration revision " + std::to_string(chosen.revision) + ": " +
            common::describe(reading.faults);
   });
--- a/source/data_plane/relay/relay_server.cpp
+++ b/source/data_plane/relay/relay_server.cpp
@@ -300,7 +300,7 @@
 void RelayServer::apply_routing_config(schema::NamedValue const& update) {
   config::ParsedRoutingConfig reading = notation_.read(update.content);
   check_routing_config(update, reading);
-  if (!reading.good()) {
+  if (!reading.usable()) {
     return;  // the previous one stays in force
   }
   route_table_ = std::make_shared<scheduling::RouteTable const>(std::move(reading.routing_config));
--- a/source/platform/notation.cpp
+++ b/source/platform/notation.cpp
@@ -166,8 +166,7 @@
     target.header_wait_ms = limits.whole_number("header_wait_ms", target.header_wait_ms);
     target.idle_ms = limits.whole_number("idle_ms", target.idle_ms);
   }
-  std::vector<common::Fault> const semantic_faults = config::validate(reading.routing_config);
-  reading.faults.insert(reading.faults.end(), semantic_faults.begin(), semantic_faults.end());
+  config::validate(reading);
   return reading;
 }
 }  // namespace
--- a/source/scheduling/route_table/route_table.cpp
+++ b/source/scheduling/route_table/route_table.cpp
@@ -1,22 +1,20 @@
 #include "scheduling/route_table/route_table.hpp"
 
+#include "config/routing/route_key.hpp"
+
 namespace finchlink::scheduling {
 
 namespace {
-/// The host in lower case and without its port.
-std::string normalize_host(std::string_view host) {
-  std::string text(host.substr(0, host.find(':')));
-  for (char& letter : text) {
-    letter = static_cast<char>(letter >= 'A' && letter <= 'Z' ? letter - 'A' + 'a' : letter);
-  }
-  return text;
+/// The text by which the table files a route. A host contains no space.
+std::string index_text(config::RouteKey const& key) {
+  return key.host + " " + key.prefix;
 }
 }  // namespace
 
 RouteTable::RouteTable(schema::Charter routing_config) : routing_config_(std::move(routing_config)) {
   for (std::size_t index = 0; index < routing_config_.lanes.size(); ++index) {
     schema::Lane const& route = routing_config_.lanes[index];
-    by_host_and_prefix_[normalize_host(route.host) + " " + route.prefix] = index;
+    by_host_and_prefix_[index_text(config::route_key(route))] = index;
     isolated_ = isolated_ || route.tenancy.has_value();
     for (schema::Share const& share : route.shares) {
       if (share.weight > 0 && !route.home_regions.empty()) {
@@ -33,7 +31,7 @@
 }
 
 schema::Lane const* RouteTable::find(std::string_view host, std::string_view path) const {
-  std::string key = normalize_host(host) + " ";
+  std::string key = index_text(config::RouteKey{config::normalize_host(host), ""});
   std::size_t const lead = key.size();
   key += path.substr(0, path.find('?'));
   // Prefixes end in a slash, so only the path cut after each slash is looked up.
@@ -54,7 +52,7 @@
 
 schema::Lane const* RouteTable::unreachable() const {
   for (schema::Lane const& route : routing_config_.lanes) {
-    if (find(route.host, route.prefix) != &route) {
+    if (find(route.host, config::normalize_prefix(route.prefix)) != &route) {
       return &route;
     }
   }
--- a/source/tests/config/tenancy_test.cpp
+++ b/source/tests/config/tenancy_test.cpp
@@ -37,6 +37,16 @@
   EXPECT_NE(faults_of(R"({"header":"A","unknown":1})").find("unknown"), std::string::npos);
 }
 
+/// Guards against a prefix whose missing slashes hide that all its paths share a segment.
+TEST(Tenancy, ASegmentOfAPrefixWithoutSlashesNamesNoTenant) {
+  for (std::string const prefix : {"/a/", "/a", "a/", "a"}) {
+    config::ParsedRoutingConfig const parsed = config::native_format().read(
+        R"({"number":1,"services":[{"name":"s"}],"lanes":[{"name":"l","shares":[{"service":"s"}],"deadline_ms":1,"prefix":")" +
+        prefix + R"(","tenancy":{"path_segment":1}}]})");
+    EXPECT_NE(common::describe(parsed.faults).find("stands in the lane's prefix"), std::string::npos) << prefix;
+  }
+}
+
 TEST(Tenancy, TenantsWithoutATenancyRouteAreAFault) {
   config::ParsedRoutingConfig const parsed = config::native_format().read(
       R"({"number":1,"services":[{"name":"s"}],"lanes":[{"name":"l","shares":[{"service":"s"}]}],"tenants":[{"name":"t"}]})");
