Load balancer: a worker is cold until a list says otherwise, not by its own clock

Cause: the proxy ended the cold time by its own clock. A list's digest holds only whether a worker is cold, so the second cold time left the list the same and nobody told it. Change: a worker is cold for as long as the list says so; the time left that it tells can only make that longer. Its end changes the digest, so it is told. Beside it: another list during the same cold time emptied the cache estimate again. No message changes. Simulator: workers turn cold again (relay-recool, and in relay-storm), proxies get only what a digest lets through. With the guard cold_by_list off, LoadBalancer.AWorkerIsColdUntilAListSaysOtherwise and relay-recool find the flood.

--- a/source/data_plane/relay/relay_server.cpp
+++ b/source/data_plane/relay/relay_server.cpp
@@ -424,6 +424,7 @@
     spec.kept_tokens = static_cast<double>(service->kept_tokens);
     std::map<std::string, common::Moment>::const_iterator const cold = cold_until_.find(entry.id);
     spec.cold_until = cold == cold_until_.end() ? 0 : cold->second;
+    spec.cold = entry.cold_ms > 0;
     specs.push_back(std::move(spec));
   }
   scheduling::LoadBalancerContext terms;
--- a/source/scheduling/load_balancer/load_balancer.cpp
+++ b/source/scheduling/load_balancer/load_balancer.cpp
@@ -46,7 +46,7 @@
         // The worker may have turned cold while its zone was drained; the list shows that only a little later.
         cold_until = std::max(cold_until, now + constants::restored_zone_cold_span);
       }
-      if (spec.cold_until > worker.spec.cold_until && worker.spec.cold_until <= now) {
+      if ((spec.cold || spec.cold_until > now) && !is_cold(worker, now)) {
         worker.cache.clear();
       }
       if (worker.spec.evacuated && !spec.evacuated) {
--- a/source/scheduling/load_balancer/load_balancer.hpp
+++ b/source/scheduling/load_balancer/load_balancer.hpp
@@ -28,7 +28,8 @@
   bool evacuated = false;         ///< its zone is drained
   std::uint64_t capacity = 1;     ///< queries at a time, until the worker reports its own number
   std::uint64_t connections = 0;  ///< limit for all callers together; 0: none given
-  common::Moment cold_until = 0;  ///< it counts as cold before this moment
+  bool cold = false;              ///< the list says that it is cold: it counts as cold until a list says otherwise
+  common::Moment cold_until = 0;  ///< it counts as cold before this moment, whatever the list says
   double cold_rate = 0;           ///< queries per second that it bears while cold; 0: unlimited
   double kept_tokens = 0;         ///< size of its prompt cache in tokens
   std::string phase;              ///< by the split: prefill, decode or both; empty: no split here
@@ -84,6 +85,7 @@
   bool ejection = true;          ///< a worker that failed queries is ejected for a while
   bool ejection_bound = true;    ///< when too many workers of a pool are unhealthy, the least unhealthy ones serve
   bool zone_suspicion = true;    ///< two unreachable workers of a zone make its other workers the last choice
+  bool cold_by_list = true;      ///< a worker is cold for as long as the list says so, also beyond the time it told
   bool suspect_returned = true;  ///< workers of a restored zone may have turned cold unseen
   bool probation = true;         ///< a worker back from ejection costs more until it answers
   bool owners = true;            ///< a shared prompt prefix has an owner in each region (section 13.5)
@@ -162,7 +164,9 @@
     std::deque<common::Moment> recent_sends;  ///< within the last second, while cold
     PromptCacheEstimate cache;
   };
-  [[nodiscard]] bool is_cold(Worker const& worker, common::Moment now) const { return now < worker.spec.cold_until; }
+  [[nodiscard]] bool is_cold(Worker const& worker, common::Moment now) const {
+    return (guards_.cold_by_list && worker.spec.cold) || now < worker.spec.cold_until;
+  }
   /// Queries that this proxy may send to the worker within one second while it is cold.
   [[nodiscard]] double cold_quota(Worker const& worker) const;
   /// Queries on the worker: what it reported, fading with age, and at least this proxy's own.
--- a/source/simulator/relay/relay.cpp
+++ b/source/simulator/relay/relay.cpp
@@ -51,7 +51,8 @@
   bool full = false;
   std::uint64_t run = 0;  ///< increases when its running queries are lost
   common::Moment cold_until = 0;
-  common::Moment drains_at = 0;  ///< 0: not draining; shown on the list from then on
+  common::Moment told_cold_until = 0;  ///< as the list told it first: as long as it is cold, nothing new is told
+  common::Moment drains_at = 0;        ///< 0: not draining; shown on the list from then on
   PartialFault fault;
   double garble = 0;
   std::size_t running = 0;
@@ -187,13 +188,23 @@
     worker->service = service;
     worker->hall = hall;
     worker->model = service == "pool";
-    worker->cold_until = cold ? kernel_.now() + warm_up : 0;
+    if (cold) {
+      turn_cold(*worker);
+    }
     SimWorker& entry = *worker;
     by_address_[entry.address] = &entry;
     workers_.push_back(std::move(worker));
     return entry;
   }
 
+  void turn_cold(SimWorker& worker) {
+    common::Moment const cold_until = kernel_.now() + warm_up;
+    if (worker.cold_until <= kernel_.now()) {
+      worker.told_cold_until = cold_until;
+    }
+    worker.cold_until = cold_until;
+  }
+
   std::vector<scheduling::WorkerSpec> listed() const {
     std::vector<scheduling::WorkerSpec> specs;
     for (std::unique_ptr<SimWorker> const& worker : workers_) {
@@ -210,7 +221,8 @@
       spec.draining = worker->drains_at > 0;
       spec.capacity = worker->model ? 48 : 6;
       spec.connections = 400;
-      spec.cold_until = worker->cold_until;
+      spec.cold = worker->cold_until > kernel_.now();
+      spec.cold_until = worker->told_cold_until;
       spec.cold_rate = options_.cold_rate;
       spec.kept_tokens = 300000;
       specs.push_back(spec);
@@ -316,6 +328,7 @@
     repeat(faults.drain, [this] { drain(); });
     repeat(faults.evacuate, [this] { evacuate(); });
     repeat(faults.restart, [this] { restart(); });
+    repeat(faults.recool, [this] { recool(); });
   }
 
   // --- faults ---
@@ -477,11 +490,24 @@
       evacuated_at_.erase(hall);
       for (std::unique_ptr<SimWorker> const& worker : workers_) {
         if (worker->hall == hall && worker->up) {  // the list shows it a little later
-          worker->cold_until = kernel_.now() + warm_up;
+          turn_cold(*worker);
         }
       }
     });
   }
+  void recool() {
+    std::vector<SimWorker*> cold;
+    for (std::unique_ptr<SimWorker> const& worker : workers_) {
+      if (worker->up && worker->cold_until > kernel_.now()) {
+        cold.push_back(worker.get());
+      }
+    }
+    if (!cold.empty()) {
+      SimWorker& worker = *cold[kernel_.below(cold.size())];
+      kernel_.trace(worker.id + " turns cold again");
+      turn_cold(worker);
+    }
+  }
   void restart() {
     std::size_t const index = kernel_.below(proxies_.size());
     Proxy& proxy = *proxies_[index];
@@ -1002,6 +1028,8 @@
   all["relay-garble"].garble = 0.5;
   all["relay-crash"].crash = 1;
   all["relay-crash"].unreachable = 2;
+  all["relay-recool"].crash = 1;
+  all["relay-recool"].recool = 0.3;
   all["relay-full"].full = 0.15;
   all["relay-planned"].drain = 1.5;
   all["relay-planned"].evacuate = 5;
@@ -1016,6 +1044,7 @@
   storm.drain = 3;
   storm.evacuate = 8;
   storm.restart = 5;
+  storm.recool = 4;
   // Most workers are faulty at once: the least faulty ones have to serve.
   all["relay-plague"].lying = 0.15;
   all["relay-plague"].grey = 0.2;
@@ -1051,6 +1080,7 @@
                                             {"keep_homes", &options.keep_homes},
                                             {"name_worker", &options.name_worker},
                                             {"cold_bound", &options.balancer.cold_bound},
+                                            {"cold_by_list", &options.balancer.cold_by_list},
                                             {"suspect_returned", &options.balancer.suspect_returned},
                                             {"rest", &options.balancer.ejection},
                                             {"hall_suspicion", &options.balancer.zone_suspicion},
--- a/source/simulator/relay/relay.hpp
+++ b/source/simulator/relay/relay.hpp
@@ -22,6 +22,7 @@
   double drain = 0;     ///< a worker drains on the list, then leaves; another one starts, at times at the same address
   double evacuate = 0;  ///< a zone is evacuated and restored; its workers may be cold by then
   double restart = 0;   ///< a proxy restarts and loses its state
+  double recool = 0;    ///< a cold worker turns cold again before its cold time is over, which no list tells
 };
 
 /// Options of one run.
--- a/source/tests/scheduling/load_balancer_test.cpp
+++ b/source/tests/scheduling/load_balancer_test.cpp
@@ -282,6 +282,63 @@
   }
 }
 
+/// Guards against a worker that turns cold again before its first cold time is over and then counts as warm, since no
+/// list tells a difference.
+TEST(LoadBalancer, AWorkerIsColdUntilAListSaysOtherwise) {
+  for (bool const guard_on : {true, false}) {
+    LoadBalancer balancer(LoadBalancerGuards{.cold_by_list = guard_on});
+    std::vector<WorkerSpec> specs = several(1, "web");
+    specs[0].cold_rate = 4;
+    specs[0].capacity = 1000;
+    specs[0].cold = true;
+    specs[0].cold_until = start + common::seconds(3);
+    balancer.update(specs, context(), start);
+    common::Moment const later = start + common::seconds(4);  // the told time has passed, and no other list came
+    std::size_t taken = 0;
+    for (int attempt = 0; attempt < 100; ++attempt) {
+      taken += place(balancer, request_for(), later).empty() ? 0 : 1;
+    }
+    EXPECT_EQ(static_cast<double>(taken) > 4 * 1.5 + 5, !guard_on);
+    specs[0].cold = false;
+    specs[0].cold_until = 0;
+    balancer.update(specs, context(), later);
+    for (int attempt = 0; attempt < 100; ++attempt) {
+      EXPECT_FALSE(place(balancer, request_for(), later).empty());
+    }
+  }
+}
+
+TEST(LoadBalancer, AColdWorkerThatIsListedAgainKeepsItsCacheEstimate) {
+  LoadBalancer balancer;
+  std::vector<WorkerSpec> specs = several(1, "pool");
+  specs[0].model = true;
+  specs[0].kept_tokens = 100000;
+  specs[0].cold = true;
+  specs[0].cold_until = start + common::seconds(1);
+  balancer.update(specs, context(), start);
+  std::variant<Assignment, NoAssignment> const first = balancer.choose(long_prompt(1), start);
+  ASSERT_TRUE(std::holds_alternative<Assignment>(first));
+  balancer.first_token(std::get<Assignment>(first), long_prompt(1).parts, 0.1);
+  // The told time passes; another list that still says "cold" is the same cold time, not a new one.
+  common::Moment const later = start + common::seconds(2);
+  specs[0].cold_until = later + common::milliseconds(1);
+  balancer.update(specs, context(), later);
+  std::variant<Assignment, NoAssignment> const second = balancer.choose(long_prompt(1), later);
+  ASSERT_TRUE(std::holds_alternative<Assignment>(second));
+  EXPECT_LT(std::get<Assignment>(second).uncached, 1000);
+  // It turns cold from warm: what it had cached may be lost.
+  specs[0].cold = false;
+  specs[0].cold_until = 0;
+  balancer.update(specs, context(), later + common::seconds(1));
+  specs[0].cold = true;
+  specs[0].cold_until = later + common::seconds(5);
+  balancer.update(specs, context(), later + common::seconds(2));
+  std::variant<Assignment, NoAssignment> const third = balancer.choose(long_prompt(1), later + common::seconds(2));
+  ASSERT_TRUE(std::holds_alternative<Assignment>(third));
+  // Of a shared prefix other proxies' queries are expected to have brought it back; the own part is read again.
+  EXPECT_GE(std::get<Assignment>(third).uncached, 3700);
+}
+
 TEST(LoadBalancer, AnOlderColdUntilDoesNotMakeAWorkerWarm) {
   LoadBalancer balancer;
   std::vector<WorkerSpec> specs = several(1, "web");
--- a/source/tests/simulator/relay_test.cpp
+++ b/source/tests/simulator/relay_test.cpp
@@ -53,6 +53,7 @@
                                Needed{"keep_homes", "relay-storm", "outside its homes"},
                                Needed{"name_worker", "relay-crash", "worker of another service"},
                                Needed{"cold_bound", "relay-crash", "was flooded", 3000, 1},
+                               Needed{"cold_by_list", "relay-recool", "was flooded", 600, 4},
                                Needed{"suspect_returned", "relay-planned", "was flooded", 600, 4},
                                Needed{"ejection_bound", "relay-plague", " rest"}}) {
     bool broken = false;
