Platform list: all pages together have a limit, and so have the workers in it

Each page of the platform's list could have 4 MB, and pages could name a next one without end until the time for a read was over; all were kept. Now all pages together have 2 MB and 8,192 workers; the platform's lists of 600 workers take some 160 KB. Found by reading.

--- a/source/common/constants.hpp
+++ b/source/common/constants.hpp
@@ -40,8 +40,9 @@
 /// replica for this long, then to a platform that restarted its numbering. Less
 /// than `list_bound` minus a read and a peer's message, so that service goes on.
 inline constexpr Span list_rollback_grace = milliseconds(1500);
-/// Largest response of the platform that is read, in bytes.
-inline constexpr std::size_t list_limit = 4u << 20u;
+/// Largest list of the platform that is read: bytes of all its pages together, and workers in it.
+inline constexpr std::size_t list_limit = 2u << 20u;
+inline constexpr std::size_t max_listed_workers = 8192;
 
 // --- wide-area bounds: proxies go on serving without confirmation (section 13.2) ---
 /// Proxies receive changes as updates and do not wait for a confirmation to
--- a/source/platform/listing.cpp
+++ b/source/platform/listing.cpp
@@ -73,6 +73,7 @@
   common::Moment const end_time = common::boot_now() + deadline;
   schema::PlatformList list;
   std::string token;
+  std::size_t remaining_bytes = common::constants::list_limit;  // of all pages together
   do {
     common::Span const remaining = end_time - common::boot_now();
     if (remaining <= 0) {
@@ -81,7 +82,7 @@
     common::Request const request{common::http::verb::get,
                                   token.empty() ? "/workers" : "/workers?page_token=" + percent_encode(token), 11};
     absl::StatusOr<common::Response> const response =
-        common::send_request(context, address, request, remaining, common::constants::list_limit, yield);
+        common::send_request(context, address, request, remaining, remaining_bytes, yield);
     if (!response.ok()) {
       return response.status();
     }
@@ -94,7 +95,11 @@
     if (!page.ok()) {
       return page.status();
     }
+    remaining_bytes -= std::min(remaining_bytes, response->body().size());
     list.workers.insert(list.workers.end(), page->workers.begin(), page->workers.end());
+    if (list.workers.size() > common::constants::max_listed_workers) {
+      return common::make_error(absl::StatusCode::kDataLoss, "list", "it names too many workers");
+    }
     token = page->next_token;
   } while (!token.empty());
   return list;
--- a/source/tests/platform/listing_test.cpp
+++ b/source/tests/platform/listing_test.cpp
@@ -42,6 +42,9 @@
                       if (status != common::http::status::ok) {
                         return common::error_response(status, "often", "");
                       }
+                      if (endless) {
+                        return common::text_response(common::http::status::ok, page_with_next());
+                      }
                       bool const is_second_page = request.target().find("page_token=p%2F1") != std::string::npos;
                       return common::text_response(
                           common::http::status::ok,
@@ -51,6 +54,14 @@
                     })
                     .ok());
   }
+  /// A page that names a next one.
+  [[nodiscard]] std::string page_with_next() const {
+    std::string entries;
+    for (std::size_t index = 0; index < workers_a_page; ++index) {
+      entries += (index == 0 ? "" : ",") + std::string(R"({"id":"a","address":"1.1.1.1:1"})");
+    }
+    return "{\"instances\":[" + entries + "],\"padding\":\"" + std::string(padding, 'x') + "\",\"next_token\":\"p\"}";
+  }
   absl::StatusOr<schema::PlatformList> read() {
     absl::StatusOr<schema::PlatformList> result = schema::PlatformList{};
     common::start(context, [&](common::Yield yield) {
@@ -64,6 +75,9 @@
   boost::asio::io_context context{1};
   std::string address;
   std::vector<std::string> requested_targets;
+  bool endless = false;            ///< each page names a next one
+  std::size_t workers_a_page = 1;  ///< of endless pages
+  std::size_t padding = 0;         ///< bytes of endless pages beside their workers
   common::http::status status = common::http::status::ok;
 };
 
@@ -76,6 +90,23 @@
   EXPECT_EQ(server.requested_targets, (std::vector<std::string>{"/workers", "/workers?page_token=p%2F1"}));
 }
 
+/// Guards against a list whose pages have no end, all of which were kept.
+TEST(PlatformListing, PagesWithoutEndAreNoList) {
+  PagedListServer server(own_ip() + ":21003");
+  server.endless = true;
+  server.padding = common::constants::list_limit / 16;
+  EXPECT_FALSE(server.read().ok());
+  EXPECT_LE(server.requested_targets.size(), 17u);
+}
+
+TEST(PlatformListing, TooManyWorkersAreNoList) {
+  PagedListServer server(own_ip() + ":21004");
+  server.endless = true;
+  server.workers_a_page = common::constants::max_listed_workers / 2 + 1;
+  EXPECT_FALSE(server.read().ok());
+  EXPECT_EQ(server.requested_targets.size(), 2u);
+}
+
 TEST(PlatformListing, ReportsRateLimiting) {
   PagedListServer server(own_ip() + ":21002");
   server.status = common::http::status::too_many_requests;
