HTTP: what comes between chunks of an answer to a call of ours has a limit

Cause: the HTTP client of the programs bounds a body, but kept whatever came between the chunks of an answer and behind them. Controllers and proxies read the platform's list with it. Change: the parser's buffer holds a head and a piece.

--- a/source/common/constants.hpp
+++ b/source/common/constants.hpp
@@ -227,6 +227,9 @@
 
 // --- HTTP (section 9) ---
 inline constexpr std::uint32_t header_limit = 16u << 10u;
+/// Bytes of a response to this process that its parser buffers at most: a header, or an extension or a trailer as
+/// large, and a piece of the body.
+inline constexpr std::size_t response_buffer_bytes = header_limit + (64u << 10u);
 /// A caller gets this long to send its header and this long per body chunk.
 inline constexpr Span header_deadline = seconds(10);
 inline constexpr Span body_deadline = seconds(10);
--- a/source/common/http/http.cpp
+++ b/source/common/http/http.cpp
@@ -201,7 +201,7 @@
   if (error) {
     return make_error(absl::StatusCode::kUnavailable, "http", address + ": " + error.message());
   }
-  boost::beast::flat_buffer buffer;
+  boost::beast::flat_buffer buffer(constants::response_buffer_bytes);
   http::response_parser<http::string_body> parser;
   parser.body_limit(limit);
   http::async_read(**stream, buffer, parser, yield[error]);
--- a/source/data_plane/query/query.cpp
+++ b/source/data_plane/query/query.cpp
@@ -409,7 +409,7 @@
     http::async_write(worker, http_request, yield_[error]);
     // Even if the write failed, the worker may have responded already, with a rejection for example; so the response
     // is read all the same.
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer(constants::response_buffer_bytes);
     http::response_parser<http::buffer_body> parser;
     parser.body_limit(boost::none);
     parser.header_limit(constants::header_limit);
@@ -683,7 +683,7 @@
     error_code error;
     stream.expires_after(common::duration(constants::write_deadline));
     http::async_write(stream, http_request, yield_[error]);
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer(constants::response_buffer_bytes);
     http::response_parser<http::buffer_body> parser;
     parser.body_limit(boost::none);
     stream.expires_after(common::duration(std::max<common::Span>(deadline_ - common::boot_now(), 1000)));
--- a/source/tests/platform/listing_test.cpp
+++ b/source/tests/platform/listing_test.cpp
@@ -1,5 +1,9 @@
 #include <gtest/gtest.h>
 
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+
 #include "common/constants.hpp"
 #include "common/http/http.hpp"
 #include "platform/listing.hpp"
@@ -107,6 +111,37 @@
   EXPECT_EQ(server.requested_targets.size(), 2u);
 }
 
+/// Guards against a response whose chunk extension has no end, all of which was kept.
+TEST(PlatformListing, AResponseWithALongExtensionIsNoList) {
+  boost::asio::io_context context{1};
+  std::string const ip = own_ip();
+  boost::asio::ip::tcp::acceptor acceptor(context, {boost::asio::ip::make_address(ip), 0});
+  std::string const body = R"({"instances":[],"next_token":null})";
+  std::string const response = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n22;name=" +
+                               std::string(4 * common::constants::response_buffer_bytes, 'x') + "\r\n" + body +
+                               "\r\n0\r\n\r\n";
+  ASSERT_EQ(body.size(), 0x22u);
+  std::string request;
+  boost::asio::ip::tcp::socket accepted(context);
+  acceptor.async_accept(accepted, [&](boost::system::error_code const& error) {
+    ASSERT_FALSE(error);
+    // A connection that is closed while its request is unread would be reset.
+    boost::asio::async_read_until(accepted, boost::asio::dynamic_buffer(request), "\r\n\r\n",
+                                  [&](boost::system::error_code const&, std::size_t) {
+                                    boost::asio::async_write(accepted, boost::asio::buffer(response),
+                                                             [](boost::system::error_code const&, std::size_t) {});
+                                  });
+  });
+  absl::StatusOr<schema::PlatformList> result = schema::PlatformList{};
+  common::start(context, [&](common::Yield yield) {
+    std::string const address = ip + ":" + std::to_string(acceptor.local_endpoint().port());
+    result = platform::read_list(context, address, common::seconds(2), yield);
+    context.stop();
+  });
+  context.run();
+  EXPECT_FALSE(result.ok());
+}
+
 TEST(PlatformListing, ReportsRateLimiting) {
   PagedListServer server(own_ip() + ":21002");
   server.status = common::http::status::too_many_requests;
