Relay: a refusal's body is read up to a limit only

A worker's refusal was read to its end, so that its connection could be kept. One without end kept the request from its next worker until the deadline. Now 64 KB of it are read; behind more the connection is closed, and the request goes on at once. Found by reading; RelayWhole.ARefusalWithoutEndIsLeftForAnotherWorker fails without the limit.

--- a/source/common/relay_constants.hpp
+++ b/source/common/relay_constants.hpp
@@ -162,6 +162,8 @@
 /// Bytes of a worker's response that are buffered at most: a header, or an extension or a trailer as large, and a
 /// piece.
 inline constexpr std::size_t answer_buffer_bytes = answer_header_limit + (64u << 10u);
+/// Bytes of a refusal's body that are read so that its connection can be used again; behind more, it is closed.
+inline constexpr std::size_t refusal_limit = 64u << 10u;
 /// Size of the chunks in which a worker's response is read.
 inline constexpr std::size_t piece_bytes = 8192;
 /// When updates are older than this, the proxy reads the platform's list itself.
--- a/source/data_plane/relay/worker_answer.cpp
+++ b/source/data_plane/relay/worker_answer.cpp
@@ -164,10 +164,12 @@
 
 void Relay::read_to_end(boost::beast::flat_buffer& buffer, Parser& parser) {
   std::string bytes;
+  std::size_t total = 0;
   while (!parser.is_done() && (parser.content_length().has_value() || parser.chunked())) {
-    if (!read_some(buffer, parser, bytes)) {
+    if (total > constants::refusal_limit || !read_some(buffer, parser, bytes)) {
       return;
     }
+    total += bytes.size();
   }
   keep_worker_if_reusable(buffer, parser);
 }
--- a/source/tests/relay/whole_test.cpp
+++ b/source/tests/relay/whole_test.cpp
@@ -242,6 +242,25 @@
   }
 }
 
+/// Guards against a refusal whose body has no end: a query that may run once waited for it until its deadline.
+TEST(RelayWhole, ARefusalWithoutEndIsLeftForAnotherWorker) {
+  Fleet fleet;
+  fleet.worker("w1");
+  fleet.worker("w2");
+  fleet.begin();
+  std::shared_ptr<Line> const caller = fleet.call(query("/once/a", "q1", "x"));
+  Worker* const first = fleet.worker_of(1);
+  ASSERT_NE(first, nullptr);
+  std::string const head =
+      "HTTP/1.1 503 Busy\r\n" + with_id("q1") + "Finchlink-Refused: 1\r\nTransfer-Encoding: chunked\r\n\r\n";
+  last_arrival(first).line->send_long(head + chunk(std::string(2u << 20u, 'x')));
+  Worker* const second = fleet.worker_of(2);
+  ASSERT_NE(second, nullptr);
+  EXPECT_NE(second, first);
+  last_arrival(second).line->send(success("q1", "good"));
+  EXPECT_EQ(body_of(fleet.answer_on(caller)), "good");
+}
+
 TEST(RelayWhole, AQueryThatMayNotBeRepeatedIsNeverSentTwice) {
   for (BadAnswer const& bad_answer : bad_answers()) {
     Fleet fleet;
