Routing configuration: a change that is not strictly JSON in UTF-8 is refused

Cause: cJSON checks neither the encoding of strings nor all of the grammar, and the register keeps the text as it came. A configuration that is in force already stays usable.

--- a/source/config/routing/routing_config.cpp
+++ b/source/config/routing/routing_config.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "common/error/error.hpp"
+#include "common/json/strict_json.hpp"
 #include "common/json/tree.hpp"
 #include "config/routing/route_key.hpp"
 #include "config/routing/tenancy.hpp"
@@ -25,7 +26,7 @@
     return parsed;
   }
   schema::read(tree->get(), "", parsed.routing_config, parsed.faults);
-  validate(parsed);
+  validate(text, parsed);
   return parsed;
 }
 }  // namespace
@@ -173,7 +174,7 @@
 }
 }  // namespace
 
-void validate(ParsedRoutingConfig& parsed) {
+void validate(std::string const& text, ParsedRoutingConfig& parsed) {
   schema::Charter const& routing_config = parsed.routing_config;
   if (routing_config.number == 0) {
     parsed.faults.push_back(common::Fault{"/number", "must be above 0"});
@@ -188,6 +189,10 @@
     validate_route(route, index, services, parsed.faults);
   }
   find_conflicts(routing_config, parsed.objections);
+  absl::Status const strictly_json = common::check_json(text);
+  if (!strictly_json.ok()) {
+    parsed.objections.push_back(common::Fault{"", std::string(strictly_json.message())});
+  }
   validate_tenancies(routing_config, parsed.faults);
 }
 
--- a/source/config/routing/routing_config.hpp
+++ b/source/config/routing/routing_config.hpp
@@ -17,8 +17,8 @@
 struct ParsedRoutingConfig {
   schema::Charter routing_config;
   std::vector<common::Fault> faults;  ///< what makes it unusable
-  /// What forbids to accept it, though it can be used: routes with the key of another route, of which only one can be
-  /// reached.
+  /// What forbids to accept it, though it can be used: a text that other readers of JSON refuse, routes with the
+  /// key of another route, of which only one can be reached.
   std::vector<common::Fault> objections;
   /// Whether a change to it may be accepted.
   [[nodiscard]] bool good() const { return faults.empty() && objections.empty(); }
@@ -54,8 +54,9 @@
 /// The integer above 0 in the named member of a JSON object; nothing if there is none.
 [[nodiscard]] std::optional<std::uint64_t> parse_number_field(std::string const& text, std::string const& number_field);
 
-/// Validates a parsed configuration as a whole and adds what it finds: unknown services, weights that sum to 0,
-/// repeated names and missing deadlines to the faults, routes with equal keys to the objections.
-void validate(ParsedRoutingConfig& parsed);
+/// Validates a configuration, parsed from `text`, as a whole and adds what it finds: unknown services, weights that sum
+/// to 0, repeated names and missing deadlines to the faults, routes with equal keys and a text that is not strictly
+/// JSON to the objections.
+void validate(std::string const& text, ParsedRoutingConfig& parsed);
 
 }  // namespace finchlink::config
--- a/source/platform/notation.cpp
+++ b/source/platform/notation.cpp
@@ -166,7 +166,7 @@
     target.header_wait_ms = limits.whole_number("header_wait_ms", target.header_wait_ms);
     target.idle_ms = limits.whole_number("idle_ms", target.idle_ms);
   }
-  config::validate(reading);
+  config::validate(text, reading);
   return reading;
 }
 }  // namespace
--- a/source/tests/config/route_key_test.cpp
+++ b/source/tests/config/route_key_test.cpp
@@ -102,7 +102,7 @@
       parsed.routing_config.lanes.push_back(
           route(std::to_string(index), hosts[random() % hosts.size()], prefixes[random() % prefixes.size()]));
     }
-    config::validate(parsed);
+    config::validate("{}", parsed);
     ASSERT_TRUE(parsed.usable()) << common::describe(parsed.faults);
     scheduling::RouteTable const table(parsed.routing_config);
     EXPECT_EQ(parsed.good(), table.unreachable() == nullptr) << common::describe(parsed.objections);
