Draining: a late stream that may outlast the grace period is refused

Cause: a draining process served whatever came, however long it might take. Change: what comes later than 2.5 s after SIGTERM is taken only if it ends before connections are closed. A stream that may last longer is refused, 503; a whole answer that doesn't come until then is given up with a 504, so that no connection ends without an answer.

--- a/source/common/relay_constants.hpp
+++ b/source/common/relay_constants.hpp
@@ -172,5 +172,9 @@
 inline constexpr Span drain_linger = milliseconds(4500);
 /// The end of the grace period that is reserved for closing connections.
 inline constexpr Span drain_close_reserve = milliseconds(700);
+/// Queries that come later than this after SIGTERM are taken only if they end before connections are closed.
+inline constexpr Span drain_full_service = milliseconds(2500);
+/// Such a query is answered this long before connections are closed, if its worker has not answered.
+inline constexpr Span drain_answer_reserve = milliseconds(200);
 
 }  // namespace finchlink::common::constants
--- a/source/data_plane/relay/relay.cpp
+++ b/source/data_plane/relay/relay.cpp
@@ -52,6 +52,11 @@
     respond("400 Bad Request", tenant_error_, false);
     return keep_caller_;
   }
+  if (!fits_before_closing()) {
+    ++server_.counters().outcomes["leaving"];
+    respond("503 Service Unavailable", "leaving", true);
+    return keep_caller_;
+  }
   guard_->relay = this;
   alarm_ = std::make_shared<Alarm>(server_.context(), [guard = guard_] {
     if (guard->relay != nullptr) {
@@ -89,6 +94,18 @@
   return keep_caller_;
 }
 
+bool Relay::fits_before_closing() {
+  std::optional<common::Moment> const last_answer_at = server_.last_answer_at();
+  if (!last_answer_at.has_value() || deadline_ <= *last_answer_at) {
+    return true;
+  }
+  if (route_.stream) {
+    return false;  // once it has begun it could only be cut
+  }
+  deadline_ = *last_answer_at;
+  return common::boot_now() < deadline_;
+}
+
 scheduling::QueryTerms Relay::terms(schema::Lane const& route) {
   scheduling::QueryTerms terms;
   terms.resumable = route.stream && route.resumable;
--- a/source/data_plane/relay/relay.hpp
+++ b/source/data_plane/relay/relay.hpp
@@ -98,6 +98,9 @@
 
   static scheduling::QueryTerms terms(schema::Lane const& route);
   [[nodiscard]] bool repeatable() const { return state_machine_.may_repeat(); }
+  /// Whether the query is answered before a draining process closes its connections. A whole answer that doesn't come
+  /// until then is given up; a stream that may last longer is not begun.
+  [[nodiscard]] bool fits_before_closing();
   /// Determines the prompt's tenant and home regions by the route in force (section 14.1).
   void resolve_tenant();
   /// Applies what the worker's response says of weights and cached tokens (section 14.3). `ran`: it ran the request.
--- a/source/data_plane/relay/relay_server.cpp
+++ b/source/data_plane/relay/relay_server.cpp
@@ -106,6 +106,15 @@
   });
 }
 
+std::optional<common::Moment> RelayServer::last_answer_at() const {
+  common::Span const grace = common::milliseconds(static_cast<std::int64_t>(settings_.bounds.grace_ms));
+  common::Span const full_service = std::min(constants::drain_full_service, grace / 3);
+  if (!draining_ || common::boot_now() - draining_since_ < full_service) {
+    return std::nullopt;
+  }
+  return draining_since_ + grace - constants::drain_close_reserve - constants::drain_answer_reserve;
+}
+
 bool RelayServer::busy() const {
   common::Moment const now = common::boot_now();
   common::Span const grace = common::milliseconds(static_cast<std::int64_t>(settings_.bounds.grace_ms));
--- a/source/data_plane/relay/relay_server.hpp
+++ b/source/data_plane/relay/relay_server.hpp
@@ -64,6 +64,9 @@
   [[nodiscard]] RelayCounters& counters() { return counters_; }
   [[nodiscard]] scheduling::PromptIsolation& isolation() { return isolation_; }
   [[nodiscard]] bool draining() const { return draining_; }
+  /// When a query must have been answered that comes now: this relay drains, and has done so for a while. Nothing: the
+  /// query may take its time.
+  [[nodiscard]] std::optional<common::Moment> last_answer_at() const;
   [[nodiscard]] common::Moment started_at() const { return started_at_; }
   /// It has received a routing configuration and a list of workers, even an empty one, since it started.
   [[nodiscard]] bool initialized() const { return route_table_ != nullptr && list_.as_of() > 0; }
--- a/source/tests/relay/relay_server_test.cpp
+++ b/source/tests/relay/relay_server_test.cpp
@@ -455,6 +455,34 @@
   EXPECT_TRUE(fleet.server->busy());
 }
 
+/// Guards against streams that a leaving process takes late and cuts when its grace period ends.
+TEST(RelayServer, AStreamThatMayOutlastTheGracePeriodIsRefused) {
+  Fleet fleet;
+  Worker& web = fleet.worker("w1");
+  Worker& pool = fleet.worker("m1", "pool");
+  fleet.settings.bounds.grace_ms = 2400;
+  fleet.begin();
+  fleet.server->drain();
+  std::shared_ptr<Line> const early = fleet.call(query("/talk/a", "q1", "prompt"));
+  ASSERT_TRUE(fleet.arrived(pool, 1));
+  fleet.run_for(900);  // a third of the grace period has passed
+  std::optional<Response> const refused = fleet.answer_on(fleet.call(query("/talk/a", "q2", "prompt")));
+  EXPECT_EQ(status_of(refused), 503u);
+  EXPECT_FALSE(refused->keep_alive());
+  EXPECT_EQ(pool.arrivals.size(), 1u);
+  // One that ends in time by its own deadline is taken.
+  std::shared_ptr<Line> const brief = fleet.call(query("/talk/a", "q3", "prompt", "Finchlink-Left: 300\r\n"));
+  ASSERT_TRUE(fleet.arrived(pool, 2));
+  // A whole answer that does not come is given up before connections are closed, with a whole answer of ours.
+  std::shared_ptr<Line> const slow = fleet.call(query("/once/a", "q4"));
+  ASSERT_TRUE(fleet.arrived(web, 1));
+  EXPECT_TRUE(fleet.server->busy());
+  EXPECT_EQ(status_of(fleet.answer_on(slow)), 504u);
+  EXPECT_TRUE(fleet.server->busy());
+  // The stream that came early may take all of the time.
+  EXPECT_FALSE(early->ended);
+}
+
 TEST(RelayServer, TheDirectoryNamesReadyProxiesNearOnesFirst) {
   Fleet fleet;
   fleet.worker("w1");
