Load probe: the limit of an answer's buffer stands where the answer is read

What comes between the chunks of an answer was bounded by the caller of fetch_load(), where no test reached it. It is bounded in fetch_load() now. WorkerContract.ALoadAnswerWithoutEndIsNoLoad fails without that line.

--- a/source/data_plane/load_probe/load_probe.cpp
+++ b/source/data_plane/load_probe/load_probe.cpp
@@ -37,7 +37,7 @@
 void probe_worker(boost::asio::io_context& context, ProxyState& proxy, std::string const& pool, std::string const& id,
                   std::string const& address, common::Yield yield) {
   std::unique_ptr<common::Stream> stream;
-  boost::beast::flat_buffer buffer(constants::response_buffer_bytes);
+  boost::beast::flat_buffer buffer;
   while (true) {
     bool is_desired = false;
     std::shared_ptr<Plan const> const plan = proxy.plan();
--- a/source/data_plane/worker/contract.cpp
+++ b/source/data_plane/worker/contract.cpp
@@ -22,6 +22,7 @@
   if (error) {
     return std::nullopt;
   }
+  buffer.max_size(constants::response_buffer_bytes);
   http::response_parser<http::string_body> parser;
   parser.body_limit(constants::header_limit);
   http::async_read(stream, buffer, parser, yield[error]);
