--- a/source/tests/platform/backends/backends_soak.py
+++ b/source/tests/platform/backends/backends_soak.py
@@ -19,7 +19,8 @@
 import standin  # noqa: E402
 
 FAULTY_ROUTES = ["repeat", "once", "talk", "resume"]
-FAULTS = [*faults.HEADS, *faults.BODIES, *faults.STREAMS]
+FAULTS = [*faults.HEADS, *faults.BODIES, *faults.STREAMS, *faults.SHORT_ANSWERS, *faults.SHORT_STREAMS]
+FAULTS_AT_ONCE = 3
 LIST_FAULTS = [*faults.HEADS, *faults.BODIES, backends_test.endless_pages]
 LIST_FAULT_SHARE = 0.3
 
@@ -37,14 +38,14 @@
         return others + callers * (len(others) // len(callers))
 
     def begin_crowd(self):
-        self.platform.fault = self.random.choice(FAULTS)
+        self.platform.faults = self.random.choices(FAULTS, k=FAULTS_AT_ONCE)
         if self.random.random() < LIST_FAULT_SHARE:
             self.platform.list_fault = self.random.choice(LIST_FAULTS)
         return super().begin_crowd()
 
     def check_round(self, label):
         self.platform.list_fault = None  # a process that has just started needs the list to serve
-        super().check_round(f"{label}, workers {self.platform.fault.__name__}")
+        super().check_round(f"{label}, workers {[fault.__name__ for fault in self.platform.faults]}")
 
     def next_charter(self):
         return {**self.charter, "revision": self.revision + 1}
--- a/source/tests/platform/backends/backends_test.py
+++ b/source/tests/platform/backends/backends_test.py
@@ -25,6 +25,7 @@
 import standin  # noqa: E402
 
 CALLERS = 150
+MANY_CALLERS = 400  # of answers that stop short of a limit: each holds what it sent for as long as its caller waits
 DESCRIPTORS = 1200
 MOST_SENT = 256 << 20  # bytes that one faulty answer may come to, so that a test ends by itself
 BACKLOG = 256
@@ -73,6 +74,9 @@
     def send(self, connection, pieces):
         sent = 0
         for piece in pieces:
+            if piece is None:
+                connection.recv(1)  # until the caller closes
+                return
             connection.sendall(piece)
             sent += len(piece)
             if self.ended or sent > MOST_SENT:
@@ -87,21 +91,22 @@
 
 
 class Platform(clients_test.Platform):
-    """The service "faulty" has workers that answer as `fault` says; the list is answered so once `list_fault` is set."""
+    """The service "faulty" has workers that answer as `faults` say, in turn; the list is answered so once `list_fault` is set."""
 
     def __init__(self, address, workers):
-        self.fault, self.list_fault = faults.head_of_noise, None
+        self.faults, self.list_fault = [faults.head_of_noise], None
         super().__init__(address, [worker for worker in workers if worker["plant"] != "faulty"])
         self.workers = workers
         for server in self.servers[:1]:
             server.shutdown()
             server.server_close()
         self.list_server = RawServer(address, self.answer_list)
-        self.faulty = [RawServer(worker["address"], self.answer) for worker in workers if worker["plant"] == "faulty"]
+        addresses = [worker["address"] for worker in workers if worker["plant"] == "faulty"]
+        self.faulty = [RawServer(own, lambda path, headers, index=index: self.answer(index, headers)) for index, own in enumerate(addresses)]
         self.servers = [self.list_server, *self.faulty, *self.servers[1:]]
 
-    def answer(self, _path, headers):
-        return self.fault(headers.get("attempt-id", ""))
+    def answer(self, index, headers):
+        return self.faults[index % len(self.faults)](headers.get("attempt-id", ""))
 
     def answer_list(self, path, _headers):
         if self.list_fault is not None:
@@ -127,18 +132,21 @@
     platform_class = Platform
 
 
-class Front(Case):
+class Calls(Case):
     """The proxy calls workers for its callers."""
 
     def request(self, route):
         return [kinds.head(f"/{route}/crowd", fields=["Content-Length: 0"]) + b"\r\n"]
 
-    def check_fault(self, fault, routes):
+    def check_fault(self, fault, routes, count=CALLERS):
+        self.check_faults([fault], routes, count)
+
+    def check_faults(self, kinds_of_workers, routes, count):
         """Callers ask for answers of faulty workers; all of them are answered or closed in the end."""
-        self.platform.fault = fault
+        self.platform.faults = kinds_of_workers
         before = sum(server.answered for server in self.platform.faulty)
         watch = self.watch(FURROW)
-        clients = [crowd.Client((self.ip, standin.FRONT), self.request(routes[number % len(routes)]), True) for number in range(CALLERS)]
+        clients = [crowd.Client((self.ip, standin.FRONT), self.request(routes[number % len(routes)]), True) for number in range(count)]
         with crowd.Crowd(clients) as callers:
             self.assertTrue(standin.until(lambda: sum(server.answered for server in self.platform.faulty) > before, PATIENCE_S), "no faulty worker was asked")
             self.assertTrue(self.ordinary(standin.FRONT), "while the workers send")
@@ -148,6 +156,23 @@
         self.check(FURROW, watch)
 
 
+class Front(Calls):
+    """All workers are faulty in one way; add_tests() adds a test for each."""
+
+
+class Together(Calls):
+    """Workers that are faulty in two ways at once."""
+
+    def test_between_chunks_and_bodies_short_of_a_limit(self):
+        self.check_faults([faults.short_extension, faults.short_body], ["repeat", "once"], MANY_CALLERS)
+
+    def test_events_short_of_a_limit_and_without_end(self):
+        self.check_faults([faults.short_event, faults.event_of_noise], ["talk", "resume"], MANY_CALLERS)
+
+    def test_heads_short_of_a_limit_and_bodies_without_end(self):
+        self.check_faults([faults.short_head, faults.chunks], ["repeat", "once"], MANY_CALLERS)
+
+
 class Lists(Case):
     """A controller, and a proxy that hears from no controller, read the platform's list."""
 
@@ -184,6 +209,8 @@
 add_tests(Front, faults.HEADS, lambda self, fault: self.check_fault(fault, ["repeat", "once", "talk", "resume"]))
 add_tests(Front, faults.BODIES, lambda self, fault: self.check_fault(fault, ["repeat", "once"]))
 add_tests(Front, faults.STREAMS, lambda self, fault: self.check_fault(fault, ["talk", "resume"]))
+add_tests(Front, faults.SHORT_ANSWERS, lambda self, fault: self.check_fault(fault, ["repeat", "once"], MANY_CALLERS))
+add_tests(Front, faults.SHORT_STREAMS[1:], lambda self, fault: self.check_fault(fault, ["talk", "resume"], MANY_CALLERS))
 add_tests(Lists, [*faults.HEADS, *faults.BODIES, endless_pages], Lists.check_fault)
 
 
--- a/source/tests/platform/backends/faults.py
+++ b/source/tests/platform/backends/faults.py
@@ -1,4 +1,5 @@
-"""What faulty back ends send: each function gives the pieces of one answer, which has no end.
+"""What faulty back ends send: each function gives the pieces of one answer, which has no end, or which stops just short of
+a limit and stays open (a last piece of None).
 
 `query` is the Attempt-Id of the request that is answered.
 """
@@ -7,6 +8,11 @@
 PIECE = 64 << 10
 FIELDS_A_PIECE = 64
 NUMBER_DIGITS = 20
+# Just short of what a proxy keeps of an answer.
+HEAD_BYTES = 60 << 10
+BETWEEN_CHUNKS_BYTES = 120 << 10
+EVENT_BYTES = 1000 << 10
+BODY_BYTES = 8 << 20
 
 
 def head(query, status="200 OK", fields=()):
@@ -125,6 +131,44 @@
     return stream_until_close(query, b"id: 1\ndata: one\n\n", b"id: 1\ndata: one\n\n" * (PIECE // 17))
 
 
+# Short of a limit, and then nothing.
+
+def short(begin, count):
+    """`count` bytes behind `begin`, and then silence."""
+    return itertools.chain([begin], [b"x" * min(PIECE, count - sent) for sent in range(0, count, PIECE)], [None])
+
+
+def short_head(query):
+    return short(head(query) + b"Field: ", HEAD_BYTES)
+
+
+def short_extension(query):
+    return short(chunked(query) + b"1;name=", BETWEEN_CHUNKS_BYTES)
+
+
+def short_trailer(query):
+    return short(chunked(query) + b"1\r\nx\r\n0\r\nField: ", BETWEEN_CHUNKS_BYTES)
+
+
+def short_refusal(query):
+    begin = head(query, "503 Service Unavailable", ["Not-Run: 1", "Transfer-Encoding: chunked"]) + b"\r\n1;name="
+    return short(begin, BETWEEN_CHUNKS_BYTES)
+
+
+def short_body(query):
+    return short(head(query, fields=[f"Content-Length: {2 * BODY_BYTES}"]) + b"\r\n", BODY_BYTES)
+
+
+def short_event(query):
+    return short(head(query, fields=["Content-Type: text/event-stream", "Connection: close"]) + b"\r\ndata: ", EVENT_BYTES)
+
+
+def short_event_extension(query):
+    return short(chunked(query, "text/event-stream") + b"f\r\nid: 1\ndata: x\n\n\r\n1;name=", BETWEEN_CHUNKS_BYTES)
+
+
 HEADS = [head_of_noise, head_of_letters, head_of_empty_lines, status_line, field, fields, interim_answers]
 BODIES = [body_until_close, body_of_huge_length, chunks, chunk_size, chunk_of_noise, chunk_extension, trailers, refusal]
+SHORT_ANSWERS = [short_head, short_extension, short_trailer, short_refusal, short_body]
+SHORT_STREAMS = [short_head, short_event, short_event_extension]
 STREAMS = [event, second_event, event_of_lines, event_of_noise, event_in_chunks, comments, repeated_events]
