Routing configuration: merging of a partial change is a module of its own

Reading the change of a list, rebuilding a list and replacing a member are functions of their own now, in config/routing/named_items, beside the reading of the number.

--- a/source/config/routing/routing_config.cpp
+++ b/source/config/routing/routing_config.cpp
@@ -4,9 +4,9 @@
 #include <set>
 #include <utility>
 
-#include "common/error/error.hpp"
 #include "common/json/strict_json.hpp"
 #include "common/json/tree.hpp"
+#include "config/routing/named_items.hpp"
 #include "config/routing/route_key.hpp"
 #include "config/routing/tenancy.hpp"
 
@@ -37,92 +37,6 @@
   return all;
 }
 
-absl::StatusOr<std::string> merge_named(std::string const& current, std::string const& change,
-                                        std::string const& number_field, std::vector<std::string> const& lists) {
-  absl::StatusOr<common::Tree> target =
-      current.empty() ? absl::StatusOr<common::Tree>(common::Tree(cJSON_CreateObject())) : common::read_tree(current);
-  absl::StatusOr<common::Tree> const delta = common::read_tree(change);
-  if (!target.ok() || !delta.ok() || cJSON_IsObject(target->get()) == 0 || cJSON_IsObject(delta->get()) == 0) {
-    return common::make_error(absl::StatusCode::kInvalidArgument, "charter", "not a JSON object");
-  }
-  cJSON const* const number = cJSON_GetObjectItemCaseSensitive(delta->get(), number_field.c_str());
-  if (number != nullptr) {
-    cJSON_DeleteItemFromObjectCaseSensitive(target->get(), number_field.c_str());
-    cJSON_AddItemToObject(target->get(), number_field.c_str(), cJSON_Duplicate(number, 1));
-  }
-  cJSON const* const upsert = cJSON_GetObjectItemCaseSensitive(delta->get(), "upsert");
-  cJSON const* const remove = cJSON_GetObjectItemCaseSensitive(delta->get(), "remove");
-  if ((upsert != nullptr && cJSON_IsObject(upsert) == 0) || (remove != nullptr && cJSON_IsObject(remove) == 0)) {
-    return common::make_error(absl::StatusCode::kInvalidArgument, "charter", "upsert and remove must be objects");
-  }
-  for (std::string const& list : lists) {
-    cJSON const* const items = cJSON_GetObjectItemCaseSensitive(upsert, list.c_str());
-    cJSON const* const names = cJSON_GetObjectItemCaseSensitive(remove, list.c_str());
-    if ((items != nullptr && cJSON_IsArray(items) == 0) || (names != nullptr && cJSON_IsArray(names) == 0)) {
-      return common::make_error(absl::StatusCode::kInvalidArgument, "charter", list + " must be a list");
-    }
-    std::set<std::string> removed;
-    for (cJSON const* name = names == nullptr ? nullptr : names->child; name != nullptr; name = name->next) {
-      if (cJSON_IsString(name) == 0) {
-        return common::make_error(absl::StatusCode::kInvalidArgument, "charter", "names to remove must be strings");
-      }
-      removed.insert(name->valuestring);
-    }
-    std::map<std::string, cJSON const*> upserted;
-    std::vector<std::string> order;
-    for (cJSON const* item = items == nullptr ? nullptr : items->child; item != nullptr; item = item->next) {
-      cJSON const* const name = cJSON_GetObjectItemCaseSensitive(item, "name");
-      if (cJSON_IsString(name) == 0) {
-        return common::make_error(absl::StatusCode::kInvalidArgument, "charter", "an item of " + list + " has no name");
-      }
-      if (upserted.count(name->valuestring) == 0) {
-        order.emplace_back(name->valuestring);
-      }
-      upserted[name->valuestring] = item;
-    }
-    if (removed.empty() && upserted.empty()) {
-      continue;
-    }
-    // Rebuilds the list in one pass: a replaced item keeps its position, new ones are appended.
-    cJSON* const merged = cJSON_CreateArray();
-    std::set<std::string> placed;
-    cJSON* const current_list = cJSON_GetObjectItemCaseSensitive(target->get(), list.c_str());
-    while (current_list != nullptr && current_list->child != nullptr) {
-      common::Tree item(cJSON_DetachItemViaPointer(current_list, current_list->child));
-      cJSON const* const name = cJSON_GetObjectItemCaseSensitive(item.get(), "name");
-      std::string const key = cJSON_IsString(name) != 0 ? name->valuestring : "";
-      std::map<std::string, cJSON const*>::const_iterator const replacement = upserted.find(key);
-      if (replacement != upserted.end()) {
-        if (placed.insert(key).second) {
-          cJSON_AddItemToArray(merged, cJSON_Duplicate(replacement->second, 1));
-        }
-      } else if (removed.count(key) == 0) {
-        cJSON_AddItemToArray(merged, item.release());
-      }
-    }
-    for (std::string const& name : order) {
-      if (placed.count(name) == 0) {
-        cJSON_AddItemToArray(merged, cJSON_Duplicate(upserted[name], 1));
-      }
-    }
-    cJSON_DeleteItemFromObjectCaseSensitive(target->get(), list.c_str());
-    cJSON_AddItemToObject(target->get(), list.c_str(), merged);
-  }
-  return common::print_tree(target->get());
-}
-
-std::optional<std::uint64_t> parse_number_field(std::string const& text, std::string const& number_field) {
-  absl::StatusOr<common::Tree> const tree = common::read_tree(text);
-  if (!tree.ok()) {
-    return std::nullopt;
-  }
-  cJSON const* const number = cJSON_GetObjectItemCaseSensitive(tree->get(), number_field.c_str());
-  if (cJSON_IsNumber(number) == 0 || !(number->valuedouble >= 1) || !(number->valuedouble <= 0x1.0p53)) {
-    return std::nullopt;
-  }
-  return static_cast<std::uint64_t>(number->valuedouble);
-}
-
 RoutingConfigFormat native_format() {
   return RoutingConfigFormat{read_native,
                              [](std::string const& current, std::string const& change) {
--- a/source/config/routing/routing_config.hpp
+++ b/source/config/routing/routing_config.hpp
@@ -44,19 +44,9 @@
 /// {"number", "upsert": {"lanes", "services", "tenants"}, "remove": {the same}}.
 [[nodiscard]] RoutingConfigFormat native_format();
 
-/// Applies {"upsert": {LIST: items}, "remove": {LIST: names}} to a whole
-/// configuration: items of the lists are replaced or added by their "name", and
-/// the number is taken over. All other members of the text stay as they are.
-[[nodiscard]] absl::StatusOr<std::string> merge_named(std::string const& current, std::string const& change,
-                                                      std::string const& number_field,
-                                                      std::vector<std::string> const& lists);
-
-/// The integer above 0 in the named member of a JSON object; nothing if there is none.
-[[nodiscard]] std::optional<std::uint64_t> parse_number_field(std::string const& text, std::string const& number_field);
-
 /// Validates a configuration, parsed from `text`, as a whole and adds what it finds: unknown services, weights that sum
-/// to 0, repeated names and missing deadlines to the faults, routes with equal keys and a text that is not strictly
-/// JSON to the objections.
+/// to 0, repeated names and missing deadlines to the faults; to the objections routes with equal keys, hosts and
+/// prefixes that are none or not in normal form (RFC 3986, 6.2.2), and a text that is not strictly JSON.
 void validate(std::string const& text, ParsedRoutingConfig& parsed);
 
 }  // namespace finchlink::config
--- a/source/platform/notation.cpp
+++ b/source/platform/notation.cpp
@@ -3,6 +3,7 @@
 #include <cmath>
 
 #include "common/json/tree.hpp"
+#include "config/routing/named_items.hpp"
 
 namespace finchlink::platform {
 
--- a/source/tests/config/routing_config_test.cpp
+++ b/source/tests/config/routing_config_test.cpp
@@ -2,6 +2,7 @@
 
 #include "common/constants.hpp"
 #include "common/wire/pack.hpp"
+#include "config/routing/named_items.hpp"
 #include "config/routing/proposal.hpp"
 
 namespace finchlink {
