Routing configuration: a partial change that names an item twice is refused

What callers saw: a PATCH whose upsert named one route twice was acknowledged, and only the last of the two was served; the same names in a whole configuration were a 400. Cause: the merge kept the last item of a name before validation could see both. Change: such a list is invalid (400). Items and removals of other lists are as before. Evidence: RoutingProposal.APartialChangeThatNamesAnItemTwiceIsRefused fails on the merge as it was (all three orders were accepted) and passes now; it works since the check stands where both items are still there.

--- a/source/config/routing/named_items.cpp
+++ b/source/config/routing/named_items.cpp
@@ -28,10 +28,10 @@
     if (cJSON_IsString(name) == 0) {
       return change_error("an item of " + list + " has no name");
     }
-    if (change.upserted.count(name->valuestring) == 0) {
-      change.order.emplace_back(name->valuestring);
+    if (!change.upserted.emplace(name->valuestring, item).second) {
+      return change_error(list + " names an item twice: " + name->valuestring);
     }
-    change.upserted[name->valuestring] = item;
+    change.order.emplace_back(name->valuestring);
   }
   return absl::OkStatus();
 }
--- a/source/config/routing/named_items.hpp
+++ b/source/config/routing/named_items.hpp
@@ -11,7 +11,8 @@
 
 /// Applies {"upsert": {LIST: items}, "remove": {LIST: names}} to a whole
 /// configuration: items of the lists are replaced or added by their "name", and
-/// the number is taken over. All other members of the text stay as they are.
+/// the number is taken over. All other members of the text stay as they are. An
+/// item without a name, or one that a list names twice, is kInvalidArgument.
 [[nodiscard]] absl::StatusOr<std::string> merge_named(std::string const& current, std::string const& change,
                                                       std::string const& number_field,
                                                       std::vector<std::string> const& lists);
--- a/source/tests/config/routing_config_test.cpp
+++ b/source/tests/config/routing_config_test.cpp
@@ -178,6 +178,22 @@
       << "without the guard the change must be rejected, else this test covers something else";
 }
 
+/// Guards against a route that is acknowledged and never served: of two items of one name only the last one was taken.
+TEST(RoutingProposal, APartialChangeThatNamesAnItemTwiceIsRefused) {
+  std::string const first = R"({"name":"m","prefix":"/m/","shares":[{"service":"s"}],"deadline_ms":5})";
+  std::string const second = R"({"name":"m","prefix":"/n/","shares":[{"service":"s"}],"deadline_ms":5})";
+  Register reg;
+  ASSERT_TRUE(reg.change({routing_config_text(1), false, 0}).applied);
+  for (std::string const& twice : {first + "," + second, second + "," + first, first + "," + first}) {
+    ChangeResult const result = reg.change({R"({"number":2,"upsert":{"lanes":[)" + twice + "]}}", true, 1});
+    EXPECT_FALSE(result.applied) << twice;
+    EXPECT_EQ(result.report.end, config::RoutingProposalOutcome::invalid) << twice;
+  }
+  // A name may be removed twice, and the same name may stand in two lists.
+  std::string const lists = R"({"number":2,"upsert":{"lanes":[)" + first + R"(],"services":[{"name":"m"}]},)";
+  EXPECT_TRUE(reg.change({lists + R"("remove":{"lanes":["l","l"]}})", true, 1}).applied);
+}
+
 TEST(RoutingProposal, MarkTakes48Bytes) {
   Register reg = after_many(kept);
   schema::Value bare = reg.value;
