Routes: a host or prefix that no request can name, or not in normal form, is refused

What callers saw: a second route whose host had a blank around it, or whose prefix had a query or fragment, was acknowledged, and its callers were served by the first route's service. http://gate.example and user@gate.example were taken for hosts. Cause: hosts and prefixes were compared in one form, but nothing checked that they are hosts and paths; a lookup never asks for such keys, and routes_complete asked for the route's own text and found it. Change: config/routing/route_syntax checks the grammar (RFC 9110, 7.2; RFC 3986, 3.2.2, 3.3; Boost.URL, headers of a package that is there already) and the normal form (RFC 3986, 6.2.2; RFC 9110, 4.2.3: resources that differ should not have equivalent URIs). Such a change is refused (400); a configuration in force from before stays in use and is reported. It works since a text that passes has one key, and a request can have it.

--- a/source/config/routing/proposal.cpp
+++ b/source/config/routing/proposal.cpp
@@ -3,6 +3,7 @@
 #include "common/constants.hpp"
 #include "common/digest/digest.hpp"
 #include "common/invariant/invariant.hpp"
+#include "common/json/strict_json.hpp"
 
 namespace finchlink::config {
 
@@ -30,6 +31,11 @@
   BuiltConfig built;
   built.content = request.content;
   if (request.patch) {
+    absl::Status const strictly_json = common::check_json(request.content);
+    if (!strictly_json.ok()) {
+      built.parsed.faults.push_back(common::Fault{"", std::string(strictly_json.message())});
+      return built;
+    }
     absl::StatusOr<std::string> const merged = format.merge(current, request.content);
     if (!merged.ok()) {
       built.parsed.faults.push_back(common::Fault{"", std::string(merged.status().message())});
--- a/source/config/routing/routing_config.cpp
+++ b/source/config/routing/routing_config.cpp
@@ -8,6 +8,7 @@
 #include "common/json/tree.hpp"
 #include "config/routing/named_items.hpp"
 #include "config/routing/route_key.hpp"
+#include "config/routing/route_syntax.hpp"
 #include "config/routing/tenancy.hpp"
 
 namespace finchlink::config {
@@ -74,6 +75,29 @@
   }
 }
 
+/// What forbids a route's host: it would name none, or a host that another text names as well.
+void check_host(schema::Lane const& route, std::size_t index, std::vector<common::Fault>& objections) {
+  std::string const place = item_path("lanes", index, "/host");
+  if (!is_host(route.host)) {
+    objections.push_back(common::Fault{place, "is no host (RFC 9110, 7.2)"});
+  } else if (!is_normally_encoded(route.host, false)) {
+    objections.push_back(common::Fault{place, "has a percent-encoding that its normal form lacks (RFC 3986, 6.2.2)"});
+  }
+}
+
+/// What forbids a route's prefix: it would begin no path, or paths that another text names as well.
+void check_prefix(schema::Lane const& route, std::size_t index, std::vector<common::Fault>& objections) {
+  std::string const place = item_path("lanes", index, "/prefix");
+  std::string const prefix = normalize_prefix(route.prefix);
+  if (!is_absolute_path(prefix)) {
+    objections.push_back(common::Fault{place, "is no path (RFC 3986, 3.3)"});
+  } else if (!is_normally_encoded(prefix, true)) {
+    objections.push_back(common::Fault{place, "has a percent-encoding that its normal form lacks (RFC 3986, 6.2.2)"});
+  } else if (has_dot_segment(prefix)) {
+    objections.push_back(common::Fault{place, "has a segment . or .., which its normal form lacks (RFC 3986, 6.2.2)"});
+  }
+}
+
 void find_conflicts(schema::Charter const& routing_config, std::vector<common::Fault>& objections) {
   std::map<RouteKey, std::string> names;
   for (std::size_t index = 0; index < routing_config.lanes.size(); ++index) {
@@ -101,6 +125,8 @@
       parsed.faults.push_back(common::Fault{item_path("lanes", index, "/name"), "is there twice"});
     }
     validate_route(route, index, services, parsed.faults);
+    check_host(route, index, parsed.objections);
+    check_prefix(route, index, parsed.objections);
   }
   find_conflicts(routing_config, parsed.objections);
   absl::Status const strictly_json = common::check_json(text);
--- a/source/config/routing/routing_config.hpp
+++ b/source/config/routing/routing_config.hpp
@@ -17,8 +17,8 @@
 struct ParsedRoutingConfig {
   schema::Charter routing_config;
   std::vector<common::Fault> faults;  ///< what makes it unusable
-  /// What forbids to accept it, though it can be used: a text that other readers of JSON refuse, routes with the
-  /// key of another route, of which only one can be reached.
+  /// What forbids to accept it, though it can be used: a text that other readers of JSON refuse, routes with the key of
+  /// another route, of which only one can be reached, and routes that no request or more than one text names.
   std::vector<common::Fault> objections;
   /// Whether a change to it may be accepted.
   [[nodiscard]] bool good() const { return faults.empty() && objections.empty(); }
--- a/source/scheduling/route_table/route_table.cpp
+++ b/source/scheduling/route_table/route_table.cpp
@@ -1,6 +1,7 @@
 #include "scheduling/route_table/route_table.hpp"
 
 #include "config/routing/route_key.hpp"
+#include "config/routing/route_syntax.hpp"
 
 namespace finchlink::scheduling {
 
@@ -52,7 +53,7 @@
 
 schema::Lane const* RouteTable::unreachable() const {
   for (schema::Lane const& route : routing_config_.lanes) {
-    if (find(route.host, config::normalize_prefix(route.prefix)) != &route) {
+    if (!config::can_be_requested(route) || find(route.host, config::normalize_prefix(route.prefix)) != &route) {
       return &route;
     }
   }
--- a/source/scheduling/route_table/route_table.hpp
+++ b/source/scheduling/route_table/route_table.hpp
@@ -24,7 +24,8 @@
   RouteTable& operator=(RouteTable const&) = delete;
   /// The route of that host with the longest prefix of the path, or nullptr. The table owns it.
   [[nodiscard]] schema::Lane const* find(std::string_view host, std::string_view path) const;
-  /// A route that a lookup of its own host and prefix doesn't return, so that no request can reach it, or nullptr.
+  /// A route that no request can reach, or nullptr: its host or prefix can't stand in a request, or a lookup of them
+  /// doesn't return it.
   [[nodiscard]] schema::Lane const* unreachable() const;
   /// The service of that name, or nullptr.
   [[nodiscard]] schema::Service const* service(std::string_view name) const;
