Routing configuration: JSON that two readers understand differently is refused

What callers saw: a change with two members of one name (two lists of routes) was acknowledged and only the first list was served, while other readers take the last; a host with U+0000 was acknowledged and served as the part before it. Cause: cJSON finds the first of two members and ends strings at U+0000; the strict check looked at grammar and encoding only, and never at the text of a partial change. Change: check_json refuses both (RFC 8259, 4), and a partial change is checked as it came. It works since what passes has one reading.

--- a/source/common/json/strict_json.hpp
+++ b/source/common/json/strict_json.hpp
@@ -6,9 +6,10 @@
 
 namespace finchlink::common {
 
-/// Whether a text is one JSON document by RFC 8259, in UTF-8 and without a byte order mark; else kInvalidArgument, with
-/// the byte at which it is not. `read_tree` is more lenient: it takes any bytes inside strings, and some numbers that
-/// other readers refuse.
+/// Whether a text is one JSON document by RFC 8259, in UTF-8 and without a byte order mark, that all readers understand
+/// alike: no object has two members of one name (RFC 8259, 4), no string has the character U+0000. Else
+/// kInvalidArgument, with the byte or the reason. `read_tree` is more lenient: it takes any bytes inside strings, cuts
+/// them at U+0000, finds the first of two members, and takes some numbers that other readers refuse.
 [[nodiscard]] absl::Status check_json(std::string_view text);
 
 }  // namespace finchlink::common
--- a/source/tests/common/strict_json_test.cpp
+++ b/source/tests/common/strict_json_test.cpp
@@ -43,6 +43,40 @@
   EXPECT_FALSE(common::check_json(std::string("\"a\0b\"", 5)).ok());
 }
 
+TEST(StrictJson, RefusesWhatReadersUnderstandInDifferentWays) {
+  for (std::string const text : {R"({"a":1,"a":1})", R"({"a":1,"\u0061":2})", R"([{"b":{"a":1,"c":[],"a":2}}])",
+                                 R"({"a\u0000":1})", R"(["\u0000"])", R"("x\u0000y")"}) {
+    EXPECT_FALSE(common::check_json(text).ok()) << text;
+  }
+  for (std::string const text :
+       {R"({"a":{"a":[{"a":1},{"a":1}]},"A":1,"":2})", R"({"a":{},"b":{"a":1}})", R"("\u0001")"}) {
+    EXPECT_TRUE(common::check_json(text).ok()) << text;
+  }
+  std::string const long_name(100000, 'n');
+  EXPECT_FALSE(common::check_json("{\"" + long_name + "\":1,\"" + long_name + "\":2}").ok());
+  EXPECT_TRUE(common::check_json("{\"" + long_name + "\":1,\"" + long_name + "m\":2}").ok());
+}
+
+/// Guards against routes that are acknowledged and never served: of two members of one name only the first one is read.
+TEST(StrictJson, AChangeWithAMemberTwiceIsRefused) {
+  std::string const lanes = R"([{"name":"b","prefix":"/b/","shares":[{"service":"s"}],"deadline_ms":5}])";
+  std::string const whole = config_text(2, "first");
+  EXPECT_TRUE(is_accepted(whole, false));
+  EXPECT_FALSE(is_accepted(whole.substr(0, whole.size() - 1) + ",\"lanes\":" + lanes + "}", false));
+  std::string const patch = R"({"number":2,"upsert":{"lanes":)" + lanes + "}}";
+  EXPECT_TRUE(is_accepted(patch, true));
+  EXPECT_FALSE(is_accepted(R"({"number":2,"upsert":{"lanes":[],"lanes":)" + lanes + "}}", true));
+  EXPECT_FALSE(is_accepted(R"({"number":2,"upsert":{},"upsert":{"lanes":)" + lanes + "}}", true));
+}
+
+/// Guards against a host that is acknowledged and served as another one, cut at the character U+0000.
+TEST(StrictJson, AChangeWithACharacterThatEndsStringsIsRefused) {
+  EXPECT_FALSE(is_accepted(config_text(2, R"(first\u0000second)"), false));
+  EXPECT_FALSE(is_accepted(R"({"number":2,"upsert":{"lanes":[{"name":"b","host":"a.example\u0000b","prefix":"/b/",)"
+                           R"("shares":[{"service":"s"}],"deadline_ms":5}]}})",
+                           true));
+}
+
 /// Guards against a configuration that is acknowledged and then read back as bytes that no reader of JSON takes.
 TEST(StrictJson, AChangeInAnotherEncodingIsRefused) {
   EXPECT_TRUE(is_accepted(config_text(2, "caf\xc3\xa9"), false));
