Load balancer: where a proxy can't know whether a worker is cold, the cold bound holds

Cause: cold was what the list or an evacuation told; a proxy that hears of neither went on as if its workers were warm. A worker's word that it is cold counts for its time. It works since each part of a cut keeps its share of the bound, whatever it knows.

--- a/source/tests/scheduling/load_balancer_test.cpp
+++ b/source/tests/scheduling/load_balancer_test.cpp
@@ -282,6 +282,73 @@
   }
 }
 
+/// Queries that the only worker, which bears 4 a second while cold, takes at once.
+std::size_t taken_at_once(LoadBalancer& balancer, common::Moment now) {
+  std::size_t taken = 0;
+  for (int attempt = 0; attempt < 100; ++attempt) {
+    taken += place(balancer, request_for(), now).empty() ? 0 : 1;
+  }
+  return taken;
+}
+
+/// Guards against a proxy that is cut off and overruns a worker of which it can't know that it has turned cold.
+TEST(LoadBalancer, WithAnOldListAWorkerKeepsTheColdBoundUntilItSaysThatItIsWarm) {
+  std::size_t const bound = 4 * 1.5 + 5;
+  for (bool const guard_on : {true, false}) {
+    LoadBalancer balancer(LoadBalancerGuards{.suspect_unseen = guard_on});
+    std::vector<WorkerSpec> specs = several(1, "web");
+    specs[0].cold_rate = 4;
+    specs[0].capacity = 1000;
+    balancer.update(specs, context(), start);
+    balancer.list_confirmed(start, start);
+    common::Moment now = start + constants::cold_state_known_alone_span;
+    EXPECT_EQ(taken_at_once(balancer, now), 100u) << "the list is new enough";
+    now += constants::cold_window;
+    balancer.list_confirmed(now - constants::cold_state_known_span, now);
+    EXPECT_EQ(taken_at_once(balancer, now), 100u) << "the list is old, but a controller was in contact just now";
+    now += constants::cold_window;
+    EXPECT_EQ(taken_at_once(balancer, now) > bound, !guard_on);
+    EXPECT_EQ(balancer.workers_to_check(now).size(), guard_on ? 1u : 0u);
+    EXPECT_TRUE(balancer.workers_to_check(now).empty()) << "it was named just now";
+    balancer.record_cold_state(specs[0].id, now, 0);
+    now += constants::warm_confirmed_span - 1;
+    EXPECT_EQ(taken_at_once(balancer, now), 100u) << "it said that it is warm";
+    now += constants::cold_window;
+    EXPECT_EQ(taken_at_once(balancer, now) > bound, !guard_on) << "that has lapsed";
+    balancer.list_confirmed(now, now);
+    EXPECT_EQ(taken_at_once(balancer, now), 100u) << "a newer list says that it is warm";
+  }
+}
+
+TEST(LoadBalancer, AWorkerThatSaysThatItIsColdIsColdForThatTime) {
+  LoadBalancer balancer;
+  std::vector<WorkerSpec> specs = several(1, "web");
+  specs[0].cold_rate = 4;
+  specs[0].capacity = 1000;
+  balancer.update(specs, context(), start);
+  balancer.record_cold_state(specs[0].id, start, common::seconds(5));
+  balancer.record_cold_state(specs[0].id, start, 0);
+  balancer.record_cold_state("another", start, common::seconds(50));
+  balancer.update(specs, context(), start + 1);
+  EXPECT_LE(taken_at_once(balancer, start + common::seconds(4)), 4 * 1.5 + 5);
+  EXPECT_EQ(taken_at_once(balancer, start + common::seconds(6)), 100u);
+}
+
+TEST(LoadBalancer, WorkersThatGetLessThanTheColdBoundAreNotAsked) {
+  LoadBalancer balancer;
+  std::vector<WorkerSpec> specs = several(2, "web");
+  specs[0].cold_rate = 4;
+  specs[0].capacity = specs[1].capacity = 1000;
+  balancer.update(specs, context(), start);
+  balancer.list_confirmed(start, start);
+  common::Moment const now = start + common::seconds(10);
+  EXPECT_TRUE(balancer.workers_to_check(now).empty());
+  EXPECT_GT(taken_at_once(balancer, now), 90u) << "the worker without a bound takes them";
+  std::vector<WorkerSpec> const named = balancer.workers_to_check(now);
+  EXPECT_LE(named.size(), 1u);
+  EXPECT_TRUE(named.empty() || named[0].id == specs[0].id);
+}
+
 /// Guards against a worker that turns cold again before its first cold time is over and then counts as warm, since no
 /// list tells a difference.
 TEST(LoadBalancer, AWorkerIsColdUntilAListSaysOtherwise) {
