--- a/source/common/relay_constants.hpp
+++ b/source/common/relay_constants.hpp
@@ -21,22 +21,6 @@
 inline constexpr Span cold_window = milliseconds(1300);
 /// The workers of a restored zone count as cold for this long, until the list would report them as cold.
 inline constexpr Span restored_zone_cold_span = milliseconds(3000);
-/// With a worker list older than this, workers may have turned cold unseen: the first holds while controllers are in
-/// contact and answer at least every second or so, the second once none has been for the third.
-inline constexpr Span cold_state_known_span = milliseconds(3500);
-inline constexpr Span cold_state_known_alone_span = milliseconds(2500);
-inline constexpr Span cold_state_contact_span = milliseconds(2000);
-/// A worker's own statement that it is warm counts for this long after it was asked.
-inline constexpr Span warm_confirmed_span = milliseconds(400);
-/// A worker is asked again after this long, so that the next statement comes before the last one has lapsed.
-inline constexpr Span cold_check_interval = milliseconds(250);
-/// How often workers to ask are looked for, while the list is about to be too old, and while it isn't.
-inline constexpr Span cold_check_poll = milliseconds(30);
-inline constexpr Span cold_check_idle_poll = milliseconds(1000);
-/// A worker's statement of a longer cold time counts as this long.
-inline constexpr std::int64_t max_stated_cold_ms = std::int64_t{3600} * 1000;
-/// Bytes of a health answer's body that are read.
-inline constexpr std::size_t health_answer_limit = 16u << 10u;
 /// Fraction of a worker's memory that the prefix record assumes for cached prompts: running queries take the rest.
 inline constexpr double cache_memory_fraction = 0.8;
 /// Workers in regions that no route names as home own the prefixes that may be served anywhere if they are at least
--- a/source/data_plane/relay/dialect.hpp
+++ b/source/data_plane/relay/dialect.hpp
@@ -27,8 +27,6 @@
   std::string weights;     ///< header of responses: version of the model's weights; empty: no worker sends it
   std::string expected;    ///< header: required version of the weights; a worker with another one responds 421
   std::string reused;      ///< header of responses: prompt tokens served from the cache
-  std::string identity;    ///< header of health answers: the worker's id; empty: workers aren't asked for their health
-  std::string cold_for;    ///< header of health answers: how long the worker is cold, in milliseconds
   std::string ready_path;
   std::string directory_path;
   std::function<std::vector<scheduling::PromptPart>(std::string_view)> read_parts;
--- a/source/data_plane/relay/relay_counters.cpp
+++ b/source/data_plane/relay/relay_counters.cpp
@@ -11,8 +11,7 @@
     text << "relay_queries_total{outcome=\"" << entry.first << "\"} " << entry.second << "\n";
   }
   text << "relay_retries_total " << retries << "\nrelay_resumed_total " << resumed << "\nrelay_connects_total "
-       << connects << "\nrelay_probes_total " << probes << "\nrelay_cold_checks_total " << cold_checks
-       << "\nrelay_dispatches_total " << dispatches << "\n";
+       << connects << "\nrelay_probes_total " << probes << "\nrelay_dispatches_total " << dispatches << "\n";
   return text.str();
 }
 
--- a/source/data_plane/relay/relay_counters.hpp
+++ b/source/data_plane/relay/relay_counters.hpp
@@ -12,8 +12,7 @@
   std::uint64_t retries = 0;
   std::uint64_t resumed = 0;
   std::uint64_t connects = 0;
-  std::uint64_t probes = 0;       ///< connections opened to tell a busy worker from an unreachable one
-  std::uint64_t cold_checks = 0;  ///< health requests that ask whether a worker is cold
+  std::uint64_t probes = 0;  ///< connections opened to tell a busy worker from an unreachable one
   std::uint64_t dispatches = 0;
   [[nodiscard]] std::string print() const;
 };
--- a/source/data_plane/relay/relay_server.cpp
+++ b/source/data_plane/relay/relay_server.cpp
@@ -14,7 +14,6 @@
 #include "consensus/ballot/ballot.hpp"
 #include "data_plane/relay/adopted_checks.hpp"
 #include "data_plane/relay/caller_session.hpp"
-#include "data_plane/relay/cold_state_checks.hpp"
 #include "data_plane/relay/prompt_isolation.hpp"
 #include "data_plane/relay/status_session.hpp"
 #include "scheduling/scaler/pools.hpp"
@@ -64,9 +63,6 @@
   }
   spawn_small_stack(context_, [this](common::Yield yield) { poll_updates(yield); });
   spawn_small_stack(context_, [this](common::Yield yield) { poll_platform_list(yield); });
-  if (!dialect_.identity.empty()) {
-    spawn_small_stack(context_, [this](common::Yield yield) { check_cold_states(*this, yield); });
-  }
   if (!settings_.secrets_file.empty()) {
     spawn_small_stack(context_, [this](common::Yield yield) { watch_secrets(yield); });
   }
@@ -214,7 +210,6 @@
 void RelayServer::record_contact(schema::NewsAnswer const& update) {
   contacted_ = true;
   last_contact_at_ = common::boot_now();
-  balancer_.list_confirmed(list_.as_of(), last_contact_at_);
   replace_controllers(update.peers);
 }
 
@@ -268,7 +263,6 @@
     absl::StatusOr<schema::PlatformList> const list = list_reader_(settings_.platform_address, yield);
     if (list.ok()) {
       list_.put(*list, asked);
-      balancer_.list_confirmed(list_.as_of(), last_contact_at_);
       refresh_cold_workers();
       update_balancer();
     }
@@ -307,7 +301,6 @@
     refresh_cold_workers();
     changed = true;
   }
-  balancer_.list_confirmed(list_.as_of(), last_contact_at_);
   if (changed) {
     update_balancer();
   }
--- a/source/platform/dialect.cpp
+++ b/source/platform/dialect.cpp
@@ -16,8 +16,6 @@
   dialect.parts = "Prompt-Prefix";
   dialect.last_event = "Last-Event-Id";
   dialect.urgency = "Request-Urgency";
-  dialect.identity = "Instance";
-  dialect.cold_for = "Cold-Left";
   dialect.ready_path = "/v1/readiness";
   dialect.directory_path = "/v1/resolve";
   dialect.read_parts = data_plane::read_parts;
--- a/source/scheduling/load_balancer/load_balancer.cpp
+++ b/source/scheduling/load_balancer/load_balancer.cpp
@@ -161,65 +161,6 @@
   return static_cast<double>(worker.rank) < std::clamp(count, 1.0, static_cast<double>(worker.rank_count - 1));
 }
 
-bool LoadBalancer::cold_state_unknown(common::Moment now) const {
-  if (!guards_.suspect_unseen || list_as_of_ == 0) {
-    return false;
-  }
-  bool const is_alone = now - contact_at_ > constants::cold_state_contact_span;
-  return now - list_as_of_ > (is_alone ? constants::cold_state_known_alone_span : constants::cold_state_known_span);
-}
-
-void LoadBalancer::list_confirmed(common::Moment as_of, common::Moment contact_at) {
-  list_as_of_ = as_of;
-  contact_at_ = contact_at;
-}
-
-std::vector<WorkerSpec> LoadBalancer::workers_to_check(common::Moment now) {
-  std::vector<WorkerSpec> found;
-  if (!cold_state_unknown(now + constants::warm_confirmed_span)) {
-    return found;
-  }
-  for (std::pair<std::string const, Worker>& entry : workers_) {
-    Worker& worker = entry.second;
-    if (worker.spec.cold_rate > 0 && !worker.spec.draining && !is_cold(worker, now) &&
-        now - worker.checked_at >= constants::cold_check_interval && recent_sends(worker, now) >= cold_quota(worker)) {
-      worker.checked_at = now;
-      found.push_back(worker.spec);
-    }
-  }
-  return found;
-}
-
-void LoadBalancer::record_cold_state(std::string const& worker, common::Moment asked_at, common::Span cold_span) {
-  std::map<std::string, Worker>::iterator const found = workers_.find(worker);
-  if (found == workers_.end()) {
-    return;
-  }
-  Worker& entry = found->second;
-  if (cold_span <= 0) {
-    entry.warm_at = std::max(entry.warm_at, asked_at);
-    return;
-  }
-  if (!is_cold(entry, asked_at)) {
-    entry.cache.clear();
-  }
-  entry.warm_at = 0;
-  entry.spec.cold_until = std::max(entry.spec.cold_until, asked_at + cold_span);
-}
-
-bool LoadBalancer::is_bounded_as_cold(Worker const& worker, common::Moment now) const {
-  if (worker.spec.cold_rate <= 0) {
-    return false;
-  }
-  bool const confirmed_warm = worker.warm_at > 0 && now - worker.warm_at < constants::warm_confirmed_span;
-  return is_cold(worker, now) || (cold_state_unknown(now) && !confirmed_warm);
-}
-
-double LoadBalancer::recent_sends(Worker const& worker, common::Moment now) {
-  return static_cast<double>(std::count_if(worker.recent_sends.begin(), worker.recent_sends.end(),
-                                           [now](common::Moment sent) { return now - sent < constants::cold_window; }));
-}
-
 double LoadBalancer::cold_quota(Worker const& worker) const {
   if (worker.spec.cold_rate <= 0 || !guards_.cold_bound) {
     return 1e9;
@@ -263,8 +204,14 @@
   if (contains(request.avoid, spec.id) || (!request.homes.empty() && !contains(request.homes, spec.region))) {
     return false;
   }
-  if (is_bounded_as_cold(worker, now) && recent_sends(worker, now) >= cold_quota(worker)) {
-    return false;
+  if (is_cold(worker, now) && spec.cold_rate > 0) {
+    std::size_t recent = 0;
+    for (common::Moment const sent : worker.recent_sends) {
+      recent += now - sent < constants::cold_window ? 1 : 0;
+    }
+    if (static_cast<double>(recent) >= cold_quota(worker)) {
+      return false;
+    }
   }
   double const proxies = std::max<double>(1.0, static_cast<double>(context_.proxies.size()));
   double const connections =
--- a/source/scheduling/load_balancer/load_balancer.hpp
+++ b/source/scheduling/load_balancer/load_balancer.hpp
@@ -87,7 +87,6 @@
   bool zone_suspicion = true;    ///< two unreachable workers of a zone make its other workers the last choice
   bool cold_by_list = true;      ///< a worker is cold for as long as the list says so, also beyond the time it told
   bool suspect_returned = true;  ///< workers of a restored zone may have turned cold unseen
-  bool suspect_unseen = true;    ///< workers may have turned cold since the list was read, when that is long ago
   bool probation = true;         ///< a worker back from ejection costs more until it answers
   bool owners = true;            ///< a shared prompt prefix has an owner in each region (section 13.5)
   bool spare_regions = true;     ///< regions that no route calls home own what may be served anywhere (section 13.14)
@@ -109,16 +108,6 @@
   void update(std::vector<WorkerSpec> const& specs, LoadBalancerContext const& context, common::Moment now);
   /// Chooses a worker and takes a place on it, which ended() gives back.
   [[nodiscard]] std::variant<Assignment, NoAssignment> choose(PlacementRequest const& request, common::Moment now);
-  /// The worker list in force was the platform's at that moment, and a controller was last in contact at the other.
-  /// Before the first call the list's age is not considered.
-  void list_confirmed(common::Moment as_of, common::Moment contact_at);
-  /// Whether the list is so old that workers may have turned cold unseen.
-  [[nodiscard]] bool cold_state_unknown(common::Moment now) const;
-  /// Workers to ask now whether they are cold: the list is, or is about to be, too old to tell, and this proxy has sent
-  /// its part of what they bear while cold. Each is named once in a while.
-  [[nodiscard]] std::vector<WorkerSpec> workers_to_check(common::Moment now);
-  /// The worker, asked at `asked_at`, said that it is cold for `cold_span` more; 0: it is warm.
-  void record_cold_state(std::string const& worker, common::Moment asked_at, common::Span cold_span);
   /// Whether queries may still be sent to the worker; checked right before the first byte is sent.
   [[nodiscard]] bool usable(std::string const& worker) const;
   [[nodiscard]] bool serves(std::string const& worker, std::string const& service) const;
@@ -173,17 +162,11 @@
     double slots = 0;                         ///< queries that it runs at a time
     double slowdown = 1;                      ///< observed over predicted prefill time, smoothed
     std::deque<common::Moment> recent_sends;  ///< within the last second, while cold
-    common::Moment warm_at = 0;               ///< when the worker was asked that last said that it is warm
-    common::Moment checked_at = 0;            ///< when it was last asked
     PromptCacheEstimate cache;
   };
   [[nodiscard]] bool is_cold(Worker const& worker, common::Moment now) const {
     return (guards_.cold_by_list && worker.spec.cold) || now < worker.spec.cold_until;
   }
-  /// Whether the bound of cold workers holds for the worker: it is cold, or may be and hasn't said otherwise.
-  [[nodiscard]] bool is_bounded_as_cold(Worker const& worker, common::Moment now) const;
-  /// Queries sent to the worker within the window of the bound.
-  [[nodiscard]] static double recent_sends(Worker const& worker, common::Moment now);
   /// Queries that this proxy may send to the worker within one second while it is cold.
   [[nodiscard]] double cold_quota(Worker const& worker) const;
   /// Queries on the worker: what it reported, fading with age, and at least this proxy's own.
@@ -213,8 +196,6 @@
   OutlierDetector detector_;
   std::uint64_t next_ticket_ = 1;
   LoadBalancerContext context_;
-  common::Moment list_as_of_ = 0;
-  common::Moment contact_at_ = 0;
   std::map<std::string, Worker> workers_;
   std::map<std::string, std::vector<std::string>> by_service_;
   std::map<std::string, std::set<std::string>> spare_regions_;    ///< by service: regions that no route calls home
--- a/source/tests/relay/fleet.hpp
+++ b/source/tests/relay/fleet.hpp
@@ -346,8 +346,8 @@
                     *context, common::counted_address(controller_address, 64),
                     [this](schema::Message const& message, common::Yield yield) { return answer(message, yield); })
                     .ok());
-    server =
-        std::make_unique<data_plane::RelayServer>(*context, settings, dialect, config::native_format(), nullptr, 7);
+    server = std::make_unique<data_plane::RelayServer>(*context, settings, data_plane::own_dialect(),
+                                                       config::native_format(), nullptr, 7);
     EXPECT_TRUE(server->begin().ok());
     if (with_routing_config) {
       EXPECT_TRUE(until(
@@ -428,7 +428,6 @@
   std::string ip;
   std::string controller_address;
   schema::Settings settings;
-  data_plane::Dialect dialect = data_plane::own_dialect();
   schema::Charter routing_config;
   schema::PlatformList list;
   std::uint64_t list_digest = 1;
